--- /dev/null
+++ b/packages/common/src/hybrid-clock.ts
@@ -0,0 +1,29 @@
+/** A reading of a hybrid logical clock. */
+export interface HybridTime {
+    wallMs: number;
+    logical: number;
+}
+
+/** Orders two readings: negative when `a` is earlier. */
+export const compareHybridTimes = (a: HybridTime, b: HybridTime): number =>
+    a.wallMs - b.wallMs || a.logical - b.logical;
+
+/** Hybrid logical clock: readings never go back and follow every reading received from a peer. */
+export class HybridClock {
+    #last: HybridTime = { wallMs: 0, logical: 0 };
+
+    /** Returns the time of a local event. */
+    next(wallNowMs: number): HybridTime {
+        this.#last = wallNowMs > this.#last.wallMs
+            ? { wallMs: wallNowMs, logical: 0 }
+            : { wallMs: this.#last.wallMs, logical: this.#last.logical + 1 };
+        return this.#last;
+    }
+
+    /** Takes note of a peer's reading, so that later local readings follow it. */
+    observe(remote: HybridTime): void {
+        if (compareHybridTimes(remote, this.#last) > 0) {
+            this.#last = remote;
+        }
+    }
+}
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./hybrid-clock.js";
+export * from "./job-key.js";
+export * from "./journal.js";
+export * from "./seeded-random.js";
+export * from "./step-error.js";
--- /dev/null
+++ b/packages/common/src/step-error.ts
@@ -0,0 +1,68 @@
+import { create } from "@bufbuild/protobuf";
+import { ErrorCode, ErrorDetailSchema } from "@waxwingspread/protocol";
+import type { ErrorDetail } from "@waxwingspread/protocol";
+
+/** Optional parts of a {@link StepError}. */
+export interface StepErrorExtras {
+    retryAfterMs?: number;
+    leaderAddress?: string;
+    currentRevision?: number;
+    cause?: unknown;
+}
+
+/** Error that carries the step and the peer at which it arose. */
+export class StepError extends Error {
+    readonly #extras: StepErrorExtras;
+
+    constructor(
+        readonly code: ErrorCode,
+        readonly step: string,
+        readonly peer: string,
+        message: string,
+        extras: StepErrorExtras = {},
+    ) {
+        super(message, { cause: extras.cause });
+        this.name = "StepError";
+        this.#extras = extras;
+    }
+
+    get retryAfterMs(): number | undefined {
+        return this.#extras.retryAfterMs;
+    }
+
+    get leaderAddress(): string | undefined {
+        return this.#extras.leaderAddress;
+    }
+
+    get currentRevision(): number | undefined {
+        return this.#extras.currentRevision;
+    }
+
+    /** Returns the form in which the error travels between processes. */
+    toDetail(): ErrorDetail {
+        return create(ErrorDetailSchema, {
+            code: this.code,
+            step: this.step,
+            peer: this.peer,
+            message: this.message,
+            retryAfterMs: this.#extras.retryAfterMs ?? 0,
+            leaderAddress: this.#extras.leaderAddress ?? "",
+            currentRevision: this.#extras.currentRevision ?? 0,
+        });
+    }
+
+    /** Restores an error that arrived from another process. */
+    static fromDetail(detail: ErrorDetail): StepError {
+        return new StepError(detail.code, detail.step, detail.peer, detail.message, {
+            retryAfterMs: detail.retryAfterMs || undefined,
+            leaderAddress: detail.leaderAddress || undefined,
+            currentRevision: detail.currentRevision || undefined,
+        });
+    }
+}
+
+/** Returns the message of anything that was thrown. */
+export const messageOf = (error: unknown): string => error instanceof Error ? error.message : String(error);
+
+/** Returns the code's name in lower case with dashes, as used in JSON and metrics. */
+export const errorCodeName = (code: ErrorCode): string => ErrorCode[code].toLowerCase().replaceAll("_", "-");
