--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./policy/types.js";
