Add the daemon's settings, logger and metrics

Cause: the daemon needs its addresses, limits and timings checked before it opens a listener. Change: one table of setting definitions yields flags, variables, help, checks and the table of the operators' page; all faults, relations between settings included, are reported in one message; a pino factory that redacts secrets and callers' data; a prom-client registry whose label values come from closed sets. Ruled out: host names in addresses (processes communicate by IP address); stopping at the first fault; yargs' strict mode (reports unknown flags only, one message at a time, and prints their values).

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./logging/index.js";
+export * from "./metrics/index.js";
+export * from "./settings/index.js";
--- /dev/null
+++ b/packages/daemon/src/logging/index.ts
@@ -0,0 +1,2 @@
+export { createLogger } from "./logger.js";
+export type { LoggerOptions } from "./logger.js";
--- /dev/null
+++ b/packages/daemon/src/logging/logger.ts
@@ -0,0 +1,39 @@
+import { pino } from "pino";
+import type { DestinationStream, Logger } from "pino";
+
+/** Fields that are replaced before a line is written, at the top level and up to two levels below. */
+const SECRET_FIELDS = [
+    "authorization",
+    "operatorToken",
+    "operatorTokenHash",
+    "token",
+    "secret",
+    "credential",
+    "credentials",
+    "payload",
+    "answer",
+    "checkpoint",
+];
+const REDACTED = "(redacted)";
+
+export interface LoggerOptions {
+    readonly level: string;
+    readonly vmName: string;
+    readonly availabilityZone: string;
+    readonly role: string;
+    /** Standard output unless given. */
+    readonly destination?: DestinationStream;
+}
+
+/** Creates the process's logger: one JSON object a line, secrets and callers' data redacted. */
+export const createLogger = (options: LoggerOptions): Logger => {
+    const nested = SECRET_FIELDS.flatMap(field => [field, `*.${field}`, `*.*.${field}`]);
+    const settings = {
+        level: options.level,
+        base: { vm: options.vmName, availabilityZone: options.availabilityZone, role: options.role },
+        timestamp: pino.stdTimeFunctions.isoTime,
+        formatters: { level: (label: string) => ({ level: label }) },
+        redact: { paths: nested, censor: REDACTED },
+    };
+    return options.destination === undefined ? pino(settings) : pino(settings, options.destination);
+};
--- /dev/null
+++ b/packages/daemon/src/settings/parse-settings.ts
@@ -0,0 +1,113 @@
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { definitionOf, flagOf, SETTING_KEYS, variableOf } from "./definitions.js";
+import type { SettingKey, SettingValues } from "./definitions.js";
+import { isUnspecifiedHost } from "./endpoint.js";
+import { relationFaults } from "./relations.js";
+import { SettingsError } from "./settings-error.js";
+import type { SettingsFault } from "./settings-error.js";
+import { readTexts } from "./source.js";
+import { DaemonRole } from "./types.js";
+import type { DaemonSettings, LimitSettings, TimingSettings } from "./types.js";
+
+const HIDDEN = "(hidden)";
+
+const deepFreeze = <T>(value: T): T => {
+    if (typeof value === "object" && value !== null) {
+        Object.values(value).forEach(deepFreeze);
+        Object.freeze(value);
+    }
+    return value;
+};
+
+/** Values whose faults have all been reported, so that an absent one is an error of this module. */
+type PresentValues = { [K in SettingKey]: NonNullable<SettingValues[K]> };
+
+const limitsOf = (values: PresentValues): LimitSettings => ({
+    payloadBytes: values.payloadLimitBytes,
+    answerBytes: values.answerLimitBytes,
+    connectionsPerListener: values.connectionsPerListener,
+    requestsPerSecondPerListener: values.requestsPerSecondPerListener,
+    waitingCallers: values.waitingCallers,
+});
+
+const timingsOf = (values: PresentValues): TimingSettings => ({
+    heartbeatMs: values.heartbeatMs,
+    minimumElectionTimeoutMs: values.minimumElectionTimeoutMs,
+    maximumElectionTimeoutMs: values.maximumElectionTimeoutMs,
+    startWindowMs: values.startWindowMs,
+    taskLeaseMs: values.taskLeaseMs,
+    leaseMarginMs: values.leaseMarginMs,
+    pollHoldMs: values.pollHoldMs,
+    configurationLeaseMs: values.configurationLeaseMs,
+    entryLostAfterMs: values.entryLostAfterMs,
+    orderRepeatMs: values.orderRepeatMs,
+    controlCallTimeoutMs: values.controlCallTimeoutMs,
+    zoneReturnMs: values.zoneReturnMs,
+    shutdownGraceMs: values.shutdownGraceMs,
+});
+
+const assemble = (checked: SettingValues, printSettings: boolean): DaemonSettings => {
+    const values = checked as PresentValues;
+    const runsEntry = values.role !== DaemonRole.Control;
+    const runsControl = values.role !== DaemonRole.Entry;
+    const mainListener = runsControl ? values.listenControl : values.listenCallers;
+    const boundHost = isUnspecifiedHost(mainListener.host) ? undefined : mainListener.host;
+    return {
+        role: values.role,
+        vmName: values.vmName,
+        availabilityZone: values.availabilityZone,
+        listeners: {
+            callers: runsEntry ? values.listenCallers : undefined,
+            control: runsControl ? values.listenControl : undefined,
+            operators: values.listenOperators,
+        },
+        advertiseHost: checked.advertiseHost ?? boundHost ?? values.listenOperators.host,
+        controlAddresses: checked.controlAddresses ?? [],
+        dataFolder: runsControl ? values.dataFolder : undefined,
+        bootstrapPeers: checked.bootstrapPeers ?? [],
+        snapshotIntervalEntries: values.snapshotIntervalEntries,
+        zoneEvictionsPerSecond: values.zoneEvictionsPerSecond,
+        limits: limitsOf(values),
+        timings: timingsOf(values),
+        operatorTokenHash: values.operatorTokenHash,
+        logLevel: values.logLevel,
+        printSettings,
+    };
+};
+
+const requirement = (key: SettingKey, role: DaemonRole | undefined): boolean => {
+    const { requiredFor } = definitionOf(key);
+    // Without a valid role, only settings that every role needs can be called missing.
+    return role === undefined ? requiredFor.length === Object.keys(DaemonRole).length : requiredFor.includes(role);
+};
+
+/** Reads and checks all settings. The error lists every fault found, not just the first one. */
+export const parseSettings = (
+    argv: readonly string[],
+    environment: NodeJS.ProcessEnv,
+): Result<DaemonSettings, SettingsError> => {
+    const { texts, printSettings, faults: sourceFaults } = readTexts(argv, environment);
+    const values: Partial<Record<SettingKey, unknown>> = {};
+    const faults: SettingsFault[] = [...sourceFaults];
+    for (const key of SETTING_KEYS) {
+        const { parser, defaultText, secret } = definitionOf(key);
+        const text = texts.get(key) ?? defaultText;
+        const value = text === undefined ? undefined : parser.parse(text);
+        const missing = text === undefined && requirement(key, values.role as DaemonRole | undefined);
+        if (missing || (text !== undefined && value === undefined)) {
+            const given = secret && text !== undefined ? HIDDEN : text;
+            faults.push({ flag: `--${flagOf(key)}`, variable: variableOf(key), given, allowed: parser.allowed });
+        }
+        values[key] = value;
+    }
+    const checked = values as SettingValues;
+    faults.push(...relationFaults(checked, key => texts.get(key) ?? definitionOf(key).defaultText));
+    return faults.length > 0
+        ? Err(new SettingsError(faults))
+        : Ok(deepFreeze(assemble(checked, printSettings)));
+};
+
+/** Returns the settings as JSON for `--print-settings`, with secrets hidden. */
+export const formatSettings = (settings: DaemonSettings): string =>
+    JSON.stringify({ ...settings, operatorTokenHash: HIDDEN, printSettings: undefined }, undefined, 4);
--- /dev/null
+++ b/packages/daemon/src/settings/relations.ts
@@ -0,0 +1,117 @@
+import { flagOf, variableOf } from "./definitions.js";
+import type { SettingKey, SettingValues } from "./definitions.js";
+import { formatEndpoint, isUnspecifiedHost } from "./endpoint.js";
+import type { Endpoint } from "./endpoint.js";
+import type { SettingsFault } from "./settings-error.js";
+import { DaemonRole } from "./types.js";
+
+/** A check that concerns more than one setting. Returns what is allowed when it is violated. */
+interface Relation {
+    readonly key: SettingKey;
+    readonly violation: (values: SettingValues) => string | undefined;
+}
+
+/** The configuration must be in force everywhere within this time. */
+const CONFIGURATION_IN_FORCE_MS = 2_000;
+/** A single lost heartbeat must not cause an election. */
+const HEARTBEATS_PER_ELECTION_TIMEOUT = 2;
+
+/** Requires one number to be at least a factor times another. Skipped when either is faulty. */
+const atLeast = (key: SettingKey, other: SettingKey, factor = 1): Relation => ({
+    key,
+    violation: values => {
+        const value = values[key];
+        const bound = values[other];
+        if (typeof value !== "number" || typeof bound !== "number" || value >= bound * factor) {
+            return undefined;
+        }
+        const multiple = factor === 1 ? "" : `${factor} times `;
+        return `at least ${multiple}--${flagOf(other)} (${bound * factor})`;
+    },
+});
+
+const listenerHosts = (values: SettingValues): string[] =>
+    [values.listenCallers, values.listenControl, values.listenOperators]
+        .filter((item): item is Endpoint => item !== undefined)
+        .map(item => item.host);
+
+/** Tells whether two listeners would bind the same port. */
+const collides = (a: Endpoint | undefined, b: Endpoint | undefined): boolean =>
+    a !== undefined
+    && b !== undefined
+    && a.port === b.port
+    && (a.host === b.host || isUnspecifiedHost(a.host) || isUnspecifiedHost(b.host));
+
+const distinctListeners = (key: "listenControl" | "listenOperators", others: readonly SettingKey[]): Relation => ({
+    key,
+    violation: values => {
+        const taken = others.find(other => collides(values[key], values[other] as Endpoint | undefined));
+        return taken === undefined ? undefined : `address other than --${flagOf(taken)}`;
+    },
+});
+
+const advertisedHost: Relation = {
+    key: "advertiseHost",
+    violation: values => {
+        const needed = values.advertiseHost === undefined && listenerHosts(values).some(isUnspecifiedHost);
+        return needed ? "must be given when a listener is bound to 0.0.0.0 or ::" : undefined;
+    },
+};
+
+const ownPeer: Relation = {
+    key: "bootstrapPeers",
+    violation: values => {
+        const { bootstrapPeers, vmName, listenControl } = values;
+        if (bootstrapPeers === undefined || vmName === undefined || listenControl === undefined) {
+            return undefined;
+        }
+        const host = values.advertiseHost ?? listenControl.host;
+        const own = formatEndpoint({ host, port: listenControl.port });
+        const listed = bootstrapPeers.some(peer => peer.name === vmName && formatEndpoint(peer.address) === own);
+        return listed ? undefined : `must contain this VM as ${vmName}=${own}`;
+    },
+};
+
+const peersNeedControl: Relation = {
+    key: "bootstrapPeers",
+    violation: values =>
+        values.bootstrapPeers !== undefined && values.role === DaemonRole.Entry
+            ? "only with --role control or both"
+            : undefined,
+};
+
+const configurationInForce: Relation = {
+    key: "configurationLeaseMs",
+    violation: values =>
+        (values.configurationLeaseMs ?? 0) >= CONFIGURATION_IN_FORCE_MS
+            ? `below ${CONFIGURATION_IN_FORCE_MS}, within which a change must be in force everywhere`
+            : undefined,
+};
+
+const RELATIONS: readonly Relation[] = [
+    distinctListeners("listenControl", ["listenCallers"]),
+    distinctListeners("listenOperators", ["listenCallers", "listenControl"]),
+    advertisedHost,
+    peersNeedControl,
+    ownPeer,
+    atLeast("minimumElectionTimeoutMs", "heartbeatMs", HEARTBEATS_PER_ELECTION_TIMEOUT),
+    atLeast("maximumElectionTimeoutMs", "minimumElectionTimeoutMs"),
+    // A held poll is answered within its call's deadline and before its configuration lease ends.
+    atLeast("controlCallTimeoutMs", "pollHoldMs"),
+    atLeast("configurationLeaseMs", "pollHoldMs", 2),
+    configurationInForce,
+    atLeast("entryLostAfterMs", "configurationLeaseMs"),
+    atLeast("startWindowMs", "orderRepeatMs"),
+    atLeast("taskLeaseMs", "startWindowMs"),
+];
+
+/** Returns the faults between settings that are each allowed on their own. */
+export const relationFaults = (
+    values: SettingValues,
+    givenText: (key: SettingKey) => string | undefined,
+): SettingsFault[] =>
+    RELATIONS.flatMap(({ key, violation }) => {
+        const allowed = violation(values);
+        const fault = { flag: `--${flagOf(key)}`, variable: variableOf(key), given: givenText(key) };
+        return allowed === undefined ? [] : [{ ...fault, allowed }];
+    });
--- /dev/null
+++ b/packages/daemon/src/settings/source.ts
@@ -0,0 +1,85 @@
+import yargs from "yargs";
+import { definitionOf, flagOf, SETTING_KEYS, VARIABLE_PREFIX, variableOf } from "./definitions.js";
+import type { SettingKey } from "./definitions.js";
+import type { SettingsFault } from "./settings-error.js";
+
+const PRINT_FLAG = "print-settings";
+/** Variables of the operators' command line, which may share an environment with the daemon. */
+const COMMAND_LINE_VARIABLES = new Set([`${VARIABLE_PREFIX}CONTROL`, `${VARIABLE_PREFIX}OPERATOR_TOKEN`]);
+
+/** Texts as given, before they are checked. */
+export interface SettingTexts {
+    readonly texts: ReadonlyMap<SettingKey, string>;
+    readonly printSettings: boolean;
+    readonly faults: readonly SettingsFault[];
+}
+
+const createParser = (argv: readonly string[]): ReturnType<typeof yargs> => {
+    const parser = yargs([...argv])
+        .scriptName("waxwingspreadd")
+        .usage("$0 --role entry|control|both [settings]")
+        .parserConfiguration({ "camel-case-expansion": false, "boolean-negation": false, "parse-numbers": false })
+        .option(PRINT_FLAG, { type: "boolean", description: "Print the settings, secrets hidden, and exit" })
+        .exitProcess(false)
+        .version(false)
+        .help(false);
+    for (const key of SETTING_KEYS) {
+        const { description, defaultText, parser: { allowed } } = definitionOf(key);
+        const standard = defaultText === undefined ? "" : `; default ${defaultText}`;
+        const help = `${description}. ${variableOf(key)}: ${allowed}${standard}`;
+        parser.option(flagOf(key), { type: "string", description: help });
+    }
+    return parser;
+};
+
+const unknownFlagFaults = (parsed: Record<string, unknown>): SettingsFault[] => {
+    const known = new Set(["_", "$0", PRINT_FLAG, ...SETTING_KEYS.map(flagOf)]);
+    const unknown = Object.keys(parsed).filter(flag => !known.has(flag));
+    return unknown.map(flag => ({
+        flag: `--${flag}`,
+        variable: undefined,
+        // The value may be a secret under a misspelt name.
+        given: "(hidden)",
+        allowed: "a flag listed by --help",
+    }));
+};
+
+const positionalFaults = (parsed: Record<string, unknown>): SettingsFault[] => {
+    const positional = Array.isArray(parsed["_"]) ? parsed["_"] : [];
+    const fault = { flag: "argument", variable: undefined, given: "(hidden)", allowed: "flags only" };
+    return positional.map(() => fault);
+};
+
+const unknownVariableFaults = (environment: NodeJS.ProcessEnv): SettingsFault[] => {
+    const known = new Set(SETTING_KEYS.map(variableOf));
+    const unknown = Object.keys(environment).filter(variable =>
+        variable.startsWith(VARIABLE_PREFIX) && !known.has(variable) && !COMMAND_LINE_VARIABLES.has(variable)
+    );
+    return unknown.map(variable => ({
+        flag: undefined,
+        variable,
+        given: "(hidden)",
+        allowed: "a variable listed by --help",
+    }));
+};
+
+/** Collects flags and variables; a flag takes precedence. An empty variable counts as not given. */
+export const readTexts = (argv: readonly string[], environment: NodeJS.ProcessEnv): SettingTexts => {
+    const parsed = createParser(argv).parseSync() as Record<string, unknown>;
+    const faults = [...unknownFlagFaults(parsed), ...positionalFaults(parsed), ...unknownVariableFaults(environment)];
+    const texts = new Map<SettingKey, string>();
+    for (const key of SETTING_KEYS) {
+        const flag = flagOf(key);
+        const value = parsed[flag] ?? (environment[variableOf(key)] || undefined);
+        if (Array.isArray(value)) {
+            faults.push({ flag: `--${flag}`, variable: undefined, given: "repeated", allowed: "given once" });
+        }
+        else if (typeof value === "string") {
+            texts.set(key, value);
+        }
+    }
+    return { texts, printSettings: parsed[PRINT_FLAG] === true, faults };
+};
+
+/** Returns the help text with every flag and variable. */
+export const settingsHelp = async (): Promise<string> => createParser([]).wrap(null).getHelp();
