--- /dev/null
+++ b/packages/scheduler/src/state/cluster-state.ts
@@ -0,0 +1,246 @@
+import { create } from "@bufbuild/protobuf";
+import { jobKeyOf, StepError } from "@waxwingspread/common";
+import type { JobKey } from "@waxwingspread/common";
+import { ClusterSnapshotSchema, ConfigurationSchema, ErrorCode, ZoneState } from "@waxwingspread/protocol";
+import type {
+    AvailabilityZone,
+    BackendServer,
+    ClusterSnapshot,
+    CommandCompleted,
+    Configuration,
+    Contract,
+    Event,
+    Job,
+    WorkClass,
+} from "@waxwingspread/protocol";
+import { EVENT_HANDLERS } from "./event-handlers.js";
+import type { EventHandler } from "./event-handlers.js";
+import { Table, UndoLog } from "./table.js";
+import { FACTS_KEY, NO_FACTS } from "./tables.js";
+import type { ClusterFacts, ClusterTables } from "./tables.js";
+import { UsageIndex } from "./usage.js";
+import type { Use } from "./usage.js";
+
+/** Receives the changes of records, also those of a rollback. */
+export interface ClusterObserver {
+    jobChanged(key: JobKey, before: Job | undefined, after: Job | undefined): void;
+    backendServerChanged(id: string, before: BackendServer | undefined, after: BackendServer | undefined): void;
+    contractChanged(customer: string, before: Contract | undefined, after: Contract | undefined): void;
+    zoneChanged(name: string, before: AvailabilityZone | undefined, after: AvailabilityZone | undefined): void;
+}
+
+const sorted = <V>(values: Iterable<V>, keyOf: (value: V) => string): V[] =>
+    [...values].map(value => ({ key: keyOf(value), value }))
+        .sort((a, b) => a.key < b.key ? -1 : 1)
+        .map(({ value }) => value);
+
+/** Replicated state of the cluster. Applying the same events in the same order gives the same state everywhere. */
+export class ClusterState {
+    readonly #undoLog = new UndoLog();
+    readonly #usage = new UsageIndex();
+    readonly #tables: ClusterTables = {
+        facts: new Table<ClusterFacts>(this.#undoLog),
+        contracts: new Table<Contract>(this.#undoLog),
+        zones: new Table<AvailabilityZone>(this.#undoLog),
+        servers: new Table<BackendServer>(this.#undoLog),
+        jobs: new Table<Job>(this.#undoLog),
+        commands: new Table<CommandCompleted>(this.#undoLog),
+        usage: this.#usage,
+    };
+    readonly #commandNumbers = new Map<string, string>();
+    #configuration: Configuration | undefined;
+    #observer: ClusterObserver | undefined;
+
+    constructor() {
+        const { contracts, zones, servers, jobs, commands, facts } = this.#tables;
+        jobs.onChange((key, before, after) => {
+            this.#usage.jobChanged(before, after);
+            this.#observer?.jobChanged(key, before, after);
+        });
+        servers.onChange((id, before, after) => this.#observer?.backendServerChanged(id, before, after));
+        contracts.onChange((customer, before, after) => {
+            this.#configuration = undefined;
+            this.#observer?.contractChanged(customer, before, after);
+        });
+        zones.onChange((name, before, after) => {
+            this.#configuration = undefined;
+            this.#observer?.zoneChanged(name, before, after);
+        });
+        facts.onChange(() => {
+            this.#configuration = undefined;
+        });
+        commands.onChange((number, before, after) => {
+            if (before !== undefined) {
+                this.#commandNumbers.delete(before.commandId);
+            }
+            if (after !== undefined) {
+                this.#commandNumbers.set(after.commandId, number);
+            }
+        });
+    }
+
+    /** Applies one event; throws a StepError where it contradicts the state, which is a programming fault. */
+    apply(event: Event): void {
+        const { case: kind, value } = event.kind;
+        if (kind === undefined) {
+            throw new StepError(ErrorCode.CORRUPT, "apply", "", "event without a kind");
+        }
+        const handler = EVENT_HANDLERS[kind] as EventHandler<typeof value>;
+        handler(this.#tables, value, event.atMs);
+    }
+
+    /** Ends the batch that was proposed at the given log index. */
+    mark(index: number): void {
+        this.#undoLog.mark(index);
+    }
+
+    /** Makes the batches up to the given log index permanent. */
+    committed(index: number): void {
+        this.#undoLog.committed(index);
+    }
+
+    /** Undoes all uncommitted changes. */
+    rollback(): void {
+        this.#undoLog.rollback();
+    }
+
+    /** Sets the only observer; the former one receives no further notices. */
+    observe(observer: ClusterObserver | undefined): void {
+        this.#observer = observer;
+    }
+
+    /** Configuration in force; the same object until it changes. */
+    get configuration(): Configuration {
+        this.#configuration ??= create(ConfigurationSchema, {
+            revision: this.revision,
+            contracts: sorted(this.#tables.contracts.values(), contract => contract.customer),
+            availabilityZones: sorted(this.#tables.zones.values(), zone => zone.name),
+        });
+        return this.#configuration;
+    }
+
+    get revision(): number {
+        return this.#facts.revision;
+    }
+
+    get term(): number {
+        return this.#facts.term;
+    }
+
+    contract(customer: string): Contract | undefined {
+        return this.#tables.contracts.get(customer);
+    }
+
+    workClass(customer: string, name: string): WorkClass | undefined {
+        return this.contract(customer)?.classes.find(workClass => workClass.name === name);
+    }
+
+    contracts(): Iterable<Contract> {
+        return this.#tables.contracts.values();
+    }
+
+    zone(name: string): AvailabilityZone | undefined {
+        return this.#tables.zones.get(name);
+    }
+
+    zones(): Iterable<AvailabilityZone> {
+        return this.#tables.zones.values();
+    }
+
+    /** State of a zone; one that operators never changed is in service. */
+    zoneState(name: string): ZoneState {
+        return this.zone(name)?.state ?? ZoneState.IN_SERVICE;
+    }
+
+    backendServer(id: string): BackendServer | undefined {
+        return this.#tables.servers.get(id);
+    }
+
+    backendServers(): Iterable<BackendServer> {
+        return this.#tables.servers.values();
+    }
+
+    get backendServerCount(): number {
+        return this.#tables.servers.size;
+    }
+
+    job(key: JobKey): Job | undefined {
+        return this.#tables.jobs.get(key);
+    }
+
+    jobs(): Iterable<Job> {
+        return this.#tables.jobs.values();
+    }
+
+    get jobCount(): number {
+        return this.#tables.jobs.size;
+    }
+
+    queuedJobKeys(): ReadonlySet<JobKey> {
+        return this.#usage.queued;
+    }
+
+    /** Jobs whose attempt holds capacity. */
+    activeJobKeys(): ReadonlySet<JobKey> {
+        return this.#usage.active;
+    }
+
+    /** Capacity held on a backend server and the jobs that hold it. */
+    useOfBackendServer(id: string): Use {
+        return this.#usage.ofServer(id);
+    }
+
+    useOfCustomer(customer: string): Use {
+        return this.#usage.ofCustomer(customer);
+    }
+
+    /** Remembered outcome of an operator's command. */
+    command(commandId: string): CommandCompleted | undefined {
+        const number = this.#commandNumbers.get(commandId);
+        return number === undefined ? undefined : this.#tables.commands.get(number);
+    }
+
+    /** Copy of the state. Contains uncommitted changes, so take it only while there are none. */
+    toSnapshot(): ClusterSnapshot {
+        const { firstCommand, nextCommand, term } = this.#facts;
+        const commands: CommandCompleted[] = [];
+        for (let number = firstCommand; number < nextCommand; number += 1) {
+            const command = this.#tables.commands.get(String(number));
+            if (command !== undefined) {
+                commands.push(command);
+            }
+        }
+        return create(ClusterSnapshotSchema, {
+            configuration: this.configuration,
+            backendServers: sorted(this.backendServers(), server => server.backendServerId),
+            jobs: sorted(this.jobs(), job => job.specification === undefined ? "" : jobKeyOf(job.specification)),
+            commands,
+            term,
+        });
+    }
+
+    static fromSnapshot(snapshot: ClusterSnapshot): ClusterState {
+        const state = new ClusterState();
+        const tables = state.#tables;
+        snapshot.configuration?.contracts.forEach(contract => tables.contracts.load(contract.customer, contract));
+        snapshot.configuration?.availabilityZones.forEach(zone => tables.zones.load(zone.name, zone));
+        snapshot.backendServers.forEach(server => tables.servers.load(server.backendServerId, server));
+        snapshot.commands.forEach((command, number) => tables.commands.load(String(number), command));
+        for (const job of snapshot.jobs) {
+            if (job.specification !== undefined) {
+                tables.jobs.load(jobKeyOf(job.specification), job);
+            }
+        }
+        tables.facts.load(FACTS_KEY, {
+            ...NO_FACTS,
+            revision: snapshot.configuration?.revision ?? 0,
+            term: snapshot.term,
+            nextCommand: snapshot.commands.length,
+        });
+        return state;
+    }
+
+    get #facts(): ClusterFacts {
+        return this.#tables.facts.get(FACTS_KEY) ?? NO_FACTS;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/state/table.ts
@@ -0,0 +1,101 @@
+/** Called after a record changed; `undefined` stands for a record that does not exist. */
+export type ChangeListener<V> = (key: string, before: V | undefined, after: V | undefined) => void;
+
+interface UndoRecord {
+    undo(): void;
+}
+
+interface Mark {
+    index: number;
+    position: number;
+}
+
+/** Undo records of the uncommitted changes of several tables, in the order of the changes. */
+export class UndoLog {
+    #records: UndoRecord[] = [];
+    #marks: Mark[] = [];
+
+    get size(): number {
+        return this.#records.length;
+    }
+
+    add(record: UndoRecord): void {
+        this.#records.push(record);
+    }
+
+    /** Ends the batch that was proposed at the given log index. */
+    mark(index: number): void {
+        this.#marks.push({ index, position: this.#records.length });
+    }
+
+    /** Discards the undo records of all batches up to the given log index. */
+    committed(index: number): void {
+        const firstKept = this.#marks.findIndex(mark => mark.index > index);
+        const done = firstKept === -1 ? this.#marks.length : firstKept;
+        const position = done === 0 ? 0 : this.#marks[done - 1]?.position ?? 0;
+        this.#records = this.#records.slice(position);
+        this.#marks = this.#marks.slice(done).map(mark => ({ index: mark.index, position: mark.position - position }));
+    }
+
+    /** Undoes every change that is not committed, the newest first. */
+    rollback(): void {
+        const records = this.#records;
+        this.#records = [];
+        this.#marks = [];
+        for (let position = records.length - 1; position >= 0; position -= 1) {
+            records[position]?.undo();
+        }
+    }
+}
+
+/** Map of immutable records with undo and change notices. */
+export class Table<V> {
+    readonly #records = new Map<string, V>();
+    readonly #listeners: ChangeListener<V>[] = [];
+    readonly #undoLog: UndoLog;
+
+    constructor(undoLog: UndoLog) {
+        this.#undoLog = undoLog;
+    }
+
+    get size(): number {
+        return this.#records.size;
+    }
+
+    get(key: string): V | undefined {
+        return this.#records.get(key);
+    }
+
+    values(): IterableIterator<V> {
+        return this.#records.values();
+    }
+
+    onChange(listener: ChangeListener<V>): void {
+        this.#listeners.push(listener);
+    }
+
+    /** Replaces or, with undefined, deletes a record. */
+    set(key: string, after: V | undefined): void {
+        const before = this.#records.get(key);
+        this.#undoLog.add({ undo: () => this.#replace(key, before) });
+        this.#replace(key, after);
+    }
+
+    /** Fills a table whose content is committed already. */
+    load(key: string, record: V): void {
+        this.#replace(key, record);
+    }
+
+    #replace(key: string, after: V | undefined): void {
+        const before = this.#records.get(key);
+        if (after === undefined) {
+            this.#records.delete(key);
+        }
+        else {
+            this.#records.set(key, after);
+        }
+        for (const listener of this.#listeners) {
+            listener(key, before, after);
+        }
+    }
+}
