--- /dev/null
+++ b/packages/entry/src/blobs/blob-cache.ts
@@ -0,0 +1,55 @@
+import type { BlobReference } from "@waxwingspread/protocol";
+import { createHash } from "node:crypto";
+
+/** Returns the SHA-256 of the bytes. */
+export const sha256Of = (bytes: Uint8Array): Uint8Array => new Uint8Array(createHash("sha256").update(bytes).digest());
+
+/** Returns a text that identifies a blob. */
+export const blobKeyOf = (reference: BlobReference): string => Buffer.from(reference.sha256).toString("hex");
+
+/** True when the bytes are those that the reference names. */
+export const matchesReference = (reference: BlobReference, bytes: Uint8Array): boolean =>
+    bytes.length === reference.sizeBytes && Buffer.from(sha256Of(bytes)).equals(Buffer.from(reference.sha256));
+
+/** Recently used blobs up to a number of bytes; the least recently used one is dropped first. */
+export class BlobCache {
+    readonly #blobs = new Map<string, Uint8Array>();
+    #bytes = 0;
+
+    constructor(readonly limitBytes: number) {}
+
+    get bytes(): number {
+        return this.#bytes;
+    }
+
+    add(reference: BlobReference, bytes: Uint8Array): void {
+        const key = blobKeyOf(reference);
+        this.#remove(key);
+        this.#blobs.set(key, bytes);
+        this.#bytes += bytes.length;
+        for (const oldest of this.#blobs.keys()) {
+            if (this.#bytes <= this.limitBytes) {
+                break;
+            }
+            this.#remove(oldest);
+        }
+    }
+
+    get(reference: BlobReference): Uint8Array | undefined {
+        const key = blobKeyOf(reference);
+        const bytes = this.#blobs.get(key);
+        if (bytes) {
+            this.#blobs.delete(key);
+            this.#blobs.set(key, bytes);
+        }
+        return bytes;
+    }
+
+    #remove(key: string): void {
+        const bytes = this.#blobs.get(key);
+        if (bytes) {
+            this.#blobs.delete(key);
+            this.#bytes -= bytes.length;
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/blobs/blob-client.ts
@@ -0,0 +1,194 @@
+import { create } from "@bufbuild/protobuf";
+import { StepError } from "@waxwingspread/common";
+import { BlobReferenceSchema, ErrorCode, GetBlobRequestSchema, PutBlobRequestSchema } from "@waxwingspread/protocol";
+import type { BlobReference, GetBlobResponse, PutBlobRequest, PutBlobResponse } from "@waxwingspread/protocol";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import type { LeaderClient } from "../calls/leader-client.js";
+import type { CallDone, PendingCalls } from "../calls/pending-calls.js";
+import { EntryMetric } from "../effects.js";
+import type { EntryTiming } from "../settings.js";
+import { matchesReference, sha256Of } from "./blob-cache.js";
+import type { BlobCache } from "./blob-cache.js";
+
+interface Write {
+    reference: BlobReference;
+    request: PutBlobRequest;
+    missing: number;
+    deadlineMs: number;
+    finished: boolean;
+    expiry: Retry | undefined;
+    done: CallDone<BlobReference>;
+}
+
+interface Read {
+    reference: BlobReference;
+    deadlineMs: number;
+    /** Replicas still to be asked in this round. */
+    remaining: string[];
+    /** True while every replica asked in this round said that it lacks the blob. */
+    allLackIt: boolean;
+    done: CallDone<Uint8Array>;
+}
+
+interface Retry {
+    atMs: number;
+    run: (nowMs: number) => void;
+}
+
+/** Writes blobs to a majority of the control replicas and reads them from any. */
+export class BlobClient {
+    readonly #retries = new Set<Retry>();
+    #nextReader = 0;
+
+    constructor(
+        readonly calls: PendingCalls,
+        readonly leader: LeaderClient,
+        readonly cache: BlobCache,
+        readonly timing: EntryTiming,
+    ) {}
+
+    /** Calls `done` with the reference as soon as a majority of the control replicas has synced the bytes. */
+    put(bytes: Uint8Array, deadlineMs: number, done: CallDone<BlobReference>, nowMs: number): void {
+        const reference = create(BlobReferenceSchema, { sha256: sha256Of(bytes), sizeBytes: bytes.length });
+        this.cache.add(reference, bytes);
+        const addresses = this.leader.addresses;
+        const write: Write = {
+            reference,
+            request: create(PutBlobRequestSchema, { reference, data: bytes }),
+            missing: Math.floor(addresses.length / 2) + 1,
+            deadlineMs,
+            finished: false,
+            expiry: undefined,
+            done,
+        };
+        for (const address of addresses) {
+            this.#sendWrite(write, address, nowMs);
+        }
+        write.expiry = this.#retryAt(deadlineMs, atMs => {
+            const message = "a majority of the blob stores did not confirm in time";
+            this.#finishWrite(write, Err(new StepError(ErrorCode.UNAVAILABLE, "put-blob", "control", message)), atMs);
+        });
+    }
+
+    /** Calls `done` with the verified bytes; UNKNOWN_REQUEST when every replica says that it lacks them. */
+    get(reference: BlobReference, deadlineMs: number, done: CallDone<Uint8Array>, nowMs: number): void {
+        const cached = this.cache.get(reference);
+        if (cached) {
+            done(Ok(cached), nowMs);
+            return;
+        }
+        this.#startRound({ reference, deadlineMs, remaining: [], allLackIt: true, done }, nowMs);
+    }
+
+    tick(nowMs: number): void {
+        for (const retry of [...this.#retries]) {
+            if (retry.atMs <= nowMs) {
+                this.#retries.delete(retry);
+                retry.run(nowMs);
+            }
+        }
+    }
+
+    #retryAt(atMs: number, run: (nowMs: number) => void): Retry {
+        const retry = { atMs, run };
+        this.#retries.add(retry);
+        return retry;
+    }
+
+    #sendWrite(write: Write, address: string, nowMs: number): void {
+        if (write.finished) {
+            return;
+        }
+        const timeoutMs = this.timing.callTimeoutMs;
+        const call = { target: { kind: "replica" as const, address }, method: "putBlob" as const, timeoutMs };
+        this.calls.callControl({ ...call, request: write.request }, (result, atMs) => {
+            this.#writeAnswered(write, address, result, atMs);
+        }, nowMs);
+    }
+
+    #writeAnswered(
+        write: Write,
+        address: string,
+        result: Result<PutBlobResponse, StepError>,
+        nowMs: number,
+    ): void {
+        if (result.isErr() || result.value.error) {
+            const retryAtMs = nowMs + this.timing.blobRetryDelayMs;
+            if (!write.finished && retryAtMs < write.deadlineMs) {
+                this.#retryAt(retryAtMs, atMs => {
+                    this.#sendWrite(write, address, atMs);
+                });
+            }
+            return;
+        }
+        write.missing -= 1;
+        if (write.missing === 0) {
+            this.#finishWrite(write, Ok(write.reference), nowMs);
+        }
+    }
+
+    #finishWrite(write: Write, result: Result<BlobReference, StepError>, nowMs: number): void {
+        if (!write.finished) {
+            write.finished = true;
+            if (write.expiry) {
+                this.#retries.delete(write.expiry);
+            }
+            write.done(result, nowMs);
+        }
+    }
+
+    #startRound(read: Read, nowMs: number): void {
+        const { addresses } = this.leader;
+        const first = this.#nextReader % Math.max(1, addresses.length);
+        this.#nextReader += 1;
+        read.remaining = [...addresses.slice(first), ...addresses.slice(0, first)];
+        read.allLackIt = true;
+        this.#readNext(read, nowMs);
+    }
+
+    #readNext(read: Read, nowMs: number): void {
+        const address = read.remaining.shift();
+        if (address === undefined || read.deadlineMs <= nowMs) {
+            this.#roundEnded(read, address === undefined, nowMs);
+            return;
+        }
+        const request = create(GetBlobRequestSchema, { reference: read.reference });
+        const timeoutMs = Math.max(1, Math.min(this.timing.getBlobTimeoutMs, read.deadlineMs - nowMs));
+        const call = { target: { kind: "replica" as const, address }, method: "getBlob" as const, timeoutMs };
+        this.calls.callControl({ ...call, request }, (result, atMs) => {
+            this.#readAnswered(read, result, atMs);
+        }, nowMs);
+    }
+
+    #readAnswered(read: Read, result: Result<GetBlobResponse, StepError>, nowMs: number): void {
+        if (result.isOk() && !result.value.error && matchesReference(read.reference, result.value.data)) {
+            this.cache.add(read.reference, result.value.data);
+            read.done(Ok(result.value.data), nowMs);
+            return;
+        }
+        if (result.isOk() && !result.value.error) {
+            this.calls.effects.count(EntryMetric.CorruptBlobs);
+        }
+        const lacksIt = result.isOk() && result.value.error?.code === ErrorCode.UNKNOWN_REQUEST;
+        read.allLackIt &&= lacksIt;
+        this.#readNext(read, nowMs);
+    }
+
+    #roundEnded(read: Read, allAsked: boolean, nowMs: number): void {
+        if (allAsked && read.allLackIt) {
+            const message = "no blob store has the data";
+            read.done(Err(new StepError(ErrorCode.UNKNOWN_REQUEST, "get-blob", "control", message)), nowMs);
+            return;
+        }
+        const retryAtMs = nowMs + this.timing.blobRetryDelayMs;
+        if (retryAtMs >= read.deadlineMs) {
+            const message = "no blob store returned the data in time";
+            read.done(Err(new StepError(ErrorCode.UNAVAILABLE, "get-blob", "control", message)), nowMs);
+            return;
+        }
+        this.#retryAt(retryAtMs, atMs => {
+            this.#startRound(read, atMs);
+        });
+    }
+}
--- /dev/null
+++ b/packages/entry/src/callers/waiting-callers.ts
@@ -0,0 +1,176 @@
+import { create } from "@bufbuild/protobuf";
+import { jobKeyOf } from "@waxwingspread/common";
+import { JobState, LookUpRequestSchema } from "@waxwingspread/protocol";
+import type { Job } from "@waxwingspread/protocol";
+import type { EntryContext } from "../context.js";
+import type { RequestHandle } from "../effects.js";
+import { isJobOf } from "./job-identity.js";
+import type { JobIdentity } from "./job-identity.js";
+
+/** Outcomes kept in case that they overtake the reply to the submission. */
+const RECENT_OUTCOMES = 1_000;
+
+interface Waiter {
+    handle: RequestHandle;
+    untilMs: number;
+}
+
+interface WaitingJob {
+    identity: JobIdentity;
+    job: Job;
+    waiters: Waiter[];
+    nextLookUpMs: number;
+    lookUpUnderWay: boolean;
+}
+
+/** Answers callers with a job, once it has ended or their wait is over. */
+export type JobReady = (handles: RequestHandle[], identity: JobIdentity, job: Job, nowMs: number) => void;
+
+/** Callers that wait for the outcome of a job. */
+export class WaitingCallers {
+    readonly #jobs = new Map<string, WaitingJob>();
+    readonly #recentOutcomes = new Map<string, Job>();
+    #waiters = 0;
+    #latestUntilMs = Infinity;
+
+    constructor(readonly context: EntryContext, readonly ready: JobReady) {}
+
+    get size(): number {
+        return this.#waiters;
+    }
+
+    get full(): boolean {
+        return this.#waiters >= this.context.settings.limits.waitingCallers;
+    }
+
+    /** Lets a caller wait for a job that has not ended. */
+    add(handle: RequestHandle, identity: JobIdentity, job: Job, untilMs: number, nowMs: number): void {
+        const key = jobKeyOf(identity);
+        const outcome = this.#recentOutcomes.get(key);
+        // An outcome of an earlier job that had the same id and was forgotten doesn't count.
+        if (outcome && outcome.acceptedAtMs === job.acceptedAtMs) {
+            this.ready([handle], identity, outcome, nowMs);
+            return;
+        }
+        const nextLookUpMs = nowMs + this.#lookUpIntervalMs(job);
+        const waiting = this.#jobs.get(key)
+            ?? { identity, job, waiters: [], nextLookUpMs, lookUpUnderWay: false };
+        this.#jobs.set(key, waiting);
+        waiting.waiters.push({ handle, untilMs });
+        this.#waiters += 1;
+    }
+
+    /** Takes the final state of a job. */
+    ended(job: Job, nowMs: number): void {
+        const { customer = "", requestId = "" } = job.specification ?? {};
+        const key = jobKeyOf({ customer, requestId });
+        this.#remember(key, job);
+        const waiting = this.#jobs.get(key);
+        if (waiting) {
+            this.#release(key, waiting, job, nowMs);
+        }
+    }
+
+    /** Asks for the state soon, because an end of the job was settled; its outcome normally arrives first. */
+    endSettled(identity: JobIdentity, nowMs: number): void {
+        const waiting = this.#jobs.get(jobKeyOf(identity));
+        if (waiting) {
+            const soonMs = nowMs + this.context.settings.timing.settledLookUpDelayMs;
+            waiting.nextLookUpMs = Math.min(waiting.nextLookUpMs, soonMs);
+        }
+    }
+
+    /** Ends all waits no later than the given time. */
+    limitWaits(untilMs: number): void {
+        this.#latestUntilMs = untilMs;
+    }
+
+    /** Forgets a caller that has closed the connection. */
+    remove(handle: RequestHandle): void {
+        for (const [key, waiting] of this.#jobs) {
+            const kept = waiting.waiters.filter(waiter => waiter.handle !== handle);
+            if (kept.length < waiting.waiters.length) {
+                this.#keep(key, waiting, kept);
+                return;
+            }
+        }
+    }
+
+    tick(nowMs: number): void {
+        for (const [key, waiting] of [...this.#jobs]) {
+            this.#expire(key, waiting, nowMs);
+            if (this.#jobs.has(key) && waiting.nextLookUpMs <= nowMs && !waiting.lookUpUnderWay) {
+                this.#lookUp(key, waiting, nowMs);
+            }
+        }
+    }
+
+    #lookUpIntervalMs(job: Job): number {
+        const { entryId, timing } = this.context.settings;
+        return job.entryId === entryId ? timing.ownLookUpIntervalMs : timing.otherLookUpIntervalMs;
+    }
+
+    #expire(key: string, waiting: WaitingJob, nowMs: number): void {
+        const isOver = (waiter: Waiter): boolean => Math.min(waiter.untilMs, this.#latestUntilMs) <= nowMs;
+        const over = waiting.waiters.filter(isOver);
+        if (over.length > 0) {
+            this.#keep(key, waiting, waiting.waiters.filter(waiter => !isOver(waiter)));
+            this.ready(over.map(waiter => waiter.handle), waiting.identity, waiting.job, nowMs);
+        }
+    }
+
+    #keep(key: string, waiting: WaitingJob, kept: Waiter[]): void {
+        this.#waiters -= waiting.waiters.length - kept.length;
+        waiting.waiters = kept;
+        if (kept.length === 0) {
+            this.#jobs.delete(key);
+        }
+    }
+
+    #release(key: string, waiting: WaitingJob, job: Job, nowMs: number): void {
+        const handles = waiting.waiters.map(waiter => waiter.handle);
+        this.#keep(key, waiting, []);
+        this.ready(handles, waiting.identity, job, nowMs);
+    }
+
+    #lookUp(key: string, waiting: WaitingJob, nowMs: number): void {
+        const { leader, settings } = this.context;
+        waiting.lookUpUnderWay = true;
+        const request = create(LookUpRequestSchema, { ...waiting.identity });
+        const deadlineMs = nowMs + settings.timing.requestTimeoutMs;
+        leader.call({
+            method: "lookUp",
+            request,
+            deadlineMs,
+            done: (result, atMs) => {
+                waiting.lookUpUnderWay = false;
+                waiting.nextLookUpMs = atMs + this.#lookUpIntervalMs(waiting.job);
+                if (result.isErr() || result.value.result.case !== "job") {
+                    return;
+                }
+                const job = result.value.result.value;
+                if (isJobOf(job, waiting.identity) && this.#jobs.get(key) === waiting) {
+                    this.#observe(key, waiting, job, atMs);
+                }
+            },
+        }, nowMs);
+    }
+
+    #observe(key: string, waiting: WaitingJob, job: Job, nowMs: number): void {
+        waiting.job = job;
+        if (job.state === JobState.ENDED) {
+            this.#release(key, waiting, job, nowMs);
+        }
+    }
+
+    #remember(key: string, job: Job): void {
+        this.#recentOutcomes.delete(key);
+        this.#recentOutcomes.set(key, job);
+        if (this.#recentOutcomes.size > RECENT_OUTCOMES) {
+            for (const oldest of this.#recentOutcomes.keys()) {
+                this.#recentOutcomes.delete(oldest);
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/calls/pending-calls.ts
@@ -0,0 +1,105 @@
+import { StepError } from "@waxwingspread/common";
+import { ErrorCode } from "@waxwingspread/protocol";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { EntryEffectKind } from "../effects.js";
+import type { BackendServerReply, ControlMethod, ControlRequest, ControlResponse, ControlTarget } from "../effects.js";
+import type { EffectQueue } from "./effect-queue.js";
+
+/** Receives the outcome of a call exactly once, unless the call is abandoned. */
+export type CallDone<T> = (result: Result<T, StepError>, nowMs: number) => void;
+
+/** A control call to be made. */
+export interface ControlCall<M extends ControlMethod> {
+    target: ControlTarget;
+    method: M;
+    request: ControlRequest<M>;
+    timeoutMs: number;
+}
+
+/** A call to a backend server to be made. */
+export interface BackendServerCall {
+    address: string;
+    path: string;
+    body: string;
+    timeoutMs: number;
+}
+
+interface PendingCall {
+    step: string;
+    peer: string;
+    deadlineMs: number;
+    done: CallDone<unknown>;
+}
+
+/** Registry of calls that wait for a reply. A call without a reply at its deadline ends as TIMEOUT here. */
+export class PendingCalls {
+    readonly #calls = new Map<number, PendingCall>();
+    #nextCallId = 1;
+
+    constructor(readonly effects: EffectQueue, readonly limit: number) {}
+
+    get size(): number {
+        return this.#calls.size;
+    }
+
+    /** True when no further call should be begun for new work. */
+    get full(): boolean {
+        return this.#calls.size >= this.limit;
+    }
+
+    callControl<M extends ControlMethod>(
+        call: ControlCall<M>,
+        done: CallDone<ControlResponse<M>>,
+        nowMs: number,
+    ): number {
+        const pending = { step: call.method, peer: call.target.address, deadlineMs: nowMs + call.timeoutMs };
+        const callId = this.#add({ ...pending, done: done as CallDone<unknown> });
+        this.effects.push({ kind: EntryEffectKind.CallControl, callId, ...call });
+        return callId;
+    }
+
+    callBackendServer(call: BackendServerCall, done: CallDone<BackendServerReply>, nowMs: number): number {
+        const pending = { step: call.path, peer: call.address, deadlineMs: nowMs + call.timeoutMs };
+        const callId = this.#add({ ...pending, done: done as CallDone<unknown> });
+        this.effects.push({ kind: EntryEffectKind.CallBackendServer, callId, method: "POST", ...call });
+        return callId;
+    }
+
+    /** Forgets a call; a later reply to it is ignored. */
+    abandon(callId: number): void {
+        this.#calls.delete(callId);
+    }
+
+    succeed(callId: number, response: unknown, nowMs: number): void {
+        this.#finish(callId, Ok(response), nowMs);
+    }
+
+    fail(callId: number, error: StepError, nowMs: number): void {
+        this.#finish(callId, Err(error), nowMs);
+    }
+
+    tick(nowMs: number): void {
+        for (const [callId, call] of [...this.#calls]) {
+            if (call.deadlineMs <= nowMs) {
+                const error = new StepError(ErrorCode.TIMEOUT, call.step, call.peer, "no reply within the deadline");
+                this.#finish(callId, Err(error), nowMs);
+            }
+        }
+    }
+
+    #add(call: PendingCall): number {
+        const callId = this.#nextCallId;
+        this.#nextCallId += 1;
+        this.#calls.set(callId, call);
+        return callId;
+    }
+
+    #finish(callId: number, result: Result<unknown, StepError>, nowMs: number): void {
+        const call = this.#calls.get(callId);
+        if (call) {
+            this.#calls.delete(callId);
+            call.done(result, nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/packages/entry/src/configuration/credentials.ts
@@ -0,0 +1,57 @@
+import { create } from "@bufbuild/protobuf";
+import { StepError } from "@waxwingspread/common";
+import { CredentialSchema, ErrorCode } from "@waxwingspread/protocol";
+import type { Configuration, Credential } from "@waxwingspread/protocol";
+import { createHash, randomBytes, timingSafeEqual } from "node:crypto";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+
+const SECRET_BYTES = 32;
+const SALT_BYTES = 16;
+const TOKEN_PATTERN = /^Bearer ([^\s]+)\.([^\s.]+)\.([^\s.]+)$/i;
+const TOKEN_LIMIT_CHARACTERS = 1_024;
+const UNKNOWN_SALT = new Uint8Array(SALT_BYTES);
+const UNKNOWN_DIGEST = new Uint8Array(SECRET_BYTES);
+
+/** Returns a new random 256-bit secret as text without dots. */
+export const makeSecret = (): string => randomBytes(SECRET_BYTES).toString("base64url");
+
+/** Returns the salted SHA-256 under which a secret is stored. */
+export const hashSecret = (salt: Uint8Array, secret: string): Uint8Array =>
+    new Uint8Array(createHash("sha256").update(salt).update(secret, "utf8").digest());
+
+/** Returns the stored form of a secret with a new random salt. */
+export const makeCredential = (credentialId: string, secret: string): Credential => {
+    const salt = new Uint8Array(randomBytes(SALT_BYTES));
+    return create(CredentialSchema, { credentialId, salt, sha256: hashSecret(salt, secret) });
+};
+
+/** Returns the token that a caller sends after `Bearer`. */
+export const bearerTokenOf = (customer: string, credentialId: string, secret: string): string =>
+    `${customer}.${credentialId}.${secret}`;
+
+const unauthenticated = (): Result<string, StepError> =>
+    Err(new StepError(ErrorCode.UNAUTHENTICATED, "check-credential", "caller", "credential missing or not valid"));
+
+/**
+ * Returns the customer that an `Authorization` header proves. The digests are compared in constant time, also
+ * when the customer or the credential is unknown, so that the time taken tells nothing about which of them exist.
+ */
+export const checkCredential = (
+    configuration: Configuration | undefined,
+    authorization: string | undefined,
+): Result<string, StepError> => {
+    if (!authorization || authorization.length > TOKEN_LIMIT_CHARACTERS) {
+        return unauthenticated();
+    }
+    const match = TOKEN_PATTERN.exec(authorization);
+    if (!match) {
+        return unauthenticated();
+    }
+    const [, customer = "", credentialId = "", secret = ""] = match;
+    const contract = configuration?.contracts.find(candidate => candidate.customer === customer);
+    const credential = contract?.credentials.find(candidate => candidate.credentialId === credentialId);
+    const expected = credential?.sha256.length === SECRET_BYTES ? credential.sha256 : UNKNOWN_DIGEST;
+    const equal = timingSafeEqual(hashSecret(credential?.salt ?? UNKNOWN_SALT, secret), expected);
+    return equal && credential ? Ok(customer) : unauthenticated();
+};
--- /dev/null
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -0,0 +1,150 @@
+import { create } from "@bufbuild/protobuf";
+import type { StepError } from "@waxwingspread/common";
+import { ErrorCode, OrderKind, StartReportSchema, StartResult } from "@waxwingspread/protocol";
+import type { BlobReference, Order } from "@waxwingspread/protocol";
+import type { Result } from "ts-results-es";
+import type { EntryContext } from "../context.js";
+import { EntryMetric } from "../effects.js";
+import type { BackendServerReply } from "../effects.js";
+import type { ReportBatcher } from "../reporting/report-batcher.js";
+import { startBodyOf } from "./start-body.js";
+import { parseStartReply } from "./start-reply.js";
+
+const START_PATH = "/v1/tasks";
+const STOP_PATH = "/v1/tasks/stop";
+const THROTTLE_PATH = "/v1/tasks/throttle";
+
+const METRIC_BY_RESULT: Record<StartResult, EntryMetric> = {
+    [StartResult.UNSPECIFIED]: EntryMetric.StartsUnknown,
+    [StartResult.ACCEPTED]: EntryMetric.StartsAccepted,
+    [StartResult.REFUSED]: EntryMetric.StartsRefused,
+    [StartResult.UNKNOWN]: EntryMetric.StartsUnknown,
+};
+
+interface StartOutcome {
+    result: StartResult;
+    detail: string;
+    payloadMissing?: boolean;
+}
+
+const orderKeyOf = (order: Order): string =>
+    JSON.stringify([order.kind, order.customer, order.requestId, order.attemptNumber, order.incarnation, order.term]);
+
+const identityOf = ({ customer, requestId, attemptNumber }: Order) => ({ customer, requestId, attemptNumber });
+
+/** Carries out the leader's orders at backend servers and reports what became of the starts. */
+export class Dispatcher {
+    /** Orders under way; the leader repeats an order until it observes the effect, so repeats are common. */
+    readonly #underWay = new Set<string>();
+    readonly #handlers: Partial<Record<OrderKind, (order: Order, nowMs: number) => void>> = {
+        [OrderKind.START]: (order, nowMs) => {
+            this.#start(order, nowMs);
+        },
+        [OrderKind.STOP]: (order, nowMs) => {
+            this.#stop(order, { checkpoint: false }, STOP_PATH, nowMs);
+        },
+        [OrderKind.CHECKPOINT_AND_STOP]: (order, nowMs) => {
+            this.#stop(order, { checkpoint: true }, STOP_PATH, nowMs);
+        },
+        [OrderKind.THROTTLE]: (order, nowMs) => {
+            this.#stop(order, { throttled: true }, THROTTLE_PATH, nowMs);
+        },
+        [OrderKind.UNTHROTTLE]: (order, nowMs) => {
+            this.#stop(order, { throttled: false }, THROTTLE_PATH, nowMs);
+        },
+    };
+
+    constructor(readonly context: EntryContext, readonly batcher: ReportBatcher) {}
+
+    get size(): number {
+        return this.#underWay.size;
+    }
+
+    /** Carries out an order, unless the same one is under way. OUTCOME orders are not for this class. */
+    carryOut(order: Order, nowMs: number): void {
+        const key = orderKeyOf(order);
+        const handler = this.#handlers[order.kind];
+        // An order that is dropped because the entry is full is repeated by the leader.
+        if (handler && !this.#underWay.has(key) && !this.context.calls.full) {
+            this.#underWay.add(key);
+            handler(order, nowMs);
+        }
+    }
+
+    #stop(order: Order, fields: Record<string, boolean>, path: string, nowMs: number): void {
+        const { timing } = this.context.settings;
+        const body = JSON.stringify({ ...identityOf(order), ...fields });
+        const call = { address: order.backendServerAddress, path, body, timeoutMs: timing.callTimeoutMs };
+        this.context.effects.count(EntryMetric.StopsSent);
+        this.context.calls.callBackendServer(call, () => {
+            this.#underWay.delete(orderKeyOf(order));
+        }, nowMs);
+    }
+
+    #start(order: Order, nowMs: number): void {
+        const payload = order.specification?.payload;
+        if (!payload) {
+            this.#report(order, { result: StartResult.UNKNOWN, detail: "order without payload" }, nowMs);
+            return;
+        }
+        this.#fetch(order, payload, (payloadBytes, atMs) => {
+            if (!order.checkpoint) {
+                this.#send(order, payloadBytes, undefined, atMs);
+                return;
+            }
+            this.#fetch(order, order.checkpoint, (checkpointBytes, laterMs) => {
+                this.#send(order, payloadBytes, checkpointBytes, laterMs);
+            }, atMs);
+        }, nowMs);
+    }
+
+    #fetch(
+        order: Order,
+        reference: BlobReference,
+        done: (bytes: Uint8Array, nowMs: number) => void,
+        nowMs: number,
+    ): void {
+        const deadlineMs = nowMs + this.context.settings.timing.startPreparationMs;
+        this.context.blobs.get(reference, deadlineMs, (result, atMs) => {
+            if (result.isOk()) {
+                done(result.value, atMs);
+                return;
+            }
+            // Another entry may have sent this start earlier, so that this one can't tell that it never happened.
+            const payloadMissing = result.error.code === ErrorCode.UNKNOWN_REQUEST;
+            const detail = result.error.message;
+            this.#report(order, { result: StartResult.UNKNOWN, detail, payloadMissing }, atMs);
+        }, nowMs);
+    }
+
+    #send(order: Order, payload: Uint8Array, checkpoint: Uint8Array | undefined, nowMs: number): void {
+        const { configuration, effects, settings, calls } = this.context;
+        if (!configuration.hasLease(nowMs)) {
+            effects.count(EntryMetric.StartsWithheld);
+            this.#report(order, { result: StartResult.UNKNOWN, detail: "no valid configuration lease" }, nowMs);
+            return;
+        }
+        const body = startBodyOf(order, payload, checkpoint, settings.address);
+        const timeoutMs = settings.timing.startTimeoutMs;
+        effects.count(EntryMetric.StartsSent);
+        effects.journal({ name: "start-sent", ...identityOf(order), peer: order.backendServerId });
+        const call = { address: order.backendServerAddress, path: START_PATH, body, timeoutMs };
+        calls.callBackendServer(call, (result, atMs) => {
+            this.#report(order, this.#interpret(result), atMs);
+        }, nowMs);
+    }
+
+    #interpret(result: Result<BackendServerReply, StepError>): StartOutcome {
+        if (result.isErr()) {
+            return { result: StartResult.UNKNOWN, detail: result.error.message };
+        }
+        const reply = parseStartReply(result.value);
+        return reply ?? { result: StartResult.UNKNOWN, detail: `reply with status ${result.value.status}` };
+    }
+
+    #report(order: Order, outcome: StartOutcome, nowMs: number): void {
+        this.#underWay.delete(orderKeyOf(order));
+        this.context.effects.count(METRIC_BY_RESULT[outcome.result]);
+        this.batcher.addStart(create(StartReportSchema, { ...identityOf(order), ...outcome }), nowMs);
+    }
+}
--- /dev/null
+++ b/packages/entry/src/dispatch/poller.ts
@@ -0,0 +1,123 @@
+import { create } from "@bufbuild/protobuf";
+import { OrderKind, PollRequestSchema } from "@waxwingspread/protocol";
+import type { Order, PollResponse } from "@waxwingspread/protocol";
+import type { Result } from "ts-results-es";
+import type { AttemptFailure } from "../calls/leader-client.js";
+import type { EntryContext } from "../context.js";
+
+/** Bounds the rate of polls when a leader replies at once without having anything to say. */
+const IDLE_POLL_INTERVAL_MS = 10;
+
+/** Receives each order once per delivery by the leader. */
+export type OrderReceiver = (order: Order, nowMs: number) => void;
+
+/** Keeps one long poll open at the leader: configuration, lease, orders. */
+export class Poller {
+    #callId: number | undefined;
+    #nextPollMs = 0;
+    #term = 0;
+    #acknowledgedSequence = 0;
+    #entryAddresses: string[];
+    #leaving = false;
+    #leavingConfirmed = false;
+
+    constructor(readonly context: EntryContext, readonly receiveOrder: OrderReceiver) {
+        this.#entryAddresses = [context.settings.address];
+    }
+
+    /** Addresses of entries that backend servers may use. */
+    get entryAddresses(): readonly string[] {
+        return this.#entryAddresses;
+    }
+
+    /** True once the leader has answered a poll that said that this entry is leaving. */
+    get leavingConfirmed(): boolean {
+        return this.#leavingConfirmed;
+    }
+
+    tick(nowMs: number): void {
+        if (this.#callId === undefined && nowMs >= this.#nextPollMs) {
+            this.#poll(nowMs);
+        }
+    }
+
+    /** Tells the leader at once that this entry leaves. Orders in the reply to the abandoned poll come again. */
+    leave(nowMs: number): void {
+        this.#leaving = true;
+        if (this.#callId !== undefined) {
+            this.context.calls.abandon(this.#callId);
+        }
+        this.#poll(nowMs);
+    }
+
+    #poll(nowMs: number): void {
+        const { settings, configuration, leader } = this.context;
+        const leaving = this.#leaving;
+        const request = create(PollRequestSchema, {
+            entryId: settings.entryId,
+            incarnation: settings.incarnation,
+            address: settings.address,
+            availabilityZone: settings.availabilityZone,
+            knownRevision: configuration.revision,
+            acknowledgedSequence: this.#acknowledgedSequence,
+            sequenceTerm: this.#term,
+            leaving,
+        });
+        this.#callId = leader.attempt("poll", request, settings.timing.pollTimeoutMs, (result, atMs) => {
+            this.#callId = undefined;
+            this.#answered(result, nowMs, leaving, atMs);
+        }, nowMs);
+    }
+
+    #answered(
+        result: Result<PollResponse, AttemptFailure>,
+        sentAtMs: number,
+        leaving: boolean,
+        nowMs: number,
+    ): void {
+        if (result.isErr()) {
+            this.#nextPollMs = nowMs + (result.error.retryNow ? 0 : this.context.settings.timing.retryDelayMs);
+        }
+        else if (result.value.term < this.#term) {
+            // A deposed leader that doesn't know it yet: nothing that it says counts any more.
+            this.#nextPollMs = nowMs + this.context.settings.timing.retryDelayMs;
+        }
+        else {
+            this.#leavingConfirmed ||= leaving;
+            const idle = result.value.orders.length === 0 && !result.value.configuration;
+            this.#nextPollMs = idle ? sentAtMs + IDLE_POLL_INTERVAL_MS : nowMs;
+            this.#take(result.value, sentAtMs, nowMs);
+        }
+        this.tick(nowMs);
+    }
+
+    #take(response: PollResponse, sentAtMs: number, nowMs: number): void {
+        const { configuration, effects, leader } = this.context;
+        if (response.configuration && configuration.adopt(response.configuration)) {
+            effects.journal({ name: "configuration-adopted", detail: `revision ${configuration.revision}` });
+        }
+        configuration.extendLease(sentAtMs, response.configurationLeaseMs, response.revision);
+        leader.setAddresses(response.controlAddresses);
+        if (response.entryAddresses.length > 0) {
+            this.#entryAddresses = response.entryAddresses;
+        }
+        if (response.term > this.#term) {
+            this.#term = response.term;
+            this.#acknowledgedSequence = 0;
+            leader.leaderFound(nowMs);
+        }
+        for (const order of response.orders) {
+            this.#takeOrder(order, nowMs);
+        }
+    }
+
+    #takeOrder(order: Order, nowMs: number): void {
+        if (order.sequence > this.#acknowledgedSequence) {
+            this.#acknowledgedSequence = order.sequence;
+            this.receiveOrder(order, nowMs);
+        }
+    }
+}
+
+/** True for orders that concern callers, not backend servers. */
+export const isOutcome = (order: Order): boolean => order.kind === OrderKind.OUTCOME;
--- /dev/null
+++ b/packages/entry/src/dispatch/start-reply.ts
@@ -0,0 +1,24 @@
+import { StartResult } from "@waxwingspread/protocol";
+import { z } from "zod";
+import type { BackendServerReply } from "../effects.js";
+
+const HTTP_OK = 200;
+const DETAIL_LIMIT_CHARACTERS = 1_024;
+
+const replySchema = z.object({ result: z.enum(["accepted", "refused"]), detail: z.string().optional() });
+
+const RESULTS = { accepted: StartResult.ACCEPTED, refused: StartResult.REFUSED };
+
+/** Returns what a backend server said about a start, undefined when the reply is not understood. */
+export const parseStartReply = (reply: BackendServerReply): { result: StartResult; detail: string } | undefined => {
+    if (reply.status !== HTTP_OK) {
+        return undefined;
+    }
+    try {
+        const { result, detail } = replySchema.parse(JSON.parse(reply.body));
+        return { result: RESULTS[result], detail: (detail ?? "").slice(0, DETAIL_LIMIT_CHARACTERS) };
+    }
+    catch {
+        return undefined;
+    }
+};
--- /dev/null
+++ b/packages/entry/src/entry-node.ts
@@ -0,0 +1,239 @@
+import { StepError } from "@waxwingspread/common";
+import { ErrorCode } from "@waxwingspread/protocol";
+import type { Order } from "@waxwingspread/protocol";
+import { BlobCache } from "./blobs/blob-cache.js";
+import { BlobClient } from "./blobs/blob-client.js";
+import { CallerService } from "./callers/caller-service.js";
+import { EffectQueue } from "./calls/effect-queue.js";
+import { LeaderClient } from "./calls/leader-client.js";
+import { PendingCalls } from "./calls/pending-calls.js";
+import { ConfigurationCopy } from "./configuration/configuration-copy.js";
+import { checkCredential } from "./configuration/credentials.js";
+import type { EntryContext } from "./context.js";
+import { Dispatcher } from "./dispatch/dispatcher.js";
+import { isOutcome, Poller } from "./dispatch/poller.js";
+import { EntryEffectKind, EntryMetric } from "./effects.js";
+import type { BackendServerReply, ControlResponse, EntryEffect, HttpRequest, RequestHandle } from "./effects.js";
+import { OpenRequests } from "./http/open-requests.js";
+import { BackendServerRequestKind, parseBackendServerRequest } from "./http/parse-backend-server-request.js";
+import { parseCallerRequest } from "./http/parse-caller-request.js";
+import { BackendServerService } from "./reporting/backend-server-service.js";
+import { entrySettings } from "./settings.js";
+import type { EntryOptions } from "./settings.js";
+
+const RETRY_AFTER_MS = 500;
+
+const authorizationOf = (request: HttpRequest): string | undefined => {
+    const { authorization } = request.headers;
+    return Array.isArray(authorization) ? undefined : authorization;
+};
+
+/**
+ * An entry: takes requests of callers, dispatches work to backend servers and returns answers. Deterministic; the
+ * shell passes in requests, outcomes of calls and the time, and executes the effects. All times are `nowMs` values
+ * of one clock that never decreases.
+ */
+export class EntryNode {
+    readonly #context: EntryContext;
+    readonly #callers: OpenRequests;
+    readonly #backendServers: OpenRequests;
+    readonly #callerService: CallerService;
+    readonly #backendServerService: BackendServerService;
+    readonly #dispatcher: Dispatcher;
+    readonly #poller: Poller;
+    #draining = false;
+
+    constructor(options: EntryOptions, nowMs: number) {
+        const settings = entrySettings(options);
+        const effects = new EffectQueue();
+        const calls = new PendingCalls(effects, settings.limits.pendingCalls);
+        const leader = new LeaderClient(calls, settings.timing, settings.controlAddresses);
+        const cache = new BlobCache(settings.limits.cachedBlobBytes);
+        const blobs = new BlobClient(calls, leader, cache, settings.timing);
+        this.#context = { settings, effects, calls, leader, blobs, configuration: new ConfigurationCopy() };
+        this.#callers = new OpenRequests(effects, EntryEffectKind.ReplyToCaller);
+        this.#backendServers = new OpenRequests(effects, EntryEffectKind.ReplyToBackendServer);
+        this.#poller = new Poller(this.#context, (order, atMs) => {
+            this.#receiveOrder(order, atMs);
+        });
+        this.#callerService = new CallerService(this.#context, this.#callers, (order, atMs) => {
+            this.#receiveOrder(order, atMs);
+        });
+        this.#backendServerService = new BackendServerService(
+            this.#context,
+            this.#backendServers,
+            () => this.#poller.entryAddresses,
+            (end, atMs) => {
+                this.#callerService.waiting.endSettled(end, atMs);
+            },
+        );
+        this.#dispatcher = new Dispatcher(this.#context, this.#backendServerService.batcher);
+        this.#poller.tick(nowMs);
+    }
+
+    /** True while this entry may accept work: it holds a configuration lease and is not draining. */
+    isReady(nowMs: number): boolean {
+        return !this.#draining && this.#context.configuration.hasLease(nowMs);
+    }
+
+    /** Revision of the configuration in force here; 0 before the first. */
+    get configurationRevision(): number {
+        return this.#context.configuration.revision;
+    }
+
+    /** True when nothing of the work that this entry has accepted is left, and the leader knows that it leaves. */
+    get isDrained(): boolean {
+        const open = this.#callers.size + this.#backendServers.size;
+        const underWay = this.#dispatcher.size + this.#context.leader.size;
+        return this.#draining
+            && this.#poller.leavingConfirmed
+            && open + underWay === 0
+            && this.#backendServerService.idle;
+    }
+
+    /** Figures for metrics and tests of the bounds. */
+    sizes(): Record<"callers" | "waitingCallers" | "backendServers" | "pendingCalls" | "cachedBlobBytes", number> {
+        return {
+            callers: this.#callers.size,
+            waitingCallers: this.#callerService.waiting.size,
+            backendServers: this.#backendServers.size,
+            pendingCalls: this.#context.calls.size,
+            cachedBlobBytes: this.#context.blobs.cache.bytes,
+        };
+    }
+
+    /** Takes a caller's request; exactly one `ReplyToCaller` with its handle follows, unless the caller goes. */
+    callerRequest(handle: RequestHandle, request: HttpRequest, nowMs: number): void {
+        const { configuration, effects } = this.#context;
+        effects.count(EntryMetric.RequestsReceived);
+        const refusal = this.#refusal(this.#callers, nowMs);
+        this.#callers.add(handle);
+        if (refusal) {
+            this.#refuse(handle, refusal);
+            return;
+        }
+        const customer = checkCredential(configuration.configuration, authorizationOf(request));
+        if (customer.isErr()) {
+            this.#refuse(handle, customer.error);
+            return;
+        }
+        const parsed = parseCallerRequest(request);
+        if (parsed.isErr()) {
+            this.#refuse(handle, parsed.error);
+            return;
+        }
+        this.#callerService.serve(handle, customer.value, parsed.value, nowMs);
+    }
+
+    /** Forgets a caller that has closed its connection. What it submitted goes on. */
+    callerGone(handle: RequestHandle): void {
+        this.#callers.remove(handle);
+        this.#callerService.waiting.remove(handle);
+    }
+
+    /** Takes a backend server's request; exactly one `ReplyToBackendServer` with its handle follows. */
+    backendServerRequest(handle: RequestHandle, request: HttpRequest, nowMs: number): void {
+        const overloaded = this.#overloaded(this.#backendServers);
+        this.#backendServers.add(handle);
+        const parsed = parseBackendServerRequest(request);
+        if (overloaded || this.#draining || parsed.isErr()) {
+            const error = parsed.isErr() ? parsed.error : overloaded ?? this.#drainingError();
+            this.#backendServers.replyError(handle, error);
+            return;
+        }
+        if (parsed.value.kind === BackendServerRequestKind.Announce) {
+            this.#backendServerService.announce(handle, parsed.value.announcement, nowMs);
+        }
+        else {
+            this.#backendServerService.result(handle, parsed.value.result, nowMs);
+        }
+    }
+
+    /** Forgets a backend server's request whose connection was closed. */
+    backendServerGone(handle: RequestHandle): void {
+        this.#backendServers.remove(handle);
+    }
+
+    /** Takes the response to a `CallControl`. */
+    controlReplied(callId: number, response: ControlResponse, nowMs: number): void {
+        this.#context.calls.succeed(callId, response, nowMs);
+    }
+
+    /** Takes the response to a `CallBackendServer`, whatever its status. */
+    backendServerReplied(callId: number, reply: BackendServerReply, nowMs: number): void {
+        this.#context.calls.succeed(callId, reply, nowMs);
+    }
+
+    /**
+     * Takes the failure of a call. UNAVAILABLE means that the request was certainly not delivered, for example that
+     * the connection was refused; everything else, usually TIMEOUT, that it may have been.
+     */
+    callFailed(callId: number, error: StepError, nowMs: number): void {
+        this.#context.calls.fail(callId, error, nowMs);
+    }
+
+    /** Does what is due. To be called at least every 20 ms or so; deadlines are only as precise as that. */
+    tick(nowMs: number): void {
+        this.#context.calls.tick(nowMs);
+        this.#context.leader.tick(nowMs);
+        this.#context.blobs.tick(nowMs);
+        this.#backendServerService.tick(nowMs);
+        this.#callerService.waiting.tick(nowMs);
+        this.#poller.tick(nowMs);
+    }
+
+    /** Begins the graceful shutdown: refuses new work, finishes requests in progress, tells the leader. */
+    drain(nowMs: number): void {
+        if (this.#draining) {
+            return;
+        }
+        this.#draining = true;
+        this.#callerService.waiting.limitWaits(nowMs + this.#context.settings.timing.drainWaitMs);
+        this.#context.effects.journal({ name: "drain-started" });
+        this.#poller.leave(nowMs);
+    }
+
+    /** Returns the effects since the last call and forgets them. */
+    takeEffects(): EntryEffect[] {
+        return this.#context.effects.take();
+    }
+
+    #receiveOrder(order: Order, nowMs: number): void {
+        if (!isOutcome(order)) {
+            this.#dispatcher.carryOut(order, nowMs);
+        }
+        else if (order.job) {
+            this.#callerService.waiting.ended(order.job, nowMs);
+        }
+    }
+
+    #refuse(handle: RequestHandle, error: StepError): void {
+        this.#context.effects.count(EntryMetric.RequestsRefused);
+        this.#callers.replyError(handle, error);
+    }
+
+    #refusal(requests: OpenRequests, nowMs: number): StepError | undefined {
+        if (this.#draining) {
+            return this.#drainingError();
+        }
+        if (!this.#context.configuration.hasLease(nowMs)) {
+            return this.#error(ErrorCode.UNAVAILABLE, "check-configuration", "no valid configuration lease");
+        }
+        return this.#overloaded(requests);
+    }
+
+    #overloaded(requests: OpenRequests): StepError | undefined {
+        const { limits } = this.#context.settings;
+        return requests.size >= limits.requestsInProgress || this.#context.calls.full
+            ? this.#error(ErrorCode.OVERLOADED, "accept-request", "too many requests in progress")
+            : undefined;
+    }
+
+    #drainingError(): StepError {
+        return this.#error(ErrorCode.UNAVAILABLE, "accept-request", "this entry is shutting down");
+    }
+
+    #error(code: ErrorCode, step: string, message: string): StepError {
+        return new StepError(code, step, this.#context.settings.entryId, message, { retryAfterMs: RETRY_AFTER_MS });
+    }
+}
--- /dev/null
+++ b/packages/entry/src/http/job-json.ts
@@ -0,0 +1,42 @@
+import { JobState, Outcome, Reason } from "@waxwingspread/protocol";
+import type { Job } from "@waxwingspread/protocol";
+
+/** Returns an enum member's name in lower case with dashes. */
+const dashed = (name: string): string => name.toLowerCase().replaceAll("_", "-");
+
+/** A job as callers see it, without its answer. */
+export interface JobJson {
+    requestId: string;
+    workClass: string;
+    state: string;
+    outcome?: string;
+    reason?: string;
+    detail?: string;
+    answerSha256?: string;
+    attempts: number;
+    acceptedAtMs: number;
+    endedAtMs?: number;
+}
+
+/** Returns the JSON form of a job. */
+export const jobJsonOf = (job: Job): JobJson => ({
+    requestId: job.specification?.requestId ?? "",
+    workClass: job.specification?.workClass ?? "",
+    state: dashed(JobState[job.state]),
+    outcome: job.outcome === Outcome.UNSPECIFIED ? undefined : dashed(Outcome[job.outcome]),
+    reason: job.reason === Reason.UNSPECIFIED ? undefined : dashed(Reason[job.reason]),
+    detail: job.detail === "" ? undefined : job.detail,
+    answerSha256: job.answer ? Buffer.from(job.answer.sha256).toString("hex") : undefined,
+    attempts: job.attemptsMade,
+    acceptedAtMs: job.acceptedAtMs,
+    endedAtMs: job.endedAtMs === 0 ? undefined : job.endedAtMs,
+});
+
+/**
+ * Returns the JSON text of a job with its answer. The answer is inserted as the text that was stored, so that the
+ * caller gets the bytes whose digest was verified.
+ */
+export const jobTextOf = (job: Job, answer: Uint8Array | undefined): string => {
+    const text = JSON.stringify(jobJsonOf(job));
+    return answer ? `${text.slice(0, -1)},"answer":${Buffer.from(answer).toString("utf8")}}` : text;
+};
--- /dev/null
+++ b/packages/entry/src/http/parse-backend-server-request.ts
@@ -0,0 +1,125 @@
+import { fromJson } from "@bufbuild/protobuf";
+import type { JsonValue } from "@bufbuild/protobuf";
+import { StepError } from "@waxwingspread/common";
+import { AnnouncementSchema, AttemptEnd, ErrorCode } from "@waxwingspread/protocol";
+import type { Announcement } from "@waxwingspread/protocol";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { z } from "zod";
+import type { HttpRequest } from "../effects.js";
+import { ANSWER_LIMIT_BYTES, BACKEND_SERVER_BODY_LIMIT_BYTES } from "../settings.js";
+import { invalid, parseJson, UINT32_LIMIT, validate } from "./parsing.js";
+import type { JsonBody } from "./parsing.js";
+
+const STEP = "parse-backend-server-request";
+const NAME_LIMIT_CHARACTERS = 256;
+const DETAIL_LIMIT_CHARACTERS = 1_024;
+
+const name = z.string().min(1).max(NAME_LIMIT_CHARACTERS);
+
+const ENDS = {
+    "completed": AttemptEnd.COMPLETED,
+    "task-error": AttemptEnd.TASK_ERROR,
+    "stopped": AttemptEnd.STOPPED,
+    "never-started": AttemptEnd.NEVER_STARTED,
+};
+
+const resultSchema = z.object({
+    backendServerId: name,
+    incarnation: name,
+    customer: name,
+    requestId: name,
+    attemptNumber: z.number().int().min(1).max(UINT32_LIMIT),
+    end: z.enum(["completed", "task-error", "stopped", "never-started"]),
+    answer: z.unknown(),
+    checkpoint: z.unknown(),
+    /** Set when the server omits an answer because the entry refused the request as too large. */
+    answerTooLarge: z.boolean().optional(),
+    detail: z.string().optional(),
+});
+
+/** Result of an attempt whose fields were checked. Blobs are JSON in UTF-8 and within the limit. */
+export interface TaskResult {
+    backendServerId: string;
+    incarnation: string;
+    customer: string;
+    requestId: string;
+    attemptNumber: number;
+    end: AttemptEnd;
+    answer?: Uint8Array;
+    checkpoint?: Uint8Array;
+    detail: string;
+}
+
+export enum BackendServerRequestKind {
+    Announce = "announce",
+    Result = "result",
+}
+
+export type BackendServerRequest =
+    | { kind: BackendServerRequestKind.Announce; announcement: Announcement }
+    | { kind: BackendServerRequestKind.Result; result: TaskResult };
+
+type Parsed = Result<BackendServerRequest, StepError>;
+
+const parseAnnouncement = (json: JsonBody): Parsed => {
+    try {
+        const announcement = fromJson(AnnouncementSchema, json.value as JsonValue, { ignoreUnknownFields: true });
+        const { backendServerId, incarnation, address, clockMs, sequence } = announcement;
+        if (backendServerId === "" || incarnation === "" || address === "") {
+            return invalid(STEP, "backendServerId, incarnation and address are required");
+        }
+        if (!Number.isFinite(clockMs) || !Number.isFinite(sequence)) {
+            return invalid(STEP, "clockMs and sequence must be finite");
+        }
+        return Ok({ kind: BackendServerRequestKind.Announce, announcement: { ...announcement, heldMs: 0 } });
+    }
+    catch {
+        return invalid(STEP, "not an announcement");
+    }
+};
+
+const withinLimit = (blob: Uint8Array | undefined): boolean => !blob || blob.length <= ANSWER_LIMIT_BYTES;
+
+const parseResult = (json: JsonBody): Parsed => {
+    const checked = validate(STEP, resultSchema, json.value);
+    if (checked.isErr()) {
+        return checked;
+    }
+    const { answerTooLarge, detail, ...fields } = checked.value;
+    const result: TaskResult = {
+        ...fields,
+        end: ENDS[fields.end],
+        answer: json.rawMember("answer"),
+        checkpoint: json.rawMember("checkpoint"),
+        detail: (detail ?? "").slice(0, DETAIL_LIMIT_CHARACTERS),
+    };
+    if (result.end === AttemptEnd.COMPLETED && (answerTooLarge || !withinLimit(result.answer))) {
+        Object.assign(result, { end: AttemptEnd.ANSWER_TOO_LARGE, answer: undefined });
+    }
+    if (!withinLimit(result.checkpoint)) {
+        Object.assign(result, { checkpoint: undefined, detail: "checkpoint larger than the limit" });
+    }
+    if (result.end !== AttemptEnd.COMPLETED) {
+        result.answer = undefined;
+    }
+    return Ok({ kind: BackendServerRequestKind.Result, result });
+};
+
+const ROUTES = new Map<string, (json: JsonBody) => Parsed>([
+    ["POST /backend/v1/announce", parseAnnouncement],
+    ["POST /backend/v1/results", parseResult],
+]);
+
+/** Returns the backend server's request; INVALID, TOO_LARGE or UNKNOWN_REQUEST (no such path) when it isn't one. */
+export const parseBackendServerRequest = (request: HttpRequest): Parsed => {
+    if (request.body.length > BACKEND_SERVER_BODY_LIMIT_BYTES) {
+        const message = `body is larger than ${BACKEND_SERVER_BODY_LIMIT_BYTES} bytes`;
+        return Err(new StepError(ErrorCode.TOO_LARGE, "check-size", "backend-server", message));
+    }
+    const parse = ROUTES.get(`${request.method} ${request.path.split("?")[0] ?? ""}`);
+    if (!parse) {
+        return Err(new StepError(ErrorCode.UNKNOWN_REQUEST, STEP, "backend-server", "no such method and path"));
+    }
+    return parseJson(STEP, request.body).andThen(parse);
+};
--- /dev/null
+++ b/packages/entry/src/reporting/backend-server-service.ts
@@ -0,0 +1,64 @@
+import { StepError } from "@waxwingspread/common";
+import { ErrorCode } from "@waxwingspread/protocol";
+import type { Announcement } from "@waxwingspread/protocol";
+import type { EntryContext } from "../context.js";
+import { EntryMetric } from "../effects.js";
+import type { RequestHandle } from "../effects.js";
+import type { OpenRequests } from "../http/open-requests.js";
+import type { TaskResult } from "../http/parse-backend-server-request.js";
+import { ReportBatcher } from "./report-batcher.js";
+import type { AnnouncementReply } from "./report-batcher.js";
+import { ResultIntake } from "./result-intake.js";
+import type { EndSettled } from "./result-intake.js";
+
+const HTTP_OK = 200;
+
+/** Serves backend servers. */
+export class BackendServerService {
+    readonly batcher: ReportBatcher;
+    readonly #results: ResultIntake;
+
+    constructor(
+        readonly context: EntryContext,
+        readonly requests: OpenRequests,
+        readonly entryAddresses: () => readonly string[],
+        endSettled: EndSettled,
+    ) {
+        this.batcher = new ReportBatcher(context);
+        this.#results = new ResultIntake(context, requests, this.batcher, endSettled);
+    }
+
+    /** True when no report and no result waits. */
+    get idle(): boolean {
+        return this.batcher.idle && this.#results.size === 0;
+    }
+
+    announce(handle: RequestHandle, announcement: Announcement, nowMs: number): void {
+        this.context.effects.count(EntryMetric.AnnouncementsReceived);
+        const taken = this.batcher.addAnnouncement(announcement, reply => {
+            this.requests.replyJson(handle, HTTP_OK, this.#announceReply(reply));
+        }, nowMs);
+        if (!taken) {
+            const message = "too many announcements wait for the leader";
+            const { entryId } = this.context.settings;
+            this.requests.replyError(handle, new StepError(ErrorCode.OVERLOADED, "announce", entryId, message));
+        }
+    }
+
+    result(handle: RequestHandle, result: TaskResult, nowMs: number): void {
+        this.#results.receive(handle, result, nowMs);
+    }
+
+    tick(nowMs: number): void {
+        this.batcher.tick(nowMs);
+    }
+
+    #announceReply(reply: AnnouncementReply | undefined): string {
+        const lease = reply?.lease;
+        return JSON.stringify({
+            lease: lease && { expiresMs: lease.expiresBackendMs, term: lease.term },
+            entries: this.entryAddresses(),
+            fullListWanted: reply?.fullListWanted === true ? true : undefined,
+        });
+    }
+}
--- /dev/null
+++ b/packages/entry/src/reporting/report-batcher.ts
@@ -0,0 +1,219 @@
+import { create } from "@bufbuild/protobuf";
+import { ReportRequestSchema } from "@waxwingspread/protocol";
+import type { Announcement, EndReport, LeaseGrant, ReportResponse, StartReport } from "@waxwingspread/protocol";
+import type { Result } from "ts-results-es";
+import type { AttemptFailure } from "../calls/leader-client.js";
+import type { EntryContext } from "../context.js";
+import { EntryMetric } from "../effects.js";
+
+/** What the leader replied to an announcement; undefined without a reply in time. */
+export interface AnnouncementReply {
+    lease: LeaseGrant | undefined;
+    fullListWanted: boolean;
+}
+
+type AnnouncementDone = (reply: AnnouncementReply | undefined) => void;
+
+interface Waiter {
+    incarnation: string;
+    deadlineMs: number;
+    done: AnnouncementDone;
+}
+
+interface PendingAnnouncement {
+    announcement: Announcement;
+    receivedAtMs: number;
+    waiters: Waiter[];
+}
+
+interface PendingEnd {
+    report: EndReport;
+    deadlineMs: number;
+    done: (settled: boolean, nowMs: number) => void;
+}
+
+interface Batch {
+    announcements: PendingAnnouncement[];
+    starts: StartReport[];
+    ends: PendingEnd[];
+}
+
+const isNewer = (candidate: Announcement, held: Announcement): boolean =>
+    candidate.incarnation !== held.incarnation || candidate.sequence > held.sequence;
+
+/**
+ * Condenses what backend servers report into messages to the leader, of which at most one is under way. What a
+ * failed message carried is put back and merged with what has arrived since.
+ */
+export class ReportBatcher {
+    readonly #announcements = new Map<string, PendingAnnouncement>();
+    #starts: StartReport[] = [];
+    #ends: PendingEnd[] = [];
+    #inFlight: Batch | undefined;
+    #announcementsDueMs = 0;
+    #notBeforeMs = 0;
+
+    constructor(readonly context: EntryContext) {}
+
+    /** True when nothing waits for the leader. */
+    get idle(): boolean {
+        return !this.#inFlight && this.#starts.length + this.#ends.length + this.#announcements.size === 0;
+    }
+
+    /** Returns false when too many announcements wait already. */
+    addAnnouncement(announcement: Announcement, done: AnnouncementDone, nowMs: number): boolean {
+        const held = this.#announcements.get(announcement.backendServerId);
+        const { limits, timing } = this.context.settings;
+        if (!held && this.#announcements.size >= limits.announcements) {
+            return false;
+        }
+        if (this.#announcements.size === 0) {
+            this.#announcementsDueMs = Math.max(this.#announcementsDueMs, nowMs);
+        }
+        const deadlineMs = nowMs + timing.announceTimeoutMs;
+        const waiter = { incarnation: announcement.incarnation, deadlineMs, done };
+        this.#merge({ announcement, receivedAtMs: nowMs, waiters: [waiter] });
+        this.flush(nowMs);
+        return true;
+    }
+
+    addStart(report: StartReport, nowMs: number): void {
+        // A lost start report does no harm: the start's fate follows from a later announcement.
+        if (this.#starts.length < this.context.settings.limits.reports) {
+            this.#starts.push(report);
+        }
+        this.flush(nowMs);
+    }
+
+    /** Returns false when too many ends wait already. */
+    addEnd(report: EndReport, deadlineMs: number, done: PendingEnd["done"], nowMs: number): boolean {
+        if (this.#ends.length >= this.context.settings.limits.reports) {
+            return false;
+        }
+        this.#ends.push({ report, deadlineMs, done });
+        this.flush(nowMs);
+        return true;
+    }
+
+    tick(nowMs: number): void {
+        for (const [backendServerId, pending] of this.#announcements) {
+            this.#expireWaiters(pending, nowMs);
+            if (pending.waiters.length === 0) {
+                this.#announcements.delete(backendServerId);
+            }
+        }
+        for (const pending of this.#inFlight?.announcements ?? []) {
+            this.#expireWaiters(pending, nowMs);
+        }
+        const expired = this.#ends.filter(end => end.deadlineMs <= nowMs);
+        this.#ends = this.#ends.filter(end => end.deadlineMs > nowMs);
+        for (const end of expired) {
+            end.done(false, nowMs);
+        }
+        this.flush(nowMs);
+    }
+
+    /** Sends what waits, unless a message is under way or only announcements wait that are not due. */
+    flush(nowMs: number): void {
+        const urgent = this.#starts.length + this.#ends.length > 0;
+        const announcementsDue = this.#announcements.size > 0 && nowMs >= this.#announcementsDueMs;
+        if (this.#inFlight || nowMs < this.#notBeforeMs || (!urgent && !announcementsDue)) {
+            return;
+        }
+        const { settings, leader, effects } = this.context;
+        const limit = settings.limits.reportsPerMessage;
+        const batch: Batch = {
+            announcements: [...this.#announcements.values()],
+            starts: this.#starts.splice(0, limit),
+            ends: this.#ends.splice(0, limit),
+        };
+        this.#announcements.clear();
+        this.#inFlight = batch;
+        this.#announcementsDueMs = nowMs + settings.timing.announcementFlushMs;
+        const request = create(ReportRequestSchema, {
+            entryId: settings.entryId,
+            announcements: batch.announcements.map(({ announcement, receivedAtMs }) => ({
+                ...announcement,
+                heldMs: nowMs - receivedAtMs,
+            })),
+            starts: batch.starts,
+            ends: batch.ends.map(end => end.report),
+        });
+        effects.count(EntryMetric.ReportsSent);
+        leader.attempt("report", request, settings.timing.callTimeoutMs, (result, atMs) => {
+            this.#answered(batch, result, atMs);
+        }, nowMs);
+    }
+
+    #answered(batch: Batch, result: Result<ReportResponse, AttemptFailure>, nowMs: number): void {
+        this.#inFlight = undefined;
+        if (result.isOk()) {
+            this.#complete(batch, result.value, nowMs);
+        }
+        else {
+            this.#notBeforeMs = nowMs + (result.error.retryNow ? 0 : this.context.settings.timing.retryDelayMs);
+            this.#putBack(batch);
+        }
+        this.flush(nowMs);
+    }
+
+    #complete(batch: Batch, response: ReportResponse, nowMs: number): void {
+        const leases = new Map(response.leases.map(lease => [lease.backendServerId, lease]));
+        const fullListWanted = new Set(response.fullListWanted);
+        for (const { announcement, waiters } of batch.announcements) {
+            const lease = leases.get(announcement.backendServerId);
+            const wanted = fullListWanted.has(announcement.backendServerId);
+            waiters.forEach(waiter => {
+                const granted = lease?.incarnation === waiter.incarnation ? lease : undefined;
+                waiter.done({ lease: granted, fullListWanted: wanted });
+            });
+        }
+        const settled = new Set(response.settledEnds);
+        batch.ends.forEach((end, position) => {
+            end.done(settled.has(position), nowMs);
+        });
+    }
+
+    #putBack(batch: Batch): void {
+        this.#starts = [...batch.starts, ...this.#starts];
+        this.#ends = [...batch.ends, ...this.#ends];
+        for (const pending of batch.announcements) {
+            if (pending.waiters.length > 0) {
+                this.#merge(pending);
+            }
+        }
+    }
+
+    /** Keeps the newest announcement of a server with the usage samples and the waiters of all. */
+    #merge(pending: PendingAnnouncement): void {
+        const { backendServerId } = pending.announcement;
+        const held = this.#announcements.get(backendServerId);
+        if (!held) {
+            this.#announcements.set(backendServerId, pending);
+            return;
+        }
+        // Of two incarnations the one received later counts: sequences of different incarnations can't be compared.
+        const pendingIsLater = pending.receivedAtMs >= held.receivedAtMs;
+        const sameIncarnation = pending.announcement.incarnation === held.announcement.incarnation;
+        const newest = pendingIsLater && isNewer(pending.announcement, held.announcement) ? pending : held;
+        const other = newest === held ? pending : held;
+        const usage = sameIncarnation
+            ? [...other.announcement.usage, ...newest.announcement.usage]
+            : newest.announcement.usage;
+        this.#announcements.set(backendServerId, {
+            announcement: { ...newest.announcement, usage },
+            receivedAtMs: newest.receivedAtMs,
+            waiters: [...held.waiters, ...pending.waiters],
+        });
+    }
+
+    #expireWaiters(pending: PendingAnnouncement, nowMs: number): void {
+        const expired = pending.waiters.filter(waiter => waiter.deadlineMs <= nowMs);
+        if (expired.length > 0) {
+            pending.waiters = pending.waiters.filter(waiter => waiter.deadlineMs > nowMs);
+            expired.forEach(waiter => {
+                waiter.done(undefined);
+            });
+        }
+    }
+}
