Add the replica core of the replicated log

Cause: the scheduler's state must survive the loss of a minority of control VMs. Effects are data. Conclusion: tokens of writes count only in order and never for entries that were truncated afterwards; vote requests wait for the sync of the log that they claim, because a restart could otherwise use votes granted for lost entries; a restart counts as contact with a leader, because the leader's lease relies on it.

--- /dev/null
+++ b/packages/consensus/src/election.ts
@@ -0,0 +1,168 @@
+import { create } from "@bufbuild/protobuf";
+import { VoteRequestSchema, VoteResponseSchema } from "@waxwingspread/protocol";
+import type { ReplicaMessage, VoteRequest, VoteResponse } from "@waxwingspread/protocol";
+import type { ReplicaCore } from "./core.js";
+import { isVoter, votersOf } from "./membership.js";
+import { RoleEvent } from "./role-machine.js";
+import { ReplicaRole } from "./types.js";
+
+/** Pre-votes and votes. */
+export class Election {
+    readonly #core: ReplicaCore;
+    readonly #onWon: () => void;
+    #granted = new Set<string>();
+    #handover = false;
+
+    constructor(core: ReplicaCore, onWon: () => void) {
+        this.#core = core;
+        this.#onWon = onWon;
+    }
+
+    /** Asks for pre-votes if the election timeout has passed. */
+    tick(): void {
+        const core = this.#core;
+        if (core.nowMs < core.electionDeadlineMs) {
+            return;
+        }
+        core.resetElectionTimer();
+        if (!core.isVoter) {
+            return;
+        }
+        this.#handover = false;
+        this.#granted = new Set([core.identity.diskId]);
+        core.handleRole(RoleEvent.ElectionTimeout);
+        this.#askAll(core.term + 1, true);
+        this.#countPreVotes();
+    }
+
+    /** Starts an election at once because the leader asked for it. */
+    takeOver(): void {
+        const core = this.#core;
+        if (!core.isVoter || core.role !== ReplicaRole.Follower) {
+            return;
+        }
+        this.#handover = true;
+        core.handleRole(RoleEvent.Handover);
+        this.#campaign();
+    }
+
+    /** Counts the replica's own vote once it is synced. */
+    onDurable(): void {
+        const core = this.#core;
+        if (core.role === ReplicaRole.Candidate && core.isHardStateDurable) {
+            this.#granted.add(core.identity.diskId);
+            this.#countVotes();
+        }
+    }
+
+    onVoteRequest(message: ReplicaMessage, request: VoteRequest): void {
+        const core = this.#core;
+        const isUpToDate = request.lastTerm > core.log.lastTerm
+            || (request.lastTerm === core.log.lastTerm && request.lastIndex >= core.log.lastIndex);
+        const isRefused = core.isLeaderActive && !request.handover;
+        if (request.preVote) {
+            const granted = isUpToDate && !isRefused && message.term > core.term;
+            const body = create(VoteResponseSchema, { granted, preVote: true });
+            // A granted response names the term that was asked for; it is not a term that exists already.
+            core.send(message.fromDiskId, { case: "voteResponse", value: body }, {
+                term: granted ? message.term : core.term,
+            });
+            return;
+        }
+        if (isRefused || message.term < core.term) {
+            this.#refuse(message.fromDiskId);
+            return;
+        }
+        if (message.term > core.term) {
+            core.becomeFollower(message.term, "");
+        }
+        const canVote = core.votedFor === "" || core.votedFor === message.fromDiskId;
+        if (!canVote || !isUpToDate || core.role === ReplicaRole.Leader) {
+            this.#refuse(message.fromDiskId);
+            return;
+        }
+        if (core.votedFor === "") {
+            core.setTermAndVote(core.term, message.fromDiskId);
+        }
+        core.resetElectionTimer();
+        const body = create(VoteResponseSchema, { granted: true, preVote: false });
+        core.sendWhenDurable(message.fromDiskId, { case: "voteResponse", value: body });
+    }
+
+    onVoteResponse(message: ReplicaMessage, response: VoteResponse): void {
+        const core = this.#core;
+        if (!response.granted || !isVoter(core.membership, message.fromDiskId)) {
+            return;
+        }
+        if (response.preVote) {
+            if (core.role === ReplicaRole.PreCandidate && message.term === core.term + 1) {
+                this.#granted.add(message.fromDiskId);
+                this.#countPreVotes();
+            }
+            return;
+        }
+        if (core.role === ReplicaRole.Candidate && message.term === core.term) {
+            this.#granted.add(message.fromDiskId);
+            this.#countVotes();
+        }
+    }
+
+    #refuse(diskId: string): void {
+        const body = create(VoteResponseSchema, { granted: false, preVote: false });
+        this.#core.send(diskId, { case: "voteResponse", value: body });
+    }
+
+    #countPreVotes(): void {
+        if (this.#core.role === ReplicaRole.PreCandidate && this.#hasMajority()) {
+            this.#core.handleRole(RoleEvent.PreVoteWon);
+            this.#campaign();
+        }
+    }
+
+    /**
+     * Requests are sent once the term, the own vote and the log that they claim are synced. Otherwise a
+     * restart could use votes that were granted for entries which it has lost.
+     */
+    #campaign(): void {
+        const core = this.#core;
+        this.#granted = new Set();
+        core.setTermAndVote(core.term + 1, core.identity.diskId);
+        core.resetElectionTimer();
+        this.#askAll(core.term, false);
+    }
+
+    #countVotes(): void {
+        // The own vote must be synced, also when the others already form a majority.
+        if (this.#granted.has(this.#core.identity.diskId) && this.#hasMajority()) {
+            this.#core.handleRole(RoleEvent.ElectionWon);
+            this.#onWon();
+        }
+    }
+
+    #hasMajority(): boolean {
+        const voters = votersOf(this.#core.membership);
+        const granted = voters.filter(voter => this.#granted.has(voter.diskId)).length;
+        return granted > voters.length / 2;
+    }
+
+    #askAll(term: number, preVote: boolean): void {
+        const core = this.#core;
+        const request = create(VoteRequestSchema, {
+            lastIndex: core.log.lastIndex,
+            lastTerm: core.log.lastTerm,
+            preVote,
+            handover: this.#handover,
+        });
+        for (const voter of votersOf(core.membership)) {
+            if (voter.diskId === core.identity.diskId) {
+                continue;
+            }
+            if (preVote) {
+                core.send(voter.diskId, { case: "voteRequest", value: request }, { term });
+            }
+            else {
+                core.sendWhenDurable(voter.diskId, { case: "voteRequest", value: request });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/leadership.ts
@@ -0,0 +1,322 @@
+import { create } from "@bufbuild/protobuf";
+import { StepError } from "@waxwingspread/common";
+import { AppendRequestSchema, ErrorCode, HandoverRequestSchema, LogEntrySchema } from "@waxwingspread/protocol";
+import type { AppendResponse, LogEntry, Membership, SnapshotHeader, SnapshotResponse } from "@waxwingspread/protocol";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import type { ReplicaCore } from "./core.js";
+import { applyMembershipChange, isVoter, majorityValue, votersOf } from "./membership.js";
+import { PeerMode, PeerProgress } from "./peer-progress.js";
+import { SnapshotSender } from "./snapshot-sender.js";
+import { MembershipChangeKind } from "./types.js";
+import type { MembershipChange } from "./types.js";
+
+/** Share of the minimum election timeout for which a lease holds; clock rates differ by at most 1%. */
+const LEASE_RATIO = 0.98;
+const HANDOVER_TIMEOUT_ELECTIONS = 2;
+const PROMOTION_STEP = "promote a learner";
+
+/** One replica's leadership during one term. */
+export class Leadership {
+    readonly #core: ReplicaCore;
+    readonly #peers = new Map<string, PeerProgress>();
+    readonly #snapshots: SnapshotSender;
+    readonly #electedAtMs: number;
+    /** Index of the first entry of this term. */
+    readonly #firstIndex: number;
+    #heartbeatAtMs: number;
+    /** The commit index at the last heartbeat; a learner that has reached it is caught up. */
+    #recentCommitIndex = Infinity;
+    #handoverDeadlineMs: number | undefined;
+    #handoverTarget: string | undefined;
+
+    constructor(core: ReplicaCore) {
+        this.#core = core;
+        this.#snapshots = new SnapshotSender(core);
+        this.#electedAtMs = core.nowMs;
+        this.#heartbeatAtMs = core.nowMs + core.timing.heartbeatMs;
+        this.#firstIndex = core.log.lastIndex + 1;
+        this.#updatePeers();
+        this.#append({ case: "noOperation", value: true });
+    }
+
+    /** Whether leadership is being transferred; no proposals are accepted then. */
+    get isHandingOver(): boolean {
+        return this.#handoverDeadlineMs !== undefined;
+    }
+
+    /** Whether a quorum has answered recently enough that no other leader can exist. */
+    get hasQuorumLease(): boolean {
+        const contactMs = this.#quorumContactMs(-Infinity);
+        const leaseMs = this.#core.timing.minimumElectionTimeoutMs * LEASE_RATIO;
+        return !this.isHandingOver
+            && this.#core.commitIndex >= this.#firstIndex
+            && this.#core.nowMs - contactMs < leaseMs;
+    }
+
+    propose(records: readonly Uint8Array[]): number {
+        for (const record of records) {
+            this.#append({ case: "data", value: record });
+        }
+        return this.#core.log.lastIndex;
+    }
+
+    changeMembership(change: MembershipChange): Result<number, StepError> {
+        const core = this.#core;
+        if (core.commitIndex < this.#firstIndex || core.membershipIndex > core.commitIndex) {
+            return Err(
+                new StepError(
+                    ErrorCode.MEMBERSHIP_CHANGE_IN_PROGRESS,
+                    "change membership",
+                    core.identity.name,
+                    "the previous membership or the leader's first entry is not committed yet",
+                    { retryAfterMs: core.timing.heartbeatMs },
+                ),
+            );
+        }
+        return applyMembershipChange(core.membership, change)
+            .andThen(membership => this.#checkCaughtUp(change, membership))
+            .map(membership => {
+                this.#append({ case: "membership", value: membership });
+                this.#updatePeers();
+                return core.log.lastIndex;
+            });
+    }
+
+    /** Starts to transfer the leadership to the voter that has the most of the log, if there is another one. */
+    handOver(): void {
+        if (this.isHandingOver) {
+            return;
+        }
+        const candidates = [...this.#peers.values()].filter(peer => isVoter(this.#core.membership, peer.diskId));
+        const target = candidates.sort((a, b) => b.matchIndex - a.matchIndex || b.contactMs - a.contactMs)[0];
+        if (target === undefined) {
+            return;
+        }
+        const timing = this.#core.timing;
+        this.#handoverDeadlineMs = this.#core.nowMs + timing.minimumElectionTimeoutMs * HANDOVER_TIMEOUT_ELECTIONS;
+        this.#handoverTarget = target.diskId;
+        this.#requestHandover(target);
+    }
+
+    tick(): void {
+        const core = this.#core;
+        const silentMs = core.nowMs - this.#quorumContactMs(this.#electedAtMs);
+        if (silentMs >= core.timing.minimumElectionTimeoutMs || core.nowMs >= (this.#handoverDeadlineMs ?? Infinity)) {
+            core.becomeFollower(core.term, "");
+            return;
+        }
+        if (core.nowMs >= this.#heartbeatAtMs) {
+            this.#heartbeatAtMs = core.nowMs + core.timing.heartbeatMs;
+            this.#sendHeartbeats();
+        }
+    }
+
+    onAppendResponse(diskId: string, response: AppendResponse): void {
+        const peer = this.#peers.get(diskId);
+        if (peer === undefined) {
+            return;
+        }
+        peer.noteContact(response.sentAtMs);
+        if (!response.success) {
+            this.#onRefused(peer, response);
+            return;
+        }
+        const hasMatchRisen = peer.noteMatch(Math.min(response.matchIndex, this.#core.log.lastIndex));
+        if (peer.mode === PeerMode.Probe) {
+            peer.mode = PeerMode.Replicate;
+            peer.isProbeOutstanding = false;
+        }
+        else if (peer.mode === PeerMode.Snapshot && this.#core.log.termAt(peer.matchIndex) !== undefined) {
+            this.#endTransfer(peer, peer.matchIndex);
+        }
+        if (hasMatchRisen) {
+            this.#onMatchRisen(peer);
+        }
+    }
+
+    onSnapshotResponse(diskId: string, response: SnapshotResponse): void {
+        const peer = this.#peers.get(diskId);
+        if (peer === undefined) {
+            return;
+        }
+        peer.noteContact(response.sentAtMs);
+        if (this.#snapshots.onResponse(peer, response)) {
+            this.#endTransfer(peer, response.lastIndex);
+            this.#onMatchRisen(peer);
+        }
+    }
+
+    snapshotLoaded(header: SnapshotHeader, bytes: Uint8Array): void {
+        this.#snapshots.loaded(header, bytes, this.#peers.values());
+        this.#releaseSnapshot();
+    }
+
+    /** Commits what a quorum has synced; entries of earlier terms only together with an own one. */
+    advanceCommit(): void {
+        const core = this.#core;
+        const matches = votersOf(core.membership).map(voter =>
+            voter.diskId === core.identity.diskId
+                ? core.durability.durableIndex
+                : this.#peers.get(voter.diskId)?.matchIndex ?? 0
+        );
+        const index = majorityValue(matches) ?? 0;
+        if (index <= core.commitIndex || index < this.#firstIndex) {
+            return;
+        }
+        core.commitTo(index);
+        if (core.membershipIndex <= core.commitIndex && !core.isVoter) {
+            this.#sendHeartbeats();
+            core.becomeFollower(core.term, "");
+        }
+    }
+
+    /** Sends what the limits allow; called once for everything that was proposed in one iteration. */
+    flush(): void {
+        for (const peer of this.#peers.values()) {
+            this.#replicate(peer);
+        }
+    }
+
+    #append(body: LogEntry["body"]): void {
+        const core = this.#core;
+        core.append(create(LogEntrySchema, { index: core.log.lastIndex + 1, term: core.term, body }));
+    }
+
+    #checkCaughtUp(change: MembershipChange, membership: Membership): Result<Membership, StepError> {
+        if (change.kind !== MembershipChangeKind.Promote) {
+            return Ok(membership);
+        }
+        const peer = this.#peers.get(change.diskId);
+        const isReachable = peer !== undefined
+            && this.#core.nowMs - peer.contactMs < this.#core.timing.minimumElectionTimeoutMs;
+        if (isReachable && peer.matchIndex >= this.#recentCommitIndex) {
+            return Ok(membership);
+        }
+        const message = `the learner has ${peer?.matchIndex ?? 0} of ${this.#core.commitIndex} entries`
+            + (isReachable ? "" : " and does not answer");
+        return Err(
+            new StepError(ErrorCode.UNAVAILABLE, PROMOTION_STEP, change.diskId, message, {
+                retryAfterMs: this.#core.timing.heartbeatMs,
+            }),
+        );
+    }
+
+    #updatePeers(): void {
+        const members = this.#core.membership.members.map(member => member.identity?.diskId ?? "");
+        const others = new Set(members.filter(diskId => diskId !== this.#core.identity.diskId));
+        for (const diskId of this.#peers.keys()) {
+            if (!others.has(diskId)) {
+                this.#peers.delete(diskId);
+            }
+        }
+        for (const diskId of others) {
+            if (!this.#peers.has(diskId)) {
+                this.#peers.set(diskId, new PeerProgress(diskId, this.#core.log.lastIndex + 1));
+            }
+        }
+        this.#releaseSnapshot();
+    }
+
+    #onRefused(peer: PeerProgress, response: AppendResponse): void {
+        const isOutdated = peer.mode === PeerMode.Snapshot
+            || (peer.mode === PeerMode.Probe && response.sentAtMs < peer.probeSentAtMs);
+        if (!isOutdated) {
+            peer.probeFrom(Math.min(response.matchIndex + 1, peer.nextIndex));
+        }
+    }
+
+    #onMatchRisen(peer: PeerProgress): void {
+        this.advanceCommit();
+        if (peer.diskId === this.#handoverTarget) {
+            this.#requestHandover(peer);
+        }
+    }
+
+    #endTransfer(peer: PeerProgress, matchIndex: number): void {
+        peer.noteMatch(matchIndex);
+        peer.probeFrom(peer.matchIndex + 1);
+        this.#releaseSnapshot();
+    }
+
+    #releaseSnapshot(): void {
+        const isNeeded = [...this.#peers.values()].some(peer => peer.mode === PeerMode.Snapshot);
+        this.#snapshots.releaseUnless(isNeeded);
+    }
+
+    #requestHandover(target: PeerProgress): void {
+        if (target.matchIndex === this.#core.log.lastIndex) {
+            const body = create(HandoverRequestSchema, {});
+            this.#core.send(target.diskId, { case: "handoverRequest", value: body });
+        }
+    }
+
+    #quorumContactMs(floorMs: number): number {
+        const core = this.#core;
+        const contacts = votersOf(core.membership).map(voter =>
+            voter.diskId === core.identity.diskId
+                ? core.nowMs
+                : Math.max(floorMs, this.#peers.get(voter.diskId)?.contactMs ?? -Infinity)
+        );
+        return majorityValue(contacts) ?? -Infinity;
+    }
+
+    #sendHeartbeats(): void {
+        this.#recentCommitIndex = this.#core.commitIndex;
+        for (const peer of this.#peers.values()) {
+            if (peer.mode === PeerMode.Snapshot) {
+                // Position 0 always matches, so this only tells that the leader is alive.
+                this.#sendAppend(peer, 0, 0, []);
+                this.#snapshots.tick(peer);
+                continue;
+            }
+            const previousTerm = this.#core.log.termAt(peer.nextIndex - 1);
+            if (previousTerm === undefined) {
+                this.#snapshots.start(peer);
+                continue;
+            }
+            this.#sendAppend(peer, peer.nextIndex - 1, previousTerm, []);
+            if (peer.diskId === this.#handoverTarget) {
+                this.#requestHandover(peer);
+            }
+        }
+    }
+
+    #replicate(peer: PeerProgress): void {
+        const { log, limits } = this.#core;
+        while (peer.mode !== PeerMode.Snapshot && peer.nextIndex <= log.lastIndex) {
+            const previousTerm = log.termAt(peer.nextIndex - 1);
+            if (previousTerm === undefined) {
+                this.#snapshots.start(peer);
+                return;
+            }
+            const isFull = peer.mode === PeerMode.Probe
+                ? peer.isProbeOutstanding
+                : peer.inFlightEntries >= limits.inFlightEntries || peer.inFlightBytes >= limits.inFlightBytes;
+            if (isFull) {
+                return;
+            }
+            const previousIndex = peer.nextIndex - 1;
+            const { entries, bytes } = log.batch(peer.nextIndex, limits.batchEntries, limits.batchBytes);
+            this.#sendAppend(peer, previousIndex, previousTerm, entries);
+            peer.noteSent(previousIndex + entries.length, entries.length, bytes);
+            if (peer.mode === PeerMode.Probe) {
+                peer.isProbeOutstanding = true;
+                peer.probeSentAtMs = this.#core.nowMs;
+            }
+        }
+    }
+
+    #sendAppend(peer: PeerProgress, previousIndex: number, previousTerm: number, entries: LogEntry[]): void {
+        const core = this.#core;
+        const request = create(AppendRequestSchema, {
+            previousIndex,
+            previousTerm,
+            entries,
+            commitIndex: core.commitIndex,
+            sentAtMs: core.nowMs,
+        });
+        const withAddress = !isVoter(core.membership, peer.diskId) || peer.matchIndex === 0;
+        core.send(peer.diskId, { case: "appendRequest", value: request }, { withAddress });
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/replica.test.ts
@@ -0,0 +1,231 @@
+import { create } from "@bufbuild/protobuf";
+import { SeededRandom } from "@waxwingspread/common";
+import {
+    ErrorCode,
+    HardStateSchema,
+    LogEntrySchema,
+    ReplicaIdentitySchema,
+    ReplicaMessageSchema,
+} from "@waxwingspread/protocol";
+import type { HardState, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
+import { describe, expect, it } from "vitest";
+import { initialMembership } from "./membership.js";
+import { Replica } from "./replica.js";
+import { MembershipChangeKind, ReplicaEffectKind, ReplicaRole } from "./types.js";
+import type { PersistEffect, ReplicaEffect, SendEffect } from "./types.js";
+
+const identityOf = (name: string) =>
+    create(ReplicaIdentitySchema, { name, diskId: `disk-${name}`, address: `address-${name}` });
+
+const NAMES = ["a", "b", "c"];
+const FIRST = create(LogEntrySchema, {
+    index: 1,
+    term: 1,
+    body: { case: "membership", value: initialMembership(NAMES.map(identityOf)) },
+});
+const RECORD = new Uint8Array([1, 2, 3]);
+
+interface StartOptions {
+    entries?: LogEntry[];
+    hardState?: HardState;
+    nowMs?: number;
+}
+
+const start = (name: string, options: StartOptions = {}) =>
+    new Replica({
+        identity: identityOf(name),
+        persisted: {
+            hardState: options.hardState ?? create(HardStateSchema, { term: 1 }),
+            entries: options.entries ?? [FIRST],
+        },
+        random: new SeededRandom(name.charCodeAt(0)),
+    }, options.nowMs ?? 0);
+
+const sends = (effects: ReplicaEffect[]) =>
+    effects.filter((effect): effect is SendEffect => effect.kind === ReplicaEffectKind.Send);
+const persists = (effects: ReplicaEffect[]) =>
+    effects.filter((effect): effect is PersistEffect => effect.kind === ReplicaEffectKind.Persist);
+
+/** Exchanges messages without loss and syncs at once until nothing is left to do. */
+const settle = (replicas: Replica[], nowMs: number) => {
+    const byDisk = new Map(replicas.map(replica => [replica.identity.diskId, replica]));
+    let isActive = true;
+    while (isActive) {
+        isActive = false;
+        for (const replica of replicas) {
+            for (const effect of replica.takeEffects()) {
+                isActive = true;
+                if (effect.kind === ReplicaEffectKind.Persist) {
+                    replica.persisted(effect.token, nowMs);
+                }
+                else if (effect.kind === ReplicaEffectKind.Send) {
+                    byDisk.get(effect.to.diskId)?.receive(effect.message, nowMs);
+                }
+            }
+        }
+    }
+};
+
+/** Makes `a` the leader. */
+const startCluster = () => {
+    const replicas = NAMES.map(name => start(name));
+    const [a, b, c] = replicas as [Replica, Replica, Replica];
+    a.tick(1_000);
+    settle(replicas, 1_000);
+    expect(a.role).toBe(ReplicaRole.Leader);
+    return { a, b, c, replicas };
+};
+
+const message = (from: string, to: string, term: number, body: ReplicaMessage["body"]) =>
+    create(ReplicaMessageSchema, { fromDiskId: `disk-${from}`, toDiskId: `disk-${to}`, term, body });
+
+const entry = (index: number, term: number) =>
+    create(LogEntrySchema, { index, term, body: { case: "data", value: RECORD } });
+
+const append = (previousIndex: number, previousTerm: number, entries: LogEntry[]): ReplicaMessage["body"] => ({
+    case: "appendRequest",
+    value: {
+        $typeName: "waxwingspread.v1.AppendRequest",
+        previousIndex,
+        previousTerm,
+        entries,
+        commitIndex: 1,
+        sentAtMs: 10,
+    },
+});
+
+describe("Replica durability", () => {
+    it("does not acknowledge an append or a vote before it is synced", () => {
+        const b = start("b");
+        b.receive(message("a", "b", 2, append(1, 1, [entry(2, 2)])), 1_000);
+        const effects = b.takeEffects();
+        expect(sends(effects)).toEqual([]);
+        b.persisted(persists(effects)[0]?.token ?? 0, 1_001);
+        expect(sends(b.takeEffects())[0]?.message.body.value).toMatchObject({ success: true, matchIndex: 2 });
+    });
+
+    it("does not count a write whose entries were truncated before it completed", () => {
+        const b = start("b");
+        b.receive(message("a", "b", 2, append(1, 1, [entry(2, 2), entry(3, 2)])), 1_000);
+        const first = persists(b.takeEffects())[0];
+        b.receive(message("c", "b", 3, append(1, 1, [entry(2, 3)])), 1_010);
+        const second = persists(b.takeEffects())[0];
+        expect(second?.truncateFromIndex).toBe(2);
+        b.persisted(second?.token ?? 0, 1_020);
+        expect(sends(b.takeEffects())).toEqual([]);
+        b.persisted(first?.token ?? 0, 1_030);
+        const acknowledged = sends(b.takeEffects()).map(effect => effect.message.body.value);
+        expect(acknowledged).toMatchObject([{ success: true, matchIndex: 2 }]);
+    });
+
+    it("does not commit through a deposed leader's late write", () => {
+        const { a } = startCluster();
+        a.propose([RECORD], 1_010).unwrap();
+        const token = persists(a.takeEffects())[0]?.token ?? 0;
+        a.receive(message("b", "a", 3, append(1, 1, [entry(2, 3)])), 1_020);
+        a.takeEffects();
+        const before = a.commitIndex;
+        a.persisted(token, 1_030);
+        expect(a.commitIndex).toBe(before);
+    });
+
+    it("does not truncate for an append of an earlier term", () => {
+        const b = start("b", { hardState: create(HardStateSchema, { term: 5 }), entries: [FIRST, entry(2, 4)] });
+        b.receive(message("a", "b", 3, append(1, 1, [entry(2, 3)])), 1_000);
+        expect(b.termAt(2)).toBe(4);
+        expect(sends(b.takeEffects())[0]?.message).toMatchObject({ term: 5, body: { value: { success: false } } });
+    });
+});
+
+describe("Replica leadership", () => {
+    it("dates the lease from the send time, so that late answers do not extend it", () => {
+        const { a, b } = startCluster();
+        expect(a.hasQuorumLease(1_100)).toBe(true);
+        a.tick(1_100);
+        const heartbeat = sends(a.takeEffects()).find(effect => effect.to.name === "b");
+        b.receive(heartbeat?.message ?? message("a", "b", 0, { case: undefined }), 1_450);
+        const answer = sends(b.takeEffects())[0];
+        a.receive(answer?.message ?? message("b", "a", 0, { case: undefined }), 1_480);
+        expect(a.hasQuorumLease(1_480)).toBe(true);
+        expect(a.hasQuorumLease(1_495)).toBe(false);
+        a.tick(1_501);
+        expect(a.role).toBe(ReplicaRole.Follower);
+    });
+
+    it("refuses a candidate while a leader is active, also right after a restart", () => {
+        const { b, replicas } = startCluster();
+        const restarted = start("c", { nowMs: 1_000 });
+        for (const voter of [b, restarted]) {
+            const name = voter.identity.name;
+            const request = { $typeName: "waxwingspread.v1.VoteRequest", lastIndex: 99, lastTerm: 9 } as const;
+            const body = { ...request, preVote: false, handover: false };
+            voter.receive(message("a", name, 9, { case: "voteRequest", value: body }), 1_100);
+            expect(voter.term).toBeLessThan(9);
+        }
+        expect(replicas.map(replica => replica.role)).toContain(ReplicaRole.Leader);
+    });
+
+    it("ignores messages for another disk and does not count votes of non-members", () => {
+        const a = start("a");
+        a.receive(message("b", "old-disk", 7, append(1, 1, [entry(2, 7)])), 10);
+        expect(a.lastIndex).toBe(1);
+        a.tick(1_000);
+        const value = { $typeName: "waxwingspread.v1.VoteResponse", granted: true, preVote: true } as const;
+        a.receive(message("wiped", "a", 2, { case: "voteResponse", value }), 1_001);
+        expect(a.role).toBe(ReplicaRole.PreCandidate);
+        a.receive(message("b", "a", 2, { case: "voteResponse", value }), 1_002);
+        expect(a.role).toBe(ReplicaRole.Candidate);
+    });
+
+    it("hands over without losing a record, and gives up the lease before", () => {
+        const { a, replicas } = startCluster();
+        const index = a.propose([RECORD], 1_010).unwrap();
+        a.handOver(1_011);
+        expect(a.hasQuorumLease(1_011)).toBe(false);
+        expect(a.propose([RECORD], 1_012).unwrapErr().code).toBe(ErrorCode.NOT_LEADER);
+        settle(replicas, 1_013);
+        const leader = replicas.find(replica => replica.role === ReplicaRole.Leader);
+        expect(leader?.identity.name).not.toBe("a");
+        expect(leader?.commitIndex).toBeGreaterThan(index);
+    });
+
+    it("steps down after it has committed its own removal, and not before", () => {
+        const { a, b, c, replicas } = startCluster();
+        const change = { kind: MembershipChangeKind.Remove, diskId: "disk-a" } as const;
+        a.changeMembership(change, 1_010).unwrap();
+        expect(a.changeMembership(change, 1_010).unwrapErr().code).toBe(
+            ErrorCode.MEMBERSHIP_CHANGE_IN_PROGRESS,
+        );
+        expect(a.role).toBe(ReplicaRole.Leader);
+        settle(replicas, 1_011);
+        expect(a.role).toBe(ReplicaRole.Follower);
+        b.tick(2_500);
+        settle([b, c], 2_500);
+        expect(b.role).toBe(ReplicaRole.Leader);
+    });
+
+    it("promotes a learner only once it has caught up", () => {
+        const { a, replicas } = startCluster();
+        const d = start("d", { entries: [], hardState: create(HardStateSchema, {}) });
+        a.changeMembership({ kind: MembershipChangeKind.AddLearner, identity: identityOf("d") }, 1_010).unwrap();
+        settle(replicas, 1_011);
+        const promote = { kind: MembershipChangeKind.Promote, diskId: "disk-d" } as const;
+        expect(a.changeMembership(promote, 1_012).unwrapErr().code).toBe(ErrorCode.UNAVAILABLE);
+        a.tick(1_120);
+        settle([...replicas, d], 1_120);
+        expect(d.lastIndex).toBe(a.lastIndex);
+        a.changeMembership(promote, 1_130).unwrap();
+        settle([...replicas, d], 1_131);
+        expect(a.membership.members.map(member => member.role)).toEqual([2, 2, 2, 2]);
+    });
+
+    it("bounds the entries in flight to a peer that does not answer", () => {
+        const { a } = startCluster();
+        for (let round = 0; round < 20; round += 1) {
+            a.propose(Array.from({ length: 1_000 }, () => RECORD), 1_010).unwrap();
+            a.takeEffects();
+        }
+        a.propose([RECORD], 1_011).unwrap();
+        expect(sends(a.takeEffects())).toEqual([]);
+    });
+});
--- /dev/null
+++ b/packages/consensus/src/replica.ts
@@ -0,0 +1,254 @@
+import { create } from "@bufbuild/protobuf";
+import { StepError } from "@waxwingspread/common";
+import { AppendResponseSchema, ErrorCode, SnapshotHeaderSchema } from "@waxwingspread/protocol";
+import type { Membership, ReplicaIdentity, ReplicaMessage, SnapshotHeader } from "@waxwingspread/protocol";
+import { createHash } from "node:crypto";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { ReplicaCore } from "./core.js";
+import { Election } from "./election.js";
+import { Leadership } from "./leadership.js";
+import { LogReceiver } from "./log-receiver.js";
+import { ReplicaRole } from "./types.js";
+import type { MembershipChange, ReplicaEffect, ReplicaOptions } from "./types.js";
+
+/**
+ * One replica of the log. It is deterministic and does no I/O: events and the time go in, effects come out of
+ * `takeEffects` and are to be executed in order.
+ */
+export class Replica {
+    readonly #core: ReplicaCore;
+    readonly #election: Election;
+    readonly #receiver: LogReceiver;
+    #leadership: Leadership | undefined;
+
+    constructor(options: ReplicaOptions, nowMs: number) {
+        this.#core = new ReplicaCore(options, nowMs);
+        this.#election = new Election(this.#core, () => {
+            this.#leadership = new Leadership(this.#core);
+            this.#leadership.advanceCommit();
+        });
+        this.#receiver = new LogReceiver(this.#core);
+    }
+
+    get identity(): ReplicaIdentity {
+        return this.#core.identity;
+    }
+
+    get role(): ReplicaRole {
+        return this.#core.role;
+    }
+
+    get term(): number {
+        return this.#core.term;
+    }
+
+    get leader(): ReplicaIdentity | undefined {
+        return this.#core.leader;
+    }
+
+    get commitIndex(): number {
+        return this.#core.commitIndex;
+    }
+
+    get lastIndex(): number {
+        return this.#core.log.lastIndex;
+    }
+
+    /** The latest membership in the log; empty until the replica belongs to a cluster. */
+    get membership(): Membership {
+        return this.#core.membership;
+    }
+
+    /** Whether the log or the snapshot contains a membership. */
+    get isFormed(): boolean {
+        return this.#core.membership.members.length > 0;
+    }
+
+    /** Last index covered by the stored snapshot; 0 without one. */
+    get snapshotIndex(): number {
+        return this.#core.snapshotIndex;
+    }
+
+    /** Number of entries in memory. */
+    get logLength(): number {
+        return this.#core.log.lastIndex - this.#core.log.baseIndex;
+    }
+
+    /** Returns the term of the entry at an index; undefined when memory doesn't contain it. */
+    termAt(index: number): number | undefined {
+        return this.#core.log.termAt(index);
+    }
+
+    /** Lets time pass; to be called every few milliseconds to tens of milliseconds. */
+    tick(nowMs: number): void {
+        this.#advance(nowMs);
+        if (this.#leadership === undefined) {
+            this.#election.tick();
+        }
+        else {
+            this.#leadership.tick();
+        }
+        this.#dropLeadershipIfLost();
+    }
+
+    /** Handles a message; one for another disk is ignored. */
+    receive(message: ReplicaMessage, nowMs: number): void {
+        this.#advance(nowMs);
+        const core = this.#core;
+        if (message.toDiskId !== core.identity.diskId || message.fromDiskId === core.identity.diskId) {
+            return;
+        }
+        if (message.fromAddress !== "") {
+            core.learnAddress({ ...core.identityOf(message.fromDiskId), address: message.fromAddress });
+        }
+        this.#dispatch(message);
+        this.#dropLeadershipIfLost();
+    }
+
+    /**
+     * Appends records to the log. Returns the index of the last one, or NOT_LEADER. They are committed when a
+     * Commit effect contains them with the term in which they were proposed.
+     */
+    propose(records: readonly Uint8Array[], nowMs: number): Result<number, StepError> {
+        this.#advance(nowMs);
+        const leadership = this.#leadership;
+        if (leadership === undefined || leadership.isHandingOver) {
+            return Err(this.#notLeader("propose"));
+        }
+        return Ok(leadership.propose(records));
+    }
+
+    /**
+     * Starts a single-step change. Returns the index of its entry, or NOT_LEADER,
+     * MEMBERSHIP_CHANGE_IN_PROGRESS, INVALID, or UNAVAILABLE for a learner that is not caught up.
+     */
+    changeMembership(change: MembershipChange, nowMs: number): Result<number, StepError> {
+        this.#advance(nowMs);
+        const leadership = this.#leadership;
+        if (leadership === undefined || leadership.isHandingOver) {
+            return Err(this.#notLeader("change membership"));
+        }
+        return leadership.changeMembership(change);
+    }
+
+    /** Takes note that the store has synced the write with this token. */
+    persisted(token: number, nowMs: number): void {
+        this.#advance(nowMs);
+        if (!this.#core.durability.complete(token)) {
+            return;
+        }
+        this.#core.releaseDeferred();
+        this.#receiver.onDurable();
+        this.#election.onDurable();
+        this.#leadership?.advanceCommit();
+        this.#dropLeadershipIfLost();
+    }
+
+    /** Returns the header of a snapshot of the state after all entries released by Commit effects. */
+    snapshotHeader(bytes: Uint8Array): SnapshotHeader {
+        const core = this.#core;
+        return create(SnapshotHeaderSchema, {
+            lastIndex: core.commitIndex,
+            lastTerm: core.log.termAt(core.commitIndex) ?? 0,
+            membership: core.membershipAt(core.commitIndex),
+            sizeBytes: bytes.length,
+            sha256: createHash("sha256").update(bytes).digest(),
+        });
+    }
+
+    /** Takes note that a snapshot of the own state is stored; the entries that it covers may be dropped. */
+    snapshotTaken(header: SnapshotHeader): void {
+        this.#core.compactLog(header.lastIndex);
+    }
+
+    /** Delivers the latest stored snapshot after a SnapshotNeeded effect. */
+    snapshotLoaded(header: SnapshotHeader, bytes: Uint8Array, nowMs: number): void {
+        this.#advance(nowMs);
+        this.#leadership?.snapshotLoaded(header, bytes);
+    }
+
+    /** Transfers the leadership before a planned shutdown; does nothing on a replica that doesn't lead. */
+    handOver(nowMs: number): void {
+        this.#advance(nowMs);
+        this.#leadership?.handOver();
+    }
+
+    /** Whether no other leader can exist at this time, so that reads of committed state are current. */
+    hasQuorumLease(nowMs: number): boolean {
+        this.#advance(nowMs);
+        return this.#leadership?.hasQuorumLease ?? false;
+    }
+
+    /** Returns the effects since the last call; writes and appends of one iteration are combined. */
+    takeEffects(): ReplicaEffect[] {
+        this.#leadership?.flush();
+        return this.#core.drain();
+    }
+
+    #advance(nowMs: number): void {
+        this.#core.nowMs = Math.max(this.#core.nowMs, nowMs);
+    }
+
+    #dropLeadershipIfLost(): void {
+        if (this.#core.role !== ReplicaRole.Leader) {
+            this.#leadership = undefined;
+        }
+    }
+
+    #notLeader(step: string): StepError {
+        const { identity, leader } = this.#core;
+        const isOther = leader !== undefined && leader.diskId !== identity.diskId;
+        return new StepError(ErrorCode.NOT_LEADER, step, identity.name, "this replica is not the leader", {
+            leaderAddress: isOther && leader.address !== "" ? leader.address : undefined,
+        });
+    }
+
+    #dispatch(message: ReplicaMessage): void {
+        const core = this.#core;
+        const body = message.body;
+        if (body.case === "voteRequest") {
+            this.#election.onVoteRequest(message, body.value);
+            return;
+        }
+        if (message.term < core.term) {
+            this.#answerOutdated(message);
+            return;
+        }
+        const isGrantedPreVote = body.case === "voteResponse" && body.value.preVote && body.value.granted;
+        if (message.term > core.term && !isGrantedPreVote) {
+            core.becomeFollower(message.term, "");
+            this.#dropLeadershipIfLost();
+        }
+        switch (body.case) {
+            case "voteResponse":
+                this.#election.onVoteResponse(message, body.value);
+                return;
+            case "appendRequest":
+                this.#receiver.onAppend(message, body.value);
+                return;
+            case "appendResponse":
+                this.#leadership?.onAppendResponse(message.fromDiskId, body.value);
+                return;
+            case "snapshotChunk":
+                this.#receiver.onChunk(message, body.value);
+                return;
+            case "snapshotResponse":
+                this.#leadership?.onSnapshotResponse(message.fromDiskId, body.value);
+                return;
+            case "handoverRequest":
+                if (message.fromDiskId === core.leaderDiskId) {
+                    this.#election.takeOver();
+                }
+                return;
+        }
+    }
+
+    /** Tells a leader of an earlier term the current one; nothing else of an earlier term has an effect. */
+    #answerOutdated(message: ReplicaMessage): void {
+        if (message.body.case === "appendRequest" || message.body.case === "snapshotChunk") {
+            const response = create(AppendResponseSchema, { success: false, sentAtMs: message.body.value.sentAtMs });
+            this.#core.send(message.fromDiskId, { case: "appendResponse", value: response });
+        }
+    }
+}
