--- /dev/null
+++ b/packages/consensus/src/bootstrap.ts
@@ -0,0 +1,109 @@
+import type { DescribeResponse, Membership, ReplicaIdentity } from "@waxwingspread/protocol";
+import { initialMembership } from "./membership.js";
+
+const DEFAULT_ANSWER_AGE_MS = 5_000;
+
+/** States of the bootstrap handshake. */
+export enum BootstrapState {
+    /** Some initial peers have not answered recently. */
+    Asking = "asking",
+    /** All initial peers are known and none belongs to a cluster. */
+    Ready = "ready",
+    /** A cluster exists already, or the settings do not match; an operator has to add this replica. */
+    WaitingForOperator = "waiting-for-operator",
+}
+
+/** An initial peer as configured. */
+export interface BootstrapPeer {
+    name: string;
+    address: string;
+}
+
+/** Construction parameters of the handshake. */
+export interface BootstrapOptions {
+    identity: ReplicaIdentity;
+    /** The other initial replicas, without this one. */
+    peers: readonly BootstrapPeer[];
+    /** Age from which on an answer is asked for again. */
+    answerAgeMs?: number;
+}
+
+interface PeerAnswer {
+    identity: ReplicaIdentity;
+    atMs: number;
+}
+
+/**
+ * Decides whether an uninitialized replica may form a cluster: only after every initial peer has told recently
+ * that it belongs to none. A peer that does not answer could be the rest of an existing cluster.
+ */
+export class BootstrapHandshake {
+    readonly #identity: ReplicaIdentity;
+    readonly #peers: readonly BootstrapPeer[];
+    readonly #answerAgeMs: number;
+    readonly #answers = new Map<string, PeerAnswer>();
+    #obstacle = "";
+
+    constructor(options: BootstrapOptions) {
+        this.#identity = options.identity;
+        this.#peers = options.peers;
+        this.#answerAgeMs = options.answerAgeMs ?? DEFAULT_ANSWER_AGE_MS;
+        const names = new Set([options.identity.name, ...options.peers.map(peer => peer.name)]);
+        if (names.size !== options.peers.length + 1) {
+            this.#obstacle = "the initial replicas' names are not distinct";
+        }
+    }
+
+    /** Why an operator is needed; empty in the other states. */
+    get obstacle(): string {
+        return this.#obstacle;
+    }
+
+    state(nowMs: number): BootstrapState {
+        if (this.#obstacle !== "") {
+            return BootstrapState.WaitingForOperator;
+        }
+        return this.peersToAsk(nowMs).length === 0 ? BootstrapState.Ready : BootstrapState.Asking;
+    }
+
+    /** Returns the peers to which a Describe call is due. */
+    peersToAsk(nowMs: number): BootstrapPeer[] {
+        return this.#peers.filter(peer => {
+            const answer = this.#answers.get(peer.name);
+            return answer === undefined || nowMs - answer.atMs > this.#answerAgeMs;
+        });
+    }
+
+    /** Handles a peer's answer to a Describe call that was sent at `askedAtMs`. */
+    answered(peer: BootstrapPeer, response: DescribeResponse, askedAtMs: number): void {
+        const { identity } = response;
+        if (response.formed) {
+            this.#obstacle = `${peer.name} belongs to a cluster already`;
+            return;
+        }
+        if (identity === undefined || identity.name !== peer.name || identity.diskId === "") {
+            this.#obstacle = `the replica at ${peer.address} is ${identity?.name ?? "unknown"}, not ${peer.name}`;
+            return;
+        }
+        if (identity.diskId === this.#identity.diskId) {
+            this.#obstacle = `${peer.name} has the same disk id; its data folder is a copy of this one`;
+            return;
+        }
+        this.#answers.set(peer.name, { identity, atMs: askedAtMs });
+    }
+
+    /** Handles a Describe call that failed. */
+    notAnswered(peer: BootstrapPeer): void {
+        this.#answers.delete(peer.name);
+    }
+
+    /** Returns the membership that all initial replicas derive alike; undefined unless the state is Ready. */
+    membership(nowMs: number): Membership | undefined {
+        if (this.state(nowMs) !== BootstrapState.Ready) {
+            return undefined;
+        }
+        // Identities are as their owners report them, so that they don't depend on who derives the membership.
+        const others = this.#peers.flatMap(peer => this.#answers.get(peer.name)?.identity ?? []);
+        return initialMembership([this.#identity, ...others]);
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/data-folder.ts
@@ -0,0 +1,134 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { StepError } from "@waxwingspread/common";
+import { ErrorCode, ReplicaIdentitySchema, SnapshotHeaderSchema } from "@waxwingspread/protocol";
+import type { ReplicaIdentity, SnapshotHeader } from "@waxwingspread/protocol";
+import { createHash, randomUUID } from "node:crypto";
+import { join } from "node:path";
+import type { FileSystem } from "./file-system.js";
+import { decodeFrame, encodeFrames, FIRST_WRITE, FrameKind, frameSizeBytes } from "./frames.js";
+import { corrupt } from "./store-errors.js";
+
+const IDENTITY_FILE = "identity";
+const SNAPSHOT_FILE = "snapshot";
+const TEMPORARY_SUFFIX = ".tmp";
+const WRITE_CHUNK_BYTES = 1024 * 1024;
+const SEGMENT_PATTERN = /^segment-(\d{12})\.log$/;
+const SEGMENT_DIGITS = 12;
+
+/** A snapshot and its description. */
+export interface StoredSnapshot {
+    header: SnapshotHeader;
+    bytes: Uint8Array;
+}
+
+/** Name and address of a replica as configured; the disk id is added when the folder is formatted. */
+export interface ReplicaSettings {
+    name: string;
+    address: string;
+    /** Generates the disk id; random by default. */
+    newDiskId?: () => string;
+}
+
+/** Files of one replica in one folder. */
+export class DataFolder {
+    constructor(readonly fileSystem: FileSystem, readonly path: string) {}
+
+    segmentPath(sequence: number): string {
+        return join(this.path, `segment-${String(sequence).padStart(SEGMENT_DIGITS, "0")}.log`);
+    }
+
+    /** Returns the sequence numbers of the segments, ascending; a missing one is CORRUPT. */
+    async segments(): Promise<number[]> {
+        const names = await this.fileSystem.list(this.path);
+        const sequences = names
+            .flatMap(name => SEGMENT_PATTERN.exec(name)?.slice(1) ?? [])
+            .map(Number)
+            .sort((a, b) => a - b);
+        sequences.forEach((sequence, position) => {
+            if (position > 0 && sequence !== (sequences[position - 1] ?? 0) + 1) {
+                throw corrupt("load the log", this.segmentPath(sequence - 1), "segment is missing");
+            }
+        });
+        return sequences;
+    }
+
+    /** Returns the identity of this folder, formatting it first if it is empty. */
+    async identity(settings: ReplicaSettings): Promise<ReplicaIdentity> {
+        await this.fileSystem.makeFolder(this.path);
+        const names = await this.fileSystem.list(this.path);
+        if (!names.includes(IDENTITY_FILE)) {
+            if (names.some(name => name === SNAPSHOT_FILE || SEGMENT_PATTERN.test(name))) {
+                throw corrupt("open the data folder", join(this.path, IDENTITY_FILE), "file is missing");
+            }
+            return this.#format(settings);
+        }
+        const path = join(this.path, IDENTITY_FILE);
+        const frame = decodeFrame(Buffer.from(await this.fileSystem.read(path)), 0);
+        if (frame?.kind !== FrameKind.Identity) {
+            throw corrupt("open the data folder", path, "invalid record");
+        }
+        const stored = fromBinary(ReplicaIdentitySchema, frame.payload);
+        if (stored.name !== settings.name) {
+            const message = `the folder belongs to replica ${stored.name}, not to ${settings.name}`;
+            throw new StepError(ErrorCode.INVALID, "open the data folder", path, message);
+        }
+        return create(ReplicaIdentitySchema, { ...stored, address: settings.address });
+    }
+
+    /** Returns the stored snapshot; one that does not match its digest is CORRUPT. */
+    async readSnapshot(): Promise<StoredSnapshot | undefined> {
+        const names = await this.fileSystem.list(this.path);
+        if (!names.includes(SNAPSHOT_FILE)) {
+            return undefined;
+        }
+        const path = join(this.path, SNAPSHOT_FILE);
+        const data = await this.fileSystem.read(path);
+        const buffer = Buffer.from(data.buffer, data.byteOffset, data.byteLength);
+        const frame = decodeFrame(buffer, 0);
+        if (frame?.kind !== FrameKind.SnapshotHeader) {
+            throw corrupt("load the snapshot", path, "invalid header");
+        }
+        const header = fromBinary(SnapshotHeaderSchema, frame.payload);
+        const bytes = buffer.subarray(frameSizeBytes(frame));
+        const digest = createHash("sha256").update(bytes).digest();
+        if (bytes.length !== header.sizeBytes || digest.compare(header.sha256) !== 0) {
+            throw corrupt("load the snapshot", path, "content does not match the digest");
+        }
+        return { header, bytes };
+    }
+
+    /** Replaces the stored snapshot. */
+    async replaceSnapshot(snapshot: StoredSnapshot): Promise<void> {
+        const payload = toBinary(SnapshotHeaderSchema, snapshot.header);
+        const header = encodeFrames([{ kind: FrameKind.SnapshotHeader, payload }], FIRST_WRITE);
+        await this.#replace(SNAPSHOT_FILE, [header, snapshot.bytes]);
+    }
+
+    async #format(settings: ReplicaSettings): Promise<ReplicaIdentity> {
+        const diskId = settings.newDiskId?.() ?? randomUUID();
+        const stored = create(ReplicaIdentitySchema, { name: settings.name, diskId });
+        const payload = toBinary(ReplicaIdentitySchema, stored);
+        await this.#replace(IDENTITY_FILE, [encodeFrames([{ kind: FrameKind.Identity, payload }], FIRST_WRITE)]);
+        return create(ReplicaIdentitySchema, { ...stored, address: settings.address });
+    }
+
+    async #replace(name: string, parts: readonly Uint8Array[]): Promise<void> {
+        const target = join(this.path, name);
+        const temporary = target + TEMPORARY_SUFFIX;
+        const file = await this.fileSystem.openAppend(temporary);
+        try {
+            await file.truncate(0);
+            for (const part of parts) {
+                for (let offset = 0; offset < part.length; offset += WRITE_CHUNK_BYTES) {
+                    await file.append(part.subarray(offset, offset + WRITE_CHUNK_BYTES));
+                }
+            }
+            await file.sync();
+        }
+        finally {
+            await file.close();
+        }
+        await this.fileSystem.rename(temporary, target);
+        await this.fileSystem.syncFolder(this.path);
+    }
+}
--- /dev/null
+++ b/packages/consensus/src/frames.ts
@@ -0,0 +1,127 @@
+import { crc32 } from "node:zlib";
+
+/** Kinds of records in a replica's files. */
+export enum FrameKind {
+    HardState = 1,
+    Entry = 2,
+    /** Payload: first index that is removed, as a double. */
+    Truncate = 3,
+    /** Payload: index and term of the snapshot after which the log starts anew, as doubles. */
+    Reset = 4,
+    SnapshotHeader = 5,
+    Identity = 6,
+}
+
+/** One record. */
+export interface Frame {
+    kind: FrameKind;
+    /** Number, within the file, of the write with this record; it started after the one before was synced. */
+    write: number;
+    /** Set on the last record of a write. */
+    isLastOfWrite: boolean;
+    payload: Uint8Array;
+}
+
+/** Result of reading the frames of a file. */
+export interface FrameScan {
+    frames: Frame[];
+    /** Size of the valid part. */
+    validBytes: number;
+    /** Whether records of a later write follow the first invalid one, so that the latter had been synced. */
+    isSyncedPartInvalid: boolean;
+}
+
+/** Number of a file's first write. */
+export const FIRST_WRITE = 1;
+
+const MAGIC = 0x5752;
+const OFFSET_KIND = 2;
+const OFFSET_FLAGS = 3;
+const OFFSET_WRITE = 4;
+const OFFSET_LENGTH = 8;
+const OFFSET_CRC = 12;
+const HEADER_BYTES = 16;
+const FLAG_LAST_OF_WRITE = 1;
+
+/** Encodes records as one buffer: magic, kind, flags, write number, length, CRC-32, payload. */
+export const encodeFrames = (frames: readonly Omit<Frame, "isLastOfWrite" | "write">[], write: number): Buffer => {
+    const sizeBytes = frames.reduce((sum, frame) => sum + HEADER_BYTES + frame.payload.length, 0);
+    const buffer = Buffer.allocUnsafe(sizeBytes);
+    let offset = 0;
+    for (const [position, frame] of frames.entries()) {
+        const isLast = position === frames.length - 1;
+        buffer.writeUInt16LE(MAGIC, offset);
+        buffer.writeUInt8(frame.kind, offset + OFFSET_KIND);
+        buffer.writeUInt8(isLast ? FLAG_LAST_OF_WRITE : 0, offset + OFFSET_FLAGS);
+        buffer.writeUInt32LE(write, offset + OFFSET_WRITE);
+        buffer.writeUInt32LE(frame.payload.length, offset + OFFSET_LENGTH);
+        buffer.set(frame.payload, offset + HEADER_BYTES);
+        const headerCrc = crc32(buffer.subarray(offset, offset + OFFSET_CRC));
+        buffer.writeUInt32LE(crc32(frame.payload, headerCrc), offset + OFFSET_CRC);
+        offset += HEADER_BYTES + frame.payload.length;
+    }
+    return buffer;
+};
+
+/** Decodes the record at an offset; undefined when there is no valid one. */
+export const decodeFrame = (buffer: Buffer, offset: number): Frame | undefined => {
+    if (offset + HEADER_BYTES > buffer.length || buffer.readUInt16LE(offset) !== MAGIC) {
+        return undefined;
+    }
+    const start = offset + HEADER_BYTES;
+    const end = start + buffer.readUInt32LE(offset + OFFSET_LENGTH);
+    if (end > buffer.length) {
+        return undefined;
+    }
+    const payload = buffer.subarray(start, end);
+    const headerCrc = crc32(buffer.subarray(offset, offset + OFFSET_CRC));
+    if (crc32(payload, headerCrc) !== buffer.readUInt32LE(offset + OFFSET_CRC)) {
+        return undefined;
+    }
+    return {
+        kind: buffer.readUInt8(offset + OFFSET_KIND),
+        write: buffer.readUInt32LE(offset + OFFSET_WRITE),
+        isLastOfWrite: (buffer.readUInt8(offset + OFFSET_FLAGS) & FLAG_LAST_OF_WRITE) !== 0,
+        payload,
+    };
+};
+
+/** Returns the size of a record in a file. */
+export const frameSizeBytes = (frame: Frame): number => HEADER_BYTES + frame.payload.length;
+
+/**
+ * The first invalid record belongs to the write after the last valid record, or to the same write if that had
+ * not ended. Any later write shows that it had been synced once.
+ */
+const hasLaterWrite = (buffer: Buffer, offset: number, last: Frame | undefined): boolean => {
+    const invalidWrite = last === undefined ? FIRST_WRITE : last.write + Number(last.isLastOfWrite);
+    const magic = Buffer.alloc(OFFSET_KIND);
+    magic.writeUInt16LE(MAGIC);
+    for (let position = buffer.indexOf(magic, offset); position >= 0; position = buffer.indexOf(magic, position + 1)) {
+        const frame = decodeFrame(buffer, position);
+        if (frame !== undefined && frame.write > invalidWrite) {
+            return true;
+        }
+    }
+    return false;
+};
+
+/** Reads all records up to the first invalid one. */
+export const scanFrames = (data: Uint8Array): FrameScan => {
+    const buffer = Buffer.from(data.buffer, data.byteOffset, data.byteLength);
+    const frames: Frame[] = [];
+    let offset = 0;
+    while (offset < buffer.length) {
+        const frame = decodeFrame(buffer, offset);
+        if (frame === undefined) {
+            return {
+                frames,
+                validBytes: offset,
+                isSyncedPartInvalid: hasLaterWrite(buffer, offset, frames.at(-1)),
+            };
+        }
+        frames.push(frame);
+        offset += frameSizeBytes(frame);
+    }
+    return { frames, validBytes: offset, isSyncedPartInvalid: false };
+};
--- /dev/null
+++ b/packages/consensus/src/replica-store.ts
@@ -0,0 +1,277 @@
+import { toBinary } from "@bufbuild/protobuf";
+import { HardStateSchema, LogEntrySchema } from "@waxwingspread/protocol";
+import type { HardState, LogEntry, ReplicaIdentity, SnapshotHeader } from "@waxwingspread/protocol";
+import { DataFolder } from "./data-folder.js";
+import type { ReplicaSettings, StoredSnapshot } from "./data-folder.js";
+import type { AppendFile, FileSystem } from "./file-system.js";
+import { encodeFrames, FrameKind, scanFrames } from "./frames.js";
+import type { Frame } from "./frames.js";
+import { encodeDoubles, LogReplay } from "./log-replay.js";
+import { corrupt, diskFailed } from "./store-errors.js";
+import type { PersistedState } from "./types.js";
+
+const DEFAULT_SEGMENT_BYTES = 8 * 1024 * 1024;
+
+/** Construction parameters of a store. */
+export interface ReplicaStoreOptions extends ReplicaSettings {
+    fileSystem: FileSystem;
+    /** Path of the data folder. */
+    folder: string;
+    /** Size from which on a new segment is started. */
+    segmentBytes?: number;
+}
+
+/** Part of one write. */
+export interface StoreWrite {
+    hardState?: HardState;
+    truncateFromIndex?: number;
+    entries: readonly LogEntry[];
+}
+
+/** What a store contained when it was opened. */
+export interface OpenedStore {
+    store: ReplicaStore;
+    identity: ReplicaIdentity;
+    persisted: PersistedState;
+    snapshotBytes?: Uint8Array;
+}
+
+interface Segment {
+    sequence: number;
+    /** Largest index of an entry that the segment has ever contained. */
+    highestIndex: number;
+    sizeBytes: number;
+    /** Whether it holds a synced hard state, so that earlier segments are not needed for it. */
+    hasHardState: boolean;
+}
+
+type Record = Omit<Frame, "isLastOfWrite" | "write">;
+
+/**
+ * A replica's data folder. Log writes must not overlap each other; snapshots may be saved meanwhile. After a
+ * failure every call fails with the first error (DISK_FAILED or CORRUPT), since the disk's content is unknown.
+ */
+export class ReplicaStore {
+    readonly #folder: DataFolder;
+    readonly #segmentBytes: number;
+    #segments: Segment[] = [];
+    #current: AppendFile | undefined;
+    /** Number of the last write in the current segment. */
+    #lastWrite = 0;
+    #hardState: Uint8Array;
+    #snapshotIndex = 0;
+    #snapshotWork: Promise<void> = Promise.resolve();
+    #failure: Error | undefined;
+
+    private constructor(folder: DataFolder, segmentBytes: number) {
+        this.#folder = folder;
+        this.#segmentBytes = segmentBytes;
+        this.#hardState = new Uint8Array();
+    }
+
+    /** Opens a data folder, formatting it if it is empty. Fails with DISK_FAILED, CORRUPT or INVALID. */
+    static async open(options: ReplicaStoreOptions): Promise<OpenedStore> {
+        const folder = new DataFolder(options.fileSystem, options.folder);
+        const store = new ReplicaStore(folder, options.segmentBytes ?? DEFAULT_SEGMENT_BYTES);
+        try {
+            const identity = await folder.identity(options);
+            const snapshot = await folder.readSnapshot();
+            const persisted = await store.#load(snapshot?.header);
+            return { store, identity, persisted, snapshotBytes: snapshot?.bytes };
+        }
+        catch (error) {
+            await store.close().catch(() => undefined);
+            throw diskFailed("open the data folder", options.folder, error);
+        }
+    }
+
+    /** Last index of the stored snapshot; 0 without one. */
+    get snapshotIndex(): number {
+        return this.#snapshotIndex;
+    }
+
+    /** Writes all parts in order with one sync. */
+    async write(parts: readonly StoreWrite[]): Promise<void> {
+        await this.#guard("write the log", async () => {
+            const records = parts.flatMap(part => this.#recordsOf(part));
+            const highestIndex = parts.reduce((highest, part) => Math.max(highest, part.entries.at(-1)?.index ?? 0), 0);
+            await this.#append(records, highestIndex);
+        });
+    }
+
+    /** Stores a snapshot of the own state and deletes the segments that it covers. An older one is ignored. */
+    async saveSnapshot(header: SnapshotHeader, bytes: Uint8Array): Promise<void> {
+        await this.#exclusively(async () => {
+            if (header.lastIndex > this.#snapshotIndex) {
+                await this.#replaceSnapshot(header, bytes);
+                await this.#deleteCoveredSegments();
+            }
+        });
+    }
+
+    /** Replaces the snapshot and the whole log by a snapshot from the leader. */
+    async restoreSnapshot(header: SnapshotHeader, bytes: Uint8Array): Promise<void> {
+        await this.#exclusively(async () => {
+            await this.#replaceSnapshot(header, bytes);
+            await this.#resetLog(header);
+            await this.#deleteCoveredSegments();
+        });
+    }
+
+    /** Returns the stored snapshot. */
+    async readSnapshot(): Promise<StoredSnapshot | undefined> {
+        let snapshot: StoredSnapshot | undefined;
+        await this.#exclusively(async () => {
+            snapshot = await this.#folder.readSnapshot();
+        });
+        return snapshot;
+    }
+
+    async close(): Promise<void> {
+        await this.#snapshotWork.catch(() => undefined);
+        await this.#current?.close();
+        this.#current = undefined;
+    }
+
+    async #load(snapshot: SnapshotHeader | undefined): Promise<PersistedState> {
+        this.#snapshotIndex = snapshot?.lastIndex ?? 0;
+        const replay = new LogReplay();
+        const sequences = await this.#folder.segments();
+        for (const sequence of sequences) {
+            await this.#loadSegment(sequence, sequence === sequences.at(-1), replay);
+        }
+        this.#hardState = toBinary(HardStateSchema, replay.hardState);
+        const entries = replay.entriesAfter(snapshot, this.#folder.path);
+        await this.#startSegment();
+        if (entries === undefined && snapshot !== undefined) {
+            await this.#resetLog(snapshot);
+        }
+        await this.#deleteCoveredSegments();
+        return { hardState: replay.hardState, snapshot, entries: entries ?? [] };
+    }
+
+    async #loadSegment(sequence: number, isLast: boolean, replay: LogReplay): Promise<void> {
+        const path = this.#folder.segmentPath(sequence);
+        const data = await this.#folder.fileSystem.read(path);
+        const scan = scanFrames(data);
+        if (scan.validBytes < data.length) {
+            if (!isLast || scan.isSyncedPartInvalid) {
+                throw corrupt("load the log", path, `invalid record at byte ${scan.validBytes}`);
+            }
+            await this.#cutTail(path, scan.validBytes);
+        }
+        const segment: Segment = { sequence, highestIndex: 0, sizeBytes: scan.validBytes, hasHardState: false };
+        for (const frame of scan.frames) {
+            segment.hasHardState ||= frame.kind === FrameKind.HardState;
+            segment.highestIndex = Math.max(segment.highestIndex, replay.apply(frame, path));
+        }
+        this.#segments.push(segment);
+    }
+
+    /** Removes a write that was not synced, so that the segment is valid as a whole once another follows. */
+    async #cutTail(path: string, validBytes: number): Promise<void> {
+        const file = await this.#folder.fileSystem.openAppend(path);
+        try {
+            await file.truncate(validBytes);
+            await file.sync();
+        }
+        finally {
+            await file.close();
+        }
+    }
+
+    async #startSegment(): Promise<void> {
+        await this.#current?.close();
+        this.#current = undefined;
+        const sequence = (this.#segments.at(-1)?.sequence ?? 0) + 1;
+        this.#current = await this.#folder.fileSystem.openAppend(this.#folder.segmentPath(sequence));
+        this.#segments.push({ sequence, highestIndex: 0, sizeBytes: 0, hasHardState: false });
+        this.#lastWrite = 0;
+        await this.#folder.fileSystem.syncFolder(this.#folder.path);
+    }
+
+    #recordsOf(part: StoreWrite): Record[] {
+        const records: Record[] = [];
+        if (part.hardState !== undefined) {
+            this.#hardState = toBinary(HardStateSchema, part.hardState);
+            records.push({ kind: FrameKind.HardState, payload: this.#hardState });
+        }
+        if (part.truncateFromIndex !== undefined) {
+            records.push({ kind: FrameKind.Truncate, payload: encodeDoubles([part.truncateFromIndex]) });
+        }
+        for (const entry of part.entries) {
+            records.push({ kind: FrameKind.Entry, payload: toBinary(LogEntrySchema, entry) });
+        }
+        return records;
+    }
+
+    async #append(records: readonly Record[], highestIndex: number): Promise<void> {
+        if ((this.#segments.at(-1)?.sizeBytes ?? 0) >= this.#segmentBytes) {
+            await this.#startSegment();
+        }
+        const segment = this.#segments.at(-1);
+        const file = this.#current;
+        if (segment === undefined || file === undefined) {
+            throw new Error("the store is closed");
+        }
+        // Each segment starts with the hard state, so that earlier segments can be deleted.
+        const first: Record[] = segment.sizeBytes === 0
+            ? [{ kind: FrameKind.HardState, payload: this.#hardState }]
+            : [];
+        this.#lastWrite += 1;
+        const data = encodeFrames([...first, ...records], this.#lastWrite);
+        segment.sizeBytes += data.length;
+        segment.highestIndex = Math.max(segment.highestIndex, highestIndex);
+        await file.append(data);
+        await file.sync();
+        segment.hasHardState = true;
+    }
+
+    async #resetLog(header: SnapshotHeader): Promise<void> {
+        await this.#startSegment();
+        const payload = encodeDoubles([header.lastIndex, header.lastTerm]);
+        await this.#append([{ kind: FrameKind.Reset, payload }], 0);
+        for (const segment of this.#segments.slice(0, -1)) {
+            segment.highestIndex = 0;
+        }
+    }
+
+    async #replaceSnapshot(header: SnapshotHeader, bytes: Uint8Array): Promise<void> {
+        await this.#folder.replaceSnapshot({ header, bytes });
+        this.#snapshotIndex = header.lastIndex;
+    }
+
+    /** Deletes from the oldest on; syncing each deletion keeps the remaining segments consecutive. */
+    async #deleteCoveredSegments(): Promise<void> {
+        let oldest = this.#segments[0];
+        const { fileSystem, path } = this.#folder;
+        while (
+            oldest !== undefined && this.#segments[1]?.hasHardState && oldest.highestIndex <= this.#snapshotIndex
+        ) {
+            this.#segments.shift();
+            await fileSystem.remove(this.#folder.segmentPath(oldest.sequence));
+            await fileSystem.syncFolder(path);
+            oldest = this.#segments[0];
+        }
+    }
+
+    /** Runs snapshot work after all earlier snapshot work. */
+    async #exclusively(work: () => Promise<void>): Promise<void> {
+        const result = this.#snapshotWork.then(() => this.#guard("write the snapshot", work));
+        this.#snapshotWork = result.catch(() => undefined);
+        await result;
+    }
+
+    async #guard(step: string, work: () => Promise<void>): Promise<void> {
+        if (this.#failure !== undefined) {
+            throw this.#failure;
+        }
+        try {
+            await work();
+        }
+        catch (error) {
+            this.#failure ??= diskFailed(step, this.#folder.path, error);
+            throw this.#failure;
+        }
+    }
+}
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -1,6 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { StepError } from "@waxwingspread/common";
-import { AppendResponseSchema, ErrorCode, SnapshotHeaderSchema } from "@waxwingspread/protocol";
+import { AppendResponseSchema, ErrorCode, LogEntrySchema, SnapshotHeaderSchema } from "@waxwingspread/protocol";
 import type { Membership, ReplicaIdentity, ReplicaMessage, SnapshotHeader } from "@waxwingspread/protocol";
 import { createHash } from "node:crypto";
 import { Err, Ok } from "ts-results-es";
@@ -12,6 +12,9 @@
 import { ReplicaRole } from "./types.js";
 import type { MembershipChange, ReplicaEffect, ReplicaOptions } from "./types.js";
 
+/** Term of the initial membership; elections begin after it. */
+const INITIAL_TERM = 1;
+
 /**
  * One replica of the log. It is deterministic and does no I/O: events and the time go in, effects come out of
  * `takeEffects` and are to be executed in order.
@@ -80,6 +83,24 @@
         return this.#core.log.termAt(index);
     }
 
+    /**
+     * Makes the initial membership the first log entry, alike on all initial replicas; the first leader commits
+     * it. Does nothing on a replica that belongs to a cluster already.
+     */
+    form(membership: Membership, nowMs: number): void {
+        this.#advance(nowMs);
+        const core = this.#core;
+        if (this.isFormed || core.log.lastIndex > 0) {
+            return;
+        }
+        if (core.term < INITIAL_TERM) {
+            core.setTermAndVote(INITIAL_TERM, "");
+        }
+        core.append(
+            create(LogEntrySchema, { index: 1, term: INITIAL_TERM, body: { case: "membership", value: membership } }),
+        );
+    }
+
     /** Lets time pass; to be called every few milliseconds to tens of milliseconds. */
     tick(nowMs: number): void {
         this.#advance(nowMs);
--- /dev/null
+++ b/packages/test-support/src/fake-file-system.ts
@@ -0,0 +1,284 @@
+import type { SeededRandom } from "@waxwingspread/common";
+import type { AppendFile, FileSystem } from "@waxwingspread/consensus";
+import { dirname } from "node:path";
+
+const INITIAL_CAPACITY_BYTES = 256;
+const GROWTH_FACTOR = 2;
+const BYTE_VALUES = 256;
+const BYTE_MASK = 0xff;
+
+/** Operations of the fake file system at which a fault can be injected. */
+export enum FileOperation {
+    List = "list",
+    Read = "read",
+    Open = "open",
+    Append = "append",
+    Sync = "sync",
+    Truncate = "truncate",
+    Rename = "rename",
+    Remove = "remove",
+    SyncFolder = "sync-folder",
+}
+
+/** What a crash leaves of data that was appended but not synced. */
+export enum TornWrite {
+    /** All of it is lost. */
+    Lost = "lost",
+    /** A prefix of random length is kept. */
+    Prefix = "prefix",
+    /** The size is kept, but the content after a random byte is zeros. */
+    Zeros = "zeros",
+    /** The size is kept, but one random byte is wrong. */
+    Damaged = "damaged",
+}
+
+/** Error with the code of an operating system's error. */
+export class FakeFileError extends Error {
+    constructor(readonly code: string, operation: FileOperation, path: string) {
+        super(`${code}: ${operation} ${path}`);
+        this.name = "FakeFileError";
+    }
+}
+
+/** Growing content of a file, with the length that is synced. */
+class FakeFile {
+    #buffer = new Uint8Array(INITIAL_CAPACITY_BYTES);
+    #length = 0;
+    #syncedLength = 0;
+    /** Content that an unsynced truncation removed. */
+    #truncated: Uint8Array | undefined;
+
+    get length(): number {
+        return this.#length;
+    }
+
+    get unsyncedBytes(): number {
+        return Math.max(0, this.#length - this.#syncedLength);
+    }
+
+    content(): Uint8Array {
+        return this.#buffer.slice(0, this.#length);
+    }
+
+    append(data: Uint8Array): void {
+        const needed = this.#length + data.length;
+        if (needed > this.#buffer.length) {
+            const larger = new Uint8Array(Math.max(needed, this.#buffer.length * GROWTH_FACTOR));
+            larger.set(this.#buffer.subarray(0, this.#length));
+            this.#buffer = larger;
+        }
+        this.#buffer.set(data, this.#length);
+        this.#length = needed;
+    }
+
+    truncate(sizeBytes: number): void {
+        if (sizeBytes < this.#syncedLength) {
+            this.#truncated ??= this.#buffer.slice(0, this.#syncedLength);
+            this.#syncedLength = sizeBytes;
+        }
+        this.#length = Math.min(this.#length, sizeBytes);
+    }
+
+    sync(): void {
+        this.#syncedLength = this.#length;
+        this.#truncated = undefined;
+    }
+
+    flip(offset: number): void {
+        this.#buffer[offset] = (this.#buffer[offset] ?? 0) ^ BYTE_MASK;
+    }
+
+    crash(torn: TornWrite, random: SeededRandom): void {
+        if (this.#truncated !== undefined && random.nextRatio() < 1 / 2) {
+            this.#length = 0;
+            this.append(this.#truncated);
+        }
+        else if (this.#length > this.#syncedLength) {
+            this.#tear(torn, random);
+        }
+        this.sync();
+    }
+
+    #tear(torn: TornWrite, random: SeededRandom): void {
+        const cut = random.nextInteger(this.#syncedLength, this.#length);
+        switch (torn) {
+            case TornWrite.Lost:
+                this.#length = this.#syncedLength;
+                return;
+            case TornWrite.Prefix:
+                this.#length = cut;
+                return;
+            case TornWrite.Zeros:
+                this.#buffer.fill(0, cut, this.#length);
+                return;
+            case TornWrite.Damaged:
+                this.#buffer[Math.min(cut, this.#length - 1)] = random.nextInteger(0, BYTE_VALUES - 1);
+        }
+    }
+}
+
+type FolderChange = (files: Map<string, FakeFile>) => void;
+
+/**
+ * File system in memory. `crash` leaves what a disk may contain after a power failure: synced data, an arbitrary
+ * part of the data and of the folder changes that were not synced.
+ */
+export class FakeFileSystem implements FileSystem {
+    /** Called before each operation; the code that it returns (such as `EIO`) makes the operation fail. */
+    fault: ((operation: FileOperation, path: string) => string | undefined) | undefined;
+    /** Total size from which on appends fail with ENOSPC, after a part of the data was written. */
+    capacityBytes = Infinity;
+    /** Number of syncs of files so far. */
+    syncCount = 0;
+    readonly #random: SeededRandom;
+    #files = new Map<string, FakeFile>();
+    #durableFiles = new Map<string, FakeFile>();
+    #unsyncedChanges: { folder: string; change: FolderChange }[] = [];
+    #generation = 0;
+
+    constructor(random: SeededRandom) {
+        this.#random = random;
+    }
+
+    get usedBytes(): number {
+        return [...this.#files.values()].reduce((sum, file) => sum + file.length, 0);
+    }
+
+    /** Paths of all files, sorted. */
+    get paths(): string[] {
+        return [...this.#files.keys()].sort();
+    }
+
+    /** Loses unsynced data; files that are open become unusable. */
+    crash(torn: TornWrite = this.#random.pick(Object.values(TornWrite))): void {
+        this.#generation += 1;
+        const kept = this.#random.nextInteger(0, this.#unsyncedChanges.length);
+        this.#unsyncedChanges.slice(0, kept).forEach(({ change }) => change(this.#durableFiles));
+        this.#unsyncedChanges = [];
+        this.#files = new Map(this.#durableFiles);
+        for (const file of new Set(this.#files.values())) {
+            file.crash(torn, this.#random);
+        }
+    }
+
+    /** Replaces the disk by an empty one. */
+    wipe(): void {
+        this.#generation += 1;
+        this.#files = new Map();
+        this.#durableFiles = new Map();
+        this.#unsyncedChanges = [];
+    }
+
+    /** Inverts a byte of a file. */
+    corrupt(path: string, offset: number): void {
+        this.#file(FileOperation.Read, path).flip(offset);
+    }
+
+    /** Sets the content of a file, synced. */
+    replaceContent(path: string, data: Uint8Array): void {
+        const file = new FakeFile();
+        file.append(data);
+        file.sync();
+        this.#files.set(path, file);
+        this.#durableFiles.set(path, file);
+    }
+
+    async makeFolder(): Promise<void> {
+        await Promise.resolve();
+    }
+
+    async list(path: string): Promise<string[]> {
+        await this.#enter(FileOperation.List, path);
+        return [...this.#files.keys()].filter(file => dirname(file) === path).map(file => file.slice(path.length + 1));
+    }
+
+    async read(path: string): Promise<Uint8Array> {
+        await this.#enter(FileOperation.Read, path);
+        return this.#file(FileOperation.Read, path).content();
+    }
+
+    async openAppend(path: string): Promise<AppendFile> {
+        await this.#enter(FileOperation.Open, path);
+        const file = this.#files.get(path) ?? new FakeFile();
+        if (!this.#files.has(path)) {
+            this.#change(path, files => files.set(path, file));
+        }
+        return this.#handle(path, file);
+    }
+
+    async rename(from: string, to: string): Promise<void> {
+        await this.#enter(FileOperation.Rename, from);
+        const file = this.#file(FileOperation.Rename, from);
+        this.#change(from, files => {
+            files.delete(from);
+            files.set(to, file);
+        });
+    }
+
+    async remove(path: string): Promise<void> {
+        await this.#enter(FileOperation.Remove, path);
+        this.#file(FileOperation.Remove, path);
+        this.#change(path, files => files.delete(path));
+    }
+
+    async syncFolder(path: string): Promise<void> {
+        await this.#enter(FileOperation.SyncFolder, path);
+        const synced = this.#unsyncedChanges.filter(item => item.folder === path);
+        synced.forEach(({ change }) => change(this.#durableFiles));
+        this.#unsyncedChanges = this.#unsyncedChanges.filter(item => item.folder !== path);
+    }
+
+    #handle(path: string, file: FakeFile): AppendFile {
+        const generation = this.#generation;
+        const enter = async (operation: FileOperation) => {
+            await this.#enter(operation, path);
+            if (generation !== this.#generation) {
+                throw new FakeFileError("EBADF", operation, path);
+            }
+        };
+        return {
+            append: async data => {
+                // A crash may hit in the middle of a write, so the data is there before the call returns.
+                const room = this.capacityBytes - this.usedBytes;
+                if (generation === this.#generation) {
+                    file.append(data.subarray(0, Math.max(0, Math.min(room, data.length))));
+                }
+                await enter(FileOperation.Append);
+                if (room < data.length) {
+                    throw new FakeFileError("ENOSPC", FileOperation.Append, path);
+                }
+            },
+            sync: async () => {
+                await enter(FileOperation.Sync);
+                this.syncCount += 1;
+                file.sync();
+            },
+            truncate: async sizeBytes => {
+                await enter(FileOperation.Truncate);
+                file.truncate(sizeBytes);
+            },
+            close: () => Promise.resolve(),
+        };
+    }
+
+    async #enter(operation: FileOperation, path: string): Promise<void> {
+        await Promise.resolve();
+        const code = this.fault?.(operation, path);
+        if (code !== undefined) {
+            throw new FakeFileError(code, operation, path);
+        }
+    }
+
+    #file(operation: FileOperation, path: string): FakeFile {
+        const file = this.#files.get(path);
+        if (file === undefined) {
+            throw new FakeFileError("ENOENT", operation, path);
+        }
+        return file;
+    }
+
+    #change(path: string, change: FolderChange): void {
+        change(this.#files);
+        this.#unsyncedChanges.push({ folder: dirname(path), change });
+    }
+}
