--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./policy/basic-policies.js";
 export * from "./policy/types.js";
 export * from "./state/cluster-state.js";
 export { addResources, fitsWithin, NO_RESOURCES, toResources } from "./state/resources.js";
--- /dev/null
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -0,0 +1,482 @@
+import type { SeededRandom } from "@waxwingspread/common";
+import { HealthState, Reason, WorkKind } from "@waxwingspread/protocol";
+import type { JobSpecification, Resources } from "@waxwingspread/protocol";
+import { addResources, fitsWithin, NO_RESOURCES } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
+import { TokenBucket } from "../timing/token-bucket.js";
+import type {
+    Admission,
+    AdmissionPolicy,
+    CustomerLimits,
+    FairSharePolicy,
+    HealthChange,
+    HealthPolicy,
+    InterferencePolicy,
+    PlacedTask,
+    Placement,
+    PlacementPolicy,
+    PlacementQuery,
+    PolicySet,
+    Preemption,
+    QueuedJob,
+    ReservationPolicy,
+    RetryPolicy,
+    ServerView,
+    TaskKey,
+    ZonePolicy,
+} from "./types.js";
+
+/** How {@link createBasicPolicies} orders the servers that have room. */
+export enum BasicPlacement {
+    FirstFit = "first-fit",
+    LeastLoaded = "least-loaded",
+}
+
+const FAILURES_BEFORE_QUARANTINE = 3;
+const QUARANTINED_RATIO = 0.2;
+const QUARANTINE_MS = 30_000;
+const RETURN_MS = 30_000;
+const FIRST_FILL_RATIO = 0.1;
+const STOPS_PER_SECOND = 8;
+const FIRST_RETRY_MS = 200;
+const LONGEST_RETRY_MS = 30_000;
+const LARGEST_EXPONENT = 10;
+
+interface ServerLoad {
+    view: ServerView;
+    tasks: Map<TaskKey, PlacedTask>;
+    used: ResourceAmounts;
+}
+
+/** Scans all servers; meant as a baseline and for tests. */
+class BasicPlacementPolicy implements PlacementPolicy {
+    readonly #servers = new Map<string, ServerLoad>();
+    readonly #order: BasicPlacement;
+
+    constructor(order: BasicPlacement) {
+        this.#order = order;
+    }
+
+    upsertServer(server: ServerView): void {
+        const known = this.#servers.get(server.backendServerId);
+        if (known === undefined) {
+            this.#servers.set(server.backendServerId, { view: server, tasks: new Map(), used: NO_RESOURCES });
+            return;
+        }
+        known.view = server;
+    }
+
+    removeServer(backendServerId: string): void {
+        this.#servers.delete(backendServerId);
+    }
+
+    occupy(backendServerId: string, task: PlacedTask): void {
+        const server = this.#servers.get(backendServerId);
+        if (server !== undefined) {
+            this.release(backendServerId, task.taskKey);
+            server.tasks.set(task.taskKey, task);
+            server.used = addResources(server.used, task.reserved);
+        }
+    }
+
+    release(backendServerId: string, taskKey: TaskKey): void {
+        const server = this.#servers.get(backendServerId);
+        const task = server?.tasks.get(taskKey);
+        if (server !== undefined && task !== undefined) {
+            server.tasks.delete(taskKey);
+            server.used = addResources(server.used, task.reserved, -1);
+        }
+    }
+
+    choose(query: PlacementQuery): Placement | undefined {
+        let best: ServerLoad | undefined;
+        for (const server of this.#servers.values()) {
+            if (this.#admits(server, query) && hasRoom(server, query.reserved, server.used, server.tasks.size)) {
+                best = best === undefined || this.#before(server, best, query) ? server : best;
+            }
+        }
+        return best
+            && { backendServerId: best.view.backendServerId, explanation: `${this.#order} among those with room` };
+    }
+
+    choosePreemption(query: PlacementQuery): Preemption | undefined {
+        let best: Preemption | undefined;
+        for (const server of this.#servers.values()) {
+            const victims = this.#admits(server, query) ? victimsOn(server, query.reserved) : undefined;
+            if (victims !== undefined && (best === undefined || victims.length < best.victims.length)) {
+                const { backendServerId } = server.view;
+                best = { backendServerId, victims, explanation: "fewest batch tasks to evict" };
+            }
+        }
+        return best;
+    }
+
+    couldEverFit(reserved: Resources): boolean {
+        return [...this.#servers.values()].some(({ view }) => fitsWithin(reserved, view.capacity));
+    }
+
+    #admits({ view, tasks }: ServerLoad, query: PlacementQuery): boolean {
+        const probeAllowed = !view.probing || query.repeatable && tasks.size === 0;
+        return view.placeable && probeAllowed && !query.excludedServerIds.includes(view.backendServerId);
+    }
+
+    #before(a: ServerLoad, b: ServerLoad, query: PlacementQuery): boolean {
+        const crowding = spreadRank(a, query) - spreadRank(b, query);
+        const load = this.#order === BasicPlacement.LeastLoaded ? loadRatio(a) - loadRatio(b) : 0;
+        return crowding < 0 || crowding === 0
+                && (load < 0 || load === 0 && a.view.backendServerId < b.view.backendServerId);
+    }
+}
+
+const loadRatio = ({ view, used }: ServerLoad): number =>
+    Math.max(used.cpuMillicores / view.capacity.cpuMillicores, used.memoryMebibytes / view.capacity.memoryMebibytes);
+
+const spreadRank = ({ view }: ServerLoad, { spreadAway }: PlacementQuery): number =>
+    Number(spreadAway.includes(view.availabilityZone)) + Number(spreadAway.includes(view.rack));
+
+const hasRoom = ({ view }: ServerLoad, wanted: Resources, used: ResourceAmounts, tasks: number): boolean =>
+    tasks < view.slotLimit && fitsWithin(addResources(used, wanted), view.capacity);
+
+/** Youngest batch tasks whose end makes room; those that stop already count as gone. */
+const victimsOn = (server: ServerLoad, wanted: Resources): TaskKey[] | undefined => {
+    const stopping = [...server.tasks.values()].filter(task => task.stopping);
+    let used = stopping.reduce((rest, task) => addResources(rest, task.reserved, -1), server.used);
+    let tasks = server.tasks.size - stopping.length;
+    const candidates = [...server.tasks.values()]
+        .filter(task => task.workKind === WorkKind.BATCH && !task.stopping)
+        .sort((a, b) => Number(b.repeatable) - Number(a.repeatable) || b.placedAtMs - a.placedAtMs);
+    const victims: TaskKey[] = [];
+    for (const task of candidates) {
+        if (hasRoom(server, wanted, used, tasks)) {
+            break;
+        }
+        used = addResources(used, task.reserved, -1);
+        tasks -= 1;
+        victims.push(task.taskKey);
+    }
+    return hasRoom(server, wanted, used, tasks) ? victims : undefined;
+};
+
+/** Knows nothing of interference. */
+class BasicInterferencePolicy implements InterferencePolicy {
+    occupied(): void {
+        return undefined;
+    }
+
+    released(): void {
+        return undefined;
+    }
+
+    observe(): void {
+        return undefined;
+    }
+
+    expectedSlowdown(): { mean: number; uncertainty: number } {
+        return { mean: 1, uncertainty: 0 };
+    }
+
+    evaluate(): [] {
+        return [];
+    }
+}
+
+/** Reserves what was declared. */
+class BasicReservationPolicy implements ReservationPolicy {
+    observe(): void {
+        return undefined;
+    }
+
+    reserve(unusedClassKey: string, declared: Resources): Resources {
+        return declared;
+    }
+
+    observeRunTime(): void {
+        return undefined;
+    }
+
+    expectedRunTimeMs(unusedClassKey: string, declaredMs: number): number {
+        return declaredMs;
+    }
+}
+
+interface CustomerUse {
+    tasks: Map<TaskKey, { workKind: WorkKind; reserved: Resources }>;
+}
+
+const KINDS_BY_URGENCY = [WorkKind.LATENCY_CRITICAL, WorkKind.STANDING, WorkKind.BATCH];
+
+const scaled = (resources: ResourceAmounts, ratio: number): ResourceAmounts => ({
+    cpuMillicores: resources.cpuMillicores * ratio,
+    memoryMebibytes: resources.memoryMebibytes * ratio,
+    accelerators: resources.accelerators * ratio,
+});
+
+/** First in, first out within each kind; nobody exceeds a quota, so nothing is reclaimed. */
+class BasicFairSharePolicy implements FairSharePolicy {
+    readonly #limits = new Map<string, CustomerLimits>();
+    readonly #uses = new Map<string, CustomerUse>();
+    readonly #queues = new Map(KINDS_BY_URGENCY.map(kind => [kind, new Map<string, QueuedJob>()]));
+
+    setCustomer(limits: CustomerLimits): void {
+        this.#limits.set(limits.customer, limits);
+    }
+
+    removeCustomer(customer: string): void {
+        this.#limits.delete(customer);
+    }
+
+    setFleetCapacity(): void {
+        return undefined;
+    }
+
+    started(customer: string, workKind: WorkKind, taskKey: TaskKey, reserved: Resources): void {
+        const use = this.#uses.get(customer) ?? { tasks: new Map() };
+        use.tasks.set(taskKey, { workKind, reserved });
+        this.#uses.set(customer, use);
+    }
+
+    ended(customer: string, taskKey: TaskKey): void {
+        this.#uses.get(customer)?.tasks.delete(taskKey);
+    }
+
+    enqueue(job: QueuedJob): void {
+        this.#queues.get(job.workKind)?.set(job.jobKey, job);
+    }
+
+    dequeue(jobKey: string): void {
+        this.#queues.forEach(queue => queue.delete(jobKey));
+    }
+
+    next(nowMs: number, limit: number): QueuedJob[] {
+        const chosen: QueuedJob[] = [];
+        for (const kind of KINDS_BY_URGENCY) {
+            for (const job of this.#queues.get(kind)?.values() ?? []) {
+                if (chosen.length >= limit) {
+                    return chosen;
+                }
+                if (job.notBeforeMs <= nowMs && this.blockedBy(job) === undefined) {
+                    chosen.push(job);
+                }
+            }
+        }
+        return chosen;
+    }
+
+    blockedBy(job: QueuedJob): Reason | undefined {
+        const limits = this.#limits.get(job.customer);
+        if (limits === undefined) {
+            return Reason.CUSTOMER_REMOVED;
+        }
+        const tasks = [...this.#uses.get(job.customer)?.tasks.values() ?? []];
+        const sum = (kinds: readonly WorkKind[]): ResourceAmounts =>
+            tasks.filter(task => kinds.includes(task.workKind))
+                .reduce((total, task) => addResources(total, task.reserved), job.reserved as ResourceAmounts);
+        const quota = limits.quota.resources ?? NO_RESOURCES;
+        const shares = new Map([
+            [WorkKind.LATENCY_CRITICAL, limits.latencyCriticalShare],
+            [WorkKind.BATCH, limits.batchShare],
+        ]);
+        const fits = tasks.length < limits.quota.concurrentTasks
+            && fitsWithin(sum(KINDS_BY_URGENCY), quota)
+            && fitsWithin(sum([job.workKind]), scaled(quota, shares.get(job.workKind) ?? 1));
+        return fits ? undefined : Reason.QUOTA_IN_USE;
+    }
+
+    reclaim(): [] {
+        return [];
+    }
+
+    queuedCount(customer: string): number {
+        return [...this.#queues.values()].flatMap(queue => [...queue.values()])
+            .filter(job => job.customer === customer).length;
+    }
+}
+
+const setBucket = (buckets: Map<string, TokenBucket>, customer: string, perSecond: number, size: number): void => {
+    const bucket = buckets.get(customer);
+    if (bucket === undefined) {
+        buckets.set(customer, new TokenBucket(perSecond, size));
+        return;
+    }
+    bucket.perSecond = perSecond;
+    bucket.size = size;
+};
+
+/** Limits the rate and refuses deadlines that can't be met. */
+class BasicAdmissionPolicy implements AdmissionPolicy {
+    readonly #buckets = new Map<string, TokenBucket>();
+
+    setCustomer({ customer, quota }: CustomerLimits): void {
+        setBucket(this.#buckets, customer, quota.submissionsPerSecond, Math.max(1, quota.submissionBurst));
+    }
+
+    removeCustomer(customer: string): void {
+        this.#buckets.delete(customer);
+    }
+
+    admit(specification: JobSpecification, job: QueuedJob, expectedWaitMs: number, nowMs: number): Admission {
+        const bucket = this.#buckets.get(job.customer);
+        if (bucket !== undefined && !bucket.take(nowMs)) {
+            const retryAfterMs = Math.ceil(1_000 / Math.max(bucket.perSecond, 0.001));
+            return { admitted: false, reason: Reason.RATE_EXCEEDED, retryAfterMs };
+        }
+        const earliestEndMs = nowMs + expectedWaitMs + specification.declaredRunTimeMs;
+        if (job.deadlineMs > 0 && earliestEndMs > job.deadlineMs) {
+            return { admitted: false, reason: Reason.DEADLINE_UNREACHABLE, retryAfterMs: expectedWaitMs };
+        }
+        return { admitted: true };
+    }
+}
+
+/** Exponential backoff with jitter; a budget for each customer. */
+class BasicRetryPolicy implements RetryPolicy {
+    readonly #buckets = new Map<string, TokenBucket>();
+    readonly #random: SeededRandom;
+
+    constructor(random: SeededRandom) {
+        this.#random = random;
+    }
+
+    setCustomer({ customer, quota }: CustomerLimits): void {
+        setBucket(this.#buckets, customer, quota.retriesPerMinute / 60, quota.retriesPerMinute);
+    }
+
+    nextDelayMs(attemptsMade: number): number {
+        const exponent = Math.min(Math.max(attemptsMade - 1, 0), LARGEST_EXPONENT);
+        return Math.min(FIRST_RETRY_MS * 2 ** exponent, LONGEST_RETRY_MS) * (0.5 + this.#random.nextRatio());
+    }
+
+    spend(customer: string, nowMs: number): boolean {
+        return this.#buckets.get(customer)?.take(nowMs) ?? false;
+    }
+}
+
+interface ServerHealth {
+    slots: number;
+    health: HealthState;
+    failures: number;
+    failedJobs: Set<string>;
+    quarantinedUntilMs: number;
+}
+
+/** Quarantines after three consecutive failures of different jobs; one success of a probe reinstates. */
+class BasicHealthPolicy implements HealthPolicy {
+    readonly #servers = new Map<string, ServerHealth>();
+
+    register(backendServerId: string, slots: number, health: HealthState, consecutiveFailures: number): void {
+        const former = this.#servers.get(backendServerId);
+        const quarantinedUntilMs = former?.quarantinedUntilMs ?? 0;
+        const failedJobs = former?.failedJobs ?? new Set<string>();
+        const failures = consecutiveFailures;
+        this.#servers.set(backendServerId, { slots, health, failures, failedJobs, quarantinedUntilMs });
+    }
+
+    forget(backendServerId: string): void {
+        this.#servers.delete(backendServerId);
+    }
+
+    failed(backendServerId: string, jobKey: string, nowMs: number): HealthChange | undefined {
+        const server = this.#servers.get(backendServerId);
+        if (server === undefined || server.health === HealthState.QUARANTINED || server.failedJobs.has(jobKey)) {
+            return undefined;
+        }
+        server.failedJobs.add(jobKey);
+        server.failures += 1;
+        const faulty = server.health === HealthState.PROBING || server.failures >= FAILURES_BEFORE_QUARANTINE;
+        if (faulty && this.#mayQuarantine()) {
+            server.health = HealthState.QUARANTINED;
+            server.quarantinedUntilMs = nowMs + QUARANTINE_MS;
+        }
+        return this.#change(backendServerId, server);
+    }
+
+    succeeded(backendServerId: string): HealthChange | undefined {
+        const server = this.#servers.get(backendServerId);
+        if (server === undefined || server.health === HealthState.QUARANTINED) {
+            return undefined;
+        }
+        const changed = server.failures > 0 || server.health !== HealthState.HEALTHY;
+        server.failures = 0;
+        server.failedJobs.clear();
+        server.health = HealthState.HEALTHY;
+        return changed ? this.#change(backendServerId, server) : undefined;
+    }
+
+    due(nowMs: number): HealthChange[] {
+        const changes: HealthChange[] = [];
+        for (const [id, server] of this.#servers) {
+            if (server.health === HealthState.QUARANTINED && nowMs >= server.quarantinedUntilMs) {
+                server.health = HealthState.PROBING;
+                server.failedJobs.clear();
+                changes.push(this.#change(id, server));
+            }
+        }
+        return changes;
+    }
+
+    slotLimit(backendServerId: string): number {
+        const server = this.#servers.get(backendServerId);
+        const limits = new Map([[HealthState.QUARANTINED, 0], [HealthState.PROBING, 1]]);
+        return server === undefined ? 0 : limits.get(server.health) ?? server.slots;
+    }
+
+    #mayQuarantine(): boolean {
+        const quarantined = [...this.#servers.values()].filter(({ health }) => health === HealthState.QUARANTINED);
+        return quarantined.length < Math.max(1, Math.floor(this.#servers.size * QUARANTINED_RATIO));
+    }
+
+    #change(backendServerId: string, { health, failures }: ServerHealth): HealthChange {
+        const slotLimit = this.slotLimit(backendServerId);
+        return { backendServerId, health, consecutiveFailures: failures, slotLimit };
+    }
+}
+
+/** Stops latency-critical, then batch, then standing work at a constant rate; fills linearly. */
+class BasicZonePolicy implements ZonePolicy {
+    readonly #returnedAtMs = new Map<string, number>();
+    readonly #rate = new TokenBucket(STOPS_PER_SECOND, STOPS_PER_SECOND);
+
+    zoneOut(availabilityZone: string): void {
+        this.#returnedAtMs.delete(availabilityZone);
+    }
+
+    zoneBack(availabilityZone: string, nowMs: number): void {
+        this.#returnedAtMs.set(availabilityZone, nowMs);
+    }
+
+    nextToStop(tasks: readonly PlacedTask[], nowMs: number): TaskKey[] {
+        const order = [WorkKind.LATENCY_CRITICAL, WorkKind.BATCH, WorkKind.STANDING];
+        return tasks.filter(task => !task.stopping)
+            .sort((a, b) => order.indexOf(a.workKind) - order.indexOf(b.workKind) || a.placedAtMs - b.placedAtMs)
+            .filter(() => this.#rate.take(nowMs))
+            .map(task => task.taskKey);
+    }
+
+    fillRatio(availabilityZone: string, nowMs: number): number {
+        const returnedAtMs = this.#returnedAtMs.get(availabilityZone);
+        return returnedAtMs === undefined
+            ? 1
+            : Math.min(1, Math.max(FIRST_FILL_RATIO, (nowMs - returnedAtMs) / RETURN_MS));
+    }
+
+    returned(nowMs: number): string[] {
+        const names = [...this.#returnedAtMs].filter(([, atMs]) => nowMs >= atMs + RETURN_MS).map(([name]) => name);
+        names.forEach(name => this.#returnedAtMs.delete(name));
+        return names;
+    }
+}
+
+/** Returns the simplest correct policies, used as a baseline and in tests. */
+export const createBasicPolicies = (
+    random: SeededRandom,
+    placement: BasicPlacement = BasicPlacement.LeastLoaded,
+): PolicySet => ({
+    placement: new BasicPlacementPolicy(placement),
+    interference: new BasicInterferencePolicy(),
+    reservation: new BasicReservationPolicy(),
+    fairShare: new BasicFairSharePolicy(),
+    admission: new BasicAdmissionPolicy(),
+    retry: new BasicRetryPolicy(random),
+    health: new BasicHealthPolicy(),
+    zone: new BasicZonePolicy(),
+});
--- /dev/null
+++ b/packages/scheduler/src/timing/token-bucket.ts
@@ -0,0 +1,21 @@
+/** Refills at a constant rate up to its size. */
+export class TokenBucket {
+    #tokens: number;
+    #filledAtMs = 0;
+
+    constructor(public perSecond: number, public size: number) {
+        this.#tokens = size;
+    }
+
+    /** Takes one token; false where none is left. */
+    take(nowMs: number): boolean {
+        const refill = Math.max(0, nowMs - this.#filledAtMs) * this.perSecond / 1_000;
+        this.#tokens = Math.min(this.size, this.#tokens + refill);
+        this.#filledAtMs = nowMs;
+        if (this.#tokens < 1) {
+            return false;
+        }
+        this.#tokens -= 1;
+        return true;
+    }
+}
