--- /dev/null
+++ b/packages/control/src/control-node.ts
@@ -0,0 +1,244 @@
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import { messageOf, StepError } from "@waxwingspread/common";
+import type { SeededRandom } from "@waxwingspread/common";
+import { ClusterSnapshotSchema, ErrorCode, EventBatchSchema } from "@waxwingspread/protocol";
+import type { BlobReference, EventBatch, LogEntry } from "@waxwingspread/protocol";
+import { ClusterState, Scheduler } from "@waxwingspread/scheduler";
+import type { PolicySet, SchedulerSettings } from "@waxwingspread/scheduler";
+import { ControlMethod, errorReply } from "./calls.js";
+import type { ControlCall } from "./calls.js";
+import { ControlEffectKind } from "./control-effects.js";
+import type { ControlEffect } from "./control-effects.js";
+import type { ControlSettings } from "./control-settings.js";
+import { blobsOf, summarizeEvent } from "./event-summary.js";
+import { handleOnLeader } from "./leader-handlers.js";
+import { LeaderSession } from "./leader-session.js";
+import type { ReplicatedLogPort } from "./replicated-log-port.js";
+
+/** What a control node is made of. */
+export interface ControlNodeOptions {
+    name: string;
+    log: ReplicatedLogPort;
+    settings: ControlSettings;
+    schedulerSettings: SchedulerSettings;
+    /** Makes fresh policies for each term. */
+    createPolicies: () => PolicySet;
+    random: SeededRandom;
+    /** Tells whether a token is the operators'. */
+    authorizeOperator: (token: string) => boolean;
+}
+
+/** One control replica: applies the log and, while leader, decides. */
+export class ControlNode {
+    readonly #options: ControlNodeOptions;
+    #state = new ClusterState();
+    #session: LeaderSession | undefined;
+    #appliedIndex = 0;
+    #effects: ControlEffect[] = [];
+
+    constructor(options: ControlNodeOptions) {
+        this.#options = options;
+    }
+
+    get state(): ClusterState {
+        return this.#state;
+    }
+
+    get appliedIndex(): number {
+        return this.#appliedIndex;
+    }
+
+    /** True while this node answers calls. */
+    get isServing(): boolean {
+        return this.#session !== undefined;
+    }
+
+    get session(): LeaderSession | undefined {
+        return this.#session;
+    }
+
+    /** Takes a call; its reply comes as an effect with the same `callId`. */
+    call(callId: number, call: ControlCall, nowMs: number): void {
+        const session = this.#session;
+        if (session === undefined) {
+            this.#refuse(callId, call.method);
+            return;
+        }
+        if (call.method === ControlMethod.Poll) {
+            session.scheduler.entrySeen(call.request, nowMs);
+            session.holdPoll(callId, call.request, nowMs);
+            return;
+        }
+        const reply = handleOnLeader(call, {
+            session,
+            log: this.#options.log,
+            authorizeOperator: this.#options.authorizeOperator,
+            nowMs,
+        });
+        session.reply(callId, reply);
+    }
+
+    /** Ends a turn: proposes the decisions of all calls since the last one and releases what is committed. */
+    flush(nowMs: number): void {
+        const session = this.#session;
+        if (session === undefined) {
+            return;
+        }
+        if (!session.propose(nowMs)) {
+            this.#stepDown();
+            return;
+        }
+        session.release(nowMs);
+    }
+
+    /** Runs the scheduler's timers. */
+    tick(nowMs: number): void {
+        const session = this.#session;
+        if (session === undefined) {
+            return;
+        }
+        session.scheduler.tick(nowMs);
+        this.flush(nowMs);
+        this.#session?.tick(nowMs);
+    }
+
+    /** Applies entries that the log has committed. */
+    committed(entries: readonly LogEntry[], nowMs: number): void {
+        for (const entry of entries) {
+            this.#applyEntry(entry, nowMs);
+        }
+        this.#session?.release(nowMs);
+    }
+
+    /** Replaces the state by a snapshot's. */
+    snapshotRestored(bytes: Uint8Array, lastIndex: number): void {
+        this.#stepDown();
+        this.#state = ClusterState.fromSnapshot(fromBinary(ClusterSnapshotSchema, bytes));
+        this.#appliedIndex = lastIndex;
+        this.#emit({ kind: ControlEffectKind.BlobsReferenced, references: this.referencedBlobs() });
+    }
+
+    /** Takes note that the replica is no longer leader. */
+    leadershipLost(): void {
+        this.#stepDown();
+    }
+
+    /** Returns the committed state, encoded, and the index up to which it reaches. */
+    snapshot(): { bytes: Uint8Array; lastIndex: number } {
+        return { bytes: toBinary(ClusterSnapshotSchema, this.#state.toSnapshot()), lastIndex: this.#appliedIndex };
+    }
+
+    /** Returns every blob that the state refers to. */
+    referencedBlobs(): BlobReference[] {
+        const references: BlobReference[] = [];
+        for (const job of this.#state.jobs()) {
+            for (const reference of [job.specification?.payload, job.checkpoint, job.answer]) {
+                if (reference !== undefined) {
+                    references.push(reference);
+                }
+            }
+        }
+        return references;
+    }
+
+    /** Returns the effects since the last call. */
+    takeEffects(): ControlEffect[] {
+        const effects = this.#effects;
+        this.#effects = [];
+        return effects;
+    }
+
+    #applyEntry(entry: LogEntry, nowMs: number): void {
+        const decidedHere = this.#session !== undefined && entry.term === this.#session.term;
+        if (entry.body.case === "data") {
+            this.#applyBatch(this.#decode(entry.body.value, entry.index), entry.index, decidedHere);
+        }
+        this.#appliedIndex = entry.index;
+        const ownTerm = entry.term === this.#options.log.term;
+        if (this.#session === undefined && ownTerm && this.#options.log.isLeader) {
+            this.#startSession(nowMs);
+        }
+    }
+
+    #applyBatch(batch: EventBatch, index: number, decidedHere: boolean): void {
+        if (!decidedHere) {
+            for (const event of batch.events) {
+                this.#state.apply(event);
+            }
+            this.#state.mark(index);
+        }
+        this.#state.committed(index);
+        for (const event of batch.events) {
+            this.#announce(event);
+        }
+    }
+
+    #announce(event: EventBatch["events"][number]): void {
+        const record = summarizeEvent(event);
+        // Followers apply the same events; only the leader journals them, so that a time line shows each once.
+        if (record !== undefined && this.#options.log.isLeader) {
+            this.#emit({ kind: ControlEffectKind.Journal, record });
+        }
+        const references = blobsOf(event);
+        if (references.length > 0) {
+            this.#emit({ kind: ControlEffectKind.BlobsReferenced, references });
+        }
+    }
+
+    #decode(bytes: Uint8Array, index: number): EventBatch {
+        try {
+            return fromBinary(EventBatchSchema, bytes);
+        }
+        catch (error) {
+            throw new StepError(
+                ErrorCode.CORRUPT,
+                "apply",
+                this.#options.name,
+                `log record ${index} cannot be decoded: ${messageOf(error)}`,
+                { cause: error },
+            );
+        }
+    }
+
+    #startSession(nowMs: number): void {
+        const { log, settings, schedulerSettings, random, createPolicies } = this.#options;
+        const scheduler = new Scheduler(this.#state, schedulerSettings, random, createPolicies());
+        scheduler.startTerm(log.term, this.#options.name, nowMs);
+        this.#session = new LeaderSession(scheduler, log.term, {
+            log,
+            state: this.#state,
+            settings,
+            emit: effect => this.#emit(effect),
+        });
+        this.#emit({
+            kind: ControlEffectKind.Journal,
+            record: { name: "leader serving", detail: `term ${log.term}` },
+        });
+    }
+
+    #stepDown(): void {
+        const session = this.#session;
+        if (session === undefined) {
+            return;
+        }
+        this.#session = undefined;
+        session.close();
+        this.#state.rollback();
+        this.#emit({ kind: ControlEffectKind.Journal, record: { name: "leader stepped down" } });
+    }
+
+    #refuse(callId: number, method: ControlMethod): void {
+        const error = new StepError(
+            ErrorCode.NOT_LEADER,
+            method,
+            this.#options.name,
+            "this replica is not the leader",
+            { leaderAddress: this.#options.log.leaderAddress },
+        );
+        this.#emit({ kind: ControlEffectKind.Reply, callId, reply: errorReply(method, error.toDetail()) });
+    }
+
+    #emit(effect: ControlEffect): void {
+        this.#effects.push(effect);
+    }
+}
--- /dev/null
+++ b/packages/control/src/entry-directory.ts
@@ -0,0 +1,45 @@
+import type { PollRequest } from "@waxwingspread/protocol";
+
+/** An entry as the leader knows it. */
+export interface KnownEntry {
+    entryId: string;
+    address: string;
+    availabilityZone: string;
+    leaving: boolean;
+    lastHeardMs: number;
+}
+
+/** The entries that poll this leader. */
+export class EntryDirectory {
+    readonly #entries = new Map<string, KnownEntry>();
+
+    /** Takes note of a poll. */
+    heard(poll: PollRequest, nowMs: number): void {
+        this.#entries.set(poll.entryId, {
+            entryId: poll.entryId,
+            address: poll.address,
+            availabilityZone: poll.availabilityZone,
+            leaving: poll.leaving,
+            lastHeardMs: nowMs,
+        });
+    }
+
+    /** Removes the entries not heard from for `timeoutMs` and returns their ids. */
+    takeSilent(timeoutMs: number, nowMs: number): string[] {
+        const silent = [...this.#entries.values()].filter(entry => nowMs - entry.lastHeardMs > timeoutMs);
+        for (const entry of silent) {
+            this.#entries.delete(entry.entryId);
+        }
+        return silent.map(entry => entry.entryId);
+    }
+
+    /** Returns all known entries. */
+    all(): KnownEntry[] {
+        return [...this.#entries.values()];
+    }
+
+    /** Returns the addresses of the entries that take new work. */
+    addresses(): string[] {
+        return this.all().filter(entry => !entry.leaving).map(entry => entry.address);
+    }
+}
--- /dev/null
+++ b/packages/control/src/entry-outboxes.ts
@@ -0,0 +1,51 @@
+import type { Order } from "@waxwingspread/protocol";
+
+/** Greatest number of orders in one poll response. */
+export const MAX_ORDERS_PER_POLL = 256;
+
+interface Outbox {
+    orders: Order[];
+    nextSequence: number;
+}
+
+/** Orders that wait until their entry acknowledges them. Kept in memory by the leader of one term. */
+export class EntryOutboxes {
+    readonly #outboxes = new Map<string, Outbox>();
+
+    /** Appends an order and gives it the entry's next sequence number. */
+    add(entryId: string, order: Order): void {
+        const outbox = this.#outboxFor(entryId);
+        outbox.orders.push({ ...order, sequence: outbox.nextSequence });
+        outbox.nextSequence += 1;
+    }
+
+    /** Drops the orders up to the given sequence number. */
+    acknowledge(entryId: string, sequence: number): void {
+        const outbox = this.#outboxFor(entryId);
+        const kept = outbox.orders.findIndex(order => order.sequence > sequence);
+        outbox.orders = kept === -1 ? [] : outbox.orders.slice(kept);
+    }
+
+    /** Drops all orders of an entry that is no longer heard from. */
+    discard(entryId: string): void {
+        const outbox = this.#outboxes.get(entryId);
+        if (outbox !== undefined) {
+            outbox.orders = [];
+        }
+    }
+
+    /** Returns the oldest orders that are not acknowledged. */
+    pending(entryId: string): Order[] {
+        return this.#outboxes.get(entryId)?.orders.slice(0, MAX_ORDERS_PER_POLL) ?? [];
+    }
+
+    #outboxFor(entryId: string): Outbox {
+        const known = this.#outboxes.get(entryId);
+        if (known !== undefined) {
+            return known;
+        }
+        const created: Outbox = { orders: [], nextSequence: 1 };
+        this.#outboxes.set(entryId, created);
+        return created;
+    }
+}
--- /dev/null
+++ b/packages/control/src/event-summary.ts
@@ -0,0 +1,109 @@
+import type { JournalRecord } from "@waxwingspread/common";
+import { AttemptEnd, HealthState, Outcome, Reason, ZoneState } from "@waxwingspread/protocol";
+import type { BlobReference, Event } from "@waxwingspread/protocol";
+
+type EventCase = Exclude<Event["kind"]["case"], undefined>;
+type EventValue<Case extends EventCase> = Extract<Event["kind"], { case: Case }>["value"];
+
+type Summaries = { [Case in EventCase]?: (value: EventValue<Case>) => JournalRecord };
+
+const words = (name: string | undefined): string => (name ?? "unknown").toLowerCase().replaceAll("_", " ");
+
+const summaries: Summaries = {
+    contractWritten: value => ({
+        name: "contract written",
+        customer: value.contract?.customer ?? "",
+        detail: `revision ${value.revision}`,
+    }),
+    contractRemoved: value => ({
+        name: "contract removed",
+        customer: value.customer,
+        detail: `revision ${value.revision}`,
+    }),
+    zoneChanged: value => ({
+        name: "availability zone changed",
+        peer: value.availabilityZone?.name ?? "",
+        detail: `${words(ZoneState[value.availabilityZone?.state ?? 0])}, revision ${value.revision}`,
+    }),
+    backendServerJoined: value => ({
+        name: "backend server joined",
+        peer: value.backendServer?.backendServerId ?? "",
+        detail: `zone ${value.backendServer?.availabilityZone ?? ""}, rack ${value.backendServer?.rack ?? ""}`,
+    }),
+    backendServerLeaving: value => ({ name: "backend server leaving", peer: value.backendServerId }),
+    backendServerRemoved: value => ({ name: "backend server removed", peer: value.backendServerId }),
+    backendServerHealthChanged: value => ({
+        name: "backend server health changed",
+        peer: value.backendServerId,
+        detail: words(HealthState[value.health]),
+    }),
+    jobAccepted: value => ({
+        name: "job accepted",
+        customer: value.specification?.customer ?? "",
+        requestId: value.specification?.requestId ?? "",
+        peer: value.entryId,
+        detail: value.specification?.workClass ?? "",
+    }),
+    attemptAssigned: value => ({
+        name: "attempt assigned",
+        customer: value.customer,
+        requestId: value.requestId,
+        peer: value.attempt?.backendServerId ?? "",
+        detail: `attempt ${value.attempt?.number ?? 0}`,
+    }),
+    attemptRunning: value => ({
+        name: "attempt running",
+        customer: value.customer,
+        requestId: value.requestId,
+        detail: `attempt ${value.attemptNumber}`,
+    }),
+    attemptStopping: value => ({
+        name: "attempt stopping",
+        customer: value.customer,
+        requestId: value.requestId,
+        detail: `attempt ${value.attemptNumber}: ${words(Reason[value.reason])}`,
+    }),
+    attemptEnded: value => ({
+        name: "attempt ended",
+        customer: value.customer,
+        requestId: value.requestId,
+        detail: `attempt ${value.attemptNumber}: ${words(AttemptEnd[value.end])}`,
+    }),
+    jobRequeued: value => ({
+        name: "job requeued",
+        customer: value.customer,
+        requestId: value.requestId,
+        detail: words(Reason[value.reason]),
+    }),
+    jobEnded: value => ({
+        name: "job ended",
+        customer: value.customer,
+        requestId: value.requestId,
+        detail: `${words(Outcome[value.outcome])}: ${words(Reason[value.reason])}`,
+    }),
+    cancelRequested: value => ({ name: "cancel requested", customer: value.customer, requestId: value.requestId }),
+    termStarted: value => ({ name: "term started", peer: value.leaderId, detail: `term ${value.term}` }),
+};
+
+/** Returns the journal's record of an event, or undefined for events that aren't journaled. */
+export const summarizeEvent = (event: Event): JournalRecord | undefined => {
+    if (event.kind.case === undefined) {
+        return undefined;
+    }
+    const summarize = summaries[event.kind.case] as ((value: unknown) => JournalRecord) | undefined;
+    return summarize?.(event.kind.value);
+};
+
+/** Returns the blobs that an event makes part of the state. */
+export const blobsOf = (event: Event): BlobReference[] => {
+    switch (event.kind.case) {
+        case "jobAccepted":
+            return [event.kind.value.specification?.payload].filter(reference => reference !== undefined);
+        case "attemptEnded":
+            return [event.kind.value.checkpoint].filter(reference => reference !== undefined);
+        case "jobEnded":
+            return [event.kind.value.answer].filter(reference => reference !== undefined);
+        default:
+            return [];
+    }
+};
--- /dev/null
+++ b/packages/control/src/leader-session.ts
@@ -0,0 +1,234 @@
+import { create, toBinary } from "@bufbuild/protobuf";
+import { StepError } from "@waxwingspread/common";
+import { ErrorCode, EventBatchSchema, PollResponseSchema } from "@waxwingspread/protocol";
+import type { Configuration, Event, PollRequest, PollResponse } from "@waxwingspread/protocol";
+import type { ClusterState, OrderFor, Scheduler } from "@waxwingspread/scheduler";
+import { ControlMethod, errorReply } from "./calls.js";
+import type { ControlReply } from "./calls.js";
+import { ControlEffectKind } from "./control-effects.js";
+import type { ControlEffect } from "./control-effects.js";
+import type { ControlSettings } from "./control-settings.js";
+import { EntryDirectory } from "./entry-directory.js";
+import { EntryOutboxes } from "./entry-outboxes.js";
+import { HeldPolls } from "./held-polls.js";
+import type { HeldPoll } from "./held-polls.js";
+import { PendingReleases } from "./pending-releases.js";
+import type { ReplicatedLogPort } from "./replicated-log-port.js";
+
+/** A response that waits for the commit of the decision behind it. */
+interface HeldReply {
+    callId: number;
+    reply: ControlReply;
+}
+
+const CONFIGURATION_EVENTS = new Set<Event["kind"]["case"]>(["contractWritten", "contractRemoved", "zoneChanged"]);
+
+/** Everything that a leader keeps in memory for one term. */
+export class LeaderSession {
+    readonly #log: ReplicatedLogPort;
+    readonly #state: ClusterState;
+    readonly #settings: ControlSettings;
+    readonly #emit: (effect: ControlEffect) => void;
+    readonly #outboxes = new EntryOutboxes();
+    readonly #polls = new HeldPolls();
+    readonly #releases = new PendingReleases();
+    readonly entries = new EntryDirectory();
+    #replies: HeldReply[] = [];
+    #lastProposedIndex: number;
+    #committedConfiguration: Configuration;
+
+    constructor(
+        readonly scheduler: Scheduler,
+        readonly term: number,
+        parts: {
+            log: ReplicatedLogPort;
+            state: ClusterState;
+            settings: ControlSettings;
+            emit: (effect: ControlEffect) => void;
+        },
+    ) {
+        this.#log = parts.log;
+        this.#state = parts.state;
+        this.#settings = parts.settings;
+        this.#emit = parts.emit;
+        this.#lastProposedIndex = parts.log.commitIndex;
+        this.#committedConfiguration = parts.state.configuration;
+    }
+
+    get pendingCount(): number {
+        return this.#releases.size;
+    }
+
+    /** Gives a response that is sent once all decisions made so far are committed. */
+    reply(callId: number, reply: ControlReply): void {
+        this.#replies.push({ callId, reply });
+    }
+
+    /** Makes the replies of this turn wait for the commit of the given log index. */
+    awaitIndex(index: number): void {
+        this.#lastProposedIndex = Math.max(this.#lastProposedIndex, index);
+    }
+
+    /** Holds a poll until there is news for its entry. */
+    holdPoll(callId: number, request: PollRequest, nowMs: number): void {
+        this.entries.heard(request, nowMs);
+        if (request.sequenceTerm === this.term) {
+            this.#outboxes.acknowledge(request.entryId, request.acknowledgedSequence);
+        }
+        const earlier = this.#polls.hold({ callId, request, heldSinceMs: nowMs });
+        if (earlier !== undefined) {
+            this.#answerPoll(earlier);
+        }
+        this.#answerPollWithNews(request.entryId, nowMs);
+    }
+
+    /** Proposes what the scheduler decided and queues its releases. False when the replica isn't leader any more. */
+    propose(nowMs: number): boolean {
+        const decision = this.scheduler.takeDecision();
+        if (decision.events.length > 0) {
+            const record = toBinary(EventBatchSchema, create(EventBatchSchema, { events: decision.events }));
+            const proposed = this.#log.propose([record], nowMs);
+            if (proposed.isErr()) {
+                return false;
+            }
+            this.#lastProposedIndex = proposed.value;
+            this.#state.mark(proposed.value);
+        }
+        this.#queueRelease(decision.events, decision.orders, nowMs);
+        return true;
+    }
+
+    /** Sends what is committed, provided that no other replica can have been elected. */
+    release(nowMs: number): void {
+        if (!this.#log.hasQuorumLease(nowMs)) {
+            return;
+        }
+        for (const item of this.#releases.takeCommitted(this.#log.commitIndex)) {
+            item.release(nowMs);
+        }
+    }
+
+    /** Answers polls that were held long enough. */
+    tick(nowMs: number): void {
+        if (!this.#log.hasQuorumLease(nowMs)) {
+            return;
+        }
+        for (const poll of this.#polls.takeOverdue(this.#settings.pollHoldMs, nowMs)) {
+            this.#answerPoll(poll);
+        }
+        for (const entryId of this.entries.takeSilent(this.#settings.entryTimeoutMs, nowMs)) {
+            this.#outboxes.discard(entryId);
+        }
+    }
+
+    /** Answers everything that waits, because this replica is no longer leader. */
+    close(): void {
+        const lost = new StepError(
+            ErrorCode.UNCERTAIN,
+            "commit",
+            "",
+            "leadership was lost before the decision was committed; ask again with the same id",
+        );
+        for (const item of this.#releases.takeAll()) {
+            item.abandon();
+        }
+        this.#failReplies(this.#replies, lost);
+        this.#replies = [];
+        const notLeader = new StepError(ErrorCode.NOT_LEADER, "poll", "", "this replica is no longer leader", {
+            leaderAddress: this.#log.leaderAddress,
+        });
+        for (const poll of this.#polls.takeAll()) {
+            this.#sendReply(poll.callId, errorReply(ControlMethod.Poll, notLeader.toDetail()));
+        }
+    }
+
+    #queueRelease(events: Event[], orders: OrderFor[], nowMs: number): void {
+        const replies = this.#replies;
+        this.#replies = [];
+        const changesConfiguration = events.some(event => CONFIGURATION_EVENTS.has(event.kind.case));
+        if (events.length === 0 && orders.length === 0 && replies.length === 0) {
+            return;
+        }
+        const configuration = changesConfiguration ? this.#state.configuration : undefined;
+        this.#releases.add({
+            index: this.#lastProposedIndex,
+            proposedAtMs: nowMs,
+            release: releasedAtMs => {
+                if (events.length > 0) {
+                    this.#emit({ kind: ControlEffectKind.CommitLatency, latencyMs: releasedAtMs - nowMs });
+                }
+                this.#deliver(replies, orders, configuration, releasedAtMs);
+            },
+            abandon: () =>
+                this.#failReplies(
+                    replies,
+                    new StepError(ErrorCode.UNCERTAIN, "commit", "", "outcome not known; ask again with the same id"),
+                ),
+        });
+    }
+
+    #deliver(
+        replies: HeldReply[],
+        orders: OrderFor[],
+        configuration: Configuration | undefined,
+        nowMs: number,
+    ): void {
+        for (const held of replies) {
+            this.#sendReply(held.callId, held.reply);
+        }
+        for (const { entryId, order } of orders) {
+            this.#outboxes.add(entryId, order);
+        }
+        if (configuration !== undefined) {
+            this.#committedConfiguration = configuration;
+            for (const poll of this.#polls.takeAll()) {
+                this.#answerPoll(poll);
+            }
+            return;
+        }
+        for (const entryId of new Set(orders.map(order => order.entryId))) {
+            this.#answerPollWithNews(entryId, nowMs);
+        }
+    }
+
+    #answerPollWithNews(entryId: string, nowMs: number): void {
+        const poll = this.#polls.take(entryId);
+        if (poll === undefined) {
+            return;
+        }
+        const outdated = poll.request.knownRevision !== this.#committedConfiguration.revision;
+        const hasNews = outdated || this.#outboxes.pending(entryId).length > 0;
+        if (hasNews && this.#log.hasQuorumLease(nowMs)) {
+            this.#answerPoll(poll);
+            return;
+        }
+        this.#polls.hold(poll);
+    }
+
+    #answerPoll(poll: HeldPoll): void {
+        this.#sendReply(poll.callId, { method: ControlMethod.Poll, response: this.#pollResponse(poll.request) });
+    }
+
+    #pollResponse(request: PollRequest): PollResponse {
+        const configuration = this.#committedConfiguration;
+        return create(PollResponseSchema, {
+            term: this.term,
+            revision: configuration.revision,
+            configuration: request.knownRevision === configuration.revision ? undefined : configuration,
+            configurationLeaseMs: this.#settings.configurationLeaseMs,
+            orders: this.#outboxes.pending(request.entryId),
+            controlAddresses: this.#log.membership.members.map(member => member.identity?.address ?? ""),
+            entryAddresses: this.entries.addresses(),
+        });
+    }
+
+    #failReplies(replies: HeldReply[], error: StepError): void {
+        for (const held of replies) {
+            this.#sendReply(held.callId, errorReply(held.reply.method, error.toDetail()));
+        }
+    }
+
+    #sendReply(callId: number, reply: ControlReply): void {
+        this.#emit({ kind: ControlEffectKind.Reply, callId, reply });
+    }
+}
--- /dev/null
+++ b/packages/control/src/replicated-log-port.ts
@@ -0,0 +1,19 @@
+import type { StepError } from "@waxwingspread/common";
+import type { MembershipChange } from "@waxwingspread/consensus";
+import type { Membership } from "@waxwingspread/protocol";
+import type { Result } from "ts-results-es";
+
+/** What a control node needs of its replica. */
+export interface ReplicatedLogPort {
+    readonly term: number;
+    readonly isLeader: boolean;
+    /** Address of the present leader, where known. */
+    readonly leaderAddress: string | undefined;
+    readonly membership: Membership;
+    readonly commitIndex: number;
+    /** Appends records; returns the index of the last one. Fails with NOT_LEADER. */
+    propose(records: Uint8Array[], nowMs: number): Result<number, StepError>;
+    changeMembership(change: MembershipChange, nowMs: number): Result<number, StepError>;
+    /** True while no other replica can have been elected. */
+    hasQuorumLease(nowMs: number): boolean;
+}
--- /dev/null
+++ b/packages/daemon/src/blob-store/blob-store.test.ts
@@ -0,0 +1,79 @@
+import { create } from "@bufbuild/protobuf";
+import { BlobReferenceSchema } from "@waxwingspread/protocol";
+import type { BlobReference } from "@waxwingspread/protocol";
+import { createHash } from "node:crypto";
+import { appendFile, mkdtemp, readdir, rm, stat, truncate } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { BlobStore } from "./blob-store.js";
+
+const referenceOf = (data: Uint8Array): BlobReference =>
+    create(BlobReferenceSchema, { sha256: createHash("sha256").update(data).digest(), sizeBytes: data.length });
+
+describe("BlobStore", () => {
+    let folder = "";
+
+    beforeEach(async () => {
+        folder = await mkdtemp(join(tmpdir(), "blob-store-"));
+    });
+
+    afterEach(async () => {
+        await rm(folder, { recursive: true });
+    });
+
+    it("returns blobs after a restart whose last write was torn at any byte", async () => {
+        const first = Buffer.from("first blob");
+        const second = Buffer.from("second, torn");
+        const store = await BlobStore.open(folder, 1);
+        await store.put(referenceOf(first), first, 1);
+        const segment = join(folder, (await readdir(folder))[0] ?? "");
+        const wholeBytes = (await stat(segment)).size;
+        await store.put(referenceOf(second), second, 1);
+        const tornBytes = (await stat(segment)).size;
+        await store.close();
+        for (let sizeBytes = tornBytes - 1; sizeBytes >= wholeBytes; sizeBytes -= 1) {
+            await truncate(segment, sizeBytes);
+            const reopened = await BlobStore.open(folder, 2);
+            expect(Buffer.from((await reopened.get(referenceOf(first))) ?? [])).toEqual(first);
+            expect(reopened.has(referenceOf(second))).toBe(false);
+            await reopened.close();
+        }
+    });
+
+    it("treats a damaged blob as missing instead of returning wrong bytes", async () => {
+        const data = Buffer.from("to be damaged");
+        const store = await BlobStore.open(folder, 1);
+        await store.put(referenceOf(data), data, 1);
+        await store.close();
+        const segment = join(folder, (await readdir(folder))[0] ?? "");
+        await truncate(segment, (await stat(segment)).size - 1);
+        await appendFile(segment, "X");
+        const reopened = await BlobStore.open(folder, 2);
+        expect(await reopened.get(referenceOf(data))).toBeUndefined();
+        expect(reopened.has(referenceOf(data))).toBe(false);
+        await reopened.close();
+    });
+
+    it("refuses data that doesn't match its digest", async () => {
+        const store = await BlobStore.open(folder, 1);
+        await expect(store.put(referenceOf(Buffer.from("a")), Buffer.from("b"), 1)).rejects.toThrow("digest");
+        await store.close();
+    });
+
+    it("frees segments without live blobs and copies the live ones forward", async () => {
+        const store = await BlobStore.open(folder, 1);
+        const kept = Buffer.from("kept");
+        const dropped = Buffer.alloc(10_000, 7);
+        await store.put(referenceOf(kept), kept, 1);
+        await store.put(referenceOf(dropped), dropped, 1);
+        await store.close();
+        const reopened = await BlobStore.open(folder, 100);
+        const live = referenceOf(kept).sha256;
+        const freed = await reopened.collect(digest => Buffer.from(digest).equals(live), 50);
+        expect(freed).toBe(1);
+        expect(reopened.has(referenceOf(dropped))).toBe(false);
+        expect(Buffer.from((await reopened.get(referenceOf(kept))) ?? [])).toEqual(kept);
+        await reopened.close();
+    });
+});
--- /dev/null
+++ b/packages/daemon/src/blob-store/blob-store.ts
@@ -0,0 +1,256 @@
+import { messageOf, StepError } from "@waxwingspread/common";
+import { ErrorCode } from "@waxwingspread/protocol";
+import type { BlobReference } from "@waxwingspread/protocol";
+import { createHash } from "node:crypto";
+import type { FileHandle } from "node:fs/promises";
+import { mkdir, open, readdir, unlink } from "node:fs/promises";
+import { join } from "node:path";
+import { DIGEST_BYTES, encodeFrame } from "./blob-frame.js";
+import { scanSegment, segmentName, segmentNumberOf } from "./segment-file.js";
+import { digestKey, SegmentIndex } from "./segment-index.js";
+import type { BlobLocation } from "./segment-index.js";
+
+/** A segment is closed and a new one begun at this size. */
+const SEGMENT_LIMIT_BYTES = 64 * 1024 * 1024;
+/** Live blobs of a closed segment are copied forward once they fill less than this part of it. */
+const COMPACTION_RATIO = 0.25;
+
+interface QueuedWrite {
+    digest: Uint8Array;
+    data: Uint8Array;
+    done: (error: StepError | undefined) => void;
+}
+
+/**
+ * Blobs by digest, in append-only segment files below one folder. A blob is acknowledged once it is synced; writes that
+ * arrive while a sync is running share the next one.
+ */
+export class BlobStore {
+    readonly #folder: string;
+    readonly #index = new SegmentIndex();
+    readonly #files = new Map<number, FileHandle>();
+    #activeSegment = 0;
+    /** When each blob was last put; a blob put again is kept although nothing refers to it yet. */
+    readonly #lastPutMs = new Map<string, number>();
+    #queue: QueuedWrite[] = [];
+    #writing: Promise<void> | undefined;
+    #failure: StepError | undefined;
+
+    private constructor(folder: string) {
+        this.#folder = folder;
+    }
+
+    /** Opens the store, creating its folder if need be. Fails with DISK_FAILED. */
+    static async open(folder: string, nowMs: number): Promise<BlobStore> {
+        const store = new BlobStore(folder);
+        try {
+            await store.#load(nowMs);
+        }
+        catch (error) {
+            throw store.#diskError("open blob store", error);
+        }
+        return store;
+    }
+
+    get blobCount(): number {
+        return this.#index.size;
+    }
+
+    get storedBytes(): number {
+        return this.#index.totalBytes;
+    }
+
+    has(reference: BlobReference): boolean {
+        return this.#index.locate(reference.sha256) !== undefined;
+    }
+
+    /** Stores a blob; resolves once it is synced. Fails with CORRUPT on a wrong digest and with DISK_FAILED. */
+    async put(reference: BlobReference, data: Uint8Array, nowMs: number): Promise<void> {
+        if (!matches(reference, data)) {
+            throw new StepError(
+                ErrorCode.CORRUPT,
+                "store blob",
+                "",
+                "the data doesn't match the blob's digest or size",
+            );
+        }
+        this.#lastPutMs.set(digestKey(reference.sha256), nowMs);
+        if (this.has(reference)) {
+            return;
+        }
+        const error = await new Promise<StepError | undefined>(done => {
+            this.#queue.push({ digest: reference.sha256, data, done });
+            this.#writing ??= this.#writeQueue();
+        });
+        if (error !== undefined) {
+            throw error;
+        }
+    }
+
+    /** Returns a blob, or undefined where it is missing or damaged. */
+    async get(reference: BlobReference): Promise<Uint8Array | undefined> {
+        const location = this.#index.locate(reference.sha256);
+        const data = location === undefined ? undefined : await this.#read(location);
+        if (data === undefined) {
+            return undefined;
+        }
+        if (!matches(reference, data)) {
+            // A damaged copy is dropped, so that it is fetched again from another replica.
+            this.#index.remove(reference.sha256);
+            return undefined;
+        }
+        return data;
+    }
+
+    /** Frees closed segments begun before `beforeMs` whose blobs are no longer live. */
+    async collect(isLive: (digest: Uint8Array) => boolean, beforeMs: number): Promise<number> {
+        this.#forgetPutsBefore(beforeMs);
+        const isKept = (digest: Uint8Array): boolean => isLive(digest) || this.#lastPutMs.has(digestKey(digest));
+        let freed = 0;
+        for (const segment of this.#index.segmentsBefore(beforeMs, this.#activeSegment)) {
+            const { live, liveBytes } = this.#index.liveBlobs(segment, isKept);
+            if (liveBytes > this.#index.segmentBytes(segment) * COMPACTION_RATIO) {
+                continue;
+            }
+            await this.#copyForward(live);
+            await this.#dropSegment(segment);
+            freed += 1;
+        }
+        return freed;
+    }
+
+    /** Waits for queued writes and closes all files. */
+    async close(): Promise<void> {
+        await this.#writing;
+        for (const file of this.#files.values()) {
+            await file.close();
+        }
+        this.#files.clear();
+    }
+
+    #forgetPutsBefore(beforeMs: number): void {
+        for (const [key, putAtMs] of this.#lastPutMs) {
+            if (putAtMs < beforeMs) {
+                this.#lastPutMs.delete(key);
+            }
+        }
+    }
+
+    async #load(nowMs: number): Promise<void> {
+        await mkdir(this.#folder, { recursive: true });
+        const numbers = (await readdir(this.#folder))
+            .map(segmentNumberOf)
+            .filter(number => number !== undefined)
+            .sort((a, b) => a - b);
+        for (const number of numbers) {
+            const file = await open(join(this.#folder, segmentName(number)), "r+");
+            this.#files.set(number, file);
+            this.#index.addSegment(number, await scanSegment(file));
+        }
+        await this.#beginSegment(nowMs);
+    }
+
+    async #beginSegment(nowMs: number): Promise<void> {
+        this.#activeSegment = Math.max(Math.floor(nowMs), this.#index.newestSegment + 1);
+        const file = await open(join(this.#folder, segmentName(this.#activeSegment)), "w+");
+        this.#files.set(this.#activeSegment, file);
+        this.#index.addSegment(this.#activeSegment, []);
+        await this.#syncFolder();
+    }
+
+    async #writeQueue(): Promise<void> {
+        while (this.#queue.length > 0) {
+            const batch = this.#queue;
+            this.#queue = [];
+            const error = await this.#writeBatch(batch);
+            for (const write of batch) {
+                write.done(error);
+            }
+        }
+        this.#writing = undefined;
+    }
+
+    async #writeBatch(batch: QueuedWrite[]): Promise<StepError | undefined> {
+        if (this.#failure !== undefined) {
+            return this.#failure;
+        }
+        try {
+            await this.#append(batch);
+            return undefined;
+        }
+        catch (error) {
+            // The file's tail is unknown after a failed write, so the store takes no more writes.
+            this.#failure = this.#diskError("write blob", error);
+            return this.#failure;
+        }
+    }
+
+    async #append(batch: QueuedWrite[]): Promise<void> {
+        const segment = this.#activeSegment;
+        const file = this.#fileOf(segment);
+        const frames = batch.map(write => encodeFrame(write.digest, write.data));
+        const startBytes = this.#index.segmentBytes(segment);
+        const bytes = Buffer.concat(frames);
+        const { bytesWritten } = await file.write(bytes, 0, bytes.length, startBytes);
+        if (bytesWritten !== bytes.length) {
+            throw new Error(`only ${bytesWritten} of ${bytes.length} bytes were written`);
+        }
+        await file.datasync();
+        batch.forEach(write => this.#index.add(segment, write.digest, write.data.length));
+        if (this.#index.segmentBytes(segment) >= SEGMENT_LIMIT_BYTES) {
+            await this.#beginSegment(segment + 1);
+        }
+    }
+
+    async #read(location: BlobLocation): Promise<Uint8Array | undefined> {
+        const data = Buffer.alloc(location.sizeBytes);
+        const file = this.#fileOf(location.segment);
+        const { bytesRead } = await file.read(data, 0, data.length, location.dataOffsetBytes);
+        return bytesRead === data.length ? data : undefined;
+    }
+
+    async #copyForward(blobs: { digest: Uint8Array; location: BlobLocation }[]): Promise<void> {
+        for (const { digest, location } of blobs) {
+            const data = await this.#read(location);
+            if (data !== undefined) {
+                const error = await new Promise<StepError | undefined>(done => {
+                    this.#queue.push({ digest, data, done });
+                    this.#writing ??= this.#writeQueue();
+                });
+                if (error !== undefined) {
+                    throw error;
+                }
+            }
+        }
+    }
+
+    async #dropSegment(segment: number): Promise<void> {
+        this.#index.removeSegment(segment);
+        await this.#files.get(segment)?.close();
+        this.#files.delete(segment);
+        await unlink(join(this.#folder, segmentName(segment)));
+    }
+
+    async #syncFolder(): Promise<void> {
+        const folder = await open(this.#folder, "r");
+        await folder.sync();
+        await folder.close();
+    }
+
+    #fileOf(segment: number): FileHandle {
+        const file = this.#files.get(segment);
+        if (file === undefined) {
+            throw new Error(`segment ${segment} is not open`);
+        }
+        return file;
+    }
+
+    #diskError(step: string, cause: unknown): StepError {
+        return new StepError(ErrorCode.DISK_FAILED, step, this.#folder, messageOf(cause), { cause });
+    }
+}
+
+const matches = (reference: BlobReference, data: Uint8Array): boolean =>
+    reference.sha256.length === DIGEST_BYTES
+    && reference.sizeBytes === data.length
+    && createHash("sha256").update(data).digest().equals(reference.sha256);
--- /dev/null
+++ b/packages/daemon/src/http/operators-listener.ts
@@ -0,0 +1,68 @@
+import type { ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Registry } from "prom-client";
+import type { ListenAddress } from "../transport/listen-address.js";
+import { HttpListener } from "./http-listener.js";
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_UNAVAILABLE = 503;
+const STATUS_ERROR = 500;
+
+/** What the operators' listener shows. */
+export interface OperatorsListenerOptions {
+    address: ListenAddress;
+    maxConnections: number;
+    registry: Registry;
+    isLive: () => boolean;
+    isReady: () => boolean;
+    isLeader: () => boolean;
+    routes: (router: ConnectRouter) => void;
+    onConnectionRefused: () => void;
+}
+
+/** Makes the listener for metrics, health and the journal. */
+export const createOperatorsListener = (options: OperatorsListenerOptions): HttpListener => {
+    const adapter = connectNodeAdapter({ routes: options.routes });
+    const health = (check: () => boolean) => (response: ServerResponse): void => {
+        const healthy = check();
+        response.writeHead(healthy ? STATUS_OK : STATUS_UNAVAILABLE, { "content-type": "text/plain" });
+        response.end(healthy ? "ok\n" : "not ok\n");
+    };
+    const handlers: Record<string, (response: ServerResponse) => void> = {
+        "/livez": health(options.isLive),
+        "/readyz": health(options.isReady),
+        "/leaderz": health(options.isLeader),
+        "/metrics": response => void sendMetrics(options.registry, response),
+    };
+    const handle = (request: IncomingMessage, response: ServerResponse): void => {
+        const handler = request.method === "GET" ? handlers[request.url ?? ""] : undefined;
+        if (handler !== undefined) {
+            handler(response);
+            return;
+        }
+        if (request.method === "POST") {
+            adapter(request, response);
+            return;
+        }
+        response.writeHead(STATUS_NOT_FOUND).end();
+    };
+    return new HttpListener({
+        address: options.address,
+        maxConnections: options.maxConnections,
+        handle,
+        onConnectionRefused: options.onConnectionRefused,
+    });
+};
+
+const sendMetrics = async (registry: Registry, response: ServerResponse): Promise<void> => {
+    try {
+        const text = await registry.metrics();
+        response.writeHead(STATUS_OK, { "content-type": registry.contentType });
+        response.end(text);
+    }
+    catch {
+        response.writeHead(STATUS_ERROR).end();
+    }
+};
--- /dev/null
+++ b/packages/daemon/src/http/request-body.ts
@@ -0,0 +1,30 @@
+import { StepError } from "@waxwingspread/common";
+import { ErrorCode } from "@waxwingspread/protocol";
+import type { IncomingMessage } from "node:http";
+
+/** Reads a request's body. Fails with TOO_LARGE above the limit and with INVALID when the client went away. */
+export const readBody = (request: IncomingMessage, limitBytes: number): Promise<Uint8Array> =>
+    new Promise((resolve, reject) => {
+        const peer = request.socket.remoteAddress ?? "";
+        const chunks: Buffer[] = [];
+        let sizeBytes = 0;
+        request.on("data", (chunk: Buffer) => {
+            sizeBytes += chunk.length;
+            if (sizeBytes > limitBytes) {
+                request.pause();
+                reject(
+                    new StepError(ErrorCode.TOO_LARGE, "read request", peer, `the body exceeds ${limitBytes} bytes`),
+                );
+                return;
+            }
+            chunks.push(chunk);
+        });
+        request.once("end", () => resolve(Buffer.concat(chunks)));
+        request.once(
+            "error",
+            () =>
+                reject(
+                    new StepError(ErrorCode.INVALID, "read request", peer, "the connection broke during the request"),
+                ),
+        );
+    });
--- /dev/null
+++ b/packages/daemon/src/roles/blob-maintenance.ts
@@ -0,0 +1,89 @@
+import type { BlobReference, Membership } from "@waxwingspread/protocol";
+import { BlobRepair } from "../blob-store/blob-repair.js";
+import type { BlobStore } from "../blob-store/blob-store.js";
+import { digestKey } from "../blob-store/segment-index.js";
+import { presentTimeMs } from "../transport/present-time.js";
+import type { ProcessContext } from "./process-context.js";
+
+const REPAIR_INTERVAL_MS = 500;
+const COLLECTION_INTERVAL_MS = 60_000;
+/** Blobs without a reference are kept this long, since a submission stores its payload before it is accepted. */
+const UNREFERENCED_BLOB_LIFETIME_MS = 600_000;
+const FETCH_TIMEOUT_MS = 1_000;
+
+/** What the maintenance needs to know of the replica. */
+export interface BlobMaintenanceSource {
+    membership: () => Membership;
+    ownDiskId: () => string;
+    liveBlobs: () => BlobReference[];
+}
+
+/** Copies missing blobs from other replicas and deletes those that nothing refers to. */
+export class BlobMaintenance {
+    readonly #context: ProcessContext;
+    readonly #store: BlobStore;
+    readonly #source: BlobMaintenanceSource;
+    readonly #repair: BlobRepair;
+    readonly #timers: NodeJS.Timeout[] = [];
+
+    constructor(context: ProcessContext, store: BlobStore, source: BlobMaintenanceSource) {
+        this.#context = context;
+        this.#store = store;
+        this.#source = source;
+        this.#repair = new BlobRepair(store, reference => this.#fetch(reference));
+    }
+
+    get missingCount(): number {
+        return this.#repair.missingCount;
+    }
+
+    /** Takes note of blobs that this replica should hold. */
+    want(references: readonly BlobReference[]): void {
+        this.#repair.want(references, presentTimeMs());
+    }
+
+    start(): void {
+        const { fail } = this.#context;
+        this.#timers.push(
+            setInterval(() => void this.#repair.run(presentTimeMs()).catch(fail), REPAIR_INTERVAL_MS),
+            setInterval(() => void this.#collect().catch(fail), COLLECTION_INTERVAL_MS),
+        );
+    }
+
+    stop(): void {
+        this.#timers.forEach(timer => clearInterval(timer));
+    }
+
+    async #collect(): Promise<void> {
+        const live = new Set(this.#source.liveBlobs().map(reference => digestKey(reference.sha256)));
+        const beforeMs = presentTimeMs() - UNREFERENCED_BLOB_LIFETIME_MS;
+        await this.#store.collect(digest => live.has(digestKey(digest)), beforeMs);
+        this.#context.metrics.blobBytes.set({}, this.#store.storedBytes);
+    }
+
+    async #fetch(reference: BlobReference): Promise<Uint8Array | undefined> {
+        for (const member of this.#source.membership().members) {
+            const address = member.identity?.address ?? "";
+            if (address === "" || member.identity?.diskId === this.#source.ownDiskId()) {
+                continue;
+            }
+            const data = await this.#fetchFrom(address, reference);
+            if (data !== undefined) {
+                return data;
+            }
+        }
+        return undefined;
+    }
+
+    async #fetchFrom(address: string, reference: BlobReference): Promise<Uint8Array | undefined> {
+        try {
+            const client = this.#context.clients.for(address).control;
+            const response = await client.getBlob({ reference }, { timeoutMs: FETCH_TIMEOUT_MS });
+            return response.error === undefined ? response.data : undefined;
+        }
+        catch {
+            this.#context.clients.replace(address);
+            return undefined;
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/roles/control-role.ts
@@ -0,0 +1,284 @@
+import { create } from "@bufbuild/protobuf";
+import { join } from "node:path";
+import { SeededRandom, StepError } from "@waxwingspread/common";
+import { NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
+import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
+import { ControlEffectKind, ControlNode } from "@waxwingspread/control";
+import type { ControlCall, ControlEffect, ControlMethod, ControlReply, ControlRequests } from "@waxwingspread/control";
+import { DescribeResponseSchema, ErrorCode } from "@waxwingspread/protocol";
+import type {
+    DescribeResponse,
+    GetBlobRequest,
+    LogEntry,
+    PutBlobRequest,
+    ReplicaMessage,
+    SnapshotHeader,
+} from "@waxwingspread/protocol";
+import { BlobStore } from "../blob-store/blob-store.js";
+import { setReplicaRole } from "../metrics/index.js";
+import { CallRegistry } from "../transport/call-registry.js";
+import { ConnectListener } from "../transport/connect-listener.js";
+import { presentTimeMs } from "../transport/present-time.js";
+import { ReplicaSender } from "../transport/replica-sender.js";
+import { receiveTime } from "../transport/time-propagation.js";
+import { BlobMaintenance } from "./blob-maintenance.js";
+import { bootstrap } from "./bootstrap.js";
+import { controlRoutes } from "./control-routes.js";
+import type { ControlRouteTarget } from "./control-routes.js";
+import { controlSettingsOf, schedulerSettingsOf, seedOf } from "./core-settings.js";
+import type { ProcessContext } from "./process-context.js";
+import { replicatedLogPort } from "./replicated-log-adapter.js";
+
+const TICK_INTERVAL_MS = 20;
+const DESCRIBE_TIMEOUT_MS = 1_000;
+const HANDOVER_TIMEOUT_MS = 2_000;
+const HANDOVER_CHECK_INTERVAL_MS = 20;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** One control replica with its disk, its listener and its timers. */
+export class ControlRole implements ControlRouteTarget {
+    readonly #context: ProcessContext;
+    readonly #node: ControlNode;
+    readonly #runner: ReplicaRunner;
+    readonly #blobs: BlobStore;
+    readonly #maintenance: BlobMaintenance;
+    readonly #calls = new CallRegistry<ControlReply>();
+    readonly #sender: ReplicaSender;
+    readonly #listener: ConnectListener;
+    #ticker: NodeJS.Timeout | undefined;
+    #flushScheduled = false;
+    #stopped = false;
+
+    private constructor(context: ProcessContext, opened: OpenedStore, blobs: BlobStore) {
+        const { settings, metrics } = context;
+        this.#context = context;
+        this.#blobs = blobs;
+        this.#maintenance = new BlobMaintenance(context, blobs, {
+            membership: () => this.#runner.replica.membership,
+            ownDiskId: () => this.diskId,
+            liveBlobs: () => this.#node.referencedBlobs(),
+        });
+        this.#sender = new ReplicaSender(context.clients, () => metrics.connectionsReplaced.increment({}));
+        this.#node = new ControlNode({
+            name: settings.vmName,
+            settings: controlSettingsOf(settings),
+            schedulerSettings: schedulerSettingsOf(settings),
+            random: new SeededRandom(seedOf(settings.vmName)),
+            authorizeOperator: context.authorizeOperator,
+            log: replicatedLogPort(() => this.#runner),
+        });
+        this.#runner = this.#createRunner(opened);
+        this.#listener = new ConnectListener({
+            address: settings.listeners.control ?? { host: settings.advertiseHost, port: 0 },
+            maxConnections: settings.limits.connectionsPerListener,
+            routes: controlRoutes(this),
+            interceptors: [receiveTime(context.journal.clock)],
+            onConnectionRefused: () => metrics.rejected.increment({ listener: "control", limit: "connections" }),
+        });
+    }
+
+    /** Opens the disk and starts to listen. Fails with DISK_FAILED, CORRUPT or UNAVAILABLE. */
+    static async start(context: ProcessContext): Promise<ControlRole> {
+        const { settings } = context;
+        const folder = settings.dataFolder ?? "";
+        const opened = await ReplicaStore.open({
+            fileSystem: new NodeFileSystem(),
+            folder: join(folder, "log"),
+            name: settings.vmName,
+            address: `${settings.advertiseHost}:${settings.listeners.control?.port ?? 0}`,
+        });
+        const blobs = await BlobStore.open(join(folder, "blobs"), presentTimeMs());
+        const role = new ControlRole(context, opened, blobs);
+        await role.#listener.listen();
+        role.#ticker = setInterval(() => role.#tick(), TICK_INTERVAL_MS);
+        role.#maintenance.start();
+        void bootstrap({
+            identity: opened.identity,
+            peers: settings.bootstrapPeers,
+            clients: context.clients,
+            runner: role.#runner,
+            logger: context.logger,
+            isStopped: () => role.#stopped,
+        });
+        return role;
+    }
+
+    get name(): string {
+        return this.#context.settings.vmName;
+    }
+
+    get diskId(): string {
+        return this.#runner.replica.identity.diskId;
+    }
+
+    get isLeader(): boolean {
+        return this.#node.isServing;
+    }
+
+    /** True once this replica belongs to a cluster that has a leader. */
+    get isReady(): boolean {
+        return !this.#stopped && this.#runner.replica.isFormed && this.#runner.replica.leader !== undefined;
+    }
+
+    call<Method extends ControlMethod>(method: Method, request: ControlRequests[Method]): Promise<ControlReply> {
+        return this.#calls.start(callId => {
+            this.#node.call(callId, { method, request } as ControlCall, presentTimeMs());
+            this.#scheduleFlush();
+        });
+    }
+
+    receive(message: ReplicaMessage): void {
+        this.#runner.receive(message, presentTimeMs());
+    }
+
+    describe(): DescribeResponse {
+        const { replica } = this.#runner;
+        return create(DescribeResponseSchema, {
+            identity: replica.identity,
+            formed: replica.isFormed,
+            term: replica.term,
+            lastIndex: replica.lastIndex,
+            leaderAddress: replica.leader?.address ?? "",
+            membership: replica.membership,
+            missingBlobs: this.#maintenance.missingCount,
+        });
+    }
+
+    async putBlob(request: PutBlobRequest): Promise<void> {
+        if (request.reference === undefined) {
+            throw new StepError(ErrorCode.INVALID, "store blob", this.name, "the request names no blob");
+        }
+        await this.#blobs.put(request.reference, request.data, presentTimeMs());
+    }
+
+    async getBlob(request: GetBlobRequest): Promise<Uint8Array | undefined> {
+        return request.reference === undefined ? undefined : this.#blobs.get(request.reference);
+    }
+
+    async obstacleToPromotion(diskId: string): Promise<string | undefined> {
+        const member = this.#runner.replica.membership.members.find(item => item.identity?.diskId === diskId);
+        if (member?.identity === undefined) {
+            return "no replica has this disk id; add it first";
+        }
+        try {
+            const client = this.#context.clients.for(member.identity.address).replica;
+            const description = await client.describe({}, { timeoutMs: DESCRIBE_TIMEOUT_MS });
+            return description.missingBlobs === 0
+                ? undefined
+                : `the replica still copies ${description.missingBlobs} blobs`;
+        }
+        catch {
+            return "the replica doesn't answer";
+        }
+    }
+
+    /** Hands over leadership, finishes calls in progress and closes the disk. */
+    async stop(graceMs: number): Promise<void> {
+        await this.#handOver();
+        this.#stopped = true;
+        await this.#listener.close(Math.min(graceMs, HANDOVER_TIMEOUT_MS));
+        clearInterval(this.#ticker);
+        this.#maintenance.stop();
+        await this.#runner.stop();
+        this.#sender.close();
+        await this.#blobs.close();
+    }
+
+    #createRunner(opened: OpenedStore): ReplicaRunner {
+        const { settings, fail } = this.#context;
+        return new ReplicaRunner({
+            opened,
+            random: new SeededRandom(seedOf(opened.identity.diskId)),
+            timing: settings.timings,
+            snapshotEntries: settings.snapshotIntervalEntries,
+            hooks: {
+                send: (to, message) => this.#sender.send(to.address, message),
+                onCommit: entries => this.#committed(entries),
+                onRestoreSnapshot: (header, bytes) => this.#snapshotRestored(header, bytes),
+                onRoleChange: change => this.#roleChanged(change),
+                takeSnapshot: () => this.#node.snapshot().bytes,
+                onFailed: fail,
+            },
+        }, presentTimeMs());
+    }
+
+    #tick(): void {
+        const nowMs = presentTimeMs();
+        this.#runner.tick(nowMs);
+        this.#node.tick(nowMs);
+        this.#drainEffects();
+    }
+
+    #scheduleFlush(): void {
+        if (this.#flushScheduled) {
+            return;
+        }
+        this.#flushScheduled = true;
+        setImmediate(() => {
+            this.#flushScheduled = false;
+            this.#node.flush(presentTimeMs());
+            this.#drainEffects();
+        });
+    }
+
+    #committed(entries: LogEntry[]): void {
+        this.#node.committed(entries, presentTimeMs());
+        this.#drainEffects();
+    }
+
+    #snapshotRestored(header: SnapshotHeader, bytes: Uint8Array): void {
+        this.#node.snapshotRestored(bytes, header.lastIndex);
+        this.#drainEffects();
+    }
+
+    #roleChanged(change: RoleChangedEffect): void {
+        const { metrics, logger, journal } = this.#context;
+        if (change.role !== ReplicaRole.Leader) {
+            this.#node.leadershipLost();
+            this.#drainEffects();
+        }
+        if (change.role === ReplicaRole.Candidate) {
+            metrics.elections.increment({});
+        }
+        setReplicaRole(metrics, change.role);
+        metrics.term.set({}, change.term);
+        const leader = change.leader?.name ?? "";
+        logger.info({ role: change.role, term: change.term, leader }, "replica role changed");
+        journal.record(
+            { name: "replica role changed", peer: leader, detail: `${change.role}, term ${change.term}` },
+            Math.floor(presentTimeMs()),
+        );
+    }
+
+    #drainEffects(): void {
+        for (const effect of this.#node.takeEffects()) {
+            this.#carryOut(effect);
+        }
+    }
+
+    #carryOut(effect: ControlEffect): void {
+        const { journal, metrics } = this.#context;
+        switch (effect.kind) {
+            case ControlEffectKind.Reply:
+                this.#calls.finish(effect.callId, effect.reply);
+                return;
+            case ControlEffectKind.Journal:
+                journal.record(effect.record, Math.floor(presentTimeMs()));
+                return;
+            case ControlEffectKind.BlobsReferenced:
+                this.#maintenance.want(effect.references);
+                return;
+            case ControlEffectKind.CommitLatency:
+                metrics.commit.observe({}, effect.latencyMs / MILLISECONDS_PER_SECOND);
+                return;
+        }
+    }
+
+    async #handOver(): Promise<void> {
+        const deadlineMs = presentTimeMs() + HANDOVER_TIMEOUT_MS;
+        while (this.#runner.replica.role === ReplicaRole.Leader && presentTimeMs() < deadlineMs) {
+            this.#runner.handOver(presentTimeMs());
+            await new Promise(resolve => setTimeout(resolve, HANDOVER_CHECK_INTERVAL_MS));
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/roles/entry-replies.ts
@@ -0,0 +1,43 @@
+import type { ServerResponse } from "node:http";
+import { errorCodeName } from "@waxwingspread/common";
+import type { StepError } from "@waxwingspread/common";
+import { ErrorCode } from "@waxwingspread/protocol";
+
+const STATUS_TOO_LARGE = 413;
+const STATUS_TOO_MANY = 429;
+const STATUS_BAD_REQUEST = 400;
+
+const statusOf: Partial<Record<ErrorCode, number>> = {
+    [ErrorCode.TOO_LARGE]: STATUS_TOO_LARGE,
+    [ErrorCode.OVERLOADED]: STATUS_TOO_MANY,
+};
+
+/** A reply of the entry core; JSON text or bytes. */
+export interface EntryReply {
+    status: number;
+    headers: Record<string, string>;
+    json?: string;
+    bytes?: Uint8Array;
+}
+
+/** Sends a reply of the entry core. */
+export const sendReply = (response: ServerResponse, reply: EntryReply): void => {
+    const body = reply.bytes ?? Buffer.from(reply.json ?? "");
+    const contentType = reply.bytes === undefined ? "application/json" : "application/octet-stream";
+    response.writeHead(reply.status, {
+        "content-type": contentType,
+        ...reply.headers,
+        "content-length": String(body.length),
+    });
+    response.end(body);
+};
+
+/** Refuses a request before it reaches the core; the connection is closed, since its body may be unread. */
+export const sendError = (response: ServerResponse, error: StepError): void => {
+    const { code, step, peer, message } = error;
+    sendReply(response, {
+        status: statusOf[code] ?? STATUS_BAD_REQUEST,
+        headers: { connection: "close" },
+        json: JSON.stringify({ error: { code: errorCodeName(code), step, peer, message } }),
+    });
+};
--- /dev/null
+++ b/packages/daemon/src/roles/entry-role.ts
@@ -0,0 +1,219 @@
+import { Code, ConnectError } from "@connectrpc/connect";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { messageOf, StepError } from "@waxwingspread/common";
+import {
+    BACKEND_SERVER_BODY_LIMIT_BYTES,
+    CALLER_BODY_LIMIT_BYTES,
+    EntryEffectKind,
+    EntryNode,
+} from "@waxwingspread/entry";
+import type { CallBackendServer, CallControl, ControlResponse, EntryEffect, HttpRequest } from "@waxwingspread/entry";
+import { ErrorCode } from "@waxwingspread/protocol";
+import { HttpListener } from "../http/http-listener.js";
+import { RateLimiter } from "../http/rate-limiter.js";
+import { readBody } from "../http/request-body.js";
+import { formatEndpoint } from "../settings/index.js";
+import { BackendServerClient } from "../transport/backend-server-client.js";
+import { presentTimeMs } from "../transport/present-time.js";
+import type { ProcessContext } from "./process-context.js";
+import { sendError, sendReply } from "./entry-replies.js";
+
+const TICK_INTERVAL_MS = 20;
+const DRAIN_CHECK_INTERVAL_MS = 20;
+const BACKEND_SERVER_PATH_PREFIX = "/backend/";
+
+/** One entry with its listener, its clients and its timer. */
+export class EntryRole {
+    readonly #context: ProcessContext;
+    readonly #node: EntryNode;
+    readonly #listener: HttpListener;
+    readonly #backendServers = new BackendServerClient();
+    readonly #responses = new Map<number, ServerResponse>();
+    readonly #rate: RateLimiter;
+    #nextHandle = 1;
+    #ticker: NodeJS.Timeout | undefined;
+
+    private constructor(context: ProcessContext) {
+        const { settings, metrics } = context;
+        this.#context = context;
+        this.#rate = new RateLimiter(settings.limits.requestsPerSecondPerListener, presentTimeMs());
+        this.#node = new EntryNode({
+            entryId: settings.vmName,
+            incarnation: randomUUID(),
+            address: `${settings.advertiseHost}:${settings.listeners.callers?.port ?? 0}`,
+            availabilityZone: settings.availabilityZone,
+            controlAddresses: settings.controlAddresses.map(formatEndpoint),
+            timing: { callTimeoutMs: settings.timings.controlCallTimeoutMs },
+            limits: { waitingCallers: settings.limits.waitingCallers },
+        }, presentTimeMs());
+        this.#listener = new HttpListener({
+            address: settings.listeners.callers ?? { host: settings.advertiseHost, port: 0 },
+            maxConnections: settings.limits.connectionsPerListener,
+            handle: (request, response) => void this.#serve(request, response),
+            onConnectionRefused: () => metrics.rejected.increment({ listener: "callers", limit: "connections" }),
+        });
+    }
+
+    /** Starts to listen. Fails with UNAVAILABLE. */
+    static async start(context: ProcessContext): Promise<EntryRole> {
+        const role = new EntryRole(context);
+        await role.#listener.listen();
+        role.#ticker = setInterval(() => role.#tick(), TICK_INTERVAL_MS);
+        return role;
+    }
+
+    get isReady(): boolean {
+        return this.#node.isReady(presentTimeMs());
+    }
+
+    /** Refuses new work, finishes requests in progress and tells the leader; at the latest after `graceMs`. */
+    async stop(graceMs: number): Promise<void> {
+        const deadlineMs = presentTimeMs() + graceMs;
+        this.#node.drain(presentTimeMs());
+        while (!this.#node.isDrained && presentTimeMs() < deadlineMs) {
+            await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_INTERVAL_MS));
+        }
+        await this.#listener.close(Math.max(0, deadlineMs - presentTimeMs()));
+        clearInterval(this.#ticker);
+        await this.#backendServers.close();
+    }
+
+    #tick(): void {
+        this.#node.tick(presentTimeMs());
+        this.#drainEffects();
+    }
+
+    async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const peer = request.socket.remoteAddress ?? "";
+        const fromBackendServer = request.url?.startsWith(BACKEND_SERVER_PATH_PREFIX) === true;
+        if (!fromBackendServer && !this.#rate.take(presentTimeMs())) {
+            this.#context.metrics.rejected.increment({ listener: "callers", limit: "rate" });
+            sendError(response, new StepError(ErrorCode.OVERLOADED, "accept request", peer, "too many requests"));
+            return;
+        }
+        try {
+            const limitBytes = fromBackendServer ? BACKEND_SERVER_BODY_LIMIT_BYTES : CALLER_BODY_LIMIT_BYTES;
+            const body = await readBody(request, limitBytes);
+            this.#passOn(request, response, body, fromBackendServer);
+        }
+        catch (error) {
+            sendError(
+                response,
+                error instanceof StepError
+                    ? error
+                    : new StepError(ErrorCode.INVALID, "read request", peer, messageOf(error)),
+            );
+        }
+    }
+
+    #passOn(request: IncomingMessage, response: ServerResponse, body: Uint8Array, fromBackendServer: boolean): void {
+        const handle = this.#nextHandle;
+        this.#nextHandle += 1;
+        this.#responses.set(handle, response);
+        const parsed: HttpRequest = {
+            method: request.method ?? "",
+            path: request.url ?? "",
+            headers: request.headers,
+            body,
+        };
+        response.once("close", () => this.#gone(handle, fromBackendServer));
+        if (fromBackendServer) {
+            this.#node.backendServerRequest(handle, parsed, presentTimeMs());
+        }
+        else {
+            this.#node.callerRequest(handle, parsed, presentTimeMs());
+        }
+        this.#drainEffects();
+    }
+
+    #gone(handle: number, fromBackendServer: boolean): void {
+        if (!this.#responses.delete(handle)) {
+            return;
+        }
+        if (fromBackendServer) {
+            this.#node.backendServerGone(handle);
+        }
+        else {
+            this.#node.callerGone(handle);
+        }
+    }
+
+    #drainEffects(): void {
+        for (const effect of this.#node.takeEffects()) {
+            this.#carryOut(effect);
+        }
+    }
+
+    #carryOut(effect: EntryEffect): void {
+        switch (effect.kind) {
+            case EntryEffectKind.CallControl:
+                void this.#callControl(effect);
+                return;
+            case EntryEffectKind.CallBackendServer:
+                void this.#callBackendServer(effect);
+                return;
+            case EntryEffectKind.ReplyToCaller:
+            case EntryEffectKind.ReplyToBackendServer:
+                this.#reply(effect.requestHandle, effect);
+                return;
+            case EntryEffectKind.JournalEntry:
+                this.#context.journal.record(effect.record, Math.floor(presentTimeMs()));
+                return;
+            case EntryEffectKind.Count:
+                this.#context.metrics.entryEvents.increment({ event: effect.metric }, effect.amount);
+                return;
+        }
+    }
+
+    #reply(handle: number, reply: Parameters<typeof sendReply>[1]): void {
+        const response = this.#responses.get(handle);
+        this.#responses.delete(handle);
+        if (response !== undefined) {
+            sendReply(response, reply);
+        }
+    }
+
+    async #callControl(effect: CallControl): Promise<void> {
+        const { address } = effect.target;
+        try {
+            const client = this.#context.clients.for(address).control;
+            const method = client[effect.method] as (
+                request: unknown,
+                options: { timeoutMs: number },
+            ) => Promise<ControlResponse>;
+            const response = await method(effect.request, { timeoutMs: effect.timeoutMs });
+            this.#node.controlReplied(effect.callId, response, presentTimeMs());
+        }
+        catch (error) {
+            this.#node.callFailed(effect.callId, this.#controlError(effect, error), presentTimeMs());
+        }
+        this.#drainEffects();
+    }
+
+    #controlError(effect: CallControl, error: unknown): StepError {
+        const { address } = effect.target;
+        const refused = ConnectError.from(error).code === Code.Unavailable && messageOf(error).includes("ECONNREFUSED");
+        if (!refused) {
+            this.#context.clients.replace(address);
+            this.#context.metrics.connectionsReplaced.increment({});
+        }
+        const code = refused ? ErrorCode.UNAVAILABLE : ErrorCode.TIMEOUT;
+        return new StepError(code, effect.method, address, messageOf(error), { cause: error });
+    }
+
+    async #callBackendServer(effect: CallBackendServer): Promise<void> {
+        const { address, path, body, timeoutMs } = effect;
+        try {
+            const reply = await this.#backendServers.post(address, path, body, timeoutMs);
+            this.#node.backendServerReplied(effect.callId, reply, presentTimeMs());
+        }
+        catch (error) {
+            const refused = (error as { code?: string }).code === "ECONNREFUSED";
+            const code = refused ? ErrorCode.UNAVAILABLE : ErrorCode.TIMEOUT;
+            const failure = new StepError(code, path, address, messageOf(error), { cause: error });
+            this.#node.callFailed(effect.callId, failure, presentTimeMs());
+        }
+        this.#drainEffects();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/roles/replicated-log-adapter.ts
@@ -0,0 +1,25 @@
+import { ReplicaRole } from "@waxwingspread/consensus";
+import type { ReplicaRunner } from "@waxwingspread/consensus";
+import type { ReplicatedLogPort } from "@waxwingspread/control";
+
+/** Shows a replica runner as the log of a control node. The runner may be created after the node. */
+export const replicatedLogPort = (runner: () => ReplicaRunner): ReplicatedLogPort => ({
+    get term() {
+        return runner().replica.term;
+    },
+    get isLeader() {
+        return runner().replica.role === ReplicaRole.Leader;
+    },
+    get leaderAddress() {
+        return runner().replica.leader?.address;
+    },
+    get membership() {
+        return runner().replica.membership;
+    },
+    get commitIndex() {
+        return runner().replica.commitIndex;
+    },
+    propose: (records, nowMs) => runner().propose(records, nowMs),
+    changeMembership: (change, nowMs) => runner().changeMembership(change, nowMs),
+    hasQuorumLease: nowMs => runner().hasQuorumLease(nowMs),
+});
--- /dev/null
+++ b/packages/daemon/src/run-daemon.ts
@@ -0,0 +1,108 @@
+import { Journal, messageOf } from "@waxwingspread/common";
+import { createOperatorsListener } from "./http/operators-listener.js";
+import type { HttpListener } from "./http/http-listener.js";
+import { createLogger } from "./logging/index.js";
+import { createMetrics } from "./metrics/index.js";
+import { ControlRole } from "./roles/control-role.js";
+import { EntryRole } from "./roles/entry-role.js";
+import { journalRoutes } from "./roles/journal-routes.js";
+import { createOperatorCheck } from "./roles/operator-token.js";
+import type { ProcessContext } from "./roles/process-context.js";
+import { DaemonRole, formatSettings, parseSettings } from "./settings/index.js";
+import type { DaemonSettings } from "./settings/index.js";
+import { PeerClients } from "./transport/peer-clients.js";
+import { sendTime } from "./transport/time-propagation.js";
+
+const EXIT_FAILURE = 1;
+const EXIT_USAGE = 2;
+
+/** The roles of this process and its operators' listener. */
+interface RunningDaemon {
+    context: ProcessContext;
+    control: ControlRole | undefined;
+    entry: EntryRole | undefined;
+    operators: HttpListener;
+}
+
+/** Runs the daemon until a signal asks it to stop. Sets the exit code 2 for faulty settings, 1 for other failures. */
+export const runDaemon = async (args: string[], environment: NodeJS.ProcessEnv): Promise<void> => {
+    const parsed = parseSettings(args, environment);
+    if (parsed.isErr()) {
+        process.stderr.write(`${parsed.error.message}\n`);
+        process.exitCode = EXIT_USAGE;
+        return;
+    }
+    const settings = parsed.value;
+    if (settings.printSettings) {
+        process.stdout.write(`${formatSettings(settings)}\n`);
+        return;
+    }
+    const context = createContext(settings);
+    try {
+        const daemon = await start(context);
+        stopOnSignals(daemon);
+    }
+    catch (error) {
+        context.fail(error instanceof Error ? error : new Error(messageOf(error)));
+    }
+};
+
+const createContext = (settings: DaemonSettings): ProcessContext => {
+    const logger = createLogger(settings);
+    const journal = new Journal(settings.vmName);
+    return {
+        settings,
+        logger,
+        journal,
+        metrics: createMetrics(),
+        clients: new PeerClients([sendTime(journal.clock)]),
+        authorizeOperator: createOperatorCheck(settings.operatorTokenHash),
+        fail: error => {
+            logger.fatal({ error }, "the process can't go on");
+            process.exit(EXIT_FAILURE);
+        },
+    };
+};
+
+const start = async (context: ProcessContext): Promise<RunningDaemon> => {
+    const { settings } = context;
+    const control = settings.role === DaemonRole.Entry ? undefined : await ControlRole.start(context);
+    const entry = settings.role === DaemonRole.Control ? undefined : await EntryRole.start(context);
+    const operators = createOperatorsListener({
+        address: settings.listeners.operators,
+        maxConnections: settings.limits.connectionsPerListener,
+        registry: context.metrics.registry,
+        isLive: () => true,
+        isReady: () => (control?.isReady ?? true) && (entry?.isReady ?? true),
+        isLeader: () => control?.isLeader ?? false,
+        routes: journalRoutes(context.journal, context.authorizeOperator),
+        onConnectionRefused: () =>
+            context.metrics.rejected.increment({ listener: "operators", limit: "connections" }),
+    });
+    await operators.listen();
+    context.logger.info({ role: settings.role, availabilityZone: settings.availabilityZone }, "started");
+    return { context, control, entry, operators };
+};
+
+const stopOnSignals = (daemon: RunningDaemon): void => {
+    let stopping = false;
+    const stop = (signal: NodeJS.Signals): void => {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        daemon.context.logger.info({ signal }, "shutting down");
+        void shutDown(daemon).then(() => process.exit(0), daemon.context.fail);
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+};
+
+const shutDown = async ({ context, control, entry, operators }: RunningDaemon): Promise<void> => {
+    const graceMs = context.settings.timings.shutdownGraceMs;
+    await entry?.stop(graceMs);
+    await control?.stop(graceMs);
+    await operators.close(0);
+    context.clients.close();
+    context.logger.info("stopped");
+};
--- /dev/null
+++ b/packages/daemon/src/transport/connect-listener.ts
@@ -0,0 +1,75 @@
+import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { messageOf, StepError } from "@waxwingspread/common";
+import { ErrorCode } from "@waxwingspread/protocol";
+import { createServer } from "node:http2";
+import type { Http2Server, ServerHttp2Session } from "node:http2";
+import type { AddressInfo } from "node:net";
+import type { ListenAddress } from "./listen-address.js";
+
+/** Largest message between processes: a blob with its envelope. */
+export const MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
+
+/** Limits of the listener. */
+export interface ConnectListenerOptions {
+    address: ListenAddress;
+    maxConnections: number;
+    routes: (router: ConnectRouter) => void;
+    interceptors?: Interceptor[];
+    onConnectionRefused: () => void;
+}
+
+/** HTTP/2 listener for calls between processes and from operators. */
+export class ConnectListener {
+    readonly #server: Http2Server;
+    readonly #sessions = new Set<ServerHttp2Session>();
+    readonly #options: ConnectListenerOptions;
+
+    constructor(options: ConnectListenerOptions) {
+        this.#options = options;
+        const adapter = connectNodeAdapter({ routes: options.routes, readMaxBytes: MAX_MESSAGE_BYTES, interceptors: options.interceptors ?? [] });
+        this.#server = createServer({}, adapter);
+        this.#server.on("session", session => this.#accept(session));
+        // A broken peer connection ends its calls with errors of their own.
+        this.#server.on("sessionError", () => undefined);
+    }
+
+    get connectionCount(): number {
+        return this.#sessions.size;
+    }
+
+    /** Starts to listen; returns the port. Fails with UNAVAILABLE. */
+    async listen(): Promise<number> {
+        const { host, port } = this.#options.address;
+        await new Promise<void>((resolve, reject) => {
+            this.#server.once(
+                "error",
+                error => reject(new StepError(ErrorCode.UNAVAILABLE, "listen", `${host}:${port}`, messageOf(error))),
+            );
+            this.#server.listen(port, host, resolve);
+        });
+        return (this.#server.address() as AddressInfo).port;
+    }
+
+    /** Stops to listen and closes connections once their calls have ended, at the latest after `graceMs`. */
+    async close(graceMs: number): Promise<void> {
+        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        for (const session of this.#sessions) {
+            session.close();
+        }
+        const timer = setTimeout(() => this.#sessions.forEach(session => session.destroy()), graceMs);
+        await closed;
+        clearTimeout(timer);
+    }
+
+    #accept(session: ServerHttp2Session): void {
+        if (this.#sessions.size >= this.#options.maxConnections) {
+            this.#options.onConnectionRefused();
+            session.destroy();
+            return;
+        }
+        this.#sessions.add(session);
+        session.on("error", () => undefined);
+        session.on("close", () => this.#sessions.delete(session));
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/transport/listen-address.ts
@@ -0,0 +1,5 @@
+/** Host and port of a listener; port 0 takes any free port. */
+export interface ListenAddress {
+    host: string;
+    port: number;
+}
--- /dev/null
+++ b/packages/daemon/src/transport/peer-clients.ts
@@ -0,0 +1,93 @@
+import { createClient } from "@connectrpc/connect";
+import type { Client, Interceptor } from "@connectrpc/connect";
+import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { ControlService, JournalService, ReplicaService } from "@waxwingspread/protocol";
+
+/** Clients of one peer. */
+export interface PeerClient {
+    replica: Client<typeof ReplicaService>;
+    control: Client<typeof ControlService>;
+    journal: Client<typeof JournalService>;
+}
+
+/** An HTTP/2 ping is sent on a connection that was quiet for this long while calls are open. */
+const PING_INTERVAL_MS = 1_000;
+/** A connection whose ping isn't answered for this long is closed. */
+const PING_TIMEOUT_MS = 1_000;
+/** A replaced connection is closed after this long, when its last calls have met their deadlines. */
+const REPLACED_CONNECTION_LIFETIME_MS = 5_000;
+
+interface Connection {
+    session: Http2SessionManager;
+    client: PeerClient;
+}
+
+/** One HTTP/2 connection for each peer; a connection that stopped answering is replaced by a new one. */
+export class PeerClients {
+    readonly #connections = new Map<string, Connection>();
+    readonly #retiring = new Map<NodeJS.Timeout, Http2SessionManager>();
+    readonly #interceptors: Interceptor[];
+
+    constructor(interceptors: Interceptor[] = []) {
+        this.#interceptors = interceptors;
+    }
+
+    /** Returns the clients for an address, `host:port`. */
+    for(address: string): PeerClient {
+        const known = this.#connections.get(address);
+        if (known !== undefined) {
+            return known.client;
+        }
+        const connection = connect(address, this.#interceptors);
+        this.#connections.set(address, connection);
+        return connection.client;
+    }
+
+    /** Makes later calls use a new connection; the present one is closed once its calls have ended. */
+    replace(address: string): void {
+        const connection = this.#connections.get(address);
+        if (connection === undefined) {
+            return;
+        }
+        this.#connections.delete(address);
+        const timer = setTimeout(() => {
+            this.#retiring.delete(timer);
+            connection.session.abort();
+        }, REPLACED_CONNECTION_LIFETIME_MS);
+        this.#retiring.set(timer, connection.session);
+    }
+
+    /** Closes all connections at once. */
+    close(): void {
+        for (const connection of this.#connections.values()) {
+            connection.session.abort();
+        }
+        this.#connections.clear();
+        for (const [timer, session] of this.#retiring) {
+            clearTimeout(timer);
+            session.abort();
+        }
+        this.#retiring.clear();
+    }
+}
+
+const connect = (address: string, interceptors: Interceptor[]): Connection => {
+    const baseUrl = `http://${address}`;
+    const session = new Http2SessionManager(baseUrl, {
+        pingIntervalMs: PING_INTERVAL_MS,
+        pingTimeoutMs: PING_TIMEOUT_MS,
+    });
+    const transport = createConnectTransport({
+        baseUrl,
+        httpVersion: "2",
+        useBinaryFormat: true,
+        sessionManager: session,
+        interceptors,
+    });
+    const client = {
+        replica: createClient(ReplicaService, transport),
+        control: createClient(ControlService, transport),
+        journal: createClient(JournalService, transport),
+    };
+    return { session, client };
+};
--- /dev/null
+++ b/packages/daemon/src/transport/replica-sender.ts
@@ -0,0 +1,84 @@
+import type { ReplicaMessage } from "@waxwingspread/protocol";
+import type { PeerClients } from "./peer-clients.js";
+
+/** Calls to one peer that may be open at a time; more messages wait and travel together. */
+const MAX_OPEN_CALLS = 8;
+/** Messages that may wait for one peer; the oldest are dropped, since replication repeats what is lost. */
+const MAX_QUEUED_MESSAGES = 256;
+/** A call without an answer for this long counts as lost and its connection as silent. */
+const CALL_TIMEOUT_MS = 1_000;
+
+interface PeerQueue {
+    messages: ReplicaMessage[];
+    openCalls: number;
+    flushScheduled: boolean;
+}
+
+/** Sends replica messages to peers; messages of one turn travel in one call. */
+export class ReplicaSender {
+    readonly #clients: PeerClients;
+    readonly #queues = new Map<string, PeerQueue>();
+    readonly #onFailure: (address: string) => void;
+    #closed = false;
+
+    constructor(clients: PeerClients, onFailure: (address: string) => void) {
+        this.#clients = clients;
+        this.#onFailure = onFailure;
+    }
+
+    /** Queues a message for the peer at the given address. */
+    send(address: string, message: ReplicaMessage): void {
+        const queue = this.#queueFor(address);
+        queue.messages.push(message);
+        if (queue.messages.length > MAX_QUEUED_MESSAGES) {
+            queue.messages.shift();
+        }
+        this.#scheduleFlush(address, queue);
+    }
+
+    /** Stops sending. */
+    close(): void {
+        this.#closed = true;
+    }
+
+    #scheduleFlush(address: string, queue: PeerQueue): void {
+        if (queue.flushScheduled || queue.openCalls >= MAX_OPEN_CALLS) {
+            return;
+        }
+        queue.flushScheduled = true;
+        setImmediate(() => {
+            queue.flushScheduled = false;
+            void this.#flush(address, queue);
+        });
+    }
+
+    async #flush(address: string, queue: PeerQueue): Promise<void> {
+        const messages = queue.messages;
+        if (messages.length === 0 || this.#closed) {
+            return;
+        }
+        queue.messages = [];
+        queue.openCalls += 1;
+        try {
+            await this.#clients.for(address).replica.send({ messages }, { timeoutMs: CALL_TIMEOUT_MS });
+        }
+        catch {
+            this.#clients.replace(address);
+            this.#onFailure(address);
+        }
+        queue.openCalls -= 1;
+        if (queue.messages.length > 0) {
+            this.#scheduleFlush(address, queue);
+        }
+    }
+
+    #queueFor(address: string): PeerQueue {
+        const known = this.#queues.get(address);
+        if (known !== undefined) {
+            return known;
+        }
+        const created: PeerQueue = { messages: [], openCalls: 0, flushScheduled: false };
+        this.#queues.set(address, created);
+        return created;
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/local-fleet/managed-process.ts
@@ -0,0 +1,77 @@
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+
+/** Output kept for error messages. */
+const MAX_KEPT_OUTPUT_CHARACTERS = 20_000;
+
+/** How a process ended. */
+export interface ProcessExit {
+    code: number | undefined;
+    signal: NodeJS.Signals | undefined;
+}
+
+/** A Node program started by a development script or a test, ended only by its own process id. */
+export class ManagedProcess {
+    readonly #child: ChildProcess;
+    readonly #exit: Promise<ProcessExit>;
+    #output = "";
+    #exited: ProcessExit | undefined;
+
+    constructor(readonly name: string, script: string, args: readonly string[], environment: NodeJS.ProcessEnv = {}) {
+        this.#child = spawn(process.execPath, [script, ...args], {
+            env: { ...process.env, ...environment },
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        this.#child.stdout?.on("data", chunk => this.#keep(String(chunk)));
+        this.#child.stderr?.on("data", chunk => this.#keep(String(chunk)));
+        this.#exit = new Promise(resolve =>
+            this.#child.once("exit", (code, signal) => {
+                this.#exited = { code: code ?? undefined, signal: signal ?? undefined };
+                resolve(this.#exited);
+            })
+        );
+    }
+
+    get pid(): number {
+        return this.#child.pid ?? -1;
+    }
+
+    get output(): string {
+        return this.#output;
+    }
+
+    get exited(): ProcessExit | undefined {
+        return this.#exited;
+    }
+
+    /** Sends a signal to this process alone. */
+    signal(signal: NodeJS.Signals): void {
+        if (this.#exited === undefined) {
+            this.#child.kill(signal);
+        }
+    }
+
+    /** Resolves when the process has ended. */
+    waitForExit(): Promise<ProcessExit> {
+        return this.#exit;
+    }
+
+    /** Ends the process at once. */
+    async kill(): Promise<ProcessExit> {
+        this.signal("SIGKILL");
+        return this.#exit;
+    }
+
+    /** Asks the process to shut down; ends it after `graceMs`. */
+    async terminate(graceMs: number): Promise<ProcessExit> {
+        this.signal("SIGTERM");
+        const timer = setTimeout(() => this.signal("SIGKILL"), graceMs);
+        const exit = await this.#exit;
+        clearTimeout(timer);
+        return exit;
+    }
+
+    #keep(text: string): void {
+        this.#output = (this.#output + text).slice(-MAX_KEPT_OUTPUT_CHARACTERS);
+    }
+}
