--- /dev/null
+++ b/packages/scheduler/src/attempts/attempts.ts
@@ -0,0 +1,284 @@
+import { jobKeyOf } from "@waxwingspread/common";
+import type { JobKey } from "@waxwingspread/common";
+import { AttemptEnd, AttemptState, HealthState, Outcome, Reason } from "@waxwingspread/protocol";
+import type { Attempt, BlobReference, Job } from "@waxwingspread/protocol";
+import { specificationOf } from "../decision.js";
+import type { Decision } from "../decision.js";
+import type { Explanations } from "../operators/explanations.js";
+import type { HealthChange } from "../policy/types.js";
+import { heldAttempt } from "../state/usage.js";
+import type { WorkView } from "../work-view.js";
+import { isFinalStop } from "./stop-reasons.js";
+
+/** How an attempt ended. */
+export interface AttemptResult {
+    end: AttemptEnd;
+    answer?: BlobReference;
+    checkpoint?: BlobReference;
+    detail?: string;
+    /** Why the attempt never started. */
+    refusal?: Reason;
+}
+
+/** What follows from the end of an attempt: an outcome of the job, or another attempt after a delay. */
+type Consequence = { outcome: Outcome; reason: Reason } | { requeue: Reason; delayMs: number };
+
+interface EndedAttempt {
+    job: Job;
+    attempt: Attempt;
+    result: AttemptResult;
+}
+
+type EndHandler = (ended: EndedAttempt) => Consequence;
+
+/** Called after a job whose attempt ended is queued again. */
+export type RequeueListener = (key: JobKey) => void;
+
+/** Called after the end of an attempt is recorded. */
+export type AttemptEndListener = (attempt: Attempt, end: AttemptEnd) => void;
+
+/** Life cycle of attempts: running, stopping, ended, and what becomes of the job. */
+export class Attempts {
+    readonly #decision: Decision;
+    readonly #view: WorkView;
+    readonly #explanations: Explanations;
+    readonly #handlers: ReadonlyMap<AttemptEnd, EndHandler>;
+    #ended: AttemptEndListener = () => undefined;
+    #requeued: RequeueListener = () => undefined;
+
+    constructor(decision: Decision, view: WorkView, explanations: Explanations) {
+        this.#decision = decision;
+        this.#view = view;
+        this.#explanations = explanations;
+        this.#handlers = new Map<AttemptEnd, EndHandler>([
+            [AttemptEnd.COMPLETED, () => ({ outcome: Outcome.COMPLETED, reason: Reason.COMPLETED })],
+            [AttemptEnd.ANSWER_TOO_LARGE, () => ({
+                outcome: Outcome.ANSWER_TOO_LARGE,
+                reason: Reason.ANSWER_TOO_LARGE,
+            })],
+            [AttemptEnd.TASK_ERROR, ended => this.#afterTaskError(ended)],
+            [AttemptEnd.NEVER_STARTED, ended => this.#afterNeverStarted(ended)],
+            [AttemptEnd.STOPPED, ended => this.#afterStop(ended)],
+            [AttemptEnd.LOST, ended => this.#afterLoss(ended)],
+        ]);
+    }
+
+    onEnded(listener: AttemptEndListener): void {
+        this.#ended = listener;
+    }
+
+    onRequeued(listener: RequeueListener): void {
+        this.#requeued = listener;
+    }
+
+    /** Records that a backend server runs the job's attempt; repeated facts have no effect. */
+    running(job: Job): void {
+        const attempt = heldAttempt(job);
+        if (attempt !== undefined && attempt.runningSinceMs === 0) {
+            const { customer, requestId } = specificationOf(job);
+            const value = { customer, requestId, attemptNumber: attempt.number };
+            this.#decision.record({ case: "attemptRunning", value });
+        }
+    }
+
+    /** Asks for the stop of the job's attempt; false where it holds no capacity or stops already. */
+    stop(job: Job, reason: Reason, explanation: string): boolean {
+        const attempt = heldAttempt(job);
+        if (attempt === undefined || attempt.state === AttemptState.STOPPING) {
+            return false;
+        }
+        const { customer, requestId } = specificationOf(job);
+        const value = { customer, requestId, attemptNumber: attempt.number, reason };
+        this.#decision.record({ case: "attemptStopping", value });
+        this.#explanations.add(jobKeyOf(specificationOf(job)), explanation, this.#decision.nowMs);
+        return true;
+    }
+
+    throttle(job: Job, throttled: boolean, explanation: string): void {
+        const attempt = heldAttempt(job);
+        if (attempt === undefined || attempt.throttled === throttled) {
+            return;
+        }
+        const { customer, requestId } = specificationOf(job);
+        const value = { customer, requestId, attemptNumber: attempt.number, throttled };
+        this.#decision.record({ case: "attemptThrottled", value });
+        this.#explanations.add(jobKeyOf(specificationOf(job)), explanation, this.#decision.nowMs);
+    }
+
+    /** Ends the attempt that holds the job's capacity and decides what becomes of the job. */
+    end(job: Job, reported: AttemptResult): void {
+        const attempt = heldAttempt(job);
+        if (attempt === undefined) {
+            return;
+        }
+        const result = certain(attempt, reported);
+        const { customer, requestId } = specificationOf(job);
+        const { end, checkpoint, detail } = result;
+        const number = attempt.number;
+        this.#decision.record({
+            case: "attemptEnded",
+            value: { customer, requestId, attemptNumber: number, end, checkpoint, detail },
+        });
+        this.#ended(attempt, end);
+        this.#observe(job, attempt, end);
+        const key = jobKeyOf(specificationOf(job));
+        const ended = { job: this.#decision.state.job(key) ?? job, attempt, result };
+        const consequence = this.#handlers.get(end)?.(ended) ?? this.#afterLoss(ended);
+        if ("requeue" in consequence) {
+            this.#requeue(job, consequence);
+            this.#requeued(key);
+            return;
+        }
+        this.endJob(job, consequence.outcome, consequence.reason, { answer: result.answer, detail });
+    }
+
+    /** Gives the job its final outcome. */
+    endJob(
+        job: Job,
+        outcome: Outcome,
+        reason: Reason,
+        extras: { answer?: BlobReference; detail?: string } = {},
+    ): void {
+        const { customer, requestId } = specificationOf(job);
+        this.#decision.record({ case: "jobEnded", value: { customer, requestId, outcome, reason, ...extras } });
+    }
+
+    /** Ends a job that waits for a place: not run only if no attempt can have started. */
+    endQueued(job: Job, startedOutcome: Outcome, reason: Reason, detail = ""): void {
+        this.endJob(job, job.everStarted ? startedOutcome : Outcome.NOT_RUN, reason, { detail });
+    }
+
+    /** Ends all attempts on a backend server as lost. */
+    loseAll(backendServerId: string, detail: string): void {
+        const { state } = this.#decision;
+        for (const key of [...state.useOfBackendServer(backendServerId).jobKeys]) {
+            const job = state.job(key);
+            if (job !== undefined) {
+                this.end(job, { end: AttemptEnd.LOST, detail });
+            }
+        }
+    }
+
+    /** Records changes of backend servers' health. */
+    recordHealth(change: HealthChange | undefined): void {
+        const server = change && this.#decision.state.backendServer(change.backendServerId);
+        if (change === undefined || server === undefined) {
+            return;
+        }
+        const { backendServerId, health, consecutiveFailures } = change;
+        if (server.health !== health || server.consecutiveFailures !== consecutiveFailures) {
+            const value = { backendServerId, health, consecutiveFailures };
+            this.#decision.record({ case: "backendServerHealthChanged", value });
+        }
+        this.#view.refreshServer(backendServerId);
+    }
+
+    #observe(job: Job, attempt: Attempt, end: AttemptEnd): void {
+        const { policies, nowMs } = this.#decision;
+        const key = jobKeyOf(specificationOf(job));
+        if (end === AttemptEnd.TASK_ERROR) {
+            this.recordHealth(policies.health.failed(attempt.backendServerId, key, nowMs));
+        }
+        if (end === AttemptEnd.COMPLETED) {
+            this.recordHealth(policies.health.succeeded(attempt.backendServerId, nowMs));
+            if (attempt.runningSinceMs > 0) {
+                const { customer, workClass } = specificationOf(job);
+                policies.reservation.observeRunTime(`${customer}/${workClass}`, nowMs - attempt.runningSinceMs);
+            }
+        }
+    }
+
+    #requeue(job: Job, { requeue, delayMs }: { requeue: Reason; delayMs: number }): void {
+        const { customer, requestId } = specificationOf(job);
+        const notBeforeMs = delayMs === 0 ? 0 : this.#decision.nowMs + delayMs;
+        this.#decision.record({ case: "jobRequeued", value: { customer, requestId, reason: requeue, notBeforeMs } });
+    }
+
+    /** Undefined unless the job ends with any end of this attempt that leaves the work undone. */
+    #finalStop({ job, attempt }: EndedAttempt): Consequence | undefined {
+        const removed = this.#decision.state.contract(specificationOf(job).customer) === undefined;
+        if (!job.cancelRequested && !removed && !isFinalStop(attempt.stopReason)) {
+            return undefined;
+        }
+        const outcome = job.everStarted ? Outcome.CANCELLED : Outcome.NOT_RUN;
+        return { outcome, reason: job.cancelRequested ? Reason.CANCELLED : Reason.CUSTOMER_REMOVED };
+    }
+
+    #afterTaskError({ job }: EndedAttempt): Consequence {
+        const { policies, nowMs, settings } = this.#decision;
+        const { customer } = specificationOf(job);
+        if (!this.#view.isRepeatable(job) || job.cancelRequested) {
+            return { outcome: Outcome.FAILED, reason: Reason.TASK_ERROR };
+        }
+        if (this.#failedOnHealthy(job) >= settings.failuresBeforeGivingUp || this.failedOnAll(job)) {
+            return { outcome: Outcome.FAILED, reason: Reason.FAILS_EVERYWHERE };
+        }
+        if (this.#decision.state.contract(customer) === undefined) {
+            return { outcome: Outcome.FAILED, reason: Reason.CUSTOMER_REMOVED };
+        }
+        if (!policies.retry.spend(customer, nowMs)) {
+            return { outcome: Outcome.FAILED, reason: Reason.RETRY_BUDGET_EXHAUSTED };
+        }
+        return { requeue: Reason.TASK_ERROR, delayMs: policies.retry.nextDelayMs(job.attemptsMade) };
+    }
+
+    /** True where no backend server is left on which the job has not failed. */
+    failedOnAll(job: Job): boolean {
+        const { state } = this.#decision;
+        return job.failedOn.length >= state.backendServerCount && job.failedOn.length > 0
+            && [...state.backendServers()].every(server => job.failedOn.includes(server.backendServerId));
+    }
+
+    #failedOnHealthy(job: Job): number {
+        const { state } = this.#decision;
+        const faulty: readonly (HealthState | undefined)[] = [HealthState.QUARANTINED, HealthState.PROBING];
+        return job.failedOn.filter(id => !faulty.includes(state.backendServer(id)?.health)).length;
+    }
+
+    #afterNeverStarted(ended: EndedAttempt): Consequence {
+        const { job, attempt, result } = ended;
+        if (result.refusal === Reason.PAYLOAD_MISSING) {
+            const outcome = job.everStarted ? Outcome.INTERRUPTED : Outcome.NOT_RUN;
+            return this.#finalStop(ended) ?? { outcome, reason: Reason.PAYLOAD_MISSING };
+        }
+        const stopped = attempt.state === AttemptState.STOPPING;
+        const delayMs = stopped ? 0 : this.#decision.policies.retry.nextDelayMs(1);
+        const reason = stopped ? attempt.stopReason : result.refusal ?? Reason.START_WINDOW_PASSED;
+        return this.#finalStop(ended) ?? { requeue: reason, delayMs };
+    }
+
+    #afterStop(ended: EndedAttempt): Consequence {
+        const { job, attempt, result } = ended;
+        const reason = attempt.stopReason === Reason.UNSPECIFIED ? Reason.EVICTED : attempt.stopReason;
+        const final = this.#finalStop(ended);
+        if (final !== undefined) {
+            return final;
+        }
+        if (!this.#view.isRepeatable(job) && result.checkpoint === undefined) {
+            return { outcome: Outcome.INTERRUPTED, reason };
+        }
+        return { requeue: reason, delayMs: 0 };
+    }
+
+    #afterLoss(ended: EndedAttempt): Consequence {
+        const { job } = ended;
+        const { policies, nowMs, settings } = this.#decision;
+        const final = this.#finalStop(ended);
+        if (final !== undefined) {
+            return final;
+        }
+        if (!this.#view.isRepeatable(job)) {
+            return { outcome: Outcome.INTERRUPTED, reason: Reason.BACKEND_SERVER_LOST };
+        }
+        const delayMs = policies.retry.nextDelayMs(job.attemptsMade);
+        return policies.retry.spend(specificationOf(job).customer, nowMs)
+            ? { requeue: Reason.BACKEND_SERVER_LOST, delayMs }
+            : { requeue: Reason.RETRY_BUDGET_EXHAUSTED, delayMs: delayMs + settings.exhaustedRetryDelayMs };
+    }
+}
+
+/** An attempt that was seen running can't have been never started, whatever is reported later. */
+const certain = (attempt: Attempt, result: AttemptResult): AttemptResult =>
+    result.end === AttemptEnd.NEVER_STARTED && attempt.runningSinceMs > 0
+        ? { ...result, end: AttemptEnd.STOPPED, checkpoint: undefined }
+        : result;
--- /dev/null
+++ b/packages/scheduler/src/attempts/reports.ts
@@ -0,0 +1,119 @@
+import { jobKeyOf } from "@waxwingspread/common";
+import { AttemptEnd, Reason, StartResult, TaskPhase } from "@waxwingspread/protocol";
+import type { Announcement, BackendServer, EndReport, Job, StartReport, TaskStatus } from "@waxwingspread/protocol";
+import { specificationOf } from "../decision.js";
+import type { Decision } from "../decision.js";
+import type { OrderTracker } from "../orders/order-tracker.js";
+import { heldAttempt } from "../state/usage.js";
+import { taskKeyOf } from "../work-view.js";
+import type { Attempts } from "./attempts.js";
+
+const RUNNING_PHASES: ReadonlySet<TaskPhase> = new Set([
+    TaskPhase.RUNNING,
+    TaskPhase.THROTTLED,
+    TaskPhase.STOPPING,
+]);
+
+/** Turns what entries and backend servers report of attempts into decisions. */
+export class AttemptReports {
+    readonly #decision: Decision;
+    readonly #attempts: Attempts;
+    readonly #orders: OrderTracker;
+    readonly #startHandlers: ReadonlyMap<StartResult, (job: Job, report: StartReport) => void>;
+
+    constructor(decision: Decision, attempts: Attempts, orders: OrderTracker) {
+        this.#decision = decision;
+        this.#attempts = attempts;
+        this.#orders = orders;
+        this.#startHandlers = new Map([
+            [StartResult.ACCEPTED, (job: Job) => this.#attempts.running(job)],
+            [StartResult.REFUSED, (job: Job, report: StartReport) => this.#refused(job, report)],
+        ]);
+    }
+
+    startReported(report: StartReport): void {
+        const job = this.#currentJob(report);
+        if (job !== undefined) {
+            this.#startHandlers.get(report.result)?.(job, report);
+        }
+    }
+
+    /** Once this is committed the fate of the attempt is settled, whether or not the report had an effect. */
+    endReported(report: EndReport): void {
+        const job = this.#currentJob(report);
+        const attempt = heldAttempt(job);
+        if (
+            job === undefined || attempt === undefined || report.end === AttemptEnd.UNSPECIFIED
+            || attempt.backendServerId !== report.backendServerId || attempt.incarnation !== report.incarnation
+        ) {
+            return;
+        }
+        const { end, answer, checkpoint, detail } = report;
+        this.#attempts.end(job, { end, answer, checkpoint, detail });
+    }
+
+    /** Resolves the attempts on a server by the list in its announcement. */
+    listed(server: BackendServer, announcement: Announcement): void {
+        const tasks = new Map(announcement.tasks.map(task => [taskKeyOf(jobKeyOf(task), task.attemptNumber), task]));
+        const { state } = this.#decision;
+        for (const key of [...state.useOfBackendServer(server.backendServerId).jobKeys]) {
+            const job = state.job(key);
+            const attempt = heldAttempt(job);
+            if (job === undefined || attempt === undefined) {
+                continue;
+            }
+            const taskKey = taskKeyOf(key, attempt.number);
+            const task = tasks.get(taskKey);
+            tasks.delete(taskKey);
+            if (task !== undefined) {
+                this.#held(job, task);
+            }
+            else if (announcement.clockMs > attempt.startDeadlineBackendMs) {
+                this.#missing(job, attempt.runningSinceMs > 0);
+            }
+        }
+        for (const task of tasks.values()) {
+            if (RUNNING_PHASES.has(task.phase) && task.phase !== TaskPhase.STOPPING) {
+                this.#orders.stopOrphan(server, task);
+            }
+        }
+    }
+
+    /** An ended task may be one that never started, so that only the result tells. */
+    #held(job: Job, task: TaskStatus): void {
+        if (RUNNING_PHASES.has(task.phase)) {
+            this.#attempts.running(job);
+            this.#orders.throttleReported(jobKeyOf(specificationOf(job)), task.phase === TaskPhase.THROTTLED);
+        }
+    }
+
+    #missing(job: Job, hasRun: boolean): void {
+        this.#attempts.end(
+            job,
+            hasRun
+                ? { end: AttemptEnd.LOST, detail: "the backend server no longer holds the task" }
+                : { end: AttemptEnd.NEVER_STARTED, detail: "the backend server did not take the start in time" },
+        );
+    }
+
+    /**
+     * A refusal is certain only for the start that it answers. Where more than one was sent, an earlier one may have
+     * been accepted by an incarnation that has ended since, so the next announcement decides instead.
+     */
+    #refused(job: Job, report: StartReport): void {
+        const attempt = heldAttempt(job);
+        const key = jobKeyOf(specificationOf(job));
+        if (attempt === undefined || attempt.runningSinceMs > 0 || attempt.term !== this.#decision.term) {
+            return;
+        }
+        if (this.#orders.startsSent(key, attempt.number) === 1) {
+            const refusal = report.payloadMissing ? Reason.PAYLOAD_MISSING : Reason.START_REFUSED;
+            this.#attempts.end(job, { end: AttemptEnd.NEVER_STARTED, detail: report.detail, refusal });
+        }
+    }
+
+    #currentJob(identity: { customer: string; requestId: string; attemptNumber: number }): Job | undefined {
+        const job = this.#decision.state.job(jobKeyOf(identity));
+        return heldAttempt(job)?.number === identity.attemptNumber ? job : undefined;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/decision.ts
@@ -0,0 +1,49 @@
+import { create } from "@bufbuild/protobuf";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import type { SeededRandom } from "@waxwingspread/common";
+import { EventSchema } from "@waxwingspread/protocol";
+import type { Event, Job, JobSpecification } from "@waxwingspread/protocol";
+import type { PolicySet } from "./policy/types.js";
+import type { SchedulerSettings } from "./settings.js";
+import type { ClusterState } from "./state/cluster-state.js";
+
+type EventKindInit = NonNullable<MessageInitShape<typeof EventSchema>["kind"]>;
+
+/** Events decided since the last `takeEvents`, applied to the state at once, and what every feature shares. */
+export class Decision {
+    #events: Event[] = [];
+    #nowMs = 0;
+    term = 0;
+
+    constructor(
+        readonly state: ClusterState,
+        readonly settings: SchedulerSettings,
+        readonly random: SeededRandom,
+        readonly policies: PolicySet,
+    ) {}
+
+    get nowMs(): number {
+        return this.#nowMs;
+    }
+
+    /** Sets the time of the following decisions; it never goes back. */
+    advance(nowMs: number): void {
+        this.#nowMs = Math.max(this.#nowMs, nowMs);
+    }
+
+    /** Applies an event and keeps it for the next batch. */
+    record(kind: EventKindInit): void {
+        const event = create(EventSchema, { atMs: this.#nowMs, kind });
+        this.state.apply(event);
+        this.#events.push(event);
+    }
+
+    takeEvents(): Event[] {
+        const events = this.#events;
+        this.#events = [];
+        return events;
+    }
+}
+
+/** Returns the specification, which every job in the state has. */
+export const specificationOf = (job: Job): JobSpecification => job.specification as JobSpecification;
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,7 +1,11 @@
+export type { OrderFor } from "./orders/order-tracker.js";
 export * from "./policy/basic-policies.js";
 export * from "./policy/types.js";
+export * from "./scheduler.js";
+export * from "./settings.js";
 export * from "./state/cluster-state.js";
 export { addResources, fitsWithin, NO_RESOURCES, toResources } from "./state/resources.js";
 export type { ResourceAmounts } from "./state/resources.js";
 export { heldAttempt } from "./state/usage.js";
 export type { Use } from "./state/usage.js";
+export { parseTaskKey, taskKeyOf } from "./work-view.js";
--- /dev/null
+++ b/packages/scheduler/src/jobs/submission.ts
@@ -0,0 +1,184 @@
+import { create } from "@bufbuild/protobuf";
+import { jobKeyOf, StepError } from "@waxwingspread/common";
+import type { JobKey } from "@waxwingspread/common";
+import {
+    ErrorCode,
+    JobSchema,
+    JobSpecificationSchema,
+    JobState,
+    Outcome,
+    Reason,
+    SubmitResponseSchema,
+    WorkKind,
+} from "@waxwingspread/protocol";
+import type { Contract, Job, JobSpecification, SubmitRequest, SubmitResponse } from "@waxwingspread/protocol";
+import type { Attempts } from "../attempts/attempts.js";
+import type { Decision } from "../decision.js";
+import type { OrderTracker } from "../orders/order-tracker.js";
+import type { Placer } from "../placement/placer.js";
+import type { Admission, QueuedJob } from "../policy/types.js";
+import { fitsWithin, NO_RESOURCES } from "../state/resources.js";
+import type { WorkView } from "../work-view.js";
+
+const STEP = "submit";
+
+/** Jobs tried at once when urgent work arrives while other urgent work waits. */
+const URGENT_ROUND = 8;
+
+/** Wait that a full queue suggests before the next try. */
+const QUEUE_FULL_RETRY_MS = 1_000;
+
+/** Refusals that pass with time: the request is not recorded and may be sent again with the same id. */
+const TEMPORARY_REASONS: ReadonlySet<Reason> = new Set([Reason.RATE_EXCEEDED, Reason.QUEUE_FULL]);
+
+const sameBytes = (a: Uint8Array, b: Uint8Array): boolean =>
+    a.length === b.length && a.every((byte, position) => byte === b[position]);
+
+/** Accepts or refuses requests and places them at once where possible. */
+export class Submission {
+    readonly #decision: Decision;
+    readonly #view: WorkView;
+    readonly #placer: Placer;
+    readonly #attempts: Attempts;
+    readonly #orders: OrderTracker;
+
+    constructor(decision: Decision, view: WorkView, placer: Placer, attempts: Attempts, orders: OrderTracker) {
+        this.#decision = decision;
+        this.#view = view;
+        this.#placer = placer;
+        this.#attempts = attempts;
+        this.#orders = orders;
+    }
+
+    submit(request: SubmitRequest): SubmitResponse {
+        const { specification } = request;
+        if (specification === undefined || specification.customer === "" || specification.requestId === "") {
+            return failure(
+                new StepError(ErrorCode.INVALID, STEP, request.entryId, "customer or request id is missing"),
+            );
+        }
+        const key = jobKeyOf(specification);
+        const existing = this.#decision.state.job(key);
+        if (existing !== undefined) {
+            return this.#repeated(key, existing, specification, request.entryId);
+        }
+        const contract = this.#decision.state.contract(specification.customer);
+        if (contract === undefined) {
+            const message = `customer ${specification.customer} has no contract`;
+            return failure(new StepError(ErrorCode.UNAUTHENTICATED, STEP, request.entryId, message));
+        }
+        return this.#new(key, this.#effective(specification), contract, request.entryId);
+    }
+
+    #repeated(key: JobKey, job: Job, specification: JobSpecification, entryId: string): SubmitResponse {
+        const known = job.specification?.contentSha256 ?? new Uint8Array();
+        if (!sameBytes(known, specification.contentSha256)) {
+            const message = "the request id was used before with other content";
+            return failure(new StepError(ErrorCode.REQUEST_ID_REUSED, STEP, entryId, message));
+        }
+        if (job.state !== JobState.ENDED && entryId !== "") {
+            this.#orders.watch(key, entryId);
+        }
+        return accepted(job);
+    }
+
+    /** Whether work may be repeated is fixed on acceptance, so that a later contract can't loosen it. */
+    #effective(specification: JobSpecification): JobSpecification {
+        const workClass = this.#decision.state.workClass(specification.customer, specification.workClass);
+        const { declaredRunTimeMs } = specification;
+        return create(JobSpecificationSchema, {
+            ...specification,
+            $typeName: undefined,
+            repeatable: specification.repeatable && !workClass?.neverRepeat,
+            declaredResources: specification.declaredResources ?? workClass?.defaultResources,
+            declaredRunTimeMs: declaredRunTimeMs > 0 ? declaredRunTimeMs : workClass?.defaultRunTimeMs ?? 0,
+        });
+    }
+
+    #new(key: JobKey, specification: JobSpecification, contract: Contract, entryId: string): SubmitResponse {
+        const draft = create(JobSchema, { specification, state: JobState.QUEUED });
+        const queued = this.#view.describe(key, draft);
+        const admission = this.#admit(draft, queued, contract);
+        const reason = admission.reason ?? Reason.UNSPECIFIED;
+        if (!admission.admitted && TEMPORARY_REASONS.has(reason)) {
+            return failure(refusal(reason, admission, entryId));
+        }
+        this.#decision.record({ case: "jobAccepted", value: { specification, entryId } });
+        const { state } = this.#decision;
+        if (!admission.admitted) {
+            this.#attempts.endJob(state.job(key) ?? draft, Outcome.NOT_RUN, reason, { detail: detailOf(admission) });
+            this.#orders.outcomeDelivered(key);
+            return accepted(state.job(key) ?? draft);
+        }
+        this.#place(key, queued);
+        const order = this.#orders.startNow(key);
+        return accepted(state.job(key) ?? draft, order);
+    }
+
+    /** Waiting work of the same kind goes first; batch work that waits is placed by the next tick. */
+    #place(key: JobKey, { workKind }: QueuedJob): void {
+        if (this.#view.queuedOfKind(workKind) <= 1) {
+            this.#placer.placeNew(key);
+        }
+        else if (workKind === WorkKind.LATENCY_CRITICAL) {
+            this.#placer.placeQueued(URGENT_ROUND);
+        }
+    }
+
+    #admit(draft: Job, queued: QueuedJob, contract: Contract): Admission {
+        const { state, policies, nowMs } = this.#decision;
+        const specification = draft.specification as JobSpecification;
+        const permanent = this.#permanentRefusal(specification, queued, contract);
+        if (permanent !== undefined) {
+            return { admitted: false, reason: permanent };
+        }
+        const full = state.useOfCustomer(contract.customer).queuedJobs >= (contract.quota?.queuedJobs ?? 0);
+        if (full && !this.#placer.couldPlace(draft, queued)) {
+            return { admitted: false, reason: Reason.QUEUE_FULL, retryAfterMs: QUEUE_FULL_RETRY_MS };
+        }
+        return policies.admission.admit(specification, queued, this.#expectedWaitMs(draft, queued), nowMs);
+    }
+
+    #permanentRefusal(specification: JobSpecification, queued: QueuedJob, contract: Contract): Reason | undefined {
+        const { state, policies, nowMs } = this.#decision;
+        if (!contract.classes.some(workClass => workClass.name === specification.workClass)) {
+            return Reason.CLASS_NOT_IN_CONTRACT;
+        }
+        if (specification.deadlineMs > 0 && specification.deadlineMs <= nowMs) {
+            return Reason.DEADLINE_PASSED;
+        }
+        if (!fitsWithin(queued.reserved, contract.quota?.resources ?? NO_RESOURCES)) {
+            return Reason.LARGER_THAN_QUOTA;
+        }
+        if (state.backendServerCount > 0 && !policies.placement.couldEverFit(queued.reserved)) {
+            return Reason.LARGER_THAN_ANY_BACKEND_SERVER;
+        }
+        return undefined;
+    }
+
+    /** Rough: work of the same kind that waits, spread over all slots. Only needed where there is a deadline. */
+    #expectedWaitMs(draft: Job, queued: QueuedJob): number {
+        if (queued.deadlineMs === 0 || this.#placer.couldPlace(draft, queued)) {
+            return 0;
+        }
+        const { reservation } = this.#decision.policies;
+        const declaredMs = draft.specification?.declaredRunTimeMs ?? 0;
+        const runTimeMs = reservation.expectedRunTimeMs(queued.classKey, declaredMs);
+        return this.#view.queuedOfKind(queued.workKind) * runTimeMs / Math.max(1, this.#view.totalSlots);
+    }
+}
+
+const accepted = (job: Job, order?: SubmitResponse["order"]): SubmitResponse =>
+    create(SubmitResponseSchema, { result: { case: "job", value: job }, order });
+
+const failure = (error: StepError): SubmitResponse =>
+    create(SubmitResponseSchema, { result: { case: "error", value: error.toDetail() } });
+
+const detailOf = ({ detail, retryAfterMs }: Admission): string =>
+    detail ?? (retryAfterMs === undefined ? "" : `try again after ${Math.ceil(retryAfterMs)} ms`);
+
+const refusal = (reason: Reason, { retryAfterMs, detail }: Admission, peer: string): StepError => {
+    const name = Reason[reason].toLowerCase().replaceAll("_", "-");
+    const message = `not accepted: ${name}${detail === undefined ? "" : `, ${detail}`}`;
+    return new StepError(ErrorCode.OVERLOADED, STEP, peer, message, { retryAfterMs });
+};
--- /dev/null
+++ b/packages/scheduler/src/operators/explanations.ts
@@ -0,0 +1,27 @@
+import type { JobKey } from "@waxwingspread/common";
+
+const SENTENCES_PER_JOB = 8;
+const GREATEST_JOBS = 20_000;
+
+/** Recent reasons of decisions on each job, in sentences. Lost with the leader. */
+export class Explanations {
+    readonly #sentences = new Map<JobKey, string[]>();
+
+    add(key: JobKey, sentence: string, nowMs: number): void {
+        const known = this.#sentences.get(key) ?? [];
+        this.#sentences.delete(key);
+        this.#sentences.set(key, [...known, `${new Date(nowMs).toISOString()} ${sentence}`].slice(-SENTENCES_PER_JOB));
+        if (this.#sentences.size > GREATEST_JOBS) {
+            const oldest = this.#sentences.keys().next().value;
+            this.#sentences.delete(oldest ?? key);
+        }
+    }
+
+    of(key: JobKey): string[] {
+        return this.#sentences.get(key) ?? [];
+    }
+
+    forget(key: JobKey): void {
+        this.#sentences.delete(key);
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/orders/order-tracker.ts
@@ -0,0 +1,286 @@
+import { create } from "@bufbuild/protobuf";
+import { jobKeyOf } from "@waxwingspread/common";
+import type { JobKey } from "@waxwingspread/common";
+import { AttemptState, JobState, OrderKind, OrderSchema } from "@waxwingspread/protocol";
+import type { Attempt, BackendServer, Job, Order, TaskStatus } from "@waxwingspread/protocol";
+import { isFinalStop } from "../attempts/stop-reasons.js";
+import { specificationOf } from "../decision.js";
+import type { Decision } from "../decision.js";
+import type { BackendClocks } from "../servers/backend-clocks.js";
+import { heldAttempt } from "../state/usage.js";
+import { DueQueue } from "../timing/due-queue.js";
+import type { WorkView } from "../work-view.js";
+import type { EntryRegistry } from "./entry-registry.js";
+
+/** An order and the entry that shall carry it out. */
+export interface OrderFor {
+    entryId: string;
+    order: Order;
+}
+
+interface Tracked {
+    attemptNumber: number;
+    kind: OrderKind;
+    /** Times that the order of this kind was sent. */
+    sends: number;
+    /** Times that this leader sent a start of this attempt. */
+    starts: number;
+}
+
+interface OfferedOutcome {
+    entryIds: Set<string>;
+    untilMs: number;
+}
+
+/** Repetitions at the short interval. */
+const FAST_RESENDS = 5;
+
+/** Derives orders from the state and repeats them until their effect is observed. */
+export class OrderTracker {
+    readonly #decision: Decision;
+    readonly #clocks: BackendClocks;
+    readonly #entries: EntryRegistry;
+    readonly #view: WorkView;
+    readonly #tracked = new Map<JobKey, Tracked>();
+    readonly #due = new DueQueue();
+    readonly #throttled = new Set<JobKey>();
+    readonly #watchers = new Map<JobKey, Set<string>>();
+    readonly #outcomes = new Map<JobKey, OfferedOutcome>();
+    readonly #outcomesDue = new DueQueue();
+    #orphanStops: OrderFor[] = [];
+
+    constructor(decision: Decision, clocks: BackendClocks, entries: EntryRegistry, view: WorkView) {
+        this.#decision = decision;
+        this.#clocks = clocks;
+        this.#entries = entries;
+        this.#view = view;
+    }
+
+    jobChanged(key: JobKey, before: Job | undefined, after: Job | undefined): void {
+        const attempt = heldAttempt(after);
+        if (after === undefined || attempt === undefined) {
+            this.#tracked.delete(key);
+            this.#due.delete(key);
+            this.#throttled.delete(key);
+        }
+        else {
+            this.#track(key, after, attempt);
+        }
+        if (after?.state === JobState.ENDED && before?.state !== JobState.ENDED) {
+            this.#offerOutcome(key, after);
+        }
+    }
+
+    /** Adds an entry that waits for the outcome of a job. */
+    watch(key: JobKey, entryId: string): void {
+        this.#watchers.set(key, (this.#watchers.get(key) ?? new Set()).add(entryId));
+    }
+
+    /** Cancels the offer of an outcome that the response carries already. */
+    outcomeDelivered(key: JobKey): void {
+        this.#outcomes.delete(key);
+        this.#outcomesDue.delete(key);
+        this.#watchers.delete(key);
+    }
+
+    /** Takes note of whether a backend server runs a task throttled. */
+    throttleReported(key: JobKey, throttled: boolean): void {
+        if (throttled === this.#throttled.has(key)) {
+            return;
+        }
+        if (throttled) {
+            this.#throttled.add(key);
+        }
+        else {
+            this.#throttled.delete(key);
+        }
+        const job = this.#decision.state.job(key);
+        const attempt = heldAttempt(job);
+        if (job !== undefined && attempt !== undefined) {
+            this.#track(key, job, attempt);
+        }
+    }
+
+    /** Times that this leader sent a start of the attempt. */
+    startsSent(key: JobKey, attemptNumber: number): number {
+        const tracked = this.#tracked.get(key);
+        return tracked?.attemptNumber === attemptNumber ? tracked.starts : 0;
+    }
+
+    /** Returns the start of a job that was just assigned, for the response; it counts as sent. */
+    startNow(key: JobKey): Order | undefined {
+        const job = this.#decision.state.job(key);
+        const tracked = this.#tracked.get(key);
+        const order = job && tracked?.kind === OrderKind.START ? this.#build(job, OrderKind.START) : undefined;
+        if (order !== undefined && tracked !== undefined) {
+            this.#sent(key, tracked);
+        }
+        return order;
+    }
+
+    /** Stops a task that a backend server holds although the state has no such attempt there. */
+    stopOrphan(server: BackendServer, task: TaskStatus): void {
+        const { customer, requestId, attemptNumber } = task;
+        const entryId = this.#entries.choose("", jobKeyOf(task), this.#decision.nowMs);
+        if (entryId === undefined) {
+            return;
+        }
+        const order = create(OrderSchema, {
+            kind: OrderKind.STOP,
+            customer,
+            requestId,
+            attemptNumber,
+            backendServerId: server.backendServerId,
+            incarnation: server.incarnation,
+            backendServerAddress: server.address,
+            term: this.#decision.term,
+        });
+        this.#orphanStops.push({ entryId, order });
+    }
+
+    /** Returns the orders that are due now. */
+    takeDue(): OrderFor[] {
+        const orders = this.#orphanStops;
+        this.#orphanStops = [];
+        for (const key of this.#due.takeDue(this.#decision.nowMs)) {
+            const order = this.#send(key);
+            if (order !== undefined) {
+                orders.push(order);
+            }
+        }
+        for (const key of this.#outcomesDue.takeDue(this.#decision.nowMs)) {
+            orders.push(...this.#sendOutcome(key));
+        }
+        return orders;
+    }
+
+    /** Offers the outcome of a job to the entry that took it, for example after a change of leader. */
+    #offerOutcome(key: JobKey, job: Job): void {
+        const { nowMs, settings } = this.#decision;
+        const untilMs = job.endedAtMs + settings.outcomeOfferMs;
+        const entryIds = this.#watchers.get(key) ?? new Set<string>();
+        this.#watchers.delete(key);
+        if (untilMs < nowMs) {
+            return;
+        }
+        if (job.entryId !== "") {
+            entryIds.add(job.entryId);
+        }
+        this.#outcomes.set(key, { entryIds, untilMs });
+        this.#outcomesDue.set(key, nowMs);
+    }
+
+    #sendOutcome(key: JobKey): OrderFor[] {
+        const { nowMs, settings, state, term } = this.#decision;
+        const offer = this.#outcomes.get(key);
+        const job = state.job(key);
+        if (offer === undefined || job?.state !== JobState.ENDED || nowMs > offer.untilMs) {
+            this.#outcomes.delete(key);
+            return [];
+        }
+        const { customer, requestId } = specificationOf(job);
+        const reached = [...offer.entryIds].filter(entryId => this.#entries.isAlive(entryId, nowMs));
+        reached.forEach(entryId => offer.entryIds.delete(entryId));
+        if (offer.entryIds.size === 0) {
+            this.#outcomes.delete(key);
+        }
+        else {
+            this.#outcomesDue.set(key, nowMs + settings.resendMs);
+        }
+        return reached.map(entryId => ({
+            entryId,
+            order: create(OrderSchema, { kind: OrderKind.OUTCOME, customer, requestId, job, term }),
+        }));
+    }
+
+    #track(key: JobKey, job: Job, attempt: Attempt): void {
+        const kind = this.#needed(key, job, attempt);
+        const former = this.#tracked.get(key);
+        const sameAttempt = former?.attemptNumber === attempt.number;
+        if (sameAttempt && former.kind === kind) {
+            return;
+        }
+        const starts = sameAttempt ? former.starts : 0;
+        this.#tracked.set(key, { attemptNumber: attempt.number, kind, sends: 0, starts });
+        if (kind === OrderKind.UNSPECIFIED) {
+            this.#due.delete(key);
+        }
+        else {
+            this.#due.set(key, this.#decision.nowMs);
+        }
+    }
+
+    #needed(key: JobKey, job: Job, attempt: Attempt): OrderKind {
+        if (attempt.state === AttemptState.ASSIGNED) {
+            return OrderKind.START;
+        }
+        if (attempt.state === AttemptState.STOPPING) {
+            return job.cancelRequested || isFinalStop(attempt.stopReason)
+                ? OrderKind.STOP
+                : OrderKind.CHECKPOINT_AND_STOP;
+        }
+        if (attempt.throttled === this.#throttled.has(key)) {
+            return OrderKind.UNSPECIFIED;
+        }
+        return attempt.throttled ? OrderKind.THROTTLE : OrderKind.UNTHROTTLE;
+    }
+
+    #send(key: JobKey): OrderFor | undefined {
+        const { state, nowMs, settings } = this.#decision;
+        const job = state.job(key);
+        const tracked = this.#tracked.get(key);
+        if (job === undefined || tracked === undefined || this.#startWindowPassed(job, tracked)) {
+            return undefined;
+        }
+        const entryId = this.#entries.choose(job.entryId, `${key}#${tracked.attemptNumber}`, nowMs);
+        const order = entryId === undefined ? undefined : this.#build(job, tracked.kind);
+        if (entryId === undefined || order === undefined) {
+            this.#due.set(key, nowMs + settings.resendMs);
+            return undefined;
+        }
+        this.#sent(key, tracked);
+        return { entryId, order };
+    }
+
+    #sent(key: JobKey, tracked: Tracked): void {
+        const { nowMs, settings } = this.#decision;
+        tracked.sends += 1;
+        tracked.starts += tracked.kind === OrderKind.START ? 1 : 0;
+        this.#due.set(key, nowMs + (tracked.sends <= FAST_RESENDS ? settings.resendMs : settings.slowResendMs));
+    }
+
+    /** A start that is too late is not repeated; an announcement tells what became of the attempt. */
+    #startWindowPassed(job: Job, tracked: Tracked): boolean {
+        const attempt = heldAttempt(job);
+        const estimateMs = attempt && this.#clocks.estimate(attempt.backendServerId, this.#decision.nowMs);
+        return tracked.kind === OrderKind.START && attempt !== undefined && estimateMs !== undefined
+            && estimateMs > attempt.startDeadlineBackendMs;
+    }
+
+    /** Undefined while the lease that a start must carry is not known. */
+    #build(job: Job, kind: OrderKind): Order | undefined {
+        const attempt = heldAttempt(job);
+        const server = attempt && this.#decision.state.backendServer(attempt.backendServerId);
+        const leaseMs = attempt && this.#clocks.lastGrant(attempt.backendServerId);
+        if (attempt === undefined || server === undefined || kind === OrderKind.START && leaseMs === undefined) {
+            return undefined;
+        }
+        const specification = specificationOf(job);
+        return create(OrderSchema, {
+            kind,
+            customer: specification.customer,
+            requestId: specification.requestId,
+            attemptNumber: attempt.number,
+            backendServerId: attempt.backendServerId,
+            incarnation: attempt.incarnation,
+            backendServerAddress: server.address,
+            term: this.#decision.term,
+            startDeadlineBackendMs: attempt.startDeadlineBackendMs,
+            leaseExpiresBackendMs: leaseMs ?? 0,
+            specification,
+            reserved: attempt.reserved,
+            checkpoint: job.checkpoint,
+            workKind: this.#view.workKind(job),
+        });
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/placement/handover.ts
@@ -0,0 +1,80 @@
+import { parseJobKey } from "@waxwingspread/common";
+import type { JobKey } from "@waxwingspread/common";
+import { AttemptState, JobState } from "@waxwingspread/protocol";
+import type { Job, Reason, Resources } from "@waxwingspread/protocol";
+import type { Attempts } from "../attempts/attempts.js";
+import type { Decision } from "../decision.js";
+import { heldAttempt } from "../state/usage.js";
+import type { WorkView } from "../work-view.js";
+import type { Placer } from "./placer.js";
+
+interface Hold {
+    backendServerId: string;
+    taskKey: string;
+    reserved: Resources;
+}
+
+/**
+ * Moves standing work: reserves a new place, stops the old attempt, and starts the new one once the stop is confirmed.
+ * Reservations are lost with the leader; the next one places a stopped job as it places any other.
+ */
+export class Handover {
+    readonly #decision: Decision;
+    readonly #view: WorkView;
+    readonly #placer: Placer;
+    readonly #attempts: Attempts;
+    readonly #holds = new Map<JobKey, Hold>();
+
+    constructor(decision: Decision, view: WorkView, placer: Placer, attempts: Attempts) {
+        this.#decision = decision;
+        this.#view = view;
+        this.#placer = placer;
+        this.#attempts = attempts;
+    }
+
+    /** Starts to move a job; false where no place is free at present. */
+    begin(key: JobKey, job: Job, reason: Reason): boolean {
+        const task = this.#view.task(key);
+        const attempt = heldAttempt(job);
+        if (task === undefined || attempt === undefined || attempt.state === AttemptState.STOPPING) {
+            return false;
+        }
+        const { placement } = this.#decision.policies;
+        const query = this.#view.placementQuery(job, { ...this.#view.describe(key, job), reserved: task.reserved });
+        const place = placement.choose(query, this.#decision.nowMs);
+        if (place === undefined) {
+            const { customer, requestId } = parseJobKey(key);
+            this.#placer.evictFor(key, query, `${customer}/${requestId}`);
+            return false;
+        }
+        const taskKey = `${task.taskKey}-handover`;
+        placement.occupy(place.backendServerId, { ...task, taskKey, placedAtMs: this.#decision.nowMs });
+        this.#holds.set(key, { backendServerId: place.backendServerId, taskKey, reserved: task.reserved });
+        const { backendServerId } = attempt;
+        this.#attempts.stop(job, reason, `Moved from ${backendServerId} to ${place.backendServerId}.`);
+        return true;
+    }
+
+    /** Places a job whose old attempt has ended on the server that was reserved for it. */
+    requeued(key: JobKey): void {
+        const hold = this.#release(key);
+        if (hold !== undefined) {
+            this.#placer.assign(key, hold.backendServerId, hold.reserved, "reserved for the handover");
+        }
+    }
+
+    jobChanged(key: JobKey, after: Job | undefined): void {
+        if (after === undefined || after.state === JobState.ENDED) {
+            this.#release(key);
+        }
+    }
+
+    #release(key: JobKey): Hold | undefined {
+        const hold = this.#holds.get(key);
+        if (hold !== undefined) {
+            this.#holds.delete(key);
+            this.#decision.policies.placement.release(hold.backendServerId, hold.taskKey);
+        }
+        return hold;
+    }
+}
--- a/packages/scheduler/src/policy/basic-policies.ts
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -3,7 +3,7 @@
 import type { JobSpecification, Resources } from "@waxwingspread/protocol";
 import { addResources, fitsWithin, NO_RESOURCES } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
-import { TokenBucket } from "../timing/token-bucket.js";
+import { setBucket, TokenBucket } from "../timing/token-bucket.js";
 import type {
     Admission,
     AdmissionPolicy,
@@ -292,16 +292,6 @@
     }
 }
 
-const setBucket = (buckets: Map<string, TokenBucket>, customer: string, perSecond: number, size: number): void => {
-    const bucket = buckets.get(customer);
-    if (bucket === undefined) {
-        buckets.set(customer, new TokenBucket(perSecond, size));
-        return;
-    }
-    bucket.perSecond = perSecond;
-    bucket.size = size;
-};
-
 /** Limits the rate and refuses deadlines that can't be met. */
 class BasicAdmissionPolicy implements AdmissionPolicy {
     readonly #buckets = new Map<string, TokenBucket>();
--- /dev/null
+++ b/packages/scheduler/src/scheduler.ts
@@ -0,0 +1,219 @@
+import { create } from "@bufbuild/protobuf";
+import { jobKeyOf } from "@waxwingspread/common";
+import type { SeededRandom } from "@waxwingspread/common";
+import { ReportResponseSchema } from "@waxwingspread/protocol";
+import type {
+    AcknowledgeRequest,
+    AcknowledgeResponse,
+    CancelRequest,
+    CancelResponse,
+    Event,
+    Job,
+    LookUpRequest,
+    LookUpResponse,
+    OperatorCommand,
+    OperatorQuery,
+    OperatorQueryResult,
+    OperatorResult,
+    PollRequest,
+    ReportRequest,
+    ReportResponse,
+    SubmitRequest,
+    SubmitResponse,
+} from "@waxwingspread/protocol";
+import { Attempts } from "./attempts/attempts.js";
+import { AttemptReports } from "./attempts/reports.js";
+import { Decision, specificationOf } from "./decision.js";
+import { JobRequests } from "./jobs/cancellation.js";
+import { JobTimers } from "./jobs/job-timers.js";
+import { Submission } from "./jobs/submission.js";
+import { OperatorCommands } from "./operators/commands.js";
+import { Explanations } from "./operators/explanations.js";
+import { OperatorQueries } from "./operators/queries.js";
+import { EntryRegistry } from "./orders/entry-registry.js";
+import { OrderTracker } from "./orders/order-tracker.js";
+import type { OrderFor } from "./orders/order-tracker.js";
+import { Handover } from "./placement/handover.js";
+import { Mitigations } from "./placement/mitigation.js";
+import { Placer } from "./placement/placer.js";
+import { Announcements } from "./servers/announcements.js";
+import { BackendClocks } from "./servers/backend-clocks.js";
+import { LeaseKeeper } from "./servers/lease-keeper.js";
+import type { SchedulerSettings } from "./settings.js";
+import type { ClusterObserver, ClusterState } from "./state/cluster-state.js";
+import { WorkView } from "./work-view.js";
+import { ZoneOperations } from "./zones/zone-operations.js";
+
+/** Everything decided since the last `takeDecision`. */
+export interface SchedulerDecision {
+    events: Event[];
+    /** To be released once the events are committed. */
+    orders: OrderFor[];
+}
+
+/**
+ * Decides for the leader. Events are applied to the state as they are decided; responses and orders may be released
+ * only once the events are committed. One instance serves one term.
+ */
+export class Scheduler {
+    readonly #decision: Decision;
+    readonly #clocks: BackendClocks;
+    readonly #entries: EntryRegistry;
+    readonly #view: WorkView;
+    readonly #explanations = new Explanations();
+    readonly #attempts: Attempts;
+    readonly #orders: OrderTracker;
+    readonly #placer: Placer;
+    readonly #handover: Handover;
+    readonly #zones: ZoneOperations;
+    readonly #leases: LeaseKeeper;
+    readonly #reports: AttemptReports;
+    readonly #announcements: Announcements;
+    readonly #jobTimers: JobTimers;
+    readonly #mitigations: Mitigations;
+    readonly #submission: Submission;
+    readonly #jobRequests: JobRequests;
+    readonly #commands: OperatorCommands;
+    readonly #queries: OperatorQueries;
+
+    constructor(state: ClusterState, settings: SchedulerSettings, random: SeededRandom) {
+        const decision = new Decision(state, settings, random, settings.createPolicies(random));
+        this.#decision = decision;
+        this.#clocks = new BackendClocks(settings);
+        this.#entries = new EntryRegistry(settings.entryTimeoutMs);
+        this.#view = new WorkView(decision, this.#clocks);
+        this.#attempts = new Attempts(decision, this.#view, this.#explanations);
+        this.#orders = new OrderTracker(decision, this.#clocks, this.#entries, this.#view);
+        this.#placer = new Placer(decision, this.#view, this.#clocks, this.#attempts, this.#explanations);
+        this.#handover = new Handover(decision, this.#view, this.#placer, this.#attempts);
+        this.#zones = new ZoneOperations(decision, this.#view, this.#attempts, this.#handover);
+        this.#leases = new LeaseKeeper(decision, this.#clocks, this.#view, this.#attempts);
+        this.#reports = new AttemptReports(decision, this.#attempts, this.#orders);
+        this.#announcements = new Announcements(
+            decision,
+            this.#view,
+            this.#clocks,
+            this.#attempts,
+            this.#reports,
+            this.#leases,
+        );
+        this.#jobTimers = new JobTimers(decision, this.#attempts);
+        this.#mitigations = new Mitigations(decision, this.#attempts);
+        this.#submission = new Submission(decision, this.#view, this.#placer, this.#attempts, this.#orders);
+        this.#jobRequests = new JobRequests(decision, this.#attempts);
+        this.#commands = new OperatorCommands(decision, this.#view, this.#attempts, this.#zones, this.#entries);
+        this.#queries = new OperatorQueries(decision, this.#view, this.#zones, this.#entries, this.#explanations);
+        this.#attempts.onEnded((attempt, end) => this.#zones.attemptEnded(attempt, end));
+        this.#attempts.onRequeued(key => this.#handover.requeued(key));
+    }
+
+    /** Takes over the state as the leader of a new term; observes it from now on. */
+    startTerm(term: number, leaderId: string, nowMs: number): void {
+        const { state } = this.#decision;
+        this.#decision.advance(nowMs);
+        this.#decision.term = term;
+        this.#clocks.startTerm(nowMs);
+        this.#view.load();
+        for (const job of state.jobs()) {
+            this.#jobLoaded(job);
+        }
+        state.observe(this.#observer());
+        this.#leases.startTerm();
+        this.#decision.record({ case: "termStarted", value: { term, leaderId } });
+    }
+
+    /** Accepts, refuses or finds a request; the response carries the start order if it was placed at once. */
+    submit(request: SubmitRequest, nowMs: number): SubmitResponse {
+        this.#decision.advance(nowMs);
+        return this.#submission.submit(request);
+    }
+
+    cancel(request: CancelRequest, nowMs: number): CancelResponse {
+        this.#decision.advance(nowMs);
+        return this.#jobRequests.cancel(request);
+    }
+
+    acknowledge(request: AcknowledgeRequest, nowMs: number): AcknowledgeResponse {
+        this.#decision.advance(nowMs);
+        return this.#jobRequests.acknowledge(request);
+    }
+
+    /** Takes in reports in the order ends, starts, announcements, so that a list never precedes the end it implies. */
+    report(request: ReportRequest, nowMs: number): ReportResponse {
+        this.#decision.advance(nowMs);
+        request.ends.forEach(end => this.#reports.endReported(end));
+        request.starts.forEach(start => this.#reports.startReported(start));
+        const leases = request.announcements
+            .map(announcement => this.#announcements.announced(announcement))
+            .filter(lease => lease !== undefined);
+        return create(ReportResponseSchema, {
+            leases,
+            settledEnds: request.ends.map((unusedEnd, position) => position),
+        });
+    }
+
+    execute(command: OperatorCommand, nowMs: number): OperatorResult {
+        this.#decision.advance(nowMs);
+        return this.#commands.execute(command);
+    }
+
+    entrySeen(poll: PollRequest, nowMs: number): void {
+        this.#decision.advance(nowMs);
+        this.#entries.seen(poll, nowMs);
+    }
+
+    /** Carries out what is due by time and places what can be placed. */
+    tick(nowMs: number): void {
+        this.#decision.advance(nowMs);
+        this.#leases.tick();
+        this.#decision.policies.health.due(nowMs).forEach(change => this.#attempts.recordHealth(change));
+        this.#zones.tick();
+        this.#jobTimers.tick();
+        this.#mitigations.tick();
+        this.#placer.placeQueued(this.#decision.settings.placementsPerRound);
+    }
+
+    lookUp(request: LookUpRequest): LookUpResponse {
+        return this.#jobRequests.lookUp(request);
+    }
+
+    query(query: OperatorQuery): OperatorQueryResult {
+        return this.#queries.query(query);
+    }
+
+    /** Choices of the placement policy that the state did not permit. */
+    get rejectedPlacements(): number {
+        return this.#placer.rejectedPlacements;
+    }
+
+    /** Returns and clears the decided events and the orders that are due. */
+    takeDecision(): SchedulerDecision {
+        const orders = this.#orders.takeDue();
+        return { events: this.#decision.takeEvents(), orders };
+    }
+
+    #jobLoaded(job: Job): void {
+        const key = jobKeyOf(specificationOf(job));
+        this.#orders.jobChanged(key, undefined, job);
+        this.#jobTimers.jobChanged(key, job);
+    }
+
+    #observer(): ClusterObserver {
+        return {
+            jobChanged: (key, before, after) => {
+                this.#view.jobChanged(key, before, after);
+                this.#orders.jobChanged(key, before, after);
+                this.#jobTimers.jobChanged(key, after);
+                this.#handover.jobChanged(key, after);
+                this.#zones.jobChanged(before, after);
+                if (after === undefined) {
+                    this.#explanations.forget(key);
+                    this.#placer.forget(key);
+                }
+            },
+            backendServerChanged: (id, before, after) => this.#view.backendServerChanged(id, before, after),
+            contractChanged: (customer, unusedBefore, after) => this.#view.contractChanged(customer, after),
+            zoneChanged: (name, unusedBefore, after) => this.#zones.zoneChanged(name, after),
+        };
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/servers/announcements.ts
@@ -0,0 +1,154 @@
+import { create } from "@bufbuild/protobuf";
+import { jobKeyOf } from "@waxwingspread/common";
+import { BackendServerSchema, LeaseGrantSchema, Reason } from "@waxwingspread/protocol";
+import type { Announcement, BackendServer, LeaseGrant, Resources } from "@waxwingspread/protocol";
+import type { Attempts } from "../attempts/attempts.js";
+import type { AttemptReports } from "../attempts/reports.js";
+import type { Decision } from "../decision.js";
+import { addResources, fitsWithin, NO_RESOURCES } from "../state/resources.js";
+import { heldAttempt } from "../state/usage.js";
+import { taskKeyOf } from "../work-view.js";
+import type { WorkView } from "../work-view.js";
+import type { BackendClocks } from "./backend-clocks.js";
+import type { LeaseKeeper } from "./lease-keeper.js";
+
+const equalResources = (a: Resources | undefined, b: Resources | undefined): boolean =>
+    fitsWithin(a ?? NO_RESOURCES, b ?? NO_RESOURCES) && fitsWithin(b ?? NO_RESOURCES, a ?? NO_RESOURCES);
+
+/** Takes in what backend servers say of themselves. */
+export class Announcements {
+    readonly #decision: Decision;
+    readonly #view: WorkView;
+    readonly #clocks: BackendClocks;
+    readonly #attempts: Attempts;
+    readonly #reports: AttemptReports;
+    readonly #leases: LeaseKeeper;
+
+    constructor(
+        decision: Decision,
+        view: WorkView,
+        clocks: BackendClocks,
+        attempts: Attempts,
+        reports: AttemptReports,
+        leases: LeaseKeeper,
+    ) {
+        this.#decision = decision;
+        this.#view = view;
+        this.#clocks = clocks;
+        this.#attempts = attempts;
+        this.#reports = reports;
+        this.#leases = leases;
+    }
+
+    /** Returns the renewed leases; undefined where the announcement is outdated or not valid. */
+    announced(announcement: Announcement): LeaseGrant | undefined {
+        const { state, nowMs, term } = this.#decision;
+        const { backendServerId, incarnation, clockMs } = announcement;
+        if (backendServerId === "" || incarnation === "" || announcement.capacity === undefined) {
+            return undefined;
+        }
+        if (!this.#isCurrent(announcement) || !this.#clocks.heard(announcement, nowMs)) {
+            return undefined;
+        }
+        this.#update(announcement);
+        const server = state.backendServer(backendServerId);
+        if (server === undefined) {
+            return undefined;
+        }
+        this.#leases.heard(backendServerId);
+        this.#reports.listed(server, announcement);
+        this.#observeUsage(announcement);
+        this.#view.refreshServer(backendServerId);
+        const expiresBackendMs = this.#clocks.grant(backendServerId, clockMs);
+        return create(LeaseGrantSchema, { backendServerId, incarnation, expiresBackendMs, term });
+    }
+
+    /**
+     * Replaces the known incarnation by a new one. Incarnations have no order, so a late announcement of one that
+     * never reached the leader looks new; the known one must have been silent for longer than it takes to announce.
+     */
+    #isCurrent({ backendServerId, incarnation }: Announcement): boolean {
+        const { state, nowMs, settings } = this.#decision;
+        const known = state.backendServer(backendServerId);
+        if (known === undefined || known.incarnation === incarnation) {
+            return true;
+        }
+        const silenceMs = this.#clocks.silenceMs(backendServerId, nowMs);
+        if (known.formerIncarnations.includes(incarnation) || silenceMs < settings.incarnationQuietMs) {
+            return false;
+        }
+        this.#attempts.loseAll(backendServerId, "the backend server has restarted");
+        return true;
+    }
+
+    /** Records what changed; an incarnation that is leaving never stays after all. */
+    #update(announcement: Announcement): void {
+        const { state } = this.#decision;
+        const { backendServerId, incarnation, address, availabilityZone, rack, capacity, slots } = announcement;
+        const known = state.backendServer(backendServerId);
+        const sameIncarnation = known?.incarnation === incarnation;
+        const leaving = announcement.leaving || sameIncarnation && known.leaving;
+        const changed = !sameIncarnation || known.address !== address || known.availabilityZone !== availabilityZone
+            || known.rack !== rack || known.slots !== slots || !equalResources(known.capacity, capacity);
+        if (!changed) {
+            this.#view.setShrinking(backendServerId, false);
+        }
+        if (changed) {
+            const value = { backendServerId, incarnation, address, availabilityZone, rack, capacity, slots, leaving };
+            this.#join(create(BackendServerSchema, value));
+        }
+        else if (leaving && !known.leaving) {
+            this.#decision.record({ case: "backendServerLeaving", value: { backendServerId, incarnation } });
+        }
+    }
+
+    /** A server that shrinks below its use keeps its record until enough work has left. */
+    #join(server: BackendServer): void {
+        const { state } = this.#decision;
+        const { backendServerId } = server;
+        const use = state.useOfBackendServer(backendServerId);
+        let { resources } = use;
+        let tasks = use.jobKeys.size;
+        const fits = (): boolean => fitsWithin(resources, server.capacity ?? NO_RESOURCES) && tasks <= server.slots;
+        this.#view.setShrinking(backendServerId, !fits());
+        if (fits()) {
+            this.#decision.record({ case: "backendServerJoined", value: { backendServer: server } });
+            return;
+        }
+        const youngestFirst = [...use.jobKeys].reverse();
+        for (const key of youngestFirst) {
+            const job = state.job(key);
+            if (job === undefined || fits()) {
+                break;
+            }
+            resources = addResources(resources, heldAttempt(job)?.reserved ?? NO_RESOURCES, -1);
+            tasks -= 1;
+            this.#attempts.stop(
+                job,
+                Reason.EVICTED,
+                `Evicted because ${backendServerId} has less capacity than before.`,
+            );
+        }
+    }
+
+    #observeUsage(announcement: Announcement): void {
+        const { policies, nowMs, state } = this.#decision;
+        const { backendServerId, clockMs } = announcement;
+        for (const usage of announcement.usage) {
+            const key = jobKeyOf(usage);
+            const job = state.job(key);
+            if (job?.specification === undefined || usage.used === undefined) {
+                continue;
+            }
+            const classKey = `${usage.customer}/${job.specification.workClass}`;
+            policies.reservation.observe(classKey, usage.used);
+            policies.interference.observe({
+                taskKey: taskKeyOf(key, usage.attemptNumber),
+                backendServerId,
+                measuredAtMs: nowMs - Math.max(0, clockMs - usage.measuredAtBackendMs),
+                used: usage.used,
+                speedRatio: usage.speedRatio,
+            }, nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/servers/backend-clocks.ts
@@ -0,0 +1,109 @@
+import type { Announcement } from "@waxwingspread/protocol";
+import type { SchedulerSettings } from "../settings.js";
+
+interface Clock {
+    incarnation: string;
+    sequence: number;
+    /** Reading of the server's clock that it had reached at `anchorAtMs` of the leader's time. */
+    anchorMs: number;
+    anchorAtMs: number;
+    lastHeardAtMs: number;
+    /** Latest lease expiry granted by this leader, by the server's clock. */
+    lastGrantMs: number;
+}
+
+/** What the leader knows of the clocks of the backend servers. Lost with the leader. */
+export class BackendClocks {
+    readonly #clocks = new Map<string, Clock>();
+    readonly #settings: SchedulerSettings;
+    #termStartedAtMs = 0;
+
+    constructor(settings: SchedulerSettings) {
+        this.#settings = settings;
+    }
+
+    startTerm(nowMs: number): void {
+        this.#termStartedAtMs = nowMs;
+        this.#clocks.clear();
+    }
+
+    /** Takes an announcement into account; false where a newer one of the same incarnation came before. */
+    heard(announcement: Announcement, nowMs: number): boolean {
+        const { backendServerId, incarnation, sequence, clockMs, heldMs } = announcement;
+        const known = this.#clocks.get(backendServerId);
+        const clock = known?.incarnation === incarnation ? known : undefined;
+        if (clock !== undefined && sequence <= clock.sequence) {
+            return false;
+        }
+        const rate = this.#slowestRate;
+        const readingMs = clockMs + Math.max(0, heldMs) * rate;
+        const estimateMs = clock === undefined ? readingMs : this.#estimate(clock, nowMs);
+        this.#clocks.set(backendServerId, {
+            incarnation,
+            sequence,
+            anchorMs: Math.max(readingMs, estimateMs),
+            anchorAtMs: nowMs,
+            lastHeardAtMs: nowMs,
+            lastGrantMs: clock?.lastGrantMs ?? 0,
+        });
+        return true;
+    }
+
+    /** Grants leases up to the announced reading plus the lease; returns the expiry by the server's clock. */
+    grant(backendServerId: string, announcedMs: number): number {
+        const clock = this.#clocks.get(backendServerId);
+        if (clock === undefined) {
+            return 0;
+        }
+        clock.lastGrantMs = Math.max(clock.lastGrantMs, announcedMs + this.#settings.leaseMs);
+        return clock.lastGrantMs;
+    }
+
+    /** Reading that the server's clock has certainly reached; undefined while it was not heard in this term. */
+    estimate(backendServerId: string, nowMs: number): number | undefined {
+        const clock = this.#clocks.get(backendServerId);
+        return clock === undefined ? undefined : this.#estimate(clock, nowMs);
+    }
+
+    lastGrant(backendServerId: string): number | undefined {
+        const clock = this.#clocks.get(backendServerId);
+        return clock === undefined || clock.lastGrantMs === 0 ? undefined : clock.lastGrantMs;
+    }
+
+    isHeard(backendServerId: string, nowMs: number): boolean {
+        const clock = this.#clocks.get(backendServerId);
+        return clock !== undefined && nowMs - clock.lastHeardAtMs <= this.#settings.silentAfterMs;
+    }
+
+    /** Time since the server was heard, or since the term started if that is later. */
+    silenceMs(backendServerId: string, nowMs: number): number {
+        const heardAtMs = this.#clocks.get(backendServerId)?.lastHeardAtMs ?? this.#termStartedAtMs;
+        return nowMs - Math.max(heardAtMs, this.#termStartedAtMs);
+    }
+
+    /**
+     * True where every lease of the server has expired by its own clock. A former leader may have renewed them up to
+     * the start of the term, so nothing has certainly expired before a whole lease has passed since then.
+     */
+    leasesExpired(backendServerId: string, nowMs: number): boolean {
+        const { leaseMs, leaseMarginMs, clockRateErrorRatio } = this.#settings;
+        const marginMs = leaseMs * clockRateErrorRatio + leaseMarginMs;
+        if (nowMs < this.#termStartedAtMs + leaseMs + marginMs) {
+            return false;
+        }
+        const clock = this.#clocks.get(backendServerId);
+        return clock === undefined || this.#estimate(clock, nowMs) >= clock.lastGrantMs + marginMs;
+    }
+
+    forget(backendServerId: string): void {
+        this.#clocks.delete(backendServerId);
+    }
+
+    get #slowestRate(): number {
+        return 1 - this.#settings.clockRateErrorRatio;
+    }
+
+    #estimate(clock: Clock, nowMs: number): number {
+        return clock.anchorMs + (nowMs - clock.anchorAtMs) * this.#slowestRate;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/servers/lease-keeper.ts
@@ -0,0 +1,68 @@
+import type { Attempts } from "../attempts/attempts.js";
+import type { Decision } from "../decision.js";
+import { DueQueue } from "../timing/due-queue.js";
+import type { WorkView } from "../work-view.js";
+import type { BackendClocks } from "./backend-clocks.js";
+
+const SILENT_CHECK_MS = 250;
+
+/** Watches silent backend servers: no new work, then loss of their tasks, then removal. */
+export class LeaseKeeper {
+    readonly #decision: Decision;
+    readonly #clocks: BackendClocks;
+    readonly #view: WorkView;
+    readonly #attempts: Attempts;
+    readonly #checks = new DueQueue();
+
+    constructor(decision: Decision, clocks: BackendClocks, view: WorkView, attempts: Attempts) {
+        this.#decision = decision;
+        this.#clocks = clocks;
+        this.#view = view;
+        this.#attempts = attempts;
+    }
+
+    startTerm(): void {
+        for (const server of this.#decision.state.backendServers()) {
+            this.heard(server.backendServerId);
+        }
+    }
+
+    /** The pending check finds out whether the server was heard again, so that announcements leave it in place. */
+    heard(backendServerId: string): void {
+        if (this.#checks.timeOf(backendServerId) === undefined) {
+            this.#checks.set(backendServerId, this.#decision.nowMs + this.#decision.settings.silentAfterMs);
+        }
+    }
+
+    tick(): void {
+        this.#checks.takeDue(this.#decision.nowMs).forEach(id => this.#check(id));
+    }
+
+    #check(id: string): void {
+        const { state, nowMs, settings } = this.#decision;
+        if (state.backendServer(id) === undefined) {
+            return;
+        }
+        const silenceMs = this.#clocks.silenceMs(id, nowMs);
+        if (silenceMs <= settings.silentAfterMs) {
+            this.#checks.set(id, nowMs + settings.silentAfterMs - silenceMs + 1);
+            return;
+        }
+        this.#view.refreshServer(id);
+        if (this.#clocks.leasesExpired(id, nowMs)) {
+            this.#attempts.loseAll(id, "the leases of the backend server have expired");
+            if (silenceMs > settings.removeSilentAfterMs) {
+                this.#remove(id);
+                return;
+            }
+        }
+        this.#checks.set(id, nowMs + SILENT_CHECK_MS);
+    }
+
+    #remove(id: string): void {
+        const incarnation = this.#decision.state.backendServer(id)?.incarnation ?? "";
+        const value = { backendServerId: id, incarnation };
+        this.#decision.record({ case: "backendServerRemoved", value });
+        this.#clocks.forget(id);
+    }
+}
--- a/packages/scheduler/src/timing/token-bucket.ts
+++ b/packages/scheduler/src/timing/token-bucket.ts
@@ -19,3 +19,19 @@
         return true;
     }
 }
+
+/** Creates or changes the bucket of a customer. */
+export const setBucket = (
+    buckets: Map<string, TokenBucket>,
+    customer: string,
+    perSecond: number,
+    size: number,
+): void => {
+    const bucket = buckets.get(customer);
+    if (bucket === undefined) {
+        buckets.set(customer, new TokenBucket(perSecond, size));
+        return;
+    }
+    bucket.perSecond = perSecond;
+    bucket.size = size;
+};
