--- /dev/null
+++ b/packages/test-support/src/stand-in-backend-server-main.ts
@@ -0,0 +1,85 @@
+import { SeededRandom } from "@waxwingspread/common";
+import { randomUUID } from "node:crypto";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+import { StandInBackendServerProcess } from "./stand-in-backend-server-process.js";
+
+const LEAVE_POLL_MS = 50;
+
+const log = (event: string, fields: Record<string, unknown> = {}): void => {
+    process.stdout.write(`${JSON.stringify({ event, ...fields })}\n`);
+};
+
+const readFlags = () =>
+    yargs(hideBin(process.argv))
+        .usage("Stands in for a backend server: announces itself to entries and runs timed tasks.")
+        .option("id", { type: "string", demandOption: true, describe: "backend server id" })
+        .option("entry", { type: "string", array: true, demandOption: true, describe: "host:port of an entry" })
+        .option("host", { type: "string", default: "127.0.0.1", describe: "address to listen on" })
+        .option("port", { type: "number", default: 0, describe: "port to listen on, 0 for a free one" })
+        .option("zone", { type: "string", default: "zone-a", describe: "availability zone" })
+        .option("rack", { type: "string", default: "rack-1", describe: "rack" })
+        .option("cpu-millicores", { type: "number", default: 16_000, describe: "processor capacity" })
+        .option("memory-mebibytes", { type: "number", default: 61_440, describe: "memory capacity" })
+        .option("accelerators", { type: "number", default: 0, describe: "accelerators" })
+        .option("slots", { type: "number", default: 8, describe: "tasks at one time" })
+        .option("seed", { type: "number", default: 1, describe: "seed of the choice of the entry and of jitter" })
+        .option("speed-ratio", { type: "number", default: 1, describe: "progress of tasks per second" })
+        .option("fail-every-task", { type: "boolean", default: false, describe: "every task fails" })
+        .option("usage-lag-ms", { type: "number", default: 3_000, describe: "delay of usage reports" })
+        .option("tick-ms", { type: "number", default: 5, describe: "interval of the timer" })
+        .option("leave-timeout-ms", {
+            type: "number",
+            default: 30_000,
+            describe: "on SIGTERM, how long to wait until all tasks have been moved and all results are settled",
+        })
+        .strict()
+        .parseSync();
+
+type Flags = ReturnType<typeof readFlags>;
+
+const startFrom = (flags: Flags): Promise<StandInBackendServerProcess> =>
+    StandInBackendServerProcess.start({
+        backendServerId: flags.id,
+        incarnation: randomUUID(),
+        availabilityZone: flags.zone,
+        rack: flags.rack,
+        capacity: {
+            cpuMillicores: flags.cpuMillicores,
+            memoryMebibytes: flags.memoryMebibytes,
+            accelerators: flags.accelerators,
+        },
+        slots: flags.slots,
+        entries: flags.entry,
+        random: new SeededRandom(flags.seed),
+        timing: { usageLagMs: flags.usageLagMs },
+        faults: { speedRatio: flags.speedRatio, failEveryTask: flags.failEveryTask },
+        host: flags.host,
+        port: flags.port,
+        tickMs: flags.tickMs,
+    });
+
+const leave = async (running: StandInBackendServerProcess, timeoutMs: number): Promise<void> => {
+    const deadlineMs = performance.now() + timeoutMs;
+    running.leave();
+    log("leaving");
+    while (!running.core.hasLeft && performance.now() < deadlineMs) {
+        await new Promise(resolve => setTimeout(resolve, LEAVE_POLL_MS));
+    }
+    log("left", { complete: running.core.hasLeft });
+    await running.terminate();
+};
+
+const main = async (): Promise<void> => {
+    const flags = readFlags();
+    const running = await startFrom(flags);
+    log("listening", { address: running.address, incarnation: running.core.incarnation });
+    process.once("SIGTERM", () => {
+        leave(running, flags.leaveTimeoutMs).then(() => process.exit(0), () => process.exit(1));
+    });
+};
+
+main().catch((error: unknown) => {
+    log("failed", { message: error instanceof Error ? error.message : String(error) });
+    process.exit(1);
+});
--- /dev/null
+++ b/packages/test-support/src/stand-in-backend-server.ts
@@ -0,0 +1,410 @@
+import { TaskPhase } from "@waxwingspread/protocol";
+import { EntryLink } from "./stand-in/entry-link.js";
+import type { CallEntry } from "./stand-in/entry-link.js";
+import {
+    announceReplySchema,
+    attemptKeyOf,
+    readJson,
+    startSchema,
+    stopSchema,
+    taskJobKeyOf,
+    throttleSchema,
+} from "./stand-in/messages.js";
+import type { AttemptIdentity, StartMessage } from "./stand-in/messages.js";
+import { emptyObservations } from "./stand-in/observations.js";
+import type { Observations, StopReason } from "./stand-in/observations.js";
+import { DEFAULT_STAND_IN_TIMING, NO_FAULTS } from "./stand-in/options.js";
+import type { ResourceAmounts, StandInFaults, StandInOptions, StandInTiming } from "./stand-in/options.js";
+import { StartGuard } from "./stand-in/start-guard.js";
+import { answerOf, holdsCapacity, isRunning, requiredProgressMs, speedOf, taskOf } from "./stand-in/task.js";
+import type { ResultMessage, Task } from "./stand-in/task.js";
+import { UsageReporter } from "./stand-in/usage-reporter.js";
+
+const HTTP_OK = 200;
+const HTTP_INVALID = 400;
+const HTTP_NOT_FOUND = 404;
+const RESOURCE_NAMES = ["cpuMillicores", "memoryMebibytes", "accelerators"] as const;
+
+/** A request of an entry. */
+export interface StandInRequest {
+    method: string;
+    path: string;
+    /** JSON text. */
+    body: string;
+}
+
+/** The reply to it; `body` is JSON text. */
+export interface StandInReply {
+    status: number;
+    body: string;
+}
+
+type Handler = (body: string, nowMs: number) => StandInReply;
+
+const replyOf = (status: number, value: unknown): StandInReply => ({ status, body: JSON.stringify(value) });
+
+/**
+ * Stands in for a backend server of the platform. Deterministic: the time comes in with each call, calls to entries
+ * go out as effects. `nowMs` is the clock of the test; the server's own clock is derived from it.
+ */
+export class StandInBackendServer {
+    readonly observations: Observations = emptyObservations();
+    readonly #options: StandInOptions;
+    readonly #timing: StandInTiming;
+    readonly #createdAtMs: number;
+    readonly #tasks = new Map<string, Task>();
+    readonly #guard = new StartGuard();
+    readonly #usage: UsageReporter;
+    readonly #link: EntryLink;
+    readonly #handlers = new Map<string, Handler>([
+        ["POST /v1/tasks", (body, nowMs) => this.#handleStart(body, nowMs)],
+        ["POST /v1/tasks/stop", (body, nowMs) => this.#handleStop(body, nowMs)],
+        ["POST /v1/tasks/throttle", body => this.#handleThrottle(body)],
+    ]);
+    #faults: StandInFaults;
+    #leaving = false;
+    #clockMs: number;
+
+    constructor(options: StandInOptions, nowMs: number) {
+        this.#options = options;
+        this.#timing = { ...DEFAULT_STAND_IN_TIMING, ...options.timing };
+        this.#faults = { ...NO_FAULTS, ...options.faults };
+        this.#createdAtMs = nowMs;
+        this.#clockMs = this.clockAt(nowMs);
+        this.#usage = new UsageReporter(this.#timing, options.usedRatio);
+        this.#link = new EntryLink(options, this.#timing, this.#clockMs);
+    }
+
+    get backendServerId(): string {
+        return this.#options.backendServerId;
+    }
+
+    get incarnation(): string {
+        return this.#options.incarnation;
+    }
+
+    get faults(): StandInFaults {
+        return this.#faults;
+    }
+
+    /** True when the server was told to leave and holds neither tasks nor unsettled results. */
+    get hasLeft(): boolean {
+        return this.#leaving && this.#tasks.size === 0;
+    }
+
+    /** Returns the reading of the server's own monotonic clock. */
+    clockAt(nowMs: number): number {
+        const { clockStartMs = 0, clockRateRatio = 1 } = this.#options;
+        return clockStartMs + (nowMs - this.#createdAtMs) * clockRateRatio;
+    }
+
+    /** Returns the resources held now. */
+    used(): ResourceAmounts {
+        const used = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
+        for (const task of this.#tasks.values()) {
+            if (holdsCapacity(task)) {
+                RESOURCE_NAMES.forEach(name => {
+                    used[name] += task.start.resources[name];
+                });
+            }
+        }
+        return used;
+    }
+
+    /** Answers an entry's request; undefined means that no reply is ever sent. */
+    handle(request: StandInRequest, nowMs: number): StandInReply | undefined {
+        this.#advance(nowMs);
+        if (this.#faults.silent) {
+            return undefined;
+        }
+        const handler = this.#handlers.get(`${request.method} ${request.path}`);
+        return handler ? handler(request.body, nowMs) : replyOf(HTTP_NOT_FOUND, { error: "no such method and path" });
+    }
+
+    /** Takes an entry's reply to a `CallEntry`. */
+    entryReplied(callId: number, reply: StandInReply, nowMs: number): void {
+        this.#advance(nowMs);
+        if (this.#faults.silent) {
+            return;
+        }
+        const announced = this.#link.announceAnswered(callId, reply, this.#clockMs);
+        const lease = announced && readJson(announceReplySchema, reply.body)?.lease;
+        if (lease && this.#guard.observeTerm(lease.term)) {
+            for (const task of this.#tasks.values()) {
+                task.leaseExpiresMs = Math.max(task.leaseExpiresMs, lease.expiresMs);
+            }
+        }
+        const settled = this.#link.resultAnswered(callId, reply, this.#tasks.values(), this.#clockMs);
+        if (settled) {
+            this.#tasks.delete(settled.key);
+            this.observations.resultsSettled += 1;
+        }
+    }
+
+    /** Takes the failure of a `CallEntry`. */
+    callFailed(callId: number, nowMs: number): void {
+        this.#advance(nowMs);
+        this.#link.failed(callId, this.#tasks.values(), this.#clockMs);
+    }
+
+    /** Sets or clears faults. */
+    setFaults(faults: Partial<StandInFaults>, nowMs: number): void {
+        this.#advance(nowMs);
+        this.#faults = { ...this.#faults, ...faults };
+    }
+
+    /** Announces at once that the server leaves; accepts no start from now on. */
+    leave(nowMs: number): void {
+        this.#advance(nowMs);
+        this.#leaving = true;
+        this.#link.announceNow(this.#clockMs);
+        this.#send();
+    }
+
+    /** Ends the process: whatever runs stops now. Nothing may be called afterwards. */
+    terminate(nowMs: number): void {
+        this.#advance(nowMs);
+        for (const task of this.#tasks.values()) {
+            this.#closeSegment(task, "terminated", nowMs);
+        }
+        this.#tasks.clear();
+    }
+
+    /** Does what is due. */
+    tick(nowMs: number): void {
+        this.#advance(nowMs);
+        this.#link.expireCalls(this.#tasks.values(), this.#clockMs);
+        this.#guard.forget(this.#clockMs);
+        this.#send();
+    }
+
+    /** Returns the calls to make since the last call of this method. */
+    takeEffects(): CallEntry[] {
+        return this.#link.takeEffects();
+    }
+
+    #send(): void {
+        if (this.#faults.silent) {
+            return;
+        }
+        if (this.#link.isAnnouncementDue(this.#clockMs)) {
+            const usage = this.#usage.takeDue(this.#clockMs);
+            this.#link.announce([...this.#tasks.values()], usage, this.#leaving, this.#clockMs);
+        }
+        for (const task of this.#tasks.values()) {
+            this.#link.sendResultIfDue(task, this.#clockMs);
+        }
+    }
+
+    /** Lets tasks run up to the given time. A lease that has expired is acted on before anything else. */
+    #advance(nowMs: number): void {
+        const targetMs = Math.max(this.#clockMs, this.clockAt(nowMs));
+        for (;;) {
+            const next = this.#nextEvent();
+            if (!next || next.atMs > targetMs) {
+                break;
+            }
+            this.#runUntil(Math.max(this.#clockMs, next.atMs));
+            next.run();
+        }
+        this.#runUntil(targetMs);
+    }
+
+    #nextEvent(): { atMs: number; run: () => void } | undefined {
+        let first: { atMs: number; run: () => void } | undefined;
+        const consider = (atMs: number, run: () => void): void => {
+            if (Number.isFinite(atMs) && (!first || atMs < first.atMs)) {
+                first = { atMs, run };
+            }
+        };
+        const holding = [...this.#tasks.values()].filter(holdsCapacity);
+        // Of events at the same time, the first one considered wins: the expiry of leases.
+        for (const task of holding) {
+            consider(task.leaseExpiresMs, () => {
+                this.#end(task, "lease-expired", { end: "stopped", detail: "lease expired" });
+            });
+        }
+        for (const task of holding) {
+            consider(task.checkpointDoneMs, () => {
+                const checkpoint = { progressMs: task.progressMs };
+                this.#end(task, "checkpointed", { end: "stopped", checkpoint, detail: "checkpointed" });
+            });
+            consider(this.#finishMs(task), () => {
+                this.#finish(task);
+            });
+        }
+        return first;
+    }
+
+    #speedOf(task: Task): number {
+        const neighbours = [...this.#tasks.values()]
+            .filter(other => other !== task && isRunning(other))
+            .map(other => other.start.workClass);
+        const slowdown = this.#options.slowdownOf?.(task.start.workClass, neighbours) ?? 1;
+        return speedOf(task, this.#faults.speedRatio, slowdown);
+    }
+
+    #finishMs(task: Task): number {
+        const speed = this.#speedOf(task);
+        const missingMs = requiredProgressMs(task, this.#faults.failEveryTask) - task.progressMs;
+        return isRunning(task) && (speed > 0 || missingMs <= 0)
+            ? this.#clockMs + Math.max(0, missingMs) / Math.max(speed, Number.MIN_VALUE)
+            : Infinity;
+    }
+
+    #runUntil(clockMs: number): void {
+        const elapsedMs = clockMs - this.#clockMs;
+        const running = [...this.#tasks.values()].filter(isRunning);
+        const speeds = running.map(task => this.#speedOf(task));
+        running.forEach((task, position) => {
+            task.progressMs += elapsedMs * (speeds[position] ?? 0);
+        });
+        this.#clockMs = clockMs;
+        this.#usage.measure(running, speeds, clockMs);
+    }
+
+    #finish(task: Task): void {
+        // Rounding of the division may leave the progress a fraction short of what is required.
+        task.progressMs = Math.max(task.progressMs, requiredProgressMs(task, this.#faults.failEveryTask));
+        if (!task.payloadValid || task.payload.fail || this.#faults.failEveryTask) {
+            const detail = task.payloadValid ? "task failed" : "payload not understood";
+            this.#end(task, "task-error", { end: "task-error", detail });
+            return;
+        }
+        this.#end(task, "completed", { end: "completed", answer: answerOf(task), detail: "" });
+    }
+
+    #end(
+        task: Task,
+        reason: StopReason,
+        result: Pick<ResultMessage, "end" | "answer" | "checkpoint" | "detail">,
+    ): void {
+        const { customer, requestId, attemptNumber } = task.start;
+        const { backendServerId, incarnation } = this.#options;
+        this.#closeSegment(task, reason, this.#nowOf(this.#clockMs));
+        task.phase = TaskPhase.ENDED;
+        task.checkpointDoneMs = Infinity;
+        task.result = { backendServerId, incarnation, customer, requestId, attemptNumber, ...result };
+        task.sending.nextMs = this.#clockMs;
+    }
+
+    #closeSegment(task: Task, reason: StopReason, nowMs: number): void {
+        if (task.segment) {
+            Object.assign(task.segment, {
+                stoppedAtMs: nowMs,
+                stopReason: reason,
+                progressAtStopMs: task.progressMs,
+            });
+            task.segment = undefined;
+        }
+    }
+
+    /** Returns the time of the test's clock at a reading of the server's clock. */
+    #nowOf(clockMs: number): number {
+        const { clockStartMs = 0, clockRateRatio = 1 } = this.#options;
+        return this.#createdAtMs + (clockMs - clockStartMs) / clockRateRatio;
+    }
+
+    #handleStart(body: string, nowMs: number): StandInReply {
+        const start = readJson(startSchema, body);
+        if (!start) {
+            return replyOf(HTTP_INVALID, { error: "not a start" });
+        }
+        const earlier = start.incarnation === this.#options.incarnation
+            ? this.#guard.earlierDecision(start)
+            : undefined;
+        if (earlier) {
+            return replyOf(HTTP_OK, { result: earlier.accepted ? "accepted" : "refused", detail: earlier.detail });
+        }
+        const refusal = this.#guard.decide(start, {
+            incarnation: this.#options.incarnation,
+            leaving: this.#leaving,
+            otherAttemptHeld: this.#holdsOtherAttempt(start),
+            fits: this.#fits(start),
+        }, this.#clockMs);
+        if (refusal !== undefined) {
+            const { startsRefused } = this.observations;
+            startsRefused[refusal] = (startsRefused[refusal] ?? 0) + 1;
+            return replyOf(HTTP_OK, { result: "refused", detail: refusal });
+        }
+        this.#begin(start, nowMs);
+        return replyOf(HTTP_OK, { result: "accepted", detail: "" });
+    }
+
+    #begin(start: StartMessage, nowMs: number): void {
+        const task = taskOf(start);
+        const { customer, requestId, attemptNumber, workClass } = start;
+        const { backendServerId, incarnation } = this.#options;
+        task.segment = {
+            customer,
+            requestId,
+            attemptNumber,
+            workClass,
+            backendServerId,
+            incarnation,
+            startedAtMs: nowMs,
+            progressAtStartMs: task.progressMs,
+        };
+        this.#tasks.set(task.key, task);
+        const { observations } = this;
+        observations.segments.push(task.segment);
+        observations.startsAccepted += 1;
+        const used = this.used();
+        RESOURCE_NAMES.forEach(name => {
+            observations.peakUsed[name] = Math.max(observations.peakUsed[name], used[name]);
+        });
+        observations.peakTasks = Math.max(observations.peakTasks, this.#heldTasks());
+    }
+
+    #heldTasks(): number {
+        return [...this.#tasks.values()].filter(holdsCapacity).length;
+    }
+
+    #holdsOtherAttempt(start: AttemptIdentity): boolean {
+        const jobKey = taskJobKeyOf(start);
+        return [...this.#tasks.values()].some(task => holdsCapacity(task) && taskJobKeyOf(task.start) === jobKey);
+    }
+
+    #fits(start: StartMessage): boolean {
+        const used = this.used();
+        const { capacity, slots } = this.#options;
+        return this.#heldTasks() < slots
+            && RESOURCE_NAMES.every(name => used[name] + start.resources[name] <= capacity[name]);
+    }
+
+    #handleStop(body: string, nowMs: number): StandInReply {
+        const stop = readJson(stopSchema, body);
+        if (!stop) {
+            return replyOf(HTTP_INVALID, { error: "not a stop" });
+        }
+        const task = this.#tasks.get(attemptKeyOf(stop));
+        if (!task) {
+            if (!this.#guard.earlierDecision(stop)) {
+                this.#guard.refuseLater(stop, "stopped before its start arrived", this.#clockMs);
+            }
+            return replyOf(HTTP_OK, { result: "unknown" });
+        }
+        if (isRunning(task) && stop.checkpoint) {
+            this.#closeSegment(task, "checkpointed", nowMs);
+            task.phase = TaskPhase.STOPPING;
+            task.checkpointDoneMs = this.#clockMs + this.#timing.checkpointMs;
+        }
+        else if (isRunning(task)) {
+            this.#end(task, "stopped", { end: "stopped", detail: "stopped" });
+        }
+        this.#send();
+        return replyOf(HTTP_OK, { result: task.phase === TaskPhase.ENDED ? "ended" : "stopping" });
+    }
+
+    #handleThrottle(body: string): StandInReply {
+        const throttle = readJson(throttleSchema, body);
+        if (!throttle) {
+            return replyOf(HTTP_INVALID, { error: "not a throttle" });
+        }
+        const task = this.#tasks.get(attemptKeyOf(throttle));
+        if (task && isRunning(task)) {
+            task.phase = throttle.throttled ? TaskPhase.THROTTLED : TaskPhase.RUNNING;
+        }
+        return replyOf(HTTP_OK, { result: task ? "done" : "unknown" });
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/stand-in-caller.ts
@@ -0,0 +1,147 @@
+import { Agent, request as httpRequest } from "undici";
+
+const DEFAULT_ATTEMPT_TIMEOUT_MS = 7_000;
+const DEFAULT_DEADLINE_MS = 30_000;
+const DEFAULT_RETRY_DELAY_MS = 100;
+const CONNECTIONS_PER_ENTRY = 64;
+
+/** Statuses after which another entry may do better: overloaded, unavailable, outcome not known. */
+const RETRIED_STATUSES = new Set([429, 503, 504]);
+
+export interface StandInCallerOptions {
+    /** `host:port` of each entry. */
+    entries: string[];
+    /** What follows `Bearer` in the header. */
+    token: string;
+    /** Bound on one attempt, in addition to the time that the entry is asked to wait. */
+    attemptTimeoutMs?: number;
+    /** Bound on all attempts together, in addition to that time. */
+    deadlineMs?: number;
+    retryDelayMs?: number;
+}
+
+/** Body of a submission. */
+export interface SubmissionBody {
+    workClass: string;
+    payload: unknown;
+    resources?: { cpuMillicores?: number; memoryMebibytes?: number; accelerators?: number };
+    runTimeMs?: number;
+    deadlineInMs?: number;
+    repeatable?: boolean;
+}
+
+/** Last reply received; status 0 when no entry replied in time. */
+export interface CallerReply {
+    status: number;
+    headers: Record<string, string | string[] | undefined>;
+    /** Undefined when the body is not JSON. */
+    json: unknown;
+    bytes: Uint8Array;
+    entry: string;
+    attempts: number;
+    elapsedMs: number;
+}
+
+const jsonOf = (bytes: Uint8Array): unknown => {
+    try {
+        return JSON.parse(Buffer.from(bytes).toString("utf8")) as unknown;
+    }
+    catch {
+        return undefined;
+    }
+};
+
+const jobPath = (requestId: string): string => `/v1/jobs/${encodeURIComponent(requestId)}`;
+
+/** Client of the callers' interface; repeats a request, with the same id, at the next entry. */
+export class StandInCaller {
+    readonly #options: Required<StandInCallerOptions>;
+    readonly #agent = new Agent({ connections: CONNECTIONS_PER_ENTRY, pipelining: 1 });
+    #nextEntry = 0;
+
+    constructor(options: StandInCallerOptions) {
+        this.#options = {
+            attemptTimeoutMs: DEFAULT_ATTEMPT_TIMEOUT_MS,
+            deadlineMs: DEFAULT_DEADLINE_MS,
+            retryDelayMs: DEFAULT_RETRY_DELAY_MS,
+            ...options,
+        };
+    }
+
+    submit(requestId: string, body: SubmissionBody, waitMs = 0): Promise<CallerReply> {
+        return this.#call("PUT", `${jobPath(requestId)}?waitMs=${waitMs}`, body, waitMs);
+    }
+
+    lookUp(requestId: string, waitMs = 0): Promise<CallerReply> {
+        return this.#call("GET", `${jobPath(requestId)}?waitMs=${waitMs}`, undefined, waitMs);
+    }
+
+    answer(requestId: string): Promise<CallerReply> {
+        return this.#call("GET", `${jobPath(requestId)}/answer`, undefined, 0);
+    }
+
+    cancel(requestId: string): Promise<CallerReply> {
+        return this.#call("DELETE", jobPath(requestId), undefined, 0);
+    }
+
+    cancelMany(requestIds: string[]): Promise<CallerReply> {
+        return this.#call("POST", "/v1/jobs:cancel", { requestIds }, 0);
+    }
+
+    acknowledge(requestId: string): Promise<CallerReply> {
+        return this.#call("POST", `${jobPath(requestId)}/acknowledge`, undefined, 0);
+    }
+
+    async close(): Promise<void> {
+        await this.#agent.destroy();
+    }
+
+    async #call(method: string, path: string, body: unknown, waitMs: number): Promise<CallerReply> {
+        const startedAtMs = performance.now();
+        const { entries, deadlineMs, retryDelayMs } = this.#options;
+        let last: CallerReply = {
+            status: 0,
+            headers: {},
+            json: undefined,
+            bytes: new Uint8Array(),
+            entry: "",
+            attempts: 0,
+            elapsedMs: 0,
+        };
+        for (let attempts = 1;; attempts += 1) {
+            const entry = entries[this.#nextEntry % entries.length] ?? "";
+            this.#nextEntry += 1;
+            const reply = await this.#attempt(entry, method, path, body, waitMs);
+            const elapsedMs = performance.now() - startedAtMs;
+            last = { ...last, ...reply, entry, attempts, elapsedMs };
+            const final = reply !== undefined && !RETRIED_STATUSES.has(reply.status);
+            if (final || elapsedMs + retryDelayMs > deadlineMs + waitMs) {
+                return last;
+            }
+            await new Promise(resolve => setTimeout(resolve, retryDelayMs));
+        }
+    }
+
+    async #attempt(
+        entry: string,
+        method: string,
+        path: string,
+        body: unknown,
+        waitMs: number,
+    ): Promise<Pick<CallerReply, "status" | "headers" | "json" | "bytes"> | undefined> {
+        try {
+            const response = await httpRequest(`http://${entry}${path}`, {
+                dispatcher: this.#agent,
+                method: method as "GET",
+                headers: { "authorization": `Bearer ${this.#options.token}`, "content-type": "application/json" },
+                body: body === undefined ? undefined : JSON.stringify(body),
+                signal: AbortSignal.timeout(this.#options.attemptTimeoutMs + waitMs),
+            });
+            const bytes = new Uint8Array(await response.body.arrayBuffer());
+            return { status: response.statusCode, headers: response.headers, json: jsonOf(bytes), bytes };
+        }
+        catch {
+            return undefined;
+        }
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/stand-in/usage-reporter.ts
@@ -0,0 +1,48 @@
+import { create } from "@bufbuild/protobuf";
+import { TaskUsageSchema } from "@waxwingspread/protocol";
+import type { TaskUsage } from "@waxwingspread/protocol";
+import type { StandInTiming } from "./options.js";
+import type { Task } from "./task.js";
+
+const DEFAULT_USED_RATIO = 0.6;
+/** Samples kept while no announcement can be sent. */
+const SAMPLES_LIMIT = 1_000;
+
+/** Measures the usage of tasks regularly and hands it out late, as the platform does. */
+export class UsageReporter {
+    #samples: TaskUsage[] = [];
+    #nextMs = 0;
+
+    constructor(readonly timing: StandInTiming, readonly usedRatio = DEFAULT_USED_RATIO) {}
+
+    /** Measures the running tasks if a measurement is due. */
+    measure(running: Task[], speeds: number[], clockMs: number): void {
+        if (clockMs < this.#nextMs) {
+            return;
+        }
+        this.#nextMs = clockMs + this.timing.usageIntervalMs;
+        running.forEach(({ start }, position) => {
+            this.#samples.push(create(TaskUsageSchema, {
+                customer: start.customer,
+                requestId: start.requestId,
+                attemptNumber: start.attemptNumber,
+                measuredAtBackendMs: clockMs,
+                used: {
+                    cpuMillicores: Math.round(start.resources.cpuMillicores * this.usedRatio),
+                    memoryMebibytes: Math.round(start.resources.memoryMebibytes * this.usedRatio),
+                    accelerators: start.resources.accelerators,
+                },
+                speedRatio: Math.min(1, speeds[position] ?? 1),
+            }));
+        });
+        this.#samples = this.#samples.slice(-SAMPLES_LIMIT);
+    }
+
+    /** Returns the measurements that are old enough to be reported, and forgets them. */
+    takeDue(clockMs: number): TaskUsage[] {
+        const isDue = (sample: TaskUsage): boolean => sample.measuredAtBackendMs + this.timing.usageLagMs <= clockMs;
+        const due = this.#samples.filter(isDue);
+        this.#samples = this.#samples.filter(sample => !isDue(sample));
+        return due;
+    }
+}
