Add the operators' command line with contracts, queries and time line

Cause: operators act through contracts, zones and replica membership and need a tool that survives lost answers. Not yet run against a daemon. After a lost answer, a refusal counts only when the leader decides it with regard to the command id; otherwise an operator's own membership change would be reported as a conflicting one. Ruled out: yargs' own handling of numbers (a request id 007 became 7); a horizontal time axis in the page (events of one millisecond overlap).

--- /dev/null
+++ b/packages/cli/src/command-line/execute-command.ts
@@ -0,0 +1,89 @@
+import { create } from "@bufbuild/protobuf";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { OperatorCommandSchema, QueryKind } from "@waxwingspread/protocol";
+import type { OperatorCommand, OperatorResult } from "@waxwingspread/protocol";
+import { Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import type { Argv } from "yargs";
+import type { ControlClient } from "../connection/control-client.js";
+import { toHex } from "../output/names.js";
+import type { CliFailure } from "./cli-failure.js";
+import { integerOption } from "./command.js";
+import type { CommandArguments, CommandContext, CommandOutput, CommandResult } from "./command.js";
+
+const COMMAND_ID_BYTES = 16;
+
+export type CommandKind = OperatorCommand["kind"];
+
+/** Adds the options of every command that changes the configuration or the membership. */
+export const changeOptions = (parser: Argv): Argv =>
+    parser
+        .option("expected-revision", {
+            type: "string",
+            description: "Revision that the change is based on; read first when left out",
+            coerce: integerOption("expected-revision", 0),
+        })
+        .option("command-id", {
+            type: "string",
+            description: "Id of a command whose outcome isn't known, to learn the outcome",
+            implies: "expected-revision",
+        });
+
+/** Returns the revision given by the operator, or else the current one. */
+export const expectedRevision = async (
+    client: ControlClient,
+    values: CommandArguments,
+): Promise<Result<number, CliFailure>> => {
+    const given = values.optionalNumber("expected-revision");
+    if (given !== undefined) {
+        return Ok(given);
+    }
+    const answer = await client.query({ kind: QueryKind.CONFIGURATION });
+    return answer.map(result => result.configuration?.revision ?? result.revision);
+};
+
+/** Returns the command id given by the operator, or else a new random one. */
+const commandIdOf = (context: CommandContext, values: CommandArguments): string =>
+    values.optionalText("command-id") ?? toHex(context.io.randomBytes(COMMAND_ID_BYTES));
+
+const describeResult = (subject: string, commandId: string, result: OperatorResult): CommandOutput => {
+    const repeated = result.repeatedCommand ? " (outcome of an earlier send)" : "";
+    return {
+        table: `${subject}: done, revision ${result.revision}${repeated}\n`,
+        json: { subject, commandId, revision: result.revision, repeatedCommand: result.repeatedCommand },
+    };
+};
+
+/** Sends one command at a known revision. */
+export const executeAt = async (
+    context: CommandContext,
+    values: CommandArguments,
+    client: ControlClient,
+    command: { subject: string; kind: MessageInitShape<typeof OperatorCommandSchema>["kind"]; revision: number },
+): Promise<CommandResult> => {
+    const commandId = commandIdOf(context, values);
+    const message = create(OperatorCommandSchema, {
+        commandId,
+        expectedRevision: command.revision,
+        kind: command.kind,
+    });
+    const result = await client.execute(message);
+    return result.map(answer => describeResult(command.subject, commandId, answer));
+};
+
+/** Reads the revision unless given, then sends one command. */
+export const execute = async (
+    context: CommandContext,
+    values: CommandArguments,
+    subject: string,
+    kind: MessageInitShape<typeof OperatorCommandSchema>["kind"],
+): Promise<CommandResult> => {
+    const client = await context.client();
+    if (client.isErr()) {
+        return client;
+    }
+    const revision = await expectedRevision(client.value, values);
+    return revision.isErr()
+        ? revision
+        : executeAt(context, values, client.value, { subject, kind, revision: revision.value });
+};
--- /dev/null
+++ b/packages/cli/src/connection/attempt-call.ts
@@ -0,0 +1,45 @@
+import type { CallOptions } from "@connectrpc/connect";
+import { StepError } from "@waxwingspread/common";
+import type { ErrorDetail } from "@waxwingspread/protocol";
+import type { AttemptVerdict } from "./call-outcome.js";
+import { transportError, verdictOf, verdictOfTransportError } from "./call-outcome.js";
+import type { ConnectionPool } from "./connection-pool.js";
+
+/** Part that all answers have in common. */
+export interface Answer {
+    error?: ErrorDetail;
+}
+
+/** Step and peer of one attempt. */
+export interface AttemptTarget {
+    readonly step: string;
+    readonly address: string;
+    readonly timeoutMs: number;
+}
+
+/** Result of one attempt: an answer, an error, or an answer that carries an error. */
+export interface Attempt<T> {
+    readonly verdict: AttemptVerdict;
+    readonly answer?: T;
+    readonly error?: StepError;
+}
+
+/** Makes one call. A connection on which it failed is dropped, because it may have become unresponsive. */
+export const attemptCall = async <T extends Answer>(
+    pool: ConnectionPool,
+    target: AttemptTarget,
+    call: (options: CallOptions) => Promise<T>,
+): Promise<Attempt<T>> => {
+    try {
+        const answer = await call({ timeoutMs: target.timeoutMs });
+        const error = answer.error === undefined ? undefined : StepError.fromDetail(answer.error);
+        return { verdict: verdictOf(answer.error), answer, error };
+    }
+    catch (error) {
+        pool.drop(target.address);
+        return {
+            verdict: verdictOfTransportError(error),
+            error: transportError(error, target.step, target.address),
+        };
+    }
+};
--- /dev/null
+++ b/packages/cli/src/contract/contract-message.ts
@@ -0,0 +1,74 @@
+import { create } from "@bufbuild/protobuf";
+import { ContractSchema, WorkKind } from "@waxwingspread/protocol";
+import type { Contract, Resources, WorkClass } from "@waxwingspread/protocol";
+import { toHex } from "../output/names.js";
+import type { ContractFile } from "./contract-schema.js";
+
+type ClassFile = ContractFile["classes"][number];
+type ResourcesFile = ContractFile["quota"]["resources"];
+
+const KIND_BY_NAME: Record<ClassFile["kind"], WorkKind> = {
+    "latency-critical": WorkKind.LATENCY_CRITICAL,
+    "batch": WorkKind.BATCH,
+    "standing": WorkKind.STANDING,
+};
+
+const NAME_BY_KIND: Record<WorkKind, ClassFile["kind"]> = {
+    // The daemon accepts no contract with an unset kind.
+    [WorkKind.UNSPECIFIED]: "batch",
+    [WorkKind.LATENCY_CRITICAL]: "latency-critical",
+    [WorkKind.BATCH]: "batch",
+    [WorkKind.STANDING]: "standing",
+};
+
+const fromHex = (text: string): Uint8Array => new Uint8Array(Buffer.from(text, "hex"));
+
+/** Returns the message for a checked contract file. */
+export const toContract = (file: ContractFile): Contract =>
+    create(ContractSchema, {
+        ...file,
+        classes: file.classes.map(item => ({ ...item, kind: KIND_BY_NAME[item.kind] })),
+        credentials: file.credentials.map(({ credentialId, saltHex, sha256Hex }) => ({
+            credentialId,
+            salt: fromHex(saltHex),
+            sha256: fromHex(sha256Hex),
+        })),
+    });
+
+const toResourcesFile = (resources: Resources | undefined): ResourcesFile => ({
+    cpuMillicores: resources?.cpuMillicores ?? 0,
+    memoryMebibytes: resources?.memoryMebibytes ?? 0,
+    accelerators: resources?.accelerators ?? 0,
+});
+
+const toClassFile = (item: WorkClass): ClassFile => ({
+    name: item.name,
+    kind: NAME_BY_KIND[item.kind],
+    ...(item.latencyTargetMs === 0 ? {} : { latencyTargetMs: item.latencyTargetMs }),
+    neverRepeat: item.neverRepeat,
+    defaultResources: toResourcesFile(item.defaultResources),
+    ...(item.defaultRunTimeMs === 0 ? {} : { defaultRunTimeMs: item.defaultRunTimeMs }),
+});
+
+/** Returns the file form of a contract in force. */
+export const toContractFile = (contract: Contract): ContractFile => ({
+    customer: contract.customer,
+    weight: contract.weight,
+    quota: {
+        resources: toResourcesFile(contract.quota?.resources),
+        concurrentTasks: contract.quota?.concurrentTasks ?? 0,
+        submissionsPerSecond: contract.quota?.submissionsPerSecond ?? 0,
+        submissionBurst: contract.quota?.submissionBurst ?? 0,
+        queuedJobs: contract.quota?.queuedJobs ?? 0,
+        retriesPerMinute: contract.quota?.retriesPerMinute ?? 0,
+    },
+    latencyCriticalShare: contract.latencyCriticalShare,
+    batchShare: contract.batchShare,
+    answerRetentionMs: contract.answerRetentionMs,
+    classes: contract.classes.map(toClassFile),
+    credentials: contract.credentials.map(({ credentialId, salt, sha256 }) => ({
+        credentialId,
+        saltHex: toHex(salt),
+        sha256Hex: toHex(sha256),
+    })),
+});
--- /dev/null
+++ b/packages/cli/src/contract/credential.ts
@@ -0,0 +1,26 @@
+import { createHash } from "node:crypto";
+import { toHex } from "../output/names.js";
+
+const SALT_BYTES = 16;
+const SECRET_BYTES = 32;
+
+/** A new random secret with the salted hash that is stored of it. */
+export interface NewSecret {
+    /** 256 bits in base64url, which contains no dot. Shown once and kept nowhere. */
+    readonly secret: string;
+    readonly saltHex: string;
+    /** SHA-256 of the salt's bytes followed by the secret's text in UTF-8. */
+    readonly sha256Hex: string;
+}
+
+/** Makes a secret from cryptographically random bytes. */
+export const createSecret = (randomBytes: (count: number) => Uint8Array): NewSecret => {
+    const salt = randomBytes(SALT_BYTES);
+    const secret = Buffer.from(randomBytes(SECRET_BYTES)).toString("base64url");
+    const sha256Hex = createHash("sha256").update(salt).update(secret, "utf8").digest("hex");
+    return { secret, saltHex: toHex(salt), sha256Hex };
+};
+
+/** Returns the token that a caller sends as `Authorization: Bearer <token>`. */
+export const callerToken = (customer: string, credentialId: string, secret: string): string =>
+    `${customer}.${credentialId}.${secret}`;
--- /dev/null
+++ b/packages/cli/src/timeline/merge-journals.ts
@@ -0,0 +1,62 @@
+import { compareHybridTimes } from "@waxwingspread/common";
+import type { JournalEvent } from "@waxwingspread/protocol";
+
+/** Journal of one process as read from it. */
+export interface JournalPart {
+    readonly process: string;
+    readonly address: string;
+    readonly events: readonly JournalEvent[];
+    /** Events that the bounded journal had dropped before it was read. */
+    readonly dropped: number;
+    /** The process may have more events than were asked for. */
+    readonly limited: boolean;
+}
+
+/** A process whose journal is missing. */
+export interface UnreachableProcess {
+    readonly address: string;
+    readonly message: string;
+}
+
+/** The request to follow; all events when absent. */
+export interface FollowedRequest {
+    readonly customer: string;
+    readonly requestId: string;
+}
+
+/** Events of all processes in causal order, and what may be missing from them. */
+export interface TimeLine {
+    readonly request: FollowedRequest | undefined;
+    readonly processes: readonly string[];
+    readonly events: readonly JournalEvent[];
+    readonly unreachable: readonly UnreachableProcess[];
+    readonly dropped: readonly { readonly process: string; readonly events: number }[];
+    readonly limited: readonly string[];
+}
+
+const compareEvents = (a: JournalEvent, b: JournalEvent): number =>
+    compareHybridTimes(a, b) || a.process.localeCompare(b.process);
+
+const eventKey = (event: JournalEvent): string => `${event.process} ${event.wallMs} ${event.logical}`;
+
+/** Merges journals by hybrid logical clock. A process that was read under two addresses counts once. */
+export const mergeJournals = (
+    parts: readonly JournalPart[],
+    unreachable: readonly UnreachableProcess[],
+    request?: FollowedRequest,
+): TimeLine => {
+    const byProcess = new Map(parts.map(part => [part.process, part]));
+    const unique = new Map(parts.flatMap(part => part.events).map(event => [eventKey(event), event]));
+    const followed = [...unique.values()].filter(event =>
+        request === undefined || (event.customer === request.customer && event.requestId === request.requestId)
+    );
+    const known = [...byProcess.values()].sort((a, b) => a.process.localeCompare(b.process));
+    return {
+        request,
+        processes: known.map(part => part.process),
+        events: followed.sort(compareEvents),
+        unreachable,
+        dropped: known.filter(part => part.dropped > 0).map(part => ({ process: part.process, events: part.dropped })),
+        limited: known.filter(part => part.limited).map(part => part.process),
+    };
+};
--- /dev/null
+++ b/packages/cli/src/timeline/render-text.ts
@@ -0,0 +1,40 @@
+import type { JournalEvent } from "@waxwingspread/protocol";
+import { formatTable } from "../output/table.js";
+import type { TimeLine } from "./merge-journals.js";
+
+const OFFSET_DECIMALS = 3;
+
+/** Returns the time since the first event, such as `+12.500`. */
+export const formatOffset = (event: JournalEvent, first: JournalEvent | undefined): string =>
+    `+${(event.wallMs - (first?.wallMs ?? event.wallMs)).toFixed(OFFSET_DECIMALS)}`;
+
+/** Returns what a time line is about. */
+export const timeLineTitle = ({ request, events, processes }: TimeLine): string => {
+    const subject = request === undefined ? "all requests" : `${request.customer}/${request.requestId}`;
+    return `${subject}: ${events.length} events, ${processes.length} processes read`;
+};
+
+/** Names what may be missing from a time line, one sentence a line. */
+export const timeLineGaps = ({ unreachable, dropped, limited }: TimeLine): string[] => [
+    ...unreachable.map(({ address, message }) => `not reached: ${address}: ${message}`),
+    ...dropped.map(({ process, events }) => `dropped: ${process} dropped ${events} older events`),
+    ...limited.map(process => `limited: ${process} may have more events; raise --limit`),
+];
+
+/** Renders a time line as a table, with the gaps after it. */
+export const renderText = (timeLine: TimeLine): string => {
+    const first = timeLine.events[0];
+    const rows = timeLine.events.map(event => [
+        new Date(event.wallMs).toISOString(),
+        formatOffset(event, first),
+        event.process,
+        event.name,
+        ...(timeLine.request === undefined ? [[event.customer, event.requestId].filter(Boolean).join("/")] : []),
+        event.peer,
+        event.detail,
+    ]);
+    const request = timeLine.request === undefined ? ["REQUEST"] : [];
+    const table = formatTable(["TIME", "OFFSET-MS", "PROCESS", "EVENT", ...request, "PEER", "DETAIL"], rows);
+    const gaps = timeLineGaps(timeLine).map(line => `${line}\n`).join("");
+    return `${timeLineTitle(timeLine)}\n${table}${gaps}`;
+};
