--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -4,7 +4,7 @@
 import { ClusterSnapshotSchema, ErrorCode, EventBatchSchema } from "@waxwingspread/protocol";
 import type { BlobReference, EventBatch, LogEntry } from "@waxwingspread/protocol";
 import { ClusterState, Scheduler } from "@waxwingspread/scheduler";
-import type { PolicySet, SchedulerSettings } from "@waxwingspread/scheduler";
+import type { SchedulerSettings } from "@waxwingspread/scheduler";
 import { ControlMethod, errorReply } from "./calls.js";
 import type { ControlCall } from "./calls.js";
 import { ControlEffectKind } from "./control-effects.js";
@@ -21,8 +21,6 @@
     log: ReplicatedLogPort;
     settings: ControlSettings;
     schedulerSettings: SchedulerSettings;
-    /** Makes fresh policies for each term. */
-    createPolicies: () => PolicySet;
     random: SeededRandom;
     /** Tells whether a token is the operators'. */
     authorizeOperator: (token: string) => boolean;
@@ -201,8 +199,8 @@
     }
 
     #startSession(nowMs: number): void {
-        const { log, settings, schedulerSettings, random, createPolicies } = this.#options;
-        const scheduler = new Scheduler(this.#state, schedulerSettings, random, createPolicies());
+        const { log, settings, schedulerSettings, random } = this.#options;
+        const scheduler = new Scheduler(this.#state, schedulerSettings, random);
         scheduler.startTerm(log.term, this.#options.name, nowMs);
         this.#session = new LeaderSession(scheduler, log.term, {
             log,
@@ -223,6 +221,7 @@
         }
         this.#session = undefined;
         session.close();
+        this.#state.observe(undefined);
         this.#state.rollback();
         this.#emit({ kind: ControlEffectKind.Journal, record: { name: "leader stepped down" } });
     }
--- a/packages/control/src/leader-handlers.ts
+++ b/packages/control/src/leader-handlers.ts
@@ -74,7 +74,7 @@
     changeMembership(command, context) ?? context.session.scheduler.execute(command, context.nowMs);
 
 const query = (request: OperatorQuery, context: LeaderContext): OperatorQueryResult => {
-    const result = context.session.scheduler.query(request, context.nowMs);
+    const result = context.session.scheduler.query(request);
     if (request.kind !== QueryKind.VMS) {
         return result;
     }
@@ -90,9 +90,9 @@
         method: ControlMethod.Submit,
         response: session.scheduler.submit(call.request, nowMs),
     }),
-    [ControlMethod.LookUp]: (call, { session, nowMs }) => ({
+    [ControlMethod.LookUp]: (call, { session }) => ({
         method: ControlMethod.LookUp,
-        response: session.scheduler.lookUp(call.request, nowMs),
+        response: session.scheduler.lookUp(call.request),
     }),
     [ControlMethod.Cancel]: (call, { session, nowMs }) => ({
         method: ControlMethod.Cancel,
--- a/packages/daemon/src/metrics/label-sets.ts
+++ b/packages/daemon/src/metrics/label-sets.ts
@@ -1,4 +1,5 @@
 import { errorCodeName } from "@waxwingspread/common";
+import { EntryMetric } from "@waxwingspread/entry";
 import {
     AttemptEnd,
     ErrorCode,
@@ -29,6 +30,7 @@
 
 /** Label sets of all metrics. */
 export const LABELS = {
+    entryEvents: [...Object.values(EntryMetric), OTHER_LABEL],
     operations: [
         "submit",
         "look-up",
--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -1,5 +1,4 @@
 import { create } from "@bufbuild/protobuf";
-import { join } from "node:path";
 import { SeededRandom, StepError } from "@waxwingspread/common";
 import { NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
@@ -14,6 +13,7 @@
     ReplicaMessage,
     SnapshotHeader,
 } from "@waxwingspread/protocol";
+import { join } from "node:path";
 import { BlobStore } from "../blob-store/blob-store.js";
 import { setReplicaRole } from "../metrics/index.js";
 import { CallRegistry } from "../transport/call-registry.js";
@@ -33,7 +33,6 @@
 const DESCRIBE_TIMEOUT_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 2_000;
 const HANDOVER_CHECK_INTERVAL_MS = 20;
-const MILLISECONDS_PER_SECOND = 1_000;
 
 /** One control replica with its disk, its listener and its timers. */
 export class ControlRole implements ControlRouteTarget {
@@ -58,7 +57,7 @@
             ownDiskId: () => this.diskId,
             liveBlobs: () => this.#node.referencedBlobs(),
         });
-        this.#sender = new ReplicaSender(context.clients, () => metrics.connectionsReplaced.increment({}));
+        this.#sender = new ReplicaSender(context.clients, () => metrics.connectionsReplaced.add({}));
         this.#node = new ControlNode({
             name: settings.vmName,
             settings: controlSettingsOf(settings),
@@ -73,7 +72,7 @@
             maxConnections: settings.limits.connectionsPerListener,
             routes: controlRoutes(this),
             interceptors: [receiveTime(context.journal.clock)],
-            onConnectionRefused: () => metrics.rejected.increment({ listener: "control", limit: "connections" }),
+            onConnectionRefused: () => metrics.rejected.add({ listener: "control", limit: "connections" }),
         });
     }
 
@@ -238,7 +237,7 @@
             this.#drainEffects();
         }
         if (change.role === ReplicaRole.Candidate) {
-            metrics.elections.increment({});
+            metrics.elections.add({});
         }
         setReplicaRole(metrics, change.role);
         metrics.term.set({}, change.term);
@@ -269,7 +268,7 @@
                 this.#maintenance.want(effect.references);
                 return;
             case ControlEffectKind.CommitLatency:
-                metrics.commit.observe({}, effect.latencyMs / MILLISECONDS_PER_SECOND);
+                metrics.commit.observeMs({}, effect.latencyMs);
                 return;
         }
     }
--- a/packages/daemon/src/roles/entry-replies.ts
+++ b/packages/daemon/src/roles/entry-replies.ts
@@ -1,7 +1,7 @@
-import type { ServerResponse } from "node:http";
 import { errorCodeName } from "@waxwingspread/common";
 import type { StepError } from "@waxwingspread/common";
 import { ErrorCode } from "@waxwingspread/protocol";
+import type { ServerResponse } from "node:http";
 
 const STATUS_TOO_LARGE = 413;
 const STATUS_TOO_MANY = 429;
--- a/packages/daemon/src/roles/entry-role.ts
+++ b/packages/daemon/src/roles/entry-role.ts
@@ -1,6 +1,4 @@
 import { Code, ConnectError } from "@connectrpc/connect";
-import { randomUUID } from "node:crypto";
-import type { IncomingMessage, ServerResponse } from "node:http";
 import { messageOf, StepError } from "@waxwingspread/common";
 import {
     BACKEND_SERVER_BODY_LIMIT_BYTES,
@@ -10,14 +8,16 @@
 } from "@waxwingspread/entry";
 import type { CallBackendServer, CallControl, ControlResponse, EntryEffect, HttpRequest } from "@waxwingspread/entry";
 import { ErrorCode } from "@waxwingspread/protocol";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { HttpListener } from "../http/http-listener.js";
 import { RateLimiter } from "../http/rate-limiter.js";
 import { readBody } from "../http/request-body.js";
 import { formatEndpoint } from "../settings/index.js";
 import { BackendServerClient } from "../transport/backend-server-client.js";
 import { presentTimeMs } from "../transport/present-time.js";
-import type { ProcessContext } from "./process-context.js";
 import { sendError, sendReply } from "./entry-replies.js";
+import type { ProcessContext } from "./process-context.js";
 
 const TICK_INTERVAL_MS = 20;
 const DRAIN_CHECK_INTERVAL_MS = 20;
@@ -51,7 +51,7 @@
             address: settings.listeners.callers ?? { host: settings.advertiseHost, port: 0 },
             maxConnections: settings.limits.connectionsPerListener,
             handle: (request, response) => void this.#serve(request, response),
-            onConnectionRefused: () => metrics.rejected.increment({ listener: "callers", limit: "connections" }),
+            onConnectionRefused: () => metrics.rejected.add({ listener: "callers", limit: "connections" }),
         });
     }
 
@@ -88,7 +88,7 @@
         const peer = request.socket.remoteAddress ?? "";
         const fromBackendServer = request.url?.startsWith(BACKEND_SERVER_PATH_PREFIX) === true;
         if (!fromBackendServer && !this.#rate.take(presentTimeMs())) {
-            this.#context.metrics.rejected.increment({ listener: "callers", limit: "rate" });
+            this.#context.metrics.rejected.add({ listener: "callers", limit: "requests-per-second" });
             sendError(response, new StepError(ErrorCode.OVERLOADED, "accept request", peer, "too many requests"));
             return;
         }
@@ -161,7 +161,7 @@
                 this.#context.journal.record(effect.record, Math.floor(presentTimeMs()));
                 return;
             case EntryEffectKind.Count:
-                this.#context.metrics.entryEvents.increment({ event: effect.metric }, effect.amount);
+                this.#context.metrics.entryEvents.add({ event: effect.metric }, effect.amount);
                 return;
         }
     }
@@ -196,7 +196,7 @@
         const refused = ConnectError.from(error).code === Code.Unavailable && messageOf(error).includes("ECONNREFUSED");
         if (!refused) {
             this.#context.clients.replace(address);
-            this.#context.metrics.connectionsReplaced.increment({});
+            this.#context.metrics.connectionsReplaced.add({});
         }
         const code = refused ? ErrorCode.UNAVAILABLE : ErrorCode.TIMEOUT;
         return new StepError(code, effect.method, address, messageOf(error), { cause: error });
--- a/packages/daemon/src/roles/journal-routes.ts
+++ b/packages/daemon/src/roles/journal-routes.ts
@@ -11,20 +11,25 @@
     && (request.requestId === "" || event.requestId === request.requestId);
 
 /** Serves the journal of this process to operators. */
-export const journalRoutes = (journal: Journal, authorizeOperator: (token: string) => boolean) =>
-(router: ConnectRouter): void => {
-    router.service(JournalService, {
-        readJournal: request => {
-            if (!authorizeOperator(request.operatorToken)) {
-                const error = new StepError(ErrorCode.UNAUTHENTICATED, "read journal", journal.process, "wrong token");
-                return create(ReadJournalResponseSchema, { error: error.toDetail(), process: journal.process });
-            }
-            const events = journal.events().filter(event => isWanted(event, request));
-            return create(ReadJournalResponseSchema, {
-                process: journal.process,
-                events: request.limit === 0 ? events : events.slice(-request.limit),
-                dropped: journal.dropped,
-            });
-        },
-    });
-};
+export const journalRoutes =
+    (journal: Journal, authorizeOperator: (token: string) => boolean) => (router: ConnectRouter): void => {
+        router.service(JournalService, {
+            readJournal: request => {
+                if (!authorizeOperator(request.operatorToken)) {
+                    const error = new StepError(
+                        ErrorCode.UNAUTHENTICATED,
+                        "read journal",
+                        journal.process,
+                        "wrong token",
+                    );
+                    return create(ReadJournalResponseSchema, { error: error.toDetail(), process: journal.process });
+                }
+                const events = journal.events().filter(event => isWanted(event, request));
+                return create(ReadJournalResponseSchema, {
+                    process: journal.process,
+                    events: request.limit === 0 ? events : events.slice(-request.limit),
+                    dropped: journal.dropped,
+                });
+            },
+        });
+    };
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -1,6 +1,6 @@
 import { Journal, messageOf } from "@waxwingspread/common";
-import { createOperatorsListener } from "./http/operators-listener.js";
 import type { HttpListener } from "./http/http-listener.js";
+import { createOperatorsListener } from "./http/operators-listener.js";
 import { createLogger } from "./logging/index.js";
 import { createMetrics } from "./metrics/index.js";
 import { ControlRole } from "./roles/control-role.js";
@@ -48,7 +48,12 @@
 };
 
 const createContext = (settings: DaemonSettings): ProcessContext => {
-    const logger = createLogger(settings);
+    const logger = createLogger({
+        level: settings.logLevel,
+        vmName: settings.vmName,
+        availabilityZone: settings.availabilityZone,
+        role: settings.role,
+    });
     const journal = new Journal(settings.vmName);
     return {
         settings,
@@ -58,7 +63,7 @@
         clients: new PeerClients([sendTime(journal.clock)]),
         authorizeOperator: createOperatorCheck(settings.operatorTokenHash),
         fail: error => {
-            logger.fatal({ error }, "the process can't go on");
+            logger.fatal({ err: error }, "the process can't go on");
             process.exit(EXIT_FAILURE);
         },
     };
@@ -76,8 +81,7 @@
         isReady: () => (control?.isReady ?? true) && (entry?.isReady ?? true),
         isLeader: () => control?.isLeader ?? false,
         routes: journalRoutes(context.journal, context.authorizeOperator),
-        onConnectionRefused: () =>
-            context.metrics.rejected.increment({ listener: "operators", limit: "connections" }),
+        onConnectionRefused: () => context.metrics.rejected.add({ listener: "operators", limit: "connections" }),
     });
     await operators.listen();
     context.logger.info({ role: settings.role, availabilityZone: settings.availabilityZone }, "started");
--- a/packages/daemon/src/transport/connect-listener.ts
+++ b/packages/daemon/src/transport/connect-listener.ts
@@ -27,7 +27,11 @@
 
     constructor(options: ConnectListenerOptions) {
         this.#options = options;
-        const adapter = connectNodeAdapter({ routes: options.routes, readMaxBytes: MAX_MESSAGE_BYTES, interceptors: options.interceptors ?? [] });
+        const adapter = connectNodeAdapter({
+            routes: options.routes,
+            readMaxBytes: MAX_MESSAGE_BYTES,
+            interceptors: options.interceptors ?? [],
+        });
         this.#server = createServer({}, adapter);
         this.#server.on("session", session => this.#accept(session));
         // A broken peer connection ends its calls with errors of their own.
--- a/packages/test-support/src/local-fleet/local-fleet.ts
+++ b/packages/test-support/src/local-fleet/local-fleet.ts
@@ -160,13 +160,16 @@
             const availabilityZone = this.#zone(position);
             const flags = {
                 "id": name,
-                "listen": `${LOOPBACK}:${port}`,
-                "availability-zone": availabilityZone,
+                "host": LOOPBACK,
+                "port": String(port),
+                "zone": availabilityZone,
                 "rack": `${availabilityZone}-rack-1`,
-                "entries": this.entryAddresses.join(","),
+                "seed": String(position + 1),
                 ...this.#options.backendServerFlags,
             };
-            const start = (): ManagedProcess => new ManagedProcess(name, BACKEND_SERVER_SCRIPT, toArguments(flags));
+            const entries = this.entryAddresses.map(address => `--entry=${address}`);
+            const start = (): ManagedProcess =>
+                new ManagedProcess(name, BACKEND_SERVER_SCRIPT, [...toArguments(flags), ...entries]);
             this.backendServers.push(
                 this.#member(name, availabilityZone, start, { callersAddress: `${LOOPBACK}:${port}` }),
             );
