--- a/packages/entry/src/http/parse-backend-server-request.ts
+++ b/packages/entry/src/http/parse-backend-server-request.ts
@@ -31,8 +31,8 @@
     requestId: name,
     attemptNumber: z.number().int().min(1).max(UINT32_LIMIT),
     end: z.enum(["completed", "task-error", "stopped", "never-started"]),
-    answer: z.unknown(),
-    checkpoint: z.unknown(),
+    answer: z.unknown().optional(),
+    checkpoint: z.unknown().optional(),
     /** Set when the server omits an answer because the entry refused the request as too large. */
     answerTooLarge: z.boolean().optional(),
     detail: z.string().optional(),
--- a/packages/entry/src/http/parse-caller-request.ts
+++ b/packages/entry/src/http/parse-caller-request.ts
@@ -18,7 +18,7 @@
 
 const submissionSchema = z.strictObject({
     workClass: z.string().min(1).max(NAME_LIMIT_CHARACTERS),
-    payload: z.unknown(),
+    payload: z.unknown().optional(),
     resources: z.strictObject({
         cpuMillicores: uint32.optional(),
         memoryMebibytes: uint32.optional(),
--- a/packages/test-support/src/stand-in/messages.ts
+++ b/packages/test-support/src/stand-in/messages.ts
@@ -22,8 +22,8 @@
     workClass: z.string(),
     workKind: z.enum(["latency-critical", "batch", "standing"]),
     resources,
-    payload: z.unknown(),
-    checkpoint: z.unknown(),
+    payload: z.unknown().optional(),
+    checkpoint: z.unknown().optional(),
     replyTo: z.string().min(1),
 });
 
@@ -38,7 +38,7 @@
     runMs: z.number().min(0).default(0),
     fail: z.boolean().default(false),
     answerBytes: z.number().int().min(0).optional(),
-    echo: z.unknown(),
+    echo: z.unknown().optional(),
 });
 
 /** Checkpoint that a stand-in writes. */
