--- a/packages/entry/src/calls/leader-client.ts
+++ b/packages/entry/src/calls/leader-client.ts
@@ -32,6 +32,8 @@
 /** Outcome of a single attempt. */
 export interface AttemptFailure {
     error: StepError;
+    /** False when the leader itself refused the request, so that repeating it can't help. */
+    retryable: boolean;
     /** True when a hint names a leader that should be tried at once. */
     retryNow: boolean;
 }
@@ -160,8 +162,8 @@
             active.done(Ok(result.value), nowMs);
             return;
         }
-        const { error, retryNow } = result.error;
-        if (!RETRYABLE.has(error.code)) {
+        const { error, retryable, retryNow } = result.error;
+        if (!retryable) {
             this.#active.delete(active);
             active.done(Err(error), nowMs);
             return;
@@ -197,7 +199,8 @@
     ): Result<ControlResponse<M>, AttemptFailure> {
         if (result.isErr()) {
             this.calls.effects.count(EntryMetric.ControlCallsFailed);
-            return Err({ error: result.error, retryNow: this.#leaderFailed(address, "") });
+            this.#leaderFailed(address, "");
+            return Err({ error: result.error, retryable: true, retryNow: false });
         }
         const detail = errorOf(result.value);
         if (!detail) {
@@ -205,8 +208,9 @@
             return Ok(result.value);
         }
         const error = StepError.fromDetail(detail);
-        const retryNow = RETRYABLE.has(error.code) && this.#leaderFailed(address, error.leaderAddress ?? "");
-        return Err({ error, retryNow });
+        const retryable = RETRYABLE.has(error.code);
+        const retryNow = retryable && this.#leaderFailed(address, error.leaderAddress ?? "");
+        return Err({ error, retryable, retryNow });
     }
 
     /** Moves on from a replica that isn't the leader. Returns true when a hint named another one. */
--- a/packages/entry/src/reporting/report-batcher.ts
+++ b/packages/entry/src/reporting/report-batcher.ts
@@ -150,6 +150,11 @@
         if (result.isOk()) {
             this.#complete(batch, result.value, nowMs);
         }
+        else if (!result.error.retryable) {
+            // Repeating a message that the leader refuses would block all later ones.
+            this.context.effects.journal({ name: "report-refused", detail: result.error.error.message });
+            this.#giveUp(batch, nowMs);
+        }
         else {
             this.#notBeforeMs = nowMs + (result.error.retryNow ? 0 : this.context.settings.timing.retryDelayMs);
             this.#putBack(batch);
@@ -174,6 +179,15 @@
         });
     }
 
+    #giveUp(batch: Batch, nowMs: number): void {
+        for (const waiter of batch.announcements.flatMap(({ waiters }) => waiters)) {
+            waiter.done(undefined);
+        }
+        for (const end of batch.ends) {
+            end.done(false, nowMs);
+        }
+    }
+
     #putBack(batch: Batch): void {
         this.#starts = [...batch.starts, ...this.#starts];
         this.#ends = [...batch.ends, ...this.#ends];
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -99,7 +99,7 @@
     startPreparationMs: 800,
     announcementFlushMs: 100,
     announceTimeoutMs: 1_000,
-    resultTimeoutMs: 5_000,
+    resultTimeoutMs: 2_000,
     ownLookUpIntervalMs: 2_000,
     otherLookUpIntervalMs: 300,
     settledLookUpDelayMs: 20,
--- a/packages/test-support/src/entry-with-stand-ins.test.ts
+++ b/packages/test-support/src/entry-with-stand-ins.test.ts
@@ -1,11 +1,6 @@
 import { create } from "@bufbuild/protobuf";
 import { jobKeyOf, SeededRandom, StepError } from "@waxwingspread/common";
-import {
-    bearerTokenOf,
-    EntryEffectKind,
-    EntryNode,
-    makeCredential,
-} from "@waxwingspread/entry";
+import { bearerTokenOf, EntryEffectKind, EntryNode, makeCredential } from "@waxwingspread/entry";
 import type { CallControl, ControlResponse, EntryEffect, ReplyToCaller } from "@waxwingspread/entry";
 import * as p from "@waxwingspread/protocol";
 import { describe, expect, it } from "vitest";
@@ -110,6 +105,7 @@
             configurationLeaseMs: 1_200,
             orders: outbox.orders,
             controlAddresses: CONTROL,
+            entryAddresses: [...this.outboxes].filter(([, { seenAtMs }]) => seenAtMs + 1_500 > nowMs).map(([id]) => id),
         });
     }
 
@@ -203,8 +199,10 @@
 
     #place(tracked: Tracked, nowMs: number): void {
         for (const [id, server] of this.servers) {
-            const used = [...this.jobs.values()].filter(other => other.server === id
-                && other.job.state === p.JobState.ACTIVE);
+            const used = [...this.jobs.values()].filter(other =>
+                other.server === id
+                && other.job.state === p.JobState.ACTIVE
+            );
             if (used.length < 4) {
                 const estimateMs = server.clockMs + (nowMs - server.receivedAtMs) * 0.99;
                 tracked.server = id;
@@ -343,7 +341,7 @@
         else if (effect.kind === EntryEffectKind.CallBackendServer) {
             const server = this.servers.find(candidate => candidate.backendServerId === effect.address);
             this.#send(nowMs => {
-                const reply = server?.handle(effect, nowMs); if (process.env.DBG) { console.log(nowMs, effect.body, reply); }
+                const reply = server?.handle(effect, nowMs);
                 this.#send(atMs =>
                     reply
                         ? entry?.backendServerReplied(effect.callId, reply, atMs)
@@ -357,7 +355,6 @@
         }
         else if (effect.kind === EntryEffectKind.ReplyToCaller) {
             const request = this.#handles.get(effect.requestHandle);
-            if (process.env.DBG) { console.log(this.nowMs, effect.status, effect.json); }
             if (request && effect.status === 200) {
                 request.reply = effect;
             }
--- a/packages/test-support/src/stand-in/entry-link.ts
+++ b/packages/test-support/src/stand-in/entry-link.ts
@@ -35,6 +35,7 @@
     #sequence = 0;
     #announceCallId: number | undefined;
     #nextAnnounceMs: number;
+    #failuresInRow = 0;
 
     constructor(readonly options: StandInOptions, readonly timing: StandInTiming, clockMs: number) {
         this.#entries = [...options.entries];
@@ -106,6 +107,7 @@
         }
         this.#announceCallId = undefined;
         this.#deadlines.delete(callId);
+        this.#failuresInRow = 0;
         this.#takeEntries(parsed.entries ?? []);
         if (!parsed.lease) {
             // The entry doesn't reach the leader; the next announcement goes to another one.
@@ -120,7 +122,7 @@
         if (!result || sending.callId !== undefined || clockMs < sending.nextMs) {
             return;
         }
-        const address = sending.attempts === 0 ? start.replyTo : this.#entry(this.#selected + sending.attempts);
+        const address = sending.attempts === 0 ? start.replyTo : this.#entry(this.#selected + sending.attempts - 1);
         sending.attempts += 1;
         const timeoutMs = this.timing.resultTimeoutMs;
         sending.callId = this.#call(address, "/backend/v1/results", JSON.stringify(result), timeoutMs, clockMs);
@@ -174,13 +176,18 @@
         this.#announceCallId = undefined;
         this.#selected += 1;
         this.#nextAnnounceMs = clockMs + ANNOUNCE_RETRY_MS;
+        this.#failuresInRow += 1;
+        if (this.#failuresInRow >= this.#entries.length) {
+            // None of the entries that were heard of last answers: those of the settings may have come back.
+            this.#entries = [...new Set([...this.#entries, ...this.options.entries])];
+        }
     }
 
     /** Takes over the entries that the leader hears from, and stays with the selected one if it is among them. */
     #takeEntries(entries: string[]): void {
         if (entries.length > 0) {
             const selected = this.#entry(this.#selected);
-            this.#entries = [...new Set([...entries, ...this.options.entries])];
+            this.#entries = entries;
             this.#selected = Math.max(0, this.#entries.indexOf(selected));
         }
     }
--- a/packages/test-support/src/stand-in/options.ts
+++ b/packages/test-support/src/stand-in/options.ts
@@ -12,6 +12,7 @@
     announceIntervalMs: number;
     /** Longer than the entry waits for the leader. */
     announceTimeoutMs: number;
+    /** Longer than the entry waits for the settlement. */
     resultTimeoutMs: number;
     resultRetryMs: number;
     /** How long a checkpoint takes. */
@@ -24,7 +25,7 @@
 export const DEFAULT_STAND_IN_TIMING: StandInTiming = {
     announceIntervalMs: 1_000,
     announceTimeoutMs: 1_500,
-    resultTimeoutMs: 7_000,
+    resultTimeoutMs: 2_500,
     resultRetryMs: 500,
     checkpointMs: 50,
     usageIntervalMs: 1_000,
