--- a/packages/cli/src/connection/control-client.ts
+++ b/packages/cli/src/connection/control-client.ts
@@ -28,7 +28,7 @@
 const MAXIMUM_RETRY_DELAY_MS = 2_000;
 
 /** Refusals that a leader gives only after it has looked for an earlier outcome of the same command id. */
-const DECIDED_BY_COMMAND_ID = new Set([ErrorCode.REVISION_CONFLICT, ErrorCode.COMMAND_ID_REUSED, ErrorCode.INVALID]);
+const DECIDED_BY_COMMAND_ID = new Set([ErrorCode.REVISION_CONFLICT, ErrorCode.COMMAND_ID_REUSED]);
 
 type ControlCall<T> = (client: Client<typeof ControlService>, options: CallOptions) => Promise<T>;
 
@@ -136,7 +136,7 @@
 /**
  * Tells whether an attempt settles the call. After an earlier attempt that may have been carried out, a refusal does so
  * only when the leader decides it with regard to the command id. For example, a membership change in progress may be
- * the one that the earlier attempt began.
+ * the one that the earlier attempt began, and a disk that is no learner any more may have been promoted by it.
  */
 const settles = (attempt: Attempt<unknown>, uncertain: boolean): boolean => {
     const decided = attempt.error === undefined || !uncertain || DECIDED_BY_COMMAND_ID.has(attempt.error.code);
--- a/packages/daemon/src/metrics/label-sets.ts
+++ b/packages/daemon/src/metrics/label-sets.ts
@@ -1,4 +1,5 @@
 import { errorCodeName } from "@waxwingspread/common";
+import { EntryMetric } from "@waxwingspread/entry";
 import {
     AttemptEnd,
     ErrorCode,
@@ -52,6 +53,7 @@
     workKinds: enumLabels(WorkKind),
     replicaRoles: ["follower", "pre-candidate", "candidate", "leader", "learner", OTHER_LABEL],
     orderKinds: enumLabels(OrderKind),
+    entryEvents: [...Object.values(EntryMetric), OTHER_LABEL],
     reportKinds: ["announcement", "start", "end", OTHER_LABEL],
     startResults: enumLabels(StartResult),
     attemptEnds: enumLabels(AttemptEnd),
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -50,6 +50,7 @@
         limit: LABELS.limits,
     }),
     waitingCallers: factory.gauge("waiting_callers", "Callers that wait for an outcome", {}),
+    entryEvents: factory.counter("entry_events", "Events that the entry node counts", { event: LABELS.entryEvents }),
     dispatches: factory.counter("dispatches", "Starts sent to backend servers, by result", {
         result: LABELS.startResults,
     }),
--- a/packages/daemon/src/settings/definitions.ts
+++ b/packages/daemon/src/settings/definitions.ts
@@ -1,3 +1,9 @@
+import {
+    ANSWER_LIMIT_BYTES,
+    DEFAULT_ENTRY_LIMITS,
+    DEFAULT_ENTRY_TIMING,
+    PAYLOAD_LIMIT_BYTES,
+} from "@waxwingspread/entry";
 import * as parsers from "./parsers.js";
 import type { SettingParser } from "./parsers.js";
 import { DaemonRole, LogLevel } from "./types.js";
@@ -34,9 +40,6 @@
 ): SettingDefinition<T> => ({ description, parser, requiredFor: NO_ROLES, defaultText });
 
 const KIBIBYTE = 1_024;
-const MEBIBYTE = 1_024 * KIBIBYTE;
-/** Bounds of the two body limits: blob references and buffers are sized for at most 16 MiB. */
-const MAXIMUM_BODY_BYTES = 16 * MEBIBYTE;
 const MINUTE_MS = 60_000;
 
 /** Every setting of the daemon, in the order of help and documentation. */
@@ -69,13 +72,13 @@
     },
     logLevel: optional(parsers.choice(LogLevel), LogLevel.Info, "Least severe level that is logged"),
     payloadLimitBytes: optional(
-        parsers.integer(KIBIBYTE, MAXIMUM_BODY_BYTES),
-        String(256 * KIBIBYTE),
+        parsers.integer(KIBIBYTE, PAYLOAD_LIMIT_BYTES),
+        String(PAYLOAD_LIMIT_BYTES),
         "Largest payload; larger ones are refused",
     ),
     answerLimitBytes: optional(
-        parsers.integer(KIBIBYTE, MAXIMUM_BODY_BYTES),
-        String(MEBIBYTE),
+        parsers.integer(KIBIBYTE, ANSWER_LIMIT_BYTES),
+        String(ANSWER_LIMIT_BYTES),
         "Largest answer or checkpoint; larger ones end the job as answer-too-large",
     ),
     connectionsPerListener: optional(
@@ -90,7 +93,7 @@
     ),
     waitingCallers: optional(
         parsers.integer(1, 1_000_000),
-        "4096",
+        String(DEFAULT_ENTRY_LIMITS.waitingCallers),
         "Callers that may wait for an outcome at the same time",
     ),
     snapshotIntervalEntries: optional(
@@ -150,6 +153,26 @@
         "1000",
         "Deadline of a call to a control replica; its connection is then replaced",
     ),
+    pollTimeoutMs: optional(
+        parsers.integer(50, MINUTE_MS),
+        String(DEFAULT_ENTRY_TIMING.pollTimeoutMs),
+        "Deadline of a poll; its connection is then replaced",
+    ),
+    requestTimeoutMs: optional(
+        parsers.integer(100, 10 * MINUTE_MS),
+        String(DEFAULT_ENTRY_TIMING.requestTimeoutMs),
+        "Bound on a caller's request with all its retries, without the time for which the caller waits",
+    ),
+    maximumWaitMs: optional(
+        parsers.integer(0, 60 * MINUTE_MS),
+        String(DEFAULT_ENTRY_TIMING.maximumWaitMs),
+        "Longest wait that a caller may ask for with waitMs",
+    ),
+    drainWaitMs: optional(
+        parsers.integer(0, 60 * MINUTE_MS),
+        String(DEFAULT_ENTRY_TIMING.drainWaitMs),
+        "Time after the begin of a planned shutdown after which waiting callers get the state as it is",
+    ),
     zoneReturnMs: optional(
         parsers.integer(1_000, 60 * MINUTE_MS),
         "30000",
--- a/packages/daemon/src/settings/parse-settings.test.ts
+++ b/packages/daemon/src/settings/parse-settings.test.ts
@@ -1,5 +1,6 @@
+import { readFileSync } from "node:fs";
 import { describe, expect, it } from "vitest";
-import { DaemonRole, formatSettings, parseSettings, settingsHelp } from "./index.js";
+import { DaemonRole, formatSettings, parseSettings, settingsHelp, settingsTable } from "./index.js";
 
 const HASH = `${"ab".repeat(16)}:${"cd".repeat(32)}`;
 const BOTH = [
@@ -72,7 +73,8 @@
         ["peers without this VM", ["--vm-name=grandi"], "must contain this VM as grandi=10.0.0.1:7001"],
         ["an even number of peers", ["--bootstrap-peers=presov-1=10.0.0.1:7001,a=10.0.0.2:7001"], "odd number"],
         ["a configuration lease above 2 s", ["--configuration-lease-ms=2000"], "below 2000"],
-        ["a poll held beyond its deadline", ["--poll-hold-ms=600", "--control-call-timeout-ms=500"], "--poll-hold-ms"],
+        ["a poll held beyond its deadline", ["--poll-hold-ms=800"], "at least --poll-hold-ms (800)"],
+        ["a payload limit above what entries keep", ["--payload-limit-bytes=262145"], "1024 to 262144"],
         ["a setting without a value", ["--data-folder"], "absolute path"],
     ])("rejects %s", (unusedLabel, changes, allowed) => {
         const flags = changes.map(change => `${change.split("=", 1)[0]}=`);
@@ -96,4 +98,9 @@
     it("lists every variable in the help", async () => {
         expect(await settingsHelp()).toContain("WAXWINGSPREAD_ANSWER_LIMIT_BYTES");
     });
+
+    it("keeps the table of the operators' page equal to the definitions", () => {
+        const page = readFileSync(new URL("../../../../docs/operators.md", import.meta.url), "utf8");
+        expect(page).toContain(settingsTable());
+    });
 });
--- a/packages/daemon/src/settings/parse-settings.ts
+++ b/packages/daemon/src/settings/parse-settings.ts
@@ -43,6 +43,10 @@
     entryLostAfterMs: values.entryLostAfterMs,
     orderRepeatMs: values.orderRepeatMs,
     controlCallTimeoutMs: values.controlCallTimeoutMs,
+    pollTimeoutMs: values.pollTimeoutMs,
+    requestTimeoutMs: values.requestTimeoutMs,
+    maximumWaitMs: values.maximumWaitMs,
+    drainWaitMs: values.drainWaitMs,
     zoneReturnMs: values.zoneReturnMs,
     shutdownGraceMs: values.shutdownGraceMs,
 });
--- a/packages/daemon/src/settings/relations.ts
+++ b/packages/daemon/src/settings/relations.ts
@@ -97,10 +97,11 @@
     atLeast("minimumElectionTimeoutMs", "heartbeatMs", HEARTBEATS_PER_ELECTION_TIMEOUT),
     atLeast("maximumElectionTimeoutMs", "minimumElectionTimeoutMs"),
     // A held poll is answered within its call's deadline and before its configuration lease ends.
-    atLeast("controlCallTimeoutMs", "pollHoldMs"),
+    atLeast("pollTimeoutMs", "pollHoldMs"),
     atLeast("configurationLeaseMs", "pollHoldMs", 2),
     configurationInForce,
     atLeast("entryLostAfterMs", "configurationLeaseMs"),
+    atLeast("shutdownGraceMs", "drainWaitMs"),
     atLeast("startWindowMs", "orderRepeatMs"),
     atLeast("taskLeaseMs", "startWindowMs"),
 ];
--- a/packages/daemon/src/settings/types.ts
+++ b/packages/daemon/src/settings/types.ts
@@ -57,6 +57,10 @@
     readonly entryLostAfterMs: number;
     readonly orderRepeatMs: number;
     readonly controlCallTimeoutMs: number;
+    readonly pollTimeoutMs: number;
+    readonly requestTimeoutMs: number;
+    readonly maximumWaitMs: number;
+    readonly drainWaitMs: number;
     readonly zoneReturnMs: number;
     readonly shutdownGraceMs: number;
 }
