--- a/packages/cli/src/timeline/commands.ts
+++ b/packages/cli/src/timeline/commands.ts
@@ -24,19 +24,31 @@
     readonly limit: number;
 }
 
+/** An operators' listener, with the VM's name if the leader told it. */
+interface ProcessTarget {
+    readonly process: string | undefined;
+    readonly address: string;
+}
+
 type JournalReading = Result<JournalPart, UnreachableProcess & { readonly code: ErrorCode }>;
 
 const withPort = (address: string, port: number | undefined): string =>
     port === undefined ? address : address.replace(/:\d+$/, `:${port}`);
 
+/** A VM with both roles may be listed once for each of them. */
+const distinctTargets = (targets: readonly ProcessTarget[]): ProcessTarget[] => [
+    ...new Map(targets.map(target => [`${target.process} ${target.address}`, target])).values(),
+];
+
 /** Operators' listeners: as given, or those of all VMs that the leader knows. */
-const processAddresses = async (
+const processTargets = async (
     context: CommandContext,
     values: CommandArguments,
-): Promise<Result<string[], CliFailure>> => {
+): Promise<Result<ProcessTarget[], CliFailure>> => {
     const given = values.optionalText("processes");
     if (given !== undefined) {
-        return parseAddresses("--processes", given);
+        const addresses = parseAddresses("--processes", given);
+        return addresses.map(items => items.map(address => ({ process: undefined, address })));
     }
     const client = await context.client();
     if (client.isErr()) {
@@ -45,14 +57,19 @@
     const answer = await client.value.query({ kind: QueryKind.VMS });
     const port = values.optionalNumber("operators-port");
     return answer
-        .map(({ vms }) => [...new Set(vms.map(vm => withPort(vm.address, port)))])
+        .map(({ vms }) => distinctTargets(vms.map(vm => ({ process: vm.name, address: withPort(vm.address, port) }))))
         .mapErr(failure => {
             const hint = "; give the operators' listeners with --processes to read journals without a leader";
             return new CliFailure(failure.exitCode, failure.message + hint, failure.stepError);
         });
 };
 
-const readOne = async (client: JournalClient, address: string, request: JournalRequest): Promise<JournalReading> => {
+const readOne = async (
+    client: JournalClient,
+    target: ProcessTarget,
+    request: JournalRequest,
+): Promise<JournalReading> => {
+    const { address } = target;
     const answer = await client.read(address, request);
     return answer
         .map(({ process, events, dropped }) => ({
@@ -62,19 +79,19 @@
             dropped,
             limited: events.length >= request.limit,
         }))
-        .mapErr(error => ({ address, message: error.message, code: error.code }));
+        .mapErr(error => ({ ...target, message: error.message, code: error.code }));
 };
 
 /** Reads all journals at once, so that they end at about the same time. */
 const readJournals = async (
     client: JournalClient,
-    addresses: readonly string[],
+    targets: readonly ProcessTarget[],
     request: JournalRequest,
 ): Promise<Result<TimeLine, CliFailure>> => {
-    const readings = await Promise.all(addresses.map(address => readOne(client, address, request)));
+    const readings = await Promise.all(targets.map(target => readOne(client, target, request)));
     const parts = readings.filter(item => item.isOk()).map(item => item.value);
     const failures = readings.filter(item => item.isErr()).map(item => item.error);
-    const unreachable = failures.map(({ address, message }) => ({ address, message }));
+    const unreachable = failures.map(({ process, address, message }) => ({ process, address, message }));
     if (parts.length === 0) {
         const refused = failures.find(item => item.code === ErrorCode.UNAUTHENTICATED);
         const text = `no journal could be read: ${failures.map(item => `${item.address}: ${item.message}`).join("; ")}`;
@@ -104,15 +121,15 @@
 };
 
 const showTimeLine = async (context: CommandContext, values: CommandArguments): Promise<CommandResult> => {
-    const addresses = await processAddresses(context, values);
-    if (addresses.isErr()) {
-        return addresses;
+    const targets = await processTargets(context, values);
+    if (targets.isErr()) {
+        return targets;
     }
     const client = await context.journalClient();
     if (client.isErr()) {
         return client;
     }
-    const timeLine = await readJournals(client.value, addresses.value, {
+    const timeLine = await readJournals(client.value, targets.value, {
         customer: values.optionalText("customer") ?? "",
         requestId: values.optionalText("request-id") ?? "",
         sinceWallMs: values.optionalNumber("since-ms") ?? 0,
--- a/packages/cli/src/timeline/merge-journals.ts
+++ b/packages/cli/src/timeline/merge-journals.ts
@@ -14,6 +14,8 @@
 
 /** A process whose journal is missing. */
 export interface UnreachableProcess {
+    /** Name of the VM; undefined when only an address was given. */
+    readonly process: string | undefined;
     readonly address: string;
     readonly message: string;
 }
--- a/packages/cli/src/timeline/render-text.ts
+++ b/packages/cli/src/timeline/render-text.ts
@@ -1,6 +1,6 @@
 import type { JournalEvent } from "@waxwingspread/protocol";
 import { formatTable } from "../output/table.js";
-import type { TimeLine } from "./merge-journals.js";
+import type { TimeLine, UnreachableProcess } from "./merge-journals.js";
 
 const OFFSET_DECIMALS = 3;
 
@@ -14,9 +14,14 @@
     return `${subject}: ${events.length} events, ${processes.length} processes read`;
 };
 
+const unreachableText = ({ process, address, message }: UnreachableProcess): string => {
+    const subject = process === undefined ? address : `${process} (${address || "no address"})`;
+    return `not reached: ${subject}: ${message}`;
+};
+
 /** Names what may be missing from a time line, one sentence a line. */
 export const timeLineGaps = ({ unreachable, dropped, limited }: TimeLine): string[] => [
-    ...unreachable.map(({ address, message }) => `not reached: ${address}: ${message}`),
+    ...unreachable.map(unreachableText),
     ...dropped.map(({ process, events }) => `dropped: ${process} dropped ${events} older events`),
     ...limited.map(process => `limited: ${process} may have more events; raise --limit`),
 ];
