--- a/packages/daemon/src/metrics/label-sets.ts
+++ b/packages/daemon/src/metrics/label-sets.ts
@@ -54,6 +54,7 @@
     workKinds: enumLabels(WorkKind),
     replicaRoles: ["follower", "pre-candidate", "candidate", "leader", "learner", OTHER_LABEL],
     orderKinds: enumLabels(OrderKind),
+    entryEvents: [...Object.values(EntryMetric), OTHER_LABEL],
     reportKinds: ["announcement", "start", "end", OTHER_LABEL],
     startResults: enumLabels(StartResult),
     attemptEnds: enumLabels(AttemptEnd),
