Test the scheduler's rules one by one and under random faults

Life-cycle tests for each rule; a seeded simulation with lossy, delayed and duplicated messages, restarts, zone changes and leader changes with rollback.

--- /dev/null
+++ b/packages/scheduler/src/scheduler.random.test.ts
@@ -0,0 +1,295 @@
+import { create, toBinary } from "@bufbuild/protobuf";
+import { SeededRandom } from "@waxwingspread/common";
+import {
+    CancelRequestSchema,
+    ClusterSnapshotSchema,
+    OperatorCommandSchema,
+    OrderKind,
+    Outcome,
+    PollRequestSchema,
+    ReportRequestSchema,
+    SubmitRequestSchema,
+    ZoneOutSchema,
+    ZoneState,
+} from "@waxwingspread/protocol";
+import type { Event, OperatorCommand, Order } from "@waxwingspread/protocol";
+import { describe, expect, it } from "vitest";
+import { Scheduler } from "./scheduler.js";
+import { defaultSchedulerSettings } from "./settings.js";
+import { ClusterState } from "./state/cluster-state.js";
+import { fitsWithin, NO_RESOURCES } from "./state/resources.js";
+import { contractOf, specificationFor } from "./test-kit/fixtures.js";
+import { ModelServer } from "./test-kit/model-server.js";
+
+const SERVERS = 6;
+const STEP_MS = 100;
+const FAULTY_STEPS = 600;
+const CALM_STEPS = 2_000;
+const CLASSES = ["check", "trial", "recall", "watch"];
+const ZONES = ["a", "b", "c"];
+
+/** Truth about one job, seen at the servers. */
+interface Truth {
+    workClass: string;
+    runningOn: Set<string>;
+    freshStarts: number;
+}
+
+/** Drives a scheduler with servers, a lossy network, leader changes and rollbacks, and checks the invariants. */
+class Simulation {
+    readonly #random: SeededRandom;
+    #state = new ClusterState();
+    readonly #replica = new ClusterState();
+    readonly #servers: ModelServer[] = [];
+    readonly #truths = new Map<string, Truth>();
+    readonly #toldNotRun = new Set<string>();
+    readonly #network: { atMs: number; run: () => void }[] = [];
+    #afterCommit: (() => void)[] = [];
+    #scheduler: Scheduler;
+    #nowMs = 1_000_000;
+    #term = 0;
+    #batch = 0;
+    #nextJob = 0;
+    #faulty = true;
+
+    constructor(seed: number) {
+        this.#random = new SeededRandom(seed);
+        const observer = {
+            started: (jobId: string, serverId: string, resumed: boolean) => this.#started(jobId, serverId, resumed),
+            ended: (jobId: string, serverId: string) => this.#truths.get(jobId)?.runningOn.delete(serverId),
+        };
+        for (let number = 1; number <= SERVERS; number += 1) {
+            const rate = 0.991 + this.#random.nextRatio() * 0.018;
+            this.#servers.push(new ModelServer(`s${number}`, rate, observer, number * 1_000_000));
+        }
+        this.#scheduler = this.#lead();
+        this.#poll();
+        this.#execute({ case: "writeContract", value: contractOf("acme") });
+        this.#commit(false);
+    }
+
+    run(): void {
+        for (let step = 0; step < FAULTY_STEPS; step += 1) {
+            this.#step();
+        }
+        this.#faulty = false;
+        ZONES.forEach(zone => this.#execute({ case: "bringZoneBack", value: zone }));
+        this.#servers.filter(server => server.leaving).forEach(server => server.restart());
+        const watches = [...this.#truths].filter(([, truth]) => truth.workClass === "watch").map(([id]) => id);
+        for (let step = 0; step < CALM_STEPS && (this.#open() > 0 || this.#network.length > 0); step += 1) {
+            this.#cancel(watches);
+            this.#step();
+        }
+        this.#commit(false);
+        expect(this.#open()).toBe(0);
+        expect([...this.#truths.values()].every(truth => truth.runningOn.size === 0)).toBe(true);
+        const bytes = (state: ClusterState) => toBinary(ClusterSnapshotSchema, state.toSnapshot());
+        expect(bytes(this.#replica)).toEqual(bytes(this.#state));
+        expect(bytes(ClusterState.fromSnapshot(this.#state.toSnapshot()))).toEqual(bytes(this.#state));
+        expect(this.#scheduler.rejectedPlacements).toBe(0);
+        expect(this.#truths.size).toBeGreaterThan(0);
+    }
+
+    #open(): number {
+        return this.#state.queuedJobKeys().size + this.#state.activeJobKeys().size;
+    }
+
+    #chance(ratio: number): boolean {
+        return this.#faulty && this.#random.nextRatio() < ratio;
+    }
+
+    #step(): void {
+        this.#nowMs += STEP_MS;
+        this.#servers.forEach(server => server.pass(STEP_MS));
+        this.#faults();
+        this.#deliver();
+        this.#poll();
+        if (this.#chance(0.5)) {
+            this.#submit();
+        }
+        this.#servers.forEach((server, position) => {
+            const due = Math.round(this.#nowMs / STEP_MS) % 10 === position;
+            if (due && !this.#chance(0.1)) {
+                this.#announce(server, ZONES[position % ZONES.length] ?? "a");
+            }
+        });
+        this.#scheduler.tick(this.#nowMs);
+        this.#commit(this.#chance(0.02));
+        this.#check();
+    }
+
+    #faults(): void {
+        const server = this.#random.pick(this.#servers);
+        if (this.#chance(0.01)) {
+            server.restart();
+        }
+        if (this.#chance(0.005)) {
+            server.leaving = true;
+        }
+        if (this.#chance(0.01)) {
+            const value = create(ZoneOutSchema, { availabilityZone: this.#random.pick(ZONES), drainWithinMs: 5_000 });
+            this.#execute({ case: "takeZoneOut", value });
+        }
+        if (this.#chance(0.02)) {
+            this.#execute({ case: "bringZoneBack", value: this.#random.pick(ZONES) });
+        }
+        if (this.#chance(0.05) && this.#truths.size > 0) {
+            this.#cancel([this.#random.pick([...this.#truths.keys()]), this.#random.pick([...this.#truths.keys()])]);
+        }
+    }
+
+    /** Delivers a message after a delay, possibly never or twice. */
+    #send(run: () => void): void {
+        const copies = this.#chance(0.1) ? 0 : this.#chance(0.15) ? 2 : 1;
+        for (let copy = 0; copy < copies; copy += 1) {
+            const delayMs = this.#chance(0.05) ? this.#random.nextInteger(0, 12_000) : this.#random.nextInteger(0, 300);
+            this.#network.push({ atMs: this.#nowMs + delayMs, run });
+        }
+    }
+
+    #deliver(): void {
+        const due = this.#network.filter(message => message.atMs <= this.#nowMs);
+        const waiting = this.#network.filter(message => message.atMs > this.#nowMs);
+        this.#network.splice(0, this.#network.length, ...waiting);
+        due.forEach(message => message.run());
+    }
+
+    #submit(): void {
+        const requestId = `r${this.#nextJob}`;
+        const workClass = this.#random.pick(CLASSES);
+        this.#nextJob += 1;
+        this.#truths.set(requestId, { workClass, runningOn: new Set(), freshStarts: 0 });
+        this.#send(() => {
+            const specification = specificationFor(requestId, workClass);
+            const request = create(SubmitRequestSchema, { specification, entryId: "e1" });
+            const { order } = this.#scheduler.submit(request, this.#nowMs);
+            if (order !== undefined) {
+                this.#afterCommit.push(() => this.#send(() => this.#carryOut(order)));
+            }
+        });
+    }
+
+    #cancel(requestIds: string[]): void {
+        this.#scheduler.cancel(create(CancelRequestSchema, { customer: "acme", requestIds }), this.#nowMs);
+    }
+
+    #execute(kind: OperatorCommand["kind"]): void {
+        const expectedRevision = this.#state.revision;
+        const commandId = `c${this.#nowMs}-${this.#random.nextInteger(0, 1_000_000_000)}`;
+        this.#scheduler.execute(create(OperatorCommandSchema, { commandId, expectedRevision, kind }), this.#nowMs);
+    }
+
+    #announce(server: ModelServer, zone: string): void {
+        const announcement = server.announce(zone);
+        const ends = server.unsettled();
+        const request = create(ReportRequestSchema, { entryId: "e1", announcements: [announcement], ends });
+        this.#send(() => {
+            const { leases, settledEnds } = this.#scheduler.report(request, this.#nowMs);
+            this.#afterCommit.push(() =>
+                this.#send(() => {
+                    leases.forEach(lease => server.renew(lease));
+                    settledEnds.forEach(position => ends[position] && server.settled(ends[position]));
+                })
+            );
+        });
+    }
+
+    #carryOut(order: Order): void {
+        const server = this.#servers.find(({ id }) => id === order.backendServerId);
+        if (order.kind === OrderKind.STOP || order.kind === OrderKind.CHECKPOINT_AND_STOP) {
+            server?.stop(order, this.#random.nextRatio() < 0.7);
+        }
+        if (order.kind !== OrderKind.START || server === undefined) {
+            return;
+        }
+        const standing = this.#truths.get(order.requestId)?.workClass === "watch";
+        const runTimeMs = standing ? Number.POSITIVE_INFINITY : this.#random.nextInteger(50, 8_000);
+        const result = server.start(order, runTimeMs, this.#chance(0.1));
+        const { customer, requestId, attemptNumber } = order;
+        const starts = [{ customer, requestId, attemptNumber, result }];
+        this.#send(() => this.#scheduler.report(create(ReportRequestSchema, { entryId: "e1", starts }), this.#nowMs));
+    }
+
+    #poll(): void {
+        this.#scheduler.entrySeen(create(PollRequestSchema, { entryId: "e1" }), this.#nowMs);
+    }
+
+    #lead(): Scheduler {
+        this.#term += 1;
+        const scheduler = new Scheduler(this.#state, defaultSchedulerSettings, this.#random);
+        scheduler.startTerm(this.#term, "leader", this.#nowMs);
+        return scheduler;
+    }
+
+    /** Commits the batch and releases its effects, or loses both with the leader. */
+    #commit(leaderLost: boolean): void {
+        const { events, orders } = this.#scheduler.takeDecision();
+        this.#batch += 1;
+        this.#state.mark(this.#batch);
+        const effects = this.#afterCommit;
+        this.#afterCommit = [];
+        if (leaderLost) {
+            this.#state.rollback();
+            this.#scheduler = this.#lead();
+            return;
+        }
+        this.#state.committed(this.#batch);
+        events.forEach(event => this.#committed(event));
+        orders.forEach(({ order }) => this.#send(() => this.#carryOut(order)));
+        effects.forEach(effect => effect());
+    }
+
+    #committed(event: Event): void {
+        this.#replica.apply(event);
+        this.#replica.mark(this.#batch);
+        this.#replica.committed(this.#batch);
+        if (event.kind.case !== "jobEnded" || event.kind.value.outcome !== Outcome.NOT_RUN) {
+            return;
+        }
+        const { requestId } = event.kind.value;
+        this.#toldNotRun.add(requestId);
+        expect(this.#truths.get(requestId)?.freshStarts, `${requestId} was told not run`).toBe(0);
+    }
+
+    #started(jobId: string, serverId: string, resumed: boolean): void {
+        const truth = this.#truths.get(jobId);
+        if (truth === undefined) {
+            throw new Error(`unknown job ${jobId} started`);
+        }
+        expect([...truth.runningOn], `${jobId} runs in two places`).toEqual([]);
+        expect(this.#toldNotRun.has(jobId), `${jobId} started after it was told not run`).toBe(false);
+        truth.runningOn.add(serverId);
+        truth.freshStarts += resumed ? 0 : 1;
+        if (truth.workClass === "recall") {
+            expect(truth.freshStarts, `${jobId} was started again`).toBe(1);
+        }
+        const zone = this.#state.backendServer(serverId)?.availabilityZone ?? "";
+        const record = this.#state.zone(zone);
+        const outForMs = record?.state === ZoneState.OUT_OF_SERVICE ? this.#nowMs - record.changedAtMs : 0;
+        expect(outForMs, `${jobId} started in zone ${zone}`).toBeLessThan(3_000);
+    }
+
+    #check(): void {
+        for (const server of this.#state.backendServers()) {
+            const use = this.#state.useOfBackendServer(server.backendServerId);
+            expect(fitsWithin(use.resources, server.capacity ?? NO_RESOURCES)).toBe(true);
+            expect(use.jobKeys.size).toBeLessThanOrEqual(server.slots);
+        }
+        for (const server of this.#servers) {
+            expect(server.runningTasks).toBeLessThanOrEqual(4);
+        }
+    }
+}
+
+const FIRST_SEED = Number(process.env["SCHEDULER_SEED"] ?? 1);
+const SEEDS = Number(process.env["SCHEDULER_SEEDS"] ?? 12);
+
+describe("Scheduler under random faults", () => {
+    // Guards against double runs, wrong refusals, lost capacity and stuck jobs under any interleaving of reports.
+    it.each(Array.from({ length: SEEDS }, (unusedValue, position) => FIRST_SEED + position))(
+        "keeps every invariant and ends everything once faults stop (seed %i)",
+        seed => {
+            new Simulation(seed).run();
+        },
+    );
+});
--- a/packages/scheduler/src/scheduler.test.ts
+++ b/packages/scheduler/src/scheduler.test.ts
@@ -1,6 +1,22 @@
-import { AttemptEnd, AttemptState, JobState, OrderKind, Outcome, StartResult } from "@waxwingspread/protocol";
+import { create } from "@bufbuild/protobuf";
+import {
+    AttemptEnd,
+    AttemptState,
+    CancelRequestSchema,
+    ErrorCode,
+    HealthState,
+    JobState,
+    OperatorQuerySchema,
+    OrderKind,
+    Outcome,
+    QueryKind,
+    Reason,
+    StartResult,
+    ZoneOutSchema,
+    ZoneState,
+} from "@waxwingspread/protocol";
 import { describe, expect, it } from "vitest";
-import { Harness, specificationFor } from "./test-kit/fixtures.js";
+import { contractOf, Harness, specificationFor } from "./test-kit/fixtures.js";
 
 const started = (requestId: string, attemptNumber: number, result = StartResult.ACCEPTED) => ({
     customer: "acme",
@@ -9,6 +25,8 @@
     result,
 });
 
+const CHECKPOINT = { sha256: new Uint8Array([7]), sizeBytes: 7 };
+
 const ended = (requestId: string, attemptNumber: number, backendServerId: string, end = AttemptEnd.COMPLETED) => ({
     customer: "acme",
     requestId,
@@ -18,7 +36,23 @@
     end,
 });
 
-describe("Scheduler", () => {
+const run = (harness: Harness, requestId: string, workClass: string): string => {
+    harness.submit(specificationFor(requestId, workClass));
+    harness.report({ starts: [started(requestId, 1)] });
+    return harness.job(requestId).attempt?.backendServerId ?? "";
+};
+
+const cancel = (harness: Harness, ...requestIds: string[]) => {
+    const request = create(CancelRequestSchema, { customer: "acme", requestIds });
+    const response = harness.scheduler.cancel(request, harness.nowMs);
+    harness.commit();
+    return response;
+};
+
+const takeZoneOut = (harness: Harness, availabilityZone: string) =>
+    harness.execute({ case: "takeZoneOut", value: create(ZoneOutSchema, { availabilityZone, drainWithinMs: 10_000 }) });
+
+describe("submission", () => {
     it("runs a request from submission to its answer, with the start in the response", () => {
         const harness = Harness.ready(2);
         const { order, result } = harness.submit(specificationFor("r1", "check"));
@@ -34,4 +68,334 @@
         expect(harness.job("r1")).toMatchObject({ state: JobState.ENDED, outcome: Outcome.COMPLETED });
         expect(harness.job("r1").answer?.sizeBytes).toBe(1);
     });
+
+    it("finds a repeated request and refuses other content under the same id", () => {
+        const harness = Harness.ready(1);
+        harness.submit(specificationFor("r1", "trial"));
+        const repeated = harness.submit(specificationFor("r1", "trial"), "e2");
+        expect(repeated.result).toMatchObject({ case: "job", value: { attemptsMade: 1 } });
+        expect(repeated.order).toBeUndefined();
+        const other = harness.submit(specificationFor("r1", "trial", { contentSha256: new Uint8Array([4]) }));
+        expect(other.result).toMatchObject({ case: "error", value: { code: ErrorCode.REQUEST_ID_REUSED } });
+        harness.report({ starts: [started("r1", 1)], ends: [ended("r1", 1, "s1")] });
+        harness.poll("e2");
+        expect(harness.pass(1_000).map(({ entryId, order }) => [entryId, order.kind])).toEqual([
+            ["e1", OrderKind.OUTCOME],
+            ["e2", OrderKind.OUTCOME],
+        ]);
+    });
+
+    it("records a lasting refusal as not run, so that a late duplicate of the request does not run either", () => {
+        const harness = Harness.ready(1);
+        const declaredResources = { cpuMillicores: 9_000, memoryMebibytes: 1, accelerators: 0 };
+        const large = specificationFor("r1", "trial", { declaredResources });
+        harness.submit(large);
+        harness.announce("s2", { capacity: { cpuMillicores: 20_000, memoryMebibytes: 20_000 } });
+        harness.submit(large);
+        harness.pass(1_000);
+        const reason = Reason.LARGER_THAN_ANY_BACKEND_SERVER;
+        expect(harness.job("r1")).toMatchObject({ outcome: Outcome.NOT_RUN, reason, attemptsMade: 0 });
+    });
+
+    it("refuses above the rate and above the queue's bound with the time of the next try", () => {
+        const harness = Harness.ready(0);
+        const quota = { ...contractOf("acme").quota, $typeName: undefined, queuedJobs: 1 };
+        harness.execute({ case: "writeContract", value: contractOf("acme", { quota }) });
+        harness.submit(specificationFor("r1", "trial"));
+        const { result } = harness.submit(specificationFor("r2", "trial"));
+        expect(result).toMatchObject({ case: "error", value: { code: ErrorCode.OVERLOADED, retryAfterMs: 1_000 } });
+    });
+
+    it("ends a queued job at its deadline as not run", () => {
+        const harness = Harness.ready(0);
+        harness.submit(specificationFor("r1", "check", { deadlineMs: harness.nowMs + 500 }));
+        harness.pass(600);
+        expect(harness.job("r1")).toMatchObject({ outcome: Outcome.NOT_RUN, reason: Reason.DEADLINE_PASSED });
+    });
+
+    it("evicts batch work with a checkpoint for a latency-critical request, once", () => {
+        const harness = Harness.ready(1);
+        ["b1", "b2", "b3", "b4"].forEach(id => run(harness, id, "trial"));
+        harness.submit(specificationFor("r1", "check"));
+        const orders = harness.pass(200);
+        expect(orders.map(({ order }) => order.kind)).toEqual([OrderKind.CHECKPOINT_AND_STOP]);
+        const victim = orders[0]?.order.requestId ?? "";
+        const stopped = { ...ended(victim, 1, "s1", AttemptEnd.STOPPED), checkpoint: CHECKPOINT };
+        harness.report({ ends: [stopped] });
+        const [start] = harness.pass(100);
+        expect(start?.order).toMatchObject({ kind: OrderKind.START, requestId: "r1" });
+        expect(harness.job(victim)).toMatchObject({ state: JobState.QUEUED, evictions: 1, checkpoint: CHECKPOINT });
+        const query = { kind: QueryKind.EXPLAIN, customer: "acme", requestId: victim };
+        const { explanation } = harness.scheduler.query(create(OperatorQuerySchema, query));
+        expect(explanation.join(" ")).toMatch(/preempted.*no backend server has room.*Evicted from s1/s);
+    });
+
+    it("forgets an acknowledged job after the least retention", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "check");
+        harness.report({ ends: [ended("r1", 1, "s1")] });
+        harness.scheduler.acknowledge({ customer: "acme", requestId: "r1" } as never, harness.nowMs);
+        harness.nowMs += 899_000;
+        harness.pass(100);
+        expect(harness.state.jobCount).toBe(1);
+        harness.pass(1_000);
+        expect(harness.state.jobCount).toBe(0);
+    });
+});
+
+describe("start reports", () => {
+    it("keeps the capacity while the result of a start is not known and repeats the start within its window", () => {
+        const harness = Harness.ready(1);
+        harness.submit(specificationFor("r1", "trial"));
+        harness.report({ starts: [started("r1", 1, StartResult.UNKNOWN)] });
+        expect(harness.state.useOfBackendServer("s1").jobKeys.size).toBe(1);
+        const kinds = harness.pass(3_000).map(({ order }) => order.kind);
+        expect(kinds).toEqual([OrderKind.START, OrderKind.START, OrderKind.START]);
+        expect(harness.job("r1").attempt?.state).toBe(AttemptState.ASSIGNED);
+    });
+
+    it("takes one refusal as certain, but none after an acceptance or after a repeated start", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "recall");
+        harness.report({ starts: [started("r1", 1, StartResult.REFUSED)] });
+        expect(harness.job("r1").attempt?.state).toBe(AttemptState.RUNNING);
+        harness.submit(specificationFor("r2", "recall"));
+        harness.report({ starts: [started("r2", 1, StartResult.REFUSED)] });
+        expect(harness.job("r2")).toMatchObject({ state: JobState.QUEUED, everStarted: false });
+        harness.submit(specificationFor("r3", "recall"));
+        harness.pass(400);
+        harness.report({ starts: [started("r3", 1, StartResult.REFUSED)] });
+        expect(harness.job("r3").attempt?.state).toBe(AttemptState.ASSIGNED);
+    });
+
+    it("resolves an unanswered start by a list that is younger than the start deadline only", () => {
+        const harness = Harness.ready(1);
+        harness.submit(specificationFor("r1", "recall"));
+        harness.nowMs += 900;
+        harness.announce("s1");
+        expect(harness.job("r1").state).toBe(JobState.ACTIVE);
+        harness.nowMs += 200;
+        harness.announce("s1");
+        expect(harness.job("r1")).toMatchObject({ state: JobState.QUEUED, everStarted: false });
+    });
+
+    it("stops a task that the state does not know", () => {
+        const harness = Harness.ready(1);
+        harness.announce("s1", {}, [["ghost", 3]]);
+        const order = { kind: OrderKind.STOP, requestId: "ghost", attemptNumber: 3, backendServerId: "s1" };
+        expect(harness.released.at(-1)?.order).toMatchObject(order);
+    });
+});
+
+describe("leases and incarnations", () => {
+    it("gives a task up only after its lease has certainly expired and ignores its end afterwards", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "recall");
+        harness.pass(10_600);
+        expect(harness.job("r1").state).toBe(JobState.ACTIVE);
+        harness.pass(600);
+        const lost = { outcome: Outcome.INTERRUPTED, reason: Reason.BACKEND_SERVER_LOST };
+        expect(harness.job("r1")).toMatchObject(lost);
+        expect(harness.report({ ends: [ended("r1", 1, "s1")] }).settledEnds).toEqual([0]);
+        expect(harness.job("r1")).toMatchObject(lost);
+    });
+
+    it("lets a new leader assume that every lease was renewed when it was elected", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "trial");
+        harness.pass(9_000);
+        harness.changeLeader();
+        harness.pass(10_500);
+        expect(harness.job("r1").state).toBe(JobState.ACTIVE);
+        harness.pass(400);
+        expect(harness.job("r1")).toMatchObject({ state: JobState.QUEUED, reason: Reason.BACKEND_SERVER_LOST });
+    });
+
+    it("ends attempts at once when a server restarts inside the start window", () => {
+        const harness = Harness.ready(1);
+        harness.submit(specificationFor("r1", "recall"));
+        harness.submit(specificationFor("r2", "trial"));
+        harness.nowMs += 1_500;
+        harness.announce("s1", { incarnation: "i2", clockMs: 10 });
+        expect(harness.job("r1").outcome).toBe(Outcome.INTERRUPTED);
+        expect(harness.job("r2").state).toBe(JobState.QUEUED);
+        expect(harness.state.backendServer("s1")?.formerIncarnations).toEqual(["i1"]);
+    });
+
+    it("ignores late announcements of a former incarnation, also after a change of leader", () => {
+        const harness = Harness.ready(1);
+        harness.nowMs += 1_500;
+        harness.announce("s1", { incarnation: "i2" });
+        run(harness, "r1", "recall");
+        harness.changeLeader();
+        harness.nowMs += 5_000;
+        expect(harness.announce("s1", { incarnation: "i1" }).leases).toEqual([]);
+        expect(harness.job("r1").attempt).toMatchObject({ incarnation: "i2", state: AttemptState.RUNNING });
+    });
+
+    it("ignores an announcement that a younger one has overtaken", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "recall");
+        harness.nowMs += 2_000;
+        harness.announce("s1", { sequence: 50, leaving: true }, [["r1", 1]]);
+        expect(harness.announce("s1", { sequence: 49 }).leases).toEqual([]);
+        expect(harness.state.backendServer("s1")?.leaving).toBe(true);
+        expect(harness.job("r1").attempt?.state).toBe(AttemptState.RUNNING);
+    });
+});
+
+describe("ends and cancellations", () => {
+    it("resumes not repeatable work from the checkpoint of its stop and never without one", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "recall");
+        harness.report({ ends: [{ ...ended("r1", 1, "s1", AttemptEnd.STOPPED), checkpoint: CHECKPOINT }] });
+        const [start] = harness.pass(100);
+        expect(start?.order).toMatchObject({ attemptNumber: 2, checkpoint: CHECKPOINT });
+        harness.report({ starts: [started("r1", 2)] });
+        harness.report({ ends: [ended("r1", 2, "s1", AttemptEnd.STOPPED)] });
+        expect(harness.job("r1").outcome).toBe(Outcome.INTERRUPTED);
+    });
+
+    it("gives one outcome when a cancellation meets the end, whichever comes first", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "trial");
+        run(harness, "r2", "trial");
+        cancel(harness, "r1", "r2", "unknown");
+        expect(harness.pass(100).map(({ order }) => order.kind)).toEqual([OrderKind.STOP, OrderKind.STOP]);
+        harness.report({ ends: [ended("r1", 1, "s1"), ended("r1", 1, "s1", AttemptEnd.STOPPED)] });
+        harness.report({ ends: [ended("r2", 1, "s1", AttemptEnd.STOPPED), ended("r2", 1, "s1")] });
+        expect(cancel(harness, "r1").results[0]?.result.case).toBe("job");
+        expect([harness.job("r1").outcome, harness.job("r2").outcome]).toEqual([
+            Outcome.COMPLETED,
+            Outcome.CANCELLED,
+        ]);
+    });
+
+    it("reports a cancelled start as not run only when the server never took it", () => {
+        const harness = Harness.ready(1);
+        harness.submit(specificationFor("r1", "trial"));
+        cancel(harness, "r1");
+        expect(harness.job("r1").state).toBe(JobState.ACTIVE);
+        harness.nowMs += 1_100;
+        harness.announce("s1");
+        expect(harness.job("r1")).toMatchObject({ outcome: Outcome.NOT_RUN, reason: Reason.CANCELLED });
+    });
+
+    it("tells a faulty job from a faulty server", () => {
+        const harness = Harness.ready(6);
+        const failOn = (requestId: string): void => {
+            const { number = 0, backendServerId = "" } = harness.job(requestId).attempt ?? {};
+            harness.report({ ends: [ended(requestId, number, backendServerId, AttemptEnd.TASK_ERROR)] });
+        };
+        harness.submit(specificationFor("bad", "trial"));
+        for (let failures = 0; failures < 3; failures += 1) {
+            failOn("bad");
+            [1, 2, 3, 4, 5, 6].forEach(number => harness.announce(`s${number}`));
+            harness.pass(1_500);
+        }
+        expect(harness.job("bad")).toMatchObject({ outcome: Outcome.FAILED, reason: Reason.FAILS_EVERYWHERE });
+        const single = Harness.ready(1);
+        ["r1", "r2", "r3"].forEach(id => {
+            run(single, id, "recall");
+            single.report({ ends: [ended(id, 1, "s1", AttemptEnd.TASK_ERROR)] });
+        });
+        expect(single.state.backendServer("s1")?.health).toBe(HealthState.QUARANTINED);
+        expect(single.submit(specificationFor("r4", "trial")).order).toBeUndefined();
+    });
+});
+
+describe("zones and leaving servers", () => {
+    it("stops a start that was decided before its zone went out, without counting it as a run", () => {
+        const harness = Harness.ready(2);
+        harness.submit(specificationFor("r1", "recall"));
+        expect(harness.job("r1").attempt?.backendServerId).toBe("s1");
+        takeZoneOut(harness, "a");
+        expect(harness.pass(100).map(({ order }) => order.kind)).toEqual([OrderKind.CHECKPOINT_AND_STOP]);
+        harness.nowMs += 1_000;
+        harness.announce("s2");
+        harness.announce("s1");
+        const start = harness.pass(100).at(-1);
+        expect(start?.order).toMatchObject({ kind: OrderKind.START, backendServerId: "s2", attemptNumber: 2 });
+    });
+
+    it("hands standing work over: reserves, stops, and starts anew only after the stop", () => {
+        const harness = Harness.ready(2);
+        run(harness, "w1", "watch");
+        takeZoneOut(harness, "a");
+        expect(harness.pass(100).map(({ order }) => order.kind)).toEqual([OrderKind.CHECKPOINT_AND_STOP]);
+        ["b1", "b2", "b3", "b4"].forEach(id => harness.submit(specificationFor(id, "trial")));
+        expect(harness.state.useOfBackendServer("s2").jobKeys.size).toBe(3);
+        harness.report({ ends: [{ ...ended("w1", 1, "s1", AttemptEnd.STOPPED), checkpoint: CHECKPOINT }] });
+        expect(harness.job("w1").attempt).toMatchObject({ number: 2, backendServerId: "s2" });
+    });
+
+    it("returns a zone by steps and refuses stale revisions of operators", () => {
+        const harness = Harness.ready(2);
+        takeZoneOut(harness, "a");
+        const expectedRevision = harness.state.revision;
+        const back = { case: "bringZoneBack", value: "a" } as const;
+        expect(harness.execute(back, { commandId: "x", expectedRevision }).error).toBeUndefined();
+        expect(harness.state.zoneState("a")).toBe(ZoneState.RETURNING);
+        const conflict = harness.execute(back, { commandId: "y", expectedRevision });
+        expect(conflict.error).toMatchObject({
+            code: ErrorCode.REVISION_CONFLICT,
+            currentRevision: expectedRevision + 1,
+        });
+        harness.changeLeader();
+        const resent = harness.execute(back, { commandId: "x", expectedRevision });
+        expect(resent).toMatchObject({ repeatedCommand: true, revision: expectedRevision + 1 });
+        expect(resent.error).toBeUndefined();
+        const other = harness.execute({ case: "removeContract", value: "acme" }, { commandId: "x", expectedRevision });
+        expect(other.error?.code).toBe(ErrorCode.COMMAND_ID_REUSED);
+        harness.pass(30_100);
+        expect(harness.state.zoneState("a")).toBe(ZoneState.IN_SERVICE);
+    });
+
+    it("moves work away from a leaving server and places nothing there", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "trial");
+        harness.announce("s1", { leaving: true }, [["r1", 1]]);
+        expect(harness.submit(specificationFor("r2", "check")).order).toBeUndefined();
+        expect(harness.pass(100).map(({ order }) => order.kind)).toEqual([OrderKind.CHECKPOINT_AND_STOP]);
+    });
+});
+
+describe("contracts", () => {
+    it("starts nothing above a quota that was lowered below the present use and leaves that work alone", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "trial");
+        run(harness, "r2", "trial");
+        const quota = { ...contractOf("acme").quota, $typeName: undefined, concurrentTasks: 1 };
+        harness.execute({ case: "writeContract", value: contractOf("acme", { quota }) });
+        expect(harness.submit(specificationFor("r3", "trial")).order).toBeUndefined();
+        harness.report({ ends: [ended("r1", 1, "s1")] });
+        expect(harness.pass(500).filter(({ order }) => order.kind !== OrderKind.OUTCOME)).toEqual([]);
+        harness.report({ ends: [ended("r2", 1, "s1")] });
+        expect(harness.pass(100).map(({ order }) => order.kind)).toContain(OrderKind.START);
+    });
+
+    it("stops running work of a removed customer and ends its queued work", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "trial");
+        harness.submit(specificationFor("r2", "trial", { deadlineMs: 0 }));
+        ["r3", "r4", "r5"].forEach(id => harness.submit(specificationFor(id, "trial")));
+        harness.execute({ case: "removeContract", value: "acme" });
+        expect(harness.job("r5")).toMatchObject({ outcome: Outcome.NOT_RUN, reason: Reason.CUSTOMER_REMOVED });
+        expect(harness.pass(100).map(({ order }) => order.kind)).toContain(OrderKind.STOP);
+        harness.report({ ends: [ended("r1", 1, "s1", AttemptEnd.STOPPED)] });
+        expect(harness.job("r1")).toMatchObject({ outcome: Outcome.CANCELLED, reason: Reason.CUSTOMER_REMOVED });
+    });
+});
+
+describe("orders", () => {
+    it("repeats them through another entry when the submitting one is silent and after a change of leader", () => {
+        const harness = Harness.ready(1);
+        harness.poll("e2");
+        harness.submit(specificationFor("r1", "trial"), "e2");
+        expect(harness.pass(300).map(({ entryId }) => entryId)).toEqual(["e2"]);
+        harness.changeLeader();
+        harness.announce("s1");
+        const [repeated] = harness.pass(100);
+        expect(repeated).toMatchObject({ entryId: "e1", order: { kind: OrderKind.START, attemptNumber: 1, term: 2 } });
+    });
 });
--- a/packages/scheduler/src/test-kit/fixtures.ts
+++ b/packages/scheduler/src/test-kit/fixtures.ts
@@ -75,11 +75,14 @@
 export class Harness {
     readonly state = new ClusterState();
     readonly events: Event[] = [];
+    /** All orders released so far. */
+    readonly released: OrderFor[] = [];
     readonly random: SeededRandom;
     scheduler: Scheduler;
     nowMs = 1_000_000;
     #term = 0;
     #batch = 0;
+    #read = 0;
     #sequence = 0;
     #command = 0;
 
@@ -113,6 +116,7 @@
     commit(): OrderFor[] {
         const { events, orders } = this.scheduler.takeDecision();
         this.events.push(...events);
+        this.released.push(...orders);
         this.#batch += 1;
         this.state.mark(this.#batch);
         this.state.committed(this.#batch);
@@ -124,16 +128,17 @@
         this.scheduler.entrySeen(poll, this.nowMs);
     }
 
-    /** Lets time pass in steps of 100 ms with polls of the entry and returns the orders. */
+    /** Lets time pass in steps of 100 ms with polls of the entry; returns all orders since the last call. */
     pass(durationMs: number): OrderFor[] {
         const endMs = this.nowMs + durationMs;
-        const orders: OrderFor[] = [];
         while (this.nowMs < endMs) {
             this.nowMs += Math.min(100, endMs - this.nowMs);
             this.poll("e1");
             this.scheduler.tick(this.nowMs);
-            orders.push(...this.commit());
+            this.commit();
         }
+        const orders = this.released.slice(this.#read);
+        this.#read = this.released.length;
         return orders;
     }
 
