Serve a request end to end on separate processes

Cause: the cores, the disk and the transport existed only side by side. Faults found on the way: two of three replicas waited for an operator when the third had formed the cluster between two of their questions; vote requests now carry the sender's address, so an unformed initial replica can answer. The fleet picked ephemeral ports that outgoing connections took meanwhile; it now picks below that range.

--- a/packages/cli/src/timeline/commands.ts
+++ b/packages/cli/src/timeline/commands.ts
@@ -57,7 +57,12 @@
     const answer = await client.value.query({ kind: QueryKind.VMS });
     const port = values.optionalNumber("operators-port");
     return answer
-        .map(({ vms }) => distinctTargets(vms.map(vm => ({ process: vm.name, address: withPort(vm.address, port) }))))
+        .map(({ vms }) =>
+            distinctTargets(vms.map(vm => ({
+                process: vm.name,
+                address: withPort(vm.operatorsAddress || vm.address, port),
+            })))
+        )
         .mapErr(failure => {
             const hint = "; give the operators' listeners with --processes to read journals without a leader";
             return new CliFailure(failure.exitCode, failure.message + hint, failure.stepError);
--- a/packages/consensus/src/bootstrap.ts
+++ b/packages/consensus/src/bootstrap.ts
@@ -1,5 +1,7 @@
+import { create } from "@bufbuild/protobuf";
+import { MembershipSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, Membership, ReplicaIdentity } from "@waxwingspread/protocol";
-import { initialMembership } from "./membership.js";
+import { initialMembership, isVoter } from "./membership.js";
 
 const DEFAULT_ANSWER_AGE_MS = 5_000;
 
@@ -77,6 +79,11 @@
     /** Handles a peer's answer to a Describe call that was sent at `askedAtMs`. */
     answered(peer: BootstrapPeer, response: DescribeResponse, askedAtMs: number): void {
         const { identity } = response;
+        if (response.formed && isVoter(response.membership ?? create(MembershipSchema), this.#identity.diskId)) {
+            // The peer formed the cluster with this replica first; the leader will send the log.
+            this.#answers.delete(peer.name);
+            return;
+        }
         if (response.formed) {
             this.#obstacle = `${peer.name} belongs to a cluster already`;
             return;
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -153,15 +153,16 @@
             preVote,
             handover: this.#handover,
         });
+        // The address lets an initial replica answer that has not formed its own copy of the membership yet.
         for (const voter of votersOf(core.membership)) {
             if (voter.diskId === core.identity.diskId) {
                 continue;
             }
             if (preVote) {
-                core.send(voter.diskId, { case: "voteRequest", value: request }, { term });
+                core.send(voter.diskId, { case: "voteRequest", value: request }, { term, withAddress: true });
             }
             else {
-                core.sendWhenDurable(voter.diskId, { case: "voteRequest", value: request });
+                core.sendWhenDurable(voter.diskId, { case: "voteRequest", value: request }, { withAddress: true });
             }
         }
     }
--- a/packages/control/src/calls.ts
+++ b/packages/control/src/calls.ts
@@ -80,7 +80,7 @@
     result: { case: "error", value: error },
 });
 
-const errorReplies: { [Method in ControlMethod]: (error: ErrorDetail) => ControlReply } = {
+const errorReplies: Record<ControlMethod, (error: ErrorDetail) => ControlReply> = {
     [ControlMethod.Submit]: error => ({
         method: ControlMethod.Submit,
         response: create(SubmitResponseSchema, { result: { case: "error", value: error } }),
--- a/packages/control/src/entry-directory.ts
+++ b/packages/control/src/entry-directory.ts
@@ -4,6 +4,7 @@
 export interface KnownEntry {
     entryId: string;
     address: string;
+    operatorsAddress: string;
     availabilityZone: string;
     leaving: boolean;
     lastHeardMs: number;
@@ -18,6 +19,7 @@
         this.#entries.set(poll.entryId, {
             entryId: poll.entryId,
             address: poll.address,
+            operatorsAddress: poll.operatorsAddress,
             availabilityZone: poll.availabilityZone,
             leaving: poll.leaving,
             lastHeardMs: nowMs,
--- a/packages/control/src/leader-handlers.ts
+++ b/packages/control/src/leader-handlers.ts
@@ -40,6 +40,7 @@
             name: entry.entryId,
             role: "entry",
             address: entry.address,
+            operatorsAddress: entry.operatorsAddress,
             availabilityZone: entry.availabilityZone,
             state: entry.leaving ? "leaving" : "in service",
         })
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -2,8 +2,11 @@
 import { ErrorCode } from "@waxwingspread/protocol";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { createServer as createHttp2Server } from "node:http2";
+import type { Http2ServerRequest, Http2ServerResponse } from "node:http2";
+import type { AddressInfo, Server as NetServer, Socket } from "node:net";
 import type { ListenAddress } from "../transport/listen-address.js";
+import { createDetectingServer } from "./protocol-detection.js";
 
 /** Time in which a client must send its headers. */
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -18,13 +21,17 @@
     maxConnections: number;
     handle: (request: IncomingMessage, response: ServerResponse) => void;
     onConnectionRefused: () => void;
+    /** Serves HTTP/2 on the same port, when given. */
+    handleHttp2?: (request: Http2ServerRequest, response: Http2ServerResponse) => void;
 }
 
 /** HTTP/1.1 listener with limits on connections and on slow clients. */
 export class HttpListener {
     readonly #server: Server;
+    /** Accepts the connections; the HTTP server itself unless HTTP/2 is served too. */
+    readonly #acceptor: NetServer;
     readonly #address: ListenAddress;
-    #connections = 0;
+    readonly #sockets = new Set<Socket>();
 
     constructor(options: HttpListenerOptions) {
         this.#address = options.address;
@@ -33,21 +40,22 @@
             requestTimeout: REQUEST_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         }, options.handle);
-        this.#server.maxConnections = options.maxConnections;
-        this.#server.on("connection", socket => {
-            this.#connections += 1;
-            socket.once("close", () => {
-                this.#connections -= 1;
-            });
+        this.#acceptor = options.handleHttp2 === undefined
+            ? this.#server
+            : createDetectingServer(this.#server, createHttp2Server({}, options.handleHttp2));
+        this.#acceptor.maxConnections = options.maxConnections;
+        this.#acceptor.on("connection", socket => {
+            this.#sockets.add(socket);
+            socket.once("close", () => this.#sockets.delete(socket));
         });
-        this.#server.on("drop", options.onConnectionRefused);
+        this.#acceptor.on("drop", options.onConnectionRefused);
         this.#server.on("clientError", (unusedError, socket) => {
             socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
         });
     }
 
     get connectionCount(): number {
-        return this.#connections;
+        return this.#sockets.size;
     }
 
     /** Starts to listen; returns the port. Fails with UNAVAILABLE. */
@@ -58,16 +66,16 @@
                 "error",
                 error => reject(new StepError(ErrorCode.UNAVAILABLE, "listen", `${host}:${port}`, messageOf(error))),
             );
-            this.#server.listen(port, host, resolve);
+            this.#acceptor.listen(port, host, resolve);
         });
-        return (this.#server.address() as AddressInfo).port;
+        return (this.#acceptor.address() as AddressInfo).port;
     }
 
     /** Stops to listen and waits for open requests, at the latest until `graceMs` have passed. */
     async close(graceMs: number): Promise<void> {
-        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        const closed = new Promise<void>(resolve => this.#acceptor.close(() => resolve()));
         this.#server.closeIdleConnections();
-        const timer = setTimeout(() => this.#server.closeAllConnections(), graceMs);
+        const timer = setTimeout(() => this.#sockets.forEach(socket => socket.destroy()), graceMs);
         await closed;
         clearTimeout(timer);
     }
--- a/packages/daemon/src/http/operators-listener.ts
+++ b/packages/daemon/src/http/operators-listener.ts
@@ -30,14 +30,14 @@
         response.writeHead(healthy ? STATUS_OK : STATUS_UNAVAILABLE, { "content-type": "text/plain" });
         response.end(healthy ? "ok\n" : "not ok\n");
     };
-    const handlers: Record<string, (response: ServerResponse) => void> = {
-        "/livez": health(options.isLive),
-        "/readyz": health(options.isReady),
-        "/leaderz": health(options.isLeader),
-        "/metrics": response => void sendMetrics(options.registry, response),
-    };
+    const handlers = new Map<string, (response: ServerResponse) => void>([
+        ["/livez", health(options.isLive)],
+        ["/readyz", health(options.isReady)],
+        ["/leaderz", health(options.isLeader)],
+        ["/metrics", response => void sendMetrics(options.registry, response)],
+    ]);
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
-        const handler = request.method === "GET" ? handlers[request.url ?? ""] : undefined;
+        const handler = request.method === "GET" ? handlers.get(request.url ?? "") : undefined;
         if (handler !== undefined) {
             handler(response);
             return;
@@ -52,6 +52,7 @@
         address: options.address,
         maxConnections: options.maxConnections,
         handle,
+        handleHttp2: adapter,
         onConnectionRefused: options.onConnectionRefused,
     });
 };
--- /dev/null
+++ b/packages/daemon/src/http/protocol-detection.ts
@@ -0,0 +1,32 @@
+import type { Server } from "node:http";
+import type { Http2Server } from "node:http2";
+import { createServer } from "node:net";
+import type { Server as NetServer, Socket } from "node:net";
+
+/** First bytes of every HTTP/2 connection without TLS; no HTTP/1.1 method begins with them. */
+const HTTP2_PREFACE_START = "PRI ";
+/** A connection that sends nothing for this long is closed. */
+const FIRST_BYTES_TIMEOUT_MS = 10_000;
+
+/** Makes a server that passes each connection to the HTTP/1.1 or the HTTP/2 server by its first bytes. */
+export const createDetectingServer = (http1: Server, http2: Http2Server): NetServer =>
+    createServer(socket => {
+        socket.on("error", () => socket.destroy());
+        socket.setTimeout(FIRST_BYTES_TIMEOUT_MS, () => socket.destroy());
+        socket.once("readable", () => {
+            socket.setTimeout(0);
+            const first = socket.read() as Buffer | null;
+            if (first === null) {
+                socket.destroy();
+                return;
+            }
+            socket.unshift(first);
+            passOn(socket, first, http1, http2);
+        });
+    });
+
+const passOn = (socket: Socket, first: Buffer, http1: Server, http2: Http2Server): void => {
+    const start = first.subarray(0, HTTP2_PREFACE_START.length).toString("latin1");
+    const target = start === HTTP2_PREFACE_START ? http2 : http1;
+    target.emit("connection", socket);
+};
--- a/packages/daemon/src/metrics/label-sets.ts
+++ b/packages/daemon/src/metrics/label-sets.ts
@@ -30,7 +30,6 @@
 
 /** Label sets of all metrics. */
 export const LABELS = {
-    entryEvents: [...Object.values(EntryMetric), OTHER_LABEL],
     operations: [
         "submit",
         "look-up",
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -54,7 +54,6 @@
     dispatches: factory.counter("dispatches", "Starts sent to backend servers, by result", {
         result: LABELS.startResults,
     }),
-    entryEvents: factory.counter("entry_events", "What this entry did, by event", { event: LABELS.entryEvents }),
     connectionsReplaced: factory.counter(
         "connections_replaced",
         "Connections replaced because a call passed its deadline",
--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -26,6 +26,7 @@
 import { controlRoutes } from "./control-routes.js";
 import type { ControlRouteTarget } from "./control-routes.js";
 import { controlSettingsOf, schedulerSettingsOf, seedOf } from "./core-settings.js";
+import { journalRoutes } from "./journal-routes.js";
 import type { ProcessContext } from "./process-context.js";
 import { replicatedLogPort } from "./replicated-log-adapter.js";
 
@@ -70,7 +71,10 @@
         this.#listener = new ConnectListener({
             address: settings.listeners.control ?? { host: settings.advertiseHost, port: 0 },
             maxConnections: settings.limits.connectionsPerListener,
-            routes: controlRoutes(this),
+            routes: router => {
+                controlRoutes(this)(router);
+                journalRoutes(context.journal, context.authorizeOperator)(router);
+            },
             interceptors: [receiveTime(context.journal.clock)],
             onConnectionRefused: () => metrics.rejected.add({ listener: "control", limit: "connections" }),
         });
--- a/packages/daemon/src/roles/entry-role.ts
+++ b/packages/daemon/src/roles/entry-role.ts
@@ -42,6 +42,7 @@
             entryId: settings.vmName,
             incarnation: randomUUID(),
             address: `${settings.advertiseHost}:${settings.listeners.callers?.port ?? 0}`,
+            operatorsAddress: `${settings.advertiseHost}:${settings.listeners.operators.port}`,
             availabilityZone: settings.availabilityZone,
             controlAddresses: settings.controlAddresses.map(formatEndpoint),
             timing: { callTimeoutMs: settings.timings.controlCallTimeoutMs },
--- a/packages/daemon/src/transport/replica-sender.ts
+++ b/packages/daemon/src/transport/replica-sender.ts
@@ -26,8 +26,11 @@
         this.#onFailure = onFailure;
     }
 
-    /** Queues a message for the peer at the given address. */
+    /** Queues a message for the peer at the given address; without an address it is dropped. */
     send(address: string, message: ReplicaMessage): void {
+        if (address === "") {
+            return;
+        }
         const queue = this.#queueFor(address);
         queue.messages.push(message);
         if (queue.messages.length > MAX_QUEUED_MESSAGES) {
--- a/packages/entry/src/dispatch/poller.ts
+++ b/packages/entry/src/dispatch/poller.ts
@@ -58,6 +58,7 @@
             incarnation: settings.incarnation,
             address: settings.address,
             availabilityZone: settings.availabilityZone,
+            operatorsAddress: settings.operatorsAddress ?? "",
             knownRevision: configuration.revision,
             acknowledgedSequence: this.#acknowledgedSequence,
             sequenceTerm: this.#term,
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -22,6 +22,8 @@
     incarnation: string;
     /** Address at which backend servers reach this entry. */
     address: string;
+    /** Where this entry serves its metrics, health and journal. */
+    operatorsAddress?: string;
     availabilityZone: string;
     /** Control replicas known from the settings; later ones arrive with polls. */
     controlAddresses: string[];
--- a/packages/test-support/src/local-fleet/free-ports.ts
+++ b/packages/test-support/src/local-fleet/free-ports.ts
@@ -1,21 +1,35 @@
+import { randomInt } from "node:crypto";
 import { createServer } from "node:net";
-import type { AddressInfo, Server } from "node:net";
+import type { Server } from "node:net";
 
 /** Loopback address on which all stand-ins listen. */
 export const LOOPBACK = "127.0.0.1";
 
-const listenAnywhere = (): Promise<Server> =>
-    new Promise((resolve, reject) => {
+/** Below the range from which the system takes ports of outgoing connections, so that none of those collides. */
+const FIRST_PORT = 18_000;
+const LAST_PORT = 32_000;
+
+const tryListen = (port: number): Promise<Server | undefined> =>
+    new Promise(resolve => {
         const server = createServer();
-        server.once("error", reject);
-        server.listen(0, LOOPBACK, () => resolve(server));
+        server.once("error", () => resolve(undefined));
+        server.listen(port, LOOPBACK, () => resolve(server));
     });
 
+const listenOnFreePort = async (): Promise<{ port: number; server: Server }> => {
+    for (;;) {
+        const port = randomInt(FIRST_PORT, LAST_PORT);
+        const server = await tryListen(port);
+        if (server !== undefined) {
+            return { port, server };
+        }
+    }
+};
+
 /** Returns `count` distinct loopback ports that were free a moment ago. */
 export const findFreePorts = async (count: number): Promise<number[]> => {
-    // All are held open at once, so that the system hands out distinct ports.
-    const servers = await Promise.all(Array.from({ length: count }, listenAnywhere));
-    const ports = servers.map(server => (server.address() as AddressInfo).port);
-    await Promise.all(servers.map(server => new Promise<void>(resolve => server.close(() => resolve()))));
-    return ports;
+    // All are held open at once, so that they are distinct.
+    const listening = await Promise.all(Array.from({ length: count }, listenOnFreePort));
+    await Promise.all(listening.map(({ server }) => new Promise<void>(resolve => server.close(() => resolve()))));
+    return listening.map(({ port }) => port);
 };
--- a/packages/test-support/src/local-fleet/local-fleet.ts
+++ b/packages/test-support/src/local-fleet/local-fleet.ts
@@ -57,7 +57,7 @@
         try {
             await fleet.#startControls();
             await fleet.#startEntries();
-            await fleet.#startBackendServers();
+            fleet.#startBackendServers();
             await Promise.all([...fleet.controls, ...fleet.entries].map(member => fleet.waitForReady(member)));
         }
         catch (error) {
@@ -153,15 +153,13 @@
         }
     }
 
-    async #startBackendServers(): Promise<void> {
-        const ports = await findFreePorts(this.#options.backendServers);
-        ports.forEach((port, position) => {
+    #startBackendServers(): void {
+        for (let position = 0; position < this.#options.backendServers; position += 1) {
             const name = `backend-${position + 1}`;
             const availabilityZone = this.#zone(position);
             const flags = {
                 "id": name,
                 "host": LOOPBACK,
-                "port": String(port),
                 "zone": availabilityZone,
                 "rack": `${availabilityZone}-rack-1`,
                 "seed": String(position + 1),
@@ -170,10 +168,8 @@
             const entries = this.entryAddresses.map(address => `--entry=${address}`);
             const start = (): ManagedProcess =>
                 new ManagedProcess(name, BACKEND_SERVER_SCRIPT, [...toArguments(flags), ...entries]);
-            this.backendServers.push(
-                this.#member(name, availabilityZone, start, { callersAddress: `${LOOPBACK}:${port}` }),
-            );
-        });
+            this.backendServers.push(this.#member(name, availabilityZone, start, {}));
+        }
     }
 
     /** Starts one more daemon with the given flags. */
