Test replication under faults, the store and the runner; fix replay of truncations

Change: a truncation below the first kept entry moves the start of the log; simulated cluster with an oracle, store tests with torn tails at each byte, damage, full disk and crashes at each operation, restart after 50,000 entries. Ruled out: keeping segments until all stale entries are covered, which could hold back deletion for as long as an isolated leader had written ahead.

--- /dev/null
+++ b/packages/consensus/src/bootstrap.test.ts
@@ -0,0 +1,60 @@
+import { create } from "@bufbuild/protobuf";
+import { DescribeResponseSchema, ReplicaIdentitySchema } from "@waxwingspread/protocol";
+import { describe, expect, it } from "vitest";
+import { BootstrapHandshake, BootstrapState } from "./bootstrap.js";
+
+const identityOf = (name: string, diskId = `disk-${name}`) =>
+    create(ReplicaIdentitySchema, { name, diskId, address: `${name}:1` });
+
+const [a, b, c] = ["a", "b", "c"].map(name => identityOf(name)) as [
+    ReturnType<typeof identityOf>,
+    ReturnType<typeof identityOf>,
+    ReturnType<typeof identityOf>,
+];
+
+const unformed = (identity = b) => create(DescribeResponseSchema, { identity });
+
+describe("BootstrapHandshake", () => {
+    it("does not form a second cluster while a peer is silent or its answer is old", () => {
+        const handshake = new BootstrapHandshake({ identity: a, peers: [b, c] });
+        handshake.answered(b, unformed(b), 0);
+        expect(handshake.state(1)).toBe(BootstrapState.Asking);
+        expect(handshake.membership(1)).toBeUndefined();
+        handshake.answered(c, unformed(c), 10);
+        expect(handshake.state(11)).toBe(BootstrapState.Ready);
+        handshake.notAnswered(c);
+        expect(handshake.state(12)).toBe(BootstrapState.Asking);
+        handshake.answered(c, unformed(c), 9_000);
+        expect(handshake.peersToAsk(9_001).map(peer => peer.name)).toEqual(["b"]);
+    });
+
+    it("derives the same membership everywhere", () => {
+        const memberships = [a, b, c].map(identity => {
+            const peers = [c, a, b].filter(peer => peer !== identity);
+            const handshake = new BootstrapHandshake({ identity, peers });
+            peers.forEach(peer => handshake.answered(peer, unformed(peer), 0));
+            return handshake.membership(1);
+        });
+        expect(memberships[0]?.members.map(member => member.identity?.name)).toEqual(["a", "b", "c"]);
+        expect(memberships[1]).toEqual(memberships[0]);
+        expect(memberships[2]).toEqual(memberships[0]);
+    });
+
+    it.each([
+        [
+            "a cluster exists, so that a wiped replica does not form another one",
+            create(DescribeResponseSchema, {
+                identity: b,
+                formed: true,
+            }),
+        ],
+        ["another replica answers", unformed(c)],
+        ["the peer's folder is a copy of the own one", unformed(identityOf("b", "disk-a"))],
+    ])("waits for an operator when %s", (_reason, response) => {
+        const handshake = new BootstrapHandshake({ identity: a, peers: [b] });
+        handshake.answered(b, response, 0);
+        handshake.answered(b, unformed(b), 1);
+        expect(handshake.state(2)).toBe(BootstrapState.WaitingForOperator);
+        expect(handshake.obstacle).not.toBe("");
+    });
+});
--- a/packages/consensus/src/log-replay.ts
+++ b/packages/consensus/src/log-replay.ts
@@ -63,9 +63,12 @@
     }
 
     #truncateFrom(index: number): void {
-        if (this.#baseIndex !== undefined) {
-            this.#entries.length = Math.min(this.#entries.length, Math.max(0, index - this.#baseIndex - 1));
+        if (this.#baseIndex === undefined) {
+            return;
         }
+        // Segments from the start may be deleted while later ones still hold entries that were truncated.
+        this.#baseIndex = Math.min(this.#baseIndex, index - 1);
+        this.#entries.length = Math.min(this.#entries.length, index - this.#baseIndex - 1);
     }
 
     #append(entry: LogEntry, path: string): number {
--- a/packages/test-support/src/fake-file-system.ts
+++ b/packages/test-support/src/fake-file-system.ts
@@ -126,6 +126,8 @@
 export class FakeFileSystem implements FileSystem {
     /** Called before each operation; the code that it returns (such as `EIO`) makes the operation fail. */
     fault: ((operation: FileOperation, path: string) => string | undefined) | undefined;
+    /** Called before each operation, which waits for the result; lets a test crash in the middle of a write. */
+    delay: ((operation: FileOperation, path: string) => Promise<void> | undefined) | undefined;
     /** Total size from which on appends fail with ENOSPC, after a part of the data was written. */
     capacityBytes = Infinity;
     /** Number of syncs of files so far. */
@@ -183,31 +185,69 @@
         this.#durableFiles.set(path, file);
     }
 
-    async makeFolder(): Promise<void> {
-        await Promise.resolve();
+    /** Returns the file system as one process sees it: after a crash every operation of it fails. */
+    process(): FileSystem {
+        const generation = this.#generation;
+        return {
+            makeFolder: () => this.makeFolder(),
+            list: path => this.#list(path, generation),
+            read: path => this.#read(path, generation),
+            openAppend: path => this.#openAppend(path, generation),
+            rename: (from, to) => this.#rename(from, to, generation),
+            remove: path => this.#remove(path, generation),
+            syncFolder: path => this.#syncFolder(path, generation),
+        };
+    }
+
+    makeFolder(): Promise<void> {
+        return Promise.resolve();
+    }
+
+    list(path: string): Promise<string[]> {
+        return this.#list(path, this.#generation);
+    }
+
+    read(path: string): Promise<Uint8Array> {
+        return this.#read(path, this.#generation);
     }
 
-    async list(path: string): Promise<string[]> {
-        await this.#enter(FileOperation.List, path);
+    openAppend(path: string): Promise<AppendFile> {
+        return this.#openAppend(path, this.#generation);
+    }
+
+    rename(from: string, to: string): Promise<void> {
+        return this.#rename(from, to, this.#generation);
+    }
+
+    remove(path: string): Promise<void> {
+        return this.#remove(path, this.#generation);
+    }
+
+    syncFolder(path: string): Promise<void> {
+        return this.#syncFolder(path, this.#generation);
+    }
+
+    async #list(path: string, generation: number): Promise<string[]> {
+        await this.#enter(FileOperation.List, path, generation);
         return [...this.#files.keys()].filter(file => dirname(file) === path).map(file => file.slice(path.length + 1));
     }
 
-    async read(path: string): Promise<Uint8Array> {
-        await this.#enter(FileOperation.Read, path);
+    async #read(path: string, generation: number): Promise<Uint8Array> {
+        await this.#enter(FileOperation.Read, path, generation);
         return this.#file(FileOperation.Read, path).content();
     }
 
-    async openAppend(path: string): Promise<AppendFile> {
-        await this.#enter(FileOperation.Open, path);
+    async #openAppend(path: string, generation: number): Promise<AppendFile> {
+        await this.#enter(FileOperation.Open, path, generation);
         const file = this.#files.get(path) ?? new FakeFile();
         if (!this.#files.has(path)) {
             this.#change(path, files => files.set(path, file));
         }
-        return this.#handle(path, file);
+        return this.#handle(path, file, generation);
     }
 
-    async rename(from: string, to: string): Promise<void> {
-        await this.#enter(FileOperation.Rename, from);
+    async #rename(from: string, to: string, generation: number): Promise<void> {
+        await this.#enter(FileOperation.Rename, from, generation);
         const file = this.#file(FileOperation.Rename, from);
         this.#change(from, files => {
             files.delete(from);
@@ -215,35 +255,26 @@
         });
     }
 
-    async remove(path: string): Promise<void> {
-        await this.#enter(FileOperation.Remove, path);
+    async #remove(path: string, generation: number): Promise<void> {
+        await this.#enter(FileOperation.Remove, path, generation);
         this.#file(FileOperation.Remove, path);
         this.#change(path, files => files.delete(path));
     }
 
-    async syncFolder(path: string): Promise<void> {
-        await this.#enter(FileOperation.SyncFolder, path);
+    async #syncFolder(path: string, generation: number): Promise<void> {
+        await this.#enter(FileOperation.SyncFolder, path, generation);
         const synced = this.#unsyncedChanges.filter(item => item.folder === path);
         synced.forEach(({ change }) => change(this.#durableFiles));
         this.#unsyncedChanges = this.#unsyncedChanges.filter(item => item.folder !== path);
     }
 
-    #handle(path: string, file: FakeFile): AppendFile {
-        const generation = this.#generation;
-        const enter = async (operation: FileOperation) => {
-            await this.#enter(operation, path);
-            if (generation !== this.#generation) {
-                throw new FakeFileError("EBADF", operation, path);
-            }
-        };
+    #handle(path: string, file: FakeFile, generation: number): AppendFile {
+        const enter = (operation: FileOperation) => this.#enter(operation, path, generation);
         return {
             append: async data => {
-                // A crash may hit in the middle of a write, so the data is there before the call returns.
-                const room = this.capacityBytes - this.usedBytes;
-                if (generation === this.#generation) {
-                    file.append(data.subarray(0, Math.max(0, Math.min(room, data.length))));
-                }
                 await enter(FileOperation.Append);
+                const room = this.capacityBytes - this.usedBytes;
+                file.append(data.subarray(0, Math.max(0, Math.min(room, data.length))));
                 if (room < data.length) {
                     throw new FakeFileError("ENOSPC", FileOperation.Append, path);
                 }
@@ -261,8 +292,11 @@
         };
     }
 
-    async #enter(operation: FileOperation, path: string): Promise<void> {
-        await Promise.resolve();
+    async #enter(operation: FileOperation, path: string, generation: number): Promise<void> {
+        await this.delay?.(operation, path);
+        if (generation !== this.#generation) {
+            throw new FakeFileError("EBADF", operation, path);
+        }
         const code = this.fault?.(operation, path);
         if (code !== undefined) {
             throw new FakeFileError(code, operation, path);
--- /dev/null
+++ b/packages/test-support/src/replica-store.test.ts
@@ -0,0 +1,241 @@
+import { create } from "@bufbuild/protobuf";
+import { SeededRandom } from "@waxwingspread/common";
+import { initialMembership, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
+import type { FileSystem, OpenedStore, RunnerHooks } from "@waxwingspread/consensus";
+import { ErrorCode, HardStateSchema, LogEntrySchema, SnapshotHeaderSchema } from "@waxwingspread/protocol";
+import { createHash } from "node:crypto";
+import { describe, expect, it } from "vitest";
+import { FakeFileSystem, FileOperation } from "./fake-file-system.js";
+
+const FOLDER = "/data";
+const SEGMENT = `${FOLDER}/segment-000000000001.log`;
+
+const open = (fileSystem: FileSystem, segmentBytes?: number) =>
+    ReplicaStore.open({ fileSystem, folder: FOLDER, name: "a", address: "a:1", segmentBytes });
+
+const codeOf = (work: Promise<unknown>): Promise<ErrorCode | undefined> =>
+    work.then(() => undefined, (error: { code: ErrorCode }) => error.code);
+
+const entries = (first: number, last: number, term: number) =>
+    Array.from({ length: last - first + 1 }, (_, position) =>
+        create(LogEntrySchema, {
+            index: first + position,
+            term,
+            body: { case: "data", value: Buffer.from(`${term}/${first + position}`) },
+        }));
+
+const hardState = (term: number) => create(HardStateSchema, { term, votedForDiskId: `vote-${term}` });
+
+const summary = ({ persisted }: OpenedStore) => ({
+    term: persisted.hardState.term,
+    entries: persisted.entries.map(entry => `${entry.term}/${entry.index}`),
+});
+
+const snapshot = (lastIndex: number, lastTerm: number, text: string) => {
+    const bytes = Buffer.from(text);
+    const sha256 = createHash("sha256").update(bytes).digest();
+    return { bytes, header: create(SnapshotHeaderSchema, { lastIndex, lastTerm, sizeBytes: bytes.length, sha256 }) };
+};
+
+/** Writes three synced writes and returns the sizes of the file after each. */
+const writeThree = async (fileSystem: FakeFileSystem) => {
+    const { store } = await open(fileSystem);
+    const sizes: number[] = [];
+    for (const index of [1, 3, 5]) {
+        await store.write([{ hardState: hardState(index), entries: entries(index, index + 1, index) }]);
+        sizes.push((await fileSystem.read(SEGMENT)).length);
+    }
+    await store.close();
+    return sizes;
+};
+
+describe("ReplicaStore", () => {
+    it("keeps every synced write and cuts the rest, wherever the last write is torn", async () => {
+        const source = new FakeFileSystem(new SeededRandom(1));
+        const sizes = await writeThree(source);
+        const data = await source.read(SEGMENT);
+        const identity = await source.read(`${FOLDER}/identity`);
+        for (let size = sizes[1] ?? 0; size <= data.length; size += 1) {
+            const fileSystem = new FakeFileSystem(new SeededRandom(1));
+            fileSystem.replaceContent(`${FOLDER}/identity`, identity);
+            fileSystem.replaceContent(SEGMENT, data.slice(0, size));
+            const opened = await open(fileSystem);
+            const loaded = summary(opened).entries;
+            expect(loaded.slice(0, 4)).toEqual(["1/1", "1/2", "3/3", "3/4"]);
+            expect(size < data.length || loaded.length === 6).toBe(true);
+            await opened.store.write([{ entries: entries(loaded.length + 1, loaded.length + 1, 9) }]);
+            expect(summary(await open(fileSystem)).entries).toEqual([...loaded, `9/${loaded.length + 1}`]);
+        }
+    });
+
+    it("reports a damaged byte in a synced write as CORRUPT instead of dropping what follows", async () => {
+        const source = new FakeFileSystem(new SeededRandom(1));
+        const sizes = await writeThree(source);
+        for (let offset = 0; offset < (sizes[1] ?? 0); offset += 1) {
+            source.corrupt(SEGMENT, offset);
+            expect(await codeOf(open(source)), `byte ${offset}`).toBe(ErrorCode.CORRUPT);
+            source.corrupt(SEGMENT, offset);
+        }
+    });
+
+    it("reports damage in an earlier segment, a missing segment and a damaged snapshot as CORRUPT", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        const { store } = await open(fileSystem, 100);
+        for (let index = 1; index <= 10; index += 1) {
+            await store.write([{ entries: entries(index, index, 1) }]);
+        }
+        const { header, bytes } = snapshot(2, 1, "state");
+        await store.saveSnapshot(header, bytes);
+        const first = fileSystem.paths.find(path => path.includes("segment")) ?? "";
+        const second = fileSystem.paths.filter(path => path.includes("segment"))[1] ?? "";
+        const lastByte = (await fileSystem.read(first)).length - 1;
+        fileSystem.corrupt(first, lastByte);
+        expect(await codeOf(open(fileSystem))).toBe(ErrorCode.CORRUPT);
+        fileSystem.corrupt(first, lastByte);
+        fileSystem.corrupt(`${FOLDER}/snapshot`, 20);
+        expect(await codeOf(open(fileSystem))).toBe(ErrorCode.CORRUPT);
+        fileSystem.corrupt(`${FOLDER}/snapshot`, 20);
+        await fileSystem.remove(second);
+        expect(await codeOf(open(fileSystem))).toBe(ErrorCode.CORRUPT);
+    });
+
+    it("loads what a crash leaves at each operation of a snapshot and of a log reset", async () => {
+        const { header, bytes } = snapshot(20, 3, "state");
+        for (let operations = 0; operations < 40; operations += 1) {
+            const fileSystem = new FakeFileSystem(new SeededRandom(operations));
+            const { store, identity } = await open(fileSystem.process(), 100);
+            for (let index = 1; index <= 30; index += 3) {
+                await store.write([{ hardState: hardState(4), entries: entries(index, index + 2, 2) }]);
+            }
+            let remaining = operations;
+            fileSystem.fault = () => {
+                remaining -= 1;
+                return remaining < 0 ? "EIO" : undefined;
+            };
+            const isDone = await codeOf(store.restoreSnapshot(header, bytes)) === undefined;
+            fileSystem.fault = undefined;
+            fileSystem.crash();
+            const opened = await open(fileSystem);
+            expect(opened.identity.diskId).toBe(identity.diskId);
+            expect(opened.persisted.hardState.term).toBe(4);
+            const { snapshot: loaded, entries: kept } = opened.persisted;
+            expect(loaded === undefined ? kept.length : kept.length + loaded.lastIndex).toBe(loaded ? 20 : 30);
+            expect(!isDone || loaded !== undefined).toBe(true);
+        }
+    });
+
+    it("replays truncations also when the segments before them are deleted", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        const { store } = await open(fileSystem, 60);
+        await store.write([{ entries: entries(1, 10, 1) }]);
+        await store.write([{ entries: entries(11, 30, 1) }]);
+        await store.write([{ hardState: hardState(2), truncateFromIndex: 6, entries: entries(6, 13, 2) }]);
+        const { header, bytes } = snapshot(12, 2, "state");
+        await store.saveSnapshot(header, bytes);
+        expect(fileSystem.paths).not.toContain(SEGMENT);
+        expect(summary(await open(fileSystem))).toEqual({ term: 2, entries: ["2/13"] });
+    });
+
+    it("refuses a folder of another replica and one whose identity is missing", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        await writeThree(fileSystem);
+        const other = ReplicaStore.open({ fileSystem, folder: FOLDER, name: "b", address: "b:1" });
+        expect(await codeOf(other)).toBe(ErrorCode.INVALID);
+        await fileSystem.remove(`${FOLDER}/identity`);
+        expect(await codeOf(open(fileSystem))).toBe(ErrorCode.CORRUPT);
+    });
+});
+
+const runnerOf = (opened: OpenedStore, hooks: Partial<RunnerHooks> = {}) =>
+    new ReplicaRunner({
+        opened,
+        random: new SeededRandom(1),
+        defer: queueMicrotask,
+        hooks: {
+            send: () => undefined,
+            onCommit: () => undefined,
+            onRestoreSnapshot: () => undefined,
+            onRoleChange: () => undefined,
+            takeSnapshot: () => undefined,
+            onFailed: () => undefined,
+            ...hooks,
+        },
+    }, 0);
+
+const startSingle = async (fileSystem: FakeFileSystem, hooks: Partial<RunnerHooks> = {}) => {
+    const runner = runnerOf(await open(fileSystem), hooks);
+    runner.form(initialMembership([runner.replica.identity]), 0);
+    await idle(runner);
+    runner.tick(1_000);
+    await idle(runner);
+    return runner;
+};
+
+const idle = async (runner: ReplicaRunner) => {
+    do {
+        await Promise.resolve();
+        await runner.whenIdle();
+    }
+    while (!runner.isIdle);
+};
+
+describe("ReplicaRunner", () => {
+    it.each([
+        ["a full disk", (disk: FakeFileSystem) => (disk.capacityBytes = disk.usedBytes + 10)],
+        [
+            "a failed sync",
+            (disk: FakeFileSystem) => (disk.fault = name => name === FileOperation.Sync ? "EIO" : undefined),
+        ],
+    ])("stops on %s before it commits anything", async (_name, breakDisk) => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        const committed: number[] = [];
+        const failures: ErrorCode[] = [];
+        const runner = await startSingle(fileSystem, {
+            onCommit: items => committed.push(...items.map(item => item.index)),
+            onFailed: error => failures.push(error.code),
+        });
+        expect(committed).toEqual([1, 2]);
+        breakDisk(fileSystem);
+        runner.propose([Buffer.from("record")], 1_001).unwrap();
+        await idle(runner);
+        expect(committed).toEqual([1, 2]);
+        expect(failures).toEqual([ErrorCode.DISK_FAILED]);
+        expect(runner.hasQuorumLease(1_002)).toBe(false);
+        expect(runner.propose([Buffer.from("record")], 1_003).unwrapErr().code).toBe(ErrorCode.DISK_FAILED);
+    });
+
+    it("combines the records of one iteration and of a write in progress into one sync each", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        const runner = await startSingle(fileSystem);
+        const before = fileSystem.syncCount;
+        for (let record = 0; record < 100; record += 1) {
+            runner.propose([Buffer.from("record")], 1_001).unwrap();
+        }
+        await idle(runner);
+        expect(runner.replica.commitIndex).toBe(102);
+        expect(fileSystem.syncCount - before).toBe(1);
+    });
+
+    it("restarts after 50,000 entries with the whole state and a bounded log", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        let count = 0;
+        const hooks: Partial<RunnerHooks> = {
+            onCommit: items => (count += items.filter(item => item.body.case === "data").length),
+            onRestoreSnapshot: (_header, bytes) => (count = Number(Buffer.from(bytes).toString())),
+            takeSnapshot: () => Buffer.from(String(count)),
+        };
+        const runner = await startSingle(fileSystem, hooks);
+        for (let batch = 0; batch < 500; batch += 1) {
+            runner.propose(Array.from({ length: 100 }, () => Buffer.alloc(150)), 1_001).unwrap();
+            await idle(runner);
+        }
+        expect(runner.replica.logLength).toBeLessThan(12_000);
+        fileSystem.crash();
+        count = 0;
+        const restarted = runnerOf(await open(fileSystem), hooks);
+        restarted.tick(1_000);
+        await idle(restarted);
+        expect(count).toBe(50_000);
+        expect(fileSystem.usedBytes).toBeLessThan(20_000_000);
+    });
+});
--- /dev/null
+++ b/packages/test-support/src/replication-oracle.ts
@@ -0,0 +1,128 @@
+import { ReplicaRole } from "@waxwingspread/consensus";
+import type { Replica, ReplicaRunner } from "@waxwingspread/consensus";
+import type { LogEntry } from "@waxwingspread/protocol";
+
+interface CommittedEntry {
+    term: number;
+    stateHash: string;
+}
+
+/** Error of an invariant that does not hold. */
+export class InvariantError extends Error {}
+
+const fail = (message: string): never => {
+    throw new InvariantError(message);
+};
+
+/** Checks what must hold for all replicas together. Violations are thrown at the next `check` as well. */
+export class ReplicationOracle {
+    readonly #committed = new Map<number, CommittedEntry>();
+    readonly #leaders = new Map<number, string>();
+    #commitIndex = 0;
+    #violation: InvariantError | undefined;
+
+    /** Highest index that any replica has reported as committed. */
+    get commitIndex(): number {
+        return this.#commitIndex;
+    }
+
+    get terms(): number {
+        return this.#leaders.size;
+    }
+
+    /** Election safety and leader completeness. */
+    leaderElected(term: number, replica: Replica): void {
+        this.#note(() => {
+            const other = this.#leaders.get(term);
+            if (other !== undefined && other !== replica.identity.diskId) {
+                fail(`two leaders in term ${term}: ${other} and ${replica.identity.diskId}`);
+            }
+            this.#leaders.set(term, replica.identity.diskId);
+            if (replica.lastIndex < this.#commitIndex) {
+                fail(`leader of term ${term} lacks committed entries after ${replica.lastIndex}`);
+            }
+            for (let index = this.#commitIndex; index > replica.commitIndex; index -= 1) {
+                if (replica.termAt(index) !== this.#committed.get(index)?.term) {
+                    fail(`leader of term ${term} has another entry ${index} than was committed`);
+                }
+            }
+        });
+    }
+
+    /** Entries are applied without a gap. */
+    expectNext(name: string, appliedIndex: number, index: number): void {
+        this.#note(() => {
+            if (index !== appliedIndex + 1) {
+                fail(`${name} applies entry ${index} after ${appliedIndex}`);
+            }
+        });
+    }
+
+    /** All replicas commit the same entry at an index and reach the same state. */
+    committed(entry: LogEntry, stateHash: string): void {
+        this.#note(() => {
+            const known = this.#committed.get(entry.index);
+            if (known !== undefined && (known.term !== entry.term || known.stateHash !== stateHash)) {
+                fail(`entry ${entry.index} was committed with term ${known.term} and with term ${entry.term}`);
+            }
+            this.#committed.set(entry.index, { term: entry.term, stateHash });
+            this.#commitIndex = Math.max(this.#commitIndex, entry.index);
+        });
+    }
+
+    /** A snapshot contains exactly the committed entries up to its last index. */
+    restored(index: number, stateHash: string): void {
+        this.#note(() => {
+            if (this.#committed.get(index)?.stateHash !== stateHash) {
+                fail(`snapshot of ${index} differs from the committed entries`);
+            }
+        });
+    }
+
+    /** Checks log matching and that the holder of the lease knows everything that is committed. */
+    check(runners: readonly ReplicaRunner[], nowMs: number): void {
+        if (this.#violation !== undefined) {
+            throw this.#violation;
+        }
+        for (const runner of runners) {
+            if (runner.failure !== undefined) {
+                throw runner.failure;
+            }
+            if (runner.hasQuorumLease(nowMs) && runner.replica.commitIndex < this.#commitIndex) {
+                fail(`${runner.replica.identity.name} holds the lease without entry ${this.#commitIndex}`);
+            }
+        }
+        const terms = runners.filter(runner => runner.replica.role === ReplicaRole.Leader)
+            .map(runner => runner.replica.term);
+        if (new Set(terms).size !== terms.length) {
+            fail("two leaders in one term");
+        }
+        const [first, ...others] = runners;
+        others.forEach(other => first !== undefined && this.#checkMatching(first.replica, other.replica));
+    }
+
+    #checkMatching(a: Replica, b: Replica): void {
+        let isMatched = false;
+        for (let index = Math.min(a.lastIndex, b.lastIndex); index > 0; index -= 1) {
+            const termA = a.termAt(index);
+            const termB = b.termAt(index);
+            if (termA === undefined || termB === undefined) {
+                return;
+            }
+            if (isMatched && termA !== termB) {
+                fail(`logs differ at ${index} before an entry that is alike`);
+            }
+            isMatched ||= termA === termB;
+        }
+    }
+
+    /** Remembers the first violation, since callbacks of a runner must not throw. */
+    #note(check: () => void): void {
+        try {
+            check();
+        }
+        catch (error) {
+            this.#violation ??= error as InvariantError;
+        }
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/replication.test.ts
@@ -0,0 +1,135 @@
+import { MembershipChangeKind, ReplicaRole } from "@waxwingspread/consensus";
+import { describe, expect, it } from "vitest";
+import { NO_FAULTS, SimulatedCluster } from "./simulated-cluster.js";
+import type { FaultRates } from "./simulated-cluster.js";
+
+const FAULTS: FaultRates = {
+    loss: 0.05,
+    duplication: 0.05,
+    crash: 0.004,
+    partition: 0.01,
+    diskProgress: 0.6,
+    maximumDelayMs: 40,
+};
+const SEEDS = 24;
+const FAULTY_MS = 15_000;
+const HEALING_MS = 5_000;
+
+const heal = async (cluster: SimulatedCluster) => {
+    cluster.rates = NO_FAULTS;
+    cluster.isolated = new Set();
+    for (const node of cluster.nodes.values()) {
+        node.waitingOperations.splice(0).forEach(resume => resume());
+        if (node.runner === undefined) {
+            await cluster.start(node);
+        }
+    }
+    await cluster.run(HEALING_MS);
+    await cluster.run(1_000, false);
+};
+
+const formed = async (names: string[], seed: number) => {
+    const cluster = new SimulatedCluster({ seed, names, snapshotEntries: 50, limits: { retainedEntries: 10 } });
+    await cluster.form();
+    await cluster.run(2_000);
+    return cluster;
+};
+
+describe("replication under faults", () => {
+    // Guards against two leaders in a term, diverging logs, lost committed entries, reads under a stale lease,
+    // and a cluster that does not recover once the faults end.
+    it.each(Array.from({ length: SEEDS }, (_, seed) => seed))("keeps its invariants with seed %i", async seed => {
+        const names = ["a", "b", "c", "d", "e"].slice(0, 3 + seed % 3);
+        const cluster = new SimulatedCluster({
+            seed,
+            names,
+            rates: FAULTS,
+            snapshotEntries: 30,
+            limits: { retainedEntries: 5, batchEntries: 4, inFlightEntries: 16, snapshotChunkBytes: 32 },
+        });
+        await cluster.form();
+        await cluster.run(FAULTY_MS);
+        const before = cluster.oracle.commitIndex;
+        await heal(cluster);
+        expect(cluster.oracle.commitIndex).toBeGreaterThan(before + 50);
+        const commitIndexes = new Set(cluster.runners.map(runner => runner.replica.commitIndex));
+        expect([...commitIndexes]).toEqual([cluster.oracle.commitIndex]);
+    });
+});
+
+describe("repairs", () => {
+    it("is not disrupted by a replica that was isolated, and that one does not raise its term", async () => {
+        const cluster = await formed(["a", "b", "c"], 1);
+        const leader = cluster.leader;
+        const isolated = cluster.runners.find(runner => runner !== leader);
+        const name = isolated?.replica.identity.name ?? "";
+        const term = leader?.replica.term;
+        cluster.isolated = new Set([name]);
+        await cluster.run(20_000);
+        expect(isolated?.replica.term).toBe(term);
+        cluster.isolated = new Set();
+        await cluster.run(2_000);
+        expect(cluster.leader).toBe(leader);
+        expect(cluster.leader?.replica.term).toBe(term);
+        expect(isolated?.replica.commitIndex).toBeGreaterThan(cluster.oracle.commitIndex - 10);
+    });
+
+    it("makes an isolated leader step down and give up its lease", async () => {
+        const cluster = await formed(["a", "b", "c"], 2);
+        const leader = cluster.leader;
+        cluster.isolated = new Set([leader?.replica.identity.name ?? ""]);
+        await cluster.run(600);
+        expect(leader?.replica.role).not.toBe(ReplicaRole.Leader);
+        expect(leader?.hasQuorumLease(cluster.nowMs)).toBe(false);
+        await cluster.run(2_000);
+        expect(cluster.leader).not.toBe(leader);
+    });
+
+    it("does not let a wiped disk vote under its old identity", async () => {
+        const cluster = await formed(["a", "b", "c"], 3);
+        const [wiped, crashed] = cluster.runners.filter(runner => runner !== cluster.leader);
+        const wipedNode = cluster.nodes.get(wiped?.replica.identity.name ?? "");
+        cluster.crash(wipedNode?.name ?? "");
+        wipedNode?.fileSystem.wipe();
+        if (wipedNode !== undefined) {
+            await cluster.start(wipedNode);
+        }
+        cluster.crash(crashed?.replica.identity.name ?? "");
+        const committed = cluster.oracle.commitIndex;
+        await cluster.run(5_000);
+        expect(cluster.leader).toBeUndefined();
+        expect(cluster.oracle.commitIndex).toBeLessThanOrEqual(committed + 10);
+        expect(wipedNode?.runner?.replica.isFormed).toBe(false);
+    });
+
+    it("survives a second loss right after a repair", async () => {
+        const cluster = await formed(["a", "b", "c"], 4);
+        const lost = cluster.runners.find(runner => runner !== cluster.leader)?.replica.identity;
+        cluster.crash(lost?.name ?? "");
+        const node = cluster.nodes.get(lost?.name ?? "");
+        node?.fileSystem.wipe();
+        await cluster.run(3_000);
+        if (node !== undefined) {
+            await cluster.start(node);
+        }
+        const fresh = cluster.runner(lost?.name ?? "").replica.identity;
+        const change = async (request: Parameters<NonNullable<typeof cluster.leader>["changeMembership"]>[0]) => {
+            for (let attempt = 0; attempt < 20; attempt += 1) {
+                const result = cluster.leader?.changeMembership(request, cluster.nowMs);
+                await cluster.run(200);
+                const index = result?.unwrapOr(Infinity) ?? Infinity;
+                if (index <= cluster.oracle.commitIndex) {
+                    return;
+                }
+            }
+            throw new Error(`${request.kind} did not succeed`);
+        };
+        await change({ kind: MembershipChangeKind.Remove, diskId: lost?.diskId ?? "" });
+        await change({ kind: MembershipChangeKind.AddLearner, identity: fresh });
+        await change({ kind: MembershipChangeKind.Promote, diskId: fresh.diskId });
+        const committed = cluster.oracle.commitIndex;
+        cluster.crash(cluster.leader?.replica.identity.name ?? "");
+        await cluster.run(5_000);
+        expect(cluster.oracle.commitIndex).toBeGreaterThan(committed + 20);
+    });
+});
--- /dev/null
+++ b/packages/test-support/src/simulated-cluster.ts
@@ -0,0 +1,301 @@
+import { create } from "@bufbuild/protobuf";
+import { SeededRandom } from "@waxwingspread/common";
+import { BootstrapHandshake, BootstrapState, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
+import type { ReplicaLimits } from "@waxwingspread/consensus";
+import { DescribeResponseSchema } from "@waxwingspread/protocol";
+import type { LogEntry, ReplicaIdentity, ReplicaMessage, SnapshotHeader } from "@waxwingspread/protocol";
+import { createHash } from "node:crypto";
+import { FakeFileSystem, FileOperation } from "./fake-file-system.js";
+import { ReplicationOracle } from "./replication-oracle.js";
+
+const FOLDER = "/data";
+const SETTLING_TURNS = 60;
+const MINIMUM_STEP_MS = 4;
+const MAXIMUM_STEP_MS = 16;
+
+/** Rates of faults per message or per step, from 0 to 1. */
+export interface FaultRates {
+    loss: number;
+    duplication: number;
+    crash: number;
+    partition: number;
+    /** Probability per step that a waiting disk operation goes on. */
+    diskProgress: number;
+    maximumDelayMs: number;
+}
+
+/** Rates without any fault and with short delays. */
+export const NO_FAULTS: FaultRates = {
+    loss: 0,
+    duplication: 0,
+    crash: 0,
+    partition: 0,
+    diskProgress: 1,
+    maximumDelayMs: 4,
+};
+
+/** Construction parameters of a simulated cluster. */
+export interface ClusterOptions {
+    seed: number;
+    names: readonly string[];
+    rates?: Partial<FaultRates>;
+    snapshotEntries?: number;
+    limits?: Partial<ReplicaLimits>;
+}
+
+/** One simulated control VM. */
+export interface SimulatedNode {
+    name: string;
+    fileSystem: FakeFileSystem;
+    runner?: ReplicaRunner;
+    restartAtMs: number;
+    appliedIndex: number;
+    stateHash: string;
+    waitingOperations: (() => void)[];
+    /** Set while the disk operations wait for the simulation instead of running at once. */
+    isDiskSlow: boolean;
+}
+
+interface MessageInFlight {
+    from: string;
+    to: ReplicaIdentity;
+    message: ReplicaMessage;
+    atMs: number;
+}
+
+const hashAfter = (previous: string, entry: LogEntry): string => {
+    const content = entry.body.case === "data" ? entry.body.value : String(entry.body.case);
+    return createHash("sha1").update(previous).update(`${entry.index}/${entry.term}`).update(content).digest("hex");
+};
+
+/** Replicas with fake disks and a faulty network in simulated time. Everything is derived from the seed. */
+export class SimulatedCluster {
+    readonly random: SeededRandom;
+    readonly oracle = new ReplicationOracle();
+    readonly nodes = new Map<string, SimulatedNode>();
+    rates: FaultRates;
+    nowMs = 1_000;
+    /** Names that the others can't reach. */
+    isolated = new Set<string>();
+    /** Number of crashes so far. */
+    crashes = 0;
+    readonly #options: ClusterOptions;
+    #messages: MessageInFlight[] = [];
+    #nextRecord = 0;
+
+    constructor(options: ClusterOptions) {
+        this.#options = options;
+        this.random = new SeededRandom(options.seed);
+        this.rates = { ...NO_FAULTS, ...options.rates };
+    }
+
+    /** Starts all nodes with empty disks and forms the cluster by the bootstrap handshake. */
+    async form(): Promise<void> {
+        for (const name of this.#options.names) {
+            await this.start(this.addNode(name));
+        }
+        const runners = this.runners;
+        for (const runner of runners) {
+            const peers = runners.filter(peer => peer !== runner).map(peer => peer.replica.identity);
+            const handshake = new BootstrapHandshake({ identity: runner.replica.identity, peers });
+            for (const identity of peers) {
+                handshake.answered(identity, create(DescribeResponseSchema, { identity }), this.nowMs);
+            }
+            const membership = handshake.membership(this.nowMs);
+            if (handshake.state(this.nowMs) === BootstrapState.Ready && membership !== undefined) {
+                runner.form(membership, this.nowMs);
+            }
+        }
+    }
+
+    get runners(): ReplicaRunner[] {
+        return [...this.nodes.values()].flatMap(node => node.runner ?? []);
+    }
+
+    /** Returns the leader with the highest term. */
+    get leader(): ReplicaRunner | undefined {
+        return this.runners
+            .filter(runner => runner.replica.role === ReplicaRole.Leader)
+            .sort((a, b) => b.replica.term - a.replica.term)[0];
+    }
+
+    runner(name: string): ReplicaRunner {
+        const runner = this.nodes.get(name)?.runner;
+        if (runner === undefined) {
+            throw new Error(`${name} is not running`);
+        }
+        return runner;
+    }
+
+    /** Adds a node that is not started yet. */
+    addNode(name: string): SimulatedNode {
+        const node: SimulatedNode = {
+            name,
+            fileSystem: new FakeFileSystem(new SeededRandom(this.random.nextInteger(0, 1_000_000))),
+            restartAtMs: Infinity,
+            appliedIndex: 0,
+            stateHash: "",
+            waitingOperations: [],
+            isDiskSlow: false,
+        };
+        node.fileSystem.delay = operation => {
+            const isWrite = operation === FileOperation.Append || operation === FileOperation.Sync
+                || operation === FileOperation.Rename;
+            if (!node.isDiskSlow || !isWrite || this.rates.diskProgress >= 1) {
+                return undefined;
+            }
+            return new Promise(resolve => node.waitingOperations.push(resolve));
+        };
+        this.nodes.set(name, node);
+        return node;
+    }
+
+    /** Starts a node from what its disk contains. */
+    async start(node: SimulatedNode): Promise<void> {
+        node.restartAtMs = Infinity;
+        node.appliedIndex = 0;
+        node.stateHash = "";
+        node.isDiskSlow = false;
+        const opened = await ReplicaStore.open({
+            fileSystem: node.fileSystem.process(),
+            folder: FOLDER,
+            name: node.name,
+            address: `${node.name}:1`,
+            newDiskId: () => `${node.name}-${this.random.nextInteger(0, 1_000_000)}`,
+            segmentBytes: 2_000,
+        });
+        node.isDiskSlow = true;
+        let isCurrent = true;
+        const guard = <T extends unknown[]>(hook: (...args: T) => void) => (...args: T) => {
+            if (isCurrent && (node.runner === undefined || node.runner === runner)) {
+                hook(...args);
+            }
+            isCurrent = node.runner === undefined || node.runner === runner;
+        };
+        node.runner = undefined;
+        const runner: ReplicaRunner = new ReplicaRunner({
+            opened,
+            random: new SeededRandom(this.random.nextInteger(0, 1_000_000)),
+            snapshotEntries: this.#options.snapshotEntries,
+            limits: this.#options.limits,
+            defer: queueMicrotask,
+            hooks: {
+                send: guard((to: ReplicaIdentity, message: ReplicaMessage) => this.#send(node.name, to, message)),
+                onCommit: guard((entries: LogEntry[]) => entries.forEach(entry => this.#apply(node, entry))),
+                onRestoreSnapshot: (header, bytes) => this.#restore(node, header, bytes),
+                onRoleChange: guard(change => {
+                    if (change.role === ReplicaRole.Leader) {
+                        this.oracle.leaderElected(change.term, runner.replica);
+                    }
+                }),
+                takeSnapshot: () => Buffer.from(node.stateHash.repeat(this.random.nextInteger(1, 4))),
+                onFailed: () => undefined,
+            },
+        }, this.nowMs);
+        node.runner = runner;
+    }
+
+    /** Crashes a node; its disk loses or tears what was not synced. */
+    crash(name: string, restartInMs = Infinity): void {
+        const node = this.nodes.get(name);
+        if (node?.runner === undefined) {
+            return;
+        }
+        this.crashes += 1;
+        node.fileSystem.crash();
+        node.runner = undefined;
+        node.waitingOperations.splice(0).forEach(resume => resume());
+        node.restartAtMs = this.nowMs + restartInMs;
+    }
+
+    /** Proposes a unique record at every replica that takes itself for the leader. */
+    propose(): void {
+        for (const runner of this.runners) {
+            this.#nextRecord += 1;
+            runner.propose([Buffer.from(`record ${this.#nextRecord}`)], this.nowMs);
+        }
+    }
+
+    /** Runs for a time; with `withFaults`, at the configured rates. */
+    async run(durationMs: number, withProposals = true): Promise<void> {
+        const endMs = this.nowMs + durationMs;
+        while (this.nowMs < endMs) {
+            await this.step(withProposals);
+        }
+    }
+
+    async step(withProposals: boolean): Promise<void> {
+        this.nowMs += this.random.nextInteger(MINIMUM_STEP_MS, MAXIMUM_STEP_MS);
+        await this.#injectFaults();
+        for (const node of this.nodes.values()) {
+            const waiting = node.waitingOperations;
+            while (waiting.length > 0 && this.random.nextRatio() < this.rates.diskProgress) {
+                waiting.shift()?.();
+                await this.#settle(1);
+            }
+            node.runner?.tick(this.nowMs);
+        }
+        if (withProposals && this.random.nextRatio() < 1 / 2) {
+            this.propose();
+        }
+        this.#deliver();
+        await this.#settle(SETTLING_TURNS);
+        this.oracle.check(this.runners, this.nowMs);
+    }
+
+    async #settle(turns: number): Promise<void> {
+        for (let turn = 0; turn < turns; turn += 1) {
+            await Promise.resolve();
+        }
+    }
+
+    async #injectFaults(): Promise<void> {
+        for (const node of this.nodes.values()) {
+            if (node.runner === undefined && this.nowMs >= node.restartAtMs) {
+                await this.start(node);
+            }
+            else if (this.random.nextRatio() < this.rates.crash) {
+                this.crash(node.name, this.random.nextInteger(1, 1_500));
+            }
+        }
+        if (this.random.nextRatio() < this.rates.partition) {
+            const isHealed = this.random.nextRatio() < 1 / 2;
+            this.isolated = new Set(isHealed ? [] : [this.random.pick([...this.nodes.keys()])]);
+        }
+    }
+
+    #send(from: string, to: ReplicaIdentity, message: ReplicaMessage): void {
+        if (this.random.nextRatio() < this.rates.loss || to.address === "") {
+            return;
+        }
+        const copies = this.random.nextRatio() < this.rates.duplication ? 2 : 1;
+        for (let copy = 0; copy < copies; copy += 1) {
+            const atMs = this.nowMs + this.random.nextInteger(1, this.rates.maximumDelayMs);
+            this.#messages.push({ from, to, message, atMs });
+        }
+    }
+
+    #deliver(): void {
+        const due = this.#messages.filter(item => item.atMs <= this.nowMs).sort((a, b) => a.atMs - b.atMs);
+        this.#messages = this.#messages.filter(item => item.atMs > this.nowMs);
+        for (const { from, to, message } of due) {
+            const target = to.address.split(":")[0] ?? "";
+            if (!this.isolated.has(from) && !this.isolated.has(target)) {
+                this.nodes.get(target)?.runner?.receive(message, this.nowMs);
+            }
+        }
+    }
+
+    #apply(node: SimulatedNode, entry: LogEntry): void {
+        this.oracle.expectNext(node.name, node.appliedIndex, entry.index);
+        node.appliedIndex = entry.index;
+        node.stateHash = hashAfter(node.stateHash, entry);
+        this.oracle.committed(entry, node.stateHash);
+    }
+
+    #restore(node: SimulatedNode, header: SnapshotHeader, bytes: Uint8Array): void {
+        node.appliedIndex = header.lastIndex;
+        node.stateHash = Buffer.from(bytes).toString().slice(0, "0".repeat(40).length);
+        this.oracle.restored(header.lastIndex, node.stateHash);
+    }
+}
