--- a/packages/scheduler/src/scheduler.random.test.ts
+++ b/packages/scheduler/src/scheduler.random.test.ts
@@ -42,6 +42,8 @@
     readonly #replica = new ClusterState();
     readonly #servers: ModelServer[] = [];
     readonly #truths = new Map<string, Truth>();
+    /** Time until which nothing reaches a server or leaves it. */
+    readonly #isolatedUntilMs = new Map<string, number>();
     readonly #toldNotRun = new Set<string>();
     readonly #network: { atMs: number; run: () => void }[] = [];
     #afterCommit: (() => void)[] = [];
@@ -109,7 +111,7 @@
         }
         this.#servers.forEach((server, position) => {
             const due = Math.round(this.#nowMs / STEP_MS) % 10 === position;
-            if (due && !this.#chance(0.1)) {
+            if (due && !this.#isIsolated(server)) {
                 this.#announce(server, ZONES[position % ZONES.length] ?? "a");
             }
         });
@@ -123,6 +125,14 @@
         if (this.#chance(0.01)) {
             server.restart();
         }
+        if (this.#chance(0.005)) {
+            this.#isolatedUntilMs.set(server.id, this.#nowMs + this.#random.nextInteger(2_000, 25_000));
+        }
+        if (this.#chance(0.003)) {
+            const pausedMs = this.#random.nextInteger(1_000, 15_000);
+            this.#nowMs += pausedMs;
+            this.#servers.forEach(other => other.pass(pausedMs));
+        }
         if (this.#chance(0.005)) {
             server.leaving = true;
         }
@@ -154,6 +164,10 @@
         due.forEach(message => message.run());
     }
 
+    #isIsolated(server: ModelServer): boolean {
+        return this.#nowMs < (this.#isolatedUntilMs.get(server.id) ?? 0);
+    }
+
     #submit(): void {
         const requestId = `r${this.#nextJob}`;
         const workClass = this.#random.pick(CLASSES);
@@ -196,10 +210,13 @@
 
     #carryOut(order: Order): void {
         const server = this.#servers.find(({ id }) => id === order.backendServerId);
+        if (server === undefined || this.#isIsolated(server)) {
+            return;
+        }
         if (order.kind === OrderKind.STOP || order.kind === OrderKind.CHECKPOINT_AND_STOP) {
-            server?.stop(order, this.#random.nextRatio() < 0.7);
+            server.stop(order, this.#random.nextRatio() < 0.7);
         }
-        if (order.kind !== OrderKind.START || server === undefined) {
+        if (order.kind !== OrderKind.START) {
             return;
         }
         const standing = this.#truths.get(order.requestId)?.workClass === "watch";
