--- a/packages/scheduler/src/policy/basic-policies.ts
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -201,6 +201,7 @@
 
 interface CustomerUse {
     tasks: Map<TaskKey, { workKind: WorkKind; reserved: Resources }>;
+    byKind: Map<WorkKind, ResourceAmounts>;
 }
 
 const KINDS_BY_URGENCY = [WorkKind.LATENCY_CRITICAL, WorkKind.STANDING, WorkKind.BATCH];
@@ -230,13 +231,22 @@
     }
 
     started(customer: string, workKind: WorkKind, taskKey: TaskKey, reserved: Resources): void {
-        const use = this.#uses.get(customer) ?? { tasks: new Map() };
-        use.tasks.set(taskKey, { workKind, reserved });
+        const use = this.#uses.get(customer) ?? { tasks: new Map(), byKind: new Map() };
         this.#uses.set(customer, use);
+        use.tasks.set(taskKey, { workKind, reserved });
+        use.byKind.set(workKind, addResources(use.byKind.get(workKind) ?? NO_RESOURCES, reserved));
     }
 
     ended(customer: string, taskKey: TaskKey): void {
-        this.#uses.get(customer)?.tasks.delete(taskKey);
+        const use = this.#uses.get(customer);
+        const task = use?.tasks.get(taskKey);
+        if (use !== undefined && task !== undefined) {
+            use.tasks.delete(taskKey);
+            use.byKind.set(
+                task.workKind,
+                addResources(use.byKind.get(task.workKind) ?? NO_RESOURCES, task.reserved, -1),
+            );
+        }
     }
 
     enqueue(job: QueuedJob): void {
@@ -267,16 +277,16 @@
         if (limits === undefined) {
             return Reason.CUSTOMER_REMOVED;
         }
-        const tasks = [...this.#uses.get(job.customer)?.tasks.values() ?? []];
+        const use = this.#uses.get(job.customer);
         const sum = (kinds: readonly WorkKind[]): ResourceAmounts =>
-            tasks.filter(task => kinds.includes(task.workKind))
-                .reduce((total, task) => addResources(total, task.reserved), job.reserved as ResourceAmounts);
+            kinds.map(kind => use?.byKind.get(kind) ?? NO_RESOURCES)
+                .reduce((total, used) => addResources(total, used), job.reserved as ResourceAmounts);
         const quota = limits.quota.resources ?? NO_RESOURCES;
         const shares = new Map([
             [WorkKind.LATENCY_CRITICAL, limits.latencyCriticalShare],
             [WorkKind.BATCH, limits.batchShare],
         ]);
-        const fits = tasks.length < limits.quota.concurrentTasks
+        const fits = (use?.tasks.size ?? 0) < limits.quota.concurrentTasks
             && fitsWithin(sum(KINDS_BY_URGENCY), quota)
             && fitsWithin(sum([job.workKind]), scaled(quota, shares.get(job.workKind) ?? 1));
         return fits ? undefined : Reason.QUOTA_IN_USE;
