--- /dev/null
+++ b/packages/test-support/src/stand-in-backend-server.test.ts
@@ -0,0 +1,125 @@
+import { SeededRandom } from "@waxwingspread/common";
+import { describe, expect, it } from "vitest";
+import { StandInBackendServer } from "./stand-in-backend-server.js";
+import type { StandInOptions } from "./stand-in/options.js";
+
+const RESOURCES = { cpuMillicores: 1_000, memoryMebibytes: 1_000, accelerators: 0 };
+
+const serverOf = (options: Partial<StandInOptions> = {}): StandInBackendServer =>
+    new StandInBackendServer({
+        backendServerId: "s1",
+        incarnation: "i1",
+        address: "s1",
+        availabilityZone: "a",
+        rack: "r",
+        capacity: { cpuMillicores: 2_000, memoryMebibytes: 8_000, accelerators: 0 },
+        slots: 8,
+        entries: ["e1", "e2"],
+        random: new SeededRandom(1),
+        ...options,
+    }, 0);
+
+const post = (server: StandInBackendServer, path: string, fields: Record<string, unknown>, nowMs: number): string => {
+    const body = JSON.stringify({ customer: "c", requestId: "r1", attemptNumber: 1, ...fields });
+    const reply = server.handle({ method: "POST", path, body }, nowMs);
+    const { result, detail } = JSON.parse(reply?.body ?? "{}") as { result: string; detail?: string };
+    return detail ? `${result}: ${detail}` : result;
+};
+
+const start = (server: StandInBackendServer, fields: Record<string, unknown> = {}, nowMs = 0): string =>
+    post(server, "/v1/tasks", {
+        incarnation: "i1",
+        term: 1,
+        startDeadlineMs: nowMs + 1_000,
+        leaseExpiresMs: nowMs + 10_000,
+        workClass: "trial",
+        workKind: "batch",
+        resources: RESOURCES,
+        payload: { runMs: 500, echo: "x" },
+        replyTo: "e2",
+        ...fields,
+    }, nowMs);
+
+const resultsOf = (server: StandInBackendServer) =>
+    server.takeEffects().filter(call => call.path === "/backend/v1/results").map(({ callId, address, body }) => ({
+        callId,
+        address,
+        ...JSON.parse(body) as { end: string; answer?: unknown; checkpoint?: unknown },
+    }));
+
+describe("StandInBackendServer", () => {
+    it("refuses what it must not start and repeats the refusal for a duplicate (guards against late or double starts)", () => {
+        const server = serverOf();
+        expect(start(server, { incarnation: "i0" })).toBe("refused: another incarnation");
+        expect(start(server, { requestId: "late", startDeadlineMs: 5 }, 6)).toBe("refused: start deadline passed");
+        expect(start(server, { requestId: "a", attemptNumber: 2, term: 3 })).toBe("accepted");
+        expect(start(server, { requestId: "a", attemptNumber: 2, term: 1 })).toBe("accepted");
+        expect(start(server, { requestId: "a", attemptNumber: 1, term: 3 })).toBe("refused: lower attempt number");
+        expect(start(server, { requestId: "b", term: 2 })).toBe("refused: older term");
+        expect(start(server, { requestId: "c", term: 3 })).toBe("accepted");
+        expect(start(server, { requestId: "d", term: 3 })).toBe("refused: no free capacity");
+        server.tick(600);
+        expect(start(server, { requestId: "d", term: 3 }, 600)).toBe("refused: no free capacity");
+        expect(post(server, "/v1/tasks/stop", { requestId: "e", checkpoint: false }, 600)).toBe("unknown");
+        expect(start(server, { requestId: "e", term: 3 }, 600)).toBe("refused: stopped before its start arrived");
+        expect([server.observations.startsAccepted, server.observations.peakUsed.cpuMillicores]).toEqual([2, 2_000]);
+    });
+
+    it("starts nothing for a duplicate after the result was settled (guards against running work twice)", () => {
+        const server = serverOf();
+        start(server);
+        server.tick(510);
+        const [result] = resultsOf(server);
+        expect([result?.address, result?.end, result?.answer]).toEqual([
+            "e2",
+            "completed",
+            { echo: "x", attemptNumber: 1, ranMs: 500 },
+        ]);
+        server.entryReplied(result?.callId ?? 0, { status: 200, body: `{"settled":true}` }, 520);
+        expect(start(server, {}, 530)).toBe("accepted");
+        expect(server.observations.segments).toHaveLength(1);
+    });
+
+    it("stops tasks at their lease's end, by its own clock, before anything else (guards against work without a lease)", () => {
+        const server = serverOf({ clockStartMs: 100, clockRateRatio: 0.5 });
+        start(server, { startDeadlineMs: 200, leaseExpiresMs: 400 });
+        // The task would be finished at a reading of 600; the lease ends at 400, which is 600 ms of the test's clock.
+        server.tick(5_000);
+        expect(server.observations.segments[0]).toMatchObject({ stoppedAtMs: 600, stopReason: "lease-expired" });
+        expect(resultsOf(server).map(({ end, checkpoint }) => [end, checkpoint])).toEqual([["stopped", undefined]]);
+    });
+
+    it("renews leases with a grant, but not with one of an older term (guards against leases of a deposed leader)", () => {
+        const server = serverOf();
+        start(server, { term: 5, leaseExpiresMs: 300, payload: { runMs: 100_000 } });
+        const grant = (term: number, nowMs: number): void => {
+            server.tick(nowMs);
+            const call = server.takeEffects().find(({ path }) => path === "/backend/v1/announce");
+            const body = JSON.stringify({ lease: { expiresMs: 1_500, term } });
+            server.entryReplied(call?.callId ?? 0, { status: 200, body }, nowMs);
+        };
+        grant(5, 0);
+        server.tick(1_000);
+        expect(server.observations.segments[0]?.stoppedAtMs).toBeUndefined();
+        grant(4, 1_100);
+        server.tick(1_600);
+        expect(server.observations.segments[0]?.stoppedAtMs).toBe(1_500);
+    });
+
+    it("resumes from a checkpoint and resends the result until it is settled (guards against lost work)", () => {
+        const server = serverOf();
+        start(server);
+        post(server, "/v1/tasks/stop", { checkpoint: true }, 200);
+        expect(server.used().cpuMillicores).toBe(1_000);
+        server.tick(250);
+        const [first] = resultsOf(server);
+        expect([first?.end, first?.checkpoint]).toEqual(["stopped", { progressMs: 200 }]);
+        server.callFailed(first?.callId ?? 0, 260);
+        server.tick(800);
+        expect(resultsOf(server)).toHaveLength(1);
+        const next = serverOf();
+        start(next, { attemptNumber: 2, checkpoint: first?.checkpoint });
+        next.tick(1_000);
+        expect(next.observations.segments[0]).toMatchObject({ progressAtStartMs: 200, stoppedAtMs: 300 });
+    });
+});
