--- a/packages/entry/src/callers/caller-service.ts
+++ b/packages/entry/src/callers/caller-service.ts
@@ -125,6 +125,7 @@
             return;
         }
         const { order } = result.value;
+        this.context.effects.journal({ name: "submitted", ...identity, peer: this.context.leader.leaderAddress });
         if (order) {
             this.carryOut(order, nowMs);
         }
@@ -193,6 +194,7 @@
             return;
         }
         const status = job.state === JobState.ENDED ? HTTP_OK : HTTP_ACCEPTED;
+        this.context.effects.journal({ name: "caller-answered", ...identity, detail: jobJsonOf(job).state });
         if (!job.answer || !hasAnswer(job)) {
             open.forEach(handle => {
                 this.requests.replyJson(handle, status, jobTextOf(job, undefined));
--- a/packages/entry/src/callers/waiting-callers.ts
+++ b/packages/entry/src/callers/waiting-callers.ts
@@ -81,8 +81,11 @@
     }
 
     /** Ends all waits no later than the given time. */
-    limitWaits(untilMs: number): void {
+    limitWaits(untilMs: number, nowMs: number): void {
         this.#latestUntilMs = untilMs;
+        for (const waiting of this.#jobs.values()) {
+            waiting.nextLookUpMs = Math.min(waiting.nextLookUpMs, nowMs + this.#lookUpIntervalMs(waiting.job));
+        }
     }
 
     /** Forgets a caller that has closed the connection. */
@@ -107,7 +110,9 @@
 
     #lookUpIntervalMs(job: Job): number {
         const { entryId, timing } = this.context.settings;
-        return job.entryId === entryId ? timing.ownLookUpIntervalMs : timing.otherLookUpIntervalMs;
+        // A leaving entry gets no more orders, not even outcomes.
+        const outcomeExpected = job.entryId === entryId && this.#latestUntilMs === Infinity;
+        return outcomeExpected ? timing.ownLookUpIntervalMs : timing.otherLookUpIntervalMs;
     }
 
     #expire(key: string, waiting: WaitingJob, nowMs: number): void {
--- a/packages/entry/src/calls/leader-client.ts
+++ b/packages/entry/src/calls/leader-client.ts
@@ -18,6 +18,9 @@
     ErrorCode.UNAVAILABLE,
 ]);
 
+/** A hint to a replica that failed this recently is not followed: it comes from before the failure. */
+const STALE_HINT_MS = 500;
+
 /** Failures after which the leader may nevertheless have carried out the request. */
 const POSSIBLY_CARRIED_OUT: ReadonlySet<ErrorCode> = new Set([ErrorCode.UNCERTAIN, ErrorCode.TIMEOUT]);
 
@@ -65,6 +68,7 @@
     readonly #active = new Set<ActiveCall>();
     #addresses: string[];
     #leaderAddress: string;
+    #lastFailure = { address: "", atMs: 0 };
 
     constructor(readonly calls: PendingCalls, readonly timing: EntryTiming, addresses: string[]) {
         this.#addresses = [...addresses];
@@ -80,10 +84,6 @@
         return this.#leaderAddress;
     }
 
-    get size(): number {
-        return this.#active.size;
-    }
-
     /** Takes over the replicas that the leader named. */
     setAddresses(addresses: string[]): void {
         if (addresses.length > 0) {
@@ -117,7 +117,7 @@
         const address = this.#leaderAddress;
         const target = { kind: "leader" as const, address };
         return this.calls.callControl({ target, method, request, timeoutMs }, (result, atMs) => {
-            const outcome = this.#interpret(result as Result<ControlResponse<M>, StepError>, address);
+            const outcome = this.#interpret(result as Result<ControlResponse<M>, StepError>, address, atMs);
             done(outcome, atMs);
         }, nowMs);
     }
@@ -196,9 +196,11 @@
     #interpret<M extends ControlMethod>(
         result: Result<ControlResponse<M>, StepError>,
         address: string,
+        nowMs: number,
     ): Result<ControlResponse<M>, AttemptFailure> {
         if (result.isErr()) {
             this.calls.effects.count(EntryMetric.ControlCallsFailed);
+            this.#lastFailure = { address, atMs: nowMs };
             this.#leaderFailed(address, "");
             return Err({ error: result.error, retryable: true, retryNow: false });
         }
@@ -209,7 +211,9 @@
         }
         const error = StepError.fromDetail(detail);
         const retryable = RETRYABLE.has(error.code);
-        const retryNow = retryable && this.#leaderFailed(address, error.leaderAddress ?? "");
+        const hint = error.leaderAddress ?? "";
+        const hintIsStale = hint === this.#lastFailure.address && nowMs < this.#lastFailure.atMs + STALE_HINT_MS;
+        const retryNow = retryable && this.#leaderFailed(address, hintIsStale ? "" : hint);
         return Err({ error, retryable, retryNow });
     }
 
--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -144,7 +144,10 @@
 
     #report(order: Order, outcome: StartOutcome, nowMs: number): void {
         this.#underWay.delete(orderKeyOf(order));
+        const { customer, requestId, backendServerId } = order;
+        const detail = `${StartResult[outcome.result]} ${outcome.detail}`.trim();
         this.context.effects.count(METRIC_BY_RESULT[outcome.result]);
+        this.context.effects.journal({ name: "start-result", customer, requestId, peer: backendServerId, detail });
         this.batcher.addStart(create(StartReportSchema, { ...identityOf(order), ...outcome }), nowMs);
     }
 }
--- a/packages/entry/src/dispatch/poller.ts
+++ b/packages/entry/src/dispatch/poller.ts
@@ -8,8 +8,13 @@
 /** Bounds the rate of polls when a leader replies at once without having anything to say. */
 const IDLE_POLL_INTERVAL_MS = 10;
 
-/** Receives each order once per delivery by the leader. */
-export type OrderReceiver = (order: Order, nowMs: number) => void;
+/** What a poller tells the rest of the entry. */
+export interface PollerListener {
+    /** Receives each order once per delivery by the leader. */
+    receiveOrder: (order: Order, nowMs: number) => void;
+    /** A leader of a higher term has answered. */
+    leaderFound: (nowMs: number) => void;
+}
 
 /** Keeps one long poll open at the leader: configuration, lease, orders. */
 export class Poller {
@@ -21,7 +26,7 @@
     #leaving = false;
     #leavingConfirmed = false;
 
-    constructor(readonly context: EntryContext, readonly receiveOrder: OrderReceiver) {
+    constructor(readonly context: EntryContext, readonly listener: PollerListener) {
         this.#entryAddresses = [context.settings.address];
     }
 
@@ -104,7 +109,7 @@
         if (response.term > this.#term) {
             this.#term = response.term;
             this.#acknowledgedSequence = 0;
-            leader.leaderFound(nowMs);
+            this.listener.leaderFound(nowMs);
         }
         for (const order of response.orders) {
             this.#takeOrder(order, nowMs);
@@ -114,7 +119,7 @@
     #takeOrder(order: Order, nowMs: number): void {
         if (order.sequence > this.#acknowledgedSequence) {
             this.#acknowledgedSequence = order.sequence;
-            this.receiveOrder(order, nowMs);
+            this.listener.receiveOrder(order, nowMs);
         }
     }
 }
--- /dev/null
+++ b/packages/entry/src/entry-node-dispatch.test.ts
@@ -0,0 +1,178 @@
+import { create } from "@bufbuild/protobuf";
+import * as p from "@waxwingspread/protocol";
+import { describe, expect, it } from "vitest";
+import {
+    blobOf,
+    CONTROL,
+    errorCode,
+    Harness,
+    jobOf,
+    jobResponse,
+    ready,
+    RESULT,
+    startOrder,
+} from "./testing/entry-harness.js";
+
+describe("EntryNode: dispatch", () => {
+    const payload = blobOf(`{"runMs":1}`);
+    const ordered = (): Harness => {
+        const harness = ready();
+        harness.advance(20);
+        harness.answerPoll({ orders: [startOrder(payload.reference)] });
+        harness.reply(harness.calls("getBlob")[0], create(p.GetBlobResponseSchema, { data: payload.data }));
+        return harness;
+    };
+
+    it("sends a start once while it is under way and reports a lost reply as unknown", () => {
+        // Guards against reporting as refused what may be running.
+        const harness = ordered();
+        harness.advance(20);
+        harness.answerPoll({ orders: [startOrder(payload.reference, { sequence: 2 })] });
+        const starts = harness.starts();
+        expect(starts.map(start => start.address)).toEqual(["s1:1"]);
+        expect(JSON.parse(starts[0]?.body ?? "")).toMatchObject({ startDeadlineMs: 900, payload: { runMs: 1 } });
+        harness.advance(1_010);
+        expect(harness.calls("report")[0]?.request.starts[0]?.result).toBe(p.StartResult.UNKNOWN);
+    });
+
+    it("carries out the order in a submission's reply with the payload at hand", () => {
+        // Guards against a needless read of the payload on the way of every urgent start.
+        const harness = ready();
+        harness.submit();
+        const puts = harness.calls("putBlob");
+        const { reference } = puts[0]?.request ?? {};
+        puts.forEach(put => {
+            harness.reply(put, create(p.PutBlobResponseSchema, {}));
+        });
+        const order = startOrder(reference ?? payload.reference);
+        harness.reply(harness.calls("submit")[0], jobResponse(jobOf({}), order));
+        expect(harness.starts().map(start => (JSON.parse(start.body) as { requestId: string }).requestId)).toEqual([
+            "r1",
+        ]);
+        expect(harness.calls("getBlob")).toEqual([]);
+    });
+
+    it("resends reports and submissions to a new leader without waiting for the silent old one", () => {
+        // Guards against a failover that takes as long as the deadline of a call.
+        const harness = ready();
+        harness.submit();
+        harness.putBlobs();
+        harness.announce("s1");
+        const old = [harness.calls("submit")[0], harness.calls("report")[0]];
+        harness.advance(20);
+        const poll = harness.calls("poll").at(-1);
+        harness.reply(
+            poll,
+            create(p.PollResponseSchema, { error: { code: p.ErrorCode.NOT_LEADER, leaderAddress: "c2" } }),
+        );
+        harness.answerPoll({ term: 2 });
+        const resent = [harness.calls("submit")[0], harness.calls("report")[0]];
+        expect(resent.map(call => call?.target.address)).toEqual(["c2", "c2"]);
+        expect(resent[0]?.request).toEqual(old[0]?.request);
+    });
+
+    it("acknowledges orders by sequence and term, and ignores a deposed leader", () => {
+        // Guards against losing orders of a new term and against obeying an old leader.
+        const harness = ordered();
+        const polls = [{ term: 2, orders: [startOrder(payload.reference, { sequence: 1, term: 2 })] }, { term: 1 }]
+            .map(response => {
+                harness.advance(100);
+                const poll = harness.calls("poll").at(-1);
+                harness.reply(poll, create(p.PollResponseSchema, response as p.PollResponse));
+                return [poll?.request.sequenceTerm, poll?.request.acknowledgedSequence];
+            });
+        expect(polls).toEqual([[1, 1], [2, 1]]);
+        expect(harness.starts()).toHaveLength(2);
+    });
+
+    it("sends no start after the configuration lease has expired while the payload was fetched", () => {
+        // Guards against starts under a configuration that is no longer in force.
+        const harness = new Harness();
+        harness.answerPoll({ configurationLeaseMs: 50, orders: [startOrder(payload.reference)] });
+        harness.advance(60);
+        harness.reply(harness.calls("getBlob")[0], create(p.GetBlobResponseSchema, { data: payload.data }));
+        expect(harness.starts()).toEqual([]);
+        expect(harness.calls("report")[0]?.request.starts[0]?.result).toBe(p.StartResult.UNKNOWN);
+    });
+});
+
+describe("EntryNode: reports", () => {
+    it("keeps one report under way, merges what a failed one carried, and returns leases by incarnation", () => {
+        // Guards against a lease for the tasks of a process that has been replaced.
+        const harness = ready();
+        const handles = [harness.announce("s1"), harness.announce("s2"), harness.announce("s1", 2)];
+        const first = harness.calls("report");
+        expect(first.map(call => call.request.announcements.length)).toEqual([1]);
+        harness.nowMs += 40;
+        harness.fail(first[0]?.callId ?? 0, p.ErrorCode.UNAVAILABLE);
+        harness.advance(100);
+        const { request, callId } = harness.calls("report")[0] ?? { request: undefined, callId: 0 };
+        const announced = request?.announcements.map(({ backendServerId, sequence }) => [backendServerId, sequence]);
+        expect(announced?.sort()).toEqual([["s1", 2], ["s2", 1]]);
+        expect(request?.announcements.every(({ heldMs }) => heldMs > 0 && heldMs <= 140)).toBe(true);
+        const lease = { incarnation: "i1", expiresBackendMs: 9_000, term: 3 };
+        const leases = [{ ...lease, backendServerId: "s1" }, { ...lease, backendServerId: "s2", incarnation: "i0" }];
+        const response = create(p.ReportResponseSchema, { leases });
+        harness.entry.controlReplied(callId, response, harness.nowMs);
+        const replies = new Map(harness.serverReplies().map(reply => [reply.requestHandle, JSON.parse(reply.json)]));
+        expect(handles.map(handle => (replies.get(handle) as { lease?: unknown }).lease)).toEqual([
+            { expiresMs: 9_000, term: 3 },
+            undefined,
+            { expiresMs: 9_000, term: 3 },
+        ]);
+    });
+
+    it("answers an announcement without a lease when the leader doesn't reply", () => {
+        // Guards against a lease that the leader doesn't know of.
+        const harness = ready();
+        harness.announce("s1");
+        harness.advance(1_010);
+        const reply = harness.serverReplies()[0];
+        expect([reply?.status, JSON.parse(reply?.json ?? "")]).toEqual([200, { entries: ["e1:1"] }]);
+    });
+
+    it("settles a result only when the leader says so, whatever is resent meanwhile", () => {
+        // Guards against a backend server forgetting a result that no leader has.
+        for (const settledEnds of [[0], []]) {
+            const harness = ready();
+            const body = { ...RESULT, end: "completed", answer: { ok: true } };
+            harness.backendServer("/backend/v1/results", body);
+            harness.backendServer("/backend/v1/results", body);
+            const puts = harness.calls("putBlob");
+            expect(puts).toHaveLength(CONTROL.length);
+            harness.reply(puts[0], create(p.PutBlobResponseSchema, {}));
+            expect(harness.calls("report")).toEqual([]);
+            harness.reply(puts[1], create(p.PutBlobResponseSchema, {}));
+            const report = harness.calls("report")[0];
+            expect(report?.request.ends[0]?.answer).toEqual(blobOf(`{"ok":true}`).reference);
+            expect(harness.serverReplies()).toEqual([]);
+            harness.reply(report, create(p.ReportResponseSchema, { settledEnds }));
+            const expected = JSON.stringify({ settled: settledEnds.length > 0 });
+            expect(harness.serverReplies().map(reply => reply.json)).toEqual([expected, expected]);
+        }
+    });
+});
+
+describe("EntryNode: graceful shutdown", () => {
+    it("tells the leader, refuses new work and finishes the request in progress", () => {
+        // Guards against interrupting a caller by a planned shutdown.
+        const harness = ready();
+        harness.submit("/v1/jobs/r1?waitMs=3000");
+        harness.putBlobs();
+        harness.reply(harness.calls("submit")[0], jobResponse(jobOf({})));
+        harness.calls("poll");
+        harness.entry.drain(harness.nowMs);
+        expect(harness.calls("poll").map(poll => poll.request.leaving)).toEqual([true]);
+        harness.submit("/v1/jobs/r2");
+        harness.announce("s1");
+        expect(harness.replies().map(errorCode)).toEqual(["unavailable"]);
+        expect(harness.serverReplies().map(errorCode)).toEqual(["unavailable"]);
+        expect(harness.entry.isDrained).toBe(false);
+        harness.advance(810);
+        const order = create(p.OrderSchema, { sequence: 1, kind: p.OrderKind.OUTCOME });
+        order.job = jobOf({ state: p.JobState.ENDED, outcome: p.Outcome.CANCELLED });
+        harness.answerPoll({ orders: [order] });
+        expect(harness.replies().map(reply => reply.status)).toEqual([200]);
+        expect(harness.entry.isDrained).toBe(true);
+    });
+});
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -53,8 +53,14 @@
         this.#context = { settings, effects, calls, leader, blobs, configuration: new ConfigurationCopy() };
         this.#callers = new OpenRequests(effects, EntryEffectKind.ReplyToCaller);
         this.#backendServers = new OpenRequests(effects, EntryEffectKind.ReplyToBackendServer);
-        this.#poller = new Poller(this.#context, (order, atMs) => {
-            this.#receiveOrder(order, atMs);
+        this.#poller = new Poller(this.#context, {
+            receiveOrder: (order, atMs) => {
+                this.#receiveOrder(order, atMs);
+            },
+            leaderFound: atMs => {
+                this.#context.leader.leaderFound(atMs);
+                this.#backendServerService.batcher.leaderFound(atMs);
+            },
         });
         this.#callerService = new CallerService(this.#context, this.#callers, (order, atMs) => {
             this.#receiveOrder(order, atMs);
@@ -84,10 +90,9 @@
     /** True when nothing of the work that this entry has accepted is left, and the leader knows that it leaves. */
     get isDrained(): boolean {
         const open = this.#callers.size + this.#backendServers.size;
-        const underWay = this.#dispatcher.size + this.#context.leader.size;
         return this.#draining
             && this.#poller.leavingConfirmed
-            && open + underWay === 0
+            && open + this.#dispatcher.size === 0
             && this.#backendServerService.idle;
     }
 
@@ -188,7 +193,7 @@
             return;
         }
         this.#draining = true;
-        this.#callerService.waiting.limitWaits(nowMs + this.#context.settings.timing.drainWaitMs);
+        this.#callerService.waiting.limitWaits(nowMs + this.#context.settings.timing.drainWaitMs, nowMs);
         this.#context.effects.journal({ name: "drain-started" });
         this.#poller.leave(nowMs);
     }
--- a/packages/entry/src/reporting/report-batcher.ts
+++ b/packages/entry/src/reporting/report-batcher.ts
@@ -50,6 +50,8 @@
     #starts: StartReport[] = [];
     #ends: PendingEnd[] = [];
     #inFlight: Batch | undefined;
+    #callId = 0;
+    #sentTo = "";
     #announcementsDueMs = 0;
     #notBeforeMs = 0;
 
@@ -113,6 +115,19 @@
         this.flush(nowMs);
     }
 
+    /** Sends what another replica has not acknowledged to the new leader; reports are idempotent. */
+    leaderFound(nowMs: number): void {
+        if (this.#inFlight && this.#sentTo !== this.context.leader.leaderAddress) {
+            const batch = this.#inFlight;
+            this.context.calls.abandon(this.#callId);
+            this.#inFlight = undefined;
+            this.#putBack(batch);
+        }
+        this.#notBeforeMs = nowMs;
+        this.#announcementsDueMs = nowMs;
+        this.flush(nowMs);
+    }
+
     /** Sends what waits, unless a message is under way or only announcements wait that are not due. */
     flush(nowMs: number): void {
         const urgent = this.#starts.length + this.#ends.length > 0;
@@ -140,7 +155,8 @@
             ends: batch.ends.map(end => end.report),
         });
         effects.count(EntryMetric.ReportsSent);
-        leader.attempt("report", request, settings.timing.callTimeoutMs, (result, atMs) => {
+        this.#sentTo = leader.leaderAddress;
+        this.#callId = leader.attempt("report", request, settings.timing.callTimeoutMs, (result, atMs) => {
             this.#answered(batch, result, atMs);
         }, nowMs);
     }
--- a/packages/entry/src/reporting/result-intake.ts
+++ b/packages/entry/src/reporting/result-intake.ts
@@ -47,7 +47,10 @@
     }
 
     receive(handle: RequestHandle, result: TaskResult, nowMs: number): void {
-        this.context.effects.count(EntryMetric.ResultsReceived);
+        const { effects } = this.context;
+        const { customer, requestId, backendServerId } = result;
+        effects.count(EntryMetric.ResultsReceived);
+        effects.journal({ name: "result-received", customer, requestId, peer: backendServerId });
         const key = keyOf(result);
         const running = this.#inProgress.get(key);
         if (running) {
@@ -106,6 +109,7 @@
             this.#finish(key, settled);
             if (settled) {
                 this.context.effects.count(EntryMetric.ResultsSettled);
+                this.context.effects.journal({ name: "end-settled", customer, requestId, peer: backendServerId });
                 this.endSettled(report, atMs);
             }
         }, nowMs);
--- /dev/null
+++ b/packages/entry/src/testing/entry-harness.ts
@@ -0,0 +1,178 @@
+import { create } from "@bufbuild/protobuf";
+import { StepError } from "@waxwingspread/common";
+import * as p from "@waxwingspread/protocol";
+import { sha256Of } from "../blobs/blob-cache.js";
+import { bearerTokenOf, makeCredential } from "../configuration/credentials.js";
+import { EntryEffectKind } from "../effects.js";
+import type { CallBackendServer, CallControl, ControlMethod, ControlRequest, ControlResponse } from "../effects.js";
+import type { EntryEffect, ReplyToBackendServer, ReplyToCaller } from "../effects.js";
+import { EntryNode } from "../entry-node.js";
+import type { EntryOptions } from "../settings.js";
+
+const SECRET = "secret";
+/** Test data and a driver for tests of the entry node. */
+export const CONTROL = ["c1", "c2", "c3"];
+
+const configuration = create(p.ConfigurationSchema, {
+    revision: 1,
+    contracts: ["acme", "other"].map(customer => ({
+        customer,
+        credentials: [makeCredential("key", SECRET)],
+    })),
+});
+
+export const jobOf = (fields: Partial<p.Job>, requestId = "r1", customer = "acme"): p.Job =>
+    create(p.JobSchema, {
+        specification: create(p.JobSpecificationSchema, { customer, requestId, workClass: "trial" }),
+        state: p.JobState.ACTIVE,
+        acceptedAtMs: 7,
+        entryId: "e1",
+        ...fields,
+    } as p.Job);
+
+export const jobResponse = (job: p.Job, order?: p.Order): p.SubmitResponse =>
+    create(p.SubmitResponseSchema, { result: { case: "job", value: job }, order });
+
+export const notLeader = (leaderAddress: string): ControlResponse =>
+    create(p.SubmitResponseSchema, {
+        result: {
+            case: "error",
+            value: create(p.ErrorDetailSchema, { code: p.ErrorCode.NOT_LEADER, leaderAddress }),
+        },
+    });
+
+export const blobOf = (text: string): { reference: p.BlobReference; data: Uint8Array } => {
+    const data = new Uint8Array(Buffer.from(text));
+    return { reference: create(p.BlobReferenceSchema, { sha256: sha256Of(data), sizeBytes: data.length }), data };
+};
+
+export const startOrder = (payload: p.BlobReference, fields: Partial<p.Order> = {}): p.Order =>
+    create(p.OrderSchema, {
+        sequence: 1,
+        kind: p.OrderKind.START,
+        customer: "acme",
+        requestId: "r1",
+        attemptNumber: 1,
+        backendServerId: "s1",
+        incarnation: "i1",
+        backendServerAddress: "s1:1",
+        term: 1,
+        startDeadlineBackendMs: 900,
+        specification: create(p.JobSpecificationSchema, { customer: "acme", requestId: "r1", payload }),
+        ...fields,
+    } as p.Order);
+
+/** Drives one entry; what is not answered stays open. */
+export class Harness {
+    readonly entry: EntryNode;
+    nowMs = 0;
+    #effects: EntryEffect[] = [];
+    #nextHandle = 1;
+
+    constructor(options: Partial<EntryOptions> = {}) {
+        const identity = { entryId: "e1", incarnation: "1", address: "e1:1", availabilityZone: "a" };
+        this.entry = new EntryNode({ ...identity, controlAddresses: CONTROL, ...options }, 0);
+    }
+
+    #collect(): EntryEffect[] {
+        this.#effects.push(...this.entry.takeEffects());
+        return this.#effects;
+    }
+
+    /** Removes and returns the calls of a method that were made. */
+    calls<M extends ControlMethod>(method: M): (CallControl & { request: ControlRequest<M> })[] {
+        const isCall = (effect: EntryEffect) => effect.kind === EntryEffectKind.CallControl && effect.method === method;
+        const calls = this.#collect().filter(isCall);
+        this.#effects = this.#effects.filter(effect => !isCall(effect));
+        return calls as (CallControl & { request: ControlRequest<M> })[];
+    }
+
+    take<T extends EntryEffect>(kind: T["kind"]): T[] {
+        const taken = this.#collect().filter(effect => effect.kind === kind);
+        this.#effects = this.#effects.filter(effect => effect.kind !== kind);
+        return taken as T[];
+    }
+
+    reply(call: CallControl | undefined, response: ControlResponse): void {
+        this.entry.controlReplied(call?.callId ?? -1, response, this.nowMs);
+    }
+
+    fail(callId: number, code: p.ErrorCode): void {
+        this.entry.callFailed(callId, new StepError(code, "test", "peer", "failed"), this.nowMs);
+    }
+
+    advance(byMs: number): void {
+        for (let passedMs = 0; passedMs < byMs; passedMs += 10) {
+            this.nowMs += 10;
+            this.entry.tick(this.nowMs);
+        }
+    }
+
+    answerPoll(fields: Partial<p.PollResponse> = {}): void {
+        const poll = this.calls("poll").at(-1);
+        this.reply(
+            poll,
+            create(p.PollResponseSchema, {
+                term: 1,
+                revision: 1,
+                configuration,
+                configurationLeaseMs: 60_000,
+                ...fields,
+            } as p.PollResponse),
+        );
+    }
+
+    putBlobs(count = CONTROL.length): void {
+        this.calls("putBlob").slice(0, count).forEach(call => {
+            this.reply(call, create(p.PutBlobResponseSchema, {}));
+        });
+    }
+
+    request(method: string, path: string, body = "", customer = "acme"): number {
+        const handle = this.#nextHandle;
+        this.#nextHandle += 1;
+        const headers = { authorization: `Bearer ${bearerTokenOf(customer, "key", SECRET)}` };
+        this.entry.callerRequest(handle, { method, path, headers, body: Buffer.from(body) }, this.nowMs);
+        return handle;
+    }
+
+    submit(path = "/v1/jobs/r1"): number {
+        return this.request("PUT", path, `{"workClass":"trial","payload":{"runMs":1},"deadlineInMs":5000}`);
+    }
+
+    backendServer(path: string, body: unknown): number {
+        const handle = this.#nextHandle;
+        this.#nextHandle += 1;
+        const request = { method: "POST", path, headers: {}, body: Buffer.from(JSON.stringify(body)) };
+        this.entry.backendServerRequest(handle, request, this.nowMs);
+        return handle;
+    }
+
+    announce(id: string, sequence = 1, incarnation = "i1"): number {
+        const fields = { address: `${id}:1`, clockMs: 100 + sequence, sequence };
+        return this.backendServer("/backend/v1/announce", { backendServerId: id, incarnation, ...fields });
+    }
+
+    replies(): ReplyToCaller[] {
+        return this.take<ReplyToCaller>(EntryEffectKind.ReplyToCaller);
+    }
+
+    serverReplies(): ReplyToBackendServer[] {
+        return this.take<ReplyToBackendServer>(EntryEffectKind.ReplyToBackendServer);
+    }
+
+    starts(): CallBackendServer[] {
+        return this.take<CallBackendServer>(EntryEffectKind.CallBackendServer);
+    }
+}
+
+export const ready = (options: Partial<EntryOptions> = {}): Harness => {
+    const harness = new Harness(options);
+    harness.answerPoll();
+    return harness;
+};
+
+export const errorCode = (reply: { json?: string } | undefined): string =>
+    (JSON.parse(reply?.json ?? "{}") as { error: { code: string } }).error.code;
+
+export const RESULT = { backendServerId: "s1", incarnation: "i1", customer: "acme", requestId: "r1", attemptNumber: 1 };
