--- a/packages/entry/src/entry-node.test.ts
+++ b/packages/entry/src/entry-node.test.ts
@@ -110,6 +110,52 @@
         expect(reply?.json).toContain(`"answer":{"n":12345678901234567890}}`);
     });
 
+    it("returns an answer's bytes with their digest, and no answer before the end or after the acknowledgement", () => {
+        // Guards against an incomplete answer that looks complete.
+        const harness = ready();
+        const expected = [ended, jobOf({}), jobOf({ ...ended, acknowledged: true })].map(job => {
+            harness.request("GET", "/v1/jobs/r1/answer");
+            const found = create(p.LookUpResponseSchema, { result: { case: "job", value: job } });
+            harness.reply(harness.calls("lookUp")[0], found);
+            harness.reply(harness.calls("getBlob")[0], create(p.GetBlobResponseSchema, { data }));
+            return harness.replies()[0];
+        });
+        expect(expected.map(reply => reply?.status)).toEqual([200, 404, 404]);
+        expect(expected[0]?.bytes).toEqual(data);
+        expect(expected[0]?.headers.digest).toBe(`sha-256=${Buffer.from(reference.sha256).toString("base64")}`);
+    });
+
+    it("cancels and acknowledges within the caller's own customer only", () => {
+        // Guards against one customer cancelling or deleting another one's work.
+        const harness = ready();
+        harness.request("POST", "/v1/jobs:cancel", `{"requestIds":["r1","r2","r1"]}`, "other");
+        const cancel = harness.calls("cancel")[0];
+        expect(cancel?.request).toMatchObject({ customer: "other", requestIds: ["r1", "r2"] });
+        const results = [jobOf({}, "r1", "other"), jobOf({}, "r2")].map(job => ({
+            result: { case: "job" as const, value: job },
+        }));
+        harness.reply(cancel, create(p.CancelResponseSchema, { results }));
+        const reply = JSON.parse(harness.replies()[0]?.json ?? "") as { results: Record<string, unknown>[] };
+        expect(reply.results.map(result => "job" in result)).toEqual([true, false]);
+        harness.request("POST", "/v1/jobs/r1/acknowledge", "", "other");
+        const acknowledge = harness.calls("acknowledge")[0];
+        expect(acknowledge?.request).toMatchObject({ customer: "other", requestId: "r1" });
+        harness.reply(acknowledge, create(p.AcknowledgeResponseSchema, {}));
+        expect(harness.replies().map(({ status }) => status)).toEqual([200]);
+    });
+
+    it("keeps cached blobs within their bound", () => {
+        // Guards against memory growth by payloads and answers.
+        const harness = ready({ limits: { cachedBlobBytes: 1_000 } });
+        for (let number = 0; number < 20; number += 1) {
+            const payload = `"${"x".repeat(90 + number)}"`;
+            harness.request("PUT", `/v1/jobs/r${number}`, `{"workClass":"trial","payload":${payload}}`);
+        }
+        const { cachedBlobBytes } = harness.entry.sizes();
+        expect(cachedBlobBytes).toBeGreaterThan(800);
+        expect(cachedBlobBytes).toBeLessThanOrEqual(1_000);
+    });
+
     it("answers with the state when the wait ends, once, and ignores callers that have gone", () => {
         // Guards against two replies to one request and against waits that leak.
         const harness = waiting();
--- a/packages/test-support/src/stand-in-backend-server-main.ts
+++ b/packages/test-support/src/stand-in-backend-server-main.ts
@@ -13,12 +13,23 @@
 const readFlags = () =>
     yargs(hideBin(process.argv))
         .usage("Stands in for a backend server: announces itself to entries and runs timed tasks.")
-        .option("id", { type: "string", demandOption: true, describe: "backend server id" })
+        .option("id", {
+            type: "string",
+            demandOption: true,
+            describe: "backend server id; with --count, followed by a number",
+        })
+        .option("count", { type: "number", default: 1, describe: "stand-ins in this process, on successive ports" })
         .option("entry", { type: "string", array: true, demandOption: true, describe: "host:port of an entry" })
         .option("host", { type: "string", default: "127.0.0.1", describe: "address to listen on" })
         .option("port", { type: "number", default: 0, describe: "port to listen on, 0 for a free one" })
-        .option("zone", { type: "string", default: "zone-a", describe: "availability zone" })
-        .option("rack", { type: "string", default: "rack-1", describe: "rack" })
+        .option("zone", {
+            type: "string",
+            array: true,
+            default: ["zone-a"],
+            describe: "availability zone; several are filled in turn",
+        })
+        .option("rack", { type: "string", default: "rack", describe: "prefix of rack names" })
+        .option("rack-size", { type: "number", default: 8, describe: "stand-ins of a zone in one rack" })
         .option("cpu-millicores", { type: "number", default: 16_000, describe: "processor capacity" })
         .option("memory-mebibytes", { type: "number", default: 61_440, describe: "memory capacity" })
         .option("accelerators", { type: "number", default: 0, describe: "accelerators" })
@@ -38,12 +49,14 @@
 
 type Flags = ReturnType<typeof readFlags>;
 
-const startFrom = (flags: Flags): Promise<StandInBackendServerProcess> =>
-    StandInBackendServerProcess.start({
-        backendServerId: flags.id,
+const startOne = (flags: Flags, position: number): Promise<StandInBackendServerProcess> => {
+    const zone = flags.zone[position % flags.zone.length] ?? "";
+    const rackNumber = Math.floor(position / flags.zone.length / flags.rackSize) + 1;
+    return StandInBackendServerProcess.start({
+        backendServerId: flags.count === 1 ? flags.id : `${flags.id}-${position + 1}`,
         incarnation: randomUUID(),
-        availabilityZone: flags.zone,
-        rack: flags.rack,
+        availabilityZone: zone,
+        rack: `${zone}-${flags.rack}-${rackNumber}`,
         capacity: {
             cpuMillicores: flags.cpuMillicores,
             memoryMebibytes: flags.memoryMebibytes,
@@ -51,29 +64,36 @@
         },
         slots: flags.slots,
         entries: flags.entry,
-        random: new SeededRandom(flags.seed),
+        random: new SeededRandom(flags.seed + position),
         timing: { usageLagMs: flags.usageLagMs },
         faults: { speedRatio: flags.speedRatio, failEveryTask: flags.failEveryTask },
         host: flags.host,
-        port: flags.port,
+        port: flags.port === 0 ? 0 : flags.port + position,
         tickMs: flags.tickMs,
     });
+};
 
-const leave = async (running: StandInBackendServerProcess, timeoutMs: number): Promise<void> => {
+const leave = async (running: StandInBackendServerProcess[], timeoutMs: number): Promise<void> => {
     const deadlineMs = performance.now() + timeoutMs;
-    running.leave();
+    const haveLeft = (): boolean => running.every(({ core }) => core.hasLeft);
+    running.forEach(standIn => {
+        standIn.leave();
+    });
     log("leaving");
-    while (!running.core.hasLeft && performance.now() < deadlineMs) {
+    while (!haveLeft() && performance.now() < deadlineMs) {
         await new Promise(resolve => setTimeout(resolve, LEAVE_POLL_MS));
     }
-    log("left", { complete: running.core.hasLeft });
-    await running.terminate();
+    log("left", { complete: haveLeft() });
+    await Promise.all(running.map(standIn => standIn.terminate()));
 };
 
 const main = async (): Promise<void> => {
     const flags = readFlags();
-    const running = await startFrom(flags);
-    log("listening", { address: running.address, incarnation: running.core.incarnation });
+    const positions = Array.from({ length: flags.count }, (_unused, position) => position);
+    const running = await Promise.all(positions.map(position => startOne(flags, position)));
+    for (const { core, address } of running) {
+        log("listening", { backendServerId: core.backendServerId, address, incarnation: core.incarnation });
+    }
     process.once("SIGTERM", () => {
         leave(running, flags.leaveTimeoutMs).then(() => process.exit(0), () => process.exit(1));
     });
--- a/packages/test-support/src/stand-in-backend-server.test.ts
+++ b/packages/test-support/src/stand-in-backend-server.test.ts
@@ -122,4 +122,33 @@
         next.tick(1_000);
         expect(next.observations.segments[0]).toMatchObject({ progressAtStartMs: 200, stoppedAtMs: 300 });
     });
+
+    it("leaves only when its work is settled and the leader knows (guards against new work for a leaving server)", () => {
+        const server = serverOf();
+        start(server);
+        server.takeEffects();
+        server.leave(100);
+        const [announcement] = server.takeEffects();
+        expect(JSON.parse(announcement?.body ?? "")).toMatchObject({ leaving: true });
+        expect(start(server, { requestId: "r2" }, 100)).toBe("refused: leaving");
+        const lease = JSON.stringify({ lease: { expiresMs: 9_000, term: 1 } });
+        server.entryReplied(announcement?.callId ?? 0, { status: 200, body: lease }, 110);
+        server.tick(510);
+        expect(server.hasLeft).toBe(false);
+        server.entryReplied(resultsOf(server)[0]?.callId ?? 0, { status: 200, body: `{"settled":true}` }, 520);
+        expect(server.hasLeft).toBe(true);
+    });
+
+    it("stays silent and fails or slows tasks as told (guards the faults that other tests rely on)", () => {
+        const server = serverOf({ faults: { speedRatio: 0.5 } });
+        start(server);
+        server.setFaults({ silent: true }, 100);
+        expect(server.handle({ method: "POST", path: "/v1/tasks", body: "{}" }, 200)).toBeUndefined();
+        server.tick(1_100);
+        expect([server.takeEffects().length, server.observations.segments[0]?.stoppedAtMs]).toEqual([0, 1_000]);
+        server.setFaults({ silent: false, failEveryTask: true }, 1_200);
+        start(server, { requestId: "r2" }, 1_200);
+        server.tick(1_300);
+        expect(resultsOf(server).map(({ end }) => end)).toEqual(["completed", "task-error"]);
+    });
 });
--- a/packages/test-support/src/stand-in-backend-server.ts
+++ b/packages/test-support/src/stand-in-backend-server.ts
@@ -87,9 +87,9 @@
         return this.#faults;
     }
 
-    /** True when the server was told to leave and holds neither tasks nor unsettled results. */
+    /** True when the leader knows that the server leaves and it holds neither tasks nor unsettled results. */
     get hasLeft(): boolean {
-        return this.#leaving && this.#tasks.size === 0;
+        return this.#link.leavingKnown && this.#tasks.size === 0;
     }
 
     /** Returns the reading of the server's own monotonic clock. */
--- a/packages/test-support/src/stand-in/entry-link.ts
+++ b/packages/test-support/src/stand-in/entry-link.ts
@@ -36,6 +36,8 @@
     #announceCallId: number | undefined;
     #nextAnnounceMs: number;
     #failuresInRow = 0;
+    #saysLeaving = false;
+    #leavingKnown = false;
 
     constructor(readonly options: StandInOptions, readonly timing: StandInTiming, clockMs: number) {
         this.#entries = [...options.entries];
@@ -43,6 +45,11 @@
         this.#nextAnnounceMs = clockMs;
     }
 
+    /** True once the leader has taken an announcement that the server leaves. */
+    get leavingKnown(): boolean {
+        return this.#leavingKnown;
+    }
+
     takeEffects(): CallEntry[] {
         const effects = this.#effects;
         this.#effects = [];
@@ -65,6 +72,7 @@
     announce(tasks: Task[], usage: TaskUsage[], leaving: boolean, clockMs: number): void {
         const { backendServerId, incarnation, address, availabilityZone, rack, capacity, slots } = this.options;
         this.#sequence += 1;
+        this.#saysLeaving = leaving;
         const announcement = create(AnnouncementSchema, {
             backendServerId,
             incarnation,
@@ -109,6 +117,7 @@
         this.#deadlines.delete(callId);
         this.#failuresInRow = 0;
         this.#takeEntries(parsed.entries ?? []);
+        this.#leavingKnown ||= this.#saysLeaving && parsed.lease !== undefined;
         if (!parsed.lease) {
             // The entry doesn't reach the leader; the next announcement goes to another one.
             this.#selected += 1;
