--- /dev/null
+++ b/packages/entry/src/entry-node.test.ts
@@ -0,0 +1,210 @@
+import { create } from "@bufbuild/protobuf";
+import * as p from "@waxwingspread/protocol";
+import { describe, expect, it } from "vitest";
+import type { EntryOptions } from "./settings.js";
+import { blobOf, errorCode, Harness, jobOf, jobResponse, notLeader, ready, RESULT } from "./testing/entry-harness.js";
+
+describe("EntryNode: submissions", () => {
+    it("asks the leader only after a majority stored the payload, and follows hints with the same id", () => {
+        // Guards against a job whose payload is lost with one VM, and against a second job after a change of leader.
+        const harness = ready();
+        harness.submit();
+        const puts = harness.calls("putBlob");
+        harness.reply(puts[0], create(p.PutBlobResponseSchema, {}));
+        expect(harness.calls("submit")).toEqual([]);
+        harness.fail(puts[1]?.callId ?? 0, p.ErrorCode.UNAVAILABLE);
+        harness.reply(puts[2], create(p.PutBlobResponseSchema, {}));
+        const first = harness.calls("submit")[0];
+        harness.reply(first, notLeader("c3"));
+        const second = harness.calls("submit")[0];
+        expect([first?.target.address, second?.target.address]).toEqual(["c1", "c3"]);
+        expect(second?.request).toEqual(first?.request);
+        harness.reply(second, jobResponse(jobOf({})));
+        expect(harness.replies().map(reply => reply.status)).toEqual([202]);
+    });
+
+    it("replies UNCERTAIN when the leader may have taken the job and UNAVAILABLE when it can't have", () => {
+        // Guards against telling "not run" to a caller whose work runs, and against needless uncertainty.
+        for (
+            const { code, expected } of [
+                { code: p.ErrorCode.TIMEOUT, expected: [504, "uncertain"] },
+                { code: p.ErrorCode.UNAVAILABLE, expected: [503, "unavailable"] },
+            ]
+        ) {
+            const harness = ready({ timing: { requestTimeoutMs: 300 } });
+            harness.submit();
+            harness.putBlobs();
+            for (let round = 0; round < 40; round += 1) {
+                harness.calls("submit").forEach(call => {
+                    harness.fail(call.callId, code);
+                });
+                harness.advance(10);
+            }
+            const reply = harness.replies()[0];
+            expect([reply?.status, errorCode(reply)]).toEqual(expected);
+        }
+    });
+
+    it("gives a resend the digest of the first send although its deadline lies later", () => {
+        // Guards against REQUEST_ID_REUSED for a caller that only repeats its request.
+        const harness = ready();
+        const digests = [0, 500].map(delayMs => {
+            harness.advance(delayMs);
+            harness.submit();
+            harness.putBlobs();
+            return harness.calls("submit")[0]?.request.specification;
+        });
+        expect(digests[1]?.contentSha256).toEqual(digests[0]?.contentSha256);
+        expect(digests[1]?.deadlineMs).toBe((digests[0]?.deadlineMs ?? 0) + 500);
+    });
+
+    it("refuses requests without a configuration lease and with wrong credentials", () => {
+        // Guards against work under a configuration that is no longer in force.
+        const harness = new Harness();
+        harness.submit();
+        harness.answerPoll({ configurationLeaseMs: 100 });
+        harness.request("GET", "/v1/jobs/r1", "", "stranger");
+        harness.advance(100);
+        harness.submit();
+        expect(harness.replies().map(reply => [reply.status, errorCode(reply)])).toEqual([
+            [503, "unavailable"],
+            [401, "unauthenticated"],
+            [503, "unavailable"],
+        ]);
+        expect(harness.calls("putBlob")).toEqual([]);
+    });
+
+    it("hides a job that a response attributes to another customer", () => {
+        // Guards against handing a job or an answer to the wrong customer.
+        const harness = ready();
+        harness.request("GET", "/v1/jobs/r1", "", "other");
+        const lookUp = harness.calls("lookUp")[0];
+        expect(lookUp?.request.customer).toBe("other");
+        harness.reply(lookUp, create(p.LookUpResponseSchema, { result: { case: "job", value: jobOf({}) } }));
+        expect(harness.replies().map(reply => [reply.status, errorCode(reply)])).toEqual([[404, "unknown-request"]]);
+    });
+});
+
+describe("EntryNode: answers", () => {
+    const waiting = (options: Partial<EntryOptions> = {}): Harness => {
+        const harness = ready(options);
+        harness.submit("/v1/jobs/r1?waitMs=3000");
+        harness.putBlobs();
+        harness.reply(harness.calls("submit")[0], jobResponse(jobOf({})));
+        return harness;
+    };
+    const { reference, data } = blobOf(`{"n":12345678901234567890}`);
+    const ended = jobOf({ state: p.JobState.ENDED, outcome: p.Outcome.COMPLETED, answer: reference });
+    const outcomeOrder = (sequence: number): p.Order =>
+        create(p.OrderSchema, { sequence, kind: p.OrderKind.OUTCOME, job: ended });
+
+    it("answers a waiting caller on the outcome order with verified bytes", () => {
+        // Guards against an answer from a damaged blob store.
+        const harness = waiting();
+        harness.advance(20);
+        harness.answerPoll({ orders: [outcomeOrder(1)] });
+        harness.reply(harness.calls("getBlob")[0], create(p.GetBlobResponseSchema, { data: blobOf("{}").data }));
+        expect(harness.replies()).toEqual([]);
+        harness.reply(harness.calls("getBlob")[0], create(p.GetBlobResponseSchema, { data }));
+        const reply = harness.replies()[0];
+        expect(reply?.json).toContain(`"answer":{"n":12345678901234567890}}`);
+    });
+
+    it("returns an answer's bytes with their digest, and no answer before the end or after the acknowledgement", () => {
+        // Guards against an incomplete answer that looks complete.
+        const harness = ready();
+        const expected = [ended, jobOf({}), jobOf({ ...ended, acknowledged: true })].map(job => {
+            harness.request("GET", "/v1/jobs/r1/answer");
+            const found = create(p.LookUpResponseSchema, { result: { case: "job", value: job } });
+            harness.reply(harness.calls("lookUp")[0], found);
+            harness.reply(harness.calls("getBlob")[0], create(p.GetBlobResponseSchema, { data }));
+            return harness.replies()[0];
+        });
+        expect(expected.map(reply => reply?.status)).toEqual([200, 404, 404]);
+        expect(expected[0]?.bytes).toEqual(data);
+        expect(expected[0]?.headers.digest).toBe(`sha-256=${Buffer.from(reference.sha256).toString("base64")}`);
+    });
+
+    it("cancels and acknowledges within the caller's own customer only", () => {
+        // Guards against one customer cancelling or deleting another one's work.
+        const harness = ready();
+        harness.request("POST", "/v1/jobs:cancel", `{"requestIds":["r1","r2","r1"]}`, "other");
+        const cancel = harness.calls("cancel")[0];
+        expect(cancel?.request).toMatchObject({ customer: "other", requestIds: ["r1", "r2"] });
+        const results = [jobOf({}, "r1", "other"), jobOf({}, "r2")].map(job => ({
+            result: { case: "job" as const, value: job },
+        }));
+        harness.reply(cancel, create(p.CancelResponseSchema, { results }));
+        const reply = JSON.parse(harness.replies()[0]?.json ?? "") as { results: Record<string, unknown>[] };
+        expect(reply.results.map(result => "job" in result)).toEqual([true, false]);
+        harness.request("POST", "/v1/jobs/r1/acknowledge", "", "other");
+        const acknowledge = harness.calls("acknowledge")[0];
+        expect(acknowledge?.request).toMatchObject({ customer: "other", requestId: "r1" });
+        harness.reply(acknowledge, create(p.AcknowledgeResponseSchema, {}));
+        expect(harness.replies().map(({ status }) => status)).toEqual([200]);
+    });
+
+    it("keeps cached blobs within their bound", () => {
+        // Guards against memory growth by payloads and answers.
+        const harness = ready({ limits: { cachedBlobBytes: 1_000 } });
+        for (let number = 0; number < 20; number += 1) {
+            const payload = `"${"x".repeat(90 + number)}"`;
+            harness.request("PUT", `/v1/jobs/r${number}`, `{"workClass":"trial","payload":${payload}}`);
+        }
+        const { cachedBlobBytes } = harness.entry.sizes();
+        expect(cachedBlobBytes).toBeGreaterThan(800);
+        expect(cachedBlobBytes).toBeLessThanOrEqual(1_000);
+    });
+
+    it("answers with the state when the wait ends, once, and ignores callers that have gone", () => {
+        // Guards against two replies to one request and against waits that leak.
+        const harness = waiting();
+        const gone = harness.submit("/v1/jobs/r1?waitMs=3000");
+        harness.putBlobs();
+        harness.reply(harness.calls("submit")[0], jobResponse(jobOf({})));
+        harness.entry.callerGone(gone);
+        harness.advance(3_100);
+        harness.answerPoll({ orders: [outcomeOrder(1)] });
+        expect(harness.replies().map(reply => reply.status)).toEqual([202]);
+        expect(harness.entry.sizes()).toMatchObject({ callers: 0, waitingCallers: 0 });
+    });
+
+    it("asks the leader when an outcome order doesn't arrive after the end was settled here", () => {
+        // Guards against callers that wait in vain when the order was lost with the old leader.
+        const harness = waiting();
+        harness.backendServer("/backend/v1/results", { ...RESULT, end: "completed", answer: 5 });
+        harness.putBlobs();
+        harness.reply(harness.calls("report")[0], create(p.ReportResponseSchema, { settledEnds: [0] }));
+        expect(harness.replies()).toEqual([]);
+        harness.advance(30);
+        const job = jobOf({ state: p.JobState.ENDED, outcome: p.Outcome.COMPLETED, answer: blobOf("5").reference });
+        const found = create(p.LookUpResponseSchema, { result: { case: "job", value: job } });
+        harness.reply(harness.calls("lookUp")[0], found);
+        expect(harness.replies().map(reply => reply.json?.endsWith(`"answer":5}`))).toEqual([true]);
+    });
+
+    it("answers at once when the outcome overtook the reply to the submission", () => {
+        // Guards against waiting for an outcome that has already been delivered.
+        const harness = ready();
+        harness.submit("/v1/jobs/r1?waitMs=3000");
+        harness.putBlobs();
+        harness.answerPoll();
+        harness.advance(20);
+        const notRun = jobOf({ state: p.JobState.ENDED, outcome: p.Outcome.NOT_RUN, reason: p.Reason.QUEUE_FULL });
+        const order = create(p.OrderSchema, { sequence: 1, kind: p.OrderKind.OUTCOME, job: notRun });
+        harness.answerPoll({ orders: [order] });
+        harness.reply(harness.calls("submit")[0], jobResponse(jobOf({})));
+        expect(harness.replies().map(reply => reply.json)).toEqual([expect.stringContaining(`"not-run"`)]);
+    });
+
+    it("bounds waiting callers and requests in progress", () => {
+        // Guards against memory growth under overload.
+        const harness = waiting({ limits: { waitingCallers: 1, requestsInProgress: 2 } });
+        const second = harness.submit("/v1/jobs/r2?waitMs=3000");
+        harness.submit("/v1/jobs/r3");
+        expect(errorCode(harness.replies()[0])).toBe("overloaded");
+        harness.putBlobs();
+        harness.reply(harness.calls("submit")[0], jobResponse(jobOf({}, "r2")));
+        expect(harness.replies().map(reply => [reply.requestHandle, reply.status])).toEqual([[second, 202]]);
+    });
+});
