--- a/packages/scheduler/src/policy/basic-policies.ts
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -4,6 +4,7 @@
 import { addResources, fitsWithin, NO_RESOURCES } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
 import { setBucket, TokenBucket } from "../timing/token-bucket.js";
+import { BasicZonePolicy } from "./basic-zone-policy.js";
 import type {
     Admission,
     AdmissionPolicy,
@@ -23,7 +24,6 @@
     RetryPolicy,
     ServerView,
     TaskKey,
-    ZonePolicy,
 } from "./types.js";
 
 /** How {@link createBasicPolicies} orders the servers that have room. */
@@ -35,9 +35,6 @@
 const FAILURES_BEFORE_QUARANTINE = 3;
 const QUARANTINED_RATIO = 0.2;
 const QUARANTINE_MS = 30_000;
-const RETURN_MS = 30_000;
-const FIRST_FILL_RATIO = 0.1;
-const STOPS_PER_SECOND = 8;
 const FIRST_RETRY_MS = 200;
 const LONGEST_RETRY_MS = 30_000;
 const LARGEST_EXPONENT = 10;
@@ -431,41 +428,6 @@
     }
 }
 
-/** Stops latency-critical, then batch, then standing work at a constant rate; fills linearly. */
-class BasicZonePolicy implements ZonePolicy {
-    readonly #returnedAtMs = new Map<string, number>();
-    readonly #rate = new TokenBucket(STOPS_PER_SECOND, STOPS_PER_SECOND);
-
-    zoneOut(availabilityZone: string): void {
-        this.#returnedAtMs.delete(availabilityZone);
-    }
-
-    zoneBack(availabilityZone: string, nowMs: number): void {
-        this.#returnedAtMs.set(availabilityZone, nowMs);
-    }
-
-    nextToStop(tasks: readonly PlacedTask[], nowMs: number): TaskKey[] {
-        const order = [WorkKind.LATENCY_CRITICAL, WorkKind.BATCH, WorkKind.STANDING];
-        return tasks.filter(task => !task.stopping)
-            .sort((a, b) => order.indexOf(a.workKind) - order.indexOf(b.workKind) || a.placedAtMs - b.placedAtMs)
-            .filter(() => this.#rate.take(nowMs))
-            .map(task => task.taskKey);
-    }
-
-    fillRatio(availabilityZone: string, nowMs: number): number {
-        const returnedAtMs = this.#returnedAtMs.get(availabilityZone);
-        return returnedAtMs === undefined
-            ? 1
-            : Math.min(1, Math.max(FIRST_FILL_RATIO, (nowMs - returnedAtMs) / RETURN_MS));
-    }
-
-    returned(nowMs: number): string[] {
-        const names = [...this.#returnedAtMs].filter(([, atMs]) => nowMs >= atMs + RETURN_MS).map(([name]) => name);
-        names.forEach(name => this.#returnedAtMs.delete(name));
-        return names;
-    }
-}
-
 /** Returns the simplest correct policies, used as a baseline and in tests. */
 export const createBasicPolicies = (
     random: SeededRandom,
