--- a/packages/scheduler/src/policy/basic-policies.ts
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -3,7 +3,8 @@
 import type { JobSpecification, Resources } from "@waxwingspread/protocol";
 import { addResources, fitsWithin, NO_RESOURCES } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
-import { setBucket, TokenBucket } from "../timing/token-bucket.js";
+import type { TokenBucket } from "../timing/token-bucket.js";
+import { setBucket } from "../timing/token-bucket.js";
 import { BasicZonePolicy } from "./basic-zone-policy.js";
 import type {
     Admission,
