Remember the outcome of membership commands; test the control node

Cause: a resent command that adds a replica would have added it again after another operator had removed it. Change: membership commands are remembered by command id like all others; the daemon prints its help.

--- a/packages/control/src/leader-handlers.ts
+++ b/packages/control/src/leader-handlers.ts
@@ -60,15 +60,20 @@
     if (change === undefined) {
         return undefined;
     }
-    if (change.alreadyDone) {
-        return create(OperatorResultSchema, { repeatedCommand: true });
+    const { scheduler } = context.session;
+    const earlier = scheduler.recallCommand(command);
+    if (earlier !== undefined) {
+        return earlier;
     }
-    const result = context.log.changeMembership(change.change, context.nowMs);
-    if (result.isErr()) {
-        return create(OperatorResultSchema, { error: result.error.toDetail() });
+    // A command that took effect without being remembered, because the leader was lost in between, is done as well.
+    if (!change.alreadyDone) {
+        const result = context.log.changeMembership(change.change, context.nowMs);
+        if (result.isErr()) {
+            return create(OperatorResultSchema, { error: result.error.toDetail() });
+        }
+        context.session.awaitIndex(result.value);
     }
-    context.session.awaitIndex(result.value);
-    return create(OperatorResultSchema, {});
+    return scheduler.rememberCommand(command, context.nowMs);
 };
 
 const execute = (command: OperatorCommand, context: LeaderContext): OperatorResult =>
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -8,7 +8,7 @@
 import { journalRoutes } from "./roles/journal-routes.js";
 import { createOperatorCheck } from "./roles/operator-token.js";
 import type { ProcessContext } from "./roles/process-context.js";
-import { DaemonRole, formatSettings, parseSettings } from "./settings/index.js";
+import { DaemonRole, formatSettings, parseSettings, settingsHelp } from "./settings/index.js";
 import type { DaemonSettings } from "./settings/index.js";
 import { PeerClients } from "./transport/peer-clients.js";
 import { sendTime } from "./transport/time-propagation.js";
@@ -26,6 +26,10 @@
 
 /** Runs the daemon until a signal asks it to stop. Sets the exit code 2 for faulty settings, 1 for other failures. */
 export const runDaemon = async (args: string[], environment: NodeJS.ProcessEnv): Promise<void> => {
+    if (args.includes("--help")) {
+        process.stdout.write(`${await settingsHelp()}\n`);
+        return;
+    }
     const parsed = parseSettings(args, environment);
     if (parsed.isErr()) {
         process.stderr.write(`${parsed.error.message}\n`);
--- a/packages/scheduler/src/operators/commands.ts
+++ b/packages/scheduler/src/operators/commands.ts
@@ -65,25 +65,29 @@
     }
 
     execute(command: OperatorCommand): OperatorResult {
-        const { state } = this.#decision;
         if (command.commandId === "") {
             return this.#result(invalid("", "the command id is missing"));
         }
-        const contentSha256 = digestOf(command);
-        const remembered = state.command(command.commandId);
-        if (remembered !== undefined) {
-            return this.#remembered(remembered, contentSha256);
-        }
-        const error = this.#run(command);
+        return this.recall(command) ?? this.remember(command, this.#run(command));
+    }
+
+    /** Returns the outcome of an earlier send of the command, or undefined for a new one. */
+    recall(command: OperatorCommand): OperatorResult | undefined {
+        const remembered = this.#decision.state.command(command.commandId);
+        return remembered === undefined ? undefined : this.#remembered(remembered, digestOf(command));
+    }
+
+    /** Records a command's outcome, so that a resend returns it. */
+    remember(command: OperatorCommand, error: StepError | undefined): OperatorResult {
         this.#decision.record({
             case: "commandCompleted",
             value: {
                 commandId: command.commandId,
                 accepted: error === undefined,
-                revision: state.revision,
+                revision: this.#decision.state.revision,
                 errorCode: error === undefined ? "" : ErrorCode[error.code],
                 errorMessage: error?.message ?? "",
-                contentSha256,
+                contentSha256: digestOf(command),
             },
         });
         return this.#result(error);
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -157,6 +157,17 @@
         return this.#commands.execute(command);
     }
 
+    /** Returns the outcome of an earlier send of a command that was carried out elsewhere. */
+    recallCommand(command: OperatorCommand): OperatorResult | undefined {
+        return this.#commands.recall(command);
+    }
+
+    /** Records the success of a command that was carried out elsewhere. */
+    rememberCommand(command: OperatorCommand, nowMs: number): OperatorResult {
+        this.#decision.advance(nowMs);
+        return this.#commands.remember(command, undefined);
+    }
+
     entrySeen(poll: PollRequest, nowMs: number): void {
         this.#decision.advance(nowMs);
         this.#entries.seen(poll, nowMs);
