Replace an incarnation only on proof of life or after its leases expired

An unknown incarnation now gets a token and replaces the known one when it returns it. Without a token it does so after every lease of the known one has certainly expired, or after a short silence if that one holds no work.

Ruled out: a longer silence or a second announcement only makes the case rarer; waiting for the leases in every case delays each restart by 10.6 s.

--- a/packages/scheduler/src/jobs/submission.ts
+++ b/packages/scheduler/src/jobs/submission.ts
@@ -125,18 +125,23 @@
         }
     }
 
+    /** The rate comes first, since lasting refusals are recorded and must not fill the log. */
     #admit(draft: Job, queued: QueuedJob, contract: Contract): Admission {
         const { state, policies, nowMs } = this.#decision;
         const specification = draft.specification as JobSpecification;
+        const expectedWaitMs = this.#expectedWaitMs(draft, queued);
+        const admission = policies.admission.admit(specification, queued, expectedWaitMs, nowMs);
+        if (!admission.admitted && TEMPORARY_REASONS.has(admission.reason ?? Reason.UNSPECIFIED)) {
+            return admission;
+        }
         const permanent = this.#permanentRefusal(specification, queued, contract);
         if (permanent !== undefined) {
             return { admitted: false, reason: permanent };
         }
         const full = state.useOfCustomer(contract.customer).queuedJobs >= (contract.quota?.queuedJobs ?? 0);
-        if (full && !this.#placer.couldPlace(draft, queued)) {
-            return { admitted: false, reason: Reason.QUEUE_FULL, retryAfterMs: QUEUE_FULL_RETRY_MS };
-        }
-        return policies.admission.admit(specification, queued, this.#expectedWaitMs(draft, queued), nowMs);
+        return admission.admitted && full && !this.#placer.couldPlace(draft, queued)
+            ? { admitted: false, reason: Reason.QUEUE_FULL, retryAfterMs: QUEUE_FULL_RETRY_MS }
+            : admission;
     }
 
     #permanentRefusal(specification: JobSpecification, queued: QueuedJob, contract: Contract): Reason | undefined {
--- a/packages/scheduler/src/placement/placer.ts
+++ b/packages/scheduler/src/placement/placer.ts
@@ -144,18 +144,21 @@
             && fitsWithin(addResources(use.resources, reserved), server.capacity ?? NO_RESOURCES);
     }
 
-    /** Evicts batch work for urgent work, once until the victims have stopped. */
+    /** Evicts batch work for urgent work. */
     #preempt(job: Job, queued: QueuedJob): boolean {
         const urgent = queued.workKind === WorkKind.LATENCY_CRITICAL || queued.workKind === WorkKind.STANDING;
-        if (!urgent || job.state !== JobState.QUEUED || this.#waitsForVictims(queued.jobKey)) {
+        if (!urgent || job.state !== JobState.QUEUED) {
             return false;
         }
         const { customer, requestId } = parseJobKey(queued.jobKey);
         return this.evictFor(queued.jobKey, this.#view.placementQuery(job, queued), `${customer}/${requestId}`);
     }
 
-    /** Evicts batch work so that the query finds a place later; false where that can't help. */
+    /** Evicts batch work, once until it has stopped, so that the query finds a place; false where nothing is evicted. */
     evictFor(key: JobKey, query: PlacementQuery, beneficiary: string): boolean {
+        if (this.#waitsForVictims(key)) {
+            return false;
+        }
         const preemption = this.#decision.policies.placement.choosePreemption(query, this.#decision.nowMs);
         if (preemption === undefined) {
             return false;
--- a/packages/scheduler/src/policy/basic-policies.ts
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -1,7 +1,7 @@
 import type { SeededRandom } from "@waxwingspread/common";
 import { HealthState, Reason, WorkKind } from "@waxwingspread/protocol";
 import type { JobSpecification, Resources } from "@waxwingspread/protocol";
-import { addResources, fitsWithin, NO_RESOURCES } from "../state/resources.js";
+import { addResources, fitsWithin, NO_RESOURCES, scaleResources } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
 import { setBucket, TokenBucket } from "../timing/token-bucket.js";
 import type {
@@ -201,16 +201,11 @@
 
 interface CustomerUse {
     tasks: Map<TaskKey, { workKind: WorkKind; reserved: Resources }>;
+    byKind: Map<WorkKind, ResourceAmounts>;
 }
 
 const KINDS_BY_URGENCY = [WorkKind.LATENCY_CRITICAL, WorkKind.STANDING, WorkKind.BATCH];
 
-const scaled = (resources: ResourceAmounts, ratio: number): ResourceAmounts => ({
-    cpuMillicores: resources.cpuMillicores * ratio,
-    memoryMebibytes: resources.memoryMebibytes * ratio,
-    accelerators: resources.accelerators * ratio,
-});
-
 /** First in, first out within each kind; nobody exceeds a quota, so nothing is reclaimed. */
 class BasicFairSharePolicy implements FairSharePolicy {
     readonly #limits = new Map<string, CustomerLimits>();
@@ -230,13 +225,22 @@
     }
 
     started(customer: string, workKind: WorkKind, taskKey: TaskKey, reserved: Resources): void {
-        const use = this.#uses.get(customer) ?? { tasks: new Map() };
-        use.tasks.set(taskKey, { workKind, reserved });
+        const use = this.#uses.get(customer) ?? { tasks: new Map(), byKind: new Map() };
         this.#uses.set(customer, use);
+        use.tasks.set(taskKey, { workKind, reserved });
+        use.byKind.set(workKind, addResources(use.byKind.get(workKind) ?? NO_RESOURCES, reserved));
     }
 
     ended(customer: string, taskKey: TaskKey): void {
-        this.#uses.get(customer)?.tasks.delete(taskKey);
+        const use = this.#uses.get(customer);
+        const task = use?.tasks.get(taskKey);
+        if (use !== undefined && task !== undefined) {
+            use.tasks.delete(taskKey);
+            use.byKind.set(
+                task.workKind,
+                addResources(use.byKind.get(task.workKind) ?? NO_RESOURCES, task.reserved, -1),
+            );
+        }
     }
 
     enqueue(job: QueuedJob): void {
@@ -267,18 +271,18 @@
         if (limits === undefined) {
             return Reason.CUSTOMER_REMOVED;
         }
-        const tasks = [...this.#uses.get(job.customer)?.tasks.values() ?? []];
+        const use = this.#uses.get(job.customer);
         const sum = (kinds: readonly WorkKind[]): ResourceAmounts =>
-            tasks.filter(task => kinds.includes(task.workKind))
-                .reduce((total, task) => addResources(total, task.reserved), job.reserved as ResourceAmounts);
+            kinds.map(kind => use?.byKind.get(kind) ?? NO_RESOURCES)
+                .reduce((total, used) => addResources(total, used), job.reserved as ResourceAmounts);
         const quota = limits.quota.resources ?? NO_RESOURCES;
         const shares = new Map([
             [WorkKind.LATENCY_CRITICAL, limits.latencyCriticalShare],
             [WorkKind.BATCH, limits.batchShare],
         ]);
-        const fits = tasks.length < limits.quota.concurrentTasks
+        const fits = (use?.tasks.size ?? 0) < limits.quota.concurrentTasks
             && fitsWithin(sum(KINDS_BY_URGENCY), quota)
-            && fitsWithin(sum([job.workKind]), scaled(quota, shares.get(job.workKind) ?? 1));
+            && fitsWithin(sum([job.workKind]), scaleResources(quota, shares.get(job.workKind) ?? 1));
         return fits ? undefined : Reason.QUOTA_IN_USE;
     }
 
@@ -307,8 +311,11 @@
     admit(specification: JobSpecification, job: QueuedJob, expectedWaitMs: number, nowMs: number): Admission {
         const bucket = this.#buckets.get(job.customer);
         if (bucket !== undefined && !bucket.take(nowMs)) {
-            const retryAfterMs = Math.ceil(1_000 / Math.max(bucket.perSecond, 0.001));
-            return { admitted: false, reason: Reason.RATE_EXCEEDED, retryAfterMs };
+            return {
+                admitted: false,
+                reason: Reason.RATE_EXCEEDED,
+                retryAfterMs: Math.ceil(1_000 / Math.max(bucket.perSecond, 0.001)),
+            };
         }
         const earliestEndMs = nowMs + expectedWaitMs + specification.declaredRunTimeMs;
         if (job.deadlineMs > 0 && earliestEndMs > job.deadlineMs) {
--- a/packages/scheduler/src/servers/announcements.ts
+++ b/packages/scheduler/src/servers/announcements.ts
@@ -10,6 +10,7 @@
 import { taskKeyOf } from "../work-view.js";
 import type { WorkView } from "../work-view.js";
 import type { BackendClocks } from "./backend-clocks.js";
+import { Incarnations } from "./incarnations.js";
 import type { LeaseKeeper } from "./lease-keeper.js";
 
 const equalResources = (a: Resources | undefined, b: Resources | undefined): boolean =>
@@ -23,6 +24,7 @@
     readonly #attempts: Attempts;
     readonly #reports: AttemptReports;
     readonly #leases: LeaseKeeper;
+    readonly #incarnations: Incarnations;
 
     constructor(
         decision: Decision,
@@ -38,6 +40,7 @@
         this.#attempts = attempts;
         this.#reports = reports;
         this.#leases = leases;
+        this.#incarnations = new Incarnations(decision, clocks);
     }
 
     /** Returns the renewed leases; undefined where the announcement is outdated or not valid. */
@@ -47,7 +50,14 @@
         if (backendServerId === "" || incarnation === "" || announcement.capacity === undefined) {
             return undefined;
         }
-        if (!this.#isCurrent(announcement) || !this.#clocks.heard(announcement, nowMs)) {
+        if (!this.#incarnations.isCurrent(announcement)) {
+            if (!this.#incarnations.mayReplace(announcement)) {
+                return this.#incarnations.challenge(announcement);
+            }
+            this.#attempts.loseAll(backendServerId, "the backend server has restarted");
+            this.#incarnations.replaced(backendServerId);
+        }
+        if (!this.#clocks.heard(announcement, nowMs)) {
             return undefined;
         }
         this.#update(announcement);
@@ -63,24 +73,6 @@
         return create(LeaseGrantSchema, { backendServerId, incarnation, expiresBackendMs, term });
     }
 
-    /**
-     * Replaces the known incarnation by a new one. Incarnations have no order, so a late announcement of one that
-     * never reached the leader looks new; the known one must have been silent for longer than it takes to announce.
-     */
-    #isCurrent({ backendServerId, incarnation }: Announcement): boolean {
-        const { state, nowMs, settings } = this.#decision;
-        const known = state.backendServer(backendServerId);
-        if (known === undefined || known.incarnation === incarnation) {
-            return true;
-        }
-        const silenceMs = this.#clocks.silenceMs(backendServerId, nowMs);
-        if (known.formerIncarnations.includes(incarnation) || silenceMs < settings.incarnationQuietMs) {
-            return false;
-        }
-        this.#attempts.loseAll(backendServerId, "the backend server has restarted");
-        return true;
-    }
-
     /** Records what changed; an incarnation that is leaving never stays after all. */
     #update(announcement: Announcement): void {
         const { state } = this.#decision;
--- /dev/null
+++ b/packages/scheduler/src/servers/incarnations.ts
@@ -0,0 +1,57 @@
+import { create } from "@bufbuild/protobuf";
+import { LeaseGrantSchema } from "@waxwingspread/protocol";
+import type { Announcement, LeaseGrant } from "@waxwingspread/protocol";
+import type { Decision } from "../decision.js";
+import type { BackendClocks } from "./backend-clocks.js";
+
+/** Tokens kept for each backend server; older ones prove nothing any more. */
+const GREATEST_TOKENS = 16;
+
+/**
+ * Tells a new incarnation of a backend server from a late announcement of an old one. Incarnations have no order, so
+ * an unknown one replaces the known one only when it returns a token, which proves that it lives now, or when every
+ * lease of the known one has certainly expired.
+ */
+export class Incarnations {
+    readonly #decision: Decision;
+    readonly #clocks: BackendClocks;
+    /** Tokens issued since the known incarnation joined, by server. */
+    readonly #tokens = new Map<string, string[]>();
+    #nextToken = 0;
+
+    constructor(decision: Decision, clocks: BackendClocks) {
+        this.#decision = decision;
+        this.#clocks = clocks;
+    }
+
+    isCurrent({ backendServerId, incarnation }: Announcement): boolean {
+        const known = this.#decision.state.backendServer(backendServerId);
+        return known === undefined || known.incarnation === incarnation;
+    }
+
+    mayReplace({ backendServerId, incarnation, leaseToken }: Announcement): boolean {
+        const { state, nowMs, settings } = this.#decision;
+        if (this.#tokens.get(backendServerId)?.includes(leaseToken)) {
+            return true;
+        }
+        if (state.backendServer(backendServerId)?.formerIncarnations.includes(incarnation)) {
+            return false;
+        }
+        const holdsNothing = state.useOfBackendServer(backendServerId).jobKeys.size === 0;
+        const quiet = this.#clocks.silenceMs(backendServerId, nowMs) >= settings.incarnationQuietMs;
+        return holdsNothing && quiet || this.#clocks.leasesExpired(backendServerId, nowMs);
+    }
+
+    /** Asks for a proof of life; the grant extends no lease. */
+    challenge({ backendServerId, incarnation, clockMs }: Announcement): LeaseGrant {
+        const { term } = this.#decision;
+        const token = `${term}-${this.#nextToken}`;
+        this.#nextToken += 1;
+        this.#tokens.set(backendServerId, [...this.#tokens.get(backendServerId) ?? [], token].slice(-GREATEST_TOKENS));
+        return create(LeaseGrantSchema, { backendServerId, incarnation, expiresBackendMs: clockMs, term, token });
+    }
+
+    replaced(backendServerId: string): void {
+        this.#tokens.delete(backendServerId);
+    }
+}
--- a/packages/scheduler/src/settings.ts
+++ b/packages/scheduler/src/settings.ts
@@ -17,7 +17,7 @@
     silentAfterMs: number;
     /** A backend server that was not heard from for this long is forgotten once it holds nothing. */
     removeSilentAfterMs: number;
-    /** Silence of the known incarnation after which another one replaces it. */
+    /** Silence of an incarnation that holds no work after which another one replaces it without a proof of life. */
     incarnationQuietMs: number;
     /** An order is repeated when its effect was not observed for this long. */
     resendMs: number;
--- a/packages/scheduler/src/state/cluster-state.ts
+++ b/packages/scheduler/src/state/cluster-state.ts
@@ -17,7 +17,7 @@
 import type { EventHandler } from "./event-handlers.js";
 import { Table, UndoLog } from "./table.js";
 import { FACTS_KEY, NO_FACTS } from "./tables.js";
-import type { ClusterFacts, ClusterTables } from "./tables.js";
+import type { ClusterFacts, ClusterTables, NumberedCommand } from "./tables.js";
 import { UsageIndex } from "./usage.js";
 import type { Use } from "./usage.js";
 
@@ -44,7 +44,7 @@
         zones: new Table<AvailabilityZone>(this.#undoLog),
         servers: new Table<BackendServer>(this.#undoLog),
         jobs: new Table<Job>(this.#undoLog),
-        commands: new Table<CommandCompleted>(this.#undoLog),
+        commands: new Table<NumberedCommand>(this.#undoLog),
         usage: this.#usage,
     };
     readonly #commandNumbers = new Map<string, string>();
@@ -71,10 +71,10 @@
         });
         commands.onChange((number, before, after) => {
             if (before !== undefined) {
-                this.#commandNumbers.delete(before.commandId);
+                this.#commandNumbers.delete(before.command.commandId);
             }
             if (after !== undefined) {
-                this.#commandNumbers.set(after.commandId, number);
+                this.#commandNumbers.set(after.command.commandId, number);
             }
         });
     }
@@ -89,7 +89,7 @@
         handler(this.#tables, value, event.atMs);
     }
 
-    /** Ends the batch that was proposed at the given log index. */
+    /** Ends the batch at the given log index; a follower that applied it calls `committed` right afterwards. */
     mark(index: number): void {
         this.#undoLog.mark(index);
     }
@@ -197,24 +197,22 @@
     /** Remembered outcome of an operator's command. */
     command(commandId: string): CommandCompleted | undefined {
         const number = this.#commandNumbers.get(commandId);
-        return number === undefined ? undefined : this.#tables.commands.get(number);
+        return number === undefined ? undefined : this.#tables.commands.get(number)?.command;
     }
 
-    /** Copy of the state. Contains uncommitted changes, so take it only while there are none. */
+    /** Copy of the committed state. */
     toSnapshot(): ClusterSnapshot {
-        const { firstCommand, nextCommand, term } = this.#facts;
-        const commands: CommandCompleted[] = [];
-        for (let number = firstCommand; number < nextCommand; number += 1) {
-            const command = this.#tables.commands.get(String(number));
-            if (command !== undefined) {
-                commands.push(command);
-            }
-        }
+        const { facts, contracts, zones, servers, jobs, commands } = this.#tables;
+        const { revision, term } = facts.committedValues()[0] ?? NO_FACTS;
         return create(ClusterSnapshotSchema, {
-            configuration: this.configuration,
-            backendServers: sorted(this.backendServers(), server => server.backendServerId),
-            jobs: sorted(this.jobs(), job => job.specification === undefined ? "" : jobKeyOf(job.specification)),
-            commands,
+            configuration: create(ConfigurationSchema, {
+                revision,
+                contracts: sorted(contracts.committedValues(), contract => contract.customer),
+                availabilityZones: sorted(zones.committedValues(), zone => zone.name),
+            }),
+            backendServers: sorted(servers.committedValues(), server => server.backendServerId),
+            jobs: sorted(jobs.committedValues(), job => job.specification ? jobKeyOf(job.specification) : ""),
+            commands: commands.committedValues().sort((a, b) => a.number - b.number).map(({ command }) => command),
             term,
         });
     }
@@ -225,7 +223,7 @@
         snapshot.configuration?.contracts.forEach(contract => tables.contracts.load(contract.customer, contract));
         snapshot.configuration?.availabilityZones.forEach(zone => tables.zones.load(zone.name, zone));
         snapshot.backendServers.forEach(server => tables.servers.load(server.backendServerId, server));
-        snapshot.commands.forEach((command, number) => tables.commands.load(String(number), command));
+        snapshot.commands.forEach((command, number) => tables.commands.load(String(number), { number, command }));
         for (const job of snapshot.jobs) {
             if (job.specification !== undefined) {
                 tables.jobs.load(jobKeyOf(job.specification), job);
--- a/packages/scheduler/src/state/event-handlers.ts
+++ b/packages/scheduler/src/state/event-handlers.ts
@@ -167,7 +167,7 @@
     },
     commandCompleted: (tables: ClusterTables, value: ValueOf<"commandCompleted">): void => {
         const { firstCommand, nextCommand } = factsOf(tables);
-        tables.commands.set(String(nextCommand), value);
+        tables.commands.set(String(nextCommand), { number: nextCommand, command: value });
         const full = nextCommand - firstCommand >= REMEMBERED_COMMANDS;
         if (full) {
             tables.commands.set(String(firstCommand), undefined);
--- a/packages/scheduler/src/state/resources.ts
+++ b/packages/scheduler/src/state/resources.ts
@@ -18,6 +18,12 @@
     accelerators: a.accelerators + sign * b.accelerators,
 });
 
+export const scaleResources = (resources: ResourceAmounts, ratio: number): ResourceAmounts => ({
+    cpuMillicores: resources.cpuMillicores * ratio,
+    memoryMebibytes: resources.memoryMebibytes * ratio,
+    accelerators: resources.accelerators * ratio,
+});
+
 /** True where `part` does not exceed `whole` in any resource. */
 export const fitsWithin = (part: ResourceAmounts, whole: ResourceAmounts): boolean =>
     part.cpuMillicores <= whole.cpuMillicores
--- a/packages/scheduler/src/state/table.ts
+++ b/packages/scheduler/src/state/table.ts
@@ -2,6 +2,9 @@
 export type ChangeListener<V> = (key: string, before: V | undefined, after: V | undefined) => void;
 
 interface UndoRecord {
+    readonly table: object;
+    readonly key: string;
+    readonly before: unknown;
     undo(): void;
 }
 
@@ -19,6 +22,17 @@
         return this.#records.length;
     }
 
+    /** Committed records of the keys of a table that have changed since. */
+    committedRecords(table: object): Map<string, unknown> {
+        const committed = new Map<string, unknown>();
+        for (const record of this.#records) {
+            if (record.table === table && !committed.has(record.key)) {
+                committed.set(record.key, record.before);
+            }
+        }
+        return committed;
+    }
+
     add(record: UndoRecord): void {
         this.#records.push(record);
     }
@@ -70,6 +84,17 @@
         return this.#records.values();
     }
 
+    /** Records without the changes that are not committed. */
+    committedValues(): V[] {
+        const changed = this.#undoLog.committedRecords(this);
+        if (changed.size === 0) {
+            return [...this.#records.values()];
+        }
+        const unchanged = [...this.#records].filter(([key]) => !changed.has(key)).map(([, record]) => record);
+        const former = [...changed.values()].filter(record => record !== undefined) as V[];
+        return [...unchanged, ...former];
+    }
+
     onChange(listener: ChangeListener<V>): void {
         this.#listeners.push(listener);
     }
@@ -77,7 +102,7 @@
     /** Replaces or, with undefined, deletes a record. */
     set(key: string, after: V | undefined): void {
         const before = this.#records.get(key);
-        this.#undoLog.add({ undo: () => this.#replace(key, before) });
+        this.#undoLog.add({ table: this, key, before, undo: () => this.#replace(key, before) });
         this.#replace(key, after);
     }
 
--- a/packages/scheduler/src/state/tables.ts
+++ b/packages/scheduler/src/state/tables.ts
@@ -11,6 +11,12 @@
     nextCommand: number;
 }
 
+/** Outcome of a command with its place in the order in which outcomes are dropped. */
+export interface NumberedCommand {
+    readonly number: number;
+    readonly command: CommandCompleted;
+}
+
 /** Tables on which the event handlers work. */
 export interface ClusterTables {
     readonly facts: Table<ClusterFacts>;
@@ -18,7 +24,7 @@
     readonly zones: Table<AvailabilityZone>;
     readonly servers: Table<BackendServer>;
     readonly jobs: Table<Job>;
-    readonly commands: Table<CommandCompleted>;
+    readonly commands: Table<NumberedCommand>;
     readonly usage: UsageIndex;
 }
 
--- a/packages/scheduler/src/test-kit/model-server.ts
+++ b/packages/scheduler/src/test-kit/model-server.ts
@@ -42,6 +42,7 @@
     #incarnation = 1;
     #sequence = 0;
     #term = 0;
+    #leaseToken = "";
     #clockMs: number;
     leaving = false;
 
@@ -82,6 +83,7 @@
         this.#incarnation += 1;
         this.#sequence = 0;
         this.#term = 0;
+        this.#leaseToken = "";
         this.#clockMs = 0;
         this.leaving = false;
     }
@@ -132,6 +134,7 @@
             leaving: this.leaving,
             clockMs: this.#clockMs,
             sequence: this.#sequence,
+            leaseToken: this.#leaseToken,
             tasks: [...this.#tasks.values()].map(({ customer, requestId, attemptNumber, running }) => ({
                 customer,
                 requestId,
@@ -146,6 +149,7 @@
             return;
         }
         this.#term = grant.term;
+        this.#leaseToken = grant.token || this.#leaseToken;
         for (const task of this.#tasks.values()) {
             task.leaseExpiresMs = Math.max(task.leaseExpiresMs, grant.expiresBackendMs);
         }
