--- a/packages/scheduler/src/policy/basic-policies.ts
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -361,9 +361,7 @@
     readonly #servers = new Map<string, ServerHealth>();
 
     register(backendServerId: string, slots: number, health: HealthState, consecutiveFailures: number): void {
-        const former = this.#servers.get(backendServerId);
-        const quarantinedUntilMs = former?.quarantinedUntilMs ?? 0;
-        const failedJobs = former?.failedJobs ?? new Set<string>();
+        const { quarantinedUntilMs = 0, failedJobs = new Set<string>() } = this.#servers.get(backendServerId) ?? {};
         const failures = consecutiveFailures;
         this.#servers.set(backendServerId, { slots, health, failures, failedJobs, quarantinedUntilMs });
     }
