--- a/packages/scheduler/src/jobs/submission.ts
+++ b/packages/scheduler/src/jobs/submission.ts
@@ -130,7 +130,9 @@
         const { state, policies, nowMs } = this.#decision;
         const specification = draft.specification as JobSpecification;
         const expectedWaitMs = this.#expectedWaitMs(draft, queued);
-        const admission = policies.admission.admit(specification, queued, expectedWaitMs, nowMs);
+        const admission = this.#whileNoServerIsKnown(
+            policies.admission.admit(specification, queued, expectedWaitMs, nowMs),
+        );
         if (!admission.admitted && TEMPORARY_REASONS.has(admission.reason ?? Reason.UNSPECIFIED)) {
             return admission;
         }
@@ -144,6 +146,12 @@
             : admission;
     }
 
+    /** Before the first announcement nothing is known of the sizes of backend servers. */
+    #whileNoServerIsKnown(admission: Admission): Admission {
+        const tooLarge = admission.reason === Reason.LARGER_THAN_ANY_BACKEND_SERVER;
+        return tooLarge && this.#decision.state.backendServerCount === 0 ? { admitted: true } : admission;
+    }
+
     #permanentRefusal(specification: JobSpecification, queued: QueuedJob, contract: Contract): Reason | undefined {
         const { state, policies, nowMs } = this.#decision;
         if (!contract.classes.some(workClass => workClass.name === specification.workClass)) {
