--- a/packages/scheduler/src/scheduler.random.test.ts
+++ b/packages/scheduler/src/scheduler.random.test.ts
@@ -66,7 +66,7 @@
         }
         this.#scheduler = this.#lead();
         this.#poll();
-        this.#execute({ case: "writeContract", value: contractOf("acme") });
+        this.#writeContract(1_000);
         this.#commit(false);
     }
 
@@ -75,6 +75,7 @@
             this.#step();
         }
         this.#faulty = false;
+        this.#writeContract(1_000);
         ZONES.forEach(zone => this.#execute({ case: "bringZoneBack", value: zone }));
         this.#servers.filter(server => server.leaving).forEach(server => server.restart());
         const watches = [...this.#truths].filter(([, truth]) => truth.workClass === "watch").map(([id]) => id);
@@ -143,6 +144,12 @@
         if (this.#chance(0.02)) {
             this.#execute({ case: "bringZoneBack", value: this.#random.pick(ZONES) });
         }
+        if (this.#chance(0.003)) {
+            this.#execute({ case: "removeContract", value: "acme" });
+        }
+        if (this.#chance(0.1)) {
+            this.#writeContract(this.#random.nextInteger(2, 40));
+        }
         if (this.#chance(0.05) && this.#truths.size > 0) {
             this.#cancel([this.#random.pick([...this.#truths.keys()]), this.#random.pick([...this.#truths.keys()])]);
         }
@@ -193,6 +200,12 @@
         this.#scheduler.execute(create(OperatorCommandSchema, { commandId, expectedRevision, kind }), this.#nowMs);
     }
 
+    #writeContract(concurrentTasks: number): void {
+        const contract = contractOf("acme");
+        const quota = { ...contract.quota, $typeName: undefined, concurrentTasks };
+        this.#execute({ case: "writeContract", value: contractOf("acme", { quota }) });
+    }
+
     #announce(server: ModelServer, zone: string): void {
         const announcement = server.announce(zone);
         const ends = server.unsettled();
--- a/packages/scheduler/src/scheduler.test.ts
+++ b/packages/scheduler/src/scheduler.test.ts
@@ -2,7 +2,6 @@
 import {
     AttemptEnd,
     AttemptState,
-    CancelRequestSchema,
     ErrorCode,
     HealthState,
     JobState,
@@ -12,45 +11,10 @@
     QueryKind,
     Reason,
     StartResult,
-    ZoneOutSchema,
-    ZoneState,
 } from "@waxwingspread/protocol";
 import { describe, expect, it } from "vitest";
 import { contractOf, Harness, specificationFor } from "./test-kit/fixtures.js";
-
-const started = (requestId: string, attemptNumber: number, result = StartResult.ACCEPTED) => ({
-    customer: "acme",
-    requestId,
-    attemptNumber,
-    result,
-});
-
-const CHECKPOINT = { sha256: new Uint8Array([7]), sizeBytes: 7 };
-
-const ended = (requestId: string, attemptNumber: number, backendServerId: string, end = AttemptEnd.COMPLETED) => ({
-    customer: "acme",
-    requestId,
-    attemptNumber,
-    backendServerId,
-    incarnation: "i1",
-    end,
-});
-
-const run = (harness: Harness, requestId: string, workClass: string): string => {
-    harness.submit(specificationFor(requestId, workClass));
-    harness.report({ starts: [started(requestId, 1)] });
-    return harness.job(requestId).attempt?.backendServerId ?? "";
-};
-
-const cancel = (harness: Harness, ...requestIds: string[]) => {
-    const request = create(CancelRequestSchema, { customer: "acme", requestIds });
-    const response = harness.scheduler.cancel(request, harness.nowMs);
-    harness.commit();
-    return response;
-};
-
-const takeZoneOut = (harness: Harness, availabilityZone: string) =>
-    harness.execute({ case: "takeZoneOut", value: create(ZoneOutSchema, { availabilityZone, drainWithinMs: 10_000 }) });
+import { cancel, CHECKPOINT, ended, run, started } from "./test-kit/reports.js";
 
 describe("submission", () => {
     it("runs a request from submission to its answer, with the start in the response", () => {
@@ -263,6 +227,32 @@
     });
 });
 
+describe("capacity of servers", () => {
+    it("evicts only what no longer fits when a server shrinks and places nothing there meanwhile", () => {
+        const harness = Harness.ready(1);
+        ["r1", "r2", "r3"].forEach(id => run(harness, id, "trial"));
+        const smaller = { capacity: { cpuMillicores: 4_500, memoryMebibytes: 4_500 } };
+        const tasks = [["r1", 1], ["r2", 1], ["r3", 1]] as const;
+        harness.announce("s1", smaller, tasks);
+        harness.announce("s1", smaller, tasks);
+        expect(harness.submit(specificationFor("r4", "trial")).order).toBeUndefined();
+        const stops = harness.pass(100).filter(({ order }) => order.kind === OrderKind.CHECKPOINT_AND_STOP);
+        expect(stops.map(({ order }) => order.requestId)).toEqual(["r3"]);
+        harness.report({ ends: [ended("r3", 1, "s1", AttemptEnd.STOPPED)] });
+        harness.announce("s1", smaller, tasks.slice(0, 2));
+        expect(harness.state.backendServer("s1")?.capacity?.cpuMillicores).toBe(4_500);
+    });
+
+    it("forgets a server that stays silent and holds nothing", () => {
+        const harness = Harness.ready(1);
+        run(harness, "r1", "trial");
+        harness.nowMs += 310_000;
+        harness.pass(100);
+        expect(harness.state.backendServerCount).toBe(0);
+        expect(harness.job("r1").reason).toBe(Reason.BACKEND_SERVER_LOST);
+    });
+});
+
 describe("ends and cancellations", () => {
     it("resumes not repeatable work from the checkpoint of its stop and never without one", () => {
         const harness = Harness.ready(1);
@@ -323,89 +313,6 @@
     });
 });
 
-describe("zones and leaving servers", () => {
-    it("stops a start that was decided before its zone went out, without counting it as a run", () => {
-        const harness = Harness.ready(2);
-        harness.submit(specificationFor("r1", "recall"));
-        expect(harness.job("r1").attempt?.backendServerId).toBe("s1");
-        takeZoneOut(harness, "a");
-        expect(harness.pass(100).map(({ order }) => order.kind)).toEqual([OrderKind.CHECKPOINT_AND_STOP]);
-        harness.nowMs += 1_000;
-        harness.announce("s2");
-        harness.announce("s1");
-        const start = harness.pass(100).at(-1);
-        expect(start?.order).toMatchObject({ kind: OrderKind.START, backendServerId: "s2", attemptNumber: 2 });
-    });
-
-    it("hands standing work over: reserves, stops, and starts anew only after the stop", () => {
-        const harness = Harness.ready(2);
-        run(harness, "w1", "watch");
-        takeZoneOut(harness, "a");
-        expect(harness.pass(100).map(({ order }) => order.kind)).toEqual([OrderKind.CHECKPOINT_AND_STOP]);
-        ["b1", "b2", "b3", "b4"].forEach(id => harness.submit(specificationFor(id, "trial")));
-        expect(harness.state.useOfBackendServer("s2").jobKeys.size).toBe(3);
-        harness.report({ ends: [{ ...ended("w1", 1, "s1", AttemptEnd.STOPPED), checkpoint: CHECKPOINT }] });
-        expect(harness.job("w1").attempt).toMatchObject({ number: 2, backendServerId: "s2" });
-    });
-
-    it("returns a zone by steps and refuses stale revisions of operators", () => {
-        const harness = Harness.ready(2);
-        takeZoneOut(harness, "a");
-        const expectedRevision = harness.state.revision;
-        const back = { case: "bringZoneBack", value: "a" } as const;
-        expect(harness.execute(back, { commandId: "x", expectedRevision }).error).toBeUndefined();
-        expect(harness.state.zoneState("a")).toBe(ZoneState.RETURNING);
-        const conflict = harness.execute(back, { commandId: "y", expectedRevision });
-        expect(conflict.error).toMatchObject({
-            code: ErrorCode.REVISION_CONFLICT,
-            currentRevision: expectedRevision + 1,
-        });
-        harness.changeLeader();
-        const resent = harness.execute(back, { commandId: "x", expectedRevision });
-        expect(resent).toMatchObject({ repeatedCommand: true, revision: expectedRevision + 1 });
-        expect(resent.error).toBeUndefined();
-        const other = harness.execute({ case: "removeContract", value: "acme" }, { commandId: "x", expectedRevision });
-        expect(other.error?.code).toBe(ErrorCode.COMMAND_ID_REUSED);
-        harness.pass(30_100);
-        expect(harness.state.zoneState("a")).toBe(ZoneState.IN_SERVICE);
-    });
-
-    it("moves work away from a leaving server and places nothing there", () => {
-        const harness = Harness.ready(1);
-        run(harness, "r1", "trial");
-        harness.announce("s1", { leaving: true }, [["r1", 1]]);
-        expect(harness.submit(specificationFor("r2", "check")).order).toBeUndefined();
-        expect(harness.pass(100).map(({ order }) => order.kind)).toEqual([OrderKind.CHECKPOINT_AND_STOP]);
-    });
-});
-
-describe("contracts", () => {
-    it("starts nothing above a quota that was lowered below the present use and leaves that work alone", () => {
-        const harness = Harness.ready(1);
-        run(harness, "r1", "trial");
-        run(harness, "r2", "trial");
-        const quota = { ...contractOf("acme").quota, $typeName: undefined, concurrentTasks: 1 };
-        harness.execute({ case: "writeContract", value: contractOf("acme", { quota }) });
-        expect(harness.submit(specificationFor("r3", "trial")).order).toBeUndefined();
-        harness.report({ ends: [ended("r1", 1, "s1")] });
-        expect(harness.pass(500).filter(({ order }) => order.kind !== OrderKind.OUTCOME)).toEqual([]);
-        harness.report({ ends: [ended("r2", 1, "s1")] });
-        expect(harness.pass(100).map(({ order }) => order.kind)).toContain(OrderKind.START);
-    });
-
-    it("stops running work of a removed customer and ends its queued work", () => {
-        const harness = Harness.ready(1);
-        run(harness, "r1", "trial");
-        harness.submit(specificationFor("r2", "trial", { deadlineMs: 0 }));
-        ["r3", "r4", "r5"].forEach(id => harness.submit(specificationFor(id, "trial")));
-        harness.execute({ case: "removeContract", value: "acme" });
-        expect(harness.job("r5")).toMatchObject({ outcome: Outcome.NOT_RUN, reason: Reason.CUSTOMER_REMOVED });
-        expect(harness.pass(100).map(({ order }) => order.kind)).toContain(OrderKind.STOP);
-        harness.report({ ends: [ended("r1", 1, "s1", AttemptEnd.STOPPED)] });
-        expect(harness.job("r1")).toMatchObject({ outcome: Outcome.CANCELLED, reason: Reason.CUSTOMER_REMOVED });
-    });
-});
-
 describe("orders", () => {
     it("repeats them through another entry when the submitting one is silent and after a change of leader", () => {
         const harness = Harness.ready(1);
--- /dev/null
+++ b/packages/scheduler/src/test-kit/reports.ts
@@ -0,0 +1,44 @@
+import { create } from "@bufbuild/protobuf";
+import { AttemptEnd, CancelRequestSchema, StartResult, ZoneOutSchema } from "@waxwingspread/protocol";
+import type { CancelResponse, OperatorResult } from "@waxwingspread/protocol";
+import { specificationFor } from "./fixtures.js";
+import type { Harness } from "./fixtures.js";
+
+export const started = (requestId: string, attemptNumber: number, result = StartResult.ACCEPTED) => ({
+    customer: "acme",
+    requestId,
+    attemptNumber,
+    result,
+});
+
+export const CHECKPOINT = { sha256: new Uint8Array([7]), sizeBytes: 7 };
+
+export const ended = (
+    requestId: string,
+    attemptNumber: number,
+    backendServerId: string,
+    end = AttemptEnd.COMPLETED,
+) => ({
+    customer: "acme",
+    requestId,
+    attemptNumber,
+    backendServerId,
+    incarnation: "i1",
+    end,
+});
+
+export const run = (harness: Harness, requestId: string, workClass: string): string => {
+    harness.submit(specificationFor(requestId, workClass));
+    harness.report({ starts: [started(requestId, 1)] });
+    return harness.job(requestId).attempt?.backendServerId ?? "";
+};
+
+export const cancel = (harness: Harness, ...requestIds: string[]): CancelResponse => {
+    const request = create(CancelRequestSchema, { customer: "acme", requestIds });
+    const response = harness.scheduler.cancel(request, harness.nowMs);
+    harness.commit();
+    return response;
+};
+
+export const takeZoneOut = (harness: Harness, availabilityZone: string): OperatorResult =>
+    harness.execute({ case: "takeZoneOut", value: create(ZoneOutSchema, { availabilityZone, drainWithinMs: 10_000 }) });
