--- a/packages/scheduler/src/policy/basic-policies.ts
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -1,7 +1,7 @@
 import type { SeededRandom } from "@waxwingspread/common";
 import { HealthState, Reason, WorkKind } from "@waxwingspread/protocol";
 import type { JobSpecification, Resources } from "@waxwingspread/protocol";
-import { addResources, fitsWithin, NO_RESOURCES } from "../state/resources.js";
+import { addResources, fitsWithin, NO_RESOURCES, scaleResources } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
 import type { TokenBucket } from "../timing/token-bucket.js";
 import { setBucket } from "../timing/token-bucket.js";
@@ -204,12 +204,6 @@
 
 const KINDS_BY_URGENCY = [WorkKind.LATENCY_CRITICAL, WorkKind.STANDING, WorkKind.BATCH];
 
-const scaled = (resources: ResourceAmounts, ratio: number): ResourceAmounts => ({
-    cpuMillicores: resources.cpuMillicores * ratio,
-    memoryMebibytes: resources.memoryMebibytes * ratio,
-    accelerators: resources.accelerators * ratio,
-});
-
 /** First in, first out within each kind; nobody exceeds a quota, so nothing is reclaimed. */
 class BasicFairSharePolicy implements FairSharePolicy {
     readonly #limits = new Map<string, CustomerLimits>();
@@ -286,7 +280,7 @@
         ]);
         const fits = (use?.tasks.size ?? 0) < limits.quota.concurrentTasks
             && fitsWithin(sum(KINDS_BY_URGENCY), quota)
-            && fitsWithin(sum([job.workKind]), scaled(quota, shares.get(job.workKind) ?? 1));
+            && fitsWithin(sum([job.workKind]), scaleResources(quota, shares.get(job.workKind) ?? 1));
         return fits ? undefined : Reason.QUOTA_IN_USE;
     }
 
@@ -315,8 +309,11 @@
     admit(specification: JobSpecification, job: QueuedJob, expectedWaitMs: number, nowMs: number): Admission {
         const bucket = this.#buckets.get(job.customer);
         if (bucket !== undefined && !bucket.take(nowMs)) {
-            const retryAfterMs = Math.ceil(1_000 / Math.max(bucket.perSecond, 0.001));
-            return { admitted: false, reason: Reason.RATE_EXCEEDED, retryAfterMs };
+            return {
+                admitted: false,
+                reason: Reason.RATE_EXCEEDED,
+                retryAfterMs: Math.ceil(1_000 / Math.max(bucket.perSecond, 0.001)),
+            };
         }
         const earliestEndMs = nowMs + expectedWaitMs + specification.declaredRunTimeMs;
         if (job.deadlineMs > 0 && earliestEndMs > job.deadlineMs) {
@@ -362,9 +359,7 @@
     readonly #servers = new Map<string, ServerHealth>();
 
     register(backendServerId: string, slots: number, health: HealthState, consecutiveFailures: number): void {
-        const former = this.#servers.get(backendServerId);
-        const quarantinedUntilMs = former?.quarantinedUntilMs ?? 0;
-        const failedJobs = former?.failedJobs ?? new Set<string>();
+        const { quarantinedUntilMs = 0, failedJobs = new Set<string>() } = this.#servers.get(backendServerId) ?? {};
         const failures = consecutiveFailures;
         this.#servers.set(backendServerId, { slots, health, failures, failedJobs, quarantinedUntilMs });
     }
