--- a/packages/entry/src/callers/waiting-callers.ts
+++ b/packages/entry/src/callers/waiting-callers.ts
@@ -32,6 +32,8 @@
     readonly #recentOutcomes = new Map<string, Job>();
     #waiters = 0;
     #latestUntilMs = Infinity;
+    /** No wait ends and no look-up is due before this; saves a scan on most ticks. */
+    #nextDueMs = Infinity;
 
     constructor(readonly context: EntryContext, readonly ready: JobReady) {}
 
@@ -58,6 +60,7 @@
         this.#jobs.set(key, waiting);
         waiting.waiters.push({ handle, untilMs });
         this.#waiters += 1;
+        this.#nextDueMs = Math.min(this.#nextDueMs, untilMs, waiting.nextLookUpMs);
     }
 
     /** Takes the final state of a job. */
@@ -77,12 +80,14 @@
         if (waiting) {
             const soonMs = nowMs + this.context.settings.timing.settledLookUpDelayMs;
             waiting.nextLookUpMs = Math.min(waiting.nextLookUpMs, soonMs);
+            this.#nextDueMs = Math.min(this.#nextDueMs, soonMs);
         }
     }
 
     /** Ends all waits no later than the given time. */
     limitWaits(untilMs: number, nowMs: number): void {
         this.#latestUntilMs = untilMs;
+        this.#nextDueMs = nowMs;
         for (const waiting of this.#jobs.values()) {
             waiting.nextLookUpMs = Math.min(waiting.nextLookUpMs, nowMs + this.#lookUpIntervalMs(waiting.job));
         }
@@ -100,12 +105,27 @@
     }
 
     tick(nowMs: number): void {
+        if (nowMs < this.#nextDueMs) {
+            return;
+        }
         for (const [key, waiting] of [...this.#jobs]) {
             this.#expire(key, waiting, nowMs);
             if (this.#jobs.has(key) && waiting.nextLookUpMs <= nowMs && !waiting.lookUpUnderWay) {
                 this.#lookUp(key, waiting, nowMs);
             }
         }
+        this.#nextDueMs = this.#earliestDueMs();
+    }
+
+    #earliestDueMs(): number {
+        let dueMs = Infinity;
+        for (const { waiters, nextLookUpMs, lookUpUnderWay } of this.#jobs.values()) {
+            dueMs = Math.min(dueMs, lookUpUnderWay ? Infinity : nextLookUpMs);
+            for (const { untilMs } of waiters) {
+                dueMs = Math.min(dueMs, untilMs, this.#latestUntilMs);
+            }
+        }
+        return dueMs;
     }
 
     #lookUpIntervalMs(job: Job): number {
@@ -150,6 +170,7 @@
             done: (result, atMs) => {
                 waiting.lookUpUnderWay = false;
                 waiting.nextLookUpMs = atMs + this.#lookUpIntervalMs(waiting.job);
+                this.#nextDueMs = Math.min(this.#nextDueMs, waiting.nextLookUpMs);
                 if (result.isErr() || result.value.result.case !== "job") {
                     return;
                 }
--- a/packages/entry/src/calls/pending-calls.ts
+++ b/packages/entry/src/calls/pending-calls.ts
@@ -36,6 +36,8 @@
 export class PendingCalls {
     readonly #calls = new Map<number, PendingCall>();
     #nextCallId = 1;
+    /** No call reaches its deadline before this; saves a scan on most ticks. */
+    #nextDeadlineMs = Infinity;
 
     constructor(readonly effects: EffectQueue, readonly limit: number) {}
 
@@ -80,18 +82,26 @@
     }
 
     tick(nowMs: number): void {
+        if (nowMs < this.#nextDeadlineMs) {
+            return;
+        }
         for (const [callId, call] of [...this.#calls]) {
             if (call.deadlineMs <= nowMs) {
                 const error = new StepError(ErrorCode.TIMEOUT, call.step, call.peer, "no reply within the deadline");
                 this.#finish(callId, Err(error), nowMs);
             }
         }
+        this.#nextDeadlineMs = Infinity;
+        for (const { deadlineMs } of this.#calls.values()) {
+            this.#nextDeadlineMs = Math.min(this.#nextDeadlineMs, deadlineMs);
+        }
     }
 
     #add(call: PendingCall): number {
         const callId = this.#nextCallId;
         this.#nextCallId += 1;
         this.#calls.set(callId, call);
+        this.#nextDeadlineMs = Math.min(this.#nextDeadlineMs, call.deadlineMs);
         return callId;
     }
 
