Report a start whose payload is missing everywhere as refused when it was never sent

The scheduler ends such a job as PAYLOAD_MISSING only on REFUSED; with UNKNOWN it would retry for ever. REFUSED stays limited to attempts that this entry can't have sent, also not before a restart of its process.

--- a/packages/entry/src/dispatch/dispatcher.ts
+++ b/packages/entry/src/dispatch/dispatcher.ts
@@ -21,6 +21,12 @@
     [StartResult.UNKNOWN]: EntryMetric.StartsUnknown,
 };
 
+/** Attempts remembered as sent; more than can be ordered within a start window. */
+const SENT_LIMIT = 2_000;
+
+/** An order that an earlier incarnation of this entry received is delivered again at most this long after a restart. */
+const REDELIVERY_MS = 5_000;
+
 interface StartOutcome {
     result: StartResult;
     detail: string;
@@ -30,12 +36,16 @@
 const orderKeyOf = (order: Order): string =>
     JSON.stringify([order.kind, order.customer, order.requestId, order.attemptNumber, order.incarnation, order.term]);
 
+const attemptKeyOf = ({ customer, requestId, attemptNumber }: Order): string =>
+    JSON.stringify([customer, requestId, attemptNumber]);
+
 const identityOf = ({ customer, requestId, attemptNumber }: Order) => ({ customer, requestId, attemptNumber });
 
 /** Carries out the leader's orders at backend servers and reports what became of the starts. */
 export class Dispatcher {
     /** Orders under way; the leader repeats an order until it observes the effect, so repeats are common. */
     readonly #underWay = new Set<string>();
+    readonly #sent = new Set<string>();
     readonly #handlers: Partial<Record<OrderKind, (order: Order, nowMs: number) => void>> = {
         [OrderKind.START]: (order, nowMs) => {
             this.#start(order, nowMs);
@@ -54,7 +64,7 @@
         },
     };
 
-    constructor(readonly context: EntryContext, readonly batcher: ReportBatcher) {}
+    constructor(readonly context: EntryContext, readonly batcher: ReportBatcher, readonly createdAtMs: number) {}
 
     get size(): number {
         return this.#underWay.size;
@@ -110,13 +120,31 @@
                 done(result.value, atMs);
                 return;
             }
-            // Another entry may have sent this start earlier, so that this one can't tell that it never happened.
             const payloadMissing = result.error.code === ErrorCode.UNKNOWN_REQUEST;
-            const detail = result.error.message;
-            this.#report(order, { result: StartResult.UNKNOWN, detail, payloadMissing }, atMs);
+            const refused = payloadMissing && this.#neverSent(order, atMs);
+            const outcome = { result: refused ? StartResult.REFUSED : StartResult.UNKNOWN, payloadMissing };
+            this.#report(order, { ...outcome, detail: result.error.message }, atMs);
         }, nowMs);
     }
 
+    /**
+     * True when this entry has certainly not sent a start of the attempt. Other entries may have; the leader knows
+     * whether it gave the order to more than one.
+     */
+    #neverSent(order: Order, nowMs: number): boolean {
+        return nowMs >= this.createdAtMs + REDELIVERY_MS && !this.#sent.has(attemptKeyOf(order));
+    }
+
+    #rememberSent(order: Order): void {
+        this.#sent.add(attemptKeyOf(order));
+        if (this.#sent.size > SENT_LIMIT) {
+            for (const oldest of this.#sent) {
+                this.#sent.delete(oldest);
+                break;
+            }
+        }
+    }
+
     #send(order: Order, payload: Uint8Array, checkpoint: Uint8Array | undefined, nowMs: number): void {
         const { configuration, effects, settings, calls } = this.context;
         if (!configuration.hasLease(nowMs)) {
@@ -126,6 +154,7 @@
         }
         const body = startBodyOf(order, payload, checkpoint, settings.address);
         const timeoutMs = settings.timing.startTimeoutMs;
+        this.#rememberSent(order);
         effects.count(EntryMetric.StartsSent);
         effects.journal({ name: "start-sent", ...identityOf(order), peer: order.backendServerId });
         const call = { address: order.backendServerAddress, path: START_PATH, body, timeoutMs };
--- a/packages/entry/src/entry-node-dispatch.test.ts
+++ b/packages/entry/src/entry-node-dispatch.test.ts
@@ -35,6 +35,24 @@
         expect(harness.calls("report")[0]?.request.starts[0]?.result).toBe(p.StartResult.UNKNOWN);
     });
 
+    it("reports a start as refused for a missing payload only when it never sent that attempt", () => {
+        // Guards against declaring work as never started that runs, and against retrying a job that can't start.
+        const missing = create(p.GetBlobResponseSchema, { error: { code: p.ErrorCode.UNKNOWN_REQUEST } });
+        const results = [0, 6_000].map(uptimeMs => {
+            const harness = ready();
+            harness.advance(uptimeMs);
+            harness.answerPoll();
+            harness.advance(20);
+            harness.answerPoll({ orders: [startOrder(payload.reference)] });
+            CONTROL.forEach(() => {
+                harness.reply(harness.calls("getBlob")[0], missing);
+            });
+            const start = harness.calls("report")[0]?.request.starts[0];
+            return [start?.result, start?.payloadMissing];
+        });
+        expect(results).toEqual([[p.StartResult.UNKNOWN, true], [p.StartResult.REFUSED, true]]);
+    });
+
     it("carries out the order in a submission's reply with the payload at hand", () => {
         // Guards against a needless read of the payload on the way of every urgent start.
         const harness = ready();
--- a/packages/entry/src/entry-node.ts
+++ b/packages/entry/src/entry-node.ts
@@ -73,7 +73,7 @@
                 this.#callerService.waiting.endSettled(end, atMs);
             },
         );
-        this.#dispatcher = new Dispatcher(this.#context, this.#backendServerService.batcher);
+        this.#dispatcher = new Dispatcher(this.#context, this.#backendServerService.batcher, nowMs);
         this.#poller.tick(nowMs);
     }
 
