--- a/packages/test-support/src/stand-in-backend-server-main.ts
+++ b/packages/test-support/src/stand-in-backend-server-main.ts
@@ -28,7 +28,7 @@
             default: ["zone-a"],
             describe: "availability zone; several are filled in turn",
         })
-        .option("rack", { type: "string", default: "rack", describe: "prefix of rack names" })
+        .option("rack", { type: "string", default: "rack", describe: "rack; with --count, part of the names of racks" })
         .option("rack-size", { type: "number", default: 8, describe: "stand-ins of a zone in one rack" })
         .option("cpu-millicores", { type: "number", default: 16_000, describe: "processor capacity" })
         .option("memory-mebibytes", { type: "number", default: 61_440, describe: "memory capacity" })
@@ -56,7 +56,7 @@
         backendServerId: flags.count === 1 ? flags.id : `${flags.id}-${position + 1}`,
         incarnation: randomUUID(),
         availabilityZone: zone,
-        rack: `${zone}-${flags.rack}-${rackNumber}`,
+        rack: flags.count === 1 ? flags.rack : `${zone}-${flags.rack}-${rackNumber}`,
         capacity: {
             cpuMillicores: flags.cpuMillicores,
             memoryMebibytes: flags.memoryMebibytes,
