--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -94,30 +94,80 @@
     },
 });
 
+const appended = (matchIndex: number): ReplicaMessage["body"] => ({
+    case: "appendResponse",
+    value: { $typeName: "waxwingspread.v1.AppendResponse", success: true, matchIndex, sentAtMs: 1_000 },
+});
+
 describe("Replica durability", () => {
-    it("does not acknowledge an append or a vote before it is synced", () => {
+    it("does not send a granted vote before it is synced, so that a restart cannot vote twice", () => {
         const b = start("b");
-        b.receive(message("a", "b", 2, append(1, 1, [entry(2, 2)])), 1_000);
+        const request = { $typeName: "waxwingspread.v1.VoteRequest", lastIndex: 1, lastTerm: 1 } as const;
+        const body = { ...request, preVote: false, handover: false };
+        b.receive(message("a", "b", 2, { case: "voteRequest", value: body }), 1_000);
         const effects = b.takeEffects();
         expect(sends(effects)).toEqual([]);
+        expect(persists(effects)[0]?.hardState).toMatchObject({ term: 2, votedForDiskId: "disk-a" });
         b.persisted(persists(effects)[0]?.token ?? 0, 1_001);
-        expect(sends(b.takeEffects())[0]?.message.body.value).toMatchObject({ success: true, matchIndex: 2 });
+        expect(sends(b.takeEffects())[0]?.message.body.value).toMatchObject({ granted: true });
+    });
+
+    it("does not count the leader's own copy before it is synced", () => {
+        const { a } = startCluster();
+        const index = a.propose([RECORD], 1_010).unwrap();
+        const token = persists(a.takeEffects())[0]?.token ?? 0;
+        a.receive(message("b", "a", a.term, appended(index)), 1_011);
+        expect(a.commitIndex).toBe(index - 1);
+        a.persisted(token, 1_012);
+        expect(a.commitIndex).toBe(index);
+    });
+
+    it("does not commit an earlier term's entry by its copies, since a later leader may replace it", () => {
+        const a = start("a", { hardState: create(HardStateSchema, { term: 4 }), entries: [FIRST, entry(2, 2)] });
+        a.tick(1_000);
+        const granted = { $typeName: "waxwingspread.v1.VoteResponse", granted: true } as const;
+        a.receive(message("b", "a", 5, { case: "voteResponse", value: { ...granted, preVote: true } }), 1_001);
+        persists(a.takeEffects()).forEach(effect => a.persisted(effect.token, 1_002));
+        a.receive(message("b", "a", 5, { case: "voteResponse", value: { ...granted, preVote: false } }), 1_003);
+        expect(a.role).toBe(ReplicaRole.Leader);
+        persists(a.takeEffects()).forEach(effect => a.persisted(effect.token, 1_004));
+        a.receive(message("b", "a", 5, appended(2)), 1_005);
+        expect(a.commitIndex).toBe(0);
+        a.receive(message("b", "a", 5, appended(3)), 1_006);
+        expect(a.commitIndex).toBe(3);
     });
 
-    it("does not count a write whose entries were truncated before it completed", () => {
+    it("does not acknowledge an append before it is synced", () => {
         const b = start("b");
-        b.receive(message("a", "b", 2, append(1, 1, [entry(2, 2), entry(3, 2)])), 1_000);
-        const first = persists(b.takeEffects())[0];
-        b.receive(message("c", "b", 3, append(1, 1, [entry(2, 3)])), 1_010);
-        const second = persists(b.takeEffects())[0];
-        expect(second?.truncateFromIndex).toBe(2);
-        b.persisted(second?.token ?? 0, 1_020);
-        expect(sends(b.takeEffects())).toEqual([]);
-        b.persisted(first?.token ?? 0, 1_030);
-        const acknowledged = sends(b.takeEffects()).map(effect => effect.message.body.value);
-        expect(acknowledged).toMatchObject([{ success: true, matchIndex: 2 }]);
+        b.receive(message("a", "b", 2, append(1, 1, [entry(2, 2)])), 1_000);
+        const effects = b.takeEffects();
+        expect(sends(effects)).toEqual([]);
+        b.persisted(persists(effects)[0]?.token ?? 0, 1_001);
+        expect(sends(b.takeEffects())[0]?.message.body.value).toMatchObject({ success: true, matchIndex: 2 });
     });
 
+    it.each([
+        ["before", true],
+        ["after", false],
+    ])(
+        "does not count a write of truncated entries that completes %s the one that replaces them",
+        (_name, isInOrder) => {
+            const b = start("b");
+            b.receive(message("a", "b", 2, append(1, 1, [entry(2, 2), entry(3, 2)])), 1_000);
+            const first = persists(b.takeEffects())[0];
+            b.receive(message("c", "b", 3, append(1, 1, [entry(2, 3)])), 1_010);
+            const second = persists(b.takeEffects())[0];
+            expect(second?.truncateFromIndex).toBe(2);
+            const tokens = [first?.token ?? 0, second?.token ?? 0];
+            const [earlier, later] = isInOrder ? tokens : tokens.toReversed();
+            b.persisted(earlier ?? 0, 1_020);
+            expect(sends(b.takeEffects())).toEqual([]);
+            b.persisted(later ?? 0, 1_030);
+            const acknowledged = sends(b.takeEffects()).map(effect => effect.message.body.value);
+            expect(acknowledged).toMatchObject([{ success: true, matchIndex: 2 }]);
+        },
+    );
+
     it("does not commit through a deposed leader's late write", () => {
         const { a } = startCluster();
         a.propose([RECORD], 1_010).unwrap();
