Add bench:capacity: slopes of state, messages and processor time

Change: a driver on the real scheduler core at 30 to 670 backend servers, 1,000 to 10,500 running tasks and 10 to 390 customers, with fitted lines and their worst deviation.

--- /dev/null
+++ b/packages/bench/src/capacity/main.ts
@@ -0,0 +1,28 @@
+import { measureAll } from "./measurements.js";
+import type { Measurement } from "./measurements.js";
+
+const DIGITS = 4;
+
+const short = (value: number): string => Number(value.toPrecision(DIGITS)).toString();
+
+const describe = ({ name, unit, per, points, slope }: Measurement): string => {
+    const measured = points.map(point => `${point.size}: ${short(point.value)}`).join(", ");
+    const fit = `${short(slope.offset)} + ${short(slope.perUnit)} per ${per}`;
+    const error = `worst deviation ${(slope.worstErrorRatio * 100).toFixed(1)}%`;
+    return `${name} [${unit}]\n    measured at ${measured}\n    fit ${fit}; ${error}`;
+};
+
+const measurements = measureAll();
+for (const measurement of measurements) {
+    process.stdout.write(`${describe(measurement)}\n`);
+}
+const summary = Object.fromEntries(
+    measurements.map(({ name, unit, points, slope }) => [name, {
+        unit,
+        perUnit: slope.perUnit,
+        offset: slope.offset,
+        worstErrorRatio: slope.worstErrorRatio,
+        atLargest: points.at(-1)?.value,
+    }]),
+);
+process.stdout.write(`${JSON.stringify(summary)}\n`);
--- /dev/null
+++ b/packages/bench/src/capacity/measurements.ts
@@ -0,0 +1,166 @@
+import { fromBinary, toBinary } from "@bufbuild/protobuf";
+import { AnnouncementSchema, ClusterSnapshotSchema, ConfigurationSchema } from "@waxwingspread/protocol";
+import { ClusterState } from "@waxwingspread/scheduler";
+import { LoadedScheduler } from "./loaded-scheduler.js";
+import { fitSlope } from "./slope.js";
+import type { Point, Slope } from "./slope.js";
+
+const SERVERS = [30, 150, 300, 670];
+const TASKS = [1_000, 3_000, 6_000, 10_500];
+const CUSTOMERS = [10, 100, 390];
+const FLEET_SERVERS = 670;
+const FLEET_CUSTOMERS = 390;
+const TIMED_ROUNDS = 5;
+const TIMED_SUBMISSIONS = 300;
+const BYTES_PER_MEBIBYTE = 1_048_576;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+
+/** One measured relation. */
+export interface Measurement {
+    name: string;
+    unit: string;
+    per: string;
+    points: Point[];
+    slope: Slope;
+}
+
+const measurement = (name: string, unit: string, per: string, points: Point[]): Measurement => ({
+    name,
+    unit,
+    per,
+    points,
+    slope: fitSlope(points),
+});
+
+const heapMebibytes = (): number => {
+    globalThis.gc?.();
+    globalThis.gc?.();
+    return process.memoryUsage().heapUsed / BYTES_PER_MEBIBYTE;
+};
+
+const elapsedMs = (work: () => void): number => {
+    const startedAtMs = performance.now();
+    work();
+    return performance.now() - startedAtMs;
+};
+
+const median = (values: number[]): number => values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0;
+
+const stateByTasks = (): Measurement[] => {
+    const memory: Point[] = [];
+    const snapshotBytes: Point[] = [];
+    const snapshotMs: Point[] = [];
+    const restoreMs: Point[] = [];
+    for (const size of TASKS) {
+        const loaded = new LoadedScheduler(FLEET_SERVERS, 1);
+        loaded.fill(size);
+        const bytes = toBinary(ClusterSnapshotSchema, loaded.state.toSnapshot());
+        snapshotBytes.push({ size, value: bytes.length });
+        snapshotMs.push({
+            size,
+            value: elapsedMs(() => toBinary(ClusterSnapshotSchema, loaded.state.toSnapshot())),
+        });
+        const beforeMebibytes = heapMebibytes();
+        let restored: ClusterState | undefined;
+        restoreMs.push({
+            size,
+            value: elapsedMs(() => {
+                restored = ClusterState.fromSnapshot(fromBinary(ClusterSnapshotSchema, bytes));
+            }),
+        });
+        memory.push({ size, value: heapMebibytes() - beforeMebibytes });
+        if (restored?.jobCount !== size) {
+            throw new Error(`the restored state has ${restored?.jobCount} jobs instead of ${size}`);
+        }
+    }
+    return [
+        measurement("replica state in memory", "MiB", "running task", memory),
+        measurement("snapshot size", "bytes", "running task", snapshotBytes),
+        measurement("snapshot encoding", "ms", "running task", snapshotMs),
+        measurement("snapshot restoring", "ms", "running task", restoreMs),
+    ];
+};
+
+const leaderByTasks = (): Measurement[] => {
+    const memory: Point[] = [];
+    const submitMicroseconds: Point[] = [];
+    for (const size of TASKS) {
+        const beforeMebibytes = heapMebibytes();
+        const loaded = new LoadedScheduler(FLEET_SERVERS, 1);
+        loaded.fill(size - TIMED_SUBMISSIONS);
+        const ms = elapsedMs(() => loaded.fill(TIMED_SUBMISSIONS));
+        submitMicroseconds.push({ size, value: ms * MICROSECONDS_PER_MILLISECOND / TIMED_SUBMISSIONS });
+        loaded.batches.length = 0;
+        memory.push({ size, value: heapMebibytes() - beforeMebibytes });
+    }
+    return [
+        measurement("leader state and indexes in memory", "MiB", "running task", memory),
+        measurement(
+            "submission decided, placed and start reported",
+            "microseconds",
+            "running task",
+            submitMicroseconds,
+        ),
+    ];
+};
+
+const announcementsByServers = (): Measurement[] => {
+    const roundMs: Point[] = [];
+    const bytes: Point[] = [];
+    const tickMs: Point[] = [];
+    for (const size of SERVERS) {
+        const loaded = new LoadedScheduler(size, 1);
+        loaded.fill(Math.floor(10_500 * size / FLEET_SERVERS));
+        const rounds = Array.from({ length: TIMED_ROUNDS }, () => elapsedMs(() => loaded.announceAll()));
+        roundMs.push({ size, value: median(rounds) });
+        const ticks = Array.from({ length: TIMED_ROUNDS }, () => elapsedMs(() => loaded.scheduler.tick(loaded.nowMs)));
+        tickMs.push({ size, value: median(ticks) });
+        let roundBytes = 0;
+        for (let number = 0; number < size; number += 1) {
+            roundBytes += toBinary(AnnouncementSchema, loaded.announcement(number)).length;
+        }
+        bytes.push({ size, value: roundBytes });
+    }
+    return [
+        measurement("leader: one announcement of every server with its tasks", "ms", "backend server", roundMs),
+        measurement("announcements as passed on by entries", "bytes", "backend server", bytes),
+        measurement("leader: one tick", "ms", "backend server", tickMs),
+    ];
+};
+
+const configurationByCustomers = (): Measurement[] => {
+    const bytes: Point[] = [];
+    for (const size of CUSTOMERS) {
+        const loaded = new LoadedScheduler(1, size);
+        bytes.push({ size, value: toBinary(ConfigurationSchema, loaded.state.configuration).length });
+    }
+    return [measurement("configuration in a poll response", "bytes", "customer", bytes)];
+};
+
+const replicationByTasks = (): Measurement[] => {
+    const bytes: Point[] = [];
+    const applyMs: Point[] = [];
+    for (const size of TASKS) {
+        const loaded = new LoadedScheduler(FLEET_SERVERS, FLEET_CUSTOMERS);
+        const before = { bytes: loaded.decidedBytes, batches: loaded.batches.length };
+        loaded.fill(size);
+        bytes.push({ size, value: loaded.decidedBytes - before.bytes });
+        const follower = new ClusterState();
+        loaded.batches.slice(0, before.batches).flat().forEach(event => follower.apply(event));
+        const events = loaded.batches.slice(before.batches).flat();
+        applyMs.push({ size, value: elapsedMs(() => events.forEach(event => follower.apply(event))) });
+    }
+    return [
+        measurement("log written for the start of a task", "bytes", "task start", bytes),
+        measurement("follower: events of the start of a task applied", "ms", "task start", applyMs),
+    ];
+};
+
+/** Measures every relation of the capacity page. */
+export const measureAll = (): Measurement[] => [
+    ...stateByTasks(),
+    ...leaderByTasks(),
+    ...announcementsByServers(),
+    ...configurationByCustomers(),
+    ...replicationByTasks(),
+];
--- /dev/null
+++ b/packages/bench/src/capacity/slope.test.ts
@@ -0,0 +1,11 @@
+import { expect, it } from "vitest";
+import { fitSlope } from "./slope.js";
+
+it("finds the line behind exact measurements and reports how far others lie from it", () => {
+    const exact = fitSlope([10, 20, 40].map(size => ({ size, value: 3 * size + 5 })));
+    expect(exact.perUnit).toBeCloseTo(3);
+    expect(exact.offset).toBeCloseTo(5);
+    expect(exact.worstErrorRatio).toBeCloseTo(0);
+    const bent = fitSlope([{ size: 1, value: 1 }, { size: 2, value: 2 }, { size: 3, value: 9 }]);
+    expect(bent.worstErrorRatio).toBeGreaterThan(0.1);
+});
--- /dev/null
+++ b/packages/bench/src/capacity/slope.ts
@@ -0,0 +1,27 @@
+/** One measurement at one size. */
+export interface Point {
+    size: number;
+    value: number;
+}
+
+/** Straight line fitted to measurements. */
+export interface Slope {
+    perUnit: number;
+    offset: number;
+    /** Largest deviation of a measurement from the line, relative to the largest measurement. */
+    worstErrorRatio: number;
+}
+
+/** Fits a straight line by least squares. */
+export const fitSlope = (points: readonly Point[]): Slope => {
+    const count = points.length;
+    const meanSize = points.reduce((sum, point) => sum + point.size, 0) / count;
+    const meanValue = points.reduce((sum, point) => sum + point.value, 0) / count;
+    const covariance = points.reduce((sum, point) => sum + (point.size - meanSize) * (point.value - meanValue), 0);
+    const variance = points.reduce((sum, point) => sum + (point.size - meanSize) ** 2, 0);
+    const perUnit = variance === 0 ? 0 : covariance / variance;
+    const offset = meanValue - perUnit * meanSize;
+    const largest = Math.max(...points.map(point => Math.abs(point.value)));
+    const errors = points.map(point => Math.abs(point.value - offset - perUnit * point.size));
+    return { perUnit, offset, worstErrorRatio: largest === 0 ? 0 : Math.max(...errors) / largest };
+};
