Let unformed and lagging peers answer a replica that they do not know

Cause: a replica that crashed before it formed its cluster could not answer a vote request, since it knew no address. If all but one had crashed there, the cluster could never elect a leader. A restarted follower without the latest membership could not answer a new leader either. Found by review. Change: vote requests carry the sender's address, and so do appends to a peer whose match index is below the latest membership. A stopped runner refuses proposals. Ruled out: the address in every append (constant overhead).

--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -256,13 +256,13 @@
     }
 
     /** Sends once everything so far is synced, unless the term has changed by then. */
-    sendWhenDurable(diskId: string, body: MessageBody): void {
+    sendWhenDurable(diskId: string, body: MessageBody, extras: MessageExtras = {}): void {
         const token = this.#pending?.token ?? this.durability.lastToken;
         if (this.durability.isDurable(token)) {
-            this.send(diskId, body);
+            this.send(diskId, body, extras);
             return;
         }
-        this.#deferred.push({ token, term: this.#term, effect: this.#sendEffect(diskId, body, {}) });
+        this.#deferred.push({ token, term: this.#term, effect: this.#sendEffect(diskId, body, extras) });
     }
 
     /** Releases the messages that waited for the writes completed so far. */
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -157,11 +157,12 @@
             if (voter.diskId === core.identity.diskId) {
                 continue;
             }
+            // The receiver may not have formed yet or may lack the membership that contains this replica.
             if (preVote) {
-                core.send(voter.diskId, { case: "voteRequest", value: request }, { term });
+                core.send(voter.diskId, { case: "voteRequest", value: request }, { term, withAddress: true });
             }
             else {
-                core.sendWhenDurable(voter.diskId, { case: "voteRequest", value: request });
+                core.sendWhenDurable(voter.diskId, { case: "voteRequest", value: request }, { withAddress: true });
             }
         }
     }
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -316,7 +316,8 @@
             commitIndex: core.commitIndex,
             sentAtMs: core.nowMs,
         });
-        const withAddress = !isVoter(core.membership, peer.diskId) || peer.matchIndex === 0;
+        // A peer without the current membership may not know this replica's address.
+        const withAddress = peer.matchIndex < core.membershipIndex;
         core.send(peer.diskId, { case: "appendRequest", value: request }, { withAddress });
     }
 }
--- a/packages/consensus/src/replica-runner.ts
+++ b/packages/consensus/src/replica-runner.ts
@@ -1,4 +1,6 @@
-import type { SeededRandom, StepError } from "@waxwingspread/common";
+import { StepError } from "@waxwingspread/common";
+import type { SeededRandom } from "@waxwingspread/common";
+import { ErrorCode } from "@waxwingspread/protocol";
 import type { LogEntry, Membership, ReplicaIdentity, ReplicaMessage, SnapshotHeader } from "@waxwingspread/protocol";
 import { Err } from "ts-results-es";
 import type { Result } from "ts-results-es";
@@ -106,7 +108,7 @@
         this.#run(nowMs, () => this.replica.receive(message, nowMs));
     }
 
-    /** Returns the index of the last record, NOT_LEADER, or the error that stopped the replica. */
+    /** Returns the index of the last record, NOT_LEADER, UNAVAILABLE once stopped, or the disk's error. */
     propose(records: readonly Uint8Array[], nowMs: number): Result<number, StepError> {
         return this.#propose(nowMs, () => this.replica.propose(records, nowMs));
     }
@@ -168,6 +170,10 @@
         if (this.#failure !== undefined) {
             return Err(this.#failure);
         }
+        if (this.#isStopped) {
+            const { name } = this.replica.identity;
+            return Err(new StepError(ErrorCode.UNAVAILABLE, "propose", name, "this replica is shutting down"));
+        }
         const result = event();
         this.#scheduleFlush();
         return result;
--- a/packages/test-support/src/simulated-cluster.ts
+++ b/packages/test-support/src/simulated-cluster.ts
@@ -89,13 +89,16 @@
         this.rates = { ...NO_FAULTS, ...options.rates };
     }
 
-    /** Starts all nodes with empty disks and forms the cluster by the bootstrap handshake. */
-    async form(): Promise<void> {
+    /**
+     * Starts all nodes with empty disks and forms the cluster by the bootstrap handshake. `limit` is the number of
+     * nodes that get as far as forming it.
+     */
+    async form(limit = Infinity): Promise<void> {
         for (const name of this.#options.names) {
             await this.start(this.addNode(name));
         }
         const runners = this.runners;
-        for (const runner of runners) {
+        for (const runner of runners.slice(0, limit)) {
             const peers = runners.filter(peer => peer !== runner).map(peer => peer.replica.identity);
             const handshake = new BootstrapHandshake({ identity: runner.replica.identity, peers });
             for (const identity of peers) {
