Pause processes in the replication test

Only a paused process reads under an old lease. Change: processes pause for up to 1.5 s at random; the lease is checked as if they read right after they resume. Ruled out: lowering the step-down rate in the test.

--- a/packages/test-support/src/replication.test.ts
+++ b/packages/test-support/src/replication.test.ts
@@ -9,6 +9,7 @@
     duplication: 0.05,
     crash: 0.004,
     partition: 0.01,
+    pause: 0.003,
     diskProgress: 0.6,
     maximumDelayMs: 40,
 };
@@ -22,6 +23,7 @@
     cluster.rates = NO_FAULTS;
     cluster.isolated = new Set();
     for (const node of cluster.nodes.values()) {
+        node.pausedUntilMs = 0;
         node.waitingOperations.splice(0).forEach(resume => resume());
         if (node.runner === undefined) {
             await cluster.start(node);
--- a/packages/test-support/src/simulated-cluster.ts
+++ b/packages/test-support/src/simulated-cluster.ts
@@ -12,6 +12,7 @@
 const SETTLING_TURNS = 60;
 const MINIMUM_STEP_MS = 4;
 const MAXIMUM_STEP_MS = 16;
+const MAXIMUM_OUTAGE_MS = 1_500;
 
 /** Rates of faults per message or per step, from 0 to 1. */
 export interface FaultRates {
@@ -19,6 +20,8 @@
     duplication: number;
     crash: number;
     partition: number;
+    /** Probability that a process stops running for a while without noticing. */
+    pause: number;
     /** Probability per step that a waiting disk operation goes on. */
     diskProgress: number;
     maximumDelayMs: number;
@@ -30,6 +33,7 @@
     duplication: 0,
     crash: 0,
     partition: 0,
+    pause: 0,
     diskProgress: 1,
     maximumDelayMs: 4,
 };
@@ -49,6 +53,7 @@
     fileSystem: FakeFileSystem;
     runner?: ReplicaRunner;
     restartAtMs: number;
+    pausedUntilMs: number;
     appliedIndex: number;
     stateHash: string;
     waitingOperations: (() => void)[];
@@ -136,6 +141,7 @@
             name,
             fileSystem: new FakeFileSystem(new SeededRandom(this.random.nextInteger(0, 1_000_000))),
             restartAtMs: Infinity,
+            pausedUntilMs: 0,
             appliedIndex: 0,
             stateHash: "",
             waitingOperations: [],
@@ -213,7 +219,8 @@
 
     /** Proposes a unique record at every replica that takes itself for the leader. */
     propose(): void {
-        for (const runner of this.runners) {
+        const running = [...this.nodes.values()].filter(node => !this.#isPaused(node));
+        for (const runner of running.flatMap(node => node.runner ?? [])) {
             this.#nextRecord += 1;
             runner.propose([Buffer.from(`record ${this.#nextRecord}`)], this.nowMs);
         }
@@ -236,7 +243,9 @@
                 waiting.shift()?.();
                 await this.#settle(1);
             }
-            node.runner?.tick(this.nowMs);
+            if (!this.#isPaused(node)) {
+                node.runner?.tick(this.nowMs);
+            }
         }
         if (withProposals && this.random.nextRatio() < 1 / 2) {
             this.propose();
@@ -258,7 +267,10 @@
                 await this.start(node);
             }
             else if (this.random.nextRatio() < this.rates.crash) {
-                this.crash(node.name, this.random.nextInteger(1, 1_500));
+                this.crash(node.name, this.random.nextInteger(1, MAXIMUM_OUTAGE_MS));
+            }
+            else if (this.random.nextRatio() < this.rates.pause) {
+                node.pausedUntilMs = this.nowMs + this.random.nextInteger(1, MAXIMUM_OUTAGE_MS);
             }
         }
         if (this.random.nextRatio() < this.rates.partition) {
@@ -278,17 +290,30 @@
         }
     }
 
+    #isPaused(node: SimulatedNode): boolean {
+        return this.nowMs < node.pausedUntilMs;
+    }
+
+    /** Delivers what is due; messages to a paused process wait. */
     #deliver(): void {
-        const due = this.#messages.filter(item => item.atMs <= this.nowMs).sort((a, b) => a.atMs - b.atMs);
-        this.#messages = this.#messages.filter(item => item.atMs > this.nowMs);
-        for (const { from, to, message } of due) {
-            const target = to.address.split(":")[0] ?? "";
-            if (!this.isolated.has(from) && !this.isolated.has(target)) {
-                this.nodes.get(target)?.runner?.receive(message, this.nowMs);
+        const isDue = (item: MessageInFlight) => {
+            const target = this.#targetOf(item);
+            return item.atMs <= this.nowMs && (target === undefined || !this.#isPaused(target));
+        };
+        const due = this.#messages.filter(isDue).sort((a, b) => a.atMs - b.atMs);
+        this.#messages = this.#messages.filter(item => !isDue(item));
+        for (const item of due) {
+            const target = this.#targetOf(item);
+            if (target !== undefined && !this.isolated.has(item.from) && !this.isolated.has(target.name)) {
+                target.runner?.receive(item.message, this.nowMs);
             }
         }
     }
 
+    #targetOf(item: MessageInFlight): SimulatedNode | undefined {
+        return this.nodes.get(item.to.address.split(":")[0] ?? "");
+    }
+
     #apply(node: SimulatedNode, entry: LogEntry): void {
         this.oracle.expectNext(node.name, node.appliedIndex, entry.index);
         node.appliedIndex = entry.index;
