--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -1,1 +1,15 @@
-export {};
+export * from "./local-fleet/example-contract.js";
+export * from "./local-fleet/free-ports.js";
+export * from "./local-fleet/local-fleet.js";
+export * from "./local-fleet/managed-process.js";
+export * from "./local-fleet/operator-cli.js";
+export * from "./local-fleet/wait-until.js";
+export * from "./silent-relay.js";
+export * from "./stand-in-backend-server-process.js";
+export * from "./stand-in-backend-server.js";
+export * from "./stand-in-caller.js";
+export type { CallEntry } from "./stand-in/entry-link.js";
+export type { AttemptIdentity, StartMessage, TaskPayload } from "./stand-in/messages.js";
+export type { Observations, RunSegment, StopReason } from "./stand-in/observations.js";
+export * from "./stand-in/options.js";
+export type { ResultMessage } from "./stand-in/task.js";
