Drop the state's observer when the term changes; test servers that return no token

A former leader's scheduler would otherwise follow every event that its replica applies later, with growing queues. In odd seeds of the randomized test the servers return no token, so that restarts show only by leases.

--- a/packages/scheduler/src/scheduler.random.test.ts
+++ b/packages/scheduler/src/scheduler.random.test.ts
@@ -54,6 +54,7 @@
     #nextJob = 0;
     #faulty = true;
 
+    /** In odd seeds the servers return no tokens, so that a restart shows only by expired leases. */
     constructor(seed: number) {
         this.#random = new SeededRandom(seed);
         const observer = {
@@ -62,7 +63,7 @@
         };
         for (let number = 1; number <= SERVERS; number += 1) {
             const rate = 0.991 + this.#random.nextRatio() * 0.018;
-            this.#servers.push(new ModelServer(`s${number}`, rate, observer, number * 1_000_000));
+            this.#servers.push(new ModelServer(`s${number}`, rate, seed % 2 === 0, observer));
         }
         this.#scheduler = this.#lead();
         this.#poll();
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -117,9 +117,9 @@
         for (const job of state.jobs()) {
             this.#jobLoaded(job);
         }
-        state.observe(this.#observer());
         this.#leases.startTerm();
         this.#decision.record({ case: "termStarted", value: { term, leaderId } });
+        state.observe(this.#observer());
     }
 
     /** Accepts, refuses or finds a request; the response carries the start order if it was placed at once. */
--- a/packages/scheduler/src/state/cluster-state.test.ts
+++ b/packages/scheduler/src/state/cluster-state.test.ts
@@ -89,6 +89,20 @@
         expect([state.command("c0"), state.command("c1")?.commandId]).toEqual([undefined, "c1"]);
     });
 
+    it("notifies an observer only until another term starts, so that a former leader's scheduler can be dropped", () => {
+        const state = new ClusterState();
+        const seen: string[] = [];
+        const ignore = (): void => undefined;
+        state.observe({
+            jobChanged: key => seen.push(key),
+            backendServerChanged: ignore,
+            contractChanged: ignore,
+            zoneChanged: ignore,
+        });
+        applyTo(state, accepted("r1"), { case: "termStarted", value: { term: 1, leaderId: "x" } }, accepted("r2"));
+        expect(seen).toHaveLength(1);
+    });
+
     it("keeps uncommitted batches undoable when an earlier one is committed", () => {
         const state = new ClusterState();
         applyTo(state, accepted("r1"));
--- a/packages/scheduler/src/state/cluster-state.ts
+++ b/packages/scheduler/src/state/cluster-state.ts
@@ -66,8 +66,11 @@
             this.#configuration = undefined;
             this.#observer?.zoneChanged(name, before, after);
         });
-        facts.onChange(() => {
+        facts.onChange((unusedKey, before, after) => {
             this.#configuration = undefined;
+            if (before?.term !== after?.term) {
+                this.#observer = undefined;
+            }
         });
         commands.onChange((number, before, after) => {
             if (before !== undefined) {
@@ -104,7 +107,10 @@
         this.#undoLog.rollback();
     }
 
-    /** Sets the only observer; the former one receives no further notices. */
+    /**
+     * Sets the only observer until the term changes, so that a former leader's scheduler isn't kept up to date by what
+     * its replica applies as a follower.
+     */
     observe(observer: ClusterObserver | undefined): void {
         this.#observer = observer;
     }
--- a/packages/scheduler/src/test-kit/model-server.ts
+++ b/packages/scheduler/src/test-kit/model-server.ts
@@ -46,8 +46,13 @@
     #clockMs: number;
     leaving = false;
 
-    constructor(readonly id: string, readonly clockRate: number, readonly observer: TruthObserver, offsetMs: number) {
-        this.#clockMs = offsetMs;
+    constructor(
+        readonly id: string,
+        readonly clockRate: number,
+        readonly returnsTokens: boolean,
+        readonly observer: TruthObserver,
+    ) {
+        this.#clockMs = Number(id.slice(1)) * 1_000_000;
     }
 
     get incarnation(): string {
@@ -149,7 +154,7 @@
             return;
         }
         this.#term = grant.term;
-        this.#leaseToken = grant.token || this.#leaseToken;
+        this.#leaseToken = this.returnsTokens && grant.token !== "" ? grant.token : this.#leaseToken;
         for (const task of this.#tasks.values()) {
             task.leaseExpiresMs = Math.max(task.leaseExpiresMs, grant.expiresBackendMs);
         }
