--- /dev/null
+++ b/packages/test-support/src/fuzz/callers.ts
@@ -0,0 +1,293 @@
+import { bearerTokenOf } from "@waxwingspread/entry";
+import { createHash } from "node:crypto";
+import type { EntryHost } from "./entry-host.js";
+import type { Network } from "./network.js";
+import { Host } from "./world.js";
+import type { World } from "./world.js";
+
+export const CUSTOMER = "filters";
+export const CREDENTIAL_ID = "key";
+export const SECRET = "0123456789abcdef0123456789abcdef";
+
+const PUMP_INTERVAL_MS = 50;
+const WAIT_MS = 3_000;
+const ASK_TIMEOUT_MS = 9_000;
+const RETRY_MS = 300;
+const REPEATED_PUT_RATIO = 0.3;
+const HTTP_OK = 200;
+const HTTP_ACCEPTED = 202;
+const HTTP_CONFLICT = 409;
+const ANSWER_MEMBER = ",\"answer\":";
+
+/** What a caller wants done. */
+export interface JobWish {
+    workClass: string;
+    runMs: number;
+    fail?: boolean;
+    repeatable?: boolean;
+    deadlineInMs?: number;
+}
+
+/** A job as an entry describes it. */
+export interface JobView {
+    requestId: string;
+    state: string;
+    outcome?: string;
+    reason?: string;
+    detail?: string;
+    answerSha256?: string;
+    answer?: { echo: string; ranMs: number };
+    attempts: number;
+}
+
+interface Reply {
+    status: number;
+    text: string;
+}
+
+interface Ask {
+    abandoned: boolean;
+    gone: () => void;
+}
+
+/** One request id with all that its caller has learnt about it. */
+export class CallerJob {
+    readonly bodies: string[];
+    readonly submittedAtMs: number;
+    /** The body that was accepted. */
+    winner: string | undefined;
+    ended: JobView | undefined;
+    answerText = "";
+    cancelAsked = false;
+    nextAskMs = 0;
+    ask: Ask | undefined;
+
+    constructor(readonly requestId: string, readonly wish: JobWish, bodies: string[], nowMs: number) {
+        this.bodies = bodies;
+        this.submittedAtMs = nowMs;
+    }
+
+    get body(): string {
+        return this.winner ?? this.bodies[0] ?? "";
+    }
+}
+
+const bodyOf = (wish: JobWish, echo: string): string => {
+    const { workClass, runMs, fail, repeatable, deadlineInMs } = wish;
+    const payload = { runMs, fail: fail ?? false, echo };
+    return JSON.stringify({ workClass, payload, repeatable, deadlineInMs, runTimeMs: Math.max(1, runMs) });
+};
+
+const echoOf = (body: string): string => (JSON.parse(body) as { payload: { echo: string } }).payload.echo;
+
+/** Callers that repeat what isn't answered, with the same request ids, and compare all answers. */
+export class Callers {
+    readonly jobs: CallerJob[] = [];
+    readonly faults: string[] = [];
+    readonly #host: Host;
+
+    constructor(readonly world: World, readonly network: Network, readonly entries: readonly EntryHost[]) {
+        this.#host = new Host(world, "callers", "callers");
+        this.#host.started();
+        this.#host.every(PUMP_INTERVAL_MS, () => {
+            this.#pump();
+        });
+    }
+
+    get host(): Host {
+        return this.#host;
+    }
+
+    get open(): CallerJob[] {
+        return this.jobs.filter(job => job.ended === undefined);
+    }
+
+    /** Submits new work; with `contents` above 1, different contents race under the same id. */
+    submit(wish: JobWish, contents = 1): CallerJob {
+        const requestId = `r${this.jobs.length + 1}`;
+        const bodies = Array.from({ length: contents }, (_unused, number) => bodyOf(wish, `${requestId}#${number}`));
+        const job = new CallerJob(requestId, wish, bodies, this.world.nowMs);
+        this.jobs.push(job);
+        bodies.slice(1).forEach(body => {
+            this.putOnce(job, body);
+        });
+        this.#ask(job);
+        return job;
+    }
+
+    /** Sends the id with other content once. */
+    submitOther(job: CallerJob): void {
+        const body = bodyOf(job.wish, `${job.requestId}#${job.bodies.length}`);
+        job.bodies.push(body);
+        this.putOnce(job, body);
+    }
+
+    putOnce(job: CallerJob, body: string): void {
+        this.#call("PUT", `/v1/jobs/${job.requestId}?waitMs=0`, body, reply => {
+            this.#told(job, body, reply);
+        });
+    }
+
+    /** Asks once more about a job whose outcome is known. */
+    askAgain(job: CallerJob): void {
+        this.#call("GET", `/v1/jobs/${job.requestId}`, "", reply => {
+            this.#told(job, undefined, reply);
+        });
+    }
+
+    /** Lets all callers that wait for an answer go; they ask again later. */
+    loseAnswers(): void {
+        for (const job of this.jobs) {
+            if (job.ask !== undefined) {
+                job.ask.abandoned = true;
+                job.ask.gone();
+                job.ask = undefined;
+                job.nextAskMs = this.world.nowMs + RETRY_MS;
+            }
+        }
+    }
+
+    /** Cancels jobs until the cancellation is answered. */
+    cancel(jobs: readonly CallerJob[]): void {
+        jobs.forEach(job => {
+            job.cancelAsked = true;
+        });
+        const [first] = jobs;
+        if (first === undefined) {
+            return;
+        }
+        const again = (): void => {
+            this.world.schedule(RETRY_MS, () => {
+                this.cancel(jobs);
+            });
+        };
+        if (jobs.length === 1) {
+            this.#call("DELETE", `/v1/jobs/${first.requestId}`, "", reply => {
+                this.#told(first, undefined, reply);
+                if (reply === undefined || reply.status > HTTP_CONFLICT) {
+                    again();
+                }
+            });
+            return;
+        }
+        const body = JSON.stringify({ requestIds: jobs.map(job => job.requestId) });
+        this.#call("POST", "/v1/jobs:cancel", body, reply => {
+            if (reply?.status !== HTTP_OK) {
+                again();
+                return;
+            }
+            const { results } = JSON.parse(reply.text) as { results: { requestId: string; job?: JobView }[] };
+            for (const { requestId, job: view } of results) {
+                const job = jobs.find(candidate => candidate.requestId === requestId);
+                if (job !== undefined && view?.state === "ended") {
+                    this.#compareOutcome(job, view);
+                }
+            }
+        });
+    }
+
+    #pump(): void {
+        for (const job of this.jobs) {
+            if (job.ended === undefined && job.ask === undefined && job.nextAskMs <= this.world.nowMs) {
+                this.#ask(job);
+            }
+        }
+    }
+
+    #ask(job: CallerJob): void {
+        const repeat = job.winner === undefined || this.world.chance(REPEATED_PUT_RATIO);
+        const { body } = job;
+        const ask: Ask = { abandoned: false, gone: () => undefined };
+        job.ask = ask;
+        const path = `/v1/jobs/${job.requestId}?waitMs=${WAIT_MS}`;
+        const gone = this.#call(repeat ? "PUT" : "GET", path, repeat ? body : "", reply => {
+            if (ask.abandoned) {
+                return;
+            }
+            job.ask = undefined;
+            job.nextAskMs = this.world.nowMs + RETRY_MS;
+            this.#told(job, repeat ? body : undefined, reply);
+        });
+        ask.gone = gone;
+    }
+
+    #call(method: string, path: string, body: string, done: (reply: Reply | undefined) => void): () => void {
+        const entry = this.world.random.pick(this.entries);
+        let gone: () => void = () => undefined;
+        this.network.call<Reply>({
+            from: this.#host,
+            to: entry.host,
+            timeoutMs: ASK_TIMEOUT_MS,
+            handle: reply => {
+                const authorization = `Bearer ${bearerTokenOf(CUSTOMER, CREDENTIAL_ID, SECRET)}`;
+                const request = { method, path, headers: { authorization }, body: Buffer.from(body) };
+                gone = entry.callerRequest(request, ({ status, json }) => {
+                    reply({ status, text: json ?? "" });
+                });
+            },
+            done,
+            failed: () => {
+                done(undefined);
+            },
+        });
+        return () => {
+            gone();
+        };
+    }
+
+    #told(job: CallerJob, body: string | undefined, reply: Reply | undefined): void {
+        if (reply === undefined || reply.status !== HTTP_OK && reply.status !== HTTP_ACCEPTED) {
+            if (reply?.status === HTTP_CONFLICT && body === job.body && job.winner === undefined) {
+                // Another content of this id was accepted first.
+                job.bodies.push(...job.bodies.splice(0, 1));
+            }
+            else if (reply?.status === HTTP_CONFLICT && body === job.winner) {
+                this.faults.push(`${job.requestId}: the accepted content is refused as another one`);
+            }
+            return;
+        }
+        if (body !== undefined) {
+            job.winner ??= body;
+            if (job.winner !== body) {
+                this.faults.push(`${job.requestId}: two different contents were accepted`);
+            }
+        }
+        const view = JSON.parse(reply.text) as JobView;
+        if (view.requestId !== job.requestId) {
+            this.faults.push(`${job.requestId}: got the answer of ${view.requestId}`);
+        }
+        if (view.state === "ended") {
+            this.#compareOutcome(job, view);
+            this.#compareAnswer(job, view, reply.text);
+        }
+        else if (job.ended !== undefined && view.attempts > job.ended.attempts) {
+            // A reply may be overtaken by a later one, but an ended job never gets a further attempt.
+            this.faults.push(`${job.requestId}: runs again after its end`);
+        }
+    }
+
+    #compareOutcome(job: CallerJob, view: JobView): void {
+        job.ended ??= view;
+        const { outcome, reason, answerSha256 } = job.ended;
+        if (view.outcome !== outcome || view.reason !== reason || view.answerSha256 !== answerSha256) {
+            this.faults.push(`${job.requestId}: outcome ${outcome} ${reason}, later ${view.outcome} ${view.reason}`);
+        }
+    }
+
+    #compareAnswer(job: CallerJob, view: JobView, text: string): void {
+        if (view.outcome !== "completed") {
+            return;
+        }
+        const start = text.indexOf(ANSWER_MEMBER);
+        const answer = start < 0 ? "" : text.slice(start + ANSWER_MEMBER.length, -1);
+        job.answerText ||= answer;
+        const digest = createHash("sha256").update(answer).digest("hex");
+        const expected = job.winner === undefined ? job.bodies.map(echoOf) : [echoOf(job.winner)];
+        if (digest !== view.answerSha256 || job.answerText !== answer) {
+            this.faults.push(`${job.requestId}: answer incomplete or different from an earlier one`);
+        }
+        if (!expected.includes(view.answer?.echo ?? "")) {
+            this.faults.push(`${job.requestId}: answer of another request: ${view.answer?.echo}`);
+        }
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/fuzz/control-host.ts
@@ -0,0 +1,416 @@
+import { create } from "@bufbuild/protobuf";
+import { SeededRandom, StepError } from "@waxwingspread/common";
+import { ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
+import type { OpenedStore } from "@waxwingspread/consensus";
+import { ControlEffectKind, ControlNode, defaultControlSettings } from "@waxwingspread/control";
+import type { ControlCall, ControlReply } from "@waxwingspread/control";
+import {
+    DescribeResponseSchema,
+    ErrorCode,
+    GetBlobResponseSchema,
+    OperatorResultSchema,
+    PutBlobResponseSchema,
+} from "@waxwingspread/protocol";
+import type {
+    BlobReference,
+    DescribeResponse,
+    GetBlobRequest,
+    GetBlobResponse,
+    Membership,
+    OperatorCommand,
+    OperatorResult,
+    PutBlobRequest,
+    PutBlobResponse,
+    ReplicaMessage,
+} from "@waxwingspread/protocol";
+import { defaultSchedulerSettings } from "@waxwingspread/scheduler";
+import { FakeFileSystem } from "../fake-file-system.js";
+import type { TornWrite } from "../fake-file-system.js";
+import { BlobCopier } from "./blob-copier.js";
+import { MemoryBlobStore, slowFileSystem } from "./disks.js";
+import type { Network } from "./network.js";
+import { Host } from "./world.js";
+import type { World } from "./world.js";
+
+const FOLDER = "/data";
+const TICK_MS = 20;
+const COPY_INTERVAL_MS = 500;
+const CALL_TIMEOUT_MS = 1_000;
+const HANDOVER_TIMEOUT_MS = 2_000;
+/** Small, so that snapshots and new segments occur within one run. */
+const SNAPSHOT_ENTRIES = 120;
+const RETAINED_ENTRIES = 30;
+const SEGMENT_BYTES = 32 * 1024;
+const FULL_DISK_ROOM_BYTES = 400;
+
+/** A control replica with its disk, driven as the daemon drives it. */
+export class ControlHost {
+    readonly host: Host;
+    readonly files: FakeFileSystem;
+    readonly blobs = new MemoryBlobStore();
+    /** Why the last process ended by itself. */
+    failure: Error | undefined;
+    journal: (name: string, detail: string) => void = () => undefined;
+    #node: ControlNode | undefined;
+    #runner: ReplicaRunner | undefined;
+    #copier: BlobCopier | undefined;
+    #calls = new Map<number, (reply: ControlReply) => void>();
+    #nextCallId = 1;
+    #flushScheduled = false;
+    #disks = 0;
+
+    constructor(
+        readonly world: World,
+        readonly network: Network,
+        readonly peer: (address: string) => ControlHost | undefined,
+        name: string,
+        zone: string,
+    ) {
+        this.host = new Host(world, name, zone);
+        this.files = new FakeFileSystem(world.random);
+    }
+
+    get name(): string {
+        return this.host.name;
+    }
+
+    get runner(): ReplicaRunner | undefined {
+        return this.host.alive ? this.#runner : undefined;
+    }
+
+    get isLeader(): boolean {
+        return this.host.alive && this.#node?.isServing === true;
+    }
+
+    /** Attempts that hold capacity by the state of this replica. */
+    get heldTasks(): number {
+        return this.#node?.state.activeJobKeys().size ?? 0;
+    }
+
+    /** Voting and learning members by disk id, as far as this replica knows. */
+    get memberDiskIds(): string[] {
+        const members = this.runner?.replica.membership.members ?? [];
+        return members.map(({ identity }) => identity?.diskId ?? "");
+    }
+
+    get diskId(): string {
+        return this.#runner?.replica.identity.diskId ?? "";
+    }
+
+    get missingBlobs(): number {
+        return this.#copier?.missingCount ?? 0;
+    }
+
+    /** Starts the process; a store that can't be opened ends it again. */
+    start(formed?: Membership): void {
+        this.host.started();
+        this.#runner = undefined;
+        this.#node = undefined;
+        this.#calls = new Map();
+        this.#flushScheduled = false;
+        const { generation } = this.host;
+        const opening = ReplicaStore.open({
+            fileSystem: slowFileSystem(this.files, this.host),
+            folder: FOLDER,
+            name: this.name,
+            address: this.name,
+            segmentBytes: SEGMENT_BYTES,
+            newDiskId: () => {
+                this.#disks += 1;
+                return `${this.name}-disk-${this.#disks}`;
+            },
+        });
+        opening.then(opened => {
+            if (generation === this.host.generation) {
+                this.#opened(opened, formed);
+            }
+        }, (error: unknown) => {
+            if (generation === this.host.generation) {
+                this.#exit(error as Error);
+            }
+        });
+    }
+
+    /** Ends the process as a power failure does. */
+    kill(torn?: TornWrite): void {
+        this.host.stopped();
+        this.files.crash(torn);
+    }
+
+    loseDisk(): void {
+        this.host.stopped();
+        this.files.wipe();
+        this.blobs.wipe();
+    }
+
+    fillDisk(): void {
+        this.files.capacityBytes = this.files.usedBytes + FULL_DISK_ROOM_BYTES;
+        this.blobs.isFull = true;
+    }
+
+    freeDisk(): void {
+        this.files.capacityBytes = Infinity;
+        this.blobs.isFull = false;
+    }
+
+    /** Hands over leadership and ends. */
+    shutDown(done: () => void): void {
+        const deadlineMs = this.world.nowMs + HANDOVER_TIMEOUT_MS;
+        const step = this.host.bind(() => {
+            if (this.#runner?.replica.role === ReplicaRole.Leader && this.world.nowMs < deadlineMs) {
+                this.#runner.handOver(this.world.nowMs);
+                this.world.schedule(TICK_MS, step);
+                return;
+            }
+            this.kill();
+            done();
+        });
+        step();
+    }
+
+    call(call: ControlCall, reply: (value: ControlReply) => void): void {
+        if (this.#node === undefined) {
+            return;
+        }
+        const callId = this.#nextCallId;
+        this.#nextCallId += 1;
+        this.#calls.set(callId, reply);
+        this.#node.call(callId, call, this.world.nowMs);
+        this.#scheduleFlush();
+    }
+
+    receive(message: ReplicaMessage): void {
+        this.#runner?.receive(message, this.world.nowMs);
+    }
+
+    describe(): DescribeResponse {
+        return create(DescribeResponseSchema, {
+            identity: this.#runner?.replica.identity,
+            missingBlobs: this.missingBlobs,
+        });
+    }
+
+    putBlob({ reference, data }: PutBlobRequest, reply: (value: PutBlobResponse) => void): void {
+        const identity = this.#runner?.replica.identity;
+        if (reference === undefined || identity === undefined) {
+            return;
+        }
+        this.blobs.put(this.host, reference, data, stored => {
+            const error = stored ? undefined : { code: ErrorCode.DISK_FAILED, message: "disk full" };
+            reply(create(PutBlobResponseSchema, { diskId: identity.diskId, error }));
+        });
+    }
+
+    getBlob({ reference }: GetBlobRequest): GetBlobResponse {
+        const data = reference && this.blobs.get(reference);
+        const error = data ? undefined : { code: ErrorCode.UNKNOWN_REQUEST, message: "the blob is not here" };
+        return create(GetBlobResponseSchema, { data, error });
+    }
+
+    /** Refuses to promote a replica that still copies blobs, as the daemon does. */
+    execute(command: OperatorCommand, reply: (value: OperatorResult) => void): void {
+        const run = (): void => {
+            this.call({ method: "execute", request: command } as ControlCall, value => {
+                reply(value.response as OperatorResult);
+            });
+        };
+        if (command.kind.case !== "promoteReplicaDiskId") {
+            run();
+            return;
+        }
+        const diskId = command.kind.value;
+        const members = this.#runner?.replica.membership.members ?? [];
+        const learner = this.peer(members.find(item => item.identity?.diskId === diskId)?.identity?.address ?? "");
+        const refuse = (message: string): void => {
+            const error = new StepError(ErrorCode.UNAVAILABLE, "promote replica", diskId, message);
+            reply(create(OperatorResultSchema, { error: error.toDetail() }));
+        };
+        this.network.call<DescribeResponse>({
+            from: this.host,
+            to: learner?.host,
+            timeoutMs: CALL_TIMEOUT_MS,
+            handle: answer => {
+                if (learner?.runner !== undefined) {
+                    answer(learner.describe());
+                }
+            },
+            done: ({ missingBlobs }) => {
+                if (missingBlobs === 0) {
+                    run();
+                    return;
+                }
+                refuse(`the replica still copies ${missingBlobs} blobs`);
+            },
+            failed: () => {
+                refuse("the replica doesn't answer");
+            },
+        });
+    }
+
+    #opened(opened: OpenedStore, formed: Membership | undefined): void {
+        const { world } = this;
+        this.#copier = new BlobCopier(
+            this.blobs,
+            (reference, done) => {
+                this.#fetch(reference, done);
+            },
+            (reference, data) => {
+                this.blobs.put(this.host, reference, data, () => undefined);
+            },
+        );
+        const node = new ControlNode({
+            name: this.name,
+            settings: defaultControlSettings,
+            schedulerSettings: defaultSchedulerSettings,
+            random: new SeededRandom(world.random.nextInteger(0, 1_000_000)),
+            authorizeOperator: () => true,
+            log: this.#log(),
+        });
+        this.#node = node;
+        this.#runner = this.#createRunner(opened, node);
+        if (formed !== undefined) {
+            this.#runner.form(formed, world.nowMs);
+        }
+        this.host.every(TICK_MS, () => {
+            this.#runner?.tick(world.nowMs);
+            node.tick(world.nowMs);
+            this.#drain();
+        });
+        this.host.every(COPY_INTERVAL_MS, () => this.#copier?.run(world.nowMs));
+    }
+
+    #log(): ConstructorParameters<typeof ControlNode>[0]["log"] {
+        const runner = (): ReplicaRunner => {
+            if (this.#runner === undefined) {
+                throw new Error("the replica has not started");
+            }
+            return this.#runner;
+        };
+        return {
+            get term() {
+                return runner().replica.term;
+            },
+            get isLeader() {
+                return runner().replica.role === ReplicaRole.Leader;
+            },
+            get leaderAddress() {
+                return runner().replica.leader?.address;
+            },
+            get membership() {
+                return runner().replica.membership;
+            },
+            get commitIndex() {
+                return runner().replica.commitIndex;
+            },
+            propose: (records, nowMs) => runner().propose(records, nowMs),
+            changeMembership: (change, nowMs) => runner().changeMembership(change, nowMs),
+            hasQuorumLease: nowMs => runner().hasQuorumLease(nowMs),
+        };
+    }
+
+    #createRunner(opened: OpenedStore, node: ControlNode): ReplicaRunner {
+        const { world, host } = this;
+        return new ReplicaRunner({
+            opened,
+            random: new SeededRandom(world.random.nextInteger(0, 1_000_000)),
+            snapshotEntries: SNAPSHOT_ENTRIES,
+            limits: { retainedEntries: RETAINED_ENTRIES },
+            defer: task => {
+                world.schedule(0, host.bind(task));
+            },
+            hooks: {
+                send: (to, message) => {
+                    const peer = this.peer(to.address);
+                    if (peer !== undefined) {
+                        this.network.send(host, peer.host, () => {
+                            peer.receive(message);
+                        });
+                    }
+                },
+                onCommit: entries => {
+                    node.committed(entries, world.nowMs);
+                    this.#drain();
+                },
+                onRestoreSnapshot: (header, bytes) => {
+                    node.snapshotRestored(bytes, header.lastIndex);
+                    this.#drain();
+                },
+                onRoleChange: change => {
+                    if (change.role !== ReplicaRole.Leader) {
+                        node.leadershipLost();
+                        this.#drain();
+                    }
+                },
+                takeSnapshot: () => node.snapshot().bytes,
+                onFailed: error => {
+                    world.schedule(
+                        0,
+                        host.bind(() => {
+                            this.#exit(error);
+                        }),
+                    );
+                },
+            },
+        }, world.nowMs);
+    }
+
+    #exit(error: Error): void {
+        this.failure = error;
+        this.journal("process failed", error.message);
+        this.kill();
+    }
+
+    #scheduleFlush(): void {
+        if (this.#flushScheduled) {
+            return;
+        }
+        this.#flushScheduled = true;
+        this.world.schedule(
+            0,
+            this.host.bind(() => {
+                this.#flushScheduled = false;
+                this.#node?.flush(this.world.nowMs);
+                this.#drain();
+            }),
+        );
+    }
+
+    #drain(): void {
+        for (const effect of this.#node?.takeEffects() ?? []) {
+            if (effect.kind === ControlEffectKind.Reply) {
+                this.#calls.get(effect.callId)?.(effect.reply);
+                this.#calls.delete(effect.callId);
+            }
+            else if (effect.kind === ControlEffectKind.BlobsReferenced) {
+                this.#copier?.want(effect.references, this.world.nowMs);
+            }
+            else if (effect.kind === ControlEffectKind.Journal) {
+                const { name, customer, requestId, peer, detail } = effect.record;
+                this.journal(name, [customer, requestId, peer, detail].filter(Boolean).join(" "));
+            }
+        }
+    }
+
+    #fetch(reference: BlobReference, done: (data: Uint8Array | undefined) => void): void {
+        const members = this.#runner?.replica.membership.members ?? [];
+        const others = members.map(({ identity }) => identity?.address ?? "").filter(address => address !== this.name);
+        const other = others.length === 0 ? undefined : this.peer(this.world.random.pick(others));
+        if (other === undefined) {
+            return;
+        }
+        this.network.call<GetBlobResponse>({
+            from: this.host,
+            to: other.host,
+            timeoutMs: CALL_TIMEOUT_MS,
+            handle: answer => {
+                answer(other.getBlob({ reference } as GetBlobRequest));
+            },
+            done: ({ error, data }) => {
+                done(error === undefined ? data : undefined);
+            },
+            failed: () => {
+                done(undefined);
+            },
+        });
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/fuzz/disks.ts
@@ -0,0 +1,75 @@
+import type { AppendFile, FileSystem } from "@waxwingspread/consensus";
+import type { BlobReference } from "@waxwingspread/protocol";
+import { createHash } from "node:crypto";
+import type { FakeFileSystem } from "../fake-file-system.js";
+import type { Host } from "./world.js";
+
+const SHORTEST_SYNC_MS = 1;
+const LONGEST_SYNC_MS = 4;
+
+const syncDelay = (host: Host): Promise<void> =>
+    new Promise(resolve => {
+        const delayMs = host.world.random.nextInteger(SHORTEST_SYNC_MS, LONGEST_SYNC_MS);
+        host.world.schedule(delayMs, host.bind(resolve));
+    });
+
+/** Shows a fake file system whose syncs take time, so that a process can be killed or frozen during one. */
+export const slowFileSystem = (files: FakeFileSystem, host: Host): FileSystem => {
+    const slowFile = (file: AppendFile): AppendFile => ({
+        append: data => file.append(data),
+        sync: async () => {
+            await syncDelay(host);
+            await file.sync();
+        },
+        truncate: sizeBytes => file.truncate(sizeBytes),
+        close: () => file.close(),
+    });
+    return {
+        makeFolder: () => files.makeFolder(),
+        list: path => files.list(path),
+        read: path => files.read(path),
+        openAppend: async path => slowFile(await files.openAppend(path)),
+        rename: (from, to) => files.rename(from, to),
+        remove: path => files.remove(path),
+        syncFolder: async path => {
+            await syncDelay(host);
+            await files.syncFolder(path);
+        },
+    };
+};
+
+const keyOf = (reference: BlobReference): string => Buffer.from(reference.sha256).toString("hex");
+
+/** Blob store in memory: a blob is there once its sync has ended, and a crash before that loses it. */
+export class MemoryBlobStore {
+    readonly #blobs = new Map<string, Uint8Array>();
+    isFull = false;
+
+    has(reference: BlobReference): boolean {
+        return this.#blobs.has(keyOf(reference));
+    }
+
+    get(reference: BlobReference): Uint8Array | undefined {
+        return this.#blobs.get(keyOf(reference));
+    }
+
+    /** Stores a blob; `done` tells whether it was stored, unless the process ends before. */
+    put(host: Host, reference: BlobReference, data: Uint8Array, done: (stored: boolean) => void): void {
+        const digest = createHash("sha256").update(data).digest("hex");
+        const valid = digest === keyOf(reference) && data.length === reference.sizeBytes && !this.isFull;
+        const delayMs = host.world.random.nextInteger(SHORTEST_SYNC_MS, LONGEST_SYNC_MS);
+        host.world.schedule(
+            delayMs,
+            host.bind(() => {
+                if (valid) {
+                    this.#blobs.set(keyOf(reference), data);
+                }
+                done(valid);
+            }),
+        );
+    }
+
+    wipe(): void {
+        this.#blobs.clear();
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/fuzz/entry-host.ts
@@ -0,0 +1,211 @@
+import { StepError } from "@waxwingspread/common";
+import type { ControlCall } from "@waxwingspread/control";
+import { EntryEffectKind, EntryNode } from "@waxwingspread/entry";
+import type {
+    CallBackendServer,
+    CallControl,
+    ControlResponse,
+    EntryEffect,
+    HttpRequest,
+    ReplyToBackendServer,
+    ReplyToCaller,
+} from "@waxwingspread/entry";
+import { ErrorCode } from "@waxwingspread/protocol";
+import type { GetBlobRequest, PutBlobRequest } from "@waxwingspread/protocol";
+import type { ControlHost } from "./control-host.js";
+import { CallFailure } from "./network.js";
+import type { Network } from "./network.js";
+import type { ServerHost } from "./server-host.js";
+import { Host } from "./world.js";
+import type { World } from "./world.js";
+
+const TICK_MS = 20;
+const DRAIN_GRACE_MS = 25_000;
+
+type Reply = ReplyToCaller | ReplyToBackendServer;
+
+/** Finds the processes that an entry talks to. */
+export interface EntryPeers {
+    control: (address: string) => ControlHost | undefined;
+    server: (address: string) => ServerHost | undefined;
+}
+
+/** An entry, driven as the daemon drives it. */
+export class EntryHost {
+    readonly host: Host;
+    #node: EntryNode | undefined;
+    #replies = new Map<number, (reply: Reply) => void>();
+    #nextHandle = 1;
+    #incarnation = 0;
+
+    constructor(
+        readonly world: World,
+        readonly network: Network,
+        readonly peers: EntryPeers,
+        readonly controlAddresses: string[],
+        name: string,
+        zone: string,
+    ) {
+        this.host = new Host(world, name, zone);
+    }
+
+    get name(): string {
+        return this.host.name;
+    }
+
+    get node(): EntryNode | undefined {
+        return this.host.alive ? this.#node : undefined;
+    }
+
+    start(): void {
+        this.host.started();
+        this.#incarnation += 1;
+        this.#replies = new Map();
+        const node = new EntryNode({
+            entryId: this.name,
+            incarnation: String(this.#incarnation),
+            address: this.name,
+            availabilityZone: this.host.zone,
+            controlAddresses: this.controlAddresses,
+        }, this.world.nowMs);
+        this.#node = node;
+        this.host.every(TICK_MS, () => {
+            node.tick(this.world.nowMs);
+            this.#drain();
+        });
+        this.#drain();
+    }
+
+    kill(): void {
+        this.host.stopped();
+    }
+
+    /** Drains the entry and ends it; `done` gets the number of callers that were left without a reply. */
+    shutDown(done: (unanswered: number) => void): void {
+        const node = this.#node;
+        node?.drain(this.world.nowMs);
+        this.#drain();
+        const deadlineMs = this.world.nowMs + DRAIN_GRACE_MS;
+        const step = this.host.bind(() => {
+            if (node?.isDrained === false && this.world.nowMs < deadlineMs) {
+                this.world.schedule(TICK_MS, step);
+                return;
+            }
+            // What was sent leaves before the process ends.
+            this.world.schedule(
+                TICK_MS,
+                this.host.bind(() => {
+                    const unanswered = node?.sizes().callers ?? 0;
+                    this.kill();
+                    done(unanswered);
+                }),
+            );
+        });
+        step();
+    }
+
+    callerRequest(request: HttpRequest, reply: (reply: ReplyToCaller) => void): () => void {
+        const handle = this.#open(reply as (reply: Reply) => void);
+        this.#node?.callerRequest(handle, request, this.world.nowMs);
+        this.#drain();
+        return this.host.bind(() => {
+            this.#replies.delete(handle);
+            this.#node?.callerGone(handle);
+        });
+    }
+
+    backendServerRequest(path: string, body: string, reply: (reply: ReplyToBackendServer) => void): void {
+        const handle = this.#open(reply as (reply: Reply) => void);
+        const request = { method: "POST", path, headers: {}, body: Buffer.from(body) };
+        this.#node?.backendServerRequest(handle, request, this.world.nowMs);
+        this.#drain();
+    }
+
+    #open(reply: (reply: Reply) => void): number {
+        const handle = this.#nextHandle;
+        this.#nextHandle += 1;
+        this.#replies.set(handle, reply);
+        return handle;
+    }
+
+    #drain(): void {
+        for (const effect of this.#node?.takeEffects() ?? []) {
+            this.#carryOut(effect);
+        }
+    }
+
+    #carryOut(effect: EntryEffect): void {
+        switch (effect.kind) {
+            case EntryEffectKind.CallControl:
+                this.#callControl(effect);
+                return;
+            case EntryEffectKind.CallBackendServer:
+                this.#callServer(effect);
+                return;
+            case EntryEffectKind.ReplyToCaller:
+            case EntryEffectKind.ReplyToBackendServer:
+                this.#replies.get(effect.requestHandle)?.(effect);
+                this.#replies.delete(effect.requestHandle);
+                return;
+            default:
+        }
+    }
+
+    #callControl(effect: CallControl): void {
+        const control = this.peers.control(effect.target.address);
+        this.network.call<ControlResponse>({
+            from: this.host,
+            to: control?.host,
+            timeoutMs: effect.timeoutMs,
+            handle: reply => {
+                if (effect.method === "putBlob") {
+                    control?.putBlob(effect.request as PutBlobRequest, reply);
+                }
+                else if (effect.method === "getBlob") {
+                    reply((control as ControlHost).getBlob(effect.request as GetBlobRequest));
+                }
+                else {
+                    const { method, request } = effect;
+                    control?.call({ method, request } as ControlCall, value => {
+                        reply(value.response as ControlResponse);
+                    });
+                }
+            },
+            done: response => {
+                this.#node?.controlReplied(effect.callId, response, this.world.nowMs);
+                this.#drain();
+            },
+            failed: failure => {
+                this.#failed(effect.callId, effect.method, effect.target.address, failure);
+            },
+        });
+    }
+
+    #callServer(effect: CallBackendServer): void {
+        const server = this.peers.server(effect.address);
+        this.network.call<{ status: number; body: string }>({
+            from: this.host,
+            to: server?.host,
+            timeoutMs: effect.timeoutMs,
+            handle: reply => {
+                const answer = server?.handle(effect);
+                if (answer !== undefined) {
+                    reply(answer);
+                }
+            },
+            done: reply => {
+                this.#node?.backendServerReplied(effect.callId, reply, this.world.nowMs);
+                this.#drain();
+            },
+            failed: failure => {
+                this.#failed(effect.callId, effect.path, effect.address, failure);
+            },
+        });
+    }
+
+    #failed(callId: number, step: string, peer: string, failure: CallFailure): void {
+        const code = failure === CallFailure.Refused ? ErrorCode.UNAVAILABLE : ErrorCode.TIMEOUT;
+        this.#node?.callFailed(callId, new StepError(code, step, peer, failure), this.world.nowMs);
+        this.#drain();
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/fuzz/fleet.ts
@@ -0,0 +1,132 @@
+import { create } from "@bufbuild/protobuf";
+import { initialMembership } from "@waxwingspread/consensus";
+import { ReplicaIdentitySchema } from "@waxwingspread/protocol";
+import { Callers } from "./callers.js";
+import { ControlHost } from "./control-host.js";
+import { EntryHost } from "./entry-host.js";
+import { CALM_NETWORK, Network } from "./network.js";
+import { Operators } from "./operators.js";
+import { Oracle } from "./oracle.js";
+import { ServerHost } from "./server-host.js";
+import type { Host } from "./world.js";
+import { World } from "./world.js";
+
+export const ZONES = ["a", "b", "c"] as const;
+const SAMPLE_MS = 50;
+const START_LIMIT_MS = 10_000;
+
+/** Anything that can be frozen, killed and started. */
+export type Process = ControlHost | EntryHost | ServerHost;
+
+/** Three control replicas, three entries and some backend servers in three zones, with callers and operators. */
+export class Fleet {
+    readonly world: World;
+    readonly network: Network;
+    readonly controls: ControlHost[];
+    readonly entries: EntryHost[];
+    readonly servers: ServerHost[];
+    readonly callers: Callers;
+    readonly operators: Operators;
+    readonly oracle: Oracle;
+    /** Commands executed so far. */
+    readonly trace: string[] = [];
+
+    constructor(seed: number, servers = 6) {
+        this.world = new World(seed);
+        this.network = new Network(this.world);
+        const control = (address: string): ControlHost | undefined =>
+            this.controls.find(({ name }) => name === address);
+        const entry = (address: string): EntryHost | undefined => this.entries.find(({ name }) => name === address);
+        const server = (address: string): ServerHost | undefined => this.servers.find(({ name }) => name === address);
+        this.controls = ZONES.map((zone, number) =>
+            new ControlHost(this.world, this.network, control, `c${number + 1}`, zone)
+        );
+        const controlAddresses = this.controls.map(({ name }) => name);
+        this.entries = ZONES.map((zone, number) =>
+            new EntryHost(this.world, this.network, { control, server }, controlAddresses, `e${number + 1}`, zone)
+        );
+        const entryAddresses = this.entries.map(({ name }) => name);
+        this.servers = Array.from({ length: servers }, (_unused, number) => {
+            const zone = ZONES[number % ZONES.length] ?? "a";
+            return new ServerHost(this.world, this.network, entry, entryAddresses, `s${number + 1}`, zone);
+        });
+        this.callers = new Callers(this.world, this.network, this.entries);
+        this.operators = new Operators(this.world, this.network, this.controls);
+        this.oracle = new Oracle(this);
+    }
+
+    get processes(): Process[] {
+        return [...this.controls, ...this.entries, ...this.servers];
+    }
+
+    get hosts(): Host[] {
+        return [...this.processes.map(({ host }) => host), this.callers.host, this.operators.host];
+    }
+
+    get leader(): ControlHost | undefined {
+        return this.controls.find(({ isLeader }) => isLeader);
+    }
+
+    /** Starts everything and waits until the contract is in force and all servers are known. */
+    async start(): Promise<void> {
+        const identities = this.controls.map(({ name }) =>
+            create(ReplicaIdentitySchema, { name, address: name, diskId: `${name}-disk-1` })
+        );
+        this.controls.forEach(control => {
+            control.start(initialMembership(identities));
+        });
+        this.entries.forEach(entry => {
+            entry.start();
+        });
+        this.servers.forEach(server => {
+            server.start();
+        });
+        const contract = this.operators.writeContract(1);
+        const isReady = (): boolean =>
+            contract.outcome?.accepted === true
+            && this.entries.every(({ node }) => (node?.configurationRevision ?? 0) > 0);
+        await this.until(isReady, START_LIMIT_MS, "the start of the fleet");
+        await this.advance(1_500);
+    }
+
+    /** Lets time pass; the oracle looks at short intervals. */
+    async advance(durationMs: number): Promise<void> {
+        const endMs = this.world.nowMs + durationMs;
+        while (this.world.nowMs < endMs) {
+            await this.world.advance(Math.min(SAMPLE_MS, endMs - this.world.nowMs));
+            this.oracle.look();
+        }
+    }
+
+    async until(reached: () => boolean, limitMs: number, what: string): Promise<void> {
+        const endMs = this.world.nowMs + limitMs;
+        while (!reached()) {
+            if (this.world.nowMs >= endMs) {
+                this.oracle.violation(`not reached within ${limitMs} ms: ${what}`);
+            }
+            await this.advance(SAMPLE_MS);
+        }
+    }
+
+    /** Ends all faults of the network, disks and processes. */
+    endFaults(): void {
+        this.network.faults = CALM_NETWORK;
+        this.network.heal();
+        this.controls.forEach(control => {
+            control.freeDisk();
+        });
+        for (const process of this.processes) {
+            process.host.thaw();
+            if (!process.host.alive) {
+                process.start();
+            }
+        }
+        for (const server of this.servers) {
+            server.setFaults({ speedRatio: 1, silent: false, failEveryTask: false });
+            if (server.leavingSinceMs !== undefined) {
+                server.kill();
+                server.start();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/fuzz/fuzz-run.ts
@@ -0,0 +1,52 @@
+import * as fc from "fast-check";
+import { command, initialModel } from "./commands.js";
+import { checkLiveness } from "./ending.js";
+import { Fleet } from "./fleet.js";
+
+const MAXIMUM_COMMANDS = 70;
+const SHRINK_LIMIT_MS = 60_000;
+
+/** What one run did. */
+export interface RunReport {
+    steps: number;
+    events: number;
+    virtualMs: number;
+    failure: string | undefined;
+}
+
+/** Runs one seed; on a failure, `shrink` looks for a shorter trace that fails too. */
+export const runSeed = async (seed: number, shrink: boolean): Promise<RunReport> => {
+    const report: RunReport = { steps: 0, events: 0, virtualMs: 0, failure: undefined };
+    let trace: string[] = [];
+    const commands = fc.noBias(fc.commands([command], { maxCommands: MAXIMUM_COMMANDS, size: "max" }));
+    const property = fc.asyncProperty(commands, async sequence => {
+        const fleet = new Fleet(seed);
+        const startedAtMs = fleet.world.nowMs;
+        try {
+            await fleet.start();
+            await fc.asyncModelRun(() => ({ model: initialModel(), real: fleet }), sequence);
+            await checkLiveness(fleet);
+        }
+        catch (error) {
+            trace = fleet.trace;
+            throw error;
+        }
+        finally {
+            report.steps += fleet.trace.length;
+            report.events += fleet.world.events;
+            report.virtualMs += fleet.world.nowMs - startedAtMs;
+        }
+    });
+    const details = await fc.check(property, {
+        seed,
+        numRuns: 1,
+        endOnFailure: !shrink,
+        interruptAfterTimeLimit: SHRINK_LIMIT_MS,
+        markInterruptAsFailure: false,
+    });
+    if (details.failed) {
+        const cause = details.errorInstance;
+        report.failure = [cause instanceof Error ? cause.message : String(cause), ...trace].join("\n  ");
+    }
+    return report;
+};
--- /dev/null
+++ b/packages/test-support/src/fuzz/oracle.ts
@@ -0,0 +1,257 @@
+import type { RunSegment } from "../stand-in/observations.js";
+import type { CallerJob } from "./callers.js";
+import type { Fleet } from "./fleet.js";
+import type { SentCommand } from "./operators.js";
+import { SERVER_CAPACITY, SERVER_SLOTS } from "./server-host.js";
+
+const START_LIMIT_MS = 3_000;
+const CONFIGURATION_LIMIT_MS = 2_000;
+/** Times of servers are converted between clocks. */
+const TOLERANCE_MS = 0.01;
+/** After this long without contact the leader may have given up an attempt, and its checkpoint with it. */
+const LEASE_MS = 9_000;
+const CAPACITY_REFUSALS = ["no free capacity", "another attempt of the job is held"];
+
+/** A violated invariant. */
+export class Violation extends Error {
+    constructor(message: string) {
+        super(message);
+        this.name = "Violation";
+    }
+}
+
+interface ZoneOut {
+    acceptedAtMs: number;
+}
+
+const isResumed = (previous: RunSegment, next: RunSegment): boolean =>
+    previous.stopReason === "checkpointed"
+    && Math.abs(next.progressAtStartMs - (previous.progressAtStopMs ?? 0)) < TOLERANCE_MS;
+
+/** Checks what callers, operators and backend servers can observe. Throws a {@link Violation}. */
+export class Oracle {
+    readonly #zonesOut = new Map<string, ZoneOut>();
+    readonly #revisions = new Map<string, number>();
+    readonly #seen = new Map<string, number>();
+    readonly #commandsSeen = new Set<SentCommand>();
+    #drainFault: string | undefined;
+
+    constructor(readonly fleet: Fleet) {}
+
+    get zonesOut(): string[] {
+        return [...this.#zonesOut.keys()];
+    }
+
+    violation(message: string): never {
+        throw new Violation(`at ${this.fleet.world.nowMs}: ${message}`);
+    }
+
+    /** Checks everything that must hold at any time. */
+    look(): void {
+        this.#checkFaults();
+        this.#checkCommands();
+        this.#checkConfiguration();
+        this.#checkStarts();
+        this.#checkServers();
+        this.#checkJobs();
+    }
+
+    /** Takes note of how a planned shutdown of an entry ended. */
+    drained(name: string, unanswered: number): void {
+        if (unanswered > 0) {
+            this.#drainFault = `${name} shut down with ${unanswered} callers unanswered`;
+        }
+    }
+
+    /** Returns the run segments of a job in the order of their starts. */
+    segmentsOf(job: CallerJob): RunSegment[] {
+        return this.#segmentsByJob().get(job.requestId) ?? [];
+    }
+
+    #checkFaults(): void {
+        const { callers, operators } = this.fleet;
+        const [fault] = [...callers.faults, ...operators.faults, ...(this.#drainFault ? [this.#drainFault] : [])];
+        if (fault !== undefined) {
+            this.violation(fault);
+        }
+    }
+
+    /** Each accepted command made its own revision; a zone counts as out from the acceptance on. */
+    #checkCommands(): void {
+        const { commands } = this.fleet.operators;
+        for (const sent of commands) {
+            const { command, outcome } = sent;
+            if (command.kind.case === "bringZoneBack") {
+                this.#zonesOut.delete(command.kind.value);
+            }
+            if (outcome?.accepted !== true || this.#commandsSeen.has(sent)) {
+                continue;
+            }
+            this.#commandsSeen.add(sent);
+            const changed = outcome.revision === command.expectedRevision + 1;
+            if (!changed && (command.kind.case === "writeContract" || outcome.revision !== command.expectedRevision)) {
+                this.violation(`${command.commandId}: revision ${outcome.revision}`);
+            }
+            const rival = [...this.#commandsSeen].find(other =>
+                changed && other !== sent && other.outcome?.revision === outcome.revision
+                && other.command.expectedRevision === command.expectedRevision
+            );
+            if (rival !== undefined) {
+                this.violation(`${command.commandId} and ${rival.command.commandId} both made ${outcome.revision}`);
+            }
+        }
+        this.#updateZones();
+    }
+
+    #updateZones(): void {
+        for (const { command, outcome } of this.fleet.operators.commands) {
+            const { kind } = command;
+            if (kind.case !== "takeZoneOut" || outcome?.accepted !== true) {
+                continue;
+            }
+            const zone = kind.value.availabilityZone;
+            const mayBeBack = this.fleet.operators.commands.some(({ command: other, outcome: result }) =>
+                other.kind.case === "bringZoneBack" && other.kind.value === zone
+                && (result === undefined || result.accepted && result.revision > outcome.revision)
+            );
+            if (!mayBeBack && !this.#zonesOut.has(zone)) {
+                this.#zonesOut.set(zone, { acceptedAtMs: outcome.atMs });
+            }
+        }
+    }
+
+    #checkConfiguration(): void {
+        const { entries, operators, world } = this.fleet;
+        const inForce = operators.commands
+            .filter(({ outcome }) => outcome?.accepted === true && outcome.atMs + CONFIGURATION_LIMIT_MS < world.nowMs)
+            .reduce((highest, { outcome }) => Math.max(highest, outcome?.revision ?? 0), 0);
+        for (const { host, node } of entries) {
+            if (node === undefined) {
+                continue;
+            }
+            const key = `${host.name}/${host.generation}`;
+            const revision = node.configurationRevision;
+            if (revision < (this.#revisions.get(key) ?? 0)) {
+                this.violation(`${host.name} went back to revision ${revision}`);
+            }
+            this.#revisions.set(key, revision);
+            if (!host.frozen && revision < inForce && node.isReady(world.nowMs)) {
+                this.violation(`${host.name} accepts work at revision ${revision}, ${inForce} is in force`);
+            }
+        }
+    }
+
+    #checkStarts(): void {
+        for (const server of this.fleet.servers) {
+            const { segments } = server;
+            const out = this.#zonesOut.get(server.host.zone);
+            for (const segment of segments.slice(this.#seen.get(server.name) ?? 0)) {
+                if (out !== undefined && segment.startedAtMs > out.acceptedAtMs + START_LIMIT_MS) {
+                    this.violation(`${segment.requestId} started on ${server.name}, whose zone is out of service`);
+                }
+            }
+            this.#seen.set(server.name, segments.length);
+            const acceptedAtMs = server.leavingAcceptedAtMs;
+            const late = server.timelyRefusals.find(({ reason, atMs }) =>
+                reason === "leaving" && acceptedAtMs !== undefined && atMs > acceptedAtMs + START_LIMIT_MS
+            );
+            if (late !== undefined) {
+                this.violation(`${late.job} was sent to ${server.name}, which is leaving`);
+            }
+        }
+    }
+
+    #checkServers(): void {
+        for (const server of this.fleet.servers) {
+            server.observe();
+            for (const { peakUsed, peakTasks } of server.observations) {
+                const exceeded = peakUsed.cpuMillicores > SERVER_CAPACITY.cpuMillicores
+                    || peakUsed.memoryMebibytes > SERVER_CAPACITY.memoryMebibytes
+                    || peakTasks > SERVER_SLOTS;
+                if (exceeded) {
+                    this.violation(`${server.name} holds more than its capacity`);
+                }
+            }
+            // A server refuses what doesn't fit, so a start that is refused in time for that was assigned wrongly.
+            const refusal = server.timelyRefusals.find(({ reason }) => CAPACITY_REFUSALS.includes(reason));
+            if (refusal !== undefined) {
+                this.violation(`${refusal.job} was sent to ${server.name}: ${refusal.reason}`);
+            }
+        }
+    }
+
+    #checkJobs(): void {
+        const segmentsByJob = this.#segmentsByJob();
+        for (const job of this.fleet.callers.jobs) {
+            const segments = segmentsByJob.get(job.requestId) ?? [];
+            this.#checkOnePlace(job, segments);
+            this.#checkRuns(job, segments);
+            this.#checkResumption(job, segments);
+            if (job.ended?.outcome === "not-run" && segments.length > 0) {
+                this.violation(`${job.requestId} ran although its outcome is not-run`);
+            }
+            if (job.ended?.outcome === "completed" && !segments.some(({ stopReason }) => stopReason === "completed")) {
+                this.violation(`${job.requestId} is completed but no run of it was`);
+            }
+        }
+    }
+
+    #checkOnePlace(job: CallerJob, segments: RunSegment[]): void {
+        segments.slice(1).forEach((segment, position) => {
+            const previous = segments[position];
+            if (previous !== undefined && (previous.stoppedAtMs ?? Infinity) > segment.startedAtMs + TOLERANCE_MS) {
+                const places = `${previous.backendServerId} and ${segment.backendServerId}`;
+                this.violation(`${job.requestId} runs on ${places} at ${segment.startedAtMs}`);
+            }
+        });
+    }
+
+    #checkRuns(job: CallerJob, segments: RunSegment[]): void {
+        const repeatable = job.wish.workClass !== "trial" && job.wish.repeatable !== false;
+        const runs = segments.filter((segment, position) => {
+            const previous = segments[position - 1];
+            return previous === undefined || !isResumed(previous, segment);
+        });
+        if (!repeatable && runs.length > 1) {
+            this.violation(`${job.requestId} must not be repeated but ran ${runs.length} times`);
+        }
+    }
+
+    /** A confirmed checkpoint is taken up by the next run, and a run takes up nothing else. */
+    #checkResumption(job: CallerJob, segments: RunSegment[]): void {
+        segments.forEach((segment, position) => {
+            const { progressAtStartMs } = segment;
+            const previous = segments[position - 1];
+            const known = progressAtStartMs === 0
+                || segments.slice(0, position).some(earlier => isResumed(earlier, segment));
+            if (!known) {
+                this.violation(`${job.requestId} resumed at ${progressAtStartMs}, where no checkpoint was taken`);
+            }
+            if (previous?.stopReason !== "checkpointed" || isResumed(previous, segment)) {
+                return;
+            }
+            const stoppedAtMs = previous.stoppedAtMs ?? 0;
+            const server = this.fleet.servers.find(({ name }) => name === previous.backendServerId);
+            const lost = segment.startedAtMs - stoppedAtMs > LEASE_MS
+                || server?.interruptedAtMs.some(atMs => atMs >= stoppedAtMs && atMs <= segment.startedAtMs);
+            if (!lost) {
+                this.violation(`${job.requestId} didn't resume from its checkpoint at ${previous.progressAtStopMs}`);
+            }
+        });
+    }
+
+    #segmentsByJob(): Map<string, RunSegment[]> {
+        const byJob = new Map<string, RunSegment[]>();
+        for (const segment of this.fleet.servers.flatMap(({ segments }) => segments)) {
+            const known = byJob.get(segment.requestId);
+            if (known === undefined) {
+                byJob.set(segment.requestId, [segment]);
+            }
+            else {
+                known.push(segment);
+            }
+        }
+        byJob.forEach(segments => segments.sort((a, b) => a.startedAtMs - b.startedAtMs));
+        return byJob;
+    }
+}
--- /dev/null
+++ b/packages/test-support/src/fuzz/server-host.ts
@@ -0,0 +1,170 @@
+import { StandInBackendServer } from "../stand-in-backend-server.js";
+import type { StandInReply, StandInRequest } from "../stand-in-backend-server.js";
+import { readJson, startSchema } from "../stand-in/messages.js";
+import type { Observations, RunSegment } from "../stand-in/observations.js";
+import type { ResourceAmounts, StandInFaults } from "../stand-in/options.js";
+import type { EntryHost } from "./entry-host.js";
+import type { Network } from "./network.js";
+import { Host } from "./world.js";
+import type { World } from "./world.js";
+
+const TICK_MS = 20;
+const CLOCK_RATE_ERROR_RATIO = 0.009;
+
+export const SERVER_CAPACITY: ResourceAmounts = { cpuMillicores: 4_000, memoryMebibytes: 4_096, accelerators: 0 };
+export const SERVER_SLOTS = 4;
+
+/** A start that a server refused although its deadline had not passed. */
+export interface TimelyRefusal {
+    atMs: number;
+    reason: string;
+    job: string;
+}
+
+/** A backend server. Its observations outlive its processes. */
+export class ServerHost {
+    readonly host: Host;
+    readonly timelyRefusals: TimelyRefusal[] = [];
+    /** When the server was told to leave. */
+    leavingSinceMs: number | undefined;
+    /** When the leader's acceptance of an announcement of the leaving was seen here. */
+    leavingAcceptedAtMs: number | undefined;
+    /** Moments at which work may have been lost together with its checkpoints. */
+    readonly interruptedAtMs: number[] = [];
+    readonly #past: Observations[] = [];
+    #server: StandInBackendServer | undefined;
+    #incarnation = 0;
+    #faults: Partial<StandInFaults> = {};
+
+    constructor(
+        readonly world: World,
+        readonly network: Network,
+        readonly entry: (address: string) => EntryHost | undefined,
+        readonly entryAddresses: string[],
+        name: string,
+        zone: string,
+    ) {
+        this.host = new Host(world, name, zone);
+    }
+
+    get name(): string {
+        return this.host.name;
+    }
+
+    get segments(): RunSegment[] {
+        return this.#observations().flatMap(({ segments }) => segments);
+    }
+
+    get used(): ResourceAmounts {
+        return this.#server?.used() ?? { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
+    }
+
+    get observations(): Observations[] {
+        return this.#observations();
+    }
+
+    start(): void {
+        const { world } = this;
+        this.host.started();
+        this.#incarnation += 1;
+        this.leavingSinceMs = undefined;
+        this.leavingAcceptedAtMs = undefined;
+        this.#server = new StandInBackendServer({
+            backendServerId: this.name,
+            incarnation: String(this.#incarnation),
+            address: this.name,
+            availabilityZone: this.host.zone,
+            rack: `rack-${this.name}`,
+            capacity: SERVER_CAPACITY,
+            slots: SERVER_SLOTS,
+            entries: this.entryAddresses,
+            random: world.random,
+            faults: this.#faults,
+            clockStartMs: world.random.nextInteger(0, 1_000_000),
+            clockRateRatio: 1 + (world.random.nextRatio() * 2 - 1) * CLOCK_RATE_ERROR_RATIO,
+        }, world.nowMs);
+        this.host.every(TICK_MS, () => {
+            this.#server?.tick(world.nowMs);
+            this.#drain();
+        });
+    }
+
+    kill(): void {
+        if (this.#server === undefined) {
+            return;
+        }
+        this.interruptedAtMs.push(this.world.nowMs);
+        this.#server.terminate(this.world.nowMs);
+        this.#past.push(this.#server.observations);
+        this.#server = undefined;
+        this.host.stopped();
+    }
+
+    leave(): void {
+        this.leavingSinceMs = this.world.nowMs;
+        this.#server?.leave(this.world.nowMs);
+        this.#drain();
+    }
+
+    setFaults(faults: Partial<StandInFaults>): void {
+        this.#faults = { ...this.#faults, ...faults };
+        this.#server?.setFaults(faults, this.world.nowMs);
+    }
+
+    /** Brings the observations up to the present, also while the process is frozen. */
+    observe(): void {
+        this.#server?.setFaults({}, this.world.nowMs);
+    }
+
+    handle(request: StandInRequest): StandInReply | undefined {
+        const server = this.#server;
+        if (server === undefined) {
+            return undefined;
+        }
+        const refusedBefore = { ...server.observations.startsRefused };
+        const reply = server.handle(request, this.world.nowMs);
+        const start = request.path === "/v1/tasks" ? readJson(startSchema, request.body) : undefined;
+        if (start !== undefined && server.clockAt(this.world.nowMs) <= start.startDeadlineMs) {
+            for (const [reason, count] of Object.entries(server.observations.startsRefused)) {
+                if (count > (refusedBefore[reason] ?? 0)) {
+                    const job = `${start.requestId} attempt ${start.attemptNumber}`;
+                    this.timelyRefusals.push({ atMs: this.world.nowMs, reason, job });
+                }
+            }
+        }
+        this.#drain();
+        return reply;
+    }
+
+    #observations(): Observations[] {
+        return this.#server ? [...this.#past, this.#server.observations] : this.#past;
+    }
+
+    #drain(): void {
+        for (const { callId, address, path, body, timeoutMs } of this.#server?.takeEffects() ?? []) {
+            const entry = this.entry(address);
+            const announcedLeaving = path === "/backend/v1/announce" && this.leavingSinceMs !== undefined;
+            this.network.call<StandInReply>({
+                from: this.host,
+                to: entry?.host,
+                timeoutMs,
+                handle: reply => {
+                    entry?.backendServerRequest(path, body, ({ status, json }) => {
+                        reply({ status, body: json });
+                    });
+                },
+                done: reply => {
+                    if (announcedLeaving && reply.body.includes("\"lease\"")) {
+                        this.leavingAcceptedAtMs ??= this.world.nowMs;
+                    }
+                    this.#server?.entryReplied(callId, reply, this.world.nowMs);
+                    this.#drain();
+                },
+                failed: () => {
+                    this.#server?.callFailed(callId, this.world.nowMs);
+                    this.#drain();
+                },
+            });
+        }
+    }
+}
