--- a/packages/test-support/src/fuzz/callers.ts
+++ b/packages/test-support/src/fuzz/callers.ts
@@ -236,33 +236,39 @@
     }
 
     #told(job: CallerJob, body: string | undefined, reply: Reply | undefined): void {
+        if (reply?.status === HTTP_CONFLICT && body !== undefined) {
+            this.#toldConflict(job, body);
+        }
         if (reply === undefined || reply.status !== HTTP_OK && reply.status !== HTTP_ACCEPTED) {
-            if (reply?.status === HTTP_CONFLICT && body === job.body && job.winner === undefined) {
-                // Another content of this id was accepted first.
-                job.bodies.push(...job.bodies.splice(0, 1));
-            }
-            else if (reply?.status === HTTP_CONFLICT && body === job.winner) {
-                this.faults.push(`${job.requestId}: the accepted content is refused as another one`);
-            }
             return;
         }
         if (body !== undefined) {
             job.winner ??= body;
-            if (job.winner !== body) {
-                this.faults.push(`${job.requestId}: two different contents were accepted`);
-            }
+            this.#expect(job, job.winner === body, "two different contents were accepted");
         }
         const view = JSON.parse(reply.text) as JobView;
-        if (view.requestId !== job.requestId) {
-            this.faults.push(`${job.requestId}: got the answer of ${view.requestId}`);
-        }
+        this.#expect(job, view.requestId === job.requestId, `got the answer of ${view.requestId}`);
         if (view.state === "ended") {
             this.#compareOutcome(job, view);
             this.#compareAnswer(job, view, reply.text);
         }
-        else if (job.ended !== undefined && view.attempts > job.ended.attempts) {
+        else if (job.ended !== undefined) {
             // A reply may be overtaken by a later one, but an ended job never gets a further attempt.
-            this.faults.push(`${job.requestId}: runs again after its end`);
+            this.#expect(job, view.attempts <= job.ended.attempts, "runs again after its end");
+        }
+    }
+
+    #toldConflict(job: CallerJob, body: string): void {
+        this.#expect(job, body !== job.winner, "the accepted content is refused as another one");
+        if (body === job.body) {
+            // Another content of this id was accepted first.
+            job.bodies.push(...job.bodies.splice(0, 1));
+        }
+    }
+
+    #expect(job: CallerJob, holds: boolean, otherwise: string): void {
+        if (!holds) {
+            this.faults.push(`${job.requestId}: ${otherwise}`);
         }
     }
 
--- a/packages/test-support/src/fuzz/fuzz-run.ts
+++ b/packages/test-support/src/fuzz/fuzz-run.ts
@@ -1,7 +1,8 @@
 import * as fc from "fast-check";
-import { command, initialModel } from "./commands.js";
+import { command } from "./commands.js";
 import { checkLiveness } from "./ending.js";
 import { Fleet } from "./fleet.js";
+import { initialModel } from "./step.js";
 
 const MAXIMUM_COMMANDS = 70;
 const SHRINK_LIMIT_MS = 60_000;
