--- a/packages/test-support/src/fuzz/ending.ts
+++ b/packages/test-support/src/fuzz/ending.ts
@@ -55,12 +55,7 @@
     await probeUrgentWork(fleet);
     const standing = callers.open.filter(job => job.wish.workClass === "watch");
     callers.cancel(standing);
-    const open = (): string => callers.open.map(({ requestId }) => requestId).join(" ");
-    await fleet.until(() => callers.open.length === 0, OUTCOME_LIMIT_MS, "outcomes of all jobs").catch(
-        (error: unknown) => {
-            throw new Error(`${(error as Error).message}: ${open()}`, { cause: error });
-        },
-    );
+    await fleet.until(() => callers.open.length === 0, OUTCOME_LIMIT_MS, "outcomes of all jobs");
     callers.jobs.forEach(job => {
         callers.askAgain(job);
     });
--- a/packages/test-support/src/fuzz/fuzz-run.ts
+++ b/packages/test-support/src/fuzz/fuzz-run.ts
@@ -2,6 +2,7 @@
 import { command } from "./commands.js";
 import { checkLiveness } from "./ending.js";
 import { Fleet } from "./fleet.js";
+import { Violation } from "./oracle.js";
 import { initialModel } from "./step.js";
 
 const MAXIMUM_COMMANDS = 70;
@@ -15,6 +16,14 @@
     failure: string | undefined;
 }
 
+/** A violation tells what was seen; any other error was thrown by the product, so its origin matters. */
+const describe = (cause: unknown): string => {
+    if (cause instanceof Violation) {
+        return cause.message;
+    }
+    return cause instanceof Error ? cause.stack ?? cause.message : String(cause);
+};
+
 /** Runs one seed; on a failure, `shrink` looks for a shorter trace that fails too. */
 export const runSeed = async (seed: number, shrink: boolean): Promise<RunReport> => {
     const report: RunReport = { steps: 0, events: 0, virtualMs: 0, failure: undefined };
@@ -47,7 +56,7 @@
     });
     if (details.failed) {
         const cause = details.errorInstance;
-        report.failure = [cause instanceof Error ? cause.message : String(cause), ...trace].join("\n  ");
+        report.failure = [describe(cause), ...trace].join("\n  ");
     }
     return report;
 };
