--- a/packages/scheduler/src/policy/basic-policies.ts
+++ b/packages/scheduler/src/policy/basic-policies.ts
@@ -1,9 +1,11 @@
 import type { SeededRandom } from "@waxwingspread/common";
 import { HealthState, Reason, WorkKind } from "@waxwingspread/protocol";
 import type { JobSpecification, Resources } from "@waxwingspread/protocol";
-import { addResources, fitsWithin, NO_RESOURCES } from "../state/resources.js";
+import { addResources, fitsWithin, NO_RESOURCES, scaleResources } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
-import { setBucket, TokenBucket } from "../timing/token-bucket.js";
+import type { TokenBucket } from "../timing/token-bucket.js";
+import { setBucket } from "../timing/token-bucket.js";
+import { BasicZonePolicy } from "./basic-zone-policy.js";
 import type {
     Admission,
     AdmissionPolicy,
@@ -23,7 +25,6 @@
     RetryPolicy,
     ServerView,
     TaskKey,
-    ZonePolicy,
 } from "./types.js";
 
 /** How {@link createBasicPolicies} orders the servers that have room. */
@@ -35,9 +36,6 @@
 const FAILURES_BEFORE_QUARANTINE = 3;
 const QUARANTINED_RATIO = 0.2;
 const QUARANTINE_MS = 30_000;
-const RETURN_MS = 30_000;
-const FIRST_FILL_RATIO = 0.1;
-const STOPS_PER_SECOND = 8;
 const FIRST_RETRY_MS = 200;
 const LONGEST_RETRY_MS = 30_000;
 const LARGEST_EXPONENT = 10;
@@ -201,16 +199,11 @@
 
 interface CustomerUse {
     tasks: Map<TaskKey, { workKind: WorkKind; reserved: Resources }>;
+    byKind: Map<WorkKind, ResourceAmounts>;
 }
 
 const KINDS_BY_URGENCY = [WorkKind.LATENCY_CRITICAL, WorkKind.STANDING, WorkKind.BATCH];
 
-const scaled = (resources: ResourceAmounts, ratio: number): ResourceAmounts => ({
-    cpuMillicores: resources.cpuMillicores * ratio,
-    memoryMebibytes: resources.memoryMebibytes * ratio,
-    accelerators: resources.accelerators * ratio,
-});
-
 /** First in, first out within each kind; nobody exceeds a quota, so nothing is reclaimed. */
 class BasicFairSharePolicy implements FairSharePolicy {
     readonly #limits = new Map<string, CustomerLimits>();
@@ -230,13 +223,22 @@
     }
 
     started(customer: string, workKind: WorkKind, taskKey: TaskKey, reserved: Resources): void {
-        const use = this.#uses.get(customer) ?? { tasks: new Map() };
-        use.tasks.set(taskKey, { workKind, reserved });
+        const use = this.#uses.get(customer) ?? { tasks: new Map(), byKind: new Map() };
         this.#uses.set(customer, use);
+        use.tasks.set(taskKey, { workKind, reserved });
+        use.byKind.set(workKind, addResources(use.byKind.get(workKind) ?? NO_RESOURCES, reserved));
     }
 
     ended(customer: string, taskKey: TaskKey): void {
-        this.#uses.get(customer)?.tasks.delete(taskKey);
+        const use = this.#uses.get(customer);
+        const task = use?.tasks.get(taskKey);
+        if (use !== undefined && task !== undefined) {
+            use.tasks.delete(taskKey);
+            use.byKind.set(
+                task.workKind,
+                addResources(use.byKind.get(task.workKind) ?? NO_RESOURCES, task.reserved, -1),
+            );
+        }
     }
 
     enqueue(job: QueuedJob): void {
@@ -267,18 +269,18 @@
         if (limits === undefined) {
             return Reason.CUSTOMER_REMOVED;
         }
-        const tasks = [...this.#uses.get(job.customer)?.tasks.values() ?? []];
+        const use = this.#uses.get(job.customer);
         const sum = (kinds: readonly WorkKind[]): ResourceAmounts =>
-            tasks.filter(task => kinds.includes(task.workKind))
-                .reduce((total, task) => addResources(total, task.reserved), job.reserved as ResourceAmounts);
+            kinds.map(kind => use?.byKind.get(kind) ?? NO_RESOURCES)
+                .reduce((total, used) => addResources(total, used), job.reserved as ResourceAmounts);
         const quota = limits.quota.resources ?? NO_RESOURCES;
         const shares = new Map([
             [WorkKind.LATENCY_CRITICAL, limits.latencyCriticalShare],
             [WorkKind.BATCH, limits.batchShare],
         ]);
-        const fits = tasks.length < limits.quota.concurrentTasks
+        const fits = (use?.tasks.size ?? 0) < limits.quota.concurrentTasks
             && fitsWithin(sum(KINDS_BY_URGENCY), quota)
-            && fitsWithin(sum([job.workKind]), scaled(quota, shares.get(job.workKind) ?? 1));
+            && fitsWithin(sum([job.workKind]), scaleResources(quota, shares.get(job.workKind) ?? 1));
         return fits ? undefined : Reason.QUOTA_IN_USE;
     }
 
@@ -307,8 +309,11 @@
     admit(specification: JobSpecification, job: QueuedJob, expectedWaitMs: number, nowMs: number): Admission {
         const bucket = this.#buckets.get(job.customer);
         if (bucket !== undefined && !bucket.take(nowMs)) {
-            const retryAfterMs = Math.ceil(1_000 / Math.max(bucket.perSecond, 0.001));
-            return { admitted: false, reason: Reason.RATE_EXCEEDED, retryAfterMs };
+            return {
+                admitted: false,
+                reason: Reason.RATE_EXCEEDED,
+                retryAfterMs: Math.ceil(1_000 / Math.max(bucket.perSecond, 0.001)),
+            };
         }
         const earliestEndMs = nowMs + expectedWaitMs + specification.declaredRunTimeMs;
         if (job.deadlineMs > 0 && earliestEndMs > job.deadlineMs) {
@@ -354,9 +359,7 @@
     readonly #servers = new Map<string, ServerHealth>();
 
     register(backendServerId: string, slots: number, health: HealthState, consecutiveFailures: number): void {
-        const former = this.#servers.get(backendServerId);
-        const quarantinedUntilMs = former?.quarantinedUntilMs ?? 0;
-        const failedJobs = former?.failedJobs ?? new Set<string>();
+        const { quarantinedUntilMs = 0, failedJobs = new Set<string>() } = this.#servers.get(backendServerId) ?? {};
         const failures = consecutiveFailures;
         this.#servers.set(backendServerId, { slots, health, failures, failedJobs, quarantinedUntilMs });
     }
@@ -421,41 +424,6 @@
     }
 }
 
-/** Stops latency-critical, then batch, then standing work at a constant rate; fills linearly. */
-class BasicZonePolicy implements ZonePolicy {
-    readonly #returnedAtMs = new Map<string, number>();
-    readonly #rate = new TokenBucket(STOPS_PER_SECOND, STOPS_PER_SECOND);
-
-    zoneOut(availabilityZone: string): void {
-        this.#returnedAtMs.delete(availabilityZone);
-    }
-
-    zoneBack(availabilityZone: string, nowMs: number): void {
-        this.#returnedAtMs.set(availabilityZone, nowMs);
-    }
-
-    nextToStop(tasks: readonly PlacedTask[], nowMs: number): TaskKey[] {
-        const order = [WorkKind.LATENCY_CRITICAL, WorkKind.BATCH, WorkKind.STANDING];
-        return tasks.filter(task => !task.stopping)
-            .sort((a, b) => order.indexOf(a.workKind) - order.indexOf(b.workKind) || a.placedAtMs - b.placedAtMs)
-            .filter(() => this.#rate.take(nowMs))
-            .map(task => task.taskKey);
-    }
-
-    fillRatio(availabilityZone: string, nowMs: number): number {
-        const returnedAtMs = this.#returnedAtMs.get(availabilityZone);
-        return returnedAtMs === undefined
-            ? 1
-            : Math.min(1, Math.max(FIRST_FILL_RATIO, (nowMs - returnedAtMs) / RETURN_MS));
-    }
-
-    returned(nowMs: number): string[] {
-        const names = [...this.#returnedAtMs].filter(([, atMs]) => nowMs >= atMs + RETURN_MS).map(([name]) => name);
-        names.forEach(name => this.#returnedAtMs.delete(name));
-        return names;
-    }
-}
-
 /** Returns the simplest correct policies, used as a baseline and in tests. */
 export const createBasicPolicies = (
     random: SeededRandom,
