Open at most one leader session in a term

Cause: while a leader hands over, its log refuses proposals, so the control node closes its session. Entries of the same term that commit afterwards, before the replica stops leading, opened a second session. Its first event, the start of a term, contradicts the state ("term 2 is not new"), and the process ended with an exception. Change: a session is opened only in a term later than that of the last session. Conclusion: found by fuzzing with the command "the leader hands over and stays"; the new test fails without the change. Ruled out: a second session in the same term, because orders' sequence numbers are given per term.

--- a/packages/control/src/control-node.test.ts
+++ b/packages/control/src/control-node.test.ts
@@ -25,6 +25,7 @@
 class FakeLog implements ReplicatedLogPort {
     term = 1;
     isLeader = true;
+    isHandingOver = false;
     leaderAddress: string | undefined = "10.0.0.1:1";
     membership = create(MembershipSchema, {});
     commitIndex = 0;
@@ -33,7 +34,7 @@
     readonly entries: LogEntry[] = [];
 
     propose(records: Uint8Array[]): ReturnType<ReplicatedLogPort["propose"]> {
-        if (!this.isLeader) {
+        if (!this.isLeader || this.isHandingOver) {
             return Err(new StepError(ErrorCode.NOT_LEADER, "propose", "", "not leader"));
         }
         records.forEach(value => this.append({ case: "data", value }));
@@ -163,6 +164,17 @@
         expect(node.state.revision).toBe(1);
     });
 
+    // Guards against a second session in one term, whose first event contradicts the state.
+    it("serves no more in a term in which it began to hand over", () => {
+        execute(1, writeContract("command-1", 0));
+        log.isHandingOver = true;
+        execute(2, writeContract("command-2", 0));
+        commit();
+        expect(node.isServing).toBe(false);
+        expect(node.state.revision).toBe(1);
+        expect(resultOf(2).error?.code).toBe(ErrorCode.UNCERTAIN);
+    });
+
     it("lets exactly one of two commands with the same revision win and repeats a first outcome", () => {
         execute(1, writeContract("command-1", 0));
         execute(2, writeContract("command-2", 0));
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -32,6 +32,7 @@
     #state = new ClusterState();
     #session: LeaderSession | undefined;
     #appliedIndex = 0;
+    #lastSessionTerm = 0;
     #effects: ControlEffect[] = [];
 
     constructor(options: ControlNodeOptions) {
@@ -152,8 +153,10 @@
             this.#applyBatch(this.#decode(entry.body.value, entry.index), entry.index, decidedHere);
         }
         this.#appliedIndex = entry.index;
-        const ownTerm = entry.term === this.#options.log.term;
-        if (this.#session === undefined && ownTerm && this.#options.log.isLeader) {
+        const { log } = this.#options;
+        // A handover ends the session while the replica still leads; its last entries must not open a second one.
+        const isNewTerm = entry.term === log.term && entry.term > this.#lastSessionTerm;
+        if (this.#session === undefined && isNewTerm && log.isLeader) {
             this.#startSession(nowMs);
         }
     }
@@ -200,6 +203,7 @@
 
     #startSession(nowMs: number): void {
         const { log, settings, schedulerSettings, random } = this.#options;
+        this.#lastSessionTerm = log.term;
         const scheduler = new Scheduler(this.#state, schedulerSettings, random);
         scheduler.startTerm(log.term, this.#options.name, nowMs);
         this.#session = new LeaderSession(scheduler, log.term, {
