--- a/packages/test-support/src/fuzz/caller-commands.ts
+++ b/packages/test-support/src/fuzz/caller-commands.ts
@@ -9,6 +9,7 @@
     runMs: fc.constantFrom(30, 300, 1_500, 6_000),
     fail: fc.constantFrom(false, false, false, false, false, true),
     repeatable: fc.constantFrom(true, true, true, false),
+    deadlineInMs: fc.constantFrom(undefined, undefined, undefined, 500, 8_000),
 });
 
 const pickJob = (fleet: Fleet, number: number): CallerJob | undefined =>
@@ -21,8 +22,12 @@
     step({
         weight: 14,
         argument: wish,
-        text: ({ workClass, runMs, fail, repeatable }: JobWish) =>
-            `submit ${workClass} of ${runMs} ms${fail ? ", fails" : ""}${repeatable ? "" : ", not repeatable"}`,
+        text: ({ workClass, runMs, fail, repeatable, deadlineInMs }: JobWish) => {
+            const deadline = deadlineInMs === undefined ? "" : `, within ${deadlineInMs} ms`;
+            return `submit ${workClass} of ${runMs} ms${fail ? ", fails" : ""}${
+                repeatable ? "" : ", not repeatable"
+            }${deadline}`;
+        },
         act: (fleet: Fleet, argument: JobWish, model: Model) => {
             fleet.callers.submit(argument);
             model.jobs += 1;
--- a/packages/test-support/src/fuzz/operators.ts
+++ b/packages/test-support/src/fuzz/operators.ts
@@ -126,7 +126,7 @@
     }
 
     /** Adds the new disk of a control VM, removes the lost one and promotes the new one. */
-    repair(control: ControlHost, lostDiskId: string): void {
+    repair(control: ControlHost, lostDiskId: string, repaired: () => void): void {
         this.repairsOpen += 1;
         const again = (): void => {
             const identity = control.runner?.replica.identity;
@@ -139,6 +139,7 @@
                 this.#change({ case: "removeReplicaDiskId", value: lostDiskId }, () => {
                     this.#change({ case: "promoteReplicaDiskId", value: identity.diskId }, () => {
                         this.repairsOpen -= 1;
+                        repaired();
                     });
                 });
             });
--- a/packages/test-support/src/fuzz/process-commands.ts
+++ b/packages/test-support/src/fuzz/process-commands.ts
@@ -13,6 +13,7 @@
 };
 
 const restart = (fleet: Fleet, name: string, model: Model): void => {
+    fleet.controls.find(candidate => candidate.name === name)?.freeDisk();
     if (!find(fleet, name).host.alive) {
         find(fleet, name).start();
     }
@@ -20,7 +21,7 @@
 };
 
 /** A disk may be lost while all members are voters with their disks, so that a majority keeps everything. */
-const loseDisk = (fleet: Fleet, name: string): void => {
+const loseDisk = (fleet: Fleet, name: string, repaired: () => void = () => undefined): void => {
     const lost = fleet.controls.find(candidate => candidate.name === name);
     const { leader, operators } = fleet;
     if (lost === undefined || leader === undefined || operators.repairsOpen > 0) {
@@ -33,7 +34,7 @@
     }
     lost.loseDisk();
     lost.start();
-    operators.repair(lost, lostDiskId);
+    operators.repair(lost, lostDiskId, repaired);
 };
 
 /** Commands that freeze, kill, restart and shut down processes, and lose disks. */
@@ -118,6 +119,37 @@
             }
         },
     }),
+    step({
+        weight: 2,
+        argument: fc.tuple(control, control).filter(([first, second]) => first !== second),
+        text: ([first, second]: [string, string]) =>
+            `lose the disk of ${first}, and that of ${second} once it is repaired`,
+        permitted: (model: Readonly<Model>, [name]: [string, string]) => isUp(model, name),
+        act: (fleet: Fleet, [first, second]: [string, string]) => {
+            loseDisk(fleet, first, () => {
+                loseDisk(fleet, second);
+            });
+        },
+    }),
+    step({
+        weight: 2,
+        argument: fc.constant(undefined),
+        text: () => "the leader hands over and stays",
+        act: (fleet: Fleet) => {
+            fleet.leader?.runner?.handOver(fleet.world.nowMs);
+        },
+    }),
+    step({
+        weight: 2,
+        argument: fc.constant(undefined),
+        text: () => "shut the leader down as planned",
+        act: (fleet: Fleet) => {
+            const { leader } = fleet;
+            leader?.shutDown(() => {
+                leader.start();
+            });
+        },
+    }),
     step({
         weight: 1,
         argument: control,
