Send heartbeats instead of unchanged announcements

Change: an entry replaces an announcement whose content the leader has by its digest, clock and sequence; the leader asks for the whole one where the digest isn't the last it knows. The proof-of-life token travels through entry and stand-in. Ruled out: trusting the entry to remember what the leader has; a server that changes its entry would bring back an old list.

--- a/packages/bench/src/capacity/measurements.ts
+++ b/packages/bench/src/capacity/measurements.ts
@@ -1,5 +1,13 @@
-import { fromBinary, toBinary } from "@bufbuild/protobuf";
-import { AnnouncementSchema, ClusterSnapshotSchema, ConfigurationSchema } from "@waxwingspread/protocol";
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { announcementDigest } from "@waxwingspread/common";
+import {
+    AnnouncementSchema,
+    ClusterSnapshotSchema,
+    ConfigurationSchema,
+    HeartbeatSchema,
+    ReportRequestSchema,
+} from "@waxwingspread/protocol";
+import type { Announcement } from "@waxwingspread/protocol";
 import { ClusterState } from "@waxwingspread/scheduler";
 import { LoadedScheduler } from "./loaded-scheduler.js";
 import { fitSlope } from "./slope.js";
@@ -108,6 +116,8 @@
     const roundMs: Point[] = [];
     const bytes: Point[] = [];
     const tickMs: Point[] = [];
+    const heartbeatBytes: Point[] = [];
+    const heartbeatMs: Point[] = [];
     for (const size of SERVERS) {
         const loaded = new LoadedScheduler(size, 1);
         loaded.fill(Math.floor(10_500 * size / FLEET_SERVERS));
@@ -115,19 +125,46 @@
         roundMs.push({ size, value: median(rounds) });
         const ticks = Array.from({ length: TIMED_ROUNDS }, () => elapsedMs(() => loaded.scheduler.tick(loaded.nowMs)));
         tickMs.push({ size, value: median(ticks) });
-        let roundBytes = 0;
-        for (let number = 0; number < size; number += 1) {
-            roundBytes += toBinary(AnnouncementSchema, loaded.announcement(number)).length;
-        }
-        bytes.push({ size, value: roundBytes });
+        const whole = Array.from({ length: size }, (unused, number) => loaded.announcement(number));
+        bytes.push({ size, value: whole.reduce((sum, item) => sum + toBinary(AnnouncementSchema, item).length, 0) });
+        const { beatBytes, beatMs } = heartbeatRound(loaded, whole);
+        heartbeatBytes.push({ size, value: beatBytes });
+        heartbeatMs.push({ size, value: beatMs });
     }
     return [
         measurement("leader: one announcement of every server with its tasks", "ms", "backend server", roundMs),
-        measurement("announcements as passed on by entries", "bytes", "backend server", bytes),
+        measurement("leader: one heartbeat of every server", "ms", "backend server", heartbeatMs),
+        measurement("heartbeats as passed on by entries", "bytes", "backend server", heartbeatBytes),
+        measurement("whole announcements as passed on by entries", "bytes", "backend server", bytes),
         measurement("leader: one tick", "ms", "backend server", tickMs),
     ];
 };
 
+/** Sends one heartbeat for each announcement, after the leader has taken the whole announcements. */
+const heartbeatRound = (
+    loaded: LoadedScheduler,
+    announcements: readonly Announcement[],
+): { beatBytes: number; beatMs: number } => {
+    loaded.scheduler.report(create(ReportRequestSchema, { announcements: [...announcements] }), loaded.nowMs);
+    loaded.nowMs += 1_000;
+    const heartbeats = announcements.map(announcement =>
+        create(HeartbeatSchema, {
+            digest: announcementDigest(announcement),
+            clockMs: loaded.nowMs,
+            sequence: announcement.sequence + announcements.length,
+            heldMs: 50,
+        })
+    );
+    const request = create(ReportRequestSchema, { heartbeats });
+    const beatMs = elapsedMs(() => {
+        const response = loaded.scheduler.report(request, loaded.nowMs);
+        if (response.unknownHeartbeats.length + response.refusedHeartbeats.length > 0) {
+            throw new Error("the leader did not take all heartbeats");
+        }
+    });
+    return { beatBytes: toBinary(ReportRequestSchema, request).length, beatMs };
+};
+
 const configurationByCustomers = (): Measurement[] => {
     const bytes: Point[] = [];
     for (const size of CUSTOMERS) {
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./announcement-digest.js";
 export * from "./hybrid-clock.js";
 export * from "./job-key.js";
 export * from "./journal.js";
--- /dev/null
+++ b/packages/entry/src/reporting/announcement-condenser.test.ts
@@ -0,0 +1,50 @@
+import { create } from "@bufbuild/protobuf";
+import type { MessageInitShape } from "@bufbuild/protobuf";
+import { AnnouncementSchema, TaskPhase } from "@waxwingspread/protocol";
+import type { Announcement } from "@waxwingspread/protocol";
+import { beforeEach, describe, expect, it } from "vitest";
+import { AnnouncementCondenser } from "./announcement-condenser.js";
+
+const LEADER = "10.0.0.1:7000";
+
+type Overrides = MessageInitShape<typeof AnnouncementSchema>;
+
+const announcement = (sequence: number, overrides: Overrides = {}): Announcement =>
+    create(AnnouncementSchema, {
+        backendServerId: "backend-1",
+        incarnation: "first",
+        address: "10.0.1.1:8000",
+        clockMs: sequence * 1_000,
+        sequence,
+        tasks: [{ customer: "c", requestId: "r", attemptNumber: 1, phase: TaskPhase.RUNNING }],
+        ...(overrides as object),
+    });
+
+describe("AnnouncementCondenser", () => {
+    let condenser: AnnouncementCondenser;
+
+    beforeEach(() => {
+        condenser = new AnnouncementCondenser();
+        condenser.confirmed(announcement(1), LEADER);
+    });
+
+    it("sends a heartbeat with the new clock while nothing else changes", () => {
+        const heartbeat = condenser.condense(announcement(2), 12.9, LEADER);
+        expect(heartbeat).toMatchObject({ clockMs: 2_000, sequence: 2, heldMs: 12 });
+    });
+
+    it.each<[string, Overrides]>([
+        ["the tasks", { tasks: [] }],
+        ["leaving", { leaving: true }],
+        ["the incarnation", { incarnation: "second" }],
+        ["a proof of life", { leaseToken: "token" }],
+    ])("sends the whole announcement when %s changes, which the leader must not miss", (unusedName, overrides) => {
+        expect(condenser.condense(announcement(2, overrides), 0, LEADER)).toBeUndefined();
+    });
+
+    it("sends the whole announcement to another leader and to one that has lost it", () => {
+        expect(condenser.condense(announcement(2), 0, "10.0.0.2:7000")).toBeUndefined();
+        condenser.unknown("backend-1");
+        expect(condenser.condense(announcement(2), 0, LEADER)).toBeUndefined();
+    });
+});
--- a/packages/entry/src/reporting/backend-server-service.ts
+++ b/packages/entry/src/reporting/backend-server-service.ts
@@ -56,7 +56,11 @@
     #announceReply(reply: AnnouncementReply | undefined): string {
         const lease = reply?.lease;
         return JSON.stringify({
-            lease: lease && { expiresMs: lease.expiresBackendMs, term: lease.term },
+            lease: lease && {
+                expiresMs: lease.expiresBackendMs,
+                term: lease.term,
+                token: lease.token === "" ? undefined : lease.token,
+            },
             entries: this.entryAddresses(),
             fullListWanted: reply?.fullListWanted === true ? true : undefined,
         });
--- a/packages/entry/src/reporting/report-batcher.ts
+++ b/packages/entry/src/reporting/report-batcher.ts
@@ -1,10 +1,18 @@
 import { create } from "@bufbuild/protobuf";
-import { ReportRequestSchema } from "@waxwingspread/protocol";
-import type { Announcement, EndReport, LeaseGrant, ReportResponse, StartReport } from "@waxwingspread/protocol";
+import { LeaseGrantSchema, ReportRequestSchema } from "@waxwingspread/protocol";
+import type {
+    Announcement,
+    EndReport,
+    LeaseGrant,
+    ReportRequest,
+    ReportResponse,
+    StartReport,
+} from "@waxwingspread/protocol";
 import type { Result } from "ts-results-es";
 import type { AttemptFailure } from "../calls/leader-client.js";
 import type { EntryContext } from "../context.js";
 import { EntryMetric } from "../effects.js";
+import { AnnouncementCondenser } from "./announcement-condenser.js";
 
 /** What the leader replied to an announcement; undefined without a reply in time. */
 export interface AnnouncementReply {
@@ -34,6 +42,8 @@
 
 interface Batch {
     announcements: PendingAnnouncement[];
+    /** Sent as heartbeats, in the order of the message. */
+    heartbeats: PendingAnnouncement[];
     starts: StartReport[];
     ends: PendingEnd[];
 }
@@ -41,12 +51,24 @@
 const isNewer = (candidate: Announcement, held: Announcement): boolean =>
     candidate.incarnation !== held.incarnation || candidate.sequence > held.sequence;
 
+const heartbeatLease = (
+    { backendServerId, incarnation, clockMs }: Announcement,
+    response: ReportResponse,
+): LeaseGrant =>
+    create(LeaseGrantSchema, {
+        backendServerId,
+        incarnation,
+        expiresBackendMs: clockMs + response.heartbeatLeaseMs,
+        term: response.term,
+    });
+
 /**
  * Condenses what backend servers report into messages to the leader, of which at most one is under way. What a
  * failed message carried is put back and merged with what has arrived since.
  */
 export class ReportBatcher {
     readonly #announcements = new Map<string, PendingAnnouncement>();
+    readonly #condenser = new AnnouncementCondenser();
     #starts: StartReport[] = [];
     #ends: PendingEnd[] = [];
     #inFlight: Batch | undefined;
@@ -104,7 +126,7 @@
                 this.#announcements.delete(backendServerId);
             }
         }
-        for (const pending of this.#inFlight?.announcements ?? []) {
+        for (const pending of [...this.#inFlight?.announcements ?? [], ...this.#inFlight?.heartbeats ?? []]) {
             this.#expireWaiters(pending, nowMs);
         }
         const expired = this.#ends.filter(end => end.deadlineMs <= nowMs);
@@ -136,29 +158,44 @@
             return;
         }
         const { settings, leader, effects } = this.context;
+        this.#announcementsDueMs = nowMs + settings.timing.announcementFlushMs;
+        const { batch, request } = this.#nextBatch(nowMs);
+        this.#inFlight = batch;
+        effects.count(EntryMetric.ReportsSent);
+        this.#sentTo = leader.leaderAddress;
+        this.#callId = leader.attempt("report", request, settings.timing.callTimeoutMs, (result, atMs) => {
+            this.#answered(batch, result, atMs);
+        }, nowMs);
+    }
+
+    #nextBatch(nowMs: number): { batch: Batch; request: ReportRequest } {
+        const { settings, leader } = this.context;
         const limit = settings.limits.reportsPerMessage;
         const batch: Batch = {
-            announcements: [...this.#announcements.values()],
+            announcements: [],
+            heartbeats: [],
             starts: this.#starts.splice(0, limit),
             ends: this.#ends.splice(0, limit),
         };
-        this.#announcements.clear();
-        this.#inFlight = batch;
-        this.#announcementsDueMs = nowMs + settings.timing.announcementFlushMs;
         const request = create(ReportRequestSchema, {
             entryId: settings.entryId,
-            announcements: batch.announcements.map(({ announcement, receivedAtMs }) => ({
-                ...announcement,
-                heldMs: nowMs - receivedAtMs,
-            })),
             starts: batch.starts,
             ends: batch.ends.map(end => end.report),
         });
-        effects.count(EntryMetric.ReportsSent);
-        this.#sentTo = leader.leaderAddress;
-        this.#callId = leader.attempt("report", request, settings.timing.callTimeoutMs, (result, atMs) => {
-            this.#answered(batch, result, atMs);
-        }, nowMs);
+        for (const pending of this.#announcements.values()) {
+            const heldMs = nowMs - pending.receivedAtMs;
+            const heartbeat = this.#condenser.condense(pending.announcement, heldMs, leader.leaderAddress);
+            if (heartbeat === undefined) {
+                batch.announcements.push(pending);
+                request.announcements.push({ ...pending.announcement, heldMs });
+            }
+            else {
+                batch.heartbeats.push(pending);
+                request.heartbeats.push(heartbeat);
+            }
+        }
+        this.#announcements.clear();
+        return { batch, request };
     }
 
     #answered(batch: Batch, result: Result<ReportResponse, AttemptFailure>, nowMs: number): void {
@@ -188,15 +225,37 @@
                 const granted = lease?.incarnation === waiter.incarnation ? lease : undefined;
                 waiter.done({ lease: granted, fullListWanted: wanted });
             });
+            if (lease?.incarnation === announcement.incarnation && lease.token === "") {
+                this.#condenser.confirmed(announcement, this.#sentTo);
+            }
         }
+        this.#completeHeartbeats(batch, response);
         const settled = new Set(response.settledEnds);
         batch.ends.forEach((end, position) => {
             end.done(settled.has(position), nowMs);
         });
     }
 
+    #completeHeartbeats(batch: Batch, response: ReportResponse): void {
+        const unknown = new Set(response.unknownHeartbeats);
+        const refused = new Set(response.refusedHeartbeats);
+        batch.heartbeats.forEach((pending, position) => {
+            const { announcement, waiters } = pending;
+            if (unknown.has(position)) {
+                this.#condenser.unknown(announcement.backendServerId);
+                this.#merge(pending);
+                return;
+            }
+            const lease = refused.has(position) ? undefined : heartbeatLease(announcement, response);
+            waiters.forEach(waiter => {
+                const granted = lease?.incarnation === waiter.incarnation ? lease : undefined;
+                waiter.done({ lease: granted, fullListWanted: false });
+            });
+        });
+    }
+
     #giveUp(batch: Batch, nowMs: number): void {
-        for (const waiter of batch.announcements.flatMap(({ waiters }) => waiters)) {
+        for (const waiter of [...batch.announcements, ...batch.heartbeats].flatMap(({ waiters }) => waiters)) {
             waiter.done(undefined);
         }
         for (const end of batch.ends) {
@@ -207,7 +266,7 @@
     #putBack(batch: Batch): void {
         this.#starts = [...batch.starts, ...this.#starts];
         this.#ends = [...batch.ends, ...this.#ends];
-        for (const pending of batch.announcements) {
+        for (const pending of [...batch.announcements, ...batch.heartbeats]) {
             if (pending.waiters.length > 0) {
                 this.#merge(pending);
             }
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -38,6 +38,7 @@
 import { Placer } from "./placement/placer.js";
 import { Announcements } from "./servers/announcements.js";
 import { BackendClocks } from "./servers/backend-clocks.js";
+import { KnownAnnouncements } from "./servers/known-announcements.js";
 import { LeaseKeeper } from "./servers/lease-keeper.js";
 import type { SchedulerSettings } from "./settings.js";
 import type { ClusterObserver, ClusterState } from "./state/cluster-state.js";
@@ -69,6 +70,7 @@
     readonly #leases: LeaseKeeper;
     readonly #reports: AttemptReports;
     readonly #announcements: Announcements;
+    readonly #knownAnnouncements: KnownAnnouncements;
     readonly #jobTimers: JobTimers;
     readonly #mitigations: Mitigations;
     readonly #submission: Submission;
@@ -97,6 +99,7 @@
             this.#reports,
             this.#leases,
         );
+        this.#knownAnnouncements = new KnownAnnouncements(this.#announcements, settings.leaseMs);
         this.#jobTimers = new JobTimers(decision, this.#attempts);
         this.#mitigations = new Mitigations(decision, this.#attempts);
         this.#submission = new Submission(decision, this.#view, this.#placer, this.#attempts, this.#orders);
@@ -144,9 +147,11 @@
         request.ends.forEach(end => this.#reports.endReported(end));
         request.starts.forEach(start => this.#reports.startReported(start));
         const leases = request.announcements
-            .map(announcement => this.#announcements.announced(announcement))
+            .map(announcement => this.#knownAnnouncements.announced(announcement))
             .filter(lease => lease !== undefined);
         return create(ReportResponseSchema, {
+            ...this.#knownAnnouncements.heartbeats(request.heartbeats),
+            term: this.#decision.term,
             leases,
             settledEnds: request.ends.map((unusedEnd, position) => position),
         });
--- a/packages/test-support/src/stand-in/entry-link.ts
+++ b/packages/test-support/src/stand-in/entry-link.ts
@@ -33,6 +33,7 @@
     #selected: number;
     #nextCallId = 1;
     #sequence = 0;
+    #leaseToken = "";
     #announceCallId: number | undefined;
     #nextAnnounceMs: number;
     #failuresInRow = 0;
@@ -89,6 +90,7 @@
             }),
             usage,
             sequence: this.#sequence,
+            leaseToken: this.#leaseToken,
         });
         const jitterMs = this.timing.announceIntervalMs * JITTER_RATIO * this.options.random.nextRatio();
         this.#nextAnnounceMs = clockMs + this.timing.announceIntervalMs - jitterMs;
@@ -117,6 +119,7 @@
         this.#deadlines.delete(callId);
         this.#failuresInRow = 0;
         this.#takeEntries(parsed.entries ?? []);
+        this.#leaseToken = parsed.lease?.token ?? this.#leaseToken;
         this.#leavingKnown ||= this.#saysLeaving && parsed.lease !== undefined;
         if (!parsed.lease) {
             // The entry doesn't reach the leader; the next announcement goes to another one.
--- a/packages/test-support/src/stand-in/messages.ts
+++ b/packages/test-support/src/stand-in/messages.ts
@@ -46,7 +46,7 @@
 
 /** Reply to an announcement. */
 export const announceReplySchema = z.object({
-    lease: z.object({ expiresMs: z.number(), term: z.number().int().min(0) }).optional(),
+    lease: z.object({ expiresMs: z.number(), term: z.number().int().min(0), token: z.string().optional() }).optional(),
     entries: z.array(z.string().min(1)).optional(),
 });
 
