--- a/packages/scheduler/src/scheduler.test.ts
+++ b/packages/scheduler/src/scheduler.test.ts
@@ -70,6 +70,13 @@
         expect(result).toMatchObject({ case: "error", value: { code: ErrorCode.OVERLOADED, retryAfterMs: 1_000 } });
     });
 
+    it("chooses no server that fell silent while the leader was paused", () => {
+        const harness = Harness.ready(1);
+        harness.nowMs += 5_000;
+        expect(harness.submit(specificationFor("r1", "check")).order).toBeUndefined();
+        expect(harness.scheduler.rejectedPlacements).toBe(0);
+    });
+
     it("ends a queued job at its deadline as not run", () => {
         const harness = Harness.ready(0);
         harness.submit(specificationFor("r1", "check", { deadlineMs: harness.nowMs + 500 }));
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -125,6 +125,8 @@
     /** Accepts, refuses or finds a request; the response carries the start order if it was placed at once. */
     submit(request: SubmitRequest, nowMs: number): SubmitResponse {
         this.#decision.advance(nowMs);
+        // After a pause of this process the servers that fell silent must not be chosen.
+        this.#leases.tick();
         return this.#submission.submit(request);
     }
 
