--- a/packages/test-support/src/replication.test.ts
+++ b/packages/test-support/src/replication.test.ts
@@ -149,6 +149,19 @@
         expect(cluster.leader).not.toBe(leader);
     });
 
+    it("gives a paused leader no lease once another one can commit, whatever the length of the pause", async () => {
+        const cluster = await formed(["a", "b", "c"], 6);
+        for (let pauseMs = 100; pauseMs <= 1_500; pauseMs += 100) {
+            const paused = cluster.nodes.get(cluster.leader?.replica.identity.name ?? "");
+            if (paused !== undefined) {
+                paused.pausedUntilMs = cluster.nowMs + pauseMs;
+            }
+            // Each step checks the lease as if the paused process read at that time.
+            await cluster.run(2_500);
+        }
+        expect(cluster.oracle.terms).toBeGreaterThan(5);
+    });
+
     it("does not let a wiped disk vote under its old identity", async () => {
         const cluster = await formed(["a", "b", "c"], 3);
         const [wiped, crashed] = cluster.runners.filter(runner => runner !== cluster.leader);
