--- /dev/null
+++ b/packages/scheduler/src/policy/admission-control.ts
@@ -0,0 +1,134 @@
+import type { JobSpecification } from "@waxwingspread/protocol";
+import { Reason, WorkKind } from "@waxwingspread/protocol";
+import { fitsInto, scaled } from "./amounts.js";
+import type { Amounts } from "./amounts.js";
+import { TokenBucket } from "./token-bucket.js";
+import type { Admission, AdmissionPolicy, CustomerLimits, QueuedJob } from "./types.js";
+
+/** What admission asks of other policies. */
+export interface AdmissionSources {
+    couldEverFit(reserved: Amounts): boolean;
+    queuedCount(customer: string): number;
+    expectedRunTimeMs(classKey: string, declaredMs: number): number;
+}
+
+interface AdmittedCustomer {
+    limits: CustomerLimits;
+    /** Undefined where the contract states no rate. */
+    rate: TokenBucket | undefined;
+}
+
+/** Bounds of the retry delay given to callers whose queue is full. */
+const MINIMUM_QUEUE_RETRY_MS = 500;
+const MAXIMUM_QUEUE_RETRY_MS = 30_000;
+
+const ADMITTED: Admission = { admitted: true };
+
+const refuse = (reason: Reason, detail: string, retryAfterMs?: number): Admission => ({
+    admitted: false,
+    reason,
+    detail,
+    retryAfterMs,
+});
+
+const shareOf = (limits: CustomerLimits, workKind: WorkKind): number => {
+    switch (workKind) {
+        case WorkKind.LATENCY_CRITICAL:
+            return limits.latencyCriticalShare;
+        case WorkKind.BATCH:
+            return limits.batchShare;
+        default:
+            return 1;
+    }
+};
+
+/** Refuses at once what could not be met: rate, queue bound, deadline, and work that fits nowhere. */
+export class AdmissionControl implements AdmissionPolicy {
+    readonly #sources: AdmissionSources;
+    readonly #customers = new Map<string, AdmittedCustomer>();
+
+    constructor(sources: AdmissionSources) {
+        this.#sources = sources;
+    }
+
+    setCustomer(limits: CustomerLimits): void {
+        const { submissionsPerSecond, submissionBurst } = limits.quota;
+        const burst = Math.max(1, submissionBurst);
+        const known = this.#customers.get(limits.customer);
+        if (submissionsPerSecond <= 0) {
+            this.#customers.set(limits.customer, { limits, rate: undefined });
+            return;
+        }
+        // The bucket is kept, so that an amended contract doesn't grant a second burst.
+        known?.rate?.configure(submissionsPerSecond, burst);
+        const rate = known?.rate ?? new TokenBucket(submissionsPerSecond, burst);
+        this.#customers.set(limits.customer, { limits, rate });
+    }
+
+    removeCustomer(customer: string): void {
+        this.#customers.delete(customer);
+    }
+
+    /** Takes a token of the rate only where nothing else refuses the request. */
+    admit(specification: JobSpecification, job: QueuedJob, expectedWaitMs: number, nowMs: number): Admission {
+        const customer = this.#customers.get(job.customer);
+        if (customer === undefined) {
+            return refuse(Reason.CUSTOMER_REMOVED, `no contract for customer ${job.customer}`);
+        }
+        return this.#sizeRefusal(customer.limits, job)
+            ?? this.#deadlineRefusal(specification, job, expectedWaitMs, nowMs)
+            ?? this.#queueRefusal(customer.limits, job, expectedWaitMs)
+            ?? this.#rateRefusal(customer, nowMs)
+            ?? ADMITTED;
+    }
+
+    #sizeRefusal(limits: CustomerLimits, job: QueuedJob): Admission | undefined {
+        if (!this.#sources.couldEverFit(job.reserved)) {
+            return refuse(Reason.LARGER_THAN_ANY_BACKEND_SERVER, "no known backend server is large enough");
+        }
+        const share = shareOf(limits, job.workKind);
+        const quota = limits.quota.resources;
+        if (quota !== undefined && !fitsInto(job.reserved, scaled(quota, share))) {
+            return refuse(Reason.LARGER_THAN_QUOTA, `larger than ${share} of the customer's quota`);
+        }
+        return undefined;
+    }
+
+    #deadlineRefusal(
+        specification: JobSpecification,
+        job: QueuedJob,
+        expectedWaitMs: number,
+        nowMs: number,
+    ): Admission | undefined {
+        if (job.deadlineMs <= 0) {
+            return undefined;
+        }
+        if (job.deadlineMs <= nowMs) {
+            return refuse(Reason.DEADLINE_PASSED, "the deadline has passed");
+        }
+        const runTimeMs = this.#sources.expectedRunTimeMs(job.classKey, specification.declaredRunTimeMs);
+        const expectedEndMs = nowMs + expectedWaitMs + runTimeMs;
+        if (expectedEndMs <= job.deadlineMs) {
+            return undefined;
+        }
+        const lateMs = Math.ceil(expectedEndMs - job.deadlineMs);
+        return refuse(Reason.DEADLINE_UNREACHABLE, `expected to end ${lateMs} ms after the deadline`, lateMs);
+    }
+
+    #queueRefusal(limits: CustomerLimits, job: QueuedJob, expectedWaitMs: number): Admission | undefined {
+        const bound = limits.quota.queuedJobs;
+        if (bound === 0 || this.#sources.queuedCount(job.customer) < bound) {
+            return undefined;
+        }
+        const retryAfterMs = Math.min(MAXIMUM_QUEUE_RETRY_MS, Math.max(MINIMUM_QUEUE_RETRY_MS, expectedWaitMs));
+        return refuse(Reason.QUEUE_FULL, `${bound} jobs are queued already`, retryAfterMs);
+    }
+
+    #rateRefusal(customer: AdmittedCustomer, nowMs: number): Admission | undefined {
+        if (customer.rate === undefined || customer.rate.take(nowMs)) {
+            return undefined;
+        }
+        const perSecond = customer.limits.quota.submissionsPerSecond;
+        return refuse(Reason.RATE_EXCEEDED, `more than ${perSecond} submissions/s`, customer.rate.waitMs(nowMs));
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/policy/amounts.ts
@@ -0,0 +1,66 @@
+import { create } from "@bufbuild/protobuf";
+import { ResourcesSchema } from "@waxwingspread/protocol";
+import type { Resources } from "@waxwingspread/protocol";
+
+/** Amounts of each resource without the message's type name. */
+export interface Amounts {
+    cpuMillicores: number;
+    memoryMebibytes: number;
+    accelerators: number;
+}
+
+/** Names of the resources, in the order in which they are compared. */
+export const RESOURCE_NAMES = ["cpuMillicores", "memoryMebibytes", "accelerators"] as const;
+
+/** No resources. */
+export const noAmounts = (): Amounts => ({ cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 });
+
+/** Adds `change` times `factor` to `target` in place. */
+export const addTo = (target: Amounts, change: Amounts, factor = 1): void => {
+    target.cpuMillicores += change.cpuMillicores * factor;
+    target.memoryMebibytes += change.memoryMebibytes * factor;
+    target.accelerators += change.accelerators * factor;
+};
+
+/** Returns `left - right`. */
+export const difference = (left: Amounts, right: Amounts): Amounts => ({
+    cpuMillicores: left.cpuMillicores - right.cpuMillicores,
+    memoryMebibytes: left.memoryMebibytes - right.memoryMebibytes,
+    accelerators: left.accelerators - right.accelerators,
+});
+
+/** Returns the amounts multiplied by a factor. */
+export const scaled = (amounts: Amounts, factor: number): Amounts => ({
+    cpuMillicores: amounts.cpuMillicores * factor,
+    memoryMebibytes: amounts.memoryMebibytes * factor,
+    accelerators: amounts.accelerators * factor,
+});
+
+/** True where `need` is at most `free` in every resource. */
+export const fitsInto = (need: Amounts, free: Amounts): boolean =>
+    need.cpuMillicores <= free.cpuMillicores
+    && need.memoryMebibytes <= free.memoryMebibytes
+    && need.accelerators <= free.accelerators;
+
+const ratioOf = (used: number, total: number): number => {
+    if (used <= 0) {
+        return 0;
+    }
+    return total > 0 ? used / total : Number.POSITIVE_INFINITY;
+};
+
+/** Returns the greatest share of any resource; infinite where something is used of which there is none. */
+export const dominantShare = (used: Amounts, total: Amounts): number =>
+    Math.max(
+        ratioOf(used.cpuMillicores, total.cpuMillicores),
+        ratioOf(used.memoryMebibytes, total.memoryMebibytes),
+        ratioOf(used.accelerators, total.accelerators),
+    );
+
+/** Returns the amounts as a message with whole numbers, rounded up. */
+export const toResources = (amounts: Amounts): Resources =>
+    create(ResourcesSchema, {
+        cpuMillicores: Math.ceil(amounts.cpuMillicores),
+        memoryMebibytes: Math.ceil(amounts.memoryMebibytes),
+        accelerators: Math.ceil(amounts.accelerators),
+    });
--- /dev/null
+++ b/packages/scheduler/src/policy/customer-account.ts
@@ -0,0 +1,160 @@
+import { WorkKind } from "@waxwingspread/protocol";
+import { addTo, difference, dominantShare, noAmounts } from "./amounts.js";
+import type { Amounts } from "./amounts.js";
+import type { CustomerLimits, QueuedJob, TaskKey } from "./types.js";
+
+/** Kinds in the order in which they are served. */
+export const SERVED_KINDS = [WorkKind.LATENCY_CRITICAL, WorkKind.STANDING, WorkKind.BATCH] as const;
+
+/** A task as its customer's account counts it. */
+export interface CountedTask {
+    taskKey: TaskKey;
+    workKind: WorkKind;
+    reserved: Amounts;
+    /** Chosen for eviction by reclaim. */
+    reclaimed: boolean;
+}
+
+/** Jobs of one customer and kind that may start now, in order of arrival; interrupted ones first. */
+export class ReadyQueue {
+    readonly #resumed = new Map<string, QueuedJob>();
+    readonly #fresh = new Map<string, QueuedJob>();
+    #latestQueuedAtMs = Number.NEGATIVE_INFINITY;
+
+    constructor(readonly id: string, readonly account: CustomerAccount, readonly workKind: WorkKind) {}
+
+    get size(): number {
+        return this.#resumed.size + this.#fresh.size;
+    }
+
+    add(job: QueuedJob): void {
+        const returned = job.queuedAtMs < this.#latestQueuedAtMs;
+        this.#latestQueuedAtMs = Math.max(this.#latestQueuedAtMs, job.queuedAtMs);
+        (returned ? this.#resumed : this.#fresh).set(job.jobKey, job);
+    }
+
+    remove(jobKey: string): void {
+        if (!this.#resumed.delete(jobKey)) {
+            this.#fresh.delete(jobKey);
+        }
+    }
+
+    first(): QueuedJob | undefined {
+        return this.jobs().next().value;
+    }
+
+    *jobs(): Generator<QueuedJob, undefined> {
+        yield* this.#resumed.values();
+        yield* this.#fresh.values();
+        return undefined;
+    }
+}
+
+/** Use and queues of one customer. */
+export class CustomerAccount {
+    readonly used = noAmounts();
+    readonly usedByKind = new Map<WorkKind, Amounts>();
+    readonly countByKind = new Map<WorkKind, number>();
+    readonly queues = new Map<WorkKind, ReadyQueue>();
+    limits: CustomerLimits | undefined;
+    queuedCount = 0;
+    readonly #reclaimed = noAmounts();
+    readonly #tasks = new Map<TaskKey, CountedTask>();
+    /** Batch tasks in order of start; may hold tasks that have ended. */
+    readonly #batchByStart: CountedTask[] = [];
+
+    constructor(readonly customer: string) {
+        for (const workKind of SERVED_KINDS) {
+            this.usedByKind.set(workKind, noAmounts());
+            this.countByKind.set(workKind, 0);
+            this.queues.set(workKind, new ReadyQueue(`${customer}/${workKind}`, this, workKind));
+        }
+    }
+
+    get taskCount(): number {
+        return this.#tasks.size;
+    }
+
+    get weight(): number {
+        const weight = this.limits?.weight ?? 0;
+        return weight > 0 ? weight : 1;
+    }
+
+    countOf(workKind: WorkKind): number {
+        return this.countByKind.get(workKind) ?? 0;
+    }
+
+    usedBy(workKind: WorkKind): Amounts {
+        return this.usedByKind.get(workKind) ?? noAmounts();
+    }
+
+    add(task: CountedTask): void {
+        if (this.#tasks.has(task.taskKey)) {
+            return;
+        }
+        this.#tasks.set(task.taskKey, task);
+        this.#count(task, 1);
+        if (task.workKind === WorkKind.BATCH) {
+            this.#batchByStart.push(task);
+        }
+    }
+
+    remove(taskKey: TaskKey): CountedTask | undefined {
+        const task = this.#tasks.get(taskKey);
+        if (task !== undefined) {
+            this.#tasks.delete(taskKey);
+            this.#count(task, -1);
+            if (task.reclaimed) {
+                addTo(this.#reclaimed, task.reserved, -1);
+            }
+            this.#dropEnded();
+        }
+        return task;
+    }
+
+    /** Youngest batch task that reclaim has not chosen yet. */
+    youngestBatch(): CountedTask | undefined {
+        for (let index = this.#batchByStart.length - 1; index >= 0; index -= 1) {
+            const task = this.#batchByStart[index];
+            if (task !== undefined && !task.reclaimed && this.#tasks.get(task.taskKey) === task) {
+                return task;
+            }
+        }
+        return undefined;
+    }
+
+    /** Dominant share of the fleet by which the customer exceeds its quota; 0 or less where it doesn't. */
+    borrowedShare(fleet: Amounts): number {
+        const quota = this.limits?.quota.resources;
+        return dominantShare(quota === undefined ? this.used : difference(this.used, quota), fleet);
+    }
+
+    /** Dominant share of the fleet that reclaim has already chosen to take back. */
+    reclaimedShare(fleet: Amounts): number {
+        return dominantShare(this.#reclaimed, fleet);
+    }
+
+    markReclaimed(task: CountedTask): void {
+        task.reclaimed = true;
+        addTo(this.#reclaimed, task.reserved);
+    }
+
+    #count(task: CountedTask, sign: 1 | -1): void {
+        addTo(this.used, task.reserved, sign);
+        const ofKind = this.usedByKind.get(task.workKind);
+        if (ofKind !== undefined) {
+            addTo(ofKind, task.reserved, sign);
+        }
+        this.countByKind.set(task.workKind, this.countOf(task.workKind) + sign);
+    }
+
+    /** Rewrites the list when more than half of it has ended, which keeps the cost per task constant. */
+    #dropEnded(): void {
+        const live = this.countOf(WorkKind.BATCH);
+        if (this.#batchByStart.length <= 2 * live + 16) {
+            return;
+        }
+        const kept = this.#batchByStart.filter(task => this.#tasks.get(task.taskKey) === task);
+        this.#batchByStart.splice(0, this.#batchByStart.length, ...kept);
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/policy/fair-share-queue.ts
@@ -0,0 +1,408 @@
+import { Reason, WorkKind } from "@waxwingspread/protocol";
+import type { Resources } from "@waxwingspread/protocol";
+import { addTo, difference, dominantShare, fitsInto, noAmounts, scaled } from "./amounts.js";
+import type { Amounts } from "./amounts.js";
+import { CustomerAccount, SERVED_KINDS } from "./customer-account.js";
+import type { ReadyQueue } from "./customer-account.js";
+import { KeyedHeap } from "./keyed-heap.js";
+import { QuotaReclaim, RECLAIM_DEFAULTS } from "./quota-reclaim.js";
+import type { ReclaimParameters } from "./quota-reclaim.js";
+import type { CustomerLimits, FairSharePolicy, QueuedJob, TaskKey } from "./types.js";
+
+/** Parameters of the {@link FairShareQueue}. */
+export interface FairShareParameters {
+    /** Part of each selection that goes round all customers, whatever their share. */
+    rotationRatio: number;
+    reclaim: ReclaimParameters;
+}
+
+/** Defaults. */
+export const FAIR_SHARE_DEFAULTS: FairShareParameters = { rotationRatio: 0.25, reclaim: RECLAIM_DEFAULTS };
+
+/** Jobs of one customer that are examined before its queue is put aside as blocked. */
+const MAXIMUM_BLOCKED_JOBS = 4;
+/** Queues that wait for idle capacity and are examined again when any task ends. */
+const RELEASED_PER_END = 4;
+
+interface DelayedJob {
+    id: string;
+    job: QueuedJob;
+}
+
+/** Queues of one kind over all customers. */
+class KindQueues {
+    /** By weighted dominant share. */
+    readonly heap = new KeyedHeap<ReadyQueue>();
+    /** In the order in which they were last offered by rotation. */
+    readonly rotation = new Set<ReadyQueue>();
+    /** Queues of which no job may start until something changes. */
+    readonly blocked = new Set<ReadyQueue>();
+}
+
+/** Weighted dominant resource fairness with borrowing of idle capacity. */
+export class FairShareQueue implements FairSharePolicy {
+    readonly #parameters: FairShareParameters;
+    readonly #accounts = new Map<string, CustomerAccount>();
+    readonly #jobs = new Map<string, QueuedJob>();
+    readonly #delayed = new KeyedHeap<DelayedJob>();
+    readonly #delayedByKey = new Map<string, DelayedJob>();
+    readonly #kinds = new Map<WorkKind, KindQueues>(SERVED_KINDS.map(kind => [kind, new KindQueues()]));
+    readonly #fleetUsed = noAmounts();
+    readonly #reclaim: QuotaReclaim;
+    #fleet: Amounts = noAmounts();
+
+    constructor(parameters: FairShareParameters = FAIR_SHARE_DEFAULTS) {
+        this.#parameters = parameters;
+        this.#reclaim = new QuotaReclaim(parameters.reclaim);
+    }
+
+    setCustomer(limits: CustomerLimits): void {
+        const account = this.#accountOf(limits.customer);
+        account.limits = limits;
+        this.#reclaim.accountChanged(account, this.#fleet);
+        this.#refreshAll(account);
+    }
+
+    /** Jobs and tasks that remain are still counted; queued ones are blocked. */
+    removeCustomer(customer: string): void {
+        const account = this.#accounts.get(customer);
+        if (account !== undefined) {
+            account.limits = undefined;
+            this.#reclaim.accountChanged(account, this.#fleet);
+            this.#dropIfUnused(account);
+        }
+    }
+
+    setFleetCapacity(capacity: Resources): void {
+        this.#fleet = {
+            cpuMillicores: capacity.cpuMillicores,
+            memoryMebibytes: capacity.memoryMebibytes,
+            accelerators: capacity.accelerators,
+        };
+        for (const account of this.#accounts.values()) {
+            this.#refreshAll(account);
+        }
+    }
+
+    started(customer: string, workKind: WorkKind, taskKey: TaskKey, reserved: Resources): void {
+        const account = this.#accountOf(customer);
+        account.add({ taskKey, workKind, reserved, reclaimed: false });
+        addTo(this.#fleetUsed, reserved);
+        this.#reclaim.accountChanged(account, this.#fleet);
+        this.#rekey(account);
+    }
+
+    ended(customer: string, taskKey: TaskKey): void {
+        const account = this.#accounts.get(customer);
+        const task = account?.remove(taskKey);
+        if (account === undefined || task === undefined) {
+            return;
+        }
+        addTo(this.#fleetUsed, task.reserved, -1);
+        this.#reclaim.accountChanged(account, this.#fleet);
+        this.#refreshAll(account);
+        this.#releaseBlocked(RELEASED_PER_END);
+        this.#dropIfUnused(account);
+    }
+
+    enqueue(job: QueuedJob): void {
+        if (this.#jobs.has(job.jobKey)) {
+            this.dequeue(job.jobKey);
+        }
+        const account = this.#accountOf(job.customer);
+        this.#jobs.set(job.jobKey, job);
+        account.queuedCount += 1;
+        if (job.notBeforeMs > job.queuedAtMs) {
+            const delayed = { id: job.jobKey, job };
+            this.#delayedByKey.set(job.jobKey, delayed);
+            this.#delayed.set(delayed, job.notBeforeMs);
+            return;
+        }
+        this.#makeReady(account, job);
+    }
+
+    dequeue(jobKey: string): void {
+        const job = this.#jobs.get(jobKey);
+        const account = job === undefined ? undefined : this.#accounts.get(job.customer);
+        if (job === undefined || account === undefined) {
+            return;
+        }
+        this.#jobs.delete(jobKey);
+        if (this.#reclaim.jobLeft(jobKey)) {
+            this.#releaseBlocked(Number.POSITIVE_INFINITY);
+        }
+        account.queuedCount -= 1;
+        const delayed = this.#delayedByKey.get(jobKey);
+        if (delayed === undefined) {
+            account.queues.get(job.workKind)?.remove(jobKey);
+            this.#refresh(account, job.workKind);
+        }
+        else {
+            this.#delayedByKey.delete(jobKey);
+            this.#delayed.delete(delayed);
+        }
+        this.#dropIfUnused(account);
+    }
+
+    next(nowMs: number, limit: number): QueuedJob[] {
+        this.#releaseDelayed(nowMs);
+        const selected: QueuedJob[] = [];
+        for (const workKind of SERVED_KINDS) {
+            const room = limit - selected.length;
+            if (room <= 0) {
+                break;
+            }
+            selected.push(...this.#select(workKind, room));
+        }
+        return selected;
+    }
+
+    blockedBy(job: QueuedJob): Reason | undefined {
+        const account = this.#accounts.get(job.customer);
+        const limits = account?.limits;
+        if (account === undefined || limits === undefined) {
+            return Reason.CUSTOMER_REMOVED;
+        }
+        switch (job.workKind) {
+            case WorkKind.LATENCY_CRITICAL:
+                return this.#latencyCriticalBlockedBy(account, limits, job);
+            case WorkKind.STANDING:
+                return this.#standingBlockedBy(account, limits, job);
+            default:
+                return this.#batchBlockedBy(account, limits, job);
+        }
+    }
+
+    reclaim(nowMs: number, limit: number): { taskKey: TaskKey; explanation: string }[] {
+        if (this.#reclaim.expire(nowMs)) {
+            this.#releaseBlocked(Number.POSITIVE_INFINITY);
+        }
+        if (!this.#reclaim.hasBorrowers()) {
+            return [];
+        }
+        this.#releaseDelayed(nowMs);
+        const claimants = [...this.#select(WorkKind.STANDING, limit), ...this.#select(WorkKind.BATCH, limit)]
+            .filter(job => !this.#isBorrowing(job));
+        return this.#reclaim.choose(claimants, this.#fleet, nowMs, limit);
+    }
+
+    queuedCount(customer: string): number {
+        return this.#accounts.get(customer)?.queuedCount ?? 0;
+    }
+
+    /** Batch of the same customer never blocks its latency-critical work, neither by amount nor by count. */
+    #latencyCriticalBlockedBy(account: CustomerAccount, limits: CustomerLimits, job: QueuedJob): Reason | undefined {
+        const urgent = account.usedBy(WorkKind.LATENCY_CRITICAL);
+        const { quota, latencyCriticalShare } = limits;
+        const count = account.countOf(WorkKind.LATENCY_CRITICAL) + account.countOf(WorkKind.STANDING);
+        const fits = isWithin(urgent, job.reserved, quota.resources, latencyCriticalShare);
+        return fits && isBelow(count, quota.concurrentTasks) ? undefined : Reason.QUOTA_IN_USE;
+    }
+
+    #standingBlockedBy(account: CustomerAccount, limits: CustomerLimits, job: QueuedJob): Reason | undefined {
+        const { quota } = limits;
+        const count = account.countOf(WorkKind.LATENCY_CRITICAL) + account.countOf(WorkKind.STANDING);
+        const fits = isWithin(account.usedBy(WorkKind.STANDING), job.reserved, quota.resources, 1);
+        return fits && isBelow(count, quota.concurrentTasks) ? undefined : Reason.QUOTA_IN_USE;
+    }
+
+    #batchBlockedBy(account: CustomerAccount, limits: CustomerLimits, job: QueuedJob): Reason | undefined {
+        if (!isBelow(account.taskCount, limits.quota.concurrentTasks)) {
+            return Reason.QUOTA_IN_USE;
+        }
+        if (!this.#exceedsQuota(account, limits, job)) {
+            return undefined;
+        }
+        if (this.#reclaim.hasClaims()) {
+            // Capacity that was reclaimed for somebody must not be borrowed again.
+            return Reason.QUOTA_IN_USE;
+        }
+        return fitsInto(job.reserved, difference(this.#fleet, this.#fleetUsed)) ? undefined : Reason.NO_CAPACITY;
+    }
+
+    #isBorrowing(job: QueuedJob): boolean {
+        const account = this.#accounts.get(job.customer);
+        return account?.limits === undefined || this.#exceedsQuota(account, account.limits, job);
+    }
+
+    #exceedsQuota(account: CustomerAccount, limits: CustomerLimits, job: QueuedJob): boolean {
+        const quota = limits.quota.resources;
+        if (job.workKind !== WorkKind.BATCH) {
+            return !isWithin(account.used, job.reserved, quota, 1);
+        }
+        return !isWithin(account.used, job.reserved, quota, 1)
+            || !isWithin(account.usedBy(WorkKind.BATCH), job.reserved, quota, limits.batchShare);
+    }
+
+    #select(workKind: WorkKind, limit: number): QueuedJob[] {
+        const queues = this.#queuesOf(workKind);
+        const selected = new Map<string, QueuedJob>();
+        const rotated = limit > 1 ? Math.floor(limit * this.#parameters.rotationRatio) : 0;
+        this.#selectByShare(queues, workKind, limit - rotated, selected);
+        this.#selectByRotation(queues, limit, selected);
+        return [...selected.values()];
+    }
+
+    /** Counts each selected job as if it ran, so that one selection is shared fairly too. */
+    #selectByShare(queues: KindQueues, workKind: WorkKind, limit: number, selected: Map<string, QueuedJob>): void {
+        const cursors = new Map<ReadyQueue, Generator<QueuedJob, undefined>>();
+        while (selected.size < limit) {
+            const queue = queues.heap.peek();
+            if (queue === undefined) {
+                break;
+            }
+            const share = queues.heap.peekKey();
+            let cursor = cursors.get(queue);
+            if (cursor === undefined) {
+                cursor = queue.jobs();
+                cursors.set(queue, cursor);
+            }
+            const job = this.#nextStartable(cursor);
+            if (job === undefined) {
+                queues.heap.delete(queue);
+                continue;
+            }
+            selected.set(job.jobKey, job);
+            queues.heap.set(queue, share + this.#shareOf(job.reserved, queue.account));
+        }
+        for (const queue of cursors.keys()) {
+            this.#refreshQueue(queues, queue, workKind);
+        }
+    }
+
+    /** Keeps customers whose jobs can't be placed from hiding those of all others. */
+    #selectByRotation(queues: KindQueues, limit: number, selected: Map<string, QueuedJob>): void {
+        for (const queue of [...firstOf(queues.rotation, limit - selected.size)]) {
+            queues.rotation.delete(queue);
+            queues.rotation.add(queue);
+            const job = this.#nextStartable(queue.jobs());
+            if (job !== undefined) {
+                selected.set(job.jobKey, job);
+            }
+        }
+    }
+
+    #nextStartable(cursor: Generator<QueuedJob, undefined>): QueuedJob | undefined {
+        for (let examined = 0; examined < MAXIMUM_BLOCKED_JOBS; examined += 1) {
+            const job = cursor.next().value;
+            if (job === undefined) {
+                return undefined;
+            }
+            if (this.blockedBy(job) === undefined) {
+                return job;
+            }
+        }
+        return undefined;
+    }
+
+    #makeReady(account: CustomerAccount, job: QueuedJob): void {
+        account.queues.get(job.workKind)?.add(job);
+        this.#refresh(account, job.workKind);
+    }
+
+    #releaseDelayed(nowMs: number): void {
+        while (this.#delayed.peekKey() <= nowMs) {
+            const delayed = this.#delayed.peek();
+            if (delayed === undefined) {
+                return;
+            }
+            this.#delayed.delete(delayed);
+            this.#delayedByKey.delete(delayed.id);
+            this.#makeReady(this.#accountOf(delayed.job.customer), delayed.job);
+        }
+    }
+
+    #releaseBlocked(count: number): void {
+        for (const queues of this.#kinds.values()) {
+            for (const queue of [...firstOf(queues.blocked, count)]) {
+                this.#refresh(queue.account, queue.workKind);
+            }
+        }
+    }
+
+    #refreshAll(account: CustomerAccount): void {
+        for (const workKind of SERVED_KINDS) {
+            this.#refresh(account, workKind);
+        }
+    }
+
+    #refresh(account: CustomerAccount, workKind: WorkKind): void {
+        const queue = account.queues.get(workKind);
+        if (queue !== undefined) {
+            this.#refreshQueue(this.#queuesOf(workKind), queue, workKind);
+        }
+    }
+
+    /** Puts the queue where it belongs: nowhere if empty, aside if blocked, otherwise by its share. */
+    #refreshQueue(queues: KindQueues, queue: ReadyQueue, workKind: WorkKind): void {
+        queues.blocked.delete(queue);
+        if (queue.size > 0 && this.#nextStartable(queue.jobs()) !== undefined) {
+            queues.heap.set(queue, this.#shareOf(this.#usedFor(queue.account, workKind), queue.account));
+            queues.rotation.add(queue);
+            return;
+        }
+        queues.heap.delete(queue);
+        queues.rotation.delete(queue);
+        if (queue.size > 0) {
+            queues.blocked.add(queue);
+        }
+    }
+
+    #rekey(account: CustomerAccount): void {
+        for (const [workKind, queue] of account.queues) {
+            const { heap } = this.#queuesOf(workKind);
+            if (heap.has(queue)) {
+                heap.set(queue, this.#shareOf(this.#usedFor(account, workKind), account));
+            }
+        }
+    }
+
+    #usedFor(account: CustomerAccount, workKind: WorkKind): Amounts {
+        return workKind === WorkKind.BATCH ? account.used : account.usedBy(workKind);
+    }
+
+    #shareOf(used: Amounts, account: CustomerAccount): number {
+        return dominantShare(used, this.#fleet) / account.weight;
+    }
+
+    #queuesOf(workKind: WorkKind): KindQueues {
+        let queues = this.#kinds.get(workKind);
+        if (queues === undefined) {
+            queues = new KindQueues();
+            this.#kinds.set(workKind, queues);
+        }
+        return queues;
+    }
+
+    #accountOf(customer: string): CustomerAccount {
+        let account = this.#accounts.get(customer);
+        if (account === undefined) {
+            account = new CustomerAccount(customer);
+            this.#accounts.set(customer, account);
+        }
+        return account;
+    }
+
+    #dropIfUnused(account: CustomerAccount): void {
+        if (account.limits === undefined && account.taskCount === 0 && account.queuedCount === 0) {
+            this.#accounts.delete(account.customer);
+        }
+    }
+}
+
+const isBelow = (count: number, limit: number): boolean => limit === 0 || count < limit;
+
+const isWithin = (used: Amounts, added: Amounts, quota: Amounts | undefined, share: number): boolean =>
+    quota === undefined || fitsInto(added, difference(scaled(quota, share), used));
+
+function* firstOf<T>(items: Iterable<T>, count: number): Generator<T, undefined> {
+    let remaining = count;
+    for (const item of items) {
+        if (remaining <= 0) {
+            return undefined;
+        }
+        remaining -= 1;
+        yield item;
+    }
+    return undefined;
+}
--- /dev/null
+++ b/packages/scheduler/src/policy/interference-model.ts
@@ -0,0 +1,150 @@
+import type { ClassKey } from "./types.js";
+
+/** A neighbour and how hard it works relative to its class (1 = as usual). */
+export interface NeighbourLoad {
+    classKey: ClassKey;
+    load: number;
+}
+
+/** Slowdown that is expected, as a factor (1 = none) with its standard deviation. */
+export interface ExpectedSlowdown {
+    mean: number;
+    uncertainty: number;
+}
+
+/** Where the coefficients of the additive slowdown come from. */
+export interface SlowdownSource {
+    /** Slowdown that one neighbour of class `causing` adds to a task of class `suffering`. */
+    coefficient(suffering: ClassKey, causing: ClassKey, nowMs: number): number;
+    /** Variance of that coefficient. */
+    variance(suffering: ClassKey, causing: ClassKey, nowMs: number): number;
+}
+
+/** Parameters of the {@link InterferenceModel}. */
+export interface InterferenceModelParameters {
+    /** Slowdown assumed for a pair that was never measured. */
+    priorMean: number;
+    /** Standard deviation of coefficients over pairs. */
+    priorDeviation: number;
+    /** Standard deviation of a single measured slowdown. */
+    noiseDeviation: number;
+    /** Growth of a coefficient's variance per second, for drift. */
+    driftVariancePerSecond: number;
+    /** Time in which an unconfirmed coefficient returns halfway to the prior. */
+    forgettingHalfLifeMs: number;
+}
+
+/** Defaults: a pair slows by 6% on average, a measurement scatters by 8%. */
+export const INTERFERENCE_MODEL_DEFAULTS: InterferenceModelParameters = {
+    priorMean: 0.06,
+    priorDeviation: 0.12,
+    noiseDeviation: 0.08,
+    driftVariancePerSecond: 0.00002,
+    forgettingHalfLifeMs: 600_000,
+};
+
+/** Slowdowns above this are measured on stalled tasks and would dominate the estimate. */
+const MAXIMUM_SLOWDOWN = 8;
+const MINIMUM_SPEED_RATIO = 1 / MAXIMUM_SLOWDOWN;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface Coefficient {
+    mean: number;
+    variance: number;
+    updatedAtMs: number;
+}
+
+/**
+ * Learns how much a task of one class slows a task of another. Each pair is a scalar Kalman filter; a sample's
+ * error is divided among the neighbours in proportion to the variance of their coefficients.
+ */
+export class InterferenceModel implements SlowdownSource {
+    readonly #parameters: InterferenceModelParameters;
+    readonly #pairs = new Map<ClassKey, Map<ClassKey, Coefficient>>();
+    readonly #priorVariance: number;
+
+    constructor(parameters: InterferenceModelParameters = INTERFERENCE_MODEL_DEFAULTS) {
+        this.#parameters = parameters;
+        this.#priorVariance = parameters.priorDeviation ** 2;
+    }
+
+    /** Learns from the speed of a task beside the neighbours that it had when it was measured. */
+    learn(classKey: ClassKey, neighbours: readonly NeighbourLoad[], speedRatio: number, nowMs: number): void {
+        const loads = new Map<ClassKey, number>();
+        for (const neighbour of neighbours) {
+            loads.set(neighbour.classKey, (loads.get(neighbour.classKey) ?? 0) + neighbour.load);
+        }
+        const slowdown = 1 / Math.max(MINIMUM_SPEED_RATIO, speedRatio);
+        // The scatter of a measured slowdown grows with the slowdown itself.
+        let innovationVariance = (this.#parameters.noiseDeviation * slowdown) ** 2;
+        let error = slowdown - 1;
+        for (const [causing, load] of loads) {
+            const coefficient = this.#current(classKey, causing, nowMs);
+            error -= load * coefficient.mean;
+            innovationVariance += load * load * coefficient.variance;
+        }
+        for (const [causing, load] of loads) {
+            const coefficient = this.#current(classKey, causing, nowMs);
+            const gain = coefficient.variance * load / innovationVariance;
+            coefficient.mean = Math.max(0, coefficient.mean + gain * error);
+            coefficient.variance *= 1 - gain * load;
+        }
+    }
+
+    coefficient(suffering: ClassKey, causing: ClassKey, nowMs: number): number {
+        const known = this.#pairs.get(suffering)?.get(causing);
+        const { priorMean } = this.#parameters;
+        return known === undefined ? priorMean : priorMean + (known.mean - priorMean) * this.#retained(known, nowMs);
+    }
+
+    variance(suffering: ClassKey, causing: ClassKey, nowMs: number): number {
+        const known = this.#pairs.get(suffering)?.get(causing);
+        return known === undefined ? this.#priorVariance : this.#drifted(known, nowMs);
+    }
+
+    #current(suffering: ClassKey, causing: ClassKey, nowMs: number): Coefficient {
+        let row = this.#pairs.get(suffering);
+        if (row === undefined) {
+            row = new Map();
+            this.#pairs.set(suffering, row);
+        }
+        let coefficient = row.get(causing);
+        if (coefficient === undefined) {
+            coefficient = { mean: this.#parameters.priorMean, variance: this.#priorVariance, updatedAtMs: nowMs };
+            row.set(causing, coefficient);
+        }
+        else if (coefficient.updatedAtMs < nowMs) {
+            coefficient.mean = this.coefficient(suffering, causing, nowMs);
+            coefficient.variance = this.#drifted(coefficient, nowMs);
+            coefficient.updatedAtMs = nowMs;
+        }
+        return coefficient;
+    }
+
+    #retained(coefficient: Coefficient, nowMs: number): number {
+        const elapsedMs = Math.max(0, nowMs - coefficient.updatedAtMs);
+        return this.#parameters.forgettingHalfLifeMs / (this.#parameters.forgettingHalfLifeMs + elapsedMs);
+    }
+
+    #drifted(coefficient: Coefficient, nowMs: number): number {
+        const elapsedSeconds = Math.max(0, nowMs - coefficient.updatedAtMs) / MILLISECONDS_PER_SECOND;
+        const grown = coefficient.variance + elapsedSeconds * this.#parameters.driftVariancePerSecond;
+        return Math.min(this.#priorVariance, grown);
+    }
+}
+
+/** Adds up the slowdown of a class beside the given neighbours. */
+export const slowdownBeside = (
+    source: SlowdownSource,
+    classKey: ClassKey,
+    neighbours: readonly NeighbourLoad[],
+    nowMs: number,
+): ExpectedSlowdown => {
+    let mean = 1;
+    let variance = 0;
+    for (const neighbour of neighbours) {
+        mean += neighbour.load * source.coefficient(classKey, neighbour.classKey, nowMs);
+        variance += neighbour.load ** 2 * source.variance(classKey, neighbour.classKey, nowMs);
+    }
+    return { mean, uncertainty: Math.sqrt(variance) };
+};
--- /dev/null
+++ b/packages/scheduler/src/policy/max-tree.ts
@@ -0,0 +1,88 @@
+/**
+ * Complete binary tree over rows of numbers that holds the greatest value of each column in every subtree. Finds a row
+ * that is at least as large as a need in all columns, in logarithmic time unless no single row has what the maxima
+ * promise; the number of visited nodes is bounded for that case.
+ */
+export class MaxTree {
+    readonly #columns: number;
+    #capacity = 1;
+    #nodes: Float64Array;
+
+    constructor(columns: number) {
+        this.#columns = columns;
+        this.#nodes = new Float64Array(2 * columns).fill(Number.NEGATIVE_INFINITY);
+    }
+
+    /** Sets a row. Rows that were never set match nothing. */
+    set(row: number, values: readonly number[]): void {
+        if (row >= this.#capacity) {
+            this.#grow(row);
+        }
+        let node = this.#capacity + row;
+        for (let column = 0; column < this.#columns; column += 1) {
+            this.#nodes[node * this.#columns + column] = values[column] ?? Number.NEGATIVE_INFINITY;
+        }
+        for (node >>= 1; node >= 1; node >>= 1) {
+            this.#combine(node);
+        }
+    }
+
+    /** Makes a row match nothing. */
+    clear(row: number): void {
+        if (row < this.#capacity) {
+            this.set(row, []);
+        }
+    }
+
+    /** Returns the first row that has the need and is accepted, within a number of visited nodes. */
+    find(need: readonly number[], accepts: (row: number) => boolean, maximumVisits: number): number | undefined {
+        const pending = [1];
+        for (let visits = 0; visits < maximumVisits; visits += 1) {
+            const node = pending.pop();
+            if (node === undefined) {
+                return undefined;
+            }
+            if (!this.#covers(node, need)) {
+                continue;
+            }
+            if (node < this.#capacity) {
+                pending.push(2 * node + 1, 2 * node);
+            }
+            else if (accepts(node - this.#capacity)) {
+                return node - this.#capacity;
+            }
+        }
+        return undefined;
+    }
+
+    #covers(node: number, need: readonly number[]): boolean {
+        for (let column = 0; column < this.#columns; column += 1) {
+            if ((this.#nodes[node * this.#columns + column] ?? 0) < (need[column] ?? 0)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    #combine(node: number): void {
+        for (let column = 0; column < this.#columns; column += 1) {
+            const left = this.#nodes[2 * node * this.#columns + column] ?? Number.NEGATIVE_INFINITY;
+            const right = this.#nodes[(2 * node + 1) * this.#columns + column] ?? Number.NEGATIVE_INFINITY;
+            this.#nodes[node * this.#columns + column] = Math.max(left, right);
+        }
+    }
+
+    #grow(row: number): void {
+        const previous = this.#nodes;
+        const previousCapacity = this.#capacity;
+        while (this.#capacity <= row) {
+            this.#capacity *= 2;
+        }
+        this.#nodes = new Float64Array(2 * this.#capacity * this.#columns).fill(Number.NEGATIVE_INFINITY);
+        const leaves = previous.subarray(previousCapacity * this.#columns);
+        this.#nodes.set(leaves, this.#capacity * this.#columns);
+        for (let node = this.#capacity - 1; node >= 1; node -= 1) {
+            this.#combine(node);
+        }
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/policy/occupancy-history.test.ts
@@ -0,0 +1,33 @@
+import { expect, test } from "vitest";
+import { OccupancyHistory } from "./occupancy-history.js";
+import { task } from "./testing.js";
+
+const keysAt = (history: OccupancyHistory, atMs: number): string[] =>
+    history.at("s", atMs).map(present => present.taskKey).sort();
+
+test("a late sample is credited to the neighbours of its time, not to those of now", () => {
+    const history = new OccupancyHistory({ retentionMs: 10_000 });
+    history.record("s", task("a"), 1_000);
+    history.record("s", task("b"), 2_000);
+    history.remove("s", "a", 3_000);
+    history.record("s", task("c"), 3_500);
+    expect(keysAt(history, 1_500)).toEqual(["a"]);
+    expect(keysAt(history, 2_999)).toEqual(["a", "b"]);
+    expect(keysAt(history, 3_000)).toEqual(["b"]);
+    expect(keysAt(history, 4_000)).toEqual(["b", "c"]);
+    expect(history.present("s").map(present => present.taskKey)).toEqual(["b", "c"]);
+});
+
+test("a task that changes is known in the state of each time, and old stays are dropped", () => {
+    const history = new OccupancyHistory({ retentionMs: 1_000 });
+    history.record("s", task("a"), 0);
+    history.record("s", task("a", { throttled: true }), 500);
+    expect(history.at("s", 400)[0]?.throttled).toBe(false);
+    expect(history.at("s", 500)[0]?.throttled).toBe(true);
+    for (let nowMs = 1_000; nowMs < 10_000; nowMs += 10) {
+        history.record("s", task("b"), nowMs);
+        history.remove("s", "b", nowMs + 5);
+    }
+    expect(history.at("s", 400)).toEqual([]);
+    expect(keysAt(history, 9_902)).toEqual(["a", "b"]);
+});
--- /dev/null
+++ b/packages/scheduler/src/policy/occupancy-history.ts
@@ -0,0 +1,111 @@
+import type { PlacedTask, TaskKey } from "./types.js";
+
+interface Stay {
+    task: PlacedTask;
+    fromMs: number;
+    untilMs: number;
+}
+
+interface ServerHistory {
+    present: Map<TaskKey, Stay>;
+    /** In the order in which they ended. */
+    past: Stay[];
+}
+
+/** Parameters of the {@link OccupancyHistory}. */
+export interface OccupancyHistoryParameters {
+    /** Samples older than this are not credited to anybody. */
+    retentionMs: number;
+}
+
+/** Defaults; usage reports are at most a few seconds late. */
+export const OCCUPANCY_HISTORY_DEFAULTS: OccupancyHistoryParameters = { retentionMs: 15_000 };
+
+/** Remembers which tasks shared a VM, so that late samples are credited to the neighbours of their time. */
+export class OccupancyHistory {
+    readonly #servers = new Map<string, ServerHistory>();
+    readonly #retentionMs: number;
+
+    constructor(parameters: OccupancyHistoryParameters = OCCUPANCY_HISTORY_DEFAULTS) {
+        this.#retentionMs = parameters.retentionMs;
+    }
+
+    /** Records a new task or a changed one, such as one that is now throttled. */
+    record(backendServerId: string, task: PlacedTask, nowMs: number): void {
+        const history = this.#historyOf(backendServerId);
+        this.#end(history, task.taskKey, nowMs);
+        history.present.set(task.taskKey, { task, fromMs: nowMs, untilMs: Number.POSITIVE_INFINITY });
+    }
+
+    /** Records that a task no longer holds capacity. */
+    remove(backendServerId: string, taskKey: TaskKey, nowMs: number): void {
+        const history = this.#servers.get(backendServerId);
+        if (history === undefined) {
+            return;
+        }
+        this.#end(history, taskKey, nowMs);
+        if (history.present.size === 0 && history.past.length === 0) {
+            this.#servers.delete(backendServerId);
+        }
+    }
+
+    /** Tasks on the server at present. */
+    present(backendServerId: string): PlacedTask[] {
+        const history = this.#servers.get(backendServerId);
+        return history === undefined ? [] : [...history.present.values()].map(stay => stay.task);
+    }
+
+    /** Tasks that were on the server at a past moment; empty where it is too long ago. */
+    at(backendServerId: string, atMs: number): PlacedTask[] {
+        const history = this.#servers.get(backendServerId);
+        if (history === undefined) {
+            return [];
+        }
+        const tasks: PlacedTask[] = [];
+        for (let index = history.past.length - 1; index >= 0; index -= 1) {
+            const stay = history.past[index];
+            if (stay === undefined || stay.untilMs <= atMs) {
+                break;
+            }
+            if (stay.fromMs <= atMs) {
+                tasks.push(stay.task);
+            }
+        }
+        for (const stay of history.present.values()) {
+            if (stay.fromMs <= atMs) {
+                tasks.push(stay.task);
+            }
+        }
+        return tasks;
+    }
+
+    #end(history: ServerHistory, taskKey: TaskKey, nowMs: number): void {
+        const stay = history.present.get(taskKey);
+        if (stay === undefined) {
+            return;
+        }
+        history.present.delete(taskKey);
+        stay.untilMs = nowMs;
+        history.past.push(stay);
+        this.#prune(history, nowMs);
+    }
+
+    #prune(history: ServerHistory, nowMs: number): void {
+        const oldest = history.past[0];
+        // Waiting for twice the retention makes the cost of the copy proportional to the entries dropped.
+        if (oldest === undefined || oldest.untilMs >= nowMs - 2 * this.#retentionMs) {
+            return;
+        }
+        const firstKept = history.past.findIndex(stay => stay.untilMs >= nowMs - this.#retentionMs);
+        history.past.splice(0, firstKept < 0 ? history.past.length : firstKept);
+    }
+
+    #historyOf(backendServerId: string): ServerHistory {
+        let history = this.#servers.get(backendServerId);
+        if (history === undefined) {
+            history = { present: new Map(), past: [] };
+            this.#servers.set(backendServerId, history);
+        }
+        return history;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/policy/placement-index.ts
@@ -0,0 +1,366 @@
+import { WorkKind } from "@waxwingspread/protocol";
+import type { Resources } from "@waxwingspread/protocol";
+import { addTo, difference, fitsInto, noAmounts, RESOURCE_NAMES } from "./amounts.js";
+import type { Amounts } from "./amounts.js";
+import type { ClassProfiles } from "./class-profiles.js";
+import { MaxTree } from "./max-tree.js";
+import type { PlacementCost } from "./placement-cost.js";
+import { FREE_LEVELS, moveTo, ServerRecord } from "./server-record.js";
+import type {
+    PlacedTask,
+    Placement,
+    PlacementPolicy,
+    PlacementQuery,
+    Preemption,
+    ServerView,
+    TaskKey,
+} from "./types.js";
+import { UrgentHeadroom } from "./urgent-headroom.js";
+import type { UrgentHeadroomParameters } from "./urgent-headroom.js";
+import { cheapestVictims, victimsCost } from "./victims.js";
+
+/** Parameters of the {@link PlacementIndex}. */
+export interface PlacementIndexParameters {
+    /** Servers that are compared for one decision. */
+    maximumCandidates: number;
+    /** Servers that are looked at for one decision, those that turn out not to fit included. */
+    maximumProbes: number;
+    /** Cost above which batch waits instead of slowing others; the gain of running undisturbed is 1. */
+    batchCostLimit: number;
+    headroom: UrgentHeadroomParameters;
+}
+
+/** Defaults, except for the headroom, chosen by bench:policy (docs/policy.md). */
+export const PLACEMENT_INDEX_DEFAULTS: PlacementIndexParameters = {
+    maximumCandidates: 16,
+    maximumProbes: 64,
+    batchCostLimit: 1,
+    headroom: { halfLifeMs: 60_000, marginFactor: 1 },
+};
+
+/** Bound on the nodes visited where the sample found nothing. */
+const MAXIMUM_TREE_VISITS = 256;
+
+interface ZoneLists {
+    /** By level of free capacity. */
+    levels: ServerRecord[][];
+    evictable: ServerRecord[];
+}
+
+const rowNeed = (reserved: Amounts): number[] => [
+    reserved.cpuMillicores,
+    reserved.memoryMebibytes,
+    reserved.accelerators,
+    1,
+];
+
+/** Servers by zone and free capacity; every decision looks at a bounded number of them. */
+export class PlacementIndex implements PlacementPolicy {
+    readonly #cost: PlacementCost;
+    readonly #profiles: ClassProfiles;
+    readonly #parameters: PlacementIndexParameters;
+    readonly #headroom: UrgentHeadroom;
+    readonly #servers = new Map<string, ServerRecord>();
+    readonly #rows: (ServerRecord | undefined)[] = [];
+    readonly #freeRows: number[] = [];
+    readonly #zones = new Map<string, ZoneLists>();
+    readonly #probing = new Map<string, ServerRecord>();
+    readonly #freeTree = new MaxTree(4);
+    readonly #evictableTree = new MaxTree(4);
+    readonly #sizeTree = new MaxTree(4);
+    readonly #openFree = noAmounts();
+    readonly #largest = noAmounts();
+    #openFreeSlots = 0;
+    #decisions = 0;
+
+    constructor(cost: PlacementCost, profiles: ClassProfiles, parameters = PLACEMENT_INDEX_DEFAULTS) {
+        this.#cost = cost;
+        this.#profiles = profiles;
+        this.#parameters = parameters;
+        this.#headroom = new UrgentHeadroom(parameters.headroom);
+    }
+
+    /** Greatest amount of each resource on any server so far. */
+    get largestCapacity(): Amounts | undefined {
+        return this.#largest.cpuMillicores > 0 ? this.#largest : undefined;
+    }
+
+    upsertServer(view: ServerView): void {
+        const record = this.#recordOf(view.backendServerId);
+        this.#unlist(record);
+        record.view = view;
+        record.cache = undefined;
+        for (const name of RESOURCE_NAMES) {
+            this.#largest[name] = Math.max(this.#largest[name], view.capacity[name]);
+        }
+        this.#sizeTree.set(record.row, rowNeed(view.capacity));
+        this.#list(record);
+    }
+
+    removeServer(backendServerId: string): void {
+        const record = this.#servers.get(backendServerId);
+        if (record === undefined) {
+            return;
+        }
+        this.#unlist(record);
+        for (const task of record.tasks.values()) {
+            this.#headroom.removed(task);
+        }
+        this.#sizeTree.clear(record.row);
+        this.#rows[record.row] = undefined;
+        this.#freeRows.push(record.row);
+        this.#servers.delete(backendServerId);
+    }
+
+    /** Replaces a task of the same key, for example one that is now stopping. */
+    occupy(backendServerId: string, task: PlacedTask): void {
+        const record = this.#recordOf(backendServerId);
+        this.#unlist(record);
+        const previous = record.take(task.taskKey);
+        if (previous !== undefined) {
+            this.#headroom.removed(previous);
+        }
+        record.put(task);
+        this.#headroom.added(task);
+        this.#list(record);
+    }
+
+    release(backendServerId: string, taskKey: TaskKey): void {
+        const record = this.#servers.get(backendServerId);
+        if (record === undefined) {
+            return;
+        }
+        this.#unlist(record);
+        const task = record.take(taskKey);
+        if (task !== undefined) {
+            this.#headroom.removed(task);
+        }
+        this.#list(record);
+    }
+
+    choose(query: PlacementQuery, nowMs: number): Placement | undefined {
+        this.#profiles.noteTarget(query.classKey, query.latencyTargetMs);
+        this.#decisions += 1;
+        const probe = query.repeatable ? this.#chooseProbe(query) : undefined;
+        if (probe !== undefined) {
+            return { backendServerId: probe.id, explanation: "probe of a server that was quarantined" };
+        }
+        if (query.workKind === WorkKind.BATCH && !this.#leavesHeadroom(query.reserved, nowMs)) {
+            return undefined;
+        }
+        const candidates = this.#candidates(query);
+        let best: ServerRecord | undefined;
+        let bestCost = Number.POSITIVE_INFINITY;
+        let bestSlowdown = 1;
+        for (const record of candidates) {
+            const { cost, expectedSlowdown } = this.#cost.estimate(record, query, nowMs);
+            if (cost < bestCost || (cost === bestCost && best !== undefined && record.id < best.id)) {
+                best = record;
+                bestCost = cost;
+                bestSlowdown = expectedSlowdown;
+            }
+        }
+        if (best === undefined || (query.workKind === WorkKind.BATCH && bestCost > this.#parameters.batchCostLimit)) {
+            return undefined;
+        }
+        const slowdown = bestSlowdown.toFixed(2);
+        return {
+            backendServerId: best.id,
+            explanation: `least cost ${bestCost.toFixed(2)} of ${candidates.length}, expected slowdown ${slowdown}`,
+        };
+    }
+
+    choosePreemption(query: PlacementQuery, nowMs: number): Preemption | undefined {
+        this.#decisions += 1;
+        let best: Preemption | undefined;
+        let bestCost = Number.POSITIVE_INFINITY;
+        for (const record of this.#preemptionCandidates(query)) {
+            const victims = cheapestVictims(record, query.reserved);
+            if (victims === undefined) {
+                continue;
+            }
+            const slowdown = this.#cost.slowdownWithout(record, query, victims, nowMs);
+            const cost = victimsCost(victims, nowMs) + slowdown - 1;
+            if (cost < bestCost || (cost === bestCost && best !== undefined && record.id < best.backendServerId)) {
+                bestCost = cost;
+                best = {
+                    backendServerId: record.id,
+                    victims: victims.map(victim => victim.taskKey),
+                    explanation: `cheapest of the batch tasks compared, expected slowdown ${slowdown.toFixed(2)}`,
+                };
+            }
+        }
+        return best;
+    }
+
+    couldEverFit(reserved: Resources): boolean {
+        return this.#sizeTree.find(rowNeed(reserved), () => true, this.#rows.length * 4 + 4) !== undefined;
+    }
+
+    #chooseProbe(query: PlacementQuery): ServerRecord | undefined {
+        for (const record of this.#probing.values()) {
+            if (record.tasks.size === 0 && this.#holds(record, query)) {
+                return record;
+            }
+        }
+        return undefined;
+    }
+
+    #leavesHeadroom(reserved: Amounts, nowMs: number): boolean {
+        const slots = Math.max(0, this.#headroom.slots(nowMs));
+        const mean = this.#headroom.meanReserved();
+        return this.#openFreeSlots - 1 >= slots
+            && this.#openFree.cpuMillicores - reserved.cpuMillicores >= slots * mean.cpuMillicores
+            && this.#openFree.memoryMebibytes - reserved.memoryMebibytes >= slots * mean.memoryMebibytes;
+    }
+
+    /** Takes a few servers of each level in each zone, batch from full to empty and the others from empty to full. */
+    #candidates(query: PlacementQuery): ServerRecord[] {
+        const found: ServerRecord[] = [];
+        let probes = 0;
+        const zones = this.#zonesInOrder(query);
+        const perZone = Math.max(2, Math.ceil(this.#parameters.maximumCandidates / Math.max(1, zones.length)));
+        const perLevel = Math.max(1, Math.ceil(perZone / 3));
+        for (const zone of zones) {
+            let foundInZone = 0;
+            for (let step = 0; step <= FREE_LEVELS && foundInZone < perZone; step += 1) {
+                const level = query.workKind === WorkKind.BATCH ? step : FREE_LEVELS - step;
+                const list = zone.levels[level] ?? [];
+                const count = Math.min(perLevel, list.length, perZone - foundInZone);
+                for (let taken = 0; taken < count && probes < this.#parameters.maximumProbes; taken += 1) {
+                    probes += 1;
+                    const record = list[(this.#decisions + taken) % list.length];
+                    if (record !== undefined && this.#holds(record, query)) {
+                        found.push(record);
+                        foundInZone += 1;
+                    }
+                }
+            }
+        }
+        return found.length > 0 ? found : this.#searched(this.#freeTree, query);
+    }
+
+    #preemptionCandidates(query: PlacementQuery): ServerRecord[] {
+        const found: ServerRecord[] = [];
+        const zones = this.#zonesInOrder(query);
+        const perZone = Math.max(2, Math.ceil(this.#parameters.maximumCandidates / Math.max(1, zones.length)));
+        for (const { evictable } of zones) {
+            for (let taken = 0; taken < Math.min(perZone, evictable.length); taken += 1) {
+                const record = evictable[(this.#decisions + taken) % evictable.length];
+                if (record !== undefined && this.#couldHold(record, query)) {
+                    found.push(record);
+                }
+            }
+        }
+        return found.length > 0 ? found : this.#searched(this.#evictableTree, query);
+    }
+
+    #searched(tree: MaxTree, query: PlacementQuery): ServerRecord[] {
+        const row = tree.find(
+            rowNeed(query.reserved),
+            found => !query.excludedServerIds.includes(this.#rows[found]?.id ?? ""),
+            MAXIMUM_TREE_VISITS,
+        );
+        const record = row === undefined ? undefined : this.#rows[row];
+        return record === undefined ? [] : [record];
+    }
+
+    /** Zones without tasks of the class first; otherwise in turn. */
+    #zonesInOrder(query: PlacementQuery): ZoneLists[] {
+        const names = [...this.#zones.keys()];
+        const start = names.length === 0 ? 0 : this.#decisions % names.length;
+        const rotated = [...names.slice(start), ...names.slice(0, start)];
+        const preferred = rotated.filter(name => !query.spreadAway.includes(name));
+        const others = rotated.filter(name => query.spreadAway.includes(name));
+        return [...preferred, ...others].map(name => this.#zoneOf(name));
+    }
+
+    #holds(record: ServerRecord, query: PlacementQuery): boolean {
+        return record.view.placeable
+            && record.freeSlots > 0
+            && fitsInto(query.reserved, record.free())
+            && !query.excludedServerIds.includes(record.id);
+    }
+
+    #couldHold(record: ServerRecord, query: PlacementQuery): boolean {
+        const free = record.free();
+        addTo(free, record.evictable);
+        return record.freeSlots + record.evictableCount > 0
+            && fitsInto(query.reserved, free)
+            && !query.excludedServerIds.includes(record.id);
+    }
+
+    #list(record: ServerRecord): void {
+        if (record.view.probing && record.view.placeable) {
+            this.#probing.set(record.id, record);
+        }
+        if (!record.isOpen) {
+            return;
+        }
+        const zone = this.#zoneOf(record.view.availabilityZone);
+        const free = record.free();
+        const freeSlots = record.freeSlots;
+        if (freeSlots > 0) {
+            addTo(this.#openFree, free);
+            this.#openFreeSlots += freeSlots;
+            moveTo(record, "bucket", zone.levels[record.freeLevel()]);
+            this.#freeTree.set(record.row, [free.cpuMillicores, free.memoryMebibytes, free.accelerators, freeSlots]);
+        }
+        if (record.evictableCount > 0) {
+            moveTo(record, "evictionBucket", zone.evictable);
+            this.#evictableTree.set(record.row, [
+                free.cpuMillicores + record.evictable.cpuMillicores,
+                free.memoryMebibytes + record.evictable.memoryMebibytes,
+                free.accelerators + record.evictable.accelerators,
+                freeSlots + record.evictableCount,
+            ]);
+        }
+    }
+
+    /** Undoes {@link #list}; must be called before the record changes. */
+    #unlist(record: ServerRecord): void {
+        this.#probing.delete(record.id);
+        if (record.bucket !== undefined) {
+            addTo(this.#openFree, difference(record.view.capacity, record.used), -1);
+            this.#openFreeSlots -= record.freeSlots;
+            moveTo(record, "bucket", undefined);
+            this.#freeTree.clear(record.row);
+        }
+        if (record.evictionBucket !== undefined) {
+            moveTo(record, "evictionBucket", undefined);
+            this.#evictableTree.clear(record.row);
+        }
+    }
+
+    #recordOf(backendServerId: string): ServerRecord {
+        let record = this.#servers.get(backendServerId);
+        if (record === undefined) {
+            const row = this.#freeRows.pop() ?? this.#rows.length;
+            record = new ServerRecord(row, unknownServer(backendServerId));
+            this.#rows[row] = record;
+            this.#servers.set(backendServerId, record);
+        }
+        return record;
+    }
+
+    #zoneOf(name: string): ZoneLists {
+        let zone = this.#zones.get(name);
+        if (zone === undefined) {
+            zone = { levels: Array.from({ length: FREE_LEVELS + 1 }, () => []), evictable: [] };
+            this.#zones.set(name, zone);
+        }
+        return zone;
+    }
+}
+
+/** A server that holds tasks before it was announced, as after a change of leader. */
+const unknownServer = (backendServerId: string): ServerView => ({
+    backendServerId,
+    availabilityZone: "",
+    rack: "",
+    capacity: { $typeName: "waxwingspread.v1.Resources", cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 },
+    slots: 0,
+    placeable: false,
+    slotLimit: 0,
+    probing: false,
+});
--- /dev/null
+++ b/packages/scheduler/src/policy/quota-reclaim.ts
@@ -0,0 +1,126 @@
+import { addTo, fitsInto, noAmounts } from "./amounts.js";
+import type { Amounts } from "./amounts.js";
+import type { CustomerAccount } from "./customer-account.js";
+import type { QueuedJob, TaskKey } from "./types.js";
+
+/** Parameters of the {@link QuotaReclaim}. */
+export interface ReclaimParameters {
+    /** Time that a job within its quota waits before others are evicted for it. */
+    graceMs: number;
+    /** Time in which a job for which others were evicted is expected to start. */
+    claimMs: number;
+    /** Time until others are evicted again for a job that didn't start. */
+    repeatMs: number;
+}
+
+/** Defaults: long enough for a place to come free by itself, or for a checkpoint to be taken. */
+export const RECLAIM_DEFAULTS: ReclaimParameters = { graceMs: 1_000, claimMs: 10_000, repeatMs: 60_000 };
+
+/** Chooses the tasks that return borrowed capacity: the largest borrower first, its youngest task first. */
+export class QuotaReclaim {
+    readonly #parameters: ReclaimParameters;
+    readonly #borrowers = new Set<CustomerAccount>();
+    /** Jobs for which tasks are being evicted, with the time of the choice, oldest first. */
+    readonly #claims = new Map<string, number>();
+    readonly #claimedBefore = new Map<string, number>();
+
+    constructor(parameters: ReclaimParameters) {
+        this.#parameters = parameters;
+    }
+
+    hasBorrowers(): boolean {
+        return this.#borrowers.size > 0;
+    }
+
+    hasClaims(): boolean {
+        return this.#claims.size > 0;
+    }
+
+    accountChanged(account: CustomerAccount, fleet: Amounts): void {
+        if (account.taskCount > 0 && account.borrowedShare(fleet) > 0) {
+            this.#borrowers.add(account);
+        }
+        else {
+            this.#borrowers.delete(account);
+        }
+    }
+
+    /** Returns true where this was the last claim. */
+    jobLeft(jobKey: string): boolean {
+        this.#claimedBefore.delete(jobKey);
+        return this.#claims.delete(jobKey) && this.#claims.size === 0;
+    }
+
+    /** Ends claims whose jobs didn't start in time. Returns true where none is left of those that there were. */
+    expire(nowMs: number): boolean {
+        const before = this.#claims.size;
+        for (const [jobKey, claimedAtMs] of this.#claims) {
+            if (nowMs - claimedAtMs < this.#parameters.claimMs) {
+                break;
+            }
+            this.#claims.delete(jobKey);
+        }
+        return before > 0 && this.#claims.size === 0;
+    }
+
+    choose(
+        claimants: readonly QueuedJob[],
+        fleet: Amounts,
+        nowMs: number,
+        limit: number,
+    ): { taskKey: TaskKey; explanation: string }[] {
+        const chosen: { taskKey: TaskKey; explanation: string }[] = [];
+        for (const job of claimants) {
+            if (nowMs - job.queuedAtMs < this.#parameters.graceMs || this.#claimedRecently(job, nowMs)) {
+                continue;
+            }
+            const victims = this.#victimsFor(job, fleet, limit - chosen.length);
+            if (victims.length > 0) {
+                this.#claims.set(job.jobKey, nowMs);
+                this.#claimedBefore.set(job.jobKey, nowMs);
+                chosen.push(...victims);
+            }
+        }
+        return chosen;
+    }
+
+    #victimsFor(job: QueuedJob, fleet: Amounts, limit: number): { taskKey: TaskKey; explanation: string }[] {
+        const freed = noAmounts();
+        const victims: { taskKey: TaskKey; explanation: string }[] = [];
+        while (victims.length < limit && !fitsInto(job.reserved, freed)) {
+            const borrower = this.#largestBorrower(fleet, job.customer);
+            const task = borrower?.youngestBatch();
+            if (borrower === undefined || task === undefined) {
+                break;
+            }
+            borrower.markReclaimed(task);
+            addTo(freed, task.reserved);
+            victims.push({
+                taskKey: task.taskKey,
+                explanation: `${borrower.customer} is above its quota, ${job.customer} is below and waits`,
+            });
+        }
+        return victims;
+    }
+
+    #largestBorrower(fleet: Amounts, except: string): CustomerAccount | undefined {
+        let largest: CustomerAccount | undefined;
+        let largestShare = 0;
+        for (const account of this.#borrowers) {
+            const share = account.customer === except
+                ? 0
+                : account.borrowedShare(fleet) - account.reclaimedShare(fleet);
+            const precedes = largest === undefined || account.customer < largest.customer;
+            if (share > largestShare || (share > 0 && share === largestShare && precedes)) {
+                largest = account;
+                largestShare = share;
+            }
+        }
+        return largest;
+    }
+
+    #claimedRecently(job: QueuedJob, nowMs: number): boolean {
+        const claimedAtMs = this.#claimedBefore.get(job.jobKey);
+        return claimedAtMs !== undefined && nowMs - claimedAtMs < this.#parameters.repeatMs;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/policy/server-record.ts
@@ -0,0 +1,108 @@
+import { WorkKind } from "@waxwingspread/protocol";
+import { addTo, difference, dominantShare, noAmounts } from "./amounts.js";
+import type { Amounts } from "./amounts.js";
+import type { PlacedTask, ServerView, TaskKey } from "./types.js";
+
+/** Number of steps into which free capacity is divided. */
+export const FREE_LEVELS = 16;
+
+/** Where a server is listed. */
+export interface BucketPosition {
+    list: ServerRecord[];
+    index: number;
+}
+
+/** Expected slowdown of each task on a server, kept until its tasks change or the estimate is old. */
+export interface SlowdownCache {
+    computedAtMs: number;
+    slowdowns: Map<TaskKey, number>;
+}
+
+/** A backend server as placement keeps it. */
+export class ServerRecord {
+    readonly tasks = new Map<TaskKey, PlacedTask>();
+    readonly used = noAmounts();
+    /** Held by batch tasks that may be asked to stop. */
+    readonly evictable = noAmounts();
+    evictableCount = 0;
+    bucket: BucketPosition | undefined;
+    evictionBucket: BucketPosition | undefined;
+    cache: SlowdownCache | undefined;
+
+    constructor(readonly row: number, public view: ServerView) {}
+
+    get id(): string {
+        return this.view.backendServerId;
+    }
+
+    get freeSlots(): number {
+        return Math.min(this.view.slots, this.view.slotLimit) - this.tasks.size;
+    }
+
+    /** Placeable by the common rules, not as a probe. */
+    get isOpen(): boolean {
+        return this.view.placeable && !this.view.probing;
+    }
+
+    free(): Amounts {
+        return difference(this.view.capacity, this.used);
+    }
+
+    /** Step of the scarcest resource that is free: 0 is full, {@link FREE_LEVELS} is empty. */
+    freeLevel(): number {
+        const usedShare = Math.max(dominantShare(this.used, this.view.capacity), this.slotShare());
+        return Math.max(0, Math.floor((1 - usedShare) * FREE_LEVELS));
+    }
+
+    slotShare(): number {
+        return this.view.slots > 0 ? 1 - this.freeSlots / this.view.slots : 1;
+    }
+
+    put(task: PlacedTask): void {
+        this.take(task.taskKey);
+        this.tasks.set(task.taskKey, task);
+        this.#count(task, 1);
+    }
+
+    take(taskKey: TaskKey): PlacedTask | undefined {
+        const task = this.tasks.get(taskKey);
+        if (task !== undefined) {
+            this.tasks.delete(taskKey);
+            this.#count(task, -1);
+        }
+        return task;
+    }
+
+    #count(task: PlacedTask, sign: 1 | -1): void {
+        this.cache = undefined;
+        addTo(this.used, task.reserved, sign);
+        if (task.workKind === WorkKind.BATCH && !task.stopping) {
+            addTo(this.evictable, task.reserved, sign);
+            this.evictableCount += sign;
+        }
+    }
+}
+
+/** Lists a record, removing it from where it was listed before. */
+export const moveTo = (
+    record: ServerRecord,
+    kind: "bucket" | "evictionBucket",
+    list: ServerRecord[] | undefined,
+): void => {
+    const previous = record[kind];
+    if (previous !== undefined && previous.list === list) {
+        return;
+    }
+    if (previous !== undefined) {
+        const last = previous.list.pop();
+        if (last !== undefined && last !== record) {
+            previous.list[previous.index] = last;
+            last[kind] = { list: previous.list, index: previous.index };
+        }
+    }
+    record[kind] = undefined;
+    if (list !== undefined) {
+        record[kind] = { list, index: list.length };
+        list.push(record);
+    }
+};
--- /dev/null
+++ b/packages/scheduler/src/policy/urgent-headroom.ts
@@ -0,0 +1,63 @@
+import { WorkKind } from "@waxwingspread/protocol";
+import { addTo, noAmounts } from "./amounts.js";
+import type { Amounts } from "./amounts.js";
+import type { PlacedTask } from "./types.js";
+
+/** Parameters of the {@link UrgentHeadroom}. */
+export interface UrgentHeadroomParameters {
+    /** Time in which the remembered peak falls halfway to the present use. */
+    halfLifeMs: number;
+    /** Multiple of the square root of the peak that is kept free in addition. */
+    marginFactor: number;
+}
+
+/** Defaults: the number of running requests scatters like a Poisson variable around its level. */
+export const URGENT_HEADROOM_DEFAULTS: UrgentHeadroomParameters = { halfLifeMs: 60_000, marginFactor: 1 };
+
+/** Places kept free of batch for latency-critical work that is about to arrive, by its recent peak. */
+export class UrgentHeadroom {
+    readonly #parameters: UrgentHeadroomParameters;
+    readonly #used = noAmounts();
+    #count = 0;
+    #peak = 0;
+    #updatedAtMs = Number.NEGATIVE_INFINITY;
+
+    constructor(parameters: UrgentHeadroomParameters) {
+        this.#parameters = parameters;
+    }
+
+    added(task: PlacedTask): void {
+        if (task.workKind === WorkKind.LATENCY_CRITICAL) {
+            this.#count += 1;
+            addTo(this.#used, task.reserved);
+            this.#peak = Math.max(this.#peak, this.#count);
+        }
+    }
+
+    removed(task: PlacedTask): void {
+        if (task.workKind === WorkKind.LATENCY_CRITICAL) {
+            this.#count -= 1;
+            addTo(this.#used, task.reserved, -1);
+        }
+    }
+
+    /** Slots to keep free. */
+    slots(nowMs: number): number {
+        const elapsedMs = Math.max(0, nowMs - this.#updatedAtMs);
+        if (elapsedMs > 0) {
+            const kept = Number.isFinite(elapsedMs) ? 2 ** (-elapsedMs / this.#parameters.halfLifeMs) : 1;
+            this.#peak = this.#count + (this.#peak - this.#count) * kept;
+            this.#updatedAtMs = nowMs;
+        }
+        return Math.ceil(this.#peak - this.#count + this.#parameters.marginFactor * Math.sqrt(this.#peak));
+    }
+
+    /** Mean reservation of the running requests. */
+    meanReserved(): Amounts {
+        const mean = noAmounts();
+        if (this.#count > 0) {
+            addTo(mean, this.#used, 1 / this.#count);
+        }
+        return mean;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/policy/zone-drainer.ts
@@ -0,0 +1,200 @@
+import { WorkKind } from "@waxwingspread/protocol";
+import type { ClassKey, PlacedTask, TaskKey, ZonePolicy } from "./types.js";
+
+/** Parameters of the {@link ZoneDrainer}. */
+export interface ZoneDrainerParameters {
+    stopsPerSecond: number;
+    /** Rate allowed where the default would miss the drain deadline. */
+    maximumStopsPerSecond: number;
+    /** Latency-critical tasks younger than this are expected to end by themselves. */
+    latencyCriticalGraceMs: number;
+    /** Time over which a zone that returns is filled. */
+    returnMs: number;
+    /** Part of a returning zone's slots that may be filled at once. */
+    firstFillRatio: number;
+    /** Part of the time to the deadline for which batch that could still end by itself is left running. */
+    patienceRatio: number;
+}
+
+/** Defaults of design section 6.3. */
+export const ZONE_DRAINER_DEFAULTS: ZoneDrainerParameters = {
+    stopsPerSecond: 8,
+    maximumStopsPerSecond: 32,
+    latencyCriticalGraceMs: 2_000,
+    returnMs: 30_000,
+    firstFillRatio: 0.2,
+    patienceRatio: 0.7,
+};
+
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Time kept for stopping what remains at the default rate, relative to the time that this takes. */
+const RATE_MARGIN = 1.5;
+
+interface Drain {
+    startedAtMs: number;
+    deadlineMs: number;
+    /** Nothing is left running, so its deadline no longer matters. */
+    completed: boolean;
+}
+
+/** What applies to all zones that are being emptied. */
+interface DrainWindow {
+    deadlineMs: number;
+    /** Until then, batch that is expected to end before the deadline is left running. */
+    patienceEndsMs: number;
+}
+
+interface DrainCandidate {
+    task: PlacedTask;
+    order: number;
+    expectedEndMs: number;
+}
+
+const DRAIN_ORDER: Record<WorkKind, number> = {
+    [WorkKind.LATENCY_CRITICAL]: 0,
+    [WorkKind.STANDING]: 1,
+    [WorkKind.BATCH]: 2,
+    [WorkKind.UNSPECIFIED]: 2,
+};
+
+/** Empties zones that are out of service and fills those that return, at bounded rates. */
+export class ZoneDrainer implements ZonePolicy {
+    readonly #parameters: ZoneDrainerParameters;
+    readonly #expectedRunTimeMs: (classKey: ClassKey) => number | undefined;
+    readonly #out = new Map<string, Drain>();
+    readonly #returning = new Map<string, number>();
+    #tokens: number;
+    #refilledAtMs: number | undefined;
+
+    /** `expectedRunTimeMs` returns the run time of a class where it is known. */
+    constructor(
+        expectedRunTimeMs: (classKey: ClassKey) => number | undefined,
+        parameters: ZoneDrainerParameters = ZONE_DRAINER_DEFAULTS,
+    ) {
+        this.#expectedRunTimeMs = expectedRunTimeMs;
+        this.#parameters = parameters;
+        this.#tokens = parameters.stopsPerSecond;
+    }
+
+    /** `drainDeadlineMs` is a point in time. */
+    zoneOut(availabilityZone: string, drainDeadlineMs: number, nowMs: number): void {
+        this.#returning.delete(availabilityZone);
+        const known = this.#out.get(availabilityZone);
+        this.#out.set(availabilityZone, {
+            startedAtMs: known?.startedAtMs ?? nowMs,
+            deadlineMs: drainDeadlineMs,
+            completed: false,
+        });
+    }
+
+    zoneBack(availabilityZone: string, nowMs: number): void {
+        this.#out.delete(availabilityZone);
+        this.#returning.set(availabilityZone, nowMs);
+    }
+
+    nextToStop(tasks: readonly PlacedTask[], nowMs: number): TaskKey[] {
+        if (tasks.length === 0) {
+            this.#complete();
+            return [];
+        }
+        const remaining = tasks.filter(task => !task.stopping);
+        const window = this.#window(remaining.length, nowMs);
+        this.#refill(remaining.length, window.deadlineMs, nowMs);
+        const candidates = remaining
+            .map(task => this.#candidate(task))
+            .filter(candidate => this.#isDue(candidate, window, nowMs))
+            .sort(compareCandidates);
+        const count = Math.min(candidates.length, Math.floor(this.#tokens));
+        this.#tokens -= count;
+        return candidates.slice(0, count).map(candidate => candidate.task.taskKey);
+    }
+
+    fillRatio(availabilityZone: string, nowMs: number): number {
+        if (this.#out.has(availabilityZone)) {
+            return 0;
+        }
+        const sinceMs = this.#returning.get(availabilityZone);
+        if (sinceMs === undefined) {
+            return 1;
+        }
+        const { firstFillRatio, returnMs } = this.#parameters;
+        return Math.min(1, firstFillRatio + (1 - firstFillRatio) * Math.max(0, nowMs - sinceMs) / returnMs);
+    }
+
+    returned(nowMs: number): string[] {
+        const zones: string[] = [];
+        for (const [zone, sinceMs] of this.#returning) {
+            if (nowMs - sinceMs >= this.#parameters.returnMs) {
+                this.#returning.delete(zone);
+                zones.push(zone);
+            }
+        }
+        return zones;
+    }
+
+    #candidate(task: PlacedTask): DrainCandidate {
+        const runTimeMs = this.#expectedRunTimeMs(task.classKey);
+        return {
+            task,
+            order: DRAIN_ORDER[task.workKind],
+            expectedEndMs: runTimeMs === undefined ? Number.POSITIVE_INFINITY : task.placedAtMs + runTimeMs,
+        };
+    }
+
+    #isDue(candidate: DrainCandidate, window: DrainWindow, nowMs: number): boolean {
+        if (nowMs >= window.patienceEndsMs || candidate.expectedEndMs > window.deadlineMs) {
+            return candidate.task.workKind !== WorkKind.LATENCY_CRITICAL || this.#outlivesGrace(candidate, nowMs)
+                || nowMs >= window.deadlineMs;
+        }
+        return candidate.task.workKind === WorkKind.STANDING || this.#outlivesGrace(candidate, nowMs);
+    }
+
+    #outlivesGrace(candidate: DrainCandidate, nowMs: number): boolean {
+        return candidate.task.workKind === WorkKind.LATENCY_CRITICAL
+            && nowMs - candidate.task.placedAtMs >= this.#parameters.latencyCriticalGraceMs;
+    }
+
+    #window(remaining: number, nowMs: number): DrainWindow {
+        let deadlineMs = Number.POSITIVE_INFINITY;
+        let startedAtMs = Number.POSITIVE_INFINITY;
+        for (const drain of this.#out.values()) {
+            if (!drain.completed) {
+                deadlineMs = Math.min(deadlineMs, drain.deadlineMs);
+                startedAtMs = Math.min(startedAtMs, drain.startedAtMs);
+            }
+        }
+        if (startedAtMs === Number.POSITIVE_INFINITY) {
+            return { deadlineMs: nowMs, patienceEndsMs: nowMs };
+        }
+        const { patienceRatio, stopsPerSecond } = this.#parameters;
+        const byRatioMs = startedAtMs + Math.max(0, deadlineMs - startedAtMs) * patienceRatio;
+        const byRateMs = deadlineMs - RATE_MARGIN * remaining / stopsPerSecond * MILLISECONDS_PER_SECOND;
+        return { deadlineMs, patienceEndsMs: Math.min(byRatioMs, byRateMs) };
+    }
+
+    #complete(): void {
+        for (const drain of this.#out.values()) {
+            drain.completed = true;
+        }
+    }
+
+    #refill(remaining: number, deadlineMs: number, nowMs: number): void {
+        const { stopsPerSecond, maximumStopsPerSecond } = this.#parameters;
+        const leftSeconds = Math.max(1, (deadlineMs - nowMs) / MILLISECONDS_PER_SECOND);
+        const rate = Math.min(maximumStopsPerSecond, Math.max(stopsPerSecond, remaining / leftSeconds));
+        const elapsedMs = Math.max(0, nowMs - (this.#refilledAtMs ?? nowMs));
+        this.#tokens = Math.min(rate, this.#tokens + elapsedMs * rate / MILLISECONDS_PER_SECOND);
+        this.#refilledAtMs = nowMs;
+    }
+}
+
+/** Latency-critical first, then standing, then batch; batch that is furthest from its end first. */
+const compareCandidates = (left: DrainCandidate, right: DrainCandidate): number => {
+    if (left.order !== right.order) {
+        return left.order - right.order;
+    }
+    if (left.expectedEndMs !== right.expectedEndMs) {
+        return left.expectedEndMs > right.expectedEndMs ? -1 : 1;
+    }
+    return left.task.taskKey < right.task.taskKey ? -1 : 1;
+};
