--- a/packages/scheduler/src/policy/reservation-estimator.ts
+++ b/packages/scheduler/src/policy/reservation-estimator.ts
@@ -84,8 +84,9 @@
             const floor = declared[name] * this.#parameters.floorRatio;
             reserved[name] = Math.min(Math.max(floor, estimate[name]), capacity?.[name] ?? Number.POSITIVE_INFINITY);
         }
-        // An accelerator is held whole, so declared ones are kept whether or not they were seen in use.
-        reserved.accelerators = Math.min(declared.accelerators, capacity?.accelerators ?? declared.accelerators);
+        // An accelerator is held whole whether or not it was seen in use, and a job that needs more of them than any
+        // backend server has must be refused.
+        reserved.accelerators = declared.accelerators;
         return toResources(reserved);
     }
 
