--- /dev/null
+++ b/packages/scheduler/src/policy/fair-share-queue.real.test.ts
@@ -0,0 +1,22 @@
+import { expect, test } from "vitest";
+import { FairShareQueue } from "./fair-share-queue.js";
+import { job, limits, resources } from "./testing.js";
+
+test("the cost of a selection doesn't grow with the queue", () => {
+    const timeOf = (length: number): number => {
+        const queue = new FairShareQueue();
+        queue.setFleetCapacity(resources(100_000, 400_000));
+        [limits("a"), limits("b")].forEach(customer => queue.setCustomer(customer));
+        for (let index = 0; index < length; index += 1) {
+            queue.enqueue(job(`${index}`, { customer: index % 2 === 0 ? "a" : "b" }));
+        }
+        const startedMs = performance.now();
+        for (let round = 0; round < 2_000; round += 1) {
+            queue.next(0, 8);
+        }
+        return performance.now() - startedMs;
+    };
+    timeOf(100);
+    // A cost in proportion to the queue would be 500 times as high.
+    expect(timeOf(50_000)).toBeLessThan(20 * Math.max(5, timeOf(100)));
+});
