--- /dev/null
+++ b/packages/scheduler/src/policy/health-tracker.test.ts
@@ -0,0 +1,60 @@
+import { HealthState } from "@waxwingspread/protocol";
+import { expect, test } from "vitest";
+import { HealthTracker } from "./health-tracker.js";
+
+const trackerOf = (count: number): HealthTracker => {
+    const tracker = new HealthTracker();
+    for (let index = 0; index < count; index += 1) {
+        tracker.register(`s${index}`, 8, HealthState.HEALTHY, 0);
+    }
+    return tracker;
+};
+
+const failTimes = (tracker: HealthTracker, id: string, jobs: string[], nowMs = 0): (HealthState | undefined)[] =>
+    jobs.map(jobKey => tracker.failed(id, jobKey, nowMs)?.health);
+
+test("three failures of different jobs quarantine a server, those of one job or with a success between don't", () => {
+    const tracker = trackerOf(10);
+    expect(failTimes(tracker, "s0", ["a", "a", "a", "b"])).toEqual([undefined, undefined, undefined, undefined]);
+    tracker.succeeded("s0", 0);
+    expect(failTimes(tracker, "s0", ["a", "b", "c"])).toEqual([undefined, undefined, HealthState.QUARANTINED]);
+    expect(tracker.slotLimit("s0")).toBe(0);
+    expect(tracker.slotLimit("unknown")).toBe(0);
+});
+
+test("at most a fifth of the fleet, at least one, is out; the next one follows when another returns", () => {
+    for (const [count, bound] of [[3, 1], [10, 2], [30, 6]] as const) {
+        const tracker = trackerOf(count);
+        for (let index = 0; index < count; index += 1) {
+            failTimes(tracker, `s${index}`, ["a", "b", "c"]);
+        }
+        const isOut = (index: number): boolean => tracker.slotLimit(`s${index}`) === 0;
+        expect(Array.from({ length: count }, (unused, index) => isOut(index)).filter(Boolean)).toHaveLength(bound);
+        expect(tracker.due(10_000).every(change => change.health === HealthState.PROBING)).toBe(true);
+        tracker.succeeded("s0", 10_100);
+        expect(tracker.due(10_200).map(change => change.health)).toEqual([HealthState.QUARANTINED]);
+    }
+});
+
+test("returns over a probe and growing shares; a failed probe doubles the delay", () => {
+    const tracker = trackerOf(5);
+    failTimes(tracker, "s0", ["a", "b", "c"]);
+    expect(tracker.due(9_999)).toEqual([]);
+    expect(tracker.due(10_000)[0]).toMatchObject({ health: HealthState.PROBING, slotLimit: 1 });
+    expect(tracker.failed("s0", "d", 10_500)?.health).toBe(HealthState.QUARANTINED);
+    expect(tracker.due(30_499)).toEqual([]);
+    expect(tracker.due(30_500)[0]?.health).toBe(HealthState.PROBING);
+    expect(tracker.succeeded("s0", 31_000)).toMatchObject({ health: HealthState.RECOVERING, slotLimit: 2 });
+    const later = Array.from({ length: 4 }, () => tracker.succeeded("s0", 32_000)?.slotLimit);
+    expect(later).toEqual([undefined, 4, undefined, 8]);
+    expect(tracker.due(99_999)).toEqual([]);
+});
+
+test("a server registered as quarantined is probed after a new leader takes over", () => {
+    const tracker = trackerOf(5);
+    tracker.register("old", 8, HealthState.QUARANTINED, 3);
+    expect(tracker.due(1_000)).toEqual([]);
+    expect(tracker.due(11_000)[0]).toMatchObject({ backendServerId: "old", health: HealthState.PROBING });
+    tracker.forget("old");
+    expect(tracker.due(99_000)).toEqual([]);
+});
