--- /dev/null
+++ b/packages/scheduler/src/policy/zone-drainer.test.ts
@@ -0,0 +1,65 @@
+import { WorkKind } from "@waxwingspread/protocol";
+import { expect, test } from "vitest";
+import { task } from "./testing.js";
+import { ZoneDrainer } from "./zone-drainer.js";
+
+const RUN_TIMES: Record<string, number> = { short: 5_000, long: 500_000 };
+
+const drainerOf = (deadlineMs: number): ZoneDrainer => {
+    const drainer = new ZoneDrainer(classKey => RUN_TIMES[classKey]);
+    drainer.zoneOut("zone-a", deadlineMs, 0);
+    return drainer;
+};
+
+test("latency-critical first, then standing, then batch, within the rate", () => {
+    const drainer = drainerOf(60_000);
+    const batch = Array.from({ length: 30 }, (unused, index) => task(`batch${index}`, { classKey: "long" }));
+    const urgent = task("urgent", { workKind: WorkKind.LATENCY_CRITICAL, placedAtMs: -5_000 });
+    const running = [...batch, task("watch", { workKind: WorkKind.STANDING }), urgent];
+    const first = drainer.nextToStop(running, 0);
+    expect(first.slice(0, 2)).toEqual(["urgent", "watch"]);
+    expect(first).toHaveLength(8);
+    const left = running.filter(item => !first.includes(item.taskKey));
+    expect(drainer.nextToStop(left, 0)).toEqual([]);
+    expect(drainer.nextToStop(left, 500)).toHaveLength(4);
+});
+
+test("batch that ends before the deadline is left running until the patience ends, short requests too", () => {
+    const drainer = drainerOf(30_000);
+    const running = [
+        task("short", { classKey: "short" }),
+        task("long", { classKey: "long" }),
+        task("request", { workKind: WorkKind.LATENCY_CRITICAL, placedAtMs: 0 }),
+    ];
+    expect(drainer.nextToStop(running, 1_000)).toEqual(["long"]);
+    const left = running.filter(item => item.taskKey !== "long");
+    expect(drainer.nextToStop(left, 2_500)).toEqual(["request"]);
+    expect(drainer.nextToStop(left.slice(0, 1), 29_500)).toEqual(["short"]);
+});
+
+test("everything is stopped by the deadline where the default rate is too low, within the bound", () => {
+    const drainer = drainerOf(10_000);
+    let running = Array.from({ length: 200 }, (unused, index) => task(`t${index}`, { classKey: "long" }));
+    for (let nowMs = 0; nowMs <= 10_000; nowMs += 250) {
+        const stopped = drainer.nextToStop(running, nowMs);
+        expect(stopped.length).toBeLessThanOrEqual(32);
+        running = running.filter(item => !stopped.includes(item.taskKey));
+    }
+    expect(running).toEqual([]);
+});
+
+test("a zone that returns is filled gradually, and one that leaves again is not filled", () => {
+    const drainer = drainerOf(10_000);
+    expect(drainer.fillRatio("zone-a", 1)).toBe(0);
+    expect(drainer.fillRatio("zone-b", 1)).toBe(1);
+    drainer.zoneBack("zone-a", 20_000);
+    expect(drainer.fillRatio("zone-a", 20_000)).toBeCloseTo(0.2);
+    expect(drainer.fillRatio("zone-a", 35_000)).toBeCloseTo(0.6);
+    expect(drainer.fillRatio("zone-a", 50_000)).toBe(1);
+    expect(drainer.returned(49_999)).toEqual([]);
+    drainer.zoneOut("zone-a", 90_000, 49_999);
+    expect(drainer.returned(60_000)).toEqual([]);
+    drainer.zoneBack("zone-a", 60_000);
+    expect(drainer.returned(90_000)).toEqual(["zone-a"]);
+    expect(drainer.returned(90_001)).toEqual([]);
+});
--- a/packages/scheduler/src/policy/zone-drainer.ts
+++ b/packages/scheduler/src/policy/zone-drainer.ts
@@ -27,7 +27,7 @@
 };
 
 const MILLISECONDS_PER_SECOND = 1_000;
-/** Time kept for stopping what remains at the default rate, relative to the time that this takes. */
+/** Time kept for stopping what remains, relative to the time that this takes; stops take time to be confirmed. */
 const RATE_MARGIN = 1.5;
 
 interface Drain {
@@ -181,7 +181,7 @@
     #refill(remaining: number, deadlineMs: number, nowMs: number): void {
         const { stopsPerSecond, maximumStopsPerSecond } = this.#parameters;
         const leftSeconds = Math.max(1, (deadlineMs - nowMs) / MILLISECONDS_PER_SECOND);
-        const rate = Math.min(maximumStopsPerSecond, Math.max(stopsPerSecond, remaining / leftSeconds));
+        const rate = Math.min(maximumStopsPerSecond, Math.max(stopsPerSecond, RATE_MARGIN * remaining / leftSeconds));
         const elapsedMs = Math.max(0, nowMs - (this.#refilledAtMs ?? nowMs));
         this.#tokens = Math.min(rate, this.#tokens + elapsedMs * rate / MILLISECONDS_PER_SECOND);
         this.#refilledAtMs = nowMs;
