--- a/packages/scheduler/src/policy/placement-cost.ts
+++ b/packages/scheduler/src/policy/placement-cost.ts
@@ -22,7 +22,7 @@
     spreadWeight: number;
 }
 
-/** Defaults, chosen by bench:policy (docs/policy.md). */
+/** Defaults; docs/policy.md states how they were chosen. */
 export const PLACEMENT_COST_DEFAULTS: PlacementCostParameters = {
     urgentWeight: 1,
     targetWeight: 12,
--- a/packages/scheduler/src/policy/placement-index.ts
+++ b/packages/scheduler/src/policy/placement-index.ts
@@ -1,5 +1,4 @@
 import { WorkKind } from "@waxwingspread/protocol";
-import type { Resources } from "@waxwingspread/protocol";
 import { addTo, difference, fitsInto, noAmounts, RESOURCE_NAMES } from "./amounts.js";
 import type { Amounts } from "./amounts.js";
 import type { ClassProfiles } from "./class-profiles.js";
@@ -30,7 +29,7 @@
     headroom: UrgentHeadroomParameters;
 }
 
-/** Defaults, except for the headroom, chosen by bench:policy (docs/policy.md). */
+/** Defaults; docs/policy.md states how they were chosen. */
 export const PLACEMENT_INDEX_DEFAULTS: PlacementIndexParameters = {
     maximumCandidates: 16,
     maximumProbes: 64,
@@ -193,7 +192,7 @@
         return best;
     }
 
-    couldEverFit(reserved: Resources): boolean {
+    couldEverFit(reserved: Amounts): boolean {
         return this.#sizeTree.find(rowNeed(reserved), () => true, this.#rows.length * 4 + 4) !== undefined;
     }
 
