--- /dev/null
+++ b/packages/scheduler/src/policy/interference-control.test.ts
@@ -0,0 +1,124 @@
+import { SeededRandom } from "@waxwingspread/common";
+import { WorkKind } from "@waxwingspread/protocol";
+import { expect, test } from "vitest";
+import { createPolicies } from "./create-policies.js";
+import { query, resources, server, task } from "./testing.js";
+import { MitigationKind } from "./types.js";
+import type { Mitigation, PolicySet } from "./types.js";
+
+const CHECK = "customer/check";
+
+/** One server with an urgent task whose target permits a slowdown of 2, and two batch tasks. */
+const scene = (): PolicySet => {
+    const policies = createPolicies({
+        random: new SeededRandom(1),
+        knownSlowdowns: {
+            coefficient: (unusedSuffering, causing) => causing.endsWith("loud") ? 1 : 0.1,
+            variance: () => 0,
+        },
+    });
+    policies.placement.upsertServer(server("s"));
+    policies.placement.choose(query({ latencyTargetMs: 200 }), 0);
+    policies.reservation.observeRunTime(CHECK, 100);
+    const urgent = task("urgent", { classKey: CHECK, workKind: WorkKind.LATENCY_CRITICAL });
+    policies.interference.occupied("s", urgent, 0);
+    policies.interference.occupied("s", task("loud", { classKey: "customer/loud" }), 0);
+    policies.interference.occupied("s", task("quiet"), 0);
+    return policies;
+};
+
+const measure = (policies: PolicySet, slowdown: number, measuredAtMs: number, nowMs: number): void => {
+    policies.interference.observe({
+        taskKey: "urgent",
+        backendServerId: "s",
+        measuredAtMs,
+        used: resources(500),
+        speedRatio: 1 / slowdown,
+    }, nowMs);
+};
+
+const kinds = (steps: Mitigation[]): string[] => steps.map(step => `${step.kind} ${step.taskKey}`);
+
+test("throttles the worst neighbour first and evicts it only on evidence that is newer", () => {
+    const policies = scene();
+    [1_000, 1_200, 1_400].forEach(atMs => measure(policies, 2.5, atMs, 2_000));
+    expect(kinds(policies.interference.evaluate(2_000))).toEqual(["throttle loud"]);
+    const throttled = task("loud", { classKey: "customer/loud", throttled: true });
+    policies.interference.occupied("s", throttled, 2_000);
+    [1_500, 1_600, 1_700, 1_800, 2_100].forEach(atMs => measure(policies, 2.5, atMs, 11_000));
+    expect(policies.interference.evaluate(11_000)).toEqual([]);
+    [9_000, 9_500, 10_000].forEach(atMs => measure(policies, 2.5, atMs, 11_000));
+    expect(kinds(policies.interference.evaluate(11_000))).toEqual(["evict loud"]);
+    expect(policies.interference.evaluate(11_100)).toEqual([]);
+});
+
+test("one slow measurement or ones just below the limit lead to no step", () => {
+    const policies = scene();
+    measure(policies, 5, 1_000, 1_000);
+    expect(policies.interference.evaluate(1_000)).toEqual([]);
+    for (let atMs = 8_000; atMs < 60_000; atMs += 500) {
+        measure(policies, 1.6, atMs, atMs);
+        expect(policies.interference.evaluate(atMs)).toEqual([]);
+    }
+});
+
+test("throttling ends after the hold, and lasts longer where the risk returns", () => {
+    const policies = scene();
+    const releasedAfterMs = (startMs: number): number => {
+        [0, 200, 400].forEach(offsetMs => measure(policies, 2.5, startMs + offsetMs, startMs + 500));
+        expect(kinds(policies.interference.evaluate(startMs + 500))).toEqual(["throttle loud"]);
+        for (let nowMs = startMs + 1_500; nowMs < startMs + 90_000; nowMs += 500) {
+            measure(policies, 1.2, nowMs, nowMs);
+            const steps = kinds(policies.interference.evaluate(nowMs));
+            if (steps.length > 0) {
+                expect(steps).toEqual(["unthrottle loud"]);
+                return nowMs - startMs;
+            }
+        }
+        return Number.POSITIVE_INFINITY;
+    };
+    const first = releasedAfterMs(10_000);
+    const second = releasedAfterMs(30_000);
+    expect(first).toBeLessThan(11_000);
+    expect(second).toBeGreaterThan(1.8 * first);
+    expect(second).toBeLessThan(25_000);
+});
+
+test("a wave of noise over the whole fleet doesn't become a wave of evictions", () => {
+    const policies = scene();
+    for (let index = 0; index < 100; index += 1) {
+        const id = `s${index}`;
+        policies.interference.occupied(id, task(`u${index}`, { classKey: CHECK, workKind: 1 }), 0);
+        policies.interference.occupied(id, task(`l${index}`, { classKey: "customer/loud" }), 0);
+    }
+    let evictions = 0;
+    for (let nowMs = 1_000; nowMs <= 31_000; nowMs += 500) {
+        for (let index = 0; index < 100; index += 1) {
+            policies.interference.observe({
+                taskKey: `u${index}`,
+                backendServerId: `s${index}`,
+                measuredAtMs: nowMs,
+                used: resources(500),
+                speedRatio: 0.3,
+            }, nowMs);
+        }
+        for (const step of policies.interference.evaluate(nowMs)) {
+            evictions += step.kind === MitigationKind.Evict ? 1 : 0;
+        }
+    }
+    expect(evictions).toBeGreaterThan(0);
+    expect(evictions).toBeLessThanOrEqual(2 + 30 * 0.2);
+});
+
+test("samples of tasks that had already left are ignored, and memory overuse evicts once", () => {
+    const policies = scene();
+    const sample = { backendServerId: "s", used: resources(100, 9_000), speedRatio: 0.9 };
+    policies.interference.released("s", "urgent", 500);
+    policies.interference.observe({ ...sample, taskKey: "urgent", measuredAtMs: 600 }, 900);
+    const steps: string[] = [];
+    for (let nowMs = 1_000; nowMs < 10_000; nowMs += 1_000) {
+        policies.interference.observe({ ...sample, taskKey: "quiet", measuredAtMs: nowMs }, nowMs);
+        steps.push(...kinds(policies.interference.evaluate(nowMs)));
+    }
+    expect(steps).toEqual(["evict quiet"]);
+});
--- /dev/null
+++ b/packages/scheduler/src/policy/mitigator.ts
@@ -0,0 +1,301 @@
+import { Reason, WorkKind } from "@waxwingspread/protocol";
+import type { ClassProfiles } from "./class-profiles.js";
+import type { SlowdownSource } from "./interference-model.js";
+import type { OccupancyHistory } from "./occupancy-history.js";
+import type { TaskLoads } from "./task-loads.js";
+import { TokenBucket } from "./token-bucket.js";
+import { MitigationKind } from "./types.js";
+import type { ClassKey, Mitigation, PlacedTask, TaskKey } from "./types.js";
+
+/** Parameters of the {@link Mitigator}. Ratios are relative to the slowdown that the target permits. */
+export interface MitigatorParameters {
+    /** Mean measured ratio above which a class is at risk. */
+    enterRatio: number;
+    /** Expected ratio below which a throttled task is released. */
+    exitRatio: number;
+    /** Measurements needed for a step. */
+    minimumSamples: number;
+    /** Age up to which a measurement counts. */
+    windowMs: number;
+    /** Measurements taken within this time after a step don't show its effect yet. */
+    settleMs: number;
+    /** Time for which a task stays throttled; doubled each time that it is throttled again. */
+    holdMs: number;
+    /** Time that the risk must outlast throttling before the task is evicted. */
+    evictAfterMs: number;
+    /** Least slowdown that the chosen neighbour is expected to cause. */
+    minimumContribution: number;
+    /** Bound on evictions in the whole fleet. */
+    evictionsPerSecond: number;
+    evictionBurst: number;
+}
+
+/** Defaults; docs/policy.md states how they were chosen. */
+export const MITIGATOR_DEFAULTS: MitigatorParameters = {
+    enterRatio: 0.9,
+    exitRatio: 0.7,
+    minimumSamples: 3,
+    windowMs: 6_000,
+    settleMs: 500,
+    holdMs: 10_000,
+    evictAfterMs: 8_000,
+    minimumContribution: 0.08,
+    evictionsPerSecond: 0.2,
+    evictionBurst: 2,
+};
+
+/** Throttling again within this many holds counts as the same disturbance. */
+const REPEATED_HOLDS = 6;
+const MAXIMUM_HOLD_DOUBLINGS = 4;
+/** Measurements kept for each server. */
+const MAXIMUM_SAMPLES = 64;
+
+interface RiskSample {
+    classKey: ClassKey;
+    measuredAtMs: number;
+    ratio: number;
+}
+
+interface ThrottledTask {
+    sinceMs: number;
+    releaseAtMs: number;
+}
+
+interface ServerEvidence {
+    samples: RiskSample[];
+    /** Only measurements after this time count, so that no evidence leads to two steps. */
+    countsAfterMs: number;
+    throttled: Map<TaskKey, ThrottledTask>;
+    /** Throttlings in the past, for doubling the time. */
+    repeats: Map<TaskKey, { count: number; lastMs: number }>;
+}
+
+/** What the mitigator uses of the other parts of the interference policy. */
+export interface MitigatorSources {
+    source: SlowdownSource;
+    history: OccupancyHistory;
+    loads: TaskLoads;
+    profiles: ClassProfiles;
+}
+
+/**
+ * Protects latency-critical work where measurements show that it is at risk: throttles the neighbour that is expected
+ * to slow it most, and evicts it only if newer measurements still show the risk.
+ */
+export class Mitigator {
+    readonly #sources: MitigatorSources;
+    readonly #parameters: MitigatorParameters;
+    readonly #servers = new Map<string, ServerEvidence>();
+    /** Servers with new measurements. */
+    readonly #changed = new Set<string>();
+    /** Servers with throttled tasks. */
+    readonly #withThrottled = new Set<string>();
+    readonly #evictions: TokenBucket;
+
+    constructor(sources: MitigatorSources, parameters: MitigatorParameters = MITIGATOR_DEFAULTS) {
+        this.#sources = sources;
+        this.#parameters = parameters;
+        this.#evictions = new TokenBucket(parameters.evictionsPerSecond, parameters.evictionBurst);
+    }
+
+    /** Notes the measured slowdown of a latency-critical task. */
+    note(backendServerId: string, classKey: ClassKey, slowdown: number, measuredAtMs: number): void {
+        const evidence = this.#evidenceOf(backendServerId);
+        if (measuredAtMs <= evidence.countsAfterMs) {
+            return;
+        }
+        evidence.samples.push({
+            classKey,
+            measuredAtMs,
+            ratio: slowdown / this.#sources.profiles.slackRatio(classKey),
+        });
+        if (evidence.samples.length > MAXIMUM_SAMPLES) {
+            evidence.samples.shift();
+        }
+        this.#changed.add(backendServerId);
+    }
+
+    forgetTask(backendServerId: string, taskKey: TaskKey, nowMs: number): void {
+        const evidence = this.#servers.get(backendServerId);
+        if (evidence === undefined) {
+            return;
+        }
+        evidence.repeats.delete(taskKey);
+        evidence.throttled.delete(taskKey);
+        if (evidence.throttled.size === 0) {
+            this.#withThrottled.delete(backendServerId);
+        }
+        const isSettled = nowMs > evidence.countsAfterMs + this.#parameters.windowMs;
+        if (isSettled && evidence.samples.length === 0 && evidence.repeats.size === 0) {
+            this.#servers.delete(backendServerId);
+        }
+    }
+
+    evaluate(nowMs: number): Mitigation[] {
+        const steps: Mitigation[] = [];
+        for (const backendServerId of this.#changed) {
+            const step = this.#protect(backendServerId, nowMs);
+            if (step !== undefined) {
+                steps.push(step);
+            }
+        }
+        this.#changed.clear();
+        for (const backendServerId of [...this.#withThrottled]) {
+            const step = this.#release(backendServerId, nowMs);
+            if (step !== undefined) {
+                steps.push(step);
+            }
+        }
+        return steps;
+    }
+
+    #protect(backendServerId: string, nowMs: number): Mitigation | undefined {
+        const evidence = this.#evidenceOf(backendServerId);
+        evidence.samples = evidence.samples.filter(sample => sample.measuredAtMs >= nowMs - this.#parameters.windowMs);
+        const risk = this.#classAtRisk(evidence.samples);
+        if (risk === undefined) {
+            return undefined;
+        }
+        const worst = this.#worstNeighbour(backendServerId, risk.classKey, nowMs);
+        if (worst === undefined) {
+            return undefined;
+        }
+        const throttled = evidence.throttled.get(worst.taskKey);
+        const explanation = `${risk.classKey} at ${risk.ratio.toFixed(2)} of what its target permits, `
+            + `measured ${risk.count} times`;
+        if (throttled === undefined) {
+            return this.#throttle(backendServerId, evidence, worst, explanation, nowMs);
+        }
+        if (nowMs - throttled.sinceMs < this.#parameters.evictAfterMs || !this.#evictions.take(nowMs)) {
+            throttled.releaseAtMs = Math.max(throttled.releaseAtMs, nowMs + this.#parameters.holdMs);
+            return undefined;
+        }
+        this.#settle(evidence, nowMs);
+        return {
+            kind: MitigationKind.Evict,
+            backendServerId,
+            taskKey: worst.taskKey,
+            reason: Reason.INTERFERENCE,
+            explanation,
+        };
+    }
+
+    #throttle(
+        backendServerId: string,
+        evidence: ServerEvidence,
+        task: PlacedTask,
+        explanation: string,
+        nowMs: number,
+    ): Mitigation {
+        const { holdMs } = this.#parameters;
+        const before = evidence.repeats.get(task.taskKey);
+        const isRepeated = before !== undefined && nowMs - before.lastMs < REPEATED_HOLDS * holdMs;
+        const count = isRepeated ? Math.min(MAXIMUM_HOLD_DOUBLINGS, before.count + 1) : 0;
+        evidence.repeats.set(task.taskKey, { count, lastMs: nowMs });
+        evidence.throttled.set(task.taskKey, { sinceMs: nowMs, releaseAtMs: nowMs + holdMs * 2 ** count });
+        this.#withThrottled.add(backendServerId);
+        this.#settle(evidence, nowMs);
+        return {
+            kind: MitigationKind.Throttle,
+            backendServerId,
+            taskKey: task.taskKey,
+            reason: Reason.INTERFERENCE,
+            explanation,
+        };
+    }
+
+    /** Ends the throttling of one task of a server where the risk is expected to stay low without it. */
+    #release(backendServerId: string, nowMs: number): Mitigation | undefined {
+        const evidence = this.#evidenceOf(backendServerId);
+        for (const [taskKey, throttled] of evidence.throttled) {
+            if (throttled.releaseAtMs > nowMs) {
+                continue;
+            }
+            const ratio = this.#ratioWithout(backendServerId, evidence, nowMs);
+            if (ratio > this.#parameters.exitRatio) {
+                throttled.releaseAtMs = nowMs + this.#parameters.holdMs;
+                continue;
+            }
+            evidence.throttled.delete(taskKey);
+            if (evidence.throttled.size === 0) {
+                this.#withThrottled.delete(backendServerId);
+            }
+            this.#settle(evidence, nowMs);
+            return {
+                kind: MitigationKind.Unthrottle,
+                backendServerId,
+                taskKey,
+                reason: Reason.INTERFERENCE,
+                explanation: `latency-critical work at ${ratio.toFixed(2)} of what its targets permit`,
+            };
+        }
+        return undefined;
+    }
+
+    /** Mean of the recent measurements under throttling; 0 where there is no latency-critical work. */
+    #ratioWithout(backendServerId: string, evidence: ServerEvidence, nowMs: number): number {
+        const recent = evidence.samples.filter(sample => sample.measuredAtMs >= nowMs - this.#parameters.windowMs);
+        return this.#classAtGreatestRatio(recent)?.ratio ?? 0;
+    }
+
+    #classAtRisk(samples: readonly RiskSample[]): { classKey: ClassKey; ratio: number; count: number } | undefined {
+        const greatest = this.#classAtGreatestRatio(samples);
+        return greatest !== undefined && greatest.ratio > this.#parameters.enterRatio ? greatest : undefined;
+    }
+
+    #classAtGreatestRatio(
+        samples: readonly RiskSample[],
+    ): { classKey: ClassKey; ratio: number; count: number } | undefined {
+        const sums = new Map<ClassKey, { sum: number; count: number }>();
+        for (const sample of samples) {
+            const entry = sums.get(sample.classKey) ?? { sum: 0, count: 0 };
+            entry.sum += sample.ratio;
+            entry.count += 1;
+            sums.set(sample.classKey, entry);
+        }
+        let greatest: { classKey: ClassKey; ratio: number; count: number } | undefined;
+        for (const [classKey, { sum, count }] of sums) {
+            const ratio = sum / count;
+            if (count >= this.#parameters.minimumSamples && ratio > (greatest?.ratio ?? 0)) {
+                greatest = { classKey, ratio, count };
+            }
+        }
+        return greatest;
+    }
+
+    #worstNeighbour(backendServerId: string, classKey: ClassKey, nowMs: number): PlacedTask | undefined {
+        const { source, history, loads } = this.#sources;
+        let worst: PlacedTask | undefined;
+        let worstContribution = this.#parameters.minimumContribution;
+        for (const task of history.present(backendServerId)) {
+            if (task.workKind !== WorkKind.BATCH || task.stopping) {
+                continue;
+            }
+            const contribution = loads.loadOf(task) * source.coefficient(classKey, task.classKey, nowMs);
+            if (contribution > worstContribution) {
+                worst = task;
+                worstContribution = contribution;
+            }
+        }
+        return worst;
+    }
+
+    #settle(evidence: ServerEvidence, nowMs: number): void {
+        evidence.samples = [];
+        evidence.countsAfterMs = nowMs + this.#parameters.settleMs;
+    }
+
+    #evidenceOf(backendServerId: string): ServerEvidence {
+        let evidence = this.#servers.get(backendServerId);
+        if (evidence === undefined) {
+            evidence = {
+                samples: [],
+                countsAfterMs: Number.NEGATIVE_INFINITY,
+                throttled: new Map(),
+                repeats: new Map(),
+            };
+            this.#servers.set(backendServerId, evidence);
+        }
+        return evidence;
+    }
+}
--- /dev/null
+++ b/packages/scheduler/src/policy/overuse-tracker.ts
@@ -0,0 +1,58 @@
+import { Reason, WorkKind } from "@waxwingspread/protocol";
+import type { Resources } from "@waxwingspread/protocol";
+import { MitigationKind } from "./types.js";
+import type { Mitigation, PlacedTask, TaskKey } from "./types.js";
+
+/** Parameters of the {@link OveruseTracker}. */
+export interface OveruseParameters {
+    /** Use relative to the reservation above which a report counts as overuse. */
+    memoryRatio: number;
+    /** Consecutive reports needed. */
+    reports: number;
+}
+
+/** Defaults. Processor time is shared, so only memory, which is not, leads to an eviction. */
+export const OVERUSE_DEFAULTS: OveruseParameters = { memoryRatio: 1.5, reports: 3 };
+
+/** Evicts batch tasks that keep using more memory than they reserved, each once. */
+export class OveruseTracker {
+    readonly #parameters: OveruseParameters;
+    readonly #reports = new Map<TaskKey, number>();
+    #steps: Mitigation[] = [];
+
+    constructor(parameters: OveruseParameters = OVERUSE_DEFAULTS) {
+        this.#parameters = parameters;
+    }
+
+    observe(backendServerId: string, task: PlacedTask, used: Resources): void {
+        const reserved = task.reserved.memoryMebibytes;
+        const limit = reserved * this.#parameters.memoryRatio;
+        if (task.workKind !== WorkKind.BATCH || reserved === 0 || used.memoryMebibytes <= limit) {
+            this.#reports.delete(task.taskKey);
+            return;
+        }
+        const reports = (this.#reports.get(task.taskKey) ?? 0) + 1;
+        this.#reports.set(task.taskKey, reports);
+        if (reports === this.#parameters.reports) {
+            this.#steps.push({
+                kind: MitigationKind.Evict,
+                backendServerId,
+                taskKey: task.taskKey,
+                reason: Reason.OVERUSE,
+                explanation: `uses ${used.memoryMebibytes} MiB, reserved ${reserved} MiB`,
+            });
+        }
+    }
+
+    forgetTask(taskKey: TaskKey): void {
+        this.#reports.delete(taskKey);
+        this.#steps = this.#steps.filter(step => step.taskKey !== taskKey);
+    }
+
+    /** Returns and removes the steps that are due. */
+    takeSteps(): Mitigation[] {
+        const steps = this.#steps;
+        this.#steps = [];
+        return steps;
+    }
+}
