--- /dev/null
+++ b/packages/scheduler/src/policy/admission-control.test.ts
@@ -0,0 +1,69 @@
+import { create } from "@bufbuild/protobuf";
+import { SeededRandom } from "@waxwingspread/common";
+import { JobSpecificationSchema, Reason, WorkKind } from "@waxwingspread/protocol";
+import { expect, test } from "vitest";
+import { createPolicies } from "./create-policies.js";
+import { RetryBackoff } from "./retry-backoff.js";
+import { job, limits, resources, server } from "./testing.js";
+import type { Admission, PolicySet, QueuedJob } from "./types.js";
+
+const prepared = (quota: Parameters<typeof limits>[1]): PolicySet => {
+    const policies = createPolicies({ random: new SeededRandom(1) });
+    policies.placement.upsertServer(server("s"));
+    const customer = limits("customer", quota, { batchShare: 0.5 });
+    policies.admission.setCustomer(customer);
+    policies.fairShare.setCustomer(customer);
+    return policies;
+};
+
+const admit = (policies: PolicySet, queued: QueuedJob, waitMs = 0, nowMs = 0): Admission =>
+    policies.admission.admit(create(JobSpecificationSchema, { declaredRunTimeMs: 1_000 }), queued, waitMs, nowMs);
+
+test("refuses what can never fit a server or the customer's quota", () => {
+    const policies = prepared({ resources: resources(20_000, 100_000) });
+    expect(admit(policies, job("a", { reserved: resources(17_000) })).reason)
+        .toBe(Reason.LARGER_THAN_ANY_BACKEND_SERVER);
+    expect(admit(policies, job("b", { reserved: resources(12_000) })).reason).toBe(Reason.LARGER_THAN_QUOTA);
+    expect(admit(policies, job("c", { reserved: resources(12_000), workKind: WorkKind.LATENCY_CRITICAL })).admitted)
+        .toBe(true);
+    expect(admit(policies, job("d", { customer: "unknown" })).reason).toBe(Reason.CUSTOMER_REMOVED);
+});
+
+test("refuses deadlines that the expected wait and run time exceed", () => {
+    const policies = prepared({});
+    expect(admit(policies, job("a", { deadlineMs: 3_000 }), 1_900, 0).admitted).toBe(true);
+    expect(admit(policies, job("a", { deadlineMs: 3_000 }), 2_100, 0)).toMatchObject({
+        reason: Reason.DEADLINE_UNREACHABLE,
+        retryAfterMs: 100,
+    });
+    expect(admit(policies, job("a", { deadlineMs: 3_000 }), 0, 3_000).reason).toBe(Reason.DEADLINE_PASSED);
+});
+
+test("bounds the queue and the rate; an amended contract grants no second burst", () => {
+    const policies = prepared({ submissionsPerSecond: 2, submissionBurst: 3, queuedJobs: 2 });
+    policies.fairShare.enqueue(job("1"));
+    expect([1, 2, 3].map(() => admit(policies, job("x")).admitted)).toEqual([true, true, true]);
+    policies.admission.setCustomer(limits("customer", { submissionsPerSecond: 2, submissionBurst: 3, queuedJobs: 2 }));
+    expect(admit(policies, job("x"))).toMatchObject({ reason: Reason.RATE_EXCEEDED, retryAfterMs: 500 });
+    expect(admit(policies, job("x"), 0, 500).admitted).toBe(true);
+    policies.fairShare.enqueue(job("2"));
+    expect(admit(policies, job("x"), 9_000, 10_000)).toMatchObject({ reason: Reason.QUEUE_FULL, retryAfterMs: 9_000 });
+});
+
+test("retry delays grow, scatter repeatably and end at the budget", () => {
+    const delays = (seed: number): number[] => {
+        const backoff = new RetryBackoff(new SeededRandom(seed));
+        return [1, 2, 3, 10, 100].map(attempts => backoff.nextDelayMs(attempts));
+    };
+    expect(delays(1)).toEqual(delays(1));
+    expect(delays(1)).not.toEqual(delays(2));
+    [250, 500, 1_000, 30_000, 30_000].forEach((maximumMs, index) => {
+        expect(delays(3)[index]).toBeLessThanOrEqual(maximumMs);
+        expect(delays(3)[index]).toBeGreaterThanOrEqual(maximumMs / 2);
+    });
+    const backoff = new RetryBackoff(new SeededRandom(1));
+    backoff.setCustomer(limits("customer", { retriesPerMinute: 2 }));
+    expect([0, 0, 0, 30_000, 30_000].map(nowMs => backoff.spend("customer", nowMs)))
+        .toEqual([true, true, false, true, false]);
+    expect(backoff.spend("unknown", 0)).toBe(false);
+});
