--- /dev/null
+++ b/packages/bench/src/policy/baselines.ts
@@ -0,0 +1,152 @@
+import { WorkKind } from "@waxwingspread/protocol";
+import type { Resources } from "@waxwingspread/protocol";
+import type {
+    InterferencePolicy,
+    Mitigation,
+    PlacedTask,
+    Placement,
+    PlacementPolicy,
+    PlacementQuery,
+    Preemption,
+    ServerView,
+} from "@waxwingspread/scheduler";
+
+interface SimpleServer {
+    view: ServerView;
+    tasks: Map<string, PlacedTask>;
+}
+
+/** Tells whether a kind of work may be placed on a server. */
+export type ServerFilter = (backendServerId: string, workKind: WorkKind) => boolean;
+
+/** Places on the permitted server with the most free slots and preempts the youngest batch task; knows no classes. */
+export class LeastLoadedPlacement implements PlacementPolicy {
+    readonly #servers = new Map<string, SimpleServer>();
+    readonly #permits: ServerFilter;
+    readonly #freeForUrgentRatio: number;
+
+    /** `freeForUrgentRatio` is the part of all slots that batch leaves free. */
+    constructor(permits: ServerFilter, freeForUrgentRatio: number) {
+        this.#permits = permits;
+        this.#freeForUrgentRatio = freeForUrgentRatio;
+    }
+
+    upsertServer(view: ServerView): void {
+        const known = this.#servers.get(view.backendServerId);
+        this.#servers.set(view.backendServerId, { view, tasks: known?.tasks ?? new Map() });
+    }
+
+    removeServer(backendServerId: string): void {
+        this.#servers.delete(backendServerId);
+    }
+
+    occupy(backendServerId: string, task: PlacedTask): void {
+        this.#servers.get(backendServerId)?.tasks.set(task.taskKey, task);
+    }
+
+    release(backendServerId: string, taskKey: string): void {
+        this.#servers.get(backendServerId)?.tasks.delete(taskKey);
+    }
+
+    choose(query: PlacementQuery): Placement | undefined {
+        if (query.workKind === WorkKind.BATCH && !this.#leavesSlotsFree()) {
+            return undefined;
+        }
+        let best: SimpleServer | undefined;
+        let bestFree = 0;
+        for (const server of this.#servers.values()) {
+            const free = freeSlots(server);
+            if (free > bestFree && this.#isPermitted(server, query) && holds(server, query.reserved, [])) {
+                best = server;
+                bestFree = free;
+            }
+        }
+        return best === undefined
+            ? undefined
+            : { backendServerId: best.view.backendServerId, explanation: "most free slots" };
+    }
+
+    choosePreemption(query: PlacementQuery): Preemption | undefined {
+        let best: SimpleServer | undefined;
+        let youngest: PlacedTask | undefined;
+        for (const server of this.#servers.values()) {
+            if (!this.#isPermitted(server, query)) {
+                continue;
+            }
+            for (const task of server.tasks.values()) {
+                const isYounger = youngest === undefined || task.placedAtMs > youngest.placedAtMs;
+                const isEvictable = task.workKind === WorkKind.BATCH && !task.stopping;
+                if (isEvictable && isYounger && holds(server, query.reserved, [task])) {
+                    best = server;
+                    youngest = task;
+                }
+            }
+        }
+        if (best === undefined || youngest === undefined) {
+            return undefined;
+        }
+        return {
+            backendServerId: best.view.backendServerId,
+            victims: [youngest.taskKey],
+            explanation: "youngest batch task",
+        };
+    }
+
+    couldEverFit(): boolean {
+        return true;
+    }
+
+    #leavesSlotsFree(): boolean {
+        let free = 0;
+        let total = 0;
+        for (const server of this.#servers.values()) {
+            if (server.view.placeable) {
+                free += Math.max(0, freeSlots(server));
+                total += server.view.slots;
+            }
+        }
+        return free > total * this.#freeForUrgentRatio;
+    }
+
+    #isPermitted(server: SimpleServer, query: PlacementQuery): boolean {
+        return server.view.placeable && this.#permits(server.view.backendServerId, query.workKind);
+    }
+}
+
+const freeSlots = (server: SimpleServer): number =>
+    Math.min(server.view.slots, server.view.slotLimit) - server.tasks.size;
+
+const holds = (server: SimpleServer, need: Resources, without: readonly PlacedTask[]): boolean => {
+    let cpu = server.view.capacity.cpuMillicores;
+    let memory = server.view.capacity.memoryMebibytes;
+    for (const task of server.tasks.values()) {
+        if (!without.includes(task)) {
+            cpu -= task.reserved.cpuMillicores;
+            memory -= task.reserved.memoryMebibytes;
+        }
+    }
+    return freeSlots(server) + without.length > 0 && need.cpuMillicores <= cpu && need.memoryMebibytes <= memory;
+};
+
+/** Learns nothing and protects nothing. */
+export class NoInterferencePolicy implements InterferencePolicy {
+    occupied(): void {
+        return undefined;
+    }
+
+    released(): void {
+        return undefined;
+    }
+
+    observe(): void {
+        return undefined;
+    }
+
+    expectedSlowdown(): { mean: number; uncertainty: number } {
+        return { mean: 1, uncertainty: 0 };
+    }
+
+    evaluate(): Mitigation[] {
+        return [];
+    }
+}
--- /dev/null
+++ b/packages/bench/src/policy/bench-job.ts
@@ -0,0 +1,61 @@
+import type { SeededRandom } from "@waxwingspread/common";
+import type { PlacedTask } from "@waxwingspread/scheduler";
+import type { MachineTask } from "./machines.js";
+import type { ClassShape } from "./shapes.js";
+
+/** Bounds of a task's use relative to its class. */
+const USE_FACTOR = [0.7, 1.3] as const;
+
+/** A job as the driver keeps it. */
+export interface BenchJob {
+    key: string;
+    classIndex: number;
+    shape: ClassShape;
+    totalMs: number;
+    leftMs: number;
+    overheadMs: number;
+    arrivedAtMs: number;
+    attempts: number;
+    evicted: boolean;
+    preemptedForAtMs: number;
+    task: PlacedTask | undefined;
+    serverId: string;
+    startedAtMs: number;
+}
+
+/** A job that was just submitted. */
+export const newJob = (
+    key: string,
+    classIndex: number,
+    shape: ClassShape,
+    runTimeMs: number,
+    nowMs: number,
+): BenchJob => ({
+    key,
+    classIndex,
+    shape,
+    totalMs: runTimeMs,
+    leftMs: runTimeMs,
+    overheadMs: 0,
+    arrivedAtMs: nowMs,
+    attempts: 0,
+    evicted: false,
+    preemptedForAtMs: Number.NEGATIVE_INFINITY,
+    task: undefined,
+    serverId: "",
+    startedAtMs: 0,
+});
+
+/** The task that a machine runs for the present attempt of a job. */
+export const machineTaskOf = (job: BenchJob, key: string, random: SeededRandom): MachineTask => ({
+    key,
+    classIndex: job.classIndex,
+    shape: job.shape,
+    leftMs: job.leftMs,
+    overheadMs: job.overheadMs,
+    useFactor: USE_FACTOR[0] + (USE_FACTOR[1] - USE_FACTOR[0]) * random.nextRatio(),
+    throttled: false,
+    frozen: false,
+    speed: 1,
+    updatedAtMs: 0,
+});
--- /dev/null
+++ b/packages/bench/src/policy/event-queue.ts
@@ -0,0 +1,68 @@
+interface TimedAction {
+    atMs: number;
+    order: number;
+    action: () => void;
+}
+
+/** Actions in simulated time; those of the same time in the order in which they were added. */
+export class EventQueue {
+    readonly #entries: TimedAction[] = [];
+    #added = 0;
+
+    add(atMs: number, action: () => void): void {
+        const entry = { atMs, order: this.#added, action };
+        this.#added += 1;
+        let index = this.#entries.length;
+        this.#entries.push(entry);
+        while (index > 0) {
+            const parent = (index - 1) >> 1;
+            const above = this.#entries[parent];
+            if (above === undefined || !precedes(entry, above)) {
+                break;
+            }
+            this.#entries[index] = above;
+            index = parent;
+        }
+        this.#entries[index] = entry;
+    }
+
+    /** Removes the next action that is due by the given time. */
+    take(untilMs: number): { atMs: number; action: () => void } | undefined {
+        const first = this.#entries[0];
+        if (first === undefined || first.atMs > untilMs) {
+            return undefined;
+        }
+        const last = this.#entries.pop();
+        if (last !== undefined && last !== first) {
+            this.#sink(last);
+        }
+        return first;
+    }
+
+    #sink(entry: TimedAction): void {
+        const length = this.#entries.length;
+        let index = 0;
+        for (;;) {
+            let child = 2 * index + 1;
+            const left = this.#entries[child];
+            const right = this.#entries[child + 1];
+            if (left === undefined) {
+                break;
+            }
+            let least = left;
+            if (child + 1 < length && right !== undefined && precedes(right, left)) {
+                least = right;
+                child += 1;
+            }
+            if (!precedes(least, entry)) {
+                break;
+            }
+            this.#entries[index] = least;
+            index = child;
+        }
+        this.#entries[index] = entry;
+    }
+}
+
+const precedes = (left: TimedAction, right: TimedAction): boolean =>
+    left.atMs < right.atMs || (left.atMs === right.atMs && left.order < right.order);
--- /dev/null
+++ b/packages/bench/src/policy/fleet.ts
@@ -0,0 +1,158 @@
+import type { SeededRandom } from "@waxwingspread/common";
+import type { EventQueue } from "./event-queue.js";
+import { Machine } from "./machines.js";
+import type { MachineTask } from "./machines.js";
+import type { FirmShape } from "./shapes.js";
+import type { TrueSlowdowns } from "./true-slowdowns.js";
+
+/** What a machine reports of one task. */
+export interface TaskReport {
+    serverId: string;
+    taskKey: string;
+    measuredAtMs: number;
+    speedRatio: number;
+    usedCpuMillicores: number;
+    usedMemoryMebibytes: number;
+    throttled: boolean;
+}
+
+/** What the fleet calls back. */
+export interface FleetListener {
+    ended(serverId: string, task: MachineTask, nowMs: number): void;
+    batchWorked(workMs: number, nowMs: number): void;
+}
+
+/** Bound of the relative error of a report. */
+const SPEED_NOISE = 0.06;
+const USE_NOISE = 0.1;
+const END_TOLERANCE_MS = 0.001;
+
+/** All simulated machines. */
+export class Fleet {
+    readonly #machines = new Map<string, Machine>();
+    readonly #versions = new Map<string, number>();
+    readonly #intensities: Float64Array;
+    readonly #events: EventQueue;
+    readonly #listener: FleetListener;
+    readonly #random: SeededRandom;
+
+    constructor(
+        firm: FirmShape,
+        serverIds: readonly string[],
+        slowdowns: TrueSlowdowns,
+        events: EventQueue,
+        listener: FleetListener,
+        random: SeededRandom,
+    ) {
+        this.#intensities = new Float64Array(firm.classes.length).fill(1);
+        this.#events = events;
+        this.#listener = listener;
+        this.#random = random;
+        for (const id of serverIds) {
+            this.#machines.set(id, new Machine(firm, slowdowns, this.#intensities));
+        }
+    }
+
+    start(serverId: string, task: MachineTask, nowMs: number): void {
+        this.#change(serverId, nowMs, machine => {
+            task.updatedAtMs = nowMs;
+            machine.tasks.set(task.key, task);
+        });
+    }
+
+    /** Removes a task and returns it; undefined where it has ended. */
+    remove(serverId: string, taskKey: string, nowMs: number): MachineTask | undefined {
+        let removed: MachineTask | undefined;
+        this.#change(serverId, nowMs, machine => {
+            removed = machine.tasks.get(taskKey);
+            machine.tasks.delete(taskKey);
+        });
+        return removed;
+    }
+
+    update(serverId: string, taskKey: string, change: { throttled?: boolean; frozen?: boolean }, nowMs: number): void {
+        this.#change(serverId, nowMs, machine => {
+            const task = machine.tasks.get(taskKey);
+            if (task !== undefined) {
+                Object.assign(task, change);
+            }
+        });
+    }
+
+    /** Changes how hard the tasks of a class work and disturb. */
+    multiplyIntensity(classIndex: number, factor: number, nowMs: number): void {
+        this.refresh(nowMs, () => {
+            this.#intensities[classIndex] = (this.#intensities[classIndex] ?? 1) * factor;
+        });
+    }
+
+    /** Lets all machines progress to now, then applies a change that concerns all of them. */
+    refresh(nowMs: number, change: () => void): void {
+        for (const machine of this.#machines.values()) {
+            this.#listener.batchWorked(machine.advance(nowMs), nowMs);
+        }
+        change();
+        for (const [serverId, machine] of this.#machines) {
+            this.#reschedule(serverId, machine, nowMs);
+        }
+    }
+
+    report(serverId: string, nowMs: number): TaskReport[] {
+        const machine = this.#machines.get(serverId);
+        const reports: TaskReport[] = [];
+        for (const task of machine?.tasks.values() ?? []) {
+            if (!task.frozen && machine !== undefined) {
+                reports.push({
+                    serverId,
+                    taskKey: task.key,
+                    measuredAtMs: nowMs,
+                    speedRatio: Math.min(1, task.speed * this.#noisy(SPEED_NOISE)),
+                    usedCpuMillicores: Math.round(machine.cpuOf(task) * this.#noisy(USE_NOISE)),
+                    usedMemoryMebibytes: Math.round(task.shape.used.memoryMebibytes * this.#noisy(USE_NOISE)),
+                    throttled: task.throttled,
+                });
+            }
+        }
+        return reports;
+    }
+
+    #noisy(bound: number): number {
+        return 1 + bound * (2 * this.#random.nextRatio() - 1);
+    }
+
+    #change(serverId: string, nowMs: number, change: (machine: Machine) => void): void {
+        const machine = this.#machines.get(serverId);
+        if (machine !== undefined) {
+            this.#listener.batchWorked(machine.advance(nowMs), nowMs);
+            change(machine);
+            this.#reschedule(serverId, machine, nowMs);
+        }
+    }
+
+    #reschedule(serverId: string, machine: Machine, nowMs: number): void {
+        machine.updateSpeeds();
+        const version = (this.#versions.get(serverId) ?? 0) + 1;
+        this.#versions.set(serverId, version);
+        let earliestMs = Number.POSITIVE_INFINITY;
+        for (const task of machine.tasks.values()) {
+            if (task.speed > 0) {
+                earliestMs = Math.min(earliestMs, nowMs + (task.leftMs + task.overheadMs) / task.speed);
+            }
+        }
+        if (Number.isFinite(earliestMs)) {
+            this.#events.add(earliestMs, () => this.#endDue(serverId, version, earliestMs));
+        }
+    }
+
+    #endDue(serverId: string, version: number, nowMs: number): void {
+        const machine = this.#machines.get(serverId);
+        if (machine === undefined || this.#versions.get(serverId) !== version) {
+            return;
+        }
+        this.#listener.batchWorked(machine.advance(nowMs), nowMs);
+        const ended = [...machine.tasks.values()].filter(task => task.leftMs + task.overheadMs <= END_TOLERANCE_MS);
+        ended.forEach(task => machine.tasks.delete(task.key));
+        this.#reschedule(serverId, machine, nowMs);
+        ended.forEach(task => this.#listener.ended(serverId, task, nowMs));
+    }
+}
--- /dev/null
+++ b/packages/bench/src/policy/main.ts
@@ -0,0 +1,90 @@
+import { SeededRandom } from "@waxwingspread/common";
+import { POLICY_DEFAULTS } from "@waxwingspread/scheduler";
+import type { PolicyParameters } from "@waxwingspread/scheduler";
+import { DECISION_SERVERS, measureDecisionMicroseconds } from "./decision-cost.js";
+import { PolicyRun } from "./policy-run.js";
+import type { RunResult } from "./recorder.js";
+import { ARCHIVE_FIRM, FILTER_MAKER } from "./shapes.js";
+import type { FirmShape } from "./shapes.js";
+import { formatRow, summarize, tableHeader } from "./summary.js";
+import type { VariantSummary } from "./summary.js";
+import { TrueSlowdowns } from "./true-slowdowns.js";
+import { VARIANTS } from "./variants.js";
+import { drawWorkload } from "./workload.js";
+
+const DEFAULT_SEEDS = 10;
+
+const optionOf = (name: string): string | undefined => {
+    const position = process.argv.indexOf(`--${name}`);
+    return position < 0 ? undefined : process.argv[position + 1];
+};
+
+const write = (line: string): void => {
+    process.stdout.write(`${line}\n`);
+};
+
+/** Reads `--set placement.batchCostLimit=0.8,cost.urgentWeight=2`, for trials. */
+const changedParameters = (text: string | undefined): Partial<PolicyParameters> => {
+    const changed = structuredClone(POLICY_DEFAULTS) as unknown as Record<string, unknown>;
+    for (const assignment of text?.split(",") ?? []) {
+        const [path = "", value] = assignment.split("=");
+        const names = path.split(".");
+        const last = names.pop() ?? "";
+        let target = changed;
+        for (const name of names) {
+            target = target[name] as Record<string, unknown>;
+        }
+        if (typeof target?.[last] !== "number") {
+            throw new Error(`unknown parameter ${path}`);
+        }
+        target[last] = Number(value);
+    }
+    return changed as Partial<PolicyParameters>;
+};
+
+const runVariant = (
+    firm: FirmShape,
+    variant: string,
+    seeds: number,
+    parameters: Partial<PolicyParameters>,
+): RunResult[] =>
+    Array.from({ length: seeds }, (unused, index) => {
+        const seed = index + 1;
+        // Drawn again for each variant, since the table changes during a run.
+        const random = new SeededRandom(seed);
+        const slowdowns = new TrueSlowdowns(firm, random);
+        const workload = drawWorkload(firm, random);
+        const build = VARIANTS[variant];
+        if (build === undefined) {
+            throw new Error(`unknown variant ${variant}`);
+        }
+        return new PolicyRun(firm, workload, slowdowns, build(firm, slowdowns, seed, parameters), seed).run();
+    });
+
+const main = (): void => {
+    const seeds = Number(optionOf("seeds") ?? DEFAULT_SEEDS);
+    const variants = optionOf("variants")?.split(",") ?? Object.keys(VARIANTS);
+    const parameters = changedParameters(optionOf("set"));
+    const report: Record<string, Record<string, unknown>> = {};
+    for (const firm of [FILTER_MAKER, ARCHIVE_FIRM]) {
+        write(`${firm.name}: ${firm.servers} servers, ${seeds} seeds, mean ± standard deviation over seeds`);
+        write(tableHeader());
+        const summaries: Record<string, VariantSummary> = {};
+        for (const variant of variants) {
+            const summary = summarize(runVariant(firm, variant, seeds, parameters));
+            summaries[variant] = summary;
+            write(formatRow(variant, summary));
+        }
+        report[firm.name] = summaries;
+    }
+    const decisionMicroseconds: Record<string, number> = {};
+    if (optionOf("variants") === undefined) {
+        for (const servers of DECISION_SERVERS) {
+            decisionMicroseconds[String(servers)] = Number(measureDecisionMicroseconds(servers).toFixed(1));
+        }
+        write(`decisionMicroseconds with 10,500 tasks running: ${JSON.stringify(decisionMicroseconds)}`);
+    }
+    write(JSON.stringify({ ...report, decisionMicroseconds }));
+};
+
+main();
--- /dev/null
+++ b/packages/bench/src/policy/policy-run.ts
@@ -0,0 +1,439 @@
+import { create } from "@bufbuild/protobuf";
+import { SeededRandom } from "@waxwingspread/common";
+import { ResourcesSchema, WorkKind } from "@waxwingspread/protocol";
+import { MitigationKind } from "@waxwingspread/scheduler";
+import type { PlacedTask, PlacementQuery, PolicySet, QueuedJob, ServerView } from "@waxwingspread/scheduler";
+import { machineTaskOf, newJob } from "./bench-job.js";
+import type { BenchJob } from "./bench-job.js";
+import { EventQueue } from "./event-queue.js";
+import { Fleet } from "./fleet.js";
+import type { TaskReport } from "./fleet.js";
+import type { MachineTask } from "./machines.js";
+import { Recorder, StopCause } from "./recorder.js";
+import type { RunResult } from "./recorder.js";
+import { fullerZones, registerCustomers, serverIdOf, serverViewsOf } from "./registration.js";
+import { classKeyOf } from "./shapes.js";
+import type { FirmShape } from "./shapes.js";
+import type { TrueSlowdowns } from "./true-slowdowns.js";
+import type { BatchItem, Workload } from "./workload.js";
+import { DRAIN_MS, DRIFT_MS, RUN_MS, ZONE_BACK_MS, ZONE_OUT_MS, ZONE_WINDOW_END_MS } from "./workload.js";
+
+/** Time in which a checkpoint is taken; the slot is held without progress. */
+const CHECKPOINT_MS = 400;
+/** Run time repeated after a resume. */
+const RESTART_COST_MS = 1_000;
+/** A report's age when it arrives. */
+const REPORT_LAG_MS = [800, 2_000] as const;
+const REPORT_INTERVAL_MS = 1_000;
+const TICK_MS = 200;
+const MITIGATION_INTERVAL_MS = 600;
+/** Batch jobs kept queued for each customer; there is always more work than capacity. */
+const BACKLOG = 40;
+const SELECTION = 16;
+const URGENT_SELECTION = 4;
+const MAXIMUM_ROUNDS = 12;
+/** Time after which other victims are chosen for the same request. */
+const PREEMPTION_RETRY_MS = 1_500;
+/** Time in which the last requests end. */
+const SETTLE_MS = 8_000;
+
+/** One run of one variant over one workload: placement, queue, mitigation and zone drain on simulated machines. */
+export class PolicyRun {
+    readonly #firm: FirmShape;
+    readonly #workload: Workload;
+    readonly #policies: PolicySet;
+    readonly #events = new EventQueue();
+    readonly #fleet: Fleet;
+    readonly #recorder = new Recorder();
+    readonly #random: SeededRandom;
+    readonly #slowdowns: TrueSlowdowns;
+    readonly #servers = new Map<string, ServerView>();
+    readonly #queued = new Map<string, BenchJob>();
+    readonly #running = new Map<string, BenchJob>();
+    readonly #nextBatch = new Map<string, number>();
+    #jobCount = 0;
+    #tickCount = 0;
+
+    constructor(firm: FirmShape, workload: Workload, slowdowns: TrueSlowdowns, policies: PolicySet, seed: number) {
+        this.#firm = firm;
+        this.#workload = workload;
+        this.#policies = policies;
+        this.#slowdowns = slowdowns;
+        this.#random = new SeededRandom(seed);
+        const serverIds = Array.from({ length: firm.servers }, (unused, index) => serverIdOf(index));
+        this.#fleet = new Fleet(firm, serverIds, slowdowns, this.#events, {
+            ended: (serverId, task, nowMs) => this.#taskEnded(task, nowMs),
+            batchWorked: (workMs, nowMs) => this.#recorder.batchWorked(workMs, nowMs),
+        }, this.#random);
+    }
+
+    run(): RunResult {
+        this.#setUp();
+        for (;;) {
+            const next = this.#events.take(RUN_MS + SETTLE_MS);
+            if (next === undefined) {
+                return this.#recorder.result();
+            }
+            next.action();
+        }
+    }
+
+    #setUp(): void {
+        this.#registerServers();
+        registerCustomers(this.#firm, this.#policies);
+        for (let index = 0; index < this.#firm.standingTasks; index += 1) {
+            const classIndex = this.#firm.classes.findIndex(shape => shape.workKind === WorkKind.STANDING);
+            this.#submit(classIndex, Number.MAX_SAFE_INTEGER, 0);
+        }
+        this.#tick(0);
+        for (const arrival of this.#workload.urgent) {
+            this.#events.add(arrival.atMs, () => {
+                this.#recorder.urgentArrived(arrival.atMs);
+                this.#submit(arrival.classIndex, arrival.runTimeMs, arrival.atMs);
+                this.#schedule(arrival.atMs, URGENT_SELECTION);
+            });
+        }
+        for (const wave of this.#workload.waves) {
+            const { classIndex, fromMs, untilMs, intensity } = wave;
+            this.#events.add(fromMs, () => this.#fleet.multiplyIntensity(classIndex, intensity, fromMs));
+            this.#events.add(untilMs, () => this.#fleet.multiplyIntensity(classIndex, 1 / intensity, untilMs));
+        }
+        const driftRandom = new SeededRandom(this.#workload.urgent.length);
+        this.#events.add(
+            DRIFT_MS,
+            () => this.#fleet.refresh(DRIFT_MS, () => this.#slowdowns.drift(driftRandom)),
+        );
+        [ZONE_OUT_MS, ZONE_WINDOW_END_MS, RUN_MS].forEach(atMs =>
+            this.#events.add(atMs, () => this.#fleet.refresh(atMs, () => undefined))
+        );
+        this.#events.add(ZONE_OUT_MS, () => this.#zoneOut(ZONE_OUT_MS));
+        this.#events.add(ZONE_BACK_MS, () => this.#zoneBack(ZONE_BACK_MS));
+    }
+
+    #registerServers(): void {
+        let index = 0;
+        for (const view of serverViewsOf(this.#firm)) {
+            this.#servers.set(view.backendServerId, view);
+            this.#policies.placement.upsertServer(view);
+            const firstMs = index * REPORT_INTERVAL_MS / this.#firm.servers;
+            this.#events.add(firstMs, () => this.#report(view.backendServerId, firstMs));
+            index += 1;
+        }
+    }
+
+    #submit(classIndex: number, runTimeMs: number, nowMs: number): void {
+        const shape = this.#firm.classes[classIndex];
+        if (shape === undefined) {
+            return;
+        }
+        this.#jobCount += 1;
+        this.#enqueue(newJob(`job${this.#jobCount}`, classIndex, shape, runTimeMs, nowMs));
+    }
+
+    #enqueue(job: BenchJob): void {
+        this.#queued.set(job.key, job);
+        this.#policies.fairShare.enqueue({
+            jobKey: job.key,
+            customer: job.shape.customer,
+            classKey: classKeyOf(job.shape),
+            workKind: job.shape.workKind,
+            reserved: this.#policies.reservation.reserve(classKeyOf(job.shape), job.shape.declared),
+            queuedAtMs: job.arrivedAtMs,
+            notBeforeMs: 0,
+            deadlineMs: 0,
+            latencyTargetMs: job.shape.targetMs,
+        });
+    }
+
+    #tick(nowMs: number): void {
+        this.#tickCount += 1;
+        this.#refillBacklog(nowMs);
+        this.#drain(nowMs);
+        this.#fill(nowMs);
+        for (const { taskKey } of this.#policies.fairShare.reclaim(nowMs, SELECTION)) {
+            this.#stop(taskKey, StopCause.Reclaimed, nowMs);
+        }
+        if (this.#tickCount % (MITIGATION_INTERVAL_MS / TICK_MS) === 0) {
+            this.#mitigate(nowMs);
+        }
+        this.#schedule(nowMs, SELECTION);
+        if (nowMs + TICK_MS <= RUN_MS + SETTLE_MS) {
+            this.#events.add(nowMs + TICK_MS, () => this.#tick(nowMs + TICK_MS));
+        }
+    }
+
+    #refillBacklog(nowMs: number): void {
+        for (const [customer, items] of this.#workload.batchByCustomer) {
+            while (this.#policies.fairShare.queuedCount(customer) < BACKLOG) {
+                const next = this.#nextBatch.get(customer) ?? 0;
+                const item: BatchItem | undefined = items[next % items.length];
+                if (item === undefined) {
+                    break;
+                }
+                this.#nextBatch.set(customer, next + 1);
+                this.#submit(item.classIndex, item.runTimeMs, nowMs);
+            }
+        }
+    }
+
+    #schedule(nowMs: number, selection: number): void {
+        for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
+            let started = 0;
+            for (const queued of this.#policies.fairShare.next(nowMs, selection)) {
+                const job = this.#queued.get(queued.jobKey);
+                if (job === undefined || this.#policies.fairShare.blockedBy(queued) !== undefined) {
+                    continue;
+                }
+                const query = this.#queryOf(job, queued);
+                const placement = this.#policies.placement.choose(query, nowMs);
+                if (placement !== undefined) {
+                    this.#assign(job, queued, placement.backendServerId, nowMs);
+                    started += 1;
+                }
+                else if (queued.workKind !== WorkKind.BATCH) {
+                    this.#preempt(job, query, nowMs);
+                }
+            }
+            if (started === 0) {
+                return;
+            }
+        }
+    }
+
+    #queryOf(job: BenchJob, queued: QueuedJob): PlacementQuery {
+        const isStanding = job.shape.workKind === WorkKind.STANDING;
+        const spreadAway = isStanding ? fullerZones(this.#firm, this.#zonesOfClass(job.classIndex)) : [];
+        return {
+            customer: queued.customer,
+            classKey: queued.classKey,
+            workKind: queued.workKind,
+            reserved: queued.reserved,
+            repeatable: job.shape.repeatable,
+            excludedServerIds: [],
+            spreadAway,
+            latencyTargetMs: queued.latencyTargetMs,
+        };
+    }
+
+    #zonesOfClass(classIndex: number): string[] {
+        return [...this.#running.values()].filter(job => job.classIndex === classIndex).map(job => this.#zoneOf(job));
+    }
+
+    #zoneOf(job: BenchJob): string {
+        return this.#servers.get(job.serverId)?.availabilityZone ?? "";
+    }
+
+    #jobsInZoneOut(): BenchJob[] {
+        return [...this.#running.values()].filter(job => this.#zoneOf(job) === this.#workload.zoneOut);
+    }
+
+    #preempt(job: BenchJob, query: PlacementQuery, nowMs: number): void {
+        if (nowMs - job.preemptedForAtMs < PREEMPTION_RETRY_MS) {
+            return;
+        }
+        const preemption = this.#policies.placement.choosePreemption(query, nowMs);
+        if (preemption !== undefined) {
+            job.preemptedForAtMs = nowMs;
+            preemption.victims.forEach(victim => this.#stop(victim, StopCause.Preempted, nowMs));
+        }
+    }
+
+    #assign(job: BenchJob, queued: QueuedJob, serverId: string, nowMs: number): void {
+        this.#queued.delete(job.key);
+        this.#policies.fairShare.dequeue(job.key);
+        job.attempts += 1;
+        const task: PlacedTask = {
+            taskKey: `${job.key}/${job.attempts}`,
+            customer: queued.customer,
+            classKey: queued.classKey,
+            workKind: queued.workKind,
+            reserved: queued.reserved,
+            placedAtMs: nowMs,
+            repeatable: job.shape.repeatable,
+            throttled: false,
+            stopping: false,
+        };
+        job.task = task;
+        job.serverId = serverId;
+        job.startedAtMs = nowMs;
+        this.#running.set(task.taskKey, job);
+        this.#policies.fairShare.started(task.customer, task.workKind, task.taskKey, task.reserved);
+        this.#policies.placement.occupy(serverId, task);
+        this.#policies.interference.occupied(serverId, task, nowMs);
+        const startMs = nowMs + 2 * this.#firm.oneWayMs;
+        this.#events.add(
+            startMs,
+            () => this.#fleet.start(serverId, machineTaskOf(job, task.taskKey, this.#random), startMs),
+        );
+    }
+
+    #taskEnded(machineTask: MachineTask, endedAtMs: number): void {
+        const nowMs = endedAtMs + this.#firm.oneWayMs;
+        this.#events.add(nowMs, () => {
+            const job = this.#running.get(machineTask.key);
+            if (job === undefined) {
+                return;
+            }
+            if (job.shape.workKind === WorkKind.LATENCY_CRITICAL) {
+                this.#recorder.urgentEnded(job.shape, job.arrivedAtMs, job.totalMs, nowMs);
+            }
+            else {
+                this.#recorder.batchJobEnded();
+            }
+            if (!job.evicted) {
+                this.#policies.reservation.observeRunTime(classKeyOf(job.shape), endedAtMs - job.startedAtMs);
+            }
+            this.#release(job, nowMs);
+        });
+    }
+
+    #release(job: BenchJob, nowMs: number): void {
+        const task = job.task;
+        if (task === undefined) {
+            return;
+        }
+        job.task = undefined;
+        this.#running.delete(task.taskKey);
+        this.#policies.placement.release(job.serverId, task.taskKey);
+        this.#policies.interference.released(job.serverId, task.taskKey, nowMs);
+        this.#policies.fairShare.ended(task.customer, task.taskKey);
+    }
+
+    /** Orders a checkpoint and a stop; what is left is queued again once the stop is confirmed. */
+    #stop(taskKey: string, cause: StopCause, nowMs: number): void {
+        const job = this.#running.get(taskKey);
+        if (job?.task === undefined || job.task.stopping) {
+            return;
+        }
+        if (job.shape.workKind === WorkKind.BATCH) {
+            this.#recorder.evicted(cause, nowMs);
+        }
+        this.#replaceTask(job, { stopping: true }, nowMs);
+        const frozenMs = nowMs + 2 * this.#firm.oneWayMs;
+        const stoppedMs = frozenMs + CHECKPOINT_MS;
+        this.#events.add(frozenMs, () => this.#fleet.update(job.serverId, taskKey, { frozen: true }, frozenMs));
+        this.#events.add(stoppedMs, () => {
+            const stopped = this.#fleet.remove(job.serverId, taskKey, stoppedMs);
+            if (stopped !== undefined) {
+                this.#requeue(job, stopped, stoppedMs);
+            }
+        });
+    }
+
+    #requeue(job: BenchJob, stopped: MachineTask, nowMs: number): void {
+        this.#release(job, nowMs);
+        const isBatch = job.shape.workKind === WorkKind.BATCH;
+        job.leftMs = isBatch ? stopped.leftMs : job.totalMs;
+        job.overheadMs = isBatch ? stopped.overheadMs + RESTART_COST_MS : 0;
+        job.evicted = true;
+        this.#enqueue(job);
+    }
+
+    #replaceTask(job: BenchJob, change: Partial<PlacedTask>, nowMs: number): void {
+        if (job.task !== undefined) {
+            job.task = { ...job.task, ...change };
+            this.#policies.placement.occupy(job.serverId, job.task);
+            this.#policies.interference.occupied(job.serverId, job.task, nowMs);
+        }
+    }
+
+    #mitigate(nowMs: number): void {
+        for (const step of this.#policies.interference.evaluate(nowMs)) {
+            const job = this.#running.get(step.taskKey);
+            if (job === undefined) {
+                continue;
+            }
+            if (step.kind === MitigationKind.Evict) {
+                this.#stop(step.taskKey, StopCause.Interference, nowMs);
+                continue;
+            }
+            const throttled = step.kind === MitigationKind.Throttle;
+            if (throttled) {
+                this.#recorder.throttled();
+            }
+            const effectiveMs = nowMs + 2 * this.#firm.oneWayMs;
+            this.#replaceTask(job, { throttled }, nowMs);
+            this.#events.add(
+                effectiveMs,
+                () => this.#fleet.update(step.backendServerId, step.taskKey, { throttled }, effectiveMs),
+            );
+        }
+    }
+
+    #report(serverId: string, nowMs: number): void {
+        const reports = this.#fleet.report(serverId, nowMs);
+        const [low, high] = REPORT_LAG_MS;
+        const arrivedMs = nowMs + low + (high - low) * this.#random.nextRatio();
+        this.#events.add(arrivedMs, () => reports.forEach(report => this.#observe(report, arrivedMs)));
+        this.#events.add(nowMs + REPORT_INTERVAL_MS, () => this.#report(serverId, nowMs + REPORT_INTERVAL_MS));
+    }
+
+    #observe(report: TaskReport, nowMs: number): void {
+        const used = create(ResourcesSchema, {
+            cpuMillicores: report.usedCpuMillicores,
+            memoryMebibytes: report.usedMemoryMebibytes,
+        });
+        this.#policies.interference.observe({
+            taskKey: report.taskKey,
+            backendServerId: report.serverId,
+            measuredAtMs: report.measuredAtMs,
+            used,
+            speedRatio: report.speedRatio,
+        }, nowMs);
+        const job = this.#running.get(report.taskKey);
+        if (job !== undefined && !report.throttled) {
+            this.#policies.reservation.observe(classKeyOf(job.shape), used);
+        }
+    }
+
+    #zoneOut(nowMs: number): void {
+        this.#policies.zone.zoneOut(this.#workload.zoneOut, nowMs + DRAIN_MS, nowMs);
+        this.#updateZone(0);
+        this.#events.add(nowMs + DRAIN_MS, () => this.#loseRemaining(nowMs + DRAIN_MS));
+    }
+
+    #zoneBack(nowMs: number): void {
+        this.#policies.zone.zoneBack(this.#workload.zoneOut, nowMs);
+        this.#fill(nowMs);
+    }
+
+    #drain(nowMs: number): void {
+        if (nowMs < ZONE_OUT_MS || nowMs >= ZONE_BACK_MS) {
+            return;
+        }
+        const tasks = this.#jobsInZoneOut().flatMap(job => job.task ?? []);
+        this.#policies.zone.nextToStop(tasks, nowMs).forEach(taskKey => this.#stop(taskKey, StopCause.Zone, nowMs));
+    }
+
+    /** Tasks that are left at the deadline are killed; batch loses all its progress. */
+    #loseRemaining(nowMs: number): void {
+        for (const job of this.#jobsInZoneOut()) {
+            const lost = this.#fleet.remove(job.serverId, job.task?.taskKey ?? "", nowMs);
+            if (lost !== undefined) {
+                if (job.shape.workKind === WorkKind.BATCH) {
+                    this.#recorder.evicted(StopCause.Zone, nowMs);
+                    this.#recorder.batchWorked(lost.leftMs - job.totalMs, nowMs);
+                }
+                this.#requeue(job, { ...lost, leftMs: job.totalMs }, nowMs);
+            }
+        }
+    }
+
+    #fill(nowMs: number): void {
+        if (nowMs >= ZONE_BACK_MS) {
+            this.#policies.zone.returned(nowMs);
+            this.#updateZone(this.#policies.zone.fillRatio(this.#workload.zoneOut, nowMs));
+        }
+    }
+
+    #updateZone(fillRatio: number): void {
+        for (const [id, view] of this.#servers) {
+            const slotLimit = Math.floor(view.slots * fillRatio);
+            if (view.availabilityZone === this.#workload.zoneOut && view.slotLimit !== slotLimit) {
+                const changed = { ...view, slotLimit, placeable: slotLimit > 0 };
+                this.#servers.set(id, changed);
+                this.#policies.placement.upsertServer(changed);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/bench/src/policy/recorder.ts
@@ -0,0 +1,94 @@
+import type { ClassShape } from "./shapes.js";
+import { RUN_MS, WARM_UP_MS, ZONE_OUT_MS, ZONE_WINDOW_END_MS } from "./workload.js";
+
+/** Reasons for which tasks were stopped before their end. */
+export enum StopCause {
+    Preempted = "preempted",
+    Interference = "interference",
+    Reclaimed = "reclaimed",
+    Zone = "zone",
+}
+
+/** Measurements of one run. */
+export interface RunResult {
+    latenciesMs: number[];
+    onTargetRatio: number;
+    /** Seconds of run time on an idle VM. */
+    batchWork: number;
+    evictions: number;
+    evictionsByCause: Record<StopCause, number>;
+    throttlings: number;
+    /** Batch work and on-target urgent work from the zone's leaving to the end of its return, in the same seconds. */
+    zoneWork: number;
+    completedBatchJobs: number;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+const isCounted = (atMs: number): boolean => atMs >= WARM_UP_MS && atMs <= RUN_MS;
+const isInZoneWindow = (atMs: number): boolean => atMs > ZONE_OUT_MS && atMs <= ZONE_WINDOW_END_MS;
+
+/** Collects the measurements of one run. */
+export class Recorder {
+    readonly #latenciesMs: number[] = [];
+    readonly #evictions: Record<StopCause, number> = { preempted: 0, interference: 0, reclaimed: 0, zone: 0 };
+    #arrived = 0;
+    #onTarget = 0;
+    #batchMs = 0;
+    #zoneMs = 0;
+    #throttlings = 0;
+    #completedBatchJobs = 0;
+
+    urgentArrived(atMs: number): void {
+        this.#arrived += isCounted(atMs) ? 1 : 0;
+    }
+
+    urgentEnded(shape: ClassShape, arrivedAtMs: number, runTimeMs: number, nowMs: number): void {
+        const latencyMs = nowMs - arrivedAtMs;
+        const isOnTarget = latencyMs <= shape.targetMs;
+        if (isCounted(arrivedAtMs)) {
+            this.#latenciesMs.push(latencyMs);
+            this.#onTarget += isOnTarget ? 1 : 0;
+        }
+        if (isOnTarget && isInZoneWindow(nowMs)) {
+            this.#zoneMs += runTimeMs;
+        }
+    }
+
+    /** Negative where progress was lost. */
+    batchWorked(workMs: number, nowMs: number): void {
+        if (isCounted(nowMs)) {
+            this.#batchMs += workMs;
+        }
+        if (isInZoneWindow(nowMs)) {
+            this.#zoneMs += workMs;
+        }
+    }
+
+    batchJobEnded(): void {
+        this.#completedBatchJobs += 1;
+    }
+
+    evicted(cause: StopCause, nowMs: number): void {
+        this.#evictions[cause] += isCounted(nowMs) ? 1 : 0;
+    }
+
+    throttled(): void {
+        this.#throttlings += 1;
+    }
+
+    /** Evictions because a zone leaves are due to the operators; they are listed, but not summed. */
+    result(): RunResult {
+        const { preempted, interference, reclaimed } = this.#evictions;
+        return {
+            latenciesMs: this.#latenciesMs,
+            onTargetRatio: this.#arrived === 0 ? 1 : this.#onTarget / this.#arrived,
+            batchWork: this.#batchMs / MILLISECONDS_PER_SECOND,
+            evictions: preempted + interference + reclaimed,
+            evictionsByCause: this.#evictions,
+            throttlings: this.#throttlings,
+            zoneWork: this.#zoneMs / MILLISECONDS_PER_SECOND,
+            completedBatchJobs: this.#completedBatchJobs,
+        };
+    }
+}
--- /dev/null
+++ b/packages/bench/src/policy/registration.ts
@@ -0,0 +1,57 @@
+import { create } from "@bufbuild/protobuf";
+import { QuotaSchema, ResourcesSchema } from "@waxwingspread/protocol";
+import type { PolicySet, ServerView } from "@waxwingspread/scheduler";
+import { customersOf } from "./shapes.js";
+import type { FirmShape } from "./shapes.js";
+
+/** Id of a simulated backend server; those of a zone follow each other at the distance of the number of zones. */
+export const serverIdOf = (index: number): string => `server-${String(index).padStart(4, "0")}`;
+
+/** Servers of a firm, in turn over its zones. */
+export const serverViewsOf = (firm: FirmShape): ServerView[] =>
+    Array.from({ length: firm.servers }, (unused, index) => {
+        const zone = firm.zones[index % firm.zones.length] ?? "";
+        const rack = Math.floor(Math.floor(index / firm.zones.length) / firm.rackSize);
+        return {
+            backendServerId: serverIdOf(index),
+            availabilityZone: zone,
+            rack: `${zone}/${rack}`,
+            capacity: firm.capacity,
+            slots: firm.slots,
+            placeable: true,
+            slotLimit: firm.slots,
+            probing: false,
+        };
+    });
+
+/** Divides the fleet evenly among the customers. */
+export const registerCustomers = (firm: FirmShape, policies: PolicySet): void => {
+    const { capacity, servers } = firm;
+    const customers = customersOf(firm);
+    const share = servers / customers.length;
+    policies.fairShare.setFleetCapacity(create(ResourcesSchema, {
+        cpuMillicores: capacity.cpuMillicores * servers,
+        memoryMebibytes: capacity.memoryMebibytes * servers,
+    }));
+    for (const customer of customers) {
+        policies.fairShare.setCustomer({
+            customer,
+            quota: create(QuotaSchema, {
+                resources: {
+                    cpuMillicores: Math.floor(capacity.cpuMillicores * share),
+                    memoryMebibytes: Math.floor(capacity.memoryMebibytes * share),
+                },
+            }),
+            weight: 1,
+            latencyCriticalShare: 1,
+            batchShare: 1,
+        });
+    }
+};
+
+/** Zones that hold more tasks than the zone with the fewest, given the zone of each task. */
+export const fullerZones = (firm: FirmShape, zonesOfTasks: readonly string[]): string[] => {
+    const countOf = (zone: string): number => zonesOfTasks.filter(other => other === zone).length;
+    const least = Math.min(...firm.zones.map(countOf));
+    return firm.zones.filter(zone => countOf(zone) > least);
+};
--- /dev/null
+++ b/packages/bench/src/policy/variants.ts
@@ -0,0 +1,56 @@
+import { SeededRandom } from "@waxwingspread/common";
+import { WorkKind } from "@waxwingspread/protocol";
+import { createPolicies } from "@waxwingspread/scheduler";
+import type { PolicyParameters, PolicySet } from "@waxwingspread/scheduler";
+import { LeastLoadedPlacement, NoInterferencePolicy } from "./baselines.js";
+import { PREVIOUS_PARAMETERS } from "./previous-parameters.js";
+import { serverIdOf } from "./registration.js";
+import type { FirmShape } from "./shapes.js";
+import type { TrueSlowdowns } from "./true-slowdowns.js";
+
+/** Builds the policies of a variant for one run. */
+export type VariantBuilder = (
+    firm: FirmShape,
+    slowdowns: TrueSlowdowns,
+    seed: number,
+    parameters: Partial<PolicyParameters>,
+) => PolicySet;
+
+const withLeastLoaded = (
+    seed: number,
+    freeForUrgentRatio: number,
+    permits: (backendServerId: string, workKind: WorkKind) => boolean,
+): PolicySet => ({
+    ...createPolicies({ random: new SeededRandom(seed) }),
+    placement: new LeastLoadedPlacement(permits, freeForUrgentRatio),
+    interference: new NoInterferencePolicy(),
+});
+
+/** Without it, `leastLoaded` fills every slot with batch and preempts for almost every request. */
+const FREE_FOR_URGENT_RATIO = 0.1;
+
+const urgentServersOf = (firm: FirmShape): Set<string> => {
+    const ids = new Set<string>();
+    for (let index = 0; index < firm.servers; index += 1) {
+        // Consecutive servers are in different zones, so that the part is the same in each zone.
+        const position = Math.floor(index / firm.zones.length);
+        if (position < Math.round(firm.urgentServerRatio * firm.servers / firm.zones.length)) {
+            ids.add(serverIdOf(index));
+        }
+    }
+    return ids;
+};
+
+/** The compared policies by name. */
+export const VARIANTS: Record<string, VariantBuilder> = {
+    current: (firm, slowdowns, seed, parameters) => createPolicies({ random: new SeededRandom(seed), parameters }),
+    previous: (firm, slowdowns, seed) =>
+        createPolicies({ random: new SeededRandom(seed), parameters: PREVIOUS_PARAMETERS }),
+    leastLoaded: (firm, slowdowns, seed) => withLeastLoaded(seed, FREE_FOR_URGENT_RATIO, () => true),
+    staticSplit: (firm, slowdowns, seed) => {
+        const urgent = urgentServersOf(firm);
+        return withLeastLoaded(seed, 0, (id, workKind) => urgent.has(id) === (workKind !== WorkKind.BATCH));
+    },
+    trueSlowdowns: (firm, slowdowns, seed, parameters) =>
+        createPolicies({ random: new SeededRandom(seed), parameters, knownSlowdowns: slowdowns }),
+};
--- /dev/null
+++ b/packages/bench/src/policy/workload.ts
@@ -0,0 +1,127 @@
+import type { SeededRandom } from "@waxwingspread/common";
+import { WorkKind } from "@waxwingspread/protocol";
+import type { FirmShape } from "./shapes.js";
+
+/** Times of a run. */
+export const RUN_MS = 150_000;
+/** Requests that arrive before this are not counted; the models start without knowledge. */
+export const WARM_UP_MS = 20_000;
+export const ZONE_OUT_MS = 60_000;
+export const DRAIN_MS = 15_000;
+export const ZONE_BACK_MS = 95_000;
+/** Return of 30 s included. */
+export const ZONE_WINDOW_END_MS = 125_000;
+/** Time at which a part of the true slowdowns changes. */
+export const DRIFT_MS = 75_000;
+
+/** A request of latency-critical work. */
+export interface UrgentArrival {
+    atMs: number;
+    classIndex: number;
+    runTimeMs: number;
+}
+
+/** A batch job, taken in order whenever its customer's queue is short. */
+export interface BatchItem {
+    classIndex: number;
+    runTimeMs: number;
+}
+
+/** A time in which tasks of one batch class work and disturb harder than usual. */
+export interface NoiseWave {
+    fromMs: number;
+    untilMs: number;
+    classIndex: number;
+    intensity: number;
+}
+
+/** All that happens to a fleet, the same for each variant. */
+export interface Workload {
+    urgent: UrgentArrival[];
+    batchByCustomer: Map<string, BatchItem[]>;
+    waves: NoiseWave[];
+    zoneOut: string;
+}
+
+const BATCH_ITEMS = 1_500;
+const SWING_RATIO = 0.4;
+const SWING_PERIOD_MS = 90_000;
+const BURSTS = 4;
+const BURST_MS = [4_000, 9_000] as const;
+const BURST_RATIO = 1;
+const WAVES = 8;
+const WAVE_MS = [5_000, 12_000] as const;
+const WAVE_INTENSITY = [1.8, 3] as const;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+const between = (random: SeededRandom, [low, high]: readonly [number, number]): number =>
+    low + (high - low) * random.nextRatio();
+
+const urgentArrivals = (firm: FirmShape, random: SeededRandom): UrgentArrival[] => {
+    const classIndexes = firm.classes.flatMap((shape, index) =>
+        shape.workKind === WorkKind.LATENCY_CRITICAL ? [index] : []
+    );
+    const phase = random.nextRatio() * 2 * Math.PI;
+    const bursts = Array.from({ length: BURSTS }, () => {
+        const fromMs = random.nextRatio() * RUN_MS;
+        return { fromMs, untilMs: fromMs + between(random, BURST_MS) };
+    });
+    const rateAt = (atMs: number): number => {
+        const swing = 1 + SWING_RATIO * Math.sin(phase + 2 * Math.PI * atMs / SWING_PERIOD_MS);
+        const isBurst = bursts.some(burst => burst.fromMs <= atMs && atMs < burst.untilMs);
+        return firm.urgentPerSecond * (swing + (isBurst ? BURST_RATIO : 0));
+    };
+    const arrivals: UrgentArrival[] = [];
+    let atMs = 0;
+    for (;;) {
+        atMs += random.nextExponential(MILLISECONDS_PER_SECOND / rateAt(atMs));
+        if (atMs >= RUN_MS) {
+            return arrivals;
+        }
+        const classIndex = random.pick(classIndexes);
+        const shape = firm.classes[classIndex];
+        if (shape !== undefined) {
+            arrivals.push({ atMs, classIndex, runTimeMs: between(random, shape.runTimeMs) });
+        }
+    }
+};
+
+const batchItems = (firm: FirmShape, random: SeededRandom): Map<string, BatchItem[]> => {
+    const byCustomer = new Map<string, BatchItem[]>();
+    const indexes = new Map<string, number[]>();
+    firm.classes.forEach((shape, index) => {
+        if (shape.workKind === WorkKind.BATCH) {
+            indexes.set(shape.customer, [...indexes.get(shape.customer) ?? [], index]);
+        }
+    });
+    for (const [customer, classIndexes] of indexes) {
+        const items = Array.from({ length: BATCH_ITEMS }, () => {
+            const classIndex = random.pick(classIndexes);
+            const runTimeMs = between(random, firm.classes[classIndex]?.runTimeMs ?? [0, 0]);
+            return { classIndex, runTimeMs };
+        });
+        byCustomer.set(customer, items);
+    }
+    return byCustomer;
+};
+
+const noiseWaves = (firm: FirmShape, random: SeededRandom): NoiseWave[] => {
+    const classIndexes = firm.classes.flatMap((shape, index) => shape.workKind === WorkKind.BATCH ? [index] : []);
+    return Array.from({ length: WAVES }, () => {
+        const fromMs = random.nextRatio() * RUN_MS;
+        return {
+            fromMs,
+            untilMs: fromMs + between(random, WAVE_MS),
+            classIndex: random.pick(classIndexes),
+            intensity: between(random, WAVE_INTENSITY),
+        };
+    });
+};
+
+/** Draws everything that happens to a firm's fleet. */
+export const drawWorkload = (firm: FirmShape, random: SeededRandom): Workload => ({
+    urgent: urgentArrivals(firm, random),
+    batchByCustomer: batchItems(firm, random),
+    waves: noiseWaves(firm, random),
+    zoneOut: random.pick(firm.zones),
+});
--- a/packages/scheduler/src/policy/create-policies.ts
+++ b/packages/scheduler/src/policy/create-policies.ts
@@ -28,6 +28,8 @@
 import { ZONE_DRAINER_DEFAULTS, ZoneDrainer } from "./zone-drainer.js";
 import type { ZoneDrainerParameters } from "./zone-drainer.js";
 
+export type { SlowdownSource } from "./interference-model.js";
+
 /** Parameters of all policies. */
 export interface PolicyParameters {
     placement: PlacementIndexParameters;
--- a/packages/scheduler/src/policy/interference-control.ts
+++ b/packages/scheduler/src/policy/interference-control.ts
@@ -68,6 +68,7 @@
             .map(other => ({ classKey: other.classKey, load: loads.loadOf(other) }));
         model?.learn(task.classKey, neighbours, sample.speedRatio, nowMs);
         if (task.workKind === WorkKind.LATENCY_CRITICAL) {
+            this.#parts.profiles.noteSlowdown(task.classKey, 1 / sample.speedRatio);
             this.#mitigator.note(sample.backendServerId, task.classKey, 1 / sample.speedRatio, sample.measuredAtMs);
         }
     }
--- a/packages/scheduler/src/policy/placement-cost.ts
+++ b/packages/scheduler/src/policy/placement-cost.ts
@@ -1,7 +1,7 @@
 import { WorkKind } from "@waxwingspread/protocol";
 import type { ClassProfiles } from "./class-profiles.js";
 import type { SlowdownSource } from "./interference-model.js";
-import type { ServerRecord } from "./server-record.js";
+import type { ClassOnServer, ServerRecord } from "./server-record.js";
 import type { TaskLoads } from "./task-loads.js";
 import type { PlacedTask, PlacementQuery } from "./types.js";
 
@@ -42,6 +42,8 @@
 
 /** Age at which the expected slowdowns of a server's tasks are computed again. */
 const CACHE_MS = 1_000;
+/** Age at which the loads of a server's tasks are read again, which costs a step for each task. */
+const LOADS_MS = 2_000;
 
 /** Adds up how a placement changes the slowdown of the new task and of its neighbours. */
 export class PlacementCost {
@@ -63,18 +65,15 @@
     }
 
     estimate(server: ServerRecord, query: PlacementQuery, nowMs: number): PlacementEstimate {
-        const slowdowns = this.#slowdowns(server, nowMs);
         let expectedSlowdown = 1;
         let variance = 0;
         let cost = 0;
-        for (const task of server.tasks.values()) {
-            const load = this.#loads.loadOf(task);
-            expectedSlowdown += load * this.#source.coefficient(query.classKey, task.classKey, nowMs);
-            variance += load * load * this.#source.variance(query.classKey, task.classKey, nowMs);
-            const before = slowdowns.get(task.taskKey) ?? 1;
-            const added = this.#source.coefficient(task.classKey, query.classKey, nowMs);
-            cost += this.#costOf(task.workKind, task.classKey, before + added)
-                - this.#costOf(task.workKind, task.classKey, before);
+        for (const entry of this.#classes(server, nowMs)) {
+            expectedSlowdown += entry.load * this.#source.coefficient(query.classKey, entry.classKey, nowMs);
+            variance += entry.load ** 2 * this.#source.variance(query.classKey, entry.classKey, nowMs);
+            const added = this.#source.coefficient(entry.classKey, query.classKey, nowMs);
+            const before = this.#costOf(entry.workKind, entry.classKey, entry.slowdown);
+            cost += entry.count * (this.#costOf(entry.workKind, entry.classKey, entry.slowdown + added) - before);
         }
         const cautious = query.workKind === WorkKind.LATENCY_CRITICAL
             ? expectedSlowdown + this.#parameters.cautionFactor * Math.sqrt(variance)
@@ -91,12 +90,13 @@
         nowMs: number,
     ): number {
         let slowdown = 1;
-        for (const task of server.tasks.values()) {
-            if (!without.includes(task)) {
-                slowdown += this.#loads.loadOf(task) * this.#source.coefficient(query.classKey, task.classKey, nowMs);
-            }
+        for (const entry of this.#classes(server, nowMs)) {
+            slowdown += entry.load * this.#source.coefficient(query.classKey, entry.classKey, nowMs);
         }
-        return slowdown;
+        for (const task of without) {
+            slowdown -= this.#loads.loadOf(task) * this.#source.coefficient(query.classKey, task.classKey, nowMs);
+        }
+        return Math.max(1, slowdown);
     }
 
     #costOf(workKind: WorkKind, classKey: string, slowdown: number): number {
@@ -121,23 +121,38 @@
         return this.#parameters.spreadWeight * ((sharesZone ? 1 : 0) + (sharesRack ? 0.5 : 0));
     }
 
-    #slowdowns(server: ServerRecord, nowMs: number): Map<string, number> {
+    #classes(server: ServerRecord, nowMs: number): ClassOnServer[] {
+        if (nowMs - server.loadsAtMs >= LOADS_MS) {
+            this.#refreshLoads(server, nowMs);
+        }
         const { cache } = server;
         if (cache !== undefined && nowMs - cache.computedAtMs < CACHE_MS) {
-            return cache.slowdowns;
+            return cache.classes;
+        }
+        const classes = [...server.classes.values()];
+        for (const entry of classes) {
+            // A task doesn't slow itself.
+            const own = entry.load / entry.count * this.#source.coefficient(entry.classKey, entry.classKey, nowMs);
+            entry.slowdown = 1 - own;
+            for (const other of classes) {
+                entry.slowdown += other.load * this.#source.coefficient(entry.classKey, other.classKey, nowMs);
+            }
+        }
+        server.cache = { computedAtMs: nowMs, classes };
+        return classes;
+    }
+
+    #refreshLoads(server: ServerRecord, nowMs: number): void {
+        for (const entry of server.classes.values()) {
+            entry.load = 0;
         }
-        const slowdowns = new Map<string, number>();
         for (const task of server.tasks.values()) {
-            let slowdown = 1;
-            for (const other of server.tasks.values()) {
-                if (other !== task) {
-                    slowdown += this.#loads.loadOf(other)
-                        * this.#source.coefficient(task.classKey, other.classKey, nowMs);
-                }
+            const entry = server.classes.get(task.classKey);
+            if (entry !== undefined) {
+                entry.load += this.#loads.loadOf(task);
             }
-            slowdowns.set(task.taskKey, slowdown);
         }
-        server.cache = { computedAtMs: nowMs, slowdowns };
-        return slowdowns;
+        server.loadsAtMs = nowMs;
+        server.cache = undefined;
     }
 }
--- a/packages/scheduler/src/policy/server-record.ts
+++ b/packages/scheduler/src/policy/server-record.ts
@@ -1,7 +1,7 @@
 import { WorkKind } from "@waxwingspread/protocol";
 import { addTo, difference, dominantShare, noAmounts } from "./amounts.js";
 import type { Amounts } from "./amounts.js";
-import type { PlacedTask, ServerView, TaskKey } from "./types.js";
+import type { ClassKey, PlacedTask, ServerView, TaskKey } from "./types.js";
 
 /** Number of steps into which free capacity is divided. */
 export const FREE_LEVELS = 16;
@@ -12,10 +12,21 @@
     index: number;
 }
 
-/** Expected slowdown of each task on a server, kept until its tasks change or the estimate is old. */
+/** Tasks of one class on a server. */
+export interface ClassOnServer {
+    classKey: ClassKey;
+    workKind: WorkKind;
+    count: number;
+    /** Sum of how hard they work relative to their class. */
+    load: number;
+    /** Expected slowdown of each of them. */
+    slowdown: number;
+}
+
+/** Classes on a server with their expected slowdowns, kept until its tasks change or the estimate is old. */
 export interface SlowdownCache {
     computedAtMs: number;
-    slowdowns: Map<TaskKey, number>;
+    classes: ClassOnServer[];
 }
 
 /** A backend server as placement keeps it. */
@@ -27,7 +38,11 @@
     evictableCount = 0;
     bucket: BucketPosition | undefined;
     evictionBucket: BucketPosition | undefined;
+    /** Time at which the loads were last taken from reports. */
+    loadsAtMs = Number.NEGATIVE_INFINITY;
     cache: SlowdownCache | undefined;
+    /** Kept up to date with each task, so that the cost of a decision doesn't grow with the tasks on a server. */
+    readonly classes = new Map<ClassKey, ClassOnServer>();
 
     constructor(readonly row: number, public view: ServerView) {}
 
@@ -75,12 +90,27 @@
 
     #count(task: PlacedTask, sign: 1 | -1): void {
         this.cache = undefined;
+        this.#countClass(task, sign);
         addTo(this.used, task.reserved, sign);
         if (task.workKind === WorkKind.BATCH && !task.stopping) {
             addTo(this.evictable, task.reserved, sign);
             this.evictableCount += sign;
         }
     }
+
+    #countClass(task: PlacedTask, sign: 1 | -1): void {
+        let entry = this.classes.get(task.classKey);
+        if (entry === undefined) {
+            entry = { classKey: task.classKey, workKind: task.workKind, count: 0, load: 0, slowdown: 1 };
+            this.classes.set(task.classKey, entry);
+        }
+        const loadOfOne = entry.count > 0 ? entry.load / entry.count : 1;
+        entry.count += sign;
+        entry.load += sign > 0 ? 1 : -loadOfOne;
+        if (entry.count === 0) {
+            this.classes.delete(task.classKey);
+        }
+    }
 }
 
 /** Lists a record, removing it from where it was listed before. */
