--- a/packages/bench/src/policy/registration.ts
+++ b/packages/bench/src/policy/registration.ts
@@ -24,16 +24,16 @@
         };
     });
 
-/** Divides the fleet evenly among the customers. */
+/** Divides the fleet among the customers. */
 export const registerCustomers = (firm: FirmShape, policies: PolicySet): void => {
     const { capacity, servers } = firm;
     const customers = customersOf(firm);
-    const share = servers / customers.length;
     policies.fairShare.setFleetCapacity(create(ResourcesSchema, {
         cpuMillicores: capacity.cpuMillicores * servers,
         memoryMebibytes: capacity.memoryMebibytes * servers,
     }));
     for (const customer of customers) {
+        const share = servers * (firm.quotaShares[customer] ?? 0);
         policies.fairShare.setCustomer({
             customer,
             quota: create(QuotaSchema, {
--- a/packages/bench/src/policy/shapes.ts
+++ b/packages/bench/src/policy/shapes.ts
@@ -31,6 +31,8 @@
     /** Mean arrivals of latency-critical work over all classes. */
     urgentPerSecond: number;
     standingTasks: number;
+    /** Part of the fleet in each customer's quota; covers the peak of its latency-critical work. */
+    quotaShares: Readonly<Record<string, number>>;
     /** Part of each zone's servers that the static split keeps for latency-critical and standing work. */
     urgentServerRatio: number;
 }
@@ -109,6 +111,7 @@
     oneWayMs: 1.5,
     urgentPerSecond: 55,
     standingTasks: 12,
+    quotaShares: { quotes: 0.5, sizing: 0.3, research: 0.2 },
     urgentServerRatio: 0.8,
     classes: [
         urgent("quotes", "check", [400, 900], 1_700, size(1_500, 1_000, 2_000, 1_500)),
@@ -134,6 +137,7 @@
     oneWayMs: 0.5,
     urgentPerSecond: 90,
     standingTasks: 24,
+    quotaShares: { courts: 0.5, offices: 0.3, vault: 0.2 },
     urgentServerRatio: 0.8,
     classes: [
         urgent("courts", "lookup", [200, 500], 800, size(2_000, 1_600, 3_000, 2_000)),
