Keep slowdowns of a server between decisions; correct run times when they are observed

The cost of a decision recomputed all pairs of classes on a server after each change.

The test 'a wave of noise' found that the room of a class was overestimated while its requests stall, because the mean slowdown rose while no run time was observed, so that mitigation never began. The mean slowdown is now removed from a run time when it is observed.

--- a/packages/scheduler/src/policy/create-policies.ts
+++ b/packages/scheduler/src/policy/create-policies.ts
@@ -73,14 +73,18 @@
 export const createPolicies = (options: PolicyOptions): PolicySet => {
     const parameters = { ...POLICY_DEFAULTS, ...options.parameters };
     const largestCapacity = (): Amounts | undefined => placement.largestCapacity;
-    const reservation = new ReservationEstimator(largestCapacity, parameters.reservation);
+    const profiles = new ClassProfiles();
+    const reservation = new ReservationEstimator(
+        largestCapacity,
+        parameters.reservation,
+        (classKey, runTimeMs) => profiles.noteRunTime(classKey, runTimeMs),
+    );
     const observedRunTimeMs = (classKey: ClassKey): number | undefined => {
         const runTimeMs = reservation.expectedRunTimeMs(classKey, 0);
         return runTimeMs > 0 ? runTimeMs : undefined;
     };
     const model = options.knownSlowdowns === undefined ? new InterferenceModel(parameters.model) : undefined;
     const source = options.knownSlowdowns ?? model ?? new InterferenceModel(parameters.model);
-    const profiles = new ClassProfiles(observedRunTimeMs);
     const loads = new TaskLoads();
     const cost = new PlacementCost(source, profiles, loads, parameters.cost);
     const placement = new PlacementIndex(cost, profiles, parameters.placement);
--- a/packages/scheduler/src/policy/placement-cost.ts
+++ b/packages/scheduler/src/policy/placement-cost.ts
@@ -40,8 +40,8 @@
     expectedSlowdown: number;
 }
 
-/** Age at which the expected slowdowns of a server's tasks are computed again. */
-const CACHE_MS = 1_000;
+/** Age at which the expected slowdowns of a server's tasks are computed anew, by newer coefficients. */
+const SLOWDOWNS_MS = 2_000;
 /** Age at which the loads of a server's tasks are read again, which costs a step for each task. */
 const LOADS_MS = 2_000;
 
@@ -65,17 +65,20 @@
     }
 
     estimate(server: ServerRecord, query: PlacementQuery, nowMs: number): PlacementEstimate {
+        const isUrgent = query.workKind === WorkKind.LATENCY_CRITICAL;
         let expectedSlowdown = 1;
         let variance = 0;
         let cost = 0;
         for (const entry of this.#classes(server, nowMs)) {
             expectedSlowdown += entry.load * this.#source.coefficient(query.classKey, entry.classKey, nowMs);
-            variance += entry.load ** 2 * this.#source.variance(query.classKey, entry.classKey, nowMs);
+            if (isUrgent) {
+                variance += entry.load ** 2 * this.#source.variance(query.classKey, entry.classKey, nowMs);
+            }
             const added = this.#source.coefficient(entry.classKey, query.classKey, nowMs);
-            const before = this.#costOf(entry.workKind, entry.classKey, entry.slowdown);
-            cost += entry.count * (this.#costOf(entry.workKind, entry.classKey, entry.slowdown + added) - before);
+            const after = this.#costOf(entry.workKind, entry.classKey, (entry.slowdown ?? 1) + added);
+            cost += entry.count * (after - entry.cost);
         }
-        const cautious = query.workKind === WorkKind.LATENCY_CRITICAL
+        const cautious = isUrgent
             ? expectedSlowdown + this.#parameters.cautionFactor * Math.sqrt(variance)
             : expectedSlowdown;
         cost += this.#costOf(query.workKind, query.classKey, cautious);
@@ -121,25 +124,47 @@
         return this.#parameters.spreadWeight * ((sharesZone ? 1 : 0) + (sharesRack ? 0.5 : 0));
     }
 
-    #classes(server: ServerRecord, nowMs: number): ClassOnServer[] {
+    /** Classes on a server with their expected slowdowns; small changes are added to the last computation. */
+    #classes(server: ServerRecord, nowMs: number): Iterable<ClassOnServer> {
         if (nowMs - server.loadsAtMs >= LOADS_MS) {
             this.#refreshLoads(server, nowMs);
         }
-        const { cache } = server;
-        if (cache !== undefined && nowMs - cache.computedAtMs < CACHE_MS) {
-            return cache.classes;
+        if (nowMs - server.slowdownsAtMs >= SLOWDOWNS_MS) {
+            server.slowdownsAtMs = nowMs;
+            server.changes = [];
+            for (const entry of server.classes.values()) {
+                this.#compute(server, entry, nowMs);
+            }
+        }
+        else if (server.changes.length > 0) {
+            this.#applyChanges(server, nowMs);
         }
-        const classes = [...server.classes.values()];
-        for (const entry of classes) {
-            // A task doesn't slow itself.
-            const own = entry.load / entry.count * this.#source.coefficient(entry.classKey, entry.classKey, nowMs);
-            entry.slowdown = 1 - own;
-            for (const other of classes) {
-                entry.slowdown += other.load * this.#source.coefficient(entry.classKey, other.classKey, nowMs);
+        return server.classes.values();
+    }
+
+    #applyChanges(server: ServerRecord, nowMs: number): void {
+        for (const entry of server.classes.values()) {
+            if (entry.slowdown === undefined) {
+                this.#compute(server, entry, nowMs);
+                continue;
+            }
+            for (const change of server.changes) {
+                entry.slowdown += change.load * this.#source.coefficient(entry.classKey, change.classKey, nowMs);
             }
+            entry.cost = this.#costOf(entry.workKind, entry.classKey, entry.slowdown);
+        }
+        server.changes = [];
+    }
+
+    #compute(server: ServerRecord, entry: ClassOnServer, nowMs: number): void {
+        // A task doesn't slow itself.
+        const own = entry.load / entry.count * this.#source.coefficient(entry.classKey, entry.classKey, nowMs);
+        let slowdown = 1 - own;
+        for (const other of server.classes.values()) {
+            slowdown += other.load * this.#source.coefficient(entry.classKey, other.classKey, nowMs);
         }
-        server.cache = { computedAtMs: nowMs, classes };
-        return classes;
+        entry.slowdown = slowdown;
+        entry.cost = this.#costOf(entry.workKind, entry.classKey, slowdown);
     }
 
     #refreshLoads(server: ServerRecord, nowMs: number): void {
@@ -153,6 +178,6 @@
             }
         }
         server.loadsAtMs = nowMs;
-        server.cache = undefined;
+        server.slowdownsAtMs = Number.NEGATIVE_INFINITY;
     }
 }
--- a/packages/scheduler/src/policy/placement-index.ts
+++ b/packages/scheduler/src/policy/placement-index.ts
@@ -88,7 +88,6 @@
         const record = this.#recordOf(view.backendServerId);
         this.#unlist(record);
         record.view = view;
-        record.cache = undefined;
         for (const name of RESOURCE_NAMES) {
             this.#largest[name] = Math.max(this.#largest[name], view.capacity[name]);
         }
--- a/packages/scheduler/src/policy/reservation-estimator.ts
+++ b/packages/scheduler/src/policy/reservation-estimator.ts
@@ -48,14 +48,20 @@
 export class ReservationEstimator implements ReservationPolicy {
     readonly #parameters: ReservationEstimatorParameters;
     readonly #largestCapacity: () => Amounts | undefined;
+    readonly #runTimeObserved: (classKey: ClassKey, runTimeMs: number) => void;
     readonly #use = new Map<ClassKey, ClassUse>();
     readonly #runTimes = new Map<ClassKey, ClassRunTime>();
 
-    /** `largestCapacity` returns the greatest amount of each resource on any backend server, if one is known. */
+    /**
+     * `largestCapacity` returns the greatest amount of each resource on any backend server, if one is known;
+     * `runTimeObserved` passes observed run times on to other policies.
+     */
     constructor(
         largestCapacity: () => Amounts | undefined,
         parameters: ReservationEstimatorParameters = RESERVATION_ESTIMATOR_DEFAULTS,
+        runTimeObserved: (classKey: ClassKey, runTimeMs: number) => void = () => undefined,
     ) {
+        this.#runTimeObserved = runTimeObserved;
         this.#largestCapacity = largestCapacity;
         this.#parameters = parameters;
     }
@@ -95,6 +101,7 @@
         known.weight = Math.min(MAXIMUM_RUN_TIME_WEIGHT, known.weight + 1);
         known.meanMs += (runTimeMs - known.meanMs) / known.weight;
         this.#runTimes.set(classKey, known);
+        this.#runTimeObserved(classKey, runTimeMs);
     }
 
     expectedRunTimeMs(classKey: ClassKey, declaredMs: number): number {
--- a/packages/scheduler/src/policy/server-record.ts
+++ b/packages/scheduler/src/policy/server-record.ts
@@ -19,16 +19,22 @@
     count: number;
     /** Sum of how hard they work relative to their class. */
     load: number;
-    /** Expected slowdown of each of them. */
-    slowdown: number;
+    /** Expected slowdown of each of them; undefined until it is computed. */
+    slowdown: number | undefined;
+    /** Cost of one of them at that slowdown. */
+    cost: number;
 }
 
-/** Classes on a server with their expected slowdowns, kept until its tasks change or the estimate is old. */
-export interface SlowdownCache {
-    computedAtMs: number;
-    classes: ClassOnServer[];
+/** Tasks of a class that arrived or left since the slowdowns were computed. */
+export interface ClassChange {
+    classKey: ClassKey;
+    /** Negative where they left. */
+    load: number;
 }
 
+/** Changes after which the slowdowns of a server are computed anew. */
+const MAXIMUM_CHANGES = 16;
+
 /** A backend server as placement keeps it. */
 export class ServerRecord {
     readonly tasks = new Map<TaskKey, PlacedTask>();
@@ -40,7 +46,10 @@
     evictionBucket: BucketPosition | undefined;
     /** Time at which the loads were last taken from reports. */
     loadsAtMs = Number.NEGATIVE_INFINITY;
-    cache: SlowdownCache | undefined;
+    /** Time at which the slowdowns were last computed. */
+    slowdownsAtMs = Number.NEGATIVE_INFINITY;
+    /** Since then; empty where the slowdowns are to be computed anew. */
+    changes: ClassChange[] = [];
     /** Kept up to date with each task, so that the cost of a decision doesn't grow with the tasks on a server. */
     readonly classes = new Map<ClassKey, ClassOnServer>();
 
@@ -89,7 +98,6 @@
     }
 
     #count(task: PlacedTask, sign: 1 | -1): void {
-        this.cache = undefined;
         this.#countClass(task, sign);
         addTo(this.used, task.reserved, sign);
         if (task.workKind === WorkKind.BATCH && !task.stopping) {
@@ -98,15 +106,32 @@
         }
     }
 
+    #noteChange(change: ClassChange): void {
+        if (this.changes.length >= MAXIMUM_CHANGES) {
+            this.slowdownsAtMs = Number.NEGATIVE_INFINITY;
+            this.changes = [];
+        }
+        this.changes.push(change);
+    }
+
     #countClass(task: PlacedTask, sign: 1 | -1): void {
         let entry = this.classes.get(task.classKey);
         if (entry === undefined) {
-            entry = { classKey: task.classKey, workKind: task.workKind, count: 0, load: 0, slowdown: 1 };
+            entry = {
+                classKey: task.classKey,
+                workKind: task.workKind,
+                count: 0,
+                load: 0,
+                slowdown: undefined,
+                cost: 0,
+            };
             this.classes.set(task.classKey, entry);
         }
         const loadOfOne = entry.count > 0 ? entry.load / entry.count : 1;
         entry.count += sign;
-        entry.load += sign > 0 ? 1 : -loadOfOne;
+        const load = sign > 0 ? 1 : -loadOfOne;
+        entry.load += load;
+        this.#noteChange({ classKey: task.classKey, load });
         if (entry.count === 0) {
             this.classes.delete(task.classKey);
         }
