--- /dev/null
+++ b/packages/scheduler/src/policy/placement-cost.ts
@@ -0,0 +1,183 @@
+import { WorkKind } from "@waxwingspread/protocol";
+import type { ClassProfiles } from "./class-profiles.js";
+import type { SlowdownSource } from "./interference-model.js";
+import type { ClassOnServer, ServerRecord } from "./server-record.js";
+import type { TaskLoads } from "./task-loads.js";
+import type { PlacedTask, PlacementQuery } from "./types.js";
+
+/** Parameters of the {@link PlacementCost}. All weights are relative to the work of one batch slot. */
+export interface PlacementCostParameters {
+    /** Cost of each unit of slowdown of a latency-critical task. */
+    urgentWeight: number;
+    /** Cost of a latency-critical task beyond the risk ratio, squared. */
+    targetWeight: number;
+    /** Part of the slowdown permitted by the target from which on the task is at risk. */
+    riskRatio: number;
+    standingWeight: number;
+    /** Standard deviations added to the expected slowdown of a latency-critical task. */
+    cautionFactor: number;
+    /** Gain of using servers that are in use already, for batch. */
+    packingWeight: number;
+    /** Cost of the zone or the rack of another task of the class, for standing work. */
+    spreadWeight: number;
+}
+
+/** Defaults; docs/policy.md states how they were chosen. */
+export const PLACEMENT_COST_DEFAULTS: PlacementCostParameters = {
+    urgentWeight: 1,
+    targetWeight: 12,
+    riskRatio: 0.7,
+    standingWeight: 0.1,
+    cautionFactor: 0.5,
+    packingWeight: 0.05,
+    spreadWeight: 4,
+};
+
+/** What placing the queried task on one server would mean. */
+export interface PlacementEstimate {
+    /** Added cost of all tasks on the server, that of the new one included. */
+    cost: number;
+    expectedSlowdown: number;
+}
+
+/** Age at which the expected slowdowns of a server's tasks are computed anew, by newer coefficients. */
+const SLOWDOWNS_MS = 2_000;
+/** Age at which the loads of a server's tasks are read again, which costs a step for each task. */
+const LOADS_MS = 2_000;
+
+/** Adds up how a placement changes the slowdown of the new task and of its neighbours. */
+export class PlacementCost {
+    readonly #source: SlowdownSource;
+    readonly #profiles: ClassProfiles;
+    readonly #loads: TaskLoads;
+    readonly #parameters: PlacementCostParameters;
+
+    constructor(
+        source: SlowdownSource,
+        profiles: ClassProfiles,
+        loads: TaskLoads,
+        parameters: PlacementCostParameters,
+    ) {
+        this.#source = source;
+        this.#profiles = profiles;
+        this.#loads = loads;
+        this.#parameters = parameters;
+    }
+
+    estimate(server: ServerRecord, query: PlacementQuery, nowMs: number): PlacementEstimate {
+        const isUrgent = query.workKind === WorkKind.LATENCY_CRITICAL;
+        let expectedSlowdown = 1;
+        let variance = 0;
+        let cost = 0;
+        for (const entry of this.#classes(server, nowMs)) {
+            expectedSlowdown += entry.load * this.#source.coefficient(query.classKey, entry.classKey, nowMs);
+            if (isUrgent) {
+                variance += entry.load ** 2 * this.#source.variance(query.classKey, entry.classKey, nowMs);
+            }
+            const added = this.#source.coefficient(entry.classKey, query.classKey, nowMs);
+            const after = this.#costOf(entry.workKind, entry.classKey, (entry.slowdown ?? 1) + added);
+            cost += entry.count * (after - entry.cost);
+        }
+        const cautious = isUrgent
+            ? expectedSlowdown + this.#parameters.cautionFactor * Math.sqrt(variance)
+            : expectedSlowdown;
+        cost += this.#costOf(query.workKind, query.classKey, cautious);
+        return { cost: cost + this.#preference(server, query), expectedSlowdown };
+    }
+
+    /** Slowdown that the class would have on the server without the given tasks. */
+    slowdownWithout(
+        server: ServerRecord,
+        query: PlacementQuery,
+        without: readonly PlacedTask[],
+        nowMs: number,
+    ): number {
+        let slowdown = 1;
+        for (const entry of this.#classes(server, nowMs)) {
+            slowdown += entry.load * this.#source.coefficient(query.classKey, entry.classKey, nowMs);
+        }
+        for (const task of without) {
+            slowdown -= this.#loads.loadOf(task) * this.#source.coefficient(query.classKey, task.classKey, nowMs);
+        }
+        return Math.max(1, slowdown);
+    }
+
+    #costOf(workKind: WorkKind, classKey: string, slowdown: number): number {
+        if (workKind === WorkKind.LATENCY_CRITICAL) {
+            const { urgentWeight, targetWeight, riskRatio } = this.#parameters;
+            const beyond = Math.max(0, slowdown / this.#profiles.slackRatio(classKey) - riskRatio);
+            return urgentWeight * (slowdown - 1) + targetWeight * beyond * beyond;
+        }
+        const lost = 1 - 1 / slowdown;
+        return workKind === WorkKind.STANDING ? this.#parameters.standingWeight * lost : lost;
+    }
+
+    #preference(server: ServerRecord, query: PlacementQuery): number {
+        if (query.workKind === WorkKind.BATCH) {
+            return -this.#parameters.packingWeight * server.slotShare();
+        }
+        if (query.spreadAway.length === 0) {
+            return 0;
+        }
+        const sharesZone = query.spreadAway.includes(server.view.availabilityZone);
+        const sharesRack = query.spreadAway.includes(server.view.rack);
+        return this.#parameters.spreadWeight * ((sharesZone ? 1 : 0) + (sharesRack ? 0.5 : 0));
+    }
+
+    /** Classes on a server with their expected slowdowns; small changes are added to the last computation. */
+    #classes(server: ServerRecord, nowMs: number): Iterable<ClassOnServer> {
+        if (nowMs - server.loadsAtMs >= LOADS_MS) {
+            this.#refreshLoads(server, nowMs);
+        }
+        if (nowMs - server.slowdownsAtMs >= SLOWDOWNS_MS) {
+            server.slowdownsAtMs = nowMs;
+            server.changes = [];
+            for (const entry of server.classes.values()) {
+                this.#compute(server, entry, nowMs);
+            }
+        }
+        else if (server.changes.length > 0) {
+            this.#applyChanges(server, nowMs);
+        }
+        return server.classes.values();
+    }
+
+    #applyChanges(server: ServerRecord, nowMs: number): void {
+        for (const entry of server.classes.values()) {
+            if (entry.slowdown === undefined) {
+                this.#compute(server, entry, nowMs);
+                continue;
+            }
+            for (const change of server.changes) {
+                entry.slowdown += change.load * this.#source.coefficient(entry.classKey, change.classKey, nowMs);
+            }
+            entry.cost = this.#costOf(entry.workKind, entry.classKey, entry.slowdown);
+        }
+        server.changes = [];
+    }
+
+    #compute(server: ServerRecord, entry: ClassOnServer, nowMs: number): void {
+        // A task doesn't slow itself.
+        const own = entry.load / entry.count * this.#source.coefficient(entry.classKey, entry.classKey, nowMs);
+        let slowdown = 1 - own;
+        for (const other of server.classes.values()) {
+            slowdown += other.load * this.#source.coefficient(entry.classKey, other.classKey, nowMs);
+        }
+        entry.slowdown = slowdown;
+        entry.cost = this.#costOf(entry.workKind, entry.classKey, slowdown);
+    }
+
+    #refreshLoads(server: ServerRecord, nowMs: number): void {
+        for (const entry of server.classes.values()) {
+            entry.load = 0;
+        }
+        for (const task of server.tasks.values()) {
+            const entry = server.classes.get(task.classKey);
+            if (entry !== undefined) {
+                entry.load += this.#loads.loadOf(task);
+            }
+        }
+        server.loadsAtMs = nowMs;
+        server.slowdownsAtMs = Number.NEGATIVE_INFINITY;
+    }
+}
