--- a/packages/daemon/src/roles/entry-role.ts
+++ b/packages/daemon/src/roles/entry-role.ts
@@ -13,7 +13,7 @@
 import { HttpListener } from "../http/http-listener.js";
 import { RateLimiter } from "../http/rate-limiter.js";
 import { readBody } from "../http/request-body.js";
-import { formatEndpoint } from "../settings/index.js";
+import { formatEndpoint, translatorOf } from "../settings/index.js";
 import { BackendServerClient } from "../transport/backend-server-client.js";
 import { presentTimeMs } from "../transport/present-time.js";
 import { sendError, sendReply } from "./entry-replies.js";
@@ -28,7 +28,7 @@
     readonly #context: ProcessContext;
     readonly #node: EntryNode;
     readonly #listener: HttpListener;
-    readonly #backendServers = new BackendServerClient();
+    readonly #backendServers: BackendServerClient;
     readonly #responses = new Map<number, ServerResponse>();
     readonly #rate: RateLimiter;
     #nextHandle = 1;
@@ -37,6 +37,7 @@
     private constructor(context: ProcessContext) {
         const { settings, metrics } = context;
         this.#context = context;
+        this.#backendServers = new BackendServerClient(translatorOf(settings.addressTranslations));
         this.#rate = new RateLimiter(settings.limits.requestsPerSecondPerListener, presentTimeMs());
         this.#node = new EntryNode({
             entryId: settings.vmName,
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -8,7 +8,7 @@
 import { journalRoutes } from "./roles/journal-routes.js";
 import { createOperatorCheck } from "./roles/operator-token.js";
 import type { ProcessContext } from "./roles/process-context.js";
-import { DaemonRole, formatSettings, parseSettings } from "./settings/index.js";
+import { DaemonRole, formatSettings, parseSettings, translatorOf } from "./settings/index.js";
 import type { DaemonSettings } from "./settings/index.js";
 import { PeerClients } from "./transport/peer-clients.js";
 import { sendTime } from "./transport/time-propagation.js";
@@ -60,7 +60,7 @@
         logger,
         journal,
         metrics: createMetrics(),
-        clients: new PeerClients([sendTime(journal.clock)]),
+        clients: new PeerClients([sendTime(journal.clock)], translatorOf(settings.addressTranslations)),
         authorizeOperator: createOperatorCheck(settings.operatorTokenHash),
         fail: error => {
             logger.fatal({ err: error }, "the process can't go on");
--- a/packages/daemon/src/settings/definitions.ts
+++ b/packages/daemon/src/settings/definitions.ts
@@ -66,6 +66,11 @@
         undefined,
         "Initial control replicas including this one; leave out for a replica that an operator adds later",
     ),
+    addressTranslations: optional(
+        parsers.translations,
+        undefined,
+        "Peers and backend servers reached under another address, as real=reached; for relays and for tests",
+    ),
     operatorTokenHash: {
         ...required(parsers.tokenHash, ALL_ROLES, "Salted hash of the operator token"),
         secret: true,
--- a/packages/daemon/src/settings/index.ts
+++ b/packages/daemon/src/settings/index.ts
@@ -1,3 +1,5 @@
+export { translatorOf } from "./address-translator.js";
+export type { AddressTranslator } from "./address-translator.js";
 export { formatEndpoint, parseEndpoint } from "./endpoint.js";
 export type { Endpoint } from "./endpoint.js";
 export { formatSettings, parseSettings } from "./parse-settings.js";
--- a/packages/daemon/src/settings/parse-settings.test.ts
+++ b/packages/daemon/src/settings/parse-settings.test.ts
@@ -75,6 +75,9 @@
         ["a configuration lease above 2 s", ["--configuration-lease-ms=2000"], "below 2000"],
         ["a poll held beyond its deadline", ["--poll-hold-ms=800"], "at least --poll-hold-ms (800)"],
         ["a payload limit above what entries keep", ["--payload-limit-bytes=262145"], "1024 to 262144"],
+        ["an address translated twice", [
+            "--address-translations=10.0.0.1:7001=10.0.0.9:1,10.0.0.1:7001=10.0.0.9:2",
+        ], "each first address once"],
         ["a setting without a value", ["--data-folder"], "absolute path"],
     ])("rejects %s", (unusedLabel, changes, allowed) => {
         const flags = changes.map(change => `${change.split("=", 1)[0]}=`);
--- a/packages/daemon/src/settings/parse-settings.ts
+++ b/packages/daemon/src/settings/parse-settings.ts
@@ -70,6 +70,7 @@
         controlAddresses: checked.controlAddresses ?? [],
         dataFolder: runsControl ? values.dataFolder : undefined,
         bootstrapPeers: checked.bootstrapPeers ?? [],
+        addressTranslations: checked.addressTranslations ?? [],
         snapshotIntervalEntries: values.snapshotIntervalEntries,
         zoneEvictionsPerSecond: values.zoneEvictionsPerSecond,
         limits: limitsOf(values),
--- a/packages/daemon/src/settings/parsers.ts
+++ b/packages/daemon/src/settings/parsers.ts
@@ -2,7 +2,7 @@
 import { isAbsolute } from "node:path";
 import { parseEndpoint } from "./endpoint.js";
 import type { Endpoint } from "./endpoint.js";
-import type { BootstrapPeer, TokenHash } from "./types.js";
+import type { AddressTranslation, BootstrapPeer, TokenHash } from "./types.js";
 
 /** Reads the text of one setting. */
 export interface SettingParser<T> {
@@ -31,6 +31,13 @@
     return NAME_PATTERN.test(name) && address !== undefined ? { name, address } : undefined;
 };
 
+const parseTranslation = (text: string): AddressTranslation | undefined => {
+    const [fromText = "", toText = "", ...rest] = text.split("=");
+    const from = parseEndpoint(fromText);
+    const to = parseEndpoint(toText);
+    return from !== undefined && to !== undefined && rest.length === 0 ? { from, to } : undefined;
+};
+
 /** One of the members of a string enum. */
 export const choice = <T extends string>(members: Record<string, T>): SettingParser<T> => {
     const values = Object.values(members);
@@ -92,6 +99,17 @@
     },
 };
 
+/** Addresses of peers and those under which they are reached. */
+export const translations: SettingParser<AddressTranslation[]> = {
+    allowed: "IP address:port=IP address:port, separated by commas, each first address once",
+    parse: text => {
+        const items = parseList(text, parseTranslation);
+        return items !== undefined && distinct(items.map(({ from }) => `${from.host} ${from.port}`))
+            ? items
+            : undefined;
+    },
+};
+
 /** Salt and digest in hexadecimal. */
 export const tokenHash: SettingParser<TokenHash> = {
     allowed: "<salt, 32 to 128 hexadecimal digits>:<SHA-256 of salt and token, 64 hexadecimal digits>",
--- a/packages/daemon/src/settings/types.ts
+++ b/packages/daemon/src/settings/types.ts
@@ -23,6 +23,12 @@
     readonly address: Endpoint;
 }
 
+/** A peer that is reached under another address than its own. */
+export interface AddressTranslation {
+    readonly from: Endpoint;
+    readonly to: Endpoint;
+}
+
 /** Salted SHA-256 of the operator token: `sha256(salt || token)`. */
 export interface TokenHash {
     readonly saltHex: string;
@@ -79,6 +85,8 @@
     readonly dataFolder: string | undefined;
     /** Empty for a replica that an operator adds to a running cluster. */
     readonly bootstrapPeers: readonly BootstrapPeer[];
+    /** Empty when all peers are reached under their own addresses. */
+    readonly addressTranslations: readonly AddressTranslation[];
     readonly snapshotIntervalEntries: number;
     readonly zoneEvictionsPerSecond: number;
     readonly limits: LimitSettings;
--- a/packages/daemon/src/transport/backend-server-client.ts
+++ b/packages/daemon/src/transport/backend-server-client.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from "undici";
+import type { AddressTranslator } from "../settings/index.js";
 
 /** Connections to one backend server; with 11 entries a server sees at most 33 of its about 60 from here. */
 const CONNECTIONS_PER_BACKEND_SERVER = 3;
@@ -14,6 +15,7 @@
 
 /** Sends orders to backend servers over a bounded number of connections to each. */
 export class BackendServerClient {
+    readonly #translate: AddressTranslator;
     readonly #agent = new Agent({
         connections: CONNECTIONS_PER_BACKEND_SERVER,
         pipelining: 1,
@@ -21,9 +23,13 @@
         maxResponseSize: MAX_RESPONSE_BYTES,
     });
 
+    constructor(translate: AddressTranslator) {
+        this.#translate = translate;
+    }
+
     /** Posts JSON. Rejects when no whole response has arrived within the time; its connection is then closed. */
     async post(address: string, path: string, body: string, timeoutMs: number): Promise<BackendServerResponse> {
-        const response = await request(`http://${address}${path}`, {
+        const response = await request(`http://${this.#translate(address)}${path}`, {
             dispatcher: this.#agent,
             method: "POST",
             headers: { "content-type": "application/json" },
--- a/packages/daemon/src/transport/peer-clients.ts
+++ b/packages/daemon/src/transport/peer-clients.ts
@@ -2,6 +2,7 @@
 import type { Client, Interceptor } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
 import { ControlService, JournalService, ReplicaService } from "@waxwingspread/protocol";
+import type { AddressTranslator } from "../settings/index.js";
 
 /** Clients of one peer. */
 export interface PeerClient {
@@ -27,9 +28,11 @@
     readonly #connections = new Map<string, Connection>();
     readonly #retiring = new Map<NodeJS.Timeout, Http2SessionManager>();
     readonly #interceptors: Interceptor[];
+    readonly #translate: AddressTranslator;
 
-    constructor(interceptors: Interceptor[] = []) {
+    constructor(interceptors: Interceptor[] = [], translate: AddressTranslator = address => address) {
         this.#interceptors = interceptors;
+        this.#translate = translate;
     }
 
     /** Returns the clients for an address, `host:port`. */
@@ -38,7 +41,7 @@
         if (known !== undefined) {
             return known.client;
         }
-        const connection = connect(address, this.#interceptors);
+        const connection = connect(this.#translate(address), this.#interceptors);
         this.#connections.set(address, connection);
         return connection.client;
     }
--- /dev/null
+++ b/packages/test-support/src/drills/connection-silent.real.test.ts
@@ -0,0 +1,56 @@
+import { describe, expect, it } from "vitest";
+import { FleetRole } from "../local-fleet/local-fleet.js";
+import type { FleetNode } from "../local-fleet/local-fleet.js";
+import { waitUntil } from "../local-fleet/wait-until.js";
+import { SilentRelay } from "../silent-relay.js";
+import { printFigures, withDrillFleet } from "./drill-fleet.js";
+import { epochMs } from "./load.js";
+import { verifyJobs } from "./verify.js";
+
+const TIMEOUT_MS = 15_000;
+const ENTRY = "entry-1";
+
+describe("connection between an entry and the leader silent under load", () => {
+    // Guards against calls that wait for ever on a connection that is open but passes nothing.
+    it("gives every job exactly one outcome, and the entry goes on over a new connection", async () => {
+        const relays = new Map<string, SilentRelay>();
+        const route = async (from: FleetNode, to: FleetNode): Promise<string> => {
+            if (from.name !== ENTRY || to.role !== FleetRole.Control) {
+                return to.address;
+            }
+            const [host = "", port = ""] = to.address.split(":");
+            const relay = await SilentRelay.start(host, Number(port));
+            relays.set(to.name, relay);
+            return relay.address;
+        };
+        await withDrillFleet({ route }, async running => {
+            const { fleet, load } = running;
+            await load.completions(40, TIMEOUT_MS);
+            const entry = fleet.entries.find(member => member.name === ENTRY);
+            const relay = relays.get((await fleet.leader()).name);
+            const connectionsBefore = relay?.acceptedCount ?? 0;
+            expect(connectionsBefore).toBeGreaterThan(0);
+            const silentAtMs = epochMs();
+            relay?.silenceOpenConnections();
+            const viaEntry = load.completions(
+                20,
+                TIMEOUT_MS,
+                job => job.submittedAtMs >= silentAtMs && job.reply?.entry === entry?.callersAddress,
+            );
+            await waitUntil(
+                "the entry opens a new connection",
+                TIMEOUT_MS,
+                () => (relay?.acceptedCount ?? 0) > connectionsBefore ? true : undefined,
+            );
+            const reconnectedAtMs = epochMs();
+            await viaEntry;
+            const { faults, figures } = await verifyJobs(running);
+            printFigures("connection-silent", {
+                silenceToNewConnectionMs: Math.round(reconnectedAtMs - silentAtMs),
+                ...figures,
+            });
+            expect(faults).toEqual([]);
+        });
+        await Promise.all([...relays.values()].map(relay => relay.close()));
+    });
+});
--- /dev/null
+++ b/packages/test-support/src/drills/entry-killed.real.test.ts
@@ -0,0 +1,37 @@
+import { describe, expect, it } from "vitest";
+import { printFigures, withDrillFleet } from "./drill-fleet.js";
+import { epochMs } from "./load.js";
+import { verifyJobs } from "./verify.js";
+
+const TIMEOUT_MS = 15_000;
+
+describe("entry killed under load", () => {
+    // Guards against starts, results and answers that only the lost entry knew of.
+    it("gives every job exactly one outcome through the other entries", () =>
+        withDrillFleet({}, async running => {
+            const { fleet, load } = running;
+            await load.completions(40, TIMEOUT_MS);
+            const [entry] = fleet.entries;
+            expect(entry).toBeDefined();
+            const killedAtMs = epochMs();
+            await entry?.process.kill();
+            const inProgress = load.jobs.filter(job => job.reply === undefined);
+            const answered = load.completions(inProgress.length, TIMEOUT_MS, job => inProgress.includes(job));
+            const startedAtMs = await running.firstStartAfter(killedAtMs);
+            await answered;
+            const recoveredAtMs = epochMs();
+            entry?.restart();
+            if (entry !== undefined) {
+                await fleet.waitForReady(entry);
+            }
+            await running.newCompletions(40, TIMEOUT_MS);
+            const { faults, figures } = await verifyJobs(running);
+            printFigures("entry-killed", {
+                killToNextStartMs: Math.round(startedAtMs - killedAtMs),
+                killToLastAnswerOfJobsInProgressMs: Math.round(recoveredAtMs - killedAtMs),
+                jobsInProgress: inProgress.length,
+                ...figures,
+            });
+            expect(faults).toEqual([]);
+        }));
+});
--- /dev/null
+++ b/packages/test-support/src/drills/leader-killed.real.test.ts
@@ -0,0 +1,26 @@
+import { describe, expect, it } from "vitest";
+import { printFigures, withDrillFleet } from "./drill-fleet.js";
+import { epochMs } from "./load.js";
+import { verifyJobs } from "./verify.js";
+
+const TIMEOUT_MS = 15_000;
+
+describe("leader killed under load", () => {
+    // Guards against decisions that are acknowledged and lost, made twice, or never made after a failover.
+    it("gives every job exactly one outcome", () =>
+        withDrillFleet({}, async running => {
+            const { fleet, load } = running;
+            await load.completions(40, TIMEOUT_MS);
+            const leader = await fleet.leader();
+            const killedAtMs = epochMs();
+            await leader.process.kill();
+            const startedAtMs = await running.firstStartAfter(killedAtMs);
+            await running.newCompletions(40, TIMEOUT_MS);
+            leader.restart();
+            await fleet.waitForReady(leader);
+            await running.newCompletions(20, TIMEOUT_MS);
+            const { faults, figures } = await verifyJobs(running);
+            printFigures("leader-killed", { killToNextStartMs: Math.round(startedAtMs - killedAtMs), ...figures });
+            expect(faults).toEqual([]);
+        }));
+});
--- /dev/null
+++ b/packages/test-support/src/drills/planned-shutdown.real.test.ts
@@ -0,0 +1,46 @@
+import { describe, expect, it } from "vitest";
+import type { FleetMember } from "../local-fleet/local-fleet.js";
+import type { DrillFleet } from "./drill-fleet.js";
+import { printFigures, withDrillFleet } from "./drill-fleet.js";
+import { epochMs } from "./load.js";
+import { verifyJobs } from "./verify.js";
+
+const TIMEOUT_MS = 15_000;
+
+/** Stops a process as a deployment does and starts it again. Returns how long the stop took. */
+const replace = async (running: DrillFleet, member: FleetMember): Promise<number> => {
+    const signalledAtMs = epochMs();
+    member.process.signal("SIGTERM");
+    expect(await member.process.waitForExit()).toEqual({ code: 0, signal: undefined });
+    const tookMs = Math.round(epochMs() - signalledAtMs);
+    member.restart();
+    await running.fleet.waitForReady(member);
+    await running.newCompletions(20, TIMEOUT_MS);
+    return tookMs;
+};
+
+describe("planned shutdown of each role under load", () => {
+    // Guards against requests that a deployment cuts off: callers get an answer or a typed refusal, never nothing.
+    it("ends with exit code 0 and cuts no request off", () =>
+        withDrillFleet({}, async running => {
+            const { fleet, load } = running;
+            await load.completions(40, TIMEOUT_MS);
+            const leader = await fleet.leader();
+            const follower = fleet.controls.find(member => member !== leader) ?? leader;
+            const [entry] = fleet.entries;
+            expect(entry).toBeDefined();
+            const followerMs = await replace(running, follower);
+            const leaderMs = await replace(running, leader);
+            const entryMs = entry === undefined ? undefined : await replace(running, entry);
+            const { faults, figures } = await verifyJobs(running);
+            printFigures("planned-shutdown", {
+                followerExitMs: followerMs,
+                leaderExitMs: leaderMs,
+                entryExitMs: entryMs,
+                cutOff: running.cutOff.length,
+                ...figures,
+            });
+            expect(running.cutOff).toEqual([]);
+            expect(faults).toEqual([]);
+        }));
+});
--- /dev/null
+++ b/packages/test-support/src/drills/verify.ts
@@ -0,0 +1,122 @@
+import { jobKeyOf } from "@waxwingspread/common";
+import type { CallerReply } from "../stand-in-caller.js";
+import type { Observations, RunSegment } from "../stand-in/observations.js";
+import type { DrillFleet } from "./drill-fleet.js";
+import type { DrillJob } from "./load.js";
+
+const SLOTS = 8;
+const ASK_AGAIN_CONCURRENCY = 24;
+
+interface JobReply {
+    state?: string;
+    outcome?: string;
+    reason?: string;
+    answer?: { echo?: unknown };
+    answerSha256?: string;
+}
+
+/** What the callers and the stand-ins of a drill saw. */
+export interface DrillFigures {
+    jobs: number;
+    completed: number;
+    notRun: number;
+    trials: number;
+    retriedByCallers: number;
+    /** Time from the first submission to the outcome. */
+    longestAnswerMs: number;
+}
+
+const jobReplyOf = (reply: CallerReply | undefined): JobReply => (reply?.json ?? {}) as JobReply;
+
+const overlap = (segments: readonly RunSegment[]): boolean =>
+    segments.some((segment, position) =>
+        segments.slice(position + 1).some(other =>
+            segment.startedAtMs < (other.stoppedAtMs ?? Infinity)
+            && other.startedAtMs < (segment.stoppedAtMs ?? Infinity)
+        )
+    );
+
+/** Faults of a job that has completed. */
+const completedFaults = (job: DrillJob, segments: readonly RunSegment[]): string[] => {
+    const faults: string[] = [];
+    const finished = segments.filter(({ stopReason }) => stopReason === "completed").length;
+    if (jobReplyOf(job.reply).answer?.echo !== job.echo) {
+        faults.push(`answer is ${JSON.stringify(jobReplyOf(job.reply).answer)}`);
+    }
+    if (finished !== 1) {
+        faults.push(`ran to its end ${finished} times`);
+    }
+    if (job.workClass === "trial" && segments.length !== 1) {
+        faults.push(`must not be repeated, but was started ${segments.length} times`);
+    }
+    return faults;
+};
+
+const jobFaults = (job: DrillJob, segments: readonly RunSegment[]): string[] => {
+    const { state, outcome } = jobReplyOf(job.reply);
+    if (job.reply?.status !== 200 || state !== "ended") {
+        return [`reply with status ${job.reply?.status}: ${JSON.stringify(job.reply?.json)}`];
+    }
+    const faults = overlap(segments) ? ["ran in two places at once"] : [];
+    if (outcome === "completed") {
+        return [...faults, ...completedFaults(job, segments)];
+    }
+    if (outcome === "not-run") {
+        return segments.length === 0 ? faults : [...faults, `reported as not run, but ran ${segments.length} times`];
+    }
+    return [...faults, `ended as ${JSON.stringify(job.reply.json)}`];
+};
+
+/** Asks for a job's outcome once more; it must be the one that the caller got. */
+const repeatedFaults = async (running: DrillFleet, job: DrillJob): Promise<string[]> => {
+    const again = await running.caller.lookUp(job.requestId);
+    const first = jobReplyOf(job.reply);
+    const second = jobReplyOf(again);
+    const same = first.outcome === second.outcome
+        && first.answerSha256 === second.answerSha256
+        && JSON.stringify(first.answer) === JSON.stringify(second.answer);
+    return same ? [] : [`first ${JSON.stringify(first)}, later ${again.status} ${JSON.stringify(second)}`];
+};
+
+const inBatches = async <T, R>(items: readonly T[], task: (item: T) => Promise<R>): Promise<R[]> => {
+    const results: R[] = [];
+    for (let position = 0; position < items.length; position += ASK_AGAIN_CONCURRENCY) {
+        results.push(...await Promise.all(items.slice(position, position + ASK_AGAIN_CONCURRENCY).map(task)));
+    }
+    return results;
+};
+
+const capacityFaults = (observations: readonly Observations[]): string[] =>
+    observations
+        .filter(({ peakTasks }) => peakTasks > SLOTS)
+        .map(({ peakTasks }) => `a backend server held ${peakTasks} tasks in ${SLOTS} slots`);
+
+/** Stops the load and checks every job. Returns the faults, which must be none, and the figures. */
+export const verifyJobs = async (running: DrillFleet): Promise<{ faults: string[]; figures: DrillFigures }> => {
+    await running.load.stop();
+    const { jobs } = running.load;
+    const again = await inBatches(jobs, job => repeatedFaults(running, job));
+    const observations = await running.observations();
+    const segments = new Map<string, RunSegment[]>();
+    for (const segment of observations.flatMap(observed => observed.segments)) {
+        const key = jobKeyOf(segment);
+        segments.set(key, [...segments.get(key) ?? [], segment]);
+    }
+    const customer = [...segments.values()][0]?.[0]?.customer ?? "";
+    const faults = jobs.flatMap((job, position) => {
+        const held = segments.get(jobKeyOf({ customer, requestId: job.requestId })) ?? [];
+        return [...jobFaults(job, held), ...again[position] ?? []].map(fault => `${job.requestId}: ${fault}`);
+    });
+    const countOf = (outcome: string): number => jobs.filter(job => jobReplyOf(job.reply).outcome === outcome).length;
+    return {
+        faults: [...faults, ...capacityFaults(observations)],
+        figures: {
+            jobs: jobs.length,
+            completed: countOf("completed"),
+            notRun: countOf("not-run"),
+            trials: jobs.filter(({ workClass }) => workClass === "trial").length,
+            longestAnswerMs: Math.round(Math.max(...jobs.map(job => job.reply?.elapsedMs ?? Infinity))),
+            retriedByCallers: jobs.filter(job => (job.reply?.attempts ?? 0) > 1).length,
+        },
+    };
+};
--- a/packages/test-support/src/local-fleet/local-fleet.ts
+++ b/packages/test-support/src/local-fleet/local-fleet.ts
@@ -6,11 +6,32 @@
 import { ManagedProcess } from "./managed-process.js";
 import { waitUntil } from "./wait-until.js";
 
-const DAEMON_SCRIPT = fileURLToPath(import.meta.resolve("../../../daemon/dist/main.js"));
-const BACKEND_SERVER_SCRIPT = fileURLToPath(import.meta.resolve("../stand-in-backend-server-main.js"));
+// Relative to `src` as well as to `dist`: tests run this module from its source, but processes need built scripts.
+const DAEMON_SCRIPT = fileURLToPath(new URL("../../../daemon/dist/main.js", import.meta.url));
+const BACKEND_SERVER_SCRIPT = fileURLToPath(
+    new URL("../../dist/stand-in-backend-server-main.js", import.meta.url),
+);
 const START_TIMEOUT_MS = 20_000;
 const STOP_GRACE_MS = 10_000;
 
+export enum FleetRole {
+    Control = "control",
+    Entry = "entry",
+    BackendServer = "backend-server",
+}
+
+/** A process as others see it, known before any process is started. */
+export interface FleetNode {
+    name: string;
+    role: FleetRole;
+    availabilityZone: string;
+    /** Address that the other processes call. */
+    address: string;
+}
+
+/** Returns the address under which one process reaches another, for example that of a relay. */
+export type FleetRoute = (from: FleetNode, to: FleetNode) => Promise<string> | string;
+
 /** Shape of a local fleet. */
 export interface LocalFleetOptions {
     dataFolder: string;
@@ -21,6 +42,10 @@
     /** Further daemon flags, without the leading dashes. */
     daemonFlags?: Record<string, string>;
     backendServerFlags?: Record<string, string>;
+    /** Leads connections through other addresses; direct by default. */
+    route?: FleetRoute;
+    /** Flags of Node for one process, for example for a profile. */
+    nodeFlags?: (node: FleetNode) => string[];
 }
 
 /** One process of the fleet and where it listens. */
@@ -31,6 +56,7 @@
     callersAddress?: string;
     controlAddress?: string;
     operatorsAddress?: string;
+    backendServerAddress?: string;
     /** Starts the process again with the same settings. */
     restart: () => ManagedProcess;
 }
@@ -55,9 +81,10 @@
     static async start(options: LocalFleetOptions): Promise<LocalFleet> {
         const fleet = new LocalFleet(options);
         try {
-            await fleet.#startControls();
-            await fleet.#startEntries();
-            fleet.#startBackendServers();
+            const plan = await fleet.#plan();
+            await fleet.#startControls(plan);
+            await fleet.#startEntries(plan);
+            await fleet.#startBackendServers(plan);
             await Promise.all([...fleet.controls, ...fleet.entries].map(member => fleet.waitForReady(member)));
         }
         catch (error) {
@@ -92,10 +119,10 @@
         });
     }
 
-    /** Returns the control replica that serves as leader. */
-    async leader(): Promise<FleetMember> {
+    /** Returns the control replica that serves as leader, of those given or of all. */
+    async leader(among: readonly FleetMember[] = this.controls): Promise<FleetMember> {
         return waitUntil("a leader serves", START_TIMEOUT_MS, async () => {
-            for (const member of this.controls) {
+            for (const member of among) {
                 const response = await fetch(`http://${member.operatorsAddress}/leaderz`).catch(() => undefined);
                 await response?.arrayBuffer();
                 if (response?.status === 200) {
@@ -123,81 +150,114 @@
         await rm(this.#options.dataFolder, { recursive: true, force: true });
     }
 
-    async #startControls(): Promise<void> {
-        const count = this.#options.controlReplicas;
-        const ports = await findFreePorts(count * 2);
-        const names = Array.from({ length: count }, (unused, position) => `control-${position + 1}`);
-        const addresses = names.map((name, position) => `${LOOPBACK}:${ports[position]}`);
-        const peers = names.map((name, position) => `${name}=${addresses[position]}`).join(",");
-        names.forEach((name, position) =>
-            this.controls.push(this.startDaemon(name, this.#zone(position), {
-                "role": "control",
-                "listen-control": addresses[position] ?? "",
-                "listen-operators": `${LOOPBACK}:${ports[count + position]}`,
-                "data-folder": join(this.#options.dataFolder, name),
-                "bootstrap-peers": peers,
+    async #plan(): Promise<FleetNode[]> {
+        const { controlReplicas, entries, backendServers } = this.#options;
+        const counts: [FleetRole, string, number][] = [
+            [FleetRole.Control, "control", controlReplicas],
+            [FleetRole.Entry, "entry", entries],
+            [FleetRole.BackendServer, "backend", backendServers],
+        ];
+        const ports = await findFreePorts(controlReplicas + entries + backendServers);
+        return counts.flatMap(([role, prefix, count]) =>
+            Array.from({ length: count }, (unused, position) => ({
+                name: `${prefix}-${position + 1}`,
+                role,
+                availabilityZone: this.#zone(position),
+                address: `${LOOPBACK}:${ports.shift()}`,
             }))
         );
     }
 
-    async #startEntries(): Promise<void> {
-        const count = this.#options.entries;
-        const ports = await findFreePorts(count * 2);
-        for (let position = 0; position < count; position += 1) {
-            this.entries.push(this.startDaemon(`entry-${position + 1}`, this.#zone(position), {
+    /** Returns the value of `--address-translations` for a process; empty when it reaches all others directly. */
+    async #translations(from: FleetNode, plan: readonly FleetNode[], roles: FleetRole[]): Promise<string> {
+        const { route } = this.#options;
+        const pairs: string[] = [];
+        for (const to of plan) {
+            if (route !== undefined && to !== from && roles.includes(to.role)) {
+                const address = await route(from, to);
+                if (address !== to.address) {
+                    pairs.push(`${to.address}=${address}`);
+                }
+            }
+        }
+        return pairs.join(",");
+    }
+
+    async #startControls(plan: readonly FleetNode[]): Promise<void> {
+        const nodes = plan.filter(node => node.role === FleetRole.Control);
+        const ports = await findFreePorts(nodes.length);
+        const peers = nodes.map(node => `${node.name}=${node.address}`).join(",");
+        for (const node of nodes) {
+            const translations = await this.#translations(node, plan, [FleetRole.Control]);
+            this.controls.push(this.#startDaemon(node, {
+                "role": "control",
+                "listen-control": node.address,
+                "listen-operators": `${LOOPBACK}:${ports.shift()}`,
+                "data-folder": join(this.#options.dataFolder, node.name),
+                "bootstrap-peers": peers,
+                ...translationFlag(translations),
+            }));
+        }
+    }
+
+    async #startEntries(plan: readonly FleetNode[]): Promise<void> {
+        const nodes = plan.filter(node => node.role === FleetRole.Entry);
+        const ports = await findFreePorts(nodes.length);
+        for (const node of nodes) {
+            const translations = await this.#translations(node, plan, [FleetRole.Control, FleetRole.BackendServer]);
+            this.entries.push(this.#startDaemon(node, {
                 "role": "entry",
-                "listen-callers": `${LOOPBACK}:${ports[position]}`,
-                "listen-operators": `${LOOPBACK}:${ports[count + position]}`,
+                "listen-callers": node.address,
+                "listen-operators": `${LOOPBACK}:${ports.shift()}`,
                 "control-addresses": this.controlAddresses.join(","),
+                ...translationFlag(translations),
             }));
         }
     }
 
-    #startBackendServers(): void {
-        for (let position = 0; position < this.#options.backendServers; position += 1) {
-            const name = `backend-${position + 1}`;
-            const availabilityZone = this.#zone(position);
+    async #startBackendServers(plan: readonly FleetNode[]): Promise<void> {
+        const nodes = plan.filter(node => node.role === FleetRole.BackendServer);
+        for (const [position, node] of nodes.entries()) {
+            const translations = await this.#translations(node, plan, [FleetRole.Entry]);
             const flags = {
-                "id": name,
+                "id": node.name,
                 "host": LOOPBACK,
-                "zone": availabilityZone,
-                "rack": `${availabilityZone}-rack-1`,
+                "port": portOf(node.address),
+                "zone": node.availabilityZone,
+                "rack": `${node.availabilityZone}-rack-1`,
                 "seed": String(position + 1),
+                ...translationFlag(translations),
                 ...this.#options.backendServerFlags,
             };
             const entries = this.entryAddresses.map(address => `--entry=${address}`);
             const start = (): ManagedProcess =>
-                new ManagedProcess(name, BACKEND_SERVER_SCRIPT, [...toArguments(flags), ...entries]);
-            this.backendServers.push(this.#member(name, availabilityZone, start, {}));
+                new ManagedProcess(node.name, BACKEND_SERVER_SCRIPT, [...toArguments(flags), ...entries]);
+            this.backendServers.push(this.#member(node, start, { backendServerAddress: node.address }));
         }
     }
 
-    /** Starts one more daemon with the given flags. */
-    startDaemon(name: string, availabilityZone: string, flags: Record<string, string>): FleetMember {
+    #startDaemon(node: FleetNode, flags: Record<string, string>): FleetMember {
         const allFlags = {
-            "vm-name": name,
-            "availability-zone": availabilityZone,
+            "vm-name": node.name,
+            "availability-zone": node.availabilityZone,
             "operator-token-hash": this.#operatorTokenHash,
             ...flags,
             ...this.#options.daemonFlags,
         };
-        const start = (): ManagedProcess => new ManagedProcess(name, DAEMON_SCRIPT, toArguments(allFlags));
-        return this.#member(name, availabilityZone, start, {
+        const nodeFlags = this.#options.nodeFlags?.(node) ?? [];
+        const start = (): ManagedProcess =>
+            new ManagedProcess(node.name, DAEMON_SCRIPT, toArguments(allFlags), {}, nodeFlags);
+        return this.#member(node, start, {
             callersAddress: flags["listen-callers"],
             controlAddress: flags["listen-control"],
             operatorsAddress: flags["listen-operators"],
         });
     }
 
-    #member(
-        name: string,
-        availabilityZone: string,
-        start: () => ManagedProcess,
-        addresses: Partial<FleetMember>,
-    ): FleetMember {
+    #member(node: FleetNode, start: () => ManagedProcess, addresses: Partial<FleetMember>): FleetMember {
         const member: FleetMember = {
-            name,
-            availabilityZone,
+            name: node.name,
+            availabilityZone: node.availabilityZone,
             process: start(),
             ...addresses,
             restart: () => {
@@ -218,5 +278,10 @@
     }
 }
 
+const portOf = (address: string): string => address.slice(address.lastIndexOf(":") + 1);
+
+const translationFlag = (translations: string): Record<string, string> =>
+    translations === "" ? {} : { "address-translations": translations };
+
 const toArguments = (flags: Record<string, string>): string[] =>
     Object.entries(flags).map(([name, value]) => `--${name}=${value}`);
--- a/packages/test-support/src/local-fleet/managed-process.ts
+++ b/packages/test-support/src/local-fleet/managed-process.ts
@@ -17,8 +17,14 @@
     #output = "";
     #exited: ProcessExit | undefined;
 
-    constructor(readonly name: string, script: string, args: readonly string[], environment: NodeJS.ProcessEnv = {}) {
-        this.#child = spawn(process.execPath, [script, ...args], {
+    constructor(
+        readonly name: string,
+        script: string,
+        args: readonly string[],
+        environment: NodeJS.ProcessEnv = {},
+        nodeFlags: readonly string[] = [],
+    ) {
+        this.#child = spawn(process.execPath, [...nodeFlags, script, ...args], {
             env: { ...process.env, ...environment },
             stdio: ["ignore", "pipe", "pipe"],
         });
--- a/packages/test-support/src/local-fleet/operator-cli.ts
+++ b/packages/test-support/src/local-fleet/operator-cli.ts
@@ -2,7 +2,7 @@
 import type { LocalFleet } from "./local-fleet.js";
 import { ManagedProcess } from "./managed-process.js";
 
-const CLI_SCRIPT = fileURLToPath(import.meta.resolve("../../../cli/dist/main.js"));
+const CLI_SCRIPT = fileURLToPath(new URL("../../../cli/dist/main.js", import.meta.url));
 
 /** Runs the operators' tool against a fleet; returns its output and exit code. */
 export const runOperatorCli = async (
--- a/packages/test-support/src/silent-relay.ts
+++ b/packages/test-support/src/silent-relay.ts
@@ -15,6 +15,7 @@
 export class SilentRelay {
     readonly #connections = new Set<Connection>();
     #newConnectionsSilent = false;
+    #acceptedCount = 0;
 
     private constructor(
         readonly server: Server,
@@ -42,6 +43,11 @@
         return this.#connections.size;
     }
 
+    /** Connections accepted since the start. */
+    get acceptedCount(): number {
+        return this.#acceptedCount;
+    }
+
     /** Stops passing bytes on the open connections; new ones work. */
     silenceOpenConnections(): void {
         this.#connections.forEach(connection => {
@@ -76,6 +82,7 @@
     }
 
     #accept(inbound: Socket): void {
+        this.#acceptedCount += 1;
         const outbound = connect(this.targetPort, this.targetHost);
         const connection: Connection = { sockets: [inbound, outbound], silent: false };
         this.#connections.add(connection);
--- a/packages/test-support/src/stand-in-backend-server-main.ts
+++ b/packages/test-support/src/stand-in-backend-server-main.ts
@@ -28,6 +28,11 @@
         .option("fail-every-task", { type: "boolean", default: false, describe: "every task fails" })
         .option("usage-lag-ms", { type: "number", default: 3_000, describe: "delay of usage reports" })
         .option("tick-ms", { type: "number", default: 5, describe: "interval of the timer" })
+        .option("address-translations", {
+            type: "string",
+            default: "",
+            describe: "entries reached under another address: real=reached, separated by commas",
+        })
         .option("leave-timeout-ms", {
             type: "number",
             default: 30_000,
@@ -57,6 +62,12 @@
         host: flags.host,
         port: flags.port,
         tickMs: flags.tickMs,
+        reachedAddresses: new Map(
+            flags.addressTranslations.split(",").filter(pair => pair !== "").map(pair => {
+                const [real = "", reached = ""] = pair.split("=");
+                return [real, reached];
+            }),
+        ),
     });
 
 const leave = async (running: StandInBackendServerProcess, timeoutMs: number): Promise<void> => {
--- a/packages/test-support/src/stand-in-backend-server-process.ts
+++ b/packages/test-support/src/stand-in-backend-server-process.ts
@@ -30,6 +30,8 @@
     /** Zero chooses a free port. */
     port: number;
     tickMs?: number;
+    /** Entries that are reached under another address than their own. */
+    reachedAddresses?: ReadonlyMap<string, string>;
 }
 
 /** Returns the monotonic time based on the epoch. */
@@ -55,7 +57,12 @@
     readonly #agent = new Agent({ connections: CONNECTIONS_PER_ENTRY, pipelining: 1 });
     #timer: NodeJS.Timeout | undefined;
 
-    private constructor(readonly core: StandInBackendServer, readonly address: string, readonly server: Server) {}
+    private constructor(
+        readonly core: StandInBackendServer,
+        readonly address: string,
+        readonly server: Server,
+        readonly reachedAddresses: ReadonlyMap<string, string>,
+    ) {}
 
     /** Listens and begins to announce itself. Fails when the address is in use. */
     static async start(options: StandInProcessOptions): Promise<StandInBackendServerProcess> {
@@ -67,7 +74,12 @@
         const { port } = server.address() as AddressInfo;
         const address = `${options.host}:${port}`;
         const core = new StandInBackendServer({ ...options, address }, nowMs());
-        const running = new StandInBackendServerProcess(core, address, server);
+        const running = new StandInBackendServerProcess(
+            core,
+            address,
+            server,
+            options.reachedAddresses ?? new Map<string, string>(),
+        );
         server.on("request", (message, response) => {
             running.#serve(message, response).catch(() => response.destroy());
         });
@@ -141,7 +153,7 @@
     }
 
     async #call({ callId, address, path, body, timeoutMs }: CallEntry): Promise<void> {
-        const response = await httpRequest(`http://${address}${path}`, {
+        const response = await httpRequest(`http://${this.reachedAddresses.get(address) ?? address}${path}`, {
             dispatcher: this.#agent,
             method: "POST",
             headers: JSON_HEADERS,
--- a/packages/test-support/src/stand-in-caller.ts
+++ b/packages/test-support/src/stand-in-caller.ts
@@ -8,6 +8,16 @@
 /** Statuses after which another entry may do better: overloaded, unavailable, outcome not known. */
 const RETRIED_STATUSES = new Set([429, 503, 504]);
 
+/** One attempt of a request at one entry. */
+export interface CallerAttempt {
+    entry: string;
+    path: string;
+    /** Undefined without a complete reply. */
+    status?: number;
+    /** Error code, `ECONNREFUSED` for example, of an attempt without a complete reply. */
+    failure?: string;
+}
+
 export interface StandInCallerOptions {
     /** `host:port` of each entry. */
     entries: string[];
@@ -18,6 +28,8 @@
     /** Bound on all attempts together, in addition to that time. */
     deadlineMs?: number;
     retryDelayMs?: number;
+    /** Told of the end of each attempt. */
+    onAttempt?: (attempt: CallerAttempt) => void;
 }
 
 /** Body of a submission. */
@@ -64,6 +76,7 @@
             attemptTimeoutMs: DEFAULT_ATTEMPT_TIMEOUT_MS,
             deadlineMs: DEFAULT_DEADLINE_MS,
             retryDelayMs: DEFAULT_RETRY_DELAY_MS,
+            onAttempt: () => undefined,
             ...options,
         };
     }
@@ -138,9 +151,12 @@
                 signal: AbortSignal.timeout(this.#options.attemptTimeoutMs + waitMs),
             });
             const bytes = new Uint8Array(await response.body.arrayBuffer());
+            this.#options.onAttempt({ entry, path, status: response.statusCode });
             return { status: response.statusCode, headers: response.headers, json: jsonOf(bytes), bytes };
         }
-        catch {
+        catch (error) {
+            const { code, name } = error as { code?: unknown; name?: string };
+            this.#options.onAttempt({ entry, path, failure: typeof code === "string" ? code : name ?? "unknown" });
             return undefined;
         }
     }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -3,15 +3,38 @@
 
 const packages = fileURLToPath(new URL("./packages", import.meta.url));
 
+const neverTests = ["**/node_modules/**", "**/dist/**"];
+
 export default defineConfig({
     resolve: {
         alias: [{ find: /^@waxwingspread\/(.+)$/, replacement: `${packages}/$1/src/index.ts` }],
     },
     test: {
-        include: ["packages/**/*.test.ts"],
-        exclude: ["**/node_modules/**", "**/dist/**"],
         testTimeout: 60_000,
         hookTimeout: 60_000,
-        maxWorkers: 6,
+        projects: [
+            {
+                extends: true,
+                test: {
+                    name: "unit",
+                    include: ["packages/**/*.test.ts"],
+                    exclude: [...neverTests, "packages/**/*.real.test.ts"],
+                    maxWorkers: 6,
+                    sequence: { groupOrder: 0 },
+                },
+            },
+            {
+                extends: true,
+                test: {
+                    name: "drills",
+                    include: ["packages/**/*.real.test.ts"],
+                    exclude: neverTests,
+                    // Each starts many processes; two at a time would disturb each other's timing.
+                    fileParallelism: false,
+                    maxWorkers: 1,
+                    sequence: { groupOrder: 1 },
+                },
+            },
+        ],
     },
 });
