Serve each term at most once

Cause: a leader that hands over refuses proposals, so its control node gives up the session while the replica is still leader of the term. An entry proposed before then commits, the node opened a second session in the same term, and recording termStarted failed with 'term 2 is not new'; the process ended with exit code 1 on SIGTERM. Change: a node serves a term at most once.

--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -31,6 +31,8 @@
     readonly #options: ControlNodeOptions;
     #state = new ClusterState();
     #session: LeaderSession | undefined;
+    /** Latest term in which this node has served; a term that was given up is not served again. */
+    #servedTerm = 0;
     #appliedIndex = 0;
     #effects: ControlEffect[] = [];
 
@@ -152,8 +154,10 @@
             this.#applyBatch(this.#decode(entry.body.value, entry.index), entry.index, decidedHere);
         }
         this.#appliedIndex = entry.index;
-        const ownTerm = entry.term === this.#options.log.term;
-        if (this.#session === undefined && ownTerm && this.#options.log.isLeader) {
+        const { log } = this.#options;
+        // A leader that hands over stays leader of its term for a while, and entries that it proposed still commit.
+        const mayServe = entry.term === log.term && log.isLeader && log.term > this.#servedTerm;
+        if (this.#session === undefined && mayServe) {
             this.#startSession(nowMs);
         }
     }
@@ -200,6 +204,7 @@
 
     #startSession(nowMs: number): void {
         const { log, settings, schedulerSettings, random } = this.#options;
+        this.#servedTerm = log.term;
         const scheduler = new Scheduler(this.#state, schedulerSettings, random);
         scheduler.startTerm(log.term, this.#options.name, nowMs);
         this.#session = new LeaderSession(scheduler, log.term, {
--- /dev/null
+++ b/packages/test-support/src/drills/repeat-main.ts
@@ -0,0 +1,80 @@
+import { spawn } from "node:child_process";
+import { mkdtemp, readFile, rm } from "node:fs/promises";
+import { loadavg, tmpdir } from "node:os";
+import { basename, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import yargs from "yargs";
+import { hideBin } from "yargs/helpers";
+
+const ROOT = fileURLToPath(new URL("../../../../", import.meta.url));
+const VITEST = join(ROOT, "node_modules/vitest/vitest.mjs");
+const DRILL_SUFFIX = ".real.test.ts";
+
+interface TestFileResult {
+    name: string;
+    status: string;
+    message: string;
+    assertionResults: { failureMessages: string[] }[];
+}
+
+interface Tally {
+    passes: number;
+    failures: number;
+}
+
+const say = (line: string): void => {
+    process.stdout.write(`${line}\n`);
+};
+
+/** Runs the drills once, passes on the lines with their figures, and returns vitest's results. */
+const runOnce = async (only: string, reportFile: string): Promise<TestFileResult[]> => {
+    const folder = join("packages/test-support/src/drills", only);
+    const args = [VITEST, "run", "--project", "drills", folder, "--reporter=default", "--reporter=json"];
+    const child = spawn(process.execPath, [...args, `--outputFile.json=${reportFile}`], {
+        cwd: ROOT,
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    child.stdout.on("data", chunk => {
+        String(chunk).split("\n").filter(line => line.startsWith("drill ")).forEach(say);
+    });
+    await new Promise(resolve => child.once("exit", resolve));
+    const report = JSON.parse(await readFile(reportFile, "utf8")) as { testResults: TestFileResult[] };
+    return report.testResults;
+};
+
+const failureOf = ({ message, assertionResults }: TestFileResult): string =>
+    [message, ...assertionResults.flatMap(result => result.failureMessages)].filter(text => text !== "").join("\n");
+
+const main = async (): Promise<void> => {
+    const flags = yargs(hideBin(process.argv))
+        .usage("Repeats the drills and counts passes and failures of each.")
+        .option("repeat", { type: "number", default: 1, describe: "how often the set is run" })
+        .option("only", { type: "string", default: "", describe: "beginning of the file name of the drills to run" })
+        .strict()
+        .parseSync();
+    const folder = await mkdtemp(join(tmpdir(), "waxwingspread-drills-"));
+    const tallies = new Map<string, Tally>();
+    for (let round = 1; round <= flags.repeat; round += 1) {
+        const startedAtMs = performance.now();
+        const results = await runOnce(flags.only, join(folder, "report.json"));
+        for (const result of results) {
+            const drill = basename(result.name, DRILL_SUFFIX);
+            const tally = tallies.get(drill) ?? { passes: 0, failures: 0 };
+            const passed = result.status === "passed";
+            tallies.set(drill, {
+                passes: tally.passes + (passed ? 1 : 0),
+                failures: tally.failures + (passed ? 0 : 1),
+            });
+            if (!passed) {
+                say(`${drill} failed: ${failureOf(result)}`);
+            }
+        }
+        const seconds = Math.round((performance.now() - startedAtMs) / 1_000);
+        say(`round ${round} of ${flags.repeat} took ${seconds} s; load average ${loadavg()[0]?.toFixed(1)}`);
+    }
+    await rm(folder, { recursive: true });
+    say(JSON.stringify(Object.fromEntries(tallies)));
+    process.exitCode = [...tallies.values()].some(({ failures }) => failures > 0) ? 1 : 0;
+};
+
+await main();
