Measure the path through real processes with the delays of both firms

Relays delay each direction by a fixed time; entries, control replicas, backend servers and callers reach each other through them.

--- /dev/null
+++ b/packages/bench/src/path/latency.ts
@@ -0,0 +1,105 @@
+import { findFreePorts, ManagedProcess, waitUntil } from "@waxwingspread/test-support";
+import { fileURLToPath } from "node:url";
+import { request as httpRequest } from "undici";
+import { epochMs, OpenLoop, pause, submitInSequence } from "./callers.js";
+import type { MeasuredJob } from "./callers.js";
+import { medianOf, percentilesOf } from "./figures.js";
+import type { LatencyFigures } from "./figures.js";
+import type { PathFleet } from "./path-fleet.js";
+
+const STAND_IN_SCRIPT = fileURLToPath(
+    new URL("../../../test-support/dist/stand-in-backend-server-main.js", import.meta.url),
+);
+const RUN_MS = 20;
+const DIRECT_STARTS = 60;
+const IDLE_JOBS = 60;
+const WARM_UP_JOBS = 40;
+/** The peak of the size in two years. */
+export const LOAD_STARTS_PER_SECOND = 69;
+const LOAD_DURATION_MS = 8_000;
+const START_WINDOW_MS = 60_000;
+
+/** Time of a start that a caller sends to a stand-in directly, over the same distance as to an entry. */
+const measureDirectStart = async (running: PathFleet): Promise<number> => {
+    const [port] = await findFreePorts(1);
+    const address = `127.0.0.1:${port}`;
+    const process = new ManagedProcess("direct", STAND_IN_SCRIPT, [
+        "--id=direct",
+        `--port=${port}`,
+        "--entry=127.0.0.1:1",
+    ]);
+    try {
+        const incarnation = await waitUntil(
+            "the stand-in listens",
+            10_000,
+            () => /"incarnation":"([^"]+)"/.exec(process.output)?.[1],
+        );
+        const reached = await running.relays.open("callers to direct", address, running.firm.toClientsMs);
+        const durations: number[] = [];
+        for (let number = 1; number <= DIRECT_STARTS; number += 1) {
+            const startedAtMs = epochMs();
+            const response = await httpRequest(`http://${reached}/v1/tasks`, {
+                method: "POST",
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify({
+                    customer: running.firm.customer,
+                    requestId: `direct-${number}`,
+                    attemptNumber: 1,
+                    incarnation,
+                    term: 1,
+                    startDeadlineMs: START_WINDOW_MS,
+                    leaseExpiresMs: START_WINDOW_MS,
+                    workClass: "check",
+                    workKind: "latency-critical",
+                    resources: { cpuMillicores: 1, memoryMebibytes: 1, accelerators: 0 },
+                    payload: { runMs: 0 },
+                    replyTo: "127.0.0.1:1",
+                }),
+            });
+            const body = await response.body.text();
+            if (!body.includes("accepted") && !body.includes("no free capacity")) {
+                throw new Error(`the direct start was not accepted: ${body}`);
+            }
+            durations.push(epochMs() - startedAtMs);
+        }
+        return medianOf(durations);
+    }
+    finally {
+        await process.kill();
+    }
+};
+
+export interface LatencyResult {
+    addedLatencyMs: LatencyFigures;
+    addedLatencyIdleMs: LatencyFigures;
+    submitToStartMs: LatencyFigures;
+    submitToStartIdleMs: LatencyFigures;
+    directStartMs: number;
+    notCompleted: number;
+}
+
+/** Measures the time that the path adds to a direct start and its run time: idle, and at the peak rate. */
+export const measureLatency = async (running: PathFleet): Promise<LatencyResult> => {
+    const directStartMs = await measureDirectStart(running);
+    await submitInSequence(running, "warm-up", WARM_UP_JOBS, 1);
+    const idle = await submitInSequence(running, "idle", IDLE_JOBS, RUN_MS);
+    const loop = new OpenLoop(running, "load", LOAD_STARTS_PER_SECOND, RUN_MS);
+    await pause(LOAD_DURATION_MS);
+    const loaded = await loop.stop();
+    const starts = await running.startTimes();
+    const added = (jobs: MeasuredJob[]): LatencyFigures =>
+        percentilesOf(jobs.map(job => job.endedAtMs - job.submittedAtMs - directStartMs - RUN_MS));
+    const toStart = (jobs: MeasuredJob[]): LatencyFigures =>
+        percentilesOf(jobs.flatMap(job => {
+            const startedAtMs = starts.get(job.requestId);
+            return startedAtMs === undefined ? [] : [startedAtMs - job.submittedAtMs];
+        }));
+    return {
+        addedLatencyMs: added(loaded),
+        addedLatencyIdleMs: added(idle),
+        submitToStartMs: toStart(loaded),
+        submitToStartIdleMs: toStart(idle),
+        directStartMs,
+        notCompleted: [...idle, ...loaded].filter(job => !job.completed).length,
+    };
+};
--- /dev/null
+++ b/packages/bench/src/path/operator.ts
@@ -0,0 +1,40 @@
+import { ExitCode, runCli } from "@waxwingspread/cli";
+import type { LocalFleet } from "@waxwingspread/test-support";
+import { randomBytes } from "node:crypto";
+import { readFile, writeFile } from "node:fs/promises";
+import { epochMs, pause } from "./callers.js";
+
+/** Runs a command of the operators' tool within this process. */
+const operate = async (fleet: LocalFleet, args: string[]): Promise<string> => {
+    let output = "";
+    const keep = (text: string): void => {
+        output += text;
+    };
+    const environment = {
+        WAXWINGSPREAD_CONTROL: fleet.controlAddresses.join(","),
+        WAXWINGSPREAD_OPERATOR_TOKEN: fleet.operatorToken,
+    };
+    const code = await runCli(args, {
+        environment,
+        writeOut: keep,
+        writeError: keep,
+        readFile: path => readFile(path, "utf8"),
+        writeFile: (path, text) => writeFile(path, text),
+        nowMs: epochMs,
+        sleep: pause,
+        randomBytes,
+    });
+    if (code !== ExitCode.Ok) {
+        throw new Error(`${args.join(" ")} ended with ${code}: ${output}`);
+    }
+    return output;
+};
+
+export const applyContract = (fleet: LocalFleet, file: string): Promise<string> =>
+    operate(fleet, ["contract", "apply", file]);
+
+/** Returns how many backend servers the leader knows. */
+export const listBackendServers = async (fleet: LocalFleet): Promise<number> => {
+    const output = await operate(fleet, ["backend-servers", "--output", "json"]);
+    return (output.match(/"backendServerId"/g) ?? []).length;
+};
--- /dev/null
+++ b/packages/bench/src/path/path-fleet.ts
@@ -0,0 +1,115 @@
+import { FleetRole, LocalFleet, makeExampleContract, StandInCaller, waitUntil } from "@waxwingspread/test-support";
+import type { FleetMember, FleetNode, Observations } from "@waxwingspread/test-support";
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request as httpRequest } from "undici";
+import type { Firm } from "./firms.js";
+import { applyContract, listBackendServers } from "./operator.js";
+import { RelayHost } from "./relay-host.js";
+
+const CONTROL_REPLICAS = 3;
+const BACKEND_SERVERS = 30;
+const RETRY_DELAY_MS = 10;
+const READY_TIMEOUT_MS = 20_000;
+
+export interface PathFleetOptions {
+    entries: number;
+    profileFolder?: string;
+}
+
+/** The processes of one firm with the delays of its network. */
+export class PathFleet {
+    private constructor(
+        readonly firm: Firm,
+        readonly fleet: LocalFleet,
+        readonly relays: RelayHost,
+        readonly dataFolder: string,
+        readonly caller: StandInCaller,
+        readonly entryAddressesForCallers: string[],
+    ) {}
+
+    static async start(firm: Firm, options: PathFleetOptions): Promise<PathFleet> {
+        const dataFolder = await mkdtemp(join(tmpdir(), "waxwingspread-path-"));
+        const relays = new RelayHost();
+        const route = (from: FleetNode, to: FleetNode): Promise<string> | string => {
+            const delayMs = from.availabilityZone === to.availabilityZone ? 0 : firm.betweenZonesMs;
+            if (from.role === FleetRole.Entry && to.role === FleetRole.Control) {
+                return relays.open(`control of ${from.name} at ${to.name}`, to.address, delayMs);
+            }
+            return delayMs === 0
+                ? to.address
+                : relays.open(`${from.availabilityZone} to ${to.name}`, to.address, delayMs);
+        };
+        const { profileFolder } = options;
+        const fleet = await LocalFleet.start({
+            dataFolder,
+            availabilityZones: firm.availabilityZones,
+            controlReplicas: CONTROL_REPLICAS,
+            entries: options.entries,
+            backendServers: BACKEND_SERVERS,
+            oneBackendProcessPerZone: true,
+            daemonFlags: { "requests-per-second-per-listener": "10000" },
+            backendServerFlags: { "tick-ms": "1" },
+            route,
+            nodeFlags: () => profileFolder === undefined ? [] : ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`],
+        });
+        const { contract, token } = makeExampleContract(firm.customer);
+        Object.assign(contract.quota as object, {
+            concurrentTasks: 2_000,
+            submissionsPerSecond: 10_000,
+            submissionBurst: 10_000,
+        });
+        const contractFile = join(dataFolder, "contract.json");
+        await writeFile(contractFile, JSON.stringify(contract));
+        await applyContract(fleet, contractFile);
+        const entries = await Promise.all(
+            fleet.entryAddresses.map(address => relays.open(`callers to ${address}`, address, firm.toClientsMs)),
+        );
+        const caller = new StandInCaller({ entries, token, retryDelayMs: RETRY_DELAY_MS });
+        const running = new PathFleet(firm, fleet, relays, dataFolder, caller, entries);
+        await running.#waitForBackendServers();
+        return running;
+    }
+
+    async observations(): Promise<Observations[]> {
+        return Promise.all(this.fleet.backendServers.map(async ({ backendServerAddress }) => {
+            const response = await httpRequest(`http://${backendServerAddress}/stand-in/observations`);
+            return await response.body.json() as Observations;
+        }));
+    }
+
+    /** Returns the time of the first start of each job. */
+    async startTimes(): Promise<Map<string, number>> {
+        const times = new Map<string, number>();
+        for (const segment of (await this.observations()).flatMap(({ segments }) => segments)) {
+            const earlier = times.get(segment.requestId) ?? Infinity;
+            times.set(segment.requestId, Math.min(earlier, segment.startedAtMs));
+        }
+        return times;
+    }
+
+    async startsAccepted(): Promise<number> {
+        return (await this.observations()).reduce((sum, { startsAccepted }) => sum + startsAccepted, 0);
+    }
+
+    /** Returns a metric of a daemon; 0 where it has none of that name. */
+    async metrics(member: FleetMember): Promise<string> {
+        const response = await httpRequest(`http://${member.operatorsAddress}/metrics`);
+        return response.body.text();
+    }
+
+    async stop(): Promise<void> {
+        await this.caller.close();
+        await this.fleet.stop();
+        await this.fleet.removeData();
+        this.relays.close();
+    }
+
+    /** A new cluster places nothing on servers that it has not heard of yet. */
+    async #waitForBackendServers(): Promise<void> {
+        await waitUntil("all backend servers are known", READY_TIMEOUT_MS, async () => {
+            return await listBackendServers(this.fleet) === BACKEND_SERVERS ? true : undefined;
+        });
+    }
+}
--- a/packages/test-support/src/index.ts
+++ b/packages/test-support/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./delay-relay.js";
 export * from "./local-fleet/example-contract.js";
 export * from "./local-fleet/free-ports.js";
 export * from "./local-fleet/local-fleet.js";
--- a/packages/test-support/src/local-fleet/local-fleet.ts
+++ b/packages/test-support/src/local-fleet/local-fleet.ts
@@ -42,6 +42,8 @@
     /** Further daemon flags, without the leading dashes. */
     daemonFlags?: Record<string, string>;
     backendServerFlags?: Record<string, string>;
+    /** Runs all backend servers of an availability zone in one process, to start many of them quickly. */
+    oneBackendProcessPerZone?: boolean;
     /** Leads connections through other addresses; direct by default. */
     route?: FleetRoute;
     /** Flags of Node for one process, for example for a profile. */
@@ -217,22 +219,39 @@
 
     async #startBackendServers(plan: readonly FleetNode[]): Promise<void> {
         const nodes = plan.filter(node => node.role === FleetRole.BackendServer);
-        for (const [position, node] of nodes.entries()) {
-            const translations = await this.#translations(node, plan, [FleetRole.Entry]);
-            const flags = {
-                "id": node.name,
-                "host": LOOPBACK,
-                "port": portOf(node.address),
-                "zone": node.availabilityZone,
-                "rack": `${node.availabilityZone}-rack-1`,
-                "seed": String(position + 1),
-                ...translationFlag(translations),
-                ...this.#options.backendServerFlags,
-            };
-            const entries = this.entryAddresses.map(address => `--entry=${address}`);
-            const start = (): ManagedProcess =>
-                new ManagedProcess(node.name, BACKEND_SERVER_SCRIPT, [...toArguments(flags), ...entries]);
-            this.backendServers.push(this.#member(node, start, { backendServerAddress: node.address }));
+        const groups = this.#options.oneBackendProcessPerZone === true
+            ? this.#options.availabilityZones.map(zone => nodes.filter(node => node.availabilityZone === zone))
+            : nodes.map(node => [node]);
+        let seed = 1;
+        for (const group of groups.filter(({ length }) => length > 0)) {
+            await this.#startBackendProcess(group, plan, seed);
+            seed += group.length;
+        }
+    }
+
+    async #startBackendProcess(group: FleetNode[], plan: readonly FleetNode[], seed: number): Promise<void> {
+        const [first] = group;
+        if (first === undefined) {
+            return;
+        }
+        const translations = await this.#translations(first, plan, [FleetRole.Entry]);
+        const flags = {
+            "host": LOOPBACK,
+            "zone": first.availabilityZone,
+            "rack": `${first.availabilityZone}-rack-1`,
+            "seed": String(seed),
+            ...translationFlag(translations),
+            ...this.#options.backendServerFlags,
+        };
+        const args = [
+            ...toArguments(flags),
+            ...group.flatMap(node => [`--id=${node.name}`, `--port=${portOf(node.address)}`]),
+            ...this.entryAddresses.map(address => `--entry=${address}`),
+        ];
+        const started = new ManagedProcess(first.name, BACKEND_SERVER_SCRIPT, args);
+        for (const node of group) {
+            const restart = (): ManagedProcess => new ManagedProcess(first.name, BACKEND_SERVER_SCRIPT, args);
+            this.backendServers.push(this.#member(node, restart, { backendServerAddress: node.address }, started));
         }
     }
 
@@ -254,11 +273,16 @@
         });
     }
 
-    #member(node: FleetNode, start: () => ManagedProcess, addresses: Partial<FleetMember>): FleetMember {
+    #member(
+        node: FleetNode,
+        start: () => ManagedProcess,
+        addresses: Partial<FleetMember>,
+        started = start(),
+    ): FleetMember {
         const member: FleetMember = {
             name: node.name,
             availabilityZone: node.availabilityZone,
-            process: start(),
+            process: started,
             ...addresses,
             restart: () => {
                 member.process = start();
--- a/packages/test-support/src/local-fleet/managed-process.ts
+++ b/packages/test-support/src/local-fleet/managed-process.ts
@@ -30,8 +30,12 @@
         });
         this.#child.stdout?.on("data", chunk => this.#keep(String(chunk)));
         this.#child.stderr?.on("data", chunk => this.#keep(String(chunk)));
+        // A program that ends early must not leave its processes behind.
+        const killChild = (): void => void this.#child.kill("SIGKILL");
+        process.once("exit", killChild);
         this.#exit = new Promise(resolve =>
             this.#child.once("exit", (code, signal) => {
+                process.off("exit", killChild);
                 this.#exited = { code: code ?? undefined, signal: signal ?? undefined };
                 resolve(this.#exited);
             })
--- a/packages/test-support/src/stand-in-backend-server-main.ts
+++ b/packages/test-support/src/stand-in-backend-server-main.ts
@@ -13,10 +13,15 @@
 const readFlags = () =>
     yargs(hideBin(process.argv))
         .usage("Stands in for a backend server: announces itself to entries and runs timed tasks.")
-        .option("id", { type: "string", demandOption: true, describe: "backend server id" })
+        .option("id", { type: "string", array: true, demandOption: true, describe: "backend server id, one or more" })
         .option("entry", { type: "string", array: true, demandOption: true, describe: "host:port of an entry" })
         .option("host", { type: "string", default: "127.0.0.1", describe: "address to listen on" })
-        .option("port", { type: "number", default: 0, describe: "port to listen on, 0 for a free one" })
+        .option("port", {
+            type: "number",
+            array: true,
+            default: [0],
+            describe: "port to listen on for each id, 0 for a free one",
+        })
         .option("zone", { type: "string", default: "zone-a", describe: "availability zone" })
         .option("rack", { type: "string", default: "rack-1", describe: "rack" })
         .option("cpu-millicores", { type: "number", default: 16_000, describe: "processor capacity" })
@@ -43,9 +48,9 @@
 
 type Flags = ReturnType<typeof readFlags>;
 
-const startFrom = (flags: Flags): Promise<StandInBackendServerProcess> =>
+const startFrom = (flags: Flags, position: number): Promise<StandInBackendServerProcess> =>
     StandInBackendServerProcess.start({
-        backendServerId: flags.id,
+        backendServerId: flags.id[position] ?? "",
         incarnation: randomUUID(),
         availabilityZone: flags.zone,
         rack: flags.rack,
@@ -56,11 +61,11 @@
         },
         slots: flags.slots,
         entries: flags.entry,
-        random: new SeededRandom(flags.seed),
+        random: new SeededRandom(flags.seed + position),
         timing: { usageLagMs: flags.usageLagMs },
         faults: { speedRatio: flags.speedRatio, failEveryTask: flags.failEveryTask },
         host: flags.host,
-        port: flags.port,
+        port: flags.port[position] ?? 0,
         tickMs: flags.tickMs,
         reachedAddresses: new Map(
             flags.addressTranslations.split(",").filter(pair => pair !== "").map(pair => {
@@ -83,10 +88,13 @@
 
 const main = async (): Promise<void> => {
     const flags = readFlags();
-    const running = await startFrom(flags);
-    log("listening", { address: running.address, incarnation: running.core.incarnation });
+    const servers = await Promise.all(flags.id.map((unused, position) => startFrom(flags, position)));
+    for (const { address, core } of servers) {
+        log("listening", { address, incarnation: core.incarnation });
+    }
     process.once("SIGTERM", () => {
-        leave(running, flags.leaveTimeoutMs).then(() => process.exit(0), () => process.exit(1));
+        Promise.all(servers.map(running => leave(running, flags.leaveTimeoutMs)))
+            .then(() => process.exit(0), () => process.exit(1));
     });
 };
 
