--- a/packages/test-support/src/fuzz/callers.ts
+++ b/packages/test-support/src/fuzz/callers.ts
@@ -84,6 +84,7 @@
 export class Callers {
     readonly jobs: CallerJob[] = [];
     readonly faults: string[] = [];
+    journal: (text: string) => void = () => undefined;
     readonly #host: Host;
 
     constructor(readonly world: World, readonly network: Network, readonly entries: readonly EntryHost[]) {
@@ -108,6 +109,7 @@
         const bodies = Array.from({ length: contents }, (_unused, number) => bodyOf(wish, `${requestId}#${number}`));
         const job = new CallerJob(requestId, wish, bodies, this.world.nowMs);
         this.jobs.push(job);
+        this.journal(`submits ${requestId}: ${wish.workClass} of ${wish.runMs} ms`);
         bodies.slice(1).forEach(body => {
             this.putOnce(job, body);
         });
@@ -156,6 +158,7 @@
         if (first === undefined) {
             return;
         }
+        this.journal(`cancels ${jobs.map(({ requestId }) => requestId).join(" ")}`);
         const again = (): void => {
             this.world.schedule(RETRY_MS, () => {
                 this.cancel(jobs);
@@ -273,6 +276,10 @@
     }
 
     #compareOutcome(job: CallerJob, view: JobView): void {
+        if (job.ended === undefined) {
+            const attempts = `${view.attempts} ${view.attempts === 1 ? "attempt" : "attempts"}`;
+            this.journal(`learns that ${job.requestId} is ${view.outcome} (${view.reason}) after ${attempts}`);
+        }
         job.ended ??= view;
         const { outcome, reason, answerSha256 } = job.ended;
         if (view.outcome !== outcome || view.reason !== reason || view.answerSha256 !== answerSha256) {
--- a/packages/test-support/src/fuzz/operators.ts
+++ b/packages/test-support/src/fuzz/operators.ts
@@ -94,6 +94,7 @@
     /** Replaced disks whose repair isn't reported as complete. */
     repairsOpen = 0;
     knownRevision = 0;
+    journal: (text: string) => void = () => undefined;
     readonly #host: Host;
     #target = 0;
     #nextCommand = 1;
@@ -166,6 +167,7 @@
         const command = this.#command(kind, expectedRevision);
         const sent: SentCommand = { command, sentAtMs: this.world.nowMs, outcome: undefined };
         this.commands.push(sent);
+        this.journal(`sends ${command.commandId}: ${kind.case}, expecting revision ${expectedRevision}`);
         this.#send(sent);
         return sent;
     }
@@ -191,6 +193,8 @@
     #answered(sent: SentCommand, { error, revision }: OperatorResult): void {
         const outcome = { accepted: error === undefined, code: error?.code, revision, atMs: this.world.nowMs };
         this.knownRevision = Math.max(this.knownRevision, revision, error?.currentRevision ?? 0);
+        const answer = outcome.accepted ? "accepted" : `refused, ${ErrorCode[error?.code ?? 0]}`;
+        this.journal(`${sent.command.commandId} is ${answer}, revision ${revision}`);
         const first = sent.outcome;
         sent.outcome ??= outcome;
         if (first !== undefined && (first.accepted !== outcome.accepted || first.code !== outcome.code)) {
