--- a/packages/test-support/src/fuzz/control-host.ts
+++ b/packages/test-support/src/fuzz/control-host.ts
@@ -43,6 +43,13 @@
 const SEGMENT_BYTES = 32 * 1024;
 const FULL_DISK_ROOM_BYTES = 400;
 
+const damaged = (data: Uint8Array): Uint8Array => {
+    const copy = Uint8Array.from(data);
+    const middle = copy.length >> 1;
+    copy[middle] = (copy[middle] ?? 0) ^ 1;
+    return copy;
+};
+
 /** A control replica with its disk, driven as the daemon drives it. */
 export class ControlHost {
     readonly host: Host;
@@ -51,6 +58,8 @@
     /** Why the last process ended by itself. */
     failure: Error | undefined;
     journal: (name: string, detail: string) => void = () => undefined;
+    /** Blobs are returned with a wrong byte. */
+    damagesReads = false;
     #node: ControlNode | undefined;
     #runner: ReplicaRunner | undefined;
     #copier: BlobCopier | undefined;
@@ -202,7 +211,8 @@
     }
 
     getBlob({ reference }: GetBlobRequest): GetBlobResponse {
-        const data = reference && this.blobs.get(reference);
+        const stored = reference && this.blobs.get(reference);
+        const data = this.damagesReads && stored !== undefined ? damaged(stored) : stored;
         const error = data ? undefined : { code: ErrorCode.UNKNOWN_REQUEST, message: "the blob is not here" };
         return create(GetBlobResponseSchema, { data, error });
     }
--- a/packages/test-support/src/fuzz/entry-host.ts
+++ b/packages/test-support/src/fuzz/entry-host.ts
@@ -33,7 +33,10 @@
 /** An entry, driven as the daemon drives it. */
 export class EntryHost {
     readonly host: Host;
+    /** Starts sent while no configuration was certainly in force here. */
+    readonly faults: string[] = [];
     #node: EntryNode | undefined;
+    #draining = false;
     #replies = new Map<number, (reply: Reply) => void>();
     #nextHandle = 1;
     #incarnation = 0;
@@ -60,6 +63,7 @@
     start(): void {
         this.host.started();
         this.#incarnation += 1;
+        this.#draining = false;
         this.#replies = new Map();
         const node = new EntryNode({
             entryId: this.name,
@@ -83,6 +87,7 @@
     /** Drains the entry and ends it; `done` gets the number of callers that were left without a reply. */
     shutDown(done: (unanswered: number) => void): void {
         const node = this.#node;
+        this.#draining = true;
         node?.drain(this.world.nowMs);
         this.#drain();
         const deadlineMs = this.world.nowMs + DRAIN_GRACE_MS;
@@ -183,6 +188,9 @@
 
     #callServer(effect: CallBackendServer): void {
         const server = this.peers.server(effect.address);
+        if (effect.path === "/v1/tasks" && !this.#draining && this.#node?.isReady(this.world.nowMs) !== true) {
+            this.faults.push(`${this.name} sent a start without a valid configuration lease`);
+        }
         this.network.call<{ status: number; body: string }>({
             from: this.host,
             to: server?.host,
--- a/packages/test-support/src/fuzz/fleet.ts
+++ b/packages/test-support/src/fuzz/fleet.ts
@@ -114,6 +114,7 @@
         this.network.heal();
         this.controls.forEach(control => {
             control.freeDisk();
+            control.damagesReads = false;
         });
         for (const process of this.processes) {
             process.host.thaw();
--- a/packages/test-support/src/fuzz/oracle.ts
+++ b/packages/test-support/src/fuzz/oracle.ts
@@ -69,8 +69,9 @@
     }
 
     #checkFaults(): void {
-        const { callers, operators } = this.fleet;
-        const [fault] = [...callers.faults, ...operators.faults, ...(this.#drainFault ? [this.#drainFault] : [])];
+        const { callers, operators, entries } = this.fleet;
+        const ofEntries = entries.flatMap(entry => entry.faults);
+        const [fault = this.#drainFault] = [...callers.faults, ...operators.faults, ...ofEntries];
         if (fault !== undefined) {
             this.violation(fault);
         }
--- a/packages/test-support/src/fuzz/process-commands.ts
+++ b/packages/test-support/src/fuzz/process-commands.ts
@@ -150,6 +150,16 @@
             });
         },
     }),
+    step({
+        weight: 2,
+        argument: control,
+        text: (name: string) => `${name} alone returns damaged blobs`,
+        act: (fleet: Fleet, name: string) => {
+            fleet.controls.forEach(found => {
+                found.damagesReads = found.name === name;
+            });
+        },
+    }),
     step({
         weight: 1,
         argument: control,
