--- a/packages/scheduler/src/policy/mitigator.ts
+++ b/packages/scheduler/src/policy/mitigator.ts
@@ -32,9 +32,9 @@
 
 /** Defaults; docs/policy.md states how they were chosen. */
 export const MITIGATOR_DEFAULTS: MitigatorParameters = {
-    enterRatio: 0.9,
+    enterRatio: 0.75,
     exitRatio: 0.7,
-    minimumSamples: 3,
+    minimumSamples: 2,
     windowMs: 6_000,
     settleMs: 500,
     holdMs: 10_000,
--- a/packages/scheduler/src/policy/placement-cost.ts
+++ b/packages/scheduler/src/policy/placement-cost.ts
@@ -24,9 +24,9 @@
 
 /** Defaults; docs/policy.md states how they were chosen. */
 export const PLACEMENT_COST_DEFAULTS: PlacementCostParameters = {
-    urgentWeight: 1,
-    targetWeight: 12,
-    riskRatio: 0.7,
+    urgentWeight: 2,
+    targetWeight: 30,
+    riskRatio: 0.55,
     standingWeight: 0.1,
     cautionFactor: 0.5,
     packingWeight: 0.05,
--- a/packages/scheduler/src/policy/placement-index.ts
+++ b/packages/scheduler/src/policy/placement-index.ts
@@ -14,7 +14,7 @@
     ServerView,
     TaskKey,
 } from "./types.js";
-import { UrgentHeadroom } from "./urgent-headroom.js";
+import { URGENT_HEADROOM_DEFAULTS, UrgentHeadroom } from "./urgent-headroom.js";
 import type { UrgentHeadroomParameters } from "./urgent-headroom.js";
 import { cheapestVictims, victimsCost } from "./victims.js";
 
@@ -31,10 +31,10 @@
 
 /** Defaults; docs/policy.md states how they were chosen. */
 export const PLACEMENT_INDEX_DEFAULTS: PlacementIndexParameters = {
-    maximumCandidates: 16,
+    maximumCandidates: 24,
     maximumProbes: 64,
     batchCostLimit: 1,
-    headroom: { halfLifeMs: 60_000, marginFactor: 1 },
+    headroom: URGENT_HEADROOM_DEFAULTS,
 };
 
 /** Bound on the nodes visited where the sample found nothing. */
--- a/packages/scheduler/src/policy/urgent-headroom.ts
+++ b/packages/scheduler/src/policy/urgent-headroom.ts
@@ -12,7 +12,7 @@
 }
 
 /** Defaults: the number of running requests scatters like a Poisson variable around its level. */
-export const URGENT_HEADROOM_DEFAULTS: UrgentHeadroomParameters = { halfLifeMs: 60_000, marginFactor: 1 };
+export const URGENT_HEADROOM_DEFAULTS: UrgentHeadroomParameters = { halfLifeMs: 40_000, marginFactor: 1.3 };
 
 /** Places kept free of batch for latency-critical work that is about to arrive, by its recent peak. */
 export class UrgentHeadroom {
