--- /dev/null
+++ b/packages/test-support/src/fuzz/fuzz-run.ts
@@ -0,0 +1,62 @@
+import * as fc from "fast-check";
+import { command } from "./commands.js";
+import { checkLiveness } from "./ending.js";
+import { Fleet } from "./fleet.js";
+import { Violation } from "./oracle.js";
+import { initialModel } from "./step.js";
+
+const MAXIMUM_COMMANDS = 70;
+const SHRINK_LIMIT_MS = 60_000;
+
+/** What one run did. */
+export interface RunReport {
+    steps: number;
+    events: number;
+    virtualMs: number;
+    failure: string | undefined;
+}
+
+/** A violation tells what was seen; any other error was thrown by the product, so its origin matters. */
+const describe = (cause: unknown): string => {
+    if (cause instanceof Violation) {
+        return cause.message;
+    }
+    return cause instanceof Error ? cause.stack ?? cause.message : String(cause);
+};
+
+/** Runs one seed; on a failure, `shrink` looks for a shorter trace that fails too. */
+export const runSeed = async (seed: number, shrink: boolean): Promise<RunReport> => {
+    const report: RunReport = { steps: 0, events: 0, virtualMs: 0, failure: undefined };
+    let trace: string[] = [];
+    const commands = fc.noBias(fc.commands([command], { maxCommands: MAXIMUM_COMMANDS, size: "max" }));
+    const property = fc.asyncProperty(commands, async sequence => {
+        const fleet = new Fleet(seed);
+        const startedAtMs = fleet.world.nowMs;
+        try {
+            await fleet.start();
+            await fc.asyncModelRun(() => ({ model: initialModel(), real: fleet }), sequence);
+            await checkLiveness(fleet);
+        }
+        catch (error) {
+            trace = fleet.trace;
+            throw error;
+        }
+        finally {
+            report.steps += fleet.trace.length;
+            report.events += fleet.world.events;
+            report.virtualMs += fleet.world.nowMs - startedAtMs;
+        }
+    });
+    const details = await fc.check(property, {
+        seed,
+        numRuns: 1,
+        endOnFailure: !shrink,
+        interruptAfterTimeLimit: SHRINK_LIMIT_MS,
+        markInterruptAsFailure: false,
+    });
+    if (details.failed) {
+        const cause = details.errorInstance;
+        report.failure = [describe(cause), ...trace].join("\n  ");
+    }
+    return report;
+};
