Record mitigation steps at once; keep an overdue drain from speeding up others

The scheduler reports a changed task to placement only, so the model learned from the speed of throttled tasks; the steps are now recorded when they are issued, and the test no longer reports the change. A zone that stays out after its deadline set the highest rate and stopped short requests on servers that leave by themselves; a drain now counts until 10 s after its deadline.

--- a/packages/scheduler/src/policy/interference-control.test.ts
+++ b/packages/scheduler/src/policy/interference-control.test.ts
@@ -46,8 +46,6 @@
     const policies = scene();
     [1_000, 1_200, 1_400].forEach(atMs => measure(policies, 2.5, atMs, 2_000));
     expect(kinds(policies.interference.evaluate(2_000))).toEqual(["throttle loud"]);
-    const throttled = task("loud", { classKey: "customer/loud", throttled: true });
-    policies.interference.occupied("s", throttled, 2_000);
     [1_500, 1_600, 1_700, 1_800, 2_100].forEach(atMs => measure(policies, 2.5, atMs, 11_000));
     expect(policies.interference.evaluate(11_000)).toEqual([]);
     [9_000, 9_500, 10_000].forEach(atMs => measure(policies, 2.5, atMs, 11_000));
--- a/packages/scheduler/src/policy/interference-control.ts
+++ b/packages/scheduler/src/policy/interference-control.ts
@@ -5,6 +5,7 @@
 import type { MitigatorParameters, MitigatorSources } from "./mitigator.js";
 import { OveruseTracker } from "./overuse-tracker.js";
 import type { OveruseParameters } from "./overuse-tracker.js";
+import { MitigationKind } from "./types.js";
 import type { ClassKey, InterferencePolicy, Mitigation, PlacedTask, SpeedSample, TaskKey } from "./types.js";
 
 /** Parts of the {@link InterferenceControl}. */
@@ -86,6 +87,20 @@
         const overuse = this.#overuse.takeSteps();
         const evicted = new Set(overuse.map(step => step.taskKey));
         const protective = this.#mitigator.evaluate(nowMs).filter(step => !evicted.has(step.taskKey));
-        return [...overuse, ...protective];
+        const steps = [...overuse, ...protective];
+        steps.forEach(step => this.#noteStep(step, nowMs));
+        return steps;
+    }
+
+    /** Records the step as done, so that it counts even where the caller doesn't report the changed task. */
+    #noteStep(step: Mitigation, nowMs: number): void {
+        const present = this.#parts.history.present(step.backendServerId);
+        const task = present.find(candidate => candidate.taskKey === step.taskKey);
+        if (task !== undefined) {
+            const change = step.kind === MitigationKind.Evict
+                ? { stopping: true }
+                : { throttled: step.kind === MitigationKind.Throttle };
+            this.occupied(step.backendServerId, { ...task, ...change }, nowMs);
+        }
     }
 }
--- a/packages/scheduler/src/policy/zone-drainer.test.ts
+++ b/packages/scheduler/src/policy/zone-drainer.test.ts
@@ -63,3 +63,13 @@
     expect(drainer.returned(90_000)).toEqual(["zone-a"]);
     expect(drainer.returned(90_001)).toEqual([]);
 });
+
+test("a server that leaves while an old drain is overdue keeps its requests and gets the default rate", () => {
+    const drainer = drainerOf(10_000);
+    const batch = Array.from({ length: 100 }, (unused, index) => task(`t${index}`, { classKey: "long" }));
+    const request = task("request", { workKind: WorkKind.LATENCY_CRITICAL, placedAtMs: 89_500 });
+    const stopped = drainer.nextToStop([...batch, request], 90_000);
+    expect(stopped).toHaveLength(8);
+    expect(stopped).not.toContain("request");
+    expect(drainer.nextToStop([request], 91_500)).toEqual(["request"]);
+});
--- a/packages/scheduler/src/policy/zone-drainer.ts
+++ b/packages/scheduler/src/policy/zone-drainer.ts
@@ -27,6 +27,8 @@
 };
 
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Time after its deadline until which a drain still determines the rate for other zones and servers. */
+const OVERDUE_MS = 10_000;
 /** Time kept for stopping what remains, relative to the time that this takes; stops take time to be confirmed. */
 const RATE_MARGIN = 1.5;
 
@@ -158,13 +160,14 @@
         let deadlineMs = Number.POSITIVE_INFINITY;
         let startedAtMs = Number.POSITIVE_INFINITY;
         for (const drain of this.#out.values()) {
-            if (!drain.completed) {
+            if (!drain.completed && nowMs <= drain.deadlineMs + OVERDUE_MS) {
                 deadlineMs = Math.min(deadlineMs, drain.deadlineMs);
                 startedAtMs = Math.min(startedAtMs, drain.startedAtMs);
             }
         }
         if (startedAtMs === Number.POSITIVE_INFINITY) {
-            return { deadlineMs: nowMs, patienceEndsMs: nowMs };
+            // Servers that leave by themselves, or a zone that should be empty already.
+            return { deadlineMs: Number.POSITIVE_INFINITY, patienceEndsMs: nowMs };
         }
         const { patienceRatio, stopsPerSecond } = this.#parameters;
         const byRatioMs = startedAtMs + Math.max(0, deadlineMs - startedAtMs) * patienceRatio;
