--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -158,6 +158,7 @@
             if (voter.diskId === core.identity.diskId) {
                 continue;
             }
+            // The receiver may not have formed yet or may lack the membership that contains this replica.
             if (preVote) {
                 core.send(voter.diskId, { case: "voteRequest", value: request }, { term, withAddress: true });
             }
--- a/packages/control/src/control-node.ts
+++ b/packages/control/src/control-node.ts
@@ -31,9 +31,8 @@
     readonly #options: ControlNodeOptions;
     #state = new ClusterState();
     #session: LeaderSession | undefined;
-    /** Latest term in which this node has served; a term that was given up is not served again. */
-    #servedTerm = 0;
     #appliedIndex = 0;
+    #lastSessionTerm = 0;
     #effects: ControlEffect[] = [];
 
     constructor(options: ControlNodeOptions) {
@@ -155,9 +154,9 @@
         }
         this.#appliedIndex = entry.index;
         const { log } = this.#options;
-        // A leader that hands over stays leader of its term for a while, and entries that it proposed still commit.
-        const mayServe = entry.term === log.term && log.isLeader && log.term > this.#servedTerm;
-        if (this.#session === undefined && mayServe) {
+        // A handover ends the session while the replica still leads; its last entries must not open a second one.
+        const isNewTerm = entry.term === log.term && entry.term > this.#lastSessionTerm;
+        if (this.#session === undefined && isNewTerm && log.isLeader) {
             this.#startSession(nowMs);
         }
     }
@@ -204,7 +203,7 @@
 
     #startSession(nowMs: number): void {
         const { log, settings, schedulerSettings, random } = this.#options;
-        this.#servedTerm = log.term;
+        this.#lastSessionTerm = log.term;
         const scheduler = new Scheduler(this.#state, schedulerSettings, random);
         scheduler.startTerm(log.term, this.#options.name, nowMs);
         this.#session = new LeaderSession(scheduler, log.term, {
--- a/packages/scheduler/src/scheduler.random.test.ts
+++ b/packages/scheduler/src/scheduler.random.test.ts
@@ -42,6 +42,8 @@
     readonly #replica = new ClusterState();
     readonly #servers: ModelServer[] = [];
     readonly #truths = new Map<string, Truth>();
+    /** Time until which nothing reaches a server or leaves it. */
+    readonly #isolatedUntilMs = new Map<string, number>();
     readonly #toldNotRun = new Set<string>();
     readonly #network: { atMs: number; run: () => void }[] = [];
     #afterCommit: (() => void)[] = [];
@@ -52,6 +54,7 @@
     #nextJob = 0;
     #faulty = true;
 
+    /** In odd seeds the servers return no tokens, so that a restart shows only by expired leases. */
     constructor(seed: number) {
         this.#random = new SeededRandom(seed);
         const observer = {
@@ -60,11 +63,11 @@
         };
         for (let number = 1; number <= SERVERS; number += 1) {
             const rate = 0.991 + this.#random.nextRatio() * 0.018;
-            this.#servers.push(new ModelServer(`s${number}`, rate, observer, number * 1_000_000));
+            this.#servers.push(new ModelServer(`s${number}`, rate, seed % 2 === 0, observer));
         }
         this.#scheduler = this.#lead();
         this.#poll();
-        this.#execute({ case: "writeContract", value: contractOf("acme") });
+        this.#writeContract(1_000);
         this.#commit(false);
     }
 
@@ -73,6 +76,7 @@
             this.#step();
         }
         this.#faulty = false;
+        this.#writeContract(1_000);
         ZONES.forEach(zone => this.#execute({ case: "bringZoneBack", value: zone }));
         this.#servers.filter(server => server.leaving).forEach(server => server.restart());
         const watches = [...this.#truths].filter(([, truth]) => truth.workClass === "watch").map(([id]) => id);
@@ -109,7 +113,7 @@
         }
         this.#servers.forEach((server, position) => {
             const due = Math.round(this.#nowMs / STEP_MS) % 10 === position;
-            if (due && !this.#chance(0.1)) {
+            if (due && !this.#isIsolated(server)) {
                 this.#announce(server, ZONES[position % ZONES.length] ?? "a");
             }
         });
@@ -123,6 +127,14 @@
         if (this.#chance(0.01)) {
             server.restart();
         }
+        if (this.#chance(0.005)) {
+            this.#isolatedUntilMs.set(server.id, this.#nowMs + this.#random.nextInteger(2_000, 25_000));
+        }
+        if (this.#chance(0.003)) {
+            const pausedMs = this.#random.nextInteger(1_000, 15_000);
+            this.#nowMs += pausedMs;
+            this.#servers.forEach(other => other.pass(pausedMs));
+        }
         if (this.#chance(0.005)) {
             server.leaving = true;
         }
@@ -133,6 +145,12 @@
         if (this.#chance(0.02)) {
             this.#execute({ case: "bringZoneBack", value: this.#random.pick(ZONES) });
         }
+        if (this.#chance(0.003)) {
+            this.#execute({ case: "removeContract", value: "acme" });
+        }
+        if (this.#chance(0.1)) {
+            this.#writeContract(this.#random.nextInteger(2, 40));
+        }
         if (this.#chance(0.05) && this.#truths.size > 0) {
             this.#cancel([this.#random.pick([...this.#truths.keys()]), this.#random.pick([...this.#truths.keys()])]);
         }
@@ -154,6 +172,10 @@
         due.forEach(message => message.run());
     }
 
+    #isIsolated(server: ModelServer): boolean {
+        return this.#nowMs < (this.#isolatedUntilMs.get(server.id) ?? 0);
+    }
+
     #submit(): void {
         const requestId = `r${this.#nextJob}`;
         const workClass = this.#random.pick(CLASSES);
@@ -179,6 +201,12 @@
         this.#scheduler.execute(create(OperatorCommandSchema, { commandId, expectedRevision, kind }), this.#nowMs);
     }
 
+    #writeContract(concurrentTasks: number): void {
+        const contract = contractOf("acme");
+        const quota = { ...contract.quota, $typeName: undefined, concurrentTasks };
+        this.#execute({ case: "writeContract", value: contractOf("acme", { quota }) });
+    }
+
     #announce(server: ModelServer, zone: string): void {
         const announcement = server.announce(zone);
         const ends = server.unsettled();
@@ -196,10 +224,13 @@
 
     #carryOut(order: Order): void {
         const server = this.#servers.find(({ id }) => id === order.backendServerId);
+        if (server === undefined || this.#isIsolated(server)) {
+            return;
+        }
         if (order.kind === OrderKind.STOP || order.kind === OrderKind.CHECKPOINT_AND_STOP) {
-            server?.stop(order, this.#random.nextRatio() < 0.7);
+            server.stop(order, this.#random.nextRatio() < 0.7);
         }
-        if (order.kind !== OrderKind.START || server === undefined) {
+        if (order.kind !== OrderKind.START) {
             return;
         }
         const standing = this.#truths.get(order.requestId)?.workClass === "watch";
--- a/packages/scheduler/src/scheduler.ts
+++ b/packages/scheduler/src/scheduler.ts
@@ -117,9 +117,9 @@
         for (const job of state.jobs()) {
             this.#jobLoaded(job);
         }
-        state.observe(this.#observer());
         this.#leases.startTerm();
         this.#decision.record({ case: "termStarted", value: { term, leaderId } });
+        state.observe(this.#observer());
     }
 
     /** Accepts, refuses or finds a request; the response carries the start order if it was placed at once. */
@@ -157,6 +157,17 @@
         return this.#commands.execute(command);
     }
 
+    /** Returns the outcome of an earlier send of a command that was carried out elsewhere. */
+    recallCommand(command: OperatorCommand): OperatorResult | undefined {
+        return this.#commands.recall(command);
+    }
+
+    /** Records the success of a command that was carried out elsewhere. */
+    rememberCommand(command: OperatorCommand, nowMs: number): OperatorResult {
+        this.#decision.advance(nowMs);
+        return this.#commands.remember(command, undefined);
+    }
+
     entrySeen(poll: PollRequest, nowMs: number): void {
         this.#decision.advance(nowMs);
         this.#entries.seen(poll, nowMs);
--- a/packages/scheduler/src/test-kit/model-server.ts
+++ b/packages/scheduler/src/test-kit/model-server.ts
@@ -42,11 +42,17 @@
     #incarnation = 1;
     #sequence = 0;
     #term = 0;
+    #leaseToken = "";
     #clockMs: number;
     leaving = false;
 
-    constructor(readonly id: string, readonly clockRate: number, readonly observer: TruthObserver, offsetMs: number) {
-        this.#clockMs = offsetMs;
+    constructor(
+        readonly id: string,
+        readonly clockRate: number,
+        readonly returnsTokens: boolean,
+        readonly observer: TruthObserver,
+    ) {
+        this.#clockMs = Number(id.slice(1)) * 1_000_000;
     }
 
     get incarnation(): string {
@@ -82,6 +88,7 @@
         this.#incarnation += 1;
         this.#sequence = 0;
         this.#term = 0;
+        this.#leaseToken = "";
         this.#clockMs = 0;
         this.leaving = false;
     }
@@ -132,6 +139,7 @@
             leaving: this.leaving,
             clockMs: this.#clockMs,
             sequence: this.#sequence,
+            leaseToken: this.#leaseToken,
             tasks: [...this.#tasks.values()].map(({ customer, requestId, attemptNumber, running }) => ({
                 customer,
                 requestId,
@@ -146,6 +154,7 @@
             return;
         }
         this.#term = grant.term;
+        this.#leaseToken = this.returnsTokens && grant.token !== "" ? grant.token : this.#leaseToken;
         for (const task of this.#tasks.values()) {
             task.leaseExpiresMs = Math.max(task.leaseExpiresMs, grant.expiresBackendMs);
         }
--- /dev/null
+++ b/packages/test-support/src/fuzz/commands.ts
@@ -0,0 +1,15 @@
+import * as fc from "fast-check";
+import { callerCommands } from "./caller-commands.js";
+import type { Fleet } from "./fleet.js";
+import { networkCommands } from "./network-commands.js";
+import { serverAndOperatorCommands } from "./operator-commands.js";
+import { processCommands } from "./process-commands.js";
+import type { Model } from "./step.js";
+
+/** All commands of a run. */
+export const command: fc.Arbitrary<fc.AsyncCommand<Model, Fleet>> = fc.oneof(
+    ...callerCommands,
+    ...processCommands,
+    ...networkCommands,
+    ...serverAndOperatorCommands,
+);
--- a/packages/test-support/src/stand-in-backend-server-main.ts
+++ b/packages/test-support/src/stand-in-backend-server-main.ts
@@ -13,7 +13,13 @@
 const readFlags = () =>
     yargs(hideBin(process.argv))
         .usage("Stands in for a backend server: announces itself to entries and runs timed tasks.")
-        .option("id", { type: "string", array: true, demandOption: true, describe: "backend server id, one or more" })
+        .option("id", {
+            type: "string",
+            array: true,
+            demandOption: true,
+            describe: "backend server id, or several; a single one is followed by a number with --count",
+        })
+        .option("count", { type: "number", default: 1, describe: "stand-ins in this process, on successive ports" })
         .option("entry", { type: "string", array: true, demandOption: true, describe: "host:port of an entry" })
         .option("host", { type: "string", default: "127.0.0.1", describe: "address to listen on" })
         .option("port", {
@@ -22,8 +28,14 @@
             default: [0],
             describe: "port to listen on for each id, 0 for a free one",
         })
-        .option("zone", { type: "string", default: "zone-a", describe: "availability zone" })
-        .option("rack", { type: "string", default: "rack-1", describe: "rack" })
+        .option("zone", {
+            type: "string",
+            array: true,
+            default: ["zone-a"],
+            describe: "availability zone; several are filled in turn",
+        })
+        .option("rack", { type: "string", default: "rack", describe: "rack; with --count, part of the names of racks" })
+        .option("rack-size", { type: "number", default: 8, describe: "stand-ins of a zone in one rack" })
         .option("cpu-millicores", { type: "number", default: 16_000, describe: "processor capacity" })
         .option("memory-mebibytes", { type: "number", default: 61_440, describe: "memory capacity" })
         .option("accelerators", { type: "number", default: 0, describe: "accelerators" })
@@ -48,12 +60,30 @@
 
 type Flags = ReturnType<typeof readFlags>;
 
-const startFrom = (flags: Flags, position: number): Promise<StandInBackendServerProcess> =>
-    StandInBackendServerProcess.start({
-        backendServerId: flags.id[position] ?? "",
+const idAt = ({ id, count }: Flags, position: number): string =>
+    id.length === 1 && count > 1 ? `${id[0]}-${position + 1}` : id[position] ?? "";
+
+const portAt = ({ port }: Flags, position: number): number => {
+    const [first = 0] = port;
+    return port[position] ?? (first === 0 ? 0 : first + position);
+};
+
+const reachedAddressesOf = ({ addressTranslations }: Flags): Map<string, string> =>
+    new Map(
+        addressTranslations.split(",").filter(pair => pair !== "").map(pair => {
+            const [real = "", reached = ""] = pair.split("=");
+            return [real, reached];
+        }),
+    );
+
+const startOne = (flags: Flags, position: number): Promise<StandInBackendServerProcess> => {
+    const zone = flags.zone[position % flags.zone.length] ?? "";
+    const rackNumber = Math.floor(position / flags.zone.length / flags.rackSize) + 1;
+    return StandInBackendServerProcess.start({
+        backendServerId: idAt(flags, position),
         incarnation: randomUUID(),
-        availabilityZone: flags.zone,
-        rack: flags.rack,
+        availabilityZone: zone,
+        rack: flags.count === 1 ? flags.rack : `${zone}-${flags.rack}-${rackNumber}`,
         capacity: {
             cpuMillicores: flags.cpuMillicores,
             memoryMebibytes: flags.memoryMebibytes,
@@ -65,36 +95,35 @@
         timing: { usageLagMs: flags.usageLagMs },
         faults: { speedRatio: flags.speedRatio, failEveryTask: flags.failEveryTask },
         host: flags.host,
-        port: flags.port[position] ?? 0,
+        port: portAt(flags, position),
         tickMs: flags.tickMs,
-        reachedAddresses: new Map(
-            flags.addressTranslations.split(",").filter(pair => pair !== "").map(pair => {
-                const [real = "", reached = ""] = pair.split("=");
-                return [real, reached];
-            }),
-        ),
+        reachedAddresses: reachedAddressesOf(flags),
     });
+};
 
-const leave = async (running: StandInBackendServerProcess, timeoutMs: number): Promise<void> => {
+const leave = async (running: StandInBackendServerProcess[], timeoutMs: number): Promise<void> => {
     const deadlineMs = performance.now() + timeoutMs;
-    running.leave();
+    const haveLeft = (): boolean => running.every(({ core }) => core.hasLeft);
+    running.forEach(standIn => {
+        standIn.leave();
+    });
     log("leaving");
-    while (!running.core.hasLeft && performance.now() < deadlineMs) {
+    while (!haveLeft() && performance.now() < deadlineMs) {
         await new Promise(resolve => setTimeout(resolve, LEAVE_POLL_MS));
     }
-    log("left", { complete: running.core.hasLeft });
-    await running.terminate();
+    log("left", { complete: haveLeft() });
+    await Promise.all(running.map(standIn => standIn.terminate()));
 };
 
 const main = async (): Promise<void> => {
     const flags = readFlags();
-    const servers = await Promise.all(flags.id.map((unused, position) => startFrom(flags, position)));
-    for (const { address, core } of servers) {
-        log("listening", { address, incarnation: core.incarnation });
+    const positions = Array.from({ length: Math.max(flags.count, flags.id.length) }, (_unused, position) => position);
+    const running = await Promise.all(positions.map(position => startOne(flags, position)));
+    for (const { core, address } of running) {
+        log("listening", { backendServerId: core.backendServerId, address, incarnation: core.incarnation });
     }
     process.once("SIGTERM", () => {
-        Promise.all(servers.map(running => leave(running, flags.leaveTimeoutMs)))
-            .then(() => process.exit(0), () => process.exit(1));
+        leave(running, flags.leaveTimeoutMs).then(() => process.exit(0), () => process.exit(1));
     });
 };
 
