Keep a killed replica's promises from reaching its next process; fill the fleet longer before the urgent probe

The urgent probe passed without eviction, because the batch work that filled the fleet ended by itself within the limit. Change: hooks of a runner act only while its process lives; the probe's batch work runs for 8 s.

--- a/packages/test-support/src/fuzz/control-host.ts
+++ b/packages/test-support/src/fuzz/control-host.ts
@@ -29,6 +29,7 @@
 import { BlobCopier } from "./blob-copier.js";
 import { MemoryBlobStore, slowFileSystem } from "./disks.js";
 import type { Network } from "./network.js";
+import { replicatedLogOf } from "./replicated-log.js";
 import { Host } from "./world.js";
 import type { World } from "./world.js";
 
@@ -274,7 +275,7 @@
             schedulerSettings: defaultSchedulerSettings,
             random: new SeededRandom(world.random.nextInteger(0, 1_000_000)),
             authorizeOperator: () => true,
-            log: this.#log(),
+            log: replicatedLogOf(() => this.#runner),
         });
         this.#node = node;
         this.#runner = this.#createRunner(opened, node);
@@ -289,81 +290,74 @@
         this.host.every(COPY_INTERVAL_MS, () => this.#copier?.run(world.nowMs));
     }
 
-    #log(): ConstructorParameters<typeof ControlNode>[0]["log"] {
-        const runner = (): ReplicaRunner => {
-            if (this.#runner === undefined) {
-                throw new Error("the replica has not started");
-            }
-            return this.#runner;
-        };
-        return {
-            get term() {
-                return runner().replica.term;
-            },
-            get isLeader() {
-                return runner().replica.role === ReplicaRole.Leader;
-            },
-            get leaderAddress() {
-                return runner().replica.leader?.address;
-            },
-            get membership() {
-                return runner().replica.membership;
-            },
-            get commitIndex() {
-                return runner().replica.commitIndex;
-            },
-            propose: (records, nowMs) => runner().propose(records, nowMs),
-            changeMembership: (change, nowMs) => runner().changeMembership(change, nowMs),
-            hasQuorumLease: nowMs => runner().hasQuorumLease(nowMs),
-        };
-    }
-
     #createRunner(opened: OpenedStore, node: ControlNode): ReplicaRunner {
         const { world, host } = this;
+        const { generation } = host;
+        // Promises of a killed process still settle; nothing that they cause may reach the next process.
+        const alive = (): boolean => generation === host.generation;
+        const ifAlive = (task: () => void): void => {
+            if (alive()) {
+                task();
+            }
+        };
         return new ReplicaRunner({
             opened,
             random: new SeededRandom(world.random.nextInteger(0, 1_000_000)),
             snapshotEntries: SNAPSHOT_ENTRIES,
             limits: { retainedEntries: RETAINED_ENTRIES },
             defer: task => {
-                world.schedule(0, host.bind(task));
+                ifAlive(() => {
+                    world.schedule(0, host.bind(task));
+                });
             },
             hooks: {
                 send: (to, message) => {
-                    const peer = this.peer(to.address);
-                    if (peer !== undefined) {
-                        this.network.send(host, peer.host, () => {
-                            peer.receive(message);
-                        });
-                    }
+                    ifAlive(() => {
+                        this.#send(to.address, message);
+                    });
                 },
                 onCommit: entries => {
-                    node.committed(entries, world.nowMs);
-                    this.#drain();
+                    ifAlive(() => {
+                        node.committed(entries, world.nowMs);
+                        this.#drain();
+                    });
                 },
                 onRestoreSnapshot: (header, bytes) => {
-                    node.snapshotRestored(bytes, header.lastIndex);
-                    this.#drain();
+                    ifAlive(() => {
+                        node.snapshotRestored(bytes, header.lastIndex);
+                        this.#drain();
+                    });
                 },
                 onRoleChange: change => {
-                    if (change.role !== ReplicaRole.Leader) {
+                    if (change.role !== ReplicaRole.Leader && alive()) {
                         node.leadershipLost();
                         this.#drain();
                     }
                 },
                 takeSnapshot: () => node.snapshot().bytes,
                 onFailed: error => {
-                    world.schedule(
-                        0,
-                        host.bind(() => {
-                            this.#exit(error);
-                        }),
-                    );
+                    ifAlive(() => {
+                        world.schedule(
+                            0,
+                            host.bind(() => {
+                                this.#exit(error);
+                            }),
+                        );
+                    });
                 },
             },
         }, world.nowMs);
     }
 
+    #send(address: string, message: ReplicaMessage): void {
+        const peer = this.peer(address);
+        if (peer !== undefined) {
+            this.network.send(this.host, peer.host, () => {
+                peer.receive(message);
+            });
+        }
+    }
+
     #exit(error: Error): void {
         this.failure = error;
         this.journal("process failed", error.message);
--- a/packages/test-support/src/fuzz/ending.ts
+++ b/packages/test-support/src/fuzz/ending.ts
@@ -8,7 +8,8 @@
 const FREE_LIMIT_MS = 20_000;
 const URGENT_PROBES = 3;
 const BATCH_PROBES = 24;
-const PROBE_RUN_MS = 1_500;
+const PROBE_RUN_MS = 8_000;
+const FILLING_MS = 1_000;
 
 const bringZonesBack = async (fleet: Fleet): Promise<void> => {
     const zones = new Set(fleet.servers.map(({ host }) => host.zone));
@@ -26,7 +27,7 @@
     for (let number = 0; number < BATCH_PROBES; number += 1) {
         fleet.callers.submit({ workClass: "study", runMs: PROBE_RUN_MS });
     }
-    await fleet.advance(PROBE_RUN_MS / 2);
+    await fleet.advance(FILLING_MS);
     const urgent = Array.from(
         { length: URGENT_PROBES },
         () => fleet.callers.submit({ workClass: "check", runMs: 50 }),
--- a/packages/test-support/src/fuzz/fleet.ts
+++ b/packages/test-support/src/fuzz/fleet.ts
@@ -102,12 +102,26 @@
         const endMs = this.world.nowMs + limitMs;
         while (!reached()) {
             if (this.world.nowMs >= endMs) {
-                this.oracle.violation(`not reached within ${limitMs} ms: ${what}`);
+                this.oracle.violation([`not reached within ${limitMs} ms: ${what}`, ...this.describe()].join("\n    "));
             }
             await this.advance(SAMPLE_MS);
         }
     }
 
+    /** Describes the control replicas and what is open, for reports of failures. */
+    describe(): string[] {
+        const controls = this.controls.map(({ name, host, diskId, memberDiskIds, runner, missingBlobs, failure }) => {
+            const state = host.alive ? `${runner?.replica.role} in term ${runner?.replica.term}` : "down";
+            const log = `log ${runner?.replica.commitIndex}/${runner?.replica.lastIndex}`;
+            const failed = failure === undefined ? "" : `, failed before: ${failure.message}`;
+            return `${name} (${diskId}): ${state}, ${log}, members ${
+                memberDiskIds.join(" ")
+            }, lacks ${missingBlobs} blobs${failed}`;
+        });
+        const jobs = this.callers.open.map(({ requestId, wish }) => `${requestId} ${wish.workClass}`);
+        return [...controls, `open jobs: ${jobs.join(", ")}`];
+    }
+
     /** Ends all faults of the network, disks and processes. */
     endFaults(): void {
         this.network.faults = CALM_NETWORK;
--- /dev/null
+++ b/packages/test-support/src/fuzz/replicated-log.ts
@@ -0,0 +1,34 @@
+import { ReplicaRole } from "@waxwingspread/consensus";
+import type { ReplicaRunner } from "@waxwingspread/consensus";
+import type { ReplicatedLogPort } from "@waxwingspread/control";
+
+/** Shows a replica runner as the log of a control node, as the daemon does. */
+export const replicatedLogOf = (find: () => ReplicaRunner | undefined): ReplicatedLogPort => {
+    const runner = (): ReplicaRunner => {
+        const found = find();
+        if (found === undefined) {
+            throw new Error("the replica has not started");
+        }
+        return found;
+    };
+    return {
+        get term() {
+            return runner().replica.term;
+        },
+        get isLeader() {
+            return runner().replica.role === ReplicaRole.Leader;
+        },
+        get leaderAddress() {
+            return runner().replica.leader?.address;
+        },
+        get membership() {
+            return runner().replica.membership;
+        },
+        get commitIndex() {
+            return runner().replica.commitIndex;
+        },
+        propose: (records, nowMs) => runner().propose(records, nowMs),
+        changeMembership: (change, nowMs) => runner().changeMembership(change, nowMs),
+        hasQuorumLease: nowMs => runner().hasQuorumLease(nowMs),
+    };
+};
