--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,5 +1,6 @@
 export type { OrderFor } from "./orders/order-tracker.js";
 export * from "./policy/basic-policies.js";
+export * from "./policy/create-policies.js";
 export * from "./policy/types.js";
 export * from "./scheduler.js";
 export * from "./settings.js";
--- a/packages/scheduler/src/settings.ts
+++ b/packages/scheduler/src/settings.ts
@@ -1,5 +1,5 @@
 import type { SeededRandom } from "@waxwingspread/common";
-import { createBasicPolicies } from "./policy/basic-policies.js";
+import { createPolicies } from "./policy/create-policies.js";
 import type { PolicySet } from "./policy/types.js";
 
 /** Timing and bounds of the scheduler. */
@@ -46,7 +46,7 @@
 }
 
 export const defaultSchedulerSettings: SchedulerSettings = {
-    createPolicies: random => createBasicPolicies(random),
+    createPolicies: random => createPolicies({ random }),
     startWindowMs: 1_000,
     leaseMs: 10_000,
     leaseMarginMs: 500,
--- a/packages/test-support/src/local-fleet/managed-process.ts
+++ b/packages/test-support/src/local-fleet/managed-process.ts
@@ -17,15 +17,25 @@
     #output = "";
     #exited: ProcessExit | undefined;
 
-    constructor(readonly name: string, script: string, args: readonly string[], environment: NodeJS.ProcessEnv = {}) {
-        this.#child = spawn(process.execPath, [script, ...args], {
+    constructor(
+        readonly name: string,
+        script: string,
+        args: readonly string[],
+        environment: NodeJS.ProcessEnv = {},
+        nodeFlags: readonly string[] = [],
+    ) {
+        this.#child = spawn(process.execPath, [...nodeFlags, script, ...args], {
             env: { ...process.env, ...environment },
             stdio: ["ignore", "pipe", "pipe"],
         });
         this.#child.stdout?.on("data", chunk => this.#keep(String(chunk)));
         this.#child.stderr?.on("data", chunk => this.#keep(String(chunk)));
+        // A program that ends early must not leave its processes behind.
+        const killChild = (): void => void this.#child.kill("SIGKILL");
+        process.once("exit", killChild);
         this.#exit = new Promise(resolve =>
             this.#child.once("exit", (code, signal) => {
+                process.off("exit", killChild);
                 this.#exited = { code: code ?? undefined, signal: signal ?? undefined };
                 resolve(this.#exited);
             })
--- a/packages/test-support/src/stand-in-backend-server-main.ts
+++ b/packages/test-support/src/stand-in-backend-server-main.ts
@@ -13,23 +13,17 @@
 const readFlags = () =>
     yargs(hideBin(process.argv))
         .usage("Stands in for a backend server: announces itself to entries and runs timed tasks.")
-        .option("id", {
-            type: "string",
-            demandOption: true,
-            describe: "backend server id; with --count, followed by a number",
-        })
-        .option("count", { type: "number", default: 1, describe: "stand-ins in this process, on successive ports" })
+        .option("id", { type: "string", array: true, demandOption: true, describe: "backend server id, one or more" })
         .option("entry", { type: "string", array: true, demandOption: true, describe: "host:port of an entry" })
         .option("host", { type: "string", default: "127.0.0.1", describe: "address to listen on" })
-        .option("port", { type: "number", default: 0, describe: "port to listen on, 0 for a free one" })
-        .option("zone", {
-            type: "string",
+        .option("port", {
+            type: "number",
             array: true,
-            default: ["zone-a"],
-            describe: "availability zone; several are filled in turn",
+            default: [0],
+            describe: "port to listen on for each id, 0 for a free one",
         })
-        .option("rack", { type: "string", default: "rack", describe: "rack; with --count, part of the names of racks" })
-        .option("rack-size", { type: "number", default: 8, describe: "stand-ins of a zone in one rack" })
+        .option("zone", { type: "string", default: "zone-a", describe: "availability zone" })
+        .option("rack", { type: "string", default: "rack-1", describe: "rack" })
         .option("cpu-millicores", { type: "number", default: 16_000, describe: "processor capacity" })
         .option("memory-mebibytes", { type: "number", default: 61_440, describe: "memory capacity" })
         .option("accelerators", { type: "number", default: 0, describe: "accelerators" })
@@ -39,6 +33,11 @@
         .option("fail-every-task", { type: "boolean", default: false, describe: "every task fails" })
         .option("usage-lag-ms", { type: "number", default: 3_000, describe: "delay of usage reports" })
         .option("tick-ms", { type: "number", default: 5, describe: "interval of the timer" })
+        .option("address-translations", {
+            type: "string",
+            default: "",
+            describe: "entries reached under another address: real=reached, separated by commas",
+        })
         .option("leave-timeout-ms", {
             type: "number",
             default: 30_000,
@@ -49,14 +48,12 @@
 
 type Flags = ReturnType<typeof readFlags>;
 
-const startOne = (flags: Flags, position: number): Promise<StandInBackendServerProcess> => {
-    const zone = flags.zone[position % flags.zone.length] ?? "";
-    const rackNumber = Math.floor(position / flags.zone.length / flags.rackSize) + 1;
-    return StandInBackendServerProcess.start({
-        backendServerId: flags.count === 1 ? flags.id : `${flags.id}-${position + 1}`,
+const startFrom = (flags: Flags, position: number): Promise<StandInBackendServerProcess> =>
+    StandInBackendServerProcess.start({
+        backendServerId: flags.id[position] ?? "",
         incarnation: randomUUID(),
-        availabilityZone: zone,
-        rack: flags.count === 1 ? flags.rack : `${zone}-${flags.rack}-${rackNumber}`,
+        availabilityZone: flags.zone,
+        rack: flags.rack,
         capacity: {
             cpuMillicores: flags.cpuMillicores,
             memoryMebibytes: flags.memoryMebibytes,
@@ -68,34 +65,36 @@
         timing: { usageLagMs: flags.usageLagMs },
         faults: { speedRatio: flags.speedRatio, failEveryTask: flags.failEveryTask },
         host: flags.host,
-        port: flags.port === 0 ? 0 : flags.port + position,
+        port: flags.port[position] ?? 0,
         tickMs: flags.tickMs,
+        reachedAddresses: new Map(
+            flags.addressTranslations.split(",").filter(pair => pair !== "").map(pair => {
+                const [real = "", reached = ""] = pair.split("=");
+                return [real, reached];
+            }),
+        ),
     });
-};
 
-const leave = async (running: StandInBackendServerProcess[], timeoutMs: number): Promise<void> => {
+const leave = async (running: StandInBackendServerProcess, timeoutMs: number): Promise<void> => {
     const deadlineMs = performance.now() + timeoutMs;
-    const haveLeft = (): boolean => running.every(({ core }) => core.hasLeft);
-    running.forEach(standIn => {
-        standIn.leave();
-    });
+    running.leave();
     log("leaving");
-    while (!haveLeft() && performance.now() < deadlineMs) {
+    while (!running.core.hasLeft && performance.now() < deadlineMs) {
         await new Promise(resolve => setTimeout(resolve, LEAVE_POLL_MS));
     }
-    log("left", { complete: haveLeft() });
-    await Promise.all(running.map(standIn => standIn.terminate()));
+    log("left", { complete: running.core.hasLeft });
+    await running.terminate();
 };
 
 const main = async (): Promise<void> => {
     const flags = readFlags();
-    const positions = Array.from({ length: flags.count }, (_unused, position) => position);
-    const running = await Promise.all(positions.map(position => startOne(flags, position)));
-    for (const { core, address } of running) {
-        log("listening", { backendServerId: core.backendServerId, address, incarnation: core.incarnation });
+    const servers = await Promise.all(flags.id.map((unused, position) => startFrom(flags, position)));
+    for (const { address, core } of servers) {
+        log("listening", { address, incarnation: core.incarnation });
     }
     process.once("SIGTERM", () => {
-        leave(running, flags.leaveTimeoutMs).then(() => process.exit(0), () => process.exit(1));
+        Promise.all(servers.map(running => leave(running, flags.leaveTimeoutMs)))
+            .then(() => process.exit(0), () => process.exit(1));
     });
 };
 
