--- a/packages/bench/src/policy/main.ts
+++ b/packages/bench/src/policy/main.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from "@waxwingspread/common";
 import { POLICY_DEFAULTS } from "@waxwingspread/scheduler";
 import type { PolicyParameters } from "@waxwingspread/scheduler";
+import { isMainThread, parentPort, Worker, workerData } from "node:worker_threads";
 import { DECISION_SERVERS, measureDecisionMicroseconds } from "./decision-cost.js";
 import { PolicyRun } from "./policy-run.js";
 import type { RunResult } from "./recorder.js";
@@ -13,6 +14,7 @@
 import { drawWorkload } from "./workload.js";
 
 const DEFAULT_SEEDS = 10;
+const FIRMS: readonly FirmShape[] = [FILTER_MAKER, ARCHIVE_FIRM];
 
 const optionOf = (name: string): string | undefined => {
     const position = process.argv.indexOf(`--${name}`);
@@ -61,22 +63,42 @@
         return new PolicyRun(firm, workload, slowdowns, build(firm, slowdowns, seed, parameters), seed).run();
     });
 
-const main = (): void => {
-    const seeds = Number(optionOf("seeds") ?? DEFAULT_SEEDS);
-    const variants = optionOf("variants")?.split(",") ?? Object.keys(VARIANTS);
+interface FirmReport {
+    lines: string[];
+    summaries: Record<string, VariantSummary>;
+}
+
+const seedsOf = (): number => Number(optionOf("seeds") ?? DEFAULT_SEEDS);
+
+const reportFirm = (firm: FirmShape): FirmReport => {
     const parameters = changedParameters(optionOf("set"));
-    const report: Record<string, Record<string, unknown>> = {};
-    for (const firm of [FILTER_MAKER, ARCHIVE_FIRM]) {
-        write(`${firm.name}: ${firm.servers} servers, ${seeds} seeds, mean ± standard deviation over seeds`);
-        write(tableHeader());
-        const summaries: Record<string, VariantSummary> = {};
-        for (const variant of variants) {
-            const summary = summarize(runVariant(firm, variant, seeds, parameters));
-            summaries[variant] = summary;
-            write(formatRow(variant, summary));
-        }
-        report[firm.name] = summaries;
+    const seeds = seedsOf();
+    const lines = [`${firm.name}: ${firm.servers} servers, ${seeds} seeds, mean ± standard deviation over seeds`];
+    lines.push(tableHeader());
+    const summaries: Record<string, VariantSummary> = {};
+    for (const variant of optionOf("variants")?.split(",") ?? Object.keys(VARIANTS)) {
+        const summary = summarize(runVariant(firm, variant, seeds, parameters));
+        summaries[variant] = summary;
+        lines.push(formatRow(variant, summary));
     }
+    return { lines, summaries };
+};
+
+/** Runs a firm's simulations in a thread of their own. */
+const reportInThread = (firm: FirmShape): Promise<FirmReport> =>
+    new Promise((resolve, reject) => {
+        const worker = new Worker(new URL(import.meta.url), { workerData: firm.name, argv: process.argv.slice(2) });
+        worker.once("message", resolve);
+        worker.once("error", reject);
+    });
+
+const main = async (): Promise<void> => {
+    const report: Record<string, unknown> = {};
+    const reports = await Promise.all(FIRMS.map(reportInThread));
+    FIRMS.forEach((firm, index) => {
+        reports[index]?.lines.forEach(write);
+        report[firm.name] = reports[index]?.summaries;
+    });
     const decisionMicroseconds: Record<string, number> = {};
     if (optionOf("variants") === undefined) {
         for (const servers of DECISION_SERVERS) {
@@ -87,4 +109,12 @@
     write(JSON.stringify({ ...report, decisionMicroseconds }));
 };
 
-main();
+if (isMainThread) {
+    await main();
+}
+else {
+    const firm = FIRMS.find(candidate => candidate.name === workerData);
+    if (firm !== undefined) {
+        parentPort?.postMessage(reportFirm(firm));
+    }
+}
