Report announcements promptly after a failed report

Cause: since announcements wait up to 400 ms, a report that failed because the leader had died waited that long again, although a new leader starts nothing on servers that it has not heard of.

--- a/packages/bench/src/path/overhead.ts
+++ b/packages/bench/src/path/overhead.ts
@@ -3,9 +3,9 @@
 import { readFile } from "node:fs/promises";
 import { fileURLToPath } from "node:url";
 import { pause } from "./callers.js";
-import { cpuSecondsOf } from "./processor-time.js";
 import { rounded } from "./figures.js";
 import type { PathFleet } from "./path-fleet.js";
+import { cpuSecondsOf } from "./processor-time.js";
 
 const WINDOW_MS = 6_000;
 const PAGE_BYTES = 4_096;
--- a/packages/entry/src/reporting/report-batcher.ts
+++ b/packages/entry/src/reporting/report-batcher.ts
@@ -173,6 +173,8 @@
         }
         else {
             this.#notBeforeMs = nowMs + (result.error.retryNow ? 0 : this.context.settings.timing.retryDelayMs);
+            // A new leader starts nothing on servers that it has not heard of, so these announcements wait no longer.
+            this.#announcementsDueMs = this.#notBeforeMs;
             this.#putBack(batch);
         }
         this.flush(nowMs);
