Answer requests that arrive while a listener closes

Cause: Node's http.Server.close closes idle connections at once, also those on which a caller has just sent its next request. Change: a draining entry closes each connection with its next response; the closing listener first stops to accept, waits 100 ms for requests that are under way, and only then closes idle connections.

--- /dev/null
+++ b/packages/daemon/src/http/http-listener.real.test.ts
@@ -0,0 +1,31 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import { expect, it } from "vitest";
+import { HttpListener } from "./http-listener.js";
+
+const REQUEST = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+const GRACE_MS = 5_000;
+
+// Guards against a planned shutdown that cuts off the request of a caller which reuses its connection just then.
+it("answers a request that arrives on an idle connection while the listener closes, and then closes it", async () => {
+    const listener = new HttpListener({
+        address: { host: "127.0.0.1", port: 0 },
+        maxConnections: 8,
+        handle: (unusedRequest, response) => void response.end("done"),
+        onConnectionRefused: () => undefined,
+    });
+    const socket = connect(await listener.listen(), "127.0.0.1");
+    let received = "";
+    socket.on("data", chunk => {
+        received += String(chunk);
+    });
+    socket.write(REQUEST);
+    await once(socket, "data");
+    received = "";
+    const closed = listener.close(GRACE_MS);
+    socket.write(REQUEST);
+    await once(socket, "close");
+    await closed;
+    expect(received).toContain("HTTP/1.1 200 OK");
+    expect(received.toLowerCase()).toContain("connection: close");
+});
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -4,7 +4,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer as createHttp2Server } from "node:http2";
 import type { Http2ServerRequest, Http2ServerResponse } from "node:http2";
-import type { AddressInfo, Server as NetServer, Socket } from "node:net";
+import { Server as NetServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { ListenAddress } from "../transport/listen-address.js";
 import { createDetectingServer } from "./protocol-detection.js";
 
@@ -15,6 +16,9 @@
 /** Idle connections are kept for this long. */
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 
+/** Requests that were under way when the listener closed have this long to arrive and to be answered. */
+const LINGER_MS = 100;
+
 /** What an HTTP listener serves and its limits. */
 export interface HttpListenerOptions {
     address: ListenAddress;
@@ -32,6 +36,7 @@
     readonly #acceptor: NetServer;
     readonly #address: ListenAddress;
     readonly #sockets = new Set<Socket>();
+    #isDraining = false;
 
     constructor(options: HttpListenerOptions) {
         this.#address = options.address;
@@ -39,7 +44,12 @@
             headersTimeout: HEADERS_TIMEOUT_MS,
             requestTimeout: REQUEST_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-        }, options.handle);
+        }, (request, response) => {
+            if (this.#isDraining) {
+                response.setHeader("connection", "close");
+            }
+            options.handle(request, response);
+        });
         this.#acceptor = options.handleHttp2 === undefined
             ? this.#server
             : createDetectingServer(this.#server, createHttp2Server({}, options.handleHttp2));
@@ -71,9 +81,17 @@
         return (this.#acceptor.address() as AddressInfo).port;
     }
 
+    /** Closes each connection with its next response, so that few are left on which a request may be cut off. */
+    drain(): void {
+        this.#isDraining = true;
+    }
+
     /** Stops to listen and waits for open requests, at the latest until `graceMs` have passed. */
     async close(graceMs: number): Promise<void> {
-        const closed = new Promise<void>(resolve => this.#acceptor.close(() => resolve()));
+        this.drain();
+        // The HTTP server's own method would at once close connections whose next request is still under way.
+        const closed = new Promise<void>(resolve => NetServer.prototype.close.call(this.#acceptor, () => resolve()));
+        await new Promise(resolve => setTimeout(resolve, Math.min(LINGER_MS, graceMs)));
         this.#server.closeIdleConnections();
         const timer = setTimeout(() => this.#sockets.forEach(socket => socket.destroy()), graceMs);
         await closed;
--- a/packages/daemon/src/roles/entry-role.ts
+++ b/packages/daemon/src/roles/entry-role.ts
@@ -73,6 +73,7 @@
     async stop(graceMs: number): Promise<void> {
         const deadlineMs = presentTimeMs() + graceMs;
         this.#node.drain(presentTimeMs());
+        this.#listener.drain();
         while (!this.#node.isDrained && presentTimeMs() < deadlineMs) {
             await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_INTERVAL_MS));
         }
