--- a/packages/scheduler/src/work-view.ts
+++ b/packages/scheduler/src/work-view.ts
@@ -332,8 +332,11 @@
         }
         const task = { ...this.#placedTask(key, job), workKind: former.task.workKind };
         this.#tasks.set(key, { ...former, task });
-        this.#decision.policies.placement.release(former.backendServerId, former.task.taskKey);
-        this.#decision.policies.placement.occupy(former.backendServerId, task);
+        const { placement, interference } = this.#decision.policies;
+        placement.release(former.backendServerId, former.task.taskKey);
+        placement.occupy(former.backendServerId, task);
+        // The mitigator must know which tasks are throttled or stopping already.
+        interference.occupied(former.backendServerId, task, this.#decision.nowMs);
     }
 
     #release(key: JobKey): void {
