Let a new leader learn of the backend servers at once

Cause: after a failover an entry learned of the new leader only when its held poll was answered, up to 500 ms later, and the leader learned of the backend servers only from their next announcements, up to 1 s later. Until then it could place nothing, or preempted batch work on the few servers that it knew. Change: a poll that doesn't know the term is answered at once; an entry then repeats the last announcement of each server that is at most 2 s old, with the time for which it was held. The adapter from runner to log port stands once, in the control package.

--- a/packages/control/src/leader-session.ts
+++ b/packages/control/src/leader-session.ts
@@ -197,7 +197,9 @@
             return;
         }
         const outdated = poll.request.knownRevision !== this.#committedConfiguration.revision;
-        const hasNews = outdated || this.#outboxes.pending(entryId).length > 0;
+        // An entry that learns of a new leader at once reports to it at once what it knows of backend servers.
+        const newToLeader = poll.request.sequenceTerm !== this.term;
+        const hasNews = outdated || newToLeader || this.#outboxes.pending(entryId).length > 0;
         if (hasNews && this.#log.hasQuorumLease(nowMs)) {
             this.#answerPoll(poll);
             return;
--- a/packages/test-support/src/fuzz/replicated-log.ts
+++ b/packages/control/src/replicated-log-adapter.ts
@@ -1,9 +1,9 @@
 import { ReplicaRole } from "@waxwingspread/consensus";
 import type { ReplicaRunner } from "@waxwingspread/consensus";
-import type { ReplicatedLogPort } from "@waxwingspread/control";
+import type { ReplicatedLogPort } from "./replicated-log-port.js";
 
-/** Shows a replica runner as the log of a control node, as the daemon does. */
-export const replicatedLogOf = (find: () => ReplicaRunner | undefined): ReplicatedLogPort => {
+/** Shows a replica runner as the log of a control node. The runner may be created after the node. */
+export const replicatedLogPort = (find: () => ReplicaRunner | undefined): ReplicatedLogPort => {
     const runner = (): ReplicaRunner => {
         const found = find();
         if (found === undefined) {
--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -2,7 +2,7 @@
 import { SeededRandom, StepError } from "@waxwingspread/common";
 import { NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
-import { ControlEffectKind, ControlNode } from "@waxwingspread/control";
+import { ControlEffectKind, ControlNode, replicatedLogPort } from "@waxwingspread/control";
 import type { ControlCall, ControlEffect, ControlMethod, ControlReply, ControlRequests } from "@waxwingspread/control";
 import { DescribeResponseSchema, ErrorCode } from "@waxwingspread/protocol";
 import type {
@@ -28,7 +28,6 @@
 import { controlSettingsOf, schedulerSettingsOf, seedOf } from "./core-settings.js";
 import { journalRoutes } from "./journal-routes.js";
 import type { ProcessContext } from "./process-context.js";
-import { replicatedLogPort } from "./replicated-log-adapter.js";
 
 const TICK_INTERVAL_MS = 20;
 const DESCRIBE_TIMEOUT_MS = 1_000;
--- a/packages/entry/src/reporting/report-batcher.ts
+++ b/packages/entry/src/reporting/report-batcher.ts
@@ -34,6 +34,9 @@
     waiters: Waiter[];
 }
 
+/** An older announcement isn't repeated: the server may be gone, and it counts as silent after 3 s. */
+const REPEATED_ANNOUNCEMENT_AGE_MS = 2_000;
+
 interface PendingEnd {
     report: EndReport;
     deadlineMs: number;
@@ -69,6 +72,8 @@
 export class ReportBatcher {
     readonly #announcements = new Map<string, PendingAnnouncement>();
     readonly #condenser = new AnnouncementCondenser();
+    /** The last announcement of each server; a new leader learns of the servers from these. */
+    readonly #latest = new Map<string, PendingAnnouncement>();
     #starts: StartReport[] = [];
     #ends: PendingEnd[] = [];
     #inFlight: Batch | undefined;
@@ -97,6 +102,7 @@
         const deadlineMs = nowMs + timing.announceTimeoutMs;
         const waiter = { incarnation: announcement.incarnation, deadlineMs, done };
         this.#merge({ announcement, receivedAtMs: nowMs, waiters: [waiter] });
+        this.#latest.set(announcement.backendServerId, { announcement, receivedAtMs: nowMs, waiters: [] });
         this.flush(nowMs);
         return true;
     }
@@ -137,7 +143,10 @@
         this.flush(nowMs);
     }
 
-    /** Sends what another replica has not acknowledged to the new leader; reports are idempotent. */
+    /**
+     * Sends the new leader what another replica has not acknowledged and the last announcement of each server, so that
+     * it need not wait for the next ones before it places work. Reports are idempotent.
+     */
     leaderFound(nowMs: number): void {
         if (this.#inFlight && this.#sentTo !== this.context.leader.leaderAddress) {
             const batch = this.#inFlight;
@@ -145,6 +154,14 @@
             this.#inFlight = undefined;
             this.#putBack(batch);
         }
+        for (const [backendServerId, latest] of this.#latest) {
+            if (nowMs - latest.receivedAtMs > REPEATED_ANNOUNCEMENT_AGE_MS) {
+                this.#latest.delete(backendServerId);
+            }
+            else if (!this.#announcements.has(backendServerId)) {
+                this.#announcements.set(backendServerId, { ...latest, waiters: [] });
+            }
+        }
         this.#notBeforeMs = nowMs;
         this.#announcementsDueMs = nowMs;
         this.flush(nowMs);
--- a/packages/test-support/src/fuzz/control-host.ts
+++ b/packages/test-support/src/fuzz/control-host.ts
@@ -2,7 +2,7 @@
 import { SeededRandom, StepError } from "@waxwingspread/common";
 import { ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
 import type { OpenedStore } from "@waxwingspread/consensus";
-import { ControlEffectKind, ControlNode, defaultControlSettings } from "@waxwingspread/control";
+import { ControlEffectKind, ControlNode, defaultControlSettings, replicatedLogPort } from "@waxwingspread/control";
 import type { ControlCall, ControlReply } from "@waxwingspread/control";
 import {
     DescribeResponseSchema,
@@ -29,7 +29,6 @@
 import { BlobCopier } from "./blob-copier.js";
 import { MemoryBlobStore, slowFileSystem } from "./disks.js";
 import type { Network } from "./network.js";
-import { replicatedLogOf } from "./replicated-log.js";
 import { Host } from "./world.js";
 import type { World } from "./world.js";
 
@@ -275,7 +274,7 @@
             schedulerSettings: defaultSchedulerSettings,
             random: new SeededRandom(world.random.nextInteger(0, 1_000_000)),
             authorizeOperator: () => true,
-            log: replicatedLogOf(() => this.#runner),
+            log: replicatedLogPort(() => this.#runner),
         });
         this.#node = node;
         this.#runner = this.#createRunner(opened, node);
