Answer heartbeats in the call that carries them

Cause: each heartbeat cost two calls, one for the append and one for its answer; calls make up most of the idle processor time. Change: a call that carries heartbeats only returns the answers that are ready at once. Messages with entries are handled as before, so that writes still share a sync.

--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -18,6 +18,7 @@
 import { setReplicaRole } from "../metrics/index.js";
 import { CallRegistry } from "../transport/call-registry.js";
 import { ConnectListener } from "../transport/connect-listener.js";
+import { ImmediateAnswers } from "../transport/immediate-answers.js";
 import { presentTimeMs } from "../transport/present-time.js";
 import { ReplicaSender } from "../transport/replica-sender.js";
 import { receiveTime } from "../transport/time-propagation.js";
@@ -43,6 +44,7 @@
     readonly #maintenance: BlobMaintenance;
     readonly #calls = new CallRegistry<ControlReply>();
     readonly #sender: ReplicaSender;
+    readonly #answers = new ImmediateAnswers();
     readonly #listener: ConnectListener;
     #ticker: NodeJS.Timeout | undefined;
     #flushScheduled = false;
@@ -57,7 +59,10 @@
             ownDiskId: () => this.diskId,
             liveBlobs: () => this.#node.referencedBlobs(),
         });
-        this.#sender = new ReplicaSender(context.clients, () => metrics.connectionsReplaced.add({}));
+        this.#sender = new ReplicaSender(context.clients, {
+            onFailure: () => metrics.connectionsReplaced.add({}),
+            onAnswers: messages => messages.forEach(message => this.#runner.receive(message, presentTimeMs())),
+        });
         this.#node = new ControlNode({
             name: settings.vmName,
             settings: controlSettingsOf(settings),
@@ -129,8 +134,15 @@
         });
     }
 
-    receive(message: ReplicaMessage): void {
-        this.#runner.receive(message, presentTimeMs());
+    receive(messages: readonly ReplicaMessage[]): ReplicaMessage[] {
+        messages.forEach(message => this.#runner.receive(message, presentTimeMs()));
+        if (!messages.every(isHeartbeat)) {
+            // Other messages lead to writes, which share a sync when they are handled together with later ones.
+            return [];
+        }
+        this.#answers.begin(messages[0]?.fromDiskId ?? "");
+        this.#runner.flush();
+        return this.#answers.end();
     }
 
     describe(): DescribeResponse {
@@ -194,7 +206,11 @@
             timing: settings.timings,
             snapshotEntries: settings.snapshotIntervalEntries,
             hooks: {
-                send: (to, message) => this.#sender.send(to.address, message),
+                send: (to, message) => {
+                    if (!this.#answers.take(message)) {
+                        this.#sender.send(to.address, message);
+                    }
+                },
                 onCommit: entries => this.#committed(entries),
                 onRestoreSnapshot: (header, bytes) => this.#snapshotRestored(header, bytes),
                 onRoleChange: change => this.#roleChanged(change),
@@ -284,3 +300,6 @@
         }
     }
 }
+
+const isHeartbeat = ({ body }: ReplicaMessage): boolean =>
+    body.case === "appendRequest" && body.value.entries.length === 0;
--- a/packages/daemon/src/roles/control-routes.ts
+++ b/packages/daemon/src/roles/control-routes.ts
@@ -28,7 +28,8 @@
     readonly name: string;
     readonly diskId: string;
     call<Method extends ControlMethod>(method: Method, request: ControlRequests[Method]): Promise<ControlReply>;
-    receive(message: ReplicaMessage): void;
+    /** Takes messages of one peer and returns the answers to it that are ready at once. */
+    receive(messages: readonly ReplicaMessage[]): ReplicaMessage[];
     describe(): DescribeResponse;
     putBlob(request: PutBlobRequest): Promise<void>;
     getBlob(request: GetBlobRequest): Promise<Uint8Array | undefined>;
@@ -39,10 +40,7 @@
 /** Registers the services of a control replica. */
 export const controlRoutes = (target: ControlRouteTarget) => (router: ConnectRouter): void => {
     router.service(ReplicaService, {
-        send: envelope => {
-            envelope.messages.forEach(message => target.receive(message));
-            return create(ReplicaAckSchema);
-        },
+        send: envelope => create(ReplicaAckSchema, { messages: target.receive(envelope.messages) }),
         describe: () => target.describe(),
     });
     router.service(ControlService, {
--- a/packages/daemon/src/transport/replica-sender.ts
+++ b/packages/daemon/src/transport/replica-sender.ts
@@ -14,16 +14,23 @@
     flushScheduled: boolean;
 }
 
+/** What a sender reports. */
+export interface ReplicaSenderHooks {
+    onFailure: (address: string) => void;
+    /** Answers that came with the response to a call. */
+    onAnswers: (messages: readonly ReplicaMessage[]) => void;
+}
+
 /** Sends replica messages to peers; messages of one turn travel in one call. */
 export class ReplicaSender {
     readonly #clients: PeerClients;
     readonly #queues = new Map<string, PeerQueue>();
-    readonly #onFailure: (address: string) => void;
+    readonly #hooks: ReplicaSenderHooks;
     #closed = false;
 
-    constructor(clients: PeerClients, onFailure: (address: string) => void) {
+    constructor(clients: PeerClients, hooks: ReplicaSenderHooks) {
         this.#clients = clients;
-        this.#onFailure = onFailure;
+        this.#hooks = hooks;
     }
 
     /** Queues a message for the peer at the given address; without an address it is dropped. */
@@ -63,11 +70,14 @@
         queue.messages = [];
         queue.openCalls += 1;
         try {
-            await this.#clients.for(address).replica.send({ messages }, { timeoutMs: CALL_TIMEOUT_MS });
+            const ack = await this.#clients.for(address).replica.send({ messages }, { timeoutMs: CALL_TIMEOUT_MS });
+            if (!this.#closed) {
+                this.#hooks.onAnswers(ack.messages);
+            }
         }
         catch {
             this.#clients.replace(address);
-            this.#onFailure(address);
+            this.#hooks.onFailure(address);
         }
         queue.openCalls -= 1;
         if (queue.messages.length > 0) {
