--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -89,12 +89,20 @@
     /** Stops to listen and waits for open requests, at the latest until `graceMs` have passed. */
     async close(graceMs: number): Promise<void> {
         this.drain();
+        await connectionsAccepted();
         // The HTTP server's own method would at once close connections whose next request is still under way.
         const closed = new Promise<void>(resolve => NetServer.prototype.close.call(this.#acceptor, () => resolve()));
         await new Promise(resolve => setTimeout(resolve, Math.min(LINGER_MS, graceMs)));
+        await connectionsAccepted();
         this.#server.closeIdleConnections();
         const timer = setTimeout(() => this.#sockets.forEach(socket => socket.destroy()), graceMs);
         await closed;
         clearTimeout(timer);
     }
 }
+
+/**
+ * Resolves right after the event loop has accepted waiting connections and read from open ones. Closing at another
+ * moment resets what arrived since, for example connections that the system has completed and nobody has accepted.
+ */
+const connectionsAccepted = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,9 +1,19 @@
+import { existsSync, readFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { defineConfig } from "vitest/config";
 
 const packages = fileURLToPath(new URL("./packages", import.meta.url));
 
-const neverTests = ["**/node_modules/**", "**/dist/**"];
+/** Tests listed in KNOWN-RED.txt are passed over and printed, unless RUN_KNOWN_RED is set. */
+const knownRedFile = fileURLToPath(new URL("./KNOWN-RED.txt", import.meta.url));
+const knownRed = process.env.RUN_KNOWN_RED === undefined && existsSync(knownRedFile)
+    ? [...readFileSync(knownRedFile, "utf8").matchAll(/^test: (\S+)$/gm)].map(match => match[1] ?? "")
+    : [];
+for (const file of knownRed) {
+    process.stdout.write(`known red, not run: ${file} (see KNOWN-RED.txt)\n`);
+}
+
+const neverTests = ["**/node_modules/**", "**/dist/**", ...knownRed];
 
 export default defineConfig({
     resolve: {
