--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -5,7 +5,7 @@
     ...tseslint.configs.recommended,
     ...tseslint.configs.stylistic,
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         rules: {
             "@typescript-eslint/no-floating-promises": "error",
@@ -37,7 +37,7 @@
         },
     },
     {
-        files: ["packages/**/*.test.ts"],
+        files: ["packages/**/*.test.ts", "platform/**/*.test.ts"],
         rules: { "max-lines-per-function": "off" },
     },
 );
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -54,6 +54,12 @@
             && this.#core.nowMs - contactMs < leaseMs;
     }
 
+    /** Returns for how long a member has not answered; undefined for this replica and for others than members. */
+    silenceMs(diskId: string): number | undefined {
+        const peer = this.#peers.get(diskId);
+        return peer === undefined ? undefined : this.#core.nowMs - Math.max(peer.contactMs, this.#electedAtMs);
+    }
+
     propose(records: readonly Uint8Array[]): number {
         for (const record of records) {
             this.#append({ case: "data", value: record });
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -201,6 +201,12 @@
         return this.#leadership?.hasQuorumLease ?? false;
     }
 
+    /** Returns for how long a member has not answered this leader; undefined where that isn't known. */
+    silenceMs(diskId: string, nowMs: number): number | undefined {
+        this.#advance(nowMs);
+        return this.#leadership?.silenceMs(diskId);
+    }
+
     /** Returns the effects since the last call; writes and appends of one iteration are combined. */
     takeEffects(): ReplicaEffect[] {
         this.#leadership?.flush();
--- /dev/null
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -0,0 +1,417 @@
+import { create } from "@bufbuild/protobuf";
+import type { ConnectRouter } from "@connectrpc/connect";
+import { messageOf, SeededRandom } from "@waxwingspread/common";
+import { NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
+import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
+import { DescribeResponseSchema, ReplicaAckSchema, ReplicaService } from "@waxwingspread/protocol";
+import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
+import { WorkflowNode } from "@waxwingspread/workflow";
+import type {
+    CallResult,
+    Configuration,
+    HeartbeatOrders,
+    HeartbeatReport,
+    LeaderSettings,
+    Respond,
+    Times,
+} from "@waxwingspread/workflow";
+import { createHash } from "node:crypto";
+import { join } from "node:path";
+import type { Logger } from "pino";
+import type { HttpListener } from "../http/http-listener.js";
+import { bootstrap } from "../roles/bootstrap.js";
+import { ConnectListener } from "../transport/connect-listener.js";
+import { ImmediateAnswers } from "../transport/immediate-answers.js";
+import { PeerClients } from "../transport/peer-clients.js";
+import { presentTimeMs } from "../transport/present-time.js";
+import { ReplicaSender } from "../transport/replica-sender.js";
+import { createInternalListener } from "./internal-listener.js";
+import type { InternalHandler } from "./internal-listener.js";
+import { JsonCaller } from "./json-call.js";
+import { MembershipKeeper } from "./membership-keeper.js";
+import { CLUSTER_PATH, ForwardedOperation, forwardedPath, JOIN_PATH } from "./operations.js";
+import type {
+    ClusterDescription,
+    ControlOperations,
+    ForwardedRequests,
+    ForwardedResponse,
+    JoinRequest,
+} from "./operations.js";
+
+const TICK_INTERVAL_MS = 20;
+const KEEP_INTERVAL_MS = 200;
+const JOIN_INTERVAL_MS = 300;
+const JOIN_TIMEOUT_MS = 500;
+/** A replica that knows no leader for this long may have been removed and asks to join again. */
+const JOIN_AFTER_MS = 1_500;
+const HANDOVER_TIMEOUT_MS = 1_500;
+const HANDOVER_CHECK_INTERVAL_MS = 20;
+const LISTENER_GRACE_MS = 1_000;
+const MAX_CONNECTIONS = 200;
+/** Records between snapshots; recovery replays at most this many. */
+const SNAPSHOT_RECORDS = 4_000;
+
+/** Settings of a control replica. */
+export interface ControlHostSettings {
+    host: string;
+    /** Port for replication between replicas. */
+    replicaPort: number;
+    /** Port for calls of entries and of replicas that join. */
+    internalPort: number;
+    dataFolder: string;
+    /** Hosts of control replicas known from the settings. */
+    seedHosts: readonly string[];
+    /** Whether the deployment starts for the first time, so that the seeds form the cluster. */
+    isFirstStart: boolean;
+    /** Replicas that may be lost at the same time. */
+    toleratedLosses: number;
+    leader: LeaderSettings;
+}
+
+/** Returns both clocks as they are now. */
+const presentTimes = (): Times => ({ nowMs: presentTimeMs(), timeOfDayMs: Date.now() });
+
+/** A control replica of the workflow state, with its disk, listeners and timers. */
+export class ControlHost implements ControlOperations {
+    readonly #settings: ControlHostSettings;
+    readonly #logger: Logger;
+    readonly #fail: (error: Error) => void;
+    readonly #clients = new PeerClients();
+    readonly #caller = new JsonCaller();
+    readonly #answers = new ImmediateAnswers();
+    readonly #sender: ReplicaSender;
+    readonly #runner: ReplicaRunner;
+    readonly #node: WorkflowNode;
+    readonly #keeper: MembershipKeeper;
+    readonly #replicaListener: ConnectListener;
+    readonly #internalListener: HttpListener;
+    readonly #timers: NodeJS.Timeout[] = [];
+    #seedHosts: readonly string[];
+    #leaderSeenAtMs = presentTimeMs();
+    #isRunScheduled = false;
+    #isStopped = false;
+
+    private constructor(
+        settings: ControlHostSettings,
+        opened: OpenedStore,
+        logger: Logger,
+        fail: (error: Error) => void,
+    ) {
+        this.#settings = settings;
+        this.#seedHosts = settings.seedHosts;
+        this.#logger = logger;
+        this.#fail = fail;
+        this.#sender = new ReplicaSender(this.#clients, {
+            onFailure: address => logger.debug({ peer: address }, "replica call failed; connection replaced"),
+            onAnswers: messages => messages.forEach(message => this.#runner.receive(message, presentTimeMs())),
+        });
+        this.#node = this.#createNode();
+        this.#runner = this.#createRunner(opened);
+        this.#keeper = new MembershipKeeper({
+            runner: this.#runner,
+            toleratedLosses: settings.toleratedLosses,
+            logger,
+        });
+        this.#replicaListener = new ConnectListener({
+            address: { host: settings.host, port: settings.replicaPort },
+            maxConnections: MAX_CONNECTIONS,
+            routes: router => this.#routes(router),
+            onConnectionRefused: () => logger.warn("replica connection refused: too many connections"),
+        });
+        this.#internalListener = createInternalListener({
+            address: { host: settings.host, port: settings.internalPort },
+            handlers: this.#internalHandlers(),
+            logger,
+        });
+    }
+
+    /** Opens the disk and starts to listen. Fails with DISK_FAILED, CORRUPT or UNAVAILABLE. */
+    static async start(
+        settings: ControlHostSettings,
+        logger: Logger,
+        fail: (error: Error) => void,
+    ): Promise<ControlHost> {
+        const address = `${settings.host}:${settings.replicaPort}`;
+        const opened = await ReplicaStore.open({
+            fileSystem: new NodeFileSystem(),
+            folder: join(settings.dataFolder, "log"),
+            name: address,
+            address,
+        });
+        const host = new ControlHost(settings, opened, logger, fail);
+        await host.#replicaListener.listen();
+        await host.#internalListener.listen();
+        host.#startTimers();
+        host.#startBootstrap(opened);
+        return host;
+    }
+
+    get leaderHost(): string | undefined {
+        const address = this.#runner.replica.leader?.address ?? "";
+        return address === "" ? undefined : hostOf(address);
+    }
+
+    /** Replaces the hosts from the settings. */
+    setSeedHosts(hosts: readonly string[]): void {
+        this.#seedHosts = hosts;
+    }
+
+    heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
+        return this.#call((respond, times) => this.#node.heartbeat(report, respond, times));
+    }
+
+    leave(serverId: string): Promise<CallResult<void>> {
+        return this.#call((respond, times) => this.#node.leave(serverId, respond, times));
+    }
+
+    async configure(configuration: Configuration): Promise<CallResult<void>> {
+        const result = await this.#call<void>((respond, times) => this.#node.configure(configuration, respond, times));
+        this.#logger.info({ version: configuration.version, result }, "configuration received");
+        return result;
+    }
+
+    readConfiguration(): Promise<CallResult<string | undefined>> {
+        return this.#call((respond, times) => this.#node.readConfiguration(respond, times));
+    }
+
+    async setZone(availabilityZone: string, isOut: boolean): Promise<CallResult<void>> {
+        const result = await this.#call<void>((respond, times) =>
+            this.#node.setZone(availabilityZone, isOut, respond, times)
+        );
+        this.#logger.info({ availabilityZone, isOut, result }, "availability zone changed");
+        return result;
+    }
+
+    /** Hands the leadership over, finishes calls in progress and closes the disk. */
+    async stop(): Promise<void> {
+        const deadlineMs = presentTimeMs() + HANDOVER_TIMEOUT_MS;
+        while (this.#runner.replica.role === ReplicaRole.Leader && presentTimeMs() < deadlineMs) {
+            this.#runner.handOver(presentTimeMs());
+            await new Promise(resolve => setTimeout(resolve, HANDOVER_CHECK_INTERVAL_MS));
+        }
+        this.#isStopped = true;
+        this.#timers.forEach(timer => clearInterval(timer));
+        await Promise.all([
+            this.#internalListener.close(LISTENER_GRACE_MS),
+            this.#replicaListener.close(LISTENER_GRACE_MS),
+        ]);
+        await this.#runner.stop();
+        this.#sender.close();
+        this.#clients.close();
+        this.#caller.close();
+    }
+
+    #createNode(): WorkflowNode {
+        const runner = (): ReplicaRunner => this.#runner;
+        return new WorkflowNode({
+            settings: this.#settings.leader,
+            log: {
+                get term() {
+                    return runner().replica.term;
+                },
+                get isLeader() {
+                    return runner().replica.role === ReplicaRole.Leader;
+                },
+                propose: (record, nowMs) => runner().propose([record], nowMs),
+                hasQuorumLease: nowMs => runner().hasQuorumLease(nowMs),
+            },
+        });
+    }
+
+    #createRunner(opened: OpenedStore): ReplicaRunner {
+        return new ReplicaRunner({
+            opened,
+            random: new SeededRandom(seedOf(opened.identity.diskId)),
+            snapshotEntries: SNAPSHOT_RECORDS,
+            hooks: {
+                send: (to, message) => {
+                    if (!this.#answers.take(message)) {
+                        this.#sender.send(to.address, message);
+                    }
+                },
+                onCommit: entries => this.#committed(entries),
+                onRestoreSnapshot: (header, bytes) => this.#node.restore(bytes),
+                onRoleChange: change => this.#roleChanged(change),
+                takeSnapshot: () => this.#node.snapshot(),
+                onFailed: this.#fail,
+            },
+        }, presentTimeMs());
+    }
+
+    #startTimers(): void {
+        this.#timers.push(
+            setInterval(() => this.#tick(), TICK_INTERVAL_MS),
+            setInterval(() => this.#keepMembership(), KEEP_INTERVAL_MS),
+            setInterval(() => void this.#joinIfAlone(), JOIN_INTERVAL_MS),
+        );
+    }
+
+    #startBootstrap(opened: OpenedStore): void {
+        const { host, replicaPort, isFirstStart, seedHosts } = this.#settings;
+        if (!isFirstStart || !seedHosts.includes(host)) {
+            return;
+        }
+        const peers = seedHosts.map(seed => ({
+            name: `${seed}:${replicaPort}`,
+            address: { host: seed, port: replicaPort },
+        }));
+        void bootstrap({
+            identity: opened.identity,
+            peers,
+            clients: this.#clients,
+            runner: this.#runner,
+            logger: this.#logger,
+            isStopped: () => this.#isStopped,
+        });
+    }
+
+    #tick(): void {
+        const nowMs = presentTimeMs();
+        this.#runner.tick(nowMs);
+        if (this.#runner.replica.leader !== undefined) {
+            this.#leaderSeenAtMs = nowMs;
+        }
+        this.#node.run(presentTimes());
+    }
+
+    #keepMembership(): void {
+        if (this.#node.session !== undefined) {
+            this.#keeper.run(presentTimeMs());
+        }
+    }
+
+    async #joinIfAlone(): Promise<void> {
+        const { replica } = this.#runner;
+        const isAlone = replica.leader === undefined && presentTimeMs() - this.#leaderSeenAtMs >= JOIN_AFTER_MS;
+        if (!isAlone || this.#isStopped) {
+            return;
+        }
+        const { name, diskId, address } = replica.identity;
+        const request: JoinRequest = { name, diskId, address };
+        const members = replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
+        const hosts = new Set([...members, ...this.#seedHosts].filter(host => host !== "" && host !== this.#settings.host));
+        await Promise.all([...hosts].map(host => this.#askToJoin(host, request)));
+    }
+
+    async #askToJoin(host: string, body: JoinRequest): Promise<void> {
+        const { internalPort } = this.#settings;
+        try {
+            await this.#caller.call({ host, port: internalPort, path: JOIN_PATH, body, timeoutMs: JOIN_TIMEOUT_MS });
+        }
+        catch (error) {
+            this.#logger.debug({ host, reason: messageOf(error) }, "request to join failed");
+        }
+    }
+
+    #call<Value>(
+        start: (respond: Respond<Value>, times: Times) => void,
+    ): Promise<CallResult<Value>> {
+        return new Promise(resolve => {
+            start(resolve, presentTimes());
+            this.#scheduleRun();
+        });
+    }
+
+    /** Decides once for all events of one turn of the event loop. */
+    #scheduleRun(): void {
+        if (this.#isRunScheduled) {
+            return;
+        }
+        this.#isRunScheduled = true;
+        setImmediate(() => {
+            this.#isRunScheduled = false;
+            this.#node.run(presentTimes());
+        });
+    }
+
+    #committed(entries: LogEntry[]): void {
+        const records = entries.map(entry => ({
+            index: entry.index,
+            term: entry.term,
+            data: entry.body.case === "data" ? entry.body.value : undefined,
+        }));
+        this.#node.committed(records, presentTimes());
+        this.#scheduleRun();
+    }
+
+    #roleChanged(change: RoleChangedEffect): void {
+        if (change.role !== ReplicaRole.Leader) {
+            this.#node.leadershipLost();
+        }
+        const leader = change.leader?.name ?? "";
+        this.#logger.info({ replicaRole: change.role, term: change.term, leader }, "replica role changed");
+    }
+
+    #routes(router: ConnectRouter): void {
+        router.service(ReplicaService, {
+            send: envelope => create(ReplicaAckSchema, { messages: this.#receive(envelope.messages) }),
+            describe: () => this.#describe(),
+        });
+    }
+
+    #receive(messages: readonly ReplicaMessage[]): ReplicaMessage[] {
+        messages.forEach(message => this.#runner.receive(message, presentTimeMs()));
+        if (!messages.every(isHeartbeat)) {
+            return [];
+        }
+        this.#answers.begin(messages[0]?.fromDiskId ?? "");
+        this.#runner.flush();
+        return this.#answers.end();
+    }
+
+    #describe(): DescribeResponse {
+        const { replica } = this.#runner;
+        return create(DescribeResponseSchema, {
+            identity: replica.identity,
+            formed: replica.isFormed,
+            term: replica.term,
+            lastIndex: replica.lastIndex,
+            leaderAddress: replica.leader?.address ?? "",
+            membership: replica.membership,
+        });
+    }
+
+    #internalHandlers(): ReadonlyMap<string, InternalHandler> {
+        const forwarded = <Operation extends ForwardedOperation>(
+            operation: Operation,
+            start: (request: ForwardedRequests[Operation], respond: Respond<never>, times: Times) => void,
+        ): [string, InternalHandler] => [forwardedPath(operation), async (request: ForwardedRequests[Operation]) => {
+            const result = await this.#call<never>((respond, times) => start(request, respond, times));
+            return { result, leaderHost: this.leaderHost } satisfies ForwardedResponse<Operation>;
+        }];
+        return new Map<string, InternalHandler>([
+            forwarded(ForwardedOperation.Submit, (request, respond, times) =>
+                this.#node.submit(request.address, request.job, respond as Respond<void>, times)),
+            forwarded(ForwardedOperation.Cancel, (request, respond, times) =>
+                this.#node.cancel(request.jobId, respond as Respond<void>, times)),
+            forwarded(ForwardedOperation.JobState, (request, respond, times) =>
+                this.#node.jobState(request.jobId, respond as Respond<unknown>, times)),
+            forwarded(ForwardedOperation.PendingJobs, (request, respond, times) =>
+                this.#node.pendingJobs(request.address, respond as Respond<unknown>, times)),
+            [CLUSTER_PATH, () => this.#describeCluster()],
+            [JOIN_PATH, (request: JoinRequest) => this.#join(request)],
+        ]);
+    }
+
+    #describeCluster(): ClusterDescription {
+        const { members } = this.#runner.replica.membership;
+        return {
+            leaderHost: this.leaderHost,
+            memberHosts: members.map(member => hostOf(member.identity?.address ?? "")),
+            isServing: this.#node.session !== undefined && this.#runner.hasQuorumLease(presentTimeMs()),
+        };
+    }
+
+    #join(request: JoinRequest): { isMember: boolean } {
+        const isLeading = this.#node.session !== undefined;
+        return { isMember: isLeading && this.#keeper.join(request, presentTimeMs()) };
+    }
+}
+
+const hostOf = (address: string): string => address.slice(0, Math.max(0, address.lastIndexOf(":")));
+
+const isHeartbeat = ({ body }: ReplicaMessage): boolean =>
+    body.case === "appendRequest" && body.value.entries.length === 0;
+
+/** Returns a seed for a replica's random election timeouts. */
+const seedOf = (diskId: string): number => createHash("sha256").update(diskId).digest().readInt32LE(0);
--- /dev/null
+++ b/packages/daemon/src/workflow/operations.ts
@@ -0,0 +1,75 @@
+import type {
+    CallResult,
+    Configuration,
+    HeartbeatOrders,
+    HeartbeatReport,
+    JobSpecification,
+    JobState,
+    QueueAddress,
+} from "@waxwingspread/workflow";
+
+/** Operations that an entry forwards to the leader. */
+export enum ForwardedOperation {
+    Submit = "submit",
+    Cancel = "cancel",
+    JobState = "job-state",
+    PendingJobs = "pending-jobs",
+}
+
+/** Requests of the forwarded operations. */
+export interface ForwardedRequests {
+    [ForwardedOperation.Submit]: { address: QueueAddress; job: JobSpecification };
+    [ForwardedOperation.Cancel]: { jobId: string };
+    [ForwardedOperation.JobState]: { jobId: string };
+    [ForwardedOperation.PendingJobs]: { address: QueueAddress };
+}
+
+/** Values that the forwarded operations return. */
+export interface ForwardedValues {
+    [ForwardedOperation.Submit]: undefined;
+    [ForwardedOperation.Cancel]: undefined;
+    [ForwardedOperation.JobState]: JobState;
+    [ForwardedOperation.PendingJobs]: number;
+}
+
+/** Response to a forwarded call. */
+export interface ForwardedResponse<Operation extends ForwardedOperation> {
+    result: CallResult<ForwardedValues[Operation]>;
+    /** Host of the leader as the answering replica knows it. */
+    leaderHost: string | undefined;
+}
+
+/** What a control replica tells about the cluster. */
+export interface ClusterDescription {
+    leaderHost: string | undefined;
+    /** Hosts of all replicas in the membership. */
+    memberHosts: string[];
+    /** Whether the answering replica leads and serves. */
+    isServing: boolean;
+}
+
+/** Request of a replica to become a member. */
+export interface JoinRequest {
+    name: string;
+    diskId: string;
+    address: string;
+}
+
+/** Operations of a control replica for backend servers and operators. */
+export interface ControlOperations {
+    readonly leaderHost: string | undefined;
+    heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>>;
+    leave(serverId: string): Promise<CallResult<void>>;
+    configure(configuration: Configuration): Promise<CallResult<void>>;
+    readConfiguration(): Promise<CallResult<string | undefined>>;
+    setZone(availabilityZone: string, isOut: boolean): Promise<CallResult<void>>;
+}
+
+/** Path of a forwarded operation on the internal listener. */
+export const forwardedPath = (operation: ForwardedOperation): string => `/workflow/${operation}`;
+
+/** Path of the description of the cluster on the internal listener. */
+export const CLUSTER_PATH = "/cluster";
+
+/** Path of requests to join on the internal listener. */
+export const JOIN_PATH = "/cluster/join";
--- /dev/null
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -0,0 +1,375 @@
+import { RunEnd } from "../model/heartbeat.js";
+import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
+import { parseTaskKey, taskKindOf } from "../model/specification.js";
+import { EventKind } from "../state/events.js";
+import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
+import { TaskPhase } from "../state/job-record.js";
+import type { JobRecord } from "../state/job-record.js";
+import type { WorkflowState } from "../state/workflow-state.js";
+import { Evacuation } from "./evacuation.js";
+import { FillerPacing } from "./filler-pacing.js";
+import { HeartbeatIntake } from "./heartbeat-intake.js";
+import { ImagePressure } from "./image-pressure.js";
+import { OrderWriter } from "./order-writer.js";
+import { Planner } from "./planner.js";
+import { ServerDirectory } from "./server-directory.js";
+import { newRunView } from "./server-view.js";
+import type { RunView, ServerView } from "./server-view.js";
+import type { LeaderSettings } from "./settings.js";
+import { WorkQueue } from "./work-queue.js";
+
+/** Longest time that an answer to a heartbeat waits for the log. */
+const MAX_ANSWER_DELAY_MS = 300;
+const FORGET_INTERVAL_MS = 5_000;
+/** Backend servers need this long to find a new leader; until then most of the room isn't known. */
+const SETTLING_MS = 400;
+/** Failures in a row on one server, of whatever job, after which it gets no starts for a while. */
+const FAILURES_TO_AVOID = 2;
+const FIRST_AVOID_MS = 1_000;
+const MAX_AVOID_MS = 8_000;
+
+/** What a leader's session needs. */
+export interface SessionParts {
+    state: WorkflowState;
+    term: number;
+    settings: LeaderSettings;
+    /** Adds an event to the next log record. */
+    propose: (event: WorkflowEvent) => void;
+}
+
+interface WaitingAnswer {
+    report: HeartbeatReport;
+    respond: (orders: HeartbeatOrders | undefined) => void;
+    sinceMs: number;
+}
+
+/** Present times: of the steady clock and of day. */
+export interface Times {
+    nowMs: number;
+    timeOfDayMs: number;
+}
+
+/**
+ * One replica's leadership during one term: what it knows of backend servers, and its decisions. All of it is
+ * derived from the replicated state and from heartbeats, and is discarded with the leadership.
+ */
+export class LeaderSession {
+    readonly #parts: SessionParts;
+    readonly #directory: ServerDirectory;
+    readonly #queue = new WorkQueue();
+    readonly #pressure = new ImagePressure();
+    readonly #pacing = new FillerPacing(this.#pressure);
+    readonly #planner: Planner;
+    readonly #intake: HeartbeatIntake;
+    readonly #orders: OrderWriter;
+    readonly #evacuation: Evacuation;
+    readonly #answers = new Map<string, WaitingAnswer>();
+    readonly #failures = new Map<string, number>();
+    readonly #startedJobs = new Set<string>();
+    #isPlanDue = true;
+    #forgetAtMs: number;
+    readonly #settledAtMs: number;
+
+    constructor(parts: SessionParts, times: Times) {
+        const { state, settings } = parts;
+        this.#parts = parts;
+        this.#forgetAtMs = times.nowMs + FORGET_INTERVAL_MS;
+        this.#settledAtMs = times.nowMs + SETTLING_MS;
+        this.#directory = new ServerDirectory(settings);
+        this.#planner = new Planner({
+            state,
+            queue: this.#queue,
+            directory: this.#directory,
+            pressure: this.#pressure,
+        });
+        this.#intake = new HeartbeatIntake(state);
+        this.#orders = new OrderWriter(state, parts.term, settings);
+        this.#evacuation = new Evacuation(this.#directory);
+        for (const job of state.jobs.values()) {
+            this.#adopt(job, times);
+        }
+    }
+
+    /** Whether a task of the job has begun. */
+    hasStarted(job: JobRecord): boolean {
+        return job.hasStarted || this.#startedJobs.has(job.id);
+    }
+
+    /** Known backend servers, for metrics. */
+    get servers(): Iterable<ServerView> {
+        return this.#directory.servers;
+    }
+
+    /** Takes in a heartbeat; the answer follows once what it depends on is recorded. */
+    heartbeat(
+        report: HeartbeatReport,
+        respond: (orders: HeartbeatOrders | undefined) => void,
+        { nowMs, timeOfDayMs }: Times,
+    ): void {
+        const heard = this.#directory.hear(report, nowMs);
+        if (heard === undefined) {
+            respond(undefined);
+            return;
+        }
+        const { server } = heard;
+        this.#loseRuns(heard.lostRuns);
+        const intake = this.#intake.take(server, report, nowMs);
+        if (intake.newEnds.length > 0) {
+            this.#parts.propose({
+                kind: EventKind.RunsEnded,
+                server: { serverId: server.id, incarnation: server.incarnation },
+                throughSequence: server.proposedEnd,
+                ends: intake.newEnds,
+                atMs: timeOfDayMs,
+            });
+            this.#countFailures(server, intake.newEnds.map(end => end.end), nowMs);
+        }
+        intake.startedJobs.forEach(id => this.#startedJobs.add(id));
+        this.#loseRuns(intake.missingRuns);
+        this.#pressure.observe(server);
+        this.#pacing.adjust(server, nowMs);
+        this.#answers.get(server.id)?.respond(undefined);
+        this.#answers.set(server.id, { report, respond, sinceMs: nowMs });
+        this.#isPlanDue = true;
+    }
+
+    /** Takes note that a backend server exits. */
+    leave(serverId: string, nowMs: number): void {
+        this.#directory.leave(serverId, nowMs);
+    }
+
+    /** Takes note of events that were just applied to the state. */
+    applied(events: readonly WorkflowEvent[], times: Times): void {
+        for (const event of events) {
+            this.#follow(event, times);
+        }
+        this.#isPlanDue = true;
+    }
+
+    /** Lets time pass, decides, and answers the heartbeats that wait for nothing any more. */
+    run(times: Times): void {
+        const { nowMs } = times;
+        for (const server of this.#directory.takeExpired(nowMs)) {
+            this.#dropAnswer(server.id);
+            this.#pacing.forget(server.id);
+            this.#loseRuns([...server.runs.values()]);
+        }
+        this.#evacuation.run(nowMs);
+        if (this.#isPlanDue && nowMs >= this.#settledAtMs) {
+            this.#isPlanDue = false;
+            const runs = this.#planner.plan(nowMs);
+            if (runs.length > 0) {
+                this.#parts.propose({ kind: EventKind.RunsAssigned, runs });
+            }
+        }
+        this.#answerHeartbeats(nowMs);
+        if (nowMs >= this.#forgetAtMs) {
+            this.#forgetAtMs = nowMs + FORGET_INTERVAL_MS;
+            this.#forgetJobs(times.timeOfDayMs);
+        }
+    }
+
+    /** Looks for occurrences that have become due. */
+    checkSchedules({ timeOfDayMs }: Times): void {
+        for (const job of this.#parts.state.jobs.values()) {
+            if (job.specification.schedule !== undefined && !job.isOver) {
+                this.#queue.refresh(job, timeOfDayMs);
+                this.#isPlanDue = true;
+            }
+        }
+    }
+
+    /** Ends the session; open heartbeats get no orders. */
+    close(): void {
+        for (const answer of this.#answers.values()) {
+            answer.respond(undefined);
+        }
+        this.#answers.clear();
+    }
+
+    /** Takes over the runs that a former leader has recorded. */
+    #adopt(job: JobRecord, { nowMs, timeOfDayMs }: Times): void {
+        job.occurrences.forEach((steps, occurrence) =>
+            steps.forEach((record, stepIndex) =>
+                record.tasks.forEach((task, index) => {
+                    const step = job.specification.steps[stepIndex];
+                    if (task.phase !== TaskPhase.Assigned || task.server === undefined || step === undefined) {
+                        return;
+                    }
+                    const { serverId, incarnation } = task.server;
+                    const position = { jobId: job.id, occurrence, step: stepIndex, index };
+                    const key = `${job.id}.${occurrence}.${stepIndex}.${index}`;
+                    const view = newRunView(
+                        { task: key, run: task.run, position, step, kind: taskKindOf(step) },
+                        task.checkpoint,
+                        nowMs,
+                    );
+                    view.isCommitted = true;
+                    view.isStopping = job.isOver;
+                    // The former leader may have sent the order; only the next heartbeat tells.
+                    view.orderedAtSequence = 0;
+                    this.#directory.expect(serverId, incarnation, nowMs).addRun(view);
+                })
+            )
+        );
+        this.#queue.refresh(job, timeOfDayMs);
+    }
+
+    #follow(event: WorkflowEvent, times: Times): void {
+        switch (event.kind) {
+            case EventKind.JobAccepted:
+                this.#refresh(event.job.id, times);
+                return;
+            case EventKind.JobCancelled:
+                this.#stopJob(event.jobId);
+                this.#refresh(event.jobId, times);
+                return;
+            case EventKind.RunsAssigned:
+                this.#followAssigned(event, times);
+                return;
+            case EventKind.RunsEnded:
+                this.#followEnded(event, times);
+                return;
+            case EventKind.RunsLost:
+                event.runs.forEach(run => this.#followTask(run.task, times));
+                return;
+            default:
+                return;
+        }
+    }
+
+    #followAssigned(event: EventOf<EventKind.RunsAssigned>, times: Times): void {
+        for (const assigned of event.runs) {
+            this.#planner.settled(assigned.task);
+            const view = this.#directory.find(assigned.serverId, assigned.incarnation)?.runs.get(assigned.task);
+            if (view?.run === assigned.run) {
+                view.isCommitted = true;
+                view.isStopping ||= this.#jobOf(assigned.task)?.isOver ?? true;
+            }
+            else {
+                // The server has left since; no order was sent.
+                this.#parts.propose({
+                    kind: EventKind.RunsLost,
+                    runs: [{ task: assigned.task, run: assigned.run, checkpoint: "" }],
+                });
+            }
+            this.#followTask(assigned.task, times);
+        }
+    }
+
+    #followEnded(event: EventOf<EventKind.RunsEnded>, times: Times): void {
+        const server = this.#directory.find(event.server.serverId, event.server.incarnation);
+        for (const ended of event.ends) {
+            if (server?.runs.get(ended.task)?.run === ended.run) {
+                server.removeRun(ended.task);
+            }
+            this.#followTask(ended.task, times);
+            const job = this.#jobOf(ended.task);
+            if (job?.isOver === true) {
+                this.#stopJob(job.id);
+            }
+        }
+    }
+
+    #followTask(task: string, times: Times): void {
+        const jobId = parseTaskKey(task)?.jobId;
+        if (jobId !== undefined) {
+            this.#refresh(jobId, times);
+        }
+    }
+
+    #refresh(jobId: string, { timeOfDayMs }: Times): void {
+        const job = this.#parts.state.job(jobId);
+        if (job !== undefined) {
+            this.#queue.refresh(job, timeOfDayMs);
+        }
+    }
+
+    #jobOf(task: string): JobRecord | undefined {
+        return this.#parts.state.job(parseTaskKey(task)?.jobId ?? "");
+    }
+
+    #stopJob(jobId: string): void {
+        const job = this.#parts.state.job(jobId);
+        job?.occurrences.forEach((steps, occurrence) =>
+            steps.forEach((record, step) =>
+                record.tasks.forEach((task, index) => {
+                    const view = task.phase === TaskPhase.Assigned && task.server !== undefined
+                        ? this.#directory.find(task.server.serverId, task.server.incarnation)
+                            ?.runs.get(`${jobId}.${occurrence}.${step}.${index}`)
+                        : undefined;
+                    if (view !== undefined) {
+                        view.isStopping = true;
+                    }
+                })
+            )
+        );
+    }
+
+    /** Records runs that have certainly ended, or never began; their room is free at once. */
+    #loseRuns(runs: readonly RunView[]): void {
+        const lost: LostRun[] = runs
+            .filter(run => run.isCommitted)
+            .map(run => ({ task: run.task, run: run.run, checkpoint: run.checkpoint }));
+        if (lost.length > 0) {
+            this.#parts.propose({ kind: EventKind.RunsLost, runs: lost });
+        }
+    }
+
+    #countFailures(server: ServerView, ends: readonly RunEnd[], nowMs: number): void {
+        for (const end of ends) {
+            if (end === RunEnd.Done) {
+                this.#failures.delete(server.id);
+            }
+            else if (end === RunEnd.Failed) {
+                const count = (this.#failures.get(server.id) ?? 0) + 1;
+                this.#failures.set(server.id, count);
+                if (count >= FAILURES_TO_AVOID) {
+                    const avoidMs = Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** (count - FAILURES_TO_AVOID));
+                    server.avoidUntilMs = nowMs + avoidMs;
+                }
+            }
+        }
+    }
+
+    #answerHeartbeats(nowMs: number): void {
+        for (const [serverId, answer] of this.#answers) {
+            const server = this.#directory.get(serverId);
+            if (server === undefined || server.sequence !== answer.report.sequence) {
+                this.#dropAnswer(serverId);
+                continue;
+            }
+            if (nowMs - answer.sinceMs < MAX_ANSWER_DELAY_MS && this.#waitsForLog(server)) {
+                continue;
+            }
+            this.#answers.delete(serverId);
+            const written = this.#orders.write(server, answer.report);
+            this.#loseRuns(written.neverStarted);
+            written.neverStarted.forEach(run => server.removeRun(run.task));
+            answer.respond(written.orders);
+        }
+    }
+
+    #waitsForLog(server: ServerView): boolean {
+        const { id: serverId, incarnation } = server;
+        const isEndWaiting = server.proposedEnd > this.#parts.state.acknowledgedEnd({ serverId, incarnation });
+        return isEndWaiting || [...server.runs.values()].some(run => !run.isCommitted);
+    }
+
+    #dropAnswer(serverId: string): void {
+        this.#answers.get(serverId)?.respond(undefined);
+        this.#answers.delete(serverId);
+    }
+
+    #forgetJobs(timeOfDayMs: number): void {
+        const { state, settings, propose } = this.#parts;
+        const jobIds = [...state.jobs.values()]
+            .filter(job => job.endedAtMs !== undefined && timeOfDayMs - job.endedAtMs > settings.retentionMs)
+            .map(job => job.id);
+        if (jobIds.length > 0) {
+            propose({ kind: EventKind.JobsForgotten, jobIds });
+            jobIds.forEach(id => this.#startedJobs.delete(id));
+        }
+    }
+}
+
--- /dev/null
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -0,0 +1,90 @@
+import type { HeartbeatOrders, HeartbeatReport, PaceOrder, StartOrder, StopOrder } from "../model/heartbeat.js";
+import type { WorkflowState } from "../state/workflow-state.js";
+import type { RunView, ServerView } from "./server-view.js";
+import type { LeaderSettings } from "./settings.js";
+
+/** An answer, and the runs that it gives up because they have not begun and may not any more. */
+export interface WrittenOrders {
+    orders: HeartbeatOrders;
+    neverStarted: RunView[];
+}
+
+/** Writes the answers to heartbeats. */
+export class OrderWriter {
+    readonly #state: WorkflowState;
+    readonly #term: number;
+    readonly #settings: LeaderSettings;
+
+    constructor(state: WorkflowState, term: number, settings: LeaderSettings) {
+        this.#state = state;
+        this.#term = term;
+        this.#settings = settings;
+    }
+
+    write(server: ServerView, report: HeartbeatReport): WrittenOrders {
+        const starts: StartOrder[] = [];
+        const stops = this.#stopsOfStrays(server, report);
+        const paces: PaceOrder[] = [];
+        const neverStarted: RunView[] = [];
+        for (const view of server.runs.values()) {
+            if (!view.isCommitted) {
+                continue;
+            }
+            if (view.isReported) {
+                if (view.isStopping) {
+                    stops.push({ task: view.task, run: view.run });
+                }
+                else if (view.wantedPacePercent !== view.pacePercent) {
+                    view.pacePercent = view.wantedPacePercent;
+                    paces.push({ task: view.task, run: view.run, pacePercent: view.pacePercent });
+                }
+            }
+            else if (view.orderedAtSequence === undefined) {
+                if (this.#mayStart(server, view)) {
+                    view.orderedAtSequence = report.sequence;
+                    starts.push(this.#startOf(view));
+                }
+                else {
+                    neverStarted.push(view);
+                }
+            }
+        }
+        const { id: serverId, incarnation } = server;
+        const { leaseMs, busyHeartbeatMs, idleHeartbeatMs } = this.#settings;
+        const orders: HeartbeatOrders = {
+            leaseMs,
+            acknowledgedEnd: this.#state.acknowledgedEnd({ serverId, incarnation }),
+            term: this.#term,
+            starts,
+            stops,
+            paces,
+            nextHeartbeatMs: server.runs.size > 0 ? busyHeartbeatMs : idleHeartbeatMs,
+        };
+        return { orders, neverStarted };
+    }
+
+    /** Runs that nobody wants any more, for example after their lease was taken for expired. */
+    #stopsOfStrays(server: ServerView, report: HeartbeatReport): StopOrder[] {
+        return report.running
+            .filter(({ task, run }) => server.runs.get(task)?.run !== run)
+            .map(({ task, run }) => ({ task, run }));
+    }
+
+    #mayStart(server: ServerView, view: RunView): boolean {
+        const job = this.#state.job(view.position.jobId);
+        return !view.isStopping
+            && job?.isOver === false
+            && !server.isDraining
+            && !this.#state.zonesOutOfService.has(server.availabilityZone);
+    }
+
+    #startOf(view: RunView): StartOrder {
+        const job = this.#state.job(view.position.jobId);
+        return {
+            task: view.task,
+            run: view.run,
+            payload: job?.specification.payload ?? "",
+            checkpoint: job?.task(view.position)?.checkpoint ?? "",
+        };
+    }
+}
--- /dev/null
+++ b/packages/workflow/src/leader/planner.ts
@@ -0,0 +1,119 @@
+import type { AssignedRun } from "../state/events.js";
+import { TaskPhase } from "../state/job-record.js";
+import type { WorkflowState } from "../state/workflow-state.js";
+import type { ImagePressure } from "./image-pressure.js";
+import { chooseServer } from "./placement.js";
+import type { ServerDirectory } from "./server-directory.js";
+import { newRunView } from "./server-view.js";
+import type { ServerView } from "./server-view.js";
+import { taskKeyIn } from "./work-queue.js";
+import type { WaitingStep, WorkQueue } from "./work-queue.js";
+
+interface PlannedRun {
+    server: ServerView;
+    assigned: AssignedRun;
+}
+
+/** Gives waiting tasks to backend servers. */
+export class Planner {
+    readonly #state: WorkflowState;
+    readonly #queue: WorkQueue;
+    readonly #directory: ServerDirectory;
+    readonly #pressure: ImagePressure;
+    /** Tasks whose assignment is not recorded yet. */
+    readonly #claimed = new Set<string>();
+
+    constructor(parts: {
+        state: WorkflowState;
+        queue: WorkQueue;
+        directory: ServerDirectory;
+        pressure: ImagePressure;
+    }) {
+        this.#state = parts.state;
+        this.#queue = parts.queue;
+        this.#directory = parts.directory;
+        this.#pressure = parts.pressure;
+    }
+
+    /** Returns the assignments that the present room allows; the room is taken at once. */
+    plan(nowMs: number): AssignedRun[] {
+        return this.#queue.steps.flatMap(waiting => this.#planStep(waiting, nowMs));
+    }
+
+    /** Takes note that an assignment is recorded. */
+    settled(task: string): void {
+        this.#claimed.delete(task);
+    }
+
+    #planStep(waiting: WaitingStep, nowMs: number): AssignedRun[] {
+        if (waiting.job.isOver) {
+            return [];
+        }
+        const planned: PlannedRun[] = [];
+        const { tasks } = waiting.record;
+        // Members of a gang share one run number, above every earlier one.
+        const gangRun = waiting.step.isGang ? Math.max(...tasks.map(task => task.run)) + 1 : undefined;
+        let isComplete = true;
+        for (let index = 0; index < tasks.length; index += 1) {
+            const key = taskKeyIn(waiting, index);
+            const task = tasks[index];
+            if (task?.phase !== TaskPhase.Waiting || this.#claimed.has(key)) {
+                isComplete &&= gangRun === undefined;
+                continue;
+            }
+            const run = this.#planTask(waiting, index, gangRun ?? task.run + 1, nowMs);
+            if (run === undefined) {
+                isComplete = false;
+                break;
+            }
+            planned.push(run);
+        }
+        if (gangRun !== undefined && !isComplete) {
+            planned.forEach(run => this.#undo(run));
+            return [];
+        }
+        return planned.map(run => run.assigned);
+    }
+
+    #planTask(waiting: WaitingStep, index: number, run: number, nowMs: number): PlannedRun | undefined {
+        const { job, occurrence, stepIndex, step, kind } = waiting;
+        const limits = {
+            service: this.#serviceOf(waiting),
+            zonesOutOfService: this.#state.zonesOutOfService,
+            rackOfStep: step.prefersOneRack ? this.#rackOfStep(waiting) : "",
+        };
+        const server = chooseServer(waiting, this.#directory.servers, limits, this.#pressure, nowMs);
+        if (server === undefined) {
+            return undefined;
+        }
+        const task = taskKeyIn(waiting, index);
+        const position = { jobId: job.id, occurrence, step: stepIndex, index };
+        const checkpoint = waiting.record.tasks[index]?.checkpoint ?? "";
+        server.addRun(newRunView({ task, run, position, step, kind }, checkpoint, nowMs));
+        this.#claimed.add(task);
+        return { server, assigned: { task, run, serverId: server.id, incarnation: server.incarnation } };
+    }
+
+    /** A queue may have been sent to another service since the job was accepted. */
+    #serviceOf({ job }: WaitingStep): string {
+        const queue = this.#state.configuration?.queues.find(item => item.name === job.queue.name);
+        return queue?.service ?? job.queue.service;
+    }
+
+    #rackOfStep(waiting: WaitingStep): string {
+        for (let index = 0; index < waiting.record.tasks.length; index += 1) {
+            const key = taskKeyIn(waiting, index);
+            for (const server of this.#directory.servers) {
+                if (server.runs.has(key)) {
+                    return server.rack;
+                }
+            }
+        }
+        return "";
+    }
+
+    #undo({ server, assigned }: PlannedRun): void {
+        server.removeRun(assigned.task);
+        this.#claimed.delete(assigned.task);
+    }
+}
--- /dev/null
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -0,0 +1,94 @@
+import type { HeartbeatReport } from "../model/heartbeat.js";
+import { ServerView } from "./server-view.js";
+import type { RunView } from "./server-view.js";
+import type { LeaderSettings } from "./settings.js";
+
+/** Rate of the slowest clock of a backend server. */
+const MIN_CLOCK_RATE = 0.98;
+/** Covers the resolution of timers on both sides. */
+const LEASE_SLACK_MS = 50;
+/** A frozen former leader may have answered a heartbeat sent this long after the election. */
+const FORMER_LEADER_SLACK_MS = 1_000;
+/** Time from a server's notice that it leaves until its tasks have certainly ended. */
+const LEAVE_SLACK_MS = 500;
+
+/** Result of taking in a heartbeat. */
+export interface HeardServer {
+    server: ServerView;
+    /** Runs of the server's former life, which have ended with it. */
+    lostRuns: RunView[];
+}
+
+/** The backend servers that the leader knows, and until when their leases may hold. */
+export class ServerDirectory {
+    readonly #servers = new Map<string, ServerView>();
+    readonly #settings: LeaderSettings;
+
+    constructor(settings: LeaderSettings) {
+        this.#settings = settings;
+    }
+
+    get servers(): Iterable<ServerView> {
+        return this.#servers.values();
+    }
+
+    get(serverId: string): ServerView | undefined {
+        return this.#servers.get(serverId);
+    }
+
+    /** Returns a server by its incarnation. */
+    find(serverId: string, incarnation: number): ServerView | undefined {
+        const server = this.#servers.get(serverId);
+        return server?.incarnation === incarnation ? server : undefined;
+    }
+
+    /** Adds a server that is known from the log only; it may hold leases of the former leader. */
+    expect(serverId: string, incarnation: number, nowMs: number): ServerView {
+        const known = this.find(serverId, incarnation);
+        if (known !== undefined) {
+            return known;
+        }
+        const { maxLeaseMs } = this.#settings;
+        const expiresAtMs = nowMs + maxLeaseMs / MIN_CLOCK_RATE + LEASE_SLACK_MS + FORMER_LEADER_SLACK_MS;
+        const server = new ServerView(serverId, incarnation, nowMs, expiresAtMs);
+        this.#servers.set(serverId, server);
+        return server;
+    }
+
+    /** Takes in a heartbeat; undefined for one of an earlier life or one that a later one has overtaken. */
+    hear(report: HeartbeatReport, nowMs: number): HeardServer | undefined {
+        let server = this.#servers.get(report.serverId);
+        let lostRuns: RunView[] = [];
+        if (server !== undefined && report.incarnation < server.incarnation) {
+            return undefined;
+        }
+        if (server === undefined || report.incarnation > server.incarnation) {
+            lostRuns = [...server?.runs.values() ?? []];
+            server = new ServerView(report.serverId, report.incarnation, nowMs, nowMs);
+            this.#servers.set(report.serverId, server);
+        }
+        if (server.sequence !== undefined && report.sequence <= server.sequence) {
+            return undefined;
+        }
+        server.describe(report, nowMs);
+        const leaseEndMs = nowMs + this.#settings.leaseMs / MIN_CLOCK_RATE + LEASE_SLACK_MS;
+        server.leaseExpiresAtMs = Math.max(server.leaseExpiresAtMs, leaseEndMs);
+        return { server, lostRuns };
+    }
+
+    /** Takes note that a server says that it has ended its work and exits. */
+    leave(serverId: string, nowMs: number): void {
+        const server = this.#servers.get(serverId);
+        if (server !== undefined) {
+            server.isDraining = true;
+            server.leaseExpiresAtMs = Math.min(server.leaseExpiresAtMs, nowMs + LEAVE_SLACK_MS);
+        }
+    }
+
+    /** Removes and returns the servers whose leases have certainly expired. */
+    takeExpired(nowMs: number): ServerView[] {
+        const expired = [...this.#servers.values()].filter(server => server.leaseExpiresAtMs <= nowMs);
+        expired.forEach(server => this.#servers.delete(server.id));
+        return expired;
+    }
+}
--- /dev/null
+++ b/packages/workflow/src/leader/server-view.ts
@@ -0,0 +1,179 @@
+import type { HeartbeatReport } from "../model/heartbeat.js";
+import { TaskKind } from "../model/specification.js";
+import type { Amounts, StepSpecification, TaskPosition } from "../model/specification.js";
+
+/** A run on a backend server as the leader knows it. */
+export interface RunView {
+    readonly task: string;
+    readonly run: number;
+    readonly position: TaskPosition;
+    readonly step: StepSpecification;
+    readonly kind: TaskKind;
+    /** Whether the assignment is recorded, so that the order may leave. */
+    isCommitted: boolean;
+    /** Sequence of the heartbeat whose answer carried the start; undefined before. */
+    orderedAtSequence: number | undefined;
+    /** Whether the server has reported the run. */
+    isReported: boolean;
+    /** First report of the run; undefined before. */
+    firstReportedAtMs: number | undefined;
+    checkpoint: string;
+    progressPercent: number;
+    /** When the reported progress last rose. */
+    progressAtMs: number;
+    measurement: number | undefined;
+    /** Share of full speed that was ordered last. */
+    pacePercent: number;
+    /** Share of full speed that is wanted. */
+    wantedPacePercent: number;
+    /** Whether a stop is wanted. */
+    isStopping: boolean;
+    /** Since when the server has no longer reported the run; undefined while it does. */
+    missingSinceMs: number | undefined;
+}
+
+const ZERO: Amounts = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
+
+/** What the leader knows about one incarnation of a backend server. */
+export class ServerView {
+    readonly id: string;
+    readonly incarnation: number;
+    service = "";
+    availabilityZone = "";
+    rack = "";
+    labels: readonly string[] = [];
+    capacity: Amounts = ZERO;
+    isDraining = false;
+    /** When a draining server may leave. */
+    leavesAtMs = Infinity;
+    /** Sequence of the latest heartbeat; undefined before the first in this term. */
+    sequence: number | undefined;
+    heardAtMs: number;
+    /** When every lease has certainly expired unless another heartbeat is answered. */
+    leaseExpiresAtMs: number;
+    /** Ends up to here are proposed for the log. */
+    proposedEnd = 0;
+    /** No starts before this time, after failures. */
+    avoidUntilMs = -Infinity;
+    readonly #runs = new Map<string, RunView>();
+    #reserved: Amounts = ZERO;
+    #standingCpuMillicores = 0;
+    #fillerCpuMillicores = 0;
+
+    constructor(id: string, incarnation: number, nowMs: number, leaseExpiresAtMs: number) {
+        this.id = id;
+        this.incarnation = incarnation;
+        this.heardAtMs = nowMs;
+        this.leaseExpiresAtMs = leaseExpiresAtMs;
+    }
+
+    get runs(): ReadonlyMap<string, RunView> {
+        return this.#runs;
+    }
+
+    /** Amounts held by all runs; fillers hold no processor time. */
+    get reserved(): Amounts {
+        return this.#reserved;
+    }
+
+    get standingCpuMillicores(): number {
+        return this.#standingCpuMillicores;
+    }
+
+    get fillerCpuMillicores(): number {
+        return this.#fillerCpuMillicores;
+    }
+
+    /** Processor time that no reservation holds. */
+    get unreservedCpuMillicores(): number {
+        return this.capacity.cpuMillicores - this.#reserved.cpuMillicores;
+    }
+
+    /** Whether the server has been heard in this term and takes new work. */
+    get isUsable(): boolean {
+        return this.sequence !== undefined && !this.isDraining;
+    }
+
+    describe(report: HeartbeatReport, nowMs: number): void {
+        this.service = report.service;
+        this.availabilityZone = report.availabilityZone;
+        this.rack = report.rack;
+        this.labels = report.labels;
+        this.capacity = report.capacity;
+        this.isDraining = report.isDraining;
+        this.leavesAtMs = report.isDraining && report.remainingMs !== undefined ? nowMs + report.remainingMs : Infinity;
+        this.sequence = report.sequence;
+        this.heardAtMs = nowMs;
+    }
+
+    /** Whether a task fits beside what is reserved. */
+    fits(step: StepSpecification): boolean {
+        const { capacity } = this;
+        const { amounts } = step;
+        const needsCpu = step.isFiller ? 0 : amounts.cpuMillicores;
+        return this.#reserved.cpuMillicores + needsCpu <= capacity.cpuMillicores
+            && this.#reserved.memoryMebibytes + amounts.memoryMebibytes <= capacity.memoryMebibytes
+            && this.#reserved.accelerators + amounts.accelerators <= capacity.accelerators;
+    }
+
+    addRun(run: RunView): void {
+        this.#runs.set(run.task, run);
+        this.#account(run, 1);
+    }
+
+    removeRun(task: string): RunView | undefined {
+        const run = this.#runs.get(task);
+        if (run !== undefined) {
+            this.#runs.delete(task);
+            this.#account(run, -1);
+        }
+        return run;
+    }
+
+    /** Returns how many tasks of one step of one occurrence are on the server. */
+    countOfStep({ jobId, occurrence, step }: TaskPosition): number {
+        let count = 0;
+        for (const { position } of this.#runs.values()) {
+            const isSame = position.jobId === jobId && position.step === step && position.occurrence === occurrence;
+            count += isSame ? 1 : 0;
+        }
+        return count;
+    }
+
+    #account(run: RunView, sign: 1 | -1): void {
+        const { amounts } = run.step;
+        const isFiller = run.kind === TaskKind.Filler;
+        this.#reserved = {
+            cpuMillicores: this.#reserved.cpuMillicores + (isFiller ? 0 : sign * amounts.cpuMillicores),
+            memoryMebibytes: this.#reserved.memoryMebibytes + sign * amounts.memoryMebibytes,
+            accelerators: this.#reserved.accelerators + sign * amounts.accelerators,
+        };
+        if (run.kind === TaskKind.Standing) {
+            this.#standingCpuMillicores += sign * amounts.cpuMillicores;
+        }
+        if (isFiller) {
+            this.#fillerCpuMillicores += sign * amounts.cpuMillicores;
+        }
+    }
+}
+
+/** Creates the view of a run that is about to be recorded. */
+export const newRunView = (
+    assigned: { task: string; run: number; position: TaskPosition; step: StepSpecification; kind: TaskKind },
+    checkpoint: string,
+    nowMs: number,
+): RunView => ({
+    ...assigned,
+    isCommitted: false,
+    orderedAtSequence: undefined,
+    isReported: false,
+    firstReportedAtMs: undefined,
+    checkpoint,
+    progressPercent: 0,
+    progressAtMs: nowMs,
+    measurement: undefined,
+    pacePercent: 100,
+    wantedPacePercent: 100,
+    isStopping: false,
+    missingSinceMs: undefined,
+});
--- /dev/null
+++ b/packages/workflow/src/state/events.ts
@@ -0,0 +1,73 @@
+import type { Configuration, QueueContract } from "../model/configuration.js";
+import type { RunEnd } from "../model/heartbeat.js";
+import type { JobSpecification } from "../model/specification.js";
+
+/** Kinds of replicated changes. */
+export enum EventKind {
+    ConfigurationAccepted = "configuration-accepted",
+    ZoneTakenOut = "zone-taken-out",
+    ZoneReturned = "zone-returned",
+    JobAccepted = "job-accepted",
+    JobCancelled = "job-cancelled",
+    RunsAssigned = "runs-assigned",
+    RunsEnded = "runs-ended",
+    RunsLost = "runs-lost",
+    JobsForgotten = "jobs-forgotten",
+}
+
+/** One incarnation of a backend server. */
+export interface ServerIncarnation {
+    serverId: string;
+    incarnation: number;
+}
+
+/** A run given to a backend server. It is recorded before the order leaves. */
+export interface AssignedRun extends ServerIncarnation {
+    task: string;
+    run: number;
+}
+
+/** The end of a run as recorded. */
+export interface RecordedEnd {
+    task: string;
+    run: number;
+    end: RunEnd;
+    checkpoint: string;
+}
+
+/** A run whose backend server has certainly ended it, or never began it. */
+export interface LostRun {
+    task: string;
+    run: number;
+    /** Latest checkpoint that the leader has seen; empty for none. */
+    checkpoint: string;
+}
+
+/** A replicated change. Applying one that doesn't fit the state any more has no effect. */
+export type WorkflowEvent =
+    | { kind: EventKind.ConfigurationAccepted; configuration: Configuration }
+    | { kind: EventKind.ZoneTakenOut; availabilityZone: string }
+    | { kind: EventKind.ZoneReturned; availabilityZone: string }
+    | { kind: EventKind.JobAccepted; job: JobSpecification; queue: QueueContract; acceptedAtMs: number }
+    | { kind: EventKind.JobCancelled; jobId: string; atMs: number }
+    | { kind: EventKind.RunsAssigned; runs: AssignedRun[] }
+    | {
+        kind: EventKind.RunsEnded;
+        server: ServerIncarnation;
+        /** Last sequence number among the server's ends that this event covers. */
+        throughSequence: number;
+        ends: RecordedEnd[];
+        atMs: number;
+    }
+    | { kind: EventKind.RunsLost; runs: LostRun[] }
+    | { kind: EventKind.JobsForgotten; jobIds: string[] };
+
+/** Event of one kind. */
+export type EventOf<Kind extends EventKind> = Extract<WorkflowEvent, { kind: Kind }>;
+
+/** Encodes one log record. */
+export const encodeEvents = (events: readonly WorkflowEvent[]): Uint8Array => Buffer.from(JSON.stringify(events));
+
+/** Decodes a log record that `encodeEvents` has made. */
+export const decodeEvents = (record: Uint8Array): WorkflowEvent[] =>
+    JSON.parse(Buffer.from(record.buffer, record.byteOffset, record.byteLength).toString()) as WorkflowEvent[];
--- /dev/null
+++ b/packages/workflow/src/state/job-record.ts
@@ -0,0 +1,262 @@
+import { JobState } from "../model/calls.js";
+import type { QueueContract } from "../model/configuration.js";
+import { RunEnd } from "../model/heartbeat.js";
+import type { JobSpecification, StepSpecification, TaskPosition } from "../model/specification.js";
+import type { AssignedRun, LostRun, RecordedEnd, ServerIncarnation } from "./events.js";
+
+/** Phases of a task. */
+export enum TaskPhase {
+    /** Needs a run. */
+    Waiting = "waiting",
+    /** A run is recorded for a backend server. */
+    Assigned = "assigned",
+    Done = "done",
+}
+
+/** Replicated record of one task. */
+export interface TaskRecord {
+    phase: TaskPhase;
+    /** Number of the latest run; 0 before the first. */
+    run: number;
+    /** Runs that ended by a failure. */
+    failures: number;
+    checkpoint: string;
+    /** Where the latest run was assigned. */
+    server: ServerIncarnation | undefined;
+}
+
+/** Replicated record of one step of one occurrence. */
+export interface StepRecord {
+    tasks: TaskRecord[];
+    doneCount: number;
+}
+
+/** Serializable content of a job's record. */
+export interface JobContent {
+    specification: JobSpecification;
+    queue: QueueContract;
+    acceptedAtMs: number;
+    isCancelled: boolean;
+    hasFailed: boolean;
+    hasStarted: boolean;
+    /** When the job ended; undefined while it runs. */
+    endedAtMs: number | undefined;
+    occurrences: StepRecord[][];
+}
+
+const newTask = (): TaskRecord => ({
+    phase: TaskPhase.Waiting,
+    run: 0,
+    failures: 0,
+    checkpoint: "",
+    server: undefined,
+});
+
+const newStep = (step: StepSpecification): StepRecord => ({
+    tasks: Array.from({ length: step.taskCount }, newTask),
+    doneCount: 0,
+});
+
+/** Replicated record of one job. */
+export class JobRecord {
+    readonly #content: JobContent;
+
+    constructor(content: JobContent) {
+        this.#content = content;
+    }
+
+    /** Creates the record of a job that was just accepted. */
+    static accepted(specification: JobSpecification, queue: QueueContract, acceptedAtMs: number): JobRecord {
+        const occurrences = Array.from(
+            { length: specification.schedule?.occurrences ?? 1 },
+            () => specification.steps.map(newStep),
+        );
+        return new JobRecord({
+            specification,
+            queue,
+            acceptedAtMs,
+            isCancelled: false,
+            hasFailed: false,
+            hasStarted: false,
+            endedAtMs: undefined,
+            occurrences,
+        });
+    }
+
+    get id(): string {
+        return this.#content.specification.id;
+    }
+
+    get specification(): JobSpecification {
+        return this.#content.specification;
+    }
+
+    get queue(): QueueContract {
+        return this.#content.queue;
+    }
+
+    get acceptedAtMs(): number {
+        return this.#content.acceptedAtMs;
+    }
+
+    get endedAtMs(): number | undefined {
+        return this.#content.endedAtMs;
+    }
+
+    /** Whether no further run may start. */
+    get isOver(): boolean {
+        return this.#content.endedAtMs !== undefined;
+    }
+
+    get isCancelled(): boolean {
+        return this.#content.isCancelled;
+    }
+
+    get hasStarted(): boolean {
+        return this.#content.hasStarted;
+    }
+
+    get occurrences(): readonly (readonly StepRecord[])[] {
+        return this.#content.occurrences;
+    }
+
+    get state(): JobState {
+        if (this.#content.isCancelled) {
+            return JobState.Cancelled;
+        }
+        if (this.#content.hasFailed) {
+            return JobState.Failed;
+        }
+        if (this.#content.endedAtMs !== undefined) {
+            return JobState.Completed;
+        }
+        return this.#content.hasStarted ? JobState.Running : JobState.Queued;
+    }
+
+    task(position: TaskPosition): TaskRecord | undefined {
+        return this.#content.occurrences[position.occurrence]?.[position.step]?.tasks[position.index];
+    }
+
+    /** Whether the steps before this one are done. */
+    isStepUnlocked(occurrence: number, step: number): boolean {
+        const steps = this.#content.occurrences[occurrence] ?? [];
+        const { dependsOn } = this.specification.steps[step] ?? { dependsOn: [] };
+        return dependsOn.every(earlier => {
+            const record = steps[earlier];
+            return record !== undefined && record.doneCount === record.tasks.length;
+        });
+    }
+
+    /** Returns the time of day at which an occurrence is due; 0 for a job without a schedule. */
+    dueMs(occurrence: number): number {
+        const { schedule } = this.specification;
+        return schedule === undefined ? 0 : schedule.firstDueMs + occurrence * schedule.intervalMs;
+    }
+
+    cancel(atMs: number): void {
+        if (!this.isOver) {
+            this.#content.isCancelled = true;
+            this.#content.endedAtMs = atMs;
+        }
+    }
+
+    /** Records a run; an older or a repeated one has no effect. */
+    assign(position: TaskPosition, assigned: AssignedRun): boolean {
+        const task = this.task(position);
+        if (task?.phase !== TaskPhase.Waiting || assigned.run <= task.run || this.isOver) {
+            return false;
+        }
+        task.phase = TaskPhase.Assigned;
+        task.run = assigned.run;
+        task.server = { serverId: assigned.serverId, incarnation: assigned.incarnation };
+        return true;
+    }
+
+    /** Records the end of the latest run; returns whether it was the latest. */
+    end(position: TaskPosition, ended: RecordedEnd, atMs: number): boolean {
+        const task = this.#latestRun(position, ended.run);
+        if (task === undefined) {
+            return false;
+        }
+        task.phase = TaskPhase.Waiting;
+        this.#saveCheckpoint(task, position, ended.checkpoint);
+        if (ended.end !== RunEnd.NotStarted) {
+            this.#content.hasStarted = true;
+        }
+        const step = this.specification.steps[position.step];
+        if (ended.end === RunEnd.Done && step?.isStanding !== true) {
+            this.#markDone(position, step?.isGang === true, atMs);
+        }
+        else if (ended.end === RunEnd.Failed && step?.isStanding !== true) {
+            this.#countFailure(task, atMs);
+        }
+        return true;
+    }
+
+    /** Records that the latest run is gone without a reported end; returns whether it was the latest. */
+    lose(position: TaskPosition, lost: LostRun): boolean {
+        const task = this.#latestRun(position, lost.run);
+        if (task === undefined) {
+            return false;
+        }
+        task.phase = TaskPhase.Waiting;
+        this.#saveCheckpoint(task, position, lost.checkpoint);
+        return true;
+    }
+
+    /** Records that a task of the job is known to run. */
+    markStarted(): void {
+        this.#content.hasStarted = true;
+    }
+
+    toContent(): JobContent {
+        return this.#content;
+    }
+
+    #latestRun(position: TaskPosition, run: number): TaskRecord | undefined {
+        const task = this.task(position);
+        return task?.phase === TaskPhase.Assigned && task.run === run ? task : undefined;
+    }
+
+    /** A gang resumes as a whole, from one member's checkpoint. */
+    #saveCheckpoint(task: TaskRecord, position: TaskPosition, checkpoint: string): void {
+        if (checkpoint === "") {
+            return;
+        }
+        task.checkpoint = checkpoint;
+        if (this.specification.steps[position.step]?.isGang === true) {
+            const tasks = this.#content.occurrences[position.occurrence]?.[position.step]?.tasks ?? [];
+            tasks.forEach(member => {
+                member.checkpoint = checkpoint;
+            });
+        }
+    }
+
+    #markDone(position: TaskPosition, isGang: boolean, atMs: number): void {
+        const step = this.#content.occurrences[position.occurrence]?.[position.step];
+        const task = step?.tasks[position.index];
+        if (step === undefined || task === undefined) {
+            return;
+        }
+        // One end stands for all members of a gang.
+        const done = isGang ? step.tasks.filter(member => member.phase !== TaskPhase.Done) : [task];
+        done.forEach(member => {
+            member.phase = TaskPhase.Done;
+        });
+        step.doneCount += done.length;
+        const isComplete = this.#content.occurrences.every(steps =>
+            steps.every(record => record.doneCount === record.tasks.length)
+        );
+        if (isComplete && !this.isOver) {
+            this.#content.endedAtMs = atMs;
+        }
+    }
+
+    #countFailure(task: TaskRecord, atMs: number): void {
+        task.failures += 1;
+        if (task.failures >= this.queue.maxAttempts && !this.isOver) {
+            this.#content.hasFailed = true;
+            this.#content.endedAtMs = atMs;
+        }
+    }
+}
--- /dev/null
+++ b/packages/workflow/src/state/workflow-state.ts
@@ -0,0 +1,141 @@
+import type { Configuration } from "../model/configuration.js";
+import { parseTaskKey } from "../model/specification.js";
+import type { TaskPosition } from "../model/specification.js";
+import { EventKind } from "./events.js";
+import type { EventOf, ServerIncarnation, WorkflowEvent } from "./events.js";
+import { JobRecord } from "./job-record.js";
+import type { JobContent } from "./job-record.js";
+
+/** Backend servers whose acknowledged ends are remembered; the longest unheard-of one is dropped beyond it. */
+const MAX_ACKNOWLEDGED_SERVERS = 4_096;
+
+interface AcknowledgedEnds {
+    incarnation: number;
+    sequence: number;
+}
+
+/** Serializable content of the state. */
+export interface WorkflowSnapshot {
+    configuration: Configuration | undefined;
+    zonesOutOfService: string[];
+    jobs: JobContent[];
+    acknowledged: [serverId: string, ends: AcknowledgedEnds][];
+}
+
+type Handlers = { [Kind in EventKind]: (event: EventOf<Kind>) => void };
+
+/** Replicated state. It changes only by committed events, alike on all replicas. */
+export class WorkflowState {
+    #configuration: Configuration | undefined;
+    readonly #zonesOutOfService = new Set<string>();
+    readonly #jobs = new Map<string, JobRecord>();
+    readonly #acknowledged = new Map<string, AcknowledgedEnds>();
+
+    readonly #handlers: Handlers = {
+        [EventKind.ConfigurationAccepted]: event => this.#acceptConfiguration(event.configuration),
+        [EventKind.ZoneTakenOut]: event => this.#zonesOutOfService.add(event.availabilityZone),
+        [EventKind.ZoneReturned]: event => this.#zonesOutOfService.delete(event.availabilityZone),
+        [EventKind.JobAccepted]: event => this.#acceptJob(event),
+        [EventKind.JobCancelled]: event => this.#jobs.get(event.jobId)?.cancel(event.atMs),
+        [EventKind.RunsAssigned]: event => this.#assignRuns(event),
+        [EventKind.RunsEnded]: event => this.#endRuns(event),
+        [EventKind.RunsLost]: event => this.#loseRuns(event),
+        [EventKind.JobsForgotten]: event => event.jobIds.forEach(id => this.#jobs.delete(id)),
+    };
+
+    /** Restores a state from a snapshot. */
+    static fromSnapshot(snapshot: WorkflowSnapshot): WorkflowState {
+        const state = new WorkflowState();
+        state.#configuration = snapshot.configuration;
+        snapshot.zonesOutOfService.forEach(zone => state.#zonesOutOfService.add(zone));
+        for (const content of snapshot.jobs) {
+            state.#jobs.set(content.specification.id, new JobRecord(content));
+        }
+        snapshot.acknowledged.forEach(([serverId, ends]) => state.#acknowledged.set(serverId, ends));
+        return state;
+    }
+
+    get configuration(): Configuration | undefined {
+        return this.#configuration;
+    }
+
+    get jobs(): ReadonlyMap<string, JobRecord> {
+        return this.#jobs;
+    }
+
+    get zonesOutOfService(): ReadonlySet<string> {
+        return this.#zonesOutOfService;
+    }
+
+    job(id: string): JobRecord | undefined {
+        return this.#jobs.get(id);
+    }
+
+    /** Returns the last recorded end of an incarnation of a backend server; 0 for none. */
+    acknowledgedEnd(server: ServerIncarnation): number {
+        const ends = this.#acknowledged.get(server.serverId);
+        return ends?.incarnation === server.incarnation ? ends.sequence : 0;
+    }
+
+    apply(event: WorkflowEvent): void {
+        const handle = this.#handlers[event.kind] as (event: WorkflowEvent) => void;
+        handle(event);
+    }
+
+    toSnapshot(): WorkflowSnapshot {
+        return {
+            configuration: this.#configuration,
+            zonesOutOfService: [...this.#zonesOutOfService],
+            jobs: [...this.#jobs.values()].map(job => job.toContent()),
+            acknowledged: [...this.#acknowledged],
+        };
+    }
+
+    #acceptConfiguration(configuration: Configuration): void {
+        if (configuration.version > (this.#configuration?.version ?? -Infinity)) {
+            this.#configuration = configuration;
+        }
+    }
+
+    #acceptJob(event: EventOf<EventKind.JobAccepted>): void {
+        if (!this.#jobs.has(event.job.id)) {
+            this.#jobs.set(event.job.id, JobRecord.accepted(event.job, event.queue, event.acceptedAtMs));
+        }
+    }
+
+    #assignRuns(event: EventOf<EventKind.RunsAssigned>): void {
+        for (const assigned of event.runs) {
+            this.#withTask(assigned.task, (job, position) => job.assign(position, assigned));
+        }
+    }
+
+    #endRuns(event: EventOf<EventKind.RunsEnded>): void {
+        const { serverId, incarnation } = event.server;
+        if (event.throughSequence <= this.acknowledgedEnd(event.server)) {
+            return;
+        }
+        this.#acknowledged.delete(serverId);
+        this.#acknowledged.set(serverId, { incarnation, sequence: event.throughSequence });
+        for (const ended of event.ends) {
+            this.#withTask(ended.task, (job, position) => job.end(position, ended, event.atMs));
+        }
+        if (this.#acknowledged.size > MAX_ACKNOWLEDGED_SERVERS) {
+            const oldest = this.#acknowledged.keys().next().value;
+            this.#acknowledged.delete(oldest ?? "");
+        }
+    }
+
+    #loseRuns(event: EventOf<EventKind.RunsLost>): void {
+        for (const lost of event.runs) {
+            this.#withTask(lost.task, (job, position) => job.lose(position, lost));
+        }
+    }
+
+    #withTask(key: string, change: (job: JobRecord, position: TaskPosition) => void): void {
+        const position = parseTaskKey(key);
+        const job = position === undefined ? undefined : this.#jobs.get(position.jobId);
+        if (position !== undefined && job !== undefined) {
+            change(job, position);
+        }
+    }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -17,7 +17,7 @@
 
 export default defineConfig({
     resolve: {
-        alias: [{ find: /^@waxwingspread\/(.+)$/, replacement: `${packages}/$1/src/index.ts` }],
+        alias: [{ find: "@waxwingspread/daemon/workflow", replacement: `${packages}/daemon/src/workflow/index.ts` }, { find: /^@waxwingspread\/(.+)$/, replacement: `${packages}/$1/src/index.ts` }],
     },
     test: {
         testTimeout: 60_000,
@@ -27,7 +27,7 @@
                 extends: true,
                 test: {
                     name: "unit",
-                    include: ["packages/**/*.test.ts"],
+                    include: ["packages/**/*.test.ts", "platform/**/*.test.ts"],
                     exclude: [...neverTests, "packages/**/*.real.test.ts"],
                     maxWorkers: 6,
                     sequence: { groupOrder: 0 },
