--- a/packages/daemon/src/roles/bootstrap.ts
+++ b/packages/daemon/src/roles/bootstrap.ts
@@ -2,8 +2,8 @@
 import type { ReplicaRunner } from "@waxwingspread/consensus";
 import type { ReplicaIdentity } from "@waxwingspread/protocol";
 import type { Logger } from "pino";
-import { formatEndpoint } from "../settings/index.js";
-import type { BootstrapPeer } from "../settings/index.js";
+import { formatEndpoint } from "../settings/endpoint.js";
+import type { BootstrapPeer } from "../settings/types.js";
 import type { PeerClients } from "../transport/peer-clients.js";
 import { presentTimeMs } from "../transport/present-time.js";
 
