--- a/packages/daemon/src/roles/bootstrap.ts
+++ b/packages/daemon/src/roles/bootstrap.ts
@@ -1,10 +1,9 @@
 import { BootstrapHandshake, BootstrapState } from "@waxwingspread/consensus";
 import type { ReplicaRunner } from "@waxwingspread/consensus";
-import type { ReplicaIdentity } from "@waxwingspread/protocol";
+import type { DescribeResponse, ReplicaIdentity } from "@waxwingspread/protocol";
 import type { Logger } from "pino";
 import { formatEndpoint } from "../settings/endpoint.js";
 import type { BootstrapPeer } from "../settings/types.js";
-import type { PeerClients } from "../transport/peer-clients.js";
 import { presentTimeMs } from "../transport/present-time.js";
 
 const DESCRIBE_TIMEOUT_MS = 500;
@@ -14,7 +13,8 @@
 export interface BootstrapParts {
     identity: ReplicaIdentity;
     peers: readonly BootstrapPeer[];
-    clients: PeerClients;
+    /** Asks the replica at `host:port` what it is. Fails when it doesn't answer in time. */
+    describe: (address: string, timeoutMs: number) => Promise<DescribeResponse>;
     runner: ReplicaRunner;
     logger: Logger;
     isStopped: () => boolean;
@@ -49,9 +49,7 @@
     const askedAtMs = presentTimeMs();
     const questions = handshake.peersToAsk(askedAtMs).map(async peer => {
         try {
-            const client = parts.clients.for(peer.address).replica;
-            const response = await client.describe({ from: parts.identity }, { timeoutMs: DESCRIBE_TIMEOUT_MS });
-            handshake.answered(peer, response, askedAtMs);
+            handshake.answered(peer, await parts.describe(peer.address, DESCRIBE_TIMEOUT_MS), askedAtMs);
         }
         catch {
             handshake.notAnswered(peer);
--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -102,7 +102,8 @@
         void bootstrap({
             identity: opened.identity,
             peers: settings.bootstrapPeers,
-            clients: context.clients,
+            describe: (address, timeoutMs) =>
+                context.clients.for(address).replica.describe({ from: opened.identity }, { timeoutMs }),
             runner: role.#runner,
             logger: context.logger,
             isStopped: () => role.#stopped,
--- /dev/null
+++ b/packages/daemon/src/transport/replica-stream.ts
@@ -0,0 +1,184 @@
+import { create, fromBinary } from "@bufbuild/protobuf";
+import { sizeDelimitedEncode, sizeDelimitedPeek } from "@bufbuild/protobuf/wire";
+import { messageOf, StepError } from "@waxwingspread/common";
+import { ErrorCode, ReplicaEnvelopeSchema } from "@waxwingspread/protocol";
+import type { ReplicaMessage } from "@waxwingspread/protocol";
+import { connect, createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import type { ListenAddress } from "./listen-address.js";
+
+/** A connection on which sent messages stay unacknowledged for this long has gone silent and is replaced. */
+const SILENCE_LIMIT_MS = 700;
+/** Bytes that may wait for a slow peer; further messages are dropped, since replication repeats what is lost. */
+const MAX_WAITING_BYTES = 4 * 1024 * 1024;
+const MAX_ENVELOPE_BYTES = 16 * 1024 * 1024;
+const ACKNOWLEDGEMENT = Buffer.from([1]);
+
+/** Sends replica messages over one connection for each peer. */
+export class ReplicaStreamSender {
+    readonly #peers = new Map<string, PeerStream>();
+
+    /** Queues a message for the peer at `host:port`; without an address it is dropped. */
+    send(address: string, message: ReplicaMessage, nowMs: number): void {
+        if (address === "") {
+            return;
+        }
+        let peer = this.#peers.get(address);
+        if (peer === undefined) {
+            peer = new PeerStream(address);
+            this.#peers.set(address, peer);
+        }
+        peer.send(message, nowMs);
+    }
+
+    /** Replaces connections that have gone silent. */
+    tick(nowMs: number): void {
+        this.#peers.forEach(peer => peer.closeIfSilent(nowMs));
+    }
+
+    close(): void {
+        this.#peers.forEach(peer => peer.close());
+        this.#peers.clear();
+    }
+}
+
+/** Messages to one peer; those of one turn of the event loop travel together. */
+class PeerStream {
+    readonly #address: string;
+    #socket: Socket | undefined;
+    #messages: ReplicaMessage[] = [];
+    /** Since when something that was sent has not been acknowledged. */
+    #unacknowledgedSinceMs: number | undefined;
+
+    constructor(address: string) {
+        this.#address = address;
+    }
+
+    send(message: ReplicaMessage, nowMs: number): void {
+        this.#messages.push(message);
+        this.#unacknowledgedSinceMs ??= nowMs;
+        if (this.#messages.length === 1) {
+            setImmediate(() => this.#flush());
+        }
+    }
+
+    closeIfSilent(nowMs: number): void {
+        if (this.#unacknowledgedSinceMs !== undefined && nowMs - this.#unacknowledgedSinceMs > SILENCE_LIMIT_MS) {
+            this.close();
+        }
+    }
+
+    close(): void {
+        this.#socket?.destroy();
+        this.#socket = undefined;
+        this.#unacknowledgedSinceMs = undefined;
+    }
+
+    #flush(): void {
+        const messages = this.#messages;
+        this.#messages = [];
+        const socket = this.#socket ?? this.#open();
+        if (socket.writableLength <= MAX_WAITING_BYTES) {
+            socket.write(sizeDelimitedEncode(ReplicaEnvelopeSchema, create(ReplicaEnvelopeSchema, { messages })));
+        }
+    }
+
+    #open(): Socket {
+        const colon = this.#address.lastIndexOf(":");
+        const socket = connect({
+            host: this.#address.slice(0, colon),
+            port: Number(this.#address.slice(colon + 1)),
+            noDelay: true,
+        });
+        socket.on("data", () => {
+            this.#unacknowledgedSinceMs = undefined;
+        });
+        // Lost messages are repeated by replication; only the connection has to be replaced.
+        socket.on("error", () => undefined);
+        socket.on("close", () => {
+            if (this.#socket === socket) {
+                this.close();
+            }
+        });
+        this.#socket = socket;
+        return socket;
+    }
+}
+
+/** Receives the streams of other replicas. */
+export class ReplicaStreamListener {
+    readonly #server: Server;
+    readonly #address: ListenAddress;
+    readonly #sockets = new Set<Socket>();
+
+    constructor(address: ListenAddress, onMessages: (messages: readonly ReplicaMessage[]) => void) {
+        this.#address = address;
+        this.#server = createServer({ noDelay: true }, socket => {
+            this.#sockets.add(socket);
+            const decoder = new EnvelopeDecoder(onMessages);
+            socket.on("data", chunk => {
+                if (decoder.push(chunk)) {
+                    socket.write(ACKNOWLEDGEMENT);
+                }
+                else {
+                    socket.destroy();
+                }
+            });
+            socket.on("error", () => undefined);
+            socket.on("close", () => this.#sockets.delete(socket));
+        });
+    }
+
+    /** Starts to listen. Fails with UNAVAILABLE. */
+    async listen(): Promise<void> {
+        const { host, port } = this.#address;
+        await new Promise<void>((resolve, reject) => {
+            const fail = (error: Error): void =>
+                reject(new StepError(ErrorCode.UNAVAILABLE, "listen", `${host}:${port}`, messageOf(error)));
+            this.#server.once("error", fail);
+            this.#server.listen(port, host, resolve);
+        });
+    }
+
+    async close(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        this.#sockets.forEach(socket => socket.destroy());
+        await closed;
+    }
+}
+
+/** Splits a stream into envelopes. */
+export class EnvelopeDecoder {
+    readonly #onMessages: (messages: readonly ReplicaMessage[]) => void;
+    #rest: Buffer = Buffer.alloc(0);
+
+    constructor(onMessages: (messages: readonly ReplicaMessage[]) => void) {
+        this.#onMessages = onMessages;
+    }
+
+    /** Takes the next bytes; returns whether they can belong to a stream of envelopes. */
+    push(chunk: Buffer): boolean {
+        this.#rest = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+        for (;;) {
+            const head = sizeDelimitedPeek(this.#rest);
+            if (head.eof || head.size === null) {
+                return true;
+            }
+            if (head.size > MAX_ENVELOPE_BYTES) {
+                return false;
+            }
+            const end = head.offset + head.size;
+            if (this.#rest.length < end) {
+                return true;
+            }
+            try {
+                const envelope = fromBinary(ReplicaEnvelopeSchema, this.#rest.subarray(head.offset, end));
+                this.#rest = this.#rest.subarray(end);
+                this.#onMessages(envelope.messages);
+            }
+            catch {
+                return false;
+            }
+        }
+    }
+}
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -1,9 +1,9 @@
-import { create } from "@bufbuild/protobuf";
-import type { ConnectRouter } from "@connectrpc/connect";
+import { create, fromJson, toJson } from "@bufbuild/protobuf";
+import type { JsonValue } from "@bufbuild/protobuf";
 import { messageOf, SeededRandom } from "@waxwingspread/common";
 import { NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
-import { DescribeResponseSchema, ReplicaAckSchema, ReplicaService } from "@waxwingspread/protocol";
+import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
 import { WorkflowNode } from "@waxwingspread/workflow";
 import type {
@@ -20,16 +20,13 @@
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
-import { ConnectListener } from "../transport/connect-listener.js";
-import { ImmediateAnswers } from "../transport/immediate-answers.js";
-import { PeerClients } from "../transport/peer-clients.js";
 import { presentTimeMs } from "../transport/present-time.js";
-import { ReplicaSender } from "../transport/replica-sender.js";
+import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
 import { JsonCaller } from "./json-call.js";
 import { MembershipKeeper } from "./membership-keeper.js";
-import { CLUSTER_PATH, ForwardedOperation, forwardedPath, JOIN_PATH } from "./operations.js";
+import { CLUSTER_PATH, DESCRIBE_PATH, ForwardedOperation, forwardedPath, JOIN_PATH } from "./operations.js";
 import type {
     ClusterDescription,
     ControlOperations,
@@ -47,7 +44,6 @@
 const HANDOVER_TIMEOUT_MS = 1_500;
 const HANDOVER_CHECK_INTERVAL_MS = 20;
 const LISTENER_GRACE_MS = 1_000;
-const MAX_CONNECTIONS = 200;
 /** Records between snapshots; recovery replays at most this many. */
 const SNAPSHOT_RECORDS = 4_000;
 
@@ -76,14 +72,12 @@
     readonly #settings: ControlHostSettings;
     readonly #logger: Logger;
     readonly #fail: (error: Error) => void;
-    readonly #clients = new PeerClients();
     readonly #caller = new JsonCaller();
-    readonly #answers = new ImmediateAnswers();
-    readonly #sender: ReplicaSender;
+    readonly #sender = new ReplicaStreamSender();
     readonly #runner: ReplicaRunner;
     readonly #node: WorkflowNode;
     readonly #keeper: MembershipKeeper;
-    readonly #replicaListener: ConnectListener;
+    readonly #replicaListener: ReplicaStreamListener;
     readonly #internalListener: HttpListener;
     readonly #timers: NodeJS.Timeout[] = [];
     #seedHosts: readonly string[];
@@ -101,10 +95,6 @@
         this.#seedHosts = settings.seedHosts;
         this.#logger = logger;
         this.#fail = fail;
-        this.#sender = new ReplicaSender(this.#clients, {
-            onFailure: address => logger.debug({ peer: address }, "replica call failed; connection replaced"),
-            onAnswers: messages => messages.forEach(message => this.#runner.receive(message, presentTimeMs())),
-        });
         this.#node = this.#createNode();
         this.#runner = this.#createRunner(opened);
         this.#keeper = new MembershipKeeper({
@@ -112,12 +102,10 @@
             toleratedLosses: settings.toleratedLosses,
             logger,
         });
-        this.#replicaListener = new ConnectListener({
-            address: { host: settings.host, port: settings.replicaPort },
-            maxConnections: MAX_CONNECTIONS,
-            routes: router => this.#routes(router),
-            onConnectionRefused: () => logger.warn("replica connection refused: too many connections"),
-        });
+        this.#replicaListener = new ReplicaStreamListener(
+            { host: settings.host, port: settings.replicaPort },
+            messages => this.#receive(messages),
+        );
         this.#internalListener = createInternalListener({
             address: { host: settings.host, port: settings.internalPort },
             handlers: this.#internalHandlers(),
@@ -193,11 +181,10 @@
         this.#timers.forEach(timer => clearInterval(timer));
         await Promise.all([
             this.#internalListener.close(LISTENER_GRACE_MS),
-            this.#replicaListener.close(LISTENER_GRACE_MS),
+            this.#replicaListener.close(),
         ]);
         await this.#runner.stop();
         this.#sender.close();
-        this.#clients.close();
         this.#caller.close();
     }
 
@@ -224,11 +211,7 @@
             random: new SeededRandom(seedOf(opened.identity.diskId)),
             snapshotEntries: SNAPSHOT_RECORDS,
             hooks: {
-                send: (to, message) => {
-                    if (!this.#answers.take(message)) {
-                        this.#sender.send(to.address, message);
-                    }
-                },
+                send: (to, message) => this.#sender.send(to.address, message, presentTimeMs()),
                 onCommit: entries => this.#committed(entries),
                 onRestoreSnapshot: (header, bytes) => this.#node.restore(bytes),
                 onRoleChange: change => this.#roleChanged(change),
@@ -258,7 +241,7 @@
         void bootstrap({
             identity: opened.identity,
             peers,
-            clients: this.#clients,
+            describe: (address, timeoutMs) => this.#describePeer(address, timeoutMs),
             runner: this.#runner,
             logger: this.#logger,
             isStopped: () => this.#isStopped,
@@ -268,6 +251,7 @@
     #tick(): void {
         const nowMs = presentTimeMs();
         this.#runner.tick(nowMs);
+        this.#sender.tick(nowMs);
         if (this.#runner.replica.leader !== undefined) {
             this.#leaderSeenAtMs = nowMs;
         }
@@ -342,21 +326,15 @@
         this.#logger.info({ replicaRole: change.role, term: change.term, leader }, "replica role changed");
     }
 
-    #routes(router: ConnectRouter): void {
-        router.service(ReplicaService, {
-            send: envelope => create(ReplicaAckSchema, { messages: this.#receive(envelope.messages) }),
-            describe: () => this.#describe(),
-        });
+    #receive(messages: readonly ReplicaMessage[]): void {
+        const nowMs = presentTimeMs();
+        messages.forEach(message => this.#runner.receive(message, nowMs));
     }
 
-    #receive(messages: readonly ReplicaMessage[]): ReplicaMessage[] {
-        messages.forEach(message => this.#runner.receive(message, presentTimeMs()));
-        if (!messages.every(isHeartbeat)) {
-            return [];
-        }
-        this.#answers.begin(messages[0]?.fromDiskId ?? "");
-        this.#runner.flush();
-        return this.#answers.end();
+    async #describePeer(address: string, timeoutMs: number): Promise<DescribeResponse> {
+        const port = this.#settings.internalPort;
+        const call = { host: hostOf(address), port, path: DESCRIBE_PATH, body: {}, timeoutMs };
+        return fromJson(DescribeResponseSchema, await this.#caller.call<JsonValue>(call));
     }
 
     #describe(): DescribeResponse {
@@ -388,6 +366,7 @@
                 this.#node.jobState(request.jobId, respond as Respond<unknown>, times)),
             forwarded(ForwardedOperation.PendingJobs, (request, respond, times) =>
                 this.#node.pendingJobs(request.address, respond as Respond<unknown>, times)),
+            [DESCRIBE_PATH, () => toJson(DescribeResponseSchema, this.#describe())],
             [CLUSTER_PATH, () => this.#describeCluster()],
             [JOIN_PATH, (request: JoinRequest) => this.#join(request)],
         ]);
@@ -410,8 +389,5 @@
 
 const hostOf = (address: string): string => address.slice(0, Math.max(0, address.lastIndexOf(":")));
 
-const isHeartbeat = ({ body }: ReplicaMessage): boolean =>
-    body.case === "appendRequest" && body.value.entries.length === 0;
-
 /** Returns a seed for a replica's random election timeouts. */
 const seedOf = (diskId: string): number => createHash("sha256").update(diskId).digest().readInt32LE(0);
--- a/packages/daemon/src/workflow/internal-listener.ts
+++ b/packages/daemon/src/workflow/internal-listener.ts
@@ -3,10 +3,10 @@
 import type { Logger } from "pino";
 import { HttpListener } from "../http/http-listener.js";
 import { readBody } from "../http/request-body.js";
-import { MAX_MESSAGE_BYTES } from "../transport/connect-listener.js";
 import type { ListenAddress } from "../transport/listen-address.js";
 
 const MAX_CONNECTIONS = 500;
+const MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
 
 /** Handles one path: takes the decoded body, returns what is encoded as the response. */
 export type InternalHandler = (body: never) => unknown;
--- a/packages/daemon/src/workflow/json-call.ts
+++ b/packages/daemon/src/workflow/json-call.ts
@@ -69,9 +69,11 @@
             outgoing.once("error", fail);
             outgoing.once("socket", socket => {
                 isConnected = !socket.connecting;
-                socket.once("connect", () => {
-                    isConnected = true;
-                });
+                if (socket.connecting) {
+                    socket.once("connect", () => {
+                        isConnected = true;
+                    });
+                }
             });
             outgoing.end(body);
         });
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -73,3 +73,6 @@
 
 /** Path of requests to join on the internal listener. */
 export const JOIN_PATH = "/cluster/join";
+
+/** Path of a replica's description of itself on the internal listener. */
+export const DESCRIBE_PATH = "/replica";
