--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -37,6 +37,7 @@
 
 const TICK_INTERVAL_MS = 20;
 const KEEP_INTERVAL_MS = 200;
+const UTILIZATION_INTERVAL_MS = 2_000;
 const JOIN_INTERVAL_MS = 300;
 const JOIN_TIMEOUT_MS = 500;
 /** A replica that knows no leader for this long may have been removed and asks to join again. */
@@ -226,6 +227,7 @@
             setInterval(() => this.#tick(), TICK_INTERVAL_MS),
             setInterval(() => this.#keepMembership(), KEEP_INTERVAL_MS),
             setInterval(() => void this.#joinIfAlone(), JOIN_INTERVAL_MS),
+            setInterval(() => this.#logUtilization(), UTILIZATION_INTERVAL_MS),
         );
     }
 
@@ -264,6 +266,13 @@
         }
     }
 
+    #logUtilization(): void {
+        const { session } = this.#node;
+        if (session !== undefined) {
+            this.#logger.info(session.utilization(), "utilization");
+        }
+    }
+
     async #joinIfAlone(): Promise<void> {
         const { replica } = this.#runner;
         const isAlone = replica.leader === undefined && presentTimeMs() - this.#leaderSeenAtMs >= JOIN_AFTER_MS;
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -16,6 +16,8 @@
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
+import { utilizationOf } from "./utilization.js";
+import type { Utilization } from "./utilization.js";
 import { WorkQueue } from "./work-queue.js";
 
 /** Longest time that an answer to a heartbeat waits for the log. */
@@ -95,9 +97,9 @@
         return job.hasStarted || this.#startedJobs.has(job.id);
     }
 
-    /** Known backend servers, for metrics. */
-    get servers(): Iterable<ServerView> {
-        return this.#directory.servers;
+    /** Sums up how the backend servers are used. */
+    utilization(): Utilization {
+        return utilizationOf(this.#directory.servers, this.#queue, this.#pressure);
     }
 
     /** Takes in a heartbeat; the answer follows once what it depends on is recorded. */
--- /dev/null
+++ b/packages/workflow/src/leader/utilization.ts
@@ -0,0 +1,86 @@
+import { TaskKind } from "../model/specification.js";
+import { worstTailRatio } from "./image-pressure.js";
+import type { ImagePressure } from "./image-pressure.js";
+import type { ServerView } from "./server-view.js";
+import { TaskPhase } from "../state/job-record.js";
+import type { WorkQueue } from "./work-queue.js";
+
+/** How the backend servers are used at one moment. */
+export interface Utilization {
+    servers: number;
+    serversWithStanding: number;
+    capacityCores: number;
+    standingCores: number;
+    finiteCores: number;
+    /** Processor need of the fillers that run. */
+    fillerCores: number;
+    /** Processors that the fillers used, as measured. */
+    fillerUsedCores: number;
+    /** Processor need of the fillers on servers with standing tasks. */
+    fillerBesideStandingCores: number;
+    meanFillerPacePercent: number;
+    waitingTasks: { [Kind in TaskKind]: number };
+    standingTasks: number;
+    standingTasksOverTarget: number;
+    imagePressures: Record<string, number>;
+}
+
+/** Sums up the use of all servers. */
+export const utilizationOf = (
+    servers: Iterable<ServerView>,
+    queue: WorkQueue,
+    pressure: ImagePressure,
+): Utilization => {
+    const total = emptyUtilization();
+    let paceSum = 0;
+    let fillers = 0;
+    const images = new Set<string>();
+    for (const server of servers) {
+        total.servers += 1;
+        total.serversWithStanding += server.standingCpuMillicores > 0 ? 1 : 0;
+        total.capacityCores += server.capacity.cpuMillicores / 1000;
+        total.standingCores += server.standingCpuMillicores / 1000;
+        total.finiteCores += (server.reserved.cpuMillicores - server.standingCpuMillicores) / 1000;
+        total.fillerCores += server.fillerCpuMillicores / 1000;
+        total.fillerBesideStandingCores += worstTailRatio(server) === undefined
+            ? 0
+            : server.fillerCpuMillicores / 1000;
+        for (const run of server.runs.values()) {
+            if (run.kind === TaskKind.Filler) {
+                fillers += 1;
+                paceSum += run.pacePercent;
+                total.fillerUsedCores += (run.measurement ?? 0) / 1000;
+                images.add(run.step.image);
+            }
+            else if (run.kind === TaskKind.Standing && run.measurement !== undefined) {
+                total.standingTasks += 1;
+                total.standingTasksOverTarget += run.measurement > run.step.targetTailMs ? 1 : 0;
+            }
+        }
+    }
+    total.meanFillerPacePercent = fillers === 0 ? 100 : paceSum / fillers;
+    for (const waiting of queue.steps) {
+        const { tasks } = waiting.record;
+        total.waitingTasks[waiting.kind] += tasks.filter(task => task.phase === TaskPhase.Waiting).length;
+    }
+    images.forEach(image => {
+        total.imagePressures[image] = pressure.of(image);
+    });
+    return total;
+};
+
+const emptyUtilization = (): Utilization => ({
+    servers: 0,
+    serversWithStanding: 0,
+    capacityCores: 0,
+    standingCores: 0,
+    finiteCores: 0,
+    fillerCores: 0,
+    fillerUsedCores: 0,
+    fillerBesideStandingCores: 0,
+    meanFillerPacePercent: 100,
+    waitingTasks: { [TaskKind.Finite]: 0, [TaskKind.Standing]: 0, [TaskKind.Filler]: 0 },
+    standingTasks: 0,
+    standingTasksOverTarget: 0,
+    imagePressures: {},
+});
