Learn the pressure of fillers on standing tasks by pair of images

Cause: fillers were placed only where processors weren't reserved, though standing tasks use about half of what they reserve, and one figure an image slowed fillers that don't press.

--- a/packages/workflow/src/leader/filler-pacing.ts
+++ b/packages/workflow/src/leader/filler-pacing.ts
@@ -1,83 +1,105 @@
 import { TaskKind } from "../model/specification.js";
-import { worstTailRatio } from "./image-pressure.js";
-import type { ImagePressure } from "./image-pressure.js";
+import { tailRatioOf } from "./pair-pressure.js";
+import type { PairPressure } from "./pair-pressure.js";
 import type { RunView, ServerView } from "./server-view.js";
 
-/** Ratio of tail to target above which fillers are slowed. */
-const SLOW_ABOVE_RATIO = 0.85;
-/** Ratio of tail to target below which fillers may work faster again. */
-const QUICKEN_BELOW_RATIO = 0.6;
-const SLOW_FACTOR = 0.4;
-const QUICKEN_PERCENT = 15;
+/** Ratio of tail to target above which the fillers that press on the task are slowed. */
+const SLOW_ABOVE_RATIO = 0.8;
+/** Ratio that slowing aims at, and up to which fillers may work faster again. */
+const WANTED_RATIO = 0.65;
 /** Paces below this are rounded down to a standstill. */
 const MIN_PACE_PERCENT = 10;
+/** Most that a filler quickens at a time. */
+const QUICKEN_PERCENT = 35;
 /** Tails are measured over half a second; an earlier change would act twice on one measurement. */
-const ADJUST_INTERVAL_MS = 400;
-/** A server whose tails stay over their targets for this long has all its fillers paused. */
-const PAUSE_ALL_AFTER_MS = 2_000;
+const ADJUST_INTERVAL_MS = 450;
+/** A task that stays over its target for this long has all fillers beside it paused. */
+const PAUSE_ALL_AFTER_MS = 2_500;
 
-interface ServerPacing {
-    adjustedAtMs: number;
-    /** Since when a tail has been over its target; undefined while none is. */
-    overSinceMs: number | undefined;
-}
-
-/** Slows fillers on servers whose standing tasks come near their target tail, the most pressing images first. */
+/** Slows the fillers that press on standing tasks whose tails come near their targets. */
 export class FillerPacing {
-    readonly #servers = new Map<string, ServerPacing>();
-    readonly #pressure: ImagePressure;
+    readonly #adjustedAtMs = new Map<string, number>();
+    /** Since when a standing task has been over its target, by task. */
+    readonly #overSinceMs = new Map<string, number>();
+    readonly #pressure: PairPressure;
 
-    constructor(pressure: ImagePressure) {
+    constructor(pressure: PairPressure) {
         this.#pressure = pressure;
     }
 
     /** Sets the wanted pace of a server's fillers from its present measurements. */
     adjust(server: ServerView, nowMs: number): void {
-        const fillers = [...server.runs.values()].filter(run => run.kind === TaskKind.Filler);
-        const pacing = this.#servers.get(server.id) ?? { adjustedAtMs: -Infinity, overSinceMs: undefined };
-        this.#servers.set(server.id, pacing);
-        const worst = worstTailRatio(server);
-        pacing.overSinceMs = worst !== undefined && worst > 1 ? pacing.overSinceMs ?? nowMs : undefined;
-        if (fillers.length === 0 || nowMs - pacing.adjustedAtMs < ADJUST_INTERVAL_MS) {
+        const runs = [...server.runs.values()];
+        const fillers = runs.filter(run => run.kind === TaskKind.Filler);
+        const standing = runs.filter(run => tailRatioOf(run) !== undefined);
+        standing.forEach(run => this.#followTarget(run, nowMs));
+        if (fillers.length === 0 || nowMs - (this.#adjustedAtMs.get(server.id) ?? -Infinity) < ADJUST_INTERVAL_MS) {
             return;
         }
-        pacing.adjustedAtMs = nowMs;
-        if (worst === undefined) {
-            fillers.forEach(run => quicken(run, 100));
+        this.#adjustedAtMs.set(server.id, nowMs);
+        if (standing.some(run => nowMs - (this.#overSinceMs.get(run.task) ?? nowMs) >= PAUSE_ALL_AFTER_MS)) {
+            fillers.forEach(pause);
             return;
         }
-        if (pacing.overSinceMs !== undefined && nowMs - pacing.overSinceMs >= PAUSE_ALL_AFTER_MS) {
-            fillers.forEach(pause);
+        const pressed = standing.filter(run => (tailRatioOf(run) ?? 0) > SLOW_ABOVE_RATIO);
+        pressed.forEach(run => this.#relieve(run, fillers, server));
+        if (pressed.length === 0) {
+            fillers.forEach(filler => this.#quicken(filler, standing, server));
         }
-        else if (worst > SLOW_ABOVE_RATIO) {
-            this.#slowMostPressing(fillers);
+    }
+
+    forget(server: ServerView): void {
+        this.#adjustedAtMs.delete(server.id);
+        server.runs.forEach(run => this.#overSinceMs.delete(run.task));
+    }
+
+    #followTarget(run: RunView, nowMs: number): void {
+        if ((tailRatioOf(run) ?? 0) <= 1) {
+            this.#overSinceMs.delete(run.task);
         }
-        else if (worst < QUICKEN_BELOW_RATIO) {
-            fillers.forEach(run => quicken(run, QUICKEN_PERCENT));
+        else if (!this.#overSinceMs.has(run.task)) {
+            this.#overSinceMs.set(run.task, nowMs);
         }
     }
 
-    forget(serverId: string): void {
-        this.#servers.delete(serverId);
+    /** Slows the fillers that press most on one task until its tail is expected to be as wanted. */
+    #relieve(standing: RunView, fillers: readonly RunView[], server: ServerView): void {
+        let excess = Math.log((tailRatioOf(standing) ?? 0) / WANTED_RATIO);
+        const byEffect = fillers
+            .map(filler => ({ filler, effect: this.#effect(standing, filler, server) }))
+            .sort((a, b) => b.effect - a.effect);
+        for (const { filler, effect } of byEffect) {
+            const present = effect * (filler.wantedPacePercent / 100);
+            if (excess <= 0 || present <= 0) {
+                return;
+            }
+            const relief = Math.min(present, excess);
+            const pacePercent = Math.floor(((present - relief) / effect) * 100);
+            filler.wantedPacePercent = pacePercent < MIN_PACE_PERCENT ? 0 : pacePercent;
+            excess -= relief;
+        }
     }
 
-    /** Slows the images that press most and still work; the next adjustment goes on with the others. */
-    #slowMostPressing(fillers: RunView[]): void {
-        const working = fillers.filter(run => run.wantedPacePercent > 0);
-        const most = Math.max(...working.map(run => this.#pressure.of(run.step.image)));
-        for (const run of working) {
-            if (this.#pressure.of(run.step.image) >= most * 0.7) {
-                const pacePercent = Math.floor(run.wantedPacePercent * SLOW_FACTOR);
-                run.wantedPacePercent = pacePercent < MIN_PACE_PERCENT ? 0 : pacePercent;
+    /** Lets a filler work faster as far as no tail is expected to rise above what is wanted. */
+    #quicken(filler: RunView, standing: readonly RunView[], server: ServerView): void {
+        let allowedPercent = Math.min(QUICKEN_PERCENT, 100 - filler.wantedPacePercent);
+        for (const run of standing) {
+            const effect = this.#effect(run, filler, server);
+            const margin = Math.log(WANTED_RATIO / Math.max(0.01, tailRatioOf(run) ?? 0));
+            if (effect > 0) {
+                allowedPercent = Math.min(allowedPercent, Math.max(0, (margin / effect) * 100));
             }
         }
+        filler.wantedPacePercent += Math.floor(allowedPercent);
+    }
+
+    /** Returns the rise of the logarithm of a task's tail by a filler at full speed. */
+    #effect(standing: RunView, filler: RunView, server: ServerView): number {
+        const share = filler.step.amounts.cpuMillicores / Math.max(1, server.capacity.cpuMillicores);
+        return this.#pressure.of(standing.step.image, filler.step.image) * share;
     }
 }
 
 const pause = (run: RunView): void => {
     run.wantedPacePercent = 0;
 };
-
-const quicken = (run: RunView, byPercent: number): void => {
-    run.wantedPacePercent = Math.min(100, run.wantedPacePercent + byPercent);
-};
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -9,7 +9,7 @@
 import { Evacuation } from "./evacuation.js";
 import { FillerPacing } from "./filler-pacing.js";
 import { HeartbeatIntake } from "./heartbeat-intake.js";
-import { ImagePressure } from "./image-pressure.js";
+import { PairPressure } from "./pair-pressure.js";
 import { OrderWriter } from "./order-writer.js";
 import { Planner } from "./planner.js";
 import { ServerDirectory } from "./server-directory.js";
@@ -59,7 +59,7 @@
     readonly #parts: SessionParts;
     readonly #directory: ServerDirectory;
     readonly #queue = new WorkQueue();
-    readonly #pressure = new ImagePressure();
+    readonly #pressure = new PairPressure();
     readonly #pacing = new FillerPacing(this.#pressure);
     readonly #planner: Planner;
     readonly #intake: HeartbeatIntake;
@@ -128,7 +128,7 @@
         }
         intake.startedJobs.forEach(id => this.#startedJobs.add(id));
         this.#loseRuns(intake.missingRuns);
-        this.#pressure.observe(server);
+        this.#pressure.observe(server, nowMs);
         this.#pacing.adjust(server, nowMs);
         this.#answers.get(server.id)?.respond(undefined);
         this.#answers.set(server.id, { report, respond, sinceMs: nowMs });
@@ -153,7 +153,8 @@
         const { nowMs } = times;
         for (const server of this.#directory.takeExpired(nowMs)) {
             this.#dropAnswer(server.id);
-            this.#pacing.forget(server.id);
+            this.#pacing.forget(server);
+            this.#pressure.forget(server.id);
             this.#loseRuns([...server.runs.values()]);
         }
         this.#evacuation.run(nowMs);
--- /dev/null
+++ b/packages/workflow/src/leader/pair-pressure.ts
@@ -0,0 +1,133 @@
+import { TaskKind } from "../model/specification.js";
+import { LinearModel } from "./linear-model.js";
+import type { RunView, ServerView } from "./server-view.js";
+
+/** Logarithm of a standing task's tail over its target without fillers, before anything is known. */
+const PRIOR_LOG_RATIO = -1;
+/** Pressure of a pair of images that has not been seen together. */
+const PRIOR_PRESSURE = 2.5;
+/** Tails are measured over half a second; a shorter interval would count one measurement twice. */
+const OBSERVE_INTERVAL_MS = 450;
+const MIN_RATIO = 0.03;
+const MAX_RATIO = 10;
+/** Filler images that one standing image is observed with; further ones keep the prior. */
+const MAX_IMAGES = 40;
+/** Weights are solved again after this long. */
+const REFRESH_INTERVAL_MS = 500;
+
+class StandingImage {
+    readonly #model = new LinearModel({ intercept: PRIOR_LOG_RATIO, weight: PRIOR_PRESSURE });
+    readonly #positions = new Map<string, number>();
+    readonly #pressures = new Map<string, number>();
+    #refreshedAtMs = -Infinity;
+
+    observe(sharesByImage: ReadonlyMap<string, number>, logRatio: number): void {
+        const inputs = new Map<number, number>();
+        for (const [image, share] of sharesByImage) {
+            const position = this.#positionOf(image);
+            if (position !== undefined) {
+                inputs.set(position, share);
+            }
+        }
+        this.#model.observe(inputs, logRatio);
+    }
+
+    pressureOf(image: string): number {
+        return this.#pressures.get(image) ?? PRIOR_PRESSURE;
+    }
+
+    refresh(nowMs: number): void {
+        if (nowMs - this.#refreshedAtMs >= REFRESH_INTERVAL_MS) {
+            this.#refreshedAtMs = nowMs;
+            this.#positions.forEach((position, image) =>
+                this.#pressures.set(image, Math.max(0, this.#model.weight(position)))
+            );
+        }
+    }
+
+    get pressures(): Record<string, number> {
+        return Object.fromEntries(this.#pressures);
+    }
+
+    #positionOf(image: string): number | undefined {
+        let position = this.#positions.get(image);
+        if (position === undefined && this.#positions.size < MAX_IMAGES) {
+            position = this.#model.addInput();
+            this.#positions.set(image, position);
+        }
+        return position;
+    }
+}
+
+/**
+ * Learns, by pair of images, how much a filler lengthens the tail of a standing task on the same server: the rise of
+ * the logarithm of the tail for each share of the server's processors that the filler uses.
+ */
+export class PairPressure {
+    readonly #images = new Map<string, StandingImage>();
+    readonly #observedAtMs = new Map<string, number>();
+
+    /** Returns the pressure of a filler's image on a standing image. */
+    of(standingImage: string, fillerImage: string): number {
+        return this.#images.get(standingImage)?.pressureOf(fillerImage) ?? PRIOR_PRESSURE;
+    }
+
+    /** Learns from a server's present measurements. */
+    observe(server: ServerView, nowMs: number): void {
+        if (nowMs - (this.#observedAtMs.get(server.id) ?? -Infinity) < OBSERVE_INTERVAL_MS) {
+            return;
+        }
+        this.#observedAtMs.set(server.id, nowMs);
+        const shares = sharesByImage(server);
+        for (const run of server.runs.values()) {
+            const ratio = tailRatioOf(run);
+            if (ratio !== undefined && ratio > 0) {
+                const image = this.#imageOf(run.step.image);
+                image.observe(shares, Math.log(Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio))));
+                image.refresh(nowMs);
+            }
+        }
+    }
+
+    forget(serverId: string): void {
+        this.#observedAtMs.delete(serverId);
+    }
+
+    /** Learned pressures by standing image, then by filler image. */
+    toTable(): Record<string, Record<string, number>> {
+        return Object.fromEntries([...this.#images].map(([name, image]) => [name, image.pressures]));
+    }
+
+    #imageOf(name: string): StandingImage {
+        let image = this.#images.get(name);
+        if (image === undefined) {
+            image = new StandingImage();
+            this.#images.set(name, image);
+        }
+        return image;
+    }
+}
+
+/** Returns a standing task's tail over its target; undefined where it isn't measured. */
+export const tailRatioOf = (run: RunView): number | undefined => {
+    const isMeasured = run.kind === TaskKind.Standing && run.measurement !== undefined && run.step.targetTailMs > 0;
+    return isMeasured ? (run.measurement ?? 0) / run.step.targetTailMs : undefined;
+};
+
+/** Returns the worst ratio of tail to target on a server; undefined without a measured standing task. */
+export const worstTailRatio = (server: ServerView): number | undefined => {
+    const ratios = [...server.runs.values()].flatMap(run => tailRatioOf(run) ?? []);
+    return ratios.length === 0 ? undefined : Math.max(...ratios);
+};
+
+const sharesByImage = (server: ServerView): Map<string, number> => {
+    const shares = new Map<string, number>();
+    for (const run of server.runs.values()) {
+        const usedMillicores = run.kind === TaskKind.Filler ? run.measurement ?? 0 : 0;
+        if (usedMillicores > 0) {
+            const share = usedMillicores / Math.max(1, server.capacity.cpuMillicores);
+            shares.set(run.step.image, (shares.get(run.step.image) ?? 0) + share);
+        }
+    }
+    return shares;
+};
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -1,46 +1,60 @@
 import { TaskKind } from "../model/specification.js";
-import { HEAVY_PRESSURE } from "./image-pressure.js";
-import type { ImagePressure } from "./image-pressure.js";
+import type { PairPressure } from "./pair-pressure.js";
 import type { ServerView } from "./server-view.js";
 import type { WaitingStep } from "./work-queue.js";
 
-/** Share of a server's processors that standing tasks may take while others have room. */
-const STANDING_SHARE = 0.8;
-/** Share of a filler's processor need that must be free, beside other fillers, for it to start. */
+/** Share of their reserved processors that standing tasks are expected to use. */
+const STANDING_USE_RATIO = 0.55;
+/** Share of a filler's processor need that must be left over, beside other fillers, for it to start. */
 const FILLER_START_RATIO = 0.6;
-/** Cost of a rack other than the data's or the step's own. */
+/** Cost of a rack other than the data's or the step's own, in cores. */
 const OTHER_RACK_COST = 4;
-/** Cost of a standing task's company for a filler whose image presses. */
-const HEAVY_COMPANY_COST = 20;
-const STANDING_COMPANY_COST = 1;
+/** Cost of a rise of the logarithm of a tail by 1, in cores that are left over. */
+const PRESSURE_COST = 30;
+/** Preference for a server whose standing tasks are of the same image: fewer fillers then press on any of them. */
+const SAME_IMAGE_VALUE = 1;
+/** Cost of a server whose standing tasks are all of other images. */
+const OTHER_IMAGE_COST = 1;
 
-type CostFunction = (waiting: WaitingStep, server: ServerView, pressure: ImagePressure) => number | undefined;
+type CostFunction = (waiting: WaitingStep, server: ServerView, pressure: PairPressure) => number | undefined;
 
-/** Processors that neither reservations nor fillers take. */
-const idleCores = (server: ServerView): number => (server.unreservedCpuMillicores - server.fillerCpuMillicores) / 1000;
+/** Processors that are expected to be left over by all tasks. */
+const idleCores = (server: ServerView): number => {
+    const unusedByStanding = server.standingCpuMillicores * (1 - STANDING_USE_RATIO);
+    return (server.unreservedCpuMillicores + unusedByStanding - server.fillerCpuMillicores) / 1000;
+};
 
 /** Fillers get what others leave, so finite tasks go where the most would be left over. */
 const costOfFinite: CostFunction = (waiting, server) => -idleCores(server);
 
-/** Standing tasks are packed, so that other servers stay free of them for the fillers that press. */
+/** Standing tasks of one image are packed together. */
 const costOfStanding: CostFunction = (waiting, server) => {
-    const after = server.standingCpuMillicores + waiting.step.amounts.cpuMillicores;
-    const share = after / Math.max(1, server.capacity.cpuMillicores);
-    return share <= STANDING_SHARE ? -share : 1 + share;
+    let sameMillicores = 0;
+    for (const run of server.runs.values()) {
+        const isSame = run.kind === TaskKind.Standing && run.step.image === waiting.step.image;
+        sameMillicores += isSame ? run.step.amounts.cpuMillicores : 0;
+    }
+    const sameShare = sameMillicores / Math.max(1, server.standingCpuMillicores);
+    const isMixed = server.standingCpuMillicores > sameMillicores;
+    const fill = server.reserved.cpuMillicores / Math.max(1, server.capacity.cpuMillicores);
+    return (isMixed ? OTHER_IMAGE_COST : 0) - SAME_IMAGE_VALUE * sameShare - fill * 0.1;
 };
 
 const costOfFiller: CostFunction = (waiting, server, pressure) => {
+    const { amounts, image } = waiting.step;
     const idle = idleCores(server);
-    if (idle * 1000 < waiting.step.amounts.cpuMillicores * FILLER_START_RATIO) {
+    if (idle * 1000 < amounts.cpuMillicores * FILLER_START_RATIO) {
         return undefined;
     }
-    if (server.standingCpuMillicores === 0) {
-        return -idle;
+    const share = amounts.cpuMillicores / Math.max(1, server.capacity.cpuMillicores);
+    let rise = 0;
+    for (const run of server.runs.values()) {
+        if (run.kind === TaskKind.Standing) {
+            rise += pressure.of(run.step.image, image) * share;
+        }
     }
-    const isHeavy = pressure.of(waiting.step.image) >= HEAVY_PRESSURE;
-    return (isHeavy ? HEAVY_COMPANY_COST : STANDING_COMPANY_COST) - idle;
+    return PRESSURE_COST * rise - idle;
 };
-
 const COSTS: { [Kind in TaskKind]: CostFunction } = {
     [TaskKind.Finite]: costOfFinite,
     [TaskKind.Standing]: costOfStanding,
@@ -60,7 +74,7 @@
     waiting: WaitingStep,
     servers: Iterable<ServerView>,
     limits: PlacementLimits,
-    pressure: ImagePressure,
+    pressure: PairPressure,
     nowMs: number,
 ): ServerView | undefined => {
     let best: ServerView | undefined;
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -1,7 +1,7 @@
 import type { AssignedRun } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
-import type { ImagePressure } from "./image-pressure.js";
+import type { PairPressure } from "./pair-pressure.js";
 import { chooseServer } from "./placement.js";
 import type { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
@@ -19,7 +19,7 @@
     readonly #state: WorkflowState;
     readonly #queue: WorkQueue;
     readonly #directory: ServerDirectory;
-    readonly #pressure: ImagePressure;
+    readonly #pressure: PairPressure;
     /** Tasks whose assignment is not recorded yet. */
     readonly #claimed = new Set<string>();
 
@@ -27,7 +27,7 @@
         state: WorkflowState;
         queue: WorkQueue;
         directory: ServerDirectory;
-        pressure: ImagePressure;
+        pressure: PairPressure;
     }) {
         this.#state = parts.state;
         this.#queue = parts.queue;
--- a/packages/workflow/src/leader/utilization.ts
+++ b/packages/workflow/src/leader/utilization.ts
@@ -1,6 +1,6 @@
 import { TaskKind } from "../model/specification.js";
-import { worstTailRatio } from "./image-pressure.js";
-import type { ImagePressure } from "./image-pressure.js";
+import { worstTailRatio } from "./pair-pressure.js";
+import type { PairPressure } from "./pair-pressure.js";
 import type { ServerView } from "./server-view.js";
 import { TaskPhase } from "../state/job-record.js";
 import type { WorkQueue } from "./work-queue.js";
@@ -22,19 +22,19 @@
     waitingTasks: { [Kind in TaskKind]: number };
     standingTasks: number;
     standingTasksOverTarget: number;
-    imagePressures: Record<string, number>;
+    /** Pressures by standing image, then by filler image. */
+    pressures: Record<string, Record<string, number>>;
 }
 
 /** Sums up the use of all servers. */
 export const utilizationOf = (
     servers: Iterable<ServerView>,
     queue: WorkQueue,
-    pressure: ImagePressure,
+    pressure: PairPressure,
 ): Utilization => {
     const total = emptyUtilization();
     let paceSum = 0;
     let fillers = 0;
-    const images = new Set<string>();
     for (const server of servers) {
         total.servers += 1;
         total.serversWithStanding += server.standingCpuMillicores > 0 ? 1 : 0;
@@ -50,7 +50,6 @@
                 fillers += 1;
                 paceSum += run.pacePercent;
                 total.fillerUsedCores += (run.measurement ?? 0) / 1000;
-                images.add(run.step.image);
             }
             else if (run.kind === TaskKind.Standing && run.measurement !== undefined) {
                 total.standingTasks += 1;
@@ -63,9 +62,7 @@
         const { tasks } = waiting.record;
         total.waitingTasks[waiting.kind] += tasks.filter(task => task.phase === TaskPhase.Waiting).length;
     }
-    images.forEach(image => {
-        total.imagePressures[image] = pressure.of(image);
-    });
+    total.pressures = pressure.toTable();
     return total;
 };
 
@@ -82,5 +79,5 @@
     waitingTasks: { [TaskKind.Finite]: 0, [TaskKind.Standing]: 0, [TaskKind.Filler]: 0 },
     standingTasks: 0,
     standingTasksOverTarget: 0,
-    imagePressures: {},
+    pressures: {},
 });
