Keep fillers off servers whose standing tasks they press; pace only what presses

Cause: heavy pairs (log rise of 8 to 11 for all processors) were placed together when other servers looked full, and relief then slowed harmless fillers too. A filler now waits rather than raise an expected tail beyond what a task at its usual load bears; pressures within the error of learning count as none; saturated servers take no more fillers.

--- a/packages/workflow/src/leader/filler-pacing.ts
+++ b/packages/workflow/src/leader/filler-pacing.ts
@@ -95,8 +95,8 @@
 
     /** Returns the rise of the logarithm of a task's tail by a filler at full speed. */
     #effect(standing: RunView, filler: RunView, server: ServerView): number {
-        const share = filler.step.amounts.cpuMillicores / Math.max(1, server.capacity.cpuMillicores);
-        return this.#pressure.of(standing.step.image, filler.step.image) * share;
+        const pressure = this.#pressure.of(standing.step.image, filler.step.image);
+        return pressure * server.shareOf(filler.step.amounts.cpuMillicores);
     }
 }
 
--- a/packages/workflow/src/leader/pair-pressure.ts
+++ b/packages/workflow/src/leader/pair-pressure.ts
@@ -12,6 +12,10 @@
 const MAX_RATIO = 10;
 /** Filler images that one standing image is observed with; further ones keep the prior. */
 const MAX_IMAGES = 40;
+/** Pressures below this are within the error of what is learned and count as none. */
+const MIN_PRESSURE = 1.5;
+/** A tail falls back slowly after its cause has ended, so that use counts with the use before it. */
+const USE_SMOOTHING = 0.6;
 /** Weights are solved again after this long. */
 const REFRESH_INTERVAL_MS = 500;
 
@@ -40,7 +44,7 @@
         if (nowMs - this.#refreshedAtMs >= REFRESH_INTERVAL_MS) {
             this.#refreshedAtMs = nowMs;
             this.#positions.forEach((position, image) =>
-                this.#pressures.set(image, Math.max(0, this.#model.weight(position)))
+                this.#pressures.set(image, significant(this.#model.weight(position)))
             );
         }
     }
@@ -66,19 +70,41 @@
 export class PairPressure {
     readonly #images = new Map<string, StandingImage>();
     readonly #observedAtMs = new Map<string, number>();
+    /** Smoothed shares of the processors that fillers use, by server, then by image. */
+    readonly #shares = new Map<string, Map<string, number>>();
 
     /** Returns the pressure of a filler's image on a standing image. */
     of(standingImage: string, fillerImage: string): number {
         return this.#images.get(standingImage)?.pressureOf(fillerImage) ?? PRIOR_PRESSURE;
     }
 
+    /**
+     * Returns how far the logarithm of the worst pressed tail on a server is expected to rise by its fillers and one
+     * more at full speed.
+     */
+    riseWith(server: ServerView, image: string, cpuMillicores: number): number {
+        let worst = 0;
+        for (const standingImage of server.standingByImage.keys()) {
+            let rise = this.of(standingImage, image) * server.shareOf(cpuMillicores);
+            if (rise === 0) {
+                continue;
+            }
+            for (const [other, otherMillicores] of server.fillersByImage) {
+                rise += this.of(standingImage, other) * server.shareOf(otherMillicores);
+            }
+            worst = Math.max(worst, rise);
+        }
+        return worst;
+    }
+
     /** Learns from a server's present measurements. */
     observe(server: ServerView, nowMs: number): void {
         if (nowMs - (this.#observedAtMs.get(server.id) ?? -Infinity) < OBSERVE_INTERVAL_MS) {
             return;
         }
         this.#observedAtMs.set(server.id, nowMs);
-        const shares = sharesByImage(server);
+        const shares = smooth(this.#shares.get(server.id), sharesByImage(server));
+        this.#shares.set(server.id, shares);
         for (const run of server.runs.values()) {
             const ratio = tailRatioOf(run);
             if (ratio !== undefined && ratio > 0) {
@@ -91,6 +117,7 @@
 
     forget(serverId: string): void {
         this.#observedAtMs.delete(serverId);
+        this.#shares.delete(serverId);
     }
 
     /** Learned pressures by standing image, then by filler image. */
@@ -120,6 +147,24 @@
     return ratios.length === 0 ? undefined : Math.max(...ratios);
 };
 
+const significant = (pressure: number): number => pressure < MIN_PRESSURE ? 0 : pressure;
+
+const smooth = (
+    former: ReadonlyMap<string, number> | undefined,
+    present: ReadonlyMap<string, number>,
+): Map<string, number> => {
+    const smoothed = new Map<string, number>();
+    for (const image of new Set([...former?.keys() ?? [], ...present.keys()])) {
+        const formerShare = former?.get(image) ?? 0;
+        // A rise acts at once.
+        const share = Math.max(present.get(image) ?? 0, formerShare * (1 - USE_SMOOTHING));
+        if (share > 0.001) {
+            smoothed.set(image, share);
+        }
+    }
+    return smoothed;
+};
+
 const sharesByImage = (server: ServerView): Map<string, number> => {
     const shares = new Map<string, number>();
     for (const run of server.runs.values()) {
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -10,7 +10,9 @@
 /** Cost of a rack other than the data's or the step's own, in cores. */
 const OTHER_RACK_COST = 4;
 /** Cost of a rise of the logarithm of a tail by 1, in cores that are left over. */
-const PRESSURE_COST = 30;
+const PRESSURE_COST = 15;
+/** Rise of the logarithm of a tail that a standing task at its usual load bears without missing its target. */
+const MAX_RISE = 0.45;
 /** Preference for a server whose standing tasks are of the same image: fewer fillers then press on any of them. */
 const SAME_IMAGE_VALUE = 1;
 /** Cost of a server whose standing tasks are all of other images. */
@@ -29,11 +31,7 @@
 
 /** Standing tasks of one image are packed together. */
 const costOfStanding: CostFunction = (waiting, server) => {
-    let sameMillicores = 0;
-    for (const run of server.runs.values()) {
-        const isSame = run.kind === TaskKind.Standing && run.step.image === waiting.step.image;
-        sameMillicores += isSame ? run.step.amounts.cpuMillicores : 0;
-    }
+    const sameMillicores = server.standingByImage.get(waiting.step.image) ?? 0;
     const sameShare = sameMillicores / Math.max(1, server.standingCpuMillicores);
     const isMixed = server.standingCpuMillicores > sameMillicores;
     const fill = server.reserved.cpuMillicores / Math.max(1, server.capacity.cpuMillicores);
@@ -43,18 +41,13 @@
 const costOfFiller: CostFunction = (waiting, server, pressure) => {
     const { amounts, image } = waiting.step;
     const idle = idleCores(server);
-    if (idle * 1000 < amounts.cpuMillicores * FILLER_START_RATIO) {
+    if (idle * 1000 < amounts.cpuMillicores * FILLER_START_RATIO || server.isSaturated) {
         return undefined;
     }
-    const share = amounts.cpuMillicores / Math.max(1, server.capacity.cpuMillicores);
-    let rise = 0;
-    for (const run of server.runs.values()) {
-        if (run.kind === TaskKind.Standing) {
-            rise += pressure.of(run.step.image, image) * share;
-        }
-    }
-    return PRESSURE_COST * rise - idle;
+    const rise = pressure.riseWith(server, image, amounts.cpuMillicores);
+    return rise > MAX_RISE ? undefined : PRESSURE_COST * rise - idle;
 };
+
 const COSTS: { [Kind in TaskKind]: CostFunction } = {
     [TaskKind.Finite]: costOfFinite,
     [TaskKind.Standing]: costOfStanding,
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -1,3 +1,4 @@
+import type { Amounts } from "../model/specification.js";
 import type { AssignedRun } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
@@ -22,6 +23,8 @@
     readonly #pressure: PairPressure;
     /** Tasks whose assignment is not recorded yet. */
     readonly #claimed = new Set<string>();
+    /** Least needs for which the present pass has found no server, by what else limits the choice. */
+    readonly #unplaced = new Map<string, Amounts>();
 
     constructor(parts: {
         state: WorkflowState;
@@ -37,6 +40,7 @@
 
     /** Returns the assignments that the present room allows; the room is taken at once. */
     plan(nowMs: number): AssignedRun[] {
+        this.#unplaced.clear();
         return this.#queue.steps.flatMap(waiting => this.#planStep(waiting, nowMs));
     }
 
@@ -82,8 +86,15 @@
             zonesOutOfService: this.#state.zonesOutOfService,
             rackOfStep: step.prefersOneRack ? this.#rackOfStep(waiting) : "",
         };
+        const shape = `${kind} ${limits.service} ${step.image} ${step.requiredLabel}`;
+        if (needsAtLeast(step.amounts, this.#unplaced.get(shape))) {
+            return undefined;
+        }
         const server = chooseServer(waiting, this.#directory.servers, limits, this.#pressure, nowMs);
         if (server === undefined) {
+            if (step.maxTasksPerServer === 0) {
+                this.#unplaced.set(shape, step.amounts);
+            }
             return undefined;
         }
         const task = taskKeyIn(waiting, index);
@@ -117,3 +128,9 @@
         this.#claimed.delete(assigned.task);
     }
 }
+
+const needsAtLeast = (amounts: Amounts, least: Amounts | undefined): boolean =>
+    least !== undefined
+    && amounts.cpuMillicores >= least.cpuMillicores
+    && amounts.memoryMebibytes >= least.memoryMebibytes
+    && amounts.accelerators >= least.accelerators;
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -32,6 +32,9 @@
     missingSinceMs: number | undefined;
 }
 
+/** Share of their wanted processor time below which fillers show that a server is saturated. */
+const SATURATION_RATIO = 0.8;
+
 const ZERO: Amounts = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
 
 /** What the leader knows about one incarnation of a backend server. */
@@ -59,6 +62,8 @@
     #reserved: Amounts = ZERO;
     #standingCpuMillicores = 0;
     #fillerCpuMillicores = 0;
+    readonly #standingByImage = new Map<string, number>();
+    readonly #fillersByImage = new Map<string, number>();
 
     constructor(id: string, incarnation: number, nowMs: number, leaseExpiresAtMs: number) {
         this.id = id;
@@ -84,6 +89,34 @@
         return this.#fillerCpuMillicores;
     }
 
+    /** Processor need of the standing tasks in millicores, by image. */
+    get standingByImage(): ReadonlyMap<string, number> {
+        return this.#standingByImage;
+    }
+
+    /** Processor need of the fillers in millicores, by image. */
+    get fillersByImage(): ReadonlyMap<string, number> {
+        return this.#fillersByImage;
+    }
+
+    /** Returns the share of the processors that an amount is. */
+    shareOf(cpuMillicores: number): number {
+        return cpuMillicores / Math.max(1, this.capacity.cpuMillicores);
+    }
+
+    /** Whether running fillers get clearly less processor time than their pace allows. */
+    get isSaturated(): boolean {
+        let wantedMillicores = 0;
+        let usedMillicores = 0;
+        for (const run of this.#runs.values()) {
+            if (run.kind === TaskKind.Filler && run.measurement !== undefined && run.measurement > 0) {
+                wantedMillicores += run.step.amounts.cpuMillicores * (run.pacePercent / 100);
+                usedMillicores += run.measurement;
+            }
+        }
+        return usedMillicores < wantedMillicores * SATURATION_RATIO;
+    }
+
     /** Processor time that no reservation holds. */
     get unreservedCpuMillicores(): number {
         return this.capacity.cpuMillicores - this.#reserved.cpuMillicores;
@@ -150,13 +183,25 @@
         };
         if (run.kind === TaskKind.Standing) {
             this.#standingCpuMillicores += sign * amounts.cpuMillicores;
+            addTo(this.#standingByImage, run.step.image, sign * amounts.cpuMillicores);
         }
         if (isFiller) {
             this.#fillerCpuMillicores += sign * amounts.cpuMillicores;
+            addTo(this.#fillersByImage, run.step.image, sign * amounts.cpuMillicores);
         }
     }
 }
 
+const addTo = (sums: Map<string, number>, key: string, amount: number): void => {
+    const sum = (sums.get(key) ?? 0) + amount;
+    if (sum > 0) {
+        sums.set(key, sum);
+    }
+    else {
+        sums.delete(key);
+    }
+};
+
 /** Creates the view of a run that is about to be recorded. */
 export const newRunView = (
     assigned: { task: string; run: number; position: TaskPosition; step: StepSpecification; kind: TaskKind },
