--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./leader/leader-session.js";
 export * from "./leader/server-view.js";
 export * from "./leader/settings.js";
+export * from "./leader/times.js";
 export * from "./model/calls.js";
 export * from "./model/configuration.js";
 export * from "./model/heartbeat.js";
--- a/packages/workflow/src/leader/filler-pacing.ts
+++ b/packages/workflow/src/leader/filler-pacing.ts
@@ -9,6 +9,8 @@
 const WANTED_RATIO = 0.65;
 /** Paces below this are rounded down to a standstill. */
 const MIN_PACE_PERCENT = 10;
+/** Rises of the logarithm of a tail below this are not worth slowing a filler. */
+const MIN_EFFECT = 0.03;
 /** Most that a filler quickens at a time. */
 const QUICKEN_PERCENT = 35;
 /** Tails are measured over half a second; an earlier change would act twice on one measurement. */
@@ -70,7 +72,7 @@
             .sort((a, b) => b.effect - a.effect);
         for (const { filler, effect } of byEffect) {
             const present = effect * (filler.wantedPacePercent / 100);
-            if (excess <= 0 || present <= 0) {
+            if (excess <= 0 || present < MIN_EFFECT) {
                 return;
             }
             const relief = Math.min(present, excess);
@@ -86,7 +88,7 @@
         for (const run of standing) {
             const effect = this.#effect(run, filler, server);
             const margin = Math.log(WANTED_RATIO / Math.max(0.01, tailRatioOf(run) ?? 0));
-            if (effect > 0) {
+            if (effect >= MIN_EFFECT) {
                 allowedPercent = Math.min(allowedPercent, Math.max(0, (margin / effect) * 100));
             }
         }
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -7,6 +7,7 @@
 import type { JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { Evacuation } from "./evacuation.js";
+import { FillerMoves } from "./filler-moves.js";
 import { FillerPacing } from "./filler-pacing.js";
 import { HeartbeatIntake } from "./heartbeat-intake.js";
 import { PairPressure } from "./pair-pressure.js";
@@ -16,6 +17,7 @@
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
+import type { Times } from "./times.js";
 import { utilizationOf } from "./utilization.js";
 import type { Utilization } from "./utilization.js";
 import { WorkQueue } from "./work-queue.js";
@@ -45,12 +47,6 @@
     sinceMs: number;
 }
 
-/** Present times: of the steady clock and of day. */
-export interface Times {
-    nowMs: number;
-    timeOfDayMs: number;
-}
-
 /**
  * One replica's leadership during one term: what it knows of backend servers, and its decisions. All of it is
  * derived from the replicated state and from heartbeats, and is discarded with the leadership.
@@ -65,11 +61,13 @@
     readonly #intake: HeartbeatIntake;
     readonly #orders: OrderWriter;
     readonly #evacuation: Evacuation;
+    readonly #moves: FillerMoves;
     readonly #answers = new Map<string, WaitingAnswer>();
     readonly #failures = new Map<string, number>();
     readonly #startedJobs = new Set<string>();
     #isPlanDue = true;
     #forgetAtMs: number;
+    #nowMs: number;
     readonly #settledAtMs: number;
 
     constructor(parts: SessionParts, times: Times) {
@@ -87,6 +85,8 @@
         this.#intake = new HeartbeatIntake(state);
         this.#orders = new OrderWriter(state, parts.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
+        this.#moves = new FillerMoves(this.#directory, run => this.#planner.canPlaceElsewhere(run, this.#nowMs));
+        this.#nowMs = times.nowMs;
         for (const job of state.jobs.values()) {
             this.#adopt(job, times);
         }
@@ -157,10 +157,12 @@
             this.#pressure.forget(server.id);
             this.#loseRuns([...server.runs.values()]);
         }
+        this.#nowMs = nowMs;
         this.#evacuation.run(nowMs);
+        this.#moves.run(nowMs);
         if (this.#isPlanDue && nowMs >= this.#settledAtMs) {
             this.#isPlanDue = false;
-            const runs = this.#planner.plan(nowMs);
+            const runs = this.#planner.plan(times);
             if (runs.length > 0) {
                 this.#parts.propose({ kind: EventKind.RunsAssigned, runs });
             }
--- a/packages/workflow/src/leader/pair-pressure.ts
+++ b/packages/workflow/src/leader/pair-pressure.ts
@@ -5,7 +5,7 @@
 /** Logarithm of a standing task's tail over its target without fillers, before anything is known. */
 const PRIOR_LOG_RATIO = -1;
 /** Pressure of a pair of images that has not been seen together. */
-const PRIOR_PRESSURE = 2.5;
+const PRIOR_PRESSURE = 1.8;
 /** Tails are measured over half a second; a shorter interval would count one measurement twice. */
 const OBSERVE_INTERVAL_MS = 450;
 const MIN_RATIO = 0.03;
@@ -13,7 +13,7 @@
 /** Filler images that one standing image is observed with; further ones keep the prior. */
 const MAX_IMAGES = 40;
 /** Pressures below this are within the error of what is learned and count as none. */
-const MIN_PRESSURE = 1.5;
+const MIN_PRESSURE = 0.6;
 /** A tail falls back slowly after its cause has ended, so that use counts with the use before it. */
 const USE_SMOOTHING = 0.6;
 /** Weights are solved again after this long. */
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -4,9 +4,11 @@
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { PairPressure } from "./pair-pressure.js";
 import { chooseServer } from "./placement.js";
+import type { PlacementLimits } from "./placement.js";
+import type { Times } from "./times.js";
 import type { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
-import type { ServerView } from "./server-view.js";
+import type { RunView, ServerView } from "./server-view.js";
 import { taskKeyIn } from "./work-queue.js";
 import type { WaitingStep, WorkQueue } from "./work-queue.js";
 
@@ -39,9 +41,9 @@
     }
 
     /** Returns the assignments that the present room allows; the room is taken at once. */
-    plan(nowMs: number): AssignedRun[] {
+    plan({ nowMs, timeOfDayMs }: Times): AssignedRun[] {
         this.#unplaced.clear();
-        return this.#queue.steps.flatMap(waiting => this.#planStep(waiting, nowMs));
+        return this.#queue.ordered(timeOfDayMs).flatMap(waiting => this.#planStep(waiting, nowMs));
     }
 
     /** Takes note that an assignment is recorded. */
@@ -49,6 +51,20 @@
         this.#claimed.delete(task);
     }
 
+    /** Whether a run could start on another server now. */
+    canPlaceElsewhere(run: RunView, nowMs: number): boolean {
+        const { jobId, occurrence, step: stepIndex } = run.position;
+        const job = this.#state.job(jobId);
+        const record = job?.occurrences[occurrence]?.[stepIndex];
+        if (job === undefined || record === undefined) {
+            return false;
+        }
+        const { step, kind } = run;
+        const waiting = { job, occurrence, stepIndex, step, kind, record, expectedEndMs: 0 };
+        const limits = { ...this.#limitsOf(waiting), rackOfStep: "" };
+        return chooseServer(waiting, this.#directory.servers, limits, this.#pressure, nowMs) !== undefined;
+    }
+
     #planStep(waiting: WaitingStep, nowMs: number): AssignedRun[] {
         if (waiting.job.isOver) {
             return [];
@@ -81,11 +97,7 @@
 
     #planTask(waiting: WaitingStep, index: number, run: number, nowMs: number): PlannedRun | undefined {
         const { job, occurrence, stepIndex, step, kind } = waiting;
-        const limits = {
-            service: this.#serviceOf(waiting),
-            zonesOutOfService: this.#state.zonesOutOfService,
-            rackOfStep: step.prefersOneRack ? this.#rackOfStep(waiting) : "",
-        };
+        const limits = this.#limitsOf(waiting);
         const shape = `${kind} ${limits.service} ${step.image} ${step.requiredLabel}`;
         if (needsAtLeast(step.amounts, this.#unplaced.get(shape))) {
             return undefined;
@@ -105,6 +117,14 @@
         return { server, assigned: { task, run, serverId: server.id, incarnation: server.incarnation } };
     }
 
+    #limitsOf(waiting: WaitingStep): PlacementLimits {
+        return {
+            service: this.#serviceOf(waiting),
+            zonesOutOfService: this.#state.zonesOutOfService,
+            rackOfStep: waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "",
+        };
+    }
+
     /** A queue may have been sent to another service since the job was accepted. */
     #serviceOf({ job }: WaitingStep): string {
         const queue = this.#state.configuration?.queues.find(item => item.name === job.queue.name);
--- /dev/null
+++ b/packages/workflow/src/leader/times.ts
@@ -0,0 +1,5 @@
+/** Present times: of the steady clock and of day. */
+export interface Times {
+    nowMs: number;
+    timeOfDayMs: number;
+}
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -1,5 +1,5 @@
-import { taskKeyOf, taskKindOf } from "../model/specification.js";
-import type { StepSpecification, TaskKind } from "../model/specification.js";
+import { TaskKind, taskKeyOf, taskKindOf } from "../model/specification.js";
+import type { StepSpecification } from "../model/specification.js";
 import type { JobRecord, StepRecord } from "../state/job-record.js";
 import { TaskPhase } from "../state/job-record.js";
 
@@ -11,21 +11,37 @@
     readonly step: StepSpecification;
     readonly kind: TaskKind;
     readonly record: StepRecord;
+    /** Time of day at which callers expect the end of the occurrence. */
+    readonly expectedEndMs: number;
 }
 
 const keyOf = (jobId: string, occurrence: number, step: number): string => `${jobId}.${occurrence}.${step}`;
 
-/** Steps whose turn has come, in the order in which they get room: by priority, then by age. */
+/**
+ * Steps whose turn has come, in the order in which they get room: by priority, then by the time at which callers
+ * expect the job's end. A batch job that has missed that time comes after those that can still make it.
+ */
 export class WorkQueue {
     readonly #steps = new Map<string, WaitingStep>();
     #sorted: WaitingStep[] | undefined;
 
-    /** Steps with tasks that may wait, the first to be placed first. */
+    /** Steps with tasks that may wait. */
     get steps(): readonly WaitingStep[] {
         this.#sorted ??= [...this.#steps.values()].sort(compare);
         return this.#sorted;
     }
 
+    /** Returns the steps in the order in which they get room. */
+    ordered(timeOfDayMs: number): readonly WaitingStep[] {
+        const { steps } = this;
+        const overdue = steps.filter(waiting => isOverdue(waiting, timeOfDayMs));
+        if (overdue.length === 0) {
+            return steps;
+        }
+        const inTime = steps.filter(waiting => !isOverdue(waiting, timeOfDayMs));
+        return [...inTime, ...overdue].sort((a, b) => a.job.queue.priority - b.job.queue.priority);
+    }
+
     /** Takes note that a job's tasks or its state changed. */
     refresh(job: JobRecord, timeOfDayMs: number): void {
         job.occurrences.forEach((steps, occurrence) => {
@@ -38,7 +54,15 @@
                     && record.tasks.some(task => task.phase === TaskPhase.Waiting);
                 const key = keyOf(job.id, occurrence, stepIndex);
                 if (isWaiting && !this.#steps.has(key)) {
-                    this.#steps.set(key, { job, occurrence, stepIndex, step, kind: taskKindOf(step), record });
+                    this.#steps.set(key, {
+                        job,
+                        occurrence,
+                        stepIndex,
+                        step,
+                        kind: taskKindOf(step),
+                        record,
+                        expectedEndMs: expectedEndMsOf(job, occurrence),
+                    });
                     this.#sorted = undefined;
                 }
                 else if (!isWaiting && this.#steps.delete(key)) {
@@ -55,6 +79,24 @@
 
 const compare = (a: WaitingStep, b: WaitingStep): number =>
     a.job.queue.priority - b.job.queue.priority
-    || Math.max(a.job.acceptedAtMs, a.job.dueMs(a.occurrence)) - Math.max(b.job.acceptedAtMs, b.job.dueMs(b.occurrence))
+    || a.expectedEndMs - b.expectedEndMs
     || a.occurrence - b.occurrence
     || a.stepIndex - b.stepIndex;
+
+const isOverdue = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
+    waiting.kind === TaskKind.Filler && waiting.expectedEndMs < timeOfDayMs;
+
+/** Returns the time by which callers expect an occurrence to end: a multiple of its longest chain of work, and more. */
+const expectedEndMsOf = (job: JobRecord, occurrence: number): number => {
+    const beginMs = Math.max(job.acceptedAtMs, job.dueMs(occurrence));
+    return beginMs + job.queue.stretchRatio * longestChainMs(job.specification.steps) + job.queue.targetDurationMs;
+};
+
+const longestChainMs = (steps: readonly StepSpecification[]): number => {
+    const ends: number[] = [];
+    for (const step of steps) {
+        const beginMs = Math.max(0, ...step.dependsOn.map(earlier => ends[earlier] ?? 0));
+        ends.push(beginMs + step.estimatedRunTimeMs);
+    }
+    return Math.max(0, ...ends);
+};
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -1,5 +1,5 @@
 import { LeaderSession } from "../leader/leader-session.js";
-import type { Times } from "../leader/leader-session.js";
+import type { Times } from "../leader/times.js";
 import type { LeaderSettings } from "../leader/settings.js";
 import { JobState, refused, Refusal, succeeded } from "../model/calls.js";
 import type { Respond } from "../model/calls.js";
