Learn pressures from changes between observations; try pairs that are hardly known

Cause: a standing task's own load changes over 10 to 20 s and hid the effect of fillers, so that harmless pairs kept high estimates and were never tried again.

--- a/packages/workflow/src/leader/filler-pacing.ts
+++ b/packages/workflow/src/leader/filler-pacing.ts
@@ -97,7 +97,7 @@
 
     /** Returns the rise of the logarithm of a task's tail by a filler at full speed. */
     #effect(standing: RunView, filler: RunView, server: ServerView): number {
-        const pressure = this.#pressure.of(standing.step.image, filler.step.image);
+        const pressure = this.#pressure.expected(standing.step.image, filler.step.image);
         return pressure * server.shareOf(filler.step.amounts.cpuMillicores);
     }
 }
--- a/packages/workflow/src/leader/pair-pressure.ts
+++ b/packages/workflow/src/leader/pair-pressure.ts
@@ -2,55 +2,90 @@
 import { LinearModel } from "./linear-model.js";
 import type { RunView, ServerView } from "./server-view.js";
 
-/** Logarithm of a standing task's tail over its target without fillers, before anything is known. */
-const PRIOR_LOG_RATIO = -1;
 /** Pressure of a pair of images that has not been seen together. */
 const PRIOR_PRESSURE = 1.8;
+/** Deviation of the logarithm of a tail from what is expected, after what persists of the last deviation. */
+const OUTPUT_DEVIATION = 0.5;
+/**
+ * Share of a deviation that persists from one observation to the next: the own load of a standing task changes over
+ * many seconds, so that changes between observations tell more about fillers than the observations themselves.
+ */
+const PERSISTENCE = 0.85;
 /** Tails are measured over half a second; a shorter interval would count one measurement twice. */
 const OBSERVE_INTERVAL_MS = 450;
+/** Observations further apart don't share a deviation. */
+const MAX_OBSERVE_GAP_MS = 1_000;
 const MIN_RATIO = 0.03;
 const MAX_RATIO = 10;
 /** Filler images that one standing image is observed with; further ones keep the prior. */
 const MAX_IMAGES = 40;
 /** Pressures below this are within the error of what is learned and count as none. */
-const MIN_PRESSURE = 0.6;
+const MIN_PRESSURE = 0.8;
 /** A tail falls back slowly after its cause has ended, so that use counts with the use before it. */
-const USE_SMOOTHING = 0.6;
+const USE_SMOOTHING = 0.4;
 /** Weights are solved again after this long. */
 const REFRESH_INTERVAL_MS = 500;
 
+/** Use of fillers beside a standing task, and the task's tail, at one time. */
+interface Observation {
+    atMs: number;
+    /** Shares of the server's processors that fillers use, by image. */
+    shares: ReadonlyMap<string, number>;
+    logRatio: number;
+}
+
+interface Pressure {
+    expected: number;
+    /** What the pressure is at least, within its error. */
+    atLeast: number;
+}
+
+/** Logarithm of the ratio of a tail without fillers to its target. */
+const BASE_LOG_RATIO = -1;
+const BASE_CHANGE = BASE_LOG_RATIO * (1 - PERSISTENCE);
+
+const UNKNOWN: Pressure = { expected: PRIOR_PRESSURE, atLeast: 0 };
+
 class StandingImage {
-    readonly #model = new LinearModel({ intercept: PRIOR_LOG_RATIO, weight: PRIOR_PRESSURE });
+    readonly #model = new LinearModel(PRIOR_PRESSURE);
     readonly #positions = new Map<string, number>();
-    readonly #pressures = new Map<string, number>();
+    readonly #pressures = new Map<string, Pressure>();
     #refreshedAtMs = -Infinity;
 
-    observe(sharesByImage: ReadonlyMap<string, number>, logRatio: number): void {
-        const inputs = new Map<number, number>();
-        for (const [image, share] of sharesByImage) {
+    /** Learns from the change between two observations of one task. */
+    observe(former: Observation, present: Observation): void {
+        const inputs: [number, number][] = [];
+        for (const image of new Set([...former.shares.keys(), ...present.shares.keys()])) {
             const position = this.#positionOf(image);
-            if (position !== undefined) {
-                inputs.set(position, share);
+            const change = (present.shares.get(image) ?? 0) - PERSISTENCE * (former.shares.get(image) ?? 0);
+            if (position !== undefined && change !== 0) {
+                inputs.push([position, change]);
             }
         }
-        this.#model.observe(inputs, logRatio);
+        this.#model.observe(inputs, present.logRatio - PERSISTENCE * former.logRatio - BASE_CHANGE);
     }
 
-    pressureOf(image: string): number {
-        return this.#pressures.get(image) ?? PRIOR_PRESSURE;
+    pressureOf(image: string): Pressure {
+        return this.#pressures.get(image) ?? UNKNOWN;
     }
 
     refresh(nowMs: number): void {
-        if (nowMs - this.#refreshedAtMs >= REFRESH_INTERVAL_MS) {
-            this.#refreshedAtMs = nowMs;
-            this.#positions.forEach((position, image) =>
-                this.#pressures.set(image, significant(this.#model.weight(position)))
-            );
+        if (nowMs - this.#refreshedAtMs < REFRESH_INTERVAL_MS) {
+            return;
         }
+        this.#refreshedAtMs = nowMs;
+        const weights = this.#model.weights();
+        this.#positions.forEach((position, image) => {
+            const { weight, error } = weights[position] ?? { weight: PRIOR_PRESSURE, error: 0 };
+            this.#pressures.set(image, {
+                expected: significant(weight),
+                atLeast: significant(weight - OUTPUT_DEVIATION * error),
+            });
+        });
     }
 
     get pressures(): Record<string, number> {
-        return Object.fromEntries(this.#pressures);
+        return Object.fromEntries([...this.#pressures].map(([image, pressure]) => [image, pressure.expected]));
     }
 
     #positionOf(image: string): number | undefined {
@@ -70,27 +105,33 @@
 export class PairPressure {
     readonly #images = new Map<string, StandingImage>();
     readonly #observedAtMs = new Map<string, number>();
+    readonly #observations = new WeakMap<RunView, Observation>();
     /** Smoothed shares of the processors that fillers use, by server, then by image. */
     readonly #shares = new Map<string, Map<string, number>>();
 
-    /** Returns the pressure of a filler's image on a standing image. */
-    of(standingImage: string, fillerImage: string): number {
-        return this.#images.get(standingImage)?.pressureOf(fillerImage) ?? PRIOR_PRESSURE;
+    /** Returns the expected pressure of a filler's image on a standing image. */
+    expected(standingImage: string, fillerImage: string): number {
+        return (this.#images.get(standingImage)?.pressureOf(fillerImage) ?? UNKNOWN).expected;
+    }
+
+    /** Returns what the pressure is at least; low for pairs that have hardly been seen, so that they are tried. */
+    atLeast(standingImage: string, fillerImage: string): number {
+        return (this.#images.get(standingImage)?.pressureOf(fillerImage) ?? UNKNOWN).atLeast;
     }
 
     /**
-     * Returns how far the logarithm of the worst pressed tail on a server is expected to rise by its fillers and one
-     * more at full speed.
+     * Returns how far the logarithm of the worst pressed tail on a server rises at least by its fillers and one more
+     * at full speed.
      */
     riseWith(server: ServerView, image: string, cpuMillicores: number): number {
         let worst = 0;
         for (const standingImage of server.standingByImage.keys()) {
-            let rise = this.of(standingImage, image) * server.shareOf(cpuMillicores);
+            let rise = this.atLeast(standingImage, image) * server.shareOf(cpuMillicores);
             if (rise === 0) {
                 continue;
             }
             for (const [other, otherMillicores] of server.fillersByImage) {
-                rise += this.of(standingImage, other) * server.shareOf(otherMillicores);
+                rise += this.atLeast(standingImage, other) * server.shareOf(otherMillicores);
             }
             worst = Math.max(worst, rise);
         }
@@ -108,13 +149,22 @@
         for (const run of server.runs.values()) {
             const ratio = tailRatioOf(run);
             if (ratio !== undefined && ratio > 0) {
-                const image = this.#imageOf(run.step.image);
-                image.observe(shares, Math.log(Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio))));
-                image.refresh(nowMs);
+                const logRatio = Math.log(Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio)));
+                this.#observeRun(run, { atMs: nowMs, shares, logRatio });
             }
         }
     }
 
+    #observeRun(run: RunView, present: Observation): void {
+        const former = this.#observations.get(run);
+        this.#observations.set(run, present);
+        if (former !== undefined && present.atMs - former.atMs <= MAX_OBSERVE_GAP_MS) {
+            const image = this.#imageOf(run.step.image);
+            image.observe(former, present);
+            image.refresh(present.atMs);
+        }
+    }
+
     forget(serverId: string): void {
         this.#observedAtMs.delete(serverId);
         this.#shares.delete(serverId);
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -12,7 +12,7 @@
 /** Cost of a rise of the logarithm of a tail by 1, in cores that are left over. */
 const PRESSURE_COST = 15;
 /** Rise of the logarithm of a tail that a standing task at its usual load bears without missing its target. */
-const MAX_RISE = 0.25;
+const MAX_RISE = 0.3;
 /** Preference for a server whose standing tasks are of the same image: fewer fillers then press on any of them. */
 const SAME_IMAGE_VALUE = 1;
 /** Cost of a server whose standing tasks are all of other images. */
