--- /dev/null
+++ b/packages/daemon/src/transport/replica-stream.real.test.ts
@@ -0,0 +1,90 @@
+import { create } from "@bufbuild/protobuf";
+import { ReplicaMessageSchema } from "@waxwingspread/protocol";
+import type { ReplicaMessage } from "@waxwingspread/protocol";
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { afterEach, expect, it } from "vitest";
+import { presentTimeMs } from "./present-time.js";
+import { EnvelopeDecoder, ReplicaStreamListener, ReplicaStreamSender } from "./replica-stream.js";
+
+const HOST = "127.0.0.1";
+const closers: (() => unknown)[] = [];
+
+afterEach(async () => {
+    for (const close of closers.splice(0)) {
+        await close();
+    }
+});
+
+const messageOfTerm = (term: number): ReplicaMessage => create(ReplicaMessageSchema, { term });
+
+const until = async (isDone: () => boolean): Promise<void> => {
+    while (!isDone()) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+};
+
+/** Passes bytes on to a port until it is told to be silent; then open connections stay open and carry nothing. */
+const startRelay = async (targetPort: number): Promise<{ server: Server; silence: () => void }> => {
+    const open: Socket[] = [];
+    const server = createServer(incoming => {
+        const outgoing = connect(targetPort, HOST);
+        open.push(incoming, outgoing);
+        incoming.on("error", () => undefined).on("close", () => outgoing.destroy());
+        outgoing.on("error", () => undefined);
+        incoming.pipe(outgoing).pipe(incoming);
+    });
+    server.listen(0, HOST);
+    await once(server, "listening");
+    closers.push(() => {
+        open.forEach(socket => socket.destroy());
+        server.close();
+    });
+    const silence = (): void => open.forEach(socket => socket.unpipe().pause());
+    return { server, silence };
+};
+
+const freePort = async (): Promise<number> => {
+    const server = createServer().listen(0, HOST);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return port;
+};
+
+// Guards against a replica that is cut off for good because one of its connections has gone silent.
+it("replaces a connection that has gone silent while new ones work", async () => {
+    const port = await freePort();
+    const terms: number[] = [];
+    const listener = new ReplicaStreamListener(
+        { host: HOST, port },
+        messages => messages.forEach(message => terms.push(message.term)),
+    );
+    await listener.listen();
+    closers.push(() => listener.close());
+    const { server, silence } = await startRelay(port);
+    const address = `${HOST}:${(server.address() as AddressInfo).port}`;
+    const sender = new ReplicaStreamSender();
+    closers.unshift(() => sender.close());
+    sender.send(address, messageOfTerm(1), presentTimeMs());
+    await until(() => terms.includes(1));
+    silence();
+    let term = 2;
+    const timer = setInterval(() => {
+        const nowMs = presentTimeMs();
+        sender.send(address, messageOfTerm(term), nowMs);
+        sender.tick(nowMs);
+        term += 1;
+    }, 50);
+    closers.unshift(() => clearInterval(timer));
+    await until(() => terms.length > 1);
+    expect(Math.max(...terms)).toBeGreaterThan(1);
+});
+
+// Guards against bytes of another program that stop a replica.
+it("refuses a stream that isn't one of envelopes", () => {
+    const decoder = new EnvelopeDecoder(() => undefined);
+    expect(decoder.push(Buffer.from([0xff, 0xff, 0xff, 0xff, 0x0f]))).toBe(false);
+});
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -36,6 +36,8 @@
 } from "./operations.js";
 
 const TICK_INTERVAL_MS = 20;
+/** Events that arrive within this are decided together. */
+const BATCH_MS = 5;
 const KEEP_INTERVAL_MS = 200;
 const UTILIZATION_INTERVAL_MS = 2_000;
 const JOIN_INTERVAL_MS = 300;
@@ -282,7 +284,9 @@
         const { name, diskId, address } = replica.identity;
         const request: JoinRequest = { name, diskId, address };
         const members = replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
-        const hosts = new Set([...members, ...this.#seedHosts].filter(host => host !== "" && host !== this.#settings.host));
+        const hosts = new Set(
+            [...members, ...this.#seedHosts].filter(host => host !== "" && host !== this.#settings.host),
+        );
         await Promise.all([...hosts].map(host => this.#askToJoin(host, request)));
     }
 
@@ -305,16 +309,16 @@
         });
     }
 
-    /** Decides once for all events of one turn of the event loop. */
+    /** Decides once for all events of a few milliseconds, which then share a log record and its sync. */
     #scheduleRun(): void {
         if (this.#isRunScheduled) {
             return;
         }
         this.#isRunScheduled = true;
-        setImmediate(() => {
+        setTimeout(() => {
             this.#isRunScheduled = false;
             this.#node.run(presentTimes());
-        });
+        }, BATCH_MS);
     }
 
     #committed(entries: LogEntry[]): void {
@@ -367,14 +371,24 @@
             return { result, leaderHost: this.leaderHost } satisfies ForwardedResponse<Operation>;
         }];
         return new Map<string, InternalHandler>([
-            forwarded(ForwardedOperation.Submit, (request, respond, times) =>
-                this.#node.submit(request.address, request.job, respond as Respond<void>, times)),
-            forwarded(ForwardedOperation.Cancel, (request, respond, times) =>
-                this.#node.cancel(request.jobId, respond as Respond<void>, times)),
-            forwarded(ForwardedOperation.JobState, (request, respond, times) =>
-                this.#node.jobState(request.jobId, respond as Respond<unknown>, times)),
-            forwarded(ForwardedOperation.PendingJobs, (request, respond, times) =>
-                this.#node.pendingJobs(request.address, respond as Respond<unknown>, times)),
+            forwarded(
+                ForwardedOperation.Submit,
+                (request, respond, times) =>
+                    this.#node.submit(request.address, request.job, respond as Respond<void>, times),
+            ),
+            forwarded(
+                ForwardedOperation.Cancel,
+                (request, respond, times) => this.#node.cancel(request.jobId, respond as Respond<void>, times),
+            ),
+            forwarded(
+                ForwardedOperation.JobState,
+                (request, respond, times) => this.#node.jobState(request.jobId, respond as Respond<unknown>, times),
+            ),
+            forwarded(
+                ForwardedOperation.PendingJobs,
+                (request, respond, times) =>
+                    this.#node.pendingJobs(request.address, respond as Respond<unknown>, times),
+            ),
             [DESCRIBE_PATH, () => toJson(DescribeResponseSchema, this.#describe())],
             [CLUSTER_PATH, () => this.#describeCluster()],
             [JOIN_PATH, (request: JoinRequest) => this.#join(request)],
--- a/packages/daemon/src/workflow/json-call.ts
+++ b/packages/daemon/src/workflow/json-call.ts
@@ -65,7 +65,10 @@
                 });
             });
             // Destroying the socket also gets rid of a connection that has gone silent.
-            const timer = setTimeout(() => outgoing.destroy(new Error(`no answer in ${call.timeoutMs} ms`)), call.timeoutMs);
+            const timer = setTimeout(
+                () => outgoing.destroy(new Error(`no answer in ${call.timeoutMs} ms`)),
+                call.timeoutMs,
+            );
             outgoing.once("error", fail);
             outgoing.once("socket", socket => {
                 isConnected = !socket.connecting;
--- a/packages/daemon/src/workflow/membership-keeper.ts
+++ b/packages/daemon/src/workflow/membership-keeper.ts
@@ -46,8 +46,11 @@
 
     /** Takes the next step of a repair, if one is due. */
     run(nowMs: number): void {
-        const change = nextChange(this.#runner.replica.membership, this.#voters, diskId =>
-            this.#runner.replica.silenceMs(diskId, nowMs));
+        const change = nextChange(
+            this.#runner.replica.membership,
+            this.#voters,
+            diskId => this.#runner.replica.silenceMs(diskId, nowMs),
+        );
         if (change !== undefined) {
             this.#change(change, nowMs);
         }
--- /dev/null
+++ b/packages/workflow/src/leader/filler-pacing.test.ts
@@ -0,0 +1,67 @@
+import { expect, it } from "vitest";
+import { taskKindOf } from "../model/specification.js";
+import type { StepSpecification } from "../model/specification.js";
+import { fillerStepOf, heartbeatOf, standingStepOf } from "../testing/fixtures.js";
+import { FillerPacing } from "./filler-pacing.js";
+import { PairPressure } from "./pair-pressure.js";
+import { newRunView, ServerView } from "./server-view.js";
+import type { RunView } from "./server-view.js";
+
+const TARGET_MS = 100;
+
+class KnownPressure extends PairPressure {
+    override expected(standingImage: string, fillerImage: string): number {
+        return fillerImage === "pressing" ? 8 : 0;
+    }
+}
+
+interface Scene {
+    server: ServerView;
+    pacing: FillerPacing;
+    standing: RunView;
+    pressing: RunView;
+    harmless: RunView;
+}
+
+const addRun = (server: ServerView, name: string, step: StepSpecification): RunView => {
+    const position = { jobId: name, occurrence: 0, step: 0, index: 0 };
+    const run = newRunView({ task: name, run: 1, position, step, kind: taskKindOf(step) }, "", 0);
+    server.addRun(run);
+    return run;
+};
+
+const sceneWith = (tailMs: number): Scene => {
+    const server = new ServerView("s", 1, 0, 0);
+    server.describe(heartbeatOf("s", 1), 0);
+    const standing = addRun(server, "standing", standingStepOf({ targetTailMs: TARGET_MS }));
+    standing.measurement = tailMs;
+    return {
+        server,
+        pacing: new FillerPacing(new KnownPressure()),
+        standing,
+        pressing: addRun(server, "pressing", fillerStepOf({ image: "pressing" })),
+        harmless: addRun(server, "harmless", fillerStepOf({ image: "harmless" })),
+    };
+};
+
+// Guards against batch throughput lost by slowing fillers that do no harm.
+it("slows only the fillers that press on a standing task near its target", () => {
+    const { server, pacing, pressing, harmless } = sceneWith(150);
+    pacing.adjust(server, 0);
+    expect(pressing.wantedPacePercent).toBeLessThan(70);
+    expect(harmless.wantedPacePercent).toBe(100);
+});
+
+// Guards against a standing task that stays over its target because of a pressure that isn't learned yet.
+it("pauses all fillers beside a task that stays over its target, and lets them go on when it recovers", () => {
+    const { server, pacing, standing, harmless } = sceneWith(150);
+    for (let nowMs = 0; nowMs <= 3_000; nowMs += 500) {
+        pacing.adjust(server, nowMs);
+    }
+    expect(harmless.wantedPacePercent).toBe(0);
+    standing.measurement = 30;
+    for (let nowMs = 3_500; nowMs <= 6_000; nowMs += 500) {
+        pacing.adjust(server, nowMs);
+    }
+    expect(harmless.wantedPacePercent).toBe(100);
+});
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -10,8 +10,8 @@
 import { FillerMoves } from "./filler-moves.js";
 import { FillerPacing } from "./filler-pacing.js";
 import { HeartbeatIntake } from "./heartbeat-intake.js";
-import { PairPressure } from "./pair-pressure.js";
 import { OrderWriter } from "./order-writer.js";
+import { PairPressure } from "./pair-pressure.js";
 import { Planner } from "./planner.js";
 import { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
@@ -377,4 +377,3 @@
         }
     }
 }
-
--- /dev/null
+++ b/packages/workflow/src/leader/pair-pressure.test.ts
@@ -0,0 +1,58 @@
+import { SeededRandom } from "@waxwingspread/common";
+import { expect, it } from "vitest";
+import { taskKindOf } from "../model/specification.js";
+import type { StepSpecification } from "../model/specification.js";
+import { fillerStepOf, heartbeatOf, standingStepOf } from "../testing/fixtures.js";
+import { PairPressure } from "./pair-pressure.js";
+import { newRunView, ServerView } from "./server-view.js";
+import type { RunView } from "./server-view.js";
+
+const TARGET_MS = 100;
+/** Rise of the logarithm of a tail if the filler used the whole server. */
+const TRUE_PRESSURES: Readonly<Record<string, number>> = { pressing: 8, harmless: 0 };
+
+const addRun = (server: ServerView, name: string, step: StepSpecification): RunView => {
+    const position = { jobId: name, occurrence: 0, step: 0, index: 0 };
+    const run = newRunView({ task: name, run: 1, position, step, kind: taskKindOf(step) }, "", 0);
+    run.isReported = true;
+    server.addRun(run);
+    return run;
+};
+
+// Guards against slowing harmless fillers, or keeping them away, because of the standing tasks' own load.
+it("tells fillers that press on a standing image from others, while the standing task's own load swings", () => {
+    const random = new SeededRandom(7);
+    const pressure = new PairPressure();
+    const server = new ServerView("s", 1, 0, 0);
+    server.describe(heartbeatOf("s", 1), 0);
+    const standing = addRun(server, "standing", standingStepOf({ targetTailMs: TARGET_MS }));
+    let filler: RunView | undefined;
+    for (let step = 0; step < 60; step += 1) {
+        const nowMs = step * 500;
+        if (step % 4 === 0) {
+            server.removeRun(filler?.task ?? "");
+            const image = random.pick(["pressing", "harmless", "none"]);
+            filler = image === "none" ? undefined : addRun(server, `filler-${step}`, fillerStepOf({ image }));
+        }
+        const image = filler?.step.image ?? "none";
+        const usedMillicores = filler === undefined ? 0 : 800;
+        if (filler !== undefined) {
+            filler.measurement = usedMillicores;
+        }
+        const ownLogRatio = -1 + 0.5 * Math.sin((2 * Math.PI * nowMs) / 20_000);
+        const rise = (TRUE_PRESSURES[image] ?? 0) * (usedMillicores / 4_000);
+        standing.measurement = TARGET_MS * Math.exp(ownLogRatio + rise + (random.nextRatio() - 0.5) * 0.2);
+        pressure.observe(server, nowMs);
+    }
+    expect(pressure.expected("standing", "pressing")).toBeGreaterThan(4);
+    expect(pressure.expected("standing", "harmless")).toBeLessThan(1);
+});
+
+// Guards against pairs that are never tried and therefore never learned.
+it("lets a pair that has not been seen be tried", () => {
+    const pressure = new PairPressure();
+    const server = new ServerView("s", 1, 0, 0);
+    server.describe(heartbeatOf("s", 1), 0);
+    addRun(server, "standing", standingStepOf());
+    expect(pressure.riseWith(server, "unknown", 1_000)).toBe(0);
+});
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -48,7 +48,7 @@
     return rise > MAX_RISE ? undefined : PRESSURE_COST * rise - idle;
 };
 
-const COSTS: { [Kind in TaskKind]: CostFunction } = {
+const COSTS: Readonly<Record<TaskKind, CostFunction>> = {
     [TaskKind.Finite]: costOfFinite,
     [TaskKind.Standing]: costOfStanding,
     [TaskKind.Filler]: costOfFiller,
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -5,10 +5,10 @@
 import type { PairPressure } from "./pair-pressure.js";
 import { chooseServer } from "./placement.js";
 import type { PlacementLimits } from "./placement.js";
-import type { Times } from "./times.js";
 import type { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
+import type { Times } from "./times.js";
 import { taskKeyIn } from "./work-queue.js";
 import type { WaitingStep, WorkQueue } from "./work-queue.js";
 
--- a/packages/workflow/src/leader/utilization.ts
+++ b/packages/workflow/src/leader/utilization.ts
@@ -1,8 +1,8 @@
 import { TaskKind } from "../model/specification.js";
+import { TaskPhase } from "../state/job-record.js";
 import { worstTailRatio } from "./pair-pressure.js";
 import type { PairPressure } from "./pair-pressure.js";
 import type { ServerView } from "./server-view.js";
-import { TaskPhase } from "../state/job-record.js";
 import type { WorkQueue } from "./work-queue.js";
 
 /** How the backend servers are used at one moment. */
@@ -19,7 +19,7 @@
     /** Processor need of the fillers on servers with standing tasks. */
     fillerBesideStandingCores: number;
     meanFillerPacePercent: number;
-    waitingTasks: { [Kind in TaskKind]: number };
+    waitingTasks: Record<TaskKind, number>;
     standingTasks: number;
     standingTasksOverTarget: number;
     /** Pressures by standing image, then by filler image. */
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -1,4 +1,4 @@
-import { TaskKind, taskKeyOf, taskKindOf } from "../model/specification.js";
+import { taskKeyOf, TaskKind, taskKindOf } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
 import type { JobRecord, StepRecord } from "../state/job-record.js";
 import { TaskPhase } from "../state/job-record.js";
--- /dev/null
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -0,0 +1,274 @@
+import { describe, expect, it } from "vitest";
+import { JobState, Refusal } from "../model/calls.js";
+import { RunEnd } from "../model/heartbeat.js";
+import type { HeartbeatOrders, ReportedRun } from "../model/heartbeat.js";
+import { configurationOf, heartbeatOf, HOST, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
+import { resultOf, SingleReplica } from "../testing/single-replica.js";
+
+const runningOf = (orders: HeartbeatOrders | undefined): ReportedRun[] =>
+    (orders?.starts ?? []).map(({ task, run }) => ({
+        task,
+        run,
+        checkpoint: "",
+        progressPercent: 0,
+        measurement: undefined,
+    }));
+
+const endOf = (sequence: number, task: string, run: number, end = RunEnd.Done) => ({
+    sequence,
+    task,
+    run,
+    end,
+    checkpoint: "",
+});
+
+describe("a job", () => {
+    it("runs step after step and is shown as completed only when every task is done", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf({ taskCount: 2 }), stepOf({ dependsOn: [0] })));
+        const first = replica.heartbeat(heartbeatOf("s", 2));
+        expect(first?.starts.map(start => start.task)).toEqual(["j.0.0.0", "j.0.0.1"]);
+        const running = runningOf(first);
+        const second = replica.heartbeat(
+            heartbeatOf("s", 3, { running: running.slice(1), ended: [endOf(1, "j.0.0.0", 1)] }),
+        );
+        expect(second?.acknowledgedEnd).toBe(1);
+        expect(second?.starts).toEqual([]);
+        const third = replica.heartbeat(heartbeatOf("s", 4, { ended: [endOf(2, "j.0.0.1", 1)] }));
+        expect(third?.starts.map(start => start.task)).toEqual(["j.0.1.0"]);
+        expect(replica.stateOf("j")).toBe(JobState.Running);
+        replica.heartbeat(heartbeatOf("s", 5, { ended: [endOf(3, "j.0.1.0", 1)] }));
+        expect(replica.stateOf("j")).toBe(JobState.Completed);
+    });
+
+    it("is accepted once, however often it is submitted", () => {
+        const replica = SingleReplica.started();
+        expect(replica.submit(jobOf("j", stepOf())).ok).toBe(true);
+        expect(replica.submit(jobOf("j", stepOf())).ok).toBe(true);
+        expect(replica.node.state.jobs.size).toBe(1);
+    });
+
+    it("is not acknowledged before its record is committed", () => {
+        const replica = SingleReplica.started();
+        const results: unknown[] = [];
+        const address = { host: HOST, path: "/batch/j" };
+        replica.node.submit(address, jobOf("j", stepOf()), result => results.push(result), replica.times);
+        replica.node.run(replica.times);
+        expect(results).toEqual([]);
+        replica.commit();
+        expect(results).toEqual([{ ok: true, value: undefined }]);
+    });
+
+    it("has an uncertain result when the leadership is lost before the commit", () => {
+        const replica = SingleReplica.started();
+        const results: unknown[] = [];
+        const address = { host: HOST, path: "/batch/j" };
+        replica.node.submit(address, jobOf("j", stepOf()), result => results.push(result), replica.times);
+        replica.node.run(replica.times);
+        replica.node.leadershipLost();
+        expect(results).toEqual([{ ok: false, refusal: Refusal.Uncertain }]);
+    });
+
+    it("fails after its attempts and no task of it starts again", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        expect(replica.heartbeat(heartbeatOf("s", 2))?.starts).toHaveLength(1);
+        const again = replica.heartbeat(heartbeatOf("s", 3, { ended: [endOf(1, "j.0.0.0", 1, RunEnd.Failed)] }));
+        expect(again?.starts).toEqual([{ task: "j.0.0.0", run: 2, payload: "payload of j", checkpoint: "" }]);
+        const last = replica.heartbeat(heartbeatOf("s", 4, { ended: [endOf(2, "j.0.0.0", 2, RunEnd.Failed)] }));
+        expect(last?.starts).toEqual([]);
+        expect(replica.stateOf("j")).toBe(JobState.Failed);
+    });
+
+    it("that is cancelled stops where it runs and starts nowhere", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf({ taskCount: 5 })));
+        const orders = replica.heartbeat(heartbeatOf("s", 2));
+        replica.node.cancel("j", () => undefined, replica.times);
+        replica.settle();
+        const stopped = replica.heartbeat(heartbeatOf("s", 3, { running: runningOf(orders) }));
+        expect(stopped?.stops).toHaveLength(4);
+        expect(stopped?.starts).toEqual([]);
+        expect(replica.stateOf("j")).toBe(JobState.Cancelled);
+    });
+
+    it("on a schedule starts each occurrence when it is due, whatever the clock has shown before", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        const firstDueMs = replica.times.timeOfDayMs + 1_000;
+        const schedule = { occurrences: 2, firstDueMs, intervalMs: 2_000 };
+        replica.submit({ ...jobOf("j", stepOf()), schedule });
+        expect(replica.heartbeat(heartbeatOf("s", 2))?.starts).toEqual([]);
+        replica.advance(1_000);
+        expect(replica.heartbeat(heartbeatOf("s", 3))?.starts.map(start => start.task)).toEqual(["j.0.0.0"]);
+        replica.timeOfDayOffsetMs = 2_000;
+        replica.advance(100);
+        const orders = replica.heartbeat(heartbeatOf("s", 4, { ended: [endOf(1, "j.0.0.0", 1)] }));
+        expect(orders?.starts.map(start => start.task)).toEqual(["j.1.0.0"]);
+    });
+});
+
+describe("a run", () => {
+    it("is recorded before its order leaves", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        replica.heartbeat(heartbeatOf("s", 2));
+        replica.failOver();
+        expect(replica.node.state.job("j")?.occurrences[0]?.[0]?.tasks[0]?.run).toBe(1);
+    });
+
+    it("is ordered again, under the same number, when the answer with the order was lost", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        const lost = replica.heartbeat(heartbeatOf("s", 2));
+        expect(replica.heartbeat(heartbeatOf("s", 3))?.starts).toEqual(lost?.starts);
+    });
+
+    it("starts elsewhere only after the lease of a silent server has certainly expired", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        replica.heartbeat(heartbeatOf("s", 2));
+        replica.advance(3_000);
+        expect(replica.heartbeat(heartbeatOf("t", 1))?.starts).toEqual([]);
+        replica.advance(150);
+        expect(replica.heartbeat(heartbeatOf("t", 2))?.starts).toMatchObject([{ task: "j.0.0.0", run: 2 }]);
+    });
+
+    it("outlives a change of the leader, which waits for the longest lease before it starts the task again", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        replica.heartbeat(heartbeatOf("s", 2));
+        replica.failOver();
+        replica.advance(6_500);
+        expect(replica.heartbeat(heartbeatOf("t", 1))?.starts).toEqual([]);
+        replica.advance(1_000);
+        expect(replica.heartbeat(heartbeatOf("t", 2))?.starts).toMatchObject([{ task: "j.0.0.0", run: 2 }]);
+    });
+
+    it("starts again with the next heartbeat when its server has started anew", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        replica.heartbeat(heartbeatOf("s", 2));
+        replica.heartbeat(heartbeatOf("s", 1, { incarnation: 2 }));
+        expect(replica.heartbeat(heartbeatOf("s", 2, { incarnation: 2 }))?.starts).toMatchObject([{ run: 2 }]);
+    });
+
+    it("that the leader has given up is stopped when its server is heard again", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        const orders = replica.heartbeat(heartbeatOf("s", 2));
+        replica.advance(4_000);
+        const back = replica.heartbeat(heartbeatOf("s", 3, { running: runningOf(orders), isDraining: true }));
+        expect(back?.stops).toEqual([{ task: "j.0.0.0", run: 1 }]);
+    });
+
+    it("ignores a heartbeat that a later one has overtaken", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 5));
+        expect(replica.heartbeat(heartbeatOf("s", 4))).toBeUndefined();
+    });
+
+    it("does not start on a draining server or in a zone out of service, though it was assigned there", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        replica.node.setZone("a", true, () => undefined, replica.times);
+        replica.settle();
+        expect(replica.heartbeat(heartbeatOf("s", 2))?.starts).toEqual([]);
+        const elsewhere = replica.heartbeat(heartbeatOf("t", 1, { availabilityZone: "b" }));
+        expect(elsewhere?.starts).toMatchObject([{ task: "j.0.0.0", run: 2 }]);
+    });
+});
+
+describe("a gang", () => {
+    it("starts with all of its tasks under one run number or not at all", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf({ taskCount: 5, isGang: true })));
+        expect(replica.heartbeat(heartbeatOf("s", 2))?.starts).toEqual([]);
+        replica.heartbeat(heartbeatOf("t", 1));
+        const first = replica.heartbeat(heartbeatOf("s", 3))?.starts ?? [];
+        const second = replica.heartbeat(heartbeatOf("t", 2))?.starts ?? [];
+        expect(first.length + second.length).toBe(5);
+        expect(new Set([...first, ...second].map(start => start.run))).toEqual(new Set([1]));
+    });
+
+    it("is done as a whole by the end of one member", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf({ taskCount: 3, isGang: true })));
+        replica.heartbeat(heartbeatOf("s", 2));
+        replica.heartbeat(heartbeatOf("s", 3, { ended: [endOf(1, "j.0.0.1", 1)] }));
+        expect(replica.stateOf("j")).toBe(JobState.Completed);
+    });
+});
+
+describe("a standing task", () => {
+    it("is started again however it ends", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", standingStepOf()));
+        replica.heartbeat(heartbeatOf("s", 2));
+        const ends = [RunEnd.Done, RunEnd.Failed, RunEnd.Failed, RunEnd.LeaseExpired];
+        ends.forEach((end, position) => {
+            // Repeated failures keep a server from new starts for a while.
+            replica.advance(2_500);
+            const run = position + 1;
+            const ended = [endOf(run, "j.0.0.0", run, end)];
+            replica.heartbeat(heartbeatOf("s", 3 + 2 * position, { ended }));
+            replica.advance(2_500);
+            const orders = replica.heartbeat(heartbeatOf("s", 4 + 2 * position));
+            expect(orders?.starts).toMatchObject([{ task: "j.0.0.0", run: run + 1 }]);
+        });
+    });
+});
+
+describe("a configuration", () => {
+    it("is overtaken only by a higher version, and is read as it was sent", () => {
+        const replica = SingleReplica.started();
+        for (const configuration of [configurationOf(5), configurationOf(4), configurationOf(5, { document: "{}" })]) {
+            let isAccepted = false;
+            replica.node.configure(configuration, result => {
+                isAccepted = result.ok;
+            }, replica.times);
+            replica.settle();
+            expect(isAccepted).toBe(true);
+        }
+        const results: unknown[] = [];
+        replica.node.readConfiguration(result => results.push(result), replica.times);
+        replica.settle();
+        expect(results).toEqual([{ ok: true, value: "{\"version\":5}" }]);
+    });
+
+    it("is not read from a replica that doesn't lead", () => {
+        const replica = SingleReplica.started();
+        replica.isLeader = false;
+        const result = resultOf<string | undefined>(respond => replica.node.readConfiguration(respond, replica.times));
+        expect(result).toEqual({ ok: false, refusal: Refusal.NotLeader });
+    });
+});
+
+describe("a snapshot", () => {
+    it("restores jobs, runs, acknowledged ends and zones", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf({ taskCount: 2 })));
+        replica.heartbeat(heartbeatOf("s", 2));
+        replica.heartbeat(heartbeatOf("s", 3, { ended: [endOf(7, "j.0.0.0", 1)] }));
+        replica.node.setZone("b", true, () => undefined, replica.times);
+        replica.settle();
+        const before = replica.node.state.toSnapshot();
+        replica.node.restore(replica.node.snapshot());
+        expect(JSON.stringify(replica.node.state.toSnapshot())).toBe(JSON.stringify(before));
+        expect(replica.node.state.acknowledgedEnd({ serverId: "s", incarnation: 1 })).toBe(7);
+    });
+});
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -1,7 +1,7 @@
 import { LeaderSession } from "../leader/leader-session.js";
-import type { Times } from "../leader/times.js";
 import type { LeaderSettings } from "../leader/settings.js";
-import { JobState, refused, Refusal, succeeded } from "../model/calls.js";
+import type { Times } from "../leader/times.js";
+import { JobState, Refusal, refused, succeeded } from "../model/calls.js";
 import type { Respond } from "../model/calls.js";
 import { findQueue } from "../model/configuration.js";
 import type { Configuration } from "../model/configuration.js";
--- /dev/null
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -0,0 +1,140 @@
+import { Ok } from "ts-results-es";
+import type { LeaderSettings } from "../leader/settings.js";
+import type { Times } from "../leader/times.js";
+import type { CallResult, Respond } from "../model/calls.js";
+import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
+import type { JobSpecification } from "../model/specification.js";
+import type { CommittedRecord } from "../node/replicated-log.js";
+import { WorkflowNode } from "../node/workflow-node.js";
+import { configurationOf, HOST } from "./fixtures.js";
+
+/** Start of the steady clock and of the time of day in tests. */
+const START_MS = 1_000_000;
+
+/** Settings of the leader in tests. */
+export const LEADER_SETTINGS: LeaderSettings = {
+    leaseMs: 3_000,
+    maxLeaseMs: 6_000,
+    busyHeartbeatMs: 100,
+    idleHeartbeatMs: 100,
+    retentionMs: 120_000,
+};
+
+/** Returns the result that a call gave at once; fails when it gave none. */
+export const resultOf = <Value>(call: (respond: Respond<Value>) => void): CallResult<Value> => {
+    const results: CallResult<Value>[] = [];
+    call(result => results.push(result));
+    const [result] = results;
+    if (result === undefined) {
+        throw new Error("the call has no result yet");
+    }
+    return result;
+};
+
+/** One workflow node on a log that commits when told to, with a clock that stands still unless moved. */
+export class SingleReplica {
+    node: WorkflowNode;
+    /** Whether this replica leads. */
+    isLeader = true;
+    term = 1;
+    readonly log: CommittedRecord[] = [];
+    #committed = 0;
+    #nowMs = START_MS;
+    /** Difference of the time of day from the steady clock. */
+    timeOfDayOffsetMs = 0;
+
+    constructor() {
+        this.node = this.#createNode();
+    }
+
+    /** Creates a leader with a configuration that has passed its settling time. */
+    static started(): SingleReplica {
+        const replica = new SingleReplica();
+        replica.settle();
+        replica.node.configure(configurationOf(1), () => undefined, replica.times);
+        replica.settle();
+        replica.advance(500);
+        return replica;
+    }
+
+    get times(): Times {
+        return { nowMs: this.#nowMs, timeOfDayMs: this.#nowMs + this.timeOfDayOffsetMs };
+    }
+
+    /** Lets time pass and settles. */
+    advance(durationMs: number): void {
+        this.#nowMs += durationMs;
+        this.settle();
+    }
+
+    /** Commits what is proposed until nothing more is. */
+    settle(): void {
+        for (let round = 0; round < 10; round += 1) {
+            this.node.run(this.times);
+            this.commit();
+        }
+    }
+
+    commit(): void {
+        const records = this.log.slice(this.#committed);
+        this.#committed = this.log.length;
+        this.node.committed(records, this.times);
+    }
+
+    /** Starts another replica that has all committed records, leading in the next term. */
+    failOver(): void {
+        this.log.length = this.#committed;
+        this.node.leadershipLost();
+        this.node = this.#createNode();
+        this.term += 1;
+        this.node.committed(this.log, this.times);
+        this.settle();
+    }
+
+    /** Submits a job to the queue `/batch/`. */
+    submit(job: JobSpecification): CallResult<void> {
+        const results: CallResult<void>[] = [];
+        this.node.submit({ host: HOST, path: `/batch/${job.id}` }, job, result => results.push(result), this.times);
+        this.settle();
+        return resultOf(respond => results.forEach(respond));
+    }
+
+    /** Sends a heartbeat and returns the orders in its answer. */
+    heartbeat(report: HeartbeatReport): HeartbeatOrders | undefined {
+        const results: CallResult<HeartbeatOrders | undefined>[] = [];
+        this.node.heartbeat(report, result => results.push(result), this.times);
+        this.settle();
+        const [result] = results;
+        return result?.ok === true ? result.value : undefined;
+    }
+
+    /** Returns a job's state. */
+    stateOf(jobId: string): string {
+        const results: CallResult<string>[] = [];
+        this.node.jobState(jobId, result => results.push(result), this.times);
+        this.settle();
+        const [result] = results;
+        return result === undefined ? "none" : result.ok ? result.value : result.refusal;
+    }
+
+    #createNode(): WorkflowNode {
+        const isLeader = (): boolean => this.isLeader;
+        const term = (): number => this.term;
+        return new WorkflowNode({
+            settings: LEADER_SETTINGS,
+            log: {
+                get term() {
+                    return term();
+                },
+                get isLeader() {
+                    return isLeader();
+                },
+                hasQuorumLease: isLeader,
+                propose: data => {
+                    this.log.push({ index: this.log.length + 1, term: this.term, data });
+                    return Ok(this.log.length);
+                },
+            },
+        });
+    }
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -17,7 +17,10 @@
 
 export default defineConfig({
     resolve: {
-        alias: [{ find: "@waxwingspread/daemon/workflow", replacement: `${packages}/daemon/src/workflow/index.ts` }, { find: /^@waxwingspread\/(.+)$/, replacement: `${packages}/$1/src/index.ts` }],
+        alias: [{ find: "@waxwingspread/daemon/workflow", replacement: `${packages}/daemon/src/workflow/index.ts` }, {
+            find: /^@waxwingspread\/(.+)$/,
+            replacement: `${packages}/$1/src/index.ts`,
+        }],
     },
     test: {
         testTimeout: 60_000,
