Free the tasks of servers on which nothing progresses; test the adapter's processes as a whole

A server whose tasks stand still or progress at under a third of their step's progress elsewhere gets no starts, and tasks that would end much sooner elsewhere are stopped. The progress of a step everywhere is the measure, since estimates may be far off for a whole job.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -14,6 +14,7 @@
 import { PairPressure } from "./pair-pressure.js";
 import { Planner } from "./planner.js";
 import { ServerDirectory } from "./server-directory.js";
+import { ServerSpeed } from "./server-speed.js";
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
@@ -61,6 +62,7 @@
     readonly #intake: HeartbeatIntake;
     readonly #orders: OrderWriter;
     readonly #evacuation: Evacuation;
+    readonly #speed = new ServerSpeed();
     readonly #moves: FillerMoves;
     readonly #answers = new Map<string, WaitingAnswer>();
     readonly #failures = new Map<string, number>();
@@ -129,6 +131,7 @@
         intake.startedJobs.forEach(id => this.#startedJobs.add(id));
         this.#loseRuns(intake.missingRuns);
         this.#pressure.observe(server, nowMs);
+        this.#speed.observe(server, nowMs);
         this.#pacing.adjust(server, nowMs);
         this.#answers.get(server.id)?.respond(undefined);
         this.#answers.set(server.id, { report, respond, sinceMs: nowMs });
@@ -155,6 +158,7 @@
             this.#dropAnswer(server.id);
             this.#pacing.forget(server);
             this.#pressure.forget(server.id);
+            this.#speed.forget(server.id);
             this.#loseRuns([...server.runs.values()]);
         }
         this.#nowMs = nowMs;
--- /dev/null
+++ b/packages/workflow/src/leader/server-speed.test.ts
@@ -0,0 +1,54 @@
+import { beforeEach, expect, it } from "vitest";
+import { taskKindOf } from "../model/specification.js";
+import type { StepSpecification } from "../model/specification.js";
+import { heartbeatOf, stepOf } from "../testing/fixtures.js";
+import { ServerSpeed } from "./server-speed.js";
+import { newRunView, ServerView } from "./server-view.js";
+import type { RunView } from "./server-view.js";
+
+let servers: ServerView[];
+let runs: RunView[];
+
+const addRun = (server: ServerView, index: number, step: StepSpecification): RunView => {
+    const position = { jobId: "j", occurrence: 0, step: 0, index };
+    const run = newRunView({ task: `j.0.0.${index}`, run: 1, position, step, kind: taskKindOf(step) }, "", 0);
+    run.isReported = true;
+    server.addRun(run);
+    return run;
+};
+
+/** Reports progress every 100 ms, at a speed for each run, for a second and a half. */
+const play = (speed: ServerSpeed, percentPerSecond: readonly number[]): void => {
+    for (let nowMs = 0; nowMs <= 1_500; nowMs += 100) {
+        runs.forEach((run, index) => {
+            run.progressPercent = Math.floor(((percentPerSecond[index] ?? 0) * nowMs) / 1_000);
+        });
+        servers.forEach(server => speed.observe(server, nowMs));
+    }
+};
+
+beforeEach(() => {
+    const step = stepOf({ estimatedRunTimeMs: 4_000, taskCount: 4 });
+    servers = ["a", "b"].map(id => {
+        const server = new ServerView(id, 1, 0, 0);
+        server.describe(heartbeatOf(id, 1), 0);
+        return server;
+    });
+    runs = servers.flatMap((server, position) => [
+        addRun(server, 2 * position, step),
+        addRun(server, 2 * position + 1, step),
+    ]);
+});
+
+// Guards against jobs that wait for tasks which stand still on a server that otherwise answers.
+it("frees the tasks of a server on which nothing progresses, and keeps new ones away", () => {
+    play(new ServerSpeed(), [25, 25, 0, 0]);
+    expect(runs.map(run => run.isStopping)).toEqual([false, false, true, true]);
+    expect(servers.map(server => server.avoidUntilMs > 1_500)).toEqual([false, true]);
+});
+
+// Guards against sound servers taken for slow because a job's estimate was far too low.
+it("doesn't take servers for slow when a step progresses slowly everywhere", () => {
+    play(new ServerSpeed(), [8, 8, 8, 8]);
+    expect(runs.some(run => run.isStopping)).toBe(false);
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -31,7 +31,7 @@
                 test: {
                     name: "unit",
                     include: ["packages/**/*.test.ts", "platform/**/*.test.ts"],
-                    exclude: [...neverTests, "packages/**/*.real.test.ts"],
+                    exclude: [...neverTests, "**/*.real.test.ts"],
                     maxWorkers: 6,
                     sequence: { groupOrder: 0 },
                 },
@@ -40,7 +40,7 @@
                 extends: true,
                 test: {
                     name: "drills",
-                    include: ["packages/**/*.real.test.ts"],
+                    include: ["packages/**/*.real.test.ts", "platform/**/*.real.test.ts"],
                     exclude: neverTests,
                     // Each starts many processes; two at a time would disturb each other's timing.
                     fileParallelism: false,
