--- a/packages/workflow/src/leader/pair-pressure.ts
+++ b/packages/workflow/src/leader/pair-pressure.ts
@@ -23,6 +23,12 @@
 const MIN_PRESSURE = 0.8;
 /** A tail falls back slowly after its cause has ended, so that use counts with the use before it. */
 const USE_SMOOTHING = 0.4;
+/** Logarithm of the ratio of tail to target up to which a filler may start. */
+const PLACEMENT_LOG_RATIO = Math.log(0.75);
+/** Assumed for a standing task that has not been measured. */
+const UNMEASURED_LOG_RATIO = Math.log(0.5);
+/** A filler's effect shows in the measured tails after this. */
+const RECENT_MS = 700;
 /** Weights are solved again after this long. */
 const REFRESH_INTERVAL_MS = 500;
 
@@ -106,6 +112,8 @@
     readonly #images = new Map<string, StandingImage>();
     readonly #observedAtMs = new Map<string, number>();
     readonly #observations = new WeakMap<RunView, Observation>();
+    /** Logarithm of the worst present tail over its target, by server, then by standing image. */
+    readonly #worstLogRatios = new Map<string, ReadonlyMap<string, number>>();
     /** Smoothed shares of the processors that fillers use, by server, then by image. */
     readonly #shares = new Map<string, Map<string, number>>();
 
@@ -119,23 +127,48 @@
         return (this.#images.get(standingImage)?.pressureOf(fillerImage) ?? UNKNOWN).atLeast;
     }
 
+    /** Returns how far a filler at full speed raises the logarithm of the tail that it presses most, at least. */
+    riseBy(server: ServerView, image: string, cpuMillicores: number): number {
+        let worst = 0;
+        for (const standingImage of server.standingByImage.keys()) {
+            worst = Math.max(worst, this.atLeast(standingImage, image));
+        }
+        return worst * server.shareOf(cpuMillicores);
+    }
+
     /**
-     * Returns how far the logarithm of the worst pressed tail on a server rises at least by its fillers and one more
-     * at full speed.
+     * Returns whether the tails on a server, as they are now and with the fillers that have just begun there, bear one
+     * more filler.
      */
-    riseWith(server: ServerView, image: string, cpuMillicores: number): number {
-        let worst = 0;
+    bears(server: ServerView, image: string, cpuMillicores: number, nowMs: number): boolean {
         for (const standingImage of server.standingByImage.keys()) {
-            let rise = this.atLeast(standingImage, image) * server.shareOf(cpuMillicores);
-            if (rise === 0) {
-                continue;
+            const rise = this.atLeast(standingImage, image) * server.shareOf(cpuMillicores);
+            if (
+                rise > 0 && this.#recentRise(server, standingImage, nowMs) + rise > this.#margin(server, standingImage)
+            ) {
+                return false;
             }
-            for (const [other, otherMillicores] of server.fillersByImage) {
-                rise += this.atLeast(standingImage, other) * server.shareOf(otherMillicores);
+        }
+        return true;
+    }
+
+    /** Returns how far the logarithm of the worst tail of an image on a server may rise. */
+    #margin(server: ServerView, standingImage: string): number {
+        const worst = this.#worstLogRatios.get(server.id)?.get(standingImage) ?? UNMEASURED_LOG_RATIO;
+        return PLACEMENT_LOG_RATIO - worst;
+    }
+
+    /** Returns the rise by fillers that began too recently for the measured tails to show it. */
+    #recentRise(server: ServerView, standingImage: string, nowMs: number): number {
+        let rise = 0;
+        for (const run of server.runs.values()) {
+            const isRecent = nowMs - (run.firstReportedAtMs ?? nowMs) < RECENT_MS;
+            if (isRecent && run.kind === TaskKind.Filler) {
+                const share = server.shareOf(run.step.amounts.cpuMillicores) * (run.pacePercent / 100);
+                rise += this.atLeast(standingImage, run.step.image) * share;
             }
-            worst = Math.max(worst, rise);
         }
-        return worst;
+        return rise;
     }
 
     /** Learns from a server's present measurements. */
@@ -146,10 +179,14 @@
         this.#observedAtMs.set(server.id, nowMs);
         const shares = smooth(this.#shares.get(server.id), sharesByImage(server));
         this.#shares.set(server.id, shares);
+        const worstLogRatios = new Map<string, number>();
+        this.#worstLogRatios.set(server.id, worstLogRatios);
         for (const run of server.runs.values()) {
             const ratio = tailRatioOf(run);
             if (ratio !== undefined && ratio > 0) {
                 const logRatio = Math.log(Math.min(MAX_RATIO, Math.max(MIN_RATIO, ratio)));
+                const { image } = run.step;
+                worstLogRatios.set(image, Math.max(logRatio, worstLogRatios.get(image) ?? -Infinity));
                 this.#observeRun(run, { atMs: nowMs, shares, logRatio });
             }
         }
@@ -168,6 +205,7 @@
     forget(serverId: string): void {
         this.#observedAtMs.delete(serverId);
         this.#shares.delete(serverId);
+        this.#worstLogRatios.delete(serverId);
     }
 
     /** Learned pressures by standing image, then by filler image. */
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -11,14 +11,17 @@
 const OTHER_RACK_COST = 4;
 /** Cost of a rise of the logarithm of a tail by 1, in cores that are left over. */
 const PRESSURE_COST = 15;
-/** Rise of the logarithm of a tail that a standing task at its usual load bears without missing its target. */
-const MAX_RISE = 0.3;
 /** Preference for a server whose standing tasks are of the same image: fewer fillers then press on any of them. */
 const SAME_IMAGE_VALUE = 1;
 /** Cost of a server whose standing tasks are all of other images. */
 const OTHER_IMAGE_COST = 1;
 
-type CostFunction = (waiting: WaitingStep, server: ServerView, pressure: PairPressure) => number | undefined;
+type CostFunction = (
+    waiting: WaitingStep,
+    server: ServerView,
+    pressure: PairPressure,
+    nowMs: number,
+) => number | undefined;
 
 /** Processors that are expected to be left over by all tasks. */
 const idleCores = (server: ServerView): number => {
@@ -38,14 +41,16 @@
     return (isMixed ? OTHER_IMAGE_COST : 0) - SAME_IMAGE_VALUE * sameShare - fill * 0.1;
 };
 
-const costOfFiller: CostFunction = (waiting, server, pressure) => {
+const costOfFiller: CostFunction = (waiting, server, pressure, nowMs) => {
     const { amounts, image } = waiting.step;
     const idle = idleCores(server);
     if (idle * 1000 < amounts.cpuMillicores * FILLER_START_RATIO || server.isSaturated) {
         return undefined;
     }
-    const rise = pressure.riseWith(server, image, amounts.cpuMillicores);
-    return rise > MAX_RISE ? undefined : PRESSURE_COST * rise - idle;
+    if (!pressure.bears(server, image, amounts.cpuMillicores, nowMs)) {
+        return undefined;
+    }
+    return PRESSURE_COST * pressure.riseBy(server, image, amounts.cpuMillicores) - idle;
 };
 
 const COSTS: Readonly<Record<TaskKind, CostFunction>> = {
@@ -76,7 +81,7 @@
         if (!isAllowed(waiting, server, limits, nowMs)) {
             continue;
         }
-        const cost = COSTS[waiting.kind](waiting, server, pressure);
+        const cost = COSTS[waiting.kind](waiting, server, pressure, nowMs);
         if (cost === undefined) {
             continue;
         }
