--- a/packages/workflow/src/leader/filler-pacing.test.ts
+++ b/packages/workflow/src/leader/filler-pacing.test.ts
@@ -37,7 +37,7 @@
     standing.measurement = tailMs;
     return {
         server,
-        pacing: new FillerPacing(new KnownPressure()),
+        pacing: new FillerPacing(new KnownPressure({})),
         standing,
         pressing: addRun(server, "pressing", fillerStepOf({ image: "pressing" })),
         harmless: addRun(server, "harmless", fillerStepOf({ image: "harmless" })),
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -26,6 +26,7 @@
 /** Longest time that an answer to a heartbeat waits for the log. */
 const MAX_ANSWER_DELAY_MS = 300;
 const FORGET_INTERVAL_MS = 5_000;
+const RECORD_INTERVAL_MS = 3_000;
 /** Backend servers need this long to find a new leader; until then most of the room isn't known. */
 const SETTLING_MS = 400;
 /** Failures in a row on one server, of whatever job, after which it gets no starts for a while. */
@@ -56,8 +57,8 @@
     readonly #parts: SessionParts;
     readonly #directory: ServerDirectory;
     readonly #queue = new WorkQueue();
-    readonly #pressure = new PairPressure();
-    readonly #pacing = new FillerPacing(this.#pressure);
+    readonly #pressure: PairPressure;
+    readonly #pacing: FillerPacing;
     readonly #planner: Planner;
     readonly #intake: HeartbeatIntake;
     readonly #orders: OrderWriter;
@@ -69,6 +70,7 @@
     readonly #startedJobs = new Set<string>();
     #isPlanDue = true;
     #forgetAtMs: number;
+    #recordAtMs: number;
     #nowMs: number;
     readonly #settledAtMs: number;
 
@@ -78,6 +80,9 @@
         this.#forgetAtMs = times.nowMs + FORGET_INTERVAL_MS;
         this.#settledAtMs = times.nowMs + SETTLING_MS;
         this.#directory = new ServerDirectory(settings);
+        this.#pressure = new PairPressure(state.pressures);
+        this.#pacing = new FillerPacing(this.#pressure);
+        this.#recordAtMs = times.nowMs + RECORD_INTERVAL_MS;
         this.#planner = new Planner({
             state,
             queue: this.#queue,
@@ -172,6 +177,10 @@
             }
         }
         this.#answerHeartbeats(nowMs);
+        if (nowMs >= this.#recordAtMs) {
+            this.#recordAtMs = nowMs + RECORD_INTERVAL_MS;
+            this.#recordPressures();
+        }
         if (nowMs >= this.#forgetAtMs) {
             this.#forgetAtMs = nowMs + FORGET_INTERVAL_MS;
             this.#forgetJobs(times.timeOfDayMs);
@@ -370,6 +379,14 @@
         this.#answers.delete(serverId);
     }
 
+    /** Records what has been learned, so that the next leader need not learn it at the standing tasks' expense. */
+    #recordPressures(): void {
+        const pressures = this.#pressure.toTable();
+        if (Object.keys(pressures).length > 0) {
+            this.#parts.propose({ kind: EventKind.PressuresLearned, pressures });
+        }
+    }
+
     #forgetJobs(timeOfDayMs: number): void {
         const { state, settings, propose } = this.#parts;
         const jobIds = [...state.jobs.values()]
--- a/packages/workflow/src/leader/linear-model.ts
+++ b/packages/workflow/src/leader/linear-model.ts
@@ -1,7 +1,11 @@
 /** Weight of all earlier observations after a new one. */
 const FORGETTING = 0.9995;
-/** Strength of the prior, in squared units of the inputs. */
-const PRIOR_STRENGTH = 0.02;
+/** What is assumed of a weight before it is observed. */
+export interface Prior {
+    weight: number;
+    /** In squared units of the input; as much as that many observations of the input 1. */
+    strength: number;
+}
 
 /** A learned weight with its standard error, in units of the outputs' deviation. */
 export interface LearnedWeight {
@@ -14,16 +18,13 @@
  * Weights stay near a prior until observations say otherwise.
  */
 export class LinearModel {
-    readonly #priorWeight: number;
+    readonly #priors: Prior[] = [];
     readonly #moments: number[][] = [];
     readonly #residuals: number[] = [];
 
-    constructor(priorWeight: number) {
-        this.#priorWeight = priorWeight;
-    }
-
     /** Adds an input; returns its position. */
-    addInput(): number {
+    addInput(prior: Prior): number {
+        this.#priors.push(prior);
         this.#moments.forEach(row => row.push(0));
         this.#moments.push(new Array<number>(this.#moments.length + 1).fill(0));
         this.#residuals.push(0);
@@ -32,7 +33,7 @@
 
     /** Learns from one observation; inputs that aren't named are 0. */
     observe(inputs: readonly (readonly [position: number, value: number])[], output: number): void {
-        const expected = inputs.reduce((sum, [, value]) => sum + this.#priorWeight * value, 0);
+        const expected = inputs.reduce((sum, [position, value]) => sum + this.#priorWeight(position) * value, 0);
         this.#forget();
         for (const [position, value] of inputs) {
             const row = this.#moments[position] ?? [];
@@ -47,15 +48,19 @@
     weights(): LearnedWeight[] {
         const inverse = invert(this.#moments.map((row, position) => {
             const strengthened = [...row];
-            strengthened[position] = (row[position] ?? 0) + PRIOR_STRENGTH;
+            strengthened[position] = (row[position] ?? 0) + (this.#priors[position]?.strength ?? 0);
             return strengthened;
         }));
         return inverse.map((row, position) => {
             const change = row.reduce((sum, value, column) => sum + value * (this.#residuals[column] ?? 0), 0);
-            return { weight: this.#priorWeight + change, error: Math.sqrt(Math.max(0, row[position] ?? 0)) };
+            return { weight: this.#priorWeight(position) + change, error: Math.sqrt(Math.max(0, row[position] ?? 0)) };
         });
     }
 
+    #priorWeight(position: number): number {
+        return this.#priors[position]?.weight ?? 0;
+    }
+
     #forget(): void {
         for (const row of this.#moments) {
             row.forEach((value, column) => {
--- a/packages/workflow/src/leader/pair-pressure.test.ts
+++ b/packages/workflow/src/leader/pair-pressure.test.ts
@@ -22,7 +22,7 @@
 // Guards against slowing harmless fillers, or keeping them away, because of the standing tasks' own load.
 it("tells fillers that press on a standing image from others, while the standing task's own load swings", () => {
     const random = new SeededRandom(7);
-    const pressure = new PairPressure();
+    const pressure = new PairPressure({});
     const server = new ServerView("s", 1, 0, 0);
     server.describe(heartbeatOf("s", 1), 0);
     const standing = addRun(server, "standing", standingStepOf({ targetTailMs: TARGET_MS }));
@@ -50,9 +50,19 @@
 
 // Guards against pairs that are never tried and therefore never learned.
 it("lets a pair that has not been seen be tried", () => {
-    const pressure = new PairPressure();
+    const pressure = new PairPressure({});
     const server = new ServerView("s", 1, 0, 0);
     server.describe(heartbeatOf("s", 1), 0);
     addRun(server, "standing", standingStepOf());
     expect(pressure.bears(server, "unknown", 1_000, 0)).toBe(true);
 });
+
+// Guards against a change of the leader after which standing tasks suffer again until the pairs are learned anew.
+it("starts from what a former leader has learned", () => {
+    const pressure = new PairPressure({ standing: { pressing: 8, harmless: 0 } });
+    const server = new ServerView("s", 1, 0, 0);
+    server.describe(heartbeatOf("s", 1), 0);
+    addRun(server, "standing", standingStepOf());
+    expect(pressure.bears(server, "pressing", 1_000, 0)).toBe(false);
+    expect(pressure.bears(server, "harmless", 1_000, 0)).toBe(true);
+});
--- a/packages/workflow/src/leader/pair-pressure.ts
+++ b/packages/workflow/src/leader/pair-pressure.ts
@@ -1,9 +1,14 @@
 import { TaskKind } from "../model/specification.js";
+import type { PressureTable } from "../state/events.js";
 import { LinearModel } from "./linear-model.js";
 import type { RunView, ServerView } from "./server-view.js";
 
 /** Pressure of a pair of images that has not been seen together. */
 const PRIOR_PRESSURE = 1.8;
+/** Strength of that prior, in squared shares of a server's processors. */
+const PRIOR_STRENGTH = 0.02;
+/** Strength of what a former leader has learned. */
+const INHERITED_STRENGTH = 0.2;
 /** Deviation of the logarithm of a tail from what is expected, after what persists of the last deviation. */
 const OUTPUT_DEVIATION = 0.5;
 /**
@@ -53,11 +58,19 @@
 const UNKNOWN: Pressure = { expected: PRIOR_PRESSURE, atLeast: 0 };
 
 class StandingImage {
-    readonly #model = new LinearModel(PRIOR_PRESSURE);
+    readonly #model = new LinearModel();
     readonly #positions = new Map<string, number>();
     readonly #pressures = new Map<string, Pressure>();
     #refreshedAtMs = -Infinity;
 
+    /** Starts from what a former leader has learned. */
+    inherit(pressures: Readonly<Record<string, number>>): void {
+        for (const [image, weight] of Object.entries(pressures)) {
+            this.#positions.set(image, this.#model.addInput({ weight, strength: INHERITED_STRENGTH }));
+        }
+        this.refresh(0);
+    }
+
     /** Learns from the change between two observations of one task. */
     observe(former: Observation, present: Observation): void {
         const inputs: [number, number][] = [];
@@ -97,7 +110,7 @@
     #positionOf(image: string): number | undefined {
         let position = this.#positions.get(image);
         if (position === undefined && this.#positions.size < MAX_IMAGES) {
-            position = this.#model.addInput();
+            position = this.#model.addInput({ weight: PRIOR_PRESSURE, strength: PRIOR_STRENGTH });
             this.#positions.set(image, position);
         }
         return position;
@@ -117,6 +130,12 @@
     /** Smoothed shares of the processors that fillers use, by server, then by image. */
     readonly #shares = new Map<string, Map<string, number>>();
 
+    constructor(inherited: PressureTable) {
+        for (const [name, pressures] of Object.entries(inherited)) {
+            this.#imageOf(name).inherit(pressures);
+        }
+    }
+
     /** Returns the expected pressure of a filler's image on a standing image. */
     expected(standingImage: string, fillerImage: string): number {
         return (this.#images.get(standingImage)?.pressureOf(fillerImage) ?? UNKNOWN).expected;
@@ -208,8 +227,26 @@
         this.#worstLogRatios.delete(serverId);
     }
 
+    /**
+     * Returns which share of the pressures on a standing image would be new to a server, so that fillers which now
+     * press on no task there would; undefined while nothing is known of the image.
+     */
+    newShare(server: ServerView, standingImage: string): number | undefined {
+        const pressures = Object.entries(this.#images.get(standingImage)?.pressures ?? {});
+        const total = pressures.reduce((sum, [, pressure]) => sum + pressure, 0);
+        if (total === 0) {
+            return undefined;
+        }
+        let added = 0;
+        for (const [filler, pressure] of pressures) {
+            const others = [...server.standingByImage.keys()].map(image => this.expected(image, filler));
+            added += Math.max(0, pressure - Math.max(0, ...others));
+        }
+        return added / total;
+    }
+
     /** Learned pressures by standing image, then by filler image. */
-    toTable(): Record<string, Record<string, number>> {
+    toTable(): PressureTable {
         return Object.fromEntries([...this.#images].map(([name, image]) => [name, image.pressures]));
     }
 
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -11,10 +11,10 @@
 const OTHER_RACK_COST = 4;
 /** Cost of a rise of the logarithm of a tail by 1, in cores that are left over. */
 const PRESSURE_COST = 15;
-/** Preference for a server whose standing tasks are of the same image: fewer fillers then press on any of them. */
-const SAME_IMAGE_VALUE = 1;
-/** Cost of a server whose standing tasks are all of other images. */
-const OTHER_IMAGE_COST = 1;
+/** Cost of a server with standing tasks of other images, beside that of the pressures that are new there. */
+const OTHER_IMAGE_COST = 0.4;
+/** Preference for a server that is full already, so that others stay free. */
+const FILL_VALUE = 0.1;
 
 type CostFunction = (
     waiting: WaitingStep,
@@ -32,13 +32,15 @@
 /** Fillers get what others leave, so finite tasks go where the most would be left over. */
 const costOfFinite: CostFunction = (waiting, server) => -idleCores(server);
 
-/** Standing tasks of one image are packed together. */
-const costOfStanding: CostFunction = (waiting, server) => {
-    const sameMillicores = server.standingByImage.get(waiting.step.image) ?? 0;
-    const sameShare = sameMillicores / Math.max(1, server.standingCpuMillicores);
+/** Standing tasks on which the same fillers press are packed together. */
+const costOfStanding: CostFunction = (waiting, server, pressure) => {
+    const { image } = waiting.step;
+    const sameMillicores = server.standingByImage.get(image) ?? 0;
     const isMixed = server.standingCpuMillicores > sameMillicores;
+    const otherShare = 1 - sameMillicores / Math.max(1, server.standingCpuMillicores);
     const fill = server.reserved.cpuMillicores / Math.max(1, server.capacity.cpuMillicores);
-    return (isMixed ? OTHER_IMAGE_COST : 0) - SAME_IMAGE_VALUE * sameShare - fill * 0.1;
+    const newShare = pressure.newShare(server, image) ?? otherShare;
+    return newShare + (isMixed ? OTHER_IMAGE_COST : 0) - fill * FILL_VALUE;
 };
 
 const costOfFiller: CostFunction = (waiting, server, pressure, nowMs) => {
--- a/packages/workflow/src/leader/utilization.ts
+++ b/packages/workflow/src/leader/utilization.ts
@@ -1,4 +1,5 @@
 import { TaskKind } from "../model/specification.js";
+import type { PressureTable } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
 import { worstTailRatio } from "./pair-pressure.js";
 import type { PairPressure } from "./pair-pressure.js";
@@ -23,7 +24,7 @@
     standingTasks: number;
     standingTasksOverTarget: number;
     /** Pressures by standing image, then by filler image. */
-    pressures: Record<string, Record<string, number>>;
+    pressures: PressureTable;
 }
 
 /** Sums up the use of all servers. */
--- a/packages/workflow/src/state/events.ts
+++ b/packages/workflow/src/state/events.ts
@@ -13,8 +13,12 @@
     RunsEnded = "runs-ended",
     RunsLost = "runs-lost",
     JobsForgotten = "jobs-forgotten",
+    PressuresLearned = "pressures-learned",
 }
 
+/** Pressure of filler images on standing images: by standing image, then by filler image. */
+export type PressureTable = Record<string, Record<string, number>>;
+
 /** One incarnation of a backend server. */
 export interface ServerIncarnation {
     serverId: string;
@@ -60,7 +64,8 @@
         atMs: number;
     }
     | { kind: EventKind.RunsLost; runs: LostRun[] }
-    | { kind: EventKind.JobsForgotten; jobIds: string[] };
+    | { kind: EventKind.JobsForgotten; jobIds: string[] }
+    | { kind: EventKind.PressuresLearned; pressures: PressureTable };
 
 /** Event of one kind. */
 export type EventOf<Kind extends EventKind> = Extract<WorkflowEvent, { kind: Kind }>;
--- a/packages/workflow/src/state/workflow-state.ts
+++ b/packages/workflow/src/state/workflow-state.ts
@@ -2,7 +2,7 @@
 import { parseTaskKey } from "../model/specification.js";
 import type { TaskPosition } from "../model/specification.js";
 import { EventKind } from "./events.js";
-import type { EventOf, ServerIncarnation, WorkflowEvent } from "./events.js";
+import type { EventOf, PressureTable, ServerIncarnation, WorkflowEvent } from "./events.js";
 import { JobRecord } from "./job-record.js";
 import type { JobContent } from "./job-record.js";
 
@@ -20,6 +20,7 @@
     zonesOutOfService: string[];
     jobs: JobContent[];
     acknowledged: [serverId: string, ends: AcknowledgedEnds][];
+    pressures: PressureTable;
 }
 
 type Handlers = { [Kind in EventKind]: (event: EventOf<Kind>) => void };
@@ -30,6 +31,7 @@
     readonly #zonesOutOfService = new Set<string>();
     readonly #jobs = new Map<string, JobRecord>();
     readonly #acknowledged = new Map<string, AcknowledgedEnds>();
+    #pressures: PressureTable = {};
 
     readonly #handlers: Handlers = {
         [EventKind.ConfigurationAccepted]: event => this.#acceptConfiguration(event.configuration),
@@ -41,6 +43,9 @@
         [EventKind.RunsEnded]: event => this.#endRuns(event),
         [EventKind.RunsLost]: event => this.#loseRuns(event),
         [EventKind.JobsForgotten]: event => event.jobIds.forEach(id => this.#jobs.delete(id)),
+        [EventKind.PressuresLearned]: event => {
+            this.#pressures = event.pressures;
+        },
     };
 
     /** Restores a state from a snapshot. */
@@ -51,6 +56,7 @@
         for (const content of snapshot.jobs) {
             state.#jobs.set(content.specification.id, new JobRecord(content));
         }
+        state.#pressures = snapshot.pressures;
         snapshot.acknowledged.forEach(([serverId, ends]) => state.#acknowledged.set(serverId, ends));
         return state;
     }
@@ -67,6 +73,11 @@
         return this.#zonesOutOfService;
     }
 
+    /** What leaders have learned about fillers beside standing tasks. */
+    get pressures(): PressureTable {
+        return this.#pressures;
+    }
+
     job(id: string): JobRecord | undefined {
         return this.#jobs.get(id);
     }
@@ -88,6 +99,7 @@
             zonesOutOfService: [...this.#zonesOutOfService],
             jobs: [...this.#jobs.values()].map(job => job.toContent()),
             acknowledged: [...this.#acknowledged],
+            pressures: this.#pressures,
         };
     }
 
