--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -22,6 +22,7 @@
 import { bootstrap } from "../roles/bootstrap.js";
 import { presentTimeMs } from "../transport/present-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
+import { EventLog } from "./event-log.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
 import { JsonCaller } from "./json-call.js";
@@ -79,6 +80,7 @@
     readonly #sender = new ReplicaStreamSender();
     readonly #runner: ReplicaRunner;
     readonly #node: WorkflowNode;
+    readonly #eventLog: EventLog;
     readonly #keeper: MembershipKeeper;
     readonly #replicaListener: ReplicaStreamListener;
     readonly #internalListener: HttpListener;
@@ -98,6 +100,7 @@
         this.#seedHosts = settings.seedHosts;
         this.#logger = logger;
         this.#fail = fail;
+        this.#eventLog = new EventLog(logger);
         this.#node = this.#createNode();
         this.#runner = this.#createRunner(opened);
         this.#keeper = new MembershipKeeper({
@@ -195,6 +198,8 @@
         const runner = (): ReplicaRunner => this.#runner;
         return new WorkflowNode({
             settings: this.#settings.leader,
+            onCommitted: (events, nowMs) => this.#eventLog.committed(events, nowMs),
+            onServerEvent: (event, nowMs) => this.#eventLog.server(event, nowMs),
             log: {
                 get term() {
                     return runner().replica.term;
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./leader/leader-session.js";
+export * from "./leader/server-event.js";
 export * from "./leader/server-view.js";
 export * from "./leader/settings.js";
 export * from "./leader/times.js";
--- a/packages/workflow/src/leader/filler-pacing.ts
+++ b/packages/workflow/src/leader/filler-pacing.ts
@@ -4,9 +4,9 @@
 import type { RunView, ServerView } from "./server-view.js";
 
 /** Ratio of tail to target above which the fillers that press on the task are slowed. */
-const SLOW_ABOVE_RATIO = 0.85;
+const SLOW_ABOVE_RATIO = 0.8;
 /** Ratio that slowing aims at, and up to which fillers may work faster again. */
-const WANTED_RATIO = 0.7;
+const WANTED_RATIO = 0.65;
 /** Paces below this are rounded down to a standstill. */
 const MIN_PACE_PERCENT = 10;
 /** Rises of the logarithm of a tail below this are not worth slowing a filler. */
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -14,6 +14,8 @@
 import { PairPressure } from "./pair-pressure.js";
 import { Planner } from "./planner.js";
 import { ServerDirectory } from "./server-directory.js";
+import { ServerEventKind } from "./server-event.js";
+import type { ServerEvent } from "./server-event.js";
 import { ServerSpeed } from "./server-speed.js";
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
@@ -41,6 +43,8 @@
     settings: LeaderSettings;
     /** Adds an event to the next log record. */
     propose: (event: WorkflowEvent) => void;
+    /** Told of changes in what is believed of backend servers. */
+    report: (event: ServerEvent, nowMs: number) => void;
 }
 
 interface WaitingAnswer {
@@ -115,13 +119,22 @@
         respond: (orders: HeartbeatOrders | undefined) => void,
         { nowMs, timeOfDayMs }: Times,
     ): void {
+        const former = this.#directory.get(report.serverId);
+        const wasDraining = former?.isDraining === true;
         const heard = this.#directory.hear(report, nowMs);
         if (heard === undefined) {
             respond(undefined);
             return;
         }
         const { server } = heard;
+        if (server !== former) {
+            this.#report(former === undefined ? ServerEventKind.Heard : ServerEventKind.Restarted, server, nowMs);
+        }
+        else if (server.isDraining && !wasDraining) {
+            this.#report(ServerEventKind.Draining, server, nowMs);
+        }
         this.#loseRuns(heard.lostRuns);
+        const wasAvoided = server.avoidUntilMs > nowMs;
         const intake = this.#intake.take(server, report, nowMs);
         if (intake.newEnds.length > 0) {
             this.#parts.propose({
@@ -138,6 +151,9 @@
         this.#pressure.observe(server, nowMs);
         this.#speed.observe(server, nowMs);
         this.#pacing.adjust(server, nowMs);
+        if (server.avoidUntilMs > nowMs && !wasAvoided) {
+            this.#report(ServerEventKind.Avoided, server, nowMs);
+        }
         this.#answers.get(server.id)?.respond(undefined);
         this.#answers.set(server.id, { report, respond, sinceMs: nowMs });
         this.#isPlanDue = true;
@@ -160,6 +176,7 @@
     run(times: Times): void {
         const { nowMs } = times;
         for (const server of this.#directory.takeExpired(nowMs)) {
+            this.#report(ServerEventKind.LeaseExpired, server, nowMs);
             this.#dropAnswer(server.id);
             this.#pacing.forget(server);
             this.#pressure.forget(server.id);
@@ -289,6 +306,11 @@
         }
     }
 
+    #report(kind: ServerEventKind, server: ServerView, nowMs: number): void {
+        const { id: serverId, incarnation } = server;
+        this.#parts.report({ kind, serverId, incarnation, runs: server.runs.size }, nowMs);
+    }
+
     #followTask(task: string, times: Times): void {
         const jobId = parseTaskKey(task)?.jobId;
         if (jobId !== undefined) {
--- a/packages/workflow/src/leader/pair-pressure.ts
+++ b/packages/workflow/src/leader/pair-pressure.ts
@@ -29,7 +29,7 @@
 /** A tail falls back slowly after its cause has ended, so that use counts with the use before it. */
 const USE_SMOOTHING = 0.4;
 /** Logarithm of the ratio of tail to target up to which a filler may start. */
-const PLACEMENT_LOG_RATIO = Math.log(0.75);
+const PLACEMENT_LOG_RATIO = Math.log(0.65);
 /** Assumed for a standing task that has not been measured. */
 const UNMEASURED_LOG_RATIO = Math.log(0.5);
 /** A filler's effect shows in the measured tails after this. */
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -13,6 +13,8 @@
 const PRESSURE_COST = 15;
 /** Cost of a server with standing tasks of other images, beside that of the pressures that are new there. */
 const OTHER_IMAGE_COST = 0.4;
+/** Share of a server's processors that standing tasks may hold; the rest answers short, urgent tasks in time. */
+const MAX_STANDING_SHARE = 0.9;
 /** Preference for a server that is full already, so that others stay free. */
 const FILL_VALUE = 0.1;
 
@@ -34,7 +36,10 @@
 
 /** Standing tasks on which the same fillers press are packed together. */
 const costOfStanding: CostFunction = (waiting, server, pressure) => {
-    const { image } = waiting.step;
+    const { image, amounts } = waiting.step;
+    if (server.standingCpuMillicores + amounts.cpuMillicores > server.capacity.cpuMillicores * MAX_STANDING_SHARE) {
+        return undefined;
+    }
     const sameMillicores = server.standingByImage.get(image) ?? 0;
     const isMixed = server.standingCpuMillicores > sameMillicores;
     const otherShare = 1 - sameMillicores / Math.max(1, server.standingCpuMillicores);
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -1,4 +1,5 @@
 import { LeaderSession } from "../leader/leader-session.js";
+import type { ServerEvent } from "../leader/server-event.js";
 import type { LeaderSettings } from "../leader/settings.js";
 import type { Times } from "../leader/times.js";
 import { JobState, Refusal, refused, succeeded } from "../model/calls.js";
@@ -23,6 +24,10 @@
 export interface WorkflowNodeOptions {
     log: ReplicatedLog;
     settings: LeaderSettings;
+    /** Told of the committed events while this replica leads. */
+    onCommitted?: (events: readonly WorkflowEvent[], nowMs: number) => void;
+    /** Told of changes in what the leader believes of backend servers. */
+    onServerEvent?: (event: ServerEvent, nowMs: number) => void;
 }
 
 interface Waiter {
@@ -41,6 +46,7 @@
 export class WorkflowNode {
     readonly #log: ReplicatedLog;
     readonly #settings: LeaderSettings;
+    readonly #options: WorkflowNodeOptions;
     #state = new WorkflowState();
     #session: LeaderSession | undefined;
     #sessionTerm = 0;
@@ -50,6 +56,7 @@
     #scheduleCheckAtMs = 0;
 
     constructor(options: WorkflowNodeOptions) {
+        this.#options = options;
         this.#log = options.log;
         this.#settings = options.settings;
     }
@@ -198,7 +205,10 @@
         for (const record of records) {
             const events = record.data === undefined ? [] : decodeEvents(record.data);
             events.forEach(event => this.#state.apply(event));
-            this.#session?.applied(events, times);
+            if (this.#session !== undefined) {
+                this.#session.applied(events, times);
+                this.#options.onCommitted?.(events, times.nowMs);
+            }
             this.#settle(record);
         }
     }
@@ -236,6 +246,7 @@
                 term: this.#log.term,
                 settings: this.#settings,
                 propose: event => this.#events.push(event),
+                report: (event, nowMs) => this.#options.onServerEvent?.(event, nowMs),
             }, times);
         }
     }
