--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -112,6 +112,24 @@
 });
 
 describe("a run", () => {
+    // Guards against a task that a later leader, which knows nothing of the run, starts a second time.
+    it("has no order in an answer that leaves before its record is committed", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        const answers: unknown[] = [];
+        const address = { host: HOST, path: "/batch/j" };
+        replica.node.submit(address, jobOf("j", stepOf()), () => undefined, replica.times);
+        replica.node.run(replica.times);
+        replica.commit();
+        replica.node.run(replica.times);
+        replica.node.heartbeat(heartbeatOf("s", 2), result => answers.push(result), replica.times);
+        replica.node.run(replica.times);
+        expect(answers).toEqual([]);
+        // An answer that waits for too long goes out without the order.
+        replica.node.run({ ...replica.times, nowMs: replica.times.nowMs + 1_000 });
+        expect(answers).toMatchObject([{ ok: true, value: { starts: [] } }]);
+    });
+
     it("is recorded before its order leaves", () => {
         const replica = SingleReplica.started();
         replica.heartbeat(heartbeatOf("s", 1));
@@ -249,6 +267,15 @@
         expect(results).toEqual([{ ok: true, value: "{\"version\":5}" }]);
     });
 
+    it("isn't overtaken by a lower version that was proposed beside it", () => {
+        const replica = SingleReplica.started();
+        for (const version of [9, 8]) {
+            replica.node.configure(configurationOf(version), () => undefined, replica.times);
+        }
+        replica.settle();
+        expect(replica.node.state.configuration?.version).toBe(9);
+    });
+
     it("is not read from a replica that doesn't lead", () => {
         const replica = SingleReplica.started();
         replica.isLeader = false;
