--- a/packages/cli/src/contract/credential.ts
+++ b/packages/cli/src/contract/credential.ts
@@ -1,4 +1,4 @@
-import { createHash } from "node:crypto";
+import { saltedSha256 } from "@waxwingspread/common";
 import { toHex } from "../output/names.js";
 
 const SALT_BYTES = 16;
@@ -17,7 +17,7 @@
 export const createSecret = (randomBytes: (count: number) => Uint8Array): NewSecret => {
     const salt = randomBytes(SALT_BYTES);
     const secret = Buffer.from(randomBytes(SECRET_BYTES)).toString("base64url");
-    const sha256Hex = createHash("sha256").update(salt).update(secret, "utf8").digest("hex");
+    const sha256Hex = toHex(saltedSha256(salt, secret));
     return { secret, saltHex: toHex(salt), sha256Hex };
 };
 
--- a/packages/daemon/src/roles/operator-token.ts
+++ b/packages/daemon/src/roles/operator-token.ts
@@ -1,9 +1,10 @@
-import { createHash, timingSafeEqual } from "node:crypto";
+import { saltedSha256 } from "@waxwingspread/common";
+import { timingSafeEqual } from "node:crypto";
 import type { TokenHash } from "../settings/index.js";
 
 /** Returns a check of operator tokens against the salted hash of the settings, in constant time. */
 export const createOperatorCheck = (expected: TokenHash): (token: string) => boolean => {
     const salt = Buffer.from(expected.saltHex, "hex");
     const digest = Buffer.from(expected.sha256Hex, "hex");
-    return token => timingSafeEqual(createHash("sha256").update(salt).update(token).digest(), digest);
+    return token => timingSafeEqual(saltedSha256(salt, token), digest);
 };
--- a/packages/entry/src/configuration/credentials.ts
+++ b/packages/entry/src/configuration/credentials.ts
@@ -1,8 +1,8 @@
 import { create } from "@bufbuild/protobuf";
-import { StepError } from "@waxwingspread/common";
+import { saltedSha256, StepError } from "@waxwingspread/common";
 import { CredentialSchema, ErrorCode } from "@waxwingspread/protocol";
 import type { Configuration, Credential } from "@waxwingspread/protocol";
-import { createHash, randomBytes, timingSafeEqual } from "node:crypto";
+import { randomBytes, timingSafeEqual } from "node:crypto";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
 
@@ -16,14 +16,10 @@
 /** Returns a new random 256-bit secret as text without dots. */
 export const makeSecret = (): string => randomBytes(SECRET_BYTES).toString("base64url");
 
-/** Returns the salted SHA-256 under which a secret is stored. */
-export const hashSecret = (salt: Uint8Array, secret: string): Uint8Array =>
-    new Uint8Array(createHash("sha256").update(salt).update(secret, "utf8").digest());
-
 /** Returns the stored form of a secret with a new random salt. */
 export const makeCredential = (credentialId: string, secret: string): Credential => {
     const salt = new Uint8Array(randomBytes(SALT_BYTES));
-    return create(CredentialSchema, { credentialId, salt, sha256: hashSecret(salt, secret) });
+    return create(CredentialSchema, { credentialId, salt, sha256: saltedSha256(salt, secret) });
 };
 
 /** Returns the token that a caller sends after `Bearer`. */
@@ -52,6 +48,6 @@
     const contract = configuration?.contracts.find(candidate => candidate.customer === customer);
     const credential = contract?.credentials.find(candidate => candidate.credentialId === credentialId);
     const expected = credential?.sha256.length === SECRET_BYTES ? credential.sha256 : UNKNOWN_DIGEST;
-    const equal = timingSafeEqual(hashSecret(credential?.salt ?? UNKNOWN_SALT, secret), expected);
+    const equal = timingSafeEqual(saltedSha256(credential?.salt ?? UNKNOWN_SALT, secret), expected);
     return equal && credential ? Ok(customer) : unauthenticated();
 };
--- a/packages/test-support/src/fuzz/operators.ts
+++ b/packages/test-support/src/fuzz/operators.ts
@@ -1,5 +1,5 @@
 import { create } from "@bufbuild/protobuf";
-import { hashSecret } from "@waxwingspread/entry";
+import { saltedSha256 } from "@waxwingspread/common";
 import {
     ContractSchema,
     ErrorCode,
@@ -84,7 +84,7 @@
                 defaultResources: { cpuMillicores: 500, memoryMebibytes: 256, accelerators: 0 },
             },
         ],
-        credentials: [{ credentialId: CREDENTIAL_ID, salt: SALT, sha256: hashSecret(SALT, SECRET) }],
+        credentials: [{ credentialId: CREDENTIAL_ID, salt: SALT, sha256: saltedSha256(SALT, SECRET) }],
     });
 
 /** Operators, who send commands until they are answered and repair replaced disks as the operators' guide says. */
