Let a standing task take the room beside others when it fits twice

Cause: standing tasks may hold at most 0.9 of a server, so that a small one waited for more than 3 s beside a server with room for it twice over. Now the share binds only where less than twice the need is free. The new test failed before the change.

--- /dev/null
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -0,0 +1,48 @@
+import { expect, it } from "vitest";
+import { TaskKind, taskKindOf } from "../model/specification.js";
+import type { StepSpecification } from "../model/specification.js";
+import { JobRecord } from "../state/job-record.js";
+import { configurationOf, heartbeatOf, jobOf, standingStepOf } from "../testing/fixtures.js";
+import { PairPressure } from "./pair-pressure.js";
+import { chooseServer } from "./placement.js";
+import { newRunView, ServerView } from "./server-view.js";
+import type { WaitingStep } from "./work-queue.js";
+
+const LIMITS = { service: "pool", zonesOutOfService: new Set<string>(), rackOfStep: "" };
+
+const standingOf = (cpuMillicores: number): StepSpecification =>
+    standingStepOf({ amounts: { cpuMillicores, memoryMebibytes: 100, accelerators: 0 } });
+
+const waitingOf = (step: StepSpecification): WaitingStep => {
+    const [queue] = configurationOf(1).queues;
+    if (queue === undefined) {
+        throw new Error("the configuration has no queue");
+    }
+    const job = JobRecord.accepted(jobOf("waiting", step), queue, 0);
+    const record = job.occurrences[0]?.[0] ?? { tasks: [], doneCount: 0 };
+    return { job, occurrence: 0, stepIndex: 0, step, kind: TaskKind.Standing, record, expectedEndMs: 0 };
+};
+
+const serverHolding = (cpuMillicores: number): ServerView => {
+    const server = new ServerView("s", 1, 0, 0);
+    server.describe(heartbeatOf("s", 1), 0);
+    const step = standingOf(cpuMillicores);
+    const position = { jobId: "holding", occurrence: 0, step: 0, index: 0 };
+    server.addRun(newRunView({ task: "holding", run: 1, position, step, kind: taskKindOf(step) }, "", 0));
+    return server;
+};
+
+const choose = (needMillicores: number, server: ServerView): ServerView | undefined =>
+    chooseServer(waitingOf(standingOf(needMillicores)), [server], LIMITS, new PairPressure({}), 0);
+
+// Guards against urgent short tasks that wait because standing tasks hold every processor.
+it("leaves room beside standing tasks", () => {
+    expect(choose(800, serverHolding(3_000))).toBeUndefined();
+});
+
+// Guards against a standing task that waits for long beside a server with ample room for it.
+it("lets a standing task take the room that is left when it fits twice", () => {
+    expect(choose(600, serverHolding(3_100))).toBeUndefined();
+    expect(choose(600, serverHolding(2_700))).toBeDefined();
+    expect(choose(200, serverHolding(3_500))).toBeDefined();
+});
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -15,6 +15,8 @@
 const OTHER_IMAGE_COST = 0.4;
 /** Share of a server's processors that standing tasks may hold; the rest answers short, urgent tasks in time. */
 const MAX_STANDING_SHARE = 0.9;
+/** A standing task doesn't wait while a server has this multiple of its processor need. */
+const AMPLE_ROOM_RATIO = 2;
 /** Preference for a server that is full already, so that others stay free. */
 const FILL_VALUE = 0.1;
 
@@ -37,7 +39,9 @@
 /** Standing tasks on which the same fillers press are packed together. */
 const costOfStanding: CostFunction = (waiting, server, pressure) => {
     const { image, amounts } = waiting.step;
-    if (server.standingCpuMillicores + amounts.cpuMillicores > server.capacity.cpuMillicores * MAX_STANDING_SHARE) {
+    const standingMillicores = server.standingCpuMillicores + amounts.cpuMillicores;
+    const isShareExceeded = standingMillicores > server.capacity.cpuMillicores * MAX_STANDING_SHARE;
+    if (isShareExceeded && server.unreservedCpuMillicores < AMPLE_ROOM_RATIO * amounts.cpuMillicores) {
         return undefined;
     }
     const sameMillicores = server.standingByImage.get(image) ?? 0;
