Give standing tasks any room at once

Standing tasks were held to 0.9 of a server, and kept off servers that are avoided. Both limits are gone for them: the bound's test is replaced by one that a standing task waits for nothing but room.

--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -13,10 +13,8 @@
 const PRESSURE_COST = 15;
 /** Cost of a server with standing tasks of other images, beside that of the pressures that are new there. */
 const OTHER_IMAGE_COST = 0.4;
-/** Share of a server's processors that standing tasks may hold; the rest answers short, urgent tasks in time. */
-const MAX_STANDING_SHARE = 0.9;
-/** A standing task doesn't wait while a server has this multiple of its processor need. */
-const AMPLE_ROOM_RATIO = 2;
+/** A server that is kept free of starts takes a standing task only when no other has room. */
+const AVOIDED_COST = 100;
 /** Preference for a server that is full already, so that others stay free. */
 const FILL_VALUE = 0.1;
 
@@ -38,12 +36,7 @@
 
 /** Standing tasks on which the same fillers press are packed together. */
 const costOfStanding: CostFunction = (waiting, server, pressure) => {
-    const { image, amounts } = waiting.step;
-    const standingMillicores = server.standingCpuMillicores + amounts.cpuMillicores;
-    const isShareExceeded = standingMillicores > server.capacity.cpuMillicores * MAX_STANDING_SHARE;
-    if (isShareExceeded && server.unreservedCpuMillicores < AMPLE_ROOM_RATIO * amounts.cpuMillicores) {
-        return undefined;
-    }
+    const { image } = waiting.step;
     const sameMillicores = server.standingByImage.get(image) ?? 0;
     const isMixed = server.standingCpuMillicores > sameMillicores;
     const otherShare = 1 - sameMillicores / Math.max(1, server.standingCpuMillicores);
@@ -96,7 +89,8 @@
         if (cost === undefined) {
             continue;
         }
-        const total = cost + rackCost(waiting, server, limits);
+        const avoidedCost = server.avoidUntilMs > nowMs ? AVOIDED_COST : 0;
+        const total = cost + avoidedCost + rackCost(waiting, server, limits);
         if (total < bestCost) {
             best = server;
             bestCost = total;
@@ -109,7 +103,7 @@
     const { step } = waiting;
     return server.isUsable
         && server.service === limits.service
-        && server.avoidUntilMs <= nowMs
+        && (server.avoidUntilMs <= nowMs || waiting.kind === TaskKind.Standing)
         && !limits.zonesOutOfService.has(server.availabilityZone)
         && (step.requiredLabel === "" || server.labels.includes(step.requiredLabel))
         && server.fits(step)
