Hand the leadership over by one function; build task keys by their function; remove dead code

The loop that hands a leadership over stood in both control roles, and two task keys were put together by hand beside taskKeyOf. JobRecord.markStarted and JobRecord.isCancelled had no caller. Behaviour is unchanged.

--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -27,13 +27,13 @@
 import { controlRoutes } from "./control-routes.js";
 import type { ControlRouteTarget } from "./control-routes.js";
 import { controlSettingsOf, schedulerSettingsOf, seedOf } from "./core-settings.js";
+import { handOverLeadership } from "./hand-over.js";
 import { journalRoutes } from "./journal-routes.js";
 import type { ProcessContext } from "./process-context.js";
 
 const TICK_INTERVAL_MS = 20;
 const DESCRIBE_TIMEOUT_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 2_000;
-const HANDOVER_CHECK_INTERVAL_MS = 20;
 
 /** One control replica with its disk, its listener and its timers. */
 export class ControlRole implements ControlRouteTarget {
@@ -189,7 +189,7 @@
 
     /** Hands over leadership, finishes calls in progress and closes the disk. */
     async stop(graceMs: number): Promise<void> {
-        await this.#handOver();
+        await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
         this.#stopped = true;
         await this.#listener.close(Math.min(graceMs, HANDOVER_TIMEOUT_MS));
         clearInterval(this.#ticker);
@@ -292,14 +292,6 @@
                 return;
         }
     }
-
-    async #handOver(): Promise<void> {
-        const deadlineMs = presentTimeMs() + HANDOVER_TIMEOUT_MS;
-        while (this.#runner.replica.role === ReplicaRole.Leader && presentTimeMs() < deadlineMs) {
-            this.#runner.handOver(presentTimeMs());
-            await new Promise(resolve => setTimeout(resolve, HANDOVER_CHECK_INTERVAL_MS));
-        }
-    }
 }
 
 const isHeartbeat = ({ body }: ReplicaMessage): boolean =>
--- /dev/null
+++ b/packages/daemon/src/roles/hand-over.ts
@@ -0,0 +1,14 @@
+import { ReplicaRole } from "@waxwingspread/consensus";
+import type { ReplicaRunner } from "@waxwingspread/consensus";
+import { presentTimeMs } from "../transport/present-time.js";
+
+const CHECK_INTERVAL_MS = 20;
+
+/** Hands a replica's leadership over; returns once it doesn't lead any more, or after `timeoutMs`. */
+export const handOverLeadership = async (runner: ReplicaRunner, timeoutMs: number): Promise<void> => {
+    const deadlineMs = presentTimeMs() + timeoutMs;
+    while (runner.replica.role === ReplicaRole.Leader && presentTimeMs() < deadlineMs) {
+        runner.handOver(presentTimeMs());
+        await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL_MS));
+    }
+};
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -20,6 +20,7 @@
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
+import { handOverLeadership } from "../roles/hand-over.js";
 import { presentTimeMs } from "../transport/present-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { EventLog } from "./event-log.js";
@@ -46,7 +47,6 @@
 /** A replica that knows no leader for this long may have been removed and asks to join again. */
 const JOIN_AFTER_MS = 1_500;
 const HANDOVER_TIMEOUT_MS = 1_500;
-const HANDOVER_CHECK_INTERVAL_MS = 20;
 const LISTENER_GRACE_MS = 1_000;
 /** Records between snapshots; recovery replays at most this many. */
 const SNAPSHOT_RECORDS = 4_000;
@@ -178,11 +178,7 @@
 
     /** Hands the leadership over, finishes calls in progress and closes the disk. */
     async stop(): Promise<void> {
-        const deadlineMs = presentTimeMs() + HANDOVER_TIMEOUT_MS;
-        while (this.#runner.replica.role === ReplicaRole.Leader && presentTimeMs() < deadlineMs) {
-            this.#runner.handOver(presentTimeMs());
-            await new Promise(resolve => setTimeout(resolve, HANDOVER_CHECK_INTERVAL_MS));
-        }
+        await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
         this.#isStopped = true;
         this.#timers.forEach(timer => clearInterval(timer));
         await Promise.all([
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -1,6 +1,6 @@
 import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
-import { parseTaskKey, taskKindOf } from "../model/specification.js";
+import { parseTaskKey, taskKeyOf, taskKindOf } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
@@ -233,7 +233,7 @@
                     }
                     const { serverId, incarnation } = task.server;
                     const position = { jobId: job.id, occurrence, step: stepIndex, index };
-                    const key = `${job.id}.${occurrence}.${stepIndex}.${index}`;
+                    const key = taskKeyOf(position);
                     const view = newRunView(
                         { task: key, run: task.run, position, step, kind: taskKindOf(step) },
                         task.checkpoint,
@@ -336,7 +336,7 @@
                 record.tasks.forEach((task, index) => {
                     const view = task.phase === TaskPhase.Assigned && task.server !== undefined
                         ? this.#directory.find(task.server.serverId, task.server.incarnation)
-                            ?.runs.get(`${jobId}.${occurrence}.${step}.${index}`)
+                            ?.runs.get(taskKeyOf({ jobId, occurrence, step, index }))
                         : undefined;
                     if (view !== undefined) {
                         view.isStopping = true;
--- a/packages/workflow/src/state/job-record.ts
+++ b/packages/workflow/src/state/job-record.ts
@@ -108,10 +108,6 @@
         return this.#content.endedAtMs !== undefined;
     }
 
-    get isCancelled(): boolean {
-        return this.#content.isCancelled;
-    }
-
     get hasStarted(): boolean {
         return this.#content.hasStarted;
     }
@@ -204,11 +200,6 @@
         return true;
     }
 
-    /** Records that a task of the job is known to run. */
-    markStarted(): void {
-        this.#content.hasStarted = true;
-    }
-
     toContent(): JobContent {
         return this.#content;
     }
