Keep an error listener on each HTTP/2 connection between processes

Cause: when a call begins while a connection that the peer has ended is still closing, connect-node leaves the connection and removes its error listener; the error of the close then ends the process. Change: PeerSession, which holds the library's session manager, adds a listener that stays to each connection.

--- a/packages/daemon/src/transport/peer-clients.ts
+++ b/packages/daemon/src/transport/peer-clients.ts
@@ -1,8 +1,9 @@
 import { createClient } from "@connectrpc/connect";
 import type { Client, Interceptor } from "@connectrpc/connect";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { createConnectTransport } from "@connectrpc/connect-node";
 import { ControlService, JournalService, ReplicaService } from "@waxwingspread/protocol";
 import type { AddressTranslator } from "../settings/index.js";
+import { PeerSession } from "./peer-session.js";
 
 /** Clients of one peer. */
 export interface PeerClient {
@@ -11,22 +12,18 @@
     journal: Client<typeof JournalService>;
 }
 
-/** An HTTP/2 ping is sent on a connection that was quiet for this long while calls are open. */
-const PING_INTERVAL_MS = 1_000;
-/** A connection whose ping isn't answered for this long is closed. */
-const PING_TIMEOUT_MS = 1_000;
 /** A replaced connection is closed after this long, when its last calls have met their deadlines. */
 const REPLACED_CONNECTION_LIFETIME_MS = 5_000;
 
 interface Connection {
-    session: Http2SessionManager;
+    session: PeerSession;
     client: PeerClient;
 }
 
 /** One HTTP/2 connection for each peer; a connection that stopped answering is replaced by a new one. */
 export class PeerClients {
     readonly #connections = new Map<string, Connection>();
-    readonly #retiring = new Map<NodeJS.Timeout, Http2SessionManager>();
+    readonly #retiring = new Map<NodeJS.Timeout, PeerSession>();
     readonly #interceptors: Interceptor[];
     readonly #translate: AddressTranslator;
 
@@ -76,10 +73,7 @@
 
 const connect = (address: string, interceptors: Interceptor[]): Connection => {
     const baseUrl = `http://${address}`;
-    const session = new Http2SessionManager(baseUrl, {
-        pingIntervalMs: PING_INTERVAL_MS,
-        pingTimeoutMs: PING_TIMEOUT_MS,
-    });
+    const session = new PeerSession(baseUrl);
     const transport = createConnectTransport({
         baseUrl,
         httpVersion: "2",
--- /dev/null
+++ b/packages/daemon/src/transport/peer-session.ts
@@ -0,0 +1,57 @@
+import { Http2SessionManager } from "@connectrpc/connect-node";
+import type { ClientHttp2Session } from "node:http2";
+
+/** An HTTP/2 ping is sent on a connection that was quiet for this long while calls are open. */
+const PING_INTERVAL_MS = 1_000;
+/** A connection whose ping isn't answered for this long is closed. */
+const PING_TIMEOUT_MS = 1_000;
+
+/**
+ * HTTP/2 connection to one peer, reopened when it has closed.
+ *
+ * The library removes its error listener when a call arrives while a connection that the peer has ended is still
+ * closing. The error of that close would then end the process, so each connection gets a listener that stays.
+ */
+export class PeerSession {
+    readonly #manager: Http2SessionManager;
+    readonly #guarded = new WeakSet<ClientHttp2Session>();
+
+    constructor(baseUrl: string) {
+        this.#manager = new Http2SessionManager(baseUrl, {
+            pingIntervalMs: PING_INTERVAL_MS,
+            pingTimeoutMs: PING_TIMEOUT_MS,
+        });
+    }
+
+    get authority(): string {
+        return this.#manager.authority;
+    }
+
+    /** Opens a stream. Rejects when the peer can't be reached. */
+    async request(
+        ...parameters: Parameters<Http2SessionManager["request"]>
+    ): ReturnType<Http2SessionManager["request"]> {
+        const stream = await this.#manager.request(...parameters);
+        if (stream.session !== undefined) {
+            this.#guard(stream.session as ClientHttp2Session);
+        }
+        return stream;
+    }
+
+    notifyResponseByteRead(stream: Parameters<Http2SessionManager["notifyResponseByteRead"]>[0]): void {
+        this.#manager.notifyResponseByteRead(stream);
+    }
+
+    /** Closes the connection and its open streams at once. */
+    abort(): void {
+        this.#manager.abort();
+    }
+
+    #guard(session: ClientHttp2Session): void {
+        if (!this.#guarded.has(session)) {
+            this.#guarded.add(session);
+            // The library reports the error to the calls that it concerns.
+            session.on("error", () => undefined);
+        }
+    }
+}
