Start the local fleet again when a port was taken; report listen errors of HTTP/2 listeners

Cause: free ports of one fleet were drawn in three calls that didn't know of each other, and anything else may take one before its process listens; the process then ended by an uncaught error, because the error listener was on the server that doesn't listen when HTTP/2 is served too. Change: no port is given twice, the fleet starts anew after EADDRINUSE, and the listener rejects with the reason. Test: http-listener.real.test.ts ends with an uncaught error without the change. Ruled out for the remaining reset connection of the planned shutdown: the GOAWAY error (mended before).

--- a/packages/daemon/src/http/http-listener.real.test.ts
+++ b/packages/daemon/src/http/http-listener.real.test.ts
@@ -29,3 +29,18 @@
     expect(received).toContain("HTTP/1.1 200 OK");
     expect(received.toLowerCase()).toContain("connection: close");
 });
+
+// Guards against a process that ends with an uncaught error instead of the reason why it can't listen.
+it("reports a port that is in use, with HTTP/2 served too", async () => {
+    const options = {
+        maxConnections: 8,
+        handle: () => undefined,
+        handleHttp2: () => undefined,
+        onConnectionRefused: () => undefined,
+    };
+    const first = new HttpListener({ ...options, address: { host: "127.0.0.1", port: 0 } });
+    const port = await first.listen();
+    const second = new HttpListener({ ...options, address: { host: "127.0.0.1", port } });
+    await expect(second.listen()).rejects.toThrow("EADDRINUSE");
+    await first.close(GRACE_MS);
+});
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -72,7 +72,7 @@
     async listen(): Promise<number> {
         const { host, port } = this.#address;
         await new Promise<void>((resolve, reject) => {
-            this.#server.once(
+            this.#acceptor.once(
                 "error",
                 error => reject(new StepError(ErrorCode.UNAVAILABLE, "listen", `${host}:${port}`, messageOf(error))),
             );
--- a/packages/test-support/src/local-fleet/free-ports.ts
+++ b/packages/test-support/src/local-fleet/free-ports.ts
@@ -9,6 +9,9 @@
 const FIRST_PORT = 18_000;
 const LAST_PORT = 32_000;
 
+/** Ports that were returned before; the processes that got them may not listen yet. */
+const takenPorts = new Set<number>();
+
 const tryListen = (port: number): Promise<Server | undefined> =>
     new Promise(resolve => {
         const server = createServer();
@@ -19,14 +22,15 @@
 const listenOnFreePort = async (): Promise<{ port: number; server: Server }> => {
     for (;;) {
         const port = randomInt(FIRST_PORT, LAST_PORT);
-        const server = await tryListen(port);
+        const server = takenPorts.has(port) ? undefined : await tryListen(port);
         if (server !== undefined) {
+            takenPorts.add(port);
             return { port, server };
         }
     }
 };
 
-/** Returns `count` distinct loopback ports that were free a moment ago. */
+/** Returns `count` loopback ports that were free a moment ago; none is returned twice. */
 export const findFreePorts = async (count: number): Promise<number[]> => {
     // All are held open at once, so that they are distinct.
     const listening = await Promise.all(Array.from({ length: count }, listenOnFreePort));
--- a/packages/test-support/src/local-fleet/local-fleet.ts
+++ b/packages/test-support/src/local-fleet/local-fleet.ts
@@ -1,3 +1,4 @@
+import { messageOf } from "@waxwingspread/common";
 import { createHash, randomBytes } from "node:crypto";
 import { rm } from "node:fs/promises";
 import { join } from "node:path";
@@ -12,6 +13,7 @@
     new URL("../../dist/stand-in-backend-server-main.js", import.meta.url),
 );
 const START_TIMEOUT_MS = 20_000;
+const START_ATTEMPTS = 3;
 const STOP_GRACE_MS = 10_000;
 
 export enum FleetRole {
@@ -81,6 +83,20 @@
 
     /** Starts all processes and waits until every daemon is ready. */
     static async start(options: LocalFleetOptions): Promise<LocalFleet> {
+        for (let attempt = 1;; attempt += 1) {
+            try {
+                return await LocalFleet.#startOnce(options);
+            }
+            catch (error) {
+                // Another program on this machine may take a port before the process that was given it listens.
+                if (attempt === START_ATTEMPTS || !messageOf(error).includes("EADDRINUSE")) {
+                    throw error;
+                }
+            }
+        }
+    }
+
+    static async #startOnce(options: LocalFleetOptions): Promise<LocalFleet> {
         const fleet = new LocalFleet(options);
         try {
             const plan = await fleet.#plan();
