--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -7,11 +7,15 @@
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
 import { WorkflowNode } from "@waxwingspread/workflow";
 import type {
+    AskEligibility,
+    BeginMaintenance,
     CallResult,
     Configuration,
     HeartbeatOrders,
     HeartbeatReport,
     LeaderSettings,
+    MaintenanceOrder,
+    MaintenanceState,
     Respond,
     Times,
 } from "@waxwingspread/workflow";
@@ -24,18 +28,14 @@
 import { presentTimeMs } from "../transport/present-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { EventLog } from "./event-log.js";
+import { forwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
 import { JsonCaller } from "./json-call.js";
 import { MembershipKeeper } from "./membership-keeper.js";
-import { CLUSTER_PATH, DESCRIBE_PATH, ForwardedOperation, forwardedPath, JOIN_PATH } from "./operations.js";
-import type {
-    ClusterDescription,
-    ControlOperations,
-    ForwardedRequests,
-    ForwardedResponse,
-    JoinRequest,
-} from "./operations.js";
+import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
+import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
+import type { PlatformServices } from "./platform-services.js";
 
 const TICK_INTERVAL_MS = 20;
 /** Events that arrive within this are decided together. */
@@ -68,12 +68,21 @@
     leader: LeaderSettings;
 }
 
+/** What a control replica works with. */
+export interface ControlHostParts {
+    services: PlatformServices;
+    logger: Logger;
+    /** Told of an error after which the process can't go on. */
+    fail: (error: Error) => void;
+}
+
 /** Returns both clocks as they are now. */
 const presentTimes = (): Times => ({ nowMs: presentTimeMs(), timeOfDayMs: Date.now() });
 
 /** A control replica of the workflow state, with its disk, listeners and timers. */
 export class ControlHost implements ControlOperations {
     readonly #settings: ControlHostSettings;
+    readonly #services: PlatformServices;
     readonly #logger: Logger;
     readonly #fail: (error: Error) => void;
     readonly #caller = new JsonCaller();
@@ -93,10 +102,10 @@
     private constructor(
         settings: ControlHostSettings,
         opened: OpenedStore,
-        logger: Logger,
-        fail: (error: Error) => void,
+        { services, logger, fail }: ControlHostParts,
     ) {
         this.#settings = settings;
+        this.#services = services;
         this.#seedHosts = settings.seedHosts;
         this.#logger = logger;
         this.#fail = fail;
@@ -120,11 +129,7 @@
     }
 
     /** Opens the disk and starts to listen. Fails with DISK_FAILED, CORRUPT or UNAVAILABLE. */
-    static async start(
-        settings: ControlHostSettings,
-        logger: Logger,
-        fail: (error: Error) => void,
-    ): Promise<ControlHost> {
+    static async start(settings: ControlHostSettings, parts: ControlHostParts): Promise<ControlHost> {
         const address = `${settings.host}:${settings.replicaPort}`;
         const opened = await ReplicaStore.open({
             fileSystem: new NodeFileSystem(),
@@ -132,7 +137,7 @@
             name: address,
             address,
         });
-        const host = new ControlHost(settings, opened, logger, fail);
+        const host = new ControlHost(settings, opened, parts);
         await host.#replicaListener.listen();
         await host.#internalListener.listen();
         host.#startTimers();
@@ -176,6 +181,16 @@
         return result;
     }
 
+    async orderMaintenance(order: MaintenanceOrder): Promise<CallResult<void>> {
+        const result = await this.#call<void>((respond, times) => this.#node.orderMaintenance(order, respond, times));
+        this.#logger.info({ maintenanceId: order.id, vms: order.vmIds.length, result }, "maintenance ordered");
+        return result;
+    }
+
+    maintenanceState(id: number): Promise<CallResult<MaintenanceState | undefined>> {
+        return this.#call((respond, times) => this.#node.maintenanceState(id, respond, times));
+    }
+
     /** Hands the leadership over, finishes calls in progress and closes the disk. */
     async stop(): Promise<void> {
         await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
@@ -196,6 +211,8 @@
             settings: this.#settings.leader,
             onCommitted: (events, nowMs) => this.#eventLog.committed(events, nowMs),
             onServerEvent: (event, nowMs) => this.#eventLog.server(event, nowMs),
+            askEligibility: (query, respond) => void this.#askEligibility(query, respond),
+            beginMaintenance: (call, respond) => void this.#beginMaintenance(call, respond),
             log: {
                 get term() {
                     return runner().replica.term;
@@ -209,6 +226,24 @@
         });
     }
 
+    async #askEligibility(...[query, respond]: Parameters<AskEligibility>): Promise<void> {
+        try {
+            respond(await this.#services.checkEligibility(query), presentTimeMs());
+        }
+        catch (error) {
+            this.#logger.warn({ step: query.step, reason: messageOf(error) }, "eligibility service gave no answer");
+            respond(undefined, presentTimeMs());
+        }
+        this.#scheduleRun();
+    }
+
+    async #beginMaintenance(...[call, respond]: Parameters<BeginMaintenance>): Promise<void> {
+        const outcome = await this.#services.beginMaintenance(call);
+        this.#logger.info({ ...call, outcome }, "maintenance of a VM");
+        respond(outcome, presentTimeMs());
+        this.#scheduleRun();
+    }
+
     #createRunner(opened: OpenedStore): ReplicaRunner {
         return new ReplicaRunner({
             opened,
@@ -364,32 +399,12 @@
     }
 
     #internalHandlers(): ReadonlyMap<string, InternalHandler> {
-        const forwarded = <Operation extends ForwardedOperation>(
-            operation: Operation,
-            start: (request: ForwardedRequests[Operation], respond: Respond<never>, times: Times) => void,
-        ): [string, InternalHandler] => [forwardedPath(operation), async (request: ForwardedRequests[Operation]) => {
-            const result = await this.#call<never>((respond, times) => start(request, respond, times));
-            return { result, leaderHost: this.leaderHost } satisfies ForwardedResponse<Operation>;
-        }];
         return new Map<string, InternalHandler>([
-            forwarded(
-                ForwardedOperation.Submit,
-                (request, respond, times) =>
-                    this.#node.submit(request.address, request.job, respond as Respond<void>, times),
-            ),
-            forwarded(
-                ForwardedOperation.Cancel,
-                (request, respond, times) => this.#node.cancel(request.jobId, respond as Respond<void>, times),
-            ),
-            forwarded(
-                ForwardedOperation.JobState,
-                (request, respond, times) => this.#node.jobState(request.jobId, respond as Respond<unknown>, times),
-            ),
-            forwarded(
-                ForwardedOperation.PendingJobs,
-                (request, respond, times) =>
-                    this.#node.pendingJobs(request.address, respond as Respond<unknown>, times),
-            ),
+            ...forwardedHandlers({
+                node: this.#node,
+                call: start => this.#call(start),
+                leaderHost: () => this.leaderHost,
+            }),
             [DESCRIBE_PATH, () => toJson(DescribeResponseSchema, this.#describe())],
             [CLUSTER_PATH, () => this.#describeCluster()],
             [JOIN_PATH, (request: JoinRequest) => this.#join(request)],
--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -3,5 +3,7 @@
 export * from "../logging/logger.js";
 export * from "../transport/present-time.js";
 export * from "./control-host.js";
+export * from "./json-call.js";
 export * from "./leader-client.js";
 export * from "./operations.js";
+export * from "./platform-services.js";
--- /dev/null
+++ b/packages/daemon/src/workflow/internal-handlers.ts
@@ -0,0 +1,44 @@
+import type { Respond, Times, WorkflowNode } from "@waxwingspread/workflow";
+import type { CallResult } from "@waxwingspread/workflow";
+import type { InternalHandler } from "./internal-listener.js";
+import { ForwardedOperation, forwardedPath } from "./operations.js";
+import type { ForwardedRequests, ForwardedResponse } from "./operations.js";
+
+/** Starts a call of the node and resolves with its result. */
+export type NodeCall = <Value>(start: (respond: Respond<Value>, times: Times) => void) => Promise<CallResult<Value>>;
+
+/** What the handlers of entries' calls need. */
+export interface ForwardedCalls {
+    node: WorkflowNode;
+    call: NodeCall;
+    leaderHost: () => string | undefined;
+}
+
+type Start<Operation extends ForwardedOperation> = (
+    node: WorkflowNode,
+    request: ForwardedRequests[Operation],
+    respond: Respond<never>,
+    times: Times,
+) => void;
+
+const STARTS: { [Operation in ForwardedOperation]: Start<Operation> } = {
+    [ForwardedOperation.Submit]: (node, request, respond, times) =>
+        node.submit(request.address, request.job, respond as Respond<void>, times),
+    [ForwardedOperation.Cancel]: (node, request, respond, times) =>
+        node.cancel(request.jobId, respond as Respond<void>, times),
+    [ForwardedOperation.JobState]: (node, request, respond, times) =>
+        node.jobState(request.jobId, respond as Respond<unknown>, times),
+    [ForwardedOperation.PendingJobs]: (node, request, respond, times) =>
+        node.pendingJobs(request.address, respond as Respond<unknown>, times),
+};
+
+/** Returns the handlers of the calls that entries forward, by path. */
+export const forwardedHandlers = ({ node, call, leaderHost }: ForwardedCalls): [string, InternalHandler][] =>
+    Object.values(ForwardedOperation).map(operation => {
+        const start = STARTS[operation] as Start<ForwardedOperation>;
+        const handle = async (request: ForwardedRequests[typeof operation]): Promise<unknown> => {
+            const result = await call<never>((respond, times) => start(node, request, respond, times));
+            return { result, leaderHost: leaderHost() } satisfies ForwardedResponse<typeof operation>;
+        };
+        return [forwardedPath(operation), handle];
+    });
--- a/packages/daemon/src/workflow/json-call.ts
+++ b/packages/daemon/src/workflow/json-call.ts
@@ -24,14 +24,31 @@
     path: string;
     body: unknown;
     timeoutMs: number;
+    headers?: Readonly<Record<string, string>>;
+}
+
+/** Response of any status. */
+export interface JsonResponse {
+    status: number;
+    /** Decoded body; undefined when it isn't JSON. */
+    body: unknown;
 }
 
 /** Calls internal listeners of other processes with JSON over kept connections. */
 export class JsonCaller {
     readonly #agent = new Agent({ keepAlive: true, maxFreeSockets: MAX_FREE_SOCKETS });
 
-    /** Returns the decoded response. Fails with a {@link CallError}. */
-    call<Response>(call: JsonCall): Promise<Response> {
+    /** Returns the decoded body of a response with status 200. Fails with a {@link CallError}. */
+    async call<Response>(call: JsonCall): Promise<Response> {
+        const { status, body } = await this.exchange(call);
+        if (status !== HTTP_OK || body === undefined) {
+            throw new CallError(call, `status ${status}`, true);
+        }
+        return body as Response;
+    }
+
+    /** Returns the response, whatever its status. Fails with a {@link CallError}. */
+    exchange(call: JsonCall): Promise<JsonResponse> {
         const body = Buffer.from(JSON.stringify(call.body));
         return new Promise((resolve, reject) => {
             let isConnected = false;
@@ -45,23 +62,14 @@
                 port: call.port,
                 path: call.path,
                 method: "POST",
-                headers: { "content-type": "application/json", "content-length": body.length },
+                headers: { ...call.headers, "content-type": "application/json", "content-length": body.length },
             }, response => {
                 const chunks: Buffer[] = [];
                 response.on("data", (chunk: Buffer) => chunks.push(chunk));
                 response.once("error", fail);
                 response.once("end", () => {
                     clearTimeout(timer);
-                    if (response.statusCode !== HTTP_OK) {
-                        fail(`status ${response.statusCode ?? 0}`);
-                        return;
-                    }
-                    try {
-                        resolve(JSON.parse(Buffer.concat(chunks).toString()) as Response);
-                    }
-                    catch (error) {
-                        fail(error);
-                    }
+                    resolve({ status: response.statusCode ?? 0, body: parseBody(Buffer.concat(chunks)) });
                 });
             });
             // Destroying the socket also gets rid of a connection that has gone silent.
@@ -86,3 +94,12 @@
         this.#agent.destroy();
     }
 }
+
+const parseBody = (bytes: Buffer): unknown => {
+    try {
+        return JSON.parse(bytes.toString()) as unknown;
+    }
+    catch {
+        return undefined;
+    }
+};
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -5,6 +5,8 @@
     HeartbeatReport,
     JobSpecification,
     JobState,
+    MaintenanceOrder,
+    MaintenanceState,
     QueueAddress,
 } from "@waxwingspread/workflow";
 
@@ -62,6 +64,9 @@
     leave(serverId: string): Promise<CallResult<void>>;
     configure(configuration: Configuration): Promise<CallResult<void>>;
     readConfiguration(): Promise<CallResult<string | undefined>>;
+    orderMaintenance(order: MaintenanceOrder): Promise<CallResult<void>>;
+    /** Returns undefined for an unknown maintenance. */
+    maintenanceState(id: number): Promise<CallResult<MaintenanceState | undefined>>;
     setZone(availabilityZone: string, isOut: boolean): Promise<CallResult<void>>;
 }
 
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./leader/eligibility.js";
 export * from "./leader/leader-session.js";
 export * from "./leader/server-event.js";
 export * from "./leader/server-view.js";
@@ -6,6 +7,7 @@
 export * from "./model/calls.js";
 export * from "./model/configuration.js";
 export * from "./model/heartbeat.js";
+export * from "./model/maintenance.js";
 export * from "./model/specification.js";
 export * from "./node/replicated-log.js";
 export * from "./node/workflow-node.js";
--- /dev/null
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -0,0 +1,83 @@
+import { expect, it } from "vitest";
+import type { QueueContract } from "../model/configuration.js";
+import { RunEnd } from "../model/heartbeat.js";
+import { configurationOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { SingleReplica } from "../testing/single-replica.js";
+import type { EligibilityQuery, EligibleServer } from "./eligibility.js";
+
+const TERMS = { decisionMs: 50, perServerMs: 5, validityMs: 2_000 };
+
+interface OpenQuery {
+    query: EligibilityQuery;
+    respond: (eligible: readonly EligibleServer[] | undefined) => void;
+}
+
+/** Starts a leader whose only queue needs approvals, with the queries that it makes. */
+const started = (): { replica: SingleReplica; queries: OpenQuery[] } => {
+    const queries: OpenQuery[] = [];
+    const replica = SingleReplica.started({
+        askEligibility: (query, respond) =>
+            void queries.push({ query, respond: eligible => respond(eligible, replica.times.nowMs) }),
+    });
+    const [queue] = configurationOf(2).queues;
+    const queues = [{ ...queue as QueueContract, eligibility: TERMS }];
+    replica.node.configure(configurationOf(2, { queues }), () => undefined, replica.times);
+    replica.settle();
+    return { replica, queries };
+};
+
+// Guards against starts that backend servers reject for want of an approval, so that the job never runs.
+it("starts a step only on servers that the service approves, with the approval's token", () => {
+    const { replica, queries } = started();
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.heartbeat(heartbeatOf("b", 1));
+    replica.submit(jobOf("j", stepOf()));
+    expect(replica.heartbeat(heartbeatOf("a", 2))?.starts).toEqual([]);
+    expect(queries.map(({ query }) => [query.step, query.serverIds.sort()])).toEqual([["j.0.0", ["a", "b"]]]);
+    queries[0]?.respond([{ serverId: "b", token: "approved" }]);
+    replica.settle();
+    expect(replica.heartbeat(heartbeatOf("a", 3))?.starts).toEqual([]);
+    const starts = replica.heartbeat(heartbeatOf("b", 2))?.starts;
+    expect(starts?.map(start => [start.task, start.eligibilityToken])).toEqual([["j.0.0.0", "approved"]]);
+});
+
+// Guards against an approval that is used after it has ended.
+it("asks again when an approval has ended, and never again about a server that was refused", () => {
+    const { replica, queries } = started();
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.heartbeat(heartbeatOf("b", 1));
+    replica.submit(jobOf("j", stepOf({ taskCount: 5 })));
+    queries[0]?.respond([{ serverId: "b", token: "first" }]);
+    replica.settle();
+    expect(replica.heartbeat(heartbeatOf("b", 2))?.starts).toHaveLength(4);
+    replica.advance(TERMS.validityMs);
+    replica.heartbeat(heartbeatOf("a", 2));
+    const ended = [0, 1, 2, 3].map(index => ({
+        sequence: index + 1,
+        task: `j.0.0.${index}`,
+        run: 1,
+        end: RunEnd.Done,
+        checkpoint: "",
+    }));
+    replica.heartbeat(heartbeatOf("b", 3, { ended }));
+    expect(queries.at(-1)?.query.serverIds).toEqual(["b"]);
+    queries.at(-1)?.respond([{ serverId: "b", token: "second" }]);
+    replica.settle();
+    const starts = replica.heartbeat(heartbeatOf("b", 4))?.starts;
+    expect(starts?.map(start => start.eligibilityToken)).toEqual(["second"]);
+});
+
+// Guards against a service that is flooded with questions while it doesn't answer.
+it("pauses after a query without an answer, and asks for one step at a time", () => {
+    const { replica, queries } = started();
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.submit(jobOf("j", stepOf()));
+    queries[0]?.respond(undefined);
+    replica.settle();
+    replica.heartbeat(heartbeatOf("a", 2));
+    expect(queries).toHaveLength(1);
+    replica.advance(300);
+    replica.heartbeat(heartbeatOf("a", 3));
+    replica.heartbeat(heartbeatOf("a", 4));
+    expect(queries).toHaveLength(2);
+});
--- a/packages/workflow/src/leader/evacuation.ts
+++ b/packages/workflow/src/leader/evacuation.ts
@@ -5,7 +5,7 @@
 /** Time before a server leaves at which tasks that save checkpoints are stopped, to be resumed elsewhere. */
 const SAVE_BEFORE_LEAVING_MS = 900;
 
-/** Moves work off backend servers that are about to leave. */
+/** Moves work off backend servers that are about to leave or to be maintained. */
 export class Evacuation {
     readonly #directory: ServerDirectory;
 
@@ -15,14 +15,15 @@
 
     run(nowMs: number): void {
         for (const server of this.#directory.servers) {
-            if (server.isDraining) {
+            if (server.isDraining || server.isInMaintenance) {
                 this.#empty(server, nowMs);
             }
         }
     }
 
     #empty(server: ServerView, nowMs: number): void {
-        const isAboutToLeave = nowMs >= server.leavesAtMs - SAVE_BEFORE_LEAVING_MS;
+        const isAboutToLeave = server.isInMaintenance
+            || nowMs >= server.leavesAtMs - SAVE_BEFORE_LEAVING_MS;
         for (const run of server.runs.values()) {
             const isSaved = run.step.savesCheckpoints && isAboutToLeave;
             if (isSaved || (run.kind === TaskKind.Standing && this.#maySpare(run))) {
--- a/packages/workflow/src/leader/filler-pacing.test.ts
+++ b/packages/workflow/src/leader/filler-pacing.test.ts
@@ -25,7 +25,7 @@
 
 const addRun = (server: ServerView, name: string, step: StepSpecification): RunView => {
     const position = { jobId: name, occurrence: 0, step: 0, index: 0 };
-    const run = newRunView({ task: name, run: 1, position, step, kind: taskKindOf(step) }, "", 0);
+    const run = newRunView({ task: name, run: 1, position, step, kind: taskKindOf(step), checkpoint: "" }, 0);
     server.addRun(run);
     return run;
 };
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -1,15 +1,19 @@
 import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
+import type { BeginMaintenance } from "../model/maintenance.js";
 import { parseTaskKey, taskKeyOf, taskKindOf } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
 import type { JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
+import { Eligibility } from "./eligibility.js";
+import type { AskEligibility } from "./eligibility.js";
 import { Evacuation } from "./evacuation.js";
 import { FillerMoves } from "./filler-moves.js";
 import { FillerPacing } from "./filler-pacing.js";
 import { HeartbeatIntake } from "./heartbeat-intake.js";
+import { Maintenance } from "./maintenance.js";
 import { OrderWriter } from "./order-writer.js";
 import { PairPressure } from "./pair-pressure.js";
 import { Planner } from "./planner.js";
@@ -45,6 +49,8 @@
     propose: (event: WorkflowEvent) => void;
     /** Told of changes in what is believed of backend servers. */
     report: (event: ServerEvent, nowMs: number) => void;
+    askEligibility: AskEligibility;
+    beginMaintenance: BeginMaintenance;
 }
 
 interface WaitingAnswer {
@@ -63,12 +69,14 @@
     readonly #queue = new WorkQueue();
     readonly #pressure: PairPressure;
     readonly #pacing: FillerPacing;
+    readonly #eligibility: Eligibility;
     readonly #planner: Planner;
     readonly #intake: HeartbeatIntake;
     readonly #orders: OrderWriter;
     readonly #evacuation: Evacuation;
     readonly #speed = new ServerSpeed();
     readonly #moves: FillerMoves;
+    readonly #maintenance: Maintenance;
     readonly #answers = new Map<string, WaitingAnswer>();
     readonly #failures = new Map<string, number>();
     readonly #startedJobs = new Set<string>();
@@ -87,16 +95,31 @@
         this.#pressure = new PairPressure(state.pressures);
         this.#pacing = new FillerPacing(this.#pressure);
         this.#recordAtMs = times.nowMs + RECORD_INTERVAL_MS;
+        this.#eligibility = new Eligibility((query, respond) =>
+            parts.askEligibility(query, (eligible, nowMs) => {
+                respond(eligible, nowMs);
+                this.#isPlanDue = true;
+            })
+        );
         this.#planner = new Planner({
             state,
             queue: this.#queue,
             directory: this.#directory,
             pressure: this.#pressure,
+            eligibility: this.#eligibility,
         });
         this.#intake = new HeartbeatIntake(state);
-        this.#orders = new OrderWriter(state, parts.term, settings);
+        this.#orders = new OrderWriter(state, this.#eligibility, parts.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
         this.#moves = new FillerMoves(this.#directory, run => this.#planner.canPlaceElsewhere(run, this.#nowMs));
+        this.#maintenance = new Maintenance({
+            state,
+            directory: this.#directory,
+            term: parts.term,
+            settings,
+            propose: parts.propose,
+            begin: parts.beginMaintenance,
+        }, times.nowMs);
         this.#nowMs = times.nowMs;
         for (const job of state.jobs.values()) {
             this.#adopt(job, times);
@@ -184,6 +207,7 @@
             this.#loseRuns([...server.runs.values()]);
         }
         this.#nowMs = nowMs;
+        this.#maintenance.run(times);
         this.#evacuation.run(nowMs);
         this.#moves.run(nowMs);
         if (this.#isPlanDue && nowMs >= this.#settledAtMs) {
@@ -234,11 +258,9 @@
                     const { serverId, incarnation } = task.server;
                     const position = { jobId: job.id, occurrence, step: stepIndex, index };
                     const key = taskKeyOf(position);
-                    const view = newRunView(
-                        { task: key, run: task.run, position, step, kind: taskKindOf(step) },
-                        task.checkpoint,
-                        nowMs,
-                    );
+                    const { run, checkpoint } = task;
+                    const kind = taskKindOf(step);
+                    const view = newRunView({ task: key, run, position, step, kind, checkpoint }, nowMs);
                     view.isCommitted = true;
                     view.isStopping = job.isOver;
                     // The former leader may have sent the order; only the next heartbeat tells.
@@ -383,7 +405,7 @@
                 continue;
             }
             this.#answers.delete(serverId);
-            const written = this.#orders.write(server, answer.report);
+            const written = this.#orders.write(server, answer.report, nowMs);
             this.#loseRuns(written.neverStarted);
             written.neverStarted.forEach(run => server.removeRun(run.task));
             answer.respond(written.orders);
@@ -418,5 +440,6 @@
             propose({ kind: EventKind.JobsForgotten, jobIds });
             jobIds.forEach(id => this.#startedJobs.delete(id));
         }
+        this.#eligibility.retain(step => this.#jobOf(`${step}.0`)?.isOver === false);
     }
 }
--- /dev/null
+++ b/packages/workflow/src/leader/maintenance.test.ts
@@ -0,0 +1,142 @@
+import { expect, it } from "vitest";
+import type { HeartbeatReport } from "../model/heartbeat.js";
+import { MaintenanceOutcome, MaintenanceState } from "../model/maintenance.js";
+import type { MaintenanceCall } from "../model/maintenance.js";
+import { fillerStepOf, heartbeatOf, jobOf, standingStepOf } from "../testing/fixtures.js";
+import { LEADER_SETTINGS, SingleReplica } from "../testing/single-replica.js";
+
+interface OpenCall {
+    call: MaintenanceCall;
+    respond: (outcome: MaintenanceOutcome) => void;
+}
+
+/** The VM is certainly back after this. */
+const DOWN_MS = LEADER_SETTINGS.maintenanceMs + 500;
+
+const started = (): { replica: SingleReplica; calls: OpenCall[] } => {
+    const calls: OpenCall[] = [];
+    const replica = SingleReplica.started({
+        beginMaintenance: (call, respond) =>
+            void calls.push({ call, respond: outcome => respond(outcome, replica.times.nowMs) }),
+    });
+    replica.advance(LEADER_SETTINGS.orderLeaseMs);
+    return { replica, calls };
+};
+
+const order = (replica: SingleReplica, vmIds: string[], maxConcurrent: number): void => {
+    const command = { id: 1, vmIds, allowedMs: 20_000, maxConcurrent };
+    replica.node.orderMaintenance(command, () => undefined, replica.times);
+    replica.settle();
+};
+
+const stateOf = (replica: SingleReplica, id = 1): unknown => {
+    const results: unknown[] = [];
+    replica.node.maintenanceState(id, result => results.push(result.ok ? result.value : result.refusal), replica.times);
+    replica.settle();
+    return results[0];
+};
+
+/** Heartbeats with rising sequences from one server. */
+const beats = (replica: SingleReplica, serverId: string) => {
+    let sequence = 0;
+    return (changes: Partial<HeartbeatReport> = {}) => {
+        sequence += 1;
+        return replica.heartbeat(heartbeatOf(serverId, sequence, changes));
+    };
+};
+
+const vmIdsOf = (calls: readonly OpenCall[]): string[] => calls.map(({ call }) => call.vmId);
+
+// Guards against more VMs down at a time than the operators allow, and against a state that says too much.
+it("has no more VMs down than allowed, and is completed when each is back", () => {
+    const { replica, calls } = started();
+    order(replica, ["x", "y", "z"], 2);
+    replica.advance(10);
+    expect(vmIdsOf(calls)).toEqual(["x", "y"]);
+    calls[0]?.respond(MaintenanceOutcome.Begun);
+    replica.advance(DOWN_MS - 10);
+    expect(vmIdsOf(calls)).toEqual(["x", "y"]);
+    replica.advance(20);
+    expect(vmIdsOf(calls)).toEqual(["x", "y", "z"]);
+    calls[1]?.respond(MaintenanceOutcome.Gone);
+    calls[2]?.respond(MaintenanceOutcome.Begun);
+    replica.settle();
+    expect(stateOf(replica)).toBe(MaintenanceState.Running);
+    replica.advance(DOWN_MS + 10);
+    replica.settle();
+    expect(stateOf(replica)).toBe(MaintenanceState.Completed);
+    expect(stateOf(replica, 2)).toBeUndefined();
+});
+
+// Guards against a VM that is taken for up although a call without an answer has taken it down.
+it("counts a VM as down while the outcome of a call isn't known, and repeats the call", () => {
+    const { replica, calls } = started();
+    order(replica, ["x", "y"], 1);
+    replica.advance(10);
+    calls[0]?.respond(MaintenanceOutcome.Retry);
+    replica.advance(1_000);
+    expect(vmIdsOf(calls)).toEqual(["x", "x"]);
+});
+
+// Guards against two leaders that give orders for one VM in turns, and against a VM too many after a failover.
+it("makes no call before a former leader's lease has ended, and knows what that leader had begun", () => {
+    const { replica, calls } = started();
+    order(replica, ["x", "y"], 1);
+    replica.advance(10);
+    calls[0]?.respond(MaintenanceOutcome.Begun);
+    replica.settle();
+    replica.failOver();
+    replica.advance(LEADER_SETTINGS.orderLeaseMs - 100);
+    expect(vmIdsOf(calls)).toEqual(["x"]);
+    replica.advance(200);
+    replica.advance(10);
+    expect(calls.map(({ call }) => [call.vmId, call.term])).toEqual([["x", 1], ["y", 2]]);
+});
+
+// Guards against calls of a leader that was replaced.
+it("makes no further call once a later leader has used a higher term", () => {
+    const { replica, calls } = started();
+    order(replica, ["x", "y"], 1);
+    replica.advance(10);
+    calls[0]?.respond(MaintenanceOutcome.Superseded);
+    replica.advance(60_000);
+    expect(calls).toHaveLength(1);
+});
+
+// Guards against work that is thrown away, and against standing tasks that are away beyond their bound.
+it("empties a VM first: no new work, checkpointed work is stopped, standing tasks move one at a time", () => {
+    const { replica, calls } = started();
+    const beat = beats(replica, "a");
+    beat();
+    replica.submit(jobOf("s", standingStepOf({ taskCount: 2, maxUnavailable: 1 })));
+    replica.submit(jobOf("f", fillerStepOf()));
+    const running = (beat()?.starts ?? []).map(({ task, run }) => ({
+        task,
+        run,
+        checkpoint: "",
+        progressPercent: 100,
+        measurement: 10,
+    }));
+    expect(running).toHaveLength(3);
+    beat({ running });
+    order(replica, ["vm-a"], 1);
+    replica.advance(10);
+    const stops = beat({ running })?.stops.map(stop => stop.task).sort();
+    expect(stops).toEqual(["f.0.0.0", "s.0.0.0"]);
+    replica.submit(jobOf("late", standingStepOf()));
+    expect(beat({ running })?.starts).toEqual([]);
+    replica.advance(2_000);
+    expect(calls).toEqual([]);
+    beat({ running: [] });
+    replica.advance(10);
+    expect(vmIdsOf(calls)).toEqual(["vm-a"]);
+});
+
+// Guards against an order that is taken again, with other content, when its acknowledgement was lost.
+it("takes an order with a known id for the same order", () => {
+    const { replica, calls } = started();
+    order(replica, ["x"], 1);
+    order(replica, ["y"], 1);
+    replica.advance(10);
+    expect(vmIdsOf(calls)).toEqual(["x"]);
+});
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -1,5 +1,8 @@
 import type { HeartbeatOrders, HeartbeatReport, PaceOrder, StartOrder, StopOrder } from "../model/heartbeat.js";
+import { stepKeyOf } from "../model/specification.js";
+import type { JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
+import type { Eligibility } from "./eligibility.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 
@@ -12,16 +15,18 @@
 /** Writes the answers to heartbeats. */
 export class OrderWriter {
     readonly #state: WorkflowState;
+    readonly #eligibility: Eligibility;
     readonly #term: number;
     readonly #settings: LeaderSettings;
 
-    constructor(state: WorkflowState, term: number, settings: LeaderSettings) {
+    constructor(state: WorkflowState, eligibility: Eligibility, term: number, settings: LeaderSettings) {
         this.#state = state;
+        this.#eligibility = eligibility;
         this.#term = term;
         this.#settings = settings;
     }
 
-    write(server: ServerView, report: HeartbeatReport): WrittenOrders {
+    write(server: ServerView, report: HeartbeatReport, nowMs: number): WrittenOrders {
         const starts: StartOrder[] = [];
         const stops = this.#stopsOfStrays(server, report);
         const paces: PaceOrder[] = [];
@@ -40,7 +45,7 @@
                 }
             }
             else if (view.orderedAtSequence === undefined) {
-                if (this.#mayStart(server, view)) {
+                if (this.#mayStart(server, view, nowMs)) {
                     view.orderedAtSequence = report.sequence;
                     starts.push(this.#startOf(view));
                 }
@@ -70,14 +75,22 @@
             .map(({ task, run }) => ({ task, run }));
     }
 
-    #mayStart(server: ServerView, view: RunView): boolean {
+    #mayStart(server: ServerView, view: RunView, nowMs: number): boolean {
         const job = this.#state.job(view.position.jobId);
         return !view.isStopping
             && job?.isOver === false
             && !server.isDraining
+            && !server.isInMaintenance
+            && this.#isApproved(server, view, job, nowMs)
             && !this.#state.zonesOutOfService.has(server.availabilityZone);
     }
 
+    /** A run that an earlier leader assigned has lost its approval with that leader. */
+    #isApproved(server: ServerView, view: RunView, job: JobRecord, nowMs: number): boolean {
+        return this.#state.presentQueueOf(job).eligibility === undefined
+            || this.#eligibility.tokenFor(stepKeyOf(view.position), server, nowMs) === view.eligibilityToken;
+    }
+
     #startOf(view: RunView): StartOrder {
         const job = this.#state.job(view.position.jobId);
         return {
@@ -85,6 +98,7 @@
             run: view.run,
             payload: job?.specification.payload ?? "",
             checkpoint: job?.task(view.position)?.checkpoint ?? "",
+            eligibilityToken: view.eligibilityToken,
         };
     }
 }
--- a/packages/workflow/src/leader/pair-pressure.test.ts
+++ b/packages/workflow/src/leader/pair-pressure.test.ts
@@ -13,7 +13,7 @@
 
 const addRun = (server: ServerView, name: string, step: StepSpecification): RunView => {
     const position = { jobId: name, occurrence: 0, step: 0, index: 0 };
-    const run = newRunView({ task: name, run: 1, position, step, kind: taskKindOf(step) }, "", 0);
+    const run = newRunView({ task: name, run: 1, position, step, kind: taskKindOf(step), checkpoint: "" }, 0);
     run.isReported = true;
     server.addRun(run);
     return run;
--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -8,7 +8,7 @@
 import { newRunView, ServerView } from "./server-view.js";
 import type { WaitingStep } from "./work-queue.js";
 
-const LIMITS = { service: "pool", zonesOutOfService: new Set<string>(), rackOfStep: "" };
+const LIMITS = { service: "pool", zonesOutOfService: new Set<string>(), rackOfStep: "", isEligible: undefined };
 
 const standingOf = (cpuMillicores: number): StepSpecification =>
     standingStepOf({ amounts: { cpuMillicores, memoryMebibytes: 100, accelerators: 0 } });
@@ -19,7 +19,7 @@
         throw new Error("the configuration has no queue");
     }
     const job = JobRecord.accepted(jobOf("waiting", step), queue, 0);
-    const record = job.occurrences[0]?.[0] ?? { tasks: [], doneCount: 0 };
+    const record = job.occurrences[0]?.[0] ?? { tasks: [], doneCount: 0, failedGangRun: 0 };
     return { job, occurrence: 0, stepIndex: 0, step, kind: TaskKind.Standing, record, expectedEndMs: 0 };
 };
 
@@ -28,7 +28,7 @@
     server.describe(heartbeatOf("s", 1), 0);
     const step = standingOf(cpuMillicores);
     const position = { jobId: "holding", occurrence: 0, step: 0, index: 0 };
-    server.addRun(newRunView({ task: "holding", run: 1, position, step, kind: taskKindOf(step) }, "", 0));
+    server.addRun(newRunView({ task: "holding", run: 1, position, step, kind: taskKindOf(step), checkpoint: "" }, 0));
     return server;
 };
 
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -69,6 +69,8 @@
     zonesOutOfService: ReadonlySet<string>;
     /** Rack of the tasks of the same step that already have a server; empty for none. */
     rackOfStep: string;
+    /** Whether the step may run on a server; undefined where any server will do. */
+    isEligible: ((server: ServerView) => boolean) | undefined;
 }
 
 /** Returns the server on which a task of the step costs least; undefined when none can take it. */
@@ -82,7 +84,7 @@
     let best: ServerView | undefined;
     let bestCost = Infinity;
     for (const server of servers) {
-        if (!isAllowed(waiting, server, limits, nowMs)) {
+        if (!isAllowed(waiting, server, limits, nowMs) || limits.isEligible?.(server) === false) {
             continue;
         }
         const cost = COSTS[waiting.kind](waiting, server, pressure, nowMs);
@@ -99,6 +101,17 @@
     return best;
 };
 
+/** Returns the servers that could take a task of the step now, whether or not the step may run on them. */
+export const serversWithRoom = (
+    waiting: WaitingStep,
+    servers: Iterable<ServerView>,
+    limits: PlacementLimits,
+    nowMs: number,
+): ServerView[] =>
+    [...servers]
+        .filter(server => isAllowed(waiting, server, limits, nowMs))
+        .sort((a, b) => rackCost(waiting, a, limits) - rackCost(waiting, b, limits) || idleCores(b) - idleCores(a));
+
 const isAllowed = (waiting: WaitingStep, server: ServerView, limits: PlacementLimits, nowMs: number): boolean => {
     const { step } = waiting;
     return server.isUsable
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -2,14 +2,15 @@
 import type { AssignedRun } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
+import type { Eligibility } from "./eligibility.js";
 import type { PairPressure } from "./pair-pressure.js";
-import { chooseServer } from "./placement.js";
+import { chooseServer, serversWithRoom } from "./placement.js";
 import type { PlacementLimits } from "./placement.js";
 import type { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { Times } from "./times.js";
-import { taskKeyIn } from "./work-queue.js";
+import { stepKeyOf, taskKeyIn } from "./work-queue.js";
 import type { WaitingStep, WorkQueue } from "./work-queue.js";
 
 interface PlannedRun {
@@ -23,6 +24,7 @@
     readonly #queue: WorkQueue;
     readonly #directory: ServerDirectory;
     readonly #pressure: PairPressure;
+    readonly #eligibility: Eligibility;
     /** Tasks whose assignment is not recorded yet. */
     readonly #claimed = new Set<string>();
     /** Least needs for which the present pass has found no server, by what else limits the choice. */
@@ -33,11 +35,13 @@
         queue: WorkQueue;
         directory: ServerDirectory;
         pressure: PairPressure;
+        eligibility: Eligibility;
     }) {
         this.#state = parts.state;
         this.#queue = parts.queue;
         this.#directory = parts.directory;
         this.#pressure = parts.pressure;
+        this.#eligibility = parts.eligibility;
     }
 
     /** Returns the assignments that the present room allows; the room is taken at once. */
@@ -61,7 +65,7 @@
         }
         const { step, kind } = run;
         const waiting = { job, occurrence, stepIndex, step, kind, record, expectedEndMs: 0 };
-        const limits = { ...this.#limitsOf(waiting), rackOfStep: "" };
+        const limits = { ...this.#limitsOf(waiting, nowMs), rackOfStep: "" };
         return chooseServer(waiting, this.#directory.servers, limits, this.#pressure, nowMs) !== undefined;
     }
 
@@ -97,14 +101,15 @@
 
     #planTask(waiting: WaitingStep, index: number, run: number, nowMs: number): PlannedRun | undefined {
         const { job, occurrence, stepIndex, step, kind } = waiting;
-        const limits = this.#limitsOf(waiting);
+        const limits = this.#limitsOf(waiting, nowMs);
         const shape = `${kind} ${limits.service} ${step.image} ${step.requiredLabel}`;
         if (needsAtLeast(step.amounts, this.#unplaced.get(shape))) {
             return undefined;
         }
         const server = chooseServer(waiting, this.#directory.servers, limits, this.#pressure, nowMs);
         if (server === undefined) {
-            if (step.maxTasksPerServer === 0) {
+            this.#inquire(waiting, limits, nowMs);
+            if (step.maxTasksPerServer === 0 && limits.isEligible === undefined) {
                 this.#unplaced.set(shape, step.amounts);
             }
             return undefined;
@@ -112,23 +117,33 @@
         const task = taskKeyIn(waiting, index);
         const position = { jobId: job.id, occurrence, step: stepIndex, index };
         const checkpoint = waiting.record.tasks[index]?.checkpoint ?? "";
-        server.addRun(newRunView({ task, run, position, step, kind }, checkpoint, nowMs));
+        const eligibilityToken = this.#eligibility.tokenFor(stepKeyOf(waiting), server, nowMs);
+        server.addRun(newRunView({ task, run, position, step, kind, checkpoint, eligibilityToken }, nowMs));
         this.#claimed.add(task);
         return { server, assigned: { task, run, serverId: server.id, incarnation: server.incarnation } };
     }
 
-    #limitsOf(waiting: WaitingStep): PlacementLimits {
+    #limitsOf(waiting: WaitingStep, nowMs: number): PlacementLimits {
+        const { service, eligibility } = this.#state.presentQueueOf(waiting.job);
+        const step = stepKeyOf(waiting);
         return {
-            service: this.#serviceOf(waiting),
+            service,
             zonesOutOfService: this.#state.zonesOutOfService,
             rackOfStep: waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "",
+            isEligible: eligibility === undefined
+                ? undefined
+                : server => this.#eligibility.tokenFor(step, server, nowMs) !== undefined,
         };
     }
 
-    /** A queue may have been sent to another service since the job was accepted. */
-    #serviceOf({ job }: WaitingStep): string {
-        const queue = this.#state.configuration?.queues.find(item => item.name === job.queue.name);
-        return queue?.service ?? job.queue.service;
+    /** Asks which further servers with room the step may run on, where its queue needs approvals. */
+    #inquire(waiting: WaitingStep, limits: PlacementLimits, nowMs: number): void {
+        const { eligibility } = this.#state.presentQueueOf(waiting.job);
+        if (eligibility !== undefined) {
+            const servers = serversWithRoom(waiting, this.#directory.servers, limits, nowMs);
+            const { tasks, doneCount } = waiting.record;
+            this.#eligibility.inquire(stepKeyOf(waiting), servers, tasks.length - doneCount, eligibility, nowMs);
+        }
     }
 
     #rackOfStep(waiting: WaitingStep): string {
--- a/packages/workflow/src/leader/server-speed.test.ts
+++ b/packages/workflow/src/leader/server-speed.test.ts
@@ -11,7 +11,10 @@
 
 const addRun = (server: ServerView, index: number, step: StepSpecification): RunView => {
     const position = { jobId: "j", occurrence: 0, step: 0, index };
-    const run = newRunView({ task: `j.0.0.${index}`, run: 1, position, step, kind: taskKindOf(step) }, "", 0);
+    const run = newRunView(
+        { task: `j.0.0.${index}`, run: 1, position, step, kind: taskKindOf(step), checkpoint: "" },
+        0,
+    );
     run.isReported = true;
     server.addRun(run);
     return run;
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -9,6 +9,8 @@
     readonly position: TaskPosition;
     readonly step: StepSpecification;
     readonly kind: TaskKind;
+    /** Approval of the eligibility service for this run; undefined where none is needed. */
+    readonly eligibilityToken: string | undefined;
     /** Whether the assignment is recorded, so that the order may leave. */
     isCommitted: boolean;
     /** Sequence of the heartbeat whose answer carried the start; undefined before. */
@@ -47,6 +49,10 @@
     labels: readonly string[] = [];
     capacity: Amounts = ZERO;
     isDraining = false;
+    /** Whether the VM is being emptied for its maintenance. */
+    isInMaintenance = false;
+    /** The VM that the server runs on; empty when unknown. */
+    vmId = "";
     /** When a draining server may leave. */
     leavesAtMs = Infinity;
     /** Sequence of the latest heartbeat; undefined before the first in this term. */
@@ -56,6 +62,8 @@
     leaseExpiresAtMs: number;
     /** Ends up to here are proposed for the log. */
     proposedEnd = 0;
+    /** Whether the server still has runs that the leader has given up; their amounts aren't in {@link reserved}. */
+    hasStrays = false;
     /** No starts before this time, after failures. */
     avoidUntilMs = -Infinity;
     readonly #runs = new Map<string, RunView>();
@@ -124,11 +132,12 @@
 
     /** Whether the server has been heard in this term and takes new work. */
     get isUsable(): boolean {
-        return this.sequence !== undefined && !this.isDraining;
+        return this.sequence !== undefined && !this.isDraining && !this.isInMaintenance && !this.hasStrays;
     }
 
     describe(report: HeartbeatReport, nowMs: number): void {
         this.service = report.service;
+        this.vmId = report.vmId;
         this.availabilityZone = report.availabilityZone;
         this.rack = report.rack;
         this.labels = report.labels;
@@ -202,18 +211,25 @@
     }
 };
 
+/** What is known of a run when it is assigned. */
+export interface NewRun {
+    task: string;
+    run: number;
+    position: TaskPosition;
+    step: StepSpecification;
+    kind: TaskKind;
+    checkpoint: string;
+    eligibilityToken?: string | undefined;
+}
+
 /** Creates the view of a run that is about to be recorded. */
-export const newRunView = (
-    assigned: { task: string; run: number; position: TaskPosition; step: StepSpecification; kind: TaskKind },
-    checkpoint: string,
-    nowMs: number,
-): RunView => ({
+export const newRunView = ({ eligibilityToken, ...assigned }: NewRun, nowMs: number): RunView => ({
     ...assigned,
+    eligibilityToken,
     isCommitted: false,
     orderedAtSequence: undefined,
     isReported: false,
     firstReportedAtMs: undefined,
-    checkpoint,
     progressPercent: 0,
     progressAtMs: nowMs,
     measurement: undefined,
--- a/packages/workflow/src/leader/settings.ts
+++ b/packages/workflow/src/leader/settings.ts
@@ -8,6 +8,10 @@
     busyHeartbeatMs: number;
     /** The same for a server without runs. */
     idleHeartbeatMs: number;
+    /** Time that the platform takes to maintain a VM. */
+    maintenanceMs: number;
+    /** Time after an order for a VM during which no other leader may give one. */
+    orderLeaseMs: number;
     /** How long jobs are kept after their end. */
     retentionMs: number;
 }
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -1,4 +1,4 @@
-import { taskKeyOf, TaskKind, taskKindOf } from "../model/specification.js";
+import { stepKeyOf as stepKey, taskKeyOf, TaskKind, taskKindOf } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
 import type { JobRecord, StepRecord } from "../state/job-record.js";
 import { TaskPhase } from "../state/job-record.js";
@@ -15,8 +15,6 @@
     readonly expectedEndMs: number;
 }
 
-const keyOf = (jobId: string, occurrence: number, step: number): string => `${jobId}.${occurrence}.${step}`;
-
 /**
  * Steps whose turn has come, in the order in which they get room: by priority, then by the time at which callers
  * expect the job's end. A batch job that has missed that time comes after those that can still make it.
@@ -52,7 +50,7 @@
                     && record.doneCount < record.tasks.length
                     && job.isStepUnlocked(occurrence, stepIndex)
                     && record.tasks.some(task => task.phase === TaskPhase.Waiting);
-                const key = keyOf(job.id, occurrence, stepIndex);
+                const key = stepKey({ jobId: job.id, occurrence, step: stepIndex });
                 if (isWaiting && !this.#steps.has(key)) {
                     this.#steps.set(key, {
                         job,
@@ -73,6 +71,10 @@
     }
 }
 
+/** Returns the key of a step of one occurrence. */
+export const stepKeyOf = ({ job, occurrence, stepIndex }: WaitingStep): string =>
+    stepKey({ jobId: job.id, occurrence, step: stepIndex });
+
 /** Returns the key of one task of a step. */
 export const taskKeyIn = (waiting: WaitingStep, index: number): string =>
     taskKeyOf({ jobId: waiting.job.id, occurrence: waiting.occurrence, step: waiting.stepIndex, index });
--- a/packages/workflow/src/model/configuration.ts
+++ b/packages/workflow/src/model/configuration.ts
@@ -1,3 +1,13 @@
+/** How the eligibility service answers for a queue. */
+export interface EligibilityTerms {
+    /** Time that an answer takes, whatever it covers. */
+    decisionMs: number;
+    /** Further time for each backend server in a query. */
+    perServerMs: number;
+    /** How long an approval allows starts. */
+    validityMs: number;
+}
+
 /** A queue's contract: where its jobs run and what limits them. */
 export interface QueueContract {
     name: string;
@@ -14,6 +24,8 @@
     stretchRatio: number;
     targetDurationMs: number;
     timeoutMs: number;
+    /** Its steps run only on backend servers that the eligibility service approves; undefined for any server. */
+    eligibility: EligibilityTerms | undefined;
 }
 
 /** A pool of backend servers. */
--- a/packages/workflow/src/model/heartbeat.ts
+++ b/packages/workflow/src/model/heartbeat.ts
@@ -41,6 +41,8 @@
     incarnation: number;
     /** Rises with each report of one incarnation. */
     sequence: number;
+    /** The VM that the server runs on; empty when unknown. */
+    vmId: string;
     service: string;
     availabilityZone: string;
     rack: string;
@@ -59,6 +61,8 @@
     run: number;
     payload: string;
     checkpoint: string;
+    /** Approval of the eligibility service; undefined where the queue needs none. */
+    eligibilityToken: string | undefined;
 }
 
 /** An order to stop a run. */
--- a/packages/workflow/src/model/specification.ts
+++ b/packages/workflow/src/model/specification.ts
@@ -78,9 +78,14 @@
     index: number;
 }
 
+/** Position of a step of one occurrence. */
+export type StepPosition = Omit<TaskPosition, "index">;
+
+/** Returns a step's key, unique among all jobs. */
+export const stepKeyOf = ({ jobId, occurrence, step }: StepPosition): string => `${jobId}.${occurrence}.${step}`;
+
 /** Returns a task's key, unique among all jobs. */
-export const taskKeyOf = (position: TaskPosition): string =>
-    `${position.jobId}.${position.occurrence}.${position.step}.${position.index}`;
+export const taskKeyOf = (position: TaskPosition): string => `${stepKeyOf(position)}.${position.index}`;
 
 /** Parses a task's key; undefined when the text isn't one. */
 export const parseTaskKey = (key: string): TaskPosition | undefined => {
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -1,3 +1,4 @@
+import type { AskEligibility } from "../leader/eligibility.js";
 import { LeaderSession } from "../leader/leader-session.js";
 import type { ServerEvent } from "../leader/server-event.js";
 import type { LeaderSettings } from "../leader/settings.js";
@@ -7,6 +8,8 @@
 import { findQueue } from "../model/configuration.js";
 import type { Configuration } from "../model/configuration.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
+import { MaintenanceState } from "../model/maintenance.js";
+import type { BeginMaintenance, MaintenanceOrder } from "../model/maintenance.js";
 import type { JobSpecification } from "../model/specification.js";
 import { decodeEvents, encodeEvents, EventKind } from "../state/events.js";
 import type { WorkflowEvent } from "../state/events.js";
@@ -26,6 +29,10 @@
     settings: LeaderSettings;
     /** Told of the committed events while this replica leads. */
     onCommitted?: (events: readonly WorkflowEvent[], nowMs: number) => void;
+    /** Asks the eligibility service; without it, queues that need its approvals wait. */
+    askEligibility?: AskEligibility;
+    /** Has the platform maintain a VM; without it, maintenance orders wait. */
+    beginMaintenance?: BeginMaintenance;
     /** Told of changes in what the leader believes of backend servers. */
     onServerEvent?: (event: ServerEvent, nowMs: number) => void;
 }
@@ -165,6 +172,28 @@
         this.#change({ kind: isOut ? EventKind.ZoneTakenOut : EventKind.ZoneReturned, availabilityZone }, respond);
     }
 
+    /** Accepts an order to maintain VMs durably. The same id again is the same order. */
+    orderMaintenance(order: MaintenanceOrder, respond: Respond<void>, { nowMs, timeOfDayMs }: Times): void {
+        if (!this.#mayServe(nowMs)) {
+            respond(refused(Refusal.NotLeader));
+            return;
+        }
+        this.#change({ kind: EventKind.MaintenanceOrdered, order, atMs: timeOfDayMs }, respond);
+    }
+
+    /** Returns the state of a maintenance; undefined for an unknown one. */
+    maintenanceState(id: number, respond: Respond<MaintenanceState | undefined>, { nowMs }: Times): void {
+        if (!this.#mayServe(nowMs)) {
+            respond(refused(Refusal.NotLeader));
+            return;
+        }
+        this.#confirm(() => {
+            const record = this.#state.maintenance(id);
+            const state = record?.isCompleted === true ? MaintenanceState.Completed : MaintenanceState.Running;
+            respond(succeeded(record === undefined ? undefined : state));
+        }, respond);
+    }
+
     /** Takes in a heartbeat; succeeds with undefined for one that is outdated. */
     heartbeat(report: HeartbeatReport, respond: Respond<HeartbeatOrders | undefined>, times: Times): void {
         if (!this.#mayServe(times.nowMs) || this.#session === undefined) {
@@ -246,6 +275,8 @@
                 term: this.#log.term,
                 settings: this.#settings,
                 propose: event => this.#events.push(event),
+                askEligibility: this.#options.askEligibility ?? (() => undefined),
+                beginMaintenance: this.#options.beginMaintenance ?? (() => undefined),
                 report: (event, nowMs) => this.#options.onServerEvent?.(event, nowMs),
             }, times);
         }
--- a/packages/workflow/src/state/events.ts
+++ b/packages/workflow/src/state/events.ts
@@ -1,5 +1,6 @@
 import type { Configuration, QueueContract } from "../model/configuration.js";
 import type { RunEnd } from "../model/heartbeat.js";
+import type { MaintenanceOrder, VmMaintenancePhase } from "../model/maintenance.js";
 import type { JobSpecification } from "../model/specification.js";
 
 /** Kinds of replicated changes. */
@@ -14,6 +15,8 @@
     RunsLost = "runs-lost",
     JobsForgotten = "jobs-forgotten",
     PressuresLearned = "pressures-learned",
+    MaintenanceOrdered = "maintenance-ordered",
+    VmMaintained = "vm-maintained",
 }
 
 /** Pressure of filler images on standing images: by standing image, then by filler image. */
@@ -65,7 +68,9 @@
     }
     | { kind: EventKind.RunsLost; runs: LostRun[] }
     | { kind: EventKind.JobsForgotten; jobIds: string[] }
-    | { kind: EventKind.PressuresLearned; pressures: PressureTable };
+    | { kind: EventKind.PressuresLearned; pressures: PressureTable }
+    | { kind: EventKind.MaintenanceOrdered; order: MaintenanceOrder; atMs: number }
+    | { kind: EventKind.VmMaintained; maintenanceId: number; vmId: string; phase: VmMaintenancePhase };
 
 /** Event of one kind. */
 export type EventOf<Kind extends EventKind> = Extract<WorkflowEvent, { kind: Kind }>;
--- a/packages/workflow/src/state/job-record.ts
+++ b/packages/workflow/src/state/job-record.ts
@@ -29,6 +29,8 @@
 export interface StepRecord {
     tasks: TaskRecord[];
     doneCount: number;
+    /** Run of a gang that was counted as failed last; 0 before the first. */
+    failedGangRun: number;
 }
 
 /** Serializable content of a job's record. */
@@ -55,6 +57,7 @@
 const newStep = (step: StepSpecification): StepRecord => ({
     tasks: Array.from({ length: step.taskCount }, newTask),
     doneCount: 0,
+    failedGangRun: 0,
 });
 
 /** Replicated record of one job. */
@@ -184,7 +187,7 @@
             this.#markDone(position, step?.isGang === true, atMs);
         }
         else if (ended.end === RunEnd.Failed && step?.isStanding !== true) {
-            this.#countFailure(task, atMs);
+            this.#countFailure(position, ended.run, atMs);
         }
         return true;
     }
@@ -243,8 +246,22 @@
         }
     }
 
-    #countFailure(task: TaskRecord, atMs: number): void {
-        task.failures += 1;
+    /** A gang fails as a whole: one failure a run, whichever members report it. */
+    #countFailure(position: TaskPosition, run: number, atMs: number): void {
+        const step = this.#content.occurrences[position.occurrence]?.[position.step];
+        const task = step?.tasks[position.index];
+        if (step === undefined || task === undefined) {
+            return;
+        }
+        const isGang = this.specification.steps[position.step]?.isGang === true;
+        if (isGang && step.failedGangRun === run) {
+            return;
+        }
+        step.failedGangRun = isGang ? run : 0;
+        const failed = isGang ? step.tasks : [task];
+        failed.forEach(member => {
+            member.failures += 1;
+        });
         if (task.failures >= this.queue.maxAttempts && !this.isOver) {
             this.#content.hasFailed = true;
             this.#content.endedAtMs = atMs;
--- a/packages/workflow/src/state/workflow-state.ts
+++ b/packages/workflow/src/state/workflow-state.ts
@@ -1,10 +1,12 @@
-import type { Configuration } from "../model/configuration.js";
+import type { Configuration, QueueContract } from "../model/configuration.js";
 import { parseTaskKey } from "../model/specification.js";
 import type { TaskPosition } from "../model/specification.js";
 import { EventKind } from "./events.js";
 import type { EventOf, PressureTable, ServerIncarnation, WorkflowEvent } from "./events.js";
 import { JobRecord } from "./job-record.js";
 import type { JobContent } from "./job-record.js";
+import { MaintenanceRecord } from "./maintenance-record.js";
+import type { MaintenanceContent } from "./maintenance-record.js";
 
 /** Backend servers whose acknowledged ends are remembered; the longest unheard-of one is dropped beyond it. */
 const MAX_ACKNOWLEDGED_SERVERS = 4_096;
@@ -21,6 +23,7 @@
     jobs: JobContent[];
     acknowledged: [serverId: string, ends: AcknowledgedEnds][];
     pressures: PressureTable;
+    maintenances: MaintenanceContent[];
 }
 
 type Handlers = { [Kind in EventKind]: (event: EventOf<Kind>) => void };
@@ -32,6 +35,7 @@
     readonly #jobs = new Map<string, JobRecord>();
     readonly #acknowledged = new Map<string, AcknowledgedEnds>();
     #pressures: PressureTable = {};
+    readonly #maintenances = new Map<number, MaintenanceRecord>();
 
     readonly #handlers: Handlers = {
         [EventKind.ConfigurationAccepted]: event => this.#acceptConfiguration(event.configuration),
@@ -46,6 +50,9 @@
         [EventKind.PressuresLearned]: event => {
             this.#pressures = event.pressures;
         },
+        [EventKind.MaintenanceOrdered]: event => this.#orderMaintenance(event),
+        [EventKind.VmMaintained]: ({ maintenanceId, vmId, phase }) =>
+            this.#maintenances.get(maintenanceId)?.advance(vmId, phase),
     };
 
     /** Restores a state from a snapshot. */
@@ -57,6 +64,9 @@
             state.#jobs.set(content.specification.id, new JobRecord(content));
         }
         state.#pressures = snapshot.pressures;
+        for (const content of snapshot.maintenances) {
+            state.#maintenances.set(content.order.id, new MaintenanceRecord(content));
+        }
         snapshot.acknowledged.forEach(([serverId, ends]) => state.#acknowledged.set(serverId, ends));
         return state;
     }
@@ -78,10 +88,23 @@
         return this.#pressures;
     }
 
+    get maintenances(): Iterable<MaintenanceRecord> {
+        return this.#maintenances.values();
+    }
+
+    maintenance(id: number): MaintenanceRecord | undefined {
+        return this.#maintenances.get(id);
+    }
+
     job(id: string): JobRecord | undefined {
         return this.#jobs.get(id);
     }
 
+    /** Returns the contract of a job's queue in the present configuration, or as it was when the job was accepted. */
+    presentQueueOf(job: JobRecord): QueueContract {
+        return this.#configuration?.queues.find(queue => queue.name === job.queue.name) ?? job.queue;
+    }
+
     /** Returns the last recorded end of an incarnation of a backend server; 0 for none. */
     acknowledgedEnd(server: ServerIncarnation): number {
         const ends = this.#acknowledged.get(server.serverId);
@@ -100,6 +123,7 @@
             jobs: [...this.#jobs.values()].map(job => job.toContent()),
             acknowledged: [...this.#acknowledged],
             pressures: this.#pressures,
+            maintenances: [...this.#maintenances.values()].map(record => record.toContent()),
         };
     }
 
@@ -109,6 +133,12 @@
         }
     }
 
+    #orderMaintenance({ order, atMs }: EventOf<EventKind.MaintenanceOrdered>): void {
+        if (!this.#maintenances.has(order.id)) {
+            this.#maintenances.set(order.id, new MaintenanceRecord({ order, orderedAtMs: atMs, phases: {} }));
+        }
+    }
+
     #acceptJob(event: EventOf<EventKind.JobAccepted>): void {
         if (!this.#jobs.has(event.job.id)) {
             this.#jobs.set(event.job.id, JobRecord.accepted(event.job, event.queue, event.acceptedAtMs));
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -6,6 +6,7 @@
 import type { JobSpecification } from "../model/specification.js";
 import type { CommittedRecord } from "../node/replicated-log.js";
 import { WorkflowNode } from "../node/workflow-node.js";
+import type { WorkflowNodeOptions } from "../node/workflow-node.js";
 import { configurationOf, HOST } from "./fixtures.js";
 
 /** Start of the steady clock and of the time of day in tests. */
@@ -17,6 +18,8 @@
     maxLeaseMs: 6_000,
     busyHeartbeatMs: 100,
     idleHeartbeatMs: 100,
+    maintenanceMs: 2_000,
+    orderLeaseMs: 3_000,
     retentionMs: 120_000,
 };
 
@@ -31,6 +34,9 @@
     return result;
 };
 
+/** The platform's services, as a test answers for them. */
+type Services = Pick<WorkflowNodeOptions, "askEligibility" | "beginMaintenance">;
+
 /** One workflow node on a log that commits when told to, with a clock that stands still unless moved. */
 export class SingleReplica {
     node: WorkflowNode;
@@ -43,13 +49,16 @@
     /** Difference of the time of day from the steady clock. */
     timeOfDayOffsetMs = 0;
 
-    constructor() {
+    readonly #services: Services;
+
+    constructor(services: Services = {}) {
+        this.#services = services;
         this.node = this.#createNode();
     }
 
     /** Creates a leader with a configuration that has passed its settling time. */
-    static started(): SingleReplica {
-        const replica = new SingleReplica();
+    static started(services: Services = {}): SingleReplica {
+        const replica = new SingleReplica(services);
         replica.settle();
         replica.node.configure(configurationOf(1), () => undefined, replica.times);
         replica.settle();
@@ -121,6 +130,7 @@
         const isLeader = (): boolean => this.isLeader;
         const term = (): number => this.term;
         return new WorkflowNode({
+            ...this.#services,
             settings: LEADER_SETTINGS,
             log: {
                 get term() {
