Put batch jobs that can't end in time behind those that can

Change: a job counts as late once the present time and 0.7 of the estimated work of its remaining steps reach its expected end. What harms standing tasks beyond that are moments in which many of one server exceed their targets at once.

--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -20,7 +20,16 @@
     }
     const job = JobRecord.accepted(jobOf("waiting", step), queue, 0);
     const record = job.occurrences[0]?.[0] ?? { tasks: [], doneCount: 0, failedGangRun: 0 };
-    return { job, occurrence: 0, stepIndex: 0, step, kind: TaskKind.Standing, record, expectedEndMs: 0 };
+    return {
+        job,
+        occurrence: 0,
+        stepIndex: 0,
+        step,
+        kind: TaskKind.Standing,
+        record,
+        expectedEndMs: 0,
+        remainingChainMs: 0,
+    };
 };
 
 const serverHolding = (cpuMillicores: number): ServerView => {
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -64,7 +64,7 @@
             return false;
         }
         const { step, kind } = run;
-        const waiting = { job, occurrence, stepIndex, step, kind, record, expectedEndMs: 0 };
+        const waiting = { job, occurrence, stepIndex, step, kind, record, expectedEndMs: 0, remainingChainMs: 0 };
         const limits = { ...this.#limitsOf(waiting, nowMs), rackOfStep: "" };
         return chooseServer(waiting, this.#directory.servers, limits, this.#pressure, nowMs) !== undefined;
     }
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -13,11 +13,13 @@
     readonly record: StepRecord;
     /** Time of day at which callers expect the end of the occurrence. */
     readonly expectedEndMs: number;
+    /** Expected time from the step's start to the end of the occurrence. */
+    readonly remainingChainMs: number;
 }
 
 /**
  * Steps whose turn has come, in the order in which they get room: by priority, then by the time at which callers
- * expect the job's end. A batch job that has missed that time comes after those that can still make it.
+ * expect the job's end. A batch job that can't end by that time comes after those that can.
  */
 export class WorkQueue {
     readonly #steps = new Map<string, WaitingStep>();
@@ -60,6 +62,7 @@
                         kind: taskKindOf(step),
                         record,
                         expectedEndMs: expectedEndMsOf(job, occurrence),
+                        remainingChainMs: longestChainMs(job.specification.steps, stepIndex),
                     });
                     this.#sorted = undefined;
                 }
@@ -71,6 +74,9 @@
     }
 }
 
+/** Share of the estimated remaining work that a job certainly needs. */
+const ESTIMATE_TRUST_RATIO = 0.7;
+
 /** Returns the key of a step of one occurrence. */
 export const stepKeyOf = ({ job, occurrence, stepIndex }: WaitingStep): string =>
     stepKey({ jobId: job.id, occurrence, step: stepIndex });
@@ -85,8 +91,10 @@
     || a.occurrence - b.occurrence
     || a.stepIndex - b.stepIndex;
 
+/** Whether a batch job ends late even if its tasks begin now; estimates are trusted in part only. */
 const isOverdue = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
-    waiting.kind === TaskKind.Filler && waiting.expectedEndMs < timeOfDayMs;
+    waiting.kind === TaskKind.Filler
+    && timeOfDayMs + waiting.remainingChainMs * ESTIMATE_TRUST_RATIO > waiting.expectedEndMs;
 
 /** Returns the time by which callers expect an occurrence to end: a multiple of its longest chain of work, and more. */
 const expectedEndMsOf = (job: JobRecord, occurrence: number): number => {
@@ -94,11 +102,15 @@
     return beginMs + job.queue.stretchRatio * longestChainMs(job.specification.steps) + job.queue.targetDurationMs;
 };
 
-const longestChainMs = (steps: readonly StepSpecification[]): number => {
-    const ends: number[] = [];
-    for (const step of steps) {
-        const beginMs = Math.max(0, ...step.dependsOn.map(earlier => ends[earlier] ?? 0));
-        ends.push(beginMs + step.estimatedRunTimeMs);
-    }
-    return Math.max(0, ...ends);
+/** Returns the longest chain of work from a step on; of all steps for the default. */
+const longestChainMs = (steps: readonly StepSpecification[], fromStep?: number): number => {
+    const ends = new Map<number, number>();
+    steps.forEach((step, index) => {
+        const earlierEnds = step.dependsOn.flatMap(earlier => ends.get(earlier) ?? []);
+        const isInChain = fromStep === undefined || index === fromStep || earlierEnds.length > 0;
+        if (isInChain) {
+            ends.set(index, Math.max(0, ...earlierEnds) + step.estimatedRunTimeMs);
+        }
+    });
+    return Math.max(0, ...ends.values());
 };
--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -112,6 +112,19 @@
 });
 
 describe("a run", () => {
+    // Guards against a server that gets more than its capacity, as the amounts of such runs aren't reserved.
+    it("keeps others off a server until the runs that were given up there have ended", () => {
+        const replica = SingleReplica.started();
+        const strayRun = { task: "gone.0.0.0", run: 1, checkpoint: "", progressPercent: 10, measurement: undefined };
+        replica.heartbeat(heartbeatOf("s", 1, { running: [strayRun] }));
+        replica.submit(jobOf("j", stepOf()));
+        const orders = replica.heartbeat(heartbeatOf("s", 2, { running: [strayRun] }));
+        expect(orders?.starts).toEqual([]);
+        expect(orders?.stops).toEqual([{ task: "gone.0.0.0", run: 1 }]);
+        replica.heartbeat(heartbeatOf("s", 3));
+        expect(replica.heartbeat(heartbeatOf("s", 4))?.starts).toHaveLength(1);
+    });
+
     // Guards against a task that a later leader, which knows nothing of the run, starts a second time.
     it("has no order in an answer that leaves before its record is committed", () => {
         const replica = SingleReplica.started();
