Look for slow fillers and saturated servers once a heartbeat; bound all heartbeats a second

Cause: the leader's session looked through all runs of all servers on each turn for fillers to move, and through a server's runs for each candidate of each placement. Change: both are worked out when a server's heartbeat arrives. Ends refresh one occurrence of a job, schedules mark a plan as due only when something became due, and one query gives a job's assigned tasks. Servers are asked for at most one heartbeat a millisecond together, so that 245 servers cost the leader 1,000 heartbeats a second instead of 2,450.

--- a/packages/workflow/src/leader/filler-moves.ts
+++ b/packages/workflow/src/leader/filler-moves.ts
@@ -1,5 +1,4 @@
 import { TaskKind } from "../model/specification.js";
-import type { ServerDirectory } from "./server-directory.js";
 import type { RunView, ServerView } from "./server-view.js";
 
 /** A filler that may work at no more than this is better off on another server. */
@@ -15,29 +14,21 @@
 
 /** Moves fillers that press on standing tasks to servers where they may work at full speed. */
 export class FillerMoves {
-    readonly #directory: ServerDirectory;
-    readonly #canPlaceElsewhere: (run: RunView) => boolean;
-    readonly #slowSinceMs = new Map<string, number>();
+    readonly #canPlaceElsewhere: (run: RunView, nowMs: number) => boolean;
+    readonly #slowSinceMs = new WeakMap<RunView, number>();
     #movedAtMs = -Infinity;
 
-    constructor(directory: ServerDirectory, canPlaceElsewhere: (run: RunView) => boolean) {
-        this.#directory = directory;
+    constructor(canPlaceElsewhere: (run: RunView, nowMs: number) => boolean) {
         this.#canPlaceElsewhere = canPlaceElsewhere;
     }
 
-    /** Orders at most one filler to stop; its checkpoint lets it go on elsewhere. */
-    run(nowMs: number): void {
-        if (nowMs - this.#movedAtMs < MOVE_INTERVAL_MS) {
-            return;
-        }
-        for (const server of this.#directory.servers) {
-            const run = this.#findSlow(server, nowMs);
-            if (run !== undefined && this.#canPlaceElsewhere(run)) {
-                run.isStopping = true;
-                this.#slowSinceMs.delete(run.task);
-                this.#movedAtMs = nowMs;
-                return;
-            }
+    /** Takes in a server's paces; orders at most one filler to stop, whose checkpoint lets it go on elsewhere. */
+    observe(server: ServerView, nowMs: number): void {
+        const run = this.#findSlow(server, nowMs);
+        const isDue = nowMs - this.#movedAtMs >= MOVE_INTERVAL_MS;
+        if (run !== undefined && isDue && this.#canPlaceElsewhere(run, nowMs)) {
+            run.isStopping = true;
+            this.#movedAtMs = nowMs;
         }
     }
 
@@ -45,11 +36,11 @@
         let found: RunView | undefined;
         for (const run of server.runs.values()) {
             if (!isMovable(run)) {
-                this.#slowSinceMs.delete(run.task);
+                this.#slowSinceMs.delete(run);
                 continue;
             }
-            const sinceMs = this.#slowSinceMs.get(run.task) ?? nowMs;
-            this.#slowSinceMs.set(run.task, sinceMs);
+            const sinceMs = this.#slowSinceMs.get(run) ?? nowMs;
+            this.#slowSinceMs.set(run, sinceMs);
             if (nowMs - sinceMs >= SLOW_FOR_MS) {
                 found ??= run;
             }
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -4,7 +4,6 @@
 import { parseTaskKey, taskKeyOf, taskKindOf } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
-import { TaskPhase } from "../state/job-record.js";
 import type { JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { Eligibility } from "./eligibility.js";
@@ -83,7 +82,6 @@
     #isPlanDue = true;
     #forgetAtMs: number;
     #recordAtMs: number;
-    #nowMs: number;
     readonly #settledAtMs: number;
 
     constructor(parts: SessionParts, times: Times) {
@@ -111,7 +109,7 @@
         this.#intake = new HeartbeatIntake(state);
         this.#orders = new OrderWriter(state, this.#eligibility, parts.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
-        this.#moves = new FillerMoves(this.#directory, run => this.#planner.canPlaceElsewhere(run, this.#nowMs));
+        this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
             state,
             directory: this.#directory,
@@ -120,7 +118,6 @@
             propose: parts.propose,
             begin: parts.beginMaintenance,
         }, times.nowMs);
-        this.#nowMs = times.nowMs;
         for (const job of state.jobs.values()) {
             this.#adopt(job, times);
         }
@@ -174,6 +171,7 @@
         this.#pressure.observe(server, nowMs);
         this.#speed.observe(server, nowMs);
         this.#pacing.adjust(server, nowMs);
+        this.#moves.observe(server, nowMs);
         if (server.avoidUntilMs > nowMs && !wasAvoided) {
             this.#report(ServerEventKind.Avoided, server, nowMs);
         }
@@ -206,10 +204,8 @@
             this.#speed.forget(server.id);
             this.#loseRuns([...server.runs.values()]);
         }
-        this.#nowMs = nowMs;
         this.#maintenance.run(times);
         this.#evacuation.run(nowMs);
-        this.#moves.run(nowMs);
         if (this.#isPlanDue && nowMs >= this.#settledAtMs) {
             this.#isPlanDue = false;
             const runs = this.#planner.plan(times);
@@ -232,8 +228,7 @@
     checkSchedules({ timeOfDayMs }: Times): void {
         for (const job of this.#parts.state.jobs.values()) {
             if (job.specification.schedule !== undefined && !job.isOver) {
-                this.#queue.refresh(job, timeOfDayMs);
-                this.#isPlanDue = true;
+                this.#isPlanDue = this.#queue.refresh(job, timeOfDayMs) || this.#isPlanDue;
             }
         }
     }
@@ -248,27 +243,17 @@
 
     /** Takes over the runs that a former leader has recorded. */
     #adopt(job: JobRecord, { nowMs, timeOfDayMs }: Times): void {
-        job.occurrences.forEach((steps, occurrence) =>
-            steps.forEach((record, stepIndex) =>
-                record.tasks.forEach((task, index) => {
-                    const step = job.specification.steps[stepIndex];
-                    if (task.phase !== TaskPhase.Assigned || task.server === undefined || step === undefined) {
-                        return;
-                    }
-                    const { serverId, incarnation } = task.server;
-                    const position = { jobId: job.id, occurrence, step: stepIndex, index };
-                    const key = taskKeyOf(position);
-                    const { run, checkpoint } = task;
-                    const kind = taskKindOf(step);
-                    const view = newRunView({ task: key, run, position, step, kind, checkpoint }, nowMs);
-                    view.isCommitted = true;
-                    view.isStopping = job.isOver;
-                    // The former leader may have sent the order; only the next heartbeat tells.
-                    view.orderedAtSequence = 0;
-                    this.#directory.expect(serverId, incarnation, nowMs).addRun(view);
-                })
-            )
-        );
+        for (const { position, step, task, server } of job.assignedTasks()) {
+            const key = taskKeyOf(position);
+            const { run, checkpoint } = task;
+            const kind = taskKindOf(step);
+            const view = newRunView({ task: key, run, position, step, kind, checkpoint }, nowMs);
+            view.isCommitted = true;
+            view.isStopping = job.isOver;
+            // The former leader may have sent the order; only the next heartbeat tells.
+            view.orderedAtSequence = 0;
+            this.#directory.expect(server.serverId, server.incarnation, nowMs).addRun(view);
+        }
         this.#queue.refresh(job, timeOfDayMs);
     }
 
@@ -333,10 +318,18 @@
         this.#parts.report({ kind, serverId, incarnation, runs: server.runs.size }, nowMs);
     }
 
-    #followTask(task: string, times: Times): void {
-        const jobId = parseTaskKey(task)?.jobId;
-        if (jobId !== undefined) {
-            this.#refresh(jobId, times);
+    /** Only the task's own occurrence can have changed, or the job has ended. */
+    #followTask(key: string, { timeOfDayMs }: Times): void {
+        const position = parseTaskKey(key);
+        const job = position === undefined ? undefined : this.#parts.state.job(position.jobId);
+        if (position === undefined || job === undefined) {
+            return;
+        }
+        if (job.isOver) {
+            this.#queue.refresh(job, timeOfDayMs);
+        }
+        else {
+            this.#queue.refreshOccurrence(job, position.occurrence, timeOfDayMs);
         }
     }
 
@@ -352,20 +345,12 @@
     }
 
     #stopJob(jobId: string): void {
-        const job = this.#parts.state.job(jobId);
-        job?.occurrences.forEach((steps, occurrence) =>
-            steps.forEach((record, step) =>
-                record.tasks.forEach((task, index) => {
-                    const view = task.phase === TaskPhase.Assigned && task.server !== undefined
-                        ? this.#directory.find(task.server.serverId, task.server.incarnation)
-                            ?.runs.get(taskKeyOf({ jobId, occurrence, step, index }))
-                        : undefined;
-                    if (view !== undefined) {
-                        view.isStopping = true;
-                    }
-                })
-            )
-        );
+        for (const { position, server } of this.#parts.state.job(jobId)?.assignedTasks() ?? []) {
+            const view = this.#directory.find(server.serverId, server.incarnation)?.runs.get(taskKeyOf(position));
+            if (view !== undefined) {
+                view.isStopping = true;
+            }
+        }
     }
 
     /** Records runs that have certainly ended, or never began; their room is free at once. */
@@ -405,7 +390,7 @@
                 continue;
             }
             this.#answers.delete(serverId);
-            const written = this.#orders.write(server, answer.report, nowMs);
+            const written = this.#orders.write(server, answer.report, this.#directory.size, nowMs);
             this.#loseRuns(written.neverStarted);
             written.neverStarted.forEach(run => server.removeRun(run.task));
             answer.respond(written.orders);
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -6,6 +6,9 @@
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 
+/** All servers together send at most one heartbeat in this time, which bounds the leader's load in a large fleet. */
+const MIN_HEARTBEAT_SPACING_MS = 1;
+
 /** An answer, and the runs that it gives up because they have not begun and may not any more. */
 export interface WrittenOrders {
     orders: HeartbeatOrders;
@@ -26,7 +29,7 @@
         this.#settings = settings;
     }
 
-    write(server: ServerView, report: HeartbeatReport, nowMs: number): WrittenOrders {
+    write(server: ServerView, report: HeartbeatReport, serverCount: number, nowMs: number): WrittenOrders {
         const starts: StartOrder[] = [];
         const stops = this.#stopsOfStrays(server, report);
         const paces: PaceOrder[] = [];
@@ -63,7 +66,10 @@
             starts,
             stops,
             paces,
-            nextHeartbeatMs: server.runs.size > 0 ? busyHeartbeatMs : idleHeartbeatMs,
+            nextHeartbeatMs: Math.max(
+                server.runs.size > 0 ? busyHeartbeatMs : idleHeartbeatMs,
+                serverCount * MIN_HEARTBEAT_SPACING_MS,
+            ),
         };
         return { orders, neverStarted };
     }
--- a/packages/workflow/src/leader/server-directory.ts
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -32,6 +32,10 @@
         return this.#servers.values();
     }
 
+    get size(): number {
+        return this.#servers.size;
+    }
+
     get(serverId: string): ServerView | undefined {
         return this.#servers.get(serverId);
     }
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -70,6 +70,7 @@
     #reserved: Amounts = ZERO;
     #standingCpuMillicores = 0;
     #fillerCpuMillicores = 0;
+    #isSaturated = false;
     readonly #standingByImage = new Map<string, number>();
     readonly #fillersByImage = new Map<string, number>();
 
@@ -112,8 +113,13 @@
         return cpuMillicores / Math.max(1, this.capacity.cpuMillicores);
     }
 
-    /** Whether running fillers get clearly less processor time than their pace allows. */
+    /** Whether running fillers got clearly less processor time than their pace allows, by the latest heartbeat. */
     get isSaturated(): boolean {
+        return this.#isSaturated;
+    }
+
+    /** Takes in the measurements of the latest heartbeat. */
+    measured(): void {
         let wantedMillicores = 0;
         let usedMillicores = 0;
         for (const run of this.#runs.values()) {
@@ -122,7 +128,7 @@
                 usedMillicores += run.measurement;
             }
         }
-        return usedMillicores < wantedMillicores * SATURATION_RATIO;
+        this.#isSaturated = usedMillicores < wantedMillicores * SATURATION_RATIO;
     }
 
     /** Processor time that no reservation holds. */
--- a/packages/workflow/src/leader/work-queue.test.ts
+++ b/packages/workflow/src/leader/work-queue.test.ts
@@ -7,8 +7,9 @@
 
 const [QUEUE] = configurationOf(1).queues;
 
-const accept = (queue: WorkQueue, id: string, acceptedAtMs: number, ...steps: StepSpecification[]): void =>
+const accept = (queue: WorkQueue, id: string, acceptedAtMs: number, ...steps: StepSpecification[]): void => {
     queue.refresh(JobRecord.accepted(jobOf(id, ...steps), QUEUE as QueueContract, acceptedAtMs), acceptedAtMs);
+};
 
 const orderAt = (queue: WorkQueue, timeOfDayMs: number): string[] =>
     queue.ordered(timeOfDayMs).map(waiting => waiting.job.id);
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -42,38 +42,61 @@
         return [...inTime, ...overdue].sort((a, b) => a.job.queue.priority - b.job.queue.priority);
     }
 
-    /** Takes note that a job's tasks or its state changed. */
-    refresh(job: JobRecord, timeOfDayMs: number): void {
-        job.occurrences.forEach((steps, occurrence) => {
-            const isDue = job.dueMs(occurrence) <= timeOfDayMs;
-            steps.forEach((record, stepIndex) => {
-                const step = job.specification.steps[stepIndex];
-                const isWaiting = !job.isOver && isDue && step !== undefined
-                    && record.doneCount < record.tasks.length
-                    && job.isStepUnlocked(occurrence, stepIndex)
-                    && record.tasks.some(task => task.phase === TaskPhase.Waiting);
-                const key = stepKey({ jobId: job.id, occurrence, step: stepIndex });
-                if (isWaiting && !this.#steps.has(key)) {
-                    this.#steps.set(key, {
-                        job,
-                        occurrence,
-                        stepIndex,
-                        step,
-                        kind: taskKindOf(step),
-                        record,
-                        expectedEndMs: expectedEndMsOf(job, occurrence),
-                        remainingChainMs: longestChainMs(job.specification.steps, stepIndex),
-                    });
-                    this.#sorted = undefined;
-                }
-                else if (!isWaiting && this.#steps.delete(key)) {
-                    this.#sorted = undefined;
-                }
-            });
+    /** Takes note that a job's tasks or its state changed; returns whether other steps wait now. */
+    refresh(job: JobRecord, timeOfDayMs: number): boolean {
+        let isChanged = false;
+        for (let occurrence = 0; occurrence < job.occurrences.length; occurrence += 1) {
+            isChanged = this.refreshOccurrence(job, occurrence, timeOfDayMs) || isChanged;
+        }
+        return isChanged;
+    }
+
+    /** Takes note that tasks of one occurrence changed; returns whether other steps wait now. */
+    refreshOccurrence(job: JobRecord, occurrence: number, timeOfDayMs: number): boolean {
+        let isChanged = false;
+        const isDue = !job.isOver && job.dueMs(occurrence) <= timeOfDayMs;
+        job.occurrences[occurrence]?.forEach((record, stepIndex) => {
+            const step = job.specification.steps[stepIndex];
+            const key = stepKey({ jobId: job.id, occurrence, step: stepIndex });
+            const isWaiting = isDue && step !== undefined && hasWaitingTask(job, occurrence, stepIndex, record);
+            if (isWaiting === this.#steps.has(key)) {
+                return;
+            }
+            if (isWaiting) {
+                this.#steps.set(key, waitingStepOf(job, occurrence, stepIndex, step, record));
+            }
+            else {
+                this.#steps.delete(key);
+            }
+            this.#sorted = undefined;
+            isChanged = true;
         });
+        return isChanged;
     }
 }
 
+const hasWaitingTask = (job: JobRecord, occurrence: number, stepIndex: number, record: StepRecord): boolean =>
+    record.doneCount < record.tasks.length
+    && job.isStepUnlocked(occurrence, stepIndex)
+    && record.tasks.some(task => task.phase === TaskPhase.Waiting);
+
+const waitingStepOf = (
+    job: JobRecord,
+    occurrence: number,
+    stepIndex: number,
+    step: StepSpecification,
+    record: StepRecord,
+): WaitingStep => ({
+    job,
+    occurrence,
+    stepIndex,
+    step,
+    kind: taskKindOf(step),
+    record,
+    expectedEndMs: expectedEndMsOf(job, occurrence),
+    remainingChainMs: longestChainMs(job.specification.steps, stepIndex),
+});
+
 /** Share of the estimated remaining work that a job certainly needs. */
 const ESTIMATE_TRUST_RATIO = 0.7;
 
--- a/packages/workflow/src/state/job-record.ts
+++ b/packages/workflow/src/state/job-record.ts
@@ -25,6 +25,14 @@
     server: ServerIncarnation | undefined;
 }
 
+/** A task with a run on a backend server. */
+export interface AssignedTask {
+    position: TaskPosition;
+    step: StepSpecification;
+    task: TaskRecord;
+    server: ServerIncarnation;
+}
+
 /** Replicated record of one step of one occurrence. */
 export interface StepRecord {
     tasks: TaskRecord[];
@@ -136,6 +144,22 @@
         return this.#content.occurrences[position.occurrence]?.[position.step]?.tasks[position.index];
     }
 
+    /** Returns the tasks whose latest run is recorded for a backend server. */
+    *assignedTasks(): Generator<AssignedTask> {
+        for (const [occurrence, steps] of this.#content.occurrences.entries()) {
+            for (const [step, record] of steps.entries()) {
+                const specification = this.specification.steps[step];
+                for (const [index, task] of record.tasks.entries()) {
+                    const { phase, server } = task;
+                    if (phase === TaskPhase.Assigned && server !== undefined && specification !== undefined) {
+                        const position = { jobId: this.id, occurrence, step, index };
+                        yield { position, step: specification, task, server };
+                    }
+                }
+            }
+        }
+    }
+
     /** Whether the steps before this one are done. */
     isStepUnlocked(occurrence: number, step: number): boolean {
         const steps = this.#content.occurrences[occurrence] ?? [];
