Serve counters and latency histograms on the metrics address

Entries count requests by operation and outcome with their durations; control replicas count heartbeats, jobs, runs and their ends, the delay from a job's acceptance to its first run, and the use of processors. Labels come from closed sets.

--- a/packages/daemon/src/http/operators-listener.ts
+++ b/packages/daemon/src/http/operators-listener.ts
@@ -4,11 +4,11 @@
 import type { Registry } from "prom-client";
 import type { ListenAddress } from "../transport/listen-address.js";
 import { HttpListener } from "./http-listener.js";
+import { sendMetrics } from "./send-metrics.js";
 
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
-const STATUS_ERROR = 500;
 
 /** What the operators' listener shows. */
 export interface OperatorsListenerOptions {
@@ -56,14 +56,3 @@
         onConnectionRefused: options.onConnectionRefused,
     });
 };
-
-const sendMetrics = async (registry: Registry, response: ServerResponse): Promise<void> => {
-    try {
-        const text = await registry.metrics();
-        response.writeHead(STATUS_OK, { "content-type": registry.contentType });
-        response.end(text);
-    }
-    catch {
-        response.writeHead(STATUS_ERROR).end();
-    }
-};
--- /dev/null
+++ b/packages/daemon/src/http/send-metrics.ts
@@ -0,0 +1,17 @@
+import type { ServerResponse } from "node:http";
+import type { Registry } from "prom-client";
+
+const STATUS_OK = 200;
+const STATUS_ERROR = 500;
+
+/** Sends the text of all metrics of a registry. */
+export const sendMetrics = async (registry: Registry, response: ServerResponse): Promise<void> => {
+    try {
+        const text = await registry.metrics();
+        response.writeHead(STATUS_OK, { "content-type": registry.contentType });
+        response.end(text);
+    }
+    catch {
+        response.writeHead(STATUS_ERROR).end();
+    }
+};
--- /dev/null
+++ b/packages/daemon/src/metrics/metric-factory.ts
@@ -0,0 +1,28 @@
+import type { Registry } from "prom-client";
+import { BoundedCounter, BoundedDuration, BoundedGauge } from "./bounded.js";
+import type { LabelSets } from "./bounded.js";
+
+const PREFIX = "waxwingspread_";
+
+/** Creates metrics of one registry by the naming conventions of Prometheus. */
+export class MetricFactory {
+    constructor(readonly registry: Registry) {}
+
+    counter<L extends LabelSets>(name: string, help: string, labels: L): BoundedCounter<L> {
+        return new BoundedCounter({ registry: this.registry, name: `${PREFIX}${name}_total`, help, labels });
+    }
+
+    gauge<L extends LabelSets>(name: string, help: string, labels: L): BoundedGauge<L> {
+        return new BoundedGauge({ registry: this.registry, name: PREFIX + name, help, labels });
+    }
+
+    duration<L extends LabelSets>(
+        name: string,
+        help: string,
+        labels: L,
+        bucketsSeconds: readonly number[],
+    ): BoundedDuration<L> {
+        const fullName = `${PREFIX}${name}_seconds`;
+        return new BoundedDuration({ registry: this.registry, name: fullName, help, labels, bucketsSeconds });
+    }
+}
--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -1,38 +1,13 @@
 import { collectDefaultMetrics, Registry } from "prom-client";
-import { BoundedCounter, BoundedDuration, BoundedGauge } from "./bounded.js";
-import type { LabelSets } from "./bounded.js";
 import { LABELS } from "./label-sets.js";
+import { MetricFactory } from "./metric-factory.js";
 
-const PREFIX = "waxwingspread_";
 /** Up to the limit of 2.1 s for urgent starts and beyond it, finest around the expected 5 to 50 ms. */
 const SUBMIT_TO_START_BUCKETS_SECONDS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.1, 5, 30, 300, 3_600];
 /** One sync and one round trip between zones up to the deadline of a control call. */
 const COMMIT_BUCKETS_SECONDS = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1];
 const REQUEST_BUCKETS_SECONDS = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 10];
 
-/** Creates metrics of one registry by the naming conventions of Prometheus. */
-class MetricFactory {
-    constructor(readonly registry: Registry) {}
-
-    counter<L extends LabelSets>(name: string, help: string, labels: L): BoundedCounter<L> {
-        return new BoundedCounter({ registry: this.registry, name: `${PREFIX}${name}_total`, help, labels });
-    }
-
-    gauge<L extends LabelSets>(name: string, help: string, labels: L): BoundedGauge<L> {
-        return new BoundedGauge({ registry: this.registry, name: PREFIX + name, help, labels });
-    }
-
-    duration<L extends LabelSets>(
-        name: string,
-        help: string,
-        labels: L,
-        bucketsSeconds: readonly number[],
-    ): BoundedDuration<L> {
-        const fullName = `${PREFIX}${name}_seconds`;
-        return new BoundedDuration({ registry: this.registry, name: fullName, help, labels, bucketsSeconds });
-    }
-}
-
 const createRequestMetrics = (factory: MetricFactory) => ({
     requests: factory.counter("requests", "Requests served, by operation and code", {
         operation: LABELS.operations,
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -36,6 +36,7 @@
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
 import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
 import type { PlatformServices } from "./platform-services.js";
+import type { ControlMetrics } from "./workflow-metrics.js";
 
 const TICK_INTERVAL_MS = 20;
 /** Events that arrive within this are decided together. */
@@ -71,6 +72,7 @@
 /** What a control replica works with. */
 export interface ControlHostParts {
     services: PlatformServices;
+    metrics: ControlMetrics;
     logger: Logger;
     /** Told of an error after which the process can't go on. */
     fail: (error: Error) => void;
@@ -83,6 +85,7 @@
 export class ControlHost implements ControlOperations {
     readonly #settings: ControlHostSettings;
     readonly #services: PlatformServices;
+    readonly #metrics: ControlMetrics;
     readonly #logger: Logger;
     readonly #fail: (error: Error) => void;
     readonly #caller = new JsonCaller();
@@ -102,10 +105,11 @@
     private constructor(
         settings: ControlHostSettings,
         opened: OpenedStore,
-        { services, logger, fail }: ControlHostParts,
+        { services, metrics, logger, fail }: ControlHostParts,
     ) {
         this.#settings = settings;
         this.#services = services;
+        this.#metrics = metrics;
         this.#seedHosts = settings.seedHosts;
         this.#logger = logger;
         this.#fail = fail;
@@ -155,8 +159,12 @@
         this.#seedHosts = hosts;
     }
 
-    heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
-        return this.#call((respond, times) => this.#node.heartbeat(report, respond, times));
+    async heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
+        const result = await this.#call<HeartbeatOrders | undefined>((respond, times) =>
+            this.#node.heartbeat(report, respond, times)
+        );
+        this.#metrics.heartbeat(result);
+        return result;
     }
 
     leave(serverId: string): Promise<CallResult<void>> {
@@ -209,7 +217,10 @@
         const runner = (): ReplicaRunner => this.#runner;
         return new WorkflowNode({
             settings: this.#settings.leader,
-            onCommitted: (events, nowMs) => this.#eventLog.committed(events, nowMs),
+            onCommitted: (events, nowMs) => {
+                this.#eventLog.committed(events, nowMs);
+                this.#metrics.committed(events, nowMs);
+            },
             onServerEvent: (event, nowMs) => this.#eventLog.server(event, nowMs),
             askEligibility: (query, respond) => void this.#askEligibility(query, respond),
             beginMaintenance: (call, respond) => void this.#beginMaintenance(call, respond),
@@ -307,7 +318,9 @@
     #logUtilization(): void {
         const { session } = this.#node;
         if (session !== undefined) {
-            this.#logger.info(session.utilization(), "utilization");
+            const utilization = session.utilization();
+            this.#metrics.utilization(utilization);
+            this.#logger.info(utilization, "utilization");
         }
     }
 
@@ -371,6 +384,7 @@
         if (change.role !== ReplicaRole.Leader) {
             this.#node.leadershipLost();
         }
+        this.#metrics.role(change.role === ReplicaRole.Leader, change.term);
         const leader = change.leader?.name ?? "";
         this.#logger.info({ replicaRole: change.role, term: change.term, leader }, "replica role changed");
     }
--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -5,5 +5,7 @@
 export * from "./control-host.js";
 export * from "./json-call.js";
 export * from "./leader-client.js";
+export * from "./metrics-listener.js";
 export * from "./operations.js";
 export * from "./platform-services.js";
+export * from "./workflow-metrics.js";
--- a/packages/daemon/src/workflow/leader-client.ts
+++ b/packages/daemon/src/workflow/leader-client.ts
@@ -12,6 +12,7 @@
     ForwardedResponse,
     ForwardedValues,
 } from "./operations.js";
+import type { EntryMetrics } from "./workflow-metrics.js";
 
 /** A leader that doesn't answer for this long is taken for lost; it commits in a fraction of that. */
 const CALL_TIMEOUT_MS = 500;
@@ -27,6 +28,7 @@
     seedHosts: readonly string[];
     /** Port of the internal listeners. */
     port: number;
+    metrics: EntryMetrics;
     logger: Logger;
 }
 
@@ -42,6 +44,7 @@
 export class LeaderClient {
     readonly #caller = new JsonCaller();
     readonly #port: number;
+    readonly #metrics: EntryMetrics;
     readonly #logger: Logger;
     #seedHosts: readonly string[];
     #memberHosts: string[] = [];
@@ -53,6 +56,7 @@
     constructor(options: LeaderClientOptions) {
         this.#seedHosts = options.seedHosts;
         this.#port = options.port;
+        this.#metrics = options.metrics;
         this.#logger = options.logger;
     }
 
@@ -81,6 +85,17 @@
      * if a leader may have acted.
      */
     async forward<Operation extends ForwardedOperation>(
+        operation: Operation,
+        request: ForwardedRequests[Operation],
+        limits: ForwardLimits,
+    ): Promise<CallResult<ForwardedValues[Operation]>> {
+        const startedAtMs = presentTimeMs();
+        const result = await this.#forward(operation, request, limits);
+        this.#metrics.answered(operation, result, presentTimeMs() - startedAtMs);
+        return result;
+    }
+
+    async #forward<Operation extends ForwardedOperation>(
         operation: Operation,
         request: ForwardedRequests[Operation],
         { refuseAtMs, deadlineMs }: ForwardLimits,
--- /dev/null
+++ b/packages/daemon/src/workflow/workflow-metrics.test.ts
@@ -0,0 +1,56 @@
+import { EventKind, Refusal, RunEnd } from "@waxwingspread/workflow";
+import type { QueueContract, WorkflowEvent } from "@waxwingspread/workflow";
+import { expect, it } from "vitest";
+import { ForwardedOperation } from "./operations.js";
+import { ControlMetrics, EntryMetrics } from "./workflow-metrics.js";
+
+const accepted = (id: string): WorkflowEvent => ({
+    kind: EventKind.JobAccepted,
+    job: { id, payload: "", steps: [], schedule: undefined },
+    queue: {} as QueueContract,
+    acceptedAtMs: 0,
+});
+
+const assigned = (...tasks: string[]): WorkflowEvent => ({
+    kind: EventKind.RunsAssigned,
+    runs: tasks.map(task => ({ task, run: 1, serverId: "s", incarnation: 1 })),
+});
+
+const linesOf = async (metrics: ControlMetrics | EntryMetrics): Promise<string[]> =>
+    (await metrics.registry.metrics()).split("\n");
+
+// Guards against figures that mislead whoever looks for the cause of a late job.
+it("counts what a leader commits, and the delay of each job's first run alone", async () => {
+    const metrics = new ControlMetrics();
+    metrics.committed([accepted("j"), accepted("k")], 1_000);
+    metrics.committed([assigned("j.0.0.0", "j.0.0.1")], 1_200);
+    metrics.committed([assigned("j.0.1.0")], 9_000);
+    const server = { serverId: "s", incarnation: 1 };
+    const ends = [{ task: "j.0.0.0", run: 1, end: RunEnd.Failed, checkpoint: "" }];
+    metrics.committed([{ kind: EventKind.RunsEnded, server, throughSequence: 1, ends, atMs: 0 }], 9_100);
+    const lines = await linesOf(metrics);
+    expect(lines).toContain("waxwingspread_job_events_total{event=\"accepted\"} 2");
+    expect(lines).toContain("waxwingspread_runs_assigned_total 3");
+    expect(lines).toContain("waxwingspread_runs_ended_total{end=\"failed\"} 1");
+    expect(lines).toContain("waxwingspread_accepted_to_assigned_seconds_count 1");
+    expect(lines).toContain("waxwingspread_accepted_to_assigned_seconds_sum 0.2");
+});
+
+// Guards against delays that count from another leader's acceptance.
+it("forgets waiting jobs with the leadership", async () => {
+    const metrics = new ControlMetrics();
+    metrics.committed([accepted("j")], 1_000);
+    metrics.role(false, 2);
+    metrics.committed([assigned("j.0.0.0")], 60_000);
+    expect(await linesOf(metrics)).toContain("waxwingspread_accepted_to_assigned_seconds_count 0");
+});
+
+it("counts an entry's requests by operation and outcome", async () => {
+    const metrics = new EntryMetrics();
+    metrics.answered(ForwardedOperation.Submit, { ok: true, value: undefined }, 12);
+    metrics.answered(ForwardedOperation.Submit, { ok: false, refusal: Refusal.NotRun }, 700);
+    const lines = await linesOf(metrics);
+    expect(lines).toContain("waxwingspread_requests_total{operation=\"submit\",outcome=\"ok\"} 1");
+    expect(lines).toContain("waxwingspread_requests_total{operation=\"submit\",outcome=\"not-run\"} 1");
+    expect(lines).toContain("waxwingspread_request_duration_seconds_count{operation=\"submit\"} 2");
+});
--- /dev/null
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -0,0 +1,128 @@
+import { EventKind, JobState, Refusal, RunEnd, TaskKind } from "@waxwingspread/workflow";
+import type { CallResult, EventOf, Utilization, WorkflowEvent } from "@waxwingspread/workflow";
+import { Registry } from "prom-client";
+import { MetricFactory } from "../metrics/metric-factory.js";
+import { ForwardedOperation } from "./operations.js";
+
+const OK_LABEL = "ok";
+/** From one commit within a zone up to the longest wait of a caller. */
+const REQUEST_BUCKETS_SECONDS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
+/** From an idle server's next heartbeat up to the time at which a job is late. */
+const START_BUCKETS_SECONDS = [0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
+
+const OUTCOMES = [OK_LABEL, ...Object.values(Refusal)];
+
+/** Metrics of an entry. */
+export class EntryMetrics {
+    readonly registry = new Registry();
+    readonly #factory = new MetricFactory(this.registry);
+    readonly #labels = { operation: Object.values(ForwardedOperation), outcome: OUTCOMES };
+    readonly #requests = this.#factory.counter("requests", "Requests of callers, by outcome", this.#labels);
+    readonly #duration = this.#factory.duration(
+        "request_duration",
+        "Time from a request's arrival to the leader's answer or to its refusal",
+        { operation: Object.values(ForwardedOperation) },
+        REQUEST_BUCKETS_SECONDS,
+    );
+
+    /** Counts a request that was answered. */
+    answered(operation: ForwardedOperation, result: CallResult<unknown>, durationMs: number): void {
+        this.#requests.add({ operation, outcome: result.ok ? OK_LABEL : result.refusal });
+        this.#duration.observeMs({ operation }, durationMs);
+    }
+}
+
+type Handlers = { [Kind in EventKind]?: (event: EventOf<Kind>, nowMs: number) => void };
+
+/** Metrics of a control replica. Those of decisions count only what it has committed as the leader. */
+export class ControlMetrics {
+    readonly registry = new Registry();
+    readonly #factory = new MetricFactory(this.registry);
+    /** When jobs that wait for their first run were accepted. */
+    readonly #acceptedAtMs = new Map<string, number>();
+    readonly #heartbeats = this.#factory.counter("heartbeats", "Heartbeats of backend servers, by outcome", {
+        outcome: OUTCOMES,
+    });
+    readonly #jobs = this.#factory.counter("job_events", "Jobs accepted and cancelled", {
+        event: ["accepted", "cancelled"],
+    });
+    readonly #starts = this.#factory.counter("runs_assigned", "Runs given to backend servers", {});
+    readonly #ends = this.#factory.counter("runs_ended", "Ends of runs, by how they ended", {
+        end: [...Object.values(RunEnd), "lost"],
+    });
+    readonly #startDelay = this.#factory.duration(
+        "accepted_to_assigned",
+        "Time from a job's acceptance to its first run",
+        {},
+        START_BUCKETS_SECONDS,
+    );
+    readonly #isLeader = this.#factory.gauge("is_leader", "1 while this replica leads", {});
+    readonly #term = this.#factory.gauge("term", "Present term", {});
+    readonly #servers = this.#factory.gauge("backend_servers", "Backend servers that the leader knows", {});
+    readonly #cores = this.#factory.gauge("cores", "Processors of the backend servers, by use", {
+        use: ["capacity", "standing", "finite", "filler"],
+    });
+    readonly #waiting = this.#factory.gauge("waiting_tasks", "Tasks that wait for a run, by kind", {
+        kind: Object.values(TaskKind),
+    });
+    readonly #overTarget = this.#factory.gauge("standing_tasks_over_target", "Standing tasks over their targets", {});
+
+    readonly #handlers: Handlers = {
+        [EventKind.JobAccepted]: ({ job }, nowMs) => {
+            this.#jobs.add({ event: "accepted" });
+            this.#acceptedAtMs.set(job.id, nowMs);
+        },
+        [EventKind.JobCancelled]: ({ jobId }) => {
+            this.#jobs.add({ event: JobState.Cancelled });
+            this.#acceptedAtMs.delete(jobId);
+        },
+        [EventKind.RunsAssigned]: ({ runs }, nowMs) => {
+            this.#starts.add({}, runs.length);
+            runs.forEach(run => this.#firstRun(run.task, nowMs));
+        },
+        [EventKind.RunsEnded]: ({ ends }) => ends.forEach(({ end }) => this.#ends.add({ end })),
+        [EventKind.RunsLost]: ({ runs }) => this.#ends.add({ end: "lost" }, runs.length),
+    };
+
+    /** Counts a heartbeat that was answered. */
+    heartbeat(result: CallResult<unknown>): void {
+        this.#heartbeats.add({ outcome: result.ok ? OK_LABEL : result.refusal });
+    }
+
+    /** Counts events that this replica has committed as the leader. */
+    committed(events: readonly WorkflowEvent[], nowMs: number): void {
+        for (const event of events) {
+            const handle = this.#handlers[event.kind] as ((event: WorkflowEvent, nowMs: number) => void) | undefined;
+            handle?.(event, nowMs);
+        }
+    }
+
+    /** Takes over the present role; what is known of waiting jobs ends with a leadership. */
+    role(isLeader: boolean, term: number): void {
+        this.#isLeader.set({}, isLeader ? 1 : 0);
+        this.#term.set({}, term);
+        if (!isLeader) {
+            this.#acceptedAtMs.clear();
+        }
+    }
+
+    /** Takes over how the backend servers are used. */
+    utilization(utilization: Utilization): void {
+        this.#servers.set({}, utilization.servers);
+        this.#cores.set({ use: "capacity" }, utilization.capacityCores);
+        this.#cores.set({ use: "standing" }, utilization.standingCores);
+        this.#cores.set({ use: "finite" }, utilization.finiteCores);
+        this.#cores.set({ use: "filler" }, utilization.fillerUsedCores);
+        Object.values(TaskKind).forEach(kind => this.#waiting.set({ kind }, utilization.waitingTasks[kind]));
+        this.#overTarget.set({}, utilization.standingTasksOverTarget);
+    }
+
+    #firstRun(task: string, nowMs: number): void {
+        const jobId = task.split(".", 1)[0] ?? "";
+        const acceptedAtMs = this.#acceptedAtMs.get(jobId);
+        if (acceptedAtMs !== undefined) {
+            this.#acceptedAtMs.delete(jobId);
+            this.#startDelay.observeMs({}, nowMs - acceptedAtMs);
+        }
+    }
+}
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./leader/server-view.js";
 export * from "./leader/settings.js";
 export * from "./leader/times.js";
+export type { Utilization } from "./leader/utilization.js";
 export * from "./model/calls.js";
 export * from "./model/configuration.js";
 export * from "./model/heartbeat.js";
