Add bench:workflow, the cost of the leader's session by number of servers

The driver gives one session a steady load by simulated servers, without disk and network, so that a change of the session shows in seconds.

--- /dev/null
+++ b/packages/bench/src/workflow/session-load.ts
@@ -0,0 +1,247 @@
+import { WorkflowNode } from "@waxwingspread/workflow";
+import type { CommittedRecord, Configuration, JobSpecification, StepSpecification } from "@waxwingspread/workflow";
+import { Ok } from "ts-results-es";
+import { SimulatedServer } from "./simulated-server.js";
+
+const START_MS = 1_000_000;
+const TURN_MS = 5;
+const HEARTBEAT_MS = 100;
+/** Figures count from here on, when the first jobs run. */
+const WARM_UP_MS = 2_000;
+const HOST = "jobs.example";
+/** Share of the starts that belong to short jobs, of two steps with 16 tasks in all; the others are fillers. */
+const SHORT_RATIO = 0.38;
+const SHORT_TASKS = 16;
+const FILLER_TASKS = 40;
+const STANDING_TASKS_PER_SERVER = 3.4;
+const STANDING_TASKS_PER_JOB = 14;
+const IMAGES = { standing: 5, filler: 9 };
+
+enum Queue {
+    Short = "short",
+    Filler = "filler",
+    Standing = "standing",
+}
+
+const DURATIONS_MS: Readonly<Record<Queue, number | undefined>> = {
+    [Queue.Short]: 640,
+    [Queue.Filler]: 2_700,
+    [Queue.Standing]: undefined,
+};
+
+/** Size of a run. */
+export interface SessionLoad {
+    servers: number;
+    startsPerSecond: number;
+    durationMs: number;
+}
+
+/** What a run cost. */
+export interface SessionFigures {
+    startsPerSecond: number;
+    heartbeatsPerSecond: number;
+    /** Processor time of the session for each second, as a share of one core; the simulated servers included. */
+    cores: number;
+    /** The same for each start, in milliseconds. */
+    msPerStart: number;
+}
+
+const stepOf = (changes: Partial<StepSpecification>): StepSpecification => ({
+    taskCount: 1,
+    amounts: { cpuMillicores: 1_000, memoryMebibytes: 2_000, accelerators: 0 },
+    estimatedRunTimeMs: 640,
+    dependsOn: [],
+    savesCheckpoints: false,
+    isGang: false,
+    prefersOneRack: false,
+    requiredLabel: "",
+    dataRack: "",
+    maxTasksPerServer: 0,
+    allowsCopies: false,
+    isStanding: false,
+    image: "short",
+    targetTailMs: 0,
+    isFiller: false,
+    maxUnavailable: undefined,
+    ...changes,
+});
+
+const fillerStepOf = (taskCount: number, number: number, dependsOn: number[]): StepSpecification =>
+    stepOf({
+        taskCount,
+        dependsOn,
+        isFiller: true,
+        savesCheckpoints: true,
+        image: `filler-${number % IMAGES.filler}`,
+        estimatedRunTimeMs: 2_700,
+        amounts: { cpuMillicores: 1_800, memoryMebibytes: 3_200, accelerators: 0 },
+    });
+
+/** Steps of the jobs of each queue; the number varies their images. */
+const STEPS: Readonly<Record<Queue, (number: number) => StepSpecification[]>> = {
+    [Queue.Short]: () => [stepOf({ taskCount: 10 }), stepOf({ taskCount: SHORT_TASKS - 10, dependsOn: [0] })],
+    [Queue.Filler]: number => [fillerStepOf(FILLER_TASKS / 2, number, []), fillerStepOf(FILLER_TASKS / 2, number, [0])],
+    [Queue.Standing]: number => [stepOf({
+        taskCount: STANDING_TASKS_PER_JOB,
+        isStanding: true,
+        image: `standing-${number % IMAGES.standing}`,
+        targetTailMs: 150,
+        amounts: { cpuMillicores: 3_200, memoryMebibytes: 6_400, accelerators: 0 },
+    })],
+};
+
+const CONFIGURATION: Configuration = {
+    version: 1,
+    queues: Object.values(Queue).map(name => ({
+        name,
+        host: HOST,
+        pathPrefix: `/${name}/`,
+        service: "pool",
+        priority: name === Queue.Filler ? 2 : 0,
+        maxAttempts: 3,
+        stretchRatio: 2,
+        targetDurationMs: 1_000,
+        timeoutMs: 3_000,
+        eligibility: undefined,
+    })),
+    services: [{ name: "pool", guardsCapacity: true, isStandby: false }],
+    maxBodyBytes: 262_144,
+    document: "{}",
+};
+
+/** Drives one leader's workflow node, without disk and network, with simulated servers and a steady load. */
+export class SessionDriver {
+    readonly #load: SessionLoad;
+    readonly #servers: SimulatedServer[];
+    readonly #queues = new Map<string, Queue>();
+    readonly #node: WorkflowNode;
+    #log: CommittedRecord[] = [];
+    #index = 0;
+    #jobs = 0;
+    #nowMs = START_MS;
+
+    constructor(load: SessionLoad) {
+        this.#load = load;
+        this.#servers = Array.from({ length: load.servers }, (unused, position) =>
+            new SimulatedServer(
+                `server-${position}`,
+                START_MS + (position * HEARTBEAT_MS) / load.servers,
+                jobId => DURATIONS_MS[this.#queues.get(jobId) ?? Queue.Short],
+            ));
+        this.#node = this.#createNode();
+    }
+
+    run(): SessionFigures {
+        this.#turn();
+        this.#node.configure(CONFIGURATION, () => undefined, this.#times);
+        this.#turn();
+        const standingJobs = (this.#load.servers * STANDING_TASKS_PER_SERVER) / STANDING_TASKS_PER_JOB;
+        for (let job = 0; job < standingJobs; job += 1) {
+            this.#submit(Queue.Standing);
+        }
+        this.#advance(WARM_UP_MS);
+        const former = this.#counts();
+        const formerCpu = process.cpuUsage();
+        this.#advance(this.#load.durationMs);
+        const { user, system } = process.cpuUsage(formerCpu);
+        const present = this.#counts();
+        const seconds = this.#load.durationMs / 1_000;
+        const starts = present.starts - former.starts;
+        return {
+            startsPerSecond: starts / seconds,
+            heartbeatsPerSecond: (present.heartbeats - former.heartbeats) / seconds,
+            cores: (user + system) / 1e6 / seconds,
+            msPerStart: (user + system) / 1_000 / starts,
+        };
+    }
+
+    #advance(durationMs: number): void {
+        const endMs = this.#nowMs + durationMs;
+        const perTurn = (this.#load.startsPerSecond * TURN_MS) / 1_000;
+        let shortJobs = 0;
+        let fillerJobs = 0;
+        while (this.#nowMs < endMs) {
+            this.#nowMs += TURN_MS;
+            shortJobs += (perTurn * SHORT_RATIO) / SHORT_TASKS;
+            fillerJobs += (perTurn * (1 - SHORT_RATIO)) / FILLER_TASKS;
+            for (; shortJobs >= 1; shortJobs -= 1) {
+                this.#submit(Queue.Short);
+            }
+            for (; fillerJobs >= 1; fillerJobs -= 1) {
+                this.#submit(Queue.Filler);
+            }
+            this.#servers.forEach(server => this.#follow(server));
+            this.#turn();
+        }
+    }
+
+    #follow(server: SimulatedServer): void {
+        server.advance(this.#nowMs);
+        if (server.nextHeartbeatAtMs !== undefined && server.nextHeartbeatAtMs <= this.#nowMs) {
+            const report = server.report(this.#nowMs);
+            this.#node.heartbeat(report, result => {
+                if (result.ok && result.value !== undefined) {
+                    server.obey(result.value, this.#nowMs);
+                }
+            }, this.#times);
+        }
+    }
+
+    #submit(queue: Queue): void {
+        this.#jobs += 1;
+        const id = this.#jobs.toString(16).padStart(16, "0");
+        this.#queues.set(id, queue);
+        const job: JobSpecification = {
+            id,
+            payload: "p".repeat(200),
+            steps: STEPS[queue](this.#jobs),
+            schedule: undefined,
+        };
+        this.#node.submit({ host: HOST, path: `/${queue}/${id}` }, job, () => undefined, this.#times);
+    }
+
+    /** Decides and commits, twice, so that what was committed is answered in the same turn. */
+    #turn(): void {
+        for (let round = 0; round < 2; round += 1) {
+            this.#node.run(this.#times);
+            const records = this.#log;
+            this.#log = [];
+            this.#node.committed(records, this.#times);
+        }
+    }
+
+    get #times() {
+        return { nowMs: this.#nowMs, timeOfDayMs: this.#nowMs };
+    }
+
+    #counts(): { starts: number; heartbeats: number } {
+        return {
+            starts: this.#servers.reduce((sum, server) => sum + server.starts, 0),
+            heartbeats: this.#servers.reduce((sum, server) => sum + server.heartbeats, 0),
+        };
+    }
+
+    #createNode(): WorkflowNode {
+        return new WorkflowNode({
+            settings: {
+                leaseMs: 3_500,
+                maxLeaseMs: 6_000,
+                busyHeartbeatMs: HEARTBEAT_MS,
+                idleHeartbeatMs: HEARTBEAT_MS,
+                maintenanceMs: 2_000,
+                orderLeaseMs: 3_000,
+                retentionMs: 180_000,
+            },
+            log: {
+                term: 1,
+                isLeader: true,
+                hasQuorumLease: () => true,
+                propose: data => {
+                    this.#index += 1;
+                    this.#log.push({ index: this.#index, term: 1, data });
+                    return Ok(this.#index);
+                },
+            },
+        });
+    }
+}
--- /dev/null
+++ b/packages/bench/src/workflow/simulated-server.ts
@@ -0,0 +1,102 @@
+import { RunEnd } from "@waxwingspread/workflow";
+import type { HeartbeatOrders, HeartbeatReport, ReportedEnd, ReportedRun } from "@waxwingspread/workflow";
+
+const CAPACITY = { cpuMillicores: 16_000, memoryMebibytes: 64_000, accelerators: 0 };
+const STANDING_TAIL_MS = 60;
+const STANDING_TAIL_SPREAD_MS = 40;
+const FILLER_USE_MILLICORES = 1_700;
+
+/** How long tasks of one kind of job run; undefined for standing tasks. */
+export type DurationOf = (jobId: string) => number | undefined;
+
+interface SimulatedRun {
+    task: string;
+    run: number;
+    startedAtMs: number;
+    /** Undefined for a standing task. */
+    durationMs: number | undefined;
+}
+
+/** A backend server that carries out orders at once and reports as the platform's servers do. */
+export class SimulatedServer {
+    readonly id: string;
+    readonly #durationOf: DurationOf;
+    readonly #runs = new Map<string, SimulatedRun>();
+    #ended: ReportedEnd[] = [];
+    #endCount = 0;
+    #sequence = 0;
+    /** When the next heartbeat is due; undefined while one is open. */
+    nextHeartbeatAtMs: number | undefined;
+    starts = 0;
+    heartbeats = 0;
+
+    constructor(id: string, firstHeartbeatAtMs: number, durationOf: DurationOf) {
+        this.id = id;
+        this.nextHeartbeatAtMs = firstHeartbeatAtMs;
+        this.#durationOf = durationOf;
+    }
+
+    /** Ends the runs whose time is over. */
+    advance(nowMs: number): void {
+        for (const run of [...this.#runs.values()]) {
+            if (run.durationMs !== undefined && nowMs - run.startedAtMs >= run.durationMs) {
+                this.#end(run, RunEnd.Done);
+            }
+        }
+    }
+
+    /** Returns a heartbeat, which stays open until its answer. */
+    report(nowMs: number): HeartbeatReport {
+        this.nextHeartbeatAtMs = undefined;
+        this.#sequence += 1;
+        this.heartbeats += 1;
+        return {
+            serverId: this.id,
+            incarnation: 1,
+            sequence: this.#sequence,
+            vmId: `vm-${this.id}`,
+            service: "pool",
+            availabilityZone: "a",
+            rack: "r1",
+            labels: ["a", "r1"],
+            capacity: CAPACITY,
+            isDraining: false,
+            remainingMs: undefined,
+            running: [...this.#runs.values()].map(run => reportedRunOf(run, nowMs)),
+            ended: [...this.#ended],
+        };
+    }
+
+    /** Carries out the orders in an answer. */
+    obey(orders: HeartbeatOrders, nowMs: number): void {
+        this.#ended = this.#ended.filter(end => end.sequence > orders.acknowledgedEnd);
+        for (const { task, run } of orders.starts) {
+            this.starts += 1;
+            const durationMs = this.#durationOf(task.split(".", 1)[0] ?? "");
+            this.#runs.set(task, { task, run, startedAtMs: nowMs, durationMs });
+        }
+        for (const { task } of orders.stops) {
+            const run = this.#runs.get(task);
+            if (run !== undefined) {
+                this.#end(run, RunEnd.Stopped);
+            }
+        }
+        this.nextHeartbeatAtMs = nowMs + orders.nextHeartbeatMs;
+    }
+
+    #end({ task, run }: SimulatedRun, end: RunEnd): void {
+        this.#runs.delete(task);
+        this.#endCount += 1;
+        this.#ended.push({ sequence: this.#endCount, task, run, end, checkpoint: "" });
+    }
+}
+
+const reportedRunOf = ({ task, run, startedAtMs, durationMs }: SimulatedRun, nowMs: number): ReportedRun => ({
+    task,
+    run,
+    checkpoint: "",
+    progressPercent: durationMs === undefined ? 100 : Math.floor((100 * (nowMs - startedAtMs)) / durationMs),
+    measurement: durationMs === undefined
+        ? STANDING_TAIL_MS + ((startedAtMs + nowMs) % STANDING_TAIL_SPREAD_MS)
+        : FILLER_USE_MILLICORES,
+});
