Fuzz jobs of steps against an oracle; end the avoidance of slow servers; break gangs at once

The fuzzing drives the real workflow node with simulated workers (leases on slow clocks, crashes, cuts, drains, failures, late answers), losses of the leader, zones out of service and cancellations. The oracle sees what workers and callers see.

Two faults it found: - A server once found to be slow was kept free of starts for good: each heartbeat renewed the avoidance although nothing ran there that could show a recovery. Evidence is now needed for each renewal. server-speed.test.ts fails without the change (avoided until 8,000 in place of 3,500). - When a member of a gang was lost or ended, the others held their room until they ended by their own timeout. They are stopped, or not started, at once.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -4,7 +4,7 @@
 import { parseTaskKey, taskKeyOf, taskKindOf } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
-import type { JobRecord } from "../state/job-record.js";
+import type { AssignedTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { Eligibility } from "./eligibility.js";
 import type { AskEligibility } from "./eligibility.js";
@@ -274,6 +274,7 @@
                 return;
             case EventKind.RunsLost:
                 event.runs.forEach(run => this.#followTask(run.task, times));
+                event.runs.forEach(run => this.#breakGang(run));
                 return;
             default:
                 return;
@@ -306,6 +307,9 @@
                 server.removeRun(ended.task);
             }
             this.#followTask(ended.task, times);
+            if (ended.end !== RunEnd.Done) {
+                this.#breakGang(ended);
+            }
             const job = this.#jobOf(ended.task);
             if (job?.isOver === true) {
                 this.#stopJob(job.id);
@@ -344,15 +348,34 @@
         return this.#parts.state.job(parseTaskKey(task)?.jobId ?? "");
     }
 
-    #stopJob(jobId: string): void {
-        for (const { position, server } of this.#parts.state.job(jobId)?.assignedTasks() ?? []) {
-            const view = this.#directory.find(server.serverId, server.incarnation)?.runs.get(taskKeyOf(position));
-            if (view !== undefined) {
-                view.isStopping = true;
+    /** Members that are left of a gang's run can't work without the one that ended. */
+    #breakGang({ task, run }: { task: string; run: number }): void {
+        const position = parseTaskKey(task);
+        const job = position === undefined ? undefined : this.#parts.state.job(position.jobId);
+        if (position === undefined || job?.specification.steps[position.step]?.isGang !== true) {
+            return;
+        }
+        for (const member of job.assignedTasks()) {
+            const { occurrence, step } = member.position;
+            if (occurrence === position.occurrence && step === position.step && member.task.run === run) {
+                this.#stopRun(member);
             }
         }
     }
 
+    #stopJob(jobId: string): void {
+        for (const assigned of this.#parts.state.job(jobId)?.assignedTasks() ?? []) {
+            this.#stopRun(assigned);
+        }
+    }
+
+    #stopRun({ position, server }: AssignedTask): void {
+        const view = this.#directory.find(server.serverId, server.incarnation)?.runs.get(taskKeyOf(position));
+        if (view !== undefined) {
+            view.isStopping = true;
+        }
+    }
+
     /** Records runs that have certainly ended, or never began; their room is free at once. */
     #loseRuns(runs: readonly RunView[]): void {
         const lost: LostRun[] = runs
--- a/packages/workflow/src/leader/server-speed.test.ts
+++ b/packages/workflow/src/leader/server-speed.test.ts
@@ -55,3 +55,16 @@
     play(new ServerSpeed(), [8, 8, 8, 8]);
     expect(runs.some(run => run.isStopping)).toBe(false);
 });
+
+// Guards against a server that is kept free of starts for good, because nothing runs there that could show its recovery.
+it("lets a slow server have starts again when nothing has been measured there for a while", () => {
+    const speed = new ServerSpeed();
+    play(speed, [25, 25, 0, 0]);
+    const [, slow] = servers;
+    expect(slow?.avoidUntilMs).toBeGreaterThan(1_500);
+    runs.slice(2).forEach(run => slow?.removeRun(run.task));
+    for (let nowMs = 1_600; nowMs <= 6_000; nowMs += 100) {
+        servers.forEach(server => speed.observe(server, nowMs));
+    }
+    expect(slow?.avoidUntilMs).toBeLessThan(6_000);
+});
--- a/packages/workflow/src/leader/server-speed.ts
+++ b/packages/workflow/src/leader/server-speed.ts
@@ -45,6 +45,7 @@
     observe(server: ServerView, nowMs: number): void {
         const speed = this.#speeds.get(server.id) ?? { ratio: 1, measurements: 0 };
         this.#speeds.set(server.id, speed);
+        const formerMeasurements = speed.measurements;
         for (const run of server.runs.values()) {
             const measured = isComparable(run, server) ? this.#measure(run, nowMs) : undefined;
             if (measured !== undefined) {
@@ -52,7 +53,8 @@
                 speed.measurements += 1;
             }
         }
-        if (speed.measurements < MIN_MEASUREMENTS || speed.ratio >= SLOW_BELOW) {
+        const hasEvidence = speed.measurements > formerMeasurements && speed.measurements >= MIN_MEASUREMENTS;
+        if (!hasEvidence || speed.ratio >= SLOW_BELOW) {
             return;
         }
         server.avoidUntilMs = Math.max(server.avoidUntilMs, nowMs + AVOID_MS);
@@ -96,7 +98,8 @@
 
 /** Whether a run's speed depends on its server alone, and not on where data or other tasks are. */
 const isComparable = (run: RunView, server: ServerView): boolean =>
-    !run.step.prefersOneRack && (run.step.dataRack === "" || run.step.dataRack === server.rack);
+    !run.step.prefersOneRack
+    && !run.step.isGang && (run.step.dataRack === "" || run.step.dataRack === server.rack);
 
 /** Returns the share of full speed at which a filler can work, by its pace and by what others leave. */
 const shareGranted = (run: RunView): number => {
--- /dev/null
+++ b/packages/workflow/src/testing/fuzz/oracle.ts
@@ -0,0 +1,165 @@
+import { RunEnd } from "../../model/heartbeat.js";
+import type { StartOrder } from "../../model/heartbeat.js";
+import { parseTaskKey, taskKeyOf } from "../../model/specification.js";
+import type { JobSpecification, TaskPosition } from "../../model/specification.js";
+import type { SimulatedWorker, WorkerRun } from "./simulated-worker.js";
+
+/** An order that was written before a change may arrive this long after it. */
+const ORDER_DELAY_MS = 1_100;
+
+/** What callers have submitted and what was acknowledged to them. */
+export interface SubmittedJob {
+    specification: JobSpecification;
+    maxAttempts: number;
+    isAccepted: boolean;
+    cancelledAtMs: number | undefined;
+}
+
+/** Checks from outside, by what workers and callers see, that every promise is kept. */
+export class Oracle {
+    readonly faults: string[] = [];
+    readonly #jobs: ReadonlyMap<string, SubmittedJob>;
+    readonly #workers: readonly SimulatedWorker[];
+    readonly #done = new Set<string>();
+    readonly #doneNoted = new Set<string>();
+    /** Runs that have failed, by task. A worker that restarts may not learn that the end of one was recorded. */
+    readonly #failedRuns = new Map<string, Set<number>>();
+    /** Those of which the worker knows that they are recorded. */
+    readonly #recordedFailures = new Map<string, Set<number>>();
+    readonly #latestRuns = new Map<string, number>();
+    readonly #checkpoints = new Map<string, Set<string>>();
+    /** Since when zones are out of service. */
+    readonly zonesOutSinceMs = new Map<string, number>();
+    /** Since when workers' drains are acknowledged, by worker and incarnation. */
+    readonly drainingSinceMs = new Map<string, number>();
+
+    constructor(jobs: ReadonlyMap<string, SubmittedJob>, workers: readonly SimulatedWorker[]) {
+        this.#jobs = jobs;
+        this.#workers = workers;
+    }
+
+    /** Whether every task of a job has ended as done. */
+    isDone(job: JobSpecification): boolean {
+        return job.steps.every((step, index) =>
+            Array.from({ length: step.taskCount }, (unused, task) => task)
+                .every(task => this.#isTaskDone({ jobId: job.id, occurrence: 0, step: index, index: task }))
+        );
+    }
+
+    /** Whether a task has failed as often as its queue allows. */
+    hasFailed(job: SubmittedJob): boolean {
+        return [...this.#failedRuns].some(([task, runs]) =>
+            task.startsWith(`${job.specification.id}.`) && runs.size >= job.maxAttempts
+        );
+    }
+
+    started(worker: SimulatedWorker, order: StartOrder, run: WorkerRun, nowMs: number): void {
+        const { task } = order;
+        const job = this.#jobs.get(run.position.jobId);
+        const expect = (isKept: boolean, promise: string): void => {
+            if (!isKept) {
+                this.faults.push(`${promise}: ${task} run ${order.run} on ${worker.id} at ${nowMs}`);
+            }
+        };
+        if (job === undefined) {
+            expect(false, "starts only what was submitted");
+            return;
+        }
+        const { specification } = job;
+        expect(order.payload === specification.payload, "payload is the job's");
+        expect(order.run > (this.#latestRuns.get(task) ?? 0) || run.step.isGang, "run numbers rise");
+        this.#latestRuns.set(task, order.run);
+        expect(
+            this.#workers.every(other => other === worker || !other.isUp || !other.runs.has(task)),
+            "one run of a task at a time",
+        );
+        expect(!this.#doneNoted.has(task), "no start after a recorded end as done");
+        expect(this.#isUnlocked(specification, run.position), "no start before the steps that it depends on");
+        expect(
+            (this.#recordedFailures.get(task)?.size ?? 0) < job.maxAttempts || run.step.isStanding,
+            "no start beyond the attempts",
+        );
+        const cancelledAtMs = job.cancelledAtMs ?? Infinity;
+        expect(nowMs <= cancelledAtMs + ORDER_DELAY_MS, "no start after a cancellation");
+        const outSinceMs = this.zonesOutSinceMs.get(worker.parts.availabilityZone) ?? Infinity;
+        expect(nowMs <= outSinceMs + ORDER_DELAY_MS, "no start in a zone out of service");
+        const drainingSinceMs = this.drainingSinceMs.get(`${worker.id}/${worker.incarnation}`) ?? Infinity;
+        expect(nowMs <= drainingSinceMs + ORDER_DELAY_MS, "no start on a draining server");
+        expect(hasRoom(worker), "no server beyond its capacity");
+        const { requiredLabel } = run.step;
+        expect(requiredLabel === "" || worker.parts.labels.includes(requiredLabel), "label as required");
+        expect(isWithinCountPerServer(worker, run), "no more tasks of a step on a server than allowed");
+        const isOwnCheckpoint = order.checkpoint === "" || this.#checkpoints.get(task)?.has(order.checkpoint) === true;
+        expect(isOwnCheckpoint, "checkpoint is the task's own");
+    }
+
+    ended(run: WorkerRun, end: RunEnd): void {
+        if (end === RunEnd.Stopped && run.step.savesCheckpoints) {
+            this.#membersOf(run.position).forEach(task => addTo(this.#checkpoints, task, `${run.task}/${run.run}`));
+        }
+        if (end === RunEnd.Done) {
+            this.#membersOf(run.position).forEach(task => this.#done.add(task));
+        }
+        else if (end === RunEnd.Failed) {
+            this.#membersOf(run.position).forEach(task => addTo(this.#failedRuns, task, run.run));
+        }
+    }
+
+    acknowledged(task: string, run: number, end: RunEnd): void {
+        const position = parseTaskKey(task);
+        if (position === undefined) {
+            return;
+        }
+        for (const member of this.#membersOf(position)) {
+            if (end === RunEnd.Done) {
+                this.#doneNoted.add(member);
+            }
+            else if (end === RunEnd.Failed) {
+                addTo(this.#recordedFailures, member, run);
+            }
+        }
+    }
+
+    /** One end stands for all members of a gang. */
+    #membersOf(position: TaskPosition): string[] {
+        const step = this.#jobs.get(position.jobId)?.specification.steps[position.step];
+        return step?.isGang === true
+            ? Array.from({ length: step.taskCount }, (unused, index) => taskKeyOf({ ...position, index }))
+            : [taskKeyOf(position)];
+    }
+
+    #isTaskDone(position: TaskPosition): boolean {
+        return this.#done.has(taskKeyOf(position));
+    }
+
+    #isUnlocked(job: JobSpecification, position: TaskPosition): boolean {
+        return (job.steps[position.step]?.dependsOn ?? []).every(step =>
+            Array.from({ length: job.steps[step]?.taskCount ?? 0 }, (unused, index) => index)
+                .every(index => this.#isTaskDone({ ...position, step, index }))
+        );
+    }
+}
+
+const addTo = <Value>(sets: Map<string, Set<Value>>, key: string, value: Value): void => {
+    sets.set(key, (sets.get(key) ?? new Set()).add(value));
+};
+
+const hasRoom = (worker: SimulatedWorker): boolean => {
+    const { capacity } = worker.parts;
+    let cpuMillicores = 0;
+    let memoryMebibytes = 0;
+    for (const { step } of worker.runs.values()) {
+        cpuMillicores += step.isFiller ? 0 : step.amounts.cpuMillicores;
+        memoryMebibytes += step.amounts.memoryMebibytes;
+    }
+    return cpuMillicores <= capacity.cpuMillicores && memoryMebibytes <= capacity.memoryMebibytes;
+};
+
+const isWithinCountPerServer = (worker: SimulatedWorker, run: WorkerRun): boolean => {
+    const isSameStep = ({ position }: WorkerRun): boolean =>
+        position.jobId === run.position.jobId
+        && position.step === run.position.step
+        && position.occurrence === run.position.occurrence;
+    const count = [...worker.runs.values()].filter(isSameStep).length;
+    return run.step.maxTasksPerServer === 0 || count <= run.step.maxTasksPerServer;
+};
--- /dev/null
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -0,0 +1,246 @@
+import { RunEnd } from "../../model/heartbeat.js";
+import type { HeartbeatOrders, HeartbeatReport, ReportedEnd, StartOrder } from "../../model/heartbeat.js";
+import { parseTaskKey } from "../../model/specification.js";
+import type { Amounts, StepSpecification, TaskPosition } from "../../model/specification.js";
+
+/** An answer that comes later than this after its heartbeat has no effect. */
+const ANSWER_LIMIT_MS = 1_000;
+const STOP_MS = 150;
+const GANG_TIMEOUT_MS = 3_000;
+const RETRY_MS = 100;
+
+/** How the simulated world decides what a task does. */
+export interface TaskBehaviour {
+    stepOf: (position: TaskPosition) => StepSpecification | undefined;
+    /** Time that a run takes; undefined when it never ends by itself. */
+    durationMs: (position: TaskPosition, workerId: string) => number | undefined;
+    fails: (position: TaskPosition, run: number, workerId: string) => boolean;
+}
+
+/** A run on a simulated worker. */
+export interface WorkerRun {
+    task: string;
+    run: number;
+    position: TaskPosition;
+    step: StepSpecification;
+    startedAtMs: number;
+    /** When the run ends by itself; undefined for never. */
+    endsAtMs: number | undefined;
+    /** When a stop takes effect; undefined without one. */
+    stopsAtMs: number | undefined;
+    checkpoint: string;
+    /** Whether all members of its gang are present. */
+    isGangComplete: boolean;
+}
+
+/** Told of what workers do. */
+export interface WorkerObserver {
+    started: (worker: SimulatedWorker, order: StartOrder, run: WorkerRun, nowMs: number) => void;
+    ended: (worker: SimulatedWorker, run: WorkerRun, end: RunEnd) => void;
+    acknowledged: (task: string, run: number, end: RunEnd) => void;
+}
+
+/** What a simulated worker is made of. */
+export interface WorkerParts {
+    id: string;
+    availabilityZone: string;
+    labels: string[];
+    capacity: Amounts;
+    /** Rate of its clock; at least 0.98. */
+    clockRate: number;
+    behaviour: TaskBehaviour;
+    observer: WorkerObserver;
+}
+
+/**
+ * A backend server as the platform's pages describe it: leases on its own clock, a highest term that it has seen, ends
+ * that are repeated until they are acknowledged, and no check of its capacity.
+ */
+export class SimulatedWorker {
+    readonly parts: WorkerParts;
+    readonly runs = new Map<string, WorkerRun>();
+    isUp = true;
+    isDraining = false;
+    incarnation = 1;
+    #ended: ReportedEnd[] = [];
+    /** Ends that were listed when the lease ran out; the task may be given to another worker all the same. */
+    readonly #lapsed = new WeakSet<ReportedEnd>();
+    #endCount = 0;
+    #sequence = 0;
+    #term = 0;
+    #leaseEndMs = -Infinity;
+    readonly #highestRuns = new Map<string, number>();
+    /** Sequence of the heartbeat that waits for its answer; undefined for none. */
+    #open: { sequence: number; sentAtMs: number } | undefined;
+    nextHeartbeatAtMs = 0;
+
+    constructor(parts: WorkerParts) {
+        this.parts = parts;
+    }
+
+    get id(): string {
+        return this.parts.id;
+    }
+
+    /** Lets time pass: leases lapse, runs end. */
+    advance(nowMs: number): void {
+        if (!this.isUp) {
+            return;
+        }
+        if (nowMs >= this.#leaseEndMs) {
+            [...this.runs.values()].forEach(run => this.#end(run, RunEnd.LeaseExpired));
+            this.#ended.forEach(end => this.#lapsed.add(end));
+        }
+        for (const run of [...this.runs.values()]) {
+            // The end of one member may have ended others of its gang.
+            if (this.runs.get(run.task) === run) {
+                this.#advanceRun(run, nowMs);
+            }
+        }
+        if (this.#open !== undefined && nowMs - this.#open.sentAtMs > ANSWER_LIMIT_MS) {
+            this.#open = undefined;
+            this.nextHeartbeatAtMs = nowMs + RETRY_MS;
+        }
+    }
+
+    /** Whether a heartbeat is due. */
+    isHeartbeatDue(nowMs: number): boolean {
+        return this.isUp && this.#open === undefined && nowMs >= this.nextHeartbeatAtMs;
+    }
+
+    /** Returns a heartbeat, which stays open until its answer. */
+    report(nowMs: number): HeartbeatReport {
+        this.#sequence += 1;
+        this.#open = { sequence: this.#sequence, sentAtMs: nowMs };
+        const { id, availabilityZone, labels, capacity } = this.parts;
+        return {
+            serverId: id,
+            incarnation: this.incarnation,
+            sequence: this.#sequence,
+            vmId: `vm-${id}`,
+            service: "pool",
+            availabilityZone,
+            rack: "r1",
+            labels,
+            capacity,
+            isDraining: this.isDraining,
+            remainingMs: undefined,
+            running: [...this.runs.values()].map(run => ({
+                task: run.task,
+                run: run.run,
+                checkpoint: run.checkpoint,
+                progressPercent: progressOf(run, nowMs),
+                measurement: undefined,
+            })),
+            ended: [...this.#ended],
+        };
+    }
+
+    /** Carries out the orders in the answer to a heartbeat; undefined for an answer without orders. */
+    answer(sequence: number, incarnation: number, orders: HeartbeatOrders | undefined, nowMs: number): void {
+        const open = this.#open;
+        if (!this.isUp || incarnation !== this.incarnation || open?.sequence !== sequence) {
+            return;
+        }
+        this.#open = undefined;
+        this.nextHeartbeatAtMs = nowMs + (orders?.nextHeartbeatMs ?? RETRY_MS);
+        if (orders === undefined || nowMs - open.sentAtMs > ANSWER_LIMIT_MS || orders.term < this.#term) {
+            return;
+        }
+        this.#term = orders.term;
+        this.#leaseEndMs = Math.max(this.#leaseEndMs, open.sentAtMs + orders.leaseMs / this.parts.clockRate);
+        const acknowledged = this.#ended.filter(end => end.sequence <= orders.acknowledgedEnd);
+        this.#ended = this.#ended.filter(end => end.sequence > orders.acknowledgedEnd);
+        acknowledged
+            .filter(end => !this.#lapsed.has(end))
+            .forEach(({ task, run, end }) => this.parts.observer.acknowledged(task, run, end));
+        orders.stops.forEach(({ task, run }) => this.#stop(task, run, nowMs));
+        orders.starts.forEach(order => this.#start(order, nowMs));
+    }
+
+    /** Loses everything, as in a crash; the next heartbeat comes from a new life. */
+    restart(): void {
+        this.runs.clear();
+        this.#ended = [];
+        this.#endCount = 0;
+        this.#sequence = 0;
+        this.#term = 0;
+        this.#open = undefined;
+        this.#leaseEndMs = -Infinity;
+        this.#highestRuns.clear();
+        this.incarnation += 1;
+        this.isDraining = false;
+        this.isUp = true;
+    }
+
+    /** Ends a member of a gang because another one ended. */
+    breakOff(task: string, end: RunEnd): void {
+        const run = this.runs.get(task);
+        if (run !== undefined) {
+            this.#end(run, end);
+        }
+    }
+
+    #advanceRun(run: WorkerRun, nowMs: number): void {
+        if (run.stopsAtMs !== undefined && nowMs >= run.stopsAtMs) {
+            this.#end(run, RunEnd.Stopped);
+        }
+        else if (!run.isGangComplete && nowMs - run.startedAtMs >= GANG_TIMEOUT_MS) {
+            this.#end(run, RunEnd.GangIncomplete);
+        }
+        else if (run.isGangComplete && run.endsAtMs !== undefined && nowMs >= run.endsAtMs) {
+            const { position } = run;
+            const hasFailed = this.parts.behaviour.fails(position, run.run, this.id);
+            this.#end(run, hasFailed ? RunEnd.Failed : RunEnd.Done);
+        }
+    }
+
+    #start(order: StartOrder, nowMs: number): void {
+        const position = parseTaskKey(order.task);
+        const step = position === undefined ? undefined : this.parts.behaviour.stepOf(position);
+        const isOutdated = order.run <= (this.#highestRuns.get(order.task) ?? 0) || this.runs.has(order.task);
+        if (position === undefined || step === undefined || isOutdated) {
+            return;
+        }
+        const durationMs = this.parts.behaviour.durationMs(position, this.id);
+        const run: WorkerRun = {
+            task: order.task,
+            run: order.run,
+            position,
+            step,
+            startedAtMs: nowMs,
+            endsAtMs: durationMs === undefined ? undefined : nowMs + durationMs,
+            stopsAtMs: undefined,
+            checkpoint: order.checkpoint,
+            isGangComplete: !step.isGang,
+        };
+        this.#highestRuns.set(order.task, order.run);
+        this.runs.set(order.task, run);
+        this.parts.observer.started(this, order, run, nowMs);
+    }
+
+    #stop(task: string, run: number, nowMs: number): void {
+        this.#highestRuns.set(task, Math.max(run, this.#highestRuns.get(task) ?? 0));
+        const running = this.runs.get(task);
+        if (running?.run === run) {
+            running.stopsAtMs ??= nowMs + STOP_MS;
+        }
+    }
+
+    #end(run: WorkerRun, end: RunEnd): void {
+        this.runs.delete(run.task);
+        this.#endCount += 1;
+        const isSaved = run.step.savesCheckpoints && end === RunEnd.Stopped;
+        const checkpoint = isSaved ? `${run.task}/${run.run}` : "";
+        this.#ended.push({ sequence: this.#endCount, task: run.task, run: run.run, end, checkpoint });
+        this.parts.observer.ended(this, run, end);
+    }
+}
+
+const progressOf = ({ step, startedAtMs, endsAtMs, isGangComplete }: WorkerRun, nowMs: number): number => {
+    if (step.isStanding) {
+        return 100;
+    }
+    const durationMs = (endsAtMs ?? startedAtMs) - startedAtMs;
+    return isGangComplete && durationMs > 0 ? Math.floor((100 * (nowMs - startedAtMs)) / durationMs) : 0;
+};
--- /dev/null
+++ b/packages/workflow/src/testing/fuzz/world.ts
@@ -0,0 +1,344 @@
+import { SeededRandom } from "@waxwingspread/common";
+import { Ok } from "ts-results-es";
+import type { Times } from "../../leader/times.js";
+import type { JobState } from "../../model/calls.js";
+import type { HeartbeatOrders } from "../../model/heartbeat.js";
+import { RunEnd } from "../../model/heartbeat.js";
+import type { JobSpecification, StepSpecification, TaskPosition } from "../../model/specification.js";
+import type { CommittedRecord } from "../../node/replicated-log.js";
+import { WorkflowNode } from "../../node/workflow-node.js";
+import { configurationOf, HOST } from "../fixtures.js";
+import { LEADER_SETTINGS } from "../single-replica.js";
+import { Oracle } from "./oracle.js";
+import type { SubmittedJob } from "./oracle.js";
+import { SimulatedWorker } from "./simulated-worker.js";
+import type { TaskBehaviour } from "./simulated-worker.js";
+
+const START_MS = 1_000_000;
+const TURN_MS = 20;
+const MAX_ATTEMPTS = 3;
+/** A new leader serves this long after the former one was lost. */
+const ELECTION_MS = 500;
+const MIN_CLOCK_RATE = 0.98;
+const MAX_NETWORK_DELAY_MS = 60;
+
+/** What a job's tasks do. */
+export interface JobBehaviour {
+    durationMs: number;
+    /** Whether the tasks fail wherever they run. */
+    failsAlways: boolean;
+}
+
+interface Delivery {
+    atMs: number;
+    deliver: () => void;
+}
+
+interface Leader {
+    node: WorkflowNode;
+    term: number;
+    /** A replaced leader answers nothing any more, but its answers may still be under way. */
+    isLeading: boolean;
+}
+
+/** Workers, callers and one leader after the other on a log of which only committed records survive. */
+export class World {
+    readonly jobs = new Map<string, SubmittedJob>();
+    readonly workers: SimulatedWorker[];
+    readonly oracle: Oracle;
+    readonly #behaviours = new Map<string, JobBehaviour>();
+    readonly #random: SeededRandom;
+    /** Workers that fail whatever they run until this time. */
+    readonly #failUntilMs = new Map<string, number>();
+    readonly #cutUntilMs = new Map<string, number>();
+    #deliveries: Delivery[] = [];
+    #log: CommittedRecord[] = [];
+    #committed = 0;
+    #leader: Leader | undefined;
+    #leaderFromMs = START_MS;
+    #term = 0;
+    #nowMs = START_MS;
+
+    constructor(seed: number) {
+        this.#random = new SeededRandom(seed);
+        this.workers = ["a", "a", "b", "b"].map((zone, index) =>
+            new SimulatedWorker({
+                id: `w${index}`,
+                availabilityZone: zone,
+                labels: [index % 2 === 0 ? "even" : "odd", "r1"],
+                capacity: { cpuMillicores: 4_000, memoryMebibytes: 8_000, accelerators: 0 },
+                clockRate: index === 0 ? MIN_CLOCK_RATE : 1,
+                behaviour: this.#behaviour(),
+                observer: {
+                    started: (worker, order, run, nowMs) => {
+                        this.oracle.started(worker, order, run, nowMs);
+                        this.#completeGang(run.position);
+                    },
+                    ended: (worker, run, end) => {
+                        this.oracle.ended(run, end);
+                        this.#breakGang(run.position, end);
+                    },
+                    acknowledged: (task, run, end) => this.oracle.acknowledged(task, run, end),
+                },
+            })
+        );
+        this.oracle = new Oracle(this.jobs, this.workers);
+    }
+
+    get #times(): Times {
+        return { nowMs: this.#nowMs, timeOfDayMs: this.#nowMs };
+    }
+
+    /** Lets time pass. */
+    advance(durationMs: number): void {
+        const endMs = this.#nowMs + durationMs;
+        while (this.#nowMs < endMs) {
+            this.#nowMs += TURN_MS;
+            this.#elect();
+            this.workers.forEach(worker => worker.advance(this.#nowMs));
+            this.#deliver();
+            this.workers.forEach(worker => this.#sendHeartbeat(worker));
+            this.#turn();
+        }
+    }
+
+    submit(specification: JobSpecification, behaviour: JobBehaviour): void {
+        const job: SubmittedJob = {
+            specification,
+            maxAttempts: MAX_ATTEMPTS,
+            isAccepted: false,
+            cancelledAtMs: undefined,
+        };
+        this.jobs.set(specification.id, job);
+        this.#behaviours.set(specification.id, behaviour);
+        const address = { host: HOST, path: `/batch/${specification.id}` };
+        this.#leader?.node.submit(address, specification, result => {
+            job.isAccepted ||= result.ok;
+        }, this.#times);
+        this.#turn();
+    }
+
+    /** Submits again what was not acknowledged, as callers do. */
+    resubmit(): void {
+        for (const [id, job] of this.jobs) {
+            if (!job.isAccepted) {
+                this.submit(job.specification, this.#behaviours.get(id) ?? { durationMs: 100, failsAlways: false });
+            }
+        }
+    }
+
+    cancel(id: string): void {
+        const job = this.jobs.get(id);
+        this.#leader?.node.cancel(id, result => {
+            if (result.ok && job !== undefined) {
+                job.cancelledAtMs ??= this.#nowMs;
+            }
+        }, this.#times);
+        this.#turn();
+    }
+
+    setZone(zone: string, isOut: boolean): void {
+        if (!isOut) {
+            this.oracle.zonesOutSinceMs.delete(zone);
+        }
+        this.#leader?.node.setZone(zone, isOut, result => {
+            if (result.ok && isOut) {
+                this.oracle.zonesOutSinceMs.set(zone, this.#nowMs);
+            }
+        }, this.#times);
+        this.#turn();
+    }
+
+    /** Loses the leader with what it has not committed; its answers that are under way still arrive. */
+    loseLeader(): void {
+        if (this.#leader !== undefined) {
+            this.#leader.isLeading = false;
+            this.#leader.node.leadershipLost();
+            this.#leader = undefined;
+            this.#leaderFromMs = this.#nowMs + ELECTION_MS;
+        }
+        this.#log.length = this.#committed;
+    }
+
+    restartWorker(index: number): void {
+        this.workers[index]?.restart();
+    }
+
+    drainWorker(index: number): void {
+        const worker = this.workers[index];
+        if (worker !== undefined) {
+            worker.isDraining = true;
+        }
+    }
+
+    cutWorker(index: number, durationMs: number): void {
+        this.#cutUntilMs.set(`w${index}`, this.#nowMs + durationMs);
+    }
+
+    failWorker(index: number, durationMs: number): void {
+        this.#failUntilMs.set(`w${index}`, this.#nowMs + durationMs);
+    }
+
+    /** Ends all disruptions. */
+    heal(): void {
+        this.#cutUntilMs.clear();
+        this.#failUntilMs.clear();
+        this.workers.filter(worker => worker.isDraining).forEach(worker => worker.restart());
+        ["a", "b"].forEach(zone => this.setZone(zone, false));
+    }
+
+    /** Returns a job's state as its caller sees it; undefined without an answer. */
+    stateOf(id: string): JobState | undefined {
+        let state: JobState | undefined;
+        this.#leader?.node.jobState(id, result => {
+            state = result.ok ? result.value : undefined;
+        }, this.#times);
+        this.#turn();
+        return state;
+    }
+
+    #behaviour(): TaskBehaviour {
+        const stepOf = ({ jobId, step }: TaskPosition): StepSpecification | undefined =>
+            this.jobs.get(jobId)?.specification.steps[step];
+        return {
+            stepOf,
+            durationMs: position =>
+                stepOf(position)?.isStanding === true
+                    ? undefined
+                    : this.#behaviours.get(position.jobId)?.durationMs,
+            fails: (position, unusedRun, workerId) =>
+                this.#behaviours.get(position.jobId)?.failsAlways === true
+                || this.#nowMs < (this.#failUntilMs.get(workerId) ?? 0),
+        };
+    }
+
+    #elect(): void {
+        if (this.#leader !== undefined || this.#nowMs < this.#leaderFromMs) {
+            return;
+        }
+        this.#term += 1;
+        const leader: Leader = { term: this.#term, isLeading: true, node: this.#createNode(this.#term) };
+        this.#leader = leader;
+        leader.node.committed(this.#log, this.#times);
+        this.#turn();
+        leader.node.configure(this.#configuration(), () => undefined, this.#times);
+        this.#turn();
+    }
+
+    #configuration() {
+        const configuration = configurationOf(1);
+        return {
+            ...configuration,
+            queues: configuration.queues.map(queue => ({ ...queue, maxAttempts: MAX_ATTEMPTS })),
+        };
+    }
+
+    #createNode(term: number): WorkflowNode {
+        const isLeading = (): boolean => this.#leader?.term === term;
+        return new WorkflowNode({
+            settings: LEADER_SETTINGS,
+            log: {
+                term,
+                get isLeader() {
+                    return isLeading();
+                },
+                hasQuorumLease: isLeading,
+                propose: data => {
+                    this.#log.push({ index: this.#log.length + 1, term, data });
+                    return Ok(this.#log.length);
+                },
+            },
+        });
+    }
+
+    /** Decides, and commits what was proposed before this turn. */
+    #turn(): void {
+        const leader = this.#leader;
+        if (leader === undefined) {
+            return;
+        }
+        for (let round = 0; round < 2; round += 1) {
+            const records = this.#log.slice(this.#committed);
+            this.#committed = this.#log.length;
+            leader.node.committed(records, this.#times);
+            leader.node.run(this.#times);
+        }
+    }
+
+    #isCut(worker: SimulatedWorker): boolean {
+        return this.#nowMs < (this.#cutUntilMs.get(worker.id) ?? 0);
+    }
+
+    #sendHeartbeat(worker: SimulatedWorker): void {
+        if (!worker.isHeartbeatDue(this.#nowMs)) {
+            return;
+        }
+        const report = worker.report(this.#nowMs);
+        if (this.#isCut(worker)) {
+            return;
+        }
+        const { sequence, incarnation, isDraining } = report;
+        const respond = (orders: HeartbeatOrders | undefined): void => {
+            if (isDraining) {
+                const key = `${worker.id}/${incarnation}`;
+                const sinceMs = this.oracle.drainingSinceMs.get(key) ?? this.#nowMs;
+                this.oracle.drainingSinceMs.set(key, sinceMs);
+            }
+            this.#later(() => {
+                if (!this.#isCut(worker)) {
+                    worker.answer(sequence, incarnation, orders, this.#nowMs);
+                }
+            });
+        };
+        this.#later(() =>
+            this.#leader?.node.heartbeat(report, result => {
+                if (result.ok) {
+                    respond(result.value);
+                }
+            }, this.#times)
+        );
+    }
+
+    #later(deliver: () => void): void {
+        this.#deliveries.push({ atMs: this.#nowMs + this.#random.nextInteger(0, MAX_NETWORK_DELAY_MS), deliver });
+    }
+
+    #deliver(): void {
+        const due = this.#deliveries.filter(({ atMs }) => atMs <= this.#nowMs);
+        this.#deliveries = this.#deliveries.filter(({ atMs }) => atMs > this.#nowMs);
+        due.forEach(({ deliver }) => deliver());
+    }
+
+    /** A gang works from the moment when all members of one run are present. */
+    #completeGang(position: TaskPosition): void {
+        const members = this.#presentMembers(position);
+        const [first] = members;
+        if (first?.run.step.isGang !== true || members.length < first.run.step.taskCount) {
+            return;
+        }
+        for (const { run } of members) {
+            run.isGangComplete = true;
+            run.endsAtMs = this.#nowMs + (this.#behaviours.get(position.jobId)?.durationMs ?? 0);
+        }
+    }
+
+    #breakGang(position: TaskPosition, end: RunEnd): void {
+        const isGang = this.jobs.get(position.jobId)?.specification.steps[position.step]?.isGang === true;
+        const isLast = end === RunEnd.GangBroken;
+        if (!isGang || isLast) {
+            return;
+        }
+        const membersEnd = end === RunEnd.Done ? RunEnd.Done : RunEnd.GangBroken;
+        this.#presentMembers(position)
+            .filter(({ run }) => run.isGangComplete)
+            .forEach(({ worker, run }) => worker.breakOff(run.task, membersEnd));
+    }
+
+    #presentMembers(position: TaskPosition) {
+        const isMember = (other: TaskPosition): boolean =>
+            other.jobId === position.jobId && other.step === position.step && other.occurrence === position.occurrence;
+        return this.workers.flatMap(worker =>
+            [...worker.runs.values()].filter(run => isMember(run.position)).map(run => ({ worker, run }))
+        );
+    }
+}
