Cancel jobs whose record isn't committed yet; look for room for slow fillers in each turn again

Fuzzing with a log that stalls found a cancellation that was acknowledged without effect: it came while the job's own record was under way, found no job, waited for the log, found the job and reported success. It now cancels the job then. workflow-node.test.ts fails without the change ('queued' in place of 'cancelled').

--- /dev/null
+++ b/packages/workflow/src/leader/filler-moves.test.ts
@@ -0,0 +1,51 @@
+import { expect, it } from "vitest";
+import { taskKindOf } from "../model/specification.js";
+import { fillerStepOf, heartbeatOf } from "../testing/fixtures.js";
+import { FillerMoves } from "./filler-moves.js";
+import { newRunView, ServerView } from "./server-view.js";
+import type { RunView } from "./server-view.js";
+
+const SLOW_FOR_MS = 500;
+
+const pausedRunOn = (serverId: string): { server: ServerView; run: RunView } => {
+    const server = new ServerView(serverId, 1, 0, 0);
+    server.describe(heartbeatOf(serverId, 1), 0);
+    const step = fillerStepOf();
+    const position = { jobId: serverId, occurrence: 0, step: 0, index: 0 };
+    const run = newRunView({ task: serverId, run: 1, position, step, kind: taskKindOf(step), checkpoint: "" }, 0);
+    run.isReported = true;
+    run.wantedPacePercent = 0;
+    server.addRun(run);
+    return { server, run };
+};
+
+// Load: fillers that press on standing tasks of most servers, so that room for them elsewhere is short and brief.
+// Guards against fillers that stay paused because room was looked for only with their server's heartbeat.
+it("moves a paused filler as soon as there is room elsewhere", () => {
+    let hasRoom = false;
+    const moves = new FillerMoves(() => hasRoom);
+    const { server, run } = pausedRunOn("a");
+    moves.observe(server, 0);
+    moves.observe(server, SLOW_FOR_MS);
+    moves.run(SLOW_FOR_MS);
+    expect(run.isStopping).toBe(false);
+    hasRoom = true;
+    moves.run(SLOW_FOR_MS + 5);
+    expect(run.isStopping).toBe(true);
+});
+
+// Guards against one change of load that stops many tasks at once.
+it("moves one filler at a time, and none that works again", () => {
+    const moves = new FillerMoves(() => true);
+    const [first, second] = [pausedRunOn("a"), pausedRunOn("b")];
+    for (const { server } of [first, second]) {
+        moves.observe(server, 0);
+        moves.observe(server, SLOW_FOR_MS);
+    }
+    moves.run(SLOW_FOR_MS);
+    moves.run(SLOW_FOR_MS + 10);
+    expect([first.run.isStopping, second.run.isStopping]).toEqual([true, false]);
+    second.run.wantedPacePercent = 100;
+    moves.run(SLOW_FOR_MS + 100);
+    expect(second.run.isStopping).toBe(false);
+});
--- a/packages/workflow/src/leader/filler-moves.ts
+++ b/packages/workflow/src/leader/filler-moves.ts
@@ -16,20 +16,43 @@
 export class FillerMoves {
     readonly #canPlaceElsewhere: (run: RunView, nowMs: number) => boolean;
     readonly #slowSinceMs = new WeakMap<RunView, number>();
+    /** A run of each server, by id, that has been slow for long enough. */
+    readonly #candidates = new Map<string, RunView>();
     #movedAtMs = -Infinity;
 
     constructor(canPlaceElsewhere: (run: RunView, nowMs: number) => boolean) {
         this.#canPlaceElsewhere = canPlaceElsewhere;
     }
 
-    /** Takes in a server's paces; orders at most one filler to stop, whose checkpoint lets it go on elsewhere. */
+    /** Takes in a server's paces. */
     observe(server: ServerView, nowMs: number): void {
         const run = this.#findSlow(server, nowMs);
-        const isDue = nowMs - this.#movedAtMs >= MOVE_INTERVAL_MS;
-        if (run !== undefined && isDue && this.#canPlaceElsewhere(run, nowMs)) {
-            run.isStopping = true;
-            this.#movedAtMs = nowMs;
+        if (run === undefined) {
+            this.#candidates.delete(server.id);
         }
+        else {
+            this.#candidates.set(server.id, run);
+        }
+    }
+
+    /** Orders at most one filler to stop; its checkpoint lets it go on elsewhere. */
+    run(nowMs: number): void {
+        if (nowMs - this.#movedAtMs < MOVE_INTERVAL_MS) {
+            return;
+        }
+        for (const [serverId, run] of this.#candidates) {
+            if (isMovable(run) && this.#canPlaceElsewhere(run, nowMs)) {
+                run.isStopping = true;
+                this.#movedAtMs = nowMs;
+                this.#candidates.delete(serverId);
+                return;
+            }
+        }
+    }
+
+    /** Forgets a server that is gone. */
+    forget(serverId: string): void {
+        this.#candidates.delete(serverId);
     }
 
     #findSlow(server: ServerView, nowMs: number): RunView | undefined {
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -202,10 +202,12 @@
             this.#pacing.forget(server);
             this.#pressure.forget(server.id);
             this.#speed.forget(server.id);
+            this.#moves.forget(server.id);
             this.#loseRuns([...server.runs.values()]);
         }
         this.#maintenance.run(times);
         this.#evacuation.run(nowMs);
+        this.#moves.run(nowMs);
         if (this.#isPlanDue && nowMs >= this.#settledAtMs) {
             this.#isPlanDue = false;
             const runs = this.#planner.plan(times);
--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -95,6 +95,18 @@
         expect(replica.stateOf("j")).toBe(JobState.Cancelled);
     });
 
+    // Guards against a cancellation that is acknowledged without effect, so that the job runs all the same.
+    it("is cancelled although its own record was not committed when the cancellation came", () => {
+        const replica = SingleReplica.started();
+        const results: unknown[] = [];
+        const address = { host: HOST, path: "/batch/j" };
+        replica.node.submit(address, jobOf("j", stepOf()), () => undefined, replica.times);
+        replica.node.cancel("j", result => results.push(result), replica.times);
+        replica.settle();
+        expect(results).toEqual([{ ok: true, value: undefined }]);
+        expect(replica.stateOf("j")).toBe(JobState.Cancelled);
+    });
+
     it("on a schedule starts each occurrence when it is due, whatever the clock has shown before", () => {
         const replica = SingleReplica.started();
         replica.heartbeat(heartbeatOf("s", 1));
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -102,12 +102,13 @@
             respond(refused(Refusal.NotLeader));
             return;
         }
-        const job = this.#state.job(jobId);
-        if (job === undefined) {
-            this.#confirm(() => respond(this.#known(jobId) ? succeeded(undefined) : unknownJob()), respond);
+        const change = (): void => this.#change({ kind: EventKind.JobCancelled, jobId, atMs: timeOfDayMs }, respond);
+        if (this.#known(jobId)) {
+            change();
             return;
         }
-        this.#change({ kind: EventKind.JobCancelled, jobId, atMs: timeOfDayMs }, respond);
+        // The job may be in a record that isn't committed yet.
+        this.#confirm(() => this.#known(jobId) ? change() : respond(unknownJob()), respond);
     }
 
     /** Returns a job's state. */
--- a/packages/workflow/src/testing/fuzz/commands.ts
+++ b/packages/workflow/src/testing/fuzz/commands.ts
@@ -97,6 +97,9 @@
         new WorldCommand(`advance ${durationMs}`, world => world.advance(durationMs))
     ),
     fc.constant(new WorldCommand("lose the leader", world => world.loseLeader())),
+    fc.integer({ min: 100, max: 1_500 }).map(durationMs =>
+        new WorldCommand(`stall the log for ${durationMs}`, world => world.stallLog(durationMs))
+    ),
     fc.constant(new WorldCommand("submit again", world => world.resubmit())),
     fc.nat(20).map(number =>
         new WorldCommand(`cancel job ${number}`, (world, model) => world.cancel(`job${(number % (model.jobs + 1))}`))
--- a/packages/workflow/src/testing/fuzz/world.ts
+++ b/packages/workflow/src/testing/fuzz/world.ts
@@ -56,6 +56,8 @@
     #committed = 0;
     #leader: Leader | undefined;
     #leaderFromMs = START_MS;
+    /** Until when the log commits nothing, as without a quorum. */
+    #stalledUntilMs = START_MS;
     #term = 0;
     #nowMs = START_MS;
 
@@ -103,7 +105,7 @@
     }
 
     submit(specification: JobSpecification, behaviour: JobBehaviour): void {
-        const job: SubmittedJob = {
+        const job: SubmittedJob = this.jobs.get(specification.id) ?? {
             specification,
             maxAttempts: MAX_ATTEMPTS,
             isAccepted: false,
@@ -145,6 +147,9 @@
             if (result.ok && isOut) {
                 this.oracle.zonesOutSinceMs.set(zone, this.#nowMs);
             }
+            else if (result.ok) {
+                this.oracle.zonesOutSinceMs.delete(zone);
+            }
         }, this.#times);
         this.#turn();
     }
@@ -160,6 +165,11 @@
         this.#log.length = this.#committed;
     }
 
+    /** Lets the log commit nothing for a while. */
+    stallLog(durationMs: number): void {
+        this.#stalledUntilMs = this.#nowMs + durationMs;
+    }
+
     restartWorker(index: number): void {
         this.workers[index]?.restart();
     }
@@ -183,6 +193,7 @@
     heal(): void {
         this.#cutUntilMs.clear();
         this.#failUntilMs.clear();
+        this.#stalledUntilMs = this.#nowMs;
         this.workers.filter(worker => worker.isDraining).forEach(worker => worker.restart());
         ["a", "b"].forEach(zone => this.setZone(zone, false));
     }
@@ -258,9 +269,11 @@
             return;
         }
         for (let round = 0; round < 2; round += 1) {
-            const records = this.#log.slice(this.#committed);
-            this.#committed = this.#log.length;
-            leader.node.committed(records, this.#times);
+            if (this.#nowMs >= this.#stalledUntilMs) {
+                const records = this.#log.slice(this.#committed);
+                this.#committed = this.#log.length;
+                leader.node.committed(records, this.#times);
+            }
             leader.node.run(this.#times);
         }
     }
