--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -36,6 +36,7 @@
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
 import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
 import type { PlatformServices } from "./platform-services.js";
+import { TimeOfDay } from "./time-of-day.js";
 import type { ControlMetrics } from "./workflow-metrics.js";
 
 const TICK_INTERVAL_MS = 20;
@@ -78,9 +79,6 @@
     fail: (error: Error) => void;
 }
 
-/** Returns both clocks as they are now. */
-const presentTimes = (): Times => ({ nowMs: presentTimeMs(), timeOfDayMs: Date.now() });
-
 /** A control replica of the workflow state, with its disk, listeners and timers. */
 export class ControlHost implements ControlOperations {
     readonly #settings: ControlHostSettings;
@@ -97,6 +95,7 @@
     readonly #replicaListener: ReplicaStreamListener;
     readonly #internalListener: HttpListener;
     readonly #timers: NodeJS.Timeout[] = [];
+    readonly #timeOfDay = new TimeOfDay(presentTimeMs(), Date.now());
     #seedHosts: readonly string[];
     #leaderSeenAtMs = presentTimeMs();
     #isRunScheduled = false;
@@ -271,6 +270,12 @@
         }, presentTimeMs());
     }
 
+    /** Returns both clocks as they are now. */
+    #presentTimes(): Times {
+        const nowMs = presentTimeMs();
+        return { nowMs, timeOfDayMs: this.#timeOfDay.at(nowMs, Date.now()) };
+    }
+
     #startTimers(): void {
         this.#timers.push(
             setInterval(() => this.#tick(), TICK_INTERVAL_MS),
@@ -306,7 +311,7 @@
         if (this.#runner.replica.leader !== undefined) {
             this.#leaderSeenAtMs = nowMs;
         }
-        this.#node.run(presentTimes());
+        this.#node.run(this.#presentTimes());
     }
 
     #keepMembership(): void {
@@ -353,7 +358,7 @@
         start: (respond: Respond<Value>, times: Times) => void,
     ): Promise<CallResult<Value>> {
         return new Promise(resolve => {
-            start(resolve, presentTimes());
+            start(resolve, this.#presentTimes());
             this.#scheduleRun();
         });
     }
@@ -366,7 +371,7 @@
         this.#isRunScheduled = true;
         setTimeout(() => {
             this.#isRunScheduled = false;
-            this.#node.run(presentTimes());
+            this.#node.run(this.#presentTimes());
         }, BATCH_MS);
     }
 
@@ -376,7 +381,7 @@
             term: entry.term,
             data: entry.body.case === "data" ? entry.body.value : undefined,
         }));
-        this.#node.committed(records, presentTimes());
+        this.#node.committed(records, this.#presentTimes());
         this.#scheduleRun();
     }
 
--- a/packages/workflow/src/leader/heartbeat-intake.ts
+++ b/packages/workflow/src/leader/heartbeat-intake.ts
@@ -28,7 +28,7 @@
         const newEnds = this.#takeEnds(server, report);
         const missingRuns = this.#findMissing(server, report, nowMs);
         missingRuns.forEach(run => server.removeRun(run.task));
-        server.measured();
+        server.useChanged();
         server.hasStrays = report.running.some(({ task, run }) => server.runs.get(task)?.run !== run);
         return { newEnds, missingRuns, startedJobs };
     }
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -44,6 +44,7 @@
                 }
                 else if (view.wantedPacePercent !== view.pacePercent) {
                     view.pacePercent = view.wantedPacePercent;
+                    server.useChanged();
                     paces.push({ task: view.task, run: view.run, pacePercent: view.pacePercent });
                 }
             }
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -70,7 +70,8 @@
     #reserved: Amounts = ZERO;
     #standingCpuMillicores = 0;
     #fillerCpuMillicores = 0;
-    #isSaturated = false;
+    /** Undefined until it is worked out again. */
+    #isSaturated: boolean | undefined;
     readonly #standingByImage = new Map<string, number>();
     readonly #fillersByImage = new Map<string, number>();
 
@@ -113,22 +114,15 @@
         return cpuMillicores / Math.max(1, this.capacity.cpuMillicores);
     }
 
-    /** Whether running fillers got clearly less processor time than their pace allows, by the latest heartbeat. */
+    /** Whether running fillers get clearly less processor time than their pace allows. */
     get isSaturated(): boolean {
+        this.#isSaturated ??= this.#findSaturation();
         return this.#isSaturated;
     }
 
-    /** Takes in the measurements of the latest heartbeat. */
-    measured(): void {
-        let wantedMillicores = 0;
-        let usedMillicores = 0;
-        for (const run of this.#runs.values()) {
-            if (run.kind === TaskKind.Filler && run.measurement !== undefined && run.measurement > 0) {
-                wantedMillicores += run.step.amounts.cpuMillicores * (run.pacePercent / 100);
-                usedMillicores += run.measurement;
-            }
-        }
-        this.#isSaturated = usedMillicores < wantedMillicores * SATURATION_RATIO;
+    /** Takes note that measurements or paces of runs changed. */
+    useChanged(): void {
+        this.#isSaturated = undefined;
     }
 
     /** Processor time that no reservation holds. */
@@ -188,7 +182,20 @@
         return count;
     }
 
+    #findSaturation(): boolean {
+        let wantedMillicores = 0;
+        let usedMillicores = 0;
+        for (const run of this.#runs.values()) {
+            if (run.kind === TaskKind.Filler && run.measurement !== undefined && run.measurement > 0) {
+                wantedMillicores += run.step.amounts.cpuMillicores * (run.pacePercent / 100);
+                usedMillicores += run.measurement;
+            }
+        }
+        return usedMillicores < wantedMillicores * SATURATION_RATIO;
+    }
+
     #account(run: RunView, sign: 1 | -1): void {
+        this.useChanged();
         const { amounts } = run.step;
         const isFiller = run.kind === TaskKind.Filler;
         this.#reserved = {
