--- /dev/null
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -0,0 +1,67 @@
+import { messageOf } from "@waxwingspread/common";
+import type { ReplicaRunner } from "@waxwingspread/consensus";
+import type { Logger } from "pino";
+import type { JsonCaller } from "./json-call.js";
+import { JOIN_PATH } from "./operations.js";
+import type { JoinRequest } from "./operations.js";
+
+const JOIN_TIMEOUT_MS = 500;
+/** A replica that knows no leader for this long may have been removed and asks to join again. */
+const JOIN_AFTER_MS = 1_500;
+
+/** Construction parameters of a cluster joiner. */
+export interface ClusterJoinerOptions {
+    runner: ReplicaRunner;
+    caller: JsonCaller;
+    /** Own host. */
+    host: string;
+    /** Port of the internal listeners of all replicas. */
+    internalPort: number;
+    logger: Logger;
+}
+
+/** Asks the other replicas to take this one as a member while it knows no leader. */
+export class ClusterJoiner {
+    readonly #options: ClusterJoinerOptions;
+    #leaderSeenAtMs: number;
+
+    constructor(options: ClusterJoinerOptions, nowMs: number) {
+        this.#options = options;
+        this.#leaderSeenAtMs = nowMs;
+    }
+
+    /** Takes note of whether a leader is known. */
+    tick(nowMs: number): void {
+        if (this.#options.runner.replica.leader !== undefined) {
+            this.#leaderSeenAtMs = nowMs;
+        }
+    }
+
+    /** Asks all known hosts, if it is time to. */
+    async joinIfAlone(seedHosts: readonly string[], nowMs: number): Promise<void> {
+        const { replica } = this.#options.runner;
+        if (replica.leader !== undefined || nowMs - this.#leaderSeenAtMs < JOIN_AFTER_MS) {
+            return;
+        }
+        const { name, diskId, address } = replica.identity;
+        const request: JoinRequest = { name, diskId, address };
+        const memberHosts = replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
+        const hosts = new Set(
+            [...memberHosts, ...seedHosts].filter(host => host !== "" && host !== this.#options.host),
+        );
+        await Promise.all([...hosts].map(host => this.#ask(host, request)));
+    }
+
+    async #ask(host: string, body: JoinRequest): Promise<void> {
+        const { caller, internalPort, logger } = this.#options;
+        try {
+            await caller.call({ host, port: internalPort, path: JOIN_PATH, body, timeoutMs: JOIN_TIMEOUT_MS });
+        }
+        catch (error) {
+            logger.debug({ host, reason: messageOf(error) }, "request to join failed");
+        }
+    }
+}
+
+/** Returns the host of an address, `host:port`; empty for an empty address. */
+export const hostOf = (address: string): string => address.slice(0, Math.max(0, address.lastIndexOf(":")));
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -27,6 +27,7 @@
 import { handOverLeadership } from "../roles/hand-over.js";
 import { presentTimeMs } from "../transport/present-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
+import { ClusterJoiner, hostOf } from "./cluster-joiner.js";
 import { EventLog } from "./event-log.js";
 import { forwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
@@ -45,9 +46,6 @@
 const KEEP_INTERVAL_MS = 200;
 const UTILIZATION_INTERVAL_MS = 2_000;
 const JOIN_INTERVAL_MS = 300;
-const JOIN_TIMEOUT_MS = 500;
-/** A replica that knows no leader for this long may have been removed and asks to join again. */
-const JOIN_AFTER_MS = 1_500;
 const HANDOVER_TIMEOUT_MS = 1_500;
 const LISTENER_GRACE_MS = 1_000;
 /** Records between snapshots; recovery replays at most this many. */
@@ -92,12 +90,12 @@
     readonly #node: WorkflowNode;
     readonly #eventLog: EventLog;
     readonly #keeper: MembershipKeeper;
+    readonly #joiner: ClusterJoiner;
     readonly #replicaListener: ReplicaStreamListener;
     readonly #internalListener: HttpListener;
     readonly #timers: NodeJS.Timeout[] = [];
     readonly #timeOfDay = new TimeOfDay(presentTimeMs(), Date.now());
     #seedHosts: readonly string[];
-    #leaderSeenAtMs = presentTimeMs();
     #isRunScheduled = false;
     #isStopped = false;
 
@@ -120,6 +118,13 @@
             toleratedLosses: settings.toleratedLosses,
             logger,
         });
+        this.#joiner = new ClusterJoiner({
+            runner: this.#runner,
+            caller: this.#caller,
+            host: settings.host,
+            internalPort: settings.internalPort,
+            logger,
+        }, presentTimeMs());
         this.#replicaListener = new ReplicaStreamListener(
             { host: settings.host, port: settings.replicaPort },
             messages => this.#receive(messages),
@@ -280,7 +285,7 @@
         this.#timers.push(
             setInterval(() => this.#tick(), TICK_INTERVAL_MS),
             setInterval(() => this.#keepMembership(), KEEP_INTERVAL_MS),
-            setInterval(() => void this.#joinIfAlone(), JOIN_INTERVAL_MS),
+            setInterval(() => void this.#joiner.joinIfAlone(this.#seedHosts, presentTimeMs()), JOIN_INTERVAL_MS),
             setInterval(() => this.#logUtilization(), UTILIZATION_INTERVAL_MS),
         );
     }
@@ -308,9 +313,7 @@
         const nowMs = presentTimeMs();
         this.#runner.tick(nowMs);
         this.#sender.tick(nowMs);
-        if (this.#runner.replica.leader !== undefined) {
-            this.#leaderSeenAtMs = nowMs;
-        }
+        this.#joiner.tick(nowMs);
         this.#node.run(this.#presentTimes());
     }
 
@@ -329,31 +332,6 @@
         }
     }
 
-    async #joinIfAlone(): Promise<void> {
-        const { replica } = this.#runner;
-        const isAlone = replica.leader === undefined && presentTimeMs() - this.#leaderSeenAtMs >= JOIN_AFTER_MS;
-        if (!isAlone || this.#isStopped) {
-            return;
-        }
-        const { name, diskId, address } = replica.identity;
-        const request: JoinRequest = { name, diskId, address };
-        const members = replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
-        const hosts = new Set(
-            [...members, ...this.#seedHosts].filter(host => host !== "" && host !== this.#settings.host),
-        );
-        await Promise.all([...hosts].map(host => this.#askToJoin(host, request)));
-    }
-
-    async #askToJoin(host: string, body: JoinRequest): Promise<void> {
-        const { internalPort } = this.#settings;
-        try {
-            await this.#caller.call({ host, port: internalPort, path: JOIN_PATH, body, timeoutMs: JOIN_TIMEOUT_MS });
-        }
-        catch (error) {
-            this.#logger.debug({ host, reason: messageOf(error) }, "request to join failed");
-        }
-    }
-
     #call<Value>(
         start: (respond: Respond<Value>, times: Times) => void,
     ): Promise<CallResult<Value>> {
@@ -445,7 +423,5 @@
     }
 }
 
-const hostOf = (address: string): string => address.slice(0, Math.max(0, address.lastIndexOf(":")));
-
 /** Returns a seed for a replica's random election timeouts. */
 const seedOf = (diskId: string): number => createHash("sha256").update(diskId).digest().readInt32LE(0);
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -13,12 +13,14 @@
 import { FillerPacing } from "./filler-pacing.js";
 import { HeartbeatIntake } from "./heartbeat-intake.js";
 import { Maintenance } from "./maintenance.js";
+import { OpenHeartbeats } from "./open-heartbeats.js";
 import { OrderWriter } from "./order-writer.js";
 import { PairPressure } from "./pair-pressure.js";
 import { Planner } from "./planner.js";
 import { ServerDirectory } from "./server-directory.js";
 import { ServerEventKind } from "./server-event.js";
 import type { ServerEvent } from "./server-event.js";
+import { ServerFailures } from "./server-failures.js";
 import { ServerSpeed } from "./server-speed.js";
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
@@ -28,16 +30,10 @@
 import type { Utilization } from "./utilization.js";
 import { WorkQueue } from "./work-queue.js";
 
-/** Longest time that an answer to a heartbeat waits for the log. */
-const MAX_ANSWER_DELAY_MS = 300;
 const FORGET_INTERVAL_MS = 5_000;
 const RECORD_INTERVAL_MS = 3_000;
 /** Backend servers need this long to find a new leader; until then most of the room isn't known. */
 const SETTLING_MS = 400;
-/** Failures in a row on one server, of whatever job, after which it gets no starts for a while. */
-const FAILURES_TO_AVOID = 2;
-const FIRST_AVOID_MS = 1_000;
-const MAX_AVOID_MS = 8_000;
 
 /** What a leader's session needs. */
 export interface SessionParts {
@@ -52,12 +48,6 @@
     beginMaintenance: BeginMaintenance;
 }
 
-interface WaitingAnswer {
-    report: HeartbeatReport;
-    respond: (orders: HeartbeatOrders | undefined) => void;
-    sinceMs: number;
-}
-
 /**
  * One replica's leadership during one term: what it knows of backend servers, and its decisions. All of it is
  * derived from the replicated state and from heartbeats, and is discarded with the leadership.
@@ -76,8 +66,8 @@
     readonly #speed = new ServerSpeed();
     readonly #moves: FillerMoves;
     readonly #maintenance: Maintenance;
-    readonly #answers = new Map<string, WaitingAnswer>();
-    readonly #failures = new Map<string, number>();
+    readonly #heartbeats = new OpenHeartbeats();
+    readonly #failures = new ServerFailures();
     readonly #startedJobs = new Set<string>();
     #isPlanDue = true;
     #forgetAtMs: number;
@@ -164,7 +154,7 @@
                 ends: intake.newEnds,
                 atMs: timeOfDayMs,
             });
-            this.#countFailures(server, intake.newEnds.map(end => end.end), nowMs);
+            this.#failures.count(server, intake.newEnds.map(end => end.end), nowMs);
         }
         intake.startedJobs.forEach(id => this.#startedJobs.add(id));
         this.#loseRuns(intake.missingRuns);
@@ -175,8 +165,7 @@
         if (server.avoidUntilMs > nowMs && !wasAvoided) {
             this.#report(ServerEventKind.Avoided, server, nowMs);
         }
-        this.#answers.get(server.id)?.respond(undefined);
-        this.#answers.set(server.id, { report, respond, sinceMs: nowMs });
+        this.#heartbeats.open({ report, respond, sinceMs: nowMs });
         this.#isPlanDue = true;
     }
 
@@ -198,7 +187,8 @@
         const { nowMs } = times;
         for (const server of this.#directory.takeExpired(nowMs)) {
             this.#report(ServerEventKind.LeaseExpired, server, nowMs);
-            this.#dropAnswer(server.id);
+            this.#heartbeats.drop(server.id);
+            this.#failures.forget(server.id);
             this.#pacing.forget(server);
             this.#pressure.forget(server.id);
             this.#speed.forget(server.id);
@@ -237,10 +227,7 @@
 
     /** Ends the session; open heartbeats get no orders. */
     close(): void {
-        for (const answer of this.#answers.values()) {
-            answer.respond(undefined);
-        }
-        this.#answers.clear();
+        this.#heartbeats.close();
     }
 
     /** Takes over the runs that a former leader has recorded. */
@@ -388,51 +375,36 @@
         }
     }
 
-    #countFailures(server: ServerView, ends: readonly RunEnd[], nowMs: number): void {
-        for (const end of ends) {
-            if (end === RunEnd.Done) {
-                this.#failures.delete(server.id);
-            }
-            else if (end === RunEnd.Failed) {
-                const count = (this.#failures.get(server.id) ?? 0) + 1;
-                this.#failures.set(server.id, count);
-                if (count >= FAILURES_TO_AVOID) {
-                    const avoidMs = Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** (count - FAILURES_TO_AVOID));
-                    server.avoidUntilMs = nowMs + avoidMs;
-                }
-            }
-        }
-    }
-
     #answerHeartbeats(nowMs: number): void {
-        for (const [serverId, answer] of this.#answers) {
-            const server = this.#directory.get(serverId);
-            if (server === undefined || server.sequence !== answer.report.sequence) {
-                this.#dropAnswer(serverId);
+        for (const { report, respond } of this.#heartbeats.takeReady(item => this.#waitsForLog(item), nowMs)) {
+            const server = this.#serverOf(report);
+            if (server === undefined) {
+                respond(undefined);
                 continue;
             }
-            if (nowMs - answer.sinceMs < MAX_ANSWER_DELAY_MS && this.#waitsForLog(server)) {
-                continue;
-            }
-            this.#answers.delete(serverId);
-            const written = this.#orders.write(server, answer.report, this.#directory.size, nowMs);
+            const written = this.#orders.write(server, report, this.#directory.size, nowMs);
             this.#loseRuns(written.neverStarted);
             written.neverStarted.forEach(run => server.removeRun(run.task));
-            answer.respond(written.orders);
+            respond(written.orders);
         }
     }
 
-    #waitsForLog(server: ServerView): boolean {
+    /** Returns the server of a heartbeat; undefined when a later one, or its loss, has overtaken the heartbeat. */
+    #serverOf(report: HeartbeatReport): ServerView | undefined {
+        const server = this.#directory.find(report.serverId, report.incarnation);
+        return server?.sequence === report.sequence ? server : undefined;
+    }
+
+    #waitsForLog(report: HeartbeatReport): boolean {
+        const server = this.#serverOf(report);
+        if (server === undefined) {
+            return false;
+        }
         const { id: serverId, incarnation } = server;
         const isEndWaiting = server.proposedEnd > this.#parts.state.acknowledgedEnd({ serverId, incarnation });
         return isEndWaiting || [...server.runs.values()].some(run => !run.isCommitted);
     }
 
-    #dropAnswer(serverId: string): void {
-        this.#answers.get(serverId)?.respond(undefined);
-        this.#answers.delete(serverId);
-    }
-
     /** Records what has been learned, so that the next leader need not learn it at the standing tasks' expense. */
     #recordPressures(): void {
         const pressures = this.#pressure.toTable();
