--- a/packages/workflow/src/leader/maintenance.test.ts
+++ b/packages/workflow/src/leader/maintenance.test.ts
@@ -23,8 +23,8 @@
     return { replica, calls };
 };
 
-const order = (replica: SingleReplica, vmIds: string[], maxConcurrent: number): void => {
-    const command = { id: 1, vmIds, allowedMs: 20_000, maxConcurrent };
+const order = (replica: SingleReplica, vmIds: string[], maxConcurrent: number, id = 1): void => {
+    const command = { id, vmIds, allowedMs: 20_000, maxConcurrent };
     replica.node.orderMaintenance(command, () => undefined, replica.times);
     replica.settle();
 };
@@ -132,6 +132,20 @@
     expect(vmIdsOf(calls)).toEqual(["vm-a"]);
 });
 
+// Guards against an order that is said to be completed by the maintenance that another order asked for.
+it("maintains a VM once for each order that names it, one after the other", () => {
+    const { replica, calls } = started();
+    order(replica, ["x"], 1);
+    order(replica, ["x"], 1, 2);
+    replica.advance(10);
+    expect(calls.map(({ call }) => call.maintenanceId)).toEqual([1]);
+    calls[0]?.respond(MaintenanceOutcome.Begun);
+    replica.advance(DOWN_MS + 20);
+    expect(stateOf(replica, 1)).toBe(MaintenanceState.Completed);
+    expect(stateOf(replica, 2)).toBe(MaintenanceState.Running);
+    expect(calls.map(({ call }) => call.maintenanceId)).toEqual([1, 2]);
+});
+
 // Guards against an order that is taken again, with other content, when its acknowledgement was lost.
 it("takes an order with a known id for the same order", () => {
     const { replica, calls } = started();
--- a/packages/workflow/src/leader/maintenance.ts
+++ b/packages/workflow/src/leader/maintenance.ts
@@ -26,6 +26,8 @@
 }
 
 interface VmProgress {
+    /** The order that the VM is maintained for; another order for the same VM waits. */
+    maintenanceId: number;
     phase: Phase;
     sinceMs: number;
     /** No call before this. */
@@ -50,6 +52,9 @@
  */
 export class Maintenance {
     readonly #parts: MaintenanceParts;
+    /** VMs of orders whose end is proposed for the log. */
+    readonly #ended = new Set<string>();
+    /** VMs that count as down, by id. */
     readonly #progress = new Map<string, VmProgress>();
     /** Before this, calls of the former leader may still be under way. */
     readonly #firstCallAtMs: number;
@@ -69,28 +74,41 @@
     }
 
     #follow(record: MaintenanceRecord, times: Times): void {
-        const openVmIds = record.order.vmIds.filter(vmId => record.phaseOf(vmId) !== VmMaintenancePhase.Done);
+        const openVmIds = this.#openVmIds(record);
         for (const vmId of openVmIds) {
             this.#followVm(record, vmId, openVmIds.length, times);
         }
-        const busy = openVmIds.filter(vmId => this.#progress.has(vmId)).length;
-        this.#startEmptying(openVmIds, record.order.maxConcurrent - busy, times.nowMs);
+        this.#startEmptying(record, this.#openVmIds(record), times.nowMs);
     }
 
-    #startEmptying(vmIds: readonly string[], count: number, nowMs: number): void {
+    #openVmIds(record: MaintenanceRecord): string[] {
+        const { id, vmIds } = record.order;
+        return vmIds.filter(vmId =>
+            record.phaseOf(vmId) !== VmMaintenancePhase.Done && !this.#ended.has(keyOf(id, vmId))
+        );
+    }
+
+    #startEmptying({ order }: MaintenanceRecord, vmIds: readonly string[], nowMs: number): void {
+        const busy = vmIds.filter(vmId => this.#progressFor(order.id, vmId) !== undefined).length;
         const load = (vmId: string): number => this.#serverOf(vmId)?.standingCpuMillicores ?? 0;
         const waiting = vmIds.filter(vmId => !this.#progress.has(vmId)).sort((a, b) => load(a) - load(b));
-        for (const vmId of waiting.slice(0, Math.max(0, count))) {
-            this.#progress.set(vmId, { phase: Phase.Emptying, sinceMs: nowMs, retryAtMs: nowMs, backAtMs: 0 });
+        for (const vmId of waiting.slice(0, Math.max(0, order.maxConcurrent - busy))) {
+            this.#progress.set(vmId, newProgress(order.id, Phase.Emptying, nowMs));
         }
     }
 
+    #progressFor(maintenanceId: number, vmId: string): VmProgress | undefined {
+        const progress = this.#progress.get(vmId);
+        return progress?.maintenanceId === maintenanceId ? progress : undefined;
+    }
+
     #followVm(record: MaintenanceRecord, vmId: string, openVms: number, times: Times): void {
         const { nowMs } = times;
         const isBegun = record.phaseOf(vmId) === VmMaintenancePhase.Begun;
-        let progress = this.#progress.get(vmId);
+        let progress = this.#progressFor(record.order.id, vmId);
         if (progress === undefined && isBegun) {
-            progress = { phase: Phase.Down, sinceMs: nowMs, retryAtMs: nowMs, backAtMs: this.#backAtMs(nowMs) };
+            // A former leader had it begun.
+            progress = { ...newProgress(record.order.id, Phase.Down, nowMs), backAtMs: this.#backAtMs(nowMs) };
             this.#progress.set(vmId, progress);
         }
         if (progress?.phase === Phase.Down && nowMs >= progress.backAtMs) {
@@ -139,6 +157,11 @@
 
     #end(record: MaintenanceRecord, vmId: string): void {
         this.#progress.delete(vmId);
+        this.#ended.add(keyOf(record.order.id, vmId));
+        const server = this.#serverOf(vmId);
+        if (server !== undefined) {
+            server.isInMaintenance = false;
+        }
         const { id: maintenanceId } = record.order;
         this.#parts.propose({ kind: EventKind.VmMaintained, maintenanceId, vmId, phase: VmMaintenancePhase.Done });
     }
@@ -157,6 +180,16 @@
     }
 }
 
+const keyOf = (maintenanceId: number, vmId: string): string => `${maintenanceId}/${vmId}`;
+
+const newProgress = (maintenanceId: number, phase: Phase, nowMs: number): VmProgress => ({
+    maintenanceId,
+    phase,
+    sinceMs: nowMs,
+    retryAtMs: nowMs,
+    backAtMs: 0,
+});
+
 /** Whether a VM may go down: nothing runs there, or nothing that has to be spared once the patience has ended. */
 const isEmptied = (server: ServerView, isPatienceOver: boolean): boolean =>
     server.runs.size === 0
