Don't give up a former leader's run for a heartbeat that may be older than its order

The heartbeat may have been sent before the predecessor's order and arrive late; where the order may not be sent again (zone out of service, draining server), the run was given up and its task started elsewhere, while or after it ran. Change: such a run is given up only once the server has been heard for 1.5 s in this term without it, or when its job is over. Test: workflow-node.test.ts starts the task a second time without the change. Ruled out by reading: a session that begins before the former leader's records are applied (the quorum lease needs the own first entry committed, and commits are applied before timers run); ends that are acknowledged before their record is committed.

--- a/packages/daemon/src/workflow/time-of-day.test.ts
+++ b/packages/daemon/src/workflow/time-of-day.test.ts
@@ -13,7 +13,7 @@
     }
 });
 
-// Guards against a clock that stays wrong after it was corrected for good, or after the machine was suspended.
+// Guards against a clock that stays wrong after it was corrected for good, or after the VM was suspended.
 it("reaches a time that is set for good", () => {
     const timeOfDay = new TimeOfDay(0, DAY_MS);
     let shownMs = 0;
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -236,7 +236,7 @@
             const key = taskKeyOf(position);
             const { run, checkpoint } = task;
             const kind = taskKindOf(step);
-            const view = newRunView({ task: key, run, position, step, kind, checkpoint }, nowMs);
+            const view = newRunView({ task: key, run, position, step, kind, checkpoint, isAdopted: true }, nowMs);
             view.isCommitted = true;
             view.isStopping = job.isOver;
             // The former leader may have sent the order; only the next heartbeat tells.
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -9,6 +9,9 @@
 /** All servers together send at most one heartbeat in this time, which bounds the leader's load in a large fleet. */
 const MIN_HEARTBEAT_SPACING_MS = 1;
 
+/** Heartbeats that were sent before a leader's election have arrived, or are overtaken, this long after the first. */
+const LATE_HEARTBEATS_MS = 1_500;
+
 /** An answer, and the runs that it gives up because they have not begun and may not any more. */
 export interface WrittenOrders {
     orders: HeartbeatOrders;
@@ -53,7 +56,7 @@
                     view.orderedAtSequence = report.sequence;
                     starts.push(this.#startOf(view));
                 }
-                else {
+                else if (this.#hasNotBegun(server, view, nowMs)) {
                     neverStarted.push(view);
                 }
             }
@@ -82,6 +85,15 @@
             .map(({ task, run }) => ({ task, run }));
     }
 
+    /**
+     * Whether a run that the server doesn't list has certainly not begun. After a change of the leader the first
+     * heartbeats may have been sent before the former leader's order, and only arrive late.
+     */
+    #hasNotBegun(server: ServerView, view: RunView, nowMs: number): boolean {
+        const isOver = this.#state.job(view.position.jobId)?.isOver !== false;
+        return !view.isAdopted || isOver || nowMs - (server.firstHeardAtMs ?? nowMs) >= LATE_HEARTBEATS_MS;
+    }
+
     #mayStart(server: ServerView, view: RunView, nowMs: number): boolean {
         const job = this.#state.job(view.position.jobId);
         return !view.isStopping
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -11,6 +11,8 @@
     readonly kind: TaskKind;
     /** Approval of the eligibility service for this run; undefined where none is needed. */
     readonly eligibilityToken: string | undefined;
+    /** Whether a former leader recorded the run; it may have sent the order. */
+    readonly isAdopted: boolean;
     /** Whether the assignment is recorded, so that the order may leave. */
     isCommitted: boolean;
     /** Sequence of the heartbeat whose answer carried the start; undefined before. */
@@ -58,6 +60,8 @@
     /** Sequence of the latest heartbeat; undefined before the first in this term. */
     sequence: number | undefined;
     heardAtMs: number;
+    /** First heartbeat in this term; undefined before. */
+    firstHeardAtMs: number | undefined;
     /** When every lease has certainly expired unless another heartbeat is answered. */
     leaseExpiresAtMs: number;
     /** Ends up to here are proposed for the log. */
@@ -146,6 +150,7 @@
         this.leavesAtMs = report.isDraining && report.remainingMs !== undefined ? nowMs + report.remainingMs : Infinity;
         this.sequence = report.sequence;
         this.heardAtMs = nowMs;
+        this.firstHeardAtMs ??= nowMs;
     }
 
     /** Whether a task fits beside what is reserved. */
@@ -233,12 +238,14 @@
     kind: TaskKind;
     checkpoint: string;
     eligibilityToken?: string | undefined;
+    isAdopted?: boolean;
 }
 
 /** Creates the view of a run that is about to be recorded. */
-export const newRunView = ({ eligibilityToken, ...assigned }: NewRun, nowMs: number): RunView => ({
+export const newRunView = ({ eligibilityToken, isAdopted = false, ...assigned }: NewRun, nowMs: number): RunView => ({
     ...assigned,
     eligibilityToken,
+    isAdopted,
     isCommitted: false,
     orderedAtSequence: undefined,
     isReported: false,
--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -137,6 +137,40 @@
         expect(replica.heartbeat(heartbeatOf("s", 4))?.starts).toHaveLength(1);
     });
 
+    // Guards against a task that runs twice: a heartbeat that the server sent before it got the former leader's order
+    // arrives late at the next leader, which may not send the order again.
+    it("isn't given up because of a heartbeat from before the former leader's order", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        const running = runningOf(replica.heartbeat(heartbeatOf("s", 3)));
+        expect(running).toHaveLength(1);
+        replica.failOver();
+        replica.node.setZone("a", true, () => undefined, replica.times);
+        replica.heartbeat(heartbeatOf("other", 1, { availabilityZone: "b" }));
+        replica.heartbeat(heartbeatOf("s", 2));
+        replica.advance(500);
+        expect(replica.heartbeat(heartbeatOf("other", 2, { availabilityZone: "b" }))?.starts).toEqual([]);
+        replica.heartbeat(heartbeatOf("s", 4, { running }));
+        replica.heartbeat(heartbeatOf("s", 5, { ended: [endOf(1, "j.0.0.0", 1)] }));
+        expect(replica.stateOf("j")).toBe(JobState.Completed);
+    });
+
+    // Guards against a task that waits for good for a run that a former leader never ordered.
+    it("is given up when the server goes on without it after a change of the leader", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        replica.failOver();
+        replica.node.setZone("a", true, () => undefined, replica.times);
+        for (let sequence = 2; sequence < 10; sequence += 1) {
+            replica.heartbeat(heartbeatOf("s", sequence));
+            replica.heartbeat(heartbeatOf("other", sequence, { availabilityZone: "b" }));
+            replica.advance(300);
+        }
+        expect(replica.node.state.job("j")?.task({ jobId: "j", occurrence: 0, step: 0, index: 0 })?.run).toBe(2);
+    });
+
     // Guards against a task that a later leader, which knows nothing of the run, starts a second time.
     it("has no order in an answer that leaves before its record is committed", () => {
         const replica = SingleReplica.started();
