Look runs, queues and approvals up in one way each; work limits out once a step

Limits are worked out once a step, queues are found by name. - Servers for a query to the eligibility service were filtered and sorted also when no query could be made; verdicts have one shape in place of three. - A maintenance order sorted all its VMs in each turn, each comparison looking through all servers; it now does so only when a VM may go next. - A heartbeat's answer copied the server's runs to look for unrecorded ones. - bench:workflow uses the fixtures of the workflow's tests instead of a copy. Ruled out: one guard for the eleven calls of WorkflowNode (it would answer and tell at once); sharing control-host's flush with control-role's (another timer, another meaning).

--- a/packages/bench/src/workflow/session-load.ts
+++ b/packages/bench/src/workflow/session-load.ts
@@ -1,5 +1,6 @@
 import { WorkflowNode } from "@waxwingspread/workflow";
 import type { CommittedRecord, Configuration, JobSpecification, StepSpecification } from "@waxwingspread/workflow";
+import { configurationOf, fillerStepOf, HOST, jobOf, standingStepOf, stepOf } from "@waxwingspread/workflow/testing";
 import { Ok } from "ts-results-es";
 import { SimulatedServer } from "./simulated-server.js";
 
@@ -8,7 +9,6 @@
 const HEARTBEAT_MS = 100;
 /** Figures count from here on, when the first jobs run. */
 const WARM_UP_MS = 2_000;
-const HOST = "jobs.example";
 /** Share of the starts that belong to short jobs, of two steps with 16 tasks in all; the others are fillers. */
 const SHORT_RATIO = 0.38;
 const SHORT_TASKS = 16;
@@ -46,32 +46,18 @@
     msPerStart: number;
 }
 
-const stepOf = (changes: Partial<StepSpecification>): StepSpecification => ({
-    taskCount: 1,
-    amounts: { cpuMillicores: 1_000, memoryMebibytes: 2_000, accelerators: 0 },
-    estimatedRunTimeMs: 640,
-    dependsOn: [],
-    savesCheckpoints: false,
-    isGang: false,
-    prefersOneRack: false,
-    requiredLabel: "",
-    dataRack: "",
-    maxTasksPerServer: 0,
-    allowsCopies: false,
-    isStanding: false,
-    image: "short",
-    targetTailMs: 0,
-    isFiller: false,
-    maxUnavailable: undefined,
-    ...changes,
-});
-
-const fillerStepOf = (taskCount: number, number: number, dependsOn: number[]): StepSpecification =>
+const shortStepOf = (taskCount: number, dependsOn: number[]): StepSpecification =>
     stepOf({
         taskCount,
         dependsOn,
-        isFiller: true,
-        savesCheckpoints: true,
+        estimatedRunTimeMs: 640,
+        amounts: { cpuMillicores: 1_000, memoryMebibytes: 2_000, accelerators: 0 },
+    });
+
+const fillersOf = (taskCount: number, number: number, dependsOn: number[]): StepSpecification =>
+    fillerStepOf({
+        taskCount,
+        dependsOn,
         image: `filler-${number % IMAGES.filler}`,
         estimatedRunTimeMs: 2_700,
         amounts: { cpuMillicores: 1_800, memoryMebibytes: 3_200, accelerators: 0 },
@@ -79,34 +65,27 @@
 
 /** Steps of the jobs of each queue; the number varies their images. */
 const STEPS: Readonly<Record<Queue, (number: number) => StepSpecification[]>> = {
-    [Queue.Short]: () => [stepOf({ taskCount: 10 }), stepOf({ taskCount: SHORT_TASKS - 10, dependsOn: [0] })],
-    [Queue.Filler]: number => [fillerStepOf(FILLER_TASKS / 2, number, []), fillerStepOf(FILLER_TASKS / 2, number, [0])],
-    [Queue.Standing]: number => [stepOf({
+    [Queue.Short]: () => [shortStepOf(10, []), shortStepOf(SHORT_TASKS - 10, [0])],
+    [Queue.Filler]: number => [fillersOf(FILLER_TASKS / 2, number, []), fillersOf(FILLER_TASKS / 2, number, [0])],
+    [Queue.Standing]: number => [standingStepOf({
         taskCount: STANDING_TASKS_PER_JOB,
-        isStanding: true,
         image: `standing-${number % IMAGES.standing}`,
         targetTailMs: 150,
         amounts: { cpuMillicores: 3_200, memoryMebibytes: 6_400, accelerators: 0 },
     })],
 };
 
-const CONFIGURATION: Configuration = {
-    version: 1,
-    queues: Object.values(Queue).map(name => ({
-        name,
-        host: HOST,
-        pathPrefix: `/${name}/`,
-        service: "pool",
-        priority: name === Queue.Filler ? 2 : 0,
-        maxAttempts: 3,
-        stretchRatio: 2,
-        targetDurationMs: 1_000,
-        timeoutMs: 3_000,
-        eligibility: undefined,
-    })),
-    services: [{ name: "pool", guardsCapacity: true, isStandby: false }],
-    maxBodyBytes: 262_144,
-    document: "{}",
+const configuration = (): Configuration => {
+    const base = configurationOf(1);
+    const queues = base.queues.flatMap(queue =>
+        Object.values(Queue).map(name => ({
+            ...queue,
+            name,
+            pathPrefix: `/${name}/`,
+            priority: name === Queue.Filler ? 2 : 0,
+        }))
+    );
+    return { ...base, queues };
 };
 
 /** Drives one leader's workflow node, without disk and network, with simulated servers and a steady load. */
@@ -133,7 +112,7 @@
 
     run(): SessionFigures {
         this.#turn();
-        this.#node.configure(CONFIGURATION, () => undefined, this.#times);
+        this.#node.configure(configuration(), () => undefined, this.#times);
         this.#turn();
         const standingJobs = (this.#load.servers * STANDING_TASKS_PER_SERVER) / STANDING_TASKS_PER_JOB;
         for (let job = 0; job < standingJobs; job += 1) {
@@ -191,12 +170,7 @@
         this.#jobs += 1;
         const id = this.#jobs.toString(16).padStart(16, "0");
         this.#queues.set(id, queue);
-        const job: JobSpecification = {
-            id,
-            payload: "p".repeat(200),
-            steps: STEPS[queue](this.#jobs),
-            schedule: undefined,
-        };
+        const job: JobSpecification = { ...jobOf(id, ...STEPS[queue](this.#jobs)), payload: "p".repeat(200) };
         this.#node.submit({ host: HOST, path: `/${queue}/${id}` }, job, () => undefined, this.#times);
     }
 
--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -32,8 +32,15 @@
     respond: (eligible: readonly EligibleServer[] | undefined, nowMs: number) => void,
 ) => void;
 
-/** What is known of one server for one step: an approval, or a refusal, which lasts. */
-type Verdict = { token: string; validUntilMs: number } | undefined;
+/** What is known of one server for one step. */
+interface Verdict {
+    /** Undefined for a refusal, which lasts. */
+    token: string | undefined;
+    validUntilMs: number;
+}
+
+const UNKNOWN: Verdict = { token: undefined, validUntilMs: -Infinity };
+const REFUSED: Verdict = { token: undefined, validUntilMs: Infinity };
 
 /**
  * Remembers which backend servers the eligibility service allows for each step, and asks about further ones. What
@@ -52,14 +59,17 @@
 
     /** Returns the approval of a server for a step; undefined without one that is still valid. */
     tokenFor(step: string, server: ServerView, nowMs: number): string | undefined {
-        const verdict = this.#verdicts.get(step)?.get(keyOf(server));
-        return verdict !== undefined && nowMs < verdict.validUntilMs ? verdict.token : undefined;
+        const { token, validUntilMs } = this.#verdictOn(step, server);
+        return nowMs < validUntilMs ? token : undefined;
     }
 
-    /** Asks about the first of these servers of which nothing valid is known, for as many tasks as wait. */
+    /**
+     * Asks about the first candidates of which nothing valid is known, for as many tasks as wait. The candidates are
+     * worked out only when a query may be made now.
+     */
     inquire(
         step: string,
-        servers: readonly ServerView[],
+        candidates: () => readonly ServerView[],
         waitingTasks: number,
         terms: EligibilityTerms,
         nowMs: number,
@@ -67,9 +77,10 @@
         if (this.#open.size >= MAX_OPEN_QUERIES || this.#open.has(step) || nowMs < this.#retryAtMs) {
             return;
         }
-        const known = this.#verdicts.get(step);
         const limit = Math.min(MAX_SERVERS_PER_QUERY, waitingTasks + SPARE_SERVERS);
-        const asked = servers.filter(server => isUnknown(known, server, nowMs)).slice(0, limit);
+        const asked = candidates()
+            .filter(server => nowMs >= this.#verdictOn(step, server).validUntilMs)
+            .slice(0, limit);
         if (asked.length === 0) {
             return;
         }
@@ -95,6 +106,10 @@
         }
     }
 
+    #verdictOn(step: string, server: ServerView): Verdict {
+        return this.#verdicts.get(step)?.get(keyOf(server)) ?? UNKNOWN;
+    }
+
     #record(
         step: string,
         asked: readonly ServerView[],
@@ -106,19 +121,9 @@
         const tokens = new Map(eligible.map(({ serverId, token }) => [serverId, token]));
         for (const server of asked) {
             const token = tokens.get(server.id);
-            verdicts.set(keyOf(server), token === undefined ? undefined : { token, validUntilMs });
+            verdicts.set(keyOf(server), token === undefined ? REFUSED : { token, validUntilMs });
         }
     }
 }
 
 const keyOf = (server: ServerView): string => `${server.id}/${server.incarnation}`;
-
-/** Whether the service has to be asked: never before, or its approval has ended. */
-const isUnknown = (known: ReadonlyMap<string, Verdict> | undefined, server: ServerView, nowMs: number): boolean => {
-    const key = keyOf(server);
-    if (known === undefined || !known.has(key)) {
-        return true;
-    }
-    const verdict = known.get(key);
-    return verdict !== undefined && nowMs >= verdict.validUntilMs;
-};
--- a/packages/workflow/src/leader/heartbeat-intake.ts
+++ b/packages/workflow/src/leader/heartbeat-intake.ts
@@ -29,13 +29,13 @@
         const missingRuns = this.#findMissing(server, report, nowMs);
         missingRuns.forEach(run => server.removeRun(run.task));
         server.useChanged();
-        server.hasStrays = report.running.some(({ task, run }) => server.runs.get(task)?.run !== run);
+        server.hasStrays = report.running.some(({ task, run }) => server.findRun(task, run) === undefined);
         return { newEnds, missingRuns, startedJobs };
     }
 
     #takeRunning(server: ServerView, reported: ReportedRun, nowMs: number): string[] {
-        const view = server.runs.get(reported.task);
-        if (view?.run !== reported.run) {
+        const view = server.findRun(reported.task, reported.run);
+        if (view === undefined) {
             return [];
         }
         view.isReported = true;
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -272,27 +272,28 @@
 
     #followAssigned(event: EventOf<EventKind.RunsAssigned>, times: Times): void {
         for (const assigned of event.runs) {
-            this.#planner.settled(assigned.task);
-            const view = this.#directory.find(assigned.serverId, assigned.incarnation)?.runs.get(assigned.task);
-            if (view?.run === assigned.run) {
+            const { task, run, serverId, incarnation } = assigned;
+            const view = this.#directory.find(serverId, incarnation)?.findRun(task, run);
+            if (view !== undefined) {
                 view.isCommitted = true;
-                view.isStopping ||= this.#jobOf(assigned.task)?.isOver ?? true;
+                view.isStopping ||= this.#jobOf(task)?.isOver ?? true;
             }
             else {
                 // The server has left since; no order was sent.
                 this.#parts.propose({
                     kind: EventKind.RunsLost,
-                    runs: [{ task: assigned.task, run: assigned.run, checkpoint: "" }],
+                    runs: [{ task, run, checkpoint: "" }],
                 });
             }
-            this.#followTask(assigned.task, times);
+            this.#planner.settled(task);
+            this.#followTask(task, times);
         }
     }
 
     #followEnded(event: EventOf<EventKind.RunsEnded>, times: Times): void {
         const server = this.#directory.find(event.server.serverId, event.server.incarnation);
         for (const ended of event.ends) {
-            if (server?.runs.get(ended.task)?.run === ended.run) {
+            if (server?.findRun(ended.task, ended.run) !== undefined) {
                 server.removeRun(ended.task);
             }
             this.#followTask(ended.task, times);
@@ -402,7 +403,7 @@
         }
         const { id: serverId, incarnation } = server;
         const isEndWaiting = server.proposedEnd > this.#parts.state.acknowledgedEnd({ serverId, incarnation });
-        return isEndWaiting || [...server.runs.values()].some(run => !run.isCommitted);
+        return isEndWaiting || server.hasUncommittedRuns;
     }
 
     /** Records what has been learned, so that the next leader need not learn it at the standing tasks' expense. */
--- a/packages/workflow/src/leader/maintenance.ts
+++ b/packages/workflow/src/leader/maintenance.ts
@@ -90,9 +90,14 @@
 
     #startEmptying({ order }: MaintenanceRecord, vmIds: readonly string[], nowMs: number): void {
         const busy = vmIds.filter(vmId => this.#progressFor(order.id, vmId) !== undefined).length;
-        const load = (vmId: string): number => this.#serverOf(vmId)?.standingCpuMillicores ?? 0;
-        const waiting = vmIds.filter(vmId => !this.#progress.has(vmId)).sort((a, b) => load(a) - load(b));
-        for (const vmId of waiting.slice(0, Math.max(0, order.maxConcurrent - busy))) {
+        if (busy >= order.maxConcurrent) {
+            return;
+        }
+        const waiting = vmIds
+            .filter(vmId => !this.#progress.has(vmId))
+            .map(vmId => ({ vmId, load: this.#serverOf(vmId)?.standingCpuMillicores ?? 0 }))
+            .sort((a, b) => a.load - b.load);
+        for (const { vmId } of waiting.slice(0, order.maxConcurrent - busy)) {
             this.#progress.set(vmId, newProgress(order.id, Phase.Emptying, nowMs));
         }
     }
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -81,7 +81,7 @@
     /** Runs that nobody wants any more, for example after their lease was taken for expired. */
     #stopsOfStrays(server: ServerView, report: HeartbeatReport): StopOrder[] {
         return report.running
-            .filter(({ task, run }) => server.runs.get(task)?.run !== run)
+            .filter(({ task, run }) => server.findRun(task, run) === undefined)
             .map(({ task, run }) => ({ task, run }));
     }
 
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -18,6 +18,9 @@
     assigned: AssignedRun;
 }
 
+/** Limits that hold for all tasks of a step. */
+type StepLimits = Omit<PlacementLimits, "rackOfStep">;
+
 /** Gives waiting tasks to backend servers. */
 export class Planner {
     readonly #state: WorkflowState;
@@ -74,6 +77,7 @@
             return [];
         }
         const planned: PlannedRun[] = [];
+        const limits = this.#limitsOf(waiting, nowMs);
         const { tasks } = waiting.record;
         // Members of a gang share one run number, above every earlier one.
         const gangRun = waiting.step.isGang ? Math.max(...tasks.map(task => task.run)) + 1 : undefined;
@@ -85,7 +89,7 @@
                 isComplete &&= gangRun === undefined;
                 continue;
             }
-            const run = this.#planTask(waiting, index, gangRun ?? task.run + 1, nowMs);
+            const run = this.#planTask(waiting, limits, index, gangRun ?? task.run + 1, nowMs);
             if (run === undefined) {
                 isComplete = false;
                 break;
@@ -99,9 +103,16 @@
         return planned.map(run => run.assigned);
     }
 
-    #planTask(waiting: WaitingStep, index: number, run: number, nowMs: number): PlannedRun | undefined {
+    #planTask(
+        waiting: WaitingStep,
+        stepLimits: StepLimits,
+        index: number,
+        run: number,
+        nowMs: number,
+    ): PlannedRun | undefined {
         const { job, occurrence, stepIndex, step, kind } = waiting;
-        const limits = this.#limitsOf(waiting, nowMs);
+        // The first task that gets a server decides on the rack of the others.
+        const limits = { ...stepLimits, rackOfStep: step.prefersOneRack ? this.#rackOfStep(waiting) : "" };
         const shape = `${kind} ${limits.service} ${step.image} ${step.requiredLabel}`;
         if (needsAtLeast(step.amounts, this.#unplaced.get(shape))) {
             return undefined;
@@ -123,13 +134,12 @@
         return { server, assigned: { task, run, serverId: server.id, incarnation: server.incarnation } };
     }
 
-    #limitsOf(waiting: WaitingStep, nowMs: number): PlacementLimits {
+    #limitsOf(waiting: WaitingStep, nowMs: number): StepLimits {
         const { service, eligibility } = this.#state.presentQueueOf(waiting.job);
         const step = stepKeyOf(waiting);
         return {
             service,
             zonesOutOfService: this.#state.zonesOutOfService,
-            rackOfStep: waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "",
             isEligible: eligibility === undefined
                 ? undefined
                 : server => this.#eligibility.tokenFor(step, server, nowMs) !== undefined,
@@ -140,9 +150,9 @@
     #inquire(waiting: WaitingStep, limits: PlacementLimits, nowMs: number): void {
         const { eligibility } = this.#state.presentQueueOf(waiting.job);
         if (eligibility !== undefined) {
-            const servers = serversWithRoom(waiting, this.#directory.servers, limits, nowMs);
+            const candidates = (): ServerView[] => serversWithRoom(waiting, this.#directory.servers, limits, nowMs);
             const { tasks, doneCount } = waiting.record;
-            this.#eligibility.inquire(stepKeyOf(waiting), servers, tasks.length - doneCount, eligibility, nowMs);
+            this.#eligibility.inquire(stepKeyOf(waiting), candidates, tasks.length - doneCount, eligibility, nowMs);
         }
     }
 
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -177,6 +177,22 @@
         return run;
     }
 
+    /** Returns a task's run by its number; undefined when the leader knows another run of the task here, or none. */
+    findRun(task: string, run: number): RunView | undefined {
+        const view = this.#runs.get(task);
+        return view?.run === run ? view : undefined;
+    }
+
+    /** Whether a run still waits for its record. */
+    get hasUncommittedRuns(): boolean {
+        for (const run of this.#runs.values()) {
+            if (!run.isCommitted) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns how many tasks of one step of one occurrence are on the server. */
     countOfStep({ jobId, occurrence, step }: TaskPosition): number {
         let count = 0;
--- a/packages/workflow/src/state/workflow-state.ts
+++ b/packages/workflow/src/state/workflow-state.ts
@@ -31,6 +31,8 @@
 /** Replicated state. It changes only by committed events, alike on all replicas. */
 export class WorkflowState {
     #configuration: Configuration | undefined;
+    /** Queues of the configuration by name. */
+    #queues: ReadonlyMap<string, QueueContract> = new Map();
     readonly #zonesOutOfService = new Set<string>();
     readonly #jobs = new Map<string, JobRecord>();
     readonly #acknowledged = new Map<string, AcknowledgedEnds>();
@@ -58,7 +60,9 @@
     /** Restores a state from a snapshot. */
     static fromSnapshot(snapshot: WorkflowSnapshot): WorkflowState {
         const state = new WorkflowState();
-        state.#configuration = snapshot.configuration;
+        if (snapshot.configuration !== undefined) {
+            state.#setConfiguration(snapshot.configuration);
+        }
         snapshot.zonesOutOfService.forEach(zone => state.#zonesOutOfService.add(zone));
         for (const content of snapshot.jobs) {
             state.#jobs.set(content.specification.id, new JobRecord(content));
@@ -102,7 +106,7 @@
 
     /** Returns the contract of a job's queue in the present configuration, or as it was when the job was accepted. */
     presentQueueOf(job: JobRecord): QueueContract {
-        return this.#configuration?.queues.find(queue => queue.name === job.queue.name) ?? job.queue;
+        return this.#queues.get(job.queue.name) ?? job.queue;
     }
 
     /** Returns the last recorded end of an incarnation of a backend server; 0 for none. */
@@ -129,10 +133,16 @@
 
     #acceptConfiguration(configuration: Configuration): void {
         if (configuration.version > (this.#configuration?.version ?? -Infinity)) {
-            this.#configuration = configuration;
+            this.#setConfiguration(configuration);
         }
     }
 
+    #setConfiguration(configuration: Configuration): void {
+        this.#configuration = configuration;
+        // Of queues that share a name the first one counts.
+        this.#queues = new Map(configuration.queues.toReversed().map(queue => [queue.name, queue]));
+    }
+
     #orderMaintenance({ order, atMs }: EventOf<EventKind.MaintenanceOrdered>): void {
         if (!this.#maintenances.has(order.id)) {
             this.#maintenances.set(order.id, new MaintenanceRecord({ order, orderedAtMs: atMs, phases: {} }));
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -18,6 +18,9 @@
 export default defineConfig({
     resolve: {
         alias: [{ find: "@waxwingspread/daemon/workflow", replacement: `${packages}/daemon/src/workflow/index.ts` }, {
+            find: "@waxwingspread/workflow/testing",
+            replacement: `${packages}/workflow/src/testing/fixtures.ts`,
+        }, {
             find: /^@waxwingspread\/(.+)$/,
             replacement: `${packages}/$1/src/index.ts`,
         }],
