--- a/packages/bench/src/policy/variants.ts
+++ b/packages/bench/src/policy/variants.ts
@@ -1,8 +1,8 @@
 import { SeededRandom } from "@waxwingspread/common";
 import { WorkKind } from "@waxwingspread/protocol";
-import { createPolicies } from "@waxwingspread/scheduler";
+import { BasicInterferencePolicy, createPolicies } from "@waxwingspread/scheduler";
 import type { PolicyParameters, PolicySet } from "@waxwingspread/scheduler";
-import { LeastLoadedPlacement, NoInterferencePolicy } from "./baselines.js";
+import { LeastLoadedPlacement } from "./baselines.js";
 import type { Deployment } from "./deployments.js";
 import { PREVIOUS_PARAMETERS } from "./previous-parameters.js";
 import { serverIdOf } from "./registration.js";
@@ -23,7 +23,7 @@
 ): PolicySet => ({
     ...createPolicies({ random: new SeededRandom(seed) }),
     placement: new LeastLoadedPlacement(permits, reservedSlotRatio),
-    interference: new NoInterferencePolicy(),
+    interference: new BasicInterferencePolicy(),
 });
 
 /** Without these free slots, `leastLoaded` fills every slot with batch tasks and preempts for almost every request. */
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,5 +1,7 @@
 export type { AddressedOrder } from "./orders/order-tracker.js";
-export * from "./policy/basic-policies.js";
+export * from "./policy/basic/create-basic-policies.js";
+export { BasicInterferencePolicy } from "./policy/basic/interference-policy.js";
+export { BasicPlacement } from "./policy/basic/placement-policy.js";
 export * from "./policy/create-policies.js";
 export * from "./policy/types.js";
 export * from "./scheduler.js";
--- a/packages/scheduler/src/policy/basic-zone-policy.ts
+++ b/packages/scheduler/src/policy/basic/zone-policy.ts
@@ -1,6 +1,6 @@
 import { WorkKind } from "@waxwingspread/protocol";
-import { TokenBucket } from "../timing/token-bucket.js";
-import type { PlacedTask, TaskKey, ZonePolicy } from "./types.js";
+import { TokenBucket } from "../../timing/token-bucket.js";
+import type { PlacedTask, TaskKey, ZonePolicy } from "../types.js";
 
 const REFILL_MS = 30_000;
 const INITIAL_FILL_RATIO = 0.1;
