Keep the arithmetic of resource amounts in one module

policy/amounts.ts and state/resources.ts had the same type and three of the same functions. The one difference, rounding up, is now in the name toRoundedResources. No change of behaviour.

--- a/packages/scheduler/src/policy/admission-control.ts
+++ b/packages/scheduler/src/policy/admission-control.ts
@@ -1,13 +1,13 @@
 import type { JobSpecification } from "@waxwingspread/protocol";
 import { Reason, WorkKind } from "@waxwingspread/protocol";
-import { fitsWithin, scaleAmounts } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import { fitsWithin, scaleResources } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import { TokenBucket } from "./token-bucket.js";
 import type { Admission, AdmissionPolicy, CustomerLimits, QueuedJob } from "./types.js";
 
 /** Queries to other policies on which {@link AdmissionControl} depends. */
 export interface AdmissionDependencies {
-    couldEverFit(reserved: Amounts): boolean;
+    couldEverFit(reserved: ResourceAmounts): boolean;
     queuedCount(customer: string): number;
     expectedRunTimeMs(classKey: string, declaredMs: number): number;
 }
@@ -91,7 +91,7 @@
         }
         const share = quotaShareOf(limits, job.workKind);
         const quota = limits.quota.resources;
-        if (quota !== undefined && !fitsWithin(job.reserved, scaleAmounts(quota, share))) {
+        if (quota !== undefined && !fitsWithin(job.reserved, scaleResources(quota, share))) {
             return refuse(
                 Reason.LARGER_THAN_QUOTA,
                 `larger than ${share} of the customer's quota`,
--- a/packages/scheduler/src/policy/create-policies.ts
+++ b/packages/scheduler/src/policy/create-policies.ts
@@ -1,6 +1,6 @@
 import type { SeededRandom } from "@waxwingspread/common";
+import type { ResourceAmounts } from "../state/resources.js";
 import { AdmissionControl } from "./admission-control.js";
-import type { Amounts } from "./amounts.js";
 import { ClassProfiles } from "./class-profiles.js";
 import { FAIR_SHARE_DEFAULTS, FairShareQueue } from "./fair-share-queue.js";
 import type { FairShareParameters } from "./fair-share-queue.js";
@@ -72,7 +72,7 @@
 /** Builds the policies of one scheduler and connects those that depend on each other. */
 export const createPolicies = (options: PolicyOptions): PolicySet => {
     const parameters = { ...POLICY_DEFAULTS, ...options.parameters };
-    const largestCapacity = (): Amounts | undefined => placement.largestCapacity;
+    const largestCapacity = (): ResourceAmounts | undefined => placement.largestCapacity;
     const profiles = new ClassProfiles();
     const reservation = new ReservationEstimator(
         largestCapacity,
--- a/packages/scheduler/src/policy/customer-account.ts
+++ b/packages/scheduler/src/policy/customer-account.ts
@@ -1,6 +1,6 @@
 import { WorkKind } from "@waxwingspread/protocol";
-import { addAmounts, dominantShare, subtractAmounts, zeroAmounts } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import { addAmounts, dominantShare, subtractAmounts, zeroAmounts } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import type { CustomerLimits, QueuedJob, TaskKey } from "./types.js";
 
 /** Work kinds in descending order of priority. */
@@ -10,7 +10,7 @@
 export interface CountedTask {
     taskKey: TaskKey;
     workKind: WorkKind;
-    reserved: Amounts;
+    reserved: ResourceAmounts;
     /** True once quota reclaim selected the task for eviction. */
     reclaimed: boolean;
 }
@@ -56,7 +56,7 @@
 /** Resource usage, running tasks and ready queues of one customer. */
 export class CustomerAccount {
     readonly used = zeroAmounts();
-    readonly usedByKind = new Map<WorkKind, Amounts>();
+    readonly usedByKind = new Map<WorkKind, ResourceAmounts>();
     readonly countByKind = new Map<WorkKind, number>();
     readonly queues = new Map<WorkKind, ReadyQueue>();
     limits: CustomerLimits | undefined;
@@ -87,7 +87,7 @@
         return this.countByKind.get(workKind) ?? 0;
     }
 
-    usedBy(workKind: WorkKind): Amounts {
+    usedBy(workKind: WorkKind): ResourceAmounts {
         return this.usedByKind.get(workKind) ?? zeroAmounts();
     }
 
@@ -127,13 +127,13 @@
     }
 
     /** Dominant share of the fleet by which the customer exceeds its quota; without a quota, all of its usage. */
-    borrowedShare(fleet: Amounts): number {
+    borrowedShare(fleet: ResourceAmounts): number {
         const quota = this.limits?.quota.resources;
         return dominantShare(quota === undefined ? this.used : subtractAmounts(this.used, quota), fleet);
     }
 
     /** Dominant share of the fleet held by tasks that quota reclaim has already selected. */
-    reclaimedShare(fleet: Amounts): number {
+    reclaimedShare(fleet: ResourceAmounts): number {
         return dominantShare(this.#reclaimedAmounts, fleet);
     }
 
--- a/packages/scheduler/src/policy/fair-share-queue.ts
+++ b/packages/scheduler/src/policy/fair-share-queue.ts
@@ -1,7 +1,14 @@
 import { Reason, WorkKind } from "@waxwingspread/protocol";
 import type { Resources } from "@waxwingspread/protocol";
-import { addAmounts, dominantShare, fitsWithin, scaleAmounts, subtractAmounts, zeroAmounts } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import {
+    addAmounts,
+    dominantShare,
+    fitsWithin,
+    scaleResources,
+    subtractAmounts,
+    zeroAmounts,
+} from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import { CustomerAccount, WORK_KINDS_BY_PRIORITY } from "./customer-account.js";
 import type { ReadyQueue } from "./customer-account.js";
 import { IndexedHeap } from "./indexed-heap.js";
@@ -51,7 +58,7 @@
     );
     readonly #fleetUsed = zeroAmounts();
     readonly #reclaim: QuotaReclaim;
-    #fleetCapacity: Amounts = zeroAmounts();
+    #fleetCapacity: ResourceAmounts = zeroAmounts();
 
     constructor(parameters: FairShareParameters = FAIR_SHARE_DEFAULTS) {
         this.#parameters = parameters;
@@ -365,11 +372,11 @@
         }
     }
 
-    #usageForShare(account: CustomerAccount, workKind: WorkKind): Amounts {
+    #usageForShare(account: CustomerAccount, workKind: WorkKind): ResourceAmounts {
         return workKind === WorkKind.BATCH ? account.used : account.usedBy(workKind);
     }
 
-    #weightedShare(used: Amounts, account: CustomerAccount): number {
+    #weightedShare(used: ResourceAmounts, account: CustomerAccount): number {
         return dominantShare(used, this.#fleetCapacity) / account.weight;
     }
 
@@ -400,8 +407,12 @@
 
 const isBelowLimit = (count: number, limit: number): boolean => limit === 0 || count < limit;
 
-const fitsQuotaShare = (used: Amounts, added: Amounts, quota: Amounts | undefined, share: number): boolean =>
-    quota === undefined || fitsWithin(added, subtractAmounts(scaleAmounts(quota, share), used));
+const fitsQuotaShare = (
+    used: ResourceAmounts,
+    added: ResourceAmounts,
+    quota: ResourceAmounts | undefined,
+    share: number,
+): boolean => quota === undefined || fitsWithin(added, subtractAmounts(scaleResources(quota, share), used));
 
 function* takeFirst<T>(items: Iterable<T>, count: number): Generator<T, undefined> {
     let remaining = count;
--- a/packages/scheduler/src/policy/latency-critical-headroom.ts
+++ b/packages/scheduler/src/policy/latency-critical-headroom.ts
@@ -1,6 +1,6 @@
 import { WorkKind } from "@waxwingspread/protocol";
-import { addAmounts, zeroAmounts } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import { addAmounts, zeroAmounts } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import type { PlacedTask } from "./types.js";
 
 /** Parameters of the {@link LatencyCriticalHeadroom}. */
@@ -56,7 +56,7 @@
     }
 
     /** Returns the mean reservation of the running latency-critical tasks; zero if there are none. */
-    meanReserved(): Amounts {
+    meanReserved(): ResourceAmounts {
         const mean = zeroAmounts();
         if (this.#count > 0) {
             addAmounts(mean, this.#used, 1 / this.#count);
--- a/packages/scheduler/src/policy/placement-index.test.ts
+++ b/packages/scheduler/src/policy/placement-index.test.ts
@@ -1,7 +1,7 @@
 import { SeededRandom } from "@waxwingspread/common";
 import { WorkKind } from "@waxwingspread/protocol";
 import { expect, test } from "vitest";
-import { fitsWithin } from "./amounts.js";
+import { fitsWithin } from "../state/resources.js";
 import { createPolicies } from "./create-policies.js";
 import type { SlowdownSource } from "./interference-model.js";
 import { query, resources, server, task } from "./testing.js";
--- a/packages/scheduler/src/policy/placement-index.ts
+++ b/packages/scheduler/src/policy/placement-index.ts
@@ -1,6 +1,6 @@
 import { WorkKind } from "@waxwingspread/protocol";
-import { addAmounts, fitsWithin, RESOURCE_NAMES, subtractAmounts, zeroAmounts } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import { addAmounts, fitsWithin, RESOURCE_NAMES, subtractAmounts, zeroAmounts } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import type { ClassProfiles } from "./class-profiles.js";
 import { LATENCY_CRITICAL_HEADROOM_DEFAULTS, LatencyCriticalHeadroom } from "./latency-critical-headroom.js";
 import type { LatencyCriticalHeadroomParameters } from "./latency-critical-headroom.js";
@@ -48,7 +48,7 @@
 }
 
 /** Returns the columns of a row in the trees: the amounts of each resource and one slot. */
-const toRow = (amounts: Amounts): number[] => [
+const toRow = (amounts: ResourceAmounts): number[] => [
     amounts.cpuMillicores,
     amounts.memoryMebibytes,
     amounts.accelerators,
@@ -86,7 +86,7 @@
     }
 
     /** Largest amount of each resource on any server so far; undefined before the first server. */
-    get largestCapacity(): Amounts | undefined {
+    get largestCapacity(): ResourceAmounts | undefined {
         return this.#largestAmounts.cpuMillicores > 0 ? this.#largestAmounts : undefined;
     }
 
@@ -197,7 +197,7 @@
         return best;
     }
 
-    couldEverFit(reserved: Amounts): boolean {
+    couldEverFit(reserved: ResourceAmounts): boolean {
         return this.#capacityTree.find(toRow(reserved), () => true, this.#rows.length * 4 + 4) !== undefined;
     }
 
@@ -210,7 +210,7 @@
         return undefined;
     }
 
-    #leavesHeadroom(reserved: Amounts, nowMs: number): boolean {
+    #leavesHeadroom(reserved: ResourceAmounts, nowMs: number): boolean {
         const slots = Math.max(0, this.#headroom.slots(nowMs));
         const mean = this.#headroom.meanReserved();
         return this.#openFreeSlots - 1 >= slots
--- a/packages/scheduler/src/policy/preemption-victims.ts
+++ b/packages/scheduler/src/policy/preemption-victims.ts
@@ -1,6 +1,6 @@
 import { WorkKind } from "@waxwingspread/protocol";
-import { addAmounts, fitsWithin } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import { addAmounts, fitsWithin } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import type { ServerRecord } from "./server-record.js";
 import type { PlacedTask } from "./types.js";
 
@@ -26,7 +26,7 @@
  * Selects batch tasks whose eviction makes `required` fit on the server; undefined if it fits without eviction, or does
  * not fit even if all batch tasks are evicted.
  */
-export const selectVictims = (server: ServerRecord, required: Amounts): PlacedTask[] | undefined => {
+export const selectVictims = (server: ServerRecord, required: ResourceAmounts): PlacedTask[] | undefined => {
     const candidates = [...server.tasks.values()]
         .filter(task => task.workKind === WorkKind.BATCH && !task.stopping)
         .sort(compareByEvictionCost);
@@ -48,7 +48,12 @@
 };
 
 /** Drops victims that are no longer needed because a larger one was selected after them, most expensive first. */
-const dropUnneededVictims = (victims: PlacedTask[], required: Amounts, free: Amounts, slots: number): PlacedTask[] => {
+const dropUnneededVictims = (
+    victims: PlacedTask[],
+    required: ResourceAmounts,
+    free: ResourceAmounts,
+    slots: number,
+): PlacedTask[] => {
     let freeSlots = slots;
     const kept = [...victims];
     for (const victim of [...victims].reverse()) {
--- a/packages/scheduler/src/policy/quota-reclaim.ts
+++ b/packages/scheduler/src/policy/quota-reclaim.ts
@@ -1,5 +1,5 @@
-import { addAmounts, fitsWithin, zeroAmounts } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import { addAmounts, fitsWithin, zeroAmounts } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import type { CustomerAccount } from "./customer-account.js";
 import type { QueuedJob, TaskKey } from "./types.js";
 
@@ -37,7 +37,7 @@
     }
 
     /** Adds the account to the borrowers or removes it, after its usage or limits changed. */
-    updateBorrower(account: CustomerAccount, fleet: Amounts): void {
+    updateBorrower(account: CustomerAccount, fleet: ResourceAmounts): void {
         if (account.taskCount > 0 && account.borrowedShare(fleet) > 0) {
             this.#borrowers.add(account);
         }
@@ -67,7 +67,7 @@
     /** Selects at most `limit` tasks to evict for the given jobs, which must be within their customers' quotas. */
     chooseVictims(
         claimants: readonly QueuedJob[],
-        fleet: Amounts,
+        fleet: ResourceAmounts,
         nowMs: number,
         limit: number,
     ): { taskKey: TaskKey; explanation: string }[] {
@@ -86,7 +86,7 @@
         return chosen;
     }
 
-    #victimsFor(job: QueuedJob, fleet: Amounts, limit: number): { taskKey: TaskKey; explanation: string }[] {
+    #victimsFor(job: QueuedJob, fleet: ResourceAmounts, limit: number): { taskKey: TaskKey; explanation: string }[] {
         const freed = zeroAmounts();
         const victims: { taskKey: TaskKey; explanation: string }[] = [];
         while (victims.length < limit && !fitsWithin(job.reserved, freed)) {
@@ -105,7 +105,7 @@
         return victims;
     }
 
-    #largestBorrower(fleet: Amounts, excludedCustomer: string): CustomerAccount | undefined {
+    #largestBorrower(fleet: ResourceAmounts, excludedCustomer: string): CustomerAccount | undefined {
         let largest: CustomerAccount | undefined;
         let largestShare = 0;
         for (const account of this.#borrowers) {
--- a/packages/scheduler/src/policy/reservation-estimator.ts
+++ b/packages/scheduler/src/policy/reservation-estimator.ts
@@ -1,6 +1,6 @@
 import type { Resources } from "@waxwingspread/protocol";
-import { RESOURCE_NAMES, toResources } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import { RESOURCE_NAMES, toRoundedResources } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import { DecayedQuantile } from "./decayed-quantile.js";
 import type { ClassKey, ReservationPolicy } from "./types.js";
 
@@ -32,7 +32,7 @@
     memoryMebibytes: DecayedQuantile;
     accelerators: DecayedQuantile;
     /** Last estimate. It is reused for a number of observations, since computing a quantile sorts the buckets. */
-    cached: Amounts | undefined;
+    cached: ResourceAmounts | undefined;
     observationsSinceCached: number;
 }
 
@@ -49,7 +49,7 @@
 /** Derives reservations from observed usage rather than from declared amounts, which are often wrong. */
 export class ReservationEstimator implements ReservationPolicy {
     readonly #parameters: ReservationEstimatorParameters;
-    readonly #largestCapacity: () => Amounts | undefined;
+    readonly #largestCapacity: () => ResourceAmounts | undefined;
     readonly #onRunTime: (classKey: ClassKey, runTimeMs: number) => void;
     readonly #usageByClass = new Map<ClassKey, ClassUsage>();
     readonly #runTimes = new Map<ClassKey, ClassRunTime>();
@@ -59,7 +59,7 @@
      * known. `onRunTime` is called with each observed run time.
      */
     constructor(
-        largestCapacity: () => Amounts | undefined,
+        largestCapacity: () => ResourceAmounts | undefined,
         parameters: ReservationEstimatorParameters = RESERVATION_ESTIMATOR_DEFAULTS,
         onRunTime: (classKey: ClassKey, runTimeMs: number) => void = () => undefined,
     ) {
@@ -95,7 +95,7 @@
         // Accelerators are allocated whole even if no usage was observed, and a job that needs more of them than any
         // backend server has must be refused. The declared number is therefore kept.
         reserved.accelerators = declared.accelerators;
-        return toResources(reserved);
+        return toRoundedResources(reserved);
     }
 
     observeRunTime(classKey: ClassKey, runTimeMs: number): void {
@@ -115,7 +115,7 @@
         return (known.meanMs * known.weight + declaredMs * declaredWeight) / (known.weight + declaredWeight);
     }
 
-    #estimate(usage: ClassUsage): Amounts {
+    #estimate(usage: ClassUsage): ResourceAmounts {
         if (usage.cached !== undefined && usage.observationsSinceCached < OBSERVATIONS_PER_ESTIMATE) {
             return usage.cached;
         }
--- a/packages/scheduler/src/policy/server-record.ts
+++ b/packages/scheduler/src/policy/server-record.ts
@@ -1,6 +1,6 @@
 import { WorkKind } from "@waxwingspread/protocol";
-import { addAmounts, dominantShare, subtractAmounts, zeroAmounts } from "./amounts.js";
-import type { Amounts } from "./amounts.js";
+import { addAmounts, dominantShare, subtractAmounts, zeroAmounts } from "../state/resources.js";
+import type { ResourceAmounts } from "../state/resources.js";
 import type { ClassKey, PlacedTask, ServerView, TaskKey } from "./types.js";
 
 /** Number of steps into which free capacity is divided, for grouping servers of similar free capacity. */
@@ -70,7 +70,7 @@
         return this.view.placeable && !this.view.probing;
     }
 
-    free(): Amounts {
+    free(): ResourceAmounts {
         return subtractAmounts(this.view.capacity, this.used);
     }
 
--- a/packages/scheduler/src/state/resources.ts
+++ b/packages/scheduler/src/state/resources.ts
@@ -12,6 +12,12 @@
 /** Zero of each resource. */
 export const NO_RESOURCES: ResourceAmounts = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
 
+/** Names of the resources, in the order in which they are compared. */
+export const RESOURCE_NAMES = ["cpuMillicores", "memoryMebibytes", "accelerators"] as const;
+
+/** Returns a new object with all amounts zero. */
+export const zeroAmounts = (): ResourceAmounts => ({ cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 });
+
 /** Returns `a + sign * b` for each resource. */
 export const addResources = (a: ResourceAmounts, b: ResourceAmounts, sign: 1 | -1 = 1): ResourceAmounts => ({
     cpuMillicores: a.cpuMillicores + sign * b.cpuMillicores,
@@ -19,6 +25,20 @@
     accelerators: a.accelerators + sign * b.accelerators,
 });
 
+/** Adds `change` times `factor` to `target` in place. */
+export const addAmounts = (target: ResourceAmounts, change: ResourceAmounts, factor = 1): void => {
+    target.cpuMillicores += change.cpuMillicores * factor;
+    target.memoryMebibytes += change.memoryMebibytes * factor;
+    target.accelerators += change.accelerators * factor;
+};
+
+/** Returns `left - right`. */
+export const subtractAmounts = (left: ResourceAmounts, right: ResourceAmounts): ResourceAmounts => ({
+    cpuMillicores: left.cpuMillicores - right.cpuMillicores,
+    memoryMebibytes: left.memoryMebibytes - right.memoryMebibytes,
+    accelerators: left.accelerators - right.accelerators,
+});
+
 /** Multiplies each amount by the ratio, without rounding. */
 export const scaleResources = (resources: ResourceAmounts, ratio: number): ResourceAmounts => ({
     cpuMillicores: resources.cpuMillicores * ratio,
@@ -32,6 +52,21 @@
     && part.memoryMebibytes <= whole.memoryMebibytes
     && part.accelerators <= whole.accelerators;
 
+const usageRatio = (used: number, total: number): number => {
+    if (used <= 0) {
+        return 0;
+    }
+    return total > 0 ? used / total : Number.POSITIVE_INFINITY;
+};
+
+/** Returns the largest share over all resources; infinite if a resource is used whose total is zero. */
+export const dominantShare = (used: ResourceAmounts, total: ResourceAmounts): number =>
+    Math.max(
+        usageRatio(used.cpuMillicores, total.cpuMillicores),
+        usageRatio(used.memoryMebibytes, total.memoryMebibytes),
+        usageRatio(used.accelerators, total.accelerators),
+    );
+
 /** Converts amounts to a protocol message. */
 export const toResources = (amounts: ResourceAmounts): Resources =>
     create(ResourcesSchema, {
@@ -39,3 +74,11 @@
         memoryMebibytes: amounts.memoryMebibytes,
         accelerators: amounts.accelerators,
     });
+
+/** Converts amounts to a protocol message, rounding each up to a whole number. */
+export const toRoundedResources = (amounts: ResourceAmounts): Resources =>
+    toResources({
+        cpuMillicores: Math.ceil(amounts.cpuMillicores),
+        memoryMebibytes: Math.ceil(amounts.memoryMebibytes),
+        accelerators: Math.ceil(amounts.accelerators),
+    });
