Start no run without a valid approval after a change of the leader

What callers saw: a job of a queue that needs approvals lost an attempt, or waited, since its server rejected the start. Cause: approvals are not replicated. OrderWriter compared the token of the run, undefined in an adopted run, with the cached token, also undefined, and sent the start without a token with each heartbeat. Now a start needs a cached approval that is valid and is the one with which the run was planned; an adopted run is treated as never started after the window for late heartbeats, and is planned again. Evidence: the new test of eligibility.test.ts failed before (three start orders without a token, one query in all) and passes now. Ruled out: sending the start with an approval that the new leader obtains for another task of the step; that would need the run's token to be replaced, and saves at most the window of 1.5 s.

--- a/packages/workflow/src/leader/eligibility.test.ts
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -81,3 +81,26 @@
     replica.heartbeat(heartbeatOf("a", 4));
     expect(queries).toHaveLength(2);
 });
+
+// Guards against a start without an approval after a change of the leader, which the backend server rejects: the new
+// leader knows neither the approval with which its predecessor planned the run nor any other.
+it("plans a run again that a former leader recorded, once the service has approved a server", () => {
+    const { replica, queries } = startLeader();
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.submit(jobOf("j", stepOf()));
+    queries[0]?.respond([{ serverId: "a", token: "first" }]);
+    replica.settle();
+    replica.failOver();
+    const early = [2, 3, 4].flatMap(sequence => {
+        const starts = replica.heartbeat(heartbeatOf("a", sequence))?.starts ?? [];
+        replica.advance(600);
+        return starts;
+    });
+    expect(early).toEqual([]);
+    replica.heartbeat(heartbeatOf("a", 5));
+    expect(queries).toHaveLength(2);
+    queries.at(-1)?.respond([{ serverId: "a", token: "second" }]);
+    replica.settle();
+    const starts = replica.heartbeat(heartbeatOf("a", 6))?.starts;
+    expect(starts?.map(start => [start.task, start.eligibilityToken])).toEqual([["j.0.0.0", "second"]]);
+});
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -110,8 +110,11 @@
 
     /** Approvals are not replicated: a run that a former leader assigned has lost its approval. */
     #isApproved(server: ServerView, view: RunView, job: JobRecord, nowMs: number): boolean {
-        return this.#state.currentQueueOf(job).eligibility === undefined
-            || this.#eligibility.tokenFor(stepKeyOf(view.position), server, nowMs) === view.eligibilityToken;
+        if (this.#state.currentQueueOf(job).eligibility === undefined) {
+            return true;
+        }
+        const token = this.#eligibility.tokenFor(stepKeyOf(view.position), server, nowMs);
+        return token !== undefined && token === view.eligibilityToken;
     }
 
     #startOrderFor(view: RunView): StartOrder {
