Accept every established connection before a listener closes

Cause: the listener waited for one iteration of the event loop before it closed its socket. libuv 1.46 accepts one connection in an iteration, so the others in the kernel's queue were reset. Besides, a response whose request was read before the drain began didn't close its connection, which stayed open until the grace period cut it with whatever request was on it. Now the listener goes on accepting until a short iteration brings no connection, and open responses close their connections too. Idle connections are closed repeatedly, right after reads, until none is left. Evidence: the two new tests of http-listener.real.test.ts failed before (ECONNRESET; connection: keep-alive). Ruled out: unread bytes on accepted connections; the reset came at connections that were never accepted. Left: a request that a client sends on an idle connection in the moment in which it is closed gets no answer, as HTTP allows.

--- a/packages/daemon/src/http/http-listener.real.test.ts
+++ b/packages/daemon/src/http/http-listener.real.test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
+import type { ServerResponse } from "node:http";
 import { connect } from "node:net";
-import { expect, it } from "vitest";
+import { expect, it, vi } from "vitest";
 import { HttpListener } from "./http-listener.js";
 
 const REQUEST = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
@@ -44,3 +45,52 @@
     await expect(second.listen()).rejects.toThrow("EADDRINUSE");
     await first.close(GRACE_MS);
 });
+
+const createListener = (handle: (response: ServerResponse) => void): HttpListener =>
+    new HttpListener({
+        address: { host: "127.0.0.1", port: 0 },
+        maxConnections: 64,
+        handle: (unusedRequest, response) => handle(response),
+        onConnectionRefused: () => undefined,
+    });
+
+/** Sends one request on a new connection. Resolves with everything received, or with the code of the socket's error. */
+const requestOnNewConnection = (port: number): Promise<string> =>
+    new Promise(resolve => {
+        const socket = connect(port, "127.0.0.1");
+        let received = "";
+        socket.on("data", chunk => {
+            received += String(chunk);
+        });
+        socket.once("error", error => resolve((error as NodeJS.ErrnoException).code ?? "error"));
+        socket.once("close", () => resolve(received));
+        socket.write(REQUEST);
+    });
+
+// Guards against a planned shutdown that resets connections which the kernel has established and the process hasn't
+// accepted yet. The event loop accepts one of them in each iteration.
+it("answers the requests of all connections that are established when it closes", async () => {
+    const listener = createListener(response => void response.end("done"));
+    const port = await listener.listen();
+    const replies = Array.from({ length: 12 }, () => requestOnNewConnection(port));
+    // Connections are established in the next tick, and stay in the kernel's queue while the event loop is blocked.
+    await new Promise<void>(resolve => process.nextTick(resolve));
+    const closed = listener.close(GRACE_MS);
+    for (const reply of await Promise.all(replies)) {
+        expect(reply).toContain("HTTP/1.1 200 OK");
+    }
+    await closed;
+});
+
+// Guards against a connection that stays open after the answer to a request in progress, so that the next request on
+// it is cut when the grace period ends.
+it("closes a connection after the answer to a request that was in progress when it began to drain", async () => {
+    const responses: ServerResponse[] = [];
+    const listener = createListener(response => void responses.push(response));
+    const reply = requestOnNewConnection(await listener.listen());
+    await vi.waitUntil(() => responses.length === 1);
+    listener.drain();
+    responses[0]?.end("done");
+    expect((await reply).toLowerCase()).toContain("connection: close");
+    await listener.close(GRACE_MS);
+});
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -7,6 +7,7 @@
 import { Server as NetServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import type { ListenAddress } from "../transport/listen-address.js";
+import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { createProtocolDetectingServer } from "./protocol-detection.js";
 
 /** Time in which a client must send its headers. */
@@ -19,6 +20,11 @@
 /** Time for which a closing listener still answers requests that were in transit when it stopped listening. */
 const CLOSE_DELAY_MS = 100;
 
+/** Longest time for which a closing listener accepts connections that the kernel has already established. */
+const MAX_ACCEPT_TIME_MS = 500;
+/** An iteration of the event loop that took longer may have left connections that were established meanwhile. */
+const SHORT_ITERATION_MS = 1;
+
 /** Address, request handlers and limits of an HTTP listener. */
 export interface HttpListenerOptions {
     address: ListenAddress;
@@ -37,6 +43,8 @@
     readonly #acceptingServer: NetServer;
     readonly #address: ListenAddress;
     readonly #sockets = new Set<Socket>();
+    readonly #openResponses = new Set<ServerResponse>();
+    #acceptedConnections = 0;
     #isDraining = false;
 
     constructor(options: HttpListenerOptions) {
@@ -46,8 +54,10 @@
             requestTimeout: REQUEST_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
         }, (request, response) => {
+            this.#openResponses.add(response);
+            response.once("close", () => this.#openResponses.delete(response));
             if (this.#isDraining) {
-                response.setHeader("connection", "close");
+                closeConnectionAfter(response);
             }
             options.handle(request, response);
         });
@@ -56,6 +66,7 @@
             : createProtocolDetectingServer(this.#server, createHttp2Server({}, options.handleHttp2));
         this.#acceptingServer.maxConnections = options.maxConnections;
         this.#acceptingServer.on("connection", socket => {
+            this.#acceptedConnections += 1;
             this.#sockets.add(socket);
             socket.once("close", () => this.#sockets.delete(socket));
         });
@@ -85,27 +96,53 @@
     /** Closes each connection after its next response, so that fewer are open when `close` may cut off a request. */
     drain(): void {
         this.#isDraining = true;
+        this.#openResponses.forEach(closeConnectionAfter);
     }
 
     /** Stops listening and waits for requests in progress. Connections still open after `graceMs` are destroyed. */
     async close(graceMs: number): Promise<void> {
         this.drain();
-        await afterPollPhase();
+        await this.#acceptEstablishedConnections(Math.min(MAX_ACCEPT_TIME_MS, graceMs));
         // The close method of the HTTP server immediately closes connections whose next request is in transit.
         const closed = new Promise<void>(resolve =>
             NetServer.prototype.close.call(this.#acceptingServer, () => resolve())
         );
-        await new Promise(resolve => setTimeout(resolve, Math.min(CLOSE_DELAY_MS, graceMs)));
-        await afterPollPhase();
-        this.#server.closeIdleConnections();
+        const closeIdle = setInterval(
+            () => void afterPollPhase().then(() => this.#server.closeIdleConnections()),
+            Math.min(CLOSE_DELAY_MS, graceMs),
+        );
         const timer = setTimeout(() => this.#sockets.forEach(socket => socket.destroy()), graceMs);
         await closed;
+        clearInterval(closeIdle);
         clearTimeout(timer);
     }
+
+    /**
+     * Accepts the connections that the kernel has established. The event loop accepts one of them in each iteration,
+     * and closing the listening socket resets the others.
+     */
+    async #acceptEstablishedConnections(limitMs: number): Promise<void> {
+        const deadlineMs = monotonicNowMs() + limitMs;
+        await afterPollPhase();
+        let isQueueEmpty = false;
+        while (!isQueueEmpty && monotonicNowMs() < deadlineMs) {
+            const acceptedBefore = this.#acceptedConnections;
+            const startedAtMs = monotonicNowMs();
+            await afterPollPhase();
+            const isShort = monotonicNowMs() - startedAtMs <= SHORT_ITERATION_MS;
+            isQueueEmpty = isShort && this.#acceptedConnections === acceptedBefore;
+        }
+    }
 }
 
+const closeConnectionAfter = (response: ServerResponse): void => {
+    if (!response.headersSent) {
+        response.setHeader("connection", "close");
+    }
+};
+
 /**
- * Resolves right after the event loop has accepted pending connections and read from open sockets. Closing at any other
- * point resets connections with unread data, and those that the kernel has established but that are not accepted yet.
+ * Resolves right after the event loop has accepted a pending connection and read from open sockets. Closing at any other
+ * point resets connections with unread data.
  */
 const afterPollPhase = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
