Answer a request whose handler fails instead of ending the process

What callers saw: no answer, and a control process that ended: DELETE /v1/instances/%zz made decodeURIComponent throw, the promise of the handler was dropped, and process.ts ends the process on an unhandled rejection. Now HttpListener takes the handler's promise. An error is logged as `request failed` and answered with 500, or the connection is closed if the response has begun. An error in the callback of an eligibility check no longer calls the callback a second time.

--- a/packages/daemon/src/http/http-listener.real.test.ts
+++ b/packages/daemon/src/http/http-listener.real.test.ts
@@ -1,11 +1,13 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { connect } from "node:net";
+import { pino } from "pino";
 import { expect, it, vi } from "vitest";
 import { HttpListener } from "./http-listener.js";
 
 const REQUEST = "GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 const GRACE_MS = 5_000;
+const logger = pino({ enabled: false });
 
 // Guards against a planned shutdown that drops a request sent on a kept-alive connection while the listener closes.
 it("answers a request that arrives on an idle connection while the listener closes, and then closes it", async () => {
@@ -14,6 +16,7 @@
         maxConnections: 8,
         handle: (unusedRequest, response) => void response.end("done"),
         onConnectionRefused: () => undefined,
+        logger,
     });
     const socket = connect(await listener.listen(), "127.0.0.1");
     let received = "";
@@ -37,6 +40,7 @@
         maxConnections: 8,
         handle: () => undefined,
         handleHttp2: () => undefined,
+        logger,
         onConnectionRefused: () => undefined,
     };
     const first = new HttpListener({ ...options, address: { host: "127.0.0.1", port: 0 } });
@@ -46,12 +50,13 @@
     await first.close(GRACE_MS);
 });
 
-const createListener = (handle: (response: ServerResponse) => void): HttpListener =>
+const createListener = (handle: (response: ServerResponse) => Promise<void> | void): HttpListener =>
     new HttpListener({
         address: { host: "127.0.0.1", port: 0 },
         maxConnections: 64,
         handle: (unusedRequest, response) => handle(response),
         onConnectionRefused: () => undefined,
+        logger,
     });
 
 /** Sends one request on a new connection. Resolves with everything received, or with the code of the socket's error. */
@@ -94,3 +99,18 @@
     expect((await reply).toLowerCase()).toContain("connection: close");
     await listener.close(GRACE_MS);
 });
+
+// Guards against a handler's error that leaves the request unanswered and ends the process as an unhandled rejection.
+it("answers 500 when the handler throws or rejects", async () => {
+    const handlers = [
+        () => {
+            throw new Error("thrown in a test");
+        },
+        () => Promise.reject(new Error("rejected in a test")),
+    ];
+    for (const handler of handlers) {
+        const listener = createListener(handler);
+        expect(await requestOnNewConnection(await listener.listen())).toContain("HTTP/1.1 500");
+        await listener.close(GRACE_MS);
+    }
+});
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -6,10 +6,13 @@
 import type { Http2ServerRequest, Http2ServerResponse } from "node:http2";
 import { Server as NetServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
+import type { Logger } from "pino";
 import type { ListenAddress } from "../transport/listen-address.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { createProtocolDetectingServer } from "./protocol-detection.js";
 
+const STATUS_ERROR = 500;
+
 /** Time in which a client must send its headers. */
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Time in which a client must send a whole request. */
@@ -29,7 +32,9 @@
 export interface HttpListenerOptions {
     address: ListenAddress;
     maxConnections: number;
-    handle: (request: IncomingMessage, response: ServerResponse) => void;
+    /** Handles a request. If it throws or rejects before the response is sent, the client gets status 500. */
+    handle: (request: IncomingMessage, response: ServerResponse) => Promise<void> | void;
+    logger: Logger;
     /** Called for each connection that was closed because `maxConnections` are open. */
     onConnectionRefused: () => void;
     /** Handles HTTP/2 requests on the same port. Without it only HTTP/1.1 is served. */
@@ -59,7 +64,7 @@
             if (this.#isDraining) {
                 closeConnectionAfter(response);
             }
-            options.handle(request, response);
+            void handleSafely(options, request, response);
         });
         this.#acceptingServer = options.handleHttp2 === undefined
             ? this.#server
@@ -135,6 +140,26 @@
     }
 }
 
+/** Calls the handler. An error, which would otherwise end the process, is logged and answered. */
+const handleSafely = async (
+    { handle, logger }: HttpListenerOptions,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> => {
+    try {
+        await handle(request, response);
+    }
+    catch (error) {
+        logger.error({ err: error, method: request.method, path: request.url }, "request failed");
+        if (response.headersSent) {
+            response.destroy();
+        }
+        else {
+            response.writeHead(STATUS_ERROR, { connection: "close", "content-length": 0 }).end();
+        }
+    }
+};
+
 const closeConnectionAfter = (response: ServerResponse): void => {
     if (!response.headersSent) {
         response.setHeader("connection", "close");
--- a/packages/daemon/src/http/operators-listener.ts
+++ b/packages/daemon/src/http/operators-listener.ts
@@ -1,6 +1,7 @@
 import type { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Logger } from "pino";
 import type { Registry } from "prom-client";
 import type { ListenAddress } from "../transport/listen-address.js";
 import { HttpListener } from "./http-listener.js";
@@ -19,6 +20,7 @@
     isReady: () => boolean;
     isLeader: () => boolean;
     routes: (router: ConnectRouter) => void;
+    logger: Logger;
     onConnectionRefused: () => void;
 }
 
@@ -30,16 +32,16 @@
         response.writeHead(isHealthy ? STATUS_OK : STATUS_UNAVAILABLE, { "content-type": "text/plain" });
         response.end(isHealthy ? "ok\n" : "not ok\n");
     };
-    const handlers = new Map<string, (response: ServerResponse) => void>([
+    const handlers = new Map<string, (response: ServerResponse) => Promise<void> | void>([
         ["/livez", createHealthHandler(options.isLive)],
         ["/readyz", createHealthHandler(options.isReady)],
         ["/leaderz", createHealthHandler(options.isLeader)],
-        ["/metrics", response => void sendMetrics(options.registry, response)],
+        ["/metrics", response => sendMetrics(options.registry, response)],
     ]);
-    const handle = (request: IncomingMessage, response: ServerResponse): void => {
+    const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         const handler = request.method === "GET" ? handlers.get(request.url ?? "") : undefined;
         if (handler !== undefined) {
-            handler(response);
+            await handler(response);
             return;
         }
         if (request.method === "POST") {
@@ -52,6 +54,7 @@
         address: options.address,
         maxConnections: options.maxConnections,
         handle,
+        logger: options.logger,
         handleHttp2: adapter,
         onConnectionRefused: options.onConnectionRefused,
     });
--- a/packages/daemon/src/roles/entry-role.ts
+++ b/packages/daemon/src/roles/entry-role.ts
@@ -52,7 +52,8 @@
         this.#listener = new HttpListener({
             address: settings.listeners.callers ?? { host: settings.advertiseHost, port: 0 },
             maxConnections: settings.limits.connectionsPerListener,
-            handle: (request, response) => void this.#serve(request, response),
+            logger: context.logger,
+            handle: (request, response) => this.#serve(request, response),
             onConnectionRefused: () => metrics.rejected.add({ listener: "callers", limit: "connections" }),
         });
     }
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -98,6 +98,7 @@
         isReady: () => (control?.isReady ?? true) && (entry?.isReady ?? true),
         isLeader: () => control?.isLeader ?? false,
         routes: journalRoutes(context.journal, context.authorizeOperator),
+        logger: context.logger,
         onConnectionRefused: () => context.metrics.rejected.add({ listener: "operators", limit: "connections" }),
     });
     await operators.listen();
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -243,13 +243,11 @@
     }
 
     async #checkEligibility(...[query, respond]: Parameters<QueryEligibility>): Promise<void> {
-        try {
-            respond(await this.#services.checkEligibility(query), monotonicNowMs());
-        }
-        catch (error) {
+        const eligible = await this.#services.checkEligibility(query).catch((error: unknown) => {
             this.#logger.warn({ step: query.step, reason: messageOf(error) }, "eligibility check failed");
-            respond(undefined, monotonicNowMs());
-        }
+            return undefined;
+        });
+        respond(eligible, monotonicNowMs());
         this.#scheduleRun();
     }
 
--- a/packages/daemon/src/workflow/internal-listener.ts
+++ b/packages/daemon/src/workflow/internal-listener.ts
@@ -23,7 +23,8 @@
     new HttpListener({
         address,
         maxConnections: MAX_CONNECTIONS,
-        handle: (request, response) => void handle(request, response, handlers, logger),
+        logger,
+        handle: (request, response) => handle(request, response, handlers, logger),
         onConnectionRefused: () => logger.warn("internal connection refused: too many connections"),
     });
 
--- a/packages/daemon/src/workflow/metrics-listener.ts
+++ b/packages/daemon/src/workflow/metrics-listener.ts
@@ -13,9 +13,10 @@
     new HttpListener({
         address,
         maxConnections: MAX_CONNECTIONS,
-        handle: (request, response) => {
+        logger,
+        handle: async (request, response) => {
             if (request.method === "GET" && request.url === METRICS_PATH) {
-                void sendMetrics(registry, response);
+                await sendMetrics(registry, response);
                 return;
             }
             response.writeHead(STATUS_NOT_FOUND).end();
