Let a replica with an empty disk request to join as soon as it has started

What callers saw: nothing yet by this alone; it shortens the time in which the loss of another disk ends the cluster. Cause: ClusterJoiner waited 1.5 s without a leader before the first request, also on a replica without a membership, to which no leader sends anything. Until such a replica is a voter and its former self is removed, the lost disk counts as a failed voter. Ruled out: a member still waits, so that an ordinary election causes no request (test).

--- /dev/null
+++ b/packages/daemon/src/workflow/cluster-joiner.test.ts
@@ -0,0 +1,57 @@
+import { create } from "@bufbuild/protobuf";
+import { MemberRole, MembershipSchema, ReplicaIdentitySchema } from "@waxwingspread/protocol";
+import { pino } from "pino";
+import { expect, it } from "vitest";
+import { ClusterJoiner } from "./cluster-joiner.js";
+import type { JoiningReplica } from "./cluster-joiner.js";
+import type { JsonCall } from "./json-call.js";
+
+const START_MS = 1_000;
+const SEED_HOSTS = ["10.0.0.1", "10.0.0.2", "10.0.0.3"];
+
+const identity = create(ReplicaIdentitySchema, { name: "10.0.0.3:7700", diskId: "c2", address: "10.0.0.3:7700" });
+
+const emptyReplica: JoiningReplica = {
+    identity,
+    isFormed: false,
+    leader: undefined,
+    membership: create(MembershipSchema),
+};
+
+const voter: JoiningReplica = {
+    identity,
+    isFormed: true,
+    leader: undefined,
+    membership: create(MembershipSchema, { members: [{ identity, role: MemberRole.VOTER }] }),
+};
+
+/** Returns the hosts that a replica asks to join at a time since its start. */
+const hostsAskedAfter = async (sinceStartMs: number, replica: JoiningReplica): Promise<string[]> => {
+    const hosts: string[] = [];
+    const joiner = new ClusterJoiner({
+        replica,
+        caller: {
+            call: <Response>({ host }: JsonCall) => {
+                hosts.push(host);
+                return Promise.resolve({} as Response);
+            },
+        },
+        host: "10.0.0.3",
+        internalPort: 7_701,
+        logger: pino({ enabled: false }),
+    }, START_MS);
+    await joiner.joinIfLeaderless(SEED_HOSTS, START_MS + sinceStartMs);
+    return hosts;
+};
+
+// Guards against a replica with an empty disk that waits before it joins. Until it is a voter, its lost disk counts as a
+// failed voter, and the loss of another disk leaves no quorum.
+it("requests to join as soon as a replica with an empty disk has started", async () => {
+    expect(await hostsAskedAfter(300, emptyReplica)).toEqual(["10.0.0.1", "10.0.0.2"]);
+});
+
+// Guards against join requests of a member during an ordinary election.
+it("waits for a leader before a member requests to join", async () => {
+    expect(await hostsAskedAfter(300, voter)).toEqual([]);
+    expect(await hostsAskedAfter(1_500, voter)).toEqual(["10.0.0.1", "10.0.0.2"]);
+});
--- a/packages/daemon/src/workflow/cluster-joiner.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -1,18 +1,21 @@
 import { messageOf } from "@waxwingspread/common";
-import type { ReplicaRunner } from "@waxwingspread/consensus";
+import type { Replica } from "@waxwingspread/consensus";
 import type { Logger } from "pino";
 import type { JsonCaller } from "./json-call.js";
 import { JOIN_PATH } from "./operations.js";
 import type { JoinRequest } from "./operations.js";
 
 const JOIN_TIMEOUT_MS = 500;
-/** Time without a known leader after which a replica requests to join, since it may have been removed. */
+/** Time without a known leader after which a member requests to join, since it may have been removed. */
 const JOIN_AFTER_MS = 1_500;
 
+/** The properties of a replica that decide whether and how it requests to join. */
+export type JoiningReplica = Pick<Replica, "identity" | "isFormed" | "leader" | "membership">;
+
 /** Construction parameters of a cluster joiner. */
 export interface ClusterJoinerOptions {
-    runner: ReplicaRunner;
-    caller: JsonCaller;
+    replica: JoiningReplica;
+    caller: Pick<JsonCaller, "call">;
     /** Host of this replica. */
     host: string;
     /** Port of the internal listeners of all replicas. */
@@ -32,15 +35,15 @@
 
     /** Records the time if a leader is known. */
     tick(nowMs: number): void {
-        if (this.#options.runner.replica.leader !== undefined) {
+        if (this.#options.replica.leader !== undefined) {
             this.#leaderLastKnownMs = nowMs;
         }
     }
 
-    /** Sends a join request to all known hosts if no leader has been known for long enough. */
+    /** Sends a join request to all known hosts if this replica may not be a member of the cluster. */
     async joinIfLeaderless(seedHosts: readonly string[], nowMs: number): Promise<void> {
-        const { replica } = this.#options.runner;
-        if (replica.leader !== undefined || nowMs - this.#leaderLastKnownMs < JOIN_AFTER_MS) {
+        const { replica } = this.#options;
+        if (replica.leader !== undefined || !this.#isJoinDue(nowMs)) {
             return;
         }
         const { name, diskId, address } = replica.identity;
@@ -52,6 +55,14 @@
         await Promise.all([...hosts].map(host => this.#requestJoin(host, request)));
     }
 
+    /**
+     * A replica without a membership is not sent anything until it joins. It joins at once, since the cluster must not
+     * lose another disk before this one counts.
+     */
+    #isJoinDue(nowMs: number): boolean {
+        return !this.#options.replica.isFormed || nowMs - this.#leaderLastKnownMs >= JOIN_AFTER_MS;
+    }
+
     async #requestJoin(host: string, body: JoinRequest): Promise<void> {
         const { caller, internalPort, logger } = this.#options;
         try {
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -119,7 +119,7 @@
             logger,
         });
         this.#joiner = new ClusterJoiner({
-            runner: this.#runner,
+            replica: this.#runner.replica,
             caller: this.#caller,
             host: settings.host,
             internalPort: settings.internalPort,
