Let a replica with an empty disk join at the leader that the seeds name

Cause: a replica whose disk is empty knows only the seeds of its settings, and a follower answers a join request without adding the replica. When the leader is not a seed, which holds for every deployment with more control replicas than seeds and after a replacement at a new address, the replica can't join again as long as that leader leads. Its lost disk goes on counting as a failed voter. Now each replica answers with the leader that it knows, and the request is repeated there. Test: cluster-joiner.test.ts, requests to join at the leader that the seeds name; fails without the change.

--- a/packages/daemon/src/workflow/cluster-joiner.test.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.test.ts
@@ -25,15 +25,19 @@
     membership: create(MembershipSchema, { members: [{ identity, role: MemberRole.VOTER }] }),
 };
 
-/** Returns the hosts that a replica asks to join at a time since its start. */
-const hostsAskedAfter = async (sinceStartMs: number, replica: JoiningReplica): Promise<string[]> => {
+/** Returns the hosts that a replica asks to join at a time since its start. All hosts name the same leader. */
+const hostsAskedAfter = async (
+    sinceStartMs: number,
+    replica: JoiningReplica,
+    leaderHost?: string,
+): Promise<string[]> => {
     const hosts: string[] = [];
     const joiner = new ClusterJoiner({
         replica,
         caller: {
             call: <Response>({ host }: JsonCall) => {
                 hosts.push(host);
-                return Promise.resolve({} as Response);
+                return Promise.resolve({ isMember: false, leaderHost } as Response);
             },
         },
         host: "10.0.0.3",
@@ -55,3 +59,12 @@
     expect(await hostsAskedAfter(300, voter)).toEqual([]);
     expect(await hostsAskedAfter(1_500, voter)).toEqual(["10.0.0.1", "10.0.0.2"]);
 });
+
+// Guards against a replica that can never join again after it has lost its disk, because the leader is not a seed. The
+// next loss of a disk then takes what was acknowledged.
+it("requests to join at the leader that the seeds name", async () => {
+    expect(await hostsAskedAfter(300, emptyReplica, "10.0.0.4")).toEqual(["10.0.0.1", "10.0.0.2", "10.0.0.4"]);
+    expect(await hostsAskedAfter(300, emptyReplica, "10.0.0.2")).toEqual(["10.0.0.1", "10.0.0.2"]);
+    // The seeds may still name this host, at which the replica led before it lost its disk.
+    expect(await hostsAskedAfter(300, emptyReplica, "10.0.0.3")).toEqual(["10.0.0.1", "10.0.0.2"]);
+});
--- a/packages/daemon/src/workflow/cluster-joiner.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "pino";
 import type { JsonCaller } from "./json-call.js";
 import { JOIN_PATH } from "./operations.js";
-import type { JoinRequest } from "./operations.js";
+import type { JoinRequest, JoinResponse } from "./operations.js";
 
 const JOIN_TIMEOUT_MS = 500;
 /** Time without a known leader after which a member requests to join, since it may have been removed. */
@@ -40,7 +40,7 @@
         }
     }
 
-    /** Sends a join request to all known hosts if this replica may not be a member of the cluster. */
+    /** Sends join requests to all known hosts if this replica may not be a member of the cluster. */
     async joinIfLeaderless(seedHosts: readonly string[], nowMs: number): Promise<void> {
         const { replica } = this.#options;
         if (replica.leader !== undefined || !this.#isJoinDue(nowMs)) {
@@ -52,7 +52,20 @@
         const hosts = new Set(
             [...memberHosts, ...seedHosts].filter(host => host !== "" && host !== this.#options.host),
         );
-        await Promise.all([...hosts].map(host => this.#requestJoin(host, request)));
+        await Promise.all([...hosts].map(host => this.#joinAtLeaderOf(host, request, hosts)));
+    }
+
+    /**
+     * Sends a join request to a host and to the leader that it names, which need not be among the seeds. Adds that
+     * leader to the hosts that have been asked.
+     */
+    async #joinAtLeaderOf(host: string, request: JoinRequest, askedHosts: Set<string>): Promise<void> {
+        const leaderHost = (await this.#requestJoin(host, request))?.leaderHost;
+        if (leaderHost === undefined || leaderHost === this.#options.host || askedHosts.has(leaderHost)) {
+            return;
+        }
+        askedHosts.add(leaderHost);
+        await this.#joinAtLeaderOf(leaderHost, request, askedHosts);
     }
 
     /**
@@ -63,13 +76,20 @@
         return !this.#options.replica.isFormed || nowMs - this.#leaderLastKnownMs >= JOIN_AFTER_MS;
     }
 
-    async #requestJoin(host: string, body: JoinRequest): Promise<void> {
+    async #requestJoin(host: string, body: JoinRequest): Promise<JoinResponse | undefined> {
         const { caller, internalPort, logger } = this.#options;
         try {
-            await caller.call({ host, port: internalPort, path: JOIN_PATH, body, timeoutMs: JOIN_TIMEOUT_MS });
+            return await caller.call<JoinResponse>({
+                host,
+                port: internalPort,
+                path: JOIN_PATH,
+                body,
+                timeoutMs: JOIN_TIMEOUT_MS,
+            });
         }
         catch (error) {
             logger.debug({ host, reason: messageOf(error) }, "request to join failed");
+            return undefined;
         }
     }
 }
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -35,7 +35,7 @@
 import { JsonCaller } from "./json-call.js";
 import { MembershipReconciler } from "./membership-reconciler.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
-import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
+import type { ClusterDescription, ControlOperations, JoinRequest, JoinResponse } from "./operations.js";
 import type { PlatformServices } from "./platform-services.js";
 import { SlewedWallClock } from "./slewed-wall-clock.js";
 import type { ControlMetrics } from "./workflow-metrics.js";
@@ -418,9 +418,10 @@
         };
     }
 
-    #join(request: JoinRequest): { isMember: boolean } {
+    #join(request: JoinRequest): JoinResponse {
         const isLeading = this.#node.session !== undefined;
-        return { isMember: isLeading && this.#membershipReconciler.join(request, monotonicNowMs()) };
+        const isMember = isLeading && this.#membershipReconciler.join(request, monotonicNowMs());
+        return { isMember, leaderHost: this.leaderHost };
     }
 }
 
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -57,6 +57,14 @@
     address: string;
 }
 
+/** Response to a {@link JoinRequest}. */
+export interface JoinResponse {
+    /** Whether the replica is a member now. */
+    isMember: boolean;
+    /** Host of the leader that the responding replica knows; undefined if it knows none. Only a leader adds members. */
+    leaderHost: string | undefined;
+}
+
 /** Operations of a control replica for backend servers and operators. */
 export interface ControlOperations {
     readonly leaderHost: string | undefined;
