Plan in bounded rounds and search only changed servers for waiting steps

Cause: each heartbeat made a whole plan due, and a plan searched all servers for every waiting step again. Only the latest failed amounts of an image were remembered, and only within one plan. With a few thousand waiting tasks a plan took 8 to 18 ms and one took 1,316 ms, so the queue grew because of the planning. A gang that did not fit also recorded its own last member's failure, and blocked all tasks with the same constraints behind it.

Now a failed search is remembered until servers change, and only the changed ones are examined for it. A call examines at most 10,000 servers and leaves the rest to the next call. The failure of a gang says nothing about others.

Ruled out: too little capacity alone.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -202,8 +202,8 @@
         this.#evacuation.run(nowMs);
         this.#moves.run(nowMs);
         if (this.#isPlanDue && nowMs >= this.#planningStartsAtMs) {
-            this.#isPlanDue = false;
-            const runs = this.#planner.plan(times);
+            const { runs, isComplete } = this.#planner.plan(times);
+            this.#isPlanDue = !isComplete;
             if (runs.length > 0) {
                 this.#options.propose({ kind: EventKind.RunsAssigned, runs });
             }
@@ -268,6 +268,11 @@
                 event.runs.forEach(run => this.#refreshTask(run.task, times));
                 event.runs.forEach(run => this.#stopGangMembers(run));
                 return;
+            case EventKind.ConfigurationAccepted:
+            case EventKind.ZoneTakenOut:
+            case EventKind.ZoneReturned:
+                this.#planner.restart();
+                return;
             default:
                 return;
         }
--- /dev/null
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -0,0 +1,106 @@
+import { afterEach, expect, it, vi } from "vitest";
+import type { HeartbeatReport } from "../model/heartbeat.js";
+import type { StepSpecification } from "../model/specification.js";
+import { fillerStepOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { SingleReplica } from "../testing/single-replica.js";
+import { ServerView } from "./server-view.js";
+
+const SERVERS = 245;
+const WAITING_JOBS = 300;
+const IMAGES = 18;
+/** Upper bound on the servers examined in one call of the planner, plus one search through all servers. */
+const MAX_EXAMINED_PER_CALL = 10_000 + SERVERS;
+/** Upper bound on the searches that failed and are repeated for one changed server: a few amounts of each image. */
+const MAX_EXAMINED_PER_HEARTBEAT = IMAGES * 12;
+
+afterEach(() => vi.restoreAllMocks());
+
+const heartbeatOfServer = (index: number, sequence: number, memoryMebibytes: number): HeartbeatReport =>
+    heartbeatOf(`server-${index}`, sequence, {
+        capacity: { cpuMillicores: 16_000, memoryMebibytes, accelerators: 0 },
+    });
+
+/** Returns a step of fillers whose image and amounts differ from job to job. */
+const fillerOf = (job: number): StepSpecification =>
+    fillerStepOf({
+        taskCount: 20,
+        image: `image-${job % IMAGES}`,
+        amounts: {
+            cpuMillicores: 900 + ((job * 7_919) % 1_800),
+            memoryMebibytes: 1_600 + ((job * 104_729) % 3_200),
+            accelerators: 0,
+        },
+    });
+
+const startReplica = (memoryMebibytes: number): SingleReplica => {
+    const replica = SingleReplica.started();
+    for (let index = 0; index < SERVERS; index += 1) {
+        replica.node.heartbeat(heartbeatOfServer(index, 1, memoryMebibytes), () => undefined, replica.times);
+    }
+    replica.settle();
+    return replica;
+};
+
+const submitFillers = (replica: SingleReplica): void => {
+    for (let job = 0; job < WAITING_JOBS; job += 1) {
+        const address = { host: "jobs.example", path: `/batch/job-${job}` };
+        replica.node.submit(address, jobOf(`job-${job}`, fillerOf(job)), () => undefined, replica.times);
+    }
+};
+
+/** Counts the servers that the planner examines in each call of `act`. */
+const countExamined = (act: () => void): number => {
+    const isUsable = vi.spyOn(ServerView.prototype, "isUsable", "get");
+    act();
+    const { length } = isUsable.mock.calls;
+    isUsable.mockRestore();
+    return length;
+};
+
+// Load: 6,000 batch tasks wait and no server has capacity. Guards against a leader that searches all servers for all
+// waiting tasks on every heartbeat and so falls behind the heartbeats, which no longer renew the leases in time.
+it("examines only the server that has changed for a long queue that does not fit", () => {
+    const replica = startReplica(1_000);
+    submitFillers(replica);
+    replica.settle();
+    const examined = countExamined(() => replica.heartbeat(heartbeatOfServer(0, 2, 1_000)));
+    expect(examined).toBeLessThanOrEqual(MAX_EXAMINED_PER_HEARTBEAT);
+});
+
+// Load: 6,000 tasks arrive at once. Guards against one planning call that holds the event loop for longer than an
+// election timeout.
+it("bounds the servers examined in one call and assigns the rest in the next calls", () => {
+    const replica = startReplica(64_000);
+    submitFillers(replica);
+    const examinedPerCall: number[] = [];
+    for (let call = 0; call < 200; call += 1) {
+        examinedPerCall.push(countExamined(() => replica.node.run(replica.times)));
+        replica.commit();
+    }
+    expect(Math.max(...examinedPerCall)).toBeLessThanOrEqual(MAX_EXAMINED_PER_CALL);
+    const isAssigned = [...replica.node.state.jobs.values()].filter(job => [...job.assignedTasks()].length > 0);
+    expect(isAssigned.length).toBeGreaterThan(WAITING_JOBS / 4);
+    expect(examinedPerCall.at(-1)).toBe(0);
+});
+
+// Guards against capacity that stays unused because a search for it failed earlier.
+it("assigns a task that found no server as soon as a server has capacity again", () => {
+    const replica = SingleReplica.started();
+    replica.heartbeat(heartbeatOf("s", 1));
+    replica.heartbeat(heartbeatOf("t", 1));
+    replica.submit(jobOf("large", stepOf({ amounts: { cpuMillicores: 8_000, memoryMebibytes: 1, accelerators: 0 } })));
+    const capacity = { cpuMillicores: 16_000, memoryMebibytes: 16_000, accelerators: 0 };
+    expect(replica.heartbeat(heartbeatOf("s", 2))?.starts).toEqual([]);
+    expect(replica.heartbeat(heartbeatOf("t", 2, { capacity }))?.starts).toHaveLength(1);
+});
+
+// Guards against tasks that wait because a gang before them in the queue, which doesn't fit as a whole, made its own
+// last member's search fail while the others held capacity.
+it("assigns tasks with the same constraints behind a gang that does not fit", () => {
+    const replica = SingleReplica.started();
+    replica.heartbeat(heartbeatOf("s", 1));
+    replica.submit(jobOf("gang", stepOf({ taskCount: 5, isGang: true })));
+    replica.submit(jobOf("single", stepOf({ taskCount: 4 })));
+    const starts = replica.heartbeat(heartbeatOf("s", 2))?.starts ?? [];
+    expect(starts.map(start => start.task)).toEqual(["single.0.0.0", "single.0.0.1", "single.0.0.2", "single.0.0.3"]);
+});
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -1,8 +1,9 @@
-import type { Amounts } from "../model/specification.js";
+import type { QueueContract } from "../model/configuration.js";
 import type { AssignedRun } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { Eligibility } from "./eligibility.js";
+import { FailedPlacements } from "./failed-placements.js";
 import { chooseServer, serversWithCapacity } from "./placement.js";
 import type { PlacementConstraints } from "./placement.js";
 import type { PressureModel } from "./pressure-model.js";
@@ -18,23 +19,38 @@
     assigned: AssignedRun;
 }
 
-/** Placement constraints that hold for all tasks of a step. */
-type StepConstraints = Omit<PlacementConstraints, "rackOfStep">;
+/**
+ * Upper bound on the servers examined in one call, which bounds the time for which the planning holds the event loop.
+ * The rest is planned in the next call.
+ */
+const MAX_EXAMINED_SERVERS_PER_CALL = 10_000;
 
-/** Assigns waiting tasks to backend servers. */
+/** Assignments of one call of the {@link Planner}. */
+export interface Plan {
+    runs: AssignedRun[];
+    /** Whether all waiting tasks were considered; otherwise planning is to continue soon. */
+    isComplete: boolean;
+}
+
+/**
+ * Assigns waiting tasks to backend servers. Planning proceeds in rounds, which may take several calls. A step for which
+ * no server was found waits until servers have changed, and the next rounds examine only the changed ones for it.
+ */
 export class Planner {
     readonly #state: WorkflowState;
     readonly #queue: WorkQueue;
     readonly #directory: ServerDirectory;
     readonly #pressure: PressureModel;
     readonly #eligibility: Eligibility;
-    /** Keys of the tasks whose assignment is proposed but not committed. */
-    readonly #pendingTasks = new Set<string>();
-    /**
-     * The latest amounts for which no server was found in this planning pass, by the other constraints on the choice.
-     * Tasks that need at least as much are not tried again in the pass.
-     */
-    readonly #unplaceableAmounts = new Map<string, Amounts>();
+    /** Servers of the tasks whose assignment is proposed but not committed, by task. */
+    readonly #pendingTasks = new Map<string, ServerView>();
+    /** Steps that no server can run, except perhaps for those that have changed since. */
+    readonly #failures = new FailedPlacements();
+    /** Steps that the changed servers of this round cannot run either. */
+    readonly #failuresInRound = new FailedPlacements();
+    /** Servers that had changed when the round began; undefined between two rounds. */
+    #changedServers: readonly ServerView[] | undefined;
+    #remainingServers = 0;
 
     constructor(options: {
         state: WorkflowState;
@@ -50,10 +66,32 @@
         this.#eligibility = options.eligibility;
     }
 
-    /** Returns the assignments that the current capacity allows, and reserves that capacity at once. */
-    plan({ nowMs, timeOfDayMs }: Times): AssignedRun[] {
-        this.#unplaceableAmounts.clear();
-        return this.#queue.ordered(timeOfDayMs).flatMap(waiting => this.#planStep(waiting, nowMs));
+    /**
+     * Returns the assignments that the current capacity allows, and reserves that capacity at once. A call examines a
+     * bounded number of servers.
+     */
+    plan({ nowMs, timeOfDayMs }: Times): Plan {
+        this.#remainingServers = MAX_EXAMINED_SERVERS_PER_CALL;
+        this.#changedServers = this.#changedServers?.filter(server => this.#directory.get(server.id) === server)
+            ?? this.#directory.takeChanged();
+        const runs: AssignedRun[] = [];
+        for (const waiting of this.#queue.ordered(timeOfDayMs)) {
+            const planned = this.#planStep(waiting, nowMs);
+            runs.push(...planned.runs);
+            if (!planned.isComplete) {
+                return { runs, isComplete: false };
+            }
+        }
+        this.#changedServers = undefined;
+        this.#failuresInRound.clear();
+        return { runs, isComplete: true };
+    }
+
+    /** Considers all servers again for all steps, after the constraints on placement have changed. */
+    restart(): void {
+        this.#changedServers = undefined;
+        this.#failures.clear();
+        this.#failuresInRound.clear();
     }
 
     /** Clears the pending assignment of a task after it is committed. */
@@ -80,61 +118,85 @@
             expectedEndMs: 0,
             remainingCriticalPathMs: 0,
         };
-        const constraints = { ...this.#constraintsFor(waiting, nowMs), rackOfStep: "" };
-        return chooseServer(waiting, this.#directory.servers, constraints, this.#pressure, nowMs) !== undefined;
+        const constraints = this.#constraintsFor(waiting, nowMs);
+        const key = constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job));
+        if (this.#failures.includes(waiting, key)) {
+            return false;
+        }
+        const server = chooseServer(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
+        if (server === undefined && constraints.isEligible === undefined) {
+            this.#failures.record(waiting, key);
+        }
+        return server !== undefined;
     }
 
-    #planStep(waiting: WaitingStep, nowMs: number): AssignedRun[] {
-        if (waiting.job.isOver) {
-            return [];
+    #planStep(waiting: WaitingStep, nowMs: number): Plan {
+        const queue = this.#state.currentQueueOf(waiting.job);
+        const isSkipped = waiting.job.isOver
+            || this.#failuresInRound.includes(waiting, constraintsKeyOf(waiting, queue));
+        if (isSkipped) {
+            return NOTHING_TO_PLAN;
         }
-        const planned: PlannedRun[] = [];
+        return waiting.step.isGang ? this.#planGang(waiting, nowMs) : this.#planTasks(waiting, nowMs);
+    }
+
+    #planTasks(waiting: WaitingStep, nowMs: number): Plan {
+        const runs: AssignedRun[] = [];
         const constraints = this.#constraintsFor(waiting, nowMs);
-        const { tasks } = waiting.record;
-        // Members of a gang share one run number, above every earlier one.
-        const gangRun = waiting.step.isGang ? Math.max(...tasks.map(task => task.run)) + 1 : undefined;
-        let isComplete = true;
-        for (let index = 0; index < tasks.length; index += 1) {
-            const key = taskKeyIn(waiting, index);
-            const task = tasks[index];
-            if (task?.phase !== TaskPhase.Waiting || this.#pendingTasks.has(key)) {
-                isComplete &&= gangRun === undefined;
+        for (const [index, task] of waiting.record.tasks.entries()) {
+            if (!this.#isUnassigned(waiting, index)) {
                 continue;
             }
-            const run = this.#planTask(waiting, constraints, index, gangRun ?? task.run + 1, nowMs);
-            if (run === undefined) {
-                isComplete = false;
+            if (this.#remainingServers <= 0) {
+                return { runs, isComplete: false };
+            }
+            const planned = this.#planTask(waiting, constraints, index, task.run + 1, nowMs);
+            if (planned === undefined) {
                 break;
             }
-            planned.push(run);
+            runs.push(planned.assigned);
         }
-        if (gangRun !== undefined && !isComplete) {
-            planned.forEach(run => this.#rollBack(run));
-            return [];
+        return { runs, isComplete: true };
+    }
+
+    /** Assigns all tasks of a gang, under one run number above every earlier one, or none. */
+    #planGang(waiting: WaitingStep, nowMs: number): Plan {
+        if (this.#remainingServers <= 0) {
+            return { runs: [], isComplete: false };
         }
-        return planned.map(run => run.assigned);
+        const { tasks } = waiting.record;
+        const run = Math.max(...tasks.map(task => task.run)) + 1;
+        const constraints = this.#constraintsFor(waiting, nowMs);
+        const planned: PlannedRun[] = [];
+        for (let index = 0; index < tasks.length; index += 1) {
+            const member = this.#isUnassigned(waiting, index)
+                ? this.#planTask(waiting, constraints, index, run, nowMs)
+                : undefined;
+            if (member === undefined) {
+                planned.forEach(earlier => this.#rollBack(earlier));
+                this.#failuresInRound.record(waiting, "");
+                return NOTHING_TO_PLAN;
+            }
+            planned.push(member);
+        }
+        return { runs: planned.map(member => member.assigned), isComplete: true };
+    }
+
+    #isUnassigned(waiting: WaitingStep, index: number): boolean {
+        return waiting.record.tasks[index]?.phase === TaskPhase.Waiting
+            && !this.#pendingTasks.has(taskKeyIn(waiting, index));
     }
 
     #planTask(
         waiting: WaitingStep,
-        stepConstraints: StepConstraints,
+        constraints: PlacementConstraints,
         index: number,
         run: number,
         nowMs: number,
     ): PlannedRun | undefined {
         const { job, occurrence, stepIndex, step, kind } = waiting;
-        // The first task that is placed determines the rack of the others.
-        const constraints = { ...stepConstraints, rackOfStep: step.prefersOneRack ? this.#rackOfStep(waiting) : "" };
-        const constraintKey = `${kind} ${constraints.service} ${step.image} ${step.requiredLabel}`;
-        if (needsAtLeast(step.amounts, this.#unplaceableAmounts.get(constraintKey))) {
-            return undefined;
-        }
-        const server = chooseServer(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
+        const server = this.#findServer(waiting, constraints, nowMs);
         if (server === undefined) {
-            this.#queryEligibility(waiting, constraints, nowMs);
-            if (step.maxTasksPerServer === 0 && constraints.isEligible === undefined) {
-                this.#unplaceableAmounts.set(constraintKey, step.amounts);
-            }
             return undefined;
         }
         const task = taskKeyIn(waiting, index);
@@ -142,16 +204,41 @@
         const checkpoint = waiting.record.tasks[index]?.checkpoint ?? "";
         const eligibilityToken = this.#eligibility.tokenFor(stepKeyOf(waiting), server, nowMs);
         server.addRun(newRunView({ task, run, position, step, kind, checkpoint, eligibilityToken }, nowMs));
-        this.#pendingTasks.add(task);
+        this.#pendingTasks.set(task, server);
+        if (step.prefersOneRack && constraints.rackOfStep === "") {
+            // The first task that is placed determines the rack of the others.
+            constraints.rackOfStep = server.rack;
+        }
         return { server, assigned: { task, run, serverId: server.id, incarnation: server.incarnation } };
     }
 
-    #constraintsFor(waiting: WaitingStep, nowMs: number): StepConstraints {
+    /** Chooses a server among all, or only among the changed ones if none was found in an earlier round. */
+    #findServer(waiting: WaitingStep, constraints: PlacementConstraints, nowMs: number): ServerView | undefined {
+        const key = constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job));
+        const hasFailed = this.#failures.includes(waiting, key);
+        const servers = hasFailed ? this.#changedServers ?? [] : this.#directory.servers;
+        this.#remainingServers -= servers.length;
+        const server = chooseServer(waiting, servers, constraints, this.#pressure, nowMs);
+        if (server === undefined) {
+            this.#queryEligibility(waiting, constraints, nowMs);
+            // The members of a gang that are already placed are removed again, so that its failure shows nothing.
+            if (!waiting.step.isGang) {
+                this.#failuresInRound.record(waiting, key);
+            }
+            if (!waiting.step.isGang && constraints.isEligible === undefined) {
+                this.#failures.record(waiting, key);
+            }
+        }
+        return server;
+    }
+
+    #constraintsFor(waiting: WaitingStep, nowMs: number): PlacementConstraints {
         const { service, eligibility } = this.#state.currentQueueOf(waiting.job);
         const step = stepKeyOf(waiting);
         return {
             service,
             zonesOutOfService: this.#state.zonesOutOfService,
+            rackOfStep: waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "",
             isEligible: eligibility === undefined
                 ? undefined
                 : server => this.#eligibility.tokenFor(step, server, nowMs) !== undefined,
@@ -176,12 +263,12 @@
     }
 
     #rackOfStep(waiting: WaitingStep): string {
-        for (let index = 0; index < waiting.record.tasks.length; index += 1) {
-            const key = taskKeyIn(waiting, index);
-            for (const server of this.#directory.servers) {
-                if (server.runs.has(key)) {
-                    return server.rack;
-                }
+        for (const [index, { phase, server }] of waiting.record.tasks.entries()) {
+            const assigned = phase === TaskPhase.Assigned && server !== undefined
+                ? this.#directory.find(server.serverId, server.incarnation)
+                : this.#pendingTasks.get(taskKeyIn(waiting, index));
+            if (assigned !== undefined) {
+                return assigned.rack;
             }
         }
         return "";
@@ -193,8 +280,8 @@
     }
 }
 
-const needsAtLeast = (amounts: Amounts, minimum: Amounts | undefined): boolean =>
-    minimum !== undefined
-    && amounts.cpuMillicores >= minimum.cpuMillicores
-    && amounts.memoryMebibytes >= minimum.memoryMebibytes
-    && amounts.accelerators >= minimum.accelerators;
+const NOTHING_TO_PLAN: Plan = { runs: [], isComplete: true };
+
+/** Returns the constraints that steps share, other than their amounts. */
+const constraintsKeyOf = ({ kind, step }: WaitingStep, { service, name, eligibility }: QueueContract): string =>
+    `${kind} ${service} ${step.image} ${step.requiredLabel} ${eligibility === undefined ? "" : name}`;
--- a/packages/workflow/src/leader/server-directory.ts
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -23,13 +23,17 @@
 export class ServerDirectory {
     readonly #servers = new Map<string, ServerView>();
     readonly #settings: LeaderSettings;
+    /** Cached; undefined until it is computed again. */
+    #all: readonly ServerView[] | undefined;
 
     constructor(settings: LeaderSettings) {
         this.#settings = settings;
     }
 
-    get servers(): Iterable<ServerView> {
-        return this.#servers.values();
+    /** All servers. The list is replaced when a server is added or removed. */
+    get servers(): readonly ServerView[] {
+        this.#all ??= [...this.#servers.values()];
+        return this.#all;
     }
 
     get size(): number {
@@ -56,7 +60,7 @@
         const { maxLeaseMs } = this.#settings;
         const expiresAtMs = nowMs + maxLeaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS + FORMER_LEADER_MARGIN_MS;
         const server = new ServerView(serverId, incarnation, nowMs, expiresAtMs);
-        this.#servers.set(serverId, server);
+        this.#add(server);
         return server;
     }
 
@@ -70,7 +74,7 @@
         if (server === undefined || report.incarnation > server.incarnation) {
             lostRuns = [...server?.runs.values() ?? []];
             server = new ServerView(report.serverId, report.incarnation, nowMs, nowMs);
-            this.#servers.set(report.serverId, server);
+            this.#add(server);
         }
         if (server.sequence !== undefined && report.sequence <= server.sequence) {
             return undefined;
@@ -90,10 +94,23 @@
         }
     }
 
+    /** Returns the servers on which a task may fit that didn't fit before, and marks them as unchanged. */
+    takeChanged(): ServerView[] {
+        return this.servers.filter(server => server.takeHasChanged());
+    }
+
     /** Removes and returns the servers whose leases have certainly expired. */
     takeExpired(nowMs: number): ServerView[] {
-        const expired = [...this.#servers.values()].filter(server => server.leaseExpiresAtMs <= nowMs);
+        const expired = this.servers.filter(server => server.leaseExpiresAtMs <= nowMs);
         expired.forEach(server => this.#servers.delete(server.id));
+        if (expired.length > 0) {
+            this.#all = undefined;
+        }
         return expired;
     }
+
+    #add(server: ServerView): void {
+        this.#servers.set(server.id, server);
+        this.#all = undefined;
+    }
 }
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -75,6 +75,8 @@
      */
     avoidUntilMs = -Infinity;
     readonly #runs = new Map<string, RunView>();
+    /** Whether a heartbeat has arrived or a run has been removed since the last planning. */
+    #hasChanged = true;
     #reserved: Amounts = ZERO;
     #standingCpuMillicores = 0;
     #fillerCpuMillicores = 0;
@@ -145,8 +147,16 @@
         return this.sequence !== undefined && !this.isDraining && !this.isInMaintenance && !this.hasUntrackedRuns;
     }
 
+    /** Returns whether a task may fit that didn't fit at the last call. */
+    takeHasChanged(): boolean {
+        const hasChanged = this.#hasChanged;
+        this.#hasChanged = false;
+        return hasChanged;
+    }
+
     /** Updates the server's properties from a heartbeat. */
     updateFrom(report: HeartbeatReport, nowMs: number): void {
+        this.#hasChanged = true;
         this.service = report.service;
         this.vmId = report.vmId;
         this.availabilityZone = report.availabilityZone;
@@ -181,6 +191,7 @@
         const run = this.#runs.get(task);
         if (run !== undefined) {
             this.#runs.delete(task);
+            this.#hasChanged = true;
             this.#updateTotals(run, -1);
         }
         return run;
