Keep a leader whose process stalls in its first seconds

Cause: a new leader's event loop is held for 0.5 s by its own first work, cold code included. On its first tick afterwards the leader stepped down before it had read the answers that waited, the followers had begun an election after 400 ms, and the next leader began the same work.

Timeouts that judge other replicas now run on a clock that stands still while the own process is stalled for more than 100 ms. Followers wait up to 2 to 3 times as long for a leader of less than 3 s or after leaderships that ended early; one that lasts resets this. Leases and vote refusals use the real time as before, so that the safety of reads does not depend on it.

Ruled out: a lost connection or a lost vote; the followers received the votes and the first appends of each term.

--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -8,9 +8,11 @@
 } from "@waxwingspread/protocol";
 import type { LogEntry, Membership, ReplicaIdentity, ReplicaMessage, SnapshotHeader } from "@waxwingspread/protocol";
 import { DurabilityTracker } from "./durability.js";
+import { ElectionBackoff } from "./election-backoff.js";
 import { EntryLog } from "./entry-log.js";
 import { isVoter, memberOf } from "./membership.js";
 import { RoleEvent, RoleStateMachine } from "./role-machine.js";
+import { TimerClock } from "./timer-clock.js";
 import { DEFAULT_REPLICA_LIMITS, DEFAULT_REPLICA_TIMING, ReplicaEffectKind, ReplicaRole } from "./types.js";
 import type {
     PersistedState,
@@ -57,6 +59,8 @@
     readonly limits: ReplicaLimits;
     readonly log = new EntryLog();
     readonly durability: DurabilityTracker;
+    readonly timers = new TimerClock();
+    readonly backoff = new ElectionBackoff();
     nowMs: number;
     commitIndex = 0;
     snapshotIndex = 0;
@@ -65,6 +69,7 @@
      * Initially the start time, because contacts before a restart are not stored.
      */
     leaderContactMs: number;
+    /** Time of the timer clock. */
     electionDeadlineMs = 0;
 
     readonly #random: SeededRandom;
@@ -132,6 +137,11 @@
             || this.nowMs - this.leaderContactMs < this.timing.minimumElectionTimeoutMs;
     }
 
+    /** Present time of the timer clock. */
+    get timerNowMs(): number {
+        return this.timers.at(this.nowMs);
+    }
+
     /** Whether the current term and vote are synced. */
     get isHardStateDurable(): boolean {
         return this.durability.isDurable(this.#hardStateToken);
@@ -152,10 +162,11 @@
             ?? create(ReplicaIdentitySchema, { diskId });
     }
 
-    resetElectionTimer(): void {
+    resetElectionTimer(factor = 1): void {
         const { minimumElectionTimeoutMs, maximumElectionTimeoutMs } = this.timing;
         const spreadMs = maximumElectionTimeoutMs - minimumElectionTimeoutMs;
-        this.electionDeadlineMs = this.nowMs + minimumElectionTimeoutMs + spreadMs * this.#random.nextRatio();
+        const timeoutMs = minimumElectionTimeoutMs + spreadMs * this.#random.nextRatio();
+        this.electionDeadlineMs = this.timerNowMs + timeoutMs * factor;
     }
 
     /** Handles an event of the role's state machine and emits an effect if the role changed. */
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -21,7 +21,7 @@
     /** Requests pre-votes if the election timeout has passed. */
     tick(): void {
         const core = this.#core;
-        if (core.nowMs < core.electionDeadlineMs) {
+        if (core.timerNowMs < core.electionDeadlineMs) {
             return;
         }
         core.resetElectionTimer();
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -57,11 +57,12 @@
 
     /**
      * Returns the age in milliseconds of the latest message that a member has answered, counted from when it was sent,
-     * or the time since the election if that is shorter; undefined for this replica and for non-members.
+     * or the time since the election if that is shorter, without the time for which this replica's process was stalled;
+     * undefined for this replica and for non-members.
      */
     sinceContactMs(diskId: string): number | undefined {
         const peer = this.#peers.get(diskId);
-        return peer === undefined ? undefined : this.#core.nowMs - Math.max(peer.contactMs, this.#electedAtMs);
+        return peer === undefined ? undefined : this.#timerMsSince(Math.max(peer.contactMs, this.#electedAtMs));
     }
 
     propose(records: readonly Uint8Array[]): number {
@@ -111,9 +112,10 @@
 
     tick(): void {
         const core = this.#core;
-        const sinceQuorumContactMs = core.nowMs - this.#quorumContactMs(this.#electedAtMs);
+        core.backoff.recordLeader(core.term, core.nowMs);
+        const sinceQuorumContactMs = this.#timerMsSince(this.#quorumContactMs(this.#electedAtMs));
         if (
-            sinceQuorumContactMs >= core.timing.minimumElectionTimeoutMs
+            sinceQuorumContactMs >= core.timing.minimumElectionTimeoutMs * core.backoff.leaderFactor
             || core.nowMs >= (this.#handoverDeadlineMs ?? Infinity)
         ) {
             core.becomeFollower(core.term, "");
@@ -264,6 +266,11 @@
         }
     }
 
+    /** Returns the time of the timer clock since a real time. */
+    #timerMsSince(realMs: number): number {
+        return this.#core.timerNowMs - this.#core.timers.at(realMs);
+    }
+
     #quorumContactMs(floorMs: number): number {
         const core = this.#core;
         const contacts = votersOf(core.membership).map(voter =>
--- a/packages/consensus/src/log-receiver.ts
+++ b/packages/consensus/src/log-receiver.ts
@@ -102,7 +102,8 @@
         const core = this.#core;
         core.becomeFollower(message.term, message.fromDiskId);
         core.leaderContactMs = core.nowMs;
-        core.resetElectionTimer();
+        core.backoff.recordLeader(message.term, core.nowMs);
+        core.resetElectionTimer(core.backoff.followerFactor);
     }
 
     #rejectAppend(leaderDiskId: string, request: AppendRequest): void {
--- a/packages/consensus/src/replica-runner.ts
+++ b/packages/consensus/src/replica-runner.ts
@@ -19,6 +19,8 @@
     SnapshotNeededEffect,
 } from "./types.js";
 
+/** Time without an event, ticks included, after which the process counts as stalled. */
+const STALL_THRESHOLD_MS = 100;
 const DEFAULT_SNAPSHOT_INTERVAL_ENTRIES = 10_000;
 
 /** Callbacks of a runner, which must not throw. */
@@ -158,15 +160,24 @@
     }
 
     #handleEvent(nowMs: number, event: () => void): void {
-        this.#nowMs = Math.max(this.#nowMs, nowMs);
+        this.#advanceClock(nowMs);
         if (this.#failure === undefined && !this.#isStopped) {
             event();
             this.#scheduleFlush();
         }
     }
 
-    #propose(nowMs: number, event: () => Result<number, StepError>): Result<number, StepError> {
+    /** Ticks come every few tens of milliseconds, so a longer time without any event is a stall of this process. */
+    #advanceClock(nowMs: number): void {
+        const sinceEventMs = nowMs - this.#nowMs;
         this.#nowMs = Math.max(this.#nowMs, nowMs);
+        if (sinceEventMs > STALL_THRESHOLD_MS) {
+            this.replica.recordStall(sinceEventMs - STALL_THRESHOLD_MS, nowMs);
+        }
+    }
+
+    #propose(nowMs: number, event: () => Result<number, StepError>): Result<number, StepError> {
+        this.#advanceClock(nowMs);
         if (this.#failure !== undefined) {
             return Err(this.#failure);
         }
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -113,6 +113,15 @@
         this.#dropLeadershipIfLost();
     }
 
+    /**
+     * Records that the process was stalled for a while until now. Messages may wait unread, so timeouts that judge other
+     * replicas don't count this time.
+     */
+    recordStall(durationMs: number, nowMs: number): void {
+        this.#advanceClock(nowMs);
+        this.#core.timers.recordStall(this.#core.nowMs, durationMs);
+    }
+
     /** Handles a message; a message to another disk id is ignored. */
     receive(message: ReplicaMessage, nowMs: number): void {
         this.#advanceClock(nowMs);
@@ -203,7 +212,7 @@
 
     /**
      * Returns the age in milliseconds of this leader's latest message that a member has answered, or the time since the
-     * election if that is shorter; undefined on a replica that doesn't lead, for itself and for non-members.
+     * election if that is shorter, without this replica's own stalls; undefined on a replica that doesn't lead, for itself and for non-members.
      */
     sinceContactMs(diskId: string, nowMs: number): number | undefined {
         this.#advanceClock(nowMs);
--- a/packages/test-support/src/replication.test.ts
+++ b/packages/test-support/src/replication.test.ts
@@ -162,6 +162,68 @@
         expect(cluster.oracle.termCount).toBeGreaterThan(5);
     });
 
+    // Guards against a leader that gives up its term for messages that it has not read yet, and so begins its work again.
+    it.each([0, 1, 2, 3])(
+        "keeps a leader whose process stalls for 600 ms in its first seconds, seed %i",
+        async seed => {
+            const cluster = await formCluster(["a", "b", "c"], 20 + seed);
+            cluster.crash(cluster.leader?.replica.identity.name ?? "", 200);
+            await cluster.run(1_500);
+            const leader = cluster.leader;
+            const term = leader?.replica.term;
+            const stalled = cluster.nodes.get(leader?.replica.identity.name ?? "");
+            if (stalled !== undefined) {
+                stalled.pausedUntilMs = cluster.nowMs + 600;
+            }
+            await cluster.run(2_000);
+            expect(cluster.leader).toBe(leader);
+            expect(cluster.leader?.replica.term).toBe(term);
+            expect(leader?.hasQuorumLease(cluster.nowMs)).toBe(true);
+        },
+    );
+
+    // Guards against a follower that starts an election because it did not read its leader's messages in time.
+    it("starts no election in a follower whose process stalls for 1.5 s", async () => {
+        const cluster = await formCluster(["a", "b", "c"], 7);
+        await cluster.run(3_000);
+        const { leader } = cluster;
+        const follower = cluster.runners.find(runner => runner !== leader);
+        const roles: ReplicaRole[] = [];
+        for (let stall = 0; stall < 10; stall += 1) {
+            const node = cluster.nodes.get(follower?.replica.identity.name ?? "");
+            if (node !== undefined) {
+                node.pausedUntilMs = cluster.nowMs + 1_500;
+            }
+            while (node !== undefined && cluster.nowMs < node.pausedUntilMs + 500) {
+                await cluster.step(true);
+                roles.push(follower?.replica.role ?? ReplicaRole.Candidate);
+            }
+        }
+        expect(new Set(roles)).toEqual(new Set([ReplicaRole.Follower]));
+        expect(cluster.leader).toBe(leader);
+    });
+
+    // Guards against leaders that follow one another after a power loss, when each leader's first second is slow.
+    it("settles on one leader although each new leader stalls for 900 ms", async () => {
+        const cluster = await formCluster(["a", "b", "c"], 8);
+        for (const name of cluster.nodes.keys()) {
+            cluster.crash(name, 500);
+        }
+        const stalledTerms = new Set<number>();
+        const endMs = cluster.nowMs + 12_000;
+        while (cluster.nowMs < endMs) {
+            await cluster.step(true);
+            const { leader } = cluster;
+            const node = cluster.nodes.get(leader?.replica.identity.name ?? "");
+            if (leader !== undefined && node !== undefined && !stalledTerms.has(leader.replica.term)) {
+                stalledTerms.add(leader.replica.term);
+                node.pausedUntilMs = cluster.nowMs + 900;
+            }
+        }
+        expect(stalledTerms.size).toBeLessThanOrEqual(2);
+        expect(cluster.leader?.hasQuorumLease(cluster.nowMs)).toBe(true);
+    });
+
     it("does not let a wiped disk vote under its old identity", async () => {
         const cluster = await formCluster(["a", "b", "c"], 3);
         const [wiped, crashed] = cluster.runners.filter(runner => runner !== cluster.leader);
