Derive the voters from the tolerated losses, and let control run without a disk

Cause: one control replica a zone in three zones gives three voters, where two losses require five. The reconciler aimed at five, never reached them and reported nothing. A second replica a zone was not possible: on deployments with one disk a zone it runs on a VM without a disk, where the process ended.

- The plan of the voters is a pure function of the replicas of each zone and of the tolerated machines and zones.
Promotions go to the zone with the fewest voters; a vote moves if a zone holds more than planned.
The zone is part of the identity; members recorded without it count as alone in a zone.
The leader announces the members to seeds that are not members, since relays remember nothing.
- Seeds that are relays are left out of the initial membership.
If all seeds are relays, the one with the lowest address names one founder, once, at the first start only.
- Voters, target and tolerable losses are metrics, part of the description of the cluster, and a warning in the log when they fall short.

--- a/packages/consensus/src/bootstrap.test.ts
+++ b/packages/consensus/src/bootstrap.test.ts
@@ -40,6 +40,22 @@
         expect(memberships[2]).toEqual(memberships[0]);
     });
 
+    // Guards against a first start that never ends because a seed has no disk (issue 19).
+    it("forms the cluster without relays, on every replica the same one", () => {
+        const relay = create(DescribeResponseSchema, { isRelay: true });
+        const memberships = [a, b].map(identity => {
+            const peer = identity === a ? b : a;
+            const handshake = new BootstrapHandshake({ identity, peers: [peer, c] });
+            handshake.handleResponse(c, relay, 0);
+            expect(handshake.membership(1)).toBeUndefined();
+            handshake.handleResponse(peer, unformed(peer), 0);
+            expect(handshake.peersToQuery(60_000).map(({ name }) => name)).not.toContain("c");
+            return handshake.membership(1);
+        });
+        expect(memberships[0]?.members.map(member => member.identity?.name)).toEqual(["a", "b"]);
+        expect(memberships[1]).toEqual(memberships[0]);
+    });
+
     it.each([
         [
             "a cluster exists, so that a wiped replica does not form a second one",
--- a/packages/consensus/src/bootstrap.ts
+++ b/packages/consensus/src/bootstrap.ts
@@ -37,13 +37,16 @@
 
 /**
  * Decides whether an uninitialized replica may form a cluster: only after every initial peer has recently reported
- * that it belongs to none. A peer that does not answer could be part of an existing cluster.
+ * that it belongs to none. A peer that does not answer could be part of an existing cluster. Peers without a disk are
+ * left out of the membership; since a peer never gains a disk, all replicas leave out the same ones.
  */
 export class BootstrapHandshake {
     readonly #identity: ReplicaIdentity;
     readonly #peers: readonly BootstrapPeer[];
     readonly #maximumAnswerAgeMs: number;
     readonly #answers = new Map<string, PeerAnswer>();
+    /** Names of peers without a disk, which never become replicas. */
+    readonly #relays = new Set<string>();
     #obstacle = "";
 
     constructor(options: BootstrapOptions) {
@@ -70,7 +73,7 @@
 
     /** Returns the peers to which a Describe call is due. */
     peersToQuery(nowMs: number): BootstrapPeer[] {
-        return this.#peers.filter(peer => {
+        return this.#peers.filter(peer => !this.#relays.has(peer.name)).filter(peer => {
             const answer = this.#answers.get(peer.name);
             return answer === undefined || nowMs - answer.atMs > this.#maximumAnswerAgeMs;
         });
@@ -79,6 +82,10 @@
     /** Handles a peer's response to a Describe call that was sent at `sentAtMs`. */
     handleResponse(peer: BootstrapPeer, response: DescribeResponse, sentAtMs: number): void {
         const { identity } = response;
+        if (response.isRelay) {
+            this.#relays.add(peer.name);
+            return;
+        }
         if (response.formed && isVoter(response.membership ?? create(MembershipSchema), this.#identity.diskId)) {
             // The peer has already formed the cluster with this replica as a voter; the leader will send the log.
             this.#answers.delete(peer.name);
--- a/packages/consensus/src/data-folder.ts
+++ b/packages/consensus/src/data-folder.ts
@@ -25,6 +25,7 @@
 export interface ReplicaSettings {
     name: string;
     address: string;
+    availabilityZone?: string;
     /** Generates the disk id; random by default. */
     newDiskId?: () => string;
 }
@@ -72,7 +73,7 @@
             const message = `the folder belongs to replica ${stored.name}, not to ${settings.name}`;
             throw new StepError(ErrorCode.INVALID, "open the data folder", path, message);
         }
-        return create(ReplicaIdentitySchema, { ...stored, address: settings.address });
+        return configuredIdentity(stored, settings);
     }
 
     /** Returns the stored snapshot, if any. Fails with CORRUPT if the content does not match the digest. */
@@ -111,7 +112,7 @@
         await this.#replaceFile(IDENTITY_FILE, [
             encodeFrames([{ kind: FrameKind.Identity, payload }], FIRST_WRITE_NUMBER),
         ]);
-        return create(ReplicaIdentitySchema, { ...stored, address: settings.address });
+        return configuredIdentity(stored, settings);
     }
 
     async #replaceFile(name: string, parts: readonly Uint8Array[]): Promise<void> {
@@ -134,3 +135,7 @@
         await this.fileSystem.syncFolder(this.path);
     }
 }
+
+/** Returns the stored identity with the present address and zone, which can change while the disk stays the same. */
+const configuredIdentity = (stored: ReplicaIdentity, { address, availabilityZone }: ReplicaSettings): ReplicaIdentity =>
+    create(ReplicaIdentitySchema, { ...stored, address, availabilityZone: availabilityZone ?? "" });
--- a/packages/daemon/src/workflow/cluster-joiner.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -1,9 +1,12 @@
 import { messageOf } from "@waxwingspread/common";
+import { initialMembership } from "@waxwingspread/consensus";
 import type { ReplicaRunner } from "@waxwingspread/consensus";
 import type { Logger } from "pino";
+import { hostOf } from "../transport/host-of.js";
+import { monotonicNowMs } from "../transport/monotonic-time.js";
 import type { JsonCaller } from "./json-call.js";
 import { JOIN_PATH } from "./operations.js";
-import type { JoinRequest } from "./operations.js";
+import type { JoinRequest, JoinResponse } from "./operations.js";
 
 const JOIN_TIMEOUT_MS = 500;
 /** Time without a known leader after which a replica requests to join, since it may have been removed. */
@@ -43,8 +46,8 @@
         if (replica.leader !== undefined || nowMs - this.#leaderLastKnownMs < JOIN_AFTER_MS) {
             return;
         }
-        const { name, diskId, address } = replica.identity;
-        const request: JoinRequest = { name, diskId, address };
+        const { name, diskId, address, availabilityZone } = replica.identity;
+        const request: JoinRequest = { name, diskId, address, availabilityZone, isFormed: replica.isFormed };
         const memberHosts = replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
         const hosts = new Set(
             [...memberHosts, ...seedHosts].filter(host => host !== "" && host !== this.#options.host),
@@ -55,13 +58,23 @@
     async #requestJoin(host: string, body: JoinRequest): Promise<void> {
         const { caller, internalPort, logger } = this.#options;
         try {
-            await caller.call({ host, port: internalPort, path: JOIN_PATH, body, timeoutMs: JOIN_TIMEOUT_MS });
+            const call = { host, port: internalPort, path: JOIN_PATH, body, timeoutMs: JOIN_TIMEOUT_MS };
+            const { mayFound } = await caller.call<JoinResponse>(call);
+            if (mayFound === true) {
+                this.#found();
+            }
         }
         catch (error) {
             logger.debug({ host, reason: messageOf(error) }, "request to join failed");
         }
     }
-}
 
-/** Returns the host of a `host:port` address. Empty for an empty address. */
-export const hostOf = (address: string): string => address.slice(0, Math.max(0, address.lastIndexOf(":")));
+    /** Forms a cluster of this replica alone, which the others then join. */
+    #found(): void {
+        const { runner, logger } = this.#options;
+        if (!runner.replica.isFormed) {
+            runner.form(initialMembership([runner.replica.identity]), monotonicNowMs());
+            logger.info({ members: 1 }, "cluster formed for seeds without disks");
+        }
+    }
+}
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -25,9 +25,10 @@
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
 import { handOverLeadership } from "../roles/hand-over.js";
+import { hostOf } from "../transport/host-of.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
-import { ClusterJoiner, hostOf } from "./cluster-joiner.js";
+import { ClusterJoiner } from "./cluster-joiner.js";
 import { EventLog } from "./event-log.js";
 import { createForwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
@@ -35,9 +36,11 @@
 import { JsonCaller } from "./json-call.js";
 import { MembershipReconciler } from "./membership-reconciler.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
-import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
+import type { ClusterDescription, ControlOperations, JoinRequest, JoinResponse, VoterStatus } from "./operations.js";
 import type { PlatformServices } from "./platform-services.js";
+import { RelayAnnouncer } from "./relay-announcer.js";
 import { SlewedWallClock } from "./slewed-wall-clock.js";
+import type { FaultTolerance } from "./voter-plan.js";
 import type { ControlMetrics } from "./workflow-metrics.js";
 
 const TICK_INTERVAL_MS = 20;
@@ -46,6 +49,7 @@
 const RECONCILE_INTERVAL_MS = 200;
 const UTILIZATION_INTERVAL_MS = 2_000;
 const JOIN_INTERVAL_MS = 300;
+const ANNOUNCE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_500;
 const LISTENER_GRACE_MS = 1_000;
 /** Log records between two snapshots, which bounds the records that recovery replays. */
@@ -63,8 +67,9 @@
     seedHosts: readonly string[];
     /** Whether this is the first start of the deployment, in which the seed hosts form the cluster. */
     isFirstStart: boolean;
-    /** Number of replicas that may fail at the same time. */
-    toleratedLosses: number;
+    availabilityZone: string;
+    /** Losses that may happen at the same time. */
+    tolerance: FaultTolerance;
     leader: LeaderSettings;
 }
 
@@ -91,6 +96,7 @@
     readonly #eventLog: EventLog;
     readonly #membershipReconciler: MembershipReconciler;
     readonly #joiner: ClusterJoiner;
+    readonly #relayAnnouncer: RelayAnnouncer;
     readonly #replicaListener: ReplicaStreamListener;
     readonly #internalListener: HttpListener;
     readonly #timers: NodeJS.Timeout[] = [];
@@ -115,7 +121,7 @@
         this.#runner = this.#createRunner(opened);
         this.#membershipReconciler = new MembershipReconciler({
             runner: this.#runner,
-            toleratedLosses: settings.toleratedLosses,
+            tolerance: settings.tolerance,
             logger,
         });
         this.#joiner = new ClusterJoiner({
@@ -125,6 +131,11 @@
             internalPort: settings.internalPort,
             logger,
         }, monotonicNowMs());
+        this.#relayAnnouncer = new RelayAnnouncer({
+            caller: this.#caller,
+            internalPort: settings.internalPort,
+            logger,
+        });
         this.#replicaListener = new ReplicaStreamListener(
             { host: settings.host, port: settings.replicaPort },
             messages => this.#receive(messages),
@@ -144,6 +155,7 @@
             folder: join(settings.dataFolder, "log"),
             name: address,
             address,
+            availabilityZone: settings.availabilityZone,
         });
         const host = new ControlHost(settings, opened, dependencies);
         await host.#replicaListener.listen();
@@ -288,6 +300,7 @@
             setInterval(() => this.#reconcileMembership(), RECONCILE_INTERVAL_MS),
             setInterval(() => void this.#joiner.joinIfLeaderless(this.#seedHosts, monotonicNowMs()), JOIN_INTERVAL_MS),
             setInterval(() => this.#reportUtilization(), UTILIZATION_INTERVAL_MS),
+            setInterval(() => this.#announceMembers(), ANNOUNCE_INTERVAL_MS),
         );
     }
 
@@ -319,11 +332,28 @@
     }
 
     #reconcileMembership(): void {
+        const nowMs = monotonicNowMs();
+        if (this.#node.session !== undefined) {
+            this.#membershipReconciler.run(nowMs);
+        }
+        this.#metrics.setVoterStatus(this.#voterStatus(nowMs));
+    }
+
+    /** Returns the state of the voters; undefined unless this replica leads. */
+    #voterStatus(nowMs: number): VoterStatus | undefined {
+        return this.#node.session === undefined ? undefined : this.#membershipReconciler.status(nowMs);
+    }
+
+    #announceMembers(): void {
         if (this.#node.session !== undefined) {
-            this.#membershipReconciler.run(monotonicNowMs());
+            void this.#relayAnnouncer.announce(this.#memberHosts, this.#seedHosts);
         }
     }
 
+    get #memberHosts(): string[] {
+        return this.#runner.replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
+    }
+
     #reportUtilization(): void {
         const { session } = this.#node;
         if (session !== undefined) {
@@ -410,15 +440,16 @@
     }
 
     #describeCluster(): ClusterDescription {
-        const { members } = this.#runner.replica.membership;
+        const nowMs = monotonicNowMs();
         return {
             leaderHost: this.leaderHost,
-            memberHosts: members.map(member => hostOf(member.identity?.address ?? "")),
-            isServing: this.#node.session !== undefined && this.#runner.hasQuorumLease(monotonicNowMs()),
+            memberHosts: this.#memberHosts,
+            isServing: this.#node.session !== undefined && this.#runner.hasQuorumLease(nowMs),
+            voterStatus: this.#voterStatus(nowMs),
         };
     }
 
-    #join(request: JoinRequest): { isMember: boolean } {
+    #join(request: JoinRequest): JoinResponse {
         const isLeading = this.#node.session !== undefined;
         return { isMember: isLeading && this.#membershipReconciler.join(request, monotonicNowMs()) };
     }
--- /dev/null
+++ b/packages/daemon/src/workflow/leader-finder.ts
@@ -0,0 +1,142 @@
+import { messageOf } from "@waxwingspread/common";
+import type { Logger } from "pino";
+import { monotonicNowMs } from "../transport/monotonic-time.js";
+import type { JsonCaller } from "./json-call.js";
+import { CLUSTER_PATH } from "./operations.js";
+import type { ClusterDescription } from "./operations.js";
+
+const PROBE_INTERVAL_MS = 500;
+const PROBE_TIMEOUT_MS = 400;
+
+/** Construction parameters of a {@link LeaderFinder}. */
+export interface LeaderFinderOptions {
+    caller: JsonCaller;
+    /** Hosts of control processes from the settings. */
+    seedHosts: readonly string[];
+    /** Port of the internal listeners of all control processes. */
+    port: number;
+    logger: Logger;
+}
+
+/** Finds the leader by probing the known control processes. */
+export class LeaderFinder {
+    readonly #caller: JsonCaller;
+    readonly #port: number;
+    readonly #logger: Logger;
+    #seedHosts: readonly string[];
+    #memberHosts: string[] = [];
+    /** Possible members that processes other than the leader have named since the last leader was found. */
+    readonly #suggestedHosts = new Set<string>();
+    #leaderHost: string | undefined;
+    #nextHost = 0;
+    #lastLeaderContactMs = -Infinity;
+    #probeTimer: NodeJS.Timeout | undefined;
+
+    constructor(options: LeaderFinderOptions) {
+        this.#caller = options.caller;
+        this.#seedHosts = options.seedHosts;
+        this.#port = options.port;
+        this.#logger = options.logger;
+    }
+
+    /** Starts probing. */
+    start(): void {
+        this.#probeTimer = setInterval(() => void this.#probeAll(), PROBE_INTERVAL_MS);
+        void this.#probeAll();
+    }
+
+    /** Stops probing. */
+    stop(): void {
+        clearInterval(this.#probeTimer);
+    }
+
+    /** Host of the leader; undefined if none is known. */
+    get leaderHost(): string | undefined {
+        return this.#leaderHost;
+    }
+
+    /** Hosts that are or may be members. */
+    get memberHosts(): string[] {
+        return [...new Set([...this.#memberHosts, ...this.#suggestedHosts])];
+    }
+
+    /** Time of the last contact to a serving leader. */
+    get lastLeaderContactMs(): number {
+        return this.#lastLeaderContactMs;
+    }
+
+    /** Replaces the seed hosts, for example after the settings have changed. */
+    setSeedHosts(hosts: readonly string[]): void {
+        this.#seedHosts = hosts;
+    }
+
+    /** Adds hosts to probe while no leader is known. */
+    suggestHosts(hosts: readonly string[]): void {
+        if (this.#leaderHost === undefined) {
+            hosts.forEach(host => this.#suggestedHosts.add(host));
+        }
+    }
+
+    /** Returns the next control host in turn. */
+    pickHost(): string {
+        const hosts = this.#hosts;
+        this.#nextHost = (this.#nextHost + 1) % hosts.length;
+        return hosts[this.#nextHost] ?? "";
+    }
+
+    /** Records a response of the leader. */
+    recordLeader(host: string): void {
+        if (this.#leaderHost !== host) {
+            this.#logger.info({ leader: host }, "leader found");
+        }
+        this.#leaderHost = host;
+        this.#lastLeaderContactMs = monotonicNowMs();
+    }
+
+    /** Sets the leader that another replica has named, before the leader itself has responded. */
+    setNamedLeader(host: string | undefined): void {
+        this.#leaderHost = host;
+    }
+
+    /** Discards the leader if it has this host. */
+    clearLeader(host: string): void {
+        if (this.#leaderHost === host) {
+            this.#logger.info({ leader: host }, "leader lost");
+            this.#leaderHost = undefined;
+        }
+    }
+
+    get #hosts(): string[] {
+        return [...new Set([...this.memberHosts, ...this.#seedHosts])];
+    }
+
+    async #probeAll(): Promise<void> {
+        const hosts = this.#leaderHost === undefined ? this.#hosts : [this.#leaderHost];
+        await Promise.all(hosts.map(host => this.#probe(host)));
+    }
+
+    async #probe(host: string): Promise<void> {
+        try {
+            const description = await this.#caller.call<ClusterDescription>({
+                host,
+                port: this.#port,
+                path: CLUSTER_PATH,
+                body: {},
+                timeoutMs: PROBE_TIMEOUT_MS,
+            });
+            if (description.isServing) {
+                this.#memberHosts = description.memberHosts;
+                this.#suggestedHosts.clear();
+                this.recordLeader(host);
+            }
+            else {
+                this.clearLeader(host);
+                this.suggestHosts(description.memberHosts);
+            }
+        }
+        catch (error) {
+            this.#logger.debug({ host, reason: messageOf(error) }, "probe of control process failed");
+            this.clearLeader(host);
+        }
+    }
+}
--- a/packages/daemon/src/workflow/membership-reconciler.test.ts
+++ b/packages/daemon/src/workflow/membership-reconciler.test.ts
@@ -3,7 +3,7 @@
 import { MemberRole, MembershipSchema } from "@waxwingspread/protocol";
 import type { Membership } from "@waxwingspread/protocol";
 import { expect, it } from "vitest";
-import { nextMembershipChange } from "./membership-reconciler.js";
+import { nextMembershipChange, voterStatusOf } from "./membership-reconciler.js";
 
 const membershipOf = (...members: [name: string, diskId: string, role: MemberRole][]): Membership =>
     create(MembershipSchema, {
@@ -15,15 +15,31 @@
 
 const { LEARNER, VOTER } = MemberRole;
 
+/** Requires three voters. */
+const ONE_LOSS = { machines: 1, zones: 1 };
+/** Requires five voters. */
+const TWO_LOSSES = { machines: 2, zones: 1 };
+
+/** Creates members named after their zone and a number, such as `x1` in zone `x`; voters first. */
+const zonedMembership = (voters: readonly string[], learners: readonly string[]): Membership => {
+    const memberOf = (name: string, role: MemberRole) => ({
+        identity: { name, diskId: name, address: `${name}:1`, availabilityZone: name.slice(0, 1) },
+        role,
+    });
+    return create(MembershipSchema, {
+        members: [...voters.map(name => memberOf(name, VOTER)), ...learners.map(name => memberOf(name, LEARNER))],
+    });
+};
+
 // Guards against a replica that is not promoted after its disk was wiped, so that the next loss breaks the quorum.
 it("promotes a replica with a new disk and then removes the former member of the same name", () => {
     const joined = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["c", "c2", LEARNER]);
-    expect(nextMembershipChange(joined, 3, sinceContactMs({}))).toEqual({
+    expect(nextMembershipChange(joined, ONE_LOSS, sinceContactMs({}))).toEqual({
         kind: MembershipChangeKind.Promote,
         diskId: "c2",
     });
     const promoted = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["c", "c2", VOTER]);
-    expect(nextMembershipChange(promoted, 3, sinceContactMs({}))).toEqual({
+    expect(nextMembershipChange(promoted, ONE_LOSS, sinceContactMs({}))).toEqual({
         kind: MembershipChangeKind.Remove,
         diskId: "c1",
     });
@@ -32,10 +48,10 @@
 // Guards against the removal of a voter without a replacement, which would shrink the quorum.
 it("keeps an unresponsive voter until a learner can replace it", () => {
     const voters = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER]);
-    expect(nextMembershipChange(voters, 3, sinceContactMs({ c1: 60_000 }))).toBeUndefined();
+    expect(nextMembershipChange(voters, ONE_LOSS, sinceContactMs({ c1: 60_000 }))).toBeUndefined();
     const spare = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["d", "d1", LEARNER]);
-    expect(nextMembershipChange(spare, 3, sinceContactMs({ c1: 2_000 }))).toBeUndefined();
-    expect(nextMembershipChange(spare, 3, sinceContactMs({ c1: 5_000 }))).toEqual({
+    expect(nextMembershipChange(spare, ONE_LOSS, sinceContactMs({ c1: 2_000 }))).toBeUndefined();
+    expect(nextMembershipChange(spare, ONE_LOSS, sinceContactMs({ c1: 5_000 }))).toEqual({
         kind: MembershipChangeKind.Promote,
         diskId: "d1",
     });
@@ -44,9 +60,65 @@
 // Guards against a cluster that stays at its three initial voters although it must tolerate more failures.
 it("promotes learners until the target number of voters is reached", () => {
     const founders = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["d", "d1", LEARNER]);
-    expect(nextMembershipChange(founders, 3, sinceContactMs({}))).toBeUndefined();
-    expect(nextMembershipChange(founders, 5, sinceContactMs({}))).toEqual({
+    expect(nextMembershipChange(founders, ONE_LOSS, sinceContactMs({}))).toBeUndefined();
+    expect(nextMembershipChange(founders, TWO_LOSSES, sinceContactMs({}))).toEqual({
         kind: MembershipChangeKind.Promote,
         diskId: "d1",
     });
 });
+
+// Guards against too few voters on two VMs with a disk per zone, where two lost disks took all copies (issue 19).
+it("grows six replicas in three zones to five voters, at most two in a zone", () => {
+    let voters = ["x1", "y1", "z1"];
+    let learners = ["x2", "y2", "z2"];
+    for (;;) {
+        const change = nextMembershipChange(zonedMembership(voters, learners), TWO_LOSSES, sinceContactMs({}));
+        if (change?.kind !== MembershipChangeKind.Promote) {
+            expect(change).toBeUndefined();
+            break;
+        }
+        const promoted = change.diskId;
+        voters = [...voters, promoted];
+        learners = learners.filter(name => name !== promoted);
+    }
+    expect(voters).toHaveLength(5);
+    expect(learners).toHaveLength(1);
+    expect(["x", "y", "z"].every(zone => voters.filter(name => name.startsWith(zone)).length <= 2)).toBe(true);
+});
+
+// Guards against a zone that gains the votes of other zones, so that its loss takes the majority.
+it("promotes the learner in the zone with the fewest voters", () => {
+    const membership = zonedMembership(["x1", "x2", "y1"], ["x3", "z1"]);
+    expect(nextMembershipChange(membership, TWO_LOSSES, sinceContactMs({}))).toEqual({
+        kind: MembershipChangeKind.Promote,
+        diskId: "z1",
+    });
+});
+
+// Guards against votes that stay concentrated in one zone after the replicas of another zone have come back.
+it("moves a vote from a zone with too many voters to a zone with too few", () => {
+    const gathered = zonedMembership(["x1", "x2", "y1"], ["z1"]);
+    expect(nextMembershipChange(gathered, ONE_LOSS, sinceContactMs({}))).toEqual({
+        kind: MembershipChangeKind.Promote,
+        diskId: "z1",
+    });
+    const promoted = zonedMembership(["x1", "x2", "y1", "z1"], []);
+    const isThisReplica = (diskId: string): number | undefined => diskId === "x1" ? undefined : 0;
+    expect(nextMembershipChange(promoted, ONE_LOSS, isThisReplica)).toEqual({
+        kind: MembershipChangeKind.Remove,
+        diskId: "x2",
+    });
+    expect(nextMembershipChange(zonedMembership(["x1", "y1", "z1"], ["x2"]), ONE_LOSS, isThisReplica)).toBeUndefined();
+});
+
+// Guards against a shortfall of voters that nothing reports (issue 19).
+it("reports whether the voters suffice for the tolerated losses", () => {
+    const tooFew = zonedMembership(["x1", "y1", "z1"], []);
+    expect(voterStatusOf(tooFew, TWO_LOSSES, sinceContactMs({})))
+        .toEqual({ voters: 3, targetVoters: 5, tolerableLosses: 1, isSufficient: false });
+    const enough = zonedMembership(["x1", "x2", "y1", "y2", "z1"], ["z2"]);
+    expect(voterStatusOf(enough, TWO_LOSSES, sinceContactMs({})))
+        .toEqual({ voters: 5, targetVoters: 5, tolerableLosses: 2, isSufficient: true });
+    expect(voterStatusOf(enough, TWO_LOSSES, sinceContactMs({ x2: 5_000 })))
+        .toEqual({ voters: 4, targetVoters: 5, tolerableLosses: 1, isSufficient: false });
+});
--- a/packages/daemon/src/workflow/membership-reconciler.ts
+++ b/packages/daemon/src/workflow/membership-reconciler.ts
@@ -1,21 +1,25 @@
 import { create } from "@bufbuild/protobuf";
-import { MembershipChangeKind, votersOf } from "@waxwingspread/consensus";
+import { MembershipChangeKind } from "@waxwingspread/consensus";
 import type { MembershipChange, ReplicaRunner } from "@waxwingspread/consensus";
 import { MemberRole, ReplicaIdentitySchema } from "@waxwingspread/protocol";
 import type { Member, Membership } from "@waxwingspread/protocol";
 import type { Logger } from "pino";
-import type { JoinRequest } from "./operations.js";
+import type { JoinRequest, VoterStatus } from "./operations.js";
+import { majorityOf, planVoters } from "./voter-plan.js";
+import type { FaultTolerance, VoterPlan } from "./voter-plan.js";
 
 /** Time without contact after which a voter may be replaced by a learner that has the whole log. */
 const REPLACE_VOTER_AFTER_MS = 4_000;
 /** Time without contact after which a learner is removed. */
 const REMOVE_LEARNER_AFTER_MS = 20_000;
 
+/** Returns the time since the last contact to a member; undefined for this replica. */
+export type SinceContactMs = (diskId: string) => number | undefined;
+
 /** Construction parameters of a {@link MembershipReconciler}. */
 export interface MembershipReconcilerOptions {
     runner: ReplicaRunner;
-    /** Number of replicas that may fail at the same time. */
-    toleratedLosses: number;
+    tolerance: FaultTolerance;
     logger: Logger;
 }
 
@@ -25,37 +29,47 @@
  */
 export class MembershipReconciler {
     readonly #runner: ReplicaRunner;
-    readonly #targetVoters: number;
+    readonly #tolerance: FaultTolerance;
     readonly #logger: Logger;
+    #loggedStatus = "";
 
     constructor(options: MembershipReconcilerOptions) {
         this.#runner = options.runner;
-        this.#targetVoters = 2 * options.toleratedLosses + 1;
+        this.#tolerance = options.tolerance;
         this.#logger = options.logger;
     }
 
     /** Adds a replica as a learner and returns whether it is a member. Succeeds on the leader only. */
-    join({ name, diskId, address }: JoinRequest, nowMs: number): boolean {
+    join({ name, diskId, address, availabilityZone }: JoinRequest, nowMs: number): boolean {
         const { membership } = this.#runner.replica;
         if (membership.members.some(member => member.identity?.diskId === diskId)) {
             return true;
         }
-        const identity = create(ReplicaIdentitySchema, { name, diskId, address });
+        const identity = create(ReplicaIdentitySchema, { name, diskId, address, availabilityZone });
         return this.#propose({ kind: MembershipChangeKind.AddLearner, identity }, nowMs);
     }
 
-    /** Proposes the next membership change, if one is needed. */
+    /** Proposes the next membership change, if one is needed; otherwise logs a change of the voter status. */
     run(nowMs: number): void {
-        const change = nextMembershipChange(
-            this.#runner.replica.membership,
-            this.#targetVoters,
-            diskId => this.#runner.replica.sinceContactMs(diskId, nowMs),
-        );
-        if (change !== undefined) {
+        const { membership } = this.#runner.replica;
+        const change = nextMembershipChange(membership, this.#tolerance, this.#sinceContactMs(nowMs));
+        if (change === undefined) {
+            this.#logStatus(this.status(nowMs));
+        }
+        else {
             this.#propose(change, nowMs);
         }
     }
 
+    /** Returns how the responsive voters compare with the number that the tolerance requires. */
+    status(nowMs: number): VoterStatus {
+        return voterStatusOf(this.#runner.replica.membership, this.#tolerance, this.#sinceContactMs(nowMs));
+    }
+
+    #sinceContactMs(nowMs: number): SinceContactMs {
+        return diskId => this.#runner.replica.sinceContactMs(diskId, nowMs);
+    }
+
     #propose(change: MembershipChange, nowMs: number): boolean {
         const result = this.#runner.changeMembership(change, nowMs);
         if (result.isOk()) {
@@ -63,37 +77,147 @@
         }
         return result.isOk();
     }
+
+    #logStatus(status: VoterStatus): void {
+        const text = JSON.stringify(status);
+        if (text === this.#loggedStatus) {
+            return;
+        }
+        this.#loggedStatus = text;
+        if (status.isSufficient) {
+            this.#logger.info(status, "voters suffice for the tolerated losses");
+        }
+        else {
+            this.#logger.warn({ ...status, tolerance: this.#tolerance }, "too few voters for the tolerated losses");
+        }
+    }
 }
 
 const memberNameOf = (change: MembershipChange): string =>
     change.kind === MembershipChangeKind.AddLearner ? change.identity.name : change.diskId;
 
-/** Returns the next change towards the target number of responsive voters; undefined if none is needed or possible. */
+const diskIdOf = (member: Member): string => member.identity?.diskId ?? "";
+
+/** Returns a member's zone. A replica without a recorded zone counts as alone in a zone. */
+const zoneOf = ({ identity }: Member): string => {
+    const zone = identity?.availabilityZone ?? "";
+    return zone === "" ? `disk ${identity?.diskId ?? ""}` : zone;
+};
+
+const countByZone = (members: readonly Member[]): Map<string, number> => {
+    const counts = new Map<string, number>();
+    for (const member of members) {
+        counts.set(zoneOf(member), (counts.get(zoneOf(member)) ?? 0) + 1);
+    }
+    return counts;
+};
+
+/** Members of a cluster by role and availability, with the plan for their votes. */
+class MembershipView {
+    readonly voters: Member[];
+    readonly learners: Member[];
+    readonly plan: VoterPlan;
+    readonly #members: Member[];
+    readonly #sinceContactMs: SinceContactMs;
+
+    constructor({ members }: Membership, tolerance: FaultTolerance, sinceContactMs: SinceContactMs) {
+        this.#members = members;
+        this.#sinceContactMs = sinceContactMs;
+        this.voters = members.filter(member => member.role === MemberRole.VOTER);
+        this.learners = members.filter(member => member.role === MemberRole.LEARNER);
+        const replicas = members.filter(member => !this.isReplaced(member));
+        this.plan = planVoters([...countByZone(replicas).values()], tolerance);
+    }
+
+    get availableVoters(): Member[] {
+        return this.voters.filter(voter => !this.isUnavailable(voter));
+    }
+
+    /** Whether a later member has the same name, which means that this member's disk was lost. */
+    isReplaced(member: Member): boolean {
+        return this.#members
+            .slice(this.#members.indexOf(member) + 1)
+            .some(later => later.identity?.name === member.identity?.name);
+    }
+
+    isSilent(member: Member, timeoutMs: number): boolean {
+        return (this.#sinceContactMs(diskIdOf(member)) ?? 0) > timeoutMs;
+    }
+
+    isUnavailable(member: Member): boolean {
+        return this.isReplaced(member) || this.isSilent(member, REPLACE_VOTER_AFTER_MS);
+    }
+
+    /** Returns the available learner whose zone has the fewest available voters. */
+    nextCandidate(): Member | undefined {
+        return this.learners
+            .filter(learner => !this.isUnavailable(learner))
+            .toSorted((a, b) => this.#votersInZoneOf(a) - this.#votersInZoneOf(b))[0];
+    }
+
+    /** Returns a voter of a zone that has more voters than planned, preferably one other than this replica. */
+    surplusVoter(): Member | undefined {
+        return this.availableVoters
+            .filter(voter => this.#votersInZoneOf(voter) > this.plan.maxVotersPerZone)
+            .toSorted((a, b) => Number(this.#isThisReplica(a)) - Number(this.#isThisReplica(b)))[0];
+    }
+
+    /** Whether the candidate's zone has fewer voters than planned. */
+    hasRoomInZoneOf(candidate: Member): boolean {
+        return this.#votersInZoneOf(candidate) < this.plan.maxVotersPerZone;
+    }
+
+    #votersInZoneOf(member: Member): number {
+        return countByZone(this.availableVoters).get(zoneOf(member)) ?? 0;
+    }
+
+    #isThisReplica(member: Member): boolean {
+        return this.#sinceContactMs(diskIdOf(member)) === undefined;
+    }
+}
+
+/** Returns the next change towards the planned number and spread of voters; undefined if none is needed or possible. */
 export const nextMembershipChange = (
     membership: Membership,
-    targetVoters: number,
-    sinceContactMs: (diskId: string) => number | undefined,
+    tolerance: FaultTolerance,
+    sinceContactMs: SinceContactMs,
 ): MembershipChange | undefined => {
-    const { members } = membership;
-    const isReplaced = (member: Member): boolean =>
-        members.slice(members.indexOf(member) + 1).some(later => later.identity?.name === member.identity?.name);
-    const sinceContactMsOf = (member: Member): number => sinceContactMs(member.identity?.diskId ?? "") ?? 0;
-    const isUnavailable = (member: Member): boolean =>
-        isReplaced(member) || sinceContactMsOf(member) > REPLACE_VOTER_AFTER_MS;
-    const voters = members.filter(member => member.role === MemberRole.VOTER);
-    const learners = members.filter(member => member.role === MemberRole.LEARNER);
-    const unavailableVoter = voters.find(isUnavailable);
-    if (unavailableVoter !== undefined && votersOf(membership).length > targetVoters) {
-        return { kind: MembershipChangeKind.Remove, diskId: unavailableVoter.identity?.diskId ?? "" };
-    }
-    const candidate = learners.find(learner => !isUnavailable(learner));
-    if (candidate !== undefined && (voters.length < targetVoters || unavailableVoter !== undefined)) {
-        return { kind: MembershipChangeKind.Promote, diskId: candidate.identity?.diskId ?? "" };
-    }
-    const removableLearner = learners.find(learner =>
-        isReplaced(learner) || sinceContactMsOf(learner) > REMOVE_LEARNER_AFTER_MS
+    const view = new MembershipView(membership, tolerance, sinceContactMs);
+    const unavailableVoter = view.voters.find(voter => view.isUnavailable(voter));
+    const surplusVoter = view.surplusVoter();
+    const removableVoter = unavailableVoter ?? surplusVoter;
+    if (removableVoter !== undefined && view.voters.length > view.plan.voters) {
+        return { kind: MembershipChangeKind.Remove, diskId: diskIdOf(removableVoter) };
+    }
+    const candidate = view.nextCandidate();
+    if (candidate !== undefined) {
+        const isVoteFree = view.voters.length < view.plan.voters || unavailableVoter !== undefined;
+        const improvesSpread = surplusVoter !== undefined && view.hasRoomInZoneOf(candidate);
+        if (isVoteFree || improvesSpread) {
+            return { kind: MembershipChangeKind.Promote, diskId: diskIdOf(candidate) };
+        }
+    }
+    const removableLearner = view.learners.find(learner =>
+        view.isReplaced(learner) || view.isSilent(learner, REMOVE_LEARNER_AFTER_MS)
     );
     return removableLearner === undefined
         ? undefined
-        : { kind: MembershipChangeKind.Remove, diskId: removableLearner.identity?.diskId ?? "" };
+        : { kind: MembershipChangeKind.Remove, diskId: diskIdOf(removableLearner) };
+};
+
+/** Returns how the responsive voters compare with the number that the tolerance requires. */
+export const voterStatusOf = (
+    membership: Membership,
+    tolerance: FaultTolerance,
+    sinceContactMs: SinceContactMs,
+): VoterStatus => {
+    const view = new MembershipView(membership, tolerance, sinceContactMs);
+    const voters = view.availableVoters.length;
+    return {
+        voters,
+        targetVoters: view.plan.requiredVoters,
+        tolerableLosses: Math.max(0, voters - majorityOf(view.voters.length)),
+        isSufficient: view.plan.isSufficient && voters >= view.plan.requiredVoters
+            && view.surplusVoter() === undefined,
+    };
 };
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -48,6 +48,20 @@
     memberHosts: string[];
     /** Whether the responding replica is the leader and serves requests. */
     isServing: boolean;
+    /** State of the voters; only the leader reports it. */
+    voterStatus?: VoterStatus;
+}
+
+/** Number of voters compared with the losses that must be tolerated. */
+export interface VoterStatus {
+    /** Voters that respond and whose disks are intact. */
+    voters: number;
+    /** Voters that the tolerated losses require. */
+    targetVoters: number;
+    /** Further voters whose loss leaves a majority. */
+    tolerableLosses: number;
+    /** Whether the worst tolerated loss leaves a majority. */
+    isSufficient: boolean;
 }
 
 /** Request of a replica to become a member of the cluster. */
@@ -55,6 +69,21 @@
     name: string;
     diskId: string;
     address: string;
+    availabilityZone: string;
+    /** Whether the replica has ever belonged to a cluster. */
+    isFormed: boolean;
+}
+
+/** Response to a request to join. */
+export interface JoinResponse {
+    isMember: boolean;
+    /** Whether the replica is to form the cluster alone, since no seed has a disk. */
+    mayFound?: boolean;
+}
+
+/** Hosts of the members, which the leader announces to seeds that are not members. */
+export interface MembersAnnouncement {
+    memberHosts: string[];
 }
 
 /** Operations of a control replica for backend servers and operators. */
@@ -81,3 +110,6 @@
 
 /** Path of a replica's description of itself on the internal listener. */
 export const DESCRIBE_PATH = "/replica";
+
+/** Path of announcements of the members on the internal listener of a relay. */
+export const ANNOUNCE_PATH = "/cluster/members";
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -3,6 +3,7 @@
 import { Registry } from "prom-client";
 import { MetricFactory } from "../metrics/metric-factory.js";
 import { ForwardedOperation } from "./operations.js";
+import type { VoterStatus } from "./operations.js";
 
 const OK_LABEL = "ok";
 /** From one commit within a zone up to the maximum wait of a caller. */
@@ -58,6 +59,13 @@
     );
     readonly #isLeader = this.#factory.gauge("is_leader", "1 while this replica leads", {});
     readonly #term = this.#factory.gauge("term", "Present term", {});
+    readonly #voters = this.#factory.gauge("voters", "Voters that respond, on the leader", {});
+    readonly #targetVoters = this.#factory.gauge("target_voters", "Voters that the tolerated losses require", {});
+    readonly #tolerableLosses = this.#factory.gauge(
+        "tolerable_voter_losses",
+        "Further voters whose loss leaves a majority, on the leader",
+        {},
+    );
     readonly #servers = this.#factory.gauge("backend_servers", "Backend servers that the leader knows", {});
     readonly #cores = this.#factory.gauge("cores", "Processors of the backend servers, by use", {
         use: ["capacity", "standing", "finite", "filler"],
@@ -110,6 +118,13 @@
         }
     }
 
+    /** Sets the gauges of the voters; a replica that does not lead reports zeros. */
+    setVoterStatus(status: VoterStatus | undefined): void {
+        this.#voters.set({}, status?.voters ?? 0);
+        this.#targetVoters.set({}, status?.targetVoters ?? 0);
+        this.#tolerableLosses.set({}, status?.tolerableLosses ?? 0);
+    }
+
     /** Sets the gauges of the backend servers' utilization. */
     setUtilization(utilization: Utilization): void {
         this.#servers.set({}, utilization.servers);
