--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -1,10 +1,9 @@
-import { create } from "@bufbuild/protobuf";
 import { SeededRandom, StepError } from "@waxwingspread/common";
 import { NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
 import { ControlEffectKind, ControlNode, createReplicatedLogPort } from "@waxwingspread/control";
 import type { ControlCall, ControlEffect, ControlMethod, ControlReply, ControlRequests } from "@waxwingspread/control";
-import { DescribeResponseSchema, ErrorCode } from "@waxwingspread/protocol";
+import { ErrorCode } from "@waxwingspread/protocol";
 import type {
     DescribeResponse,
     GetBlobRequest,
@@ -27,6 +26,7 @@
 import { controlRoutes } from "./control-routes.js";
 import type { ControlRouteTarget } from "./control-routes.js";
 import { controlSettingsOf, schedulerSettingsOf, seedOf } from "./core-settings.js";
+import { describeReplica } from "./describe-replica.js";
 import { handOverLeadership } from "./hand-over.js";
 import { journalRoutes } from "./journal-routes.js";
 import type { ProcessContext } from "./process-context.js";
@@ -147,16 +147,7 @@
     }
 
     describe(): DescribeResponse {
-        const { replica } = this.#runner;
-        return create(DescribeResponseSchema, {
-            identity: replica.identity,
-            formed: replica.isFormed,
-            term: replica.term,
-            lastIndex: replica.lastIndex,
-            leaderAddress: replica.leader?.address ?? "",
-            membership: replica.membership,
-            missingBlobs: this.#blobMaintenance.missingCount,
-        });
+        return describeReplica(this.#runner.replica);
     }
 
     async putBlob(request: PutBlobRequest): Promise<void> {
--- a/packages/daemon/src/workflow/cluster-joiner.test.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.test.ts
@@ -42,6 +42,7 @@
         },
         host: "10.0.0.3",
         internalPort: 7_701,
+        formAlone: () => undefined,
         logger: pino({ enabled: false }),
     }, START_MS);
     await joiner.joinIfLeaderless(SEED_HOSTS, START_MS + sinceStartMs);
--- a/packages/daemon/src/workflow/cluster-joiner.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -1,6 +1,7 @@
 import { messageOf } from "@waxwingspread/common";
 import type { Replica } from "@waxwingspread/consensus";
 import type { Logger } from "pino";
+import { hostOf } from "../transport/host-of.js";
 import type { JsonCaller } from "./json-call.js";
 import { JOIN_PATH } from "./operations.js";
 import type { JoinRequest, JoinResponse } from "./operations.js";
@@ -20,6 +21,8 @@
     host: string;
     /** Port of the internal listeners of all replicas. */
     internalPort: number;
+    /** Forms a cluster of this replica alone, which the others then join. */
+    formAlone: () => void;
     logger: Logger;
 }
 
@@ -46,8 +49,8 @@
         if (replica.leader !== undefined || !this.#isJoinDue(nowMs)) {
             return;
         }
-        const { name, diskId, address } = replica.identity;
-        const request: JoinRequest = { name, diskId, address };
+        const { name, diskId, address, availabilityZone } = replica.identity;
+        const request: JoinRequest = { name, diskId, address, availabilityZone, isFormed: replica.isFormed };
         const memberHosts = replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
         const hosts = new Set(
             [...memberHosts, ...seedHosts].filter(host => host !== "" && host !== this.#options.host),
@@ -79,13 +82,12 @@
     async #requestJoin(host: string, body: JoinRequest): Promise<JoinResponse | undefined> {
         const { caller, internalPort, logger } = this.#options;
         try {
-            return await caller.call<JoinResponse>({
-                host,
-                port: internalPort,
-                path: JOIN_PATH,
-                body,
-                timeoutMs: JOIN_TIMEOUT_MS,
-            });
+            const call = { host, port: internalPort, path: JOIN_PATH, body, timeoutMs: JOIN_TIMEOUT_MS };
+            const response = await caller.call<JoinResponse>(call);
+            if (response.mayFound === true) {
+                this.#options.formAlone();
+            }
+            return response;
         }
         catch (error) {
             logger.debug({ host, reason: messageOf(error) }, "request to join failed");
@@ -93,6 +95,3 @@
         }
     }
 }
-
-/** Returns the host of a `host:port` address. Empty for an empty address. */
-export const hostOf = (address: string): string => address.slice(0, Math.max(0, address.lastIndexOf(":")));
