--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -147,7 +147,7 @@
     }
 
     describe(): DescribeResponse {
-        return describeReplica(this.#runner.replica);
+        return { ...describeReplica(this.#runner.replica), missingBlobs: this.#blobMaintenance.missingCount };
     }
 
     async putBlob(request: PutBlobRequest): Promise<void> {
