Let a young leader wait for its quorum as long as its followers wait for it

One factor now lengthens both timeouts. It delays only the step-down: the quorum lease, which guards reads and orders, still ends one minimum election timeout after the latest answered message was sent, as the new test of an isolated young leader shows.

Ruled out: a longer minimum election timeout, which would slow each failover.

--- a/packages/consensus/src/election-backoff.ts
+++ b/packages/consensus/src/election-backoff.ts
@@ -27,16 +27,11 @@
         }
     }
 
-    /** Factor of the time for which a follower waits for its leader. */
-    get followerFactor(): number {
+    /** Factor of the time for which a follower waits for its leader, and a leader for the answers of a quorum. */
+    get timeoutFactor(): number {
         return Math.min(MAX_FACTOR, 1 + this.#earlyEnds + (this.#isYoung ? 1 : 0));
     }
 
-    /** Factor of the time without contact to a quorum after which a leader steps down. */
-    get leaderFactor(): number {
-        return 1 + this.#earlyEnds;
-    }
-
     get #isYoung(): boolean {
         return this.#lastContactMs - this.#startMs < STABLE_LEADERSHIP_MS;
     }
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -115,7 +115,7 @@
         core.backoff.recordLeader(core.term, core.nowMs);
         const sinceQuorumContactMs = this.#timerMsSince(this.#quorumContactMs(this.#electedAtMs));
         if (
-            sinceQuorumContactMs >= core.timing.minimumElectionTimeoutMs * core.backoff.leaderFactor
+            sinceQuorumContactMs >= core.timing.minimumElectionTimeoutMs * core.backoff.timeoutFactor
             || core.nowMs >= (this.#handoverDeadlineMs ?? Infinity)
         ) {
             core.becomeFollower(core.term, "");
--- a/packages/consensus/src/log-receiver.ts
+++ b/packages/consensus/src/log-receiver.ts
@@ -103,7 +103,7 @@
         core.becomeFollower(message.term, message.fromDiskId);
         core.leaderContactMs = core.nowMs;
         core.backoff.recordLeader(message.term, core.nowMs);
-        core.resetElectionTimer(core.backoff.followerFactor);
+        core.resetElectionTimer(core.backoff.timeoutFactor);
     }
 
     #rejectAppend(leaderDiskId: string, request: AppendRequest): void {
--- a/packages/test-support/src/replication.test.ts
+++ b/packages/test-support/src/replication.test.ts
@@ -140,6 +140,7 @@
 
     it("makes an isolated leader step down and release its lease", async () => {
         const cluster = await formCluster(["a", "b", "c"], 2);
+        await cluster.run(3_000);
         const leader = cluster.leader;
         cluster.isolated = new Set([leader?.replica.identity.name ?? ""]);
         await cluster.run(600);
@@ -149,6 +150,31 @@
         expect(cluster.leader).not.toBe(leader);
     });
 
+    // Guards against a young leader that waits for its quorum and serves reads from an outdated state meanwhile.
+    it("makes an isolated young leader release its lease at once and step down later", async () => {
+        const cluster = await formCluster(["a", "b", "c"], 2);
+        const leader = cluster.leader;
+        cluster.isolated = new Set([leader?.replica.identity.name ?? ""]);
+        await cluster.run(410);
+        expect(leader?.hasQuorumLease(cluster.nowMs)).toBe(false);
+        await cluster.run(500);
+        expect(leader?.replica.role).not.toBe(ReplicaRole.Leader);
+    });
+
+    // Guards against a leader that gives up its term because the other replicas are slow after a restart of all.
+    it("keeps a young leader whose followers stall for 700 ms", async () => {
+        const cluster = await formCluster(["a", "b", "c"], 9);
+        const leader = cluster.leader;
+        const term = leader?.replica.term;
+        for (const node of cluster.nodes.values()) {
+            node.pausedUntilMs = node.runner === leader ? 0 : cluster.nowMs + 700;
+        }
+        await cluster.run(2_000);
+        expect(cluster.leader).toBe(leader);
+        expect(leader?.replica.term).toBe(term);
+        expect(leader?.hasQuorumLease(cluster.nowMs)).toBe(true);
+    });
+
     it("gives a paused leader no lease once another one can commit, whatever the length of the pause", async () => {
         const cluster = await formCluster(["a", "b", "c"], 6);
         for (let pauseMs = 100; pauseMs <= 1_500; pauseMs += 100) {
