Handle calls in short slices and measure what delays a control replica

After a restart of all machines the first heartbeats of 245 servers arrive at once. The logs could not tell a held event loop from a slow decision or from waiting heartbeats.

NodeDriver queues calls and handles them for at most 10 ms before it gives the event loop back. A call whose sender has given up is refused, not executed; while a leader waits for its quorum, calls wait instead of being refused. ControlMonitor reports the longest event-loop delay, session start, decision and heartbeat delay as a metric, and logs them when one is slow; the time from an election to the session and to the first answered heartbeat is logged once for each leadership.

--- /dev/null
+++ b/packages/daemon/src/workflow/call-queue.test.ts
@@ -0,0 +1,82 @@
+import { expect, it } from "vitest";
+import { CallQueue } from "./call-queue.js";
+import type { QueuedCall } from "./call-queue.js";
+
+const CALL_COST_MS = 3;
+
+const createQueue = () => {
+    const fixture = {
+        nowMs: 0,
+        isBlocked: false,
+        executed: [] as number[],
+        refused: [] as number[],
+        slices: [] as (() => void)[],
+        call: (id: number): QueuedCall => ({
+            receivedAtMs: fixture.nowMs,
+            maxWaitMs: 500,
+            execute: () => {
+                fixture.nowMs += CALL_COST_MS;
+                fixture.executed.push(id);
+            },
+            refuse: () => fixture.refused.push(id),
+        }),
+    };
+    const queue = new CallQueue({
+        isBlocked: () => fixture.isBlocked,
+        readNowMs: () => fixture.nowMs,
+        defer: slice => fixture.slices.push(slice),
+    });
+    return { queue, fixture };
+};
+
+// Guards against a leader that loses its quorum because the first heartbeats of all servers hold its event loop.
+it("gives the event loop back after a few milliseconds of calls", () => {
+    const { queue, fixture } = createQueue();
+    Array.from({ length: 300 }, (_, id) => queue.push(fixture.call(id)));
+    let longestSliceMs = 0;
+    while (fixture.slices.length > 0) {
+        const startMs = fixture.nowMs;
+        fixture.slices.shift()?.();
+        longestSliceMs = Math.max(longestSliceMs, fixture.nowMs - startMs);
+    }
+    expect(longestSliceMs).toBeLessThanOrEqual(10 + CALL_COST_MS);
+    expect(fixture.executed.length).toBeGreaterThan(150);
+    expect(fixture.executed.length + fixture.refused.length).toBe(300);
+});
+
+// Guards against work for senders that have given up, which delays the calls of those that still wait.
+it("refuses a call that waited longer than its sender does, and doesn't execute it", () => {
+    const { queue, fixture } = createQueue();
+    queue.push(fixture.call(1));
+    fixture.nowMs = 400;
+    queue.push(fixture.call(2));
+    fixture.nowMs = 600;
+    fixture.slices.shift()?.();
+    expect([fixture.executed, fixture.refused]).toEqual([[2], [1]]);
+});
+
+// Guards against refusals by a leader that only waits for the quorum's next answers.
+it("holds calls while it is blocked, and refuses them when their time has passed", () => {
+    const { queue, fixture } = createQueue();
+    fixture.isBlocked = true;
+    queue.push(fixture.call(1));
+    fixture.nowMs = 300;
+    queue.push(fixture.call(2));
+    fixture.nowMs = 500;
+    queue.tick(fixture.nowMs);
+    expect([fixture.slices.length, fixture.refused]).toEqual([0, [1]]);
+    fixture.isBlocked = false;
+    queue.tick(fixture.nowMs);
+    fixture.slices.shift()?.();
+    expect([fixture.executed, queue.length]).toEqual([[2], 0]);
+});
+
+// Guards against calls without an answer while a replica stops.
+it("refuses waiting and later calls once it is closed", () => {
+    const { queue, fixture } = createQueue();
+    queue.push(fixture.call(1));
+    queue.close();
+    queue.push(fixture.call(2));
+    fixture.slices.shift()?.();
+    expect([fixture.executed, fixture.refused]).toEqual([[], [1, 2]]);
+});
--- /dev/null
+++ b/packages/daemon/src/workflow/call-queue.ts
@@ -0,0 +1,119 @@
+/** Time after which a slice of calls gives the event loop back to replica messages and ticks. */
+const SLICE_BUDGET_MS = 10;
+
+/** A call that waits until it is handled. */
+export interface QueuedCall {
+    receivedAtMs: number;
+    /** Longest time that the call may wait; it is below the time for which its sender waits. */
+    maxWaitMs: number;
+    execute: (nowMs: number) => void;
+    /** Refuses the call, which then has no effect. */
+    refuse: () => void;
+}
+
+/** Construction parameters of a {@link CallQueue}. */
+export interface CallQueueOptions {
+    /** Whether calls have to wait, for example while a leader waits for the answers of a quorum. */
+    isBlocked: (nowMs: number) => boolean;
+    readNowMs: () => number;
+    /** Schedules the next slice; `setImmediate` by default, so that waiting messages of replicas are read before it. */
+    defer?: (slice: () => void) => void;
+}
+
+/**
+ * Handles calls in the order of their arrival, in short slices, so that many calls at once don't delay replication.
+ * Calls whose sender has given up are refused, not executed.
+ */
+export class CallQueue {
+    readonly #isBlocked: (nowMs: number) => boolean;
+    readonly #readNowMs: () => number;
+    readonly #defer: (slice: () => void) => void;
+    #calls: QueuedCall[] = [];
+    #next = 0;
+    #isSliceScheduled = false;
+    #isClosed = false;
+
+    constructor(options: CallQueueOptions) {
+        this.#isBlocked = options.isBlocked;
+        this.#readNowMs = options.readNowMs;
+        this.#defer = options.defer ?? setImmediate;
+    }
+
+    get length(): number {
+        return this.#calls.length - this.#next;
+    }
+
+    /** Adds a call. */
+    push(call: QueuedCall): void {
+        if (this.#isClosed) {
+            call.refuse();
+            return;
+        }
+        this.#calls.push(call);
+        this.#scheduleSlice();
+    }
+
+    /** Refuses overdue calls and schedules a slice if calls wait. To be called periodically. */
+    tick(nowMs: number): void {
+        this.#refuseOverdue(nowMs);
+        this.#scheduleSlice();
+    }
+
+    /** Refuses the calls that wait and all later ones. */
+    close(): void {
+        this.#isClosed = true;
+        const waiting = this.#calls.slice(this.#next);
+        this.#calls = [];
+        this.#next = 0;
+        waiting.forEach(call => call.refuse());
+    }
+
+    #scheduleSlice(): void {
+        if (this.#isSliceScheduled || this.length === 0 || this.#isBlocked(this.#readNowMs())) {
+            return;
+        }
+        this.#isSliceScheduled = true;
+        this.#defer(() => {
+            this.#isSliceScheduled = false;
+            this.#runSlice();
+        });
+    }
+
+    #runSlice(): void {
+        const endMs = this.#readNowMs() + SLICE_BUDGET_MS;
+        for (let call = this.#take(); call !== undefined; call = this.#take()) {
+            const nowMs = this.#readNowMs();
+            if (isOverdue(call, nowMs)) {
+                call.refuse();
+            }
+            else {
+                call.execute(nowMs);
+            }
+            if (this.#readNowMs() >= endMs) {
+                break;
+            }
+        }
+        this.#scheduleSlice();
+    }
+
+    #take(): QueuedCall | undefined {
+        const call = this.#calls[this.#next];
+        this.#next += call === undefined ? 0 : 1;
+        if (this.#next >= this.#calls.length) {
+            this.#calls = [];
+            this.#next = 0;
+        }
+        return call;
+    }
+
+    #refuseOverdue(nowMs: number): void {
+        const waiting = this.#calls.slice(this.#next);
+        if (waiting.some(call => isOverdue(call, nowMs))) {
+            this.#calls = waiting.filter(call => !isOverdue(call, nowMs));
+            this.#next = 0;
+            waiting.filter(call => isOverdue(call, nowMs)).forEach(call => call.refuse());
+        }
+    }
+}
+
+const isOverdue = (call: QueuedCall, nowMs: number): boolean => nowMs - call.receivedAtMs >= call.maxWaitMs;
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -1,13 +1,12 @@
 import { fromJson, toJson } from "@bufbuild/protobuf";
 import type { JsonValue } from "@bufbuild/protobuf";
-import { messageOf, SeededRandom } from "@waxwingspread/common";
+import { SeededRandom } from "@waxwingspread/common";
 import { initialMembership, NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
 import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
 import { WorkflowNode } from "@waxwingspread/workflow";
 import type {
-    BeginMaintenance,
     CallResult,
     Configuration,
     HeartbeatOrders,
@@ -15,8 +14,6 @@
     LeaderSettings,
     MaintenanceOrder,
     MaintenanceState,
-    QueryEligibility,
-    Respond,
     Times,
 } from "@waxwingspread/workflow";
 import { createHash } from "node:crypto";
@@ -30,29 +27,33 @@
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { ClusterJoiner } from "./cluster-joiner.js";
+import { ControlMonitor } from "./control-monitor.js";
 import { EventLog } from "./event-log.js";
 import { createForwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
 import { JsonCaller } from "./json-call.js";
 import { MembershipReconciler } from "./membership-reconciler.js";
+import { NodeDriver } from "./node-driver.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
 import type { ClusterDescription, ControlOperations, JoinRequest, JoinResponse, VoterStatus } from "./operations.js";
+import { PlatformCalls } from "./platform-calls.js";
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
 import { SlewedWallClock } from "./slewed-wall-clock.js";
 import type { FaultTolerance } from "./voter-plan.js";
+import { ControlPhase } from "./workflow-metrics.js";
 import type { ControlMetrics } from "./workflow-metrics.js";
 
 const TICK_INTERVAL_MS = 20;
-/** Events that arrive within this time are handled in one decision. */
-const BATCH_WINDOW_MS = 5;
 const RECONCILE_INTERVAL_MS = 200;
 const UTILIZATION_INTERVAL_MS = 2_000;
 const JOIN_INTERVAL_MS = 300;
 const ANNOUNCE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_500;
 const LISTENER_GRACE_MS = 1_000;
+/** Longest wait of a heartbeat in the queue; backend servers wait 1 s for an answer. */
+const MAX_HEARTBEAT_WAIT_MS = 800;
 /** Log records between two snapshots, which bounds the records that recovery replays. */
 const SNAPSHOT_INTERVAL_RECORDS = 4_000;
 
@@ -101,9 +102,10 @@
     readonly #replicaListener: ReplicaStreamListener;
     readonly #internalListener: HttpListener;
     readonly #timers: NodeJS.Timeout[] = [];
+    readonly #monitor: ControlMonitor;
+    readonly #driver: NodeDriver;
     readonly #wallClock = new SlewedWallClock(monotonicNowMs(), Date.now());
     #seedHosts: readonly string[];
-    #isRunScheduled = false;
     #isStopped = false;
 
     private constructor(
@@ -118,8 +120,15 @@
         this.#logger = logger;
         this.#fail = fail;
         this.#eventLog = new EventLog(logger);
+        this.#monitor = new ControlMonitor(metrics, logger, TICK_INTERVAL_MS);
         this.#node = this.#createNode();
         this.#runner = this.#createRunner(opened);
+        this.#driver = new NodeDriver({
+            node: this.#node,
+            runner: this.#runner,
+            monitor: this.#monitor,
+            readTimes: () => this.#currentTimes(),
+        });
         this.#membershipReconciler = new MembershipReconciler({
             runner: this.#runner,
             tolerance: settings.tolerance,
@@ -179,29 +188,37 @@
     }
 
     async heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
-        const result = await this.#call<HeartbeatOrders | undefined>((respond, times) =>
-            this.#node.heartbeat(report, respond, times)
-        );
+        const receivedAtMs = monotonicNowMs();
+        const result = await this.#driver.call<HeartbeatOrders | undefined>((respond, times) => {
+            this.#monitor.record(ControlPhase.HeartbeatQueued, times.nowMs - receivedAtMs);
+            this.#node.heartbeat(report, respond, times);
+        }, MAX_HEARTBEAT_WAIT_MS);
         this.#metrics.recordHeartbeat(result);
+        if (result.ok) {
+            const nowMs = monotonicNowMs();
+            this.#monitor.recordAnsweredHeartbeat(nowMs - receivedAtMs, nowMs);
+        }
         return result;
     }
 
     leave(serverId: string): Promise<CallResult<void>> {
-        return this.#call((respond, times) => this.#node.leave(serverId, respond, times));
+        return this.#driver.call((respond, times) => this.#node.leave(serverId, respond, times));
     }
 
     async configure(configuration: Configuration): Promise<CallResult<void>> {
-        const result = await this.#call<void>((respond, times) => this.#node.configure(configuration, respond, times));
+        const result = await this.#driver.call<void>((respond, times) =>
+            this.#node.configure(configuration, respond, times)
+        );
         this.#logger.info({ version: configuration.version, result }, "configuration received");
         return result;
     }
 
     readConfiguration(): Promise<CallResult<string | undefined>> {
-        return this.#call((respond, times) => this.#node.readConfiguration(respond, times));
+        return this.#driver.call((respond, times) => this.#node.readConfiguration(respond, times));
     }
 
     async setZone(availabilityZone: string, isOut: boolean): Promise<CallResult<void>> {
-        const result = await this.#call<void>((respond, times) =>
+        const result = await this.#driver.call<void>((respond, times) =>
             this.#node.setZone(availabilityZone, isOut, respond, times)
         );
         this.#logger.info({ availabilityZone, isOut, result }, "availability zone changed");
@@ -209,19 +226,22 @@
     }
 
     async orderMaintenance(order: MaintenanceOrder): Promise<CallResult<void>> {
-        const result = await this.#call<void>((respond, times) => this.#node.orderMaintenance(order, respond, times));
+        const result = await this.#driver.call<void>((respond, times) =>
+            this.#node.orderMaintenance(order, respond, times)
+        );
         this.#logger.info({ maintenanceId: order.id, vms: order.vmIds.length, result }, "maintenance ordered");
         return result;
     }
 
     maintenanceState(id: number): Promise<CallResult<MaintenanceState | undefined>> {
-        return this.#call((respond, times) => this.#node.maintenanceState(id, respond, times));
+        return this.#driver.call((respond, times) => this.#node.maintenanceState(id, respond, times));
     }
 
     /** Hands over leadership, waits for calls in progress and closes the log. */
     async stop(): Promise<void> {
         await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
         this.#isStopped = true;
+        this.#driver.close();
         this.#timers.forEach(timer => clearInterval(timer));
         await Promise.all([
             this.#internalListener.close(LISTENER_GRACE_MS),
@@ -234,6 +254,11 @@
 
     #createNode(): WorkflowNode {
         const runner = (): ReplicaRunner => this.#runner;
+        const platformCalls = new PlatformCalls({
+            services: this.#services,
+            onResult: () => this.#driver.scheduleRun(),
+            logger: this.#logger,
+        });
         return new WorkflowNode({
             settings: this.#settings.leader,
             onCommitted: (events, nowMs) => {
@@ -241,8 +266,8 @@
                 this.#metrics.recordCommitted(events, nowMs);
             },
             onServerEvent: (event, nowMs) => this.#eventLog.recordServerEvent(event, nowMs),
-            queryEligibility: (query, respond) => void this.#checkEligibility(query, respond),
-            beginMaintenance: (call, respond) => void this.#beginMaintenance(call, respond),
+            queryEligibility: (query, respond) => void platformCalls.checkEligibility(query, respond),
+            beginMaintenance: (call, respond) => void platformCalls.beginMaintenance(call, respond),
             log: {
                 get term() {
                     return runner().replica.term;
@@ -256,22 +281,6 @@
         });
     }
 
-    async #checkEligibility(...[query, respond]: Parameters<QueryEligibility>): Promise<void> {
-        const eligible = await this.#services.checkEligibility(query).catch((error: unknown) => {
-            this.#logger.warn({ step: query.step, reason: messageOf(error) }, "eligibility check failed");
-            return undefined;
-        });
-        respond(eligible, monotonicNowMs());
-        this.#scheduleRun();
-    }
-
-    async #beginMaintenance(...[call, respond]: Parameters<BeginMaintenance>): Promise<void> {
-        const outcome = await this.#services.beginMaintenance(call);
-        this.#logger.info({ ...call, outcome }, "maintenance call finished");
-        respond(outcome, monotonicNowMs());
-        this.#scheduleRun();
-    }
-
     #createRunner(opened: OpenedStore): ReplicaRunner {
         return new ReplicaRunner({
             opened,
@@ -325,10 +334,11 @@
 
     #tick(): void {
         const nowMs = monotonicNowMs();
+        this.#monitor.tick(this.#driver.queuedCalls, nowMs);
         this.#runner.tick(nowMs);
         this.#sender.tick(nowMs);
         this.#joiner.tick(nowMs);
-        this.#node.run(this.#currentTimes());
+        this.#driver.tick();
     }
 
     #reconcileMembership(): void {
@@ -363,27 +373,6 @@
         }
     }
 
-    #call<Value>(
-        start: (respond: Respond<Value>, times: Times) => void,
-    ): Promise<CallResult<Value>> {
-        return new Promise(resolve => {
-            start(resolve, this.#currentTimes());
-            this.#scheduleRun();
-        });
-    }
-
-    /** Schedules one decision for all events of a few milliseconds, which then share a log record and its sync. */
-    #scheduleRun(): void {
-        if (this.#isRunScheduled) {
-            return;
-        }
-        this.#isRunScheduled = true;
-        setTimeout(() => {
-            this.#isRunScheduled = false;
-            this.#node.run(this.#currentTimes());
-        }, BATCH_WINDOW_MS);
-    }
-
     #applyCommitted(entries: LogEntry[]): void {
         const records = entries.map(entry => ({
             index: entry.index,
@@ -391,7 +380,7 @@
             data: entry.body.case === "data" ? entry.body.value : undefined,
         }));
         this.#node.applyCommitted(records, this.#currentTimes());
-        this.#scheduleRun();
+        this.#driver.scheduleRun();
     }
 
     #handleRoleChange(change: RoleChangedEffect): void {
@@ -399,6 +388,7 @@
             this.#node.handleLeadershipLost();
         }
         this.#metrics.setRole(change.role === ReplicaRole.Leader, change.term);
+        this.#monitor.recordRole(change.role === ReplicaRole.Leader, change.term, monotonicNowMs());
         const leader = change.leader?.name ?? "";
         this.#logger.info({ replicaRole: change.role, term: change.term, leader }, "replica role changed");
     }
@@ -418,7 +408,7 @@
         return new Map<string, InternalHandler>([
             ...createForwardedHandlers({
                 node: this.#node,
-                call: start => this.#call(start),
+                call: start => this.#driver.call(start),
                 leaderHost: () => this.leaderHost,
             }),
             [DESCRIBE_PATH, () => toJson(DescribeResponseSchema, describeReplica(this.#runner.replica))],
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -11,6 +11,22 @@
 /** From the next heartbeat of an idle server up to the delay at which a job counts as late. */
 const START_BUCKETS_SECONDS = [0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60];
 
+/** From one tick up to the time in which followers replace a leader. */
+const PHASE_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
+
+/** What may delay the answers of a control replica. */
+export enum ControlPhase {
+    /** Time for which the event loop was held. */
+    EventLoop = "event-loop",
+    /** Time from a heartbeat's arrival until it is handled. */
+    HeartbeatQueued = "heartbeat-queued",
+    /** Time from a heartbeat's arrival until its answer. */
+    HeartbeatAnswered = "heartbeat-answered",
+    SessionStart = "session-start",
+    /** One run of the leader session, planning included. */
+    Decision = "decision",
+}
+
 const OUTCOMES = [OK_LABEL, ...Object.values(Refusal)];
 
 /** Metrics of an entry. */
@@ -57,6 +73,24 @@
         {},
         START_BUCKETS_SECONDS,
     );
+    readonly #longestDuration = this.#factory.duration(
+        "longest_duration",
+        "Longest duration of a phase in each interval of 0.2 s",
+        { phase: Object.values(ControlPhase) },
+        PHASE_BUCKETS_SECONDS,
+    );
+    readonly #electionToSession = this.#factory.duration(
+        "election_to_session",
+        "Time from this replica's election to its leader session",
+        {},
+        PHASE_BUCKETS_SECONDS,
+    );
+    readonly #electionToFirstAnswer = this.#factory.duration(
+        "election_to_first_answer",
+        "Time from this replica's election to its first answer to a heartbeat",
+        {},
+        PHASE_BUCKETS_SECONDS,
+    );
     readonly #isLeader = this.#factory.gauge("is_leader", "1 while this replica leads", {});
     readonly #term = this.#factory.gauge("term", "Present term", {});
     readonly #voters = this.#factory.gauge("voters", "Voters that respond, on the leader", {});
@@ -101,6 +135,21 @@
         this.#heartbeats.add({ outcome: result.ok ? OK_LABEL : result.refusal });
     }
 
+    /** Records the longest duration of each phase in an interval. */
+    recordLongestDurations(durationsMs: Readonly<Record<ControlPhase, number>>): void {
+        Object.values(ControlPhase).forEach(phase => this.#longestDuration.observeMs({ phase }, durationsMs[phase]));
+    }
+
+    /** Records the start of a leader session. */
+    recordSessionStart(sinceElectionMs: number): void {
+        this.#electionToSession.observeMs({}, sinceElectionMs);
+    }
+
+    /** Records the first answer to a heartbeat after an election. */
+    recordFirstAnswer(sinceElectionMs: number): void {
+        this.#electionToFirstAnswer.observeMs({}, sinceElectionMs);
+    }
+
     /** Counts events that this replica has committed as the leader. */
     recordCommitted(events: readonly WorkflowEvent[], nowMs: number): void {
         for (const event of events) {
