Tick a single replica in the store tests as often as its host does

The harness now ticks every 20 ms like the host process. What the tests check is unchanged.

Ruled out: a fault of the stall clock. A stalled process still counts 100 ms a tick, so that its timeouts always pass.

--- a/packages/test-support/src/replica-store.test.ts
+++ b/packages/test-support/src/replica-store.test.ts
@@ -8,6 +8,7 @@
 import { FakeFileSystem, FileOperation } from "./fake-file-system.js";
 
 const FOLDER = "/data";
+const TICK_INTERVAL_MS = 20;
 const SEGMENT = `${FOLDER}/segment-000000000001.log`;
 
 const open = (fileSystem: FileSystem, segmentBytes?: number) =>
@@ -168,11 +169,18 @@
     const runner = createRunner(await open(fileSystem), hooks);
     runner.form(initialMembership([runner.replica.identity]), 0);
     await waitUntilIdle(runner);
-    runner.tick(1_000);
+    tickFor(runner, 1_000);
     await waitUntilIdle(runner);
     return runner;
 };
 
+/** Ticks from time 0 on as often as a host process does; a single late tick would count as a stall of the process. */
+const tickFor = (runner: ReplicaRunner, durationMs: number) => {
+    for (let nowMs = 0; nowMs <= durationMs; nowMs += TICK_INTERVAL_MS) {
+        runner.tick(nowMs);
+    }
+};
+
 const waitUntilIdle = async (runner: ReplicaRunner) => {
     do {
         await Promise.resolve();
@@ -235,7 +243,7 @@
         fileSystem.crash();
         count = 0;
         const restarted = createRunner(await open(fileSystem), hooks);
-        restarted.tick(1_000);
+        tickFor(restarted, 1_000);
         await waitUntilIdle(restarted);
         expect(count).toBe(50_000);
         expect(fileSystem.usedBytes).toBeLessThan(20_000_000);
