Send internal calls over one multiplexed connection to each peer

Cause: each call between processes that timed out (500 ms, probes 400 ms) destroyed its HTTP/1.1 connection, so that the next call needed a new one. The event loop accepts one connection in each iteration, so that a busy leader accepts about a hundred a second, while 40 entries opened 300 to 600. Connections whose caller had given up filled the backlog and let the calls behind them time out as well. The state kept itself up.

Change: calls between entries, relays and replicas use one HTTP/2 connection to each peer. A timeout cancels only its call. A connection on which nothing has arrived since the call was sent, and which is older than a second, takes no new calls and stays until its open ones have ended, so that late answers arrive. The listener still serves HTTP/1.1 for processes of an earlier build. A closing listener answers the open HTTP/2 calls.

Before: with the former caller the new test "keeps one connection to a peer whose answers are late" opens 80 connections instead of one. Calls to the platform's services still use HTTP/1.1.

Ruled out: a slow event loop or call queue of the leader (its log shows none after 48.5 s); leaders that change (one term).

--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -3,7 +3,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer as createHttp2Server } from "node:http2";
-import type { Http2ServerRequest, Http2ServerResponse } from "node:http2";
+import type { Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session } from "node:http2";
 import { Server as NetServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import type { Logger } from "pino";
@@ -23,6 +23,9 @@
 /** Time for which a closing listener still answers requests that were in transit when it stopped listening. */
 const CLOSE_DELAY_MS = 100;
 
+/** Flow control window of an HTTP/2 connection and of each request on it: a whole message fits. */
+export const HTTP2_WINDOW_BYTES = 2 * 1024 * 1024;
+
 /** Longest time for which a closing listener accepts connections that the kernel has already established. */
 const MAX_ACCEPT_TIME_MS = 500;
 /** An iteration of the event loop that took longer may have left connections that were established meanwhile. */
@@ -49,6 +52,7 @@
     readonly #address: ListenAddress;
     readonly #sockets = new Set<Socket>();
     readonly #openResponses = new Set<ServerResponse>();
+    readonly #http2Sessions = new Set<ServerHttp2Session>();
     #acceptedConnections = 0;
     #isDraining = false;
 
@@ -68,7 +72,7 @@
         });
         this.#acceptingServer = options.handleHttp2 === undefined
             ? this.#server
-            : createProtocolDetectingServer(this.#server, createHttp2Server({}, options.handleHttp2));
+            : createProtocolDetectingServer(this.#server, this.#createHttp2Server(options.handleHttp2));
         this.#acceptingServer.maxConnections = options.maxConnections;
         this.#acceptingServer.on("connection", socket => {
             this.#acceptedConnections += 1;
@@ -102,6 +106,7 @@
     drain(): void {
         this.#isDraining = true;
         this.#openResponses.forEach(closeConnectionAfter);
+        this.#http2Sessions.forEach(session => session.close());
     }
 
     /** Stops listening and waits for requests in progress. Connections still open after `graceMs` are destroyed. */
@@ -122,6 +127,19 @@
         clearTimeout(timer);
     }
 
+    #createHttp2Server(handle: (request: Http2ServerRequest, response: Http2ServerResponse) => void): Http2Server {
+        const server = createHttp2Server({ settings: { initialWindowSize: HTTP2_WINDOW_BYTES } }, handle);
+        server.on("session", session => {
+            session.setLocalWindowSize(HTTP2_WINDOW_BYTES);
+            this.#http2Sessions.add(session);
+            session.once("close", () => this.#http2Sessions.delete(session));
+            if (this.#isDraining) {
+                session.close();
+            }
+        });
+        return server;
+    }
+
     /**
      * Accepts the connections that the kernel has established. The event loop accepts one of them in each iteration,
      * and closing the listening socket resets the others.
--- a/packages/daemon/src/http/request-body.ts
+++ b/packages/daemon/src/http/request-body.ts
@@ -1,9 +1,10 @@
 import { StepError } from "@waxwingspread/common";
 import { ErrorCode } from "@waxwingspread/protocol";
 import type { IncomingMessage } from "node:http";
+import type { Http2ServerRequest } from "node:http2";
 
 /** Reads the body of a request. Fails with TOO_LARGE above the limit and with INVALID if the connection breaks. */
-export const readBody = (request: IncomingMessage, limitBytes: number): Promise<Uint8Array> =>
+export const readBody = (request: IncomingMessage | Http2ServerRequest, limitBytes: number): Promise<Uint8Array> =>
     new Promise((resolve, reject) => {
         const peer = request.socket.remoteAddress ?? "";
         const chunks: Buffer[] = [];
@@ -20,16 +21,11 @@
             chunks.push(chunk);
         });
         request.once("end", () => resolve(Buffer.concat(chunks)));
-        request.once(
-            "error",
-            () =>
-                reject(
-                    new StepError(
-                        ErrorCode.INVALID,
-                        "read request",
-                        peer,
-                        "the connection broke during the request",
-                    ),
-                ),
-        );
+        const fail = (): void =>
+            reject(
+                new StepError(ErrorCode.INVALID, "read request", peer, "the connection broke during the request"),
+            );
+        request.once("error", fail);
+        // An HTTP/2 request that breaks reports no error.
+        request.once("close", fail);
     });
--- a/packages/daemon/src/workflow/cluster-joiner.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -2,7 +2,7 @@
 import type { Replica } from "@waxwingspread/consensus";
 import type { Logger } from "pino";
 import { hostOf } from "../transport/host-of.js";
-import type { JsonCaller } from "./json-call.js";
+import type { InternalCaller } from "./internal-caller.js";
 import { JOIN_PATH } from "./operations.js";
 import type { JoinRequest, JoinResponse } from "./operations.js";
 
@@ -16,7 +16,7 @@
 /** Construction parameters of a cluster joiner. */
 export interface ClusterJoinerOptions {
     replica: JoiningReplica;
-    caller: Pick<JsonCaller, "call">;
+    caller: Pick<InternalCaller, "call">;
     /** Host of this replica. */
     host: string;
     /** Port of the internal listeners of all replicas. */
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -29,10 +29,10 @@
 import { ClusterJoiner } from "./cluster-joiner.js";
 import { ControlMonitor } from "./control-monitor.js";
 import { EventLog } from "./event-log.js";
+import { InternalCaller } from "./internal-caller.js";
 import { createForwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
-import { JsonCaller } from "./json-call.js";
 import { MembershipReconciler } from "./membership-reconciler.js";
 import { NodeDriver } from "./node-driver.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
@@ -91,7 +91,7 @@
     readonly #metrics: ControlMetrics;
     readonly #logger: Logger;
     readonly #fail: (error: Error) => void;
-    readonly #caller = new JsonCaller();
+    readonly #caller = new InternalCaller();
     readonly #sender = new ReplicaStreamSender();
     readonly #runner: ReplicaRunner;
     readonly #node: WorkflowNode;
--- a/packages/daemon/src/workflow/control-relay.ts
+++ b/packages/daemon/src/workflow/control-relay.ts
@@ -4,9 +4,9 @@
 import type { HttpListener } from "../http/http-listener.js";
 import { hostOf } from "../transport/host-of.js";
 import { FounderSelection } from "./founder-selection.js";
+import { InternalCaller } from "./internal-caller.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
-import { JsonCaller } from "./json-call.js";
 import { LeaderFinder } from "./leader-finder.js";
 import {
     ANNOUNCE_PATH,
@@ -46,7 +46,7 @@
 export class ControlRelay {
     readonly #settings: ControlRelaySettings;
     readonly #logger: Logger;
-    readonly #caller = new JsonCaller();
+    readonly #caller = new InternalCaller();
     readonly #finder: LeaderFinder;
     readonly #founderSelection: FounderSelection;
     readonly #internalListener: HttpListener;
--- /dev/null
+++ b/packages/daemon/src/workflow/internal-caller.real.test.ts
@@ -0,0 +1,182 @@
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server as NetServer } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import { pino } from "pino";
+import { afterEach, expect, it } from "vitest";
+import type { HttpListener } from "../http/http-listener.js";
+import { InternalCaller } from "./internal-caller.js";
+import { createInternalListener } from "./internal-listener.js";
+import type { InternalHandler } from "./internal-listener.js";
+import { CallError } from "./json-call.js";
+import type { JsonCall } from "./json-call.js";
+
+const HOST = "127.0.0.1";
+const GRACE_MS = 2_000;
+const cleanups: (() => unknown)[] = [];
+
+afterEach(async () => {
+    for (const cleanup of cleanups.splice(0)) {
+        await cleanup();
+    }
+});
+
+const listen = async (
+    ...handlers: [path: string, handler: InternalHandler][]
+): Promise<{ listener: HttpListener; port: number }> => {
+    const listener = createInternalListener({
+        address: { host: HOST, port: 0 },
+        handlers: new Map(handlers),
+        logger: pino({ enabled: false }),
+    });
+    const port = await listener.listen();
+    cleanups.push(() => listener.close(0));
+    return { listener, port };
+};
+
+/** Passes connections on to another port, except for those that `isSilent` selects by their number. */
+const startProxy = async (
+    targetPort: number,
+    isSilent: (connection: number) => boolean,
+): Promise<{ port: number; connectionCount: () => number }> => {
+    let connections = 0;
+    const proxy: NetServer = createServer(socket => {
+        connections += 1;
+        socket.on("error", () => socket.destroy());
+        cleanups.push(() => socket.destroy());
+        if (isSilent(connections)) {
+            return;
+        }
+        const target = connect(targetPort, HOST);
+        target.on("error", () => socket.destroy());
+        socket.pipe(target).pipe(socket);
+    });
+    proxy.listen(0, HOST);
+    await once(proxy, "listening");
+    cleanups.push(() => proxy.close());
+    return { port: (proxy.address() as AddressInfo).port, connectionCount: () => connections };
+};
+
+const createCaller = (): InternalCaller => {
+    const caller = new InternalCaller();
+    cleanups.push(() => caller.close());
+    return caller;
+};
+
+const callOf = (port: number, path: string, timeoutMs: number): JsonCall => ({
+    host: HOST,
+    port,
+    path,
+    body: { text: "a" },
+    timeoutMs,
+});
+
+// Guards against a caller that opens a connection for each call that timed out. A leader that is late accepts one in
+// each iteration of its event loop, so that it stayed busy with connections of callers that had given up.
+it("keeps one connection to a peer whose answers are late", async () => {
+    const { port: targetPort } = await listen(["/late", () => delay(150, {})]);
+    const { port, connectionCount } = await startProxy(targetPort, () => false);
+    const caller = createCaller();
+    const results: Promise<boolean>[] = [];
+    for (let round = 0; round < 8; round += 1) {
+        for (let index = 0; index < 10; index += 1) {
+            results.push(caller.call(callOf(port, "/late", 50)).then(() => true, () => false));
+        }
+        await delay(60);
+    }
+    expect(await Promise.all(results)).not.toContain(true);
+    expect(connectionCount()).toBe(1);
+    expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({});
+});
+
+// Guards against calls that are sent on a connection whose packets are lost while new connections would work.
+it("replaces a connection on which nothing arrives", async () => {
+    const { port: targetPort } = await listen(["/echo", (body: unknown) => body]);
+    const { port, connectionCount } = await startProxy(targetPort, connection => connection === 1);
+    const caller = createCaller();
+    const call = callOf(port, "/echo", 300);
+    const isAnswered = (): Promise<boolean> => caller.call(call).then(() => true, () => false);
+    const results: boolean[] = [];
+    for (let attempt = 0; attempt < 5; attempt += 1) {
+        results.push(await isAnswered());
+    }
+    expect(results).toEqual([false, false, false, false, true]);
+    expect(connectionCount()).toBe(2);
+});
+
+// Guards against an answer that is lost because its connection was replaced for another call.
+it("delivers the late answer of a call whose connection takes no more calls", async () => {
+    const { port } = await listen(["/late", () => delay(1_600, { isLate: true })], ["/never", () => delay(5_000)]);
+    const caller = createCaller();
+    const late = caller.call(callOf(port, "/late", 4_000));
+    await expect(caller.call(callOf(port, "/never", 1_200))).rejects.toThrow("no response within 1200 ms");
+    expect(await late).toEqual({ isLate: true });
+});
+
+// Guards against a planned shutdown that cuts off the answers to calls in progress.
+it("answers open calls when the listener closes, and refuses later ones without executing them", async () => {
+    let executed = 0;
+    const { listener, port } = await listen(["/slow", async () => {
+        executed += 1;
+        await delay(300);
+        return {};
+    }]);
+    const caller = createCaller();
+    const open = caller.call(callOf(port, "/slow", 2_000));
+    await delay(100);
+    const closed = listener.close(GRACE_MS);
+    await delay(50);
+    const error: unknown = await caller.call(callOf(port, "/slow", 1_000)).catch((reason: unknown) => reason);
+    expect(error).toBeInstanceOf(CallError);
+    expect((error as CallError).mayHaveActed).toBe(false);
+    expect(await open).toEqual({});
+    await closed;
+    expect(executed).toBe(1);
+});
+
+// Guards against calls to a process that isn't running being reported to callers as possibly executed.
+it("reports that a refused connection can't have executed the call", async () => {
+    const { listener, port } = await listen();
+    await listener.close(0);
+    const error: unknown = await createCaller().call(callOf(port, "/any", 500)).catch((reason: unknown) => reason);
+    expect(error).toBeInstanceOf(CallError);
+    expect((error as CallError).mayHaveActed).toBe(false);
+});
+
+// Guards against a failed handler or a message of any size that ends the connection of other calls.
+it("keeps the connection when a call fails", async () => {
+    const { port: targetPort } = await listen(
+        ["/fail", () => Promise.reject(new Error("failed"))],
+        ["/echo", (body: unknown) => body],
+    );
+    const { port, connectionCount } = await startProxy(targetPort, () => false);
+    const caller = createCaller();
+    const large = { ...callOf(port, "/echo", 5_000), body: { text: "a".repeat(1_500_000) } };
+    const tooLarge = { ...callOf(port, "/echo", 5_000), body: { text: "a".repeat(3_000_000) } };
+    await expect(caller.call(callOf(port, "/fail", 1_000))).rejects.toThrow("status 500");
+    await expect(caller.call(callOf(port, "/unknown", 1_000))).rejects.toThrow("status 404");
+    await expect(caller.call(tooLarge)).rejects.toThrow("status 500");
+    expect(await caller.call(large)).toEqual(large.body);
+    expect(connectionCount()).toBe(1);
+});
+
+// Guards against an aborted call that goes on to wait, or that ends other calls.
+it("ends only the call that is aborted", async () => {
+    const { port } = await listen(["/late", () => delay(200, {})]);
+    const caller = createCaller();
+    const controller = new AbortController();
+    let isSent = false;
+    const aborted = caller.call({
+        ...callOf(port, "/late", 5_000),
+        signal: controller.signal,
+        onSent: () => {
+            isSent = true;
+        },
+    });
+    const other = caller.call(callOf(port, "/late", 5_000));
+    await delay(100);
+    controller.abort();
+    await expect(aborted).rejects.toThrow("the call was aborted");
+    expect(isSent).toBe(true);
+    expect(await other).toEqual({});
+});
--- a/packages/daemon/src/workflow/internal-listener.ts
+++ b/packages/daemon/src/workflow/internal-listener.ts
@@ -1,5 +1,6 @@
 import { messageOf } from "@waxwingspread/common";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
+import type { Http2ServerRequest } from "node:http2";
 import type { Logger } from "pino";
 import { HttpListener } from "../http/http-listener.js";
 import { readBody } from "../http/request-body.js";
@@ -18,35 +19,53 @@
     logger: Logger;
 }
 
-/** Creates the listener for JSON calls between processes of the system. */
+/** Creates the listener for JSON calls between processes of the system. Builds before HTTP/2 call over HTTP/1.1. */
 export const createInternalListener = ({ address, handlers, logger }: InternalListenerOptions): HttpListener =>
     new HttpListener({
         address,
         maxConnections: MAX_CONNECTIONS,
         logger,
-        handle: (request, response) => handle(request, response, handlers, logger),
+        handle: async (request, response) => {
+            const { status, content } = await respond(request, handlers, logger);
+            response.writeHead(status, headersOf(content)).end(content);
+        },
+        handleHttp2: (request, response) => {
+            void respond(request, handlers, logger).then(({ status, content }) =>
+                response.writeHead(status, headersOf(content)).end(content)
+            );
+        },
         onConnectionRefused: () => logger.warn("internal connection refused: too many connections"),
     });
 
-const handle = async (
-    request: IncomingMessage,
-    response: ServerResponse,
+interface InternalResponse {
+    status: number;
+    content: Buffer;
+}
+
+const NO_CONTENT = Buffer.alloc(0);
+
+const headersOf = (content: Buffer): OutgoingHttpHeaders => ({
+    "content-type": "application/json",
+    "content-length": content.length,
+});
+
+const respond = async (
+    request: IncomingMessage | Http2ServerRequest,
     handlers: ReadonlyMap<string, InternalHandler>,
     logger: Logger,
-): Promise<void> => {
+): Promise<InternalResponse> => {
     const path = request.url ?? "";
+    const peer = request.socket.remoteAddress;
     const handler = handlers.get(path);
     if (handler === undefined) {
-        response.writeHead(404).end();
-        return;
+        return { status: 404, content: NO_CONTENT };
     }
     try {
         const body = JSON.parse(Buffer.from(await readBody(request, MAX_MESSAGE_BYTES)).toString()) as never;
-        const content = Buffer.from(JSON.stringify(await handler(body)));
-        response.writeHead(200, { "content-type": "application/json", "content-length": content.length }).end(content);
+        return { status: 200, content: Buffer.from(JSON.stringify(await handler(body))) };
     }
     catch (error) {
-        logger.warn({ path, peer: request.socket.remoteAddress, reason: messageOf(error) }, "internal call failed");
-        response.writeHead(500).end();
+        logger.warn({ path, peer, reason: messageOf(error) }, "internal call failed");
+        return { status: 500, content: NO_CONTENT };
     }
 };
--- a/packages/daemon/src/workflow/json-call.ts
+++ b/packages/daemon/src/workflow/json-call.ts
@@ -25,6 +25,10 @@
     body: unknown;
     timeoutMs: number;
     headers?: Readonly<Record<string, string>>;
+    /** Ends the call. */
+    signal?: AbortSignal;
+    /** Called when the peer may have received the request. */
+    onSent?: () => void;
 }
 
 /** HTTP response with any status. */
@@ -34,17 +38,13 @@
     body: unknown;
 }
 
-/** Sends JSON calls to other processes over keep-alive connections. */
+/** Sends JSON calls to services outside the system over HTTP/1.1 keep-alive connections. */
 export class JsonCaller {
     readonly #agent = new Agent({ keepAlive: true, maxFreeSockets: MAX_FREE_SOCKETS });
 
     /** Returns the decoded body of a response with status 200. Fails with a {@link CallError} for any other result. */
     async call<Response>(call: JsonCall): Promise<Response> {
-        const { status, body } = await this.send(call);
-        if (status !== HTTP_OK || body === undefined) {
-            throw new CallError(call, `status ${status}`, true);
-        }
-        return body as Response;
+        return okBody(call, await this.send(call)) as Response;
     }
 
     /** Returns the response with any status. Fails with a {@link CallError} if there is none in time. */
@@ -58,6 +58,7 @@
             };
             const outgoing = request({
                 agent: this.#agent,
+                signal: call.signal,
                 host: call.host,
                 port: call.port,
                 path: call.path,
@@ -69,7 +70,7 @@
                 response.once("error", fail);
                 response.once("end", () => {
                     clearTimeout(timer);
-                    resolve({ status: response.statusCode ?? 0, body: parseBody(Buffer.concat(chunks)) });
+                    resolve({ status: response.statusCode ?? 0, body: parseJson(Buffer.concat(chunks)) });
                 });
             });
             // Destroying the socket also prevents the reuse of a connection that has stopped responding.
@@ -78,12 +79,16 @@
                 call.timeoutMs,
             );
             outgoing.once("error", fail);
+            const recordSent = (): void => {
+                isConnected = true;
+                call.onSent?.();
+            };
             outgoing.once("socket", socket => {
-                isConnected = !socket.connecting;
                 if (socket.connecting) {
-                    socket.once("connect", () => {
-                        isConnected = true;
-                    });
+                    socket.once("connect", recordSent);
+                }
+                else {
+                    recordSent();
                 }
             });
             outgoing.end(body);
@@ -95,7 +100,16 @@
     }
 }
 
-const parseBody = (bytes: Buffer): unknown => {
+/** Returns the decoded body of a response with status 200. Fails with a {@link CallError} for any other response. */
+export const okBody = (call: JsonCall, { status, body }: JsonResponse): unknown => {
+    if (status !== HTTP_OK || body === undefined) {
+        throw new CallError(call, `status ${status}`, true);
+    }
+    return body;
+};
+
+/** Decodes JSON; returns undefined if it is not valid. */
+export const parseJson = (bytes: Buffer): unknown => {
     try {
         return JSON.parse(bytes.toString()) as unknown;
     }
--- a/packages/daemon/src/workflow/leader-client.ts
+++ b/packages/daemon/src/workflow/leader-client.ts
@@ -2,7 +2,8 @@
 import type { CallResult } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
-import { CallError, JsonCaller } from "./json-call.js";
+import { InternalCaller } from "./internal-caller.js";
+import { CallError } from "./json-call.js";
 import { LeaderFinder } from "./leader-finder.js";
 import { forwardedPath } from "./operations.js";
 import type { ForwardedOperation, ForwardedRequests, ForwardedResponse, ForwardedValues } from "./operations.js";
@@ -34,7 +35,7 @@
 
 /** Forwards calls to the leader. */
 export class LeaderClient {
-    readonly #caller = new JsonCaller();
+    readonly #caller = new InternalCaller();
     readonly #port: number;
     readonly #metrics: EntryMetrics;
     readonly #logger: Logger;
--- a/packages/daemon/src/workflow/leader-finder.ts
+++ b/packages/daemon/src/workflow/leader-finder.ts
@@ -1,7 +1,7 @@
 import { messageOf } from "@waxwingspread/common";
 import type { Logger } from "pino";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
-import type { JsonCaller } from "./json-call.js";
+import type { InternalCaller } from "./internal-caller.js";
 import { CLUSTER_PATH } from "./operations.js";
 import type { ClusterDescription } from "./operations.js";
 
@@ -10,7 +10,7 @@
 
 /** Construction parameters of a {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
-    caller: JsonCaller;
+    caller: InternalCaller;
     /** Hosts of control processes from the settings. */
     seedHosts: readonly string[];
     /** Port of the internal listeners of all control processes. */
@@ -20,7 +20,7 @@
 
 /** Finds the leader by probing the known control processes. */
 export class LeaderFinder {
-    readonly #caller: JsonCaller;
+    readonly #caller: InternalCaller;
     readonly #port: number;
     readonly #logger: Logger;
     #seedHosts: readonly string[];
--- a/packages/daemon/src/workflow/relay-announcer.ts
+++ b/packages/daemon/src/workflow/relay-announcer.ts
@@ -1,6 +1,6 @@
 import { messageOf } from "@waxwingspread/common";
 import type { Logger } from "pino";
-import type { JsonCaller } from "./json-call.js";
+import type { InternalCaller } from "./internal-caller.js";
 import { ANNOUNCE_PATH } from "./operations.js";
 import type { MembersAnnouncement } from "./operations.js";
 
@@ -8,7 +8,7 @@
 
 /** Construction parameters of a {@link RelayAnnouncer}. */
 export interface RelayAnnouncerOptions {
-    caller: JsonCaller;
+    caller: InternalCaller;
     /** Port of the internal listeners of all control processes. */
     internalPort: number;
     logger: Logger;
