--- a/packages/daemon/src/workflow/leader-client.ts
+++ b/packages/daemon/src/workflow/leader-client.ts
@@ -1,3 +1,4 @@
+import { messageOf } from "@waxwingspread/common";
 import { Refusal } from "@waxwingspread/workflow";
 import type { CallResult } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
@@ -112,7 +113,7 @@
             catch (error) {
                 isUncertain ||= !(error instanceof CallError) || error.mayHaveActed;
                 this.#logger.debug({ err: error, operation, host }, "forwarded call failed");
-                this.#finder.clearLeader(host);
+                this.#finder.clearLeader(host, messageOf(error));
             }
             await new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS));
         }
--- a/packages/daemon/src/workflow/leader-finder.ts
+++ b/packages/daemon/src/workflow/leader-finder.ts
@@ -98,10 +98,10 @@
         this.#leaderHost = host;
     }
 
-    /** Discards the leader if it has this host. */
-    clearLeader(host: string): void {
+    /** Discards the leader if it has this host. The reason is logged. */
+    clearLeader(host: string, reason: string): void {
         if (this.#leaderHost === host) {
-            this.#logger.info({ leader: host }, "leader lost");
+            this.#logger.info({ leader: host, reason }, "leader lost");
             this.#leaderHost = undefined;
         }
     }
@@ -130,13 +130,14 @@
                 this.recordLeader(host);
             }
             else {
-                this.clearLeader(host);
+                this.clearLeader(host, "it doesn't serve as the leader");
                 this.suggestHosts(description.memberHosts);
             }
         }
         catch (error) {
-            this.#logger.debug({ host, reason: messageOf(error) }, "probe of control process failed");
-            this.clearLeader(host);
+            const reason = messageOf(error);
+            this.#logger.debug({ host, reason }, "probe of control process failed");
+            this.clearLeader(host, reason);
         }
     }
 }
