Accept new connections before queued calls are handled

Callers of a new leader waited: after an election all servers and entries connect to it at once, and the event loop of this Node accepts one connection in each iteration. With calls handled in slices of 10 ms, the last of 245 servers had to wait for more than its timeout, gave up, connected again and thereby kept the backlog full.

Change: slices of 2 ms, and none in an iteration after one that accepted a connection, for at most 50 ms. The test "leaves the event loop to new connections" guards both sides; the bound of the existing test on slices goes from 10 to 2 ms with the constant.

--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -38,6 +38,8 @@
     /** Handles a request. If it throws or rejects before the response is sent, the client gets status 500. */
     handle: (request: IncomingMessage, response: ServerResponse) => Promise<void> | void;
     logger: Logger;
+    /** Called for each accepted connection. */
+    onConnection?: (() => void) | undefined;
     /** Called for each connection that was closed because `maxConnections` are open. */
     onConnectionRefused: () => void;
     /** Handles HTTP/2 requests on the same port. Without it only HTTP/1.1 is served. */
@@ -76,6 +78,7 @@
         this.#acceptingServer.maxConnections = options.maxConnections;
         this.#acceptingServer.on("connection", socket => {
             this.#acceptedConnections += 1;
+            options.onConnection?.();
             this.#sockets.add(socket);
             socket.once("close", () => this.#sockets.delete(socket));
         });
--- a/packages/daemon/src/workflow/call-queue.test.ts
+++ b/packages/daemon/src/workflow/call-queue.test.ts
@@ -39,11 +39,33 @@
         fixture.slices.shift()?.();
         longestSliceMs = Math.max(longestSliceMs, fixture.nowMs - startMs);
     }
-    expect(longestSliceMs).toBeLessThanOrEqual(10 + CALL_COST_MS);
+    expect(longestSliceMs).toBeLessThanOrEqual(2 + CALL_COST_MS);
     expect(fixture.executed.length).toBeGreaterThan(150);
     expect(fixture.executed.length + fixture.refused.length).toBe(300);
 });
 
+// Guards against clients whose connections wait behind the calls of others until they give up and connect again: the
+// event loop accepts one connection in each iteration.
+it("leaves the event loop to new connections, but not for longer than 50 ms", () => {
+    const { queue, fixture } = createQueue();
+    Array.from({ length: 100 }, (_, id) => queue.push(fixture.call(id)));
+    const runIteration = (): number => {
+        const executedBefore = fixture.executed.length;
+        fixture.slices.shift()?.();
+        return fixture.executed.length - executedBefore;
+    };
+    runIteration();
+    const startMs = fixture.nowMs;
+    let executedCalls = 0;
+    while (executedCalls === 0) {
+        fixture.nowMs += 1;
+        queue.recordConnection();
+        executedCalls = runIteration();
+    }
+    expect(fixture.nowMs - startMs - executedCalls * CALL_COST_MS).toBe(50);
+    expect(runIteration()).toBeGreaterThan(0);
+});
+
 // Guards against work for senders that have given up, which delays the calls of those that still wait.
 it("refuses a call that waited longer than its sender does, and doesn't execute it", () => {
     const { queue, fixture } = createQueue();
--- a/packages/daemon/src/workflow/call-queue.ts
+++ b/packages/daemon/src/workflow/call-queue.ts
@@ -1,5 +1,7 @@
-/** Time after which a slice of calls gives the event loop back to replica messages and ticks. */
-const SLICE_BUDGET_MS = 10;
+/** Time after which a slice of calls gives the event loop back to replica messages, new connections and ticks. */
+const SLICE_BUDGET_MS = 2;
+/** Longest time for which calls wait while connections are accepted. */
+const MAX_ACCEPT_TIME_MS = 50;
 
 /** A call that waits until it is handled. */
 export interface QueuedCall {
@@ -31,6 +33,8 @@
     #calls: QueuedCall[] = [];
     #next = 0;
     #isSliceScheduled = false;
+    #isConnectionAccepted = false;
+    #lastSliceAtMs = 0;
     #isClosed = false;
 
     constructor(options: CallQueueOptions) {
@@ -53,6 +57,14 @@
         this.#scheduleSlice();
     }
 
+    /**
+     * Lets calls wait for the next iteration of the event loop, which accepts one connection each time. Many clients
+     * connect at once after an election, and calls on connections that wait to be accepted would time out.
+     */
+    recordConnection(): void {
+        this.#isConnectionAccepted = true;
+    }
+
     /** Refuses overdue calls and schedules a slice if calls wait. To be called periodically. */
     tick(nowMs: number): void {
         this.#refuseOverdue(nowMs);
@@ -75,7 +87,14 @@
         this.#isSliceScheduled = true;
         this.#defer(() => {
             this.#isSliceScheduled = false;
-            this.#runSlice();
+            const isAccepting = this.#isConnectionAccepted;
+            this.#isConnectionAccepted = false;
+            if (isAccepting && this.#readNowMs() - this.#lastSliceAtMs < MAX_ACCEPT_TIME_MS) {
+                this.#scheduleSlice();
+            }
+            else {
+                this.#runSlice();
+            }
         });
     }
 
@@ -93,6 +112,7 @@
                 break;
             }
         }
+        this.#lastSliceAtMs = this.#readNowMs();
         this.#scheduleSlice();
     }
 
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -155,6 +155,7 @@
             address: { host: settings.host, port: settings.internalPort },
             handlers: this.#internalHandlers(),
             logger,
+            onConnection: () => this.recordConnection(),
         });
     }
 
@@ -187,6 +188,11 @@
         this.#seedHosts = hosts;
     }
 
+    /** To be called for each new connection of a client, so that calls don't delay the acceptance of the next ones. */
+    recordConnection(): void {
+        this.#driver.recordConnection();
+    }
+
     async heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
         const receivedAtMs = monotonicNowMs();
         const result = await this.#driver.call<HeartbeatOrders | undefined>((respond, times) => {
--- a/packages/daemon/src/workflow/internal-listener.ts
+++ b/packages/daemon/src/workflow/internal-listener.ts
@@ -17,14 +17,19 @@
     address: ListenAddress;
     handlers: ReadonlyMap<string, InternalHandler>;
     logger: Logger;
+    /** Called for each accepted connection. */
+    onConnection?: () => void;
 }
 
 /** Creates the listener for JSON calls between processes of the system. Builds before HTTP/2 call over HTTP/1.1. */
-export const createInternalListener = ({ address, handlers, logger }: InternalListenerOptions): HttpListener =>
+export const createInternalListener = (
+    { address, handlers, logger, onConnection }: InternalListenerOptions,
+): HttpListener =>
     new HttpListener({
         address,
         maxConnections: MAX_CONNECTIONS,
         logger,
+        onConnection,
         handle: async (request, response) => {
             const { status, content } = await respond(request, handlers, logger);
             response.writeHead(status, headersOf(content)).end(content);
--- a/packages/daemon/src/workflow/node-driver.ts
+++ b/packages/daemon/src/workflow/node-driver.ts
@@ -62,6 +62,11 @@
         );
     }
 
+    /** Lets calls wait while connections are accepted; see {@link CallQueue.recordConnection}. */
+    recordConnection(): void {
+        this.#calls.recordConnection();
+    }
+
     /** Runs what is due. */
     tick(): void {
         this.#run();
