Let a learner forget a leader that is gone and join again at once

Callers saw: nothing by themselves; a replica whose disk was lost stays without a vote, so that the next loss takes what was acknowledged.

Cause: only a voter's pre-candidacy clears the leader that a replica last heard from. A learner, or a removed voter, whose leader died kept that leader for ever and sent no request to join. When its membership entry was not committed either, the next leader did not know it. Where it knew no leader, a learner also waited 1.5 s like a voter during an election.

Change: a replica without a vote forgets its leader after the election timeout, and a replica without a vote joins at once when it knows no leader.

Ruled out: a fault of the request to join itself; it reaches the leader that the seeds name.

Before: replica.test.ts "forgets a leader that a learner has not heard from" printed "expected { ...(5) } to be undefined"; cluster-joiner.test.ts "requests to join as soon as a learner knows no leader" printed "expected [] to deeply equal [ '10.0.0.1', '10.0.0.2' ]". After: both pass, with the 144 unit tests of consensus, daemon and replication.test.ts.

--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -18,7 +18,7 @@
         this.#onWon = onWon;
     }
 
-    /** Requests pre-votes if the election timeout has passed. */
+    /** Requests pre-votes if the election timeout has passed; a replica without a vote only forgets its leader. */
     tick(): void {
         const core = this.#core;
         if (core.timerNowMs < core.electionDeadlineMs) {
@@ -26,6 +26,7 @@
         }
         core.resetElectionTimer();
         if (!core.isVoter) {
+            core.becomeFollower(core.term, "");
             return;
         }
         this.#isHandover = false;
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -280,6 +280,23 @@
         expect(a.membership.members.map(member => member.role)).toEqual([2, 2, 2, 2]);
     });
 
+    // Guards against a learner that waits forever for a leader that has died, instead of joining at its successor.
+    it("forgets a leader that a learner has not heard from for an election timeout", () => {
+        const { a, replicas } = startCluster();
+        const d = createReplica("d", { entries: [], hardState: create(HardStateSchema, {}) });
+        a.changeMembership({ kind: MembershipChangeKind.AddLearner, identity: identityOf("d") }, 1_010).unwrap();
+        exchangeMessages(replicas, 1_011);
+        a.tick(1_120);
+        exchangeMessages([...replicas, d], 1_120);
+        d.tick(1_500);
+        expect(d.leader?.diskId).toBe("disk-a");
+        // Followers wait for a young leader for at most twice the maximum election timeout.
+        d.tick(1_120 + 1_600);
+        expect(d.leader).toBeUndefined();
+        expect(d.takeEffects().at(-1)).toMatchObject({ kind: ReplicaEffectKind.RoleChanged, leader: undefined });
+        expect(d.role).toBe(ReplicaRole.Follower);
+    });
+
     it("limits the entries in flight to a peer that does not answer", () => {
         const { a } = startCluster();
         for (let round = 0; round < 20; round += 1) {
--- a/packages/daemon/src/workflow/cluster-joiner.test.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.test.ts
@@ -25,6 +25,11 @@
     membership: create(MembershipSchema, { members: [{ identity, role: MemberRole.VOTER }] }),
 };
 
+const learner: JoiningReplica = {
+    ...voter,
+    membership: create(MembershipSchema, { members: [{ identity, role: MemberRole.LEARNER }] }),
+};
+
 /** Returns the hosts that a replica asks to join at a time since its start. All hosts name the same leader. */
 const hostsAskedAfter = async (
     sinceStartMs: number,
@@ -61,6 +66,12 @@
     expect(await hostsAskedAfter(1_500, voter)).toEqual(["10.0.0.1", "10.0.0.2"]);
 });
 
+// Guards against a learner that waits although the leader that was to add it has died. No one sends it the log, and the
+// next loss of a disk finds too few voters.
+it("requests to join as soon as a learner knows no leader", async () => {
+    expect(await hostsAskedAfter(300, learner)).toEqual(["10.0.0.1", "10.0.0.2"]);
+});
+
 // Guards against a replica that can never join again after it has lost its disk, because the leader is not a seed. The
 // next loss of a disk then takes what was acknowledged.
 it("requests to join at the leader that the seeds name", async () => {
--- a/packages/daemon/src/workflow/cluster-joiner.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -1,4 +1,5 @@
 import { messageOf } from "@waxwingspread/common";
+import { isVoter } from "@waxwingspread/consensus";
 import type { Replica } from "@waxwingspread/consensus";
 import type { Logger } from "pino";
 import { hostOf } from "../transport/host-of.js";
@@ -7,7 +8,7 @@
 import type { JoinRequest, JoinResponse } from "./operations.js";
 
 const JOIN_TIMEOUT_MS = 500;
-/** Time without a known leader after which a member requests to join, since it may have been removed. */
+/** Time without a known leader after which a voter requests to join, since it may have been removed. */
 const JOIN_AFTER_MS = 1_500;
 
 /** The properties of a replica that decide whether and how it requests to join. */
@@ -72,11 +73,12 @@
     }
 
     /**
-     * A replica without a membership is not sent anything until it joins. It joins at once, since the cluster must not
-     * lose another disk before this one counts.
+     * A replica without a vote joins at once: it takes no part in an election, the next leader may not know it, and the
+     * cluster must not lose another disk before this one counts.
      */
     #isJoinDue(nowMs: number): boolean {
-        return !this.#options.replica.isFormed || nowMs - this.#leaderLastKnownMs >= JOIN_AFTER_MS;
+        const { membership, identity } = this.#options.replica;
+        return !isVoter(membership, identity.diskId) || nowMs - this.#leaderLastKnownMs >= JOIN_AFTER_MS;
     }
 
     async #requestJoin(host: string, body: JoinRequest): Promise<JoinResponse | undefined> {
