Keep a replica's part in the membership in one class

ClusterMembership holds what the control host did about joining and about membership changes, with the intervals of both, so that a simulation can run the same code as the host. No change of behaviour.

Checked: unit tests of daemon and platform pass.

--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -26,17 +26,16 @@
 import { hostOf } from "../transport/host-of.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
-import { ClusterJoiner } from "./cluster-joiner.js";
+import { ClusterMembership } from "./cluster-membership.js";
 import { ControlMonitor } from "./control-monitor.js";
 import { EventLog } from "./event-log.js";
 import { createForwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
 import { JsonCaller } from "./json-call.js";
-import { MembershipReconciler } from "./membership-reconciler.js";
 import { NodeDriver } from "./node-driver.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
-import type { ClusterDescription, ControlOperations, JoinRequest, JoinResponse, VoterStatus } from "./operations.js";
+import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
 import { PlatformCalls } from "./platform-calls.js";
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
@@ -46,9 +45,8 @@
 import type { ControlMetrics } from "./workflow-metrics.js";
 
 const TICK_INTERVAL_MS = 20;
-const RECONCILE_INTERVAL_MS = 200;
+const VOTER_STATUS_INTERVAL_MS = 200;
 const UTILIZATION_INTERVAL_MS = 2_000;
-const JOIN_INTERVAL_MS = 300;
 const ANNOUNCE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_500;
 const LISTENER_GRACE_MS = 1_000;
@@ -96,8 +94,7 @@
     readonly #runner: ReplicaRunner;
     readonly #node: WorkflowNode;
     readonly #eventLog: EventLog;
-    readonly #membershipReconciler: MembershipReconciler;
-    readonly #joiner: ClusterJoiner;
+    readonly #membership: ClusterMembership;
     readonly #relayAnnouncer: RelayAnnouncer;
     readonly #replicaListener: ReplicaStreamListener;
     readonly #internalListener: HttpListener;
@@ -105,7 +102,6 @@
     readonly #monitor: ControlMonitor;
     readonly #driver: NodeDriver;
     readonly #wallClock = new SlewedWallClock(monotonicNowMs(), Date.now());
-    #seedHosts: readonly string[];
     #isStopped = false;
 
     private constructor(
@@ -116,7 +112,6 @@
         this.#settings = settings;
         this.#services = services;
         this.#metrics = metrics;
-        this.#seedHosts = settings.seedHosts;
         this.#logger = logger;
         this.#fail = fail;
         this.#eventLog = new EventLog(logger);
@@ -129,16 +124,14 @@
             monitor: this.#monitor,
             readTimes: () => this.#currentTimes(),
         });
-        this.#membershipReconciler = new MembershipReconciler({
+        this.#membership = new ClusterMembership({
             runner: this.#runner,
-            tolerance: settings.tolerance,
-            logger,
-        });
-        this.#joiner = new ClusterJoiner({
-            replica: this.#runner.replica,
             caller: this.#caller,
             host: settings.host,
             internalPort: settings.internalPort,
+            seedHosts: settings.seedHosts,
+            tolerance: settings.tolerance,
+            isLeading: () => this.#node.session !== undefined,
             formAlone: () => this.#formAlone(),
             logger,
         }, monotonicNowMs());
@@ -178,13 +171,12 @@
 
     /** Host of the current leader; undefined if none is known. */
     get leaderHost(): string | undefined {
-        const address = this.#runner.replica.leader?.address ?? "";
-        return address === "" ? undefined : hostOf(address);
+        return this.#membership.leaderHost;
     }
 
     /** Replaces the seed hosts, for example after the settings have changed. */
     setSeedHosts(hosts: readonly string[]): void {
-        this.#seedHosts = hosts;
+        this.#membership.setSeedHosts(hosts);
     }
 
     async heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
@@ -306,8 +298,10 @@
     #startTimers(): void {
         this.#timers.push(
             setInterval(() => this.#tick(), TICK_INTERVAL_MS),
-            setInterval(() => this.#reconcileMembership(), RECONCILE_INTERVAL_MS),
-            setInterval(() => void this.#joiner.joinIfLeaderless(this.#seedHosts, monotonicNowMs()), JOIN_INTERVAL_MS),
+            setInterval(
+                () => this.#metrics.setVoterStatus(this.#membership.voterStatus(monotonicNowMs())),
+                VOTER_STATUS_INTERVAL_MS,
+            ),
             setInterval(() => this.#reportUtilization(), UTILIZATION_INTERVAL_MS),
             setInterval(() => this.#announceMembers(), ANNOUNCE_INTERVAL_MS),
         );
@@ -337,33 +331,16 @@
         this.#monitor.tick(this.#driver.queuedCalls, nowMs);
         this.#runner.tick(nowMs);
         this.#sender.tick(nowMs);
-        this.#joiner.tick(nowMs);
+        this.#membership.tick(nowMs);
         this.#driver.tick();
     }
 
-    #reconcileMembership(): void {
-        const nowMs = monotonicNowMs();
-        if (this.#node.session !== undefined) {
-            this.#membershipReconciler.run(nowMs);
-        }
-        this.#metrics.setVoterStatus(this.#voterStatus(nowMs));
-    }
-
-    /** Returns the state of the voters; undefined unless this replica leads. */
-    #voterStatus(nowMs: number): VoterStatus | undefined {
-        return this.#node.session === undefined ? undefined : this.#membershipReconciler.status(nowMs);
-    }
-
     #announceMembers(): void {
         if (this.#node.session !== undefined) {
-            void this.#relayAnnouncer.announce(this.#memberHosts, this.#seedHosts);
+            void this.#relayAnnouncer.announce(this.#membership.memberHosts, this.#membership.seedHosts);
         }
     }
 
-    get #memberHosts(): string[] {
-        return this.#runner.replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
-    }
-
     #reportUtilization(): void {
         const { session } = this.#node;
         if (session !== undefined) {
@@ -413,7 +390,7 @@
             }),
             [DESCRIBE_PATH, () => toJson(DescribeResponseSchema, describeReplica(this.#runner.replica))],
             [CLUSTER_PATH, () => this.#describeCluster()],
-            [JOIN_PATH, (request: JoinRequest) => this.#join(request)],
+            [JOIN_PATH, (request: JoinRequest) => this.#membership.handleJoin(request, monotonicNowMs())],
         ]);
     }
 
@@ -421,9 +398,9 @@
         const nowMs = monotonicNowMs();
         return {
             leaderHost: this.leaderHost,
-            memberHosts: this.#memberHosts,
+            memberHosts: this.#membership.memberHosts,
             isServing: this.#node.session !== undefined && this.#runner.hasQuorumLease(nowMs),
-            voterStatus: this.#voterStatus(nowMs),
+            voterStatus: this.#membership.voterStatus(nowMs),
         };
     }
 
@@ -434,12 +411,6 @@
             this.#logger.info({ members: 1 }, "cluster formed for seeds without disks");
         }
     }
-
-    #join(request: JoinRequest): JoinResponse {
-        const isLeading = this.#node.session !== undefined;
-        const isMember = isLeading && this.#membershipReconciler.join(request, monotonicNowMs());
-        return { isMember, leaderHost: this.leaderHost };
-    }
 }
 
 /** Derives the seed of a replica's random election timeouts from its disk id. */
--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -2,6 +2,7 @@
 export * from "../http/request-body.js";
 export * from "../logging/logger.js";
 export * from "../transport/monotonic-time.js";
+export * from "./cluster-membership.js";
 export * from "./control-host.js";
 export * from "./control-relay.js";
 export * from "./json-call.js";
