Remove a voter whose disk is lost before its successor gets a vote

Cause: the successor was promoted beside the lost voter. Until the lost one was removed, the majority (three of four) needed the successor: with its disk gone as well, no change could be committed any more. The lost voter was removed last too, so that a repair of several disks took one more step for each. Besides, a learner that lags kept the other learners from being promoted.

Change: a voter whose successor under the same name has joined and responds is removed first, unless voters are missing; the number of replicas that a majority needs does not change by it. A voter that is only silent is still replaced by promotion first, since its disk may come back. Only learners with the whole log are candidates.

The test that expected the promotion first stood for the faulty order; its replacement checks each of the three states. Before: "removes the former member of the same name ..." printed "expected { kind: 'promote', diskId: 'c2' } to deeply equal { kind: 'remove', diskId: 'c1' }"; "never has a lost voter and its successor vote together" and "promotes a learner with the whole log" failed too. After: the unit tests of consensus and daemon pass.

Ruled out: removing a silent voter first; two of three voters that are dark with their disks intact could then not outvote the loss of the third disk.

--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -65,6 +65,12 @@
         return peer === undefined ? undefined : this.#timerMsSince(Math.max(peer.contactMs, this.#electedAtMs));
     }
 
+    /** Whether a member answers and has all entries that were committed at the last heartbeat. */
+    isCaughtUp(diskId: string): boolean {
+        const peer = this.#peers.get(diskId);
+        return this.#isReachable(peer) && peer.matchIndex >= this.#recentCommitIndex;
+    }
+
     propose(records: readonly Uint8Array[]): number {
         for (const record of records) {
             this.#append({ case: "data", value: record });
@@ -199,17 +205,12 @@
     }
 
     #checkCaughtUp(change: MembershipChange, membership: Membership): Result<Membership, StepError> {
-        if (change.kind !== MembershipChangeKind.Promote) {
+        if (change.kind !== MembershipChangeKind.Promote || this.isCaughtUp(change.diskId)) {
             return Ok(membership);
         }
         const peer = this.#peers.get(change.diskId);
-        const isReachable = peer !== undefined
-            && this.#core.nowMs - peer.contactMs < this.#core.timing.minimumElectionTimeoutMs;
-        if (isReachable && peer.matchIndex >= this.#recentCommitIndex) {
-            return Ok(membership);
-        }
         const message = `the learner has ${peer?.matchIndex ?? 0} of ${this.#core.commitIndex} entries`
-            + (isReachable ? "" : " and does not answer");
+            + (this.#isReachable(peer) ? "" : " and does not answer");
         return Err(
             new StepError(ErrorCode.UNAVAILABLE, PROMOTION_STEP, change.diskId, message, {
                 retryAfterMs: this.#core.timing.heartbeatMs,
@@ -217,6 +218,11 @@
         );
     }
 
+    #isReachable(peer: PeerProgress | undefined): peer is PeerProgress {
+        return peer !== undefined
+            && this.#core.nowMs - peer.contactMs < this.#core.timing.minimumElectionTimeoutMs;
+    }
+
     #updatePeers(): void {
         const members = this.#core.membership.members.map(member => member.identity?.diskId ?? "");
         const peerDiskIds = new Set(members.filter(diskId => diskId !== this.#core.identity.diskId));
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -219,6 +219,12 @@
         return this.#leadership?.sinceContactMs(diskId);
     }
 
+    /** Whether this replica leads and a member has all that was committed recently, so that a learner may be promoted. */
+    isCaughtUp(diskId: string, nowMs: number): boolean {
+        this.#advanceClock(nowMs);
+        return this.#leadership?.isCaughtUp(diskId) ?? false;
+    }
+
     /** Returns the effects since the last call; the writes and append messages since then are combined. */
     takeEffects(): ReplicaEffect[] {
         this.#leadership?.flush();
--- a/packages/daemon/src/workflow/membership-reconciler.test.ts
+++ b/packages/daemon/src/workflow/membership-reconciler.test.ts
@@ -1,9 +1,12 @@
 import { create } from "@bufbuild/protobuf";
 import { MembershipChangeKind } from "@waxwingspread/consensus";
+import type { MembershipChange } from "@waxwingspread/consensus";
 import { MemberRole, MembershipSchema } from "@waxwingspread/protocol";
 import type { Membership } from "@waxwingspread/protocol";
 import { expect, it } from "vitest";
 import { nextMembershipChange, voterStatusOf } from "./membership-reconciler.js";
+import type { SinceContactMs } from "./membership-reconciler.js";
+import type { FaultTolerance } from "./voter-plan.js";
 
 const membershipOf = (...members: [name: string, diskId: string, role: MemberRole][]): Membership =>
     create(MembershipSchema, {
@@ -15,6 +18,15 @@
 
 const { LEARNER, VOTER } = MemberRole;
 
+/** Returns the next change if the learners with these disks don't have the whole log yet. */
+const changeFor = (
+    membership: Membership,
+    tolerance: FaultTolerance,
+    contact: SinceContactMs,
+    laggingDisks: readonly string[] = [],
+): MembershipChange | undefined =>
+    nextMembershipChange(membership, tolerance, contact, diskId => !laggingDisks.includes(diskId));
+
 /** Requires three voters. */
 const ONE_LOSS = { machines: 1, zones: 1 };
 /** Requires five voters. */
@@ -32,26 +44,76 @@
 };
 
 // Guards against a replica that is not promoted after its disk was wiped, so that the next loss breaks the quorum.
-it("promotes a replica with a new disk and then removes the former member of the same name", () => {
+it("removes the former member of the same name and then promotes a replica with a new disk", () => {
     const joined = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["c", "c2", LEARNER]);
-    expect(nextMembershipChange(joined, ONE_LOSS, sinceContactMs({}))).toEqual({
+    expect(changeFor(joined, ONE_LOSS, sinceContactMs({}))).toEqual({
+        kind: MembershipChangeKind.Remove,
+        diskId: "c1",
+    });
+    const removed = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c2", LEARNER]);
+    expect(changeFor(removed, ONE_LOSS, sinceContactMs({}))).toEqual({
         kind: MembershipChangeKind.Promote,
         diskId: "c2",
     });
-    const promoted = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["c", "c2", VOTER]);
-    expect(nextMembershipChange(promoted, ONE_LOSS, sinceContactMs({}))).toEqual({
-        kind: MembershipChangeKind.Remove,
-        diskId: "c1",
+    const promoted = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c2", VOTER]);
+    expect(changeFor(promoted, ONE_LOSS, sinceContactMs({}))).toBeUndefined();
+});
+
+// Guards against a majority that needs the successor of a lost voter while both have votes. When the successor's disk is
+// lost as well before the first one is removed, no majority comes back.
+it("never has a lost voter and its successor vote together when several disks are lost", () => {
+    let members: [name: string, diskId: string, role: MemberRole][] = [
+        ["a", "a1", VOTER],
+        ["b", "b1", VOTER],
+        ["c", "c1", VOTER],
+        ["d", "d1", VOTER],
+        ["e", "e1", VOTER],
+        ["d", "d2", LEARNER],
+        ["e", "e2", LEARNER],
+    ];
+    const voters: string[][] = [];
+    for (;;) {
+        const change = changeFor(membershipOf(...members), TWO_LOSSES, sinceContactMs({}));
+        if (change === undefined || change.kind === MembershipChangeKind.AddLearner) {
+            break;
+        }
+        const { kind, diskId } = change;
+        members = kind === MembershipChangeKind.Remove
+            ? members.filter(member => member[1] !== diskId)
+            : members.map(member => member[1] === diskId ? [member[0], diskId, VOTER] : member);
+        voters.push(members.filter(member => member[2] === VOTER).map(member => member[1]));
+    }
+    expect(voters).toEqual([
+        ["a1", "b1", "c1", "e1"],
+        ["a1", "b1", "c1", "e1", "d2"],
+        ["a1", "b1", "c1", "d2"],
+        ["a1", "b1", "c1", "d2", "e2"],
+    ]);
+});
+
+// Guards against the removal of a voter for a successor that never answers, such as one of a delayed request to join.
+it("keeps a voter whose successor does not respond", () => {
+    const joined = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["c", "c2", LEARNER]);
+    expect(changeFor(joined, ONE_LOSS, sinceContactMs({ c2: 5_000 }))).toBeUndefined();
+});
+
+// Guards against a learner without the whole log that keeps the others from being promoted.
+it("promotes a learner with the whole log before one that lags in a better zone", () => {
+    const membership = zonedMembership(["x1", "x2", "y1"], ["x3", "z1"]);
+    expect(changeFor(membership, TWO_LOSSES, sinceContactMs({}), ["z1"])).toEqual({
+        kind: MembershipChangeKind.Promote,
+        diskId: "x3",
     });
+    expect(changeFor(membership, TWO_LOSSES, sinceContactMs({}), ["x3", "z1"])).toBeUndefined();
 });
 
 // Guards against the removal of a voter without a replacement, which would shrink the quorum.
 it("keeps an unresponsive voter until a learner can replace it", () => {
     const voters = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER]);
-    expect(nextMembershipChange(voters, ONE_LOSS, sinceContactMs({ c1: 60_000 }))).toBeUndefined();
+    expect(changeFor(voters, ONE_LOSS, sinceContactMs({ c1: 60_000 }))).toBeUndefined();
     const spare = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["d", "d1", LEARNER]);
-    expect(nextMembershipChange(spare, ONE_LOSS, sinceContactMs({ c1: 2_000 }))).toBeUndefined();
-    expect(nextMembershipChange(spare, ONE_LOSS, sinceContactMs({ c1: 5_000 }))).toEqual({
+    expect(changeFor(spare, ONE_LOSS, sinceContactMs({ c1: 2_000 }))).toBeUndefined();
+    expect(changeFor(spare, ONE_LOSS, sinceContactMs({ c1: 5_000 }))).toEqual({
         kind: MembershipChangeKind.Promote,
         diskId: "d1",
     });
@@ -60,8 +122,8 @@
 // Guards against a cluster that stays at its three initial voters although it must tolerate more failures.
 it("promotes learners until the target number of voters is reached", () => {
     const founders = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["d", "d1", LEARNER]);
-    expect(nextMembershipChange(founders, ONE_LOSS, sinceContactMs({}))).toBeUndefined();
-    expect(nextMembershipChange(founders, TWO_LOSSES, sinceContactMs({}))).toEqual({
+    expect(changeFor(founders, ONE_LOSS, sinceContactMs({}))).toBeUndefined();
+    expect(changeFor(founders, TWO_LOSSES, sinceContactMs({}))).toEqual({
         kind: MembershipChangeKind.Promote,
         diskId: "d1",
     });
@@ -72,7 +134,7 @@
     let voters = ["x1", "y1", "z1"];
     let learners = ["x2", "y2", "z2"];
     for (;;) {
-        const change = nextMembershipChange(zonedMembership(voters, learners), TWO_LOSSES, sinceContactMs({}));
+        const change = changeFor(zonedMembership(voters, learners), TWO_LOSSES, sinceContactMs({}));
         if (change?.kind !== MembershipChangeKind.Promote) {
             expect(change).toBeUndefined();
             break;
@@ -89,7 +151,7 @@
 // Guards against a zone that gains the votes of other zones, so that its loss takes the majority.
 it("promotes the learner in the zone with the fewest voters", () => {
     const membership = zonedMembership(["x1", "x2", "y1"], ["x3", "z1"]);
-    expect(nextMembershipChange(membership, TWO_LOSSES, sinceContactMs({}))).toEqual({
+    expect(changeFor(membership, TWO_LOSSES, sinceContactMs({}))).toEqual({
         kind: MembershipChangeKind.Promote,
         diskId: "z1",
     });
@@ -98,17 +160,17 @@
 // Guards against votes that stay concentrated in one zone after the replicas of another zone have come back.
 it("moves a vote from a zone with too many voters to a zone with too few", () => {
     const gathered = zonedMembership(["x1", "x2", "y1"], ["z1"]);
-    expect(nextMembershipChange(gathered, ONE_LOSS, sinceContactMs({}))).toEqual({
+    expect(changeFor(gathered, ONE_LOSS, sinceContactMs({}))).toEqual({
         kind: MembershipChangeKind.Promote,
         diskId: "z1",
     });
     const promoted = zonedMembership(["x1", "x2", "y1", "z1"], []);
     const isThisReplica = (diskId: string): number | undefined => diskId === "x1" ? undefined : 0;
-    expect(nextMembershipChange(promoted, ONE_LOSS, isThisReplica)).toEqual({
+    expect(changeFor(promoted, ONE_LOSS, isThisReplica)).toEqual({
         kind: MembershipChangeKind.Remove,
         diskId: "x2",
     });
-    expect(nextMembershipChange(zonedMembership(["x1", "y1", "z1"], ["x2"]), ONE_LOSS, isThisReplica)).toBeUndefined();
+    expect(changeFor(zonedMembership(["x1", "y1", "z1"], ["x2"]), ONE_LOSS, isThisReplica)).toBeUndefined();
 });
 
 // Guards against a shortfall of voters that nothing reports (issue 19).
--- a/packages/daemon/src/workflow/membership-reconciler.ts
+++ b/packages/daemon/src/workflow/membership-reconciler.ts
@@ -16,6 +16,9 @@
 /** Returns the time since the last contact to a member; undefined for this replica. */
 export type SinceContactMs = (diskId: string) => number | undefined;
 
+/** Returns whether a member has the whole log. */
+export type IsCaughtUp = (diskId: string) => boolean;
+
 /** Construction parameters of a {@link MembershipReconciler}. */
 export interface MembershipReconcilerOptions {
     runner: ReplicaRunner;
@@ -51,8 +54,14 @@
 
     /** Proposes the next membership change, if one is needed; otherwise logs a change of the voter status. */
     run(nowMs: number): void {
-        const { membership } = this.#runner.replica;
-        const change = nextMembershipChange(membership, this.#tolerance, this.#sinceContactMs(nowMs));
+        const { replica } = this.#runner;
+        const isCaughtUp: IsCaughtUp = diskId => replica.isCaughtUp(diskId, nowMs);
+        const change = nextMembershipChange(
+            replica.membership,
+            this.#tolerance,
+            this.#sinceContactMs(nowMs),
+            isCaughtUp,
+        );
         if (change === undefined) {
             this.#logStatus(this.status(nowMs));
         }
@@ -148,13 +157,18 @@
         return this.isReplaced(member) || this.isSilent(member, REPLACE_VOTER_AFTER_MS);
     }
 
-    /** Returns the available learner whose zone has the fewest available voters. */
-    nextCandidate(): Member | undefined {
+    /** Returns the available learner with the whole log whose zone has the fewest available voters. */
+    nextCandidate(isCaughtUp: IsCaughtUp): Member | undefined {
         return this.learners
-            .filter(learner => !this.isUnavailable(learner))
+            .filter(learner => !this.isUnavailable(learner) && isCaughtUp(diskIdOf(learner)))
             .toSorted((a, b) => this.#votersInZoneOf(a) - this.#votersInZoneOf(b))[0];
     }
 
+    /** Returns a voter whose disk was lost and whose successor has joined and responds. */
+    lostVoter(): Member | undefined {
+        return this.voters.find(voter => this.isReplaced(voter) && this.#hasAvailableSuccessor(voter));
+    }
+
     /** Returns a voter of a zone that has more voters than planned, preferably one other than this replica. */
     surplusVoter(): Member | undefined {
         return this.availableVoters
@@ -167,6 +181,12 @@
         return this.#votersInZoneOf(candidate) < this.plan.maxVotersPerZone;
     }
 
+    #hasAvailableSuccessor(voter: Member): boolean {
+        return this.#members.some(member =>
+            member !== voter && member.identity?.name === voter.identity?.name && !this.isUnavailable(member)
+        );
+    }
+
     #votersInZoneOf(member: Member): number {
         return countByZone(this.availableVoters).get(zoneOf(member)) ?? 0;
     }
@@ -181,6 +201,7 @@
     membership: Membership,
     tolerance: FaultTolerance,
     sinceContactMs: SinceContactMs,
+    isCaughtUp: IsCaughtUp,
 ): MembershipChange | undefined => {
     const view = new MembershipView(membership, tolerance, sinceContactMs);
     const unavailableVoter = view.voters.find(voter => view.isUnavailable(voter));
@@ -189,7 +210,13 @@
     if (removableVoter !== undefined && view.voters.length > view.plan.voters) {
         return { kind: MembershipChangeKind.Remove, diskId: diskIdOf(removableVoter) };
     }
-    const candidate = view.nextCandidate();
+    // A voter whose disk is lost never votes again. While its successor is promoted beside it, the majority needs one more
+    // replica, and the loss of the successor's disk would leave no majority for ever.
+    const lostVoter = view.lostVoter();
+    if (lostVoter !== undefined && view.voters.length >= view.plan.voters) {
+        return { kind: MembershipChangeKind.Remove, diskId: diskIdOf(lostVoter) };
+    }
+    const candidate = view.nextCandidate(isCaughtUp);
     if (candidate !== undefined) {
         const isVoteFree = view.voters.length < view.plan.voters || unavailableVoter !== undefined;
         const improvesSpread = surplusVoter !== undefined && view.hasRoomInZoneOf(candidate);
