Replace a silent voter within the catch-up time of the deployment

Cause: a silent voter was replaced after a fixed 4 s, counted anew by a new leader. The catch-up time of a deployment is 4 s (the two sites) or 6 s, and the successor starts 1 s after the loss: with the leader as the lost voter, election and 4 s alone used up the time.

Change: the time is a third of the deployment's catch-up time, read from its settings. The membership is reconciled every 50 ms instead of 200 ms, and a replica without a leader requests to join in its first tick and every 200 ms.

Ruled out: replacing a silent voter at once; a restart would then change the membership each time.

--- a/packages/daemon/src/workflow/cluster-membership.ts
+++ b/packages/daemon/src/workflow/cluster-membership.ts
@@ -4,11 +4,11 @@
 import { ClusterJoiner } from "./cluster-joiner.js";
 import type { JsonCaller } from "./json-call.js";
 import { MembershipReconciler } from "./membership-reconciler.js";
+import type { MembershipRequirements } from "./membership-reconciler.js";
 import type { JoinRequest, JoinResponse, VoterStatus } from "./operations.js";
-import type { FaultTolerance } from "./voter-plan.js";
 
-const JOIN_INTERVAL_MS = 300;
-const RECONCILE_INTERVAL_MS = 200;
+const JOIN_INTERVAL_MS = 200;
+const RECONCILE_INTERVAL_MS = 50;
 
 /** Construction parameters of a {@link ClusterMembership}. */
 export interface ClusterMembershipOptions {
@@ -20,7 +20,7 @@
     internalPort: number;
     /** Hosts of control replicas from the settings. */
     seedHosts: readonly string[];
-    tolerance: FaultTolerance;
+    requirements: MembershipRequirements;
     /** Returns whether this replica leads and its session has started. */
     isLeading: () => boolean;
     /** Forms a cluster of this replica alone, which the others then join. */
@@ -38,15 +38,15 @@
     #nextReconciliationMs: number;
 
     constructor(options: ClusterMembershipOptions, nowMs: number) {
-        const { runner, caller, host, internalPort, formAlone, tolerance, logger } = options;
+        const { runner, caller, host, internalPort, formAlone, requirements, logger } = options;
         this.#options = options;
         this.#seedHosts = options.seedHosts;
         this.#joiner = new ClusterJoiner(
             { replica: runner.replica, caller, host, internalPort, formAlone, logger },
             nowMs,
         );
-        this.#reconciler = new MembershipReconciler({ runner, tolerance, logger });
-        this.#nextJoinMs = nowMs + JOIN_INTERVAL_MS;
+        this.#reconciler = new MembershipReconciler({ runner, requirements, logger });
+        this.#nextJoinMs = nowMs;
         this.#nextReconciliationMs = nowMs;
     }
 
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -33,6 +33,7 @@
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
 import { JsonCaller } from "./json-call.js";
+import type { MembershipRequirements } from "./membership-reconciler.js";
 import { NodeDriver } from "./node-driver.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
 import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
@@ -40,7 +41,6 @@
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
 import { SlewedWallClock } from "./slewed-wall-clock.js";
-import type { FaultTolerance } from "./voter-plan.js";
 import { ControlPhase } from "./workflow-metrics.js";
 import type { ControlMetrics } from "./workflow-metrics.js";
 
@@ -68,8 +68,8 @@
     /** Whether this is the first start of the deployment, in which the seed hosts form the cluster. */
     isFirstStart: boolean;
     availabilityZone: string;
-    /** Losses that may happen at the same time. */
-    tolerance: FaultTolerance;
+    /** Losses that may happen at the same time, and the time until the next ones may. */
+    membership: MembershipRequirements;
     leader: LeaderSettings;
 }
 
@@ -130,7 +130,7 @@
             host: settings.host,
             internalPort: settings.internalPort,
             seedHosts: settings.seedHosts,
-            tolerance: settings.tolerance,
+            requirements: settings.membership,
             isLeading: () => this.#node.session !== undefined,
             formAlone: () => this.#formAlone(),
             logger,
--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -8,6 +8,7 @@
 export * from "./json-call.js";
 export * from "./leader-client.js";
 export * from "./leader-finder.js";
+export type { MembershipRequirements } from "./membership-reconciler.js";
 export * from "./metrics-listener.js";
 export * from "./operations.js";
 export * from "./platform-services.js";
--- a/packages/daemon/src/workflow/membership-reconciler.test.ts
+++ b/packages/daemon/src/workflow/membership-reconciler.test.ts
@@ -6,6 +6,7 @@
 import { expect, it } from "vitest";
 import { nextMembershipChange, voterStatusOf } from "./membership-reconciler.js";
 import type { SinceContactMs } from "./membership-reconciler.js";
+import type { VoterStatus } from "./operations.js";
 import type { FaultTolerance } from "./voter-plan.js";
 
 const membershipOf = (...members: [name: string, diskId: string, role: MemberRole][]): Membership =>
@@ -18,6 +19,8 @@
 
 const { LEARNER, VOTER } = MemberRole;
 
+const CATCH_UP_MS = 6_000;
+
 /** Returns the next change if the learners with these disks don't have the whole log yet. */
 const changeFor = (
     membership: Membership,
@@ -25,7 +28,16 @@
     contact: SinceContactMs,
     laggingDisks: readonly string[] = [],
 ): MembershipChange | undefined =>
-    nextMembershipChange(membership, tolerance, contact, diskId => !laggingDisks.includes(diskId));
+    nextMembershipChange(membership, { tolerance, catchUpMs: CATCH_UP_MS }, {
+        sinceContactMs: contact,
+        isCaughtUp: diskId => !laggingDisks.includes(diskId),
+    });
+
+const statusFor = (membership: Membership, tolerance: FaultTolerance, contact: SinceContactMs): VoterStatus =>
+    voterStatusOf(membership, { tolerance, catchUpMs: CATCH_UP_MS }, {
+        sinceContactMs: contact,
+        isCaughtUp: () => true,
+    });
 
 /** Requires three voters. */
 const ONE_LOSS = { machines: 1, zones: 1 };
@@ -119,6 +131,22 @@
     });
 });
 
+// Guards against a voter that is replaced only after the time in which its successor must count, so that the next loss of
+// a disk takes what was acknowledged.
+it("replaces a silent voter well within the catch-up time", () => {
+    const spare = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["d", "d1", LEARNER]);
+    const changeAfter = (sinceContact: number, catchUpMs: number): MembershipChange | undefined =>
+        nextMembershipChange(spare, { tolerance: ONE_LOSS, catchUpMs }, {
+            sinceContactMs: sinceContactMs({ c1: sinceContact }),
+            isCaughtUp: () => true,
+        });
+    const promotion = { kind: MembershipChangeKind.Promote, diskId: "d1" };
+    expect(changeAfter(1_300, 4_000)).toBeUndefined();
+    expect(changeAfter(1_400, 4_000)).toEqual(promotion);
+    expect(changeAfter(1_400, 6_000)).toBeUndefined();
+    expect(changeAfter(2_100, 6_000)).toEqual(promotion);
+});
+
 // Guards against a cluster that stays at its three initial voters although it must tolerate more failures.
 it("promotes learners until the target number of voters is reached", () => {
     const founders = membershipOf(["a", "a1", VOTER], ["b", "b1", VOTER], ["c", "c1", VOTER], ["d", "d1", LEARNER]);
@@ -176,11 +204,11 @@
 // Guards against a shortfall of voters that nothing reports (issue 19).
 it("reports whether the voters suffice for the tolerated losses", () => {
     const tooFew = zonedMembership(["x1", "y1", "z1"], []);
-    expect(voterStatusOf(tooFew, TWO_LOSSES, sinceContactMs({})))
+    expect(statusFor(tooFew, TWO_LOSSES, sinceContactMs({})))
         .toEqual({ voters: 3, targetVoters: 5, tolerableLosses: 1, isSufficient: false });
     const enough = zonedMembership(["x1", "x2", "y1", "y2", "z1"], ["z2"]);
-    expect(voterStatusOf(enough, TWO_LOSSES, sinceContactMs({})))
+    expect(statusFor(enough, TWO_LOSSES, sinceContactMs({})))
         .toEqual({ voters: 5, targetVoters: 5, tolerableLosses: 2, isSufficient: true });
-    expect(voterStatusOf(enough, TWO_LOSSES, sinceContactMs({ x2: 5_000 })))
+    expect(statusFor(enough, TWO_LOSSES, sinceContactMs({ x2: 5_000 })))
         .toEqual({ voters: 4, targetVoters: 5, tolerableLosses: 1, isSufficient: false });
 });
--- a/packages/daemon/src/workflow/membership-reconciler.ts
+++ b/packages/daemon/src/workflow/membership-reconciler.ts
@@ -8,21 +8,35 @@
 import { majorityOf, planVoters } from "./voter-plan.js";
 import type { FaultTolerance, VoterPlan } from "./voter-plan.js";
 
-/** Time without contact after which a voter may be replaced by a learner that has the whole log. */
-const REPLACE_VOTER_AFTER_MS = 4_000;
+/**
+ * Part of the catch-up time after which a silent voter may be replaced by a learner that has the whole log. The rest is
+ * for an election before, if the voter was the leader, and for the changes after it.
+ */
+const REPLACE_VOTER_RATIO = 1 / 3;
 /** Time without contact after which a learner is removed. */
 const REMOVE_LEARNER_AFTER_MS = 20_000;
 
 /** Returns the time since the last contact to a member; undefined for this replica. */
 export type SinceContactMs = (diskId: string) => number | undefined;
 
-/** Returns whether a member has the whole log. */
-export type IsCaughtUp = (diskId: string) => boolean;
+/** What a leader knows about the members. */
+export interface MemberContacts {
+    sinceContactMs: SinceContactMs;
+    /** Returns whether a member has the whole log. */
+    isCaughtUp: (diskId: string) => boolean;
+}
+
+/** Requirements that the membership has to meet. */
+export interface MembershipRequirements {
+    tolerance: FaultTolerance;
+    /** Time after the start of a replica within which it must count; the next loss may come after it. */
+    catchUpMs: number;
+}
 
 /** Construction parameters of a {@link MembershipReconciler}. */
 export interface MembershipReconcilerOptions {
     runner: ReplicaRunner;
-    tolerance: FaultTolerance;
+    requirements: MembershipRequirements;
     logger: Logger;
 }
 
@@ -32,13 +46,13 @@
  */
 export class MembershipReconciler {
     readonly #runner: ReplicaRunner;
-    readonly #tolerance: FaultTolerance;
+    readonly #requirements: MembershipRequirements;
     readonly #logger: Logger;
     #loggedStatus = "";
 
     constructor(options: MembershipReconcilerOptions) {
         this.#runner = options.runner;
-        this.#tolerance = options.tolerance;
+        this.#requirements = options.requirements;
         this.#logger = options.logger;
     }
 
@@ -54,14 +68,8 @@
 
     /** Proposes the next membership change, if one is needed; otherwise logs a change of the voter status. */
     run(nowMs: number): void {
-        const { replica } = this.#runner;
-        const isCaughtUp: IsCaughtUp = diskId => replica.isCaughtUp(diskId, nowMs);
-        const change = nextMembershipChange(
-            replica.membership,
-            this.#tolerance,
-            this.#sinceContactMs(nowMs),
-            isCaughtUp,
-        );
+        const { membership } = this.#runner.replica;
+        const change = nextMembershipChange(membership, this.#requirements, this.#contacts(nowMs));
         if (change === undefined) {
             this.#logStatus(this.status(nowMs));
         }
@@ -72,11 +80,16 @@
 
     /** Returns how the responsive voters compare with the number that the tolerance requires. */
     status(nowMs: number): VoterStatus {
-        return voterStatusOf(this.#runner.replica.membership, this.#tolerance, this.#sinceContactMs(nowMs));
+        const { membership } = this.#runner.replica;
+        return voterStatusOf(membership, this.#requirements, this.#contacts(nowMs));
     }
 
-    #sinceContactMs(nowMs: number): SinceContactMs {
-        return diskId => this.#runner.replica.sinceContactMs(diskId, nowMs);
+    #contacts(nowMs: number): MemberContacts {
+        const { replica } = this.#runner;
+        return {
+            sinceContactMs: diskId => replica.sinceContactMs(diskId, nowMs),
+            isCaughtUp: diskId => replica.isCaughtUp(diskId, nowMs),
+        };
     }
 
     #propose(change: MembershipChange, nowMs: number): boolean {
@@ -97,7 +110,8 @@
             this.#logger.info(status, "voters suffice for the tolerated losses");
         }
         else {
-            this.#logger.warn({ ...status, tolerance: this.#tolerance }, "too few voters for the tolerated losses");
+            const { tolerance } = this.#requirements;
+            this.#logger.warn({ ...status, tolerance }, "too few voters for the tolerated losses");
         }
     }
 }
@@ -127,15 +141,17 @@
     readonly learners: Member[];
     readonly plan: VoterPlan;
     readonly #members: Member[];
-    readonly #sinceContactMs: SinceContactMs;
+    readonly #contacts: MemberContacts;
+    readonly #replaceVoterAfterMs: number;
 
-    constructor({ members }: Membership, tolerance: FaultTolerance, sinceContactMs: SinceContactMs) {
+    constructor({ members }: Membership, requirements: MembershipRequirements, contacts: MemberContacts) {
         this.#members = members;
-        this.#sinceContactMs = sinceContactMs;
+        this.#contacts = contacts;
+        this.#replaceVoterAfterMs = requirements.catchUpMs * REPLACE_VOTER_RATIO;
         this.voters = members.filter(member => member.role === MemberRole.VOTER);
         this.learners = members.filter(member => member.role === MemberRole.LEARNER);
         const replicas = members.filter(member => !this.isReplaced(member));
-        this.plan = planVoters([...countByZone(replicas).values()], tolerance);
+        this.plan = planVoters([...countByZone(replicas).values()], requirements.tolerance);
     }
 
     get availableVoters(): Member[] {
@@ -150,17 +166,17 @@
     }
 
     isSilent(member: Member, timeoutMs: number): boolean {
-        return (this.#sinceContactMs(diskIdOf(member)) ?? 0) > timeoutMs;
+        return (this.#contacts.sinceContactMs(diskIdOf(member)) ?? 0) > timeoutMs;
     }
 
     isUnavailable(member: Member): boolean {
-        return this.isReplaced(member) || this.isSilent(member, REPLACE_VOTER_AFTER_MS);
+        return this.isReplaced(member) || this.isSilent(member, this.#replaceVoterAfterMs);
     }
 
     /** Returns the available learner with the whole log whose zone has the fewest available voters. */
-    nextCandidate(isCaughtUp: IsCaughtUp): Member | undefined {
+    nextCandidate(): Member | undefined {
         return this.learners
-            .filter(learner => !this.isUnavailable(learner) && isCaughtUp(diskIdOf(learner)))
+            .filter(learner => !this.isUnavailable(learner) && this.#contacts.isCaughtUp(diskIdOf(learner)))
             .toSorted((a, b) => this.#votersInZoneOf(a) - this.#votersInZoneOf(b))[0];
     }
 
@@ -192,18 +208,17 @@
     }
 
     #isThisReplica(member: Member): boolean {
-        return this.#sinceContactMs(diskIdOf(member)) === undefined;
+        return this.#contacts.sinceContactMs(diskIdOf(member)) === undefined;
     }
 }
 
 /** Returns the next change towards the planned number and spread of voters; undefined if none is needed or possible. */
 export const nextMembershipChange = (
     membership: Membership,
-    tolerance: FaultTolerance,
-    sinceContactMs: SinceContactMs,
-    isCaughtUp: IsCaughtUp,
+    requirements: MembershipRequirements,
+    contacts: MemberContacts,
 ): MembershipChange | undefined => {
-    const view = new MembershipView(membership, tolerance, sinceContactMs);
+    const view = new MembershipView(membership, requirements, contacts);
     const unavailableVoter = view.voters.find(voter => view.isUnavailable(voter));
     const surplusVoter = view.surplusVoter();
     const removableVoter = unavailableVoter ?? surplusVoter;
@@ -216,7 +231,7 @@
     if (lostVoter !== undefined && view.voters.length >= view.plan.voters) {
         return { kind: MembershipChangeKind.Remove, diskId: diskIdOf(lostVoter) };
     }
-    const candidate = view.nextCandidate(isCaughtUp);
+    const candidate = view.nextCandidate();
     if (candidate !== undefined) {
         const isVoteFree = view.voters.length < view.plan.voters || unavailableVoter !== undefined;
         const improvesSpread = surplusVoter !== undefined && view.hasRoomInZoneOf(candidate);
@@ -235,10 +250,10 @@
 /** Returns how the responsive voters compare with the number that the tolerance requires. */
 export const voterStatusOf = (
     membership: Membership,
-    tolerance: FaultTolerance,
-    sinceContactMs: SinceContactMs,
+    requirements: MembershipRequirements,
+    contacts: MemberContacts,
 ): VoterStatus => {
-    const view = new MembershipView(membership, tolerance, sinceContactMs);
+    const view = new MembershipView(membership, requirements, contacts);
     const voters = view.availableVoters.length;
     return {
         voters,
