Limit log lines by kind of event and don't format those that are dropped

All kinds of events shared one budget of 200 lines, which starts and ends use up, so that the lines that explain a fault (lost runs, expired leases, cancels) were dropped with the rest.

Cause: one budget for all kinds. The fields of a line were built before the budget was checked.

Change: LineBudget gives each kind of event 50 lines a second; the fields are read only for a line that is written. `log lines dropped` names the kind.

The existing test of the limit expected 200 of 1,000 lines of one kind. It now expects 50 and the name of the kind, which is stricter.

Failed before the change (event-log.test.ts): "logs a rare event while the lines of frequent ones are dropped" (no line `cancelled`), and "doesn't read the fields of a line that is dropped" (expected 1000 to be 200).

Ruled out: sampling lines, since a test of a rare fault needs all of them. No figure of processor time was taken for this change alone.

--- a/packages/daemon/src/workflow/event-log.test.ts
+++ b/packages/daemon/src/workflow/event-log.test.ts
@@ -1,4 +1,4 @@
-import { EventKind } from "@waxwingspread/workflow";
+import { EventKind, ServerEventKind } from "@waxwingspread/workflow";
 import { pino } from "pino";
 import { expect, it } from "vitest";
 import { EventLog } from "./event-log.js";
@@ -25,6 +25,40 @@
         }
         log.recordCommitted([{ kind: EventKind.JobCancelled, jobId: "bb", atMs: 0 }], 1_200);
     });
-    expect(lines).toHaveLength(202);
-    expect(lines.at(-2)).toMatchObject({ msg: "log lines dropped", count: 800 });
+    expect(lines).toHaveLength(52);
+    expect(lines.at(-2)).toMatchObject({ msg: "log lines dropped", event: "cancelled", count: 950 });
+});
+
+// Guards against rare lines, which explain a fault, that are dropped beside a high rate of starts and ends.
+it("logs a rare event while the lines of frequent ones are dropped", () => {
+    const runs = Array.from({ length: 1_000 }, (unused, run) => ({
+        task: `aa.0.0.${run}`,
+        run,
+        serverId: "s",
+        incarnation: 1,
+    }));
+    const lines = linesOf(log => {
+        log.recordCommitted([{ kind: EventKind.RunsAssigned, runs }], 0);
+        log.recordCommitted([{ kind: EventKind.JobCancelled, jobId: "bb", atMs: 0 }], 10);
+        log.recordServerEvent({ kind: ServerEventKind.LeaseExpired, serverId: "s", incarnation: 1, runs: 9 }, 20);
+    });
+    expect(lines.filter(({ event }) => event === "assigned").length).toBeLessThan(1_000);
+    expect(lines).toContainEqual(expect.objectContaining({ event: "cancelled", jobId: "bb" }));
+    expect(lines).toContainEqual(expect.objectContaining({ event: "lease-expired", serverId: "s" }));
+});
+
+// Guards against processor time for lines that nobody sees.
+it("doesn't read the fields of a line that is dropped", () => {
+    let readCount = 0;
+    const runs = Array.from({ length: 1_000 }, (unused, run) => ({
+        get task(): string {
+            readCount += 1;
+            return `aa.0.0.${run}`;
+        },
+        run,
+        serverId: "s",
+        incarnation: 1,
+    }));
+    const lines = linesOf(log => log.recordCommitted([{ kind: EventKind.RunsAssigned, runs }], 0));
+    expect(readCount).toBe(lines.length);
 });
--- a/packages/daemon/src/workflow/event-log.ts
+++ b/packages/daemon/src/workflow/event-log.ts
@@ -1,35 +1,35 @@
 import { EventKind } from "@waxwingspread/workflow";
 import type { EventOf, ServerEvent, WorkflowEvent } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
+import { LineBudget } from "../logging/line-budget.js";
 
-/** Rate limit of the log. Further lines are dropped, and their number is logged in the next window. */
-const MAX_LINES_PER_SECOND = 200;
-const WINDOW_MS = 1_000;
+/** Limit for each kind of event, so that frequent starts and ends leave room for the rare lines that explain a fault. */
+const MAX_LINES_PER_SECOND_AND_KIND = 50;
 
 type Handlers = { [Kind in EventKind]?: (event: EventOf<Kind>) => void };
 
-/** Logs a leader's decisions about jobs and backend servers, one line each, up to a rate limit. */
+/** Logs a leader's decisions about jobs and backend servers, one line each, up to a rate limit for each kind. */
 export class EventLog {
     readonly #logger: Logger;
-    #windowEndMs = 0;
-    #linesInWindow = 0;
-    #droppedLines = 0;
-    #nowMs = 0;
+    readonly #budget = new LineBudget(MAX_LINES_PER_SECOND_AND_KIND);
 
     readonly #handlers: Handlers = {
         [EventKind.JobAccepted]: ({ job, queue }) =>
-            this.#logJobEvent("accepted", { jobId: job.id, queue: queue.name, steps: job.steps.length }),
-        [EventKind.JobCancelled]: ({ jobId }) => this.#logJobEvent("cancelled", { jobId }),
+            this.#logJobEvent("accepted", () => ({ jobId: job.id, queue: queue.name, steps: job.steps.length })),
+        [EventKind.JobCancelled]: ({ jobId }) => this.#logJobEvent("cancelled", () => ({ jobId })),
         [EventKind.RunsAssigned]: ({ runs }) =>
-            runs.forEach(({ task, run, serverId }) =>
-                this.#logJobEvent("assigned", { ...taskFields(task), run, serverId })
+            runs.forEach(assigned =>
+                this.#logJobEvent("assigned", () => ({ ...runFields(assigned), serverId: assigned.serverId }))
             ),
         [EventKind.RunsEnded]: ({ server, ends }) =>
-            ends.forEach(({ task, run, end }) =>
-                this.#logJobEvent("run-ended", { ...taskFields(task), run, end, serverId: server.serverId })
+            ends.forEach(ended =>
+                this.#logJobEvent("run-ended", () => ({
+                    ...runFields(ended),
+                    end: ended.end,
+                    serverId: server.serverId,
+                }))
             ),
-        [EventKind.RunsLost]: ({ runs }) =>
-            runs.forEach(({ task, run }) => this.#logJobEvent("lost", { ...taskFields(task), run })),
+        [EventKind.RunsLost]: ({ runs }) => runs.forEach(lost => this.#logJobEvent("lost", () => runFields(lost))),
     };
 
     constructor(logger: Logger) {
@@ -38,7 +38,7 @@
 
     /** Logs the committed events that concern jobs. */
     recordCommitted(events: readonly WorkflowEvent[], nowMs: number): void {
-        this.#nowMs = nowMs;
+        this.#reportDropped(nowMs);
         for (const event of events) {
             const handle = this.#handlers[event.kind] as ((event: WorkflowEvent) => void) | undefined;
             handle?.(event);
@@ -47,31 +47,29 @@
 
     /** Logs a change of a backend server's state. */
     recordServerEvent(event: ServerEvent, nowMs: number): void {
-        this.#nowMs = nowMs;
+        this.#reportDropped(nowMs);
         const { kind, serverId, incarnation, runs } = event;
-        this.#logWithinLimit("backend server event", { event: kind, serverId, incarnation, runs });
+        if (this.#budget.tryTake(kind)) {
+            this.#logger.info({ event: kind, serverId, incarnation, runs }, "backend server event");
+        }
     }
 
-    #logJobEvent(event: string, fields: object): void {
-        this.#logWithinLimit("job event", { event, ...fields });
+    /** Logs an event unless its kind has used up its budget; the fields are only read for a line that is written. */
+    #logJobEvent(event: string, readFields: () => object): void {
+        if (this.#budget.tryTake(event)) {
+            this.#logger.info({ event, ...readFields() }, "job event");
+        }
     }
 
-    #logWithinLimit(message: string, fields: object): void {
-        if (this.#nowMs >= this.#windowEndMs) {
-            if (this.#droppedLines > 0) {
-                this.#logger.warn({ count: this.#droppedLines }, "log lines dropped");
-            }
-            this.#windowEndMs = this.#nowMs + WINDOW_MS;
-            this.#linesInWindow = 0;
-            this.#droppedLines = 0;
-        }
-        if (this.#linesInWindow >= MAX_LINES_PER_SECOND) {
-            this.#droppedLines += 1;
-            return;
+    #reportDropped(nowMs: number): void {
+        for (const [event, count] of this.#budget.advance(nowMs)) {
+            this.#logger.warn({ event, count }, "log lines dropped");
         }
-        this.#linesInWindow += 1;
-        this.#logger.info(fields, message);
     }
 }
 
-const taskFields = (task: string): { jobId: string; task: string } => ({ jobId: task.split(".", 1)[0] ?? "", task });
+const runFields = ({ task, run }: { task: string; run: number }): { jobId: string; task: string; run: number } => ({
+    jobId: task.split(".", 1)[0] ?? "",
+    task,
+    run,
+});
