Answer a queued call whose handling throws, instead of ending the process

Callers saw: one call whose handling threw an error ended the control process, so that neither it nor any other open call got an answer.

Cause: CallQueue runs calls in slices outside the handler of their request, so that an error was an uncaught exception of the event loop.

Ruled out: the same in refuse(), which only resolves a promise.

--- a/packages/daemon/src/workflow/call-queue.test.ts
+++ b/packages/daemon/src/workflow/call-queue.test.ts
@@ -10,6 +10,7 @@
         isBlocked: false,
         executed: [] as number[],
         refused: [] as number[],
+        failed: [] as number[],
         slices: [] as (() => void)[],
         call: (id: number): QueuedCall => ({
             receivedAtMs: fixture.nowMs,
@@ -19,6 +20,7 @@
                 fixture.executed.push(id);
             },
             refuse: () => fixture.refused.push(id),
+            fail: () => fixture.failed.push(id),
         }),
     };
     const queue = new CallQueue({
@@ -80,3 +82,17 @@
     fixture.slices.shift()?.();
     expect([fixture.executed, fixture.refused]).toEqual([[], [1, 2]]);
 });
+
+// Guards against one call whose handling throws and ends the process, so that all other calls get no answer.
+it("fails a call whose handling throws, and executes the calls behind it", () => {
+    const { queue, fixture } = createQueue();
+    queue.push({
+        ...fixture.call(1),
+        execute: () => {
+            throw new Error("thrown in a test");
+        },
+    });
+    queue.push(fixture.call(2));
+    fixture.slices.shift()?.();
+    expect([fixture.failed, fixture.executed, queue.length]).toEqual([[1], [2], 0]);
+});
--- a/packages/daemon/src/workflow/call-queue.ts
+++ b/packages/daemon/src/workflow/call-queue.ts
@@ -9,6 +9,8 @@
     execute: (nowMs: number) => void;
     /** Refuses the call, which then has no effect. */
     refuse: () => void;
+    /** Answers a call whose execution threw an error. */
+    fail: (error: unknown) => void;
 }
 
 /** Construction parameters of a {@link CallQueue}. */
@@ -87,7 +89,7 @@
                 call.refuse();
             }
             else {
-                call.execute(nowMs);
+                executeSafely(call, nowMs);
             }
             if (this.#readNowMs() >= endMs) {
                 break;
@@ -117,3 +119,13 @@
 }
 
 const isOverdue = (call: QueuedCall, nowMs: number): boolean => nowMs - call.receivedAtMs >= call.maxWaitMs;
+
+/** Executes a call. An error fails this call only; thrown from here, it would end the process. */
+const executeSafely = (call: QueuedCall, nowMs: number): void => {
+    try {
+        call.execute(nowMs);
+    }
+    catch (error) {
+        call.fail(error);
+    }
+};
--- a/packages/daemon/src/workflow/node-driver.ts
+++ b/packages/daemon/src/workflow/node-driver.ts
@@ -44,12 +44,12 @@
         return this.#calls.length;
     }
 
-    /** Starts a call when its turn has come and resolves with its result. */
+    /** Starts a call when its turn has come and resolves with its result. Rejects with an error that `start` throws. */
     call<Value>(
         start: (respond: Respond<Value>, times: Times) => void,
         maxWaitMs = MAX_CALL_WAIT_MS,
     ): Promise<CallResult<Value>> {
-        return new Promise(resolve =>
+        return new Promise((resolve, reject) =>
             this.#calls.push({
                 receivedAtMs: monotonicNowMs(),
                 maxWaitMs,
@@ -58,6 +58,7 @@
                     this.scheduleRun();
                 },
                 refuse: () => resolve(refused(Refusal.NotLeader)),
+                fail: reject,
             })
         );
     }
