Use the late answer of a leader that a forwarded call has given up

Callers saw: 504 (or a later retry) for a change that the leader had made, when the leader took over half a second to answer; and 504 for reads, which have no effect.

Cause: an attempt without an answer within 500 ms was cancelled and its answer discarded, although the leader may have executed it. If the leader lost its leadership meanwhile, no later attempt could learn the outcome.

Change: ForwardedCall keeps each attempt open up to the call's deadline beside the following ones, which begin after 500 ms as before, and returns the first answer of a leader. The sender of a late answer isn't taken for the leader. A read is never Uncertain; it waits only while an attempt is open. Attempts that are no longer needed are ended by JsonCall.signal. JsonCaller doesn't support signal and onSent yet, so that LeaderClient sets reportsSent to false and each attempt counts as sent from its start.

Known cost until callers report onSent: an attempt that is still connecting to a dead host at 700 ms is held up to the deadline, where it was refused before.

--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -4,6 +4,7 @@
 export * from "../transport/monotonic-time.js";
 export * from "./control-host.js";
 export * from "./control-relay.js";
+export * from "./forwarded-call.js";
 export * from "./json-call.js";
 export * from "./leader-client.js";
 export * from "./leader-finder.js";
--- a/packages/daemon/src/workflow/json-call.ts
+++ b/packages/daemon/src/workflow/json-call.ts
@@ -25,6 +25,10 @@
     body: unknown;
     timeoutMs: number;
     headers?: Readonly<Record<string, string>>;
+    /** Ends the call. */
+    signal?: AbortSignal;
+    /** Called when the peer may have received the request. */
+    onSent?: () => void;
 }
 
 /** HTTP response with any status. */
--- a/packages/daemon/src/workflow/leader-client.ts
+++ b/packages/daemon/src/workflow/leader-client.ts
@@ -1,16 +1,15 @@
-import { Refusal } from "@waxwingspread/workflow";
 import type { CallResult } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
-import { CallError, JsonCaller } from "./json-call.js";
+import { ForwardedCall } from "./forwarded-call.js";
+import type { ForwardDeadlines } from "./forwarded-call.js";
+import { JsonCaller } from "./json-call.js";
 import { LeaderFinder } from "./leader-finder.js";
-import { forwardedPath } from "./operations.js";
-import type { ForwardedOperation, ForwardedRequests, ForwardedResponse, ForwardedValues } from "./operations.js";
+import type { ForwardedOperation, ForwardedRequests, ForwardedValues } from "./operations.js";
 import type { EntryMetrics } from "./workflow-metrics.js";
 
-/** Timeout of a call, after which the leader is treated as lost. A commit takes a fraction of this time. */
-const CALL_TIMEOUT_MS = 500;
-const RETRY_DELAY_MS = 40;
+/** Whether the caller reports that a request was sent. */
+const REPORTS_SENT = false;
 /** Time without contact to a serving leader after which an entry is not ready. */
 const READINESS_TIMEOUT_MS = 2_500;
 
@@ -24,14 +23,6 @@
     logger: Logger;
 }
 
-/** Deadlines of a forwarded call, as times of the monotonic clock. */
-export interface ForwardDeadlines {
-    /** Time at which a call that no leader can have received fails with NotRun. */
-    notRunDeadlineMs: number;
-    /** Time at which a call that a leader may have received fails with Uncertain. */
-    deadlineMs: number;
-}
-
 /** Forwards calls to the leader. */
 export class LeaderClient {
     readonly #caller = new JsonCaller();
@@ -70,7 +61,7 @@
 
     /**
      * Forwards a call with retries until a leader has answered or the deadline has passed. The refusal is then NotRun
-     * if the call reached no leader, or Uncertain if a leader may have executed it.
+     * if the call reached no leader or was a read, or Uncertain if a leader may have executed it.
      */
     async forward<Operation extends ForwardedOperation>(
         operation: Operation,
@@ -78,43 +69,19 @@
         deadlines: ForwardDeadlines,
     ): Promise<CallResult<ForwardedValues[Operation]>> {
         const startedAtMs = monotonicNowMs();
-        const result = await this.#forward(operation, request, deadlines);
+        const call = new ForwardedCall({
+            operation,
+            request,
+            deadlines,
+            caller: this.#caller,
+            reportsSent: REPORTS_SENT,
+            finder: this.#finder,
+            port: this.#port,
+            readNowMs: monotonicNowMs,
+            logger: this.#logger,
+        });
+        const result = await call.run();
         this.#metrics.recordRequest(operation, result, monotonicNowMs() - startedAtMs);
         return result;
     }
-
-    async #forward<Operation extends ForwardedOperation>(
-        operation: Operation,
-        request: ForwardedRequests[Operation],
-        { notRunDeadlineMs, deadlineMs }: ForwardDeadlines,
-    ): Promise<CallResult<ForwardedValues[Operation]>> {
-        let isUncertain = false;
-        while (monotonicNowMs() < (isUncertain ? deadlineMs : notRunDeadlineMs)) {
-            const host = this.#finder.leaderHost ?? this.#finder.pickHost();
-            const timeoutMs = Math.max(1, Math.min(CALL_TIMEOUT_MS, deadlineMs - monotonicNowMs()));
-            try {
-                const response = await this.#caller.call<ForwardedResponse<Operation>>({
-                    host,
-                    port: this.#port,
-                    path: forwardedPath(operation),
-                    body: request,
-                    timeoutMs,
-                });
-                const { result } = response;
-                if (result.ok || (result.refusal !== Refusal.NotLeader && result.refusal !== Refusal.Uncertain)) {
-                    this.#finder.recordLeader(host);
-                    return result;
-                }
-                isUncertain ||= result.refusal === Refusal.Uncertain;
-                this.#finder.setNamedLeader(response.leaderHost === host ? undefined : response.leaderHost);
-            }
-            catch (error) {
-                isUncertain ||= !(error instanceof CallError) || error.mayHaveActed;
-                this.#logger.debug({ err: error, operation, host }, "forwarded call failed");
-                this.#finder.clearLeader(host);
-            }
-            await new Promise(resolve => setTimeout(resolve, RETRY_DELAY_MS));
-        }
-        return { ok: false, refusal: isUncertain ? Refusal.Uncertain : Refusal.NotRun };
-    }
 }
