Answer the open requests of a stopping entry before it closes connections

Callers saw: a connection that ends without an answer (counted as LOST around planned work) when an entry is stopped while no leader answers it, for example because the leader is frozen.

Cause: a forwarded call ends at its caller's deadline only. The listener destroys the connections that are open when the grace period ends, whether or not their requests were answered.

Ruled out: ending the calls at the SIGTERM itself, since most are answered by the leader within milliseconds.

--- a/packages/daemon/src/workflow/forwarded-call.ts
+++ b/packages/daemon/src/workflow/forwarded-call.ts
@@ -86,7 +86,7 @@
         });
     }
 
-    /** Moves the deadline forward. */
+    /** Ends the running call at this time at the latest. */
     limitDeadline(deadlineMs: number, nowMs: number): void {
         this.#deadlineMs = Math.min(this.#deadlineMs, deadlineMs);
         this.#advance(nowMs);
--- a/packages/daemon/src/workflow/leader-client.ts
+++ b/packages/daemon/src/workflow/leader-client.ts
@@ -30,6 +30,9 @@
     readonly #metrics: EntryMetrics;
     readonly #logger: Logger;
     readonly #finder: LeaderFinder;
+    readonly #openCalls = new Set<{ limitDeadline: (deadlineMs: number, nowMs: number) => void }>();
+    /** Time at which all calls end. */
+    #endMs = Infinity;
 
     constructor(options: LeaderClientOptions) {
         this.#port = options.port;
@@ -43,6 +46,12 @@
         this.#finder.start();
     }
 
+    /** Ends all open and later calls at this time, so that their callers are answered before the process exits. */
+    endCallsAt(endMs: number, nowMs: number): void {
+        this.#endMs = endMs;
+        this.#openCalls.forEach(call => call.limitDeadline(endMs, nowMs));
+    }
+
     /** Stops looking for the leader and closes all connections. */
     stop(): void {
         this.#finder.stop();
@@ -72,7 +81,7 @@
         const call = new ForwardedCall({
             operation,
             request,
-            deadlines,
+            deadlines: { ...deadlines, deadlineMs: Math.min(deadlines.deadlineMs, this.#endMs) },
             caller: this.#caller,
             reportsSent: REPORTS_SENT,
             finder: this.#finder,
@@ -80,7 +89,9 @@
             readNowMs: monotonicNowMs,
             logger: this.#logger,
         });
+        this.#openCalls.add(call);
         const result = await call.run();
+        this.#openCalls.delete(call);
         this.#metrics.recordRequest(operation, result, monotonicNowMs() - startedAtMs);
         return result;
     }
