Keep forwarded calls away from a leader that doesn't answer

Callers saw: requests that spent their deadline at a frozen leader, although a follower or the next leader could be asked.

Cause: a follower names its leader until its election timeout has passed (400 to 800 ms), and a relay up to 900 ms. A call that had waited 500 ms at the frozen leader was sent back there by the next follower, with all other calls of that entry, since the name was put in place of what the entry knew; a follower without a leader even made the entry forget one that it had just found.

Change: a call doesn't go to a host at which an attempt of it is open, unless that host has shown since that it leads. The name that a follower gives is used only if no leader is known.

Tests, which failed before: "doesn't go back to a host that hasn't answered when a follower names it" (expected 'a' to be undefined) and "keeps the leader that was found while a follower was asked" (expected 'a' to be 'c').

Ruled out: never asking a silent host again, since a call may be lost with one silent connection ("goes back to a host that hasn't answered once it has shown that it leads").

--- a/packages/daemon/src/workflow/forwarded-call.test.ts
+++ b/packages/daemon/src/workflow/forwarded-call.test.ts
@@ -20,15 +20,17 @@
 /** Finder with one host in turn after the other, which records what it is told. */
 class StandInFinder {
     leaderHost: string | undefined = "a";
+    lastLeaderContactMs = -Infinity;
     #picks = 0;
 
     pickHost(): string {
         this.#picks += 1;
-        return ["b", "c"][this.#picks % 2] ?? "";
+        return ["a", "b", "c"][this.#picks % 3] ?? "";
     }
 
     recordLeader(host: string): void {
         this.leaderHost = host;
+        this.lastLeaderContactMs = Date.now();
     }
 
     setNamedLeader(host: string | undefined): void {
@@ -100,7 +102,7 @@
     const observed = observe(cancelCall());
     calls[0]?.call.onSent?.();
     await vi.advanceTimersByTimeAsync(600);
-    expect(calls.map(({ call }) => call.host)).toEqual(["a", "c"]);
+    expect(calls.map(({ call }) => call.host)).toEqual(["a", "b"]);
     calls[0]?.answer({ result: succeeded(undefined), leaderHost: "a" });
     await vi.advanceTimersByTimeAsync(0);
     expect(observed).toEqual({ result: succeeded(undefined), atMs: 600 });
@@ -174,3 +176,38 @@
     await vi.advanceTimersByTimeAsync(0);
     expect(observed.result).toEqual(succeeded(JobState.Running));
 });
+
+// Guards against callers whose deadline passes at a frozen leader, because a follower still takes it for the leader.
+it("doesn't go back to a host that hasn't answered when a follower names it", async () => {
+    observe(cancelCall());
+    calls[0]?.call.onSent?.();
+    await vi.advanceTimersByTimeAsync(500);
+    calls[1]?.answer({ ...NOT_LEADER, leaderHost: "a" });
+    await vi.advanceTimersByTimeAsync(50);
+    expect(finder.leaderHost).toBeUndefined();
+    expect(calls.map(({ call }) => call.host)).toEqual(["a", "b", "c"]);
+    calls[2]?.fail(false);
+    await vi.advanceTimersByTimeAsync(50);
+    expect(calls.map(({ call }) => call.host)).toEqual(["a", "b", "c", "b"]);
+});
+
+// Guards against a leader that is never asked again because a call was lost with one silent connection.
+it("goes back to a host that hasn't answered once it has shown that it leads", async () => {
+    observe(cancelCall());
+    calls[0]?.call.onSent?.();
+    await vi.advanceTimersByTimeAsync(600);
+    finder.recordLeader("a");
+    calls[1]?.answer({ ...NOT_LEADER, leaderHost: "a" });
+    await vi.advanceTimersByTimeAsync(50);
+    expect(calls.map(({ call }) => call.host)).toEqual(["a", "b", "a"]);
+});
+
+// Guards against a leader that was just found and is forgotten because an earlier attempt reached a follower.
+it("keeps the leader that was found while a follower was asked", async () => {
+    finder.leaderHost = undefined;
+    observe(cancelCall());
+    finder.recordLeader("c");
+    calls[0]?.answer({ ...NOT_LEADER, leaderHost: "a" });
+    await vi.advanceTimersByTimeAsync(50);
+    expect(calls[1]?.call.host).toBe("c");
+});
--- a/packages/daemon/src/workflow/forwarded-call.ts
+++ b/packages/daemon/src/workflow/forwarded-call.ts
@@ -39,7 +39,10 @@
     caller: ForwardingCaller;
     /** Whether the caller reports that a request was sent. Otherwise each attempt counts as sent from its start. */
     reportsSent: boolean;
-    finder: Pick<LeaderFinder, "leaderHost" | "pickHost" | "recordLeader" | "setNamedLeader" | "clearLeader">;
+    finder: Pick<
+        LeaderFinder,
+        "leaderHost" | "lastLeaderContactMs" | "pickHost" | "recordLeader" | "setNamedLeader" | "clearLeader"
+    >;
     /** Port of the internal listeners of all control processes. */
     port: number;
     readNowMs: () => number;
@@ -49,6 +52,7 @@
 /** One transmission of a call to a control process. */
 interface Attempt {
     host: string;
+    startedAtMs: number;
     /** Whether the control process may have received the request. */
     isSent: boolean;
 }
@@ -127,10 +131,10 @@
 
     #startAttempt(nowMs: number): void {
         const { operation, request, caller, reportsSent, finder, port } = this.#options;
-        if (this.#latestAttempt !== undefined && this.#openAttempts.has(this.#latestAttempt)) {
+        if (this.#latestAttempt !== undefined && this.#isSilent(this.#latestAttempt.host)) {
             finder.clearLeader(this.#latestAttempt.host);
         }
-        const attempt: Attempt = { host: finder.leaderHost ?? finder.pickHost(), isSent: !reportsSent };
+        const attempt: Attempt = { host: this.#pickHost(), startedAtMs: nowMs, isSent: !reportsSent };
         this.#latestAttempt = attempt;
         this.#openAttempts.add(attempt);
         this.#nextAttemptAtMs = nowMs + ATTEMPT_PATIENCE_MS;
@@ -148,6 +152,31 @@
         );
     }
 
+    /** Returns the leader or, if it is unknown or silent, the next host in turn that is not. */
+    #pickHost(): string {
+        const { finder } = this.#options;
+        if (finder.leaderHost !== undefined && !this.#isSilent(finder.leaderHost)) {
+            return finder.leaderHost;
+        }
+        const silentHosts = new Set<string>();
+        let host = finder.pickHost();
+        while (this.#isSilent(host) && !silentHosts.has(host)) {
+            silentHosts.add(host);
+            host = finder.pickHost();
+        }
+        return host;
+    }
+
+    /**
+     * Whether an attempt at this host is open, and the host hasn't shown since that it leads. Followers name a frozen
+     * leader until their election timeout has passed.
+     */
+    #isSilent(host: string): boolean {
+        const { finder } = this.#options;
+        const leaderContactMs = finder.leaderHost === host ? finder.lastLeaderContactMs : -Infinity;
+        return [...this.#openAttempts].some(attempt => attempt.host === host && attempt.startedAtMs >= leaderContactMs);
+    }
+
     #handleSent(attempt: Attempt): void {
         attempt.isSent = true;
         this.#advance(this.#options.readNowMs());
@@ -159,7 +188,7 @@
             return;
         }
         const { finder } = this.#options;
-        const { result, leaderHost } = response;
+        const { result } = response;
         const isLatest = attempt === this.#latestAttempt;
         if (result.ok || (result.refusal !== Refusal.NotLeader && result.refusal !== Refusal.Uncertain)) {
             // A late answer doesn't show that its sender still leads.
@@ -170,11 +199,21 @@
             return;
         }
         if (isLatest) {
-            finder.setNamedLeader(leaderHost === attempt.host ? undefined : leaderHost);
+            this.#followNamedLeader(attempt, response.leaderHost);
         }
         this.#handleAttemptWithoutAnswer(attempt, result.refusal === Refusal.Uncertain, nowMs);
     }
 
+    /** Passes the leader that a host without the leadership names to the finder, unless the finder knows better. */
+    #followNamedLeader(attempt: Attempt, namedHost: string | undefined): void {
+        const { finder } = this.#options;
+        finder.clearLeader(attempt.host);
+        const isUsable = namedHost !== undefined && namedHost !== attempt.host && !this.#isSilent(namedHost);
+        if (finder.leaderHost === undefined && isUsable) {
+            finder.setNamedLeader(namedHost);
+        }
+    }
+
     #handleError(attempt: Attempt, error: unknown, nowMs: number): void {
         this.#openAttempts.delete(attempt);
         if (this.#isSettled) {
