Blame the work, not the servers, for a step that fails wherever it runs

Cause: two failures in a row on a server make the leader avoid it for 1 s, doubling up to 8 s, whatever failed there. One hopeless job with a few tasks fails on each server in turn, so that all of them were avoided.

Change: a failure no longer counts against a server if the step has failed on another server within 30 s and has succeeded nowhere. Servers that fail steps which succeed elsewhere count as before. A failure also no longer shortens an avoidance that slow progress has set.

Test: 'starts other jobs at once after a job that fails everywhere' failed before with 'expected 0 to be greater than or equal to 2'.

Ruled out: to allow avoided servers when more than half are avoided, which would give work back to a rack that fails everything.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -1,7 +1,8 @@
 import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import type { BeginMaintenance } from "../model/maintenance.js";
-import { parseTaskKey, taskKeyOf, taskKindOf } from "../model/specification.js";
+import { parseTaskKey, taskKeyOf, TaskKind, taskKindOf } from "../model/specification.js";
+import type { StepPosition } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
 import type { AssignedTask, JobRecord } from "../state/job-record.js";
@@ -31,6 +32,8 @@
 import { WorkQueue } from "./work-queue.js";
 
 const JOB_CLEANUP_INTERVAL_MS = 5_000;
+/** Reported progress of a standing task that is at work. */
+const FULL_PROGRESS_PERCENT = 100;
 const PRESSURE_RECORD_INTERVAL_MS = 3_000;
 /** Delay of the first planning. Backend servers need it to find a new leader; until then most capacity is unknown. */
 const INITIAL_PLANNING_DELAY_MS = 400;
@@ -67,7 +70,7 @@
     readonly #moves: FillerMoves;
     readonly #maintenance: Maintenance;
     readonly #heartbeats = new OpenHeartbeats();
-    readonly #failures = new ServerFailures();
+    readonly #failures: ServerFailures;
     readonly #startedJobs = new Set<string>();
     #isPlanDue = true;
     #nextJobCleanupAtMs: number;
@@ -99,6 +102,7 @@
         this.#reconciler = new HeartbeatReconciler(state);
         this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
+        this.#failures = new ServerFailures(step => this.#hasSucceeded(step));
         this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
             state,
@@ -157,7 +161,7 @@
                 ends: changes.newEnds,
                 atMs: timeOfDayMs,
             });
-            this.#failures.recordEnds(server, changes.newEnds.map(end => end.end), nowMs);
+            this.#failures.recordEnds(server, changes.newEnds, nowMs);
         }
         changes.startedJobs.forEach(id => this.#startedJobs.add(id));
         this.#proposeLostRuns(changes.missingRuns);
@@ -216,6 +220,7 @@
         if (nowMs >= this.#nextJobCleanupAtMs) {
             this.#nextJobCleanupAtMs = nowMs + JOB_CLEANUP_INTERVAL_MS;
             this.#removeExpiredJobs(times.timeOfDayMs);
+            this.#failures.evictExpired(nowMs);
         }
     }
 
@@ -346,6 +351,16 @@
         return this.#options.state.job(parseTaskKey(task)?.jobId ?? "");
     }
 
+    /** Whether a task of a step has ended successfully or, in a standing step, is at work. */
+    #hasSucceeded({ jobId, occurrence, step }: StepPosition): boolean {
+        const record = this.#options.state.job(jobId)?.occurrences[occurrence]?.[step];
+        return record !== undefined && (record.doneCount > 0 || record.tasks.some((task, index) => {
+            const key = taskKeyOf({ jobId, occurrence, step, index });
+            const run = this.#directory.get(task.server?.serverId ?? "")?.findRun(key, task.run);
+            return run?.kind === TaskKind.Standing && run.progressPercent >= FULL_PROGRESS_PERCENT;
+        }));
+    }
+
     /** Stops the other members of a gang's run, which cannot work without the one that ended. */
     #stopGangMembers({ task, run }: { task: string; run: number }): void {
         const position = parseTaskKey(task);
--- /dev/null
+++ b/packages/workflow/src/leader/server-failures.test.ts
@@ -0,0 +1,80 @@
+import { beforeEach, describe, expect, it } from "vitest";
+import { RunEnd } from "../model/heartbeat.js";
+import { heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { SingleReplica } from "../testing/single-replica.js";
+import { ServerFailures } from "./server-failures.js";
+import { ServerView } from "./server-view.js";
+
+const NOW_MS = 50_000;
+
+let failures: ServerFailures;
+let succeededSteps: Set<number>;
+
+const failedTask = (job: string, index = 0) => ({ task: `${job}.0.0.${index}`, end: RunEnd.Failed });
+
+beforeEach(() => {
+    succeededSteps = new Set();
+    failures = new ServerFailures(({ step }) => succeededSteps.has(step));
+});
+
+describe("a server on which runs fail", () => {
+    it("is avoided after two failures, whether of one job or of two", () => {
+        const servers = ["a", "b"].map(id => new ServerView(id, 1, NOW_MS, NOW_MS));
+        servers.forEach(server => failures.recordEnds(server, [failedTask(`first-${server.id}`)], NOW_MS));
+        failures.recordEnds(servers[0] as ServerView, [failedTask("first-a")], NOW_MS);
+        failures.recordEnds(servers[1] as ServerView, [failedTask("second-b")], NOW_MS);
+        expect(servers.map(server => server.avoidUntilMs > NOW_MS)).toEqual([true, true]);
+    });
+
+    // Guards against servers without work, because a job that fails wherever it runs made all of them look broken.
+    it("is not avoided for the failures of a step that fails on other servers as well", () => {
+        const servers = ["a", "b", "c", "d"].map(id => new ServerView(id, 1, NOW_MS, NOW_MS));
+        for (let attempt = 0; attempt < 3; attempt += 1) {
+            servers.forEach((server, index) => failures.recordEnds(server, [failedTask("j", index)], NOW_MS));
+        }
+        expect(servers.filter(server => server.avoidUntilMs > NOW_MS)).toEqual([]);
+    });
+
+    // Guards against a broken rack that gets work again and again, because its servers fail the same jobs.
+    it("is avoided although the step fails on another server as well if the step succeeds elsewhere", () => {
+        succeededSteps.add(0);
+        const servers = ["a", "b"].map(id => new ServerView(id, 1, NOW_MS, NOW_MS));
+        for (let attempt = 0; attempt < 2; attempt += 1) {
+            servers.forEach((server, index) => failures.recordEnds(server, [failedTask("j", index)], NOW_MS));
+        }
+        expect(servers.every(server => server.avoidUntilMs > NOW_MS)).toBe(true);
+    });
+
+    // Guards against an early return to a server that is avoided for longer since its tasks make no progress.
+    it("stays avoided for as long as it already was", () => {
+        const server = new ServerView("a", 1, NOW_MS, NOW_MS);
+        server.avoidUntilMs = NOW_MS + 5_000;
+        failures.recordEnds(server, [failedTask("j"), failedTask("j")], NOW_MS);
+        expect(server.avoidUntilMs).toBe(NOW_MS + 5_000);
+    });
+});
+
+// Guards against sound jobs that wait for seconds on an idle fleet after one job has failed on each server.
+it("starts other jobs at once after a job that fails everywhere", () => {
+    const replica = SingleReplica.started();
+    const serverIds = ["a", "b", "c"];
+    serverIds.forEach(id => replica.heartbeat(heartbeatOf(id, 1)));
+    replica.submit(jobOf("hopeless", stepOf({ taskCount: 6, maxTasksPerServer: 2 })));
+    for (const id of serverIds) {
+        const starts = replica.heartbeat(heartbeatOf(id, 2))?.starts ?? [];
+        const ended = starts.map(({ task, run }, index) => ({
+            sequence: index + 1,
+            task,
+            run,
+            end: RunEnd.Failed,
+            checkpoint: "",
+        }));
+        replica.heartbeat(heartbeatOf(id, 3, { ended }));
+    }
+    replica.node.cancel("hopeless", () => undefined, replica.times);
+    replica.settle();
+    replica.submit(jobOf("sound", stepOf({ taskCount: 3, maxTasksPerServer: 1 })));
+    replica.advance(100);
+    const started = serverIds.flatMap(id => replica.heartbeat(heartbeatOf(id, 4))?.starts ?? []);
+    expect(started.length).toBeGreaterThanOrEqual(2);
+});
--- a/packages/workflow/src/leader/server-failures.ts
+++ b/packages/workflow/src/leader/server-failures.ts
@@ -1,4 +1,6 @@
 import { RunEnd } from "../model/heartbeat.js";
+import { parseTaskKey, stepKeyOf } from "../model/specification.js";
+import type { StepPosition } from "../model/specification.js";
 import type { ServerView } from "./server-view.js";
 
 /** Consecutive failures on one server, of any jobs, after which it is avoided. */
@@ -6,18 +8,37 @@
 /** Bounds of the time for which a server is avoided; it doubles with each further failure. */
 const FIRST_AVOID_MS = 1_000;
 const MAX_AVOID_MS = 8_000;
+/** Time for which a failure of a step shows that its later failures on other servers have the same cause. */
+const STEP_FAILURE_WINDOW_MS = 30_000;
 
-/** Marks backend servers with consecutive failures as avoided, with exponential backoff. */
+/** The end of a run, by the key of its task. */
+export interface TaskEnd {
+    task: string;
+    end: RunEnd;
+}
+
+/**
+ * Marks backend servers with consecutive failures as avoided, with exponential backoff. The failures of a step that
+ * fails on several servers and succeeds on none do not count: the work cannot be done, and the servers are sound.
+ */
 export class ServerFailures {
+    readonly #hasSucceeded: (step: StepPosition) => boolean;
     readonly #consecutiveFailures = new Map<string, number>();
+    /** Times of the latest failures on each server, by step. */
+    readonly #failuresByStep = new Map<string, Map<string, number>>();
+
+    /** `hasSucceeded` returns whether a task of a step has ended successfully or is at work. */
+    constructor(hasSucceeded: (step: StepPosition) => boolean) {
+        this.#hasSucceeded = hasSucceeded;
+    }
 
     /** Counts the reported ends of runs on a server; a success resets the count. */
-    recordEnds(server: ServerView, ends: readonly RunEnd[], nowMs: number): void {
-        for (const end of ends) {
+    recordEnds(server: ServerView, ends: readonly TaskEnd[], nowMs: number): void {
+        for (const { task, end } of ends) {
             if (end === RunEnd.Done) {
                 this.#consecutiveFailures.delete(server.id);
             }
-            else if (end === RunEnd.Failed) {
+            else if (end === RunEnd.Failed && !this.#isCausedByStep(server, task, nowMs)) {
                 this.#recordFailure(server, nowMs);
             }
         }
@@ -28,12 +49,35 @@
         this.#consecutiveFailures.delete(serverId);
     }
 
+    /** Evicts the failures that are too old to show anything. */
+    evictExpired(nowMs: number): void {
+        for (const [step, failures] of this.#failuresByStep) {
+            if ([...failures.values()].every(atMs => nowMs - atMs > STEP_FAILURE_WINDOW_MS)) {
+                this.#failuresByStep.delete(step);
+            }
+        }
+    }
+
+    #isCausedByStep(server: ServerView, task: string, nowMs: number): boolean {
+        const position = parseTaskKey(task);
+        if (position === undefined) {
+            return false;
+        }
+        const step = stepKeyOf(position);
+        const failures = this.#failuresByStep.get(step) ?? new Map<string, number>();
+        this.#failuresByStep.set(step, failures.set(server.id, nowMs));
+        const hasFailedElsewhere = [...failures].some(([serverId, atMs]) =>
+            serverId !== server.id && nowMs - atMs <= STEP_FAILURE_WINDOW_MS
+        );
+        return hasFailedElsewhere && !this.#hasSucceeded(position);
+    }
+
     #recordFailure(server: ServerView, nowMs: number): void {
         const count = (this.#consecutiveFailures.get(server.id) ?? 0) + 1;
         this.#consecutiveFailures.set(server.id, count);
         if (count >= FAILURES_TO_AVOID) {
             const avoidMs = Math.min(MAX_AVOID_MS, FIRST_AVOID_MS * 2 ** (count - FAILURES_TO_AVOID));
-            server.avoidUntilMs = nowMs + avoidMs;
+            server.avoidUntilMs = Math.max(server.avoidUntilMs, nowMs + avoidMs);
         }
     }
 }
