Free the tasks whose run a later incarnation of its server has outlived

What callers saw: a task stood still for good, so that its job never ended and a standing task stayed away (LOST).

Cause: a server restarts while the assignment of a run to its former incarnation isn't committed. The leader records the loss of that run only after the assignment is applied, and may already have assigned another task to the new incarnation. If the leadership ends in between, the log holds runs on both incarnations. The next leader kept one view for each server, so that one run was on no server: no heartbeat and no expiry ever freed it.

Change: a new leader records the runs on the lower incarnation as lost; the former leader had heard of the later one.

Test: 'is treated as lost by a new leader if a later incarnation of its server has runs' failed before with 'expected [] to match object [ { task: first.0.0.0, run: 2 } ]'.

Ruled out: to wait for the commit of the assignment before the new incarnation gets work, which delays every restart.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -1,7 +1,7 @@
 import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import type { BeginMaintenance } from "../model/maintenance.js";
-import { parseTaskKey, taskKeyOf, TaskKind, taskKindOf } from "../model/specification.js";
+import { parseTaskKey, taskKeyOf, TaskKind } from "../model/specification.js";
 import type { StepPosition } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
@@ -18,12 +18,12 @@
 import { OrderWriter } from "./order-writer.js";
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
+import { adoptRuns } from "./run-adoption.js";
 import { ServerDirectory } from "./server-directory.js";
 import { ServerEventKind } from "./server-event.js";
 import type { ServerEvent } from "./server-event.js";
 import { ServerFailures } from "./server-failures.js";
 import { ServerSpeed } from "./server-speed.js";
-import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import type { Times } from "./times.js";
@@ -112,8 +112,9 @@
             propose: options.propose,
             begin: options.beginMaintenance,
         }, times.nowMs);
+        this.#proposeLostRuns(adoptRuns(state.jobs.values(), this.#directory, times.nowMs));
         for (const job of state.jobs.values()) {
-            this.#adoptRuns(job, times);
+            this.#queue.refresh(job, times.timeOfDayMs);
         }
     }
 
@@ -238,22 +239,6 @@
         this.#heartbeats.close();
     }
 
-    /** Takes over a job's runs that a former leader has recorded. */
-    #adoptRuns(job: JobRecord, { nowMs, timeOfDayMs }: Times): void {
-        for (const { position, step, task, server } of job.assignedTasks()) {
-            const key = taskKeyOf(position);
-            const { run, checkpoint } = task;
-            const kind = taskKindOf(step);
-            const view = newRunView({ task: key, run, position, step, kind, checkpoint, isAdopted: true }, nowMs);
-            view.isCommitted = true;
-            view.isStopping = job.isOver;
-            // The former leader may have sent the order; only the next heartbeat shows whether it did.
-            view.orderedAtSequence = 0;
-            this.#directory.getOrAdd(server.serverId, server.incarnation, nowMs).addRun(view);
-        }
-        this.#queue.refresh(job, timeOfDayMs);
-    }
-
     #handleApplied(event: WorkflowEvent, times: Times): void {
         switch (event.kind) {
             case EventKind.JobAccepted:
--- /dev/null
+++ b/packages/workflow/src/leader/run-adoption.ts
@@ -0,0 +1,43 @@
+import { taskKeyOf, taskKindOf } from "../model/specification.js";
+import type { AssignedTask, JobRecord } from "../state/job-record.js";
+import type { ServerDirectory } from "./server-directory.js";
+import { newRunView } from "./server-view.js";
+import type { RunView } from "./server-view.js";
+
+/**
+ * Adds the runs that former leaders have recorded to the directory. Returns those that have certainly ended, because a
+ * later incarnation of their server also has recorded runs: the former leader may not have recorded the loss any more.
+ */
+export const adoptRuns = (jobs: Iterable<JobRecord>, directory: ServerDirectory, nowMs: number): RunView[] => {
+    const assignedTasks = [...jobs].flatMap(job => [...job.assignedTasks()].map(assigned => ({ job, assigned })));
+    const latestIncarnations = new Map<string, number>();
+    for (const { assigned: { server: { serverId, incarnation } } } of assignedTasks) {
+        latestIncarnations.set(serverId, Math.max(incarnation, latestIncarnations.get(serverId) ?? -Infinity));
+    }
+    const endedRuns: RunView[] = [];
+    for (const { job, assigned } of assignedTasks) {
+        const { serverId, incarnation } = assigned.server;
+        const view = adoptedViewOf(assigned, job, nowMs);
+        if (incarnation === latestIncarnations.get(serverId)) {
+            directory.getOrAdd(serverId, incarnation, nowMs).addRun(view);
+        }
+        else {
+            endedRuns.push(view);
+        }
+    }
+    return endedRuns;
+};
+
+const adoptedViewOf = ({ position, step, task }: AssignedTask, job: JobRecord, nowMs: number): RunView => {
+    const { run, checkpoint } = task;
+    const kind = taskKindOf(step);
+    const view = newRunView(
+        { task: taskKeyOf(position), run, position, step, kind, checkpoint, isAdopted: true },
+        nowMs,
+    );
+    view.isCommitted = true;
+    view.isStopping = job.isOver;
+    // The former leader may have sent the order; only the next heartbeat shows whether it did.
+    view.orderedAtSequence = 0;
+    return view;
+};
--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -235,6 +235,29 @@
         expect(replica.heartbeat(heartbeatOf("t", 2))?.starts).toMatchObject([{ task: "j.0.0.0", run: 2 }]);
     });
 
+    // Guards against a task that waits forever: its run was recorded for a server's former incarnation, that of another
+    // task for the later one, and the leader was lost before it recorded the loss.
+    it("is treated as lost by a new leader if a later incarnation of its server has runs", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        for (const [id, cpuMillicores] of [["first", 2_000], ["second", 3_000]] as const) {
+            const job = jobOf(id, stepOf({ amounts: { cpuMillicores, memoryMebibytes: 1, accelerators: 0 } }));
+            replica.node.submit({ host: HOST, path: `/batch/${id}` }, job, () => undefined, replica.times);
+        }
+        replica.node.run(replica.times);
+        replica.commit();
+        // The first job is assigned to the server, and then the second one to its later incarnation.
+        replica.node.run(replica.times);
+        replica.node.heartbeat(heartbeatOf("s", 1, { incarnation: 2 }), () => undefined, replica.times);
+        replica.node.run(replica.times);
+        replica.commit();
+        replica.failOver();
+        replica.advance(500);
+        replica.heartbeat(heartbeatOf("s", 2, { incarnation: 2 }));
+        const other = replica.heartbeat(heartbeatOf("t", 1));
+        expect(other?.starts).toMatchObject([{ task: "first.0.0.0", run: 2 }]);
+    });
+
     it("is replaced in the answer to the next heartbeat after its server has restarted", () => {
         const replica = SingleReplica.started();
         replica.heartbeat(heartbeatOf("s", 1));
