Check in the random test that accepted tasks run whenever there is capacity

The random test of the workflow only asked that jobs end within 60 s after everything has healed, and cancelled standing tasks before. Now, 10 s after the last disturbance and for 12 s, each accepted task whose turn has come must be at work within 3 s if workers have room for two of its kind: on two workers and with half of the fleet in use for finite tasks, on one worker however full the fleet is for standing ones.

The simulated loss of a leader now keeps a random part of the records that weren't committed, as in a real log, and the next leader serves only once they are committed. So a cancellation with an uncertain outcome may have an effect; the check of cancelled jobs asks whether a cancellation was sent that was not certainly refused, which is as strict as before for the rest.

--- a/packages/workflow/src/testing/fuzz/oracle.ts
+++ b/packages/workflow/src/testing/fuzz/oracle.ts
@@ -14,6 +14,8 @@
     isAccepted: boolean;
     /** Time at which a cancellation was acknowledged; undefined without one. */
     cancelledAtMs: number | undefined;
+    /** Number of cancellations that were sent and not certainly refused; each may have an effect. */
+    possibleCancellations: number;
 }
 
 /** Checks the guarantees about runs and jobs, using only what workers and callers can observe. */
@@ -47,6 +49,16 @@
         );
     }
 
+    /** Returns the tasks that are not done and whose step's dependencies are done. */
+    dueTasks(job: JobSpecification): TaskPosition[] {
+        return job.steps.flatMap((step, index) =>
+            Array.from(
+                { length: step.taskCount },
+                (unused, task) => ({ jobId: job.id, occurrence: 0, step: index, index: task }),
+            ).filter(position => !this.#isTaskDone(position) && this.#areDependenciesDone(job, position))
+        );
+    }
+
     /** Whether a task of the job has failed in as many runs as its queue allows. */
     hasFailed(job: SubmittedJob): boolean {
         return [...this.#failedRuns].some(([task, runs]) =>
--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from "@waxwingspread/common";
 import { Ok } from "ts-results-es";
 import type { Times } from "../../leader/times.js";
+import { Refusal } from "../../model/calls.js";
 import type { JobState } from "../../model/calls.js";
 import type { HeartbeatOrders } from "../../model/heartbeat.js";
 import { RunEnd } from "../../model/heartbeat.js";
@@ -9,6 +10,7 @@
 import { WorkflowNode } from "../../node/workflow-node.js";
 import { configurationOf, HOST } from "../fixtures.js";
 import { LEADER_SETTINGS } from "../single-replica.js";
+import { LivenessCheck } from "./liveness.js";
 import { Oracle } from "./oracle.js";
 import type { SubmittedJob } from "./oracle.js";
 import { SimulatedWorker } from "./simulated-worker.js";
@@ -21,6 +23,7 @@
 const ELECTION_MS = 500;
 const MIN_CLOCK_RATE = 0.98;
 const MAX_NETWORK_DELAY_MS = 60;
+const LIVENESS_INTERVAL_MS = 100;
 
 /** Duration and outcome of the runs of a job. */
 export interface JobBehaviour {
@@ -46,6 +49,7 @@
     readonly jobs = new Map<string, SubmittedJob>();
     readonly workers: SimulatedWorker[];
     readonly oracle: Oracle;
+    readonly liveness: LivenessCheck;
     readonly #behaviours = new Map<string, JobBehaviour>();
     readonly #random: SeededRandom;
     /** Times until which workers fail all runs that end by themselves, by worker. */
@@ -86,6 +90,7 @@
             })
         );
         this.oracle = new Oracle(this.jobs, this.workers);
+        this.liveness = new LivenessCheck(this.jobs, this.workers, this.oracle);
     }
 
     get #times(): Times {
@@ -105,12 +110,22 @@
         }
     }
 
+    /** Advances the simulated time without disturbances while it checks that all tasks with capacity are at work. */
+    advanceCheckingLiveness(durationMs: number): void {
+        const endMs = this.#nowMs + durationMs;
+        while (this.#nowMs < endMs) {
+            this.advance(LIVENESS_INTERVAL_MS);
+            this.liveness.observe(this.#nowMs);
+        }
+    }
+
     submit(specification: JobSpecification, behaviour: JobBehaviour): void {
         const job: SubmittedJob = this.jobs.get(specification.id) ?? {
             specification,
             maxAttempts: MAX_ATTEMPTS,
             isAccepted: false,
             cancelledAtMs: undefined,
+            possibleCancellations: 0,
         };
         this.jobs.set(specification.id, job);
         this.#behaviours.set(specification.id, behaviour);
@@ -132,10 +147,17 @@
 
     cancel(id: string): void {
         const job = this.jobs.get(id);
-        this.#leader?.node.cancel(id, result => {
-            if (result.ok && job !== undefined) {
+        if (this.#leader === undefined || job === undefined) {
+            return;
+        }
+        job.possibleCancellations += 1;
+        this.#leader.node.cancel(id, result => {
+            if (result.ok) {
                 job.cancelledAtMs ??= this.#nowMs;
             }
+            else if (result.refusal !== Refusal.Uncertain) {
+                job.possibleCancellations -= 1;
+            }
         }, this.#times);
         this.#runLeader();
     }
@@ -155,7 +177,10 @@
         this.#runLeader();
     }
 
-    /** Drops the leader and all uncommitted records; its answers in flight still arrive. */
+    /**
+     * Drops the leader; its answers in flight still arrive. The next leader has the committed records and may have a part
+     * of the others, which it commits.
+     */
     loseLeader(): void {
         if (this.#leader !== undefined) {
             this.#leader.isLeading = false;
@@ -163,7 +188,7 @@
             this.#leader = undefined;
             this.#nextElectionAtMs = this.#nowMs + ELECTION_MS;
         }
-        this.#log.length = this.#committedCount;
+        this.#log.length = this.#random.nextInteger(this.#committedCount, this.#log.length);
     }
 
     /** Stops all commits for the given time. */
@@ -225,13 +250,15 @@
     }
 
     #electLeader(): void {
-        if (this.#leader !== undefined || this.#nowMs < this.#nextElectionAtMs) {
+        // A new leader serves only after its own first record, and so all earlier ones, are committed.
+        if (this.#leader !== undefined || this.#nowMs < Math.max(this.#nextElectionAtMs, this.#stalledUntilMs)) {
             return;
         }
         this.#term += 1;
         const leader: Leader = { term: this.#term, isLeading: true, node: this.#createNode(this.#term) };
         this.#leader = leader;
         leader.node.applyCommitted(this.#log, this.#times);
+        this.#committedCount = this.#log.length;
         this.#runLeader();
         leader.node.configure(this.#createConfiguration(), () => undefined, this.#times);
         this.#runLeader();
