Wait after a leader change only for leases that were granted

With the margins it restarted the tasks 7.2 s and 11.3 s after its election (computed from the settings).

Change: a leader records the duration of its leases in the log before it grants them (event lease-extended), and the next one waits for the longest recorded lease: 4.6 s at a lease of 3.5 s. A log without the record is treated as before. No heartbeat is answered with a lease before the record is applied.

Ruled out: to trust that all replicas have the same setting; to shorten the margin for a frozen predecessor.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -112,7 +112,10 @@
             propose: options.propose,
             begin: options.beginMaintenance,
         }, times.nowMs);
-        this.#proposeLostRuns(adoptRuns(state.jobs.values(), this.#directory, times.nowMs));
+        this.#proposeLostRuns(adoptRuns(state, this.#directory, settings, times.nowMs));
+        if (!this.#isLeaseRecorded) {
+            options.propose({ kind: EventKind.LeaseExtended, leaseMs: settings.leaseMs });
+        }
         for (const job of state.jobs.values()) {
             this.#queue.refresh(job, times.timeOfDayMs);
         }
@@ -387,7 +390,7 @@
     #answerHeartbeats(nowMs: number): void {
         for (const { report, respond } of this.#heartbeats.takeReady(item => this.#isWaitingForLog(item), nowMs)) {
             const server = this.#serverOf(report);
-            if (server === undefined) {
+            if (server === undefined || !this.#isLeaseRecorded) {
                 respond(undefined);
                 continue;
             }
@@ -411,7 +414,13 @@
         }
         const { id: serverId, incarnation } = server;
         const isEndWaiting = server.lastProposedEnd > this.#options.state.acknowledgedEnd({ serverId, incarnation });
-        return isEndWaiting || server.hasUncommittedRuns;
+        return isEndWaiting || server.hasUncommittedRuns || !this.#isLeaseRecorded;
+    }
+
+    /** Whether the next leader will know how long the leases are that this one grants. */
+    get #isLeaseRecorded(): boolean {
+        const { state, settings } = this.#options;
+        return (state.longestLeaseMs ?? 0) >= settings.leaseMs;
     }
 
     /** Proposes the learned pressures, so that the next leader need not learn them at the standing tasks' expense. */
--- a/packages/workflow/src/leader/run-adoption.ts
+++ b/packages/workflow/src/leader/run-adoption.ts
@@ -1,15 +1,25 @@
 import { taskKeyOf, taskKindOf } from "../model/specification.js";
 import type { AssignedTask, JobRecord } from "../state/job-record.js";
+import type { WorkflowState } from "../state/workflow-state.js";
 import type { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
 import type { RunView } from "./server-view.js";
+import type { LeaderSettings } from "./settings.js";
 
 /**
  * Adds the runs that former leaders have recorded to the directory. Returns those that have certainly ended, because a
  * later incarnation of their server also has recorded runs: the former leader may not have recorded the loss any more.
  */
-export const adoptRuns = (jobs: Iterable<JobRecord>, directory: ServerDirectory, nowMs: number): RunView[] => {
-    const assignedTasks = [...jobs].flatMap(job => [...job.assignedTasks()].map(assigned => ({ job, assigned })));
+export const adoptRuns = (
+    state: WorkflowState,
+    directory: ServerDirectory,
+    settings: LeaderSettings,
+    nowMs: number,
+): RunView[] => {
+    const formerLeaseMs = Math.min(settings.maxLeaseMs, state.longestLeaseMs ?? Infinity);
+    const assignedTasks = [...state.jobs.values()].flatMap(job =>
+        [...job.assignedTasks()].map(assigned => ({ job, assigned }))
+    );
     const latestIncarnations = new Map<string, number>();
     for (const { assigned: { server: { serverId, incarnation } } } of assignedTasks) {
         latestIncarnations.set(serverId, Math.max(incarnation, latestIncarnations.get(serverId) ?? -Infinity));
@@ -19,7 +29,7 @@
         const { serverId, incarnation } = assigned.server;
         const view = adoptedViewOf(assigned, job, nowMs);
         if (incarnation === latestIncarnations.get(serverId)) {
-            directory.getOrAdd(serverId, incarnation, nowMs).addRun(view);
+            directory.getOrAdd(serverId, incarnation, formerLeaseMs, nowMs).addRun(view);
         }
         else {
             endedRuns.push(view);
--- a/packages/workflow/src/leader/server-directory.ts
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -51,14 +51,16 @@
         return server?.incarnation === incarnation ? server : undefined;
     }
 
-    /** Returns a server, added if it is known only from the log; it may hold a lease that the former leader granted. */
-    getOrAdd(serverId: string, incarnation: number, nowMs: number): ServerView {
+    /**
+     * Returns a server, added if it is known only from the log; it may hold a lease of the given duration that the former
+     * leader granted.
+     */
+    getOrAdd(serverId: string, incarnation: number, formerLeaseMs: number, nowMs: number): ServerView {
         const known = this.find(serverId, incarnation);
         if (known !== undefined) {
             return known;
         }
-        const { maxLeaseMs } = this.#settings;
-        const expiresAtMs = nowMs + maxLeaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS + FORMER_LEADER_MARGIN_MS;
+        const expiresAtMs = nowMs + formerLeaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS + FORMER_LEADER_MARGIN_MS;
         const server = new ServerView(serverId, incarnation, nowMs, expiresAtMs);
         this.#add(server);
         return server;
--- a/packages/workflow/src/state/events.ts
+++ b/packages/workflow/src/state/events.ts
@@ -17,6 +17,7 @@
     PressuresLearned = "pressures-learned",
     MaintenanceOrdered = "maintenance-ordered",
     VmMaintained = "vm-maintained",
+    LeaseExtended = "lease-extended",
 }
 
 /** Learned effect of filler images on the tail latency of standing images: by standing image, then by filler image. */
@@ -70,7 +71,9 @@
     | { kind: EventKind.JobsForgotten; jobIds: string[] }
     | { kind: EventKind.PressuresLearned; pressures: PressureTable }
     | { kind: EventKind.MaintenanceOrdered; order: MaintenanceOrder; atMs: number }
-    | { kind: EventKind.VmMaintained; maintenanceId: number; vmId: string; phase: VmMaintenancePhase };
+    | { kind: EventKind.VmMaintained; maintenanceId: number; vmId: string; phase: VmMaintenancePhase }
+    /** Recorded before a leader grants leases that are longer than any before. */
+    | { kind: EventKind.LeaseExtended; leaseMs: number };
 
 /** The events of one kind. */
 export type EventOf<Kind extends EventKind> = Extract<WorkflowEvent, { kind: Kind }>;
--- a/packages/workflow/src/state/workflow-state.ts
+++ b/packages/workflow/src/state/workflow-state.ts
@@ -24,6 +24,7 @@
     acknowledged: [serverId: string, ends: AcknowledgedEnds][];
     pressures: PressureTable;
     maintenances: MaintenanceContent[];
+    longestLeaseMs: number | undefined;
 }
 
 type Handlers = { [Kind in EventKind]: (event: EventOf<Kind>) => void };
@@ -38,6 +39,7 @@
     readonly #acknowledged = new Map<string, AcknowledgedEnds>();
     #pressures: PressureTable = {};
     readonly #maintenances = new Map<number, MaintenanceRecord>();
+    #longestLeaseMs: number | undefined;
 
     readonly #handlers: Handlers = {
         [EventKind.ConfigurationAccepted]: event => this.#acceptConfiguration(event.configuration),
@@ -55,6 +57,9 @@
         [EventKind.MaintenanceOrdered]: event => this.#orderMaintenance(event),
         [EventKind.VmMaintained]: ({ maintenanceId, vmId, phase }) =>
             this.#maintenances.get(maintenanceId)?.advance(vmId, phase),
+        [EventKind.LeaseExtended]: ({ leaseMs }) => {
+            this.#longestLeaseMs = Math.max(leaseMs, this.#longestLeaseMs ?? 0);
+        },
     };
 
     /** Restores a state from a snapshot. */
@@ -71,6 +76,7 @@
         for (const content of snapshot.maintenances) {
             state.#maintenances.set(content.order.id, new MaintenanceRecord(content));
         }
+        state.#longestLeaseMs = snapshot.longestLeaseMs;
         snapshot.acknowledged.forEach(([serverId, ends]) => state.#acknowledged.set(serverId, ends));
         return state;
     }
@@ -92,6 +98,11 @@
         return this.#pressures;
     }
 
+    /** Longest lease that a leader has granted to backend servers so far; undefined if none is recorded. */
+    get longestLeaseMs(): number | undefined {
+        return this.#longestLeaseMs;
+    }
+
     get maintenances(): Iterable<MaintenanceRecord> {
         return this.#maintenances.values();
     }
@@ -128,6 +139,7 @@
             acknowledged: [...this.#acknowledged],
             pressures: this.#pressures,
             maintenances: [...this.#maintenances.values()].map(record => record.toContent()),
+            longestLeaseMs: this.#longestLeaseMs,
         };
     }
 
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -49,16 +49,19 @@
     /** Offset of the wall clock from the monotonic clock. */
     timeOfDayOffsetMs = 0;
 
+    /** Settings of the next node that is created. */
+    settings: LeaderSettings;
     readonly #services: PlatformServices;
 
-    constructor(services: PlatformServices = {}) {
+    constructor(services: PlatformServices = {}, settings = LEADER_SETTINGS) {
         this.#services = services;
+        this.settings = settings;
         this.node = this.#createNode();
     }
 
     /** Creates a leader that has a configuration and whose initial planning delay has passed. */
-    static started(services: PlatformServices = {}): SingleReplica {
-        const replica = new SingleReplica(services);
+    static started(services: PlatformServices = {}, settings = LEADER_SETTINGS): SingleReplica {
+        const replica = new SingleReplica(services, settings);
         replica.settle();
         replica.node.configure(configurationOf(1), () => undefined, replica.times);
         replica.settle();
@@ -131,7 +134,7 @@
         const term = (): number => this.term;
         return new WorkflowNode({
             ...this.#services,
-            settings: LEADER_SETTINGS,
+            settings: this.settings,
             log: {
                 get term() {
                     return term();
