Search all servers again once the amounts that failed fit somewhere

Cause: a failed search is remembered as the smallest amounts that failed, and steps that need as much are tried only on servers that changed in the present round. The memory was never dropped while the configuration and the zones stayed the same, so that one full moment made the planner take the first server that changed for the rest of the term. Servers that got capacity while no such step waited were not searched at all until their next heartbeat.

Change: each round first searches the servers that have changed for the remembered amounts, and forgets those that fit. Steps with constraints of their own are searched for on all servers once a changed one fits. The members of a gang are searched on all servers.

Tests: 'searches all servers again once the amounts that failed fit somewhere' failed before with 'expected [] to have a length of 2 but got +0'. 'assigns a gang whose members need servers that got capacity at different times' passed before as well, since servers on which members were rolled back counted as changed; it stays as a guard.

Ruled out: to forget all failures after a time, which repeats the searches of a long queue that the bounds are for.

--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, expect, it, vi } from "vitest";
-import type { HeartbeatReport } from "../model/heartbeat.js";
+import { RunEnd } from "../model/heartbeat.js";
+import type { HeartbeatOrders, HeartbeatReport, ReportedEnd } from "../model/heartbeat.js";
 import type { StepSpecification } from "../model/specification.js";
 import { fillerStepOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
 import { SingleReplica } from "../testing/single-replica.js";
@@ -104,3 +105,52 @@
     const starts = replica.heartbeat(heartbeatOf("s", 2))?.starts ?? [];
     expect(starts.map(start => start.task)).toEqual(["single.0.0.0", "single.0.0.1", "single.0.0.2", "single.0.0.3"]);
 });
+
+const endsOf = (orders: HeartbeatOrders | undefined): ReportedEnd[] =>
+    (orders?.starts ?? []).map(({ task, run }, index) => ({
+        sequence: index + 1,
+        task,
+        run,
+        end: RunEnd.Done,
+        checkpoint: "",
+    }));
+
+/** Fills two servers with finite tasks, lets a search fail, and returns the ends of the tasks on each server. */
+const startFullReplica = (): { replica: SingleReplica; ends: ReportedEnd[][] } => {
+    const replica = SingleReplica.started();
+    replica.heartbeat(heartbeatOf("s", 1, { rack: "r1" }));
+    replica.heartbeat(heartbeatOf("t", 1, { rack: "r2" }));
+    replica.submit(jobOf("full", stepOf({ taskCount: 8 })));
+    const orders = ["s", "t"].map((id, index) => replica.heartbeat(heartbeatOf(id, 2, { rack: `r${index + 1}` })));
+    replica.submit(jobOf("failed", stepOf()));
+    replica.node.cancel("failed", () => undefined, replica.times);
+    replica.settle();
+    return { replica, ends: orders.map(endsOf) };
+};
+
+// Guards against a gang that never starts, because only the servers of the latest heartbeats were searched for it after
+// a search for another step had failed.
+it("assigns a gang whose members need servers that got capacity at different times", () => {
+    const { replica, ends: [endsOnFirst = [], endsOnSecond = []] } = startFullReplica();
+    replica.submit(jobOf("gang", stepOf({ taskCount: 8, isGang: true })));
+    const starts: string[] = [];
+    for (let sequence = 3; sequence < 7; sequence += 1) {
+        const first = replica.heartbeat(heartbeatOf("s", sequence, { rack: "r1", ended: endsOnFirst }));
+        replica.advance(50);
+        const second = replica.heartbeat(heartbeatOf("t", sequence, { rack: "r2", ended: endsOnSecond }));
+        replica.advance(50);
+        starts.push(...[first, second].flatMap(orders => orders?.starts.map(start => start.task) ?? []));
+    }
+    expect(new Set(starts).size).toBe(8);
+});
+
+// Guards against tasks far from their data: after a search had failed once, a task got the server whose heartbeat came
+// next, although a better one had been idle for some time.
+it("searches all servers again once the amounts that failed fit somewhere", () => {
+    const { replica, ends: [endsOnFirst = [], endsOnSecond = []] } = startFullReplica();
+    replica.heartbeat(heartbeatOf("t", 3, { rack: "r2", ended: endsOnSecond }));
+    replica.heartbeat(heartbeatOf("s", 3, { rack: "r1", ended: endsOnFirst }));
+    replica.submit(jobOf("local", stepOf({ taskCount: 2, dataRack: "r2" })));
+    replica.heartbeat(heartbeatOf("s", 4, { rack: "r1" }));
+    expect(replica.heartbeat(heartbeatOf("t", 4, { rack: "r2" }))?.starts).toHaveLength(2);
+});
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -34,7 +34,7 @@
 
 /**
  * Assigns waiting tasks to backend servers. Planning proceeds in rounds, which may take several calls. A step for which
- * no server was found waits until servers have changed, and the next rounds examine only the changed ones for it.
+ * no server was found waits until a round finds a server for it among those that have changed since the last round.
  */
 export class Planner {
     readonly #state: WorkflowState;
@@ -44,7 +44,7 @@
     readonly #eligibility: Eligibility;
     /** Servers of the tasks whose assignment is proposed but not committed, by task. */
     readonly #pendingTasks = new Map<string, ServerView>();
-    /** Steps that no server can run, except perhaps for those that have changed since. */
+    /** Steps that no server can run, except perhaps for those that have changed since the round began. */
     readonly #failures = new FailedPlacements();
     /** Steps that the changed servers of this round cannot run either. */
     readonly #failuresInRound = new FailedPlacements();
@@ -72,8 +72,12 @@
      */
     plan({ nowMs, timeOfDayMs }: Times): Plan {
         this.#remainingServers = MAX_EXAMINED_SERVERS_PER_CALL;
-        this.#changedServers = this.#changedServers?.filter(server => this.#directory.get(server.id) === server)
-            ?? this.#directory.takeChanged();
+        if (this.#changedServers === undefined) {
+            this.#beginRound(nowMs);
+        }
+        else {
+            this.#changedServers = this.#changedServers.filter(server => this.#directory.get(server.id) === server);
+        }
         const runs: AssignedRun[] = [];
         for (const waiting of this.#queue.ordered(timeOfDayMs)) {
             const planned = this.#planStep(waiting, nowMs);
@@ -130,6 +134,19 @@
         return server !== undefined;
     }
 
+    /** Takes the changed servers, and searches them for the amounts that no server could run before. */
+    #beginRound(nowMs: number): void {
+        const changedServers = this.#directory.takeChanged();
+        this.#changedServers = changedServers;
+        this.#failures.recheck((waiting, key) => {
+            const server = this.#search(waiting, changedServers, this.#constraintsFor(waiting, nowMs), nowMs);
+            if (server === undefined) {
+                this.#failuresInRound.record(waiting, key);
+            }
+            return server !== undefined;
+        });
+    }
+
     #planStep(waiting: WaitingStep, nowMs: number): Plan {
         const queue = this.#state.currentQueueOf(waiting.job);
         const isSkipped = waiting.job.isOver
@@ -164,6 +181,9 @@
         if (this.#remainingServers <= 0) {
             return { runs: [], isComplete: false };
         }
+        if (this.#failures.includes(waiting, constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job)))) {
+            return NOTHING_TO_PLAN;
+        }
         const { tasks } = waiting.record;
         const run = Math.max(...tasks.map(task => task.run)) + 1;
         const constraints = this.#constraintsFor(waiting, nowMs);
@@ -212,26 +232,49 @@
         return { server, assigned: { task, run, serverId: server.id, incarnation: server.incarnation } };
     }
 
-    /** Chooses a server among all, or only among the changed ones if none was found in an earlier round. */
+    /**
+     * Chooses a server among all. If none was found in an earlier round, all are searched only after one is found among
+     * the changed ones. The members of a gang need several servers, which may have changed in different rounds.
+     */
     #findServer(waiting: WaitingStep, constraints: PlacementConstraints, nowMs: number): ServerView | undefined {
         const key = constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job));
-        const hasFailed = this.#failures.includes(waiting, key);
-        const servers = hasFailed ? this.#changedServers ?? [] : this.#directory.servers;
-        this.#remainingServers -= servers.length;
-        const server = chooseServer(waiting, servers, constraints, this.#pressure, nowMs);
-        if (server === undefined) {
-            this.#queryEligibility(waiting, constraints, nowMs);
-            // The members of a gang that are already placed are removed again, so that its failure shows nothing.
-            if (!waiting.step.isGang) {
-                this.#failuresInRound.record(waiting, key);
-            }
-            if (!waiting.step.isGang && constraints.isEligible === undefined) {
-                this.#failures.record(waiting, key);
+        if (!waiting.step.isGang && this.#failures.includes(waiting, key)) {
+            const found = this.#search(waiting, this.#changedServers ?? [], constraints, nowMs);
+            if (found === undefined) {
+                this.#recordFailure(waiting, constraints, key, nowMs);
+                return undefined;
             }
+            this.#failures.forget(waiting);
+        }
+        const server = this.#search(waiting, this.#directory.servers, constraints, nowMs);
+        if (server === undefined) {
+            this.#recordFailure(waiting, constraints, key, nowMs);
         }
         return server;
     }
 
+    #search(
+        waiting: WaitingStep,
+        servers: readonly ServerView[],
+        constraints: PlacementConstraints,
+        nowMs: number,
+    ): ServerView | undefined {
+        this.#remainingServers -= servers.length;
+        return chooseServer(waiting, servers, constraints, this.#pressure, nowMs);
+    }
+
+    #recordFailure(waiting: WaitingStep, constraints: PlacementConstraints, key: string, nowMs: number): void {
+        this.#queryEligibility(waiting, constraints, nowMs);
+        // The members of a gang that are already placed are removed again, so that its failure shows nothing.
+        if (waiting.step.isGang) {
+            return;
+        }
+        this.#failuresInRound.record(waiting, key);
+        if (constraints.isEligible === undefined) {
+            this.#failures.record(waiting, key);
+        }
+    }
+
     #constraintsFor(waiting: WaitingStep, nowMs: number): PlacementConstraints {
         const { service, eligibility } = this.#state.currentQueueOf(waiting.job);
         const step = stepKeyOf(waiting);
