--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -1,7 +1,8 @@
 import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import type { BeginMaintenance } from "../model/maintenance.js";
-import { parseTaskKey, taskKeyOf, taskKindOf } from "../model/specification.js";
+import { parseTaskKey, taskKeyOf, TaskKind } from "../model/specification.js";
+import type { StepPosition } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
 import type { AssignedTask, JobRecord } from "../state/job-record.js";
@@ -17,12 +18,12 @@
 import { OrderWriter } from "./order-writer.js";
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
+import { adoptRuns } from "./run-adoption.js";
 import { ServerDirectory } from "./server-directory.js";
 import { ServerEventKind } from "./server-event.js";
 import type { ServerEvent } from "./server-event.js";
 import { ServerFailures } from "./server-failures.js";
 import { ServerSpeed } from "./server-speed.js";
-import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import type { Times } from "./times.js";
@@ -31,6 +32,8 @@
 import { WorkQueue } from "./work-queue.js";
 
 const JOB_CLEANUP_INTERVAL_MS = 5_000;
+/** Reported progress of a standing task that is at work. */
+const FULL_PROGRESS_PERCENT = 100;
 const PRESSURE_RECORD_INTERVAL_MS = 3_000;
 /** Delay of the first planning. Backend servers need it to find a new leader; until then most capacity is unknown. */
 const INITIAL_PLANNING_DELAY_MS = 400;
@@ -67,7 +70,7 @@
     readonly #moves: FillerMoves;
     readonly #maintenance: Maintenance;
     readonly #heartbeats = new OpenHeartbeats();
-    readonly #failures = new ServerFailures();
+    readonly #failures: ServerFailures;
     readonly #startedJobs = new Set<string>();
     #isPlanDue = true;
     #nextJobCleanupAtMs: number;
@@ -99,6 +102,7 @@
         this.#reconciler = new HeartbeatReconciler(state);
         this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
+        this.#failures = new ServerFailures(step => this.#hasSucceeded(step));
         this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
             state,
@@ -108,8 +112,12 @@
             propose: options.propose,
             begin: options.beginMaintenance,
         }, times.nowMs);
+        this.#proposeLostRuns(adoptRuns(state, this.#directory, settings, times.nowMs));
+        if (!this.#isLeaseRecorded) {
+            options.propose({ kind: EventKind.LeaseExtended, leaseMs: settings.leaseMs });
+        }
         for (const job of state.jobs.values()) {
-            this.#adoptRuns(job, times);
+            this.#queue.refresh(job, times.timeOfDayMs);
         }
     }
 
@@ -157,7 +165,7 @@
                 ends: changes.newEnds,
                 atMs: timeOfDayMs,
             });
-            this.#failures.recordEnds(server, changes.newEnds.map(end => end.end), nowMs);
+            this.#failures.recordEnds(server, changes.newEnds, nowMs);
         }
         changes.startedJobs.forEach(id => this.#startedJobs.add(id));
         this.#proposeLostRuns(changes.missingRuns);
@@ -216,6 +224,7 @@
         if (nowMs >= this.#nextJobCleanupAtMs) {
             this.#nextJobCleanupAtMs = nowMs + JOB_CLEANUP_INTERVAL_MS;
             this.#removeExpiredJobs(times.timeOfDayMs);
+            this.#failures.evictExpired(nowMs);
         }
     }
 
@@ -233,22 +242,6 @@
         this.#heartbeats.close();
     }
 
-    /** Takes over a job's runs that a former leader has recorded. */
-    #adoptRuns(job: JobRecord, { nowMs, timeOfDayMs }: Times): void {
-        for (const { position, step, task, server } of job.assignedTasks()) {
-            const key = taskKeyOf(position);
-            const { run, checkpoint } = task;
-            const kind = taskKindOf(step);
-            const view = newRunView({ task: key, run, position, step, kind, checkpoint, isAdopted: true }, nowMs);
-            view.isCommitted = true;
-            view.isStopping = job.isOver;
-            // The former leader may have sent the order; only the next heartbeat shows whether it did.
-            view.orderedAtSequence = 0;
-            this.#directory.getOrAdd(server.serverId, server.incarnation, nowMs).addRun(view);
-        }
-        this.#queue.refresh(job, timeOfDayMs);
-    }
-
     #handleApplied(event: WorkflowEvent, times: Times): void {
         switch (event.kind) {
             case EventKind.JobAccepted:
@@ -346,6 +339,16 @@
         return this.#options.state.job(parseTaskKey(task)?.jobId ?? "");
     }
 
+    /** Whether a task of a step has ended successfully or, in a standing step, is at work. */
+    #hasSucceeded({ jobId, occurrence, step }: StepPosition): boolean {
+        const record = this.#options.state.job(jobId)?.occurrences[occurrence]?.[step];
+        return record !== undefined && (record.doneCount > 0 || record.tasks.some((task, index) => {
+            const key = taskKeyOf({ jobId, occurrence, step, index });
+            const run = this.#directory.get(task.server?.serverId ?? "")?.findRun(key, task.run);
+            return run?.kind === TaskKind.Standing && run.progressPercent >= FULL_PROGRESS_PERCENT;
+        }));
+    }
+
     /** Stops the other members of a gang's run, which cannot work without the one that ended. */
     #stopGangMembers({ task, run }: { task: string; run: number }): void {
         const position = parseTaskKey(task);
@@ -387,7 +390,7 @@
     #answerHeartbeats(nowMs: number): void {
         for (const { report, respond } of this.#heartbeats.takeReady(item => this.#isWaitingForLog(item), nowMs)) {
             const server = this.#serverOf(report);
-            if (server === undefined) {
+            if (server === undefined || !this.#isLeaseRecorded) {
                 respond(undefined);
                 continue;
             }
@@ -411,7 +414,13 @@
         }
         const { id: serverId, incarnation } = server;
         const isEndWaiting = server.lastProposedEnd > this.#options.state.acknowledgedEnd({ serverId, incarnation });
-        return isEndWaiting || server.hasUncommittedRuns;
+        return isEndWaiting || server.hasUncommittedRuns || !this.#isLeaseRecorded;
+    }
+
+    /** Whether the next leader will know how long the leases are that this one grants. */
+    get #isLeaseRecorded(): boolean {
+        const { state, settings } = this.#options;
+        return (state.longestLeaseMs ?? 0) >= settings.leaseMs;
     }
 
     /** Proposes the learned pressures, so that the next leader need not learn them at the standing tasks' expense. */
