Serve finite jobs that can still end in time first, and finish those begun

Cause: finite jobs were taken strictly by expected end. Once there is a backlog, each job is begun when its time is nearly over, so that all of them end late, as long as the load lasts. Only the jobs of fillers that can't end in time were put behind the others.

Change: within a priority the order is: standing jobs and finite ones that have begun and can end in time; finite ones that have begun and end late; those that can end in time; the rest. Begun means that a task of the occurrence is done. One pass over the sorted steps replaces two filters and a sort.

Failed before (work-queue.test.ts): "puts finite jobs that cannot end in time behind those that can" (got first, second) and "finishes finite jobs that have begun before it begins others, even if they end late" (got late, begun-late first). The two other new tests passed before and guard the place of standing jobs and of the queues' priority.

--- a/packages/workflow/src/leader/work-queue.test.ts
+++ b/packages/workflow/src/leader/work-queue.test.ts
@@ -1,8 +1,10 @@
 import { expect, it } from "vitest";
 import type { QueueContract } from "../model/configuration.js";
+import { RunEnd } from "../model/heartbeat.js";
+import { taskKeyOf } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
 import { JobRecord } from "../state/job-record.js";
-import { configurationOf, fillerStepOf, jobOf } from "../testing/fixtures.js";
+import { configurationOf, fillerStepOf, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
 import { WorkQueue } from "./work-queue.js";
 
 const [QUEUE] = configurationOf(1).queues;
@@ -11,6 +13,16 @@
     queue.refresh(JobRecord.accepted(jobOf(id, ...steps), QUEUE as QueueContract, acceptedAtMs), acceptedAtMs);
 };
 
+/** Adds a job with two tasks, of which one has been done. */
+const acceptBegun = (queue: WorkQueue, id: string, acceptedAtMs: number, step: StepSpecification): void => {
+    const job = JobRecord.accepted(jobOf(id, step), QUEUE as QueueContract, acceptedAtMs);
+    const position = { jobId: id, occurrence: 0, step: 0, index: 0 };
+    const task = taskKeyOf(position);
+    job.assign(position, { task, run: 1, serverId: "s", incarnation: 1 });
+    job.end(position, { task, run: 1, end: RunEnd.Done, checkpoint: "" }, acceptedAtMs);
+    queue.refresh(job, acceptedAtMs);
+};
+
 const orderAt = (queue: WorkQueue, timeOfDayMs: number): string[] =>
     queue.ordered(timeOfDayMs).map(waiting => waiting.job.id);
 
@@ -35,3 +47,44 @@
     expect(orderAt(queue, 6_100)).toEqual(["chain", "single"]);
     expect(orderAt(queue, 6_500)).toEqual(["single", "chain"]);
 });
+
+// Load: more finite work than the servers can do, for example after an outage. Guards against giving capacity to jobs
+// that end late in any case, which makes all later jobs late, too.
+it("puts finite jobs that cannot end in time behind those that can", () => {
+    const queue = new WorkQueue();
+    const step = stepOf({ estimatedRunTimeMs: 1_000 });
+    accept(queue, "first", 0, step);
+    accept(queue, "second", 2_000, step);
+    expect(orderAt(queue, 2_000)).toEqual(["first", "second"]);
+    // The first job is expected to end by 3,000 and needs 1,000 more.
+    expect(orderAt(queue, 2_500)).toEqual(["second", "first"]);
+});
+
+// Guards against wide jobs that are never finished, because each new job in time takes the capacity for their rest.
+it("finishes finite jobs that have begun before it begins others, even if they end late", () => {
+    const queue = new WorkQueue();
+    const step = stepOf({ estimatedRunTimeMs: 1_000, taskCount: 2 });
+    accept(queue, "late", 0, step);
+    acceptBegun(queue, "begun-late", 0, step);
+    accept(queue, "in-time", 2_000, step);
+    acceptBegun(queue, "begun-in-time", 2_000, step);
+    expect(orderAt(queue, 2_500)).toEqual(["begun-in-time", "begun-late", "in-time", "late"]);
+});
+
+// Guards against standing tasks that wait behind finite ones only because they have waited for long.
+it("keeps a standing job in front, however long it has waited", () => {
+    const queue = new WorkQueue();
+    accept(queue, "standing", 0, standingStepOf({ estimatedRunTimeMs: 1_000 }));
+    acceptBegun(queue, "begun", 9_000, stepOf({ taskCount: 2 }));
+    expect(orderAt(queue, 9_000)).toEqual(["standing", "begun"]);
+});
+
+// Guards against an order of lateness that outweighs the priority of the queue.
+it("keeps jobs of a more important queue in front of those that are in time", () => {
+    const queue = new WorkQueue();
+    const step = stepOf({ estimatedRunTimeMs: 1_000 });
+    accept(queue, "late", 0, step);
+    const lessImportant = { ...(QUEUE as QueueContract), priority: 1 };
+    queue.refresh(JobRecord.accepted(jobOf("less-important", step), lessImportant, 5_000), 5_000);
+    expect(orderAt(queue, 5_000)).toEqual(["late", "less-important"]);
+});
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -17,9 +17,20 @@
     readonly remainingCriticalPathMs: number;
 }
 
+/** Groups of the steps of one priority, in scheduling order. */
+enum Urgency {
+    /** Standing jobs, and finite ones that have begun and can end in time. */
+    BegunInTime,
+    /** Finite jobs that have begun and end late in any case; the capacity they have used is not to be wasted. */
+    BegunLate,
+    InTime,
+    /** Jobs that end late even if they begin now; before those above, they would make them late as well. */
+    Late,
+}
+
 /**
- * Steps that are due and whose dependencies are done, in scheduling order: by priority, then by the time at which
- * callers expect the occurrence to end. A batch job that cannot end by that time comes after those that can.
+ * Steps that are due and whose dependencies are done, in scheduling order: by priority, then by urgency, then by the
+ * time at which callers expect the occurrence to end.
  */
 export class WorkQueue {
     readonly #steps = new Map<string, WaitingStep>();
@@ -33,13 +44,19 @@
 
     /** Returns the steps in scheduling order. */
     ordered(timeOfDayMs: number): readonly WaitingStep[] {
-        const { steps } = this;
-        const overdue = steps.filter(waiting => isOverdue(waiting, timeOfDayMs));
-        if (overdue.length === 0) {
-            return steps;
+        const ordered: WaitingStep[] = [];
+        let priority: number | undefined;
+        let groups = emptyGroups();
+        for (const waiting of this.steps) {
+            if (waiting.job.queue.priority !== priority) {
+                priority = waiting.job.queue.priority;
+                ordered.push(...groups.flat());
+                groups = emptyGroups();
+            }
+            groups[urgencyOf(waiting, timeOfDayMs)]?.push(waiting);
         }
-        const inTime = steps.filter(waiting => !isOverdue(waiting, timeOfDayMs));
-        return [...inTime, ...overdue].sort((a, b) => a.job.queue.priority - b.job.queue.priority);
+        ordered.push(...groups.flat());
+        return ordered;
     }
 
     /** Updates the queue after a change of a job; returns whether the set of waiting steps has changed. */
@@ -114,10 +131,27 @@
     || a.occurrence - b.occurrence
     || a.stepIndex - b.stepIndex;
 
-/** Whether a batch job is expected to end late even if its tasks start now; estimates are trusted only in part. */
-const isOverdue = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
-    waiting.kind === TaskKind.Filler
-    && timeOfDayMs + waiting.remainingCriticalPathMs * ESTIMATE_LOWER_BOUND_RATIO > waiting.expectedEndMs;
+const emptyGroups = (): WaitingStep[][] => [[], [], [], []];
+
+const urgencyOf = (waiting: WaitingStep, timeOfDayMs: number): Urgency => {
+    if (waiting.kind === TaskKind.Standing) {
+        return Urgency.BegunInTime;
+    }
+    const endsLate = isExpectedLate(waiting, timeOfDayMs);
+    // A filler continues from its checkpoint and holds no processors, so that its job may wait after it has begun.
+    if (waiting.kind === TaskKind.Finite && hasBegun(waiting)) {
+        return endsLate ? Urgency.BegunLate : Urgency.BegunInTime;
+    }
+    return endsLate ? Urgency.Late : Urgency.InTime;
+};
+
+/** Whether a task of the occurrence is done. */
+const hasBegun = ({ job, occurrence }: WaitingStep): boolean =>
+    job.occurrences[occurrence]?.some(({ doneCount }) => doneCount > 0) === true;
+
+/** Whether a job is expected to end late even if its tasks start now; estimates are trusted only in part. */
+const isExpectedLate = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
+    timeOfDayMs + waiting.remainingCriticalPathMs * ESTIMATE_LOWER_BOUND_RATIO > waiting.expectedEndMs;
 
 /**
  * Returns the wall-clock time by which callers expect an occurrence to end: a multiple of its critical path plus the
