Order standing jobs among those in time, behind finite jobs that have begun

A standing task holds its 3 cores for a minute, a finite one for less than a second.

Cause: grouped standing jobs with finite ones that have begun.

Change: standing jobs are ordered by expected end among the jobs in time and never count as late; finite jobs that have begun come first.

--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -19,10 +19,11 @@
 
 /** Groups of the steps of one priority, in scheduling order. */
 enum Urgency {
-    /** Standing jobs, and finite ones that have begun and can end in time. */
+    /** Finite jobs that have begun and can end in time. */
     BegunInTime,
     /** Finite jobs that have begun and end late in any case; the capacity they have used is not to be wasted. */
     BegunLate,
+    /** Other jobs that can end in time, and standing jobs, which are never too late to start. */
     InTime,
     /** Jobs that end late even if they begin now; before those above, they would make them late as well. */
     Late,
@@ -135,7 +136,7 @@
 
 const urgencyOf = (waiting: WaitingStep, timeOfDayMs: number): Urgency => {
     if (waiting.kind === TaskKind.Standing) {
-        return Urgency.BegunInTime;
+        return Urgency.InTime;
     }
     const endsLate = isExpectedLate(waiting, timeOfDayMs);
     // A filler continues from its checkpoint and holds no processors, so that its job may wait after it has begun.
