--- a/packages/daemon/src/workflow/membership-reconciler.ts
+++ b/packages/daemon/src/workflow/membership-reconciler.ts
@@ -4,6 +4,7 @@
 import { MemberRole, ReplicaIdentitySchema } from "@waxwingspread/protocol";
 import type { Member, Membership } from "@waxwingspread/protocol";
 import type { Logger } from "pino";
+import { JoinQueue } from "./join-queue.js";
 import type { JoinRequest, VoterStatus } from "./operations.js";
 import { majorityOf, planVoters } from "./voter-plan.js";
 import type { FaultTolerance, VoterPlan } from "./voter-plan.js";
@@ -48,6 +49,7 @@
     readonly #runner: ReplicaRunner;
     readonly #requirements: MembershipRequirements;
     readonly #logger: Logger;
+    readonly #joinQueue = new JoinQueue();
     #loggedStatus = "";
 
     constructor(options: MembershipReconcilerOptions) {
@@ -56,18 +58,21 @@
         this.#logger = options.logger;
     }
 
-    /** Adds a replica as a learner and returns whether it is a member. Succeeds on the leader only. */
-    join({ name, diskId, address, availabilityZone }: JoinRequest, nowMs: number): boolean {
-        const { membership } = this.#runner.replica;
-        if (membership.members.some(member => member.identity?.diskId === diskId)) {
-            return true;
-        }
-        const identity = create(ReplicaIdentitySchema, { name, diskId, address, availabilityZone });
-        return this.#propose({ kind: MembershipChangeKind.AddLearner, identity }, nowMs);
+    /**
+     * Adds a replica as a learner and returns whether it is a member. If another change is in progress, the replica is
+     * added after it. Succeeds on the leader only.
+     */
+    join(request: JoinRequest, nowMs: number): boolean {
+        this.#joinQueue.push(request, nowMs);
+        this.#addNextLearner(nowMs);
+        return this.#isMember(request.diskId);
     }
 
     /** Proposes the next membership change, if one is needed; otherwise logs a change of the voter status. */
     run(nowMs: number): void {
+        if (this.#addNextLearner(nowMs)) {
+            return;
+        }
         const { membership } = this.#runner.replica;
         const change = nextMembershipChange(membership, this.#requirements, this.#contacts(nowMs));
         if (change === undefined) {
@@ -84,6 +89,23 @@
         return voterStatusOf(membership, this.#requirements, this.#contacts(nowMs));
     }
 
+    /** Returns whether a request to join is waiting, which comes before other changes since a copy of the log takes time. */
+    #addNextLearner(nowMs: number): boolean {
+        const request = this.#joinQueue.next(diskId => this.#isMember(diskId), nowMs);
+        if (request === undefined) {
+            return false;
+        }
+        const { name, diskId, address, availabilityZone } = request;
+        const identity = create(ReplicaIdentitySchema, { name, diskId, address, availabilityZone });
+        this.#propose({ kind: MembershipChangeKind.AddLearner, identity }, nowMs);
+        return true;
+    }
+
+    #isMember(diskId: string): boolean {
+        const { members } = this.#runner.replica.membership;
+        return members.some(member => member.identity?.diskId === diskId);
+    }
+
     #contacts(nowMs: number): MemberContacts {
         const { replica } = this.#runner;
         return {
@@ -92,12 +114,11 @@
         };
     }
 
-    #propose(change: MembershipChange, nowMs: number): boolean {
+    #propose(change: MembershipChange, nowMs: number): void {
         const result = this.#runner.changeMembership(change, nowMs);
         if (result.isOk()) {
             this.#logger.info({ change: change.kind, member: memberNameOf(change) }, "membership change proposed");
         }
-        return result.isOk();
     }
 
     #logStatus(status: VoterStatus): void {
--- a/packages/test-support/src/simulated-cluster.ts
+++ b/packages/test-support/src/simulated-cluster.ts
@@ -50,6 +50,7 @@
 /** One simulated control VM. */
 export interface SimulatedNode {
     name: string;
+    availabilityZone: string;
     fileSystem: FakeFileSystem;
     runner?: ReplicaRunner;
     restartAtMs: number;
@@ -136,9 +137,10 @@
     }
 
     /** Adds a node that is not started yet. */
-    addNode(name: string): SimulatedNode {
+    addNode(name: string, availabilityZone = ""): SimulatedNode {
         const node: SimulatedNode = {
             name,
+            availabilityZone,
             fileSystem: new FakeFileSystem(new SeededRandom(this.random.nextInteger(0, 1_000_000))),
             restartAtMs: Infinity,
             pausedUntilMs: 0,
@@ -170,6 +172,7 @@
             folder: DATA_FOLDER,
             name: node.name,
             address: `${node.name}:1`,
+            availabilityZone: node.availabilityZone,
             newDiskId: () => `${node.name}-${this.random.nextInteger(0, 1_000_000)}`,
             segmentBytes: 2_000,
         });
