--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -154,6 +154,7 @@
     /** Opens the log and starts listening. Fails with DISK_FAILED, CORRUPT or UNAVAILABLE. */
     static async start(settings: ControlHostSettings, dependencies: ControlHostDependencies): Promise<ControlHost> {
         const address = `${settings.host}:${settings.replicaPort}`;
+        const startMs = monotonicNowMs();
         const opened = await ReplicaStore.open({
             fileSystem: new NodeFileSystem(),
             folder: join(settings.dataFolder, "log"),
@@ -161,6 +162,12 @@
             address,
             availabilityZone: settings.availabilityZone,
         });
+        dependencies.logger.info({
+            snapshotIndex: opened.persisted.snapshot?.lastIndex ?? 0,
+            snapshotBytes: opened.snapshotBytes?.length ?? 0,
+            entries: opened.persisted.entries.length,
+            durationMs: Math.round(monotonicNowMs() - startMs),
+        }, "log opened");
         const host = new ControlHost(settings, opened, dependencies);
         await host.#replicaListener.listen();
         await host.#internalListener.listen();
@@ -281,7 +288,10 @@
             hooks: {
                 send: (to, message) => this.#sender.send(to.address, message, monotonicNowMs()),
                 onCommit: entries => this.#applyCommitted(entries),
-                onRestoreSnapshot: (header, bytes) => this.#node.restoreSnapshot(bytes),
+                onRestoreSnapshot: (header, bytes) => {
+                    this.#logger.info({ lastIndex: header.lastIndex, sizeBytes: bytes.length }, "snapshot restored");
+                    this.#node.restoreSnapshot(bytes);
+                },
                 onRoleChange: change => this.#handleRoleChange(change),
                 takeSnapshot: () => this.#node.snapshot(),
                 onFailed: this.#fail,
--- a/packages/daemon/src/workflow/membership-reconciler.ts
+++ b/packages/daemon/src/workflow/membership-reconciler.ts
@@ -117,7 +117,8 @@
     #propose(change: MembershipChange, nowMs: number): void {
         const result = this.#runner.changeMembership(change, nowMs);
         if (result.isOk()) {
-            this.#logger.info({ change: change.kind, member: memberNameOf(change) }, "membership change proposed");
+            const fields = { change: change.kind, member: memberNameOf(change), lastIndex: result.value };
+            this.#logger.info(fields, "membership change proposed");
         }
     }
 
