Let a replaced voter request to join after the longest election timeout

Cause: it still has a vote by its own log, and a voter waited 1.5 s without a leader before it asked. An election takes 0.4 to 0.8 s.

Change: 0.8 s. A request of a replica that is a member changes nothing.

Before: the new test printed "expected [] to deeply equal [ '10.0.0.1', '10.0.0.2' ]". After: it passes.

--- a/packages/daemon/src/workflow/cluster-joiner.test.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.test.ts
@@ -66,6 +66,12 @@
     expect(await hostsAskedAfter(1_500, voter)).toEqual(["10.0.0.1", "10.0.0.2"]);
 });
 
+// Guards against a voter that was replaced during an outage and uses up its time to catch up before it asks to join.
+it("requests to join when a voter has known no leader for the longest election timeout", async () => {
+    expect(await hostsAskedAfter(700, voter)).toEqual([]);
+    expect(await hostsAskedAfter(800, voter)).toEqual(["10.0.0.1", "10.0.0.2"]);
+});
+
 // Guards against a learner that waits although the leader that was to add it has died. No one sends it the log, and the
 // next loss of a disk finds too few voters.
 it("requests to join as soon as a learner knows no leader", async () => {
--- a/packages/daemon/src/workflow/cluster-joiner.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -8,8 +8,8 @@
 import type { JoinRequest, JoinResponse } from "./operations.js";
 
 const JOIN_TIMEOUT_MS = 500;
-/** Time without a known leader after which a voter requests to join, since it may have been removed. */
-const JOIN_AFTER_MS = 1_500;
+/** Time without a known leader after which a voter requests to join, since it may have been removed meanwhile. */
+const JOIN_AFTER_MS = 800;
 
 /** The properties of a replica that decide whether and how it requests to join. */
 export type JoiningReplica = Pick<Replica, "identity" | "isFormed" | "leader" | "membership">;
