--- a/packages/daemon/src/transport/replica-stream.real.test.ts
+++ b/packages/daemon/src/transport/replica-stream.real.test.ts
@@ -6,7 +6,7 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { afterEach, expect, it } from "vitest";
 import { monotonicNowMs } from "./monotonic-time.js";
-import { EnvelopeDecoder, ReplicaStreamListener, ReplicaStreamSender } from "./replica-stream.js";
+import { ReplicaStreamListener, ReplicaStreamSender } from "./replica-stream.js";
 
 const HOST = "127.0.0.1";
 const closers: (() => unknown)[] = [];
@@ -82,9 +82,3 @@
     await waitUntil(() => terms.length > 1);
     expect(Math.max(...terms)).toBeGreaterThan(1);
 });
-
-// Guards against a replica that fails on bytes sent by another program.
-it("rejects bytes that are not a stream of envelopes", () => {
-    const decoder = new EnvelopeDecoder(() => undefined);
-    expect(decoder.push(Buffer.from([0xff, 0xff, 0xff, 0xff, 0x0f]))).toBe(false);
-});
--- a/packages/daemon/src/transport/replica-stream.ts
+++ b/packages/daemon/src/transport/replica-stream.ts
@@ -1,17 +1,17 @@
-import { create, fromBinary } from "@bufbuild/protobuf";
-import { sizeDelimitedEncode, sizeDelimitedPeek } from "@bufbuild/protobuf/wire";
+import { create } from "@bufbuild/protobuf";
+import { sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
 import { messageOf, StepError } from "@waxwingspread/common";
 import { ErrorCode, ReplicaEnvelopeSchema } from "@waxwingspread/protocol";
 import type { ReplicaMessage } from "@waxwingspread/protocol";
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
+import { EnvelopeDecoder } from "./envelope-decoder.js";
 import type { ListenAddress } from "./listen-address.js";
 
 /** Time without an acknowledgement of sent messages after which a connection is replaced. */
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 700;
 /** Send buffer limit for a slow peer. Further messages are dropped, since replication retransmits lost messages. */
 const MAX_BUFFERED_BYTES = 4 * 1024 * 1024;
-const MAX_ENVELOPE_BYTES = 16 * 1024 * 1024;
 const ACKNOWLEDGEMENT = Buffer.from([1]);
 
 /** Sends replica messages over one TCP connection per peer. */
@@ -149,39 +149,3 @@
         await closed;
     }
 }
-
-/** Decodes a byte stream into size-delimited envelopes. */
-export class EnvelopeDecoder {
-    readonly #onMessages: (messages: readonly ReplicaMessage[]) => void;
-    #undecoded: Buffer = Buffer.alloc(0);
-
-    constructor(onMessages: (messages: readonly ReplicaMessage[]) => void) {
-        this.#onMessages = onMessages;
-    }
-
-    /** Decodes the next bytes. Returns false if they are not a valid stream of envelopes. */
-    push(chunk: Buffer): boolean {
-        this.#undecoded = this.#undecoded.length === 0 ? chunk : Buffer.concat([this.#undecoded, chunk]);
-        for (;;) {
-            const head = sizeDelimitedPeek(this.#undecoded);
-            if (head.eof || head.size === null) {
-                return true;
-            }
-            if (head.size > MAX_ENVELOPE_BYTES) {
-                return false;
-            }
-            const end = head.offset + head.size;
-            if (this.#undecoded.length < end) {
-                return true;
-            }
-            try {
-                const envelope = fromBinary(ReplicaEnvelopeSchema, this.#undecoded.subarray(head.offset, end));
-                this.#undecoded = this.#undecoded.subarray(end);
-                this.#onMessages(envelope.messages);
-            }
-            catch {
-                return false;
-            }
-        }
-    }
-}
