Keep the announcements that are resent to a new leader until they are sent

Cause: handleNewLeader queues the last announcements without waiters. The next tick deletes queued announcements without waiters, and a failed message doesn't queue them again, so that they reach the new leader only if the message is sent in the same tick and succeeds.

Change: an announcement stays queued while a server waits for the reply or while it is recent enough (2 s) to be resent.

Test, which failed before: "resends the last announcements to a new leader although a message is in flight to it, and again if one fails" (expected [] to include 's1').

--- a/packages/entry/src/entry-node-dispatch.test.ts
+++ b/packages/entry/src/entry-node-dispatch.test.ts
@@ -143,6 +143,28 @@
         ]);
     });
 
+    it("resends the last announcements to a new leader although a message is in flight to it, and again if one fails", () => {
+        // Guards against a new leader that doesn't know servers, and starts nothing on them, until their next announcement.
+        const harness = createReadyHarness();
+        const idsOf = (call: ReturnType<typeof harness.takeCalls<"report">>[number] | undefined) =>
+            call?.request.announcements.map(({ backendServerId }) => backendServerId) ?? [];
+        harness.announce("s1");
+        harness.reply(harness.takeCalls("report")[0], create(p.ReportResponseSchema, {}));
+        harness.announce("s2");
+        harness.advance(400);
+        const inFlight = harness.takeCalls("report")[0];
+        expect(idsOf(inFlight)).toEqual(["s2"]);
+        harness.answerPoll({ term: 2 });
+        harness.advance(20);
+        harness.reply(inFlight, create(p.ReportResponseSchema, {}));
+        harness.advance(10);
+        const resent = harness.takeCalls("report")[0];
+        expect(idsOf(resent)).toContain("s1");
+        harness.fail(resent?.callId ?? 0, p.ErrorCode.UNAVAILABLE);
+        harness.advance(400);
+        expect(idsOf(harness.takeCalls("report")[0])).toContain("s1");
+    });
+
     it("answers an announcement without a lease when the leader doesn't reply", () => {
         // Guards against a lease that the leader has not granted.
         const harness = createReadyHarness();
--- a/packages/entry/src/reporting/report-batcher.ts
+++ b/packages/entry/src/reporting/report-batcher.ts
@@ -58,6 +58,10 @@
 const isNewer = (candidate: Announcement, queued: Announcement): boolean =>
     candidate.incarnation !== queued.incarnation || candidate.sequence > queued.sequence;
 
+/** Whether a server waits for the reply, or the announcement is recent enough for the leader. */
+const isWanted = ({ waiters, receivedAtMs }: PendingAnnouncement, nowMs: number): boolean =>
+    waiters.length > 0 || nowMs - receivedAtMs <= MAX_RESENT_ANNOUNCEMENT_AGE_MS;
+
 const createHeartbeatLease = (
     { backendServerId, incarnation, clockMs }: Announcement,
     response: ReportResponse,
@@ -132,7 +136,7 @@
     tick(nowMs: number): void {
         for (const [backendServerId, pending] of this.#announcements) {
             this.#expireWaiters(pending, nowMs);
-            if (pending.waiters.length === 0) {
+            if (!isWanted(pending, nowMs)) {
                 this.#announcements.delete(backendServerId);
             }
         }
@@ -156,7 +160,7 @@
             const batch = this.#inFlight;
             this.context.calls.abandon(this.#lastCallId);
             this.#inFlight = undefined;
-            this.#requeueBatch(batch);
+            this.#requeueBatch(batch, nowMs);
         }
         for (const [backendServerId, latest] of this.#latestAnnouncements) {
             if (nowMs - latest.receivedAtMs > MAX_RESENT_ANNOUNCEMENT_AGE_MS) {
@@ -233,7 +237,7 @@
             this.#earliestSendMs = nowMs + (result.error.retryNow ? 0 : this.context.settings.timing.retryDelayMs);
             // A new leader starts no task on a server without an announcement, so these are not held back any longer.
             this.#announcementsDueMs = this.#earliestSendMs;
-            this.#requeueBatch(batch);
+            this.#requeueBatch(batch, nowMs);
         }
         this.flush(nowMs);
     }
@@ -286,11 +290,11 @@
         }
     }
 
-    #requeueBatch(batch: Batch): void {
+    #requeueBatch(batch: Batch, nowMs: number): void {
         this.#starts = [...batch.starts, ...this.#starts];
         this.#ends = [...batch.ends, ...this.#ends];
         for (const pending of [...batch.announcements, ...batch.heartbeats]) {
-            if (pending.waiters.length > 0) {
+            if (isWanted(pending, nowMs)) {
                 this.#mergeAnnouncement(pending);
             }
         }
