Keep blobs that were put just before a restart until they can be referenced

Callers saw: an accepted job without its payload, if all replicas that hold it were restarted between the payload's put and the job's acceptance.

Cause: the times of puts are in memory only. After a restart, garbage collection compared a segment's number with a time, as if it were the time of its blobs. The number is the time at which the segment was begun, so that a segment of any age may hold a blob that was put a moment ago and isn't referenced yet.

Change: blobs from before the store was opened count as put at that time; a segment's number is only its order.

This is the blob store of the product's own interface; the users' platform doesn't use it.

--- a/packages/daemon/src/blob-store/blob-store.ts
+++ b/packages/daemon/src/blob-store/blob-store.ts
@@ -30,19 +30,24 @@
     readonly #index = new SegmentIndex();
     readonly #files = new Map<number, FileHandle>();
     #activeSegment = 0;
-    /** Time of the last put of each blob. Recently put blobs are retained, since they may not be referenced yet. */
+    readonly #openedAtMs: number;
+    /**
+     * Time of the last put of each blob since the store was opened. Recently put blobs are retained, since they may not
+     * be referenced yet.
+     */
     readonly #lastPutMs = new Map<string, number>();
     #queue: QueuedWrite[] = [];
     #writing: Promise<void> | undefined;
     #failure: StepError | undefined;
 
-    private constructor(folder: string) {
+    private constructor(folder: string, openedAtMs: number) {
         this.#folder = folder;
+        this.#openedAtMs = openedAtMs;
     }
 
     /** Opens the store and creates its folder if it does not exist. Fails with DISK_FAILED. */
     static async open(folder: string, nowMs: number): Promise<BlobStore> {
-        const store = new BlobStore(folder);
+        const store = new BlobStore(folder, nowMs);
         try {
             await store.#load(nowMs);
         }
@@ -103,15 +108,18 @@
     }
 
     /**
-     * Deletes closed segments with numbers below `beforeMs` that hold few live blobs, after copying those blobs to the
-     * active segment. A segment's number is the time at which the store was opened, in milliseconds, or the next free
-     * number after it. Returns the number of deleted segments.
+     * Deletes closed segments that hold few blobs that are live or were put after `beforeMs`, after copying those blobs
+     * to the active segment. Blobs from before the store was opened count as put at that time. Returns the number of
+     * deleted segments.
      */
     async collectGarbage(isLive: (digest: Uint8Array) => boolean, beforeMs: number): Promise<number> {
+        if (beforeMs <= this.#openedAtMs) {
+            return 0;
+        }
         this.#expirePutsBefore(beforeMs);
         const isKept = (digest: Uint8Array): boolean => isLive(digest) || this.#lastPutMs.has(digestKey(digest));
         let deletedSegments = 0;
-        for (const segment of this.#index.segmentsBefore(beforeMs, this.#activeSegment)) {
+        for (const segment of this.#index.segmentsExcept(this.#activeSegment)) {
             const { live, liveBytes } = this.#index.liveBlobs(segment, isKept);
             if (liveBytes > this.#index.segmentBytes(segment) * COMPACTION_RATIO) {
                 continue;
--- a/packages/daemon/src/blob-store/segment-index.ts
+++ b/packages/daemon/src/blob-store/segment-index.ts
@@ -41,9 +41,9 @@
         return this.#segments.get(segment)?.sizeBytes ?? 0;
     }
 
-    /** Returns the segments with numbers below `beforeMs`, without `excluded`. */
-    segmentsBefore(beforeMs: number, excluded: number): number[] {
-        return [...this.#segments.keys()].filter(segment => segment < beforeMs && segment !== excluded);
+    /** Returns all segments but one. */
+    segmentsExcept(excluded: number): number[] {
+        return [...this.#segments.keys()].filter(segment => segment !== excluded);
     }
 
     /** Returns the live blobs whose indexed copy is in this segment, and the sum of their sizes. */
