Send announcements in full whose sequence a heartbeat can't hold

Callers saw, on the product's own interface: ends and answers of all tasks behind one entry that never reach the leader.

Cause: an announcement's sequence is a double, a heartbeat's a uint32. One server with a sequence from 2^32 on, a negative or a fractional one makes the message to the leader fail when it is encoded; the message is queued again with everything that has arrived since, and fails again.

Change: such an announcement is sent in full, which holds any sequence.

--- a/packages/entry/src/reporting/announcement-deduplicator.test.ts
+++ b/packages/entry/src/reporting/announcement-deduplicator.test.ts
@@ -1,6 +1,6 @@
-import { create } from "@bufbuild/protobuf";
+import { create, toBinary } from "@bufbuild/protobuf";
 import type { MessageInitShape } from "@bufbuild/protobuf";
-import { AnnouncementSchema, TaskPhase } from "@waxwingspread/protocol";
+import { AnnouncementSchema, HeartbeatSchema, TaskPhase } from "@waxwingspread/protocol";
 import type { Announcement } from "@waxwingspread/protocol";
 import { beforeEach, describe, expect, it } from "vitest";
 import { AnnouncementDeduplicator } from "./announcement-deduplicator.js";
@@ -33,6 +33,16 @@
         expect(heartbeat).toMatchObject({ clockMs: 2_000, sequence: 2, heldMs: 12 });
     });
 
+    // Guards against one server whose sequence can't be encoded, so that no report of this entry reaches the leader.
+    it.each([2 ** 32, 2.5, -1])("sends the announcement in full if its sequence %d is no uint32", sequence => {
+        expect(deduplicator.toHeartbeat(announcement(sequence), 0, LEADER)).toBeUndefined();
+    });
+
+    it("sends a heartbeat with the largest uint32", () => {
+        const heartbeat = deduplicator.toHeartbeat(announcement(2 ** 32 - 1), 0, LEADER);
+        expect(heartbeat === undefined ? 0 : toBinary(HeartbeatSchema, heartbeat).length).toBeGreaterThan(0);
+    });
+
     it.each<[string, Overrides]>([
         ["the tasks", { tasks: [] }],
         ["leaving", { leaving: true }],
--- a/packages/entry/src/reporting/announcement-deduplicator.ts
+++ b/packages/entry/src/reporting/announcement-deduplicator.ts
@@ -2,6 +2,7 @@
 import { announcementDigestKey, digestAnnouncement } from "@waxwingspread/common";
 import { HeartbeatSchema } from "@waxwingspread/protocol";
 import type { Announcement, Heartbeat } from "@waxwingspread/protocol";
+import { UINT32_LIMIT } from "../http/parsing.js";
 
 /** The announcement of one backend server that a leader is known to hold. */
 interface KnownAnnouncement {
@@ -22,6 +23,10 @@
         if (known === undefined || known.leaderAddress !== leaderAddress || announcement.leaseToken !== "") {
             return undefined;
         }
+        // One heartbeat that can't be encoded would hold back the whole message, and all later ones.
+        if (!isUint32(announcement.sequence)) {
+            return undefined;
+        }
         const digest = digestAnnouncement(announcement);
         if (announcementDigestKey(digest) !== known.digest) {
             return undefined;
@@ -42,3 +47,5 @@
         this.#knownAnnouncements.delete(backendServerId);
     }
 }
+
+const isUint32 = (value: number): boolean => Number.isInteger(value) && value >= 0 && value <= UINT32_LIMIT;
