--- a/packages/daemon/src/workflow/forwarded-call.test.ts
+++ b/packages/daemon/src/workflow/forwarded-call.test.ts
@@ -64,7 +64,6 @@
     request,
     deadlines: { notRunDeadlineMs: NOT_RUN_DEADLINE_MS, deadlineMs: DEADLINE_MS },
     caller,
-    reportsSent: true,
     finder,
     port: 1,
     readNowMs: () => Date.now(),
@@ -158,10 +157,10 @@
     expect(calls.every(({ call }) => call.signal?.aborted === true)).toBe(true);
 });
 
-// Guards against a "not run" for a change that was sent by a caller that doesn't report this.
-it("counts each attempt as sent if the caller doesn't report it", async () => {
-    const options = optionsOf(ForwardedOperation.Cancel, { jobId: "j" });
-    const observed = observe(new ForwardedCall({ ...options, reportsSent: false }));
+// Guards against a "not run" for a change that a leader may have received.
+it("reports a change that was sent and not answered as uncertain", async () => {
+    const observed = observe(cancelCall());
+    calls[0]?.call.onSent?.();
     await vi.advanceTimersByTimeAsync(DEADLINE_MS);
     expect(observed).toEqual({ result: refused(Refusal.Uncertain), atMs: DEADLINE_MS });
 });
--- a/packages/daemon/src/workflow/forwarded-call.ts
+++ b/packages/daemon/src/workflow/forwarded-call.ts
@@ -1,3 +1,4 @@
+import { messageOf } from "@waxwingspread/common";
 import { Refusal, refused } from "@waxwingspread/workflow";
 import type { CallResult } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
@@ -37,8 +38,6 @@
     request: ForwardedRequests[Operation];
     deadlines: ForwardDeadlines;
     caller: ForwardingCaller;
-    /** Whether the caller reports that a request was sent. Otherwise each attempt counts as sent from its start. */
-    reportsSent: boolean;
     finder: Pick<
         LeaderFinder,
         "leaderHost" | "lastLeaderContactMs" | "pickHost" | "recordLeader" | "setNamedLeader" | "clearLeader"
@@ -130,11 +129,11 @@
     }
 
     #startAttempt(nowMs: number): void {
-        const { operation, request, caller, reportsSent, finder, port } = this.#options;
+        const { operation, request, caller, finder, port } = this.#options;
         if (this.#latestAttempt !== undefined && this.#isSilent(this.#latestAttempt.host)) {
-            finder.clearLeader(this.#latestAttempt.host);
+            finder.clearLeader(this.#latestAttempt.host, `no response within ${ATTEMPT_PATIENCE_MS} ms`);
         }
-        const attempt: Attempt = { host: this.#pickHost(), startedAtMs: nowMs, isSent: !reportsSent };
+        const attempt: Attempt = { host: this.#pickHost(), startedAtMs: nowMs, isSent: false };
         this.#latestAttempt = attempt;
         this.#openAttempts.add(attempt);
         this.#nextAttemptAtMs = nowMs + ATTEMPT_PATIENCE_MS;
@@ -207,7 +206,7 @@
     /** Passes the leader that a host without the leadership names to the finder, unless the finder knows better. */
     #followNamedLeader(attempt: Attempt, namedHost: string | undefined): void {
         const { finder } = this.#options;
-        finder.clearLeader(attempt.host);
+        finder.clearLeader(attempt.host, "it refused a call as not the leader");
         const isUsable = namedHost !== undefined && namedHost !== attempt.host && !this.#isSilent(namedHost);
         if (finder.leaderHost === undefined && isUsable) {
             finder.setNamedLeader(namedHost);
@@ -222,7 +221,7 @@
         const { operation, finder, logger } = this.#options;
         logger.debug({ err: error, operation, host: attempt.host }, "forwarded call failed");
         if (attempt === this.#latestAttempt) {
-            finder.clearLeader(attempt.host);
+            finder.clearLeader(attempt.host, messageOf(error));
         }
         this.#handleAttemptWithoutAnswer(attempt, !(error instanceof CallError) || error.mayHaveActed, nowMs);
     }
--- a/packages/daemon/src/workflow/leader-client.ts
+++ b/packages/daemon/src/workflow/leader-client.ts
@@ -3,13 +3,11 @@
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { ForwardedCall } from "./forwarded-call.js";
 import type { ForwardDeadlines } from "./forwarded-call.js";
-import { JsonCaller } from "./json-call.js";
+import { InternalCaller } from "./internal-caller.js";
 import { LeaderFinder } from "./leader-finder.js";
 import type { ForwardedOperation, ForwardedRequests, ForwardedValues } from "./operations.js";
 import type { EntryMetrics } from "./workflow-metrics.js";
 
-/** Whether the caller reports that a request was sent. */
-const REPORTS_SENT = false;
 /** Time without contact to a serving leader after which an entry is not ready. */
 const READINESS_TIMEOUT_MS = 2_500;
 
@@ -25,7 +23,7 @@
 
 /** Forwards calls to the leader. */
 export class LeaderClient {
-    readonly #caller = new JsonCaller();
+    readonly #caller = new InternalCaller();
     readonly #port: number;
     readonly #metrics: EntryMetrics;
     readonly #logger: Logger;
@@ -83,7 +81,6 @@
             request,
             deadlines: { ...deadlines, deadlineMs: Math.min(deadlines.deadlineMs, this.#endMs) },
             caller: this.#caller,
-            reportsSent: REPORTS_SENT,
             finder: this.#finder,
             port: this.#port,
             readNowMs: monotonicNowMs,
