Keep a connection to a late peer that answers pings

What callers saw: while a leader answers later than callers wait, each entry and relay replaced its connection once a second, for as long as that lasted.

Cause: only answers to calls that still waited counted as a sign that the connection works. A call that times out is cancelled, and its answer, if the peer sends one at all, is not counted.

Change: a call without an answer after half of its timeout pings the peer if nothing has arrived since it was sent, and any byte that arrives counts. The HTTP/2 library of the peer answers a ping whenever its event loop reads. A connection on which nothing arrives is replaced as early as before.

Evidence: the new test fails before the change ("expected 2 to be 1": a second connection after one second). The test of the late answer on a retired connection let the peer be late, which no longer retires it; it now holds back what the peer sends, and passes before and after the change.

--- a/packages/daemon/src/workflow/internal-caller.real.test.ts
+++ b/packages/daemon/src/workflow/internal-caller.real.test.ts
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
-import type { AddressInfo, Server as NetServer } from "node:net";
+import type { AddressInfo, Server as NetServer, Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { pino } from "pino";
 import { afterEach, expect, it } from "vitest";
@@ -34,12 +34,17 @@
     return { listener, port };
 };
 
+interface Proxy {
+    port: number;
+    connectionCount: () => number;
+    /** Holds back what the target sends until the returned function is called. */
+    holdAnswers: () => () => void;
+}
+
 /** Passes connections on to another port, except for those that `isSilent` selects by their number. */
-const startProxy = async (
-    targetPort: number,
-    isSilent: (connection: number) => boolean,
-): Promise<{ port: number; connectionCount: () => number }> => {
+const startProxy = async (targetPort: number, isSilent: (connection: number) => boolean): Promise<Proxy> => {
     let connections = 0;
+    const passed: { socket: Socket; target: Socket }[] = [];
     const proxy: NetServer = createServer(socket => {
         connections += 1;
         socket.on("error", () => socket.destroy());
@@ -50,11 +55,17 @@
         const target = connect(targetPort, HOST);
         target.on("error", () => socket.destroy());
         socket.pipe(target).pipe(socket);
+        passed.push({ socket, target });
     });
     proxy.listen(0, HOST);
     await once(proxy, "listening");
     cleanups.push(() => proxy.close());
-    return { port: (proxy.address() as AddressInfo).port, connectionCount: () => connections };
+    const holdAnswers = (): () => void => {
+        const held = [...passed];
+        held.forEach(({ socket, target }) => target.unpipe(socket));
+        return () => held.forEach(({ socket, target }) => target.pipe(socket));
+    };
+    return { port: (proxy.address() as AddressInfo).port, connectionCount: () => connections, holdAnswers };
 };
 
 const createCaller = (): InternalCaller => {
@@ -89,6 +100,20 @@
     expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({});
 });
 
+// Guards against a connection to a leader that is late for long, which is replaced once a second by each entry. The
+// leader then accepts connections in place of handling calls, and stays late.
+it("keeps a connection on which only answers to calls that have timed out arrive", async () => {
+    const { port: targetPort } = await listen(["/late", () => delay(150, {})]);
+    const { port, connectionCount } = await startProxy(targetPort, () => false);
+    const caller = createCaller();
+    const isAnswered = (): Promise<boolean> => caller.call(callOf(port, "/late", 100)).then(() => true, () => false);
+    for (let round = 0; round < 16; round += 1) {
+        expect(await isAnswered()).toBe(false);
+    }
+    expect(connectionCount()).toBe(1);
+    expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({});
+});
+
 // Guards against calls that are sent on a connection whose packets are lost while new connections would work.
 it("replaces a connection on which nothing arrives", async () => {
     const { port: targetPort } = await listen(["/echo", (body: unknown) => body]);
@@ -106,10 +131,16 @@
 
 // Guards against an answer that is lost because its connection was replaced for another call.
 it("delivers the late answer of a call whose connection takes no more calls", async () => {
-    const { port } = await listen(["/late", () => delay(1_600, { isLate: true })], ["/never", () => delay(5_000)]);
+    const { port: targetPort } = await listen(["/late", () => delay(100, { isLate: true })]);
+    const { port, connectionCount, holdAnswers } = await startProxy(targetPort, () => false);
     const caller = createCaller();
+    await caller.call(callOf(port, "/late", 1_000));
+    const releaseAnswers = holdAnswers();
     const late = caller.call(callOf(port, "/late", 4_000));
-    await expect(caller.call(callOf(port, "/never", 1_200))).rejects.toThrow("no response within 1200 ms");
+    await expect(caller.call(callOf(port, "/late", 1_200))).rejects.toThrow("no response within 1200 ms");
+    expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({ isLate: true });
+    expect(connectionCount()).toBe(2);
+    releaseAnswers();
     expect(await late).toEqual({ isLate: true });
 });
 
--- a/packages/daemon/src/workflow/peer-connection.ts
+++ b/packages/daemon/src/workflow/peer-connection.ts
@@ -2,6 +2,7 @@
 import { connect, constants } from "node:http2";
 import type { ClientHttp2Session, ClientHttp2Stream } from "node:http2";
 import { connect as connectSocket } from "node:net";
+import type { Socket } from "node:net";
 import { HTTP2_WINDOW_BYTES } from "../http/http-listener.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { CallError, parseJson } from "./json-call.js";
@@ -11,6 +12,8 @@
 const IDLE_TIMEOUT_MS = 60_000;
 /** Age below which a connection isn't replaced, however long its peer takes to respond. */
 const MIN_AGE_MS = 1_000;
+/** Part of a call's timeout after which its peer is pinged, so that a peer that is only late is heard of in time. */
+const PING_AFTER_RATIO = 0.5;
 
 /** Construction parameters of a {@link PeerConnection}. */
 export interface PeerConnectionOptions {
@@ -22,16 +25,18 @@
 /** HTTP/2 connection to a peer, which carries any number of calls at once. */
 export class PeerConnection {
     readonly #session: ClientHttp2Session;
+    readonly #socket: Socket;
     readonly #connected: Promise<unknown>;
     readonly #openedAtMs: number;
-    #lastReceivedAtMs = -Infinity;
     #openCalls = 0;
     #isRetired = false;
+    #isPinging = false;
 
     constructor({ host, port, onClosed }: PeerConnectionOptions, nowMs: number) {
         this.#openedAtMs = nowMs;
+        this.#socket = connectSocket({ host, port });
         this.#session = connect("http://peer", {
-            createConnection: () => connectSocket({ host, port }),
+            createConnection: () => this.#socket,
             settings: { enablePush: false, initialWindowSize: HTTP2_WINDOW_BYTES },
         });
         this.#connected = once(this.#session, "connect");
@@ -70,7 +75,7 @@
     async send(call: JsonCall): Promise<JsonResponse> {
         this.#openCalls += 1;
         try {
-            return await this.#send(call, monotonicNowMs());
+            return await this.#send(call, this.#socket.bytesRead);
         }
         finally {
             this.#openCalls -= 1;
@@ -80,12 +85,13 @@
         }
     }
 
-    #send(call: JsonCall, sentAtMs: number): Promise<JsonResponse> {
+    #send(call: JsonCall, bytesReadBefore: number): Promise<JsonResponse> {
         return new Promise((resolve, reject) => {
             let stream: ClientHttp2Stream | undefined;
             let isEnded = false;
             const end = (): void => {
                 isEnded = true;
+                clearTimeout(pingTimer);
                 clearTimeout(timer);
                 call.signal?.removeEventListener("abort", abort);
             };
@@ -95,9 +101,10 @@
                 stream?.close(constants.NGHTTP2_CANCEL);
             };
             const abort = (): void => fail(new Error("the call was aborted"));
+            const pingTimer = setTimeout(() => this.#pingIfSilent(bytesReadBefore), call.timeoutMs * PING_AFTER_RATIO);
             const timer = setTimeout(() => {
                 fail(new Error(`no response within ${call.timeoutMs} ms`));
-                this.#retireIfSilent(sentAtMs, monotonicNowMs());
+                this.#retireIfSilent(bytesReadBefore, monotonicNowMs());
             }, call.timeoutMs);
             call.signal?.addEventListener("abort", abort);
             const start = (): void => {
@@ -108,7 +115,6 @@
                 stream = this.#openStream(call);
                 call.onSent?.();
                 readResponse(stream, {
-                    onReceived: () => this.#recordReceived(),
                     onResponse: response => {
                         end();
                         resolve(response);
@@ -133,16 +139,23 @@
         return stream;
     }
 
-    #recordReceived(): void {
-        this.#lastReceivedAtMs = monotonicNowMs();
+    /** Pings the peer if nothing has arrived since a call was sent. Its answer shows that the connection works. */
+    #pingIfSilent(bytesReadBefore: number): void {
+        const isOpen = !this.#socket.connecting && !this.#session.destroyed;
+        const canPing = isOpen && !this.#isPinging;
+        if (canPing && this.#socket.bytesRead === bytesReadBefore) {
+            this.#isPinging = this.#session.ping(() => {
+                this.#isPinging = false;
+            });
+        }
     }
 
     /**
-     * Retires a connection on which nothing has arrived since the call was sent: its peer may have been replaced, or the
-     * packets of this connection may be lost while those of a new one arrive.
+     * Retires a connection on which nothing has arrived since a call was sent, not even the answer to a ping: its peer
+     * may have been replaced, or the packets of this connection may be lost while those of a new one arrive.
      */
-    #retireIfSilent(sentAtMs: number, nowMs: number): void {
-        if (this.#lastReceivedAtMs < sentAtMs && nowMs - this.#openedAtMs >= MIN_AGE_MS) {
+    #retireIfSilent(bytesReadBefore: number, nowMs: number): void {
+        if (this.#socket.bytesRead === bytesReadBefore && nowMs - this.#openedAtMs >= MIN_AGE_MS) {
             this.retire();
         }
     }
@@ -152,23 +165,18 @@
 const mayHaveArrived = (stream: ClientHttp2Stream): boolean => stream.rstCode !== constants.NGHTTP2_REFUSED_STREAM;
 
 interface ResponseHandlers {
-    onReceived: () => void;
     onResponse: (response: JsonResponse) => void;
     onFailed: (error: unknown) => void;
 }
 
-const readResponse = (stream: ClientHttp2Stream, { onReceived, onResponse, onFailed }: ResponseHandlers): void => {
+const readResponse = (stream: ClientHttp2Stream, { onResponse, onFailed }: ResponseHandlers): void => {
     const chunks: Buffer[] = [];
     let status: number | undefined;
     let isWhole = false;
     stream.once("response", headers => {
-        onReceived();
         status = headers[":status"];
     });
-    stream.on("data", (chunk: Buffer) => {
-        onReceived();
-        chunks.push(chunk);
-    });
+    stream.on("data", (chunk: Buffer) => chunks.push(chunk));
     stream.once("end", () => {
         isWhole = status !== undefined && stream.rstCode === constants.NGHTTP2_NO_ERROR;
         if (status !== undefined && isWhole) {
