Close HTTP/2 connections on which nothing arrives

What callers saw: nothing yet; after enough losses of power or cuts, a control process would refuse every new connection of entries, relays and replicas, so that no call reached it until it was started again.

Cause: with HTTP/1.1 the listener closed idle connections after 30 s. The HTTP/2 connections of internal calls have no such limit at the server, and a client that has lost power or was replaced closes nothing. Each such client leaves a connection for the life of the process, up to the 500 that the internal listener accepts. After a protocol error Node's HTTP/2 server doesn't close the socket either, even when the client has closed it.

Change: a connection without any frame for 90 s is closed. Callers close theirs after 60 s without a call, so that no call meets this close.

Evidence: both new tests fail before the change ("expected 1 to be 0", the connection still open after 2 s).

--- a/packages/daemon/src/http/http-listener.real.test.ts
+++ b/packages/daemon/src/http/http-listener.real.test.ts
@@ -114,3 +114,32 @@
         await listener.close(GRACE_MS);
     }
 });
+
+const HTTP2_PREFACE = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+const SETTINGS_FRAME = "\0\0\0\x04\0\0\0\0\0";
+/** A DATA frame without a stream, which breaks the protocol. */
+const INVALID_FRAME = "\0\0\0\0\0\0\0\0\0";
+
+// Guards against connections of clients that have lost power or were cut off, which nobody closes. They added up to the
+// limit of the listener, which then refused all new ones.
+it.each([
+    { name: "is silent", sent: SETTINGS_FRAME },
+    { name: "has broken the protocol", sent: SETTINGS_FRAME + INVALID_FRAME },
+])("closes an HTTP/2 connection that $name", async ({ sent }) => {
+    const listener = new HttpListener({
+        address: { host: "127.0.0.1", port: 0 },
+        maxConnections: 1,
+        handle: () => undefined,
+        handleHttp2: () => undefined,
+        http2IdleTimeoutMs: 200,
+        onConnectionRefused: () => undefined,
+        logger,
+    });
+    const socket = connect({ port: await listener.listen(), host: "127.0.0.1", allowHalfOpen: true });
+    socket.on("error", () => undefined);
+    socket.resume().write(Buffer.from(HTTP2_PREFACE + sent, "latin1"));
+    await vi.waitFor(() => expect(listener.connectionCount).toBe(1));
+    await vi.waitFor(() => expect(listener.connectionCount).toBe(0), 2_000);
+    socket.destroy();
+    await listener.close(0);
+});
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -19,6 +19,8 @@
 const REQUEST_TIMEOUT_MS = 30_000;
 /** Time after which an idle connection is closed. */
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+/** Time after which a silent HTTP/2 connection is closed; longer than the time after which callers close idle ones. */
+const HTTP2_IDLE_TIMEOUT_MS = 90_000;
 
 /** Time for which a closing listener still answers requests that were in transit when it stopped listening. */
 const CLOSE_DELAY_MS = 100;
@@ -44,6 +46,8 @@
     onConnectionRefused: () => void;
     /** Handles HTTP/2 requests on the same port. Without it only HTTP/1.1 is served. */
     handleHttp2?: (request: Http2ServerRequest, response: Http2ServerResponse) => void;
+    /** Time after which a silent HTTP/2 connection is closed; 90 s by default. */
+    http2IdleTimeoutMs?: number;
 }
 
 /** HTTP/1.1 listener, optionally with HTTP/2, that limits its connections and the time for which clients may send. */
@@ -74,7 +78,7 @@
         });
         this.#acceptingServer = options.handleHttp2 === undefined
             ? this.#server
-            : createProtocolDetectingServer(this.#server, this.#createHttp2Server(options.handleHttp2));
+            : createProtocolDetectingServer(this.#server, this.#createHttp2Server(options.handleHttp2, options));
         this.#acceptingServer.maxConnections = options.maxConnections;
         this.#acceptingServer.on("connection", socket => {
             this.#acceptedConnections += 1;
@@ -130,10 +134,15 @@
         clearTimeout(timer);
     }
 
-    #createHttp2Server(handle: (request: Http2ServerRequest, response: Http2ServerResponse) => void): Http2Server {
+    #createHttp2Server(
+        handle: (request: Http2ServerRequest, response: Http2ServerResponse) => void,
+        { http2IdleTimeoutMs = HTTP2_IDLE_TIMEOUT_MS }: HttpListenerOptions,
+    ): Http2Server {
         const server = createHttp2Server({ settings: { initialWindowSize: HTTP2_WINDOW_BYTES } }, handle);
         server.on("session", session => {
             session.setLocalWindowSize(HTTP2_WINDOW_BYTES);
+            // A client that has lost power, or was cut off, closes nothing.
+            session.setTimeout(http2IdleTimeoutMs, () => session.destroy());
             this.#http2Sessions.add(session);
             session.once("close", () => this.#http2Sessions.delete(session));
             if (this.#isDraining) {
