Track the HTTP/1.1 connections of a listener that serves HTTP/2 too

What callers saw: a stop of a control process waited for its whole grace period for idle HTTP/1.1 connections, which callers of an earlier build and operators keep open. A connection that sends a request only in part stayed open for the life of the process.

Cause: Node's HTTP/1.1 server tracks connections from its listening event on. Behind the server that detects the protocol it never listens itself, so that closeIdleConnections and the time limits for headers and requests did nothing.

Change: the HTTP/1.1 server is told when the detecting server listens, and when it is closed.

Evidence: the new test fails before the change (the connection still open after 2 s of a grace period of 5 s).

--- a/packages/daemon/src/http/http-listener.real.test.ts
+++ b/packages/daemon/src/http/http-listener.real.test.ts
@@ -1,6 +1,7 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { connect } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import { pino } from "pino";
 import { expect, it, vi } from "vitest";
 import { HttpListener } from "./http-listener.js";
@@ -143,3 +144,22 @@
     socket.destroy();
     await listener.close(0);
 });
+
+// Guards against a planned stop that waits for its whole grace period for idle connections of HTTP/1.1 clients.
+it("closes idle HTTP/1.1 connections soon, with HTTP/2 served too", async () => {
+    const listener = new HttpListener({
+        address: { host: "127.0.0.1", port: 0 },
+        maxConnections: 8,
+        handle: (unusedRequest, response) => void response.end("done"),
+        handleHttp2: () => undefined,
+        onConnectionRefused: () => undefined,
+        logger,
+    });
+    const socket = connect(await listener.listen(), "127.0.0.1");
+    socket.write(REQUEST);
+    await once(socket, "data");
+    const closed = listener.close(GRACE_MS);
+    const isClosed = once(socket, "close").then(() => true);
+    expect(await Promise.race([isClosed, delay(2_000, false)])).toBe(true);
+    await closed;
+});
--- a/packages/daemon/src/http/protocol-detection.ts
+++ b/packages/daemon/src/http/protocol-detection.ts
@@ -9,8 +9,8 @@
 const FIRST_BYTES_TIMEOUT_MS = 10_000;
 
 /** Creates a server that hands each connection to the HTTP/1.1 or the HTTP/2 server, depending on its first bytes. */
-export const createProtocolDetectingServer = (http1: Server, http2: Http2Server): NetServer =>
-    createServer(socket => {
+export const createProtocolDetectingServer = (http1: Server, http2: Http2Server): NetServer => {
+    const server = createServer(socket => {
         socket.on("error", () => socket.destroy());
         socket.setTimeout(FIRST_BYTES_TIMEOUT_MS, () => socket.destroy());
         socket.once("readable", () => {
@@ -24,6 +24,11 @@
             dispatchConnection(socket, firstBytes, http1, http2);
         });
     });
+    // An HTTP/1.1 server tracks its connections, for its time limits and to close idle ones, while it is listening.
+    server.once("listening", () => http1.emit("listening"));
+    server.once("close", () => http1.close());
+    return server;
+};
 
 const dispatchConnection = (socket: Socket, firstBytes: Buffer, http1: Server, http2: Http2Server): void => {
     const preface = firstBytes.subarray(0, HTTP2_PREFACE_START.length).toString("latin1");
