Call peers of the version before HTTP/2 over HTTP/1.1

What callers saw: during an upgrade, entries first and the leader last as docs/operators.md asks, every request at an upgraded entry failed until the leader was upgraded too. The first call on each connection was reported as possibly executed, which it can't have been.

The new listener takes both protocols, but the new caller speaks HTTP/2 only, and a listener of the former version answers its preface with status 400.

A call that finds its connection destroyed, but not yet closed, opens a new one instead of failing.

Evidence: the new test fails before the change ("Protocol error"); its peer is an HTTP/1.1 listener like that of the former version.

--- a/packages/daemon/src/workflow/internal-caller.real.test.ts
+++ b/packages/daemon/src/workflow/internal-caller.real.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { pino } from "pino";
 import { afterEach, expect, it } from "vitest";
-import type { HttpListener } from "../http/http-listener.js";
+import { HttpListener } from "../http/http-listener.js";
 import { InternalCaller } from "./internal-caller.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
@@ -211,3 +211,26 @@
     expect(isSent).toBe(true);
     expect(await other).toEqual({});
 });
+
+// Guards against an upgrade during which entries of the new version can't reach the leader, which is upgraded last.
+it("calls a peer of the version before HTTP/2 over HTTP/1.1", async () => {
+    let executed = 0;
+    const listener = new HttpListener({
+        address: { host: HOST, port: 0 },
+        maxConnections: 8,
+        handle: (request, response) => {
+            executed += 1;
+            request.pipe(response);
+        },
+        onConnectionRefused: () => undefined,
+        logger: pino({ enabled: false }),
+    });
+    const port = await listener.listen();
+    const caller = createCaller();
+    const call = callOf(port, "/echo", 1_000);
+    expect(await Promise.all([caller.call(call), caller.call(call)])).toEqual([call.body, call.body]);
+    expect(await caller.call(call)).toEqual(call.body);
+    expect(executed).toBe(3);
+    caller.close();
+    await listener.close(GRACE_MS);
+});
--- a/packages/daemon/src/workflow/peer-connection.ts
+++ b/packages/daemon/src/workflow/peer-connection.ts
@@ -15,6 +15,16 @@
 /** Part of a call's timeout after which its peer is pinged, so that a peer that is only late is heard of in time. */
 const PING_AFTER_RATIO = 0.5;
 
+/** Code of the errors that Node's HTTP/2 library reports about what it receives. */
+const HTTP2_LIBRARY_ERROR = "ERR_HTTP2_ERROR";
+
+/** Failure of a call to a peer that doesn't serve HTTP/2 and has therefore not executed it. */
+export class Http2UnsupportedError extends CallError {
+    constructor(call: JsonCall) {
+        super(call, "the peer doesn't serve HTTP/2", false);
+    }
+}
+
 /** Construction parameters of a {@link PeerConnection}. */
 export interface PeerConnectionOptions {
     host: string;
@@ -30,6 +40,7 @@
     readonly #openedAtMs: number;
     #openCalls = 0;
     #isRetired = false;
+    #isHttp2Confirmed = false;
     #isPinging = false;
 
     constructor({ host, port, onClosed }: PeerConnectionOptions, nowMs: number) {
@@ -44,6 +55,9 @@
         this.#session.once("connect", () => this.#session.setLocalWindowSize(HTTP2_WINDOW_BYTES));
         // Calls on a broken connection fail with errors of their own.
         this.#session.on("error", () => undefined);
+        this.#session.once("remoteSettings", () => {
+            this.#isHttp2Confirmed = true;
+        });
         this.#session.once("goaway", () => this.retire());
         this.#session.once("close", () => {
             this.retire();
@@ -54,7 +68,7 @@
 
     /** Whether the connection takes no more calls. */
     get isRetired(): boolean {
-        return this.#isRetired;
+        return this.#isRetired || this.#session.destroyed;
     }
 
     /** Takes no more calls and closes the connection when its open calls have ended. */
@@ -97,7 +111,11 @@
             };
             const fail = (error: unknown): void => {
                 end();
-                reject(new CallError(call, error, stream !== undefined && mayHaveArrived(stream)));
+                reject(
+                    this.#isHttp2Unsupported(error)
+                        ? new Http2UnsupportedError(call)
+                        : new CallError(call, error, stream !== undefined && mayHaveArrived(stream)),
+                );
                 stream?.close(constants.NGHTTP2_CANCEL);
             };
             const abort = (): void => fail(new Error("the call was aborted"));
@@ -139,6 +157,12 @@
         return stream;
     }
 
+    /** Whether the peer has responded with something other than HTTP/2. */
+    #isHttp2Unsupported(error: unknown): boolean {
+        return !this.#isHttp2Confirmed && error instanceof Error && "code" in error
+            && error.code === HTTP2_LIBRARY_ERROR;
+    }
+
     /** Pings the peer if nothing has arrived since a call was sent. Its answer shows that the connection works. */
     #pingIfSilent(bytesReadBefore: number): void {
         const isOpen = !this.#socket.connecting && !this.#session.destroyed;
