Read the answers that have arrived before a call times out

What callers saw: an entry or a replica that was stalled or frozen for longer than a call's timeout reported "leader lost", or a change as uncertain, although the answer had arrived in time.

Cause: the event loop runs timers before it reads from sockets, so that after a stall the timeout of a call came before its answer.

Change: a timeout takes effect after the sockets have been read once more.

Evidence: the new test, whose peer runs in a thread of its own while the caller's thread is blocked for 400 ms, fails before the change ("no response within 200 ms").

--- a/packages/daemon/src/workflow/internal-caller.real.test.ts
+++ b/packages/daemon/src/workflow/internal-caller.real.test.ts
@@ -1,7 +1,8 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server as NetServer, Socket } from "node:net";
-import { setTimeout as delay } from "node:timers/promises";
+import { setImmediate as nextIteration, setTimeout as delay } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
 import { pino } from "pino";
 import { afterEach, expect, it } from "vitest";
 import { HttpListener } from "../http/http-listener.js";
@@ -234,3 +235,27 @@
     caller.close();
     await listener.close(GRACE_MS);
 });
+
+/** Program of a peer in a thread of its own, which answers after 50 ms and reports its port. */
+const PEER_PROGRAM = `
+    const { createServer } = require("node:http2");
+    const { parentPort } = require("node:worker_threads");
+    const server = createServer((request, response) => {
+        request.resume();
+        setTimeout(() => response.end("{}"), 50);
+    });
+    server.listen(0, "${HOST}", () => parentPort.postMessage(server.address().port));
+`;
+
+// Guards against a process that was stalled, or frozen, and throws away the answers that arrived meanwhile.
+it("returns an answer that arrived in time although the caller's process was stalled", async () => {
+    const peer = new Worker(PEER_PROGRAM, { eval: true });
+    cleanups.push(() => peer.terminate());
+    const [port] = await once(peer, "message") as [number];
+    const caller = createCaller();
+    await caller.call(callOf(port, "/any", 1_000));
+    const answer = caller.call(callOf(port, "/any", 200));
+    await nextIteration();
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 400);
+    expect(await answer).toEqual({});
+});
--- a/packages/daemon/src/workflow/peer-connection.ts
+++ b/packages/daemon/src/workflow/peer-connection.ts
@@ -118,12 +118,16 @@
                 );
                 stream?.close(constants.NGHTTP2_CANCEL);
             };
+            const endOverdue = (): void => {
+                if (!isEnded) {
+                    fail(new Error(`no response within ${call.timeoutMs} ms`));
+                    this.#retireIfSilent(bytesReadBefore, monotonicNowMs());
+                }
+            };
             const abort = (): void => fail(new Error("the call was aborted"));
             const pingTimer = setTimeout(() => this.#pingIfSilent(bytesReadBefore), call.timeoutMs * PING_AFTER_RATIO);
-            const timer = setTimeout(() => {
-                fail(new Error(`no response within ${call.timeoutMs} ms`));
-                this.#retireIfSilent(bytesReadBefore, monotonicNowMs());
-            }, call.timeoutMs);
+            // A process that was stalled reads the answers that have arrived before it counts a call as timed out.
+            const timer = setTimeout(() => setImmediate(endOverdue), call.timeoutMs);
             call.signal?.addEventListener("abort", abort);
             const start = (): void => {
                 // A call that ended before the connection was established counts as not sent.
