Keep a leader that answers calls when one probe fails

What callers saw: an entry or relay forgot a leader that served its calls when a single probe was lost or took over 400 ms. The next calls went to other control processes in turn; one that was gone held them for half a second.

Cause: a failed probe discards the leader, whatever it has answered since the probe was sent.

Change: a failed probe discards the leader only if that host has responded to nothing since. A host that was only named by others is discarded as before.

--- a/packages/daemon/src/workflow/leader-finder.ts
+++ b/packages/daemon/src/workflow/leader-finder.ts
@@ -10,18 +10,21 @@
 
 /** Construction parameters of a {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
-    caller: InternalCaller;
+    caller: Pick<InternalCaller, "call">;
     /** Hosts of control processes from the settings. */
     seedHosts: readonly string[];
     /** Port of the internal listeners of all control processes. */
     port: number;
+    /** Reads the monotonic clock. */
+    readNowMs?: () => number;
     logger: Logger;
 }
 
 /** Finds the leader by probing the known control processes. */
 export class LeaderFinder {
-    readonly #caller: InternalCaller;
+    readonly #caller: Pick<InternalCaller, "call">;
     readonly #port: number;
+    readonly #readNowMs: () => number;
     readonly #logger: Logger;
     #seedHosts: readonly string[];
     #memberHosts: string[] = [];
@@ -29,6 +32,8 @@
     readonly #suggestedHosts = new Set<string>();
     #leaderHost: string | undefined;
     #nextHost = 0;
+    /** Host of the last leader that has responded. */
+    #lastLeaderHost: string | undefined;
     #lastLeaderContactMs = -Infinity;
     #probeTimer: NodeJS.Timeout | undefined;
 
@@ -36,6 +41,7 @@
         this.#caller = options.caller;
         this.#seedHosts = options.seedHosts;
         this.#port = options.port;
+        this.#readNowMs = options.readNowMs ?? monotonicNowMs;
         this.#logger = options.logger;
     }
 
@@ -90,7 +96,8 @@
             this.#logger.info({ leader: host }, "leader found");
         }
         this.#leaderHost = host;
-        this.#lastLeaderContactMs = monotonicNowMs();
+        this.#lastLeaderHost = host;
+        this.#lastLeaderContactMs = this.#readNowMs();
     }
 
     /** Sets the leader that another replica has named, before the leader itself has responded. */
@@ -116,6 +123,7 @@
     }
 
     async #probe(host: string): Promise<void> {
+        const sentAtMs = this.#readNowMs();
         try {
             const description = await this.#caller.call<ClusterDescription>({
                 host,
@@ -137,7 +145,13 @@
         catch (error) {
             const reason = messageOf(error);
             this.#logger.debug({ host, reason }, "probe of control process failed");
-            this.clearLeader(host, reason);
+            if (!this.#hasRespondedSince(host, sentAtMs)) {
+                this.clearLeader(host, reason);
+            }
         }
     }
+
+    #hasRespondedSince(host: string, timeMs: number): boolean {
+        return this.#lastLeaderHost === host && this.#lastLeaderContactMs > timeMs;
+    }
 }
