Let one search an entry find the leader, not each call

While there was no leader, each waiting call asked one replica after the other, every 40 ms, and a new leader was probed for twice a second only. The load on the replicas grew with the number of callers just when they had to elect a leader, and answers depended on a follower that named one.

Change: a call sends nothing while no leader is known. The finder probes all known control processes every 100 ms, one probe at a time to each, until one serves as the leader.

--- a/packages/daemon/src/workflow/control-relay.ts
+++ b/packages/daemon/src/workflow/control-relay.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { hostOf } from "../transport/host-of.js";
+import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { FounderSelection } from "./founder-selection.js";
 import { InternalCaller } from "./internal-caller.js";
 import { createInternalListener } from "./internal-listener.js";
@@ -56,7 +57,13 @@
         const { host, internalPort, seedHosts, isFirstStart } = settings;
         this.#settings = settings;
         this.#logger = logger;
-        this.#finder = new LeaderFinder({ caller: this.#caller, seedHosts, port: internalPort, logger });
+        this.#finder = new LeaderFinder({
+            caller: this.#caller,
+            seedHosts,
+            port: internalPort,
+            readNowMs: monotonicNowMs,
+            logger,
+        });
         this.#founderSelection = new FounderSelection({ host, seedHosts, isFirstStart });
         this.#internalListener = createInternalListener({
             address: { host, port: internalPort },
--- a/packages/daemon/src/workflow/forwarded-call.ts
+++ b/packages/daemon/src/workflow/forwarded-call.ts
@@ -10,8 +10,8 @@
 
 /** Time without an answer after which the leader is treated as lost and a further attempt begins. */
 const ATTEMPT_PATIENCE_MS = 500;
-/** Delay after an attempt that failed or reached no leader. */
-const RETRY_DELAY_MS = 40;
+/** Delay after an attempt that failed or reached no leader, and between checks for a leader. */
+const RETRY_DELAY_MS = 20;
 
 /** Operations without an effect, so that a call without an answer is never uncertain. */
 const READ_OPERATIONS: ReadonlySet<ForwardedOperation> = new Set([
@@ -40,7 +40,7 @@
     caller: ForwardingCaller;
     finder: Pick<
         LeaderFinder,
-        "leaderHost" | "lastLeaderContactMs" | "pickHost" | "recordLeader" | "setNamedLeader" | "clearLeader"
+        "leaderHost" | "lastLeaderContactMs" | "recordLeader" | "setNamedLeader" | "clearLeader"
     >;
     /** Port of the internal listeners of all control processes. */
     port: number;
@@ -128,17 +128,23 @@
         this.#timer = setTimeout(() => this.#advance(this.#options.readNowMs()), Math.max(0, nextMs - nowMs));
     }
 
+    /** Makes an attempt at the leader. While none is known, nothing is sent: only the finder looks for it. */
     #startAttempt(nowMs: number): void {
         const { operation, request, caller, finder, port } = this.#options;
         if (this.#latestAttempt !== undefined && this.#isSilent(this.#latestAttempt.host)) {
             finder.clearLeader(this.#latestAttempt.host, `no response within ${ATTEMPT_PATIENCE_MS} ms`);
         }
-        const attempt: Attempt = { host: this.#pickHost(), startedAtMs: nowMs, isSent: false };
+        const host = finder.leaderHost;
+        if (host === undefined || this.#isSilent(host)) {
+            this.#nextAttemptAtMs = nowMs + RETRY_DELAY_MS;
+            return;
+        }
+        const attempt: Attempt = { host, startedAtMs: nowMs, isSent: false };
         this.#latestAttempt = attempt;
         this.#openAttempts.add(attempt);
         this.#nextAttemptAtMs = nowMs + ATTEMPT_PATIENCE_MS;
         caller.call<ForwardedResponse<Operation>>({
-            host: attempt.host,
+            host,
             port,
             path: forwardedPath(operation),
             body: request,
@@ -151,21 +157,6 @@
         );
     }
 
-    /** Returns the leader or, if it is unknown or silent, the next host in turn that is not. */
-    #pickHost(): string {
-        const { finder } = this.#options;
-        if (finder.leaderHost !== undefined && !this.#isSilent(finder.leaderHost)) {
-            return finder.leaderHost;
-        }
-        const silentHosts = new Set<string>();
-        let host = finder.pickHost();
-        while (this.#isSilent(host) && !silentHosts.has(host)) {
-            silentHosts.add(host);
-            host = finder.pickHost();
-        }
-        return host;
-    }
-
     /**
      * Whether an attempt at this host is open, and the host hasn't shown since that it leads. Followers name a frozen
      * leader until their election timeout has passed.
@@ -191,7 +182,7 @@
         const isLatest = attempt === this.#latestAttempt;
         if (result.ok || (result.refusal !== Refusal.NotLeader && result.refusal !== Refusal.Uncertain)) {
             // A late answer doesn't show that its sender still leads.
-            if (isLatest) {
+            if (isLatest && (finder.leaderHost ?? attempt.host) === attempt.host) {
                 finder.recordLeader(attempt.host);
             }
             this.#finish(result);
--- a/packages/daemon/src/workflow/leader-client.ts
+++ b/packages/daemon/src/workflow/leader-client.ts
@@ -36,7 +36,7 @@
         this.#port = options.port;
         this.#metrics = options.metrics;
         this.#logger = options.logger;
-        this.#finder = new LeaderFinder({ ...options, caller: this.#caller });
+        this.#finder = new LeaderFinder({ ...options, caller: this.#caller, readNowMs: monotonicNowMs });
     }
 
     /** Starts to look for the leader. */
--- /dev/null
+++ b/packages/daemon/src/workflow/leader-finder.test.ts
@@ -0,0 +1,74 @@
+import { pino } from "pino";
+import { afterEach, beforeEach, expect, it, vi } from "vitest";
+import type { JsonCall } from "./json-call.js";
+import { LeaderFinder } from "./leader-finder.js";
+import type { ClusterDescription } from "./operations.js";
+
+const HOSTS = ["a", "b", "c"];
+
+let leaderHost: string | undefined;
+let silentHosts: string[];
+let probes: string[];
+let finder: LeaderFinder;
+
+const describeCluster = (host: string): ClusterDescription => ({
+    leaderHost,
+    memberHosts: HOSTS,
+    isServing: host === leaderHost,
+});
+
+const caller = {
+    call: <Response>(call: JsonCall): Promise<Response> => {
+        probes.push(call.host);
+        return silentHosts.includes(call.host)
+            ? new Promise((unusedResolve, reject) => setTimeout(() => reject(new Error("timeout")), call.timeoutMs))
+            : Promise.resolve(describeCluster(call.host) as Response);
+    },
+};
+
+const countProbes = (): number[] => HOSTS.map(host => probes.filter(probed => probed === host).length);
+
+beforeEach(() => {
+    vi.useFakeTimers({ now: 0, toFake: ["setTimeout", "setInterval", "clearInterval", "Date"] });
+    leaderHost = undefined;
+    silentHosts = [];
+    probes = [];
+    finder = new LeaderFinder({
+        caller,
+        seedHosts: HOSTS,
+        port: 1,
+        readNowMs: () => Date.now(),
+        logger: pino({ enabled: false }),
+    });
+    finder.start();
+});
+
+afterEach(() => {
+    finder.stop();
+    vi.useRealTimers();
+});
+
+// Guards against calls that wait for most of a second after an election, because replicas are rarely asked who leads.
+it("finds a leader within 100 ms of its election", async () => {
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(finder.leaderHost).toBeUndefined();
+    leaderHost = "b";
+    await vi.advanceTimersByTimeAsync(100);
+    expect(finder.leaderHost).toBe("b");
+});
+
+// Guards against probes that replicas are busy with: the known leader is probed rarely, the others not at all.
+it("probes only the leader, twice a second, once it is known", async () => {
+    leaderHost = "b";
+    await vi.advanceTimersByTimeAsync(100);
+    probes = [];
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(countProbes()).toEqual([0, 4, 0]);
+});
+
+// Guards against probes that pile up at a host without an answer.
+it("has one probe in progress at a host that doesn't answer", async () => {
+    silentHosts = ["c"];
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(countProbes()).toEqual([21, 21, 5]);
+});
--- a/packages/daemon/src/workflow/leader-finder.ts
+++ b/packages/daemon/src/workflow/leader-finder.ts
@@ -1,34 +1,40 @@
 import { messageOf } from "@waxwingspread/common";
 import type { Logger } from "pino";
-import { monotonicNowMs } from "../transport/monotonic-time.js";
 import type { InternalCaller } from "./internal-caller.js";
 import { CLUSTER_PATH } from "./operations.js";
 import type { ClusterDescription } from "./operations.js";
 
+/** Interval at which the known leader is probed. */
 const PROBE_INTERVAL_MS = 500;
+/** Interval at which all known control processes are probed while no leader is known. */
+const SEARCH_INTERVAL_MS = 100;
 const PROBE_TIMEOUT_MS = 400;
 
 /** Construction parameters of a {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
-    caller: InternalCaller;
+    caller: Pick<InternalCaller, "call">;
     /** Hosts of control processes from the settings. */
     seedHosts: readonly string[];
     /** Port of the internal listeners of all control processes. */
     port: number;
+    readNowMs: () => number;
     logger: Logger;
 }
 
 /** Finds the leader by probing the known control processes. */
 export class LeaderFinder {
-    readonly #caller: InternalCaller;
+    readonly #caller: Pick<InternalCaller, "call">;
     readonly #port: number;
+    readonly #readNowMs: () => number;
     readonly #logger: Logger;
     #seedHosts: readonly string[];
     #memberHosts: string[] = [];
     /** Possible members that processes other than the leader have named since the last leader was found. */
     readonly #suggestedHosts = new Set<string>();
     #leaderHost: string | undefined;
-    #nextHost = 0;
+    /** Hosts with a probe in progress. */
+    readonly #probedHosts = new Set<string>();
+    #nextLeaderProbeMs = -Infinity;
     #lastLeaderContactMs = -Infinity;
     #probeTimer: NodeJS.Timeout | undefined;
 
@@ -36,13 +42,14 @@
         this.#caller = options.caller;
         this.#seedHosts = options.seedHosts;
         this.#port = options.port;
+        this.#readNowMs = options.readNowMs;
         this.#logger = options.logger;
     }
 
     /** Starts probing. */
     start(): void {
-        this.#probeTimer = setInterval(() => void this.#probeAll(), PROBE_INTERVAL_MS);
-        void this.#probeAll();
+        this.#probeTimer = setInterval(() => this.#probeAll(this.#readNowMs()), SEARCH_INTERVAL_MS);
+        this.#probeAll(this.#readNowMs());
     }
 
     /** Stops probing. */
@@ -77,20 +84,13 @@
         }
     }
 
-    /** Returns the next control host in turn. */
-    pickHost(): string {
-        const hosts = this.#hosts;
-        this.#nextHost = (this.#nextHost + 1) % hosts.length;
-        return hosts[this.#nextHost] ?? "";
-    }
-
     /** Records a response of the leader. */
     recordLeader(host: string): void {
         if (this.#leaderHost !== host) {
             this.#logger.info({ leader: host }, "leader found");
         }
         this.#leaderHost = host;
-        this.#lastLeaderContactMs = monotonicNowMs();
+        this.#lastLeaderContactMs = this.#readNowMs();
     }
 
     /** Sets the leader that another replica has named, before the leader itself has responded. */
@@ -110,9 +110,17 @@
         return [...new Set([...this.memberHosts, ...this.#seedHosts])];
     }
 
-    async #probeAll(): Promise<void> {
+    /** Probes the leader when it is due or, if none is known, all hosts without a probe in progress. */
+    #probeAll(nowMs: number): void {
+        if (this.#leaderHost !== undefined && nowMs < this.#nextLeaderProbeMs) {
+            return;
+        }
+        this.#nextLeaderProbeMs = nowMs + PROBE_INTERVAL_MS;
         const hosts = this.#leaderHost === undefined ? this.#hosts : [this.#leaderHost];
-        await Promise.all(hosts.map(host => this.#probe(host)));
+        hosts.filter(host => !this.#probedHosts.has(host)).forEach(host => {
+            this.#probedHosts.add(host);
+            void this.#probe(host).finally(() => this.#probedHosts.delete(host));
+        });
     }
 
     async #probe(host: string): Promise<void> {
