--- a/packages/daemon/src/workflow/leader-finder.test.ts
+++ b/packages/daemon/src/workflow/leader-finder.test.ts
@@ -52,6 +52,8 @@
 
 // Guards against a leader that is gone and is kept because it answered a call before.
 it("forgets a leader that has answered nothing since the failed probe was sent", async () => {
+    probes[0]?.fail();
+    await advance(0);
     finder.recordLeader("a");
     await advance(500);
     probes[1]?.fail();
--- a/packages/daemon/src/workflow/leader-finder.ts
+++ b/packages/daemon/src/workflow/leader-finder.ts
@@ -1,11 +1,13 @@
 import { messageOf } from "@waxwingspread/common";
 import type { Logger } from "pino";
-import { monotonicNowMs } from "../transport/monotonic-time.js";
 import type { InternalCaller } from "./internal-caller.js";
 import { CLUSTER_PATH } from "./operations.js";
 import type { ClusterDescription } from "./operations.js";
 
+/** Interval at which the known leader is probed. */
 const PROBE_INTERVAL_MS = 500;
+/** Interval at which all known control processes are probed while no leader is known. */
+const SEARCH_INTERVAL_MS = 100;
 const PROBE_TIMEOUT_MS = 400;
 
 /** Construction parameters of a {@link LeaderFinder}. */
@@ -16,7 +18,7 @@
     /** Port of the internal listeners of all control processes. */
     port: number;
     /** Reads the monotonic clock. */
-    readNowMs?: () => number;
+    readNowMs: () => number;
     logger: Logger;
 }
 
@@ -31,9 +33,11 @@
     /** Possible members that processes other than the leader have named since the last leader was found. */
     readonly #suggestedHosts = new Set<string>();
     #leaderHost: string | undefined;
-    #nextHost = 0;
     /** Host of the last leader that has responded. */
     #lastLeaderHost: string | undefined;
+    /** Hosts with a probe in progress. */
+    readonly #probedHosts = new Set<string>();
+    #nextLeaderProbeMs = -Infinity;
     #lastLeaderContactMs = -Infinity;
     #probeTimer: NodeJS.Timeout | undefined;
 
@@ -41,14 +45,14 @@
         this.#caller = options.caller;
         this.#seedHosts = options.seedHosts;
         this.#port = options.port;
-        this.#readNowMs = options.readNowMs ?? monotonicNowMs;
+        this.#readNowMs = options.readNowMs;
         this.#logger = options.logger;
     }
 
     /** Starts probing. */
     start(): void {
-        this.#probeTimer = setInterval(() => void this.#probeAll(), PROBE_INTERVAL_MS);
-        void this.#probeAll();
+        this.#probeTimer = setInterval(() => this.#probeAll(this.#readNowMs()), SEARCH_INTERVAL_MS);
+        this.#probeAll(this.#readNowMs());
     }
 
     /** Stops probing. */
@@ -83,13 +87,6 @@
         }
     }
 
-    /** Returns the next control host in turn. */
-    pickHost(): string {
-        const hosts = this.#hosts;
-        this.#nextHost = (this.#nextHost + 1) % hosts.length;
-        return hosts[this.#nextHost] ?? "";
-    }
-
     /** Records a response of the leader. */
     recordLeader(host: string): void {
         if (this.#leaderHost !== host) {
@@ -117,9 +114,17 @@
         return [...new Set([...this.memberHosts, ...this.#seedHosts])];
     }
 
-    async #probeAll(): Promise<void> {
+    /** Probes the leader when it is due or, if none is known, all hosts without a probe in progress. */
+    #probeAll(nowMs: number): void {
+        if (this.#leaderHost !== undefined && nowMs < this.#nextLeaderProbeMs) {
+            return;
+        }
+        this.#nextLeaderProbeMs = nowMs + PROBE_INTERVAL_MS;
         const hosts = this.#leaderHost === undefined ? this.#hosts : [this.#leaderHost];
-        await Promise.all(hosts.map(host => this.#probe(host)));
+        hosts.filter(host => !this.#probedHosts.has(host)).forEach(host => {
+            this.#probedHosts.add(host);
+            void this.#probe(host).finally(() => this.#probedHosts.delete(host));
+        });
     }
 
     async #probe(host: string): Promise<void> {
