Take back the blame of servers for a step that turns out to fail everywhere

What callers saw: jobs that only a few servers may run waited for up to 8 s after some hopeless jobs (SHORT).

Cause: the failures of a step before it fails on a second server still counted against the first one, so that each hopeless job doubled the time for which that server is avoided.

Change: they are taken off its count once the step has failed elsewhere too.

Test: 'is avoided for no longer after a second step that turns out to fail everywhere' failed before with 'expected [ 54000, -Infinity ] to deeply equal [ 51000, -Infinity ]'.

--- a/packages/workflow/src/leader/server-failures.test.ts
+++ b/packages/workflow/src/leader/server-failures.test.ts
@@ -35,6 +35,16 @@
         expect(servers.filter(server => server.avoidUntilMs > NOW_MS)).toEqual([]);
     });
 
+    // Guards against ever longer avoidances of the few servers that may run some hopeless jobs.
+    it("is avoided for no longer after a second step that turns out to fail everywhere", () => {
+        const [first, second] = ["a", "b"].map(id => new ServerView(id, 1, NOW_MS, NOW_MS)) as [ServerView, ServerView];
+        for (const job of ["j", "k"]) {
+            failures.recordEnds(first, [failedTask(job), failedTask(job)], NOW_MS);
+            failures.recordEnds(second, [failedTask(job)], NOW_MS);
+        }
+        expect([first.avoidUntilMs, second.avoidUntilMs]).toEqual([NOW_MS + 1_000, -Infinity]);
+    });
+
     // Guards against a broken rack that gets work again and again, because its servers fail the same jobs.
     it("is avoided although the step fails on another server as well if the step succeeds elsewhere", () => {
         succeededSteps.add(0);
--- a/packages/workflow/src/leader/server-failures.ts
+++ b/packages/workflow/src/leader/server-failures.ts
@@ -17,6 +17,14 @@
     end: RunEnd;
 }
 
+/** Failures of one step on one server. */
+interface StepFailure {
+    /** Number of them that count against the server. */
+    countedFailures: number;
+    /** Time of the latest one. */
+    atMs: number;
+}
+
 /**
  * Marks backend servers with consecutive failures as avoided, with exponential backoff. The failures of a step that
  * fails on several servers and succeeds on none do not count: the work cannot be done, and the servers are sound.
@@ -24,8 +32,8 @@
 export class ServerFailures {
     readonly #hasSucceeded: (step: StepPosition) => boolean;
     readonly #consecutiveFailures = new Map<string, number>();
-    /** Times of the latest failures on each server, by step. */
-    readonly #failuresByStep = new Map<string, Map<string, number>>();
+    /** Failures by step, then by server. */
+    readonly #failuresByStep = new Map<string, Map<string, StepFailure>>();
 
     /** `hasSucceeded` returns whether a task of a step has ended successfully or is at work. */
     constructor(hasSucceeded: (step: StepPosition) => boolean) {
@@ -52,24 +60,46 @@
     /** Evicts the failures that are too old to show anything. */
     evictExpired(nowMs: number): void {
         for (const [step, failures] of this.#failuresByStep) {
-            if ([...failures.values()].every(atMs => nowMs - atMs > STEP_FAILURE_WINDOW_MS)) {
+            if ([...failures.values()].every(({ atMs }) => nowMs - atMs > STEP_FAILURE_WINDOW_MS)) {
                 this.#failuresByStep.delete(step);
             }
         }
     }
 
+    /** Records the failure of a step on a server, and returns whether the step and not the server is its cause. */
     #isCausedByStep(server: ServerView, task: string, nowMs: number): boolean {
         const position = parseTaskKey(task);
         if (position === undefined) {
             return false;
         }
-        const step = stepKeyOf(position);
-        const failures = this.#failuresByStep.get(step) ?? new Map<string, number>();
-        this.#failuresByStep.set(step, failures.set(server.id, nowMs));
-        const hasFailedElsewhere = [...failures].some(([serverId, atMs]) =>
+        const failures = this.#failuresOf(stepKeyOf(position));
+        const failure = failures.get(server.id) ?? { countedFailures: 0, atMs: nowMs };
+        failure.atMs = nowMs;
+        failures.set(server.id, failure);
+        const hasFailedElsewhere = [...failures].some(([serverId, { atMs }]) =>
             serverId !== server.id && nowMs - atMs <= STEP_FAILURE_WINDOW_MS
         );
-        return hasFailedElsewhere && !this.#hasSucceeded(position);
+        if (hasFailedElsewhere && !this.#hasSucceeded(position)) {
+            this.#retract(failures);
+            return true;
+        }
+        failure.countedFailures += 1;
+        return false;
+    }
+
+    #failuresOf(step: string): Map<string, StepFailure> {
+        const failures = this.#failuresByStep.get(step) ?? new Map<string, StepFailure>();
+        this.#failuresByStep.set(step, failures);
+        return failures;
+    }
+
+    /** Takes the failures of a step off the counts of the servers on which it failed before its cause was known. */
+    #retract(failures: ReadonlyMap<string, StepFailure>): void {
+        for (const [serverId, failure] of failures) {
+            const count = this.#consecutiveFailures.get(serverId) ?? 0;
+            this.#consecutiveFailures.set(serverId, Math.max(0, count - failure.countedFailures));
+            failure.countedFailures = 0;
+        }
     }
 
     #recordFailure(server: ServerView, nowMs: number): void {
