Delay the messages of workers in the random test of the workflow

Heartbeats and answers of a worker may now take up to 2.5 s, so that they arrive after later ones, too late for the worker, or at the next leader.

--- a/packages/workflow/src/testing/fuzz/commands.ts
+++ b/packages/workflow/src/testing/fuzz/commands.ts
@@ -123,6 +123,12 @@
             (simulation, worker) => simulation.partitionWorker(worker, durationMs),
         )
     ),
+    fc.integer({ min: 200, max: 5_000 }).chain(durationMs =>
+        workerCommand(
+            `delay messages for ${durationMs}`,
+            (simulation, worker) => simulation.slowDownNetwork(worker, durationMs),
+        )
+    ),
     fc.integer({ min: 200, max: 5_000 }).chain(durationMs =>
         workerCommand(`fail for ${durationMs}`, (simulation, worker) => simulation.failWorker(worker, durationMs))
     ),
--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -23,6 +23,8 @@
 const ELECTION_MS = 500;
 const MIN_CLOCK_RATE = 0.98;
 const MAX_NETWORK_DELAY_MS = 60;
+/** Additional delay of the messages of a worker whose network is slow; longer than a worker waits for an answer. */
+const MAX_SLOW_NETWORK_DELAY_MS = 2_500;
 const LIVENESS_INTERVAL_MS = 100;
 
 /** Duration and outcome of the runs of a job. */
@@ -56,6 +58,8 @@
     readonly #failingUntilMs = new Map<string, number>();
     /** Times until which workers exchange no messages with the leader, by worker. */
     readonly #partitionedUntilMs = new Map<string, number>();
+    /** Times until which the messages of workers arrive late, by worker. */
+    readonly #slowUntilMs = new Map<string, number>();
     #deliveries: Delivery[] = [];
     #log: CommittedRecord[] = [];
     #committedCount = 0;
@@ -211,6 +215,11 @@
         this.#partitionedUntilMs.set(`w${index}`, this.#nowMs + durationMs);
     }
 
+    /** Delays the messages from and to a worker, so that heartbeats arrive after later ones or at a later leader. */
+    slowDownNetwork(index: number, durationMs: number): void {
+        this.#slowUntilMs.set(`w${index}`, this.#nowMs + durationMs);
+    }
+
     failWorker(index: number, durationMs: number): void {
         this.#failingUntilMs.set(`w${index}`, this.#nowMs + durationMs);
     }
@@ -218,6 +227,7 @@
     /** Ends all disruptions. */
     heal(): void {
         this.#partitionedUntilMs.clear();
+        this.#slowUntilMs.clear();
         this.#failingUntilMs.clear();
         this.#stalledUntilMs = this.#nowMs;
         this.workers.filter(worker => worker.isDraining).forEach(worker => worker.restart());
@@ -325,23 +335,24 @@
                 const sinceMs = this.oracle.drainingSinceMs.get(key) ?? this.#nowMs;
                 this.oracle.drainingSinceMs.set(key, sinceMs);
             }
-            this.#scheduleDelivery(() => {
+            this.#scheduleDelivery(worker, () => {
                 if (!this.#isPartitioned(worker)) {
                     worker.answer(sequence, incarnation, orders, this.#nowMs);
                 }
             });
         };
-        this.#scheduleDelivery(() =>
+        this.#scheduleDelivery(worker, () =>
             this.#leader?.node.heartbeat(report, result => {
                 if (result.ok) {
                     respond(result.value);
                 }
-            }, this.#times)
-        );
+            }, this.#times));
     }
 
-    #scheduleDelivery(deliver: () => void): void {
-        this.#deliveries.push({ atMs: this.#nowMs + this.#random.nextInteger(0, MAX_NETWORK_DELAY_MS), deliver });
+    #scheduleDelivery(worker: SimulatedWorker, deliver: () => void): void {
+        const isSlow = this.#nowMs < (this.#slowUntilMs.get(worker.id) ?? 0);
+        const maxDelayMs = isSlow ? MAX_SLOW_NETWORK_DELAY_MS : MAX_NETWORK_DELAY_MS;
+        this.#deliveries.push({ atMs: this.#nowMs + this.#random.nextInteger(0, maxDelayMs), deliver });
     }
 
     #deliverDueMessages(): void {
