Count the available tasks of a standing step for each occurrence

Cause: the bound on tasks that orders may make unavailable was compared with the available tasks of all occurrences of a job, so that a draining server or a maintenance could take more of one occurrence than allowed.

Test: 'counts the available tasks of each occurrence on its own' failed before: the second task of the first occurrence was stopped as well. Found by reading; not seen in a play.

--- /dev/null
+++ b/packages/workflow/src/leader/evacuation.test.ts
@@ -0,0 +1,32 @@
+import { expect, it } from "vitest";
+import { taskKeyOf, TaskKind } from "../model/specification.js";
+import { heartbeatOf, standingStepOf } from "../testing/fixtures.js";
+import { LEADER_SETTINGS } from "../testing/single-replica.js";
+import { Evacuation } from "./evacuation.js";
+import { ServerDirectory } from "./server-directory.js";
+import { newRunView } from "./server-view.js";
+
+const STEP = standingStepOf({ taskCount: 2, maxUnavailable: 1 });
+
+// Guards against an occurrence of a standing step that loses more tasks at once than its bound allows, because the tasks
+// of other occurrences were counted as its own.
+it("counts the available tasks of each occurrence on its own", () => {
+    const directory = new ServerDirectory(LEADER_SETTINGS);
+    const runs = [["leaving", 0], ["leaving", 1], ["other", 2], ["other", 3]].map(([serverId, number]) => {
+        const [occurrence, index] = [Math.floor(Number(number) / 2), Number(number) % 2];
+        const position = { jobId: "j", occurrence, step: 0, index };
+        const run = newRunView(
+            { task: taskKeyOf(position), run: 1, position, step: STEP, kind: TaskKind.Standing, checkpoint: "" },
+            0,
+        );
+        run.isReported = true;
+        run.progressPercent = 100;
+        const isDraining = serverId === "leaving";
+        const server = directory.get(String(serverId))
+            ?? directory.recordHeartbeat(heartbeatOf(String(serverId), 1, { isDraining }), 0)?.server;
+        server?.addRun(run);
+        return run;
+    });
+    new Evacuation(directory).run(0);
+    expect(runs.map(run => run.isStopping)).toEqual([true, false, false, false]);
+});
--- a/packages/workflow/src/leader/evacuation.ts
+++ b/packages/workflow/src/leader/evacuation.ts
@@ -1,4 +1,4 @@
-import { TaskKind } from "../model/specification.js";
+import { stepKeyOf, TaskKind } from "../model/specification.js";
 import type { ServerDirectory } from "./server-directory.js";
 import type { RunView, ServerView } from "./server-view.js";
 
@@ -33,16 +33,17 @@
         }
     }
 
-    /** Whether a standing task may be stopped within its step's bound on unavailable tasks. */
+    /** Whether a standing task may be stopped within the bound on unavailable tasks of its step and occurrence. */
     #isStopAllowed(run: RunView): boolean {
         const { maxUnavailable, taskCount } = run.step;
         if (maxUnavailable === undefined || run.isStopping) {
             return true;
         }
         let availableCount = 0;
+        const step = stepKeyOf(run.position);
         for (const server of this.#directory.servers) {
             for (const { position, progressPercent, isStopping, isReported } of server.runs.values()) {
-                const isSameStep = position.jobId === run.position.jobId && position.step === run.position.step;
+                const isSameStep = stepKeyOf(position) === step;
                 availableCount += isSameStep && isReported && !isStopping && progressPercent >= 100 ? 1 : 0;
             }
         }
