Don't move a filler for the sake of capacity on its own server

Cause: the search for a place to move a slow filler to included the server that it is on, so that it could be stopped, and lose the work since its last checkpoint, to start there again.

Test: 'does not count a run's own server as a place to move it to' failed before with 'expected true to be false'. Found by reading; how often it happened in plays was not measured.

--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -1,10 +1,19 @@
 import { afterEach, expect, it, vi } from "vitest";
+import type { QueueContract } from "../model/configuration.js";
 import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport, ReportedEnd } from "../model/heartbeat.js";
+import { TaskKind } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
-import { fillerStepOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
-import { SingleReplica } from "../testing/single-replica.js";
-import { ServerView } from "./server-view.js";
+import { EventKind } from "../state/events.js";
+import { WorkflowState } from "../state/workflow-state.js";
+import { configurationOf, fillerStepOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { LEADER_SETTINGS, SingleReplica } from "../testing/single-replica.js";
+import { Eligibility } from "./eligibility.js";
+import { Planner } from "./planner.js";
+import { PressureModel } from "./pressure-model.js";
+import { ServerDirectory } from "./server-directory.js";
+import { newRunView, ServerView } from "./server-view.js";
+import { WorkQueue } from "./work-queue.js";
 
 const SERVERS = 245;
 const WAITING_JOBS = 300;
@@ -154,3 +163,26 @@
     replica.heartbeat(heartbeatOf("s", 4, { rack: "r1" }));
     expect(replica.heartbeat(heartbeatOf("t", 4, { rack: "r2" }))?.starts).toHaveLength(2);
 });
+
+// Guards against a filler that is stopped only to be started again on the same server, which throws work away.
+it("does not count a run's own server as a place to move it to", () => {
+    const state = new WorkflowState();
+    const [queue] = configurationOf(1).queues;
+    const step = fillerStepOf();
+    const job = jobOf("j", step);
+    state.apply({ kind: EventKind.JobAccepted, job, queue: queue as QueueContract, acceptedAtMs: 0 });
+    const directory = new ServerDirectory(LEADER_SETTINGS);
+    const planner = new Planner({
+        state,
+        queue: new WorkQueue(),
+        directory,
+        pressure: new PressureModel({}),
+        eligibility: new Eligibility(() => undefined),
+    });
+    const position = { jobId: "j", occurrence: 0, step: 0, index: 0 };
+    const run = newRunView({ task: "j.0.0.0", run: 1, position, step, kind: TaskKind.Filler, checkpoint: "" }, 0);
+    directory.recordHeartbeat(heartbeatOf("own", 1), 0)?.server.addRun(run);
+    expect(planner.canPlaceElsewhere(run, 0)).toBe(false);
+    directory.recordHeartbeat(heartbeatOf("other", 1), 0);
+    expect(planner.canPlaceElsewhere(run, 0)).toBe(true);
+});
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -103,7 +103,7 @@
         this.#pendingTasks.delete(task);
     }
 
-    /** Whether some server has capacity for the run now. */
+    /** Whether some other server has capacity for the run now. */
     canPlaceElsewhere(run: RunView, nowMs: number): boolean {
         const { jobId, occurrence, step: stepIndex } = run.position;
         const job = this.#state.job(jobId);
@@ -127,11 +127,17 @@
         if (this.#failures.includes(waiting, key)) {
             return false;
         }
-        const server = chooseServer(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
+        const { servers } = this.#directory;
+        const server = chooseServer(waiting, servers, constraints, this.#pressure, nowMs);
         if (server === undefined && constraints.isEligible === undefined) {
             this.#failures.record(waiting, key);
         }
-        return server !== undefined;
+        const isOwnServer = server?.findRun(run.task, run.run) !== undefined;
+        if (!isOwnServer) {
+            return server !== undefined;
+        }
+        const others = servers.filter(other => other !== server);
+        return chooseServer(waiting, others, constraints, this.#pressure, nowMs) !== undefined;
     }
 
     /** Takes the changed servers, and searches them for the amounts that no server could run before. */
