Remember a failed search for each step where approvals are needed

What callers saw: jobs that waited for good behind a job of their queue that no server may run (LOST), after a configuration had made approvals a condition of that queue.

Cause: whether a failed search says something about other steps was decided by the contract at the job's acceptance, the search itself by the present one. So the failure of a step without an approval skipped all steps of the queue that need as much, and no approval was ever asked for them.

Change: the key of remembered failures names the step where the present contract needs approvals.

Test: 'queries for each step, also for jobs that were accepted before the queue needed approvals' failed before with 'expected [] to deeply equal [ approved.0.0.0 ]'. Found by reading.

--- a/packages/workflow/src/leader/eligibility.test.ts
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -104,3 +104,28 @@
     const starts = replica.heartbeat(heartbeatOf("a", 6))?.starts;
     expect(starts?.map(start => [start.task, start.eligibilityToken])).toEqual([["j.0.0.0", "second"]]);
 });
+
+// Guards against a job that waits forever behind another one of its queue that no server may run, after an operator has
+// made approvals a condition of the queue.
+it("queries for each step, also for jobs that were accepted before the queue needed approvals", () => {
+    const queries: OpenQuery[] = [];
+    const replica = SingleReplica.started({
+        queryEligibility: (query, respond) =>
+            void queries.push({ query, respond: eligible => respond(eligible, replica.times.nowMs) }),
+    });
+    replica.submit(jobOf("refused", stepOf()));
+    replica.submit(jobOf("approved", stepOf()));
+    const [queue] = configurationOf(2).queues;
+    const queues = [{ ...queue as QueueContract, eligibility: TIMING }];
+    replica.node.configure(configurationOf(2, { queues }), () => undefined, replica.times);
+    replica.settle();
+    for (let sequence = 1; sequence < 4; sequence += 1) {
+        replica.heartbeat(heartbeatOf("a", sequence));
+        for (const { query, respond } of queries.splice(0)) {
+            respond(query.step === "approved.0.0" ? [{ serverId: "a", token: "approved" }] : []);
+        }
+        replica.settle();
+    }
+    const starts = replica.heartbeat(heartbeatOf("a", 4))?.starts;
+    expect(starts?.map(start => start.task)).toEqual(["approved.0.0.0"]);
+});
--- a/packages/workflow/src/leader/failed-placements.ts
+++ b/packages/workflow/src/leader/failed-placements.ts
@@ -68,8 +68,7 @@
     }
 }
 
-const hasOwnConstraints = ({ step, job }: WaitingStep): boolean =>
-    step.maxTasksPerServer > 0 || step.isGang || job.queue.eligibility !== undefined;
+const hasOwnConstraints = ({ step }: WaitingStep): boolean => step.maxTasksPerServer > 0 || step.isGang;
 
 const needsAtLeast = (amounts: Amounts, minimum: Amounts): boolean =>
     amounts.cpuMillicores >= minimum.cpuMillicores
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -331,6 +331,9 @@
 
 const NOTHING_TO_PLAN: Plan = { runs: [], isComplete: true };
 
-/** Returns the constraints that steps share, other than their amounts. */
-const constraintsKeyOf = ({ kind, step }: WaitingStep, { service, name, eligibility }: QueueContract): string =>
-    `${kind} ${service} ${step.image} ${step.requiredLabel} ${eligibility === undefined ? "" : name}`;
+/** Returns the constraints that steps share, other than their amounts. An approval is given to one step only. */
+const constraintsKeyOf = (waiting: WaitingStep, { service, eligibility }: QueueContract): string => {
+    const { kind, step } = waiting;
+    const approvedStep = eligibility === undefined ? "" : stepKeyOf(waiting);
+    return `${kind} ${service} ${step.image} ${step.requiredLabel} ${approvedStep}`;
+};
