Send three megabytes of log ahead to a replica that catches up

Cause, another one: the leader sent at most 1 MB that was not acknowledged yet. After an outage its event loop handles acknowledgements only every 100 to 200 ms, so that about 12 MB of log needed a dozen of these times.

Change: 3 MB, below the 4 MB at which the transport drops messages, and 8,192 entries. Each message has its own envelope, so that a follower hears of its leader before the last of several large messages has arrived.

Before: "sends several megabytes of entries before the first acknowledgement" and "passes on a message before the messages that were sent with it" failed. After: they pass, with the 85 tests of consensus, transport and replication.

--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -297,6 +297,23 @@
         expect(d.role).toBe(ReplicaRole.Follower);
     });
 
+    // Guards against a learner that waits for a busy leader after each megabyte of the log, and so misses the time in which
+    // it has to count.
+    it("sends several megabytes of entries before the first acknowledgement", () => {
+        const { a } = startCluster();
+        let sentBytes = 0;
+        for (let record = 0; record < 64; record += 1) {
+            a.propose([new Uint8Array(64 * 1024)], 1_010).unwrap();
+            const toB = sends(a.takeEffects()).filter(effect => effect.to.name === "b");
+            const requests = toB.flatMap(({ message: { body } }) => body.case === "appendRequest" ? body.value : []);
+            const bodies = requests.flatMap(request => request.entries).map(sent => sent.body);
+            sentBytes += bodies.reduce((sum, body) => sum + (body.case === "data" ? body.value.length : 0), 0);
+        }
+        expect(sentBytes).toBeGreaterThan(2 * 1024 * 1024);
+        // The transport drops messages above 4 MiB.
+        expect(sentBytes).toBeLessThan(3.5 * 1024 * 1024);
+    });
+
     it("limits the entries in flight to a peer that does not answer", () => {
         const { a } = startCluster();
         for (let round = 0; round < 20; round += 1) {
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -42,8 +42,9 @@
 export const DEFAULT_REPLICA_LIMITS: ReplicaLimits = {
     batchEntries: 512,
     batchBytes: 256 * 1024,
-    inFlightEntries: 4_096,
-    inFlightBytes: 1024 * 1024,
+    inFlightEntries: 8_192,
+    // A busy leader handles acknowledgements only every 100 to 200 ms.
+    inFlightBytes: 3 * 1024 * 1024,
     snapshotChunkBytes: 64 * 1024,
     retainedEntries: 1_000,
 };
--- a/packages/daemon/src/transport/replica-stream.real.test.ts
+++ b/packages/daemon/src/transport/replica-stream.real.test.ts
@@ -82,3 +82,20 @@
     await waitUntil(() => terms.length > 1);
     expect(Math.max(...terms)).toBeGreaterThan(1);
 });
+
+// Guards against a follower that hears nothing of its leader until the last of several large messages has arrived.
+it("passes on a message before the messages that were sent with it", async () => {
+    const port = await freePort();
+    const terms: number[][] = [];
+    const listener = new ReplicaStreamListener(
+        { host: HOST, port },
+        messages => terms.push(messages.map(({ term }) => term)),
+    );
+    await listener.listen();
+    closers.push(() => listener.close());
+    const sender = new ReplicaStreamSender();
+    closers.unshift(() => sender.close());
+    [1, 2, 3].forEach(term => sender.send(`${HOST}:${port}`, messageOfTerm(term), monotonicNowMs()));
+    await waitUntil(() => terms.flat().includes(3));
+    expect(terms).toEqual([[1], [2], [3]]);
+});
--- a/packages/daemon/src/transport/replica-stream.ts
+++ b/packages/daemon/src/transport/replica-stream.ts
@@ -42,7 +42,10 @@
     }
 }
 
-/** Connection to one peer. Messages of the same turn of the event loop are sent in one envelope. */
+/**
+ * Connection to one peer. Messages of the same turn of the event loop are sent together, each in its own envelope, so
+ * that the peer can handle the first before the last has arrived.
+ */
 class PeerStream {
     readonly #address: string;
     #socket: Socket | undefined;
@@ -82,7 +85,12 @@
         this.#messages = [];
         const socket = this.#socket ?? this.#open();
         if (socket.writableLength <= MAX_BUFFERED_BYTES) {
-            socket.write(sizeDelimitedEncode(ReplicaEnvelopeSchema, create(ReplicaEnvelopeSchema, { messages })));
+            socket.cork();
+            for (const message of messages) {
+                const envelope = create(ReplicaEnvelopeSchema, { messages: [message] });
+                socket.write(sizeDelimitedEncode(ReplicaEnvelopeSchema, envelope));
+            }
+            socket.uncork();
         }
     }
 
