Limit the open attempts of a forwarded call

Callers saw: nothing yet; found by a warning in a test (MaxListenersExceeded, 11 listeners on one AbortSignal). A caller with a deadline of 20 s whose leader serves others but doesn't answer this call had up to 40 attempts open at once.

Cause: attempts stay open up to the call's deadline, and a further one begins each 500 ms. Deadlines are the callers' choice.

Change: with more than four open attempts, the oldest one is ended; each attempt has its own signal. Waiting in its place would keep the call away from a leader that has just been found.

Test, which failed before: "ends the oldest attempt when too many are open" (expected [true, false, ...], got five times false).

--- a/packages/daemon/src/workflow/forwarded-call.test.ts
+++ b/packages/daemon/src/workflow/forwarded-call.test.ts
@@ -210,3 +210,16 @@
     await vi.advanceTimersByTimeAsync(50);
     expect(calls[1]?.call.host).toBe("c");
 });
+
+// Guards against attempts that pile up for a caller with a long deadline while a leader that serves doesn't answer.
+it("ends the oldest attempt when too many are open", async () => {
+    const options = optionsOf(ForwardedOperation.Cancel, { jobId: "j" });
+    const call = new ForwardedCall({ ...options, deadlines: { notRunDeadlineMs: 700, deadlineMs: 60_000 } });
+    observe(call);
+    calls[0]?.call.onSent?.();
+    while (calls.length < 5) {
+        await vi.advanceTimersByTimeAsync(100);
+        finder.recordLeader("a");
+    }
+    expect(calls.map(({ call: { signal } }) => signal?.aborted)).toEqual([true, false, false, false, false]);
+});
--- a/packages/daemon/src/workflow/forwarded-call.ts
+++ b/packages/daemon/src/workflow/forwarded-call.ts
@@ -13,6 +13,9 @@
 /** Delay after an attempt that failed or reached no leader. */
 const RETRY_DELAY_MS = 40;
 
+/** Open attempts of one call, which bounds what a caller with a long deadline takes up. */
+const MAX_OPEN_ATTEMPTS = 4;
+
 /** Operations without an effect, so that a call without an answer is never uncertain. */
 const READ_OPERATIONS: ReadonlySet<ForwardedOperation> = new Set([
     ForwardedOperation.JobState,
@@ -62,8 +65,8 @@
  */
 export class ForwardedCall<Operation extends ForwardedOperation> {
     readonly #options: ForwardedCallOptions<Operation>;
-    readonly #abortController = new AbortController();
-    readonly #openAttempts = new Set<Attempt>();
+    /** Attempts without an answer, in the order of their start, with what ends them. */
+    readonly #openAttempts = new Map<Attempt, AbortController>();
     #latestAttempt: Attempt | undefined;
     #deadlineMs: number;
     #nextAttemptAtMs = -Infinity;
@@ -103,7 +106,7 @@
     }
 
     get #isAwaitingAnswer(): boolean {
-        return [...this.#openAttempts].some(attempt => attempt.isSent);
+        return [...this.#openAttempts.keys()].some(attempt => attempt.isSent);
     }
 
     get #isRead(): boolean {
@@ -135,7 +138,6 @@
         }
         const attempt: Attempt = { host: this.#pickHost(), startedAtMs: nowMs, isSent: false };
         this.#latestAttempt = attempt;
-        this.#openAttempts.add(attempt);
         this.#nextAttemptAtMs = nowMs + ATTEMPT_PATIENCE_MS;
         caller.call<ForwardedResponse<Operation>>({
             host: attempt.host,
@@ -143,7 +145,7 @@
             path: forwardedPath(operation),
             body: request,
             timeoutMs: Math.max(1, this.#deadlineMs - nowMs),
-            signal: this.#abortController.signal,
+            signal: this.#addOpenAttempt(attempt),
             onSent: () => this.#handleSent(attempt),
         }).then(
             response => this.#handleResponse(attempt, response, this.#options.readNowMs()),
@@ -173,7 +175,20 @@
     #isSilent(host: string): boolean {
         const { finder } = this.#options;
         const leaderContactMs = finder.leaderHost === host ? finder.lastLeaderContactMs : -Infinity;
-        return [...this.#openAttempts].some(attempt => attempt.host === host && attempt.startedAtMs >= leaderContactMs);
+        return [...this.#openAttempts.keys()].some(attempt =>
+            attempt.host === host && attempt.startedAtMs >= leaderContactMs
+        );
+    }
+
+    /** Adds an attempt and returns the signal that ends it. Ends the oldest attempt if too many are open. */
+    #addOpenAttempt(attempt: Attempt): AbortSignal {
+        const controller = new AbortController();
+        this.#openAttempts.set(attempt, controller);
+        if (this.#openAttempts.size > MAX_OPEN_ATTEMPTS) {
+            const [oldest] = this.#openAttempts.values();
+            oldest?.abort();
+        }
+        return controller.signal;
     }
 
     #handleSent(attempt: Attempt): void {
@@ -238,6 +253,6 @@
         this.#isSettled = true;
         clearTimeout(this.#timer);
         this.#settle(result);
-        this.#abortController.abort();
+        this.#openAttempts.forEach(controller => controller.abort());
     }
 }
