Let a heartbeat wait for the result of an election

Cause: while no leader is known, each replica refused a heartbeat at once with 503. A worker then asks the next replica, which refuses too, and waits longer after each refusal, far beyond the election.

Change: HeartbeatCalls holds a heartbeat that arrives during an election until a leader is known, and then redirects it or, if this replica has won, passes it on; after 800 ms (workers wait for 1 s) it is refused as before.

Failed with the wait taken out (heartbeat-calls.test.ts): "answers a heartbeat that arrives during an election once the leader is known" and "passes the heartbeat on when the replica itself wins the election, for the time that is left" (refused at once).

Ruled out: processor time of the new leader (its event loop was slow only in its first 220 ms). Not changed: a follower still redirects to a leader that has died until its election timeout has passed, and relays refuse at once.

--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -29,6 +29,7 @@
 import { ClusterJoiner } from "./cluster-joiner.js";
 import { ControlMonitor } from "./control-monitor.js";
 import { EventLog } from "./event-log.js";
+import { HeartbeatCalls } from "./heartbeat-calls.js";
 import { createForwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
@@ -40,6 +41,7 @@
 import { PlatformCalls } from "./platform-calls.js";
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
+import { createRunnerLog } from "./runner-log.js";
 import { SlewedWallClock } from "./slewed-wall-clock.js";
 import type { FaultTolerance } from "./voter-plan.js";
 import { ControlPhase } from "./workflow-metrics.js";
@@ -52,8 +54,6 @@
 const ANNOUNCE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_500;
 const LISTENER_GRACE_MS = 1_000;
-/** Longest wait of a heartbeat in the queue; backend servers wait 1 s for an answer. */
-const MAX_HEARTBEAT_WAIT_MS = 800;
 /** Log records between two snapshots, which bounds the records that recovery replays. */
 const SNAPSHOT_INTERVAL_RECORDS = 4_000;
 
@@ -104,6 +104,7 @@
     readonly #timers: NodeJS.Timeout[] = [];
     readonly #monitor: ControlMonitor;
     readonly #driver: NodeDriver;
+    readonly #heartbeatCalls: HeartbeatCalls;
     readonly #wallClock = new SlewedWallClock(monotonicNowMs(), Date.now());
     #seedHosts: readonly string[];
     #isStopped = false;
@@ -129,6 +130,11 @@
             monitor: this.#monitor,
             readTimes: () => this.#currentTimes(),
         });
+        this.#heartbeatCalls = new HeartbeatCalls({
+            host: settings.host,
+            readLeaderHost: () => this.leaderHost,
+            call: (report, maxWaitMs) => this.#callHeartbeat(report, maxWaitMs),
+        });
         this.#membershipReconciler = new MembershipReconciler({
             runner: this.#runner,
             tolerance: settings.tolerance,
@@ -189,10 +195,7 @@
 
     async heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
         const receivedAtMs = monotonicNowMs();
-        const result = await this.#driver.call<HeartbeatOrders | undefined>((respond, times) => {
-            this.#monitor.record(ControlPhase.HeartbeatQueued, times.nowMs - receivedAtMs);
-            this.#node.heartbeat(report, respond, times);
-        }, MAX_HEARTBEAT_WAIT_MS);
+        const result = await this.#heartbeatCalls.handle(report, receivedAtMs);
         this.#metrics.recordHeartbeat(result);
         if (result.ok) {
             const nowMs = monotonicNowMs();
@@ -237,11 +240,20 @@
         return this.#driver.call((respond, times) => this.#node.maintenanceState(id, respond, times));
     }
 
+    #callHeartbeat(report: HeartbeatReport, maxWaitMs: number): Promise<CallResult<HeartbeatOrders | undefined>> {
+        const receivedAtMs = monotonicNowMs();
+        return this.#driver.call((respond, times) => {
+            this.#monitor.record(ControlPhase.HeartbeatQueued, times.nowMs - receivedAtMs);
+            this.#node.heartbeat(report, respond, times);
+        }, maxWaitMs);
+    }
+
     /** Hands over leadership, waits for calls in progress and closes the log. */
     async stop(): Promise<void> {
         await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
         this.#isStopped = true;
         this.#driver.close();
+        this.#heartbeatCalls.close();
         this.#timers.forEach(timer => clearInterval(timer));
         await Promise.all([
             this.#internalListener.close(LISTENER_GRACE_MS),
@@ -253,7 +265,6 @@
     }
 
     #createNode(): WorkflowNode {
-        const runner = (): ReplicaRunner => this.#runner;
         const platformCalls = new PlatformCalls({
             services: this.#services,
             onResult: () => this.#driver.scheduleRun(),
@@ -268,16 +279,7 @@
             onServerEvent: (event, nowMs) => this.#eventLog.recordServerEvent(event, nowMs),
             queryEligibility: (query, respond) => void platformCalls.checkEligibility(query, respond),
             beginMaintenance: (call, respond) => void platformCalls.beginMaintenance(call, respond),
-            log: {
-                get term() {
-                    return runner().replica.term;
-                },
-                get isLeader() {
-                    return runner().replica.role === ReplicaRole.Leader;
-                },
-                propose: (record, nowMs) => runner().propose([record], nowMs),
-                hasQuorumLease: nowMs => runner().hasQuorumLease(nowMs),
-            },
+            log: createRunnerLog(() => this.#runner),
         });
     }
 
@@ -339,6 +341,7 @@
         this.#sender.tick(nowMs);
         this.#joiner.tick(nowMs);
         this.#driver.tick();
+        this.#heartbeatCalls.tick(nowMs);
     }
 
     #reconcileMembership(): void {
