Let requests at a control relay wait for the result of an election

Seen in the code, not on a deployment: a relay refused each request with 503 while it knew no leader, as replicas did before. Workers and operators wait longer after each refusal.

Change: LeaderWait holds calls until a leader is known; HeartbeatCalls and ControlRelay use it. A relay waits 700 ms at most, so that the redirect fits into the second for which its callers wait.

Failed with the wait taken out (interfaces.real.test.ts): "redirects a request that arrives during an election once the leader is known" (503 in place of 307). leader-wait.test.ts covers the class.

--- a/packages/daemon/src/workflow/control-relay.ts
+++ b/packages/daemon/src/workflow/control-relay.ts
@@ -3,11 +3,13 @@
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { hostOf } from "../transport/host-of.js";
+import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { FounderSelection } from "./founder-selection.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
 import { JsonCaller } from "./json-call.js";
 import { LeaderFinder } from "./leader-finder.js";
+import { LeaderWait } from "./leader-wait.js";
 import {
     ANNOUNCE_PATH,
     CLUSTER_PATH,
@@ -28,6 +30,9 @@
 const DESCRIBE_TIMEOUT_MS = 500;
 const FOUNDER_CHECK_INTERVAL_MS = 200;
 const LISTENER_GRACE_MS = 1_000;
+/** Longest wait of a request for the result of an election; callers wait 1 s for an answer, the redirect included. */
+const MAX_ELECTION_WAIT_MS = 700;
+const ELECTION_CHECK_INTERVAL_MS = 20;
 
 /** Settings of a control relay. */
 export interface ControlRelaySettings {
@@ -50,7 +55,9 @@
     readonly #finder: LeaderFinder;
     readonly #founderSelection: FounderSelection;
     readonly #internalListener: HttpListener;
+    readonly #leaderWait = new LeaderWait(() => this.leaderHost);
     #founderTimer: NodeJS.Timeout | undefined;
+    #electionTimer: NodeJS.Timeout | undefined;
 
     private constructor(settings: ControlRelaySettings, logger: Logger) {
         const { host, internalPort, seedHosts, isFirstStart } = settings;
@@ -71,6 +78,10 @@
         await relay.#internalListener.listen();
         relay.#finder.start();
         relay.#startFounderSelection();
+        relay.#electionTimer = setInterval(
+            () => relay.#leaderWait.tick(monotonicNowMs()),
+            ELECTION_CHECK_INTERVAL_MS,
+        );
         return relay;
     }
 
@@ -79,6 +90,12 @@
         return this.#finder.leaderHost;
     }
 
+    /** Resolves with the host of the leader as soon as one is known; undefined if none is known in time. */
+    async waitForLeader(nowMs: number): Promise<string | undefined> {
+        await this.#leaderWait.untilKnown(nowMs + MAX_ELECTION_WAIT_MS, nowMs);
+        return this.leaderHost;
+    }
+
     /** Replaces the seed hosts, for example after the settings have changed. */
     setSeedHosts(hosts: readonly string[]): void {
         this.#finder.setSeedHosts(hosts);
@@ -87,6 +104,8 @@
     /** Stops listening and closes all connections. */
     async stop(): Promise<void> {
         clearInterval(this.#founderTimer);
+        clearInterval(this.#electionTimer);
+        this.#leaderWait.close();
         this.#finder.stop();
         await this.#internalListener.close(LISTENER_GRACE_MS);
         this.#caller.close();
--- a/packages/daemon/src/workflow/heartbeat-calls.ts
+++ b/packages/daemon/src/workflow/heartbeat-calls.ts
@@ -1,5 +1,6 @@
 import { Refusal } from "@waxwingspread/workflow";
 import type { CallResult, HeartbeatOrders, HeartbeatReport } from "@waxwingspread/workflow";
+import { LeaderWait } from "./leader-wait.js";
 
 /** Longest wait of a heartbeat for its turn or for a leader; backend servers wait 1 s for an answer. */
 const MAX_WAIT_MS = 800;
@@ -16,11 +17,6 @@
     call: (report: HeartbeatReport, maxWaitMs: number) => Promise<HeartbeatResult>;
 }
 
-interface WaitingHeartbeat {
-    deadlineMs: number;
-    resume: (nowMs: number) => void;
-}
-
 /**
  * Answers the heartbeats of backend servers. A heartbeat that arrives during an election waits for its result: servers
  * wait longer after each refusal, and would find the next leader late.
@@ -29,13 +25,13 @@
     readonly #host: string;
     readonly #readLeaderHost: () => string | undefined;
     readonly #call: (report: HeartbeatReport, maxWaitMs: number) => Promise<HeartbeatResult>;
-    #waiting: WaitingHeartbeat[] = [];
-    #isClosed = false;
+    readonly #leaderWait: LeaderWait;
 
     constructor({ host, readLeaderHost, call }: HeartbeatCallsOptions) {
         this.#host = host;
         this.#readLeaderHost = readLeaderHost;
         this.#call = call;
+        this.#leaderWait = new LeaderWait(readLeaderHost);
     }
 
     /** Resolves with the orders, or with NotLeader once another leader is known or none was elected in time. */
@@ -44,34 +40,21 @@
         const result = await this.#call(report, MAX_WAIT_MS);
         const isDuringElection = !result.ok && result.refusal === Refusal.NotLeader
             && this.#readLeaderHost() === undefined;
-        if (!isDuringElection || this.#isClosed) {
+        if (!isDuringElection) {
             return result;
         }
-        const resumedAtMs = await this.#waitForLeader(deadlineMs);
+        const resumedAtMs = await this.#leaderWait.untilKnown(deadlineMs, nowMs);
         const isLeader = this.#readLeaderHost() === this.#host;
         return isLeader && resumedAtMs < deadlineMs ? this.#call(report, deadlineMs - resumedAtMs) : result;
     }
 
     /** Answers the waiting heartbeats if a leader is known by now, otherwise those whose time is up. */
     tick(nowMs: number): void {
-        const isLeaderKnown = this.#readLeaderHost() !== undefined;
-        const ready = this.#waiting.filter(({ deadlineMs }) => isLeaderKnown || nowMs >= deadlineMs);
-        if (ready.length > 0) {
-            this.#waiting = this.#waiting.filter(heartbeat => !ready.includes(heartbeat));
-            ready.forEach(heartbeat => heartbeat.resume(nowMs));
-        }
+        this.#leaderWait.tick(nowMs);
     }
 
     /** Answers the heartbeats that wait; later ones don't wait. */
     close(): void {
-        this.#isClosed = true;
-        const waiting = this.#waiting;
-        this.#waiting = [];
-        waiting.forEach(heartbeat => heartbeat.resume(heartbeat.deadlineMs));
-    }
-
-    /** Resolves with the time at which a leader is known or the deadline has passed. */
-    #waitForLeader(deadlineMs: number): Promise<number> {
-        return new Promise(resume => this.#waiting.push({ deadlineMs, resume }));
+        this.#leaderWait.close();
     }
 }
