Redirect heartbeats for a second before a former leader stops

Cause: the former leader closed its ports about 0.1 s after it had handed over, often before the next leader was elected. In a fleet of 245 servers each one sends a heartbeat every 245 ms: half of them found the port closed. A worker whose call fails tries again only after more than a second.

Change: a replica that led goes on for a second after it has handed over, as a follower that redirects heartbeats, and entries' calls, to the next leader. The second covers a heartbeat of each server up to 1,000 servers. A stop of the leader takes a second longer, of 6 s of grace.

--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -18,6 +18,7 @@
 } from "@waxwingspread/workflow";
 import { createHash } from "node:crypto";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
@@ -53,6 +54,11 @@
 const JOIN_INTERVAL_MS = 300;
 const ANNOUNCE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_500;
+/**
+ * Time for which a stopping former leader redirects to the next one: each server of a fleet of up to 1,000 sends a
+ * heartbeat within it. Servers that find the port closed would try again only after more than a second.
+ */
+const REDIRECT_TIME_MS = 1_000;
 const LISTENER_GRACE_MS = 1_000;
 /** Log records between two snapshots, which bounds the records that recovery replays. */
 const SNAPSHOT_INTERVAL_RECORDS = 4_000;
@@ -248,9 +254,12 @@
         }, maxWaitMs);
     }
 
-    /** Hands over leadership, waits for calls in progress and closes the log. */
+    /** Hands over leadership, redirects to the next leader for some time, waits for open calls and closes the log. */
     async stop(): Promise<void> {
-        await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
+        const wasLeader = await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
+        if (wasLeader) {
+            await sleep(REDIRECT_TIME_MS);
+        }
         this.#isStopped = true;
         this.#driver.close();
         this.#heartbeatCalls.close();
