--- a/packages/daemon/src/workflow/peer-connection.ts
+++ b/packages/daemon/src/workflow/peer-connection.ts
@@ -1,20 +1,18 @@
 import { once } from "node:events";
-import { connect, constants } from "node:http2";
-import type { ClientHttp2Session, ClientHttp2Stream } from "node:http2";
+import { connect } from "node:http2";
+import type { ClientHttp2Session } from "node:http2";
 import { connect as connectSocket } from "node:net";
 import type { Socket } from "node:net";
 import { HTTP2_WINDOW_BYTES } from "../http/http-listener.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
-import { CallError, parseJson } from "./json-call.js";
+import { CallError } from "./json-call.js";
 import type { JsonCall, JsonResponse } from "./json-call.js";
+import { PeerCall } from "./peer-call.js";
 
 /** Time after which a connection without a call is closed. */
 const IDLE_TIMEOUT_MS = 60_000;
 /** Age below which a connection isn't replaced, however long its peer takes to respond. */
 const MIN_AGE_MS = 1_000;
-/** Part of a call's timeout after which its peer is pinged, so that a peer that is only late is heard of in time. */
-const PING_AFTER_RATIO = 0.5;
-
 /** Code of the errors that Node's HTTP/2 library reports about what it receives. */
 const HTTP2_LIBRARY_ERROR = "ERR_HTTP2_ERROR";
 
@@ -87,9 +85,21 @@
 
     /** Sends a call. Fails with a {@link CallError} if there is no response within its timeout. */
     async send(call: JsonCall): Promise<JsonResponse> {
+        const bytesReadBefore = this.#socket.bytesRead;
+        const peerCall = new PeerCall({
+            call,
+            session: this.#session,
+            onLate: () => this.#pingIfSilent(bytesReadBefore),
+            onTimedOut: () => this.#retireIfSilent(bytesReadBefore, monotonicNowMs()),
+            toCallError: (error, mayHaveActed) =>
+                this.#isHttp2Unsupported(error)
+                    ? new Http2UnsupportedError(call)
+                    : new CallError(call, error, mayHaveActed),
+        });
         this.#openCalls += 1;
+        this.#connected.then(() => peerCall.send()).catch((error: unknown) => peerCall.fail(error));
         try {
-            return await this.#send(call, this.#socket.bytesRead);
+            return await peerCall.response;
         }
         finally {
             this.#openCalls -= 1;
@@ -99,68 +109,6 @@
         }
     }
 
-    #send(call: JsonCall, bytesReadBefore: number): Promise<JsonResponse> {
-        return new Promise((resolve, reject) => {
-            let stream: ClientHttp2Stream | undefined;
-            let isEnded = false;
-            const end = (): void => {
-                isEnded = true;
-                clearTimeout(pingTimer);
-                clearTimeout(timer);
-                call.signal?.removeEventListener("abort", abort);
-            };
-            const fail = (error: unknown): void => {
-                end();
-                reject(
-                    this.#isHttp2Unsupported(error)
-                        ? new Http2UnsupportedError(call)
-                        : new CallError(call, error, stream !== undefined && mayHaveArrived(stream)),
-                );
-                stream?.close(constants.NGHTTP2_CANCEL);
-            };
-            const endOverdue = (): void => {
-                if (!isEnded) {
-                    fail(new Error(`no response within ${call.timeoutMs} ms`));
-                    this.#retireIfSilent(bytesReadBefore, monotonicNowMs());
-                }
-            };
-            const abort = (): void => fail(new Error("the call was aborted"));
-            const pingTimer = setTimeout(() => this.#pingIfSilent(bytesReadBefore), call.timeoutMs * PING_AFTER_RATIO);
-            // A process that was stalled reads the answers that have arrived before it counts a call as timed out.
-            const timer = setTimeout(() => setImmediate(endOverdue), call.timeoutMs);
-            call.signal?.addEventListener("abort", abort);
-            const start = (): void => {
-                // A call that ended before the connection was established counts as not sent.
-                if (isEnded) {
-                    return;
-                }
-                stream = this.#openStream(call);
-                call.onSent?.();
-                readResponse(stream, {
-                    onResponse: response => {
-                        end();
-                        resolve(response);
-                    },
-                    onFailed: fail,
-                });
-            };
-            this.#connected.then(start).catch(fail);
-        });
-    }
-
-    #openStream(call: JsonCall): ClientHttp2Stream {
-        const body = Buffer.from(JSON.stringify(call.body));
-        const stream = this.#session.request({
-            ...call.headers,
-            ":method": "POST",
-            ":path": call.path,
-            "content-type": "application/json",
-            "content-length": body.length,
-        });
-        stream.end(body);
-        return stream;
-    }
-
     /** Whether the peer has responded with something other than HTTP/2. */
     #isHttp2Unsupported(error: unknown): boolean {
         return !this.#isHttp2Confirmed && error instanceof Error && "code" in error
@@ -169,8 +117,7 @@
 
     /** Pings the peer if nothing has arrived since a call was sent. Its answer shows that the connection works. */
     #pingIfSilent(bytesReadBefore: number): void {
-        const isOpen = !this.#socket.connecting && !this.#session.destroyed;
-        const canPing = isOpen && !this.#isPinging;
+        const canPing = !this.#isPinging && !this.#socket.connecting && !this.#session.destroyed;
         if (canPing && this.#socket.bytesRead === bytesReadBefore) {
             this.#isPinging = this.#session.ping(() => {
                 this.#isPinging = false;
@@ -188,33 +135,3 @@
         }
     }
 }
-
-/** Returns whether the peer may have executed the request on this stream. */
-const mayHaveArrived = (stream: ClientHttp2Stream): boolean => stream.rstCode !== constants.NGHTTP2_REFUSED_STREAM;
-
-interface ResponseHandlers {
-    onResponse: (response: JsonResponse) => void;
-    onFailed: (error: unknown) => void;
-}
-
-const readResponse = (stream: ClientHttp2Stream, { onResponse, onFailed }: ResponseHandlers): void => {
-    const chunks: Buffer[] = [];
-    let status: number | undefined;
-    let isWhole = false;
-    stream.once("response", headers => {
-        status = headers[":status"];
-    });
-    stream.on("data", (chunk: Buffer) => chunks.push(chunk));
-    stream.once("end", () => {
-        isWhole = status !== undefined && stream.rstCode === constants.NGHTTP2_NO_ERROR;
-        if (status !== undefined && isWhole) {
-            onResponse({ status, body: parseJson(Buffer.concat(chunks)) });
-        }
-    });
-    stream.on("error", onFailed);
-    stream.once("close", () => {
-        if (!isWhole) {
-            onFailed(new Error("the connection was closed before the response"));
-        }
-    });
-};
