Cancel no more calls on a connection than its peer accepts

What callers saw: under a leader that was late for long, an entry whose calls timed out more than 33 times a second lost its connection after about a thousand of them, with all open calls on it; changes were reported as possibly executed.

Cause: a call that times out or is given up cancels its request, and an HTTP/2 server takes many cancellations for an attack: this Node accepts 1,000 at once and 33 a second, and then ends the connection with GOAWAY 2.

Change: a connection cancels at most 800 calls at once and 25 a second. Beyond that a call ends without cancelling its request; the response is dropped.

Evidence: the new test fails before the change ("expected 2 to be 1", and in a second run 'Session closed with error code 2').

--- a/packages/daemon/src/workflow/internal-caller.real.test.ts
+++ b/packages/daemon/src/workflow/internal-caller.real.test.ts
@@ -115,6 +115,22 @@
     expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({});
 });
 
+// Guards against a connection that its peer closes, with all calls on it, because too many calls were cancelled: an
+// HTTP/2 server takes more than 1,000 cancellations, and 33 a second, for an attack.
+it("keeps a connection on which many calls have timed out", async () => {
+    const { port: targetPort } = await listen(["/late", () => delay(200, {})]);
+    const { port, connectionCount } = await startProxy(targetPort, () => false);
+    const caller = createCaller();
+    const messageOfFailure = (): Promise<string> =>
+        caller.call(callOf(port, "/late", 100)).then(() => "", (error: unknown) => (error as Error).message);
+    for (let round = 0; round < 14; round += 1) {
+        const messages = await Promise.all(Array.from({ length: 100 }, messageOfFailure));
+        expect(new Set(messages)).toEqual(new Set(["no response within 100 ms"]));
+    }
+    expect(connectionCount()).toBe(1);
+    expect(await caller.call(callOf(port, "/late", 2_000))).toEqual({});
+});
+
 // Guards against calls that are sent on a connection whose packets are lost while new connections would work.
 it("replaces a connection on which nothing arrives", async () => {
     const { port: targetPort } = await listen(["/echo", (body: unknown) => body]);
--- a/packages/daemon/src/workflow/peer-call.ts
+++ b/packages/daemon/src/workflow/peer-call.ts
@@ -14,6 +14,8 @@
     onLate: () => void;
     /** Called after the call has failed because its timeout has passed. */
     onTimedOut: () => void;
+    /** Returns whether a request that is in progress may be cancelled at the peer. */
+    mayCancel: () => boolean;
     /** Returns the error with which the call fails. */
     toCallError: (error: unknown, mayHaveActed: boolean) => CallError;
 }
@@ -71,7 +73,7 @@
         }
         this.#end();
         this.#reject(this.#options.toCallError(error, this.#mayHaveArrived));
-        this.#stream?.close(constants.NGHTTP2_CANCEL);
+        this.#cancelRequest();
     }
 
     /** Whether the peer may have executed the request. */
@@ -79,6 +81,13 @@
         return this.#stream !== undefined && this.#stream.rstCode !== constants.NGHTTP2_REFUSED_STREAM;
     }
 
+    /** Cancels the request at the peer if that is allowed. Otherwise its response is read and dropped. */
+    #cancelRequest(): void {
+        if (this.#stream?.closed === false && this.#options.mayCancel()) {
+            this.#stream.close(constants.NGHTTP2_CANCEL);
+        }
+    }
+
     #timeOut(): void {
         if (!this.#isEnded) {
             this.fail(new Error(`no response within ${this.#options.call.timeoutMs} ms`));
--- a/packages/daemon/src/workflow/peer-connection.ts
+++ b/packages/daemon/src/workflow/peer-connection.ts
@@ -5,6 +5,7 @@
 import type { Socket } from "node:net";
 import { HTTP2_WINDOW_BYTES } from "../http/http-listener.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
+import { CancellationBudget } from "./cancellation-budget.js";
 import { CallError } from "./json-call.js";
 import type { JsonCall, JsonResponse } from "./json-call.js";
 import { PeerCall } from "./peer-call.js";
@@ -36,6 +37,7 @@
     readonly #socket: Socket;
     readonly #connected: Promise<unknown>;
     readonly #openedAtMs: number;
+    readonly #cancellations: CancellationBudget;
     #openCalls = 0;
     #isRetired = false;
     #isHttp2Confirmed = false;
@@ -43,6 +45,7 @@
 
     constructor({ host, port, onClosed }: PeerConnectionOptions, nowMs: number) {
         this.#openedAtMs = nowMs;
+        this.#cancellations = new CancellationBudget(nowMs);
         this.#socket = connectSocket({ host, port });
         this.#session = connect("http://peer", {
             createConnection: () => this.#socket,
@@ -91,6 +94,7 @@
             session: this.#session,
             onLate: () => this.#pingIfSilent(bytesReadBefore),
             onTimedOut: () => this.#retireIfSilent(bytesReadBefore, monotonicNowMs()),
+            mayCancel: () => this.#cancellations.take(monotonicNowMs()),
             toCallError: (error, mayHaveActed) =>
                 this.#isHttp2Unsupported(error)
                     ? new Http2UnsupportedError(call)
