Ignore an exit notice that a later incarnation of the server has outlived

Cause: the notice of a server's exit names no incarnation. One that arrives after the server has started again under the same id cut the lease of the new incarnation to 0.5 s, so that its runs were treated as lost unless a heartbeat came before.

Change: the notice counts only for a server whose heartbeats say that it drains, as servers do before they exit. Otherwise the lease decides.

Test: 'goes on when a late exit notice of its server's former incarnation arrives' failed before with a second start of j.0.0.0 (run 2). The test beside it guards the ordinary exit.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -182,7 +182,7 @@
 
     /** Handles the notice that a backend server has ended its work and exits. */
     handleExitNotice(serverId: string, nowMs: number): void {
-        this.#directory.markLeaving(serverId, nowMs);
+        this.#directory.handleExitNotice(serverId, nowMs);
     }
 
     /** Updates the session after events were applied to the replicated state. */
--- a/packages/workflow/src/leader/server-directory.ts
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -87,7 +87,17 @@
         return { server, lostRuns };
     }
 
-    /** Handles a server's notice that it has ended its work and exits. */
+    /**
+     * Handles a server's notice that it has ended its work and exits. The notice of a server whose heartbeats don't say
+     * that it drains is one of an earlier incarnation that arrives late.
+     */
+    handleExitNotice(serverId: string, nowMs: number): void {
+        if (this.#servers.get(serverId)?.isDraining === true) {
+            this.markLeaving(serverId, nowMs);
+        }
+    }
+
+    /** Records that a server's tasks have ended or are about to end. */
     markLeaving(serverId: string, nowMs: number): void {
         const server = this.#servers.get(serverId);
         if (server !== undefined) {
--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -286,6 +286,30 @@
         expect(replica.heartbeat(heartbeatOf("s", 2, { incarnation: 2 }))?.starts).toMatchObject([{ run: 2 }]);
     });
 
+    // Guards against two runs of a task: the notice of a server's exit arrives after the server has started again under
+    // the same id, and says nothing about the runs of the later incarnation.
+    it("goes on when a late exit notice of its server's former incarnation arrives", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1, { isDraining: true }));
+        replica.heartbeat(heartbeatOf("s", 1, { incarnation: 2 }));
+        replica.submit(jobOf("j", stepOf()));
+        expect(replica.heartbeat(heartbeatOf("s", 2, { incarnation: 2 }))?.starts).toHaveLength(1);
+        replica.node.leave("s", () => undefined, replica.times);
+        replica.advance(1_000);
+        expect(replica.heartbeat(heartbeatOf("t", 1))?.starts).toEqual([]);
+    });
+
+    it("is replaced soon after its draining server has given notice of its exit", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        const running = runningOf(replica.heartbeat(heartbeatOf("s", 2)));
+        replica.heartbeat(heartbeatOf("s", 3, { running, isDraining: true }));
+        replica.node.leave("s", () => undefined, replica.times);
+        replica.advance(500);
+        expect(replica.heartbeat(heartbeatOf("t", 1))?.starts).toMatchObject([{ task: "j.0.0.0", run: 2 }]);
+    });
+
     it("that the leader has treated as lost is stopped when its server sends heartbeats again", () => {
         const replica = SingleReplica.started();
         replica.heartbeat(heartbeatOf("s", 1));
