--- a/packages/workflow/src/leader/server-failures.test.ts
+++ b/packages/workflow/src/leader/server-failures.test.ts
@@ -64,6 +64,24 @@
     });
 });
 
+// Guards against a server that is avoided at the first failure of its new incarnation, for longer and longer.
+it("forgets the failures of a server's former incarnation", () => {
+    const replica = SingleReplica.started();
+    replica.heartbeat(heartbeatOf("s", 1));
+    for (const incarnation of [1, 2]) {
+        replica.heartbeat(heartbeatOf("s", 2, { incarnation }));
+        const job = `j${incarnation}`;
+        replica.submit(jobOf(job, stepOf()));
+        expect(replica.heartbeat(heartbeatOf("s", 3, { incarnation }))?.starts).toHaveLength(1);
+        const ended = [{ sequence: 1, task: `${job}.0.0.0`, run: 1, end: RunEnd.Failed, checkpoint: "" }];
+        replica.heartbeat(heartbeatOf("s", 4, { incarnation, ended }));
+        replica.node.cancel(job, () => undefined, replica.times);
+        replica.settle();
+    }
+    replica.submit(jobOf("j3", stepOf()));
+    expect(replica.heartbeat(heartbeatOf("s", 5, { incarnation: 2 }))?.starts).toHaveLength(1);
+});
+
 // Guards against sound jobs that wait for seconds on an idle fleet after one job has failed on each server.
 it("starts other jobs at once after a job that fails everywhere", () => {
     const replica = SingleReplica.started();
