--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -148,6 +148,9 @@
             return;
         }
         const { server } = recorded;
+        if (previous !== undefined && server !== previous) {
+            this.#forgetMeasurements(previous);
+        }
         if (server !== previous) {
             this.#report(previous === undefined ? ServerEventKind.Heard : ServerEventKind.Restarted, server, nowMs);
         }
@@ -199,11 +202,7 @@
         for (const server of this.#directory.takeExpired(nowMs)) {
             this.#report(ServerEventKind.LeaseExpired, server, nowMs);
             this.#heartbeats.answerWithoutOrders(server.id);
-            this.#failures.forget(server.id);
-            this.#pacing.forget(server);
-            this.#pressure.forget(server.id);
-            this.#speed.forget(server.id);
-            this.#moves.forget(server.id);
+            this.#forgetMeasurements(server);
             this.#proposeLostRuns([...server.runs.values()]);
         }
         this.#maintenance.run(times);
@@ -308,6 +307,15 @@
         }
     }
 
+    /** Discards what was measured of one incarnation of a server. */
+    #forgetMeasurements(server: ServerView): void {
+        this.#failures.forget(server.id);
+        this.#pacing.forget(server);
+        this.#pressure.forget(server.id);
+        this.#speed.forget(server.id);
+        this.#moves.forget(server.id);
+    }
+
     #report(kind: ServerEventKind, server: ServerView, nowMs: number): void {
         const { id: serverId, incarnation } = server;
         this.#options.report({ kind, serverId, incarnation, runs: server.runs.size }, nowMs);
