--- a/packages/consensus/src/peer-progress.ts
+++ b/packages/consensus/src/peer-progress.ts
@@ -14,8 +14,14 @@
 export interface SnapshotTransfer {
     header: SnapshotHeader;
     bytes: Uint8Array;
-    offsetBytes: number;
-    sentAtMs: number;
+    /** Bytes that the peer has received. */
+    receivedBytes: number;
+    /** Bytes that have been sent; the peer discards chunks after one that was lost. */
+    sentBytes: number;
+    /** Time since which the peer has received nothing new, or since the latest retransmission. */
+    progressAtMs: number;
+    /** Responses to chunks that were sent until this time don't show that the peer has lost what it had received. */
+    confirmedSentAtMs: number;
 }
 
 interface InFlightBatch {
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -12,7 +12,7 @@
 import { initialMembership } from "./membership.js";
 import { Replica } from "./replica.js";
 import { MembershipChangeKind, ReplicaEffectKind, ReplicaRole } from "./types.js";
-import type { PersistEffect, ReplicaEffect, SendEffect } from "./types.js";
+import type { PersistEffect, ReplicaEffect, ReplicaLimits, SendEffect } from "./types.js";
 
 const identityOf = (name: string) =>
     create(ReplicaIdentitySchema, { name, diskId: `disk-${name}`, address: `address-${name}` });
@@ -29,6 +29,7 @@
     entries?: LogEntry[];
     hardState?: HardState;
     nowMs?: number;
+    limits?: Partial<ReplicaLimits>;
 }
 
 const createReplica = (name: string, options: StartOptions = {}) =>
@@ -39,6 +40,7 @@
             entries: options.entries ?? [FIRST],
         },
         random: new SeededRandom(name.charCodeAt(0)),
+        limits: options.limits,
     }, options.nowMs ?? 0);
 
 const sends = (effects: ReplicaEffect[]) =>
@@ -55,7 +57,7 @@
         for (const replica of replicas) {
             for (const effect of replica.takeEffects()) {
                 isActive = true;
-                if (effect.kind === ReplicaEffectKind.Persist) {
+                if (effect.kind === ReplicaEffectKind.Persist || effect.kind === ReplicaEffectKind.RestoreSnapshot) {
                     replica.onPersisted(effect.token, nowMs);
                 }
                 else if (effect.kind === ReplicaEffectKind.Send) {
@@ -324,3 +326,67 @@
         expect(sends(a.takeEffects())).toEqual([]);
     });
 });
+
+describe("Replica snapshots", () => {
+    const CHUNKS = 10;
+    const CHUNK_BYTES = 10;
+    const limits = { retainedEntries: 0, snapshotChunkBytes: CHUNK_BYTES, inFlightBytes: 8 * CHUNK_BYTES };
+
+    /** Makes `a` the leader, which sends the first chunks of its snapshot to the new learner `d`. */
+    const startTransfer = () => {
+        const replicas = NAMES.map(name => createReplica(name, { limits }));
+        const [a] = replicas as [Replica];
+        a.tick(1_000);
+        exchangeMessages(replicas, 1_000);
+        a.propose([RECORD, RECORD], 1_001).unwrap();
+        exchangeMessages(replicas, 1_001);
+        const bytes = new Uint8Array(CHUNKS * CHUNK_BYTES).fill(7);
+        const header = a.snapshotHeader(bytes);
+        a.onSnapshotStored(header);
+        const d = createReplica("d", { entries: [], hardState: create(HardStateSchema, {}) });
+        a.changeMembership({ kind: MembershipChangeKind.AddLearner, identity: identityOf("d") }, 1_002).unwrap();
+        exchangeMessages(replicas, 1_003);
+        a.tick(1_100);
+        exchangeMessages([...replicas, d], 1_101);
+        a.onSnapshotLoaded(header, bytes, 1_102);
+        const chunks = sends(a.takeEffects()).map(effect => effect.message)
+            .filter(({ body }) => body.case === "snapshotChunk");
+        return { a, d, replicas, header, chunks };
+    };
+
+    /** Exchanges all messages in each heartbeat interval until a time. */
+    const runUntil = (replicas: Replica[], endMs: number) => {
+        for (let nowMs = 1_150; nowMs <= endMs; nowMs += 50) {
+            replicas.forEach(replica => replica.tick(nowMs));
+            exchangeMessages(replicas, nowMs);
+        }
+    };
+
+    // Guards against a transfer that waits for a busy leader after each chunk, and so takes longer than the time in which a
+    // learner has to count.
+    it("sends chunks ahead of the responses up to the limit of bytes in flight", () => {
+        const { d, replicas, header, chunks } = startTransfer();
+        const offsets = chunks.map(({ body }) => body.case === "snapshotChunk" ? body.value.offsetBytes : -1);
+        expect(offsets).toEqual([0, 10, 20, 30, 40, 50, 60, 70]);
+        chunks.forEach(chunk => d.receive(chunk, 1_103));
+        exchangeMessages([...replicas, d], 1_104);
+        expect(d.commitIndex).toBeGreaterThanOrEqual(header.lastIndex);
+    });
+
+    // Guards against a learner that never gets the snapshot because a chunk was lost or it restarted on the way.
+    it.each([0, 2, 7])("sends the chunks from a lost one on again, with chunk %i lost", lost => {
+        const { d, replicas, header, chunks } = startTransfer();
+        chunks.filter((_chunk, index) => index !== lost).forEach(chunk => d.receive(chunk, 1_103));
+        runUntil([...replicas, d], 2_000);
+        expect(d.commitIndex).toBeGreaterThanOrEqual(header.lastIndex);
+    });
+
+    it("starts again for a learner that has restarted during the transfer", () => {
+        const { a, d, replicas, header, chunks } = startTransfer();
+        chunks.slice(0, 4).forEach(chunk => d.receive(chunk, 1_103));
+        sends(d.takeEffects()).forEach(effect => a.receive(effect.message, 1_104));
+        const restarted = createReplica("d", { entries: [], hardState: create(HardStateSchema, {}), nowMs: 1_105 });
+        runUntil([...replicas, restarted], 2_500);
+        expect(restarted.commitIndex).toBeGreaterThanOrEqual(header.lastIndex);
+    });
+});
--- a/packages/consensus/src/snapshot-sender.ts
+++ b/packages/consensus/src/snapshot-sender.ts
@@ -3,7 +3,7 @@
 import type { SnapshotHeader, SnapshotResponse } from "@waxwingspread/protocol";
 import type { ReplicaCore } from "./core.js";
 import { PeerMode } from "./peer-progress.js";
-import type { PeerProgress } from "./peer-progress.js";
+import type { PeerProgress, SnapshotTransfer } from "./peer-progress.js";
 import { ReplicaEffectKind } from "./types.js";
 
 const RETRANSMIT_TIMEOUT_HEARTBEATS = 3;
@@ -55,19 +55,18 @@
         if (response.installed && response.lastIndex >= transfer.header.lastIndex) {
             return true;
         }
-        // Only the response to the latest chunk continues the transfer, so that duplicates don't multiply the chunks.
-        if (response.lastIndex === transfer.header.lastIndex && response.sentAtMs === transfer.sentAtMs) {
-            transfer.offsetBytes = response.offsetBytes;
-            this.#sendChunk(peer);
+        if (response.lastIndex === transfer.header.lastIndex) {
+            this.#onReceived(peer, transfer, response);
         }
         return false;
     }
 
-    /** Retransmits the current chunk if its response is overdue. */
+    /** Retransmits what the peer has not received if it has made no progress for a while. */
     tick(peer: PeerProgress): void {
+        const { transfer } = peer;
         const timeoutMs = this.#core.timing.heartbeatMs * RETRANSMIT_TIMEOUT_HEARTBEATS;
-        if (peer.transfer !== undefined && this.#core.nowMs - peer.transfer.sentAtMs >= timeoutMs) {
-            this.#sendChunk(peer);
+        if (transfer !== undefined && this.#core.nowMs - transfer.progressAtMs >= timeoutMs) {
+            this.#sendFrom(peer, transfer, transfer.receivedBytes);
         }
     }
 
@@ -86,24 +85,55 @@
     }
 
     #begin(peer: PeerProgress, source: SnapshotSource): void {
-        peer.transfer = { ...source, offsetBytes: 0, sentAtMs: -Infinity };
-        this.#sendChunk(peer);
+        const progress = { receivedBytes: 0, sentBytes: 0, progressAtMs: this.#core.nowMs };
+        peer.transfer = { ...source, ...progress, confirmedSentAtMs: -Infinity };
+        this.#sendFrom(peer, peer.transfer, 0);
     }
 
-    #sendChunk(peer: PeerProgress): void {
-        const transfer = peer.transfer;
-        if (transfer === undefined) {
-            return;
+    #onReceived(peer: PeerProgress, transfer: SnapshotTransfer, { offsetBytes, sentAtMs }: SnapshotResponse): void {
+        if (offsetBytes > transfer.receivedBytes) {
+            transfer.receivedBytes = offsetBytes;
+            transfer.sentBytes = Math.max(transfer.sentBytes, offsetBytes);
+            transfer.progressAtMs = this.#core.nowMs;
+            transfer.confirmedSentAtMs = Math.max(transfer.confirmedSentAtMs, sentAtMs);
+            this.#sendChunks(peer, transfer);
+        }
+        else if (offsetBytes < transfer.receivedBytes && sentAtMs > transfer.confirmedSentAtMs) {
+            // The peer has restarted, or what it received was damaged.
+            this.#sendFrom(peer, transfer, offsetBytes);
+        }
+    }
+
+    /** Sends the rest of the snapshot again from an offset, at least one chunk so that the peer responds. */
+    #sendFrom(peer: PeerProgress, transfer: SnapshotTransfer, offsetBytes: number): void {
+        transfer.receivedBytes = offsetBytes;
+        transfer.sentBytes = offsetBytes;
+        transfer.progressAtMs = this.#core.nowMs;
+        transfer.confirmedSentAtMs = this.#core.nowMs;
+        this.#sendNextChunk(peer, transfer);
+        this.#sendChunks(peer, transfer);
+    }
+
+    /** Sends chunks ahead of the peer's responses, up to the limit of bytes in flight. */
+    #sendChunks(peer: PeerProgress, transfer: SnapshotTransfer): void {
+        const { bytes, receivedBytes } = transfer;
+        const limit = Math.min(bytes.length, receivedBytes + this.#core.limits.inFlightBytes);
+        while (transfer.sentBytes < limit) {
+            this.#sendNextChunk(peer, transfer);
         }
-        const end = Math.min(transfer.bytes.length, transfer.offsetBytes + this.#core.limits.snapshotChunkBytes);
-        transfer.sentAtMs = this.#core.nowMs;
+    }
+
+    #sendNextChunk(peer: PeerProgress, transfer: SnapshotTransfer): void {
+        const start = transfer.sentBytes;
+        const end = Math.min(transfer.bytes.length, start + this.#core.limits.snapshotChunkBytes);
         const chunk = create(SnapshotChunkSchema, {
             header: transfer.header,
-            offsetBytes: transfer.offsetBytes,
-            data: transfer.bytes.subarray(transfer.offsetBytes, end),
+            offsetBytes: start,
+            data: transfer.bytes.subarray(start, end),
             last: end === transfer.bytes.length,
             sentAtMs: this.#core.nowMs,
         });
+        transfer.sentBytes = end;
         this.#core.send(peer.diskId, { case: "snapshotChunk", value: chunk }, { withAddress: true });
     }
 }
