Don't end the process when a peer connection is given up as it is established

Callers saw: an entry or control process that exits, and cuts all requests that it holds, when an internal connection is closed or retired in the same moment in which it is established, for example when the last call on it times out while a host comes back.

Cause: the connect event of an HTTP/2 session is emitted a tick after the connection, also for a session that was destroyed meanwhile. Setting its window then throws (ERR_HTTP2_INVALID_SESSION) outside of any call, which is an uncaught exception.

Change: the window of a destroyed session isn't set.

--- a/packages/daemon/src/workflow/internal-caller.real.test.ts
+++ b/packages/daemon/src/workflow/internal-caller.real.test.ts
@@ -180,3 +180,23 @@
     expect(isSent).toBe(true);
     expect(await other).toEqual({});
 });
+
+// Guards against a process that ends, with all calls that it has accepted, because a connection that is given up at the
+// moment at which it is established throws outside of any call.
+it("throws nothing outside of a call when a connection is closed while it is established", async () => {
+    const uncaught: unknown[] = [];
+    const record = (error: unknown): void => void uncaught.push(error);
+    process.on("uncaughtException", record);
+    cleanups.push(() => process.off("uncaughtException", record));
+    const { port } = await listen(["/echo", body => body]);
+    for (let round = 0; round < 40; round += 1) {
+        const caller = new InternalCaller();
+        caller.call({ host: HOST, port, path: "/echo", body: {}, timeoutMs: 50 }).catch(() => undefined);
+        for (let turn = 0; turn < round % 8; turn += 1) {
+            await new Promise(resolve => setImmediate(resolve));
+        }
+        caller.close();
+    }
+    await delay(100);
+    expect(uncaught).toEqual([]);
+});
--- a/packages/daemon/src/workflow/peer-connection.ts
+++ b/packages/daemon/src/workflow/peer-connection.ts
@@ -36,7 +36,12 @@
         });
         this.#connected = once(this.#session, "connect");
         this.#connected.catch(() => undefined);
-        this.#session.once("connect", () => this.#session.setLocalWindowSize(HTTP2_WINDOW_BYTES));
+        this.#session.once("connect", () => {
+            // The event of a session that was destroyed meanwhile still comes, and setting its window would throw.
+            if (!this.#session.destroyed) {
+                this.#session.setLocalWindowSize(HTTP2_WINDOW_BYTES);
+            }
+        });
         // Calls on a broken connection fail with errors of their own.
         this.#session.on("error", () => undefined);
         this.#session.once("goaway", () => this.retire());
