Count the whole estimate when a job is tested for whether it ends in time

Cause: a job counted as late only once 0.7 of its remaining critical path didn't fit any more. A job with 0.7 to 1 of its path left ends late unless it was estimated too long, and on the way takes the capacity with which another one would end in time.

Change: the whole estimate counts.

Two tests asserted the ratio (work-queue.test.ts). "includes the estimated time of later steps" asserted that a chain which needs 4,000 ms counts as in time 2,900 ms before its end; it now asserts both sides of the boundary 200 ms apart, in place of 400. "puts finite jobs that cannot end in time behind those that can" now asks 100 ms past the boundary. Both failed before.

--- a/packages/workflow/src/leader/work-queue.test.ts
+++ b/packages/workflow/src/leader/work-queue.test.ts
@@ -43,9 +43,10 @@
     const queue = new WorkQueue();
     const step = fillerStepOf({ estimatedRunTimeMs: 2_000 });
     accept(queue, "chain", 0, step, { ...step, dependsOn: [0] });
-    accept(queue, "single", 6_000, step);
-    expect(orderAt(queue, 6_100)).toEqual(["chain", "single"]);
-    expect(orderAt(queue, 6_500)).toEqual(["single", "chain"]);
+    accept(queue, "single", 4_500, step);
+    // The chain is expected to end by 9,000 and needs 4,000.
+    expect(orderAt(queue, 4_900)).toEqual(["chain", "single"]);
+    expect(orderAt(queue, 5_100)).toEqual(["single", "chain"]);
 });
 
 // Load: more finite work than the servers can do, for example after an outage. Guards against giving capacity to jobs
@@ -57,7 +58,7 @@
     accept(queue, "second", 2_000, step);
     expect(orderAt(queue, 2_000)).toEqual(["first", "second"]);
     // The first job is expected to end by 3,000 and needs 1,000 more.
-    expect(orderAt(queue, 2_500)).toEqual(["second", "first"]);
+    expect(orderAt(queue, 2_100)).toEqual(["second", "first"]);
 });
 
 // Guards against wide jobs that are never finished, because each new job in time takes the capacity for their rest.
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -115,9 +115,6 @@
     remainingCriticalPathMs: criticalPathMs(job.specification.steps, stepIndex),
 });
 
-/** Share of the estimated remaining time that is taken as the lower bound of a job's remaining time. */
-const ESTIMATE_LOWER_BOUND_RATIO = 0.7;
-
 /** Returns the key of a step of one occurrence. */
 export const stepKeyOf = ({ job, occurrence, stepIndex }: WaitingStep): string =>
     stepKey({ jobId: job.id, occurrence, step: stepIndex });
@@ -150,9 +147,9 @@
 const hasBegun = ({ job, occurrence }: WaitingStep): boolean =>
     job.occurrences[occurrence]?.some(({ doneCount }) => doneCount > 0) === true;
 
-/** Whether a job is expected to end late even if its tasks start now; estimates are trusted only in part. */
+/** Whether a job is expected to end late even if its tasks start now. */
 const isExpectedLate = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
-    timeOfDayMs + waiting.remainingCriticalPathMs * ESTIMATE_LOWER_BOUND_RATIO > waiting.expectedEndMs;
+    timeOfDayMs + waiting.remainingCriticalPathMs > waiting.expectedEndMs;
 
 /**
  * Returns the wall-clock time by which callers expect an occurrence to end: a multiple of its critical path plus the
