Hand over to another voter when the first one doesn't answer

Cause: a handover kept to the voter with the highest match index until its time limit, twice the minimum election timeout (0.8 s); the election timeout of the others followed.

Change: if the target has answered nothing that was sent since it was selected for half of the minimum election timeout (0.2 s), another voter is asked. A target that answers is kept, so that two candidates don't split the votes.

Failed before (replica.test.ts): "hands over to another voter when the first one does not answer" (follower in place of leader after 0.24 s). "keeps to a voter that answers during the handover" is new and passed before.

Ruled out: to prefer voters by their latest contact; 0.1 s after a loss of power it doesn't tell them apart.

--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -15,6 +15,8 @@
 const LEASE_RATIO = 0.98;
 /** Time limit of a handover as a multiple of the minimum election timeout. */
 const HANDOVER_TIMEOUT_FACTOR = 2;
+/** Time in which the target of a handover must answer a message, as a multiple of the minimum election timeout. */
+const HANDOVER_ANSWER_FACTOR = 0.5;
 const PROMOTION_STEP = "promote a learner";
 
 /** A leader's state during one term: replication, commits, membership changes and the handover. */
@@ -30,6 +32,7 @@
     #recentCommitIndex = Infinity;
     #handoverDeadlineMs: number | undefined;
     #handoverTarget: string | undefined;
+    #handoverTargetAtMs = -Infinity;
 
     constructor(core: ReplicaCore) {
         this.#core = core;
@@ -99,15 +102,11 @@
         if (this.isHandingOver) {
             return;
         }
-        const candidates = [...this.#peers.values()].filter(peer => isVoter(this.#core.membership, peer.diskId));
-        const target = candidates.sort((a, b) => b.matchIndex - a.matchIndex || b.contactMs - a.contactMs)[0];
-        if (target === undefined) {
-            return;
+        this.#selectHandoverTarget();
+        if (this.#handoverTarget !== undefined) {
+            const timing = this.#core.timing;
+            this.#handoverDeadlineMs = this.#core.nowMs + timing.minimumElectionTimeoutMs * HANDOVER_TIMEOUT_FACTOR;
         }
-        const timing = this.#core.timing;
-        this.#handoverDeadlineMs = this.#core.nowMs + timing.minimumElectionTimeoutMs * HANDOVER_TIMEOUT_FACTOR;
-        this.#handoverTarget = target.diskId;
-        this.#requestHandover(target);
     }
 
     tick(): void {
@@ -121,6 +120,9 @@
             core.becomeFollower(core.term, "");
             return;
         }
+        if (this.isHandingOver && this.#isHandoverTargetSilent()) {
+            this.#selectHandoverTarget(this.#handoverTarget);
+        }
         if (core.nowMs >= this.#nextHeartbeatMs) {
             this.#nextHeartbeatMs = core.nowMs + core.timing.heartbeatMs;
             this.#sendHeartbeats();
@@ -259,6 +261,26 @@
         this.#snapshots.releaseUnless(isNeeded);
     }
 
+    /** Requests the handover to the voter with the highest match index other than the excluded one. */
+    #selectHandoverTarget(excludedDiskId?: string): void {
+        const [target] = [...this.#peers.values()]
+            .filter(({ diskId }) => diskId !== excludedDiskId && isVoter(this.#core.membership, diskId))
+            .sort((a, b) => b.matchIndex - a.matchIndex || b.contactMs - a.contactMs);
+        if (target !== undefined) {
+            this.#handoverTarget = target.diskId;
+            this.#handoverTargetAtMs = this.#core.nowMs;
+            this.#requestHandover(target);
+        }
+    }
+
+    /** Whether the target of the handover has answered no message that was sent since it was selected. */
+    #isHandoverTargetSilent(): boolean {
+        const { nowMs, timing } = this.#core;
+        const contactMs = this.#peers.get(this.#handoverTarget ?? "")?.contactMs ?? -Infinity;
+        return contactMs < this.#handoverTargetAtMs
+            && nowMs - this.#handoverTargetAtMs >= timing.minimumElectionTimeoutMs * HANDOVER_ANSWER_FACTOR;
+    }
+
     #requestHandover(target: PeerProgress): void {
         if (target.matchIndex === this.#core.log.lastIndex) {
             const body = create(HandoverRequestSchema, {});
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -250,6 +250,39 @@
         expect(leader?.commitIndex).toBeGreaterThan(index);
     });
 
+    // Guards against a second without a leader when the successor fails just before a planned stop (issue 19).
+    it("hands over to another voter when the first one does not answer", () => {
+        const { a, b, c } = startCluster();
+        a.handOver(1_011);
+        const requests = sends(a.takeEffects()).filter(({ message: { body } }) => body.case === "handoverRequest");
+        const answering = requests[0]?.to.diskId === b.identity.diskId ? c : b;
+        for (let nowMs = 1_020; nowMs <= 1_240; nowMs += 20) {
+            a.tick(nowMs);
+            exchangeMessages([a, answering], nowMs);
+        }
+        expect(answering.role).toBe(ReplicaRole.Leader);
+    });
+
+    // Guards against two candidates at the same time, which split the votes, because a successor is slow.
+    it("keeps to a voter that answers during the handover", () => {
+        const { a, b, c } = startCluster();
+        a.handOver(1_011);
+        const targets = new Set<string>();
+        for (let nowMs = 1_020; nowMs <= 1_600; nowMs += 20) {
+            a.tick(nowMs);
+            for (const { to, message: sent } of sends(a.takeEffects())) {
+                if (sent.body.case === "handoverRequest") {
+                    targets.add(to.diskId);
+                }
+                else {
+                    [b, c].find(peer => peer.identity.diskId === to.diskId)?.receive(sent, nowMs);
+                }
+            }
+            [b, c].forEach(peer => sends(peer.takeEffects()).forEach(({ message: sent }) => a.receive(sent, nowMs)));
+        }
+        expect(targets.size).toBe(1);
+    });
+
     it("steps down after it has committed its own removal, and not before", () => {
         const { a, b, c, replicas } = startCluster();
         const change = { kind: MembershipChangeKind.Remove, diskId: "disk-a" } as const;
