Make two tests of internal calls independent of the machine's load

"keeps a connection on which many calls have timed out" failed once in a full run at a load average of 30 ("expected 2 to be 1"): its calls of 100 ms also let the connection count as silent when the process itself was late.

--- a/packages/daemon/src/workflow/internal-caller.real.test.ts
+++ b/packages/daemon/src/workflow/internal-caller.real.test.ts
@@ -104,31 +104,35 @@
 // Guards against a connection to a leader that is late for long, which is replaced once a second by each entry. The
 // leader then accepts connections in place of handling calls, and stays late.
 it("keeps a connection on which only answers to calls that have timed out arrive", async () => {
-    const { port: targetPort } = await listen(["/late", () => delay(150, {})]);
+    const { port: targetPort } = await listen(["/late", () => delay(900, {})]);
     const { port, connectionCount } = await startProxy(targetPort, () => false);
     const caller = createCaller();
-    const isAnswered = (): Promise<boolean> => caller.call(callOf(port, "/late", 100)).then(() => true, () => false);
-    for (let round = 0; round < 16; round += 1) {
+    const isAnswered = (): Promise<boolean> => caller.call(callOf(port, "/late", 600)).then(() => true, () => false);
+    for (let round = 0; round < 3; round += 1) {
         expect(await isAnswered()).toBe(false);
     }
+    expect(await caller.call(callOf(port, "/late", 5_000))).toEqual({});
     expect(connectionCount()).toBe(1);
-    expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({});
 });
 
 // Guards against a connection that its peer closes, with all calls on it, because too many calls were cancelled: an
 // HTTP/2 server takes more than 1,000 cancellations, and 33 a second, for an attack.
-it("keeps a connection on which many calls have timed out", async () => {
+it("keeps a connection on which many calls were given up", async () => {
     const { port: targetPort } = await listen(["/late", () => delay(200, {})]);
     const { port, connectionCount } = await startProxy(targetPort, () => false);
     const caller = createCaller();
-    const messageOfFailure = (): Promise<string> =>
-        caller.call(callOf(port, "/late", 100)).then(() => "", (error: unknown) => (error as Error).message);
+    const giveUpCall = async (): Promise<string> => {
+        const controller = new AbortController();
+        const onSent = (): void => void setTimeout(() => controller.abort(), 20);
+        const call = { ...callOf(port, "/late", 10_000), signal: controller.signal, onSent };
+        return caller.call(call).then(() => "", (error: unknown) => (error as Error).message);
+    };
     for (let round = 0; round < 14; round += 1) {
-        const messages = await Promise.all(Array.from({ length: 100 }, messageOfFailure));
-        expect(new Set(messages)).toEqual(new Set(["no response within 100 ms"]));
+        const messages = await Promise.all(Array.from({ length: 100 }, giveUpCall));
+        expect(new Set(messages)).toEqual(new Set(["the call was aborted"]));
     }
+    expect(await caller.call(callOf(port, "/late", 10_000))).toEqual({});
     expect(connectionCount()).toBe(1);
-    expect(await caller.call(callOf(port, "/late", 2_000))).toEqual({});
 });
 
 // Guards against calls that are sent on a connection whose packets are lost while new connections would work.
