Count the accepting of connections in a listener's grace period

What callers saw: nothing yet; a busy control replica that was stopped needed up to 5.5 s of its 6 s of grace (hand-over 1.5 s, redirecting 1 s, and two listeners of 1.5 s each in place of 1 s), and a process that takes longer is killed with the requests that it holds.

Cause: close accepts established connections for up to 0.5 s and began to count its grace period only then.

Change: the grace period counts from the call.

Evidence: the new test, whose event loop has iterations of 5 ms, fails before the change ("expected 1503.1 to be less than 1300" with a grace period of 1 s).

--- a/packages/daemon/src/http/http-listener.real.test.ts
+++ b/packages/daemon/src/http/http-listener.real.test.ts
@@ -163,3 +163,23 @@
     expect(await Promise.race([isClosed, delay(2_000, false)])).toBe(true);
     await closed;
 });
+
+// Guards against a planned stop that takes longer than its grace period under load, so that the process is killed.
+it("closes within the grace period while the event loop is busy", async () => {
+    const listener = createListener(() => new Promise(() => undefined));
+    const socket = connect(await listener.listen(), "127.0.0.1");
+    socket.on("error", () => undefined);
+    socket.write(REQUEST);
+    let isBusy = true;
+    const holdEventLoop = (): void => {
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 5);
+        if (isBusy) {
+            setImmediate(holdEventLoop);
+        }
+    };
+    holdEventLoop();
+    const startedAtMs = performance.now();
+    await listener.close(1_000);
+    isBusy = false;
+    expect(performance.now() - startedAtMs).toBeLessThan(1_300);
+});
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -118,6 +118,7 @@
 
     /** Stops listening and waits for requests in progress. Connections still open after `graceMs` are destroyed. */
     async close(graceMs: number): Promise<void> {
+        const deadlineMs = monotonicNowMs() + graceMs;
         this.drain();
         await this.#acceptEstablishedConnections(Math.min(MAX_ACCEPT_TIME_MS, graceMs));
         // The close method of the HTTP server immediately closes connections whose next request is in transit.
@@ -128,7 +129,10 @@
             () => void afterPollPhase().then(() => this.#server.closeIdleConnections()),
             Math.min(CLOSE_DELAY_MS, graceMs),
         );
-        const timer = setTimeout(() => this.#sockets.forEach(socket => socket.destroy()), graceMs);
+        const timer = setTimeout(
+            () => this.#sockets.forEach(socket => socket.destroy()),
+            Math.max(0, deadlineMs - monotonicNowMs()),
+        );
         await closed;
         clearInterval(closeIdle);
         clearTimeout(timer);
