Take over runs only after all records of earlier leaders are applied

Cause: a leader's session began as soon as the quorum lease said that all earlier records are committed. Whether they were applied by then depended on the order in which the host runs its deferred effects and its timers. A record of a run that is applied after the session began was taken for one of the session's own whose server is gone, 'no order was sent': the run was recorded as lost at once, and started elsewhere 400 ms after the session began, although the former leader had sent the order.

Change: a session begins only when the last record applied is one of the leader's own term, which follows all earlier ones. The stand-ins of the log now write the first record of a term, as the replication does.

Test: 'is not treated as lost by a leader that applies its record only after the election' failed before with a second start of j.0.0.0 (run 2).

No run shows that the order of effects was the cause: by reading, setImmediate after the receipt of a message precedes all timers, so that in the present host the records are applied in time.

--- a/packages/bench/src/workflow/session-benchmark.ts
+++ b/packages/bench/src/workflow/session-benchmark.ts
@@ -114,6 +114,8 @@
                 jobId => DURATIONS_MS[this.#queues.get(jobId) ?? Queue.Short],
             ));
         this.#node = this.#createNode();
+        // The first record of the term, without which the node does not lead.
+        this.#node.applyCommitted([{ index: 0, term: 1, data: undefined }], this.#times);
     }
 
     run(): SessionFigures {
--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -165,6 +165,24 @@
         expect(replica.stateOf("j")).toBe(JobState.Completed);
     });
 
+    // Guards against two runs of a task: a leader that began before it had applied the record of a run took the run for
+    // one of its own whose server is gone, although the former leader had sent the order.
+    it("is not treated as lost by a leader that applies its record only after the election", () => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1));
+        replica.submit(jobOf("j", stepOf()));
+        const running = runningOf(replica.heartbeat(heartbeatOf("s", 2)));
+        expect(running).toHaveLength(1);
+        const lastRecord = replica.log.findLastIndex(({ data }) => String(data).includes("runs-assigned"));
+        replica.failOver({ appliedRecords: lastRecord });
+        replica.heartbeat(heartbeatOf("t", 1));
+        replica.advance(500);
+        expect(replica.heartbeat(heartbeatOf("t", 2))?.starts).toEqual([]);
+        replica.heartbeat(heartbeatOf("s", 3, { running }));
+        replica.heartbeat(heartbeatOf("s", 4, { ended: [endOf(1, "j.0.0.0", 1)] }));
+        expect(replica.stateOf("j")).toBe(JobState.Completed);
+    });
+
     // Guards against a task that waits forever for a run that the former leader never ordered.
     it("is treated as lost when the server's heartbeats do not list it after a leader change", () => {
         const replica = SingleReplica.started();
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -57,6 +57,8 @@
     #state = new WorkflowState();
     #session: LeaderSession | undefined;
     #sessionTerm = 0;
+    /** Term of the last record applied. */
+    #appliedTerm = 0;
     #events: WorkflowEvent[] = [];
     #unproposedCalls: PendingCall[] = [];
     readonly #proposedCalls = new Map<number, PendingCall[]>();
@@ -245,6 +247,7 @@
                 this.#session.handleAppliedEvents(events, times);
                 this.#options.onCommitted?.(events, times.nowMs);
             }
+            this.#appliedTerm = record.term;
             this.#completeCalls(record);
         }
     }
@@ -271,7 +274,9 @@
     }
 
     #updateSession(times: Times): void {
-        const isLeading = this.#log.isLeader && this.#log.hasQuorumLease(times.nowMs);
+        // A session takes over what earlier leaders have recorded, all of which precedes the first record of its term.
+        const hasAppliedAll = this.#appliedTerm === this.#log.term;
+        const isLeading = this.#log.isLeader && hasAppliedAll && this.#log.hasQuorumLease(times.nowMs);
         if (this.#session !== undefined && (!this.#log.isLeader || this.#log.term !== this.#sessionTerm)) {
             this.#endSession();
         }
--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -267,6 +267,7 @@
         this.#term += 1;
         const leader: Leader = { term: this.#term, isLeading: true, node: this.#createNode(this.#term) };
         this.#leader = leader;
+        this.#log.push({ index: this.#log.length + 1, term: this.#term, data: undefined });
         leader.node.applyCommitted(this.#log, this.#times);
         this.#committedCount = this.#log.length;
         this.#runLeader();
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -57,6 +57,7 @@
         this.#services = services;
         this.settings = settings;
         this.node = this.#createNode();
+        this.#beginTerm();
     }
 
     /** Creates a leader that has a configuration and whose initial planning delay has passed. */
@@ -93,13 +94,18 @@
         this.node.applyCommitted(records, this.times);
     }
 
-    /** Replaces the node by a new one that has applied all committed records and leads in the next term. */
-    failOver(): void {
+    /**
+     * Replaces the node by a new one that leads in the next term. It has applied all committed records, or only the given
+     * number when it is elected.
+     */
+    failOver({ appliedRecords = this.#committedCount } = {}): void {
         this.log.length = this.#committedCount;
         this.node.handleLeadershipLost();
         this.node = this.#createNode();
         this.term += 1;
-        this.node.applyCommitted(this.log, this.times);
+        this.node.applyCommitted(this.log.slice(0, appliedRecords), this.times);
+        this.#committedCount = appliedRecords;
+        this.#beginTerm();
         this.settle();
     }
 
@@ -129,6 +135,11 @@
         return result === undefined ? "none" : result.ok ? result.value : result.refusal;
     }
 
+    /** Appends the first record of a term, which the replication protocol writes; the next commit delivers it. */
+    #beginTerm(): void {
+        this.log.push({ index: this.log.length + 1, term: this.term, data: undefined });
+    }
+
     #createNode(): WorkflowNode {
         const isLeader = (): boolean => this.isLeader;
         const term = (): number => this.term;
