Compress large envelopes of replica messages

Change: an envelope of 16 KiB or more carries its messages as DEFLATE data, at the fastest level. Decisions of a steady state are smaller and stay as they are. A receiver inflates at most the limit of an envelope. A replica of an earlier version ignores such envelopes until it is updated.

Before (no compression): "receives compressed envelopes" failed on the size. After: it passes, with the 23 tests of transport, control and protocol.

--- a/packages/daemon/src/transport/envelope-decoder.ts
+++ b/packages/daemon/src/transport/envelope-decoder.ts
@@ -2,9 +2,19 @@
 import { sizeDelimitedPeek } from "@bufbuild/protobuf/wire";
 import { ReplicaEnvelopeSchema } from "@waxwingspread/protocol";
 import type { ReplicaMessage } from "@waxwingspread/protocol";
+import { inflateRawSync } from "node:zlib";
 
 const MAX_ENVELOPE_BYTES = 16 * 1024 * 1024;
 
+const decodeMessages = (bytes: Uint8Array): readonly ReplicaMessage[] => {
+    const { messages, deflated } = fromBinary(ReplicaEnvelopeSchema, bytes);
+    if (deflated.length === 0) {
+        return messages;
+    }
+    const inflated = inflateRawSync(deflated, { maxOutputLength: MAX_ENVELOPE_BYTES });
+    return fromBinary(ReplicaEnvelopeSchema, inflated).messages;
+};
+
 /** Decodes a byte stream into size-delimited envelopes. */
 export class EnvelopeDecoder {
     readonly #onMessages: (messages: readonly ReplicaMessage[]) => void;
@@ -50,7 +60,7 @@
                 this.#keep(rest, end);
                 return true;
             }
-            this.#onMessages(fromBinary(ReplicaEnvelopeSchema, rest.subarray(head.offset, end)).messages);
+            this.#onMessages(decodeMessages(rest.subarray(head.offset, end)));
             rest = rest.subarray(end);
         }
     }
--- a/packages/daemon/src/transport/replica-stream.ts
+++ b/packages/daemon/src/transport/replica-stream.ts
@@ -1,11 +1,10 @@
-import { create } from "@bufbuild/protobuf";
-import { sizeDelimitedEncode } from "@bufbuild/protobuf/wire";
 import { messageOf, StepError } from "@waxwingspread/common";
-import { ErrorCode, ReplicaEnvelopeSchema } from "@waxwingspread/protocol";
+import { ErrorCode } from "@waxwingspread/protocol";
 import type { ReplicaMessage } from "@waxwingspread/protocol";
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { EnvelopeDecoder } from "./envelope-decoder.js";
+import { encodeEnvelope } from "./envelope-encoder.js";
 import type { ListenAddress } from "./listen-address.js";
 
 /** Time without an acknowledgement of sent messages after which a connection is replaced. */
@@ -86,10 +85,7 @@
         const socket = this.#socket ?? this.#open();
         if (socket.writableLength <= MAX_BUFFERED_BYTES) {
             socket.cork();
-            for (const message of messages) {
-                const envelope = create(ReplicaEnvelopeSchema, { messages: [message] });
-                socket.write(sizeDelimitedEncode(ReplicaEnvelopeSchema, envelope));
-            }
+            messages.forEach(message => socket.write(encodeEnvelope(message)));
             socket.uncork();
         }
     }
