Ignore requests to join that can never be met

Cause: a queued request without a disk id or an address is refused each time, and other membership changes wait for it as long as it is repeated.

Before: "ignores a request without a disk id or an address" printed "expected 'a' to be 'c'". After: it passes.

--- a/packages/daemon/src/workflow/join-queue.test.ts
+++ b/packages/daemon/src/workflow/join-queue.test.ts
@@ -32,3 +32,12 @@
     expect(queue.next(noMember, 1_200)?.diskId).toBe("a3");
     expect(queue.next(noMember, 2_100)).toBeUndefined();
 });
+
+// Guards against a request that can never be met and keeps the membership from being repaired.
+it("ignores a request without a disk id or an address", () => {
+    const queue = new JoinQueue();
+    queue.push(requestOf("a", ""), 1_000);
+    queue.push({ ...requestOf("b", "b2"), address: "" }, 1_000);
+    queue.push(requestOf("c", "c2"), 1_000);
+    expect(queue.next(noMember, 1_001)?.name).toBe("c");
+});
--- a/packages/daemon/src/workflow/join-queue.ts
+++ b/packages/daemon/src/workflow/join-queue.ts
@@ -13,9 +13,11 @@
     /** By the replica's name; a later disk under the same name takes the place of the earlier one. */
     readonly #waiting = new Map<string, WaitingRequest>();
 
-    /** Adds a request or renews an earlier one of the same replica. */
+    /** Adds a request or renews an earlier one of the same replica. Ignores one without a disk id or an address. */
     push(request: JoinRequest, nowMs: number): void {
-        this.#waiting.set(request.name, { request, receivedAtMs: nowMs });
+        if (request.diskId !== "" && request.address !== "") {
+            this.#waiting.set(request.name, { request, receivedAtMs: nowMs });
+        }
     }
 
     /** Returns the oldest request that has not expired and whose replica is not a member; discards those before it. */
