Limit the rate of submissions that are refused for good

What callers saw: nothing at first; one customer could fill the log and the state with jobs that are too large or too late, since each such refusal is recorded, and the contract's rate did not apply to them. Before the first announcement of a server, when any size is accepted, it did not apply to accepted jobs either.

Cause: the rate was checked after all other refusals, whether they are recorded or not, so the size refusal skipped it.

Change: only a full queue, after which the same job may be submitted again, takes no token. The other refusals are returned only within the rate.

The users' platform does not use this package; found by reading.

--- a/packages/scheduler/src/policy/admission-control.test.ts
+++ b/packages/scheduler/src/policy/admission-control.test.ts
@@ -50,6 +50,19 @@
     expect(admit(policies, job("x"), 9_000, 10_000)).toMatchObject({ reason: Reason.QUEUE_FULL, retryAfterMs: 9_000 });
 });
 
+// Guards against a log and a state that one customer fills with jobs that can never run: each such refusal is recorded.
+test("limits the rate of jobs that are refused for good, also before any server is known", () => {
+    const quota = { submissionsPerSecond: 2, submissionBurst: 2 };
+    const withServer = createPoliciesWithQuota(quota);
+    const withoutServers = createPolicies({ random: new SeededRandom(1) });
+    withoutServers.admission.setCustomer(limits("customer", quota, { batchShare: 0.5 }));
+    for (const policies of [withServer, withoutServers]) {
+        const reasons = [1, 2, 3].map(id => admit(policies, job(`${id}`, { reserved: resources(17_000) })).reason);
+        const tooLarge = Reason.LARGER_THAN_ANY_BACKEND_SERVER;
+        expect(reasons).toEqual([tooLarge, tooLarge, Reason.RATE_EXCEEDED]);
+    }
+});
+
 test("retry delays grow with reproducible jitter, and retries stop when the budget is exhausted", () => {
     const delays = (seed: number): number[] => {
         const backoff = new RetryBackoff(new SeededRandom(seed));
--- a/packages/scheduler/src/policy/admission-control.ts
+++ b/packages/scheduler/src/policy/admission-control.ts
@@ -72,17 +72,21 @@
         this.#customers.delete(customer);
     }
 
-    /** Checks the rate last, so that a job that is refused for another reason takes no token. */
+    /**
+     * Checks the rate last, so that a job that may be submitted again takes no token. Other refusals are recorded, so
+     * that the rate has to limit them as well.
+     */
     admit(specification: JobSpecification, job: QueuedJob, expectedWaitMs: number, nowMs: number): Admission {
         const customer = this.#customers.get(job.customer);
         if (customer === undefined) {
             return refuse(Reason.CUSTOMER_REMOVED, `no contract for customer ${job.customer}`);
         }
-        return this.#sizeRefusal(customer.limits, job)
+        const refusal = this.#sizeRefusal(customer.limits, job)
             ?? this.#deadlineRefusal(specification, job, expectedWaitMs, nowMs)
-            ?? this.#queueRefusal(customer.limits, job, expectedWaitMs)
-            ?? this.#rateRefusal(customer, nowMs)
-            ?? ADMITTED;
+            ?? this.#queueRefusal(customer.limits, job, expectedWaitMs);
+        return refusal?.reason === Reason.QUEUE_FULL
+            ? refusal
+            : this.#rateRefusal(customer, nowMs) ?? refusal ?? ADMITTED;
     }
 
     #sizeRefusal(limits: CustomerLimits, job: QueuedJob): Admission | undefined {
