--- a/packages/daemon/src/transport/replica-stream.real.test.ts
+++ b/packages/daemon/src/transport/replica-stream.real.test.ts
@@ -6,7 +6,7 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { afterEach, expect, it } from "vitest";
 import { monotonicNowMs } from "./monotonic-time.js";
-import { EnvelopeDecoder, ReplicaStreamListener, ReplicaStreamSender } from "./replica-stream.js";
+import { ReplicaStreamListener, ReplicaStreamSender } from "./replica-stream.js";
 
 const HOST = "127.0.0.1";
 const closers: (() => unknown)[] = [];
@@ -83,8 +83,19 @@
     expect(Math.max(...terms)).toBeGreaterThan(1);
 });
 
-// Guards against a replica that fails on bytes sent by another program.
-it("rejects bytes that are not a stream of envelopes", () => {
-    const decoder = new EnvelopeDecoder(() => undefined);
-    expect(decoder.push(Buffer.from([0xff, 0xff, 0xff, 0xff, 0x0f]))).toBe(false);
+// Guards against a follower that hears nothing of its leader until the last of several large messages has arrived.
+it("passes on a message before the messages that were sent with it", async () => {
+    const port = await freePort();
+    const terms: number[][] = [];
+    const listener = new ReplicaStreamListener(
+        { host: HOST, port },
+        messages => terms.push(messages.map(({ term }) => term)),
+    );
+    await listener.listen();
+    closers.push(() => listener.close());
+    const sender = new ReplicaStreamSender();
+    closers.unshift(() => sender.close());
+    [1, 2, 3].forEach(term => sender.send(`${HOST}:${port}`, messageOfTerm(term), monotonicNowMs()));
+    await waitUntil(() => terms.flat().includes(3));
+    expect(terms).toEqual([[1], [2], [3]]);
 });
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -18,6 +18,7 @@
 } from "@waxwingspread/workflow";
 import { createHash } from "node:crypto";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
@@ -29,6 +30,7 @@
 import { ClusterMembership } from "./cluster-membership.js";
 import { ControlMonitor } from "./control-monitor.js";
 import { EventLog } from "./event-log.js";
+import { HeartbeatCalls } from "./heartbeat-calls.js";
 import { InternalCaller } from "./internal-caller.js";
 import { createForwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
@@ -40,6 +42,7 @@
 import { PlatformCalls } from "./platform-calls.js";
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
+import { createRunnerLog } from "./runner-log.js";
 import { SlewedWallClock } from "./slewed-wall-clock.js";
 import { ControlPhase } from "./workflow-metrics.js";
 import type { ControlMetrics } from "./workflow-metrics.js";
@@ -49,9 +52,12 @@
 const UTILIZATION_INTERVAL_MS = 2_000;
 const ANNOUNCE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_500;
+/**
+ * Time for which a stopping former leader redirects to the next one: each server of a fleet of up to 1,000 sends a
+ * heartbeat within it. Servers that find the port closed would try again only after more than a second.
+ */
+const REDIRECT_TIME_MS = 1_000;
 const LISTENER_GRACE_MS = 1_000;
-/** Longest wait of a heartbeat in the queue; backend servers wait 1 s for an answer. */
-const MAX_HEARTBEAT_WAIT_MS = 800;
 /** Log records between two snapshots, which bounds the records that recovery replays. */
 const SNAPSHOT_INTERVAL_RECORDS = 4_000;
 
@@ -101,6 +107,7 @@
     readonly #timers: NodeJS.Timeout[] = [];
     readonly #monitor: ControlMonitor;
     readonly #driver: NodeDriver;
+    readonly #heartbeatCalls: HeartbeatCalls;
     readonly #wallClock = new SlewedWallClock(monotonicNowMs(), Date.now());
     #isStopped = false;
 
@@ -124,6 +131,11 @@
             monitor: this.#monitor,
             readTimes: () => this.#currentTimes(),
         });
+        this.#heartbeatCalls = new HeartbeatCalls({
+            host: settings.host,
+            readLeaderHost: () => this.leaderHost,
+            call: (report, maxWaitMs) => this.#callHeartbeat(report, maxWaitMs),
+        });
         this.#membership = new ClusterMembership({
             runner: this.#runner,
             caller: this.#caller,
@@ -155,6 +167,7 @@
     /** Opens the log and starts listening. Fails with DISK_FAILED, CORRUPT or UNAVAILABLE. */
     static async start(settings: ControlHostSettings, dependencies: ControlHostDependencies): Promise<ControlHost> {
         const address = `${settings.host}:${settings.replicaPort}`;
+        const startMs = monotonicNowMs();
         const opened = await ReplicaStore.open({
             fileSystem: new NodeFileSystem(),
             folder: join(settings.dataFolder, "log"),
@@ -162,6 +175,12 @@
             address,
             availabilityZone: settings.availabilityZone,
         });
+        dependencies.logger.info({
+            snapshotIndex: opened.persisted.snapshot?.lastIndex ?? 0,
+            snapshotBytes: opened.snapshotBytes?.length ?? 0,
+            entries: opened.persisted.entries.length,
+            durationMs: Math.round(monotonicNowMs() - startMs),
+        }, "log opened");
         const host = new ControlHost(settings, opened, dependencies);
         await host.#replicaListener.listen();
         await host.#internalListener.listen();
@@ -187,10 +206,7 @@
 
     async heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
         const receivedAtMs = monotonicNowMs();
-        const result = await this.#driver.call<HeartbeatOrders | undefined>((respond, times) => {
-            this.#monitor.record(ControlPhase.HeartbeatQueued, times.nowMs - receivedAtMs);
-            this.#node.heartbeat(report, respond, times);
-        }, MAX_HEARTBEAT_WAIT_MS);
+        const result = await this.#heartbeatCalls.handle(report, receivedAtMs);
         this.#metrics.recordHeartbeat(result);
         if (result.ok) {
             const nowMs = monotonicNowMs();
@@ -235,11 +251,23 @@
         return this.#driver.call((respond, times) => this.#node.maintenanceState(id, respond, times));
     }
 
-    /** Hands over leadership, waits for calls in progress and closes the log. */
+    #callHeartbeat(report: HeartbeatReport, maxWaitMs: number): Promise<CallResult<HeartbeatOrders | undefined>> {
+        const receivedAtMs = monotonicNowMs();
+        return this.#driver.call((respond, times) => {
+            this.#monitor.record(ControlPhase.HeartbeatQueued, times.nowMs - receivedAtMs);
+            this.#node.heartbeat(report, respond, times);
+        }, maxWaitMs);
+    }
+
+    /** Hands over leadership, redirects to the next leader for some time, waits for open calls and closes the log. */
     async stop(): Promise<void> {
-        await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
+        const wasLeader = await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
+        if (wasLeader) {
+            await sleep(REDIRECT_TIME_MS);
+        }
         this.#isStopped = true;
         this.#driver.close();
+        this.#heartbeatCalls.close();
         this.#timers.forEach(timer => clearInterval(timer));
         await Promise.all([
             this.#internalListener.close(LISTENER_GRACE_MS),
@@ -251,7 +279,6 @@
     }
 
     #createNode(): WorkflowNode {
-        const runner = (): ReplicaRunner => this.#runner;
         const platformCalls = new PlatformCalls({
             services: this.#services,
             onResult: () => this.#driver.scheduleRun(),
@@ -266,16 +293,7 @@
             onServerEvent: (event, nowMs) => this.#eventLog.recordServerEvent(event, nowMs),
             queryEligibility: (query, respond) => void platformCalls.checkEligibility(query, respond),
             beginMaintenance: (call, respond) => void platformCalls.beginMaintenance(call, respond),
-            log: {
-                get term() {
-                    return runner().replica.term;
-                },
-                get isLeader() {
-                    return runner().replica.role === ReplicaRole.Leader;
-                },
-                propose: (record, nowMs) => runner().propose([record], nowMs),
-                hasQuorumLease: nowMs => runner().hasQuorumLease(nowMs),
-            },
+            log: createRunnerLog(() => this.#runner),
         });
     }
 
@@ -287,7 +305,10 @@
             hooks: {
                 send: (to, message) => this.#sender.send(to.address, message, monotonicNowMs()),
                 onCommit: entries => this.#applyCommitted(entries),
-                onRestoreSnapshot: (header, bytes) => this.#node.restoreSnapshot(bytes),
+                onRestoreSnapshot: (header, bytes) => {
+                    this.#logger.info({ lastIndex: header.lastIndex, sizeBytes: bytes.length }, "snapshot restored");
+                    this.#node.restoreSnapshot(bytes);
+                },
                 onRoleChange: change => this.#handleRoleChange(change),
                 takeSnapshot: () => this.#node.snapshot(),
                 onFailed: this.#fail,
@@ -339,6 +360,7 @@
         this.#sender.tick(nowMs);
         this.#membership.tick(nowMs);
         this.#driver.tick();
+        this.#heartbeatCalls.tick(nowMs);
     }
 
     #announceMembers(): void {
--- a/packages/daemon/src/workflow/internal-caller.real.test.ts
+++ b/packages/daemon/src/workflow/internal-caller.real.test.ts
@@ -1,10 +1,11 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
-import type { AddressInfo, Server as NetServer } from "node:net";
-import { setTimeout as delay } from "node:timers/promises";
+import type { AddressInfo, Server as NetServer, Socket } from "node:net";
+import { setImmediate as nextIteration, setTimeout as delay } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
 import { pino } from "pino";
 import { afterEach, expect, it } from "vitest";
-import type { HttpListener } from "../http/http-listener.js";
+import { HttpListener } from "../http/http-listener.js";
 import { InternalCaller } from "./internal-caller.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
@@ -34,12 +35,17 @@
     return { listener, port };
 };
 
+interface Proxy {
+    port: number;
+    connectionCount: () => number;
+    /** Holds back what the target sends until the returned function is called. */
+    holdAnswers: () => () => void;
+}
+
 /** Passes connections on to another port, except for those that `isSilent` selects by their number. */
-const startProxy = async (
-    targetPort: number,
-    isSilent: (connection: number) => boolean,
-): Promise<{ port: number; connectionCount: () => number }> => {
+const startProxy = async (targetPort: number, isSilent: (connection: number) => boolean): Promise<Proxy> => {
     let connections = 0;
+    const passed: { socket: Socket; target: Socket }[] = [];
     const proxy: NetServer = createServer(socket => {
         connections += 1;
         socket.on("error", () => socket.destroy());
@@ -50,11 +56,17 @@
         const target = connect(targetPort, HOST);
         target.on("error", () => socket.destroy());
         socket.pipe(target).pipe(socket);
+        passed.push({ socket, target });
     });
     proxy.listen(0, HOST);
     await once(proxy, "listening");
     cleanups.push(() => proxy.close());
-    return { port: (proxy.address() as AddressInfo).port, connectionCount: () => connections };
+    const holdAnswers = (): () => void => {
+        const held = [...passed];
+        held.forEach(({ socket, target }) => target.unpipe(socket));
+        return () => held.forEach(({ socket, target }) => target.pipe(socket));
+    };
+    return { port: (proxy.address() as AddressInfo).port, connectionCount: () => connections, holdAnswers };
 };
 
 const createCaller = (): InternalCaller => {
@@ -89,6 +101,36 @@
     expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({});
 });
 
+// Guards against a connection to a leader that is late for long, which is replaced once a second by each entry. The
+// leader then accepts connections in place of handling calls, and stays late.
+it("keeps a connection on which only answers to calls that have timed out arrive", async () => {
+    const { port: targetPort } = await listen(["/late", () => delay(150, {})]);
+    const { port, connectionCount } = await startProxy(targetPort, () => false);
+    const caller = createCaller();
+    const isAnswered = (): Promise<boolean> => caller.call(callOf(port, "/late", 100)).then(() => true, () => false);
+    for (let round = 0; round < 16; round += 1) {
+        expect(await isAnswered()).toBe(false);
+    }
+    expect(connectionCount()).toBe(1);
+    expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({});
+});
+
+// Guards against a connection that its peer closes, with all calls on it, because too many calls were cancelled: an
+// HTTP/2 server takes more than 1,000 cancellations, and 33 a second, for an attack.
+it("keeps a connection on which many calls have timed out", async () => {
+    const { port: targetPort } = await listen(["/late", () => delay(200, {})]);
+    const { port, connectionCount } = await startProxy(targetPort, () => false);
+    const caller = createCaller();
+    const messageOfFailure = (): Promise<string> =>
+        caller.call(callOf(port, "/late", 100)).then(() => "", (error: unknown) => (error as Error).message);
+    for (let round = 0; round < 14; round += 1) {
+        const messages = await Promise.all(Array.from({ length: 100 }, messageOfFailure));
+        expect(new Set(messages)).toEqual(new Set(["no response within 100 ms"]));
+    }
+    expect(connectionCount()).toBe(1);
+    expect(await caller.call(callOf(port, "/late", 2_000))).toEqual({});
+});
+
 // Guards against calls that are sent on a connection whose packets are lost while new connections would work.
 it("replaces a connection on which nothing arrives", async () => {
     const { port: targetPort } = await listen(["/echo", (body: unknown) => body]);
@@ -106,10 +148,16 @@
 
 // Guards against an answer that is lost because its connection was replaced for another call.
 it("delivers the late answer of a call whose connection takes no more calls", async () => {
-    const { port } = await listen(["/late", () => delay(1_600, { isLate: true })], ["/never", () => delay(5_000)]);
+    const { port: targetPort } = await listen(["/late", () => delay(100, { isLate: true })]);
+    const { port, connectionCount, holdAnswers } = await startProxy(targetPort, () => false);
     const caller = createCaller();
+    await caller.call(callOf(port, "/late", 1_000));
+    const releaseAnswers = holdAnswers();
     const late = caller.call(callOf(port, "/late", 4_000));
-    await expect(caller.call(callOf(port, "/never", 1_200))).rejects.toThrow("no response within 1200 ms");
+    await expect(caller.call(callOf(port, "/late", 1_200))).rejects.toThrow("no response within 1200 ms");
+    expect(await caller.call(callOf(port, "/late", 1_000))).toEqual({ isLate: true });
+    expect(connectionCount()).toBe(2);
+    releaseAnswers();
     expect(await late).toEqual({ isLate: true });
 });
 
@@ -200,3 +248,50 @@
     await delay(100);
     expect(uncaught).toEqual([]);
 });
+
+// Guards against an upgrade during which entries of the new version can't reach the leader, which is upgraded last.
+it("calls a peer of the version before HTTP/2 over HTTP/1.1", async () => {
+    let executed = 0;
+    const listener = new HttpListener({
+        address: { host: HOST, port: 0 },
+        maxConnections: 8,
+        handle: (request, response) => {
+            executed += 1;
+            request.pipe(response);
+        },
+        onConnectionRefused: () => undefined,
+        logger: pino({ enabled: false }),
+    });
+    const port = await listener.listen();
+    const caller = createCaller();
+    const call = callOf(port, "/echo", 1_000);
+    expect(await Promise.all([caller.call(call), caller.call(call)])).toEqual([call.body, call.body]);
+    expect(await caller.call(call)).toEqual(call.body);
+    expect(executed).toBe(3);
+    caller.close();
+    await listener.close(GRACE_MS);
+});
+
+/** Program of a peer in a thread of its own, which answers after 50 ms and reports its port. */
+const PEER_PROGRAM = `
+    const { createServer } = require("node:http2");
+    const { parentPort } = require("node:worker_threads");
+    const server = createServer((request, response) => {
+        request.resume();
+        setTimeout(() => response.end("{}"), 50);
+    });
+    server.listen(0, "${HOST}", () => parentPort.postMessage(server.address().port));
+`;
+
+// Guards against a process that was stalled, or frozen, and throws away the answers that arrived meanwhile.
+it("returns an answer that arrived in time although the caller's process was stalled", async () => {
+    const peer = new Worker(PEER_PROGRAM, { eval: true });
+    cleanups.push(() => peer.terminate());
+    const [port] = await once(peer, "message") as [number];
+    const caller = createCaller();
+    await caller.call(callOf(port, "/any", 1_000));
+    const answer = caller.call(callOf(port, "/any", 200));
+    await nextIteration();
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 400);
+    expect(await answer).toEqual({});
+});
--- a/packages/daemon/src/workflow/peer-connection.ts
+++ b/packages/daemon/src/workflow/peer-connection.ts
@@ -1,16 +1,28 @@
 import { once } from "node:events";
-import { connect, constants } from "node:http2";
-import type { ClientHttp2Session, ClientHttp2Stream } from "node:http2";
+import { connect } from "node:http2";
+import type { ClientHttp2Session } from "node:http2";
 import { connect as connectSocket } from "node:net";
+import type { Socket } from "node:net";
 import { HTTP2_WINDOW_BYTES } from "../http/http-listener.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
-import { CallError, parseJson } from "./json-call.js";
+import { CancellationBudget } from "./cancellation-budget.js";
+import { CallError } from "./json-call.js";
 import type { JsonCall, JsonResponse } from "./json-call.js";
+import { PeerCall } from "./peer-call.js";
 
 /** Time after which a connection without a call is closed. */
 const IDLE_TIMEOUT_MS = 60_000;
 /** Age below which a connection isn't replaced, however long its peer takes to respond. */
 const MIN_AGE_MS = 1_000;
+/** Code of the errors that Node's HTTP/2 library reports about what it receives. */
+const HTTP2_LIBRARY_ERROR = "ERR_HTTP2_ERROR";
+
+/** Failure of a call to a peer that doesn't serve HTTP/2 and has therefore not executed it. */
+export class Http2UnsupportedError extends CallError {
+    constructor(call: JsonCall) {
+        super(call, "the peer doesn't serve HTTP/2", false);
+    }
+}
 
 /** Construction parameters of a {@link PeerConnection}. */
 export interface PeerConnectionOptions {
@@ -22,16 +34,21 @@
 /** HTTP/2 connection to a peer, which carries any number of calls at once. */
 export class PeerConnection {
     readonly #session: ClientHttp2Session;
+    readonly #socket: Socket;
     readonly #connected: Promise<unknown>;
     readonly #openedAtMs: number;
-    #lastReceivedAtMs = -Infinity;
+    readonly #cancellations: CancellationBudget;
     #openCalls = 0;
     #isRetired = false;
+    #isHttp2Confirmed = false;
+    #isPinging = false;
 
     constructor({ host, port, onClosed }: PeerConnectionOptions, nowMs: number) {
         this.#openedAtMs = nowMs;
+        this.#cancellations = new CancellationBudget(nowMs);
+        this.#socket = connectSocket({ host, port });
         this.#session = connect("http://peer", {
-            createConnection: () => connectSocket({ host, port }),
+            createConnection: () => this.#socket,
             settings: { enablePush: false, initialWindowSize: HTTP2_WINDOW_BYTES },
         });
         this.#connected = once(this.#session, "connect");
@@ -44,6 +61,9 @@
         });
         // Calls on a broken connection fail with errors of their own.
         this.#session.on("error", () => undefined);
+        this.#session.once("remoteSettings", () => {
+            this.#isHttp2Confirmed = true;
+        });
         this.#session.once("goaway", () => this.retire());
         this.#session.once("close", () => {
             this.retire();
@@ -54,7 +74,7 @@
 
     /** Whether the connection takes no more calls. */
     get isRetired(): boolean {
-        return this.#isRetired;
+        return this.#isRetired || this.#session.destroyed;
     }
 
     /** Takes no more calls and closes the connection when its open calls have ended. */
@@ -73,9 +93,22 @@
 
     /** Sends a call. Fails with a {@link CallError} if there is no response within its timeout. */
     async send(call: JsonCall): Promise<JsonResponse> {
+        const bytesReadBefore = this.#socket.bytesRead;
+        const peerCall = new PeerCall({
+            call,
+            session: this.#session,
+            onLate: () => this.#pingIfSilent(bytesReadBefore),
+            onTimedOut: () => this.#retireIfSilent(bytesReadBefore, monotonicNowMs()),
+            mayCancel: () => this.#cancellations.take(monotonicNowMs()),
+            toCallError: (error, mayHaveActed) =>
+                this.#isHttp2Unsupported(error)
+                    ? new Http2UnsupportedError(call)
+                    : new CallError(call, error, mayHaveActed),
+        });
         this.#openCalls += 1;
+        this.#connected.then(() => peerCall.send()).catch((error: unknown) => peerCall.fail(error));
         try {
-            return await this.#send(call, monotonicNowMs());
+            return await peerCall.response;
         }
         finally {
             this.#openCalls -= 1;
@@ -85,105 +118,29 @@
         }
     }
 
-    #send(call: JsonCall, sentAtMs: number): Promise<JsonResponse> {
-        return new Promise((resolve, reject) => {
-            let stream: ClientHttp2Stream | undefined;
-            let isEnded = false;
-            const end = (): void => {
-                isEnded = true;
-                clearTimeout(timer);
-                call.signal?.removeEventListener("abort", abort);
-            };
-            const fail = (error: unknown): void => {
-                end();
-                reject(new CallError(call, error, stream !== undefined && mayHaveArrived(stream)));
-                stream?.close(constants.NGHTTP2_CANCEL);
-            };
-            const abort = (): void => fail(new Error("the call was aborted"));
-            const timer = setTimeout(() => {
-                fail(new Error(`no response within ${call.timeoutMs} ms`));
-                this.#retireIfSilent(sentAtMs, monotonicNowMs());
-            }, call.timeoutMs);
-            call.signal?.addEventListener("abort", abort);
-            const start = (): void => {
-                // A call that ended before the connection was established counts as not sent.
-                if (isEnded) {
-                    return;
-                }
-                stream = this.#openStream(call);
-                call.onSent?.();
-                readResponse(stream, {
-                    onReceived: () => this.#recordReceived(),
-                    onResponse: response => {
-                        end();
-                        resolve(response);
-                    },
-                    onFailed: fail,
-                });
-            };
-            this.#connected.then(start).catch(fail);
-        });
-    }
-
-    #openStream(call: JsonCall): ClientHttp2Stream {
-        const body = Buffer.from(JSON.stringify(call.body));
-        const stream = this.#session.request({
-            ...call.headers,
-            ":method": "POST",
-            ":path": call.path,
-            "content-type": "application/json",
-            "content-length": body.length,
-        });
-        stream.end(body);
-        return stream;
+    /** Whether the peer has responded with something other than HTTP/2. */
+    #isHttp2Unsupported(error: unknown): boolean {
+        return !this.#isHttp2Confirmed && error instanceof Error && "code" in error
+            && error.code === HTTP2_LIBRARY_ERROR;
     }
 
-    #recordReceived(): void {
-        this.#lastReceivedAtMs = monotonicNowMs();
+    /** Pings the peer if nothing has arrived since a call was sent. Its answer shows that the connection works. */
+    #pingIfSilent(bytesReadBefore: number): void {
+        const canPing = !this.#isPinging && !this.#socket.connecting && !this.#session.destroyed;
+        if (canPing && this.#socket.bytesRead === bytesReadBefore) {
+            this.#isPinging = this.#session.ping(() => {
+                this.#isPinging = false;
+            });
+        }
     }
 
     /**
-     * Retires a connection on which nothing has arrived since the call was sent: its peer may have been replaced, or the
-     * packets of this connection may be lost while those of a new one arrive.
+     * Retires a connection on which nothing has arrived since a call was sent, not even the answer to a ping: its peer
+     * may have been replaced, or the packets of this connection may be lost while those of a new one arrive.
      */
-    #retireIfSilent(sentAtMs: number, nowMs: number): void {
-        if (this.#lastReceivedAtMs < sentAtMs && nowMs - this.#openedAtMs >= MIN_AGE_MS) {
+    #retireIfSilent(bytesReadBefore: number, nowMs: number): void {
+        if (this.#socket.bytesRead === bytesReadBefore && nowMs - this.#openedAtMs >= MIN_AGE_MS) {
             this.retire();
         }
     }
 }
-
-/** Returns whether the peer may have executed the request on this stream. */
-const mayHaveArrived = (stream: ClientHttp2Stream): boolean => stream.rstCode !== constants.NGHTTP2_REFUSED_STREAM;
-
-interface ResponseHandlers {
-    onReceived: () => void;
-    onResponse: (response: JsonResponse) => void;
-    onFailed: (error: unknown) => void;
-}
-
-const readResponse = (stream: ClientHttp2Stream, { onReceived, onResponse, onFailed }: ResponseHandlers): void => {
-    const chunks: Buffer[] = [];
-    let status: number | undefined;
-    let isWhole = false;
-    stream.once("response", headers => {
-        onReceived();
-        status = headers[":status"];
-    });
-    stream.on("data", (chunk: Buffer) => {
-        onReceived();
-        chunks.push(chunk);
-    });
-    stream.once("end", () => {
-        isWhole = status !== undefined && stream.rstCode === constants.NGHTTP2_NO_ERROR;
-        if (status !== undefined && isWhole) {
-            onResponse({ status, body: parseJson(Buffer.concat(chunks)) });
-        }
-    });
-    stream.on("error", onFailed);
-    stream.once("close", () => {
-        if (!isWhole) {
-            onFailed(new Error("the connection was closed before the response"));
-        }
-    });
-};
--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -1,9 +1,19 @@
 import { afterEach, expect, it, vi } from "vitest";
-import type { HeartbeatReport } from "../model/heartbeat.js";
+import type { QueueContract } from "../model/configuration.js";
+import { RunEnd } from "../model/heartbeat.js";
+import type { HeartbeatOrders, HeartbeatReport, ReportedEnd } from "../model/heartbeat.js";
+import { TaskKind } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
-import { fillerStepOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
-import { SingleReplica } from "../testing/single-replica.js";
-import { ServerView } from "./server-view.js";
+import { EventKind } from "../state/events.js";
+import { WorkflowState } from "../state/workflow-state.js";
+import { configurationOf, fillerStepOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { LEADER_SETTINGS, SingleReplica } from "../testing/single-replica.js";
+import { Eligibility } from "./eligibility.js";
+import { Planner } from "./planner.js";
+import { PressureModel } from "./pressure-model.js";
+import { ServerDirectory } from "./server-directory.js";
+import { newRunView, ServerView } from "./server-view.js";
+import { WorkQueue } from "./work-queue.js";
 
 const SERVERS = 245;
 const WAITING_JOBS = 300;
@@ -104,3 +114,75 @@
     const starts = replica.heartbeat(heartbeatOf("s", 2))?.starts ?? [];
     expect(starts.map(start => start.task)).toEqual(["single.0.0.0", "single.0.0.1", "single.0.0.2", "single.0.0.3"]);
 });
+
+const endsOf = (orders: HeartbeatOrders | undefined): ReportedEnd[] =>
+    (orders?.starts ?? []).map(({ task, run }, index) => ({
+        sequence: index + 1,
+        task,
+        run,
+        end: RunEnd.Done,
+        checkpoint: "",
+    }));
+
+/** Fills two servers with finite tasks, lets a search fail, and returns the ends of the tasks on each server. */
+const startFullReplica = (): { replica: SingleReplica; ends: ReportedEnd[][] } => {
+    const replica = SingleReplica.started();
+    replica.heartbeat(heartbeatOf("s", 1, { rack: "r1" }));
+    replica.heartbeat(heartbeatOf("t", 1, { rack: "r2" }));
+    replica.submit(jobOf("full", stepOf({ taskCount: 8 })));
+    const orders = ["s", "t"].map((id, index) => replica.heartbeat(heartbeatOf(id, 2, { rack: `r${index + 1}` })));
+    replica.submit(jobOf("failed", stepOf()));
+    replica.node.cancel("failed", () => undefined, replica.times);
+    replica.settle();
+    return { replica, ends: orders.map(endsOf) };
+};
+
+// Guards against a gang that never starts, because only the servers of the latest heartbeats were searched for it after
+// a search for another step had failed.
+it("assigns a gang whose members need servers that got capacity at different times", () => {
+    const { replica, ends: [endsOnFirst = [], endsOnSecond = []] } = startFullReplica();
+    replica.submit(jobOf("gang", stepOf({ taskCount: 8, isGang: true })));
+    const starts: string[] = [];
+    for (let sequence = 3; sequence < 7; sequence += 1) {
+        const first = replica.heartbeat(heartbeatOf("s", sequence, { rack: "r1", ended: endsOnFirst }));
+        replica.advance(50);
+        const second = replica.heartbeat(heartbeatOf("t", sequence, { rack: "r2", ended: endsOnSecond }));
+        replica.advance(50);
+        starts.push(...[first, second].flatMap(orders => orders?.starts.map(start => start.task) ?? []));
+    }
+    expect(new Set(starts).size).toBe(8);
+});
+
+// Guards against tasks far from their data: after a search had failed once, a task got the server whose heartbeat came
+// next, although a better one had been idle for some time.
+it("searches all servers again once the amounts that failed fit somewhere", () => {
+    const { replica, ends: [endsOnFirst = [], endsOnSecond = []] } = startFullReplica();
+    replica.heartbeat(heartbeatOf("t", 3, { rack: "r2", ended: endsOnSecond }));
+    replica.heartbeat(heartbeatOf("s", 3, { rack: "r1", ended: endsOnFirst }));
+    replica.submit(jobOf("local", stepOf({ taskCount: 2, dataRack: "r2" })));
+    replica.heartbeat(heartbeatOf("s", 4, { rack: "r1" }));
+    expect(replica.heartbeat(heartbeatOf("t", 4, { rack: "r2" }))?.starts).toHaveLength(2);
+});
+
+// Guards against a filler that is stopped only to be started again on the same server, which throws work away.
+it("does not count a run's own server as a place to move it to", () => {
+    const state = new WorkflowState();
+    const [queue] = configurationOf(1).queues;
+    const step = fillerStepOf();
+    const job = jobOf("j", step);
+    state.apply({ kind: EventKind.JobAccepted, job, queue: queue as QueueContract, acceptedAtMs: 0 });
+    const directory = new ServerDirectory(LEADER_SETTINGS);
+    const planner = new Planner({
+        state,
+        queue: new WorkQueue(),
+        directory,
+        pressure: new PressureModel({}),
+        eligibility: new Eligibility(() => undefined),
+    });
+    const position = { jobId: "j", occurrence: 0, step: 0, index: 0 };
+    const run = newRunView({ task: "j.0.0.0", run: 1, position, step, kind: TaskKind.Filler, checkpoint: "" }, 0);
+    directory.recordHeartbeat(heartbeatOf("own", 1), 0)?.server.addRun(run);
+    expect(planner.canPlaceElsewhere(run, 0)).toBe(false);
+    directory.recordHeartbeat(heartbeatOf("other", 1), 0);
+    expect(planner.canPlaceElsewhere(run, 0)).toBe(true);
+});
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -34,7 +34,7 @@
 
 /**
  * Assigns waiting tasks to backend servers. Planning proceeds in rounds, which may take several calls. A step for which
- * no server was found waits until servers have changed, and the next rounds examine only the changed ones for it.
+ * no server was found waits until a round finds a server for it among those that have changed since the last round.
  */
 export class Planner {
     readonly #state: WorkflowState;
@@ -44,7 +44,7 @@
     readonly #eligibility: Eligibility;
     /** Servers of the tasks whose assignment is proposed but not committed, by task. */
     readonly #pendingTasks = new Map<string, ServerView>();
-    /** Steps that no server can run, except perhaps for those that have changed since. */
+    /** Steps that no server can run, except perhaps for those that have changed since the round began. */
     readonly #failures = new FailedPlacements();
     /** Steps that the changed servers of this round cannot run either. */
     readonly #failuresInRound = new FailedPlacements();
@@ -72,8 +72,12 @@
      */
     plan({ nowMs, timeOfDayMs }: Times): Plan {
         this.#remainingServers = MAX_EXAMINED_SERVERS_PER_CALL;
-        this.#changedServers = this.#changedServers?.filter(server => this.#directory.get(server.id) === server)
-            ?? this.#directory.takeChanged();
+        if (this.#changedServers === undefined) {
+            this.#beginRound(nowMs);
+        }
+        else {
+            this.#changedServers = this.#changedServers.filter(server => this.#directory.get(server.id) === server);
+        }
         const runs: AssignedRun[] = [];
         for (const waiting of this.#queue.ordered(timeOfDayMs)) {
             const planned = this.#planStep(waiting, nowMs);
@@ -99,7 +103,7 @@
         this.#pendingTasks.delete(task);
     }
 
-    /** Whether some server has capacity for the run now. */
+    /** Whether some other server has capacity for the run now. */
     canPlaceElsewhere(run: RunView, nowMs: number): boolean {
         const { jobId, occurrence, step: stepIndex } = run.position;
         const job = this.#state.job(jobId);
@@ -123,11 +127,30 @@
         if (this.#failures.includes(waiting, key)) {
             return false;
         }
-        const server = chooseServer(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
+        const { servers } = this.#directory;
+        const server = chooseServer(waiting, servers, constraints, this.#pressure, nowMs);
         if (server === undefined && constraints.isEligible === undefined) {
             this.#failures.record(waiting, key);
         }
-        return server !== undefined;
+        const isOwnServer = server?.findRun(run.task, run.run) !== undefined;
+        if (!isOwnServer) {
+            return server !== undefined;
+        }
+        const others = servers.filter(other => other !== server);
+        return chooseServer(waiting, others, constraints, this.#pressure, nowMs) !== undefined;
+    }
+
+    /** Takes the changed servers, and searches them for the amounts that no server could run before. */
+    #beginRound(nowMs: number): void {
+        const changedServers = this.#directory.takeChanged();
+        this.#changedServers = changedServers;
+        this.#failures.recheck((waiting, key) => {
+            const server = this.#search(waiting, changedServers, this.#constraintsFor(waiting, nowMs), nowMs);
+            if (server === undefined) {
+                this.#failuresInRound.record(waiting, key);
+            }
+            return server !== undefined;
+        });
     }
 
     #planStep(waiting: WaitingStep, nowMs: number): Plan {
@@ -164,6 +187,9 @@
         if (this.#remainingServers <= 0) {
             return { runs: [], isComplete: false };
         }
+        if (this.#failures.includes(waiting, constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job)))) {
+            return NOTHING_TO_PLAN;
+        }
         const { tasks } = waiting.record;
         const run = Math.max(...tasks.map(task => task.run)) + 1;
         const constraints = this.#constraintsFor(waiting, nowMs);
@@ -212,26 +238,49 @@
         return { server, assigned: { task, run, serverId: server.id, incarnation: server.incarnation } };
     }
 
-    /** Chooses a server among all, or only among the changed ones if none was found in an earlier round. */
+    /**
+     * Chooses a server among all. If none was found in an earlier round, all are searched only after one is found among
+     * the changed ones. The members of a gang need several servers, which may have changed in different rounds.
+     */
     #findServer(waiting: WaitingStep, constraints: PlacementConstraints, nowMs: number): ServerView | undefined {
         const key = constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job));
-        const hasFailed = this.#failures.includes(waiting, key);
-        const servers = hasFailed ? this.#changedServers ?? [] : this.#directory.servers;
-        this.#remainingServers -= servers.length;
-        const server = chooseServer(waiting, servers, constraints, this.#pressure, nowMs);
-        if (server === undefined) {
-            this.#queryEligibility(waiting, constraints, nowMs);
-            // The members of a gang that are already placed are removed again, so that its failure shows nothing.
-            if (!waiting.step.isGang) {
-                this.#failuresInRound.record(waiting, key);
-            }
-            if (!waiting.step.isGang && constraints.isEligible === undefined) {
-                this.#failures.record(waiting, key);
+        if (!waiting.step.isGang && this.#failures.includes(waiting, key)) {
+            const found = this.#search(waiting, this.#changedServers ?? [], constraints, nowMs);
+            if (found === undefined) {
+                this.#recordFailure(waiting, constraints, key, nowMs);
+                return undefined;
             }
+            this.#failures.forget(waiting);
+        }
+        const server = this.#search(waiting, this.#directory.servers, constraints, nowMs);
+        if (server === undefined) {
+            this.#recordFailure(waiting, constraints, key, nowMs);
         }
         return server;
     }
 
+    #search(
+        waiting: WaitingStep,
+        servers: readonly ServerView[],
+        constraints: PlacementConstraints,
+        nowMs: number,
+    ): ServerView | undefined {
+        this.#remainingServers -= servers.length;
+        return chooseServer(waiting, servers, constraints, this.#pressure, nowMs);
+    }
+
+    #recordFailure(waiting: WaitingStep, constraints: PlacementConstraints, key: string, nowMs: number): void {
+        this.#queryEligibility(waiting, constraints, nowMs);
+        // The members of a gang that are already placed are removed again, so that its failure shows nothing.
+        if (waiting.step.isGang) {
+            return;
+        }
+        this.#failuresInRound.record(waiting, key);
+        if (constraints.isEligible === undefined) {
+            this.#failures.record(waiting, key);
+        }
+    }
+
     #constraintsFor(waiting: WaitingStep, nowMs: number): PlacementConstraints {
         const { service, eligibility } = this.#state.currentQueueOf(waiting.job);
         const step = stepKeyOf(waiting);
@@ -282,6 +331,9 @@
 
 const NOTHING_TO_PLAN: Plan = { runs: [], isComplete: true };
 
-/** Returns the constraints that steps share, other than their amounts. */
-const constraintsKeyOf = ({ kind, step }: WaitingStep, { service, name, eligibility }: QueueContract): string =>
-    `${kind} ${service} ${step.image} ${step.requiredLabel} ${eligibility === undefined ? "" : name}`;
+/** Returns the constraints that steps share, other than their amounts. An approval is given to one step only. */
+const constraintsKeyOf = (waiting: WaitingStep, { service, eligibility }: QueueContract): string => {
+    const { kind, step } = waiting;
+    const approvedStep = eligibility === undefined ? "" : stepKeyOf(waiting);
+    return `${kind} ${service} ${step.image} ${step.requiredLabel} ${approvedStep}`;
+};
--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -1,6 +1,7 @@
 import { SeededRandom } from "@waxwingspread/common";
 import { Ok } from "ts-results-es";
 import type { Times } from "../../leader/times.js";
+import { Refusal } from "../../model/calls.js";
 import type { JobState } from "../../model/calls.js";
 import type { HeartbeatOrders } from "../../model/heartbeat.js";
 import { RunEnd } from "../../model/heartbeat.js";
@@ -9,6 +10,7 @@
 import { WorkflowNode } from "../../node/workflow-node.js";
 import { configurationOf, HOST } from "../fixtures.js";
 import { LEADER_SETTINGS } from "../single-replica.js";
+import { LivenessCheck } from "./liveness.js";
 import { Oracle } from "./oracle.js";
 import type { SubmittedJob } from "./oracle.js";
 import { SimulatedWorker } from "./simulated-worker.js";
@@ -21,6 +23,9 @@
 const ELECTION_MS = 500;
 const MIN_CLOCK_RATE = 0.98;
 const MAX_NETWORK_DELAY_MS = 60;
+/** Additional delay of the messages of a worker whose network is slow; longer than a worker waits for an answer. */
+const MAX_SLOW_NETWORK_DELAY_MS = 2_500;
+const LIVENESS_INTERVAL_MS = 100;
 
 /** Duration and outcome of the runs of a job. */
 export interface JobBehaviour {
@@ -46,12 +51,15 @@
     readonly jobs = new Map<string, SubmittedJob>();
     readonly workers: SimulatedWorker[];
     readonly oracle: Oracle;
+    readonly liveness: LivenessCheck;
     readonly #behaviours = new Map<string, JobBehaviour>();
     readonly #random: SeededRandom;
     /** Times until which workers fail all runs that end by themselves, by worker. */
     readonly #failingUntilMs = new Map<string, number>();
     /** Times until which workers exchange no messages with the leader, by worker. */
     readonly #partitionedUntilMs = new Map<string, number>();
+    /** Times until which the messages of workers arrive late, by worker. */
+    readonly #slowUntilMs = new Map<string, number>();
     #deliveries: Delivery[] = [];
     #log: CommittedRecord[] = [];
     #committedCount = 0;
@@ -86,6 +94,7 @@
             })
         );
         this.oracle = new Oracle(this.jobs, this.workers);
+        this.liveness = new LivenessCheck(this.jobs, this.workers, this.oracle);
     }
 
     get #times(): Times {
@@ -105,12 +114,22 @@
         }
     }
 
+    /** Advances the simulated time without disturbances while it checks that all tasks with capacity are at work. */
+    advanceCheckingLiveness(durationMs: number): void {
+        const endMs = this.#nowMs + durationMs;
+        while (this.#nowMs < endMs) {
+            this.advance(LIVENESS_INTERVAL_MS);
+            this.liveness.observe(this.#nowMs);
+        }
+    }
+
     submit(specification: JobSpecification, behaviour: JobBehaviour): void {
         const job: SubmittedJob = this.jobs.get(specification.id) ?? {
             specification,
             maxAttempts: MAX_ATTEMPTS,
             isAccepted: false,
             cancelledAtMs: undefined,
+            possibleCancellations: 0,
         };
         this.jobs.set(specification.id, job);
         this.#behaviours.set(specification.id, behaviour);
@@ -132,10 +151,17 @@
 
     cancel(id: string): void {
         const job = this.jobs.get(id);
-        this.#leader?.node.cancel(id, result => {
-            if (result.ok && job !== undefined) {
+        if (this.#leader === undefined || job === undefined) {
+            return;
+        }
+        job.possibleCancellations += 1;
+        this.#leader.node.cancel(id, result => {
+            if (result.ok) {
                 job.cancelledAtMs ??= this.#nowMs;
             }
+            else if (result.refusal !== Refusal.Uncertain) {
+                job.possibleCancellations -= 1;
+            }
         }, this.#times);
         this.#runLeader();
     }
@@ -155,7 +181,10 @@
         this.#runLeader();
     }
 
-    /** Drops the leader and all uncommitted records; its answers in flight still arrive. */
+    /**
+     * Drops the leader; its answers in flight still arrive. The next leader has the committed records and may have a part
+     * of the others, which it commits.
+     */
     loseLeader(): void {
         if (this.#leader !== undefined) {
             this.#leader.isLeading = false;
@@ -163,7 +192,7 @@
             this.#leader = undefined;
             this.#nextElectionAtMs = this.#nowMs + ELECTION_MS;
         }
-        this.#log.length = this.#committedCount;
+        this.#log.length = this.#random.nextInteger(this.#committedCount, this.#log.length);
     }
 
     /** Stops all commits for the given time. */
@@ -186,6 +215,11 @@
         this.#partitionedUntilMs.set(`w${index}`, this.#nowMs + durationMs);
     }
 
+    /** Delays the messages from and to a worker, so that heartbeats arrive after later ones or at a later leader. */
+    slowDownNetwork(index: number, durationMs: number): void {
+        this.#slowUntilMs.set(`w${index}`, this.#nowMs + durationMs);
+    }
+
     failWorker(index: number, durationMs: number): void {
         this.#failingUntilMs.set(`w${index}`, this.#nowMs + durationMs);
     }
@@ -193,6 +227,7 @@
     /** Ends all disruptions. */
     heal(): void {
         this.#partitionedUntilMs.clear();
+        this.#slowUntilMs.clear();
         this.#failingUntilMs.clear();
         this.#stalledUntilMs = this.#nowMs;
         this.workers.filter(worker => worker.isDraining).forEach(worker => worker.restart());
@@ -225,13 +260,15 @@
     }
 
     #electLeader(): void {
-        if (this.#leader !== undefined || this.#nowMs < this.#nextElectionAtMs) {
+        // A new leader serves only after its own first record, and so all earlier ones, are committed.
+        if (this.#leader !== undefined || this.#nowMs < Math.max(this.#nextElectionAtMs, this.#stalledUntilMs)) {
             return;
         }
         this.#term += 1;
         const leader: Leader = { term: this.#term, isLeading: true, node: this.#createNode(this.#term) };
         this.#leader = leader;
         leader.node.applyCommitted(this.#log, this.#times);
+        this.#committedCount = this.#log.length;
         this.#runLeader();
         leader.node.configure(this.#createConfiguration(), () => undefined, this.#times);
         this.#runLeader();
@@ -298,23 +335,24 @@
                 const sinceMs = this.oracle.drainingSinceMs.get(key) ?? this.#nowMs;
                 this.oracle.drainingSinceMs.set(key, sinceMs);
             }
-            this.#scheduleDelivery(() => {
+            this.#scheduleDelivery(worker, () => {
                 if (!this.#isPartitioned(worker)) {
                     worker.answer(sequence, incarnation, orders, this.#nowMs);
                 }
             });
         };
-        this.#scheduleDelivery(() =>
+        this.#scheduleDelivery(worker, () =>
             this.#leader?.node.heartbeat(report, result => {
                 if (result.ok) {
                     respond(result.value);
                 }
-            }, this.#times)
-        );
+            }, this.#times));
     }
 
-    #scheduleDelivery(deliver: () => void): void {
-        this.#deliveries.push({ atMs: this.#nowMs + this.#random.nextInteger(0, MAX_NETWORK_DELAY_MS), deliver });
+    #scheduleDelivery(worker: SimulatedWorker, deliver: () => void): void {
+        const isSlow = this.#nowMs < (this.#slowUntilMs.get(worker.id) ?? 0);
+        const maxDelayMs = isSlow ? MAX_SLOW_NETWORK_DELAY_MS : MAX_NETWORK_DELAY_MS;
+        this.#deliveries.push({ atMs: this.#nowMs + this.#random.nextInteger(0, maxDelayMs), deliver });
     }
 
     #deliverDueMessages(): void {
