Read acknowledgements that have arrived before a replica's connection is closed

A replica whose process had stalled for over 700 ms, as a leader does in its first moments after a restart, closed its healthy connections to all other replicas, with the entries that it had sent, so that followers heard of it late and began another election.

Cause: the tick that looks for connections without an acknowledgement is a timer, and the event loop runs timers before it reads from sockets.

Change: an overdue connection is closed only if it is still overdue after the sockets have been read once more.

Before: "keeps a connection whose acknowledgement arrived while the process was stalled" printed "expected 4 to be 1"; after: it passes.

--- a/packages/daemon/src/transport/replica-stream.real.test.ts
+++ b/packages/daemon/src/transport/replica-stream.real.test.ts
@@ -4,6 +4,7 @@
 import { once } from "node:events";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
+import { Worker } from "node:worker_threads";
 import { afterEach, expect, it } from "vitest";
 import { monotonicNowMs } from "./monotonic-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "./replica-stream.js";
@@ -83,6 +84,45 @@
     expect(Math.max(...terms)).toBeGreaterThan(1);
 });
 
+/** Program of a peer in a thread of its own that acknowledges everything, and reports its port and each connection. */
+const PEER_PROGRAM = `
+    const { createServer } = require("node:net");
+    const { parentPort } = require("node:worker_threads");
+    const server = createServer(socket => {
+        parentPort.postMessage("connected");
+        socket.on("error", () => undefined);
+        socket.on("data", () => socket.write(Buffer.from([1])));
+    });
+    server.listen(0, "${HOST}", () => parentPort.postMessage(server.address().port));
+`;
+
+// Guards against a leader that closes its connections to all followers, with what it has sent, after its own process was
+// stalled, although their acknowledgements have arrived meanwhile.
+it("keeps a connection whose acknowledgement arrived while the process was stalled", async () => {
+    const peer = new Worker(PEER_PROGRAM, { eval: true });
+    closers.push(() => peer.terminate());
+    const [port] = await once(peer, "message") as [number];
+    let connections = 0;
+    peer.on("message", () => {
+        connections += 1;
+    });
+    const sender = new ReplicaStreamSender();
+    closers.unshift(() => sender.close());
+    const address = `${HOST}:${port}`;
+    sender.send(address, messageOfTerm(1), monotonicNowMs());
+    await waitUntil(() => connections === 1);
+    for (let round = 0; round < 3; round += 1) {
+        sender.send(address, messageOfTerm(2), monotonicNowMs());
+        await new Promise(resolve => setImmediate(resolve));
+        Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 900);
+        sender.tick(monotonicNowMs());
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    sender.send(address, messageOfTerm(3), monotonicNowMs());
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect(connections).toBe(1);
+});
+
 // Guards against a follower that hears nothing of its leader until the last of several large messages has arrived.
 it("passes on a message before the messages that were sent with it", async () => {
     const port = await freePort();
--- a/packages/daemon/src/transport/replica-stream.ts
+++ b/packages/daemon/src/transport/replica-stream.ts
@@ -64,13 +64,23 @@
         }
     }
 
+    /** Closes a connection without an acknowledgement in time, after those that have arrived are read. */
     closeIfUnresponsive(nowMs: number): void {
-        if (
-            this.#unacknowledgedSinceMs !== undefined
-            && nowMs - this.#unacknowledgedSinceMs > ACKNOWLEDGEMENT_TIMEOUT_MS
-        ) {
-            this.close();
+        const socket = this.#socket;
+        if (!this.#isOverdue(nowMs)) {
+            return;
         }
+        // The event loop runs timers before it reads from sockets, so that a process that stalled looks here first.
+        setImmediate(() => {
+            if (this.#socket === socket && this.#isOverdue(nowMs)) {
+                this.close();
+            }
+        });
+    }
+
+    #isOverdue(nowMs: number): boolean {
+        return this.#unacknowledgedSinceMs !== undefined
+            && nowMs - this.#unacknowledgedSinceMs > ACKNOWLEDGEMENT_TIMEOUT_MS;
     }
 
     close(): void {
