Share the time of a leader between new connections and queued calls

While workers reconnect without end, calls got a twentieth of the time, so that the workers went on reconnecting.

Change: both get the same share.

--- a/packages/daemon/src/workflow/call-queue.ts
+++ b/packages/daemon/src/workflow/call-queue.ts
@@ -1,7 +1,7 @@
 /** Time after which a slice of calls gives the event loop back to replica messages, new connections and ticks. */
 const SLICE_BUDGET_MS = 2;
-/** Longest time for which calls wait while connections are accepted. */
-const MAX_ACCEPT_TIME_MS = 50;
+/** Longest time between slices for which connections are accepted; calls get an equal share. */
+const MAX_ACCEPT_TIME_MS = SLICE_BUDGET_MS;
 
 /** A call that waits until it is handled. */
 export interface QueuedCall {
