--- a/packages/daemon/src/workflow/forwarded-call.ts
+++ b/packages/daemon/src/workflow/forwarded-call.ts
@@ -9,7 +9,7 @@
 import type { ForwardedRequests, ForwardedResponse, ForwardedValues } from "./operations.js";
 
 /** Time without an answer after which the leader is treated as lost and a further attempt begins. */
-const ATTEMPT_PATIENCE_MS = 500;
+const ATTEMPT_TIMEOUT_MS = 500;
 /** Delay after an attempt that failed or reached no leader, and between checks for a leader. */
 const RETRY_DELAY_MS = 20;
 
@@ -135,7 +135,7 @@
     #startAttempt(nowMs: number): void {
         const { operation, request, caller, finder, port } = this.#options;
         if (this.#latestAttempt !== undefined && this.#isSilent(this.#latestAttempt.host)) {
-            finder.clearLeader(this.#latestAttempt.host, `no response within ${ATTEMPT_PATIENCE_MS} ms`);
+            finder.clearLeader(this.#latestAttempt.host, `no response within ${ATTEMPT_TIMEOUT_MS} ms`);
         }
         const host = finder.leaderHost;
         if (host === undefined || this.#isSilent(host)) {
@@ -144,7 +144,7 @@
         }
         const attempt: Attempt = { host, startedAtMs: nowMs, isSent: false };
         this.#latestAttempt = attempt;
-        this.#nextAttemptAtMs = nowMs + ATTEMPT_PATIENCE_MS;
+        this.#nextAttemptAtMs = nowMs + ATTEMPT_TIMEOUT_MS;
         caller.call<ForwardedResponse<Operation>>({
             host,
             port,
