--- a/packages/consensus/src/replica-store.ts
+++ b/packages/consensus/src/replica-store.ts
@@ -154,12 +154,11 @@
         const path = this.#folder.segmentPath(sequence);
         const data = await this.#folder.fileSystem.read(path);
         const scan = scanFrames(data);
-        if (scan.validBytes < data.length) {
-            if (!isLast || scan.isSyncedRecordInvalid) {
-                throw corruptError("load the log", path, `invalid record at byte ${scan.validBytes}`);
-            }
-            await this.#truncateTail(path, scan.validBytes);
+        const isTorn = scan.validBytes < data.length;
+        if (isTorn && (!isLast || scan.isSyncedRecordInvalid)) {
+            throw corruptError("load the log", path, `invalid record at byte ${scan.validBytes}`);
         }
+        await this.#syncLoadedSegment(path, isTorn ? scan.validBytes : undefined);
         const segment: Segment = { sequence, highestIndex: 0, sizeBytes: scan.validBytes, hasHardState: false };
         for (const frame of scan.frames) {
             segment.hasHardState ||= frame.kind === FrameKind.HardState;
@@ -168,11 +167,17 @@
         this.#segments.push(segment);
     }
 
-    /** Truncates a write that was not synced, since a segment followed by another one must be entirely valid. */
-    async #truncateTail(path: string, validBytes: number): Promise<void> {
+    /**
+     * Makes the records of a segment durable before they count: a process that died between a write and its sync leaves
+     * records that are lost with the power. A torn write is truncated first, since a segment followed by another one must
+     * be entirely valid.
+     */
+    async #syncLoadedSegment(path: string, truncatedBytes: number | undefined): Promise<void> {
         const file = await this.#folder.fileSystem.openAppend(path);
         try {
-            await file.truncate(validBytes);
+            if (truncatedBytes !== undefined) {
+                await file.truncate(truncatedBytes);
+            }
             await file.sync();
         }
         finally {
--- a/packages/test-support/src/fake-file-system.ts
+++ b/packages/test-support/src/fake-file-system.ts
@@ -120,8 +120,9 @@
 type FolderChange = (files: Map<string, FakeFile>) => void;
 
 /**
- * In-memory file system that simulates power failures. After `crash` it contains what a disk may contain: all synced
- * data, and an arbitrary part of the data and of the folder changes that were not synced.
+ * In-memory file system that simulates power failures and the death of processes. After `crash` it contains what a disk
+ * may contain: all synced data, and an arbitrary part of the data and of the folder changes that were not synced. After
+ * `endProcess` everything is still visible, but what was not synced is lost by a later `crash`.
  */
 export class FakeFileSystem implements FileSystem {
     /** Called before each operation; if it returns an error code (such as `EIO`), the operation fails with it. */
@@ -163,6 +164,11 @@
         }
     }
 
+    /** Simulates the death of the process: keeps all data in its synced or unsynced state; open files become unusable. */
+    endProcess(): void {
+        this.#generation += 1;
+    }
+
     /** Replaces the disk with an empty one; open files become unusable. */
     wipe(): void {
         this.#generation += 1;
@@ -185,7 +191,10 @@
         this.#durableFiles.set(path, file);
     }
 
-    /** Returns a view for one process. After a crash or wipe, every operation except `makeFolder` fails with EBADF. */
+    /**
+     * Returns a view for one process. After its death, a crash or a wipe, every operation except `makeFolder` fails with
+     * EBADF.
+     */
     process(): FileSystem {
         const generation = this.#generation;
         return {
