--- a/packages/consensus/src/data-folder.ts
+++ b/packages/consensus/src/data-folder.ts
@@ -56,6 +56,9 @@
     /** Returns the identity stored in this folder, formatting an empty one first. Fails with CORRUPT or INVALID. */
     async identity(settings: ReplicaSettings): Promise<ReplicaIdentity> {
         await this.fileSystem.makeFolder(this.path);
+        // Makes the names durable that a process left behind that died before it synced them. The content of the identity
+        // and of the snapshot needs no sync, since it was synced before the file got its name.
+        await this.fileSystem.syncFolder(this.path);
         const names = await this.fileSystem.list(this.path);
         if (!names.includes(IDENTITY_FILE)) {
             if (names.some(name => name === SNAPSHOT_FILE || SEGMENT_PATTERN.test(name))) {
--- a/packages/consensus/src/file-system.ts
+++ b/packages/consensus/src/file-system.ts
@@ -1,5 +1,6 @@
 import { mkdir, open, readdir, readFile, rename, rm } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
+import { dirname, resolve } from "node:path";
 
 /** A file open for appending. */
 export interface AppendFile {
@@ -13,6 +14,7 @@
 
 /** File operations that a store needs. Creation, renaming and removal are durable only after `syncFolder`. */
 export interface FileSystem {
+    /** Creates a folder with its missing parents unless it exists; the folder is durable afterwards. */
     makeFolder(path: string): Promise<void>;
     /** Returns the names of the files in a folder, in no particular order. */
     list(path: string): Promise<string[]>;
@@ -56,7 +58,15 @@
 /** File system of the operating system. */
 export class NodeFileSystem implements FileSystem {
     async makeFolder(path: string): Promise<void> {
-        await mkdir(path, { recursive: true });
+        const firstCreated = await mkdir(path, { recursive: true });
+        const topmost = firstCreated === undefined ? resolve(path) : resolve(firstCreated);
+        // Syncs the parent even of a folder that exists, since the process that created it may have died before its sync.
+        for (let folder = resolve(path);; folder = dirname(folder)) {
+            await this.syncFolder(dirname(folder));
+            if (folder === topmost) {
+                return;
+            }
+        }
     }
 
     list(path: string): Promise<string[]> {
