Report why the longest-waiting tasks have not started

Every 2 s the leader now logs the standing and the finite task that have waited longest for a start (over 3 s): the time waited, the assignments since the last start that were lost or rejected, the server it is assigned to, the servers with room, and the others by the reason that excludes them. Gauges carry the same. The cost is one pass over the runs and servers every 2 s and one map entry for each task whose assignment ended without a start.

The check of placement returns its reason; its order is unchanged.

--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -375,6 +375,9 @@
             const utilization = session.utilization();
             this.#metrics.setUtilization(utilization);
             this.#logger.info(utilization, "utilization");
+            const reports = session.waitReports(this.#currentTimes());
+            this.#metrics.setWaitReports(reports);
+            reports.forEach(report => this.#logger.warn(report, "task waits for a start"));
         }
     }
 
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -1,5 +1,5 @@
-import { EventKind, JobState, Refusal, RunEnd, TaskKind } from "@waxwingspread/workflow";
-import type { CallResult, EventOf, Utilization, WorkflowEvent } from "@waxwingspread/workflow";
+import { EventKind, Exclusion, JobState, Refusal, RunEnd, TaskKind } from "@waxwingspread/workflow";
+import type { CallResult, EventOf, Utilization, WaitReport, WorkflowEvent } from "@waxwingspread/workflow";
 import { Registry } from "prom-client";
 import { MetricFactory } from "../metrics/metric-factory.js";
 import { ForwardedOperation } from "./operations.js";
@@ -113,6 +113,22 @@
         {},
     );
 
+    readonly #longestWait = this.#factory.gauge(
+        "longest_wait_seconds",
+        "Longest wait of a task for a start, 0 if it is short, by kind",
+        { kind: Object.values(TaskKind) },
+    );
+    readonly #unstartedRuns = this.#factory.gauge(
+        "longest_wait_unstarted_runs",
+        "Assignments of the task with the longest wait that ended without a start, by cause",
+        { kind: Object.values(TaskKind), cause: ["lost", "rejected"] },
+    );
+    readonly #longestWaitServers = this.#factory.gauge(
+        "longest_wait_servers",
+        "Servers with room for the task with the longest wait, and the others by what excludes them",
+        { kind: Object.values(TaskKind), state: ["room", ...Object.values(Exclusion)] },
+    );
+
     readonly #handlers: Handlers = {
         [EventKind.JobAccepted]: ({ job }, nowMs) => {
             this.#jobs.add({ event: "accepted" });
@@ -185,6 +201,20 @@
         this.#standingTasksOverTarget.set({}, utilization.standingTasksOverTarget);
     }
 
+    /** Sets the gauges of the tasks with the longest waits; those of kinds without a report become zero. */
+    setWaitReports(reports: readonly WaitReport[]): void {
+        for (const kind of Object.values(TaskKind)) {
+            const report = reports.find(candidate => candidate.kind === kind);
+            this.#longestWait.set({ kind }, (report?.waitedMs ?? 0) / 1_000);
+            this.#unstartedRuns.set({ kind, cause: "lost" }, report?.lostRuns ?? 0);
+            this.#unstartedRuns.set({ kind, cause: "rejected" }, report?.rejectedRuns ?? 0);
+            this.#longestWaitServers.set({ kind, state: "room" }, report?.serversWithRoom ?? 0);
+            for (const exclusion of Object.values(Exclusion)) {
+                this.#longestWaitServers.set({ kind, state: exclusion }, report?.excludedServers[exclusion] ?? 0);
+            }
+        }
+    }
+
     #observeStartDelay(task: string, nowMs: number): void {
         const jobId = task.split(".", 1)[0] ?? "";
         const acceptedAtMs = this.#acceptedAtMs.get(jobId);
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -1,10 +1,12 @@
 export * from "./leader/eligibility.js";
 export * from "./leader/leader-session.js";
+export { Exclusion } from "./leader/placement.js";
 export * from "./leader/server-event.js";
 export * from "./leader/server-view.js";
 export * from "./leader/settings.js";
 export * from "./leader/times.js";
 export type { Utilization } from "./leader/utilization.js";
+export type { WaitReport } from "./leader/wait-report.js";
 export * from "./model/calls.js";
 export * from "./model/configuration.js";
 export * from "./model/heartbeat.js";
--- a/packages/workflow/src/leader/heartbeat-reconciler.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.ts
@@ -16,6 +16,8 @@
     missingRuns: RunView[];
     /** Ids of the jobs with a task that runs on the server. */
     startedJobs: string[];
+    /** Tasks whose run is reported for the first time. */
+    startedTasks: string[];
 }
 
 /** Reconciles the leader's view of a server with the runs that its heartbeat reports. */
@@ -28,32 +30,22 @@
 
     /** Updates the view from a heartbeat and returns the changes. */
     reconcile(server: ServerView, report: HeartbeatReport, nowMs: number): HeartbeatChanges {
-        const startedJobs = report.running.flatMap(reported => this.#updateRun(server, reported, nowMs));
+        const startedJobs: string[] = [];
+        const startedTasks: string[] = [];
+        for (const reported of report.running) {
+            const view = server.findRun(reported.task, reported.run);
+            if (view !== undefined) {
+                startedJobs.push(view.position.jobId);
+                startedTasks.push(...view.firstReportedAtMs === undefined ? [view.task] : []);
+                updateRun(view, reported, nowMs);
+            }
+        }
         const newEnds = this.#collectNewEnds(server, report);
         const missingRuns = this.#findMissingRuns(server, report, nowMs);
         missingRuns.forEach(run => server.removeRun(run.task));
         server.invalidateSaturation();
         server.hasUntrackedRuns = report.running.some(({ task, run }) => server.findRun(task, run) === undefined);
-        return { newEnds, missingRuns, startedJobs };
-    }
-
-    #updateRun(server: ServerView, reported: ReportedRun, nowMs: number): string[] {
-        const view = server.findRun(reported.task, reported.run);
-        if (view === undefined) {
-            return [];
-        }
-        view.isReported = true;
-        view.missingSinceMs = undefined;
-        view.firstReportedAtMs ??= nowMs;
-        if (reported.checkpoint !== "") {
-            view.checkpoint = reported.checkpoint;
-        }
-        if (reported.progressPercent > view.progressPercent) {
-            view.progressPercent = reported.progressPercent;
-            view.progressAtMs = nowMs;
-        }
-        view.measurement = reported.measurement;
-        return [view.position.jobId];
+        return { newEnds, missingRuns, startedJobs, startedTasks };
     }
 
     #collectNewEnds(server: ServerView, report: HeartbeatReport): RecordedEnd[] {
@@ -96,3 +88,17 @@
         return missing;
     }
 }
+
+const updateRun = (view: RunView, reported: ReportedRun, nowMs: number): void => {
+    view.isReported = true;
+    view.missingSinceMs = undefined;
+    view.firstReportedAtMs ??= nowMs;
+    if (reported.checkpoint !== "") {
+        view.checkpoint = reported.checkpoint;
+    }
+    if (reported.progressPercent > view.progressPercent) {
+        view.progressPercent = reported.progressPercent;
+        view.progressAtMs = nowMs;
+    }
+    view.measurement = reported.measurement;
+};
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -5,7 +5,7 @@
 import type { StepPosition } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
-import type { AssignedTask, JobRecord } from "../state/job-record.js";
+import type { JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { Eligibility } from "./eligibility.js";
 import type { QueryEligibility } from "./eligibility.js";
@@ -19,6 +19,7 @@
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
 import { adoptRuns } from "./run-adoption.js";
+import { RunStops } from "./run-stops.js";
 import { ServerDirectory } from "./server-directory.js";
 import { ServerEventKind } from "./server-event.js";
 import type { ServerEvent } from "./server-event.js";
@@ -27,8 +28,11 @@
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import type { Times } from "./times.js";
+import { UnstartedTasks } from "./unstarted-tasks.js";
 import { utilizationOf } from "./utilization.js";
 import type { Utilization } from "./utilization.js";
+import { waitReportsOf } from "./wait-report.js";
+import type { WaitReport } from "./wait-report.js";
 import { WorkQueue } from "./work-queue.js";
 
 const JOB_CLEANUP_INTERVAL_MS = 5_000;
@@ -71,7 +75,9 @@
     readonly #maintenance: Maintenance;
     readonly #heartbeats = new OpenHeartbeats();
     readonly #failures: ServerFailures;
+    readonly #stops: RunStops;
     readonly #startedJobs = new Set<string>();
+    readonly #unstartedTasks = new UnstartedTasks();
     #isPlanDue = true;
     #nextJobCleanupAtMs: number;
     #nextPressureRecordAtMs: number;
@@ -103,6 +109,7 @@
         this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
         this.#failures = new ServerFailures(step => this.#hasSucceeded(step));
+        this.#stops = new RunStops(state, this.#directory);
         this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
             state,
@@ -131,6 +138,16 @@
         return utilizationOf(this.#directory.servers, this.#queue, this.#pressure);
     }
 
+    /** Returns reports on the tasks that have waited longest for a start. */
+    waitReports(times: Times): WaitReport[] {
+        return waitReportsOf({
+            queue: this.#queue,
+            directory: this.#directory,
+            planner: this.#planner,
+            unstartedTasks: this.#unstartedTasks,
+        }, times);
+    }
+
     /**
      * Handles a heartbeat. The response is sent once the events that it depends on are committed, or after a bounded
      * delay; it is undefined (no orders) for a stale heartbeat.
@@ -169,8 +186,10 @@
                 atMs: timeOfDayMs,
             });
             this.#failures.recordEnds(server, changes.newEnds, nowMs);
+            this.#unstartedTasks.recordEnds(server, changes.newEnds);
         }
         changes.startedJobs.forEach(id => this.#startedJobs.add(id));
+        changes.startedTasks.forEach(task => this.#unstartedTasks.recordStarted(task));
         this.#proposeLostRuns(changes.missingRuns);
         this.#pressure.observe(server, nowMs);
         this.#speed.observe(server, nowMs);
@@ -247,7 +266,7 @@
                 this.#refreshJob(event.job.id, times);
                 return;
             case EventKind.JobCancelled:
-                this.#stopJob(event.jobId);
+                this.#stops.stopJob(event.jobId);
                 this.#refreshJob(event.jobId, times);
                 return;
             case EventKind.RunsAssigned:
@@ -258,7 +277,7 @@
                 return;
             case EventKind.RunsLost:
                 event.runs.forEach(run => this.#refreshTask(run.task, times));
-                event.runs.forEach(run => this.#stopGangMembers(run));
+                event.runs.forEach(run => this.#stops.stopGangMembers(run));
                 return;
             case EventKind.ConfigurationAccepted:
             case EventKind.ZoneTakenOut:
@@ -298,11 +317,11 @@
             }
             this.#refreshTask(ended.task, times);
             if (ended.end !== RunEnd.Done) {
-                this.#stopGangMembers(ended);
+                this.#stops.stopGangMembers(ended);
             }
             const job = this.#jobOf(ended.task);
             if (job?.isOver === true) {
-                this.#stopJob(job.id);
+                this.#stops.stopJob(job.id);
             }
         }
     }
@@ -357,40 +376,13 @@
         }));
     }
 
-    /** Stops the other members of a gang's run, which cannot work without the one that ended. */
-    #stopGangMembers({ task, run }: { task: string; run: number }): void {
-        const position = parseTaskKey(task);
-        const job = position === undefined ? undefined : this.#options.state.job(position.jobId);
-        if (position === undefined || job?.specification.steps[position.step]?.isGang !== true) {
-            return;
-        }
-        for (const member of job.assignedTasks()) {
-            const { occurrence, step } = member.position;
-            if (occurrence === position.occurrence && step === position.step && member.task.run === run) {
-                this.#stopRun(member);
-            }
-        }
-    }
-
-    #stopJob(jobId: string): void {
-        for (const assigned of this.#options.state.job(jobId)?.assignedTasks() ?? []) {
-            this.#stopRun(assigned);
-        }
-    }
-
-    #stopRun({ position, server }: AssignedTask): void {
-        const view = this.#directory.find(server.serverId, server.incarnation)?.runs.get(taskKeyOf(position));
-        if (view !== undefined) {
-            view.isStopping = true;
-        }
-    }
-
     /** Proposes the loss of runs that have certainly ended or never started; their capacity is free at once. */
     #proposeLostRuns(runs: readonly RunView[]): void {
         const lost: LostRun[] = runs
             .filter(run => run.isCommitted)
             .map(run => ({ task: run.task, run: run.run, checkpoint: run.checkpoint }));
         if (lost.length > 0) {
+            runs.forEach(run => this.#unstartedTasks.recordLost(run));
             this.#options.propose({ kind: EventKind.RunsLost, runs: lost });
         }
     }
@@ -448,6 +440,7 @@
             propose({ kind: EventKind.JobsForgotten, jobIds });
             jobIds.forEach(id => this.#startedJobs.delete(id));
         }
+        this.#unstartedTasks.retain(jobId => state.job(jobId)?.isOver === false);
         this.#eligibility.retain(step => this.#jobOf(`${step}.0`)?.isOver === false);
     }
 }
--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -27,6 +27,7 @@
         step,
         kind: TaskKind.Standing,
         record,
+        waitingSinceMs: 0,
         expectedEndMs: 0,
         remainingCriticalPathMs: 0,
     };
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -18,6 +18,22 @@
 /** Weight of a server's CPU utilization as a preference: standing tasks are packed so that other servers stay free. */
 const PACKING_WEIGHT = 0.1;
 
+/** Reasons why a server cannot run a task of a step at present. */
+export enum Exclusion {
+    /** The server has sent no heartbeat in this term. */
+    NotHeardOf = "not-heard-of",
+    Draining = "draining",
+    Maintenance = "maintenance",
+    UntrackedRuns = "untracked-runs",
+    OtherService = "other-service",
+    Avoided = "avoided",
+    ZoneOutOfService = "zone-out-of-service",
+    Label = "label",
+    NoRoom = "no-room",
+    TasksPerServer = "tasks-per-server",
+    NotEligible = "not-eligible",
+}
+
 /** Returns the cost of a task on a server, lower is better; undefined if the task must not start there. */
 type CostFunction = (
     waiting: WaitingStep,
@@ -120,20 +136,81 @@
             || expectedIdleCores(b) - expectedIdleCores(a)
         );
 
+/** Servers that can run a task of a step, and the others by the first reason that excludes them. */
+export interface ServerCounts {
+    serversWithRoom: number;
+    excludedServers: Partial<Record<Exclusion, number>>;
+}
+
+/** Counts the servers that can run a task of the step, and the others by reason. */
+export const countServers = (
+    waiting: WaitingStep,
+    servers: Iterable<ServerView>,
+    constraints: PlacementConstraints,
+    nowMs: number,
+): ServerCounts => {
+    const counts: ServerCounts = { serversWithRoom: 0, excludedServers: {} };
+    for (const server of servers) {
+        const isRefused = constraints.isEligible?.(server) === false;
+        const exclusion = exclusionOf(waiting, server, constraints, nowMs)
+            ?? (isRefused ? Exclusion.NotEligible : undefined);
+        if (exclusion === undefined) {
+            counts.serversWithRoom += 1;
+        }
+        else {
+            counts.excludedServers[exclusion] = (counts.excludedServers[exclusion] ?? 0) + 1;
+        }
+    }
+    return counts;
+};
+
 const canRunOn = (
     waiting: WaitingStep,
     server: ServerView,
     constraints: PlacementConstraints,
     nowMs: number,
-): boolean => {
+): boolean => exclusionOf(waiting, server, constraints, nowMs) === undefined;
+
+/** Returns why a server cannot run a task of the step, regardless of approvals; undefined if it can. */
+const exclusionOf = (
+    waiting: WaitingStep,
+    server: ServerView,
+    constraints: PlacementConstraints,
+    nowMs: number,
+): Exclusion | undefined => {
     const { step } = waiting;
-    return server.isUsable
-        && server.service === constraints.service
-        && (server.avoidUntilMs <= nowMs || waiting.kind === TaskKind.Standing)
-        && !constraints.zonesOutOfService.has(server.availabilityZone)
-        && (step.requiredLabel === "" || server.labels.includes(step.requiredLabel))
-        && server.fits(step)
-        && (step.maxTasksPerServer === 0 || countOnServer(waiting, server) < step.maxTasksPerServer);
+    if (!server.isUsable) {
+        return unusableReasonOf(server);
+    }
+    if (server.service !== constraints.service) {
+        return Exclusion.OtherService;
+    }
+    if (server.avoidUntilMs > nowMs && waiting.kind !== TaskKind.Standing) {
+        return Exclusion.Avoided;
+    }
+    if (constraints.zonesOutOfService.has(server.availabilityZone)) {
+        return Exclusion.ZoneOutOfService;
+    }
+    if (step.requiredLabel !== "" && !server.labels.includes(step.requiredLabel)) {
+        return Exclusion.Label;
+    }
+    if (!server.fits(step)) {
+        return Exclusion.NoRoom;
+    }
+    if (step.maxTasksPerServer > 0 && countOnServer(waiting, server) >= step.maxTasksPerServer) {
+        return Exclusion.TasksPerServer;
+    }
+    return undefined;
+};
+
+const unusableReasonOf = (server: ServerView): Exclusion => {
+    if (server.sequence === undefined) {
+        return Exclusion.NotHeardOf;
+    }
+    if (server.isDraining) {
+        return Exclusion.Draining;
+    }
+    return server.isInMaintenance ? Exclusion.Maintenance : Exclusion.UntrackedRuns;
 };
 
 const countOnServer = (waiting: WaitingStep, server: ServerView): number =>
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -4,8 +4,8 @@
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { Eligibility } from "./eligibility.js";
 import { FailedPlacements } from "./failed-placements.js";
-import { chooseServer, serversWithCapacity } from "./placement.js";
-import type { PlacementConstraints } from "./placement.js";
+import { chooseServer, countServers, serversWithCapacity } from "./placement.js";
+import type { PlacementConstraints, ServerCounts } from "./placement.js";
 import type { PressureModel } from "./pressure-model.js";
 import type { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
@@ -103,25 +103,37 @@
         this.#pendingTasks.delete(task);
     }
 
-    /** Whether some other server has capacity for the run now. */
-    canPlaceElsewhere(run: RunView, nowMs: number): boolean {
-        const { jobId, occurrence, step: stepIndex } = run.position;
+    /** Counts the servers that can run a task of the step now, and the others by the reason that excludes them. */
+    countServersFor(waiting: WaitingStep, nowMs: number): ServerCounts {
+        return countServers(waiting, this.#directory.servers, this.#constraintsFor(waiting, nowMs), nowMs);
+    }
+
+    /** Returns the step of a run as if its task was waiting; undefined if its job is gone. */
+    stepOf({ position, step, kind }: RunView): WaitingStep | undefined {
+        const { jobId, occurrence, step: stepIndex } = position;
         const job = this.#state.job(jobId);
         const record = job?.occurrences[occurrence]?.[stepIndex];
-        if (job === undefined || record === undefined) {
+        return job === undefined || record === undefined
+            ? undefined
+            : {
+                job,
+                occurrence,
+                stepIndex,
+                step,
+                kind,
+                record,
+                waitingSinceMs: 0,
+                expectedEndMs: 0,
+                remainingCriticalPathMs: 0,
+            };
+    }
+
+    /** Whether some other server has capacity for the run now. */
+    canPlaceElsewhere(run: RunView, nowMs: number): boolean {
+        const waiting = this.stepOf(run);
+        if (waiting === undefined) {
             return false;
         }
-        const { step, kind } = run;
-        const waiting = {
-            job,
-            occurrence,
-            stepIndex,
-            step,
-            kind,
-            record,
-            expectedEndMs: 0,
-            remainingCriticalPathMs: 0,
-        };
         const constraints = this.#constraintsFor(waiting, nowMs);
         const key = constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job));
         if (this.#failures.includes(waiting, key)) {
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -13,6 +13,8 @@
     readonly eligibilityToken: string | undefined;
     /** Whether a former leader recorded the run; that leader may have sent the start order. */
     readonly isAdopted: boolean;
+    /** Time at which the run was assigned, or taken over from a former leader. */
+    readonly assignedAtMs: number;
     /** Whether the assignment is committed, so that the start order may be sent. */
     isCommitted: boolean;
     /** Sequence number of the heartbeat whose response carried the start order; undefined before. */
@@ -290,6 +292,7 @@
     checkpoint: assigned.checkpoint,
     eligibilityToken: assigned.eligibilityToken,
     isAdopted: assigned.isAdopted ?? false,
+    assignedAtMs: nowMs,
     isCommitted: false,
     orderedAtSequence: undefined,
     isReported: false,
--- /dev/null
+++ b/packages/workflow/src/leader/wait-report.ts
@@ -0,0 +1,104 @@
+import { TaskKind } from "../model/specification.js";
+import { TaskPhase } from "../state/job-record.js";
+import type { ServerCounts } from "./placement.js";
+import type { Planner } from "./planner.js";
+import type { ServerDirectory } from "./server-directory.js";
+import type { RunView } from "./server-view.js";
+import type { Times } from "./times.js";
+import type { UnstartedTasks } from "./unstarted-tasks.js";
+import { taskKeyIn } from "./work-queue.js";
+import type { WaitingStep, WorkQueue } from "./work-queue.js";
+
+/** Shorter waits are not reported. */
+const MIN_REPORTED_WAIT_MS = 3_000;
+/** Kinds whose longest wait is reported. Fillers may wait for long, since they only use what others leave idle. */
+const REPORTED_KINDS = [TaskKind.Standing, TaskKind.Finite];
+
+/** The task of one kind that has waited longest for a start, and what keeps servers from running it. */
+export interface WaitReport extends ServerCounts {
+    kind: TaskKind;
+    task: string;
+    waitedMs: number;
+    /** Server that the task is assigned to but does not run on; undefined while the task is not assigned. */
+    serverId: string | undefined;
+    /** Assignments since the last start whose run was lost before the server reported it. */
+    lostRuns: number;
+    /** Assignments since the last start that the server rejected. */
+    rejectedRuns: number;
+}
+
+/** What the reports are derived from. */
+export interface WaitReportSources {
+    queue: WorkQueue;
+    directory: ServerDirectory;
+    planner: Planner;
+    unstartedTasks: UnstartedTasks;
+}
+
+/** A task that has not started. */
+interface Candidate {
+    task: string;
+    step: WaitingStep;
+    waitedMs: number;
+    serverId: string | undefined;
+}
+
+/** Returns a report on the standing and on the finite task that have waited longest, unless their waits are short. */
+export const waitReportsOf = (sources: WaitReportSources, times: Times): WaitReport[] => {
+    const longest = new Map<TaskKind, Candidate>();
+    for (const candidate of [...queuedCandidates(sources, times), ...assignedCandidates(sources, times)]) {
+        const { kind } = candidate.step;
+        if (candidate.waitedMs > (longest.get(kind)?.waitedMs ?? MIN_REPORTED_WAIT_MS)) {
+            longest.set(kind, candidate);
+        }
+    }
+    return REPORTED_KINDS.flatMap(kind => {
+        const candidate = longest.get(kind);
+        return candidate === undefined ? [] : [reportOf(candidate, sources, times.nowMs)];
+    });
+};
+
+const reportOf = (candidate: Candidate, { planner, unstartedTasks }: WaitReportSources, nowMs: number): WaitReport => {
+    const { task, step, serverId } = candidate;
+    const { lostRuns, rejectedRuns } = unstartedTasks.get(task) ?? { lostRuns: 0, rejectedRuns: 0 };
+    return {
+        kind: step.kind,
+        task,
+        waitedMs: Math.round(candidate.waitedMs),
+        serverId,
+        lostRuns,
+        rejectedRuns,
+        ...planner.countServersFor(step, nowMs),
+    };
+};
+
+/** Returns the first waiting task of each step in the queue. */
+const queuedCandidates = ({ queue, unstartedTasks }: WaitReportSources, times: Times): Candidate[] =>
+    queue.steps.filter(step => REPORTED_KINDS.includes(step.kind)).map(step => {
+        const index = step.record.tasks.findIndex(({ phase }) => phase === TaskPhase.Waiting);
+        const task = taskKeyIn(step, index);
+        const unstartedMs = times.nowMs - (unstartedTasks.get(task)?.sinceMs ?? times.nowMs);
+        return {
+            task,
+            step,
+            waitedMs: Math.max(times.timeOfDayMs - step.waitingSinceMs, unstartedMs),
+            serverId: undefined,
+        };
+    });
+
+/** Returns the tasks that are assigned to a server that has not reported them yet. */
+const assignedCandidates = ({ directory, planner, unstartedTasks }: WaitReportSources, times: Times): Candidate[] => {
+    const candidates: Candidate[] = [];
+    for (const server of directory.servers) {
+        for (const run of server.runs.values()) {
+            const waitedMs = times.nowMs - (unstartedTasks.get(run.task)?.sinceMs ?? run.assignedAtMs);
+            const step = isUnstarted(run) && waitedMs > MIN_REPORTED_WAIT_MS ? planner.stepOf(run) : undefined;
+            if (step !== undefined) {
+                candidates.push({ task: run.task, step, waitedMs, serverId: server.id });
+            }
+        }
+    }
+    return candidates;
+};
+
+const isUnstarted = (run: RunView): boolean => run.firstReportedAtMs === undefined && REPORTED_KINDS.includes(run.kind);
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -11,6 +11,8 @@
     readonly step: StepSpecification;
     readonly kind: TaskKind;
     readonly record: StepRecord;
+    /** Wall-clock time since which a task of the step has waited, as far as this leader knows. */
+    readonly waitingSinceMs: number;
     /** Wall-clock time by which callers expect the occurrence to end. */
     readonly expectedEndMs: number;
     /** Estimated time from the step's start to the end of the occurrence: its remaining critical path. */
@@ -81,7 +83,7 @@
                 return;
             }
             if (isWaiting) {
-                this.#steps.set(key, waitingStepOf(job, occurrence, stepIndex, step, record));
+                this.#steps.set(key, waitingStepOf(job, occurrence, stepIndex, step, record, timeOfDayMs));
             }
             else {
                 this.#steps.delete(key);
@@ -104,6 +106,7 @@
     stepIndex: number,
     step: StepSpecification,
     record: StepRecord,
+    timeOfDayMs: number,
 ): WaitingStep => ({
     job,
     occurrence,
@@ -111,10 +114,29 @@
     step,
     kind: taskKindOf(step),
     record,
+    waitingSinceMs: waitingSinceMsOf(job, occurrence, step, record, timeOfDayMs),
     expectedEndMs: expectedEndMsOf(job, occurrence),
     remainingCriticalPathMs: criticalPathMs(job.specification.steps, stepIndex),
 });
 
+/**
+ * Returns the wall-clock time since which a task of a step that is now queued has waited. The log does not tell when an
+ * earlier run ended or when the dependencies were done.
+ */
+const waitingSinceMsOf = (
+    job: JobRecord,
+    occurrence: number,
+    step: StepSpecification,
+    record: StepRecord,
+    timeOfDayMs: number,
+): number => {
+    const isFirstRun = step.dependsOn.length === 0 && record.tasks.some(task => task.run === 0);
+    return isFirstRun ? Math.min(timeOfDayMs, beginMsOf(job, occurrence)) : timeOfDayMs;
+};
+
+/** Returns the wall-clock time at which an occurrence was accepted and due. */
+const beginMsOf = (job: JobRecord, occurrence: number): number => Math.max(job.acceptedAtMs, job.dueMs(occurrence));
+
 /** Returns the key of a step of one occurrence. */
 export const stepKeyOf = ({ job, occurrence, stepIndex }: WaitingStep): string =>
     stepKey({ jobId: job.id, occurrence, step: stepIndex });
@@ -156,8 +178,8 @@
  * queue's target duration.
  */
 const expectedEndMsOf = (job: JobRecord, occurrence: number): number => {
-    const beginMs = Math.max(job.acceptedAtMs, job.dueMs(occurrence));
-    return beginMs + job.queue.stretchRatio * criticalPathMs(job.specification.steps) + job.queue.targetDurationMs;
+    return beginMsOf(job, occurrence) + job.queue.stretchRatio * criticalPathMs(job.specification.steps)
+        + job.queue.targetDurationMs;
 };
 
 /** Returns the estimated duration of the critical path from a step on; by default, from the beginning. */
