--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./announcement-digest.js";
+export * from "./bounded-json.js";
 export * from "./hybrid-clock.js";
 export * from "./job-key.js";
 export * from "./journal.js";
--- a/packages/daemon/src/workflow/internal-listener.ts
+++ b/packages/daemon/src/workflow/internal-listener.ts
@@ -1,4 +1,4 @@
-import { messageOf } from "@waxwingspread/common";
+import { messageOf, parseBoundedJson } from "@waxwingspread/common";
 import type { IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import type { Http2ServerRequest } from "node:http2";
 import type { Logger } from "pino";
@@ -66,8 +66,12 @@
         return { status: 404, content: NO_CONTENT };
     }
     try {
-        const body = JSON.parse(Buffer.from(await readBody(request, MAX_MESSAGE_BYTES)).toString()) as never;
-        return { status: 200, content: Buffer.from(JSON.stringify(await handler(body))) };
+        const body = parseBoundedJson(Buffer.from(await readBody(request, MAX_MESSAGE_BYTES)).toString());
+        if (body === undefined) {
+            logger.warn({ path, peer }, "internal call can't be read");
+            return { status: 400, content: NO_CONTENT };
+        }
+        return { status: 200, content: Buffer.from(JSON.stringify(await handler(body as never))) };
     }
     catch (error) {
         logger.warn({ path, peer, reason: messageOf(error) }, "internal call failed");
--- a/packages/daemon/src/workflow/json-call.ts
+++ b/packages/daemon/src/workflow/json-call.ts
@@ -1,4 +1,4 @@
-import { messageOf, StepError } from "@waxwingspread/common";
+import { messageOf, parseBoundedJson, StepError } from "@waxwingspread/common";
 import { ErrorCode } from "@waxwingspread/protocol";
 import { Agent, request } from "node:http";
 
@@ -70,7 +70,10 @@
                 response.once("error", fail);
                 response.once("end", () => {
                     clearTimeout(timer);
-                    resolve({ status: response.statusCode ?? 0, body: parseJson(Buffer.concat(chunks)) });
+                    resolve({
+                        status: response.statusCode ?? 0,
+                        body: parseBoundedJson(Buffer.concat(chunks).toString()),
+                    });
                 });
             });
             // Destroying the socket also prevents the reuse of a connection that has stopped responding.
@@ -107,13 +110,3 @@
     }
     return body;
 };
-
-/** Decodes JSON; returns undefined if it is not valid. */
-export const parseJson = (bytes: Buffer): unknown => {
-    try {
-        return JSON.parse(bytes.toString()) as unknown;
-    }
-    catch {
-        return undefined;
-    }
-};
--- a/packages/daemon/src/workflow/peer-call.ts
+++ b/packages/daemon/src/workflow/peer-call.ts
@@ -1,6 +1,6 @@
+import { parseBoundedJson } from "@waxwingspread/common";
 import { constants } from "node:http2";
 import type { ClientHttp2Session, ClientHttp2Stream } from "node:http2";
-import { parseJson } from "./json-call.js";
 import type { CallError, JsonCall, JsonResponse } from "./json-call.js";
 
 /** Part of a call's timeout after which it counts as late. */
@@ -112,7 +112,7 @@
         stream.once("end", () => {
             if (status !== undefined && stream.rstCode === constants.NGHTTP2_NO_ERROR) {
                 this.#end();
-                this.#resolve({ status, body: parseJson(Buffer.concat(chunks)) });
+                this.#resolve({ status, body: parseBoundedJson(Buffer.concat(chunks).toString()) });
             }
         });
         stream.on("error", error => this.fail(error));
