--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -1,5 +1,6 @@
 export * from "../http/http-listener.js";
 export * from "../http/request-body.js";
+export * from "../logging/line-budget.js";
 export * from "../logging/logger.js";
 export * from "../transport/monotonic-time.js";
 export * from "./cluster-membership.js";
