--- a/packages/test-support/src/fake-file-system.ts
+++ b/packages/test-support/src/fake-file-system.ts
@@ -137,6 +137,7 @@
     #files = new Map<string, FakeFile>();
     #durableFiles = new Map<string, FakeFile>();
     #unsyncedChanges: { folder: string; change: FolderChange }[] = [];
+    readonly #appendsInProgress = new Set<{ file: FakeFile; data: Uint8Array }>();
     #generation = 0;
 
     constructor(random: SeededRandom) {
@@ -155,8 +156,8 @@
     /** Simulates a power failure: loses or damages unsynced data; open files become unusable. */
     crash(torn: TornWrite = this.#random.pick(Object.values(TornWrite))): void {
         this.#generation += 1;
-        const durableChangeCount = this.#random.nextInteger(0, this.#unsyncedChanges.length);
-        this.#unsyncedChanges.slice(0, durableChangeCount).forEach(({ change }) => change(this.#durableFiles));
+        const durableChanges = this.#unsyncedChanges.filter(() => this.#random.nextRatio() < 1 / 2);
+        durableChanges.forEach(({ change }) => change(this.#durableFiles));
         this.#unsyncedChanges = [];
         this.#files = new Map(this.#durableFiles);
         for (const file of new Set(this.#files.values())) {
@@ -164,9 +165,16 @@
         }
     }
 
-    /** Simulates the death of the process: keeps all data in its synced or unsynced state; open files become unusable. */
+    /**
+     * Simulates the death of the process: keeps all data in its synced or unsynced state, and a random part of each append
+     * in progress; open files become unusable.
+     */
     endProcess(): void {
         this.#generation += 1;
+        for (const { file, data } of this.#appendsInProgress) {
+            file.append(data.subarray(0, this.#random.nextInteger(0, data.length)));
+        }
+        this.#appendsInProgress.clear();
     }
 
     /** Replaces the disk with an empty one; open files become unusable. */
@@ -281,7 +289,9 @@
         const begin = (operation: FileOperation) => this.#beginOperation(operation, path, generation);
         return {
             append: async data => {
-                await begin(FileOperation.Append);
+                const append = { file, data };
+                this.#appendsInProgress.add(append);
+                await begin(FileOperation.Append).finally(() => this.#appendsInProgress.delete(append));
                 const freeBytes = this.capacityBytes - this.usedBytes;
                 file.append(data.subarray(0, Math.max(0, Math.min(freeBytes, data.length))));
                 if (freeBytes < data.length) {
--- a/packages/test-support/src/fuzz/control-host.ts
+++ b/packages/test-support/src/fuzz/control-host.ts
@@ -151,6 +151,12 @@
         this.files.crash(torn);
     }
 
+    /** Ends only the process: unsynced data is still there at the next start, but lost with the power. */
+    killProcess(): void {
+        this.host.endProcess();
+        this.files.endProcess();
+    }
+
     /** Ends the process and erases its disk. */
     loseDisk(): void {
         this.host.endProcess();
--- a/packages/test-support/src/fuzz/process-commands.ts
+++ b/packages/test-support/src/fuzz/process-commands.ts
@@ -110,6 +110,17 @@
             restart(fleet, name, model);
         },
     }),
+    defineCommand({
+        weight: 3,
+        argument: anyControl,
+        text: (name: string) => `kill and restart only the process of ${name}`,
+        isPermitted: isUp,
+        execute: (fleet: Fleet, name: string, model: Model) => {
+            fleet.controls.find(candidate => candidate.name === name)?.killProcess();
+            model.frozen.delete(name);
+            restart(fleet, name, model);
+        },
+    }),
     defineCommand({
         weight: 3,
         argument: anyControl,
--- a/packages/test-support/src/recovery/disk-losses.ts
+++ b/packages/test-support/src/recovery/disk-losses.ts
@@ -52,6 +52,19 @@
     return { description: "all power lost", outageMs };
 };
 
+/** What the killed processes wrote without syncing it is read back by their successors before the power is lost. */
+const killProcessesBeforeLossOfPower: LossHandler = async simulation => {
+    const killed = simulation.pickMachines(simulation.random.nextInteger(1, simulation.machines.size));
+    killed.forEach(name => simulation.cluster.kill(name, simulation.random.nextInteger(1, MIN_OUTAGE_MS)));
+    const delayMs = simulation.random.nextInteger(0, MAX_OUTAGE_MS);
+    await simulation.run(delayMs);
+    const { outageMs } = await loseAllPower(simulation, 0);
+    return {
+        description: `processes of ${killed.join(", ")} killed ${delayMs} ms before all power was lost`,
+        outageMs,
+    };
+};
+
 /** Other machines without power while disks are lost exceed the tolerated losses, but not the tolerated lost disks. */
 const loseDisksDuringOutage: LossHandler = async (simulation, maxLostDisks) => {
     const dark = simulation.pickMachines(simulation.random.nextInteger(1, simulation.machines.size - 1));
@@ -108,6 +121,8 @@
     loseDisksAndAllPower,
     loseDisksAndAllPower,
     loseAllPower,
+    killProcessesBeforeLossOfPower,
+    killProcessesBeforeLossOfPower,
     loseDisksDuringOutage,
     loseOneDiskTwice,
     replaceMachine,
--- a/packages/test-support/src/simulated-cluster.ts
+++ b/packages/test-support/src/simulated-cluster.ts
@@ -212,14 +212,23 @@
         node.runner = runner;
     }
 
-    /** Crashes a node; unsynced data on its disk is lost or torn. */
+    /** Cuts the power of a node; unsynced data on its disk is lost or torn. */
     crash(name: string, restartInMs = Infinity): void {
+        this.#end(name, restartInMs, fileSystem => fileSystem.crash());
+    }
+
+    /** Ends the process of a node; unsynced data is still there at its restart, but may be lost with the power later. */
+    kill(name: string, restartInMs = Infinity): void {
+        this.#end(name, restartInMs, fileSystem => fileSystem.endProcess());
+    }
+
+    #end(name: string, restartInMs: number, affectDisk: (fileSystem: FakeFileSystem) => void): void {
         const node = this.nodes.get(name);
         if (node?.runner === undefined) {
             return;
         }
         this.crashCount += 1;
-        node.fileSystem.crash();
+        affectDisk(node.fileSystem);
         node.runner = undefined;
         node.pendingDiskOperations.splice(0).forEach(resume => resume());
         node.restartAtMs = this.nowMs + restartInMs;
@@ -275,7 +284,13 @@
                 await this.start(node);
             }
             else if (this.random.nextRatio() < this.rates.crash) {
-                this.crash(node.name, this.random.nextInteger(1, MAX_OUTAGE_MS));
+                const outageMs = this.random.nextInteger(1, MAX_OUTAGE_MS);
+                if (this.random.nextRatio() < 1 / 2) {
+                    this.crash(node.name, outageMs);
+                }
+                else {
+                    this.kill(node.name, outageMs);
+                }
             }
             else if (this.random.nextRatio() < this.rates.pause) {
                 node.pausedUntilMs = this.nowMs + this.random.nextInteger(1, MAX_OUTAGE_MS);
