--- a/packages/daemon/src/blob-store/blob-store.test.ts
+++ b/packages/daemon/src/blob-store/blob-store.test.ts
@@ -2,15 +2,31 @@
 import { BlobReferenceSchema } from "@waxwingspread/protocol";
 import type { BlobReference } from "@waxwingspread/protocol";
 import { createHash } from "node:crypto";
-import { appendFile, mkdtemp, readdir, rm, stat, truncate } from "node:fs/promises";
+import { appendFile, mkdtemp, open, readdir, rm, stat, truncate } from "node:fs/promises";
+import type { FileHandle } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import { afterEach, beforeEach, describe, expect, it, vi } from "vitest";
 import { BlobStore } from "./blob-store.js";
 
 const referenceOf = (data: Uint8Array): BlobReference =>
     create(BlobReferenceSchema, { sha256: createHash("sha256").update(data).digest(), sizeBytes: data.length });
 
+/** Records the inode numbers of the files that are synced while an operation runs. */
+const recordSyncs = async (folder: string, operation: () => Promise<void>): Promise<number[]> => {
+    const handle = await open(folder, "r");
+    const prototype = Object.getPrototypeOf(handle) as FileHandle;
+    await handle.close();
+    const inodes: number[] = [];
+    const { datasync } = prototype;
+    const spy = vi.spyOn(prototype, "datasync").mockImplementation(async function(this: FileHandle) {
+        inodes.push((await this.stat()).ino);
+        await datasync.call(this);
+    });
+    await operation().finally(() => spy.mockRestore());
+    return inodes;
+};
+
 describe("BlobStore", () => {
     let folder = "";
 
@@ -55,6 +71,21 @@
         await reopened.close();
     });
 
+    // Guards against a blob that a submission relies on and that is lost with the power: a process that died between a
+    // write and its sync leaves it in the operating system's cache only (issue 22).
+    it("syncs the segments that it reads back before their blobs count", async () => {
+        const data = Buffer.from("written by a process that died");
+        const store = await BlobStore.open(folder, 1);
+        await store.put(referenceOf(data), data, 1);
+        await store.close();
+        const segment = join(folder, (await readdir(folder))[0] ?? "");
+        const { ino } = await stat(segment);
+        const inodes = await recordSyncs(folder, async () => {
+            await (await BlobStore.open(folder, 2)).close();
+        });
+        expect(inodes).toContain(ino);
+    });
+
     it("refuses data that doesn't match its digest", async () => {
         const store = await BlobStore.open(folder, 1);
         await expect(store.put(referenceOf(Buffer.from("a")), Buffer.from("b"), 1)).rejects.toThrow("digest");
--- a/packages/daemon/src/blob-store/blob-store.ts
+++ b/packages/daemon/src/blob-store/blob-store.ts
@@ -1,9 +1,10 @@
 import { messageOf, StepError } from "@waxwingspread/common";
+import { NodeFileSystem } from "@waxwingspread/consensus";
 import { ErrorCode } from "@waxwingspread/protocol";
 import type { BlobReference } from "@waxwingspread/protocol";
 import { createHash } from "node:crypto";
 import type { FileHandle } from "node:fs/promises";
-import { mkdir, open, readdir, unlink } from "node:fs/promises";
+import { open, readdir, unlink } from "node:fs/promises";
 import { join } from "node:path";
 import { DIGEST_BYTES, encodeFrame } from "./blob-frame.js";
 import { scanSegment, segmentName, segmentNumberOf } from "./segment-file.js";
@@ -149,7 +150,7 @@
     }
 
     async #load(nowMs: number): Promise<void> {
-        await mkdir(this.#folder, { recursive: true });
+        await new NodeFileSystem().makeFolder(this.#folder);
         const numbers = (await readdir(this.#folder))
             .map(segmentNumberOf)
             .filter(number => number !== undefined)
@@ -157,7 +158,10 @@
         for (const number of numbers) {
             const file = await open(join(this.#folder, segmentName(number)), "r+");
             this.#files.set(number, file);
-            this.#index.addSegment(number, await scanSegment(file));
+            const blobs = await scanSegment(file);
+            // The process that wrote them may have died before it synced them.
+            await file.datasync();
+            this.#index.addSegment(number, blobs);
         }
         await this.#beginSegment(nowMs);
     }
