--- a/packages/daemon/src/blob-store/blob-store.test.ts
+++ b/packages/daemon/src/blob-store/blob-store.test.ts
@@ -86,6 +86,23 @@
         expect(inodes).toContain(ino);
     });
 
+    // Guards against a submission that is accepted although its blob is damaged: a loss of power may keep the header of a
+    // blob that was not synced without its data (issue 22).
+    it("stores a blob again whose copy from before a restart is damaged", async () => {
+        const data = Buffer.from("header kept, data lost");
+        const store = await BlobStore.open(folder, 1);
+        await store.put(referenceOf(data), data, 1);
+        await store.close();
+        const segment = join(folder, (await readdir(folder))[0] ?? "");
+        const { size } = await stat(segment);
+        await truncate(segment, size - data.length);
+        await truncate(segment, size);
+        const reopened = await BlobStore.open(folder, 2);
+        await reopened.put(referenceOf(data), data, 2);
+        expect(Buffer.from((await reopened.get(referenceOf(data))) ?? [])).toEqual(data);
+        await reopened.close();
+    });
+
     it("refuses data that doesn't match its digest", async () => {
         const store = await BlobStore.open(folder, 1);
         await expect(store.put(referenceOf(Buffer.from("a")), Buffer.from("b"), 1)).rejects.toThrow("digest");
--- a/packages/daemon/src/blob-store/blob-store.ts
+++ b/packages/daemon/src/blob-store/blob-store.ts
@@ -81,7 +81,8 @@
             );
         }
         this.#lastPutMs.set(digestKey(reference.sha256), nowMs);
-        if (this.has(reference)) {
+        // A copy from before a restart may be damaged, so that its presence in the index doesn't suffice.
+        if (await this.get(reference) !== undefined) {
             return;
         }
         const error = await new Promise<StepError | undefined>(done => {
