--- a/packages/consensus/src/replica-store.ts
+++ b/packages/consensus/src/replica-store.ts
@@ -250,9 +250,7 @@
     async #deleteCoveredSegments(): Promise<void> {
         let oldest = this.#segments[0];
         const { fileSystem, path } = this.#folder;
-        while (
-            oldest !== undefined && this.#segments[1]?.hasHardState && oldest.highestIndex <= this.#snapshotIndex
-        ) {
+        while (oldest !== undefined && oldest.highestIndex <= this.#snapshotIndex && this.#hasLaterHardState) {
             this.#segments.shift();
             await fileSystem.remove(this.#folder.segmentPath(oldest.sequence));
             await fileSystem.syncFolder(path);
@@ -260,6 +258,11 @@
         }
     }
 
+    /** Whether a segment after the oldest one contains a hard state. */
+    get #hasLaterHardState(): boolean {
+        return this.#segments.slice(1).some(segment => segment.hasHardState);
+    }
+
     /** Runs a snapshot operation after all earlier ones. */
     async #runSnapshotOperation(operation: () => Promise<void>): Promise<void> {
         const result = this.#snapshotOperations.then(() => this.#runUnlessFailed("write the snapshot", operation));
--- a/packages/test-support/src/replica-store.test.ts
+++ b/packages/test-support/src/replica-store.test.ts
@@ -139,6 +139,21 @@
         expect(summary(await open(fileSystem))).toEqual({ term: 2, entries: ["2/13"] });
     });
 
+    // Guards against a disk that fills up: each start begins a segment, and one to which nothing was written kept all earlier
+    // ones for good (issue 22).
+    it("deletes the segments that a snapshot covers although a start before wrote nothing", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        const { store } = await open(fileSystem);
+        await store.write([{ hardState: hardState(1), entries: entries(1, 4, 1) }]);
+        await open(fileSystem);
+        const reopened = await open(fileSystem);
+        await reopened.store.write([{ entries: entries(5, 6, 1) }]);
+        const { header, bytes } = snapshot(4, 1, "state");
+        await reopened.store.saveSnapshot(header, bytes);
+        expect(fileSystem.paths.filter(path => path.includes("segment"))).toHaveLength(1);
+        expect(summary(await open(fileSystem))).toEqual({ term: 1, entries: ["1/5", "1/6"] });
+    });
+
     it("refuses the folder of another replica and a folder without an identity file", async () => {
         const fileSystem = new FakeFileSystem(new SeededRandom(1));
         await writeThree(fileSystem);
