--- a/packages/consensus/src/data-folder.ts
+++ b/packages/consensus/src/data-folder.ts
@@ -55,11 +55,7 @@
 
     /** Returns the identity stored in this folder, formatting an empty one first. Fails with CORRUPT or INVALID. */
     async identity(settings: ReplicaSettings): Promise<ReplicaIdentity> {
-        await this.fileSystem.makeFolder(this.path);
-        // Makes the names durable that a process left behind that died before it synced them. The content of the identity
-        // and of the snapshot needs no sync, since it was synced before the file got its name.
-        await this.fileSystem.syncFolder(this.path);
-        const names = await this.fileSystem.list(this.path);
+        const names = await this.#prepare();
         if (!names.includes(IDENTITY_FILE)) {
             if (names.some(name => name === SNAPSHOT_FILE || SEGMENT_PATTERN.test(name))) {
                 throw corruptError("open the data folder", join(this.path, IDENTITY_FILE), "file is missing");
@@ -108,6 +104,18 @@
         await this.#replaceFile(SNAPSHOT_FILE, [header, snapshot.bytes]);
     }
 
+    /** Returns the names of the files in this folder, after making durable or removing what a former process left. */
+    async #prepare(): Promise<string[]> {
+        await this.fileSystem.makeFolder(this.path);
+        // The content of the identity and of the snapshot was synced before the file got its name, which may not be.
+        await this.fileSystem.syncFolder(this.path);
+        const names = await this.fileSystem.list(this.path);
+        for (const name of names.filter(item => item.endsWith(TEMPORARY_SUFFIX))) {
+            await this.fileSystem.remove(join(this.path, name));
+        }
+        return names;
+    }
+
     async #format(settings: ReplicaSettings): Promise<ReplicaIdentity> {
         const diskId = settings.newDiskId?.() ?? randomUUID();
         const stored = create(ReplicaIdentitySchema, { name: settings.name, diskId });
--- a/packages/test-support/src/replica-store.test.ts
+++ b/packages/test-support/src/replica-store.test.ts
@@ -154,6 +154,15 @@
         expect(summary(await open(fileSystem))).toEqual({ term: 1, entries: ["1/5", "1/6"] });
     });
 
+    // Guards against a disk on which the unfinished snapshot of a process that died takes up space for good (issue 22).
+    it("deletes an unfinished file of a process that died", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        await writeThree(fileSystem);
+        fileSystem.replaceContent(`${FOLDER}/snapshot.tmp`, Buffer.from("unfinished"));
+        await open(fileSystem);
+        expect(fileSystem.paths).not.toContain(`${FOLDER}/snapshot.tmp`);
+    });
+
     it("refuses the folder of another replica and a folder without an identity file", async () => {
         const fileSystem = new FakeFileSystem(new SeededRandom(1));
         await writeThree(fileSystem);
