--- a/packages/daemon/src/blob-store/blob-store.ts
+++ b/packages/daemon/src/blob-store/blob-store.ts
@@ -1,9 +1,10 @@
 import { messageOf, StepError } from "@waxwingspread/common";
+import { NodeFileSystem } from "@waxwingspread/consensus";
 import { ErrorCode } from "@waxwingspread/protocol";
 import type { BlobReference } from "@waxwingspread/protocol";
 import { createHash } from "node:crypto";
 import type { FileHandle } from "node:fs/promises";
-import { mkdir, open, readdir, unlink } from "node:fs/promises";
+import { open, readdir, unlink } from "node:fs/promises";
 import { join } from "node:path";
 import { DIGEST_BYTES, encodeFrame } from "./blob-frame.js";
 import { scanSegment, segmentName, segmentNumberOf } from "./segment-file.js";
@@ -80,7 +81,8 @@
             );
         }
         this.#lastPutMs.set(digestKey(reference.sha256), nowMs);
-        if (this.has(reference)) {
+        // A copy from before a restart may be damaged, so that its presence in the index doesn't suffice.
+        if (await this.get(reference) !== undefined) {
             return;
         }
         const error = await new Promise<StepError | undefined>(done => {
@@ -149,7 +151,7 @@
     }
 
     async #load(nowMs: number): Promise<void> {
-        await mkdir(this.#folder, { recursive: true });
+        await new NodeFileSystem().makeFolder(this.#folder);
         const numbers = (await readdir(this.#folder))
             .map(segmentNumberOf)
             .filter(number => number !== undefined)
@@ -157,7 +159,10 @@
         for (const number of numbers) {
             const file = await open(join(this.#folder, segmentName(number)), "r+");
             this.#files.set(number, file);
-            this.#index.addSegment(number, await scanSegment(file));
+            const blobs = await scanSegment(file);
+            // The process that wrote them may have died before it synced them.
+            await file.datasync();
+            this.#index.addSegment(number, blobs);
         }
         await this.#beginSegment(nowMs);
     }
