--- a/packages/workflow/src/leader/evacuation.test.ts
+++ b/packages/workflow/src/leader/evacuation.test.ts
@@ -6,6 +6,7 @@
 import { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
 
+const TIMES = { nowMs: 0, timeOfDayMs: 0 };
 const STEP = standingStepOf({ taskCount: 2, maxUnavailable: 1 });
 
 // Guards against an occurrence of a standing step that loses more tasks at once than its bound allows, because the tasks
@@ -23,7 +24,7 @@
         run.progressPercent = 100;
         const isDraining = serverId === "leaving";
         const server = directory.get(String(serverId))
-            ?? directory.recordHeartbeat(heartbeatOf(String(serverId), 1, { isDraining }), 0)?.server;
+            ?? directory.recordHeartbeat(heartbeatOf(String(serverId), 1, { isDraining }), TIMES)?.server;
         server?.addRun(run);
         return run;
     });
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -12,6 +12,7 @@
 import { Evacuation } from "./evacuation.js";
 import { FillerMoves } from "./filler-moves.js";
 import { FillerPacing } from "./filler-pacing.js";
+import { hasPlausibleSequence, implausibleEventOf } from "./heartbeat-plausibility.js";
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
@@ -112,7 +113,7 @@
             propose: options.propose,
             begin: options.beginMaintenance,
         }, times.nowMs);
-        this.#proposeLostRuns(adoptRuns(state, this.#directory, settings, times.nowMs));
+        this.#proposeLostRuns(adoptRuns(state, this.#directory, settings, times));
         if (!this.#isLeaseRecorded) {
             options.propose({ kind: EventKind.LeaseExtended, leaseMs: settings.leaseMs });
         }
@@ -133,16 +134,22 @@
 
     /**
      * Handles a heartbeat. The response is sent once the events that it depends on are committed, or after a bounded
-     * delay; it is undefined (no orders) for a stale heartbeat.
+     * delay; it is undefined (no orders) for a heartbeat that is stale or that another program has sent.
      */
     handleHeartbeat(
         report: HeartbeatReport,
         respond: (orders: HeartbeatOrders | undefined) => void,
-        { nowMs, timeOfDayMs }: Times,
+        times: Times,
     ): void {
+        const { nowMs, timeOfDayMs } = times;
         const previous = this.#directory.get(report.serverId);
         const wasDraining = previous?.isDraining === true;
-        const recorded = this.#directory.recordHeartbeat(report, nowMs);
+        if (!hasPlausibleSequence(report, previous, this.#options.state.acknowledgedEnd(report))) {
+            this.#options.report(implausibleEventOf(report), nowMs);
+            respond(undefined);
+            return;
+        }
+        const recorded = this.#directory.recordHeartbeat(report, times);
         if (recorded === undefined) {
             respond(undefined);
             return;
--- a/packages/workflow/src/leader/run-adoption.ts
+++ b/packages/workflow/src/leader/run-adoption.ts
@@ -1,10 +1,12 @@
 import { taskKeyOf, taskKindOf } from "../model/specification.js";
 import type { AssignedTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
+import { isLaterIncarnation } from "./incarnation.js";
 import type { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
 import type { RunView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
+import type { Times } from "./times.js";
 
 /**
  * Adds the runs that former leaders have recorded to the directory. Returns those that have certainly ended, because a
@@ -14,7 +16,7 @@
     state: WorkflowState,
     directory: ServerDirectory,
     settings: LeaderSettings,
-    nowMs: number,
+    { nowMs, timeOfDayMs }: Times,
 ): RunView[] => {
     const formerLeaseMs = Math.min(settings.maxLeaseMs, state.longestLeaseMs ?? Infinity);
     const assignedTasks = [...state.jobs.values()].flatMap(job =>
@@ -22,7 +24,10 @@
     );
     const latestIncarnations = new Map<string, number>();
     for (const { assigned: { server: { serverId, incarnation } } } of assignedTasks) {
-        latestIncarnations.set(serverId, Math.max(incarnation, latestIncarnations.get(serverId) ?? -Infinity));
+        const latest = latestIncarnations.get(serverId);
+        if (latest === undefined || isLaterIncarnation(incarnation, latest, timeOfDayMs)) {
+            latestIncarnations.set(serverId, incarnation);
+        }
     }
     const endedRuns: RunView[] = [];
     for (const { job, assigned } of assignedTasks) {
--- a/packages/workflow/src/leader/server-directory.ts
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -1,7 +1,9 @@
 import type { HeartbeatReport } from "../model/heartbeat.js";
+import { isLaterIncarnation } from "./incarnation.js";
 import { ServerView } from "./server-view.js";
 import type { RunView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
+import type { Times } from "./times.js";
 
 /** Assumed lower bound on the clock rate of a backend server, relative to the leader's. */
 const MIN_CLOCK_RATE = 0.98;
@@ -67,15 +69,16 @@
     }
 
     /** Handles a heartbeat; returns undefined if it is of an earlier incarnation or arrives after a later heartbeat. */
-    recordHeartbeat(report: HeartbeatReport, nowMs: number): RecordedHeartbeat | undefined {
+    recordHeartbeat(report: HeartbeatReport, { nowMs, timeOfDayMs }: Times): RecordedHeartbeat | undefined {
         let server = this.#servers.get(report.serverId);
         let lostRuns: RunView[] = [];
-        if (server !== undefined && report.incarnation < server.incarnation) {
+        const { incarnation } = report;
+        if (server !== undefined && isLaterIncarnation(server.incarnation, incarnation, timeOfDayMs)) {
             return undefined;
         }
-        if (server === undefined || report.incarnation > server.incarnation) {
+        if (server === undefined || isLaterIncarnation(incarnation, server.incarnation, timeOfDayMs)) {
             lostRuns = [...server?.runs.values() ?? []];
-            server = new ServerView(report.serverId, report.incarnation, nowMs, nowMs);
+            server = new ServerView(report.serverId, incarnation, nowMs, nowMs);
             this.#add(server);
         }
         if (server.sequence !== undefined && report.sequence <= server.sequence) {
--- a/packages/workflow/src/leader/server-event.ts
+++ b/packages/workflow/src/leader/server-event.ts
@@ -8,6 +8,8 @@
     Restarted = "restarted",
     /** The server has started to drain. */
     Draining = "draining",
+    /** Heartbeat whose numbers can't be those of the server; it was dropped. */
+    Implausible = "implausible",
     /** The planner avoids the server for some time, after failures or because its tasks make little progress. */
     Avoided = "avoided",
 }
