--- a/packages/daemon/src/http/request-body.ts
+++ b/packages/daemon/src/http/request-body.ts
@@ -12,7 +12,8 @@
         request.on("data", (chunk: Buffer) => {
             sizeBytes += chunk.length;
             if (sizeBytes > limitBytes) {
-                request.pause();
+                // The rest is still read, and dropped: left unread, it would keep the connection from further requests.
+                chunks.length = 0;
                 reject(
                     new StepError(ErrorCode.TOO_LARGE, "read request", peer, `the body exceeds ${limitBytes} bytes`),
                 );
