Start overdue standing tasks before all other work

What callers see: a standing task that has ended, or that was accepted, does not run although servers have capacity for it time and again, while other work starts.

Cause: within a priority the queue puts finite jobs that have begun before standing ones, and every more important queue before both, without a bound. Under a lasting overload each piece of capacity that becomes free goes to finite work, for as long as the overload lasts. Starvation by strict order.

That this is what the users saw is not shown: their record fits (a service at its limit, the standing tasks' own priority served worst), but has no log of the leader.

Ruled out: a remembered failed search.

Why it works: a standing step that has waited for 2 s comes first, whatever its priority, so that it gets the next capacity that it fits. It leaves 4 s of the 6 s within which such a task must run again for the start itself.

--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -19,6 +19,12 @@
     readonly remainingCriticalPathMs: number;
 }
 
+/**
+ * Time after which a waiting standing step precedes all other work. Standing tasks must be at work again within a few
+ * seconds, however much work of a higher priority waits.
+ */
+const MAX_STANDING_WAIT_MS = 2_000;
+
 /** Groups of the steps of one priority, in scheduling order. */
 enum Urgency {
     /** Finite jobs that have begun and can end in time. */
@@ -32,8 +38,8 @@
 }
 
 /**
- * Steps that are due and whose dependencies are done, in scheduling order: by priority, then by urgency, then by the
- * time at which callers expect the occurrence to end.
+ * Steps that are due and whose dependencies are done, in scheduling order: overdue standing steps, then the others by
+ * priority, by urgency, and by the time at which callers expect the occurrence to end.
  */
 export class WorkQueue {
     readonly #steps = new Map<string, WaitingStep>();
@@ -47,10 +53,15 @@
 
     /** Returns the steps in scheduling order. */
     ordered(timeOfDayMs: number): readonly WaitingStep[] {
+        const overdue: WaitingStep[] = [];
         const ordered: WaitingStep[] = [];
         let priority: number | undefined;
         let groups = emptyGroups();
         for (const waiting of this.steps) {
+            if (isStandingOverdue(waiting, timeOfDayMs)) {
+                overdue.push(waiting);
+                continue;
+            }
             if (waiting.job.queue.priority !== priority) {
                 priority = waiting.job.queue.priority;
                 ordered.push(...groups.flat());
@@ -59,7 +70,7 @@
             groups[urgencyOf(waiting, timeOfDayMs)]?.push(waiting);
         }
         ordered.push(...groups.flat());
-        return ordered;
+        return [...overdue, ...ordered];
     }
 
     /** Updates the queue after a change of a job; returns whether the set of waiting steps has changed. */
@@ -153,6 +164,9 @@
 
 const emptyGroups = (): WaitingStep[][] => [[], [], [], []];
 
+const isStandingOverdue = ({ kind, waitingSinceMs }: WaitingStep, timeOfDayMs: number): boolean =>
+    kind === TaskKind.Standing && timeOfDayMs - waitingSinceMs >= MAX_STANDING_WAIT_MS;
+
 const urgencyOf = (waiting: WaitingStep, timeOfDayMs: number): Urgency => {
     if (waiting.kind === TaskKind.Standing) {
         return Urgency.InTime;
