--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -72,7 +72,7 @@
     /** Whether the server reports runs that the leader does not track (any more); {@link reserved} excludes them. */
     hasUntrackedRuns = false;
     /**
-     * The server is avoided until this time, after failures or slow progress: only standing tasks start here, and only
+     * The server is avoided until this time, after failures, failed starts or slow progress: only standing tasks start here, and only
      * if no other server can run them.
      */
     avoidUntilMs = -Infinity;
--- a/packages/workflow/src/leader/standing-tasks.test.ts
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -14,6 +14,10 @@
     readonly #running = new Map<string, StartOrder & { endsAtMs: number }>();
     readonly #ended: ReportedEnd[] = [];
     #sequence = 0;
+    /** Whether the server rejects all starts. */
+    rejectsStarts = false;
+    /** Whether all answers arrive so late that the server drops them. */
+    dropsAnswers = false;
 
     constructor(id: string) {
         this.#id = id;
@@ -43,14 +47,27 @@
             return { task, run, checkpoint: "", progressPercent, measurement: undefined };
         });
         const orders = replica.heartbeat(heartbeatOf(this.#id, this.#sequence, { running, ended: this.#ended }));
-        for (const start of orders?.starts ?? []) {
-            const isStanding = start.task.startsWith("standing.");
-            this.#running.set(start.task, { ...start, endsAtMs: isStanding ? Infinity : nowMs + 500 });
-        }
+        (this.dropsAnswers ? [] : orders?.starts ?? []).forEach(order => this.#start(order, nowMs));
         return orders;
     }
+
+    #start(order: StartOrder, nowMs: number): void {
+        const isStanding = order.task.startsWith("standing.");
+        this.#running.set(order.task, { ...order, endsAtMs: isStanding ? Infinity : nowMs + 500 });
+        if (this.rejectsStarts) {
+            this.end(order.task, RunEnd.NotStarted);
+        }
+    }
 }
 
+/** Exchanges heartbeats of the servers for the given time. */
+const advance = (replica: SingleReplica, servers: readonly TestServer[], durationMs: number): void => {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += HEARTBEAT_MS) {
+        replica.advance(HEARTBEAT_MS);
+        servers.forEach(server => server.beat(replica));
+    }
+};
+
 // Load: finite jobs that have begun take all capacity that becomes free, for ever. Guards against a standing task that
 // has ended and never starts again, because each piece of capacity goes to work before it in the queue.
 it("starts a standing task again although finite jobs that have begun use all capacity", () => {
@@ -60,14 +77,29 @@
     replica.submit(jobOf("standing", standingStepOf()));
     server.beat(replica);
     replica.submit(jobOf("backlog", stepOf({ taskCount: 1_000 })));
-    for (let elapsedMs = 0; elapsedMs < 2_000; elapsedMs += HEARTBEAT_MS) {
-        replica.advance(HEARTBEAT_MS);
-        server.beat(replica);
-    }
+    advance(replica, [server], 2_000);
     server.end("standing.0.0.0", RunEnd.Failed);
-    for (let elapsedMs = 0; elapsedMs < MAX_RESTART_MS; elapsedMs += HEARTBEAT_MS) {
-        replica.advance(HEARTBEAT_MS);
-        server.beat(replica);
-    }
+    advance(replica, [server], MAX_RESTART_MS);
     expect(server.isRunning("standing")).toBe(true);
 });
+
+/** Returns two servers on the same conditions, of which the planner prefers the first. */
+const startWithTwoServers = (): { replica: SingleReplica; servers: [TestServer, TestServer] } => {
+    const replica = SingleReplica.started();
+    const servers: [TestServer, TestServer] = [new TestServer("s"), new TestServer("t")];
+    advance(replica, servers, HEARTBEAT_MS);
+    return { replica, servers };
+};
+
+// Guards against a task that is assigned for ever to the server that the planner prefers, which rejects every start for
+// want of room that the leader doesn't know of.
+it.each([["standing", standingStepOf()], ["finite", stepOf()]])(
+    "starts a %s task on another server after one has rejected it",
+    (id, step) => {
+        const { replica, servers } = startWithTwoServers();
+        servers[0].rejectsStarts = true;
+        replica.submit(jobOf(id, step));
+        advance(replica, servers, 300);
+        expect(servers[1].isRunning(id)).toBe(true);
+    },
+);
