--- a/packages/workflow/src/leader/server-event.ts
+++ b/packages/workflow/src/leader/server-event.ts
@@ -10,7 +10,7 @@
     Draining = "draining",
     /** Heartbeat whose numbers can't be those of the server; it was dropped. */
     Implausible = "implausible",
-    /** The planner avoids the server for some time, after failures or because its tasks make little progress. */
+    /** The planner avoids the server for some time, after failures, starts that failed, or little progress of its tasks. */
     Avoided = "avoided",
 }
 
--- /dev/null
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -0,0 +1,105 @@
+import { expect, it } from "vitest";
+import { RunEnd } from "../model/heartbeat.js";
+import type { HeartbeatOrders, ReportedEnd, StartOrder } from "../model/heartbeat.js";
+import { heartbeatOf, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
+import { SingleReplica } from "../testing/single-replica.js";
+
+const HEARTBEAT_MS = 100;
+/** Time within which a standing task must run again, in spite of any other work. */
+const MAX_RESTART_MS = 6_000;
+
+/** A server that ends each finite task half a second after its start, and standing tasks on request. */
+class TestServer {
+    readonly #id: string;
+    readonly #running = new Map<string, StartOrder & { endsAtMs: number }>();
+    readonly #ended: ReportedEnd[] = [];
+    #sequence = 0;
+    /** Whether the server rejects all starts. */
+    rejectsStarts = false;
+    /** Whether all answers arrive so late that the server drops them. */
+    dropsAnswers = false;
+
+    constructor(id: string) {
+        this.#id = id;
+    }
+
+    isRunning(job: string): boolean {
+        return [...this.#running.keys()].some(task => task.startsWith(`${job}.`));
+    }
+
+    end(task: string, end: RunEnd): void {
+        const run = this.#running.get(task)?.run ?? 0;
+        this.#running.delete(task);
+        this.#ended.push({ sequence: this.#ended.length + 1, task, run, end, checkpoint: "" });
+    }
+
+    /** Ends what is due, sends a heartbeat and executes the start orders in its answer. */
+    beat(replica: SingleReplica): HeartbeatOrders | undefined {
+        const { nowMs } = replica.times;
+        for (const { task, endsAtMs } of [...this.#running.values()]) {
+            if (nowMs >= endsAtMs) {
+                this.end(task, RunEnd.Done);
+            }
+        }
+        this.#sequence += 1;
+        const running = [...this.#running.values()].map(({ task, run, endsAtMs }) => {
+            const progressPercent = Math.max(0, Math.min(100, 100 - (endsAtMs - nowMs) / 5));
+            return { task, run, checkpoint: "", progressPercent, measurement: undefined };
+        });
+        const orders = replica.heartbeat(heartbeatOf(this.#id, this.#sequence, { running, ended: this.#ended }));
+        (this.dropsAnswers ? [] : orders?.starts ?? []).forEach(order => this.#start(order, nowMs));
+        return orders;
+    }
+
+    #start(order: StartOrder, nowMs: number): void {
+        const isStanding = order.task.startsWith("standing.");
+        this.#running.set(order.task, { ...order, endsAtMs: isStanding ? Infinity : nowMs + 500 });
+        if (this.rejectsStarts) {
+            this.end(order.task, RunEnd.NotStarted);
+        }
+    }
+}
+
+/** Exchanges heartbeats of the servers for the given time. */
+const advance = (replica: SingleReplica, servers: readonly TestServer[], durationMs: number): void => {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += HEARTBEAT_MS) {
+        replica.advance(HEARTBEAT_MS);
+        servers.forEach(server => server.beat(replica));
+    }
+};
+
+// Load: finite jobs that have begun take all capacity that becomes free, for ever. Guards against a standing task that
+// has ended and never starts again, because each piece of capacity goes to work before it in the queue.
+it("starts a standing task again although finite jobs that have begun use all capacity", () => {
+    const replica = SingleReplica.started();
+    const server = new TestServer("s");
+    server.beat(replica);
+    replica.submit(jobOf("standing", standingStepOf()));
+    server.beat(replica);
+    replica.submit(jobOf("backlog", stepOf({ taskCount: 1_000 })));
+    advance(replica, [server], 2_000);
+    server.end("standing.0.0.0", RunEnd.Failed);
+    advance(replica, [server], MAX_RESTART_MS);
+    expect(server.isRunning("standing")).toBe(true);
+});
+
+/** Returns two servers on the same conditions, of which the planner prefers the first. */
+const startWithTwoServers = (): { replica: SingleReplica; servers: [TestServer, TestServer] } => {
+    const replica = SingleReplica.started();
+    const servers: [TestServer, TestServer] = [new TestServer("s"), new TestServer("t")];
+    advance(replica, servers, HEARTBEAT_MS);
+    return { replica, servers };
+};
+
+// Guards against a task that is assigned for ever to the server that the planner prefers, which rejects every start for
+// want of room that the leader doesn't know of.
+it.each([["standing", standingStepOf()], ["finite", stepOf()]])(
+    "starts a %s task on another server after one has rejected it",
+    (id, step) => {
+        const { replica, servers } = startWithTwoServers();
+        servers[0].rejectsStarts = true;
+        replica.submit(jobOf(id, step));
+        advance(replica, servers, 300);
+        expect(servers[1].isRunning(id)).toBe(true);
+    },
+);
