--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -290,6 +290,7 @@
                 this.#eventLog.recordCommitted(events, nowMs);
                 this.#metrics.recordCommitted(events, nowMs);
             },
+            onError: (error, action) => this.#eventLog.recordFailure(error, action, monotonicNowMs()),
             onServerEvent: (event, nowMs) => this.#eventLog.recordServerEvent(event, nowMs),
             queryEligibility: (query, respond) => void platformCalls.checkEligibility(query, respond),
             beginMaintenance: (call, respond) => void platformCalls.beginMaintenance(call, respond),
--- a/packages/daemon/src/workflow/event-log.test.ts
+++ b/packages/daemon/src/workflow/event-log.test.ts
@@ -1,4 +1,4 @@
-import { EventKind, ServerEventKind } from "@waxwingspread/workflow";
+import { EventKind, FailedAction, ServerEventKind } from "@waxwingspread/workflow";
 import { pino } from "pino";
 import { expect, it } from "vitest";
 import { EventLog } from "./event-log.js";
@@ -62,3 +62,15 @@
     const lines = linesOf(log => log.recordCommitted([{ kind: EventKind.RunsAssigned, runs }], 0));
     expect(readCount).toBe(lines.length);
 });
+
+// Guards against a fault that fails in each decision and fills the log within seconds.
+it("limits the lines about unexpected errors", () => {
+    const lines: string[] = [];
+    const log = new EventLog(pino({ level: "info" }, { write: line => void lines.push(line) }));
+    for (let count = 0; count < 100; count += 1) {
+        log.recordFailure(new Error("failed in a test"), FailedAction.Decide, 0);
+    }
+    expect(lines).toHaveLength(5);
+    log.recordFailure(new Error("failed in a test"), FailedAction.Decide, 1_000);
+    expect(lines).toHaveLength(6);
+});
--- a/packages/daemon/src/workflow/event-log.ts
+++ b/packages/daemon/src/workflow/event-log.ts
@@ -1,10 +1,12 @@
 import { EventKind } from "@waxwingspread/workflow";
-import type { EventOf, ServerEvent, WorkflowEvent } from "@waxwingspread/workflow";
+import type { EventOf, FailedAction, ServerEvent, WorkflowEvent } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { LineBudget } from "../logging/line-budget.js";
 
 /** Limit for each kind of event, so that frequent starts and ends leave room for the rare lines that explain a fault. */
 const MAX_LINES_PER_SECOND_AND_KIND = 50;
+/** Limit for each kind of failure, whose lines have a stack trace. */
+const MAX_FAILURES_PER_SECOND_AND_KIND = 5;
 
 type Handlers = { [Kind in EventKind]?: (event: EventOf<Kind>) => void };
 
@@ -12,6 +14,7 @@
 export class EventLog {
     readonly #logger: Logger;
     readonly #budget = new LineBudget(MAX_LINES_PER_SECOND_AND_KIND);
+    readonly #failureBudget = new LineBudget(MAX_FAILURES_PER_SECOND_AND_KIND);
 
     readonly #handlers: Handlers = {
         [EventKind.JobAccepted]: ({ job, queue }) =>
@@ -54,6 +57,14 @@
         }
     }
 
+    /** Logs an unexpected error that the node has contained. */
+    recordFailure(error: unknown, action: FailedAction, nowMs: number): void {
+        this.#failureBudget.advance(nowMs);
+        if (this.#failureBudget.tryTake(action)) {
+            this.#logger.error({ err: error, action }, "unexpected error contained");
+        }
+    }
+
     /** Logs an event unless its kind has used up its budget; the fields are only read for a line that is written. */
     #logJobEvent(event: string, readFields: () => object): void {
         if (this.#budget.tryTake(event)) {
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -13,7 +13,7 @@
 import type { JobSpecification } from "../model/specification.js";
 import { decodeEvents, encodeEvents, EventKind } from "../state/events.js";
 import type { WorkflowEvent } from "../state/events.js";
-import { WorkflowState } from "../state/workflow-state.js";
+import { UnknownEventError, WorkflowState } from "../state/workflow-state.js";
 import type { WorkflowSnapshot } from "../state/workflow-state.js";
 import type { CommittedRecord, ReplicatedLog } from "./replicated-log.js";
 
@@ -33,10 +33,37 @@
     queryEligibility?: QueryEligibility;
     /** Asks the platform to maintain a VM; without it, maintenance orders wait. */
     beginMaintenance?: BeginMaintenance;
+    /**
+     * Called with an unexpected error that the node has contained: it goes on without the failed record or event, or with
+     * a new leader session. Without it, such errors are thrown.
+     */
+    onError?: (error: unknown, action: FailedAction) => void;
     /** Called when the leader's view of a backend server changes. */
     onServerEvent?: (event: ServerEvent, nowMs: number) => void;
 }
 
+/** What has failed with an unexpected error. */
+export enum FailedAction {
+    /** A committed record can't be read. */
+    ReadRecord = "read-record",
+    /** A committed event can't be applied to the replicated state. */
+    ApplyEvent = "apply-event",
+    /** The leader session can't follow committed events. */
+    FollowEvents = "follow-events",
+    /** Committed events can't be reported. */
+    ReportEvents = "report-events",
+    /** The leader session can't decide what is due. */
+    Decide = "decide",
+}
+
+/** When a session may begin after one has failed. */
+interface SessionRestart {
+    term: number;
+    afterMs: number;
+    /** Index of a record proposed after the failure; undefined until it is proposed. */
+    barrierIndex: number | undefined;
+}
+
 interface PendingCall {
     committed: () => void;
     /** Called with true when the change certainly has no effect, with false when it may still take effect. */
@@ -45,6 +72,8 @@
 
 /** Interval at which a leader checks schedules for due occurrences. */
 const SCHEDULE_CHECK_INTERVAL_MS = 50;
+/** Delay of the next leader session after one has failed, so that a lasting fault doesn't use up the processor. */
+const SESSION_RESTART_DELAY_MS = 500;
 
 /**
  * One replica of the workflow state and, while this replica leads, its leader session. The node does no I/O: the
@@ -63,6 +92,9 @@
     #unproposedCalls: PendingCall[] = [];
     readonly #proposedCalls = new Map<number, PendingCall[]>();
     #scheduleCheckAtMs = 0;
+    #appliedIndex = 0;
+    /** Set after a session has failed, until the next one begins. */
+    #restart: SessionRestart | undefined;
 
     constructor(options: WorkflowNodeOptions) {
         this.#options = options;
@@ -227,27 +259,29 @@
 
     /** Runs the leader session at the given time and proposes its events. Call it after each batch of other calls. */
     run(times: Times): void {
-        this.#updateSession(times);
-        if (this.#session !== undefined) {
-            if (times.nowMs >= this.#scheduleCheckAtMs) {
-                this.#scheduleCheckAtMs = times.nowMs + SCHEDULE_CHECK_INTERVAL_MS;
-                this.#session.checkSchedules(times);
-            }
-            this.#session.run(times);
-        }
-        this.#propose(times.nowMs);
+        this.#attemptInSession(FailedAction.Decide, times, () => {
+            this.#updateSession(times);
+            this.#runSession(times);
+            this.#propose(times.nowMs);
+        });
     }
 
     /** Applies committed records. Each record must be passed exactly once and in log order. */
     applyCommitted(records: readonly CommittedRecord[], times: Times): void {
         for (const record of records) {
-            const events = record.data === undefined ? [] : decodeEvents(record.data);
-            events.forEach(event => this.#state.apply(event));
-            if (this.#session !== undefined) {
-                this.#session.handleAppliedEvents(events, times);
-                this.#options.onCommitted?.(events, times.nowMs);
+            const events = this.#readEvents(record);
+            events.forEach(event => this.#apply(event, times));
+            const session = this.#session;
+            if (session !== undefined) {
+                this.#attemptInSession(
+                    FailedAction.FollowEvents,
+                    times,
+                    () => session.handleAppliedEvents(events, times),
+                );
+                this.#attempt(FailedAction.ReportEvents, () => this.#options.onCommitted?.(events, times.nowMs));
             }
             this.#appliedTerm = record.term;
+            this.#appliedIndex = record.index;
             this.#completeCalls(record);
         }
     }
@@ -269,6 +303,72 @@
         this.#endSession();
     }
 
+    /** Reads the events of a record. One that can't be read would end every replica, each time that it starts. */
+    #readEvents({ data }: CommittedRecord): readonly WorkflowEvent[] {
+        let events: readonly WorkflowEvent[] = [];
+        this.#attempt(FailedAction.ReadRecord, () => {
+            events = data === undefined ? [] : decodeEvents(data);
+        });
+        return events;
+    }
+
+    /** Applies an event. It fails in the same way on all replicas, so that their states stay equal. */
+    #apply(event: WorkflowEvent, times: Times): void {
+        this.#attemptInSession(FailedAction.ApplyEvent, times, () => this.#state.apply(event));
+    }
+
+    /** Calls a function and contains its error. Returns whether it has succeeded. */
+    #attempt(action: FailedAction, call: () => void): boolean {
+        const { onError } = this.#options;
+        try {
+            call();
+            return true;
+        }
+        catch (error) {
+            if (onError === undefined || error instanceof UnknownEventError) {
+                throw error;
+            }
+            onError(error, action);
+            return false;
+        }
+    }
+
+    /** Calls a function and contains its error: the session, which may have changed in part, is replaced by a new one. */
+    #attemptInSession(action: FailedAction, { nowMs }: Times, call: () => void): void {
+        if (!this.#attempt(action, call)) {
+            this.#endSession();
+            const afterMs = nowMs + SESSION_RESTART_DELAY_MS;
+            this.#restart = { term: this.#log.term, afterMs, barrierIndex: undefined };
+        }
+    }
+
+    /**
+     * Whether a session may begin after one has failed in the same term. Records that the failed one has proposed are to
+     * be applied before, since the next one takes over what they contain.
+     */
+    #mayRestart(nowMs: number): boolean {
+        const restart = this.#restart;
+        if (restart === undefined || restart.term !== this.#log.term) {
+            return true;
+        }
+        if (restart.barrierIndex === undefined) {
+            const proposed = this.#log.propose(encodeEvents([]), nowMs);
+            restart.barrierIndex = proposed.isOk() ? proposed.value : undefined;
+        }
+        return nowMs >= restart.afterMs && this.#appliedIndex >= (restart.barrierIndex ?? Infinity);
+    }
+
+    #runSession(times: Times): void {
+        if (this.#session === undefined) {
+            return;
+        }
+        if (times.nowMs >= this.#scheduleCheckAtMs) {
+            this.#scheduleCheckAtMs = times.nowMs + SCHEDULE_CHECK_INTERVAL_MS;
+            this.#session.checkSchedules(times);
+        }
+        this.#session.run(times);
+    }
+
     #canServe(nowMs: number): boolean {
         return this.#session !== undefined && this.#log.term === this.#sessionTerm && this.#log.hasQuorumLease(nowMs);
     }
@@ -280,7 +380,8 @@
         if (this.#session !== undefined && (!this.#log.isLeader || this.#log.term !== this.#sessionTerm)) {
             this.#endSession();
         }
-        if (this.#session === undefined && isLeading) {
+        if (this.#session === undefined && isLeading && this.#mayRestart(times.nowMs)) {
+            this.#restart = undefined;
             this.#sessionTerm = this.#log.term;
             this.#session = new LeaderSession({
                 state: this.#state,
@@ -323,11 +424,11 @@
         if (this.#events.length === 0 && this.#unproposedCalls.length === 0) {
             return;
         }
-        const events = this.#events;
+        const record = encodeEvents(this.#events);
         const calls = this.#unproposedCalls;
         this.#events = [];
         this.#unproposedCalls = [];
-        const proposed = this.#log.propose(encodeEvents(events), nowMs);
+        const proposed = this.#log.propose(record, nowMs);
         if (proposed.isOk()) {
             this.#proposedCalls.set(proposed.value, calls);
             return;
--- a/packages/workflow/src/state/events.ts
+++ b/packages/workflow/src/state/events.ts
@@ -81,6 +81,11 @@
 /** Encodes events as one log record. */
 export const encodeEvents = (events: readonly WorkflowEvent[]): Uint8Array => Buffer.from(JSON.stringify(events));
 
-/** Decodes a log record written by `encodeEvents`. */
-export const decodeEvents = (record: Uint8Array): WorkflowEvent[] =>
-    JSON.parse(Buffer.from(record.buffer, record.byteOffset, record.byteLength).toString()) as WorkflowEvent[];
+/** Decodes a log record written by `encodeEvents`. Throws an error for any other content. */
+export const decodeEvents = (record: Uint8Array): WorkflowEvent[] => {
+    const events = JSON.parse(Buffer.from(record.buffer, record.byteOffset, record.byteLength).toString()) as unknown;
+    if (!Array.isArray(events)) {
+        throw new Error("the record is not a list of events");
+    }
+    return events as WorkflowEvent[];
+};
--- a/packages/workflow/src/state/workflow-state.ts
+++ b/packages/workflow/src/state/workflow-state.ts
@@ -29,6 +29,13 @@
 
 type Handlers = { [Kind in EventKind]: (event: EventOf<Kind>) => void };
 
+/** An event of a later version. A replica that passed over it would have another state than the others. */
+export class UnknownEventError extends Error {
+    constructor(kind: string) {
+        super(`unknown event ${kind}; a later version has recorded it`);
+    }
+}
+
 /** Replicated state. It changes only through committed events, so that all replicas reach the same state. */
 export class WorkflowState {
     #configuration: Configuration | undefined;
@@ -127,6 +134,9 @@
     }
 
     apply(event: WorkflowEvent): void {
+        if (!Object.hasOwn(this.#handlers, event.kind)) {
+            throw new UnknownEventError(event.kind);
+        }
         const handle = this.#handlers[event.kind] as (event: WorkflowEvent) => void;
         handle(event);
     }
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -34,8 +34,8 @@
     return result;
 };
 
-/** Test doubles of the platform's services. */
-type PlatformServices = Pick<WorkflowNodeOptions, "queryEligibility" | "beginMaintenance">;
+/** Test doubles of the platform's services, and the receiver of contained errors. */
+type PlatformServices = Pick<WorkflowNodeOptions, "queryEligibility" | "beginMaintenance" | "onError">;
 
 /** One workflow node with an in-memory log that commits on request and a clock that is advanced manually. */
 export class SingleReplica {
