--- a/packages/daemon/src/workflow/platform-calls.ts
+++ b/packages/daemon/src/workflow/platform-calls.ts
@@ -1,4 +1,5 @@
 import { messageOf } from "@waxwingspread/common";
+import { MaintenanceOutcome } from "@waxwingspread/workflow";
 import type { BeginMaintenance, QueryEligibility } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
@@ -27,16 +28,29 @@
             logger.warn({ step: query.step, reason: messageOf(error) }, "eligibility check failed");
             return undefined;
         });
-        respond(eligible, monotonicNowMs());
+        this.#pass(() => respond(eligible, monotonicNowMs()));
         onResult();
     }
 
     /** Asks the platform to begin the maintenance of a VM. */
     async beginMaintenance(...[call, respond]: Parameters<BeginMaintenance>): Promise<void> {
         const { services, onResult, logger } = this.#options;
-        const outcome = await services.beginMaintenance(call);
+        const outcome = await services.beginMaintenance(call).catch((error: unknown) => {
+            logger.error({ ...call, err: error }, "maintenance call failed unexpectedly");
+            return MaintenanceOutcome.Retry;
+        });
         logger.info({ ...call, outcome }, "maintenance call finished");
-        respond(outcome, monotonicNowMs());
+        this.#pass(() => respond(outcome, monotonicNowMs()));
         onResult();
     }
+
+    /** Passes a result to the session. An error is logged; thrown from here, it would end the process. */
+    #pass(respond: () => void): void {
+        try {
+            respond();
+        }
+        catch (error) {
+            this.#options.logger.error({ err: error }, "the answer of a platform service can't be handled");
+        }
+    }
 }
