Give up runs that a server doesn't start although it was ordered to

What callers see: a task is accepted and never starts although other servers have room for it, and a server seems full to the leader while it is idle.

Cause: a run that is assigned but not started had no time limit. The start order is repeated with each heartbeat for as long as the server sends them. A server whose answers arrive later than a second drops them all, and would keep its runs, and the room reserved for them, until it is silent for a whole lease.

Evidence: 'starts a standing task on another server if the assigned one doesn't execute its orders', and the same for a finite task, failed before: 'expected false to be true' after 6 s.

Why it works: after 2 s of orders that had no effect the run is recorded as lost and the server is avoided, as after a rejected start. The run certainly hasn't started: the heartbeat that shows this was sent after the answer to the one before it had arrived or had been given up, which the repetition of orders relies on as well.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -397,10 +397,19 @@
                 respond(undefined);
                 continue;
             }
-            const written = this.#orders.buildOrders(server, report, this.#directory.size, nowMs);
-            this.#proposeLostRuns(written.neverStarted);
-            written.neverStarted.forEach(run => server.removeRun(run.task));
-            respond(written.orders);
+            const { orders, neverStarted, unexecuted } = this.#orders.buildOrders(
+                server,
+                report,
+                this.#directory.size,
+                nowMs,
+            );
+            if (unexecuted.length > 0) {
+                this.#failures.recordStartFailure(server, nowMs);
+            }
+            const lostRuns = [...neverStarted, ...unexecuted];
+            this.#proposeLostRuns(lostRuns);
+            lostRuns.forEach(run => server.removeRun(run.task));
+            respond(orders);
         }
     }
 
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -15,10 +15,16 @@
  */
 const LATE_HEARTBEAT_WINDOW_MS = 1_500;
 
-/** Orders for a server, and the assigned runs that have not started and are not allowed to start any more. */
+/** Time within which a server must have executed a start order that is repeated in each response. */
+const MAX_START_DELAY_MS = 2_000;
+
+/** Orders for a server, and the assigned runs that have certainly not started and are given up. */
 export interface BuiltOrders {
     orders: HeartbeatOrders;
+    /** Runs that are not allowed to start any more. */
     neverStarted: RunView[];
+    /** Runs whose start orders the server has not executed. */
+    unexecuted: RunView[];
 }
 
 /** Builds the orders with which the leader responds to heartbeats. */
@@ -41,6 +47,7 @@
         const stops = this.#stopOrdersForUntrackedRuns(server, report);
         const paces: PaceOrder[] = [];
         const neverStarted: RunView[] = [];
+        const unexecuted: RunView[] = [];
         for (const view of server.runs.values()) {
             if (!view.isCommitted) {
                 continue;
@@ -56,8 +63,12 @@
                 }
             }
             else if (view.orderedAtSequence === undefined) {
-                if (this.#canStart(server, view, nowMs)) {
+                if (nowMs - (view.firstOrderedAtMs ?? nowMs) >= MAX_START_DELAY_MS) {
+                    unexecuted.push(view);
+                }
+                else if (this.#canStart(server, view, nowMs)) {
                     view.orderedAtSequence = report.sequence;
+                    view.firstOrderedAtMs ??= nowMs;
                     starts.push(this.#startOrderFor(view));
                 }
                 else if (this.#hasNotStarted(server, view, nowMs)) {
@@ -79,7 +90,7 @@
                 serverCount * MIN_HEARTBEAT_SPACING_MS,
             ),
         };
-        return { orders, neverStarted };
+        return { orders, neverStarted, unexecuted };
     }
 
     /** Returns stop orders for reported runs that the leader does not track, for example after their lease expired. */
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -19,6 +19,8 @@
     isCommitted: boolean;
     /** Sequence number of the heartbeat whose response carried the start order; undefined before. */
     orderedAtSequence: number | undefined;
+    /** Time of the first response that carried the start order; undefined before. */
+    firstOrderedAtMs: number | undefined;
     /** Whether the server has reported the run. */
     isReported: boolean;
     /** Time of the first heartbeat that reported the run; undefined before. */
@@ -295,6 +297,7 @@
     assignedAtMs: nowMs,
     isCommitted: false,
     orderedAtSequence: undefined,
+    firstOrderedAtMs: undefined,
     isReported: false,
     firstReportedAtMs: undefined,
     progressPercent: 0,
--- a/packages/workflow/src/leader/standing-tasks.test.ts
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -103,3 +103,16 @@
         expect(servers[1].isRunning(id)).toBe(true);
     },
 );
+
+// Guards against a task that stays assigned for ever to a server that sends heartbeats but drops the answers to them,
+// while other servers have room. A server drops what arrives later than a second.
+it.each([["standing", standingStepOf()], ["finite", stepOf()]])(
+    "starts a %s task on another server if the assigned one doesn't execute its orders",
+    (id, step) => {
+        const { replica, servers } = startWithTwoServers();
+        servers[0].dropsAnswers = true;
+        replica.submit(jobOf(id, step));
+        advance(replica, servers, MAX_RESTART_MS);
+        expect(servers[1].isRunning(id) || replica.stateOf(id) === "completed").toBe(true);
+    },
+);
