--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -17,6 +17,8 @@
 
 /** Time within which a server must have executed a start order that is repeated in each response. */
 const MAX_START_DELAY_MS = 2_000;
+/** One answer may be lost on the way to a server that executes the next one. */
+const MIN_START_ORDERS = 2;
 
 /** Orders for a server, and the assigned runs that have certainly not started and are given up. */
 export interface BuiltOrders {
@@ -63,12 +65,13 @@
                 }
             }
             else if (view.orderedAtSequence === undefined) {
-                if (nowMs - (view.firstOrderedAtMs ?? nowMs) >= MAX_START_DELAY_MS) {
+                if (isUnexecuted(view, nowMs)) {
                     unexecuted.push(view);
                 }
                 else if (this.#canStart(server, view, nowMs)) {
                     view.orderedAtSequence = report.sequence;
                     view.firstOrderedAtMs ??= nowMs;
+                    view.startOrders += 1;
                     starts.push(this.#startOrderFor(view));
                 }
                 else if (this.#hasNotStarted(server, view, nowMs)) {
@@ -139,3 +142,7 @@
         };
     }
 }
+
+/** Whether a server has had the time and the orders to start a run. */
+const isUnexecuted = ({ startOrders, firstOrderedAtMs }: RunView, nowMs: number): boolean =>
+    startOrders >= MIN_START_ORDERS && nowMs - (firstOrderedAtMs ?? nowMs) >= MAX_START_DELAY_MS;
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -21,6 +21,8 @@
     orderedAtSequence: number | undefined;
     /** Time of the first response that carried the start order; undefined before. */
     firstOrderedAtMs: number | undefined;
+    /** Number of responses that carried the start order. */
+    startOrders: number;
     /** Whether the server has reported the run. */
     isReported: boolean;
     /** Time of the first heartbeat that reported the run; undefined before. */
@@ -298,6 +300,7 @@
     isCommitted: false,
     orderedAtSequence: undefined,
     firstOrderedAtMs: undefined,
+    startOrders: 0,
     isReported: false,
     firstReportedAtMs: undefined,
     progressPercent: 0,
