--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -19,6 +19,10 @@
     isCommitted: boolean;
     /** Sequence number of the heartbeat whose response carried the start order; undefined before. */
     orderedAtSequence: number | undefined;
+    /** Time of the first response that carried the start order; undefined before. */
+    firstOrderedAtMs: number | undefined;
+    /** Number of responses that carried the start order. */
+    startOrders: number;
     /** Whether the server has reported the run. */
     isReported: boolean;
     /** Time of the first heartbeat that reported the run; undefined before. */
@@ -295,6 +299,8 @@
     assignedAtMs: nowMs,
     isCommitted: false,
     orderedAtSequence: undefined,
+    firstOrderedAtMs: undefined,
+    startOrders: 0,
     isReported: false,
     firstReportedAtMs: undefined,
     progressPercent: 0,
