--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -309,10 +309,7 @@
             }
             else {
                 // The server has been removed since the proposal; no order was sent.
-                this.#options.propose({
-                    kind: EventKind.RunsLost,
-                    runs: [{ task, run, checkpoint: "" }],
-                });
+                this.#options.propose({ kind: EventKind.RunsLost, runs: [{ task, run, checkpoint: "" }] });
             }
             this.#planner.clearPending(task);
             this.#refreshTask(task, times);
@@ -350,18 +347,10 @@
         this.#options.report({ kind, serverId, incarnation, runs: server.runs.size }, nowMs);
     }
 
-    /** Updates the queue after a change of a task. Only its own occurrence is refreshed, unless the job has ended. */
     #refreshTask(key: string, { timeOfDayMs }: Times): void {
-        const position = parseTaskKey(key);
-        const job = position === undefined ? undefined : this.#options.state.job(position.jobId);
-        if (position === undefined || job === undefined) {
-            return;
-        }
-        if (job.isOver) {
-            this.#queue.refresh(job, timeOfDayMs);
-        }
-        else {
-            this.#queue.refreshOccurrence(job, position.occurrence, timeOfDayMs);
+        const job = this.#jobOf(key);
+        if (job !== undefined) {
+            this.#queue.refreshTask(job, parseTaskKey(key)?.occurrence ?? 0, timeOfDayMs);
         }
     }
 
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -82,6 +82,16 @@
         return isChanged;
     }
 
+    /** Updates the queue after a change of a task. Only its own occurrence is refreshed, unless the job has ended. */
+    refreshTask(job: JobRecord, occurrence: number, timeOfDayMs: number): void {
+        if (job.isOver) {
+            this.refresh(job, timeOfDayMs);
+        }
+        else {
+            this.refreshOccurrence(job, occurrence, timeOfDayMs);
+        }
+    }
+
     /** Updates the queue after a change in one occurrence; returns whether the set of waiting steps has changed. */
     refreshOccurrence(job: JobRecord, occurrence: number, timeOfDayMs: number): boolean {
         let isChanged = false;
