--- a/packages/daemon/src/http/http-listener.real.test.ts
+++ b/packages/daemon/src/http/http-listener.real.test.ts
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
-import { connect } from "node:net";
+import { connect, Server as NetServer } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import { pino } from "pino";
 import { expect, it, vi } from "vitest";
@@ -51,6 +51,30 @@
     await first.close(GRACE_MS);
 });
 
+// Guards against a process that ends because a connection can't be accepted, for example for want of file descriptors.
+it.each([["without", {}], ["with", { handleHttp2: () => undefined }]])(
+    "goes on after errors of accepting connections, %s HTTP/2",
+    async (unusedName, options) => {
+        const listen = vi.spyOn(NetServer.prototype, "listen");
+        const listener = new HttpListener({
+            address: { host: "127.0.0.1", port: 0 },
+            maxConnections: 8,
+            handle: (unusedRequest, response) => void response.end("done"),
+            logger,
+            onConnectionRefused: () => undefined,
+            ...options,
+        });
+        const port = await listener.listen();
+        const [server] = listen.mock.contexts;
+        listen.mockRestore();
+        for (let count = 0; count < 3; count += 1) {
+            (server as NetServer).emit("error", new Error("accept EMFILE"));
+        }
+        expect(await requestOnNewConnection(port)).toContain("200 OK");
+        await listener.close(GRACE_MS);
+    },
+);
+
 const createListener = (handle: (response: ServerResponse) => Promise<void> | void): HttpListener =>
     new HttpListener({
         address: { host: "127.0.0.1", port: 0 },
--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -7,11 +7,13 @@
 import { Server as NetServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import type { Logger } from "pino";
+import { LineBudget } from "../logging/line-budget.js";
 import type { ListenAddress } from "../transport/listen-address.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { createProtocolDetectingServer } from "./protocol-detection.js";
 
 const STATUS_ERROR = 500;
+const MAX_ERROR_LINES_PER_SECOND = 5;
 
 /** Time in which a client must send its headers. */
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -59,6 +61,7 @@
     readonly #sockets = new Set<Socket>();
     readonly #openResponses = new Set<ServerResponse>();
     readonly #http2Sessions = new Set<ServerHttp2Session>();
+    readonly #lineBudget = new LineBudget(MAX_ERROR_LINES_PER_SECOND);
     #acceptedConnections = 0;
     #isDraining = false;
 
@@ -86,6 +89,8 @@
             this.#sockets.add(socket);
             socket.once("close", () => this.#sockets.delete(socket));
         });
+        // A connection that can't be accepted concerns its client only. Without a listener the error would end the process.
+        this.#acceptingServer.on("error", error => this.#logError(error, options.logger));
         this.#acceptingServer.on("drop", options.onConnectionRefused);
         this.#server.on("clientError", (unusedError, socket) => {
             socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
@@ -138,6 +143,13 @@
         clearTimeout(timer);
     }
 
+    #logError(error: Error, logger: Logger): void {
+        this.#lineBudget.advance(monotonicNowMs());
+        if (this.#lineBudget.tryTake(error.message)) {
+            logger.warn({ port: this.#address.port, reason: messageOf(error) }, "listener error");
+        }
+    }
+
     #createHttp2Server(
         handle: (request: Http2ServerRequest, response: Http2ServerResponse) => void,
         { http2IdleTimeoutMs = HTTP2_IDLE_TIMEOUT_MS }: HttpListenerOptions,
--- a/packages/daemon/src/transport/connect-listener.ts
+++ b/packages/daemon/src/transport/connect-listener.ts
@@ -39,6 +39,8 @@
         this.#server.on("session", session => this.#accept(session));
         // Calls on a broken connection fail with errors of their own.
         this.#server.on("sessionError", () => undefined);
+        // The client of a connection that can't be accepted tries again. Without a listener the error would end the process.
+        this.#server.on("error", () => undefined);
     }
 
     get connectionCount(): number {
--- a/packages/daemon/src/transport/replica-stream.real.test.ts
+++ b/packages/daemon/src/transport/replica-stream.real.test.ts
@@ -2,10 +2,10 @@
 import { ReplicaMessageSchema } from "@waxwingspread/protocol";
 import type { ReplicaMessage } from "@waxwingspread/protocol";
 import { once } from "node:events";
-import { connect, createServer } from "node:net";
+import { connect, createServer, Server as NetServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { Worker } from "node:worker_threads";
-import { afterEach, expect, it } from "vitest";
+import { afterEach, expect, it, vi } from "vitest";
 import { monotonicNowMs } from "./monotonic-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "./replica-stream.js";
 
@@ -55,6 +55,29 @@
     return port;
 };
 
+// Guards against a process that ends because a connection can't be accepted, for example for want of file descriptors.
+it("receives messages after errors of accepting connections", async () => {
+    const port = await freePort();
+    const terms: number[] = [];
+    const listen = vi.spyOn(NetServer.prototype, "listen");
+    const listener = new ReplicaStreamListener(
+        { host: HOST, port },
+        messages => messages.forEach(message => terms.push(message.term)),
+    );
+    closers.push(() => listener.close());
+    await listener.listen();
+    const [server] = listen.mock.contexts;
+    listen.mockRestore();
+    for (let count = 0; count < 3; count += 1) {
+        (server as NetServer).emit("error", new Error("accept EMFILE"));
+    }
+    const sender = new ReplicaStreamSender();
+    closers.push(() => sender.close());
+    sender.send(`${HOST}:${port}`, messageOfTerm(1), monotonicNowMs());
+    await waitUntil(() => terms.length > 0);
+    expect(terms).toEqual([1]);
+});
+
 // Guards against a replica that stays unreachable because its connection has stopped transferring data without closing.
 it("replaces a connection that has stopped transferring data while new ones work", async () => {
     const port = await freePort();
--- a/packages/daemon/src/transport/replica-stream.ts
+++ b/packages/daemon/src/transport/replica-stream.ts
@@ -144,6 +144,8 @@
             socket.on("error", () => undefined);
             socket.on("close", () => this.#sockets.delete(socket));
         });
+        // The peer of a connection that can't be accepted tries again. Without a listener the error would end the process.
+        this.#server.on("error", () => undefined);
     }
 
     /** Starts listening. Fails with UNAVAILABLE. */
