--- a/packages/workflow/src/leader/work-queue.test.ts
+++ b/packages/workflow/src/leader/work-queue.test.ts
@@ -93,3 +93,23 @@
     queue.refresh(JobRecord.accepted(jobOf("less-important", step), lessImportant, 5_000), 5_000);
     expect(orderAt(queue, 5_000)).toEqual(["late", "less-important"]);
 });
+
+// Guards against a job that ends each leader in turn, as the functions that handled its dependencies took them as
+// arguments, of which there may not be so many.
+it("accepts a job with a very long list of dependencies", () => {
+    const queue = new WorkQueue();
+    accept(queue, "j", 0, stepOf(), stepOf({ dependsOn: Array<number>(500_000).fill(0) }));
+    expect(orderAt(queue, 0)).toEqual(["j"]);
+});
+
+// Load: a job of 50,000 tasks. Guards against a leader that loses its lease, and a next one that does as well, while
+// the critical path of the whole job is computed for each of its steps and occurrences.
+it("adds a job of many steps and occurrences well within an election timeout", () => {
+    const steps = Array.from({ length: 500 }, () => stepOf());
+    const schedule = { occurrences: 100, firstDueMs: 0, intervalMs: 0 };
+    const job = JobRecord.accepted({ ...jobOf("j", ...steps), schedule }, QUEUE as QueueContract, 0);
+    const startedAt = process.cpuUsage();
+    new WorkQueue().refresh(job, 0);
+    const { user, system } = process.cpuUsage(startedAt);
+    expect((user + system) / 1_000).toBeLessThan(300);
+});
