--- a/packages/consensus/src/bootstrap.test.ts
+++ b/packages/consensus/src/bootstrap.test.ts
@@ -65,6 +65,10 @@
             }),
         ],
         ["another replica answers", unformed(c)],
+        [
+            "a peer has lost its log, so that the others do not form a second cluster with it",
+            unformed(create(ReplicaIdentitySchema, { ...b, replacesUnreadableLog: true })),
+        ],
         ["the peer's data folder is a copy of this replica's", unformed(identityOf("b", "disk-a"))],
     ])("waits for an operator when %s", (_reason, response) => {
         const handshake = new BootstrapHandshake({ identity: a, peers: [b] });
@@ -73,4 +77,13 @@
         expect(handshake.state(2)).toBe(BootstrapState.WaitingForOperator);
         expect(handshake.obstacle).not.toBe("");
     });
+
+    // Guards against a new, empty cluster of replicas whose logs were unreadable, which forgets all jobs (issue 22).
+    it("forms no cluster of a replica that replaces an unreadable log", () => {
+        const identity = create(ReplicaIdentitySchema, { ...a, replacesUnreadableLog: true });
+        const handshake = new BootstrapHandshake({ identity, peers: [b] });
+        handshake.handleResponse(b, unformed(b), 0);
+        expect(handshake.state(1)).toBe(BootstrapState.WaitingForOperator);
+        expect(handshake.membership(1)).toBeUndefined();
+    });
 });
--- a/packages/consensus/src/bootstrap.ts
+++ b/packages/consensus/src/bootstrap.ts
@@ -57,6 +57,9 @@
         if (names.size !== options.peers.length + 1) {
             this.#obstacle = "the names of the initial replicas are not unique";
         }
+        if (options.identity.replacesUnreadableLog) {
+            this.#obstacle = "this replica replaces one whose log was unreadable, which belonged to a cluster";
+        }
     }
 
     /** Why an operator is needed; empty in the other states. */
@@ -99,6 +102,10 @@
             this.#obstacle = `the replica at ${peer.address} is ${identity?.name ?? "unknown"}, not ${peer.name}`;
             return;
         }
+        if (identity.replacesUnreadableLog) {
+            this.#obstacle = `${peer.name} replaces a replica whose log was unreadable, which belonged to a cluster`;
+            return;
+        }
         if (identity.diskId === this.#identity.diskId) {
             this.#obstacle = `${peer.name} has the same disk id; its data folder is a copy of this one`;
             return;
--- a/packages/consensus/src/data-folder.ts
+++ b/packages/consensus/src/data-folder.ts
@@ -3,7 +3,7 @@
 import { ErrorCode, ReplicaIdentitySchema, SnapshotHeaderSchema } from "@waxwingspread/protocol";
 import type { ReplicaIdentity, SnapshotHeader } from "@waxwingspread/protocol";
 import { createHash, randomUUID } from "node:crypto";
-import { join } from "node:path";
+import { basename, dirname, join } from "node:path";
 import type { FileSystem } from "./file-system.js";
 import { decodeFrame, encodeFrames, FIRST_WRITE_NUMBER, FrameKind, frameSizeBytes } from "./frames.js";
 import { corruptError } from "./store-errors.js";
@@ -11,6 +11,7 @@
 const IDENTITY_FILE = "identity";
 const SNAPSHOT_FILE = "snapshot";
 const TEMPORARY_SUFFIX = ".tmp";
+const SET_ASIDE_SUFFIX = ".unreadable";
 const WRITE_CHUNK_BYTES = 1024 * 1024;
 const SEGMENT_PATTERN = /^segment-(\d{12})\.log$/;
 const SEGMENT_DIGITS = 12;
@@ -38,6 +39,20 @@
         return join(this.path, `segment-${String(sequence).padStart(SEGMENT_DIGITS, "0")}.log`);
     }
 
+    /** Path under which this folder is kept once it is unreadable. */
+    get setAsidePath(): string {
+        return this.path + SET_ASIDE_SUFFIX;
+    }
+
+    /** Renames this folder durably, so that an empty one takes its place; replaces one that was set aside before. */
+    async setAside(): Promise<void> {
+        const parent = dirname(this.path);
+        await this.fileSystem.removeFolder(this.setAsidePath);
+        await this.fileSystem.syncFolder(parent);
+        await this.fileSystem.rename(this.path, this.setAsidePath);
+        await this.fileSystem.syncFolder(parent);
+    }
+
     /** Returns the sequence numbers of the segments in ascending order. Fails with CORRUPT if there is a gap. */
     async segments(): Promise<number[]> {
         const names = await this.fileSystem.list(this.path);
@@ -118,7 +133,8 @@
 
     async #format(settings: ReplicaSettings): Promise<ReplicaIdentity> {
         const diskId = settings.newDiskId?.() ?? randomUUID();
-        const stored = create(ReplicaIdentitySchema, { name: settings.name, diskId });
+        const replacesUnreadableLog = await this.#isSetAside();
+        const stored = create(ReplicaIdentitySchema, { name: settings.name, diskId, replacesUnreadableLog });
         const payload = toBinary(ReplicaIdentitySchema, stored);
         await this.#replaceFile(IDENTITY_FILE, [
             encodeFrames([{ kind: FrameKind.Identity, payload }], FIRST_WRITE_NUMBER),
@@ -126,6 +142,11 @@
         return configuredIdentity(stored, settings);
     }
 
+    async #isSetAside(): Promise<boolean> {
+        const names = await this.fileSystem.list(dirname(this.path));
+        return names.includes(basename(this.setAsidePath));
+    }
+
     async #replaceFile(name: string, parts: readonly Uint8Array[]): Promise<void> {
         const target = join(this.path, name);
         const temporary = target + TEMPORARY_SUFFIX;
--- a/packages/consensus/src/file-system.ts
+++ b/packages/consensus/src/file-system.ts
@@ -21,9 +21,11 @@
     read(path: string): Promise<Uint8Array>;
     /** Opens a file for appending and creates it if it is missing. */
     openAppend(path: string): Promise<AppendFile>;
-    /** Replaces the target if it exists. */
+    /** Renames a file or a folder. Replaces the target if it is a file. */
     rename(from: string, to: string): Promise<void>;
     remove(path: string): Promise<void>;
+    /** Removes a folder with all files in it, if it exists. */
+    removeFolder(path: string): Promise<void>;
     syncFolder(path: string): Promise<void>;
 }
 
@@ -89,6 +91,10 @@
         return rm(path);
     }
 
+    removeFolder(path: string): Promise<void> {
+        return rm(path, { recursive: true, force: true });
+    }
+
     async syncFolder(path: string): Promise<void> {
         const handle = await open(path, "r");
         try {
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -6,3 +6,4 @@
 export * from "./replica-store.js";
 export * from "./replica.js";
 export * from "./types.js";
+export * from "./unreadable-log.js";
--- a/packages/consensus/src/log-replay.ts
+++ b/packages/consensus/src/log-replay.ts
@@ -1,5 +1,6 @@
 import { create, fromBinary } from "@bufbuild/protobuf";
-import { HardStateSchema, LogEntrySchema } from "@waxwingspread/protocol";
+import { StepError } from "@waxwingspread/common";
+import { ErrorCode, HardStateSchema, LogEntrySchema } from "@waxwingspread/protocol";
 import type { HardState, LogEntry, SnapshotHeader } from "@waxwingspread/protocol";
 import { FrameKind } from "./frames.js";
 import type { Frame } from "./frames.js";
@@ -41,7 +42,8 @@
             case FrameKind.Entry:
                 return this.#append(fromBinary(LogEntrySchema, frame.payload), path);
             default:
-                throw corruptError(STEP, path, `record of unexpected kind ${frame.kind}`);
+                // Its checksum is right, so that a later version wrote it.
+                throw new StepError(ErrorCode.INVALID, STEP, path, `${path}: record of unknown kind ${frame.kind}`);
         }
     }
 
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -101,6 +101,15 @@
     value: { $typeName: "waxwingspread.v1.AppendResponse", success: true, matchIndex, sentAtMs: 1_000 },
 });
 
+// Guards against a new, empty cluster of replicas whose logs were unreadable, whatever asks them to form it (issue 22).
+it("forms no cluster if it replaces an unreadable log", () => {
+    const identity = create(ReplicaIdentitySchema, { ...identityOf("a"), replacesUnreadableLog: true });
+    const persisted = { hardState: create(HardStateSchema), entries: [] };
+    const replica = new Replica({ identity, persisted, random: new SeededRandom(1) }, 0);
+    replica.form(initialMembership([identity]), 0);
+    expect(replica.isFormed).toBe(false);
+});
+
 describe("Replica durability", () => {
     it("does not send a granted vote before it is synced, so that a restart cannot vote twice", () => {
         const b = createReplica("b");
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -85,12 +85,13 @@
 
     /**
      * Appends the initial membership as the first log entry, which is the same on all initial replicas; the first
-     * leader commits it. Does nothing on a replica that already belongs to a cluster or has log entries.
+     * leader commits it. Does nothing on a replica that already belongs to a cluster, has log entries or replaces one with
+     * an unreadable log, which belonged to a cluster.
      */
     form(membership: Membership, nowMs: number): void {
         this.#advanceClock(nowMs);
         const core = this.#core;
-        if (this.isFormed || core.log.lastIndex > 0) {
+        if (this.isFormed || core.log.lastIndex > 0 || core.identity.replacesUnreadableLog) {
             return;
         }
         if (core.term < INITIAL_TERM) {
--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -1,5 +1,5 @@
 import { SeededRandom, StepError } from "@waxwingspread/common";
-import { NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
+import { NodeFileSystem, openOrReplaceStore, ReplicaRole, ReplicaRunner } from "@waxwingspread/consensus";
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
 import { ControlEffectKind, ControlNode, createReplicatedLogPort } from "@waxwingspread/control";
 import type { ControlCall, ControlEffect, ControlMethod, ControlReply, ControlRequests } from "@waxwingspread/control";
@@ -26,6 +26,7 @@
 import { controlRoutes } from "./control-routes.js";
 import type { ControlRouteTarget } from "./control-routes.js";
 import { controlSettingsOf, schedulerSettingsOf, seedOf } from "./core-settings.js";
+import { createReplaceHandler } from "./create-replace-handler.js";
 import { describeReplica } from "./describe-replica.js";
 import { handOverLeadership } from "./hand-over.js";
 import { journalRoutes } from "./journal-routes.js";
@@ -84,16 +85,16 @@
         });
     }
 
-    /** Opens the log and the blob store and starts listening. Fails with DISK_FAILED, CORRUPT or UNAVAILABLE. */
+    /** Opens the log and the blob store and starts listening. Fails with DISK_FAILED, INVALID or UNAVAILABLE. */
     static async start(context: ProcessContext): Promise<ControlRole> {
         const { settings } = context;
         const folder = settings.dataFolder ?? "";
-        const opened = await ReplicaStore.open({
+        const opened = await openOrReplaceStore({
             fileSystem: new NodeFileSystem(),
             folder: join(folder, "log"),
             name: settings.vmName,
             address: `${settings.advertiseHost}:${settings.listeners.control?.port ?? 0}`,
-        });
+        }, createReplaceHandler(context.logger));
         const blobs = await BlobStore.open(join(folder, "blobs"), monotonicNowMs());
         const role = new ControlRole(context, opened, blobs);
         await role.#listener.listen();
--- a/packages/daemon/src/workflow/cluster-joiner.test.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.test.ts
@@ -30,18 +30,14 @@
     membership: create(MembershipSchema, { members: [{ identity, role: MemberRole.LEARNER }] }),
 };
 
-/** Returns the hosts that a replica asks to join at a time since its start. All hosts name the same leader. */
-const hostsAskedAfter = async (
-    sinceStartMs: number,
-    replica: JoiningReplica,
-    leaderHost?: string,
-): Promise<string[]> => {
-    const hosts: string[] = [];
+/** Returns the calls of a replica at a time since its start. All hosts name the same leader. */
+const callsAfter = async (sinceStartMs: number, replica: JoiningReplica, leaderHost?: string): Promise<JsonCall[]> => {
+    const calls: JsonCall[] = [];
     const joiner = new ClusterJoiner({
         replica,
         caller: {
-            call: <Response>({ host }: JsonCall) => {
-                hosts.push(host);
+            call: <Response>(call: JsonCall) => {
+                calls.push(call);
                 return Promise.resolve({ isMember: false, leaderHost } as Response);
             },
         },
@@ -51,9 +47,16 @@
         logger: pino({ enabled: false }),
     }, START_MS);
     await joiner.joinIfLeaderless(SEED_HOSTS, START_MS + sinceStartMs);
-    return hosts;
+    return calls;
 };
 
+/** Returns the hosts that a replica asks to join at a time since its start. */
+const hostsAskedAfter = async (
+    sinceStartMs: number,
+    replica: JoiningReplica,
+    leaderHost?: string,
+): Promise<string[]> => (await callsAfter(sinceStartMs, replica, leaderHost)).map(({ host }) => host);
+
 // Guards against a replica with an empty disk that waits before it joins. Until it is a voter, its lost disk counts as a
 // failed voter, and the loss of another disk leaves no quorum.
 it("requests to join as soon as a replica with an empty disk has started", async () => {
@@ -86,3 +89,11 @@
     // The seeds may still name this host, at which the replica led before it lost its disk.
     expect(await hostsAskedAfter(300, emptyReplica, "10.0.0.3")).toEqual(["10.0.0.1", "10.0.0.2"]);
 });
+
+// Guards against a relay that selects a replica whose log was unreadable to form a new, empty cluster (issue 22).
+it("says that a replica belonged to a cluster if it replaces an unreadable log", async () => {
+    const replaced = { ...emptyReplica, identity: { ...identity, replacesUnreadableLog: true } };
+    const expected: unknown = expect.objectContaining({ isFormed: true });
+    const calls = await callsAfter(300, replaced);
+    expect(calls.map(({ body }) => body)).toEqual([expected, expected]);
+});
--- a/packages/daemon/src/workflow/cluster-joiner.ts
+++ b/packages/daemon/src/workflow/cluster-joiner.ts
@@ -50,8 +50,9 @@
         if (replica.leader !== undefined || !this.#isJoinDue(nowMs)) {
             return;
         }
-        const { name, diskId, address, availabilityZone } = replica.identity;
-        const request: JoinRequest = { name, diskId, address, availabilityZone, isFormed: replica.isFormed };
+        const { name, diskId, address, availabilityZone, replacesUnreadableLog } = replica.identity;
+        const isFormed = replica.isFormed || replacesUnreadableLog;
+        const request: JoinRequest = { name, diskId, address, availabilityZone, isFormed };
         const memberHosts = replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
         const hosts = new Set(
             [...memberHosts, ...seedHosts].filter(host => host !== "" && host !== this.#options.host),
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -1,7 +1,13 @@
 import { fromJson, toJson } from "@bufbuild/protobuf";
 import type { JsonValue } from "@bufbuild/protobuf";
 import { SeededRandom } from "@waxwingspread/common";
-import { initialMembership, NodeFileSystem, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
+import {
+    initialMembership,
+    NodeFileSystem,
+    openOrReplaceStore,
+    ReplicaRole,
+    ReplicaRunner,
+} from "@waxwingspread/consensus";
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
 import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
@@ -22,6 +28,7 @@
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
+import { createReplaceHandler } from "../roles/create-replace-handler.js";
 import { describeReplica } from "../roles/describe-replica.js";
 import { handOverLeadership } from "../roles/hand-over.js";
 import { hostOf } from "../transport/host-of.js";
@@ -164,17 +171,17 @@
         });
     }
 
-    /** Opens the log and starts listening. Fails with DISK_FAILED, CORRUPT or UNAVAILABLE. */
+    /** Opens the log and starts listening. Fails with DISK_FAILED, INVALID or UNAVAILABLE. */
     static async start(settings: ControlHostSettings, dependencies: ControlHostDependencies): Promise<ControlHost> {
         const address = `${settings.host}:${settings.replicaPort}`;
         const startMs = monotonicNowMs();
-        const opened = await ReplicaStore.open({
+        const opened = await openOrReplaceStore({
             fileSystem: new NodeFileSystem(),
             folder: join(settings.dataFolder, "log"),
             name: address,
             address,
             availabilityZone: settings.availabilityZone,
-        });
+        }, createReplaceHandler(dependencies.logger));
         dependencies.logger.info({
             snapshotIndex: opened.persisted.snapshot?.lastIndex ?? 0,
             snapshotBytes: opened.snapshotBytes?.length ?? 0,
@@ -434,7 +441,7 @@
 
     #formAlone(): void {
         const { identity, isFormed } = this.#runner.replica;
-        if (!isFormed) {
+        if (!isFormed && !identity.replacesUnreadableLog) {
             this.#runner.form(initialMembership([identity]), monotonicNowMs());
             this.#logger.info({ members: 1 }, "cluster formed for seeds without disks");
         }
--- a/packages/test-support/src/fake-file-system.ts
+++ b/packages/test-support/src/fake-file-system.ts
@@ -17,6 +17,7 @@
     Truncate = "truncate",
     Rename = "rename",
     Remove = "remove",
+    RemoveFolder = "remove-folder",
     SyncFolder = "sync-folder",
 }
 
@@ -117,6 +118,8 @@
     }
 }
 
+const folderPrefix = (path: string): string => path.endsWith("/") ? path : `${path}/`;
+
 type FolderChange = (files: Map<string, FakeFile>) => void;
 
 /**
@@ -212,6 +215,7 @@
             openAppend: path => this.#openAppend(path, generation),
             rename: (from, to) => this.#rename(from, to, generation),
             remove: path => this.#remove(path, generation),
+            removeFolder: path => this.#removeFolder(path, generation),
             syncFolder: path => this.#syncFolder(path, generation),
         };
     }
@@ -240,13 +244,19 @@
         return this.#remove(path, this.#generation);
     }
 
+    removeFolder(path: string): Promise<void> {
+        return this.#removeFolder(path, this.#generation);
+    }
+
     syncFolder(path: string): Promise<void> {
         return this.#syncFolder(path, this.#generation);
     }
 
     async #list(path: string, generation: number): Promise<string[]> {
         await this.#beginOperation(FileOperation.List, path, generation);
-        return [...this.#files.keys()].filter(file => dirname(file) === path).map(file => file.slice(path.length + 1));
+        const prefix = folderPrefix(path);
+        const inside = [...this.#files.keys()].filter(file => file.startsWith(prefix));
+        return [...new Set(inside.map(file => file.slice(prefix.length).split("/")[0] ?? ""))];
     }
 
     async #read(path: string, generation: number): Promise<Uint8Array> {
@@ -265,6 +275,10 @@
 
     async #rename(from: string, to: string, generation: number): Promise<void> {
         await this.#beginOperation(FileOperation.Rename, from, generation);
+        if (!this.#files.has(from)) {
+            this.#renameFolder(from, to);
+            return;
+        }
         const file = this.#existingFile(FileOperation.Rename, from);
         this.#applyChange(from, files => {
             files.delete(from);
@@ -278,6 +292,39 @@
         this.#applyChange(path, files => files.delete(path));
     }
 
+    /** Removes one file after the other, so that a crash may keep some of them. */
+    async #removeFolder(path: string, generation: number): Promise<void> {
+        await this.#beginOperation(FileOperation.RemoveFolder, path, generation);
+        for (const file of this.#filesIn(path)) {
+            this.#applyChange(path, files => files.delete(file));
+        }
+    }
+
+    /** Changes in the folder that are not synced before it is renamed never become durable. */
+    #renameFolder(from: string, to: string): void {
+        const paths = this.#filesIn(from);
+        if (paths.length === 0) {
+            throw new FakeFileError("ENOENT", FileOperation.Rename, from);
+        }
+        if (this.#filesIn(to).length > 0) {
+            throw new FakeFileError("ENOTEMPTY", FileOperation.Rename, to);
+        }
+        this.#unsyncedChanges = this.#unsyncedChanges.filter(item => item.folder !== from);
+        this.#applyChange(from, files => {
+            for (const path of paths) {
+                const file = files.get(path);
+                if (file !== undefined) {
+                    files.delete(path);
+                    files.set(to + path.slice(from.length), file);
+                }
+            }
+        });
+    }
+
+    #filesIn(folder: string): string[] {
+        return [...this.#files.keys()].filter(path => path.startsWith(folderPrefix(folder)));
+    }
+
     async #syncFolder(path: string, generation: number): Promise<void> {
         await this.#beginOperation(FileOperation.SyncFolder, path, generation);
         const synced = this.#unsyncedChanges.filter(item => item.folder === path);
--- a/packages/test-support/src/fuzz/disks.ts
+++ b/packages/test-support/src/fuzz/disks.ts
@@ -31,6 +31,7 @@
         openAppend: async path => wrapFile(await files.openAppend(path)),
         rename: (from, to) => files.rename(from, to),
         remove: path => files.remove(path),
+        removeFolder: path => files.removeFolder(path),
         syncFolder: async path => {
             await syncDelay(host);
             await files.syncFolder(path);
