--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -297,6 +297,7 @@
                 this.#eventLog.recordCommitted(events, nowMs);
                 this.#metrics.recordCommitted(events, nowMs);
             },
+            onError: (error, action) => this.#eventLog.recordFailure(error, action, monotonicNowMs()),
             onServerEvent: (event, nowMs) => this.#eventLog.recordServerEvent(event, nowMs),
             queryEligibility: (query, respond) => void platformCalls.checkEligibility(query, respond),
             beginMaintenance: (call, respond) => void platformCalls.beginMaintenance(call, respond),
@@ -382,6 +383,9 @@
             const utilization = session.utilization();
             this.#metrics.setUtilization(utilization);
             this.#logger.info(utilization, "utilization");
+            const reports = session.waitReports(this.#currentTimes());
+            this.#metrics.setWaitReports(reports);
+            reports.forEach(report => this.#logger.warn(report, "task waits for a start"));
         }
     }
 
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -13,10 +13,16 @@
     readonly eligibilityToken: string | undefined;
     /** Whether a former leader recorded the run; that leader may have sent the start order. */
     readonly isAdopted: boolean;
+    /** Time at which the run was assigned, or taken over from a former leader. */
+    readonly assignedAtMs: number;
     /** Whether the assignment is committed, so that the start order may be sent. */
     isCommitted: boolean;
     /** Sequence number of the heartbeat whose response carried the start order; undefined before. */
     orderedAtSequence: number | undefined;
+    /** Time of the first response that carried the start order; undefined before. */
+    firstOrderedAtMs: number | undefined;
+    /** Number of responses that carried the start order. */
+    startOrders: number;
     /** Whether the server has reported the run. */
     isReported: boolean;
     /** Time of the first heartbeat that reported the run; undefined before. */
@@ -70,7 +76,7 @@
     /** Whether the server reports runs that the leader does not track (any more); {@link reserved} excludes them. */
     hasUntrackedRuns = false;
     /**
-     * The server is avoided until this time, after failures or slow progress: only standing tasks start here, and only
+     * The server is avoided until this time, after failures, failed starts or slow progress: only standing tasks start here, and only
      * if no other server can run them.
      */
     avoidUntilMs = -Infinity;
@@ -290,8 +296,11 @@
     checkpoint: assigned.checkpoint,
     eligibilityToken: assigned.eligibilityToken,
     isAdopted: assigned.isAdopted ?? false,
+    assignedAtMs: nowMs,
     isCommitted: false,
     orderedAtSequence: undefined,
+    firstOrderedAtMs: undefined,
+    startOrders: 0,
     isReported: false,
     firstReportedAtMs: undefined,
     progressPercent: 0,
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -11,12 +11,20 @@
     readonly step: StepSpecification;
     readonly kind: TaskKind;
     readonly record: StepRecord;
+    /** Wall-clock time since which a task of the step has waited, as far as this leader knows. */
+    readonly waitingSinceMs: number;
     /** Wall-clock time by which callers expect the occurrence to end. */
     readonly expectedEndMs: number;
     /** Estimated time from the step's start to the end of the occurrence: its remaining critical path. */
     readonly remainingCriticalPathMs: number;
 }
 
+/**
+ * Time after which a waiting standing step precedes all other work. Standing tasks must be at work again within a few
+ * seconds, however much work of a higher priority waits.
+ */
+const MAX_STANDING_WAIT_MS = 2_000;
+
 /** Groups of the steps of one priority, in scheduling order. */
 enum Urgency {
     /** Finite jobs that have begun and can end in time. */
@@ -30,8 +38,8 @@
 }
 
 /**
- * Steps that are due and whose dependencies are done, in scheduling order: by priority, then by urgency, then by the
- * time at which callers expect the occurrence to end.
+ * Steps that are due and whose dependencies are done, in scheduling order: overdue standing steps, then the others by
+ * priority, by urgency, and by the time at which callers expect the occurrence to end.
  */
 export class WorkQueue {
     readonly #steps = new Map<string, WaitingStep>();
@@ -45,10 +53,15 @@
 
     /** Returns the steps in scheduling order. */
     ordered(timeOfDayMs: number): readonly WaitingStep[] {
+        const overdue: WaitingStep[] = [];
         const ordered: WaitingStep[] = [];
         let priority: number | undefined;
         let groups = emptyGroups();
         for (const waiting of this.steps) {
+            if (isStandingOverdue(waiting, timeOfDayMs)) {
+                overdue.push(waiting);
+                continue;
+            }
             if (waiting.job.queue.priority !== priority) {
                 priority = waiting.job.queue.priority;
                 ordered.push(...groups.flat());
@@ -57,7 +70,7 @@
             groups[urgencyOf(waiting, timeOfDayMs)]?.push(waiting);
         }
         ordered.push(...groups.flat());
-        return ordered;
+        return [...overdue, ...ordered];
     }
 
     /** Updates the queue after a change of a job; returns whether the set of waiting steps has changed. */
@@ -81,7 +94,7 @@
                 return;
             }
             if (isWaiting) {
-                this.#steps.set(key, waitingStepOf(job, occurrence, stepIndex, step, record));
+                this.#steps.set(key, waitingStepOf(job, occurrence, stepIndex, step, record, timeOfDayMs));
             }
             else {
                 this.#steps.delete(key);
@@ -104,6 +117,7 @@
     stepIndex: number,
     step: StepSpecification,
     record: StepRecord,
+    timeOfDayMs: number,
 ): WaitingStep => ({
     job,
     occurrence,
@@ -111,10 +125,29 @@
     step,
     kind: taskKindOf(step),
     record,
+    waitingSinceMs: waitingSinceMsOf(job, occurrence, step, record, timeOfDayMs),
     expectedEndMs: expectedEndMsOf(job, occurrence),
     remainingCriticalPathMs: criticalPathMs(job.specification.steps, stepIndex),
 });
 
+/**
+ * Returns the wall-clock time since which a task of a step that is now queued has waited. The log does not tell when an
+ * earlier run ended or when the dependencies were done.
+ */
+const waitingSinceMsOf = (
+    job: JobRecord,
+    occurrence: number,
+    step: StepSpecification,
+    record: StepRecord,
+    timeOfDayMs: number,
+): number => {
+    const isFirstRun = step.dependsOn.length === 0 && record.tasks.some(task => task.run === 0);
+    return isFirstRun ? Math.min(timeOfDayMs, beginMsOf(job, occurrence)) : timeOfDayMs;
+};
+
+/** Returns the wall-clock time at which an occurrence was accepted and due. */
+const beginMsOf = (job: JobRecord, occurrence: number): number => Math.max(job.acceptedAtMs, job.dueMs(occurrence));
+
 /** Returns the key of a step of one occurrence. */
 export const stepKeyOf = ({ job, occurrence, stepIndex }: WaitingStep): string =>
     stepKey({ jobId: job.id, occurrence, step: stepIndex });
@@ -131,6 +164,9 @@
 
 const emptyGroups = (): WaitingStep[][] => [[], [], [], []];
 
+const isStandingOverdue = ({ kind, waitingSinceMs }: WaitingStep, timeOfDayMs: number): boolean =>
+    kind === TaskKind.Standing && timeOfDayMs - waitingSinceMs >= MAX_STANDING_WAIT_MS;
+
 const urgencyOf = (waiting: WaitingStep, timeOfDayMs: number): Urgency => {
     if (waiting.kind === TaskKind.Standing) {
         return Urgency.InTime;
@@ -156,8 +192,8 @@
  * queue's target duration.
  */
 const expectedEndMsOf = (job: JobRecord, occurrence: number): number => {
-    const beginMs = Math.max(job.acceptedAtMs, job.dueMs(occurrence));
-    return beginMs + job.queue.stretchRatio * criticalPathMs(job.specification.steps) + job.queue.targetDurationMs;
+    return beginMsOf(job, occurrence) + job.queue.stretchRatio * criticalPathMs(job.specification.steps)
+        + job.queue.targetDurationMs;
 };
 
 /** Returns the estimated duration of the critical path from a step on; by default, from the beginning. */
