--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -22,7 +22,6 @@
     MaintenanceState,
     Times,
 } from "@waxwingspread/workflow";
-import { createHash } from "node:crypto";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
@@ -36,6 +35,7 @@
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { ClusterMembership } from "./cluster-membership.js";
 import { ControlMonitor } from "./control-monitor.js";
+import { electionSeedOf } from "./election-seed.js";
 import { EventLog } from "./event-log.js";
 import { HeartbeatCalls } from "./heartbeat-calls.js";
 import { InternalCaller } from "./internal-caller.js";
@@ -308,7 +308,7 @@
     #createRunner(opened: OpenedStore): ReplicaRunner {
         return new ReplicaRunner({
             opened,
-            random: new SeededRandom(seedOf(opened.identity.diskId)),
+            random: new SeededRandom(electionSeedOf(opened.identity.diskId)),
             snapshotIntervalEntries: SNAPSHOT_INTERVAL_RECORDS,
             hooks: {
                 send: (to, message) => this.#sender.send(to.address, message, monotonicNowMs()),
@@ -451,6 +451,3 @@
         }
     }
 }
-
-/** Derives the seed of a replica's random election timeouts from its disk id. */
-const seedOf = (diskId: string): number => createHash("sha256").update(diskId).digest().readInt32LE(0);
