--- a/packages/daemon/src/blob-store/blob-store.test.ts
+++ b/packages/daemon/src/blob-store/blob-store.test.ts
@@ -12,11 +12,17 @@
 const referenceOf = (data: Uint8Array): BlobReference =>
     create(BlobReferenceSchema, { sha256: createHash("sha256").update(data).digest(), sizeBytes: data.length });
 
-/** Records the inode numbers of the files that are synced while an operation runs. */
-const recordSyncs = async (folder: string, operation: () => Promise<void>): Promise<number[]> => {
+/** Returns the prototype of all open files, whose methods can be replaced. */
+const fileHandlePrototype = async (folder: string): Promise<FileHandle> => {
     const handle = await open(folder, "r");
     const prototype = Object.getPrototypeOf(handle) as FileHandle;
     await handle.close();
+    return prototype;
+};
+
+/** Records the inode numbers of the files that are synced while an operation runs. */
+const recordSyncs = async (folder: string, operation: () => Promise<void>): Promise<number[]> => {
+    const prototype = await fileHandlePrototype(folder);
     const inodes: number[] = [];
     const { datasync } = prototype;
     const spy = vi.spyOn(prototype, "datasync").mockImplementation(async function(this: FileHandle) {
@@ -86,6 +92,22 @@
         expect(inodes).toContain(ino);
     });
 
+    // Guards against a blob that counts as stored although the disk doesn't hold it: after a failed sync the operating system
+    // may still return it to the next process and report the next sync as successful (issue 22).
+    it("doesn't read back a blob whose sync has failed", async () => {
+        const [first, second] = [Buffer.from("synced"), Buffer.from("sync failed")] as const;
+        const store = await BlobStore.open(folder, 1);
+        await store.put(referenceOf(first), first, 1);
+        const spy = vi.spyOn(await fileHandlePrototype(folder), "datasync").mockRejectedValueOnce(new Error("EIO"));
+        await expect(store.put(referenceOf(second), second, 1)).rejects.toThrow("EIO");
+        spy.mockRestore();
+        await store.close();
+        const reopened = await BlobStore.open(folder, 2);
+        expect(reopened.has(referenceOf(first))).toBe(true);
+        expect(reopened.has(referenceOf(second))).toBe(false);
+        await reopened.close();
+    });
+
     // Guards against a submission that is accepted although its blob is damaged: a loss of power may keep the header of a
     // blob that was not synced without its data (issue 22).
     it("stores a blob again whose copy from before a restart is damaged", async () => {
--- a/packages/daemon/src/blob-store/blob-store.ts
+++ b/packages/daemon/src/blob-store/blob-store.ts
@@ -207,12 +207,7 @@
         const file = this.#fileOf(segment);
         const frames = batch.map(write => encodeFrame(write.digest, write.data));
         const startBytes = this.#index.segmentBytes(segment);
-        const bytes = Buffer.concat(frames);
-        const { bytesWritten } = await file.write(bytes, 0, bytes.length, startBytes);
-        if (bytesWritten !== bytes.length) {
-            throw new Error(`only ${bytesWritten} of ${bytes.length} bytes were written`);
-        }
-        await file.datasync();
+        await writeSynced(file, Buffer.concat(frames), startBytes);
         batch.forEach(write => this.#index.add(segment, write.digest, write.data.length));
         if (this.#index.segmentBytes(segment) >= SEGMENT_LIMIT_BYTES) {
             await this.#beginSegment(segment + 1);
@@ -267,6 +262,24 @@
     }
 }
 
+/**
+ * Writes and syncs bytes at the end of a file. If that fails, they are truncated: the operating system may return them to
+ * the next process and report their sync as successful, although the disk doesn't hold them.
+ */
+const writeSynced = async (file: FileHandle, bytes: Uint8Array, startBytes: number): Promise<void> => {
+    try {
+        const { bytesWritten } = await file.write(bytes, 0, bytes.length, startBytes);
+        if (bytesWritten !== bytes.length) {
+            throw new Error(`only ${bytesWritten} of ${bytes.length} bytes were written`);
+        }
+        await file.datasync();
+    }
+    catch (error) {
+        await file.truncate(startBytes).catch(() => undefined);
+        throw error;
+    }
+};
+
 const matchesReference = (reference: BlobReference, data: Uint8Array): boolean =>
     reference.sha256.length === DIGEST_BYTES
     && reference.sizeBytes === data.length
