Start no assigned run that exceeds the present capacity of its server

What callers would see: a backend server that reports less capacity than before is told to start runs that were assigned to it earlier. One that doesn't guard its capacity exceeds it; one that does rejects the run, which is ordered and rejected again on each such change.

Cause: the capacity is compared with the reservations only when a run is assigned. Between the assignment and the order lies at least one heartbeat, which may report a smaller capacity. The same holds for an order that is repeated because its answer was lost, and for runs that a former leader assigned.

Change: when orders are written, runs are admitted in the order of their assignment, as long as they fit beside all runs that the server reports, including those that are being stopped, and beside those that a former leader's order may have started. A run that isn't admitted is treated as never started, if that is certain, and is assigned again; the rest of its gang is stopped by the existing rule. The sums are computed only if the reservations exceed the capacity.

Work that is already there goes on, fillers as well: nothing asks for its stop, the stop would throw work away, and saturation, paces and moves of fillers already follow the capacity that is reported.

Ruled out: runs that are being stopped leave the reservations too early. They are removed only when their end is recorded, or when a later heartbeat shows that they never began.

--- /dev/null
+++ b/packages/workflow/src/leader/capacity-change.test.ts
@@ -0,0 +1,144 @@
+import { describe, expect, it } from "vitest";
+import type { HeartbeatOrders, HeartbeatReport, ReportedRun } from "../model/heartbeat.js";
+import { RunEnd } from "../model/heartbeat.js";
+import type { Amounts, StepSpecification } from "../model/specification.js";
+import { heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { SingleReplica } from "../testing/single-replica.js";
+
+/** Time after the first heartbeat in a term by which a run that the server does not report has certainly not started. */
+const LATE_HEARTBEATS_MS = 1_600;
+
+const amountsOf = (changes: Partial<Amounts> = {}): Amounts => ({
+    cpuMillicores: 4_000,
+    memoryMebibytes: 16_000,
+    accelerators: 2,
+    ...changes,
+});
+
+/** Returns a step of tasks that need 1 core, 1,000 MiB and no accelerator, except for the given changes. */
+const stepWith = (changes: Partial<Amounts>, step: Partial<StepSpecification> = {}): StepSpecification =>
+    stepOf({ amounts: { cpuMillicores: 1_000, memoryMebibytes: 1_000, accelerators: 0, ...changes }, ...step });
+
+const startedTasks = (orders: HeartbeatOrders | undefined): string[] => orders?.starts.map(({ task }) => task) ?? [];
+
+const runningOf = (orders: HeartbeatOrders | undefined): ReportedRun[] =>
+    (orders?.starts ?? []).map(({ task, run, checkpoint }) => ({
+        task,
+        run,
+        checkpoint,
+        progressPercent: 0,
+        measurement: undefined,
+    }));
+
+/** Sends a heartbeat of a server with the given capacity. */
+const beat = (
+    replica: SingleReplica,
+    serverId: string,
+    sequence: number,
+    capacity: Amounts,
+    changes: Partial<HeartbeatReport> = {},
+): HeartbeatOrders | undefined => replica.heartbeat(heartbeatOf(serverId, sequence, { capacity, ...changes }));
+
+describe("a run that was assigned before its server shrank", () => {
+    // Guards against starts that exceed the capacity of a server that doesn't guard it: the order was written with the
+    // capacity of the time of the assignment.
+    it.each<[string, Partial<Amounts>, Partial<Amounts>]>([
+        ["processors", { cpuMillicores: 3_000 }, { cpuMillicores: 2_000 }],
+        ["memory", { memoryMebibytes: 9_000 }, { memoryMebibytes: 8_000 }],
+        ["accelerators", { accelerators: 2 }, { accelerators: 1 }],
+        ["everything", {}, { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 }],
+    ])("is not started there but on another server (%s)", (unusedName, needed, shrunk) => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        replica.submit(jobOf("j", stepWith(needed)));
+        const orders = beat(replica, "s1", 2, amountsOf(shrunk));
+        expect(startedTasks(orders)).toEqual([]);
+        expect(startedTasks(beat(replica, "s2", 1, amountsOf()))).toEqual(["j.0.0.0"]);
+        expect(startedTasks(beat(replica, "s1", 3, amountsOf()))).toEqual([]);
+    });
+
+    // Guards against a start that fits only once a run that is being stopped has ended.
+    it("is not started beside a run that is being stopped, which still uses the capacity", () => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        replica.submit(jobOf("stopped", stepWith({ cpuMillicores: 2_000 })));
+        const running = runningOf(beat(replica, "s1", 2, amountsOf()));
+        replica.submit(jobOf("next", stepWith({ cpuMillicores: 2_000 })));
+        replica.node.cancel("stopped", () => undefined, replica.times);
+        replica.settle();
+        const shrunk = amountsOf({ cpuMillicores: 3_000 });
+        const orders = beat(replica, "s1", 3, shrunk, { running });
+        expect(orders?.stops.map(({ task }) => task)).toEqual(["stopped.0.0.0"]);
+        expect(startedTasks(orders)).toEqual([]);
+        expect(startedTasks(beat(replica, "s1", 4, shrunk, { running }))).toEqual([]);
+        const ended = [{ sequence: 1, task: "stopped.0.0.0", run: 1, end: RunEnd.Stopped, checkpoint: "" }];
+        expect(startedTasks(beat(replica, "s1", 5, shrunk, { ended }))).toEqual(["next.0.0.0"]);
+    });
+
+    // Guards against holding back all assigned runs, or the wrong ones, when only some of them fit.
+    it("is started if it still fits beside those that were assigned earlier", () => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        replica.submit(jobOf("first", stepWith({ cpuMillicores: 1_500 })));
+        replica.submit(jobOf("second", stepWith({ cpuMillicores: 1_500 })));
+        replica.submit(jobOf("third", stepWith({ cpuMillicores: 500 })));
+        const shrunk = amountsOf({ cpuMillicores: 2_000 });
+        const orders = beat(replica, "s1", 2, shrunk);
+        expect(startedTasks(orders)).toEqual(["first.0.0.0", "third.0.0.0"]);
+        expect(startedTasks(beat(replica, "s1", 3, shrunk, { running: runningOf(orders) }))).toEqual([]);
+        expect(startedTasks(beat(replica, "s2", 1, amountsOf()))).toEqual(["second.0.0.0"]);
+    });
+
+    // Guards against repeating a start order whose answer was lost without regard to the present capacity.
+    it("is not ordered a second time if the first order was lost", () => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        replica.submit(jobOf("j", stepWith({ cpuMillicores: 3_000 })));
+        expect(startedTasks(beat(replica, "s1", 2, amountsOf()))).toEqual(["j.0.0.0"]);
+        expect(startedTasks(beat(replica, "s1", 3, amountsOf({ cpuMillicores: 2_000 })))).toEqual([]);
+        expect(startedTasks(beat(replica, "s2", 1, amountsOf()))).toEqual(["j.0.0.0"]);
+    });
+
+    // Guards against a task in two places, and against starts in capacity that a former leader's start order may use:
+    // heartbeats from before that order may arrive after the change of the leader.
+    it("counts as present after a change of the leader until it has certainly not started", () => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        replica.submit(jobOf("large", stepWith({ cpuMillicores: 3_000 })));
+        replica.submit(jobOf("small", stepWith({ cpuMillicores: 1_000 })));
+        expect(startedTasks(beat(replica, "s1", 3, amountsOf()))).toEqual(["large.0.0.0", "small.0.0.0"]);
+        replica.failOver();
+        replica.advance(500);
+        const shrunk = amountsOf({ cpuMillicores: 2_000 });
+        expect(startedTasks(beat(replica, "s1", 4, shrunk))).toEqual([]);
+        expect(startedTasks(beat(replica, "s2", 1, amountsOf()))).toEqual([]);
+        replica.advance(LATE_HEARTBEATS_MS);
+        expect(startedTasks(beat(replica, "s1", 5, shrunk))).toEqual(["small.0.0.0"]);
+        expect(startedTasks(beat(replica, "s2", 2, amountsOf()))).toEqual(["large.0.0.0"]);
+    });
+
+    // Guards against members of a gang that wait in vain for one that is not started.
+    it("is given back with its whole gang, which starts again as a whole", () => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        beat(replica, "s2", 1, amountsOf());
+        replica.submit(jobOf("gang", stepWith({ cpuMillicores: 3_000 }, { isGang: true, taskCount: 2 })));
+        const running = runningOf(beat(replica, "s1", 2, amountsOf()));
+        expect(running).toHaveLength(1);
+        expect(startedTasks(beat(replica, "s2", 2, amountsOf({ cpuMillicores: 2_000 })))).toEqual([]);
+        const [member] = running;
+        const stops = beat(replica, "s1", 3, amountsOf(), { running })?.stops;
+        expect(stops).toEqual([{ task: member?.task, run: 1 }]);
+        const ended = running.map(({ task, run }) => ({
+            sequence: 1,
+            task,
+            run,
+            end: RunEnd.Stopped,
+            checkpoint: "",
+        }));
+        beat(replica, "s2", 3, amountsOf());
+        const restarted = beat(replica, "s1", 4, amountsOf(), { ended });
+        expect(restarted?.starts.map(({ run }) => run)).toEqual([2]);
+        expect(beat(replica, "s2", 4, amountsOf())?.starts.map(({ run }) => run)).toEqual([2]);
+    });
+});
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -5,6 +5,7 @@
 import type { Eligibility } from "./eligibility.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
+import { StartAdmission } from "./start-admission.js";
 
 /** Minimum mean interval between two heartbeats of the whole fleet; it bounds the leader's load in a large fleet. */
 const MIN_HEARTBEAT_SPACING_MS = 1;
@@ -41,6 +42,7 @@
         const stops = this.#stopOrdersForUntrackedRuns(server, report);
         const paces: PaceOrder[] = [];
         const neverStarted: RunView[] = [];
+        const admission = new StartAdmission(server, view => this.#mayBePresent(server, view, nowMs));
         for (const view of server.runs.values()) {
             if (!view.isCommitted) {
                 continue;
@@ -56,7 +58,7 @@
                 }
             }
             else if (view.orderedAtSequence === undefined) {
-                if (this.#canStart(server, view, nowMs)) {
+                if (this.#canStart(server, view, nowMs) && admission.admit(view)) {
                     view.orderedAtSequence = report.sequence;
                     starts.push(this.#startOrderFor(view));
                 }
@@ -98,6 +100,11 @@
         return !view.isAdopted || isOver || nowMs - (server.firstHeartbeatAtMs ?? nowMs) >= LATE_HEARTBEAT_WINDOW_MS;
     }
 
+    /** Whether a run is on the server, or may be according to a start order that was sent. */
+    #mayBePresent(server: ServerView, view: RunView, nowMs: number): boolean {
+        return view.isReported || view.orderedAtSequence !== undefined || !this.#hasNotStarted(server, view, nowMs);
+    }
+
     #canStart(server: ServerView, view: RunView, nowMs: number): boolean {
         const job = this.#state.job(view.position.jobId);
         return !view.isStopping
--- /dev/null
+++ b/packages/workflow/src/leader/start-admission.ts
@@ -0,0 +1,51 @@
+import type { Amounts, StepSpecification } from "../model/specification.js";
+import type { RunView, ServerView } from "./server-view.js";
+
+/**
+ * Decides which assigned runs may be started on a server in one answer to a heartbeat. The server's capacity may have
+ * shrunk since the runs were assigned, so that not all of them fit any more.
+ */
+export class StartAdmission {
+    readonly #server: ServerView;
+    /** Runs that use capacity on the server; undefined if all assigned runs fit. */
+    readonly #present: Set<RunView> | undefined;
+
+    /** `mayBePresent` returns whether a run may use capacity on the server, be it at work or being stopped. */
+    constructor(server: ServerView, mayBePresent: (run: RunView) => boolean) {
+        this.#server = server;
+        this.#present = isWithin(server.reserved, server.capacity)
+            ? undefined
+            : new Set([...server.runs.values()].filter(mayBePresent));
+    }
+
+    /** Returns whether a run fits beside those that are or may be present; if so, it counts as present. */
+    admit(run: RunView): boolean {
+        if (this.#present === undefined) {
+            return true;
+        }
+        const present = new Set(this.#present).add(run);
+        if (!isWithin(totalOf(present), this.#server.capacity)) {
+            return false;
+        }
+        this.#present.add(run);
+        return true;
+    }
+}
+
+const isWithin = (amounts: Amounts, limit: Amounts): boolean =>
+    amounts.cpuMillicores <= limit.cpuMillicores
+    && amounts.memoryMebibytes <= limit.memoryMebibytes
+    && amounts.accelerators <= limit.accelerators;
+
+const totalOf = (runs: Iterable<RunView>): Amounts => {
+    const total = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
+    for (const { step } of runs) {
+        total.cpuMillicores += limitedMillicoresOf(step);
+        total.memoryMebibytes += step.amounts.memoryMebibytes;
+        total.accelerators += step.amounts.accelerators;
+    }
+    return total;
+};
+
+/** Returns a task's CPU need as counted against the server's capacity, which excludes that of steps that fill. */
+const limitedMillicoresOf = ({ amounts, isFiller }: StepSpecification): number => isFiller ? 0 : amounts.cpuMillicores;
