Start nothing beside runs that the leader does not track

What callers would see: after a change of the leader, a server that doesn't guard its capacity is brought over it (or a server that does rejects a run): a run of a cancelled job is at work there and the run that was assigned in its place starts beside it.

Cause: the leader treats a run of a cancelled job that a former leader assigned as never started at the first heartbeat that doesn't list it, even if that heartbeat was sent before the former leader's order arrived. Its room is assigned again. When a later heartbeat lists the run, the server counts as not usable, but only for new assignments: the check before an order is written covered draining and maintenance, not untracked runs.

Change: the check before an order is the same as the one before an assignment (`isUsable`). The run is given back and assigned again.

Evidence: on the code before, the new test fails with `expected [ Array(1) ] to deeply equal []`, the order of `next.0.0.0` beside `cancelled.0.0.0`.

Ruled out: ordering in the answer to the late heartbeat itself does no harm. The server has only one open heartbeat and drops the answer to an earlier one.

--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -109,8 +109,7 @@
         const job = this.#state.job(view.position.jobId);
         return !view.isStopping
             && job?.isOver === false
-            && !server.isDraining
-            && !server.isInMaintenance
+            && server.isUsable
             && this.#isApproved(server, view, job, nowMs)
             && !this.#state.zonesOutOfService.has(server.availabilityZone);
     }
