Expect of a filler at most the use of its whole server

What callers would see: on a server that has shrunk, fillers are hardly slowed beside a standing task near its target, and no filler is ever allowed beside one whose tail is far below it.

Cause: the effect of a filler is its pressure times its CPU need as a share of the server's capacity. A need of 1 core on a server with 0.1 core gives a share of 10, and with a capacity of 0 one of 1,000, so that a reduction of the pace by a percent seems to suffice.

Change: the share is at most 1, since no task can use more than the server.

Evidence: on the code before, the new test fails with `expected 1000 to be 1`.

Ruled out: other figures that a reservation above the capacity could distort. Costs of placement are computed only where the task fits, so that unreserved CPU is not negative there; `utilization` adds up amounts and divides by none.

--- a/packages/workflow/src/leader/pressure-model.test.ts
+++ b/packages/workflow/src/leader/pressure-model.test.ts
@@ -67,3 +67,12 @@
     expect(pressure.canAddFiller(server, "interfering", 1_000, 0)).toBe(false);
     expect(pressure.canAddFiller(server, "harmless", 1_000, 0)).toBe(true);
 });
+
+// Guards against fillers that are hardly slowed beside a standing task near its target, since their need is a large
+// multiple of what is left of the server.
+it("expects no more of a filler than the use of the whole server, however small the server has become", () => {
+    const server = new ServerView("s", 1, 0, 0);
+    expect(server.cpuShareOf(1_000)).toBe(1);
+    server.updateFrom(heartbeatOf("s", 1), 0);
+    expect(server.cpuShareOf(1_000)).toBe(0.25);
+});
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -121,9 +121,9 @@
         return this.#fillersByImage;
     }
 
-    /** Returns an amount of CPU as a share of the server's CPU capacity. */
+    /** Returns the share of the server's CPU capacity that a task can use of the given amount; at most 1. */
     cpuShareOf(cpuMillicores: number): number {
-        return cpuMillicores / Math.max(1, this.capacity.cpuMillicores);
+        return Math.min(1, cpuMillicores / Math.max(1, this.capacity.cpuMillicores));
     }
 
     /** Whether running fillers get clearly less CPU time than their paces allow. */
