Keep the learned pressures when the capacity of a server changes

What callers would see: after a server with fillers and standing tasks has shrunk, fillers that disturb a standing image count as harmless on all servers, under later leaders as well, since the learned pressures are recorded.

Cause: the CPU usage of a filler is measured over the last half second and divided by the present capacity. The regression compares it with the observation before, sees an enormous change of the share without a change of the tail, and sets the pressure to 0.

Change: the observation at a change of the capacity is skipped, with the smoothed shares of the server, and nothing is observed while the capacity is 0. A share is at most 1 here as well.

Evidence: on the code before, both cases of the new test (0 and 500 millicores) fail with `expected 0 to be greater than 7`.

--- a/packages/workflow/src/leader/pressure-model.test.ts
+++ b/packages/workflow/src/leader/pressure-model.test.ts
@@ -68,6 +68,31 @@
     expect(pressure.canAddFiller(server, "harmless", 1_000, 0)).toBe(true);
 });
 
+// Guards against fillers that interfere with standing tasks because the learned pressures are lost: the CPU usage that
+// was measured before a server shrank is a large multiple of its capacity afterwards.
+it.each([0, 500])(
+    "keeps the learned pressures while a server's capacity shrinks to %d millicores",
+    shrunkMillicores => {
+        const fillerShare = 0.2;
+        const pressure = new PressureModel({ standing: { interfering: 8 } });
+        const server = new ServerView("s", 1, 0, 0);
+        const standing = addRun(server, "standing", standingStepOf({ targetTailMs: TARGET_MS }));
+        const filler = addRun(server, "filler", fillerStepOf({ image: "interfering" }));
+        filler.measurement = fillerShare * 4_000;
+        for (let step = 1; step <= 12; step += 1) {
+            const isShrunk = step > 3 && step <= 9;
+            const cpuMillicores = isShrunk ? shrunkMillicores : 4_000;
+            const capacity = { cpuMillicores, memoryMebibytes: 16_000, accelerators: 0 };
+            standing.measurement = TARGET_MS * Math.exp(-1 + 8 * (cpuMillicores > 0 ? fillerShare : 0));
+            server.updateFrom(heartbeatOf("s", step, { capacity }), step * 500);
+            pressure.observe(server, step * 500);
+            // The next heartbeat reports the usage since this one.
+            filler.measurement = fillerShare * cpuMillicores;
+        }
+        expect(pressure.expectedPressure("standing", "interfering")).toBeGreaterThan(7);
+    },
+);
+
 // Guards against fillers that are hardly slowed beside a standing task near its target, since their need is a large
 // multiple of what is left of the server.
 it("expects no more of a filler than the use of the whole server, however small the server has become", () => {
--- a/packages/workflow/src/leader/pressure-model.ts
+++ b/packages/workflow/src/leader/pressure-model.ts
@@ -136,6 +136,8 @@
     readonly #maxLogRatios = new Map<string, ReadonlyMap<string, number>>();
     /** Smoothed shares of the CPU capacity that fillers use, by server, then by image. */
     readonly #shares = new Map<string, Map<string, number>>();
+    /** CPU capacity in millicores at the latest observation, by server. */
+    readonly #observedCapacities = new Map<string, number>();
 
     constructor(inherited: PressureTable) {
         for (const [name, pressures] of Object.entries(inherited)) {
@@ -204,8 +206,7 @@
             return;
         }
         this.#observedAtMs.set(server.id, nowMs);
-        const shares = smoothShares(this.#shares.get(server.id), sharesByImage(server));
-        this.#shares.set(server.id, shares);
+        const shares = this.#observeShares(server);
         const maxLogRatios = new Map<string, number>();
         this.#maxLogRatios.set(server.id, maxLogRatios);
         for (const run of server.runs.values()) {
@@ -214,11 +215,30 @@
                 const logRatio = Math.log(Math.min(MAX_TAIL_RATIO, Math.max(MIN_TAIL_RATIO, ratio)));
                 const { image } = run.step;
                 maxLogRatios.set(image, Math.max(logRatio, maxLogRatios.get(image) ?? -Infinity));
-                this.#observeRun(run, { atMs: nowMs, shares, logRatio });
+                if (shares === undefined) {
+                    this.#observations.delete(run);
+                }
+                else {
+                    this.#observeRun(run, { atMs: nowMs, shares, logRatio });
+                }
             }
         }
     }
 
+    /** Returns the shares that fillers use; undefined if the measured usage is not one of the present capacity. */
+    #observeShares(server: ServerView): ReadonlyMap<string, number> | undefined {
+        const { cpuMillicores } = server.capacity;
+        const hasChanged = cpuMillicores !== (this.#observedCapacities.get(server.id) ?? cpuMillicores);
+        this.#observedCapacities.set(server.id, cpuMillicores);
+        if (hasChanged || cpuMillicores === 0) {
+            this.#shares.delete(server.id);
+            return undefined;
+        }
+        const shares = smoothShares(this.#shares.get(server.id), sharesByImage(server));
+        this.#shares.set(server.id, shares);
+        return shares;
+    }
+
     #observeRun(run: RunView, current: Observation): void {
         const previous = this.#observations.get(run);
         this.#observations.set(run, current);
@@ -233,6 +253,7 @@
     forget(serverId: string): void {
         this.#observedAtMs.delete(serverId);
         this.#shares.delete(serverId);
+        this.#observedCapacities.delete(serverId);
         this.#maxLogRatios.delete(serverId);
     }
 
@@ -304,7 +325,7 @@
     for (const run of server.runs.values()) {
         const usedMillicores = run.kind === TaskKind.Filler ? run.measurement ?? 0 : 0;
         if (usedMillicores > 0) {
-            const share = usedMillicores / Math.max(1, server.capacity.cpuMillicores);
+            const share = server.cpuShareOf(usedMillicores);
             shares.set(run.step.image, (shares.get(run.step.image) ?? 0) + share);
         }
     }
