Test that waiting tasks start when a server grows again

A failure to place a task is remembered with the amounts that it needs. The tests guard against a memory that outlives the capacity of that time: single tasks, tasks with a limit on each server, standing tasks, fillers, a gang that needs two servers, and a step that needs approvals.

They pass on the code as it is, since each heartbeat marks its server for another search; no fault was found here.

--- a/packages/workflow/src/leader/capacity-change.test.ts
+++ b/packages/workflow/src/leader/capacity-change.test.ts
@@ -2,7 +2,7 @@
 import type { HeartbeatOrders, HeartbeatReport, ReportedRun } from "../model/heartbeat.js";
 import { RunEnd } from "../model/heartbeat.js";
 import type { Amounts, StepSpecification } from "../model/specification.js";
-import { heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { configurationOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
 import { SingleReplica } from "../testing/single-replica.js";
 
 /** Time after the first heartbeat in a term by which a run that the server does not report has certainly not started. */
@@ -142,3 +142,69 @@
         expect(beat(replica, "s2", 4, amountsOf())?.starts.map(({ run }) => run)).toEqual([2]);
     });
 });
+
+describe("a task that fits nowhere any more", () => {
+    const SHRUNK = amountsOf({ cpuMillicores: 0, memoryMebibytes: 0 });
+
+    // Guards against accepted tasks that stand still because a remembered failure to place them assumes the capacity of
+    // that time.
+    it.each<[string, Partial<StepSpecification>]>([
+        ["alone", {}],
+        ["with a limit on each server", { taskCount: 2, maxTasksPerServer: 2 }],
+        ["standing", { isStanding: true }],
+        ["filler", { isFiller: true, savesCheckpoints: true }],
+    ])("waits, and starts in the answer to the heartbeat that shows enough capacity (%s)", (unusedName, step) => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        beat(replica, "s2", 1, amountsOf());
+        replica.submit(jobOf("j", stepWith({}, step)));
+        expect(startedTasks(beat(replica, "s1", 2, SHRUNK))).toEqual([]);
+        expect(startedTasks(beat(replica, "s2", 2, SHRUNK))).toEqual([]);
+        for (let sequence = 3; sequence <= 12; sequence += 1) {
+            replica.advance(100);
+            expect(startedTasks(beat(replica, "s1", sequence, SHRUNK))).toEqual([]);
+            expect(startedTasks(beat(replica, "s2", sequence, SHRUNK))).toEqual([]);
+        }
+        replica.advance(100);
+        const started = startedTasks(beat(replica, "s1", 13, amountsOf()));
+        expect(started).toHaveLength(step.taskCount ?? 1);
+    });
+
+    // The same failure for a gang, whose members need the capacity of several servers at the same time.
+    it("waits with its gang until all members fit", () => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, SHRUNK);
+        beat(replica, "s2", 1, SHRUNK);
+        replica.submit(jobOf("gang", stepWith({ cpuMillicores: 3_000 }, { isGang: true, taskCount: 2 })));
+        replica.advance(100);
+        expect(startedTasks(beat(replica, "s1", 2, amountsOf()))).toEqual([]);
+        replica.advance(100);
+        expect(startedTasks(beat(replica, "s2", 2, amountsOf()))).toHaveLength(1);
+        expect(startedTasks(beat(replica, "s1", 3, amountsOf()))).toHaveLength(1);
+    });
+
+    // The same failure for a step that needs approvals, which are queried only for servers with capacity.
+    it("starts after the approval of a server that has grown", () => {
+        const answers: (() => void)[] = [];
+        const replica = SingleReplica.started({
+            queryEligibility: ({ serverIds }, respond) => {
+                const eligible = serverIds.map(serverId => ({ serverId, token: "token" }));
+                answers.push(() => respond(eligible, replica.times.nowMs));
+            },
+        });
+        const [queue] = configurationOf(2).queues;
+        const eligibility = { decisionMs: 10, perServerMs: 1, validityMs: 5_000 };
+        const queues = queue === undefined ? [] : [{ ...queue, eligibility }];
+        replica.node.configure(configurationOf(2, { queues }), () => undefined, replica.times);
+        replica.settle();
+        beat(replica, "s1", 1, SHRUNK);
+        replica.submit(jobOf("j", stepWith({})));
+        expect(answers).toHaveLength(0);
+        replica.advance(100);
+        expect(startedTasks(beat(replica, "s1", 2, amountsOf()))).toEqual([]);
+        answers.forEach(answer => answer());
+        replica.settle();
+        expect(startedTasks(beat(replica, "s1", 3, SHRUNK))).toEqual([]);
+        expect(startedTasks(beat(replica, "s1", 4, amountsOf()))).toEqual(["j.0.0.0"]);
+    });
+});
