Let the workers of the random test shrink and grow

Half of the simulated workers now guard their capacity, as the platform's may, and a command changes the capacity of one of them. A start that a worker rejects is a violation as well, unless its capacity has just shrunk. All capacity is back when the disruptions end, and the liveness check then requires that all waiting tasks use it.

--- a/packages/workflow/src/testing/fuzz/commands.ts
+++ b/packages/workflow/src/testing/fuzz/commands.ts
@@ -34,6 +34,8 @@
 
 const WORKER_COUNT = 4;
 const MAX_ADVANCE_MS = 4_000;
+/** Shares of a worker's full capacity to which it shrinks and grows. */
+const CAPACITY_RATIOS = [0, 0.3, 0.6, 1];
 
 const stepArbitrary: fc.Arbitrary<Partial<StepSpecification>> = fc.record({
     taskCount: fc.integer({ min: 1, max: 5 }),
@@ -132,4 +134,10 @@
     fc.integer({ min: 200, max: 5_000 }).chain(durationMs =>
         workerCommand(`fail for ${durationMs}`, (simulation, worker) => simulation.failWorker(worker, durationMs))
     ),
+    fc.tuple(fc.constantFrom(...CAPACITY_RATIOS), fc.constantFrom(...CAPACITY_RATIOS)).chain((
+        [cpuRatio, memoryRatio],
+    ) => workerCommand(
+        `resize to ${cpuRatio} of the CPU and ${memoryRatio} of the memory`,
+        (simulation, worker) => simulation.resizeWorker(worker, cpuRatio, memoryRatio),
+    )),
 ];
--- a/packages/workflow/src/testing/fuzz/liveness.ts
+++ b/packages/workflow/src/testing/fuzz/liveness.ts
@@ -62,7 +62,7 @@
     /** Whether more than half of the fleet's CPU is in use, so that finite tasks may wait for suitable workers. */
     #isOverHalfInUse(): boolean {
         const usedRatios = this.#workers.map(worker =>
-            1 - freeAmountsOf(worker).idleMillicores / worker.options.capacity.cpuMillicores
+            1 - freeAmountsOf(worker).idleMillicores / worker.capacity.current.cpuMillicores
         );
         return usedRatios.reduce((sum, ratio) => sum + ratio, 0) > this.#workers.length * MAX_USED_RATIO;
     }
@@ -96,7 +96,7 @@
 };
 
 const freeAmountsOf = (worker: SimulatedWorker): FreeAmounts => {
-    const { cpuMillicores, memoryMebibytes } = worker.options.capacity;
+    const { cpuMillicores, memoryMebibytes } = worker.capacity.current;
     const free = { cpuMillicores, memoryMebibytes, idleMillicores: cpuMillicores };
     for (const { step } of worker.runs.values()) {
         const reservesCpu = !step.isFiller || step.isStanding;
--- a/packages/workflow/src/testing/fuzz/oracle.ts
+++ b/packages/workflow/src/testing/fuzz/oracle.ts
@@ -2,6 +2,7 @@
 import type { StartOrder } from "../../model/heartbeat.js";
 import { parseTaskKey, taskKeyOf } from "../../model/specification.js";
 import type { JobSpecification, TaskPosition } from "../../model/specification.js";
+import { isWithinCapacity } from "./changing-capacity.js";
 import type { SimulatedWorker, WorkerRun } from "./simulated-worker.js";
 
 /** An order written before a change may arrive up to this long after it. */
@@ -101,7 +102,10 @@
         check(nowMs <= outSinceMs + ORDER_DELAY_MS, "no start in a zone out of service");
         const drainingSinceMs = this.drainingSinceMs.get(`${worker.id}/${worker.incarnation}`) ?? Infinity;
         check(nowMs <= drainingSinceMs + ORDER_DELAY_MS, "no start on a draining server");
-        check(isWithinCapacity(worker), "no start beyond the server's capacity");
+        check(
+            isWithinCapacity(worker.runs.values(), worker.capacity.largestSince(nowMs - ORDER_DELAY_MS)),
+            "no start beyond the server's capacity",
+        );
         const { requiredLabel } = run.step;
         check(
             requiredLabel === "" || worker.options.labels.includes(requiredLabel),
@@ -112,6 +116,16 @@
         check(isOwnCheckpoint, "the checkpoint belongs to the task");
     }
 
+    /** A start must not be rejected for want of capacity, unless the capacity has just shrunk. */
+    rejected(worker: SimulatedWorker, run: WorkerRun, nowMs: number): void {
+        const runs = [...worker.runs.values(), run];
+        if (!isWithinCapacity(runs, worker.capacity.largestSince(nowMs - ORDER_DELAY_MS))) {
+            this.violations.push(
+                `violated: no start that is rejected: ${run.task} run ${run.run} on ${worker.id} at ${nowMs} ms`,
+            );
+        }
+    }
+
     ended(run: WorkerRun, end: RunEnd): void {
         if (end === RunEnd.Stopped && run.step.savesCheckpoints) {
             this.#membersOf(run.position).forEach(task => addToSet(this.#checkpoints, task, `${run.task}/${run.run}`));
@@ -163,17 +177,6 @@
     sets.set(key, (sets.get(key) ?? new Set()).add(value));
 };
 
-const isWithinCapacity = (worker: SimulatedWorker): boolean => {
-    const { capacity } = worker.options;
-    let cpuMillicores = 0;
-    let memoryMebibytes = 0;
-    for (const { step } of worker.runs.values()) {
-        cpuMillicores += step.isFiller ? 0 : step.amounts.cpuMillicores;
-        memoryMebibytes += step.amounts.memoryMebibytes;
-    }
-    return cpuMillicores <= capacity.cpuMillicores && memoryMebibytes <= capacity.memoryMebibytes;
-};
-
 const isWithinTasksPerServer = (worker: SimulatedWorker, run: WorkerRun): boolean => {
     const isSameStep = ({ position }: WorkerRun): boolean =>
         position.jobId === run.position.jobId
--- a/packages/workflow/src/testing/fuzz/simulated-worker.ts
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -2,6 +2,7 @@
 import type { HeartbeatOrders, HeartbeatReport, ReportedEnd, StartOrder } from "../../model/heartbeat.js";
 import { parseTaskKey } from "../../model/specification.js";
 import type { Amounts, StepSpecification, TaskPosition } from "../../model/specification.js";
+import { ChangingCapacity, isWithinCapacity } from "./changing-capacity.js";
 
 /** An answer that arrives later than this after its heartbeat was sent has no effect. */
 const ANSWER_TIMEOUT_MS = 1_000;
@@ -36,6 +37,8 @@
 /** Callbacks for the events of simulated workers. */
 export interface WorkerObserver {
     started: (worker: SimulatedWorker, order: StartOrder, run: WorkerRun, nowMs: number) => void;
+    /** A worker that guards its capacity has rejected a run that doesn't fit. */
+    rejected: (worker: SimulatedWorker, run: WorkerRun, nowMs: number) => void;
     ended: (worker: SimulatedWorker, run: WorkerRun, end: RunEnd) => void;
     acknowledged: (task: string, run: number, end: RunEnd) => void;
 }
@@ -45,7 +48,10 @@
     id: string;
     availabilityZone: string;
     labels: string[];
+    /** Capacity at the start of the simulation. */
     capacity: Amounts;
+    /** Whether the worker rejects runs that exceed its capacity. */
+    guardsCapacity: boolean;
     /** Rate of the worker's clock relative to the simulated time; at least 0.98. */
     clockRate: number;
     behaviour: TaskBehaviour;
@@ -55,11 +61,12 @@
 /**
  * A simulated backend server that behaves as the platform's documentation describes: it measures leases on its own
  * clock, ignores orders with a lower term than the highest it has received, repeats ends until they are acknowledged,
- * and does not check its capacity.
+ * and checks its capacity only if it guards it.
  */
 export class SimulatedWorker {
     readonly options: WorkerOptions;
     readonly runs = new Map<string, WorkerRun>();
+    readonly capacity: ChangingCapacity;
     isUp = true;
     isDraining = false;
     incarnation = 1;
@@ -77,6 +84,7 @@
 
     constructor(options: WorkerOptions) {
         this.options = options;
+        this.capacity = new ChangingCapacity(options.capacity);
     }
 
     get id(): string {
@@ -113,7 +121,7 @@
     report(nowMs: number): HeartbeatReport {
         this.#sequence += 1;
         this.#openHeartbeat = { sequence: this.#sequence, sentAtMs: nowMs };
-        const { id, availabilityZone, labels, capacity } = this.options;
+        const { id, availabilityZone, labels } = this.options;
         return {
             serverId: id,
             incarnation: this.incarnation,
@@ -123,7 +131,7 @@
             availabilityZone,
             rack: "r1",
             labels,
-            capacity,
+            capacity: this.capacity.current,
             isDraining: this.isDraining,
             remainingMs: undefined,
             running: [...this.runs.values()].map(run => ({
@@ -216,6 +224,11 @@
             isGangComplete: !step.isGang,
         };
         this.#highestRuns.set(order.task, order.run);
+        if (this.options.guardsCapacity && !isWithinCapacity([...this.runs.values(), run], this.capacity.current)) {
+            this.options.observer.rejected(this, run, nowMs);
+            this.#end(run, RunEnd.NotStarted);
+            return;
+        }
         this.runs.set(order.task, run);
         this.options.observer.started(this, order, run, nowMs);
     }
--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -5,7 +5,7 @@
 import type { JobState } from "../../model/calls.js";
 import type { HeartbeatOrders } from "../../model/heartbeat.js";
 import { RunEnd } from "../../model/heartbeat.js";
-import type { JobSpecification, StepSpecification, TaskPosition } from "../../model/specification.js";
+import type { Amounts, JobSpecification, StepSpecification, TaskPosition } from "../../model/specification.js";
 import type { CommittedRecord } from "../../node/replicated-log.js";
 import { WorkflowNode } from "../../node/workflow-node.js";
 import { configurationOf, HOST } from "../fixtures.js";
@@ -26,6 +26,8 @@
 /** Additional delay of the messages of a worker whose network is slow; longer than a worker waits for an answer. */
 const MAX_SLOW_NETWORK_DELAY_MS = 2_500;
 const LIVENESS_INTERVAL_MS = 100;
+/** Capacity of a worker that has not shrunk. */
+const FULL_CAPACITY: Amounts = { cpuMillicores: 4_000, memoryMebibytes: 8_000, accelerators: 0 };
 
 /** Duration and outcome of the runs of a job. */
 export interface JobBehaviour {
@@ -77,7 +79,8 @@
                 id: `w${index}`,
                 availabilityZone: zone,
                 labels: [index % 2 === 0 ? "even" : "odd", "r1"],
-                capacity: { cpuMillicores: 4_000, memoryMebibytes: 8_000, accelerators: 0 },
+                capacity: FULL_CAPACITY,
+                guardsCapacity: index === 1 || index === 2,
                 clockRate: index === 0 ? MIN_CLOCK_RATE : 1,
                 behaviour: this.#createBehaviour(),
                 observer: {
@@ -85,6 +88,7 @@
                         this.oracle.started(worker, order, run, nowMs);
                         this.#completeGang(run.position);
                     },
+                    rejected: (worker, run, nowMs) => this.oracle.rejected(worker, run, nowMs),
                     ended: (worker, run, end) => {
                         this.oracle.ended(run, end);
                         this.#breakGang(run.position, end);
@@ -224,6 +228,15 @@
         this.#failingUntilMs.set(`w${index}`, this.#nowMs + durationMs);
     }
 
+    /** Changes a worker's capacity to a share of its full capacity. */
+    resizeWorker(index: number, cpuRatio: number, memoryRatio: number): void {
+        this.workers[index]?.capacity.change({
+            cpuMillicores: FULL_CAPACITY.cpuMillicores * cpuRatio,
+            memoryMebibytes: FULL_CAPACITY.memoryMebibytes * memoryRatio,
+            accelerators: FULL_CAPACITY.accelerators,
+        }, this.#nowMs);
+    }
+
     /** Ends all disruptions. */
     heal(): void {
         this.#partitionedUntilMs.clear();
@@ -231,6 +244,7 @@
         this.#failingUntilMs.clear();
         this.#stalledUntilMs = this.#nowMs;
         this.workers.filter(worker => worker.isDraining).forEach(worker => worker.restart());
+        this.workers.forEach(worker => worker.capacity.change(FULL_CAPACITY, this.#nowMs));
         ["a", "b"].forEach(zone => this.setZone(zone, false));
     }
 
