--- a/packages/workflow/src/testing/fuzz/workflow.fuzz.test.ts
+++ b/packages/workflow/src/testing/fuzz/workflow.fuzz.test.ts
@@ -68,8 +68,8 @@
 };
 
 // Checks the guarantees about runs and jobs under losses of the leader, workers that are partitioned, restart, drain,
-// fail or shrink, zones out of service and cancellations, in any order. Also guards against accepted tasks that stand still after
-// the last disturbance although there is capacity for them.
+// fail or shrink, zones out of service and cancellations, in any order. Also guards against accepted tasks that stand
+// still after the last disturbance although there is capacity for them.
 it("keeps its guarantees through any sequence of disruptions", () => {
     fc.assert(
         fc.property(
