Test that work above a smaller capacity goes on with nothing beside it

The tests guard against stops of running tasks on a server that has shrunk below their needs in processors, memory, accelerators or all of them, against starts beside them before the sum fits again, and against figures of the utilization that aren't finite. They pass on the code as it is; no fault was found here.

--- a/packages/workflow/src/leader/capacity-change.test.ts
+++ b/packages/workflow/src/leader/capacity-change.test.ts
@@ -2,7 +2,7 @@
 import type { HeartbeatOrders, HeartbeatReport, ReportedRun } from "../model/heartbeat.js";
 import { RunEnd } from "../model/heartbeat.js";
 import type { Amounts, StepSpecification } from "../model/specification.js";
-import { configurationOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { configurationOf, fillerStepOf, heartbeatOf, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
 import { SingleReplica } from "../testing/single-replica.js";
 
 /** Time after the first heartbeat in a term by which a run that the server does not report has certainly not started. */
@@ -208,3 +208,54 @@
         expect(startedTasks(beat(replica, "s1", 4, amountsOf()))).toEqual(["j.0.0.0"]);
     });
 });
+
+describe("work on a server that has shrunk below it", () => {
+    /** Amounts that shrink below what the running tasks need, one after the other. */
+    const SHRUNK_AMOUNTS: [string, Partial<Amounts>][] = [
+        ["processors", { cpuMillicores: 1_000 }],
+        ["memory", { memoryMebibytes: 1_000 }],
+        ["accelerators", { accelerators: 0 }],
+        ["everything", { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 }],
+    ];
+
+    // Guards against work that is thrown away, and against starts on a server that is over its capacity in one resource
+    // but not in those that the task needs.
+    it.each(SHRUNK_AMOUNTS)("goes on, and nothing is started beside it before it fits again (%s)", (unused, shrunk) => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        replica.submit(jobOf("finite", stepWith({ accelerators: 1 })));
+        replica.submit(jobOf("standing", standingStepOf()));
+        replica.submit(jobOf("filler", fillerStepOf()));
+        const started = runningOf(beat(replica, "s1", 2, amountsOf()));
+        expect(started).toHaveLength(3);
+        // Tasks without progress would be moved for that reason.
+        const runningAt = (sequence: number): ReportedRun[] =>
+            started.map(run => ({ ...run, progressPercent: 2 * sequence }));
+        replica.submit(jobOf("next", stepWith({ cpuMillicores: 10, memoryMebibytes: 10 })));
+        for (let sequence = 3; sequence < 50; sequence += 1) {
+            replica.advance(100);
+            const orders = beat(replica, "s1", sequence, amountsOf(shrunk), { running: runningAt(sequence) });
+            expect(orders).toMatchObject({ starts: [], stops: [], paces: [] });
+        }
+        expect(startedTasks(beat(replica, "s1", 50, amountsOf(), { running: runningAt(50) }))).toEqual(["next.0.0.0"]);
+    });
+
+    // Guards against figures that can't be written or compared when a server has no capacity left.
+    it("leaves all figures of the utilization finite", () => {
+        const replica = SingleReplica.started();
+        beat(replica, "s1", 1, amountsOf());
+        replica.submit(jobOf("standing", standingStepOf()));
+        replica.submit(jobOf("filler", fillerStepOf()));
+        const running = runningOf(beat(replica, "s1", 2, amountsOf())).map(run => ({ ...run, measurement: 90 }));
+        const nothing = amountsOf({ cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 });
+        for (let sequence = 3; sequence <= 30; sequence += 1) {
+            replica.advance(100);
+            beat(replica, "s1", sequence, nothing, { running });
+        }
+        const { pressures, waitingTasks, ...figures } = replica.node.session?.utilization() ?? {};
+        const pressureFigures = Object.values(pressures ?? {}).flatMap(byFiller => Object.values(byFiller));
+        const all = [...Object.values(figures), ...Object.values(waitingTasks ?? {}), ...pressureFigures];
+        expect(all.length).toBeGreaterThan(0);
+        expect(all.every(Number.isFinite)).toBe(true);
+    });
+});
