Name the CPU need that counts against a server's capacity in one place

The rule that steps marked as fillers reserve no CPU stood in the check for an assignment and in the one for a start order. No change of behaviour.

--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -1,5 +1,5 @@
 import type { HeartbeatReport } from "../model/heartbeat.js";
-import { TaskKind } from "../model/specification.js";
+import { countedMillicoresOf, TaskKind } from "../model/specification.js";
 import type { Amounts, StepSpecification, TaskPosition } from "../model/specification.js";
 
 /** The leader's view of a run on a backend server. */
@@ -174,8 +174,7 @@
     fits(step: StepSpecification): boolean {
         const { capacity } = this;
         const { amounts } = step;
-        const needsCpu = step.isFiller ? 0 : amounts.cpuMillicores;
-        return this.#reserved.cpuMillicores + needsCpu <= capacity.cpuMillicores
+        return this.#reserved.cpuMillicores + countedMillicoresOf(step) <= capacity.cpuMillicores
             && this.#reserved.memoryMebibytes + amounts.memoryMebibytes <= capacity.memoryMebibytes
             && this.#reserved.accelerators + amounts.accelerators <= capacity.accelerators;
     }
--- a/packages/workflow/src/leader/start-admission.ts
+++ b/packages/workflow/src/leader/start-admission.ts
@@ -1,4 +1,5 @@
-import type { Amounts, StepSpecification } from "../model/specification.js";
+import { countedMillicoresOf } from "../model/specification.js";
+import type { Amounts } from "../model/specification.js";
 import type { RunView, ServerView } from "./server-view.js";
 
 /**
@@ -40,12 +41,9 @@
 const totalOf = (runs: Iterable<RunView>): Amounts => {
     const total = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
     for (const { step } of runs) {
-        total.cpuMillicores += limitedMillicoresOf(step);
+        total.cpuMillicores += countedMillicoresOf(step);
         total.memoryMebibytes += step.amounts.memoryMebibytes;
         total.accelerators += step.amounts.accelerators;
     }
     return total;
 };
-
-/** Returns a task's CPU need as counted against the server's capacity, which excludes that of steps that fill. */
-const limitedMillicoresOf = ({ amounts, isFiller }: StepSpecification): number => isFiller ? 0 : amounts.cpuMillicores;
--- a/packages/workflow/src/model/specification.ts
+++ b/packages/workflow/src/model/specification.ts
@@ -70,6 +70,10 @@
     return step.isFiller ? TaskKind.Filler : TaskKind.Finite;
 };
 
+/** Returns the part of a task's CPU need that counts against a server's capacity: none for a step marked as filler. */
+export const countedMillicoresOf = ({ amounts, isFiller }: StepSpecification): number =>
+    isFiller ? 0 : amounts.cpuMillicores;
+
 /** Identifies a task by its job, occurrence, step and index within the step. */
 export interface TaskPosition {
     jobId: string;
