--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -1,5 +1,5 @@
 import type { HeartbeatReport } from "../model/heartbeat.js";
-import { TaskKind } from "../model/specification.js";
+import { countedMillicoresOf, TaskKind } from "../model/specification.js";
 import type { Amounts, StepSpecification, TaskPosition } from "../model/specification.js";
 
 /** The leader's view of a run on a backend server. */
@@ -127,9 +127,9 @@
         return this.#fillersByImage;
     }
 
-    /** Returns an amount of CPU as a share of the server's CPU capacity. */
+    /** Returns the share of the server's CPU capacity that a task can use of the given amount; at most 1. */
     cpuShareOf(cpuMillicores: number): number {
-        return cpuMillicores / Math.max(1, this.capacity.cpuMillicores);
+        return Math.min(1, cpuMillicores / Math.max(1, this.capacity.cpuMillicores));
     }
 
     /** Whether running fillers get clearly less CPU time than their paces allow. */
@@ -180,8 +180,7 @@
     fits(step: StepSpecification): boolean {
         const { capacity } = this;
         const { amounts } = step;
-        const needsCpu = step.isFiller ? 0 : amounts.cpuMillicores;
-        return this.#reserved.cpuMillicores + needsCpu <= capacity.cpuMillicores
+        return this.#reserved.cpuMillicores + countedMillicoresOf(step) <= capacity.cpuMillicores
             && this.#reserved.memoryMebibytes + amounts.memoryMebibytes <= capacity.memoryMebibytes
             && this.#reserved.accelerators + amounts.accelerators <= capacity.accelerators;
     }
