--- a/packages/consensus/src/peer-progress.ts
+++ b/packages/consensus/src/peer-progress.ts
@@ -18,6 +18,8 @@
     receivedBytes: number;
     /** Bytes that have been sent; the peer discards chunks after one that was lost. */
     sentBytes: number;
+    /** Time at which the latest chunk was sent. */
+    lastSentAtMs: number;
     /** Time since which the peer has received nothing new, or since the latest retransmission. */
     progressAtMs: number;
     /** Responses to chunks that were sent until this time don't show that the peer has lost what it had received. */
--- a/packages/consensus/src/replica.test.ts
+++ b/packages/consensus/src/replica.test.ts
@@ -397,8 +397,8 @@
     };
 
     /** Exchanges all messages in each heartbeat interval until a time. */
-    const runUntil = (replicas: Replica[], endMs: number) => {
-        for (let nowMs = 1_150; nowMs <= endMs; nowMs += 50) {
+    const runUntil = (replicas: Replica[], endMs: number, startMs = 1_150) => {
+        for (let nowMs = startMs; nowMs <= endMs; nowMs += 50) {
             replicas.forEach(replica => replica.tick(nowMs));
             exchangeMessages(replicas, nowMs);
         }
@@ -431,4 +431,16 @@
         runUntil([...replicas, restarted], 2_500);
         expect(restarted.commitIndex).toBeGreaterThanOrEqual(header.lastIndex);
     });
+
+    // Guards against a replica that stays behind for good: it restarts during a transfer, and what the leader sends to it
+    // meanwhile is lost (issue 22).
+    it("starts again for a learner that was down while chunks were sent again", () => {
+        const { a, d, replicas, header, chunks } = startTransfer();
+        chunks.slice(0, 4).forEach(chunk => d.receive(chunk, 1_103));
+        sends(d.takeEffects()).forEach(effect => a.receive(effect.message, 1_104));
+        runUntil(replicas, 2_000);
+        const restarted = createReplica("d", { entries: [], hardState: create(HardStateSchema, {}), nowMs: 2_000 });
+        runUntil([...replicas, restarted], 4_000, 2_050);
+        expect(restarted.commitIndex).toBeGreaterThanOrEqual(header.lastIndex);
+    });
 });
--- a/packages/consensus/src/snapshot-sender.ts
+++ b/packages/consensus/src/snapshot-sender.ts
@@ -86,7 +86,7 @@
 
     #begin(peer: PeerProgress, source: SnapshotSource): void {
         const progress = { receivedBytes: 0, sentBytes: 0, progressAtMs: this.#core.nowMs };
-        peer.transfer = { ...source, ...progress, confirmedSentAtMs: -Infinity };
+        peer.transfer = { ...source, ...progress, lastSentAtMs: -Infinity, confirmedSentAtMs: -Infinity };
         this.#sendFrom(peer, peer.transfer, 0);
     }
 
@@ -109,7 +109,7 @@
         transfer.receivedBytes = offsetBytes;
         transfer.sentBytes = offsetBytes;
         transfer.progressAtMs = this.#core.nowMs;
-        transfer.confirmedSentAtMs = this.#core.nowMs;
+        transfer.confirmedSentAtMs = transfer.lastSentAtMs;
         this.#sendNextChunk(peer, transfer);
         this.#sendChunks(peer, transfer);
     }
@@ -134,6 +134,7 @@
             sentAtMs: this.#core.nowMs,
         });
         transfer.sentBytes = end;
+        transfer.lastSentAtMs = this.#core.nowMs;
         this.#core.send(peer.diskId, { case: "snapshotChunk", value: chunk }, { withAddress: true });
     }
 }
