--- a/packages/consensus/src/replica-store.ts
+++ b/packages/consensus/src/replica-store.ts
@@ -225,10 +225,19 @@
             : [];
         this.#lastWriteNumber += 1;
         const data = encodeFrames([...first, ...records], this.#lastWriteNumber);
+        const syncedBytes = segment.sizeBytes;
         segment.sizeBytes += data.length;
         segment.highestIndex = Math.max(segment.highestIndex, highestIndex);
-        await file.append(data);
-        await file.sync();
+        try {
+            await file.append(data);
+            await file.sync();
+        }
+        catch (error) {
+            // The operating system may return the bytes of a failed write to the next process and report their sync as
+            // successful, although the disk doesn't hold them.
+            await file.truncate(syncedBytes).catch(() => undefined);
+            throw error;
+        }
         segment.hasHardState = true;
     }
 
--- a/packages/test-support/src/fake-file-system.ts
+++ b/packages/test-support/src/fake-file-system.ts
@@ -48,6 +48,8 @@
     #syncedLength = 0;
     /** Synced content from before an unsynced truncation; a crash may restore it. */
     #truncated: Uint8Array | undefined;
+    /** Bytes whose sync has failed. Later syncs report success without writing them, and a crash replaces them by zeros. */
+    #dropped: { start: number; end: number } | undefined;
 
     get length(): number {
         return this.#length;
@@ -78,6 +80,17 @@
             this.#syncedLength = sizeBytes;
         }
         this.#length = Math.min(this.#length, sizeBytes);
+        if (this.#dropped !== undefined && this.#dropped.start >= sizeBytes) {
+            this.#dropped = undefined;
+        }
+    }
+
+    /** Drops the unsynced bytes as an operating system does: they can still be read, but are never written to the disk. */
+    failSync(): void {
+        if (this.#length > this.#syncedLength) {
+            this.#dropped = { start: this.#dropped?.start ?? this.#syncedLength, end: this.#length };
+            this.#syncedLength = this.#length;
+        }
     }
 
     sync(): void {
@@ -97,6 +110,8 @@
         else if (this.#length > this.#syncedLength) {
             this.#applyTornWrite(torn, random);
         }
+        this.#buffer.fill(0, this.#dropped?.start ?? 0, Math.min(this.#length, this.#dropped?.end ?? 0));
+        this.#dropped = undefined;
         this.sync();
     }
 
@@ -333,7 +348,8 @@
     }
 
     #createAppendFile(path: string, file: FakeFile, generation: number): AppendFile {
-        const begin = (operation: FileOperation) => this.#beginOperation(operation, path, generation);
+        const begin = (operation: FileOperation, onFault?: () => void) =>
+            this.#beginOperation(operation, path, generation, onFault);
         return {
             append: async data => {
                 const append = { file, data };
@@ -346,7 +362,7 @@
                 }
             },
             sync: async () => {
-                await begin(FileOperation.Sync);
+                await begin(FileOperation.Sync, () => file.failSync());
                 this.syncCount += 1;
                 file.sync();
             },
@@ -358,13 +374,19 @@
         };
     }
 
-    async #beginOperation(operation: FileOperation, path: string, generation: number): Promise<void> {
+    async #beginOperation(
+        operation: FileOperation,
+        path: string,
+        generation: number,
+        onFault?: () => void,
+    ): Promise<void> {
         await this.delay?.(operation, path);
         if (generation !== this.#generation) {
             throw new FakeFileError("EBADF", operation, path);
         }
         const code = this.fault?.(operation, path);
         if (code !== undefined) {
+            onFault?.();
             throw new FakeFileError(code, operation, path);
         }
     }
--- a/packages/test-support/src/replica-store-durability.test.ts
+++ b/packages/test-support/src/replica-store-durability.test.ts
@@ -34,6 +34,28 @@
     fileSystem.delay = undefined;
 };
 
+describe("a write whose sync has failed", () => {
+    // Guards against a replica that acknowledges what its disk doesn't hold: after a failed sync the operating system still
+    // returns the bytes to readers and reports the next sync as successful, without writing them (issue 22).
+    it("is not read back by the next process", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        const { store } = await open(fileSystem.process());
+        await store.write([{ hardState: vote(1), entries: [entry(1, 1)] }]);
+        fileSystem.fault = operation => operation === FileOperation.Sync ? "EIO" : undefined;
+        await expect(store.write([{ hardState: vote(2), entries: [entry(2, 2)] }])).rejects.toThrow("EIO");
+        fileSystem.fault = undefined;
+        fileSystem.endProcess();
+        const reopened = await open(fileSystem.process());
+        const next = reopened.persisted.entries.length + 1;
+        await reopened.store.write([{ entries: [entry(next, 3)] }]);
+        const reported = [...summary(reopened).entries, `3/${next}`];
+        fileSystem.crash(TornWrite.Lost);
+        const { entries, term } = summary(await open(fileSystem));
+        expect(entries).toEqual(reported);
+        expect(term).toBe(reopened.persisted.hardState.term);
+    });
+});
+
 describe("a write that was not synced when the process died", () => {
     // Guards against a replica that acknowledges entries which a later loss of power removes, and then can't read its
     // log because the next segment continues after them (issue 22).
