--- a/packages/workflow/src/state/maintenance-record.ts
+++ b/packages/workflow/src/state/maintenance-record.ts
@@ -12,10 +12,13 @@
 
 /** Replicated record of one maintenance order. */
 export class MaintenanceRecord {
-    readonly #content: MaintenanceContent;
+    readonly #content: Omit<MaintenanceContent, "phases">;
+    /** Phases by VM. A plain object would take an id such as `__proto__` for one of its own properties. */
+    readonly #phases: Map<string, VmMaintenancePhase>;
 
-    constructor(content: MaintenanceContent) {
+    constructor({ phases, ...content }: MaintenanceContent) {
         this.#content = content;
+        this.#phases = new Map(Object.entries(phases));
     }
 
     get order(): MaintenanceOrder {
@@ -33,17 +36,17 @@
 
     /** Returns the phase of a VM's maintenance; undefined before it begins. */
     phaseOf(vmId: string): VmMaintenancePhase | undefined {
-        return this.#content.phases[vmId];
+        return this.#phases.get(vmId);
     }
 
     /** Records a VM's phase, unless its maintenance is already done: a phase never moves backwards. */
     advance(vmId: string, phase: VmMaintenancePhase): void {
         if (this.phaseOf(vmId) !== VmMaintenancePhase.Done) {
-            this.#content.phases[vmId] = phase;
+            this.#phases.set(vmId, phase);
         }
     }
 
     toContent(): MaintenanceContent {
-        return this.#content;
+        return { ...this.#content, phases: Object.fromEntries(this.#phases) };
     }
 }
