--- a/packages/daemon/src/workflow/json-call.ts
+++ b/packages/daemon/src/workflow/json-call.ts
@@ -5,6 +5,8 @@
 /** Maximum number of idle connections to one peer that are kept open. */
 const MAX_FREE_SOCKETS = 16;
 const HTTP_OK = 200;
+/** Longest response that is read; those of the platform have a row for each server asked about. */
+const MAX_RESPONSE_BYTES = 1024 * 1024;
 
 /** Failure of a call without a usable response. Its code is UNAVAILABLE. */
 export class CallError extends StepError {
@@ -66,7 +68,14 @@
                 headers: { ...call.headers, "content-type": "application/json", "content-length": body.length },
             }, response => {
                 const chunks: Buffer[] = [];
-                response.on("data", (chunk: Buffer) => chunks.push(chunk));
+                let sizeBytes = 0;
+                response.on("data", (chunk: Buffer) => {
+                    sizeBytes += chunk.length;
+                    chunks.push(chunk);
+                    if (sizeBytes > MAX_RESPONSE_BYTES) {
+                        response.destroy(new Error(`the response exceeds ${MAX_RESPONSE_BYTES} bytes`));
+                    }
+                });
                 response.once("error", fail);
                 response.once("end", () => {
                     clearTimeout(timer);
