--- a/packages/workflow/src/model/specification.ts
+++ b/packages/workflow/src/model/specification.ts
@@ -87,14 +87,14 @@
 /** Returns a task's key, unique among all jobs. */
 export const taskKeyOf = (position: TaskPosition): string => `${stepKeyOf(position)}.${position.index}`;
 
+/** Number in a task's key, as `taskKeyOf` writes it. Other spellings of the same number name no task. */
+const NUMBER_IN_KEY = /^(?:0|[1-9]\d{0,8})$/;
+
 /** Parses a task's key; returns undefined for any other text. */
 export const parseTaskKey = (key: string): TaskPosition | undefined => {
-    const [jobId, occurrence, step, index, rest] = key.split(".");
-    if (jobId === undefined || index === undefined || rest !== undefined) {
-        return undefined;
-    }
-    const numbers = [Number(occurrence), Number(step), Number(index)];
-    return numbers.every(Number.isInteger)
-        ? { jobId, occurrence: Number(occurrence), step: Number(step), index: Number(index) }
-        : undefined;
+    const [jobId, occurrence = "", step = "", index = "", rest] = key.split(".");
+    const isKey = [occurrence, step, index].every(number => NUMBER_IN_KEY.test(number));
+    return jobId === undefined || rest !== undefined || !isKey
+        ? undefined
+        : { jobId, occurrence: Number(occurrence), step: Number(step), index: Number(index) };
 };
