--- a/packages/daemon/src/transport/replica-stream.real.test.ts
+++ b/packages/daemon/src/transport/replica-stream.real.test.ts
@@ -55,6 +55,26 @@
     return port;
 };
 
+// Guards against a process that ends because a message, such as a request for a vote, names an invalid address.
+it("drops messages to addresses that can't be connected to", async () => {
+    const port = await freePort();
+    const terms: number[] = [];
+    const listener = new ReplicaStreamListener(
+        { host: HOST, port },
+        messages => messages.forEach(message => terms.push(message.term)),
+    );
+    closers.push(() => listener.close());
+    await listener.listen();
+    const sender = new ReplicaStreamSender();
+    closers.push(() => sender.close());
+    for (const address of [`${HOST}:65536`, `${HOST}:0`, `${HOST}:x`, HOST, ":80", `${HOST}:${port}`]) {
+        sender.send(address, messageOfTerm(1), monotonicNowMs());
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+    await waitUntil(() => terms.length > 0);
+    expect(terms).toEqual([1]);
+});
+
 // Guards against a process that ends because a connection can't be accepted, for example for want of file descriptors.
 it("receives messages after errors of accepting connections", async () => {
     const port = await freePort();
--- a/packages/daemon/src/transport/replica-stream.ts
+++ b/packages/daemon/src/transport/replica-stream.ts
@@ -5,6 +5,7 @@
 import type { Server, Socket } from "node:net";
 import { EnvelopeDecoder } from "./envelope-decoder.js";
 import { encodeEnvelope } from "./envelope-encoder.js";
+import { hostOf, portOf } from "./host-of.js";
 import type { ListenAddress } from "./listen-address.js";
 
 /** Time without an acknowledgement of sent messages after which a connection is replaced. */
@@ -93,6 +94,11 @@
         const messages = this.#messages;
         this.#messages = [];
         const socket = this.#socket ?? this.#open();
+        if (socket === undefined) {
+            // There is nobody to answer, so that nothing waits for an acknowledgement.
+            this.#unacknowledgedSinceMs = undefined;
+            return;
+        }
         if (socket.writableLength <= MAX_BUFFERED_BYTES) {
             socket.cork();
             messages.forEach(message => socket.write(encodeEnvelope(message)));
@@ -100,13 +106,13 @@
         }
     }
 
-    #open(): Socket {
-        const colon = this.#address.lastIndexOf(":");
-        const socket = connect({
-            host: this.#address.slice(0, colon),
-            port: Number(this.#address.slice(colon + 1)),
-            noDelay: true,
-        });
+    /** Opens the connection; returns undefined if the address is invalid, for which the connection would throw. */
+    #open(): Socket | undefined {
+        const port = portOf(this.#address);
+        if (port === undefined) {
+            return undefined;
+        }
+        const socket = connect({ host: hostOf(this.#address), port, noDelay: true });
         socket.on("data", () => {
             this.#unacknowledgedSinceMs = undefined;
         });
--- a/packages/daemon/src/workflow/join-queue.test.ts
+++ b/packages/daemon/src/workflow/join-queue.test.ts
@@ -41,3 +41,13 @@
     queue.push(requestOf("c", "c2"), 1_000);
     expect(queue.next(noMember, 1_001)?.name).toBe("c");
 });
+
+// Guards against a member that ends each leader in turn, since the leader can't connect to its address.
+it.each(["", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:x", ":80", 80, null, undefined])(
+    "ignores a request with the address %j",
+    address => {
+        const queue = new JoinQueue();
+        queue.push({ ...requestOf("a", "a2"), address: address as string }, 1_000);
+        expect(queue.next(noMember, 1_001)).toBeUndefined();
+    },
+);
--- a/packages/daemon/src/workflow/join-queue.ts
+++ b/packages/daemon/src/workflow/join-queue.ts
@@ -1,3 +1,4 @@
+import { portOf } from "../transport/host-of.js";
 import type { JoinRequest } from "./operations.js";
 
 /** Time for which a request counts. A replica that still waits repeats it more often. */
@@ -13,10 +14,12 @@
     /** By the replica's name; a later disk under the same name takes the place of the earlier one. */
     readonly #waiting = new Map<string, WaitingRequest>();
 
-    /** Adds a request or renews an earlier one of the same replica. Ignores one without a disk id or an address. */
+    /** Adds a request or renews an earlier one of the same replica. Ignores one without a disk id or a valid address. */
     push(request: JoinRequest, nowMs: number): void {
-        if (request.diskId !== "" && request.address !== "") {
-            this.#waiting.set(request.name, { request, receivedAtMs: nowMs });
+        const { name, diskId, address, availabilityZone } = request;
+        const areTexts = [name, diskId, address, availabilityZone].every(text => typeof text === "string");
+        if (areTexts && diskId !== "" && portOf(address) !== undefined) {
+            this.#waiting.set(name, { request, receivedAtMs: nowMs });
         }
     }
 
