Exclude servers that don't start runs, and test standing tasks under load

What callers see: a standing task doesn't run for 6 s and more although servers have room for it, on a loaded fleet in which some servers reject starts or drop their orders.

Cause: such a server was only avoided, and a standing task goes to an avoided server if no other has room at that moment. On a loaded fleet that is nearly always so: the failing server always looks empty. Each time it binds the task for as long as the orders have no effect, while room on other servers comes and goes.

The small test counts the starts that a rejecting server gets in 3 s: 'expected 30 to be 3' before.

Why it works: for 0.5 s, doubling up to 4 s, such a server gets nothing, so that the task is free for any other.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -404,7 +404,7 @@
                 nowMs,
             );
             if (unexecuted.length > 0) {
-                this.#failures.recordStartFailure(server, nowMs);
+                this.#failures.recordUnexecutedOrders(server, nowMs);
             }
             const lostRuns = [...neverStarted, ...unexecuted];
             this.#proposeLostRuns(lostRuns);
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -27,6 +27,8 @@
     UntrackedRuns = "untracked-runs",
     OtherService = "other-service",
     Avoided = "avoided",
+    /** The server has not started runs that it was ordered to start. */
+    FailedStarts = "failed-starts",
     ZoneOutOfService = "zone-out-of-service",
     Label = "label",
     NoRoom = "no-room",
@@ -185,6 +187,9 @@
     if (server.service !== constraints.service) {
         return Exclusion.OtherService;
     }
+    if (server.excludedUntilMs > nowMs) {
+        return Exclusion.FailedStarts;
+    }
     if (server.avoidUntilMs > nowMs && waiting.kind !== TaskKind.Standing) {
         return Exclusion.Avoided;
     }
--- a/packages/workflow/src/leader/server-event.ts
+++ b/packages/workflow/src/leader/server-event.ts
@@ -8,7 +8,7 @@
     Restarted = "restarted",
     /** The server has started to drain. */
     Draining = "draining",
-    /** The planner avoids the server for some time, after failures, starts that failed, or little progress of its tasks. */
+    /** The planner avoids the server for some time, after failures or because its tasks make little progress. */
     Avoided = "avoided",
 }
 
--- a/packages/workflow/src/leader/server-failures.ts
+++ b/packages/workflow/src/leader/server-failures.ts
@@ -8,9 +8,9 @@
 /** Bounds of the time for which a server is avoided; it doubles with each further failure. */
 const FIRST_AVOID_MS = 1_000;
 const MAX_AVOID_MS = 8_000;
-/** Bounds of the time for which a server is avoided that doesn't start a run; it doubles with each further one. */
-const FIRST_START_FAILURE_AVOID_MS = 500;
-const MAX_START_FAILURE_AVOID_MS = 4_000;
+/** Bounds of the time for which a server that rejects a start gets no others; it doubles with each further rejection. */
+const FIRST_EXCLUSION_MS = 500;
+const MAX_EXCLUSION_MS = 4_000;
 /** Time for which a failure of a step shows that its later failures on other servers have the same cause. */
 const STEP_FAILURE_WINDOW_MS = 30_000;
 
@@ -29,14 +29,15 @@
 }
 
 /**
- * Marks backend servers with consecutive failures or without starts as avoided, with exponential backoff. The failures of a step that
+ * Marks backend servers with consecutive failures as avoided, and excludes those that don't start runs, with exponential
+ * backoff. The failures of a step that
  * fails on several servers and succeeds on none do not count: the work cannot be done, and the servers are sound.
  */
 export class ServerFailures {
     readonly #hasSucceeded: (step: StepPosition) => boolean;
     readonly #consecutiveFailures = new Map<string, number>();
-    /** Runs that a server has not started since the last one that it started, by server. */
-    readonly #startFailures = new Map<string, number>();
+    /** Heartbeats with rejected starts since the last run that a server has started, by server. */
+    readonly #rejections = new Map<string, number>();
     /** Failures by step, then by server. */
     readonly #failuresByStep = new Map<string, Map<string, StepFailure>>();
 
@@ -47,35 +48,32 @@
 
     /** Counts the reported ends of runs on a server; a success resets the count. */
     recordEnds(server: ServerView, ends: readonly TaskEnd[], nowMs: number): void {
+        if (ends.some(({ end }) => end === RunEnd.NotStarted)) {
+            this.#recordRejection(server, nowMs);
+        }
         for (const { task, end } of ends) {
             if (end === RunEnd.Done) {
                 this.#consecutiveFailures.delete(server.id);
             }
-            else if (end === RunEnd.NotStarted) {
-                this.recordStartFailure(server, nowMs);
-            }
             else if (end === RunEnd.Failed && !this.#isCausedByStep(server, task, nowMs)) {
                 this.#recordFailure(server, nowMs);
             }
         }
     }
 
-    /** Avoids a server that has not started a run that it was ordered to start. */
-    recordStartFailure(server: ServerView, nowMs: number): void {
-        const count = this.#startFailures.get(server.id) ?? 0;
-        this.#startFailures.set(server.id, count + 1);
-        const avoidMs = Math.min(MAX_START_FAILURE_AVOID_MS, FIRST_START_FAILURE_AVOID_MS * 2 ** count);
-        server.avoidUntilMs = Math.max(server.avoidUntilMs, nowMs + avoidMs);
+    /** Excludes a server that executes no start orders. */
+    recordUnexecutedOrders(server: ServerView, nowMs: number): void {
+        exclude(server, nowMs + MAX_EXCLUSION_MS);
     }
 
-    /** Resets the count of starts that failed on a server. */
+    /** Resets the count of the starts that a server has rejected. */
     recordStart(serverId: string): void {
-        this.#startFailures.delete(serverId);
+        this.#rejections.delete(serverId);
     }
 
     /** Discards the state of a removed server. */
     forget(serverId: string): void {
-        this.#startFailures.delete(serverId);
+        this.#rejections.delete(serverId);
         this.#consecutiveFailures.delete(serverId);
     }
 
@@ -124,6 +122,12 @@
         }
     }
 
+    #recordRejection(server: ServerView, nowMs: number): void {
+        const count = this.#rejections.get(server.id) ?? 0;
+        this.#rejections.set(server.id, count + 1);
+        exclude(server, nowMs + Math.min(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS * 2 ** count));
+    }
+
     #recordFailure(server: ServerView, nowMs: number): void {
         const count = (this.#consecutiveFailures.get(server.id) ?? 0) + 1;
         this.#consecutiveFailures.set(server.id, count);
@@ -133,3 +137,7 @@
         }
     }
 }
+
+const exclude = (server: ServerView, untilMs: number): void => {
+    server.excludedUntilMs = Math.max(server.excludedUntilMs, untilMs);
+};
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -76,10 +76,12 @@
     /** Whether the server reports runs that the leader does not track (any more); {@link reserved} excludes them. */
     hasUntrackedRuns = false;
     /**
-     * The server is avoided until this time, after failures, failed starts or slow progress: only standing tasks start here, and only
+     * The server is avoided until this time, after failures or slow progress: only standing tasks start here, and only
      * if no other server can run them.
      */
     avoidUntilMs = -Infinity;
+    /** Nothing is assigned to the server until this time, after it has not started runs that it was ordered to start. */
+    excludedUntilMs = -Infinity;
     readonly #runs = new Map<string, RunView>();
     /** Whether a heartbeat has arrived or a run has been removed since the last planning. */
     #hasChanged = true;
--- a/packages/workflow/src/leader/standing-tasks.test.ts
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -104,6 +104,19 @@
     },
 );
 
+// Guards against a standing task that is given to the same failing server again and again, and is bound to it each time,
+// while other servers have room now and then.
+it("orders a rejected standing task to the same server with increasing delays", () => {
+    const replica = SingleReplica.started();
+    const server = new TestServer("s");
+    server.rejectsStarts = true;
+    advance(replica, [server], HEARTBEAT_MS);
+    replica.submit(jobOf("standing", standingStepOf()));
+    advance(replica, [server], 3_000);
+    // Starts at about 0, 0.5 and 1.5 s.
+    expect(replica.node.state.job("standing")?.occurrences[0]?.[0]?.tasks[0]?.run).toBe(3);
+});
+
 // Guards against a task that stays assigned for ever to a server that sends heartbeats but drops the answers to them,
 // while other servers have room. A server drops what arrives later than a second.
 it.each([["standing", standingStepOf()], ["finite", stepOf()]])(
--- a/packages/workflow/src/leader/wait-report.test.ts
+++ b/packages/workflow/src/leader/wait-report.test.ts
@@ -47,5 +47,6 @@
     replica.advance(1_500);
     replica.heartbeat(heartbeatOf("s", 2, { ended }));
     replica.advance(2_000);
+    replica.heartbeat(heartbeatOf("s", 3, { ended }));
     expect(reportsOf(replica)).toMatchObject([{ task: "j.0.0.0", waitedMs: 3_500, serverId: "s", rejectedRuns: 1 }]);
 });
--- a/packages/workflow/src/testing/fuzz/liveness.ts
+++ b/packages/workflow/src/testing/fuzz/liveness.ts
@@ -1,6 +1,7 @@
 import { taskKeyOf } from "../../model/specification.js";
 import type { StepSpecification, TaskPosition } from "../../model/specification.js";
 import type { Oracle, SubmittedJob } from "./oracle.js";
+import { freeAmountsOf } from "./simulated-worker.js";
 import type { SimulatedWorker, WorkerRun } from "./simulated-worker.js";
 
 /** Longest time for which a task may wait although a worker has room for two of its kind. */
@@ -11,13 +12,6 @@
 /** Share of the fleet's CPU in use above which finite tasks are not checked. */
 const MAX_USED_RATIO = 0.5;
 
-interface FreeAmounts {
-    cpuMillicores: number;
-    memoryMebibytes: number;
-    /** CPU that neither reservations nor fillers need. */
-    idleMillicores: number;
-}
-
 /** Checks that every accepted task whose turn has come is at work whenever workers have capacity for it. */
 export class LivenessCheck {
     readonly violations: string[] = [];
@@ -62,7 +56,7 @@
     /** Whether more than half of the fleet's CPU is in use, so that finite tasks may wait for suitable workers. */
     #isOverHalfInUse(): boolean {
         const usedRatios = this.#workers.map(worker =>
-            1 - freeAmountsOf(worker).idleMillicores / worker.options.capacity.cpuMillicores
+            1 - freeAmountsOf(worker).idleMillicores / worker.capacity.cpuMillicores
         );
         return usedRatios.reduce((sum, ratio) => sum + ratio, 0) > this.#workers.length * MAX_USED_RATIO;
     }
@@ -78,7 +72,7 @@
 }
 
 /** Returns how many tasks of a step fit on a worker beside its runs. */
-const countPlaces = (worker: SimulatedWorker, position: TaskPosition, step: StepSpecification): number => {
+export const countPlaces = (worker: SimulatedWorker, position: TaskPosition, step: StepSpecification): number => {
     const { labels } = worker.options;
     const isAllowed = worker.isUp && (step.requiredLabel === "" || labels.includes(step.requiredLabel));
     const limit = step.maxTasksPerServer === 0 ? Infinity : step.maxTasksPerServer;
@@ -94,15 +88,3 @@
         free.memoryMebibytes / step.amounts.memoryMebibytes,
     ));
 };
-
-const freeAmountsOf = (worker: SimulatedWorker): FreeAmounts => {
-    const { cpuMillicores, memoryMebibytes } = worker.options.capacity;
-    const free = { cpuMillicores, memoryMebibytes, idleMillicores: cpuMillicores };
-    for (const { step } of worker.runs.values()) {
-        const reservesCpu = !step.isFiller || step.isStanding;
-        free.cpuMillicores -= reservesCpu ? step.amounts.cpuMillicores : 0;
-        free.memoryMebibytes -= step.amounts.memoryMebibytes;
-        free.idleMillicores -= step.amounts.cpuMillicores;
-    }
-    return free;
-};
--- a/packages/workflow/src/testing/fuzz/oracle.ts
+++ b/packages/workflow/src/testing/fuzz/oracle.ts
@@ -164,7 +164,7 @@
 };
 
 const isWithinCapacity = (worker: SimulatedWorker): boolean => {
-    const { capacity } = worker.options;
+    const { capacity } = worker;
     let cpuMillicores = 0;
     let memoryMebibytes = 0;
     for (const { step } of worker.runs.values()) {
--- a/packages/workflow/src/testing/fuzz/simulated-worker.ts
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -48,14 +48,20 @@
     capacity: Amounts;
     /** Rate of the worker's clock relative to the simulated time; at least 0.98. */
     clockRate: number;
+    /** Whether the worker rejects what exceeds its capacity. */
+    guardsCapacity: boolean;
+    /** CPU that is in use although neither the worker's capacity nor its runs show it. */
+    hiddenMillicores: number;
+    /** Whether all answers arrive too late, so that the worker executes no orders. */
+    dropsAnswers: boolean;
     behaviour: TaskBehaviour;
     observer: WorkerObserver;
 }
 
 /**
  * A simulated backend server that behaves as the platform's documentation describes: it measures leases on its own
- * clock, ignores orders with a lower term than the highest it has received, repeats ends until they are acknowledged,
- * and does not check its capacity.
+ * clock, ignores orders with a lower term than the highest it has received, and repeats ends until they are
+ * acknowledged.
  */
 export class SimulatedWorker {
     readonly options: WorkerOptions;
@@ -63,6 +69,7 @@
     isUp = true;
     isDraining = false;
     incarnation = 1;
+    capacity: Amounts;
     #ended: ReportedEnd[] = [];
     /** Ends not acknowledged before the lease expired; their tasks may be assigned to other workers nevertheless. */
     readonly #expiredEnds = new WeakSet<ReportedEnd>();
@@ -77,6 +84,7 @@
 
     constructor(options: WorkerOptions) {
         this.options = options;
+        this.capacity = options.capacity;
     }
 
     get id(): string {
@@ -113,7 +121,7 @@
     report(nowMs: number): HeartbeatReport {
         this.#sequence += 1;
         this.#openHeartbeat = { sequence: this.#sequence, sentAtMs: nowMs };
-        const { id, availabilityZone, labels, capacity } = this.options;
+        const { id, availabilityZone, labels } = this.options;
         return {
             serverId: id,
             incarnation: this.incarnation,
@@ -123,7 +131,7 @@
             availabilityZone,
             rack: "r1",
             labels,
-            capacity,
+            capacity: this.capacity,
             isDraining: this.isDraining,
             remainingMs: undefined,
             running: [...this.runs.values()].map(run => ({
@@ -145,7 +153,10 @@
         }
         this.#openHeartbeat = undefined;
         this.nextHeartbeatAtMs = nowMs + (orders?.nextHeartbeatMs ?? HEARTBEAT_RETRY_MS);
-        if (orders === undefined || nowMs - heartbeat.sentAtMs > ANSWER_TIMEOUT_MS || orders.term < this.#term) {
+        if (
+            orders === undefined || this.options.dropsAnswers || nowMs - heartbeat.sentAtMs > ANSWER_TIMEOUT_MS
+            || orders.term < this.#term
+        ) {
             return;
         }
         this.#term = orders.term;
@@ -216,10 +227,20 @@
             isGangComplete: !step.isGang,
         };
         this.#highestRuns.set(order.task, order.run);
+        if (this.options.guardsCapacity && !this.#hasRoomFor(step)) {
+            this.#end(run, RunEnd.NotStarted);
+            return;
+        }
         this.runs.set(order.task, run);
         this.options.observer.started(this, order, run, nowMs);
     }
 
+    #hasRoomFor(step: StepSpecification): boolean {
+        const { cpuMillicores, memoryMebibytes } = freeAmountsOf(this);
+        const neededMillicores = reservesCpu(step) ? step.amounts.cpuMillicores : 0;
+        return neededMillicores <= cpuMillicores && step.amounts.memoryMebibytes <= memoryMebibytes;
+    }
+
     #stop(task: string, run: number, nowMs: number): void {
         this.#highestRuns.set(task, Math.max(run, this.#highestRuns.get(task) ?? 0));
         const running = this.runs.get(task);
@@ -245,3 +266,26 @@
     const durationMs = (endsAtMs ?? startedAtMs) - startedAtMs;
     return isGangComplete && durationMs > 0 ? Math.floor((100 * (nowMs - startedAtMs)) / durationMs) : 0;
 };
+
+/** Amounts that a worker has left. */
+export interface FreeAmounts {
+    cpuMillicores: number;
+    memoryMebibytes: number;
+    /** CPU that neither reservations nor fillers need. */
+    idleMillicores: number;
+}
+
+const reservesCpu = (step: StepSpecification): boolean => !step.isFiller || step.isStanding;
+
+/** Returns what a worker has left beside its runs. */
+export const freeAmountsOf = (worker: SimulatedWorker): FreeAmounts => {
+    const { cpuMillicores, memoryMebibytes } = worker.capacity;
+    const usableMillicores = cpuMillicores - worker.options.hiddenMillicores;
+    const free = { cpuMillicores: usableMillicores, memoryMebibytes, idleMillicores: usableMillicores };
+    for (const { step } of worker.runs.values()) {
+        free.cpuMillicores -= reservesCpu(step) ? step.amounts.cpuMillicores : 0;
+        free.memoryMebibytes -= step.amounts.memoryMebibytes;
+        free.idleMillicores -= step.amounts.cpuMillicores;
+    }
+    return free;
+};
--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -14,7 +14,8 @@
 import { Oracle } from "./oracle.js";
 import type { SubmittedJob } from "./oracle.js";
 import { SimulatedWorker } from "./simulated-worker.js";
-import type { TaskBehaviour } from "./simulated-worker.js";
+import type { TaskBehaviour, WorkerOptions } from "./simulated-worker.js";
+import { StandingCheck } from "./standing-check.js";
 
 const START_MS = 1_000_000;
 const TICK_MS = 20;
@@ -32,8 +33,29 @@
     durationMs: number;
     /** Whether the tasks fail wherever they run. */
     failsAlways: boolean;
+    /** Time after which a run of a standing task fails; undefined if it runs until it is stopped. */
+    standingFailureMs?: number;
+    /** Path prefix of the job's queue; `batch` by default. */
+    queue?: string;
 }
 
+/** Properties of a simulated worker. */
+export type SimulatedFleet = readonly Pick<
+    WorkerOptions,
+    "availabilityZone" | "labels" | "capacity" | "clockRate" | "guardsCapacity" | "hiddenMillicores" | "dropsAnswers"
+>[];
+
+/** Four equal workers in two zones, one of them with a slow clock. */
+export const SMALL_FLEET: SimulatedFleet = ["a", "a", "b", "b"].map((availabilityZone, index) => ({
+    availabilityZone,
+    labels: [index % 2 === 0 ? "even" : "odd", "r1"],
+    capacity: { cpuMillicores: 4_000, memoryMebibytes: 8_000, accelerators: 0 },
+    clockRate: index === 0 ? MIN_CLOCK_RATE : 1,
+    guardsCapacity: false,
+    hiddenMillicores: 0,
+    dropsAnswers: false,
+}));
+
 interface Delivery {
     atMs: number;
     deliver: () => void;
@@ -52,6 +74,7 @@
     readonly workers: SimulatedWorker[];
     readonly oracle: Oracle;
     readonly liveness: LivenessCheck;
+    readonly standing: StandingCheck;
     readonly #behaviours = new Map<string, JobBehaviour>();
     readonly #random: SeededRandom;
     /** Times until which workers fail all runs that end by themselves, by worker. */
@@ -70,15 +93,12 @@
     #term = 0;
     #nowMs = START_MS;
 
-    constructor(seed: number) {
+    constructor(seed: number, fleet = SMALL_FLEET) {
         this.#random = new SeededRandom(seed);
-        this.workers = ["a", "a", "b", "b"].map((zone, index) =>
+        this.workers = fleet.map((properties, index) =>
             new SimulatedWorker({
+                ...properties,
                 id: `w${index}`,
-                availabilityZone: zone,
-                labels: [index % 2 === 0 ? "even" : "odd", "r1"],
-                capacity: { cpuMillicores: 4_000, memoryMebibytes: 8_000, accelerators: 0 },
-                clockRate: index === 0 ? MIN_CLOCK_RATE : 1,
                 behaviour: this.#createBehaviour(),
                 observer: {
                     started: (worker, order, run, nowMs) => {
@@ -95,6 +115,7 @@
         );
         this.oracle = new Oracle(this.jobs, this.workers);
         this.liveness = new LivenessCheck(this.jobs, this.workers, this.oracle);
+        this.standing = new StandingCheck(this.jobs, this.workers, this.oracle);
     }
 
     get #times(): Times {
@@ -114,6 +135,33 @@
         }
     }
 
+    /** Advances the simulated time and checks that standing tasks are at work; to be called between disturbances. */
+    advanceCheckingStanding(durationMs: number): void {
+        const endMs = this.#nowMs + durationMs;
+        while (this.#nowMs < endMs) {
+            this.advance(LIVENESS_INTERVAL_MS);
+            this.standing.observe(this.#nowMs);
+        }
+    }
+
+    /** Tells the check of standing tasks that a disturbance lasts until the given time from now. */
+    recordDisturbance(durationMs: number): void {
+        this.standing.recordDisturbance(this.#nowMs + durationMs);
+    }
+
+    /** Changes a worker's capacity to a share of its original one. */
+    resizeWorker(index: number, share: number): void {
+        const worker = this.workers[index];
+        if (worker !== undefined) {
+            const { cpuMillicores, memoryMebibytes, accelerators } = worker.options.capacity;
+            worker.capacity = {
+                cpuMillicores: Math.floor(cpuMillicores * share),
+                memoryMebibytes: Math.floor(memoryMebibytes * share),
+                accelerators,
+            };
+        }
+    }
+
     /** Advances the simulated time without disturbances while it checks that all tasks with capacity are at work. */
     advanceCheckingLiveness(durationMs: number): void {
         const endMs = this.#nowMs + durationMs;
@@ -133,7 +181,7 @@
         };
         this.jobs.set(specification.id, job);
         this.#behaviours.set(specification.id, behaviour);
-        const address = { host: HOST, path: `/batch/${specification.id}` };
+        const address = { host: HOST, path: `/${behaviour.queue ?? "batch"}/${specification.id}` };
         this.#leader?.node.submit(address, specification, result => {
             job.isAccepted ||= result.ok;
         }, this.#times);
@@ -251,10 +299,11 @@
             stepOf,
             durationMs: position =>
                 stepOf(position)?.isStanding === true
-                    ? undefined
+                    ? this.#behaviours.get(position.jobId)?.standingFailureMs
                     : this.#behaviours.get(position.jobId)?.durationMs,
             fails: (position, unusedRun, workerId) =>
                 this.#behaviours.get(position.jobId)?.failsAlways === true
+                || stepOf(position)?.isStanding === true
                 || this.#nowMs < (this.#failingUntilMs.get(workerId) ?? 0),
         };
     }
@@ -277,10 +326,9 @@
 
     #createConfiguration() {
         const configuration = configurationOf(1);
-        return {
-            ...configuration,
-            queues: configuration.queues.map(queue => ({ ...queue, maxAttempts: MAX_ATTEMPTS })),
-        };
+        const queues = configuration.queues.map(queue => ({ ...queue, maxAttempts: MAX_ATTEMPTS, priority: 1 }));
+        const urgent = queues.map(queue => ({ ...queue, name: "urgent", pathPrefix: "/urgent/", priority: 0 }));
+        return { ...configuration, queues: [...queues, ...urgent] };
     }
 
     #createNode(term: number): WorkflowNode {
