--- a/packages/workflow/src/testing/fuzz/simulated-worker.ts
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -2,7 +2,7 @@
 import type { HeartbeatOrders, HeartbeatReport, ReportedEnd, StartOrder } from "../../model/heartbeat.js";
 import { parseTaskKey } from "../../model/specification.js";
 import type { Amounts, StepSpecification, TaskPosition } from "../../model/specification.js";
-import { ChangingCapacity, isWithinCapacity } from "./changing-capacity.js";
+import { ChangingCapacity } from "./changing-capacity.js";
 
 /** An answer that arrives later than this after its heartbeat was sent has no effect. */
 const ANSWER_TIMEOUT_MS = 1_000;
@@ -54,6 +54,10 @@
     guardsCapacity: boolean;
     /** Rate of the worker's clock relative to the simulated time; at least 0.98. */
     clockRate: number;
+    /** CPU that is in use although neither the worker's capacity nor its runs show it. */
+    hiddenMillicores: number;
+    /** Whether all answers arrive too late, so that the worker executes no orders. */
+    dropsAnswers: boolean;
     behaviour: TaskBehaviour;
     observer: WorkerObserver;
 }
@@ -153,7 +157,10 @@
         }
         this.#openHeartbeat = undefined;
         this.nextHeartbeatAtMs = nowMs + (orders?.nextHeartbeatMs ?? HEARTBEAT_RETRY_MS);
-        if (orders === undefined || nowMs - heartbeat.sentAtMs > ANSWER_TIMEOUT_MS || orders.term < this.#term) {
+        if (
+            orders === undefined || this.options.dropsAnswers || nowMs - heartbeat.sentAtMs > ANSWER_TIMEOUT_MS
+            || orders.term < this.#term
+        ) {
             return;
         }
         this.#term = orders.term;
@@ -224,7 +231,7 @@
             isGangComplete: !step.isGang,
         };
         this.#highestRuns.set(order.task, order.run);
-        if (this.options.guardsCapacity && !isWithinCapacity([...this.runs.values(), run], this.capacity.current)) {
+        if (this.options.guardsCapacity && !this.#hasRoomFor(step)) {
             this.options.observer.rejected(this, run, nowMs);
             this.#end(run, RunEnd.NotStarted);
             return;
@@ -233,6 +240,12 @@
         this.options.observer.started(this, order, run, nowMs);
     }
 
+    #hasRoomFor(step: StepSpecification): boolean {
+        const { cpuMillicores, memoryMebibytes } = freeAmountsOf(this);
+        const neededMillicores = reservesCpu(step) ? step.amounts.cpuMillicores : 0;
+        return neededMillicores <= cpuMillicores && step.amounts.memoryMebibytes <= memoryMebibytes;
+    }
+
     #stop(task: string, run: number, nowMs: number): void {
         this.#highestRuns.set(task, Math.max(run, this.#highestRuns.get(task) ?? 0));
         const running = this.runs.get(task);
@@ -258,3 +271,26 @@
     const durationMs = (endsAtMs ?? startedAtMs) - startedAtMs;
     return isGangComplete && durationMs > 0 ? Math.floor((100 * (nowMs - startedAtMs)) / durationMs) : 0;
 };
+
+/** Amounts that a worker has left. */
+export interface FreeAmounts {
+    cpuMillicores: number;
+    memoryMebibytes: number;
+    /** CPU that neither reservations nor fillers need. */
+    idleMillicores: number;
+}
+
+const reservesCpu = (step: StepSpecification): boolean => !step.isFiller || step.isStanding;
+
+/** Returns what a worker has left beside its runs. */
+export const freeAmountsOf = (worker: SimulatedWorker): FreeAmounts => {
+    const { cpuMillicores, memoryMebibytes } = worker.capacity.current;
+    const usableMillicores = cpuMillicores - worker.options.hiddenMillicores;
+    const free = { cpuMillicores: usableMillicores, memoryMebibytes, idleMillicores: usableMillicores };
+    for (const { step } of worker.runs.values()) {
+        free.cpuMillicores -= reservesCpu(step) ? step.amounts.cpuMillicores : 0;
+        free.memoryMebibytes -= step.amounts.memoryMebibytes;
+        free.idleMillicores -= step.amounts.cpuMillicores;
+    }
+    return free;
+};
--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -5,7 +5,7 @@
 import type { JobState } from "../../model/calls.js";
 import type { HeartbeatOrders } from "../../model/heartbeat.js";
 import { RunEnd } from "../../model/heartbeat.js";
-import type { Amounts, JobSpecification, StepSpecification, TaskPosition } from "../../model/specification.js";
+import type { JobSpecification, StepSpecification, TaskPosition } from "../../model/specification.js";
 import type { CommittedRecord } from "../../node/replicated-log.js";
 import { WorkflowNode } from "../../node/workflow-node.js";
 import { configurationOf, HOST } from "../fixtures.js";
@@ -14,7 +14,8 @@
 import { Oracle } from "./oracle.js";
 import type { SubmittedJob } from "./oracle.js";
 import { SimulatedWorker } from "./simulated-worker.js";
-import type { TaskBehaviour } from "./simulated-worker.js";
+import type { TaskBehaviour, WorkerOptions } from "./simulated-worker.js";
+import { StandingCheck } from "./standing-check.js";
 
 const START_MS = 1_000_000;
 const TICK_MS = 20;
@@ -26,16 +27,35 @@
 /** Additional delay of the messages of a worker whose network is slow; longer than a worker waits for an answer. */
 const MAX_SLOW_NETWORK_DELAY_MS = 2_500;
 const LIVENESS_INTERVAL_MS = 100;
-/** Capacity of a worker that has not shrunk. */
-const FULL_CAPACITY: Amounts = { cpuMillicores: 4_000, memoryMebibytes: 8_000, accelerators: 0 };
 
 /** Duration and outcome of the runs of a job. */
 export interface JobBehaviour {
     durationMs: number;
     /** Whether the tasks fail wherever they run. */
     failsAlways: boolean;
+    /** Time after which a run of a standing task fails; undefined if it runs until it is stopped. */
+    standingFailureMs?: number;
+    /** Path prefix of the job's queue; `batch` by default. */
+    queue?: string;
 }
 
+/** Properties of a simulated worker. */
+export type SimulatedFleet = readonly Pick<
+    WorkerOptions,
+    "availabilityZone" | "labels" | "capacity" | "clockRate" | "guardsCapacity" | "hiddenMillicores" | "dropsAnswers"
+>[];
+
+/** Four equal workers in two zones, one of them with a slow clock, two that guard their capacity. */
+export const SMALL_FLEET: SimulatedFleet = ["a", "a", "b", "b"].map((availabilityZone, index) => ({
+    availabilityZone,
+    labels: [index % 2 === 0 ? "even" : "odd", "r1"],
+    capacity: { cpuMillicores: 4_000, memoryMebibytes: 8_000, accelerators: 0 },
+    clockRate: index === 0 ? MIN_CLOCK_RATE : 1,
+    guardsCapacity: index === 1 || index === 2,
+    hiddenMillicores: 0,
+    dropsAnswers: false,
+}));
+
 interface Delivery {
     atMs: number;
     deliver: () => void;
@@ -54,6 +74,7 @@
     readonly workers: SimulatedWorker[];
     readonly oracle: Oracle;
     readonly liveness: LivenessCheck;
+    readonly standing: StandingCheck;
     readonly #behaviours = new Map<string, JobBehaviour>();
     readonly #random: SeededRandom;
     /** Times until which workers fail all runs that end by themselves, by worker. */
@@ -72,16 +93,12 @@
     #term = 0;
     #nowMs = START_MS;
 
-    constructor(seed: number) {
+    constructor(seed: number, fleet = SMALL_FLEET) {
         this.#random = new SeededRandom(seed);
-        this.workers = ["a", "a", "b", "b"].map((zone, index) =>
+        this.workers = fleet.map((properties, index) =>
             new SimulatedWorker({
+                ...properties,
                 id: `w${index}`,
-                availabilityZone: zone,
-                labels: [index % 2 === 0 ? "even" : "odd", "r1"],
-                capacity: FULL_CAPACITY,
-                guardsCapacity: index === 1 || index === 2,
-                clockRate: index === 0 ? MIN_CLOCK_RATE : 1,
                 behaviour: this.#createBehaviour(),
                 observer: {
                     started: (worker, order, run, nowMs) => {
@@ -99,6 +116,7 @@
         );
         this.oracle = new Oracle(this.jobs, this.workers);
         this.liveness = new LivenessCheck(this.jobs, this.workers, this.oracle);
+        this.standing = new StandingCheck(this.jobs, this.workers, this.oracle);
     }
 
     get #times(): Times {
@@ -118,6 +136,21 @@
         }
     }
 
+    /** Advances the simulated time and checks that standing tasks are at work; to be called between disturbances. */
+    advanceCheckingStanding(durationMs: number): void {
+        const endMs = this.#nowMs + durationMs;
+        while (this.#nowMs < endMs) {
+            this.advance(LIVENESS_INTERVAL_MS);
+            this.standing.observe(this.#nowMs);
+        }
+    }
+
+    /** Tells the check of standing tasks that a disturbance lasts until the given time from now. */
+    recordDisturbance(durationMs: number): void {
+        this.standing.recordDisturbance(this.#nowMs + durationMs);
+    }
+
+    /** Changes a worker's capacity to a share of its original one. */
     /** Advances the simulated time without disturbances while it checks that all tasks with capacity are at work. */
     advanceCheckingLiveness(durationMs: number): void {
         const endMs = this.#nowMs + durationMs;
@@ -137,7 +170,7 @@
         };
         this.jobs.set(specification.id, job);
         this.#behaviours.set(specification.id, behaviour);
-        const address = { host: HOST, path: `/batch/${specification.id}` };
+        const address = { host: HOST, path: `/${behaviour.queue ?? "batch"}/${specification.id}` };
         this.#leader?.node.submit(address, specification, result => {
             job.isAccepted ||= result.ok;
         }, this.#times);
@@ -230,11 +263,15 @@
 
     /** Changes a worker's capacity to a share of its full capacity. */
     resizeWorker(index: number, cpuRatio: number, memoryRatio: number): void {
-        this.workers[index]?.capacity.change({
-            cpuMillicores: FULL_CAPACITY.cpuMillicores * cpuRatio,
-            memoryMebibytes: FULL_CAPACITY.memoryMebibytes * memoryRatio,
-            accelerators: FULL_CAPACITY.accelerators,
-        }, this.#nowMs);
+        const worker = this.workers[index];
+        if (worker !== undefined) {
+            const { cpuMillicores, memoryMebibytes, accelerators } = worker.options.capacity;
+            worker.capacity.change({
+                cpuMillicores: Math.floor(cpuMillicores * cpuRatio),
+                memoryMebibytes: Math.floor(memoryMebibytes * memoryRatio),
+                accelerators,
+            }, this.#nowMs);
+        }
     }
 
     /** Ends all disruptions. */
@@ -244,7 +281,7 @@
         this.#failingUntilMs.clear();
         this.#stalledUntilMs = this.#nowMs;
         this.workers.filter(worker => worker.isDraining).forEach(worker => worker.restart());
-        this.workers.forEach(worker => worker.capacity.change(FULL_CAPACITY, this.#nowMs));
+        this.workers.forEach(worker => worker.capacity.change(worker.options.capacity, this.#nowMs));
         ["a", "b"].forEach(zone => this.setZone(zone, false));
     }
 
@@ -265,10 +302,11 @@
             stepOf,
             durationMs: position =>
                 stepOf(position)?.isStanding === true
-                    ? undefined
+                    ? this.#behaviours.get(position.jobId)?.standingFailureMs
                     : this.#behaviours.get(position.jobId)?.durationMs,
             fails: (position, unusedRun, workerId) =>
                 this.#behaviours.get(position.jobId)?.failsAlways === true
+                || stepOf(position)?.isStanding === true
                 || this.#nowMs < (this.#failingUntilMs.get(workerId) ?? 0),
         };
     }
@@ -291,10 +329,9 @@
 
     #createConfiguration() {
         const configuration = configurationOf(1);
-        return {
-            ...configuration,
-            queues: configuration.queues.map(queue => ({ ...queue, maxAttempts: MAX_ATTEMPTS })),
-        };
+        const queues = configuration.queues.map(queue => ({ ...queue, maxAttempts: MAX_ATTEMPTS, priority: 1 }));
+        const urgent = queues.map(queue => ({ ...queue, name: "urgent", pathPrefix: "/urgent/", priority: 0 }));
+        return { ...configuration, queues: [...queues, ...urgent] };
     }
 
     #createNode(term: number): WorkflowNode {
