--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -290,6 +290,10 @@
                 this.#eventLog.recordCommitted(events, nowMs);
                 this.#metrics.recordCommitted(events, nowMs);
             },
+            onCrashingTask: (task, nowMs) => {
+                this.#eventLog.recordCrashingTask(task, nowMs);
+                this.#metrics.recordCrashingTask();
+            },
             onServerEvent: (event, nowMs) => this.#eventLog.recordServerEvent(event, nowMs),
             queryEligibility: (query, respond) => void platformCalls.checkEligibility(query, respond),
             beginMaintenance: (call, respond) => void platformCalls.beginMaintenance(call, respond),
--- a/packages/daemon/src/workflow/event-log.test.ts
+++ b/packages/daemon/src/workflow/event-log.test.ts
@@ -1,4 +1,4 @@
-import { EventKind, ServerEventKind } from "@waxwingspread/workflow";
+import { CrashInvolvement, EventKind, LossReason, ServerEventKind } from "@waxwingspread/workflow";
 import { pino } from "pino";
 import { expect, it } from "vitest";
 import { EventLog } from "./event-log.js";
@@ -17,6 +17,28 @@
     expect(lines).toMatchObject([{ msg: "job event", event: "assigned", jobId: "aa", task: "aa.0.1.2", run: 3 }]);
 });
 
+// Guards against a failed job whose caller can't be told which task and which servers decided it (issue 22, BUDGET).
+it("names the task, the reason and the servers of a job that is given up", () => {
+    const crashes = [{ run: 1, serverId: "s", involvement: CrashInvolvement.SoleSuspect }];
+    const lines = linesOf(log => log.recordCrashingTask({ task: "aa.0.1.2", run: 1, crashes }, 0));
+    expect(lines).toMatchObject([{
+        msg: "job event",
+        event: "given-up",
+        jobId: "aa",
+        task: "aa.0.1.2",
+        reason: "the task crashes the servers that start it",
+        crashes,
+    }]);
+});
+
+// Guards against lost runs whose cause, a crash or a cut, has to be guessed (issue 22, BUDGET).
+it("tells why a run is lost and how it was involved in a crash", () => {
+    const crash = CrashInvolvement.Suspected;
+    const runs = [{ task: "aa.0.1.2", run: 3, checkpoint: "", reason: LossReason.ServerRestarted, crash }];
+    const lines = linesOf(log => log.recordCommitted([{ kind: EventKind.RunsLost, runs }], 0));
+    expect(lines).toMatchObject([{ event: "lost", jobId: "aa", reason: "server-restarted", crash: "suspected" }]);
+});
+
 // Guards against a log volume that grows with the load.
 it("limits the lines per second and then reports how many were dropped", () => {
     const lines = linesOf(log => {
@@ -40,7 +62,10 @@
     const lines = linesOf(log => {
         log.recordCommitted([{ kind: EventKind.RunsAssigned, runs }], 0);
         log.recordCommitted([{ kind: EventKind.JobCancelled, jobId: "bb", atMs: 0 }], 10);
-        log.recordServerEvent({ kind: ServerEventKind.LeaseExpired, serverId: "s", incarnation: 1, runs: 9 }, 20);
+        log.recordServerEvent(
+            { kind: ServerEventKind.LeaseExpired, serverId: "s", incarnation: 1, vmId: "v", runs: 9 },
+            20,
+        );
     });
     expect(lines.filter(({ event }) => event === "assigned").length).toBeLessThan(1_000);
     expect(lines).toContainEqual(expect.objectContaining({ event: "cancelled", jobId: "bb" }));
--- a/packages/daemon/src/workflow/event-log.ts
+++ b/packages/daemon/src/workflow/event-log.ts
@@ -1,5 +1,5 @@
 import { EventKind } from "@waxwingspread/workflow";
-import type { EventOf, ServerEvent, WorkflowEvent } from "@waxwingspread/workflow";
+import type { CrashingTask, EventOf, ServerEvent, WorkflowEvent } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { LineBudget } from "../logging/line-budget.js";
 
@@ -29,7 +29,10 @@
                     serverId: server.serverId,
                 }))
             ),
-        [EventKind.RunsLost]: ({ runs }) => runs.forEach(lost => this.#logJobEvent("lost", () => runFields(lost))),
+        [EventKind.RunsLost]: ({ runs }) =>
+            runs.forEach(lost =>
+                this.#logJobEvent("lost", () => ({ ...runFields(lost), reason: lost.reason, crash: lost.crash }))
+            ),
     };
 
     constructor(logger: Logger) {
@@ -45,12 +48,22 @@
         }
     }
 
+    /** Logs that a job has failed because one of its tasks crashes the servers that start it. */
+    recordCrashingTask({ task, run, crashes }: CrashingTask, nowMs: number): void {
+        this.#reportDropped(nowMs);
+        this.#logJobEvent("given-up", () => ({
+            ...runFields({ task, run }),
+            reason: "the task crashes the servers that start it",
+            crashes,
+        }));
+    }
+
     /** Logs a change of a backend server's state. */
     recordServerEvent(event: ServerEvent, nowMs: number): void {
         this.#reportDropped(nowMs);
-        const { kind, serverId, incarnation, runs } = event;
+        const { kind, serverId, incarnation, vmId, runs } = event;
         if (this.#budget.tryTake(kind)) {
-            this.#logger.info({ event: kind, serverId, incarnation, runs }, "backend server event");
+            this.#logger.info({ event: kind, serverId, incarnation, vmId, runs }, "backend server event");
         }
     }
 
--- a/packages/daemon/src/workflow/workflow-metrics.test.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.test.ts
@@ -36,6 +36,13 @@
     expect(lines).toContain("waxwingspread_accepted_to_assigned_seconds_sum 0.2");
 });
 
+// Guards against jobs that are given up without an operator's notice (issue 22, BUDGET).
+it("counts the jobs that are given up", async () => {
+    const metrics = new ControlMetrics();
+    metrics.recordCrashingTask();
+    expect(await linesOf(metrics)).toContain("waxwingspread_job_events_total{event=\"given-up\"} 1");
+});
+
 // Guards against start delays that include time under another leader.
 it("discards acceptance times when the leadership is lost", async () => {
     const metrics = new ControlMetrics();
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -60,8 +60,8 @@
     readonly #heartbeats = this.#factory.counter("heartbeats", "Heartbeats of backend servers, by outcome", {
         outcome: OUTCOMES,
     });
-    readonly #jobs = this.#factory.counter("job_events", "Jobs accepted and cancelled", {
-        event: ["accepted", "cancelled"],
+    readonly #jobs = this.#factory.counter("job_events", "Jobs accepted, cancelled and given up", {
+        event: ["accepted", "cancelled", "given-up"],
     });
     readonly #runsAssigned = this.#factory.counter("runs_assigned", "Runs given to backend servers", {});
     readonly #runsEnded = this.#factory.counter("runs_ended", "Ends of runs, by how they ended", {
@@ -158,6 +158,11 @@
         }
     }
 
+    /** Counts a job that has failed because one of its tasks crashes the servers that start it. */
+    recordCrashingTask(): void {
+        this.#jobs.add({ event: "given-up" });
+    }
+
     /** Sets the current role and term. Discards the acceptance times of waiting jobs unless the replica leads. */
     setRole(isLeader: boolean, term: number): void {
         this.#isLeader.set({}, isLeader ? 1 : 0);
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./model/specification.js";
 export * from "./node/replicated-log.js";
 export * from "./node/workflow-node.js";
+export * from "./state/crash-history.js";
 export * from "./state/events.js";
 export * from "./state/job-record.js";
 export * from "./state/workflow-state.js";
--- /dev/null
+++ b/packages/workflow/src/leader/crash-attribution.ts
@@ -0,0 +1,145 @@
+import { stepKeyOf } from "../model/specification.js";
+import { CrashInvolvement, LossReason } from "../state/crash-history.js";
+import type { LostRun } from "../state/events.js";
+import type { RunView, ServerView } from "./server-view.js";
+
+/** Time after the first report of a run by which it hasn't crashed its server and isn't going to. */
+const RAN_ON_MS = 3_000;
+/** Difference between the last heartbeats of servers that fell silent together. */
+const COMMON_SILENCE_WINDOW_MS = 500;
+/** Time without a heartbeat after which a server counts as silent. */
+const MIN_SILENCE_MS = 1_000;
+/** Servers that fall silent together from which on the cause is a common one, such as a loss of power. */
+const MIN_COMMON_SILENCES = 4;
+/** Time for which the suspects of a crash are remembered. */
+const INCIDENT_RETENTION_MS = 60_000;
+
+/** The crash of a server, or a silence that may be one. */
+interface Incident {
+    server: ServerView;
+    /** Whether the server has certainly crashed: a later incarnation of it, or a later server on its VM, was heard. */
+    isConfirmed: boolean;
+    /** Lost runs that may be the cause, by the key of their task or, in a gang, of their step. */
+    suspects: Map<string, LostRun>;
+    /** All runs whose involvement was recorded. */
+    involvedRuns: LostRun[];
+    recordedAtMs: number;
+}
+
+/**
+ * Finds the tasks that may have crashed a backend server: those that had just started when it fell silent. Suspects
+ * that run on or end elsewhere are cleared, until only one is left.
+ */
+export class CrashAttribution {
+    readonly #incidents = new Map<string, Incident>();
+
+    /**
+     * Records that a server has crashed or that its lease has expired, and returns its committed runs as lost. The given
+     * servers are all others that the leader knows.
+     */
+    recordLoss(server: ServerView, reason: LossReason, others: readonly ServerView[], nowMs: number): LostRun[] {
+        const committed = [...server.runs.values()].filter(run => run.isCommitted);
+        if (server.isDraining || server.isInMaintenance) {
+            return committed.map(run => lostRunOf(run, LossReason.ServerLeft, undefined));
+        }
+        const isCommonCause = this.#countSilentTogether(server, others, nowMs) >= MIN_COMMON_SILENCES;
+        const suspects = isCommonCause ? [] : committed.filter(run => hasBegun(run) && server.isFresh(run));
+        const keys = new Set(suspects.map(suspectKeyOf));
+        const isConfirmed = reason === LossReason.ServerRestarted || others.some(other => isSuccessor(other, server));
+        const isSole = isConfirmed && keys.size === 1;
+        const involvement = isSole ? CrashInvolvement.SoleSuspect : CrashInvolvement.Suspected;
+        const lostRuns = committed.map(run =>
+            lostRunOf(run, reason, suspects.includes(run) ? involvement : involvementOfOther(server, run))
+        );
+        this.#incidents.set(incidentKeyOf(server.id, server.incarnation), {
+            server,
+            isConfirmed,
+            suspects: new Map(suspects.map(run => [suspectKeyOf(run), lostRunOf(run, reason, undefined)])),
+            involvedRuns: lostRuns.filter(({ crash }) => crash !== undefined && crash !== CrashInvolvement.RanOn),
+            recordedAtMs: nowMs,
+        });
+        return lostRuns;
+    }
+
+    /**
+     * Handles the first heartbeat of a server since it was removed or is known, and returns what it shows about lost runs.
+     * A server that is heard again in the same incarnation was only cut off: it is no longer held against its runs. A
+     * later incarnation, or a later server on the same VM, confirms the crash.
+     */
+    recordHeard(server: ServerView): LostRun[] {
+        const key = incidentKeyOf(server.id, server.incarnation);
+        const { involvedRuns = [] } = this.#incidents.get(key) ?? {};
+        this.#incidents.delete(key);
+        const withdrawn = involvedRuns.map(lost => ({ ...lost, crash: CrashInvolvement.None }));
+        const confirmed = [...this.#incidents.values()]
+            .filter(incident => !incident.isConfirmed && isSuccessor(server, incident.server))
+            .flatMap(incident => {
+                incident.isConfirmed = true;
+                return soleSuspectOf(incident);
+            });
+        return [...withdrawn, ...confirmed];
+    }
+
+    /** Clears a task, or a gang, that has run on or ended; returns the suspects that are the only ones left. */
+    clear(suspectKey: string): LostRun[] {
+        return [...this.#incidents.values()].flatMap(incident =>
+            incident.suspects.delete(suspectKey) ? soleSuspectOf(incident) : []
+        );
+    }
+
+    /** Forgets the crashes that are too old to be of use. */
+    evictExpired(nowMs: number): void {
+        for (const [key, { recordedAtMs }] of this.#incidents) {
+            if (nowMs - recordedAtMs > INCIDENT_RETENTION_MS) {
+                this.#incidents.delete(key);
+            }
+        }
+    }
+
+    /** Returns how many servers, the given one included, fell silent at about the same time. */
+    #countSilentTogether(server: ServerView, others: readonly ServerView[], nowMs: number): number {
+        const isTogether = (silentSinceMs: number): boolean =>
+            Math.abs(silentSinceMs - server.lastHeartbeatAtMs) <= COMMON_SILENCE_WINDOW_MS;
+        const silentCount = others.filter(other =>
+            other !== server && nowMs - other.lastHeartbeatAtMs >= MIN_SILENCE_MS
+            && isTogether(other.lastHeartbeatAtMs)
+        ).length;
+        const lostCount = [...this.#incidents.values()]
+            .filter(incident => isTogether(incident.server.lastHeartbeatAtMs)).length;
+        return 1 + silentCount + lostCount;
+    }
+}
+
+/** Returns the key under which a run is suspected: its task, or its step if it belongs to a gang. */
+export const suspectKeyOf = ({ step, position, task }: Pick<RunView, "step" | "position" | "task">): string =>
+    step.isGang ? stepKeyOf(position) : task;
+
+/** Returns the loss of a run for the log. */
+export const lostRunOf = (view: RunView, reason: LossReason, crash: CrashInvolvement | undefined): LostRun => {
+    const { task, run, checkpoint } = view;
+    return { task, run, checkpoint, reason, crash };
+};
+
+/** Whether the server has or may have received the start order; a former leader may have sent it. */
+const hasBegun = (run: RunView): boolean => run.isReported || run.isAdopted || run.orderedAtSequence !== undefined;
+
+/** Returns the involvement of a run that isn't a suspect. */
+const involvementOfOther = (server: ServerView, run: RunView): CrashInvolvement | undefined => {
+    if (!hasBegun(run)) {
+        return undefined;
+    }
+    return server.reportedMsOf(run) >= RAN_ON_MS ? CrashInvolvement.RanOn : CrashInvolvement.Present;
+};
+
+/** Whether a server is a later life of another one: under the same id, or on the same VM, which runs one at a time. */
+const isSuccessor = (server: ServerView, former: ServerView): boolean =>
+    server.incarnation > former.incarnation
+    && (server.id === former.id || (server.vmId !== "" && server.vmId === former.vmId));
+
+/** Returns the only suspect of a certain crash as such; nothing if there are several, or none. */
+const soleSuspectOf = ({ isConfirmed, suspects }: Incident): LostRun[] =>
+    isConfirmed && suspects.size === 1
+        ? [...suspects.values()].map(lost => ({ ...lost, crash: CrashInvolvement.SoleSuspect }))
+        : [];
+
+const incidentKeyOf = (serverId: string, incarnation: number): string => `${serverId}/${incarnation}`;
--- a/packages/workflow/src/leader/evacuation.test.ts
+++ b/packages/workflow/src/leader/evacuation.test.ts
@@ -23,7 +23,7 @@
         run.progressPercent = 100;
         const isDraining = serverId === "leaving";
         const server = directory.get(String(serverId))
-            ?? directory.recordHeartbeat(heartbeatOf(String(serverId), 1, { isDraining }), 0)?.server;
+            ?? directory.recordHeartbeat(heartbeatOf(String(serverId), 1, { isDraining }), 0);
         server?.addRun(run);
         return run;
     });
--- a/packages/workflow/src/leader/heartbeat-reconciler.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.ts
@@ -33,6 +33,7 @@
         const missingRuns = this.#findMissingRuns(server, report, nowMs);
         missingRuns.forEach(run => server.removeRun(run.task));
         server.invalidateSaturation();
+        server.invalidateFreshRuns();
         server.hasUntrackedRuns = report.running.some(({ task, run }) => server.findRun(task, run) === undefined);
         return { newEnds, missingRuns, startedJobs };
     }
--- a/packages/workflow/src/leader/leader-session.test.ts
+++ b/packages/workflow/src/leader/leader-session.test.ts
@@ -42,6 +42,7 @@
         settings: LEADER_SETTINGS,
         propose: () => undefined,
         report: () => undefined,
+        reportCrashingTask: () => undefined,
         queryEligibility: () => undefined,
         beginMaintenance: () => undefined,
     }, { nowMs: 0, timeOfDayMs: 0 });
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -3,9 +3,10 @@
 import type { BeginMaintenance } from "../model/maintenance.js";
 import { parseTaskKey, taskKeyOf, TaskKind } from "../model/specification.js";
 import type { StepPosition } from "../model/specification.js";
+import { LossReason } from "../state/crash-history.js";
 import { EventKind } from "../state/events.js";
-import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
-import type { AssignedTask, JobRecord } from "../state/job-record.js";
+import type { EventOf, WorkflowEvent } from "../state/events.js";
+import type { CrashingTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { Eligibility } from "./eligibility.js";
 import type { QueryEligibility } from "./eligibility.js";
@@ -19,12 +20,14 @@
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
 import { adoptRuns } from "./run-adoption.js";
+import { RunLosses } from "./run-losses.js";
+import { RunStops } from "./run-stops.js";
 import { ServerDirectory } from "./server-directory.js";
 import { ServerEventKind } from "./server-event.js";
 import type { ServerEvent } from "./server-event.js";
 import { ServerFailures } from "./server-failures.js";
 import { ServerSpeed } from "./server-speed.js";
-import type { RunView, ServerView } from "./server-view.js";
+import type { ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import type { Times } from "./times.js";
 import { utilizationOf } from "./utilization.js";
@@ -47,6 +50,8 @@
     propose: (event: WorkflowEvent) => void;
     /** Called when the assumed state of a backend server changes. */
     report: (event: ServerEvent, nowMs: number) => void;
+    /** Called when a job has failed because one of its tasks crashes the servers that start it. */
+    reportCrashingTask: (task: CrashingTask, nowMs: number) => void;
     queryEligibility: QueryEligibility;
     beginMaintenance: BeginMaintenance;
 }
@@ -71,6 +76,8 @@
     readonly #maintenance: Maintenance;
     readonly #heartbeats = new OpenHeartbeats();
     readonly #failures: ServerFailures;
+    readonly #losses: RunLosses;
+    readonly #stops: RunStops;
     readonly #startedJobs = new Set<string>();
     #isPlanDue = true;
     #nextJobCleanupAtMs: number;
@@ -102,6 +109,8 @@
         this.#reconciler = new HeartbeatReconciler(state);
         this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
+        this.#stops = new RunStops(state, this.#directory);
+        this.#losses = new RunLosses({ state, directory: this.#directory, propose: options.propose });
         this.#failures = new ServerFailures(step => this.#hasSucceeded(step));
         this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
@@ -112,7 +121,7 @@
             propose: options.propose,
             begin: options.beginMaintenance,
         }, times.nowMs);
-        this.#proposeLostRuns(adoptRuns(state, this.#directory, settings, times.nowMs));
+        this.#losses.recordFormerRuns(adoptRuns(state, this.#directory, settings, times.nowMs), times);
         if (!this.#isLeaseRecorded) {
             options.propose({ kind: EventKind.LeaseExtended, leaseMs: settings.leaseMs });
         }
@@ -138,16 +147,16 @@
     handleHeartbeat(
         report: HeartbeatReport,
         respond: (orders: HeartbeatOrders | undefined) => void,
-        { nowMs, timeOfDayMs }: Times,
+        times: Times,
     ): void {
+        const { nowMs, timeOfDayMs } = times;
         const previous = this.#directory.get(report.serverId);
         const wasDraining = previous?.isDraining === true;
-        const recorded = this.#directory.recordHeartbeat(report, nowMs);
-        if (recorded === undefined) {
+        const server = this.#directory.recordHeartbeat(report, nowMs);
+        if (server === undefined) {
             respond(undefined);
             return;
         }
-        const { server } = recorded;
         if (previous !== undefined && server !== previous) {
             this.#forgetMeasurements(previous);
         }
@@ -157,7 +166,7 @@
         else if (server.isDraining && !wasDraining) {
             this.#report(ServerEventKind.Draining, server, nowMs);
         }
-        this.#proposeLostRuns(recorded.lostRuns);
+        this.#losses.recordHeartbeat(previous, server, times);
         const wasAvoided = server.avoidUntilMs > nowMs;
         const changes = this.#reconciler.reconcile(server, report, nowMs);
         if (changes.newEnds.length > 0) {
@@ -171,7 +180,8 @@
             this.#failures.recordEnds(server, changes.newEnds, nowMs);
         }
         changes.startedJobs.forEach(id => this.#startedJobs.add(id));
-        this.#proposeLostRuns(changes.missingRuns);
+        this.#losses.recordLost(changes.missingRuns, LossReason.Missing, times);
+        this.#losses.clearProven(server, times);
         this.#pressure.observe(server, nowMs);
         this.#speed.observe(server, nowMs);
         this.#pacing.adjust(server, nowMs);
@@ -203,7 +213,7 @@
             this.#report(ServerEventKind.LeaseExpired, server, nowMs);
             this.#heartbeats.answerWithoutOrders(server.id);
             this.#forgetMeasurements(server);
-            this.#proposeLostRuns([...server.runs.values()]);
+            this.#losses.recordExpired(server, times);
         }
         this.#maintenance.run(times);
         this.#evacuation.run(nowMs);
@@ -215,7 +225,7 @@
                 this.#options.propose({ kind: EventKind.RunsAssigned, runs });
             }
         }
-        this.#answerHeartbeats(nowMs);
+        this.#answerHeartbeats(times);
         if (nowMs >= this.#nextPressureRecordAtMs) {
             this.#nextPressureRecordAtMs = nowMs + PRESSURE_RECORD_INTERVAL_MS;
             this.#proposePressures();
@@ -224,6 +234,7 @@
             this.#nextJobCleanupAtMs = nowMs + JOB_CLEANUP_INTERVAL_MS;
             this.#removeExpiredJobs(times.timeOfDayMs);
             this.#failures.evictExpired(nowMs);
+            this.#losses.evictExpired(nowMs);
         }
     }
 
@@ -247,7 +258,7 @@
                 this.#refreshJob(event.job.id, times);
                 return;
             case EventKind.JobCancelled:
-                this.#stopJob(event.jobId);
+                this.#stops.stopJob(event.jobId);
                 this.#refreshJob(event.jobId, times);
                 return;
             case EventKind.RunsAssigned:
@@ -257,8 +268,7 @@
                 this.#handleEnded(event, times);
                 return;
             case EventKind.RunsLost:
-                event.runs.forEach(run => this.#refreshTask(run.task, times));
-                event.runs.forEach(run => this.#stopGangMembers(run));
+                this.#handleLost(event, times);
                 return;
             case EventKind.ConfigurationAccepted:
             case EventKind.ZoneTakenOut:
@@ -282,7 +292,7 @@
                 // The server has been removed since the proposal; no order was sent.
                 this.#options.propose({
                     kind: EventKind.RunsLost,
-                    runs: [{ task, run, checkpoint: "" }],
+                    runs: [{ task, run, checkpoint: "", reason: LossReason.ServerRemoved }],
                 });
             }
             this.#planner.clearPending(task);
@@ -290,6 +300,19 @@
         }
     }
 
+    #handleLost(event: EventOf<EventKind.RunsLost>, times: Times): void {
+        event.runs.forEach(lost => this.#refreshTask(lost.task, times));
+        event.runs.forEach(lost => this.#stops.stopGangMembers(lost));
+        for (const { task, run } of event.runs) {
+            const job = this.#jobOf(task);
+            const { crashingTask } = job ?? {};
+            if (job !== undefined && crashingTask?.task === task && crashingTask.run === run) {
+                this.#stops.stopJob(job.id);
+                this.#options.reportCrashingTask(crashingTask, times.nowMs);
+            }
+        }
+    }
+
     #handleEnded(event: EventOf<EventKind.RunsEnded>, times: Times): void {
         const server = this.#directory.find(event.server.serverId, event.server.incarnation);
         for (const ended of event.ends) {
@@ -298,11 +321,12 @@
             }
             this.#refreshTask(ended.task, times);
             if (ended.end !== RunEnd.Done) {
-                this.#stopGangMembers(ended);
+                this.#stops.stopGangMembers(ended);
             }
             const job = this.#jobOf(ended.task);
+            this.#losses.clearEnded(ended, times);
             if (job?.isOver === true) {
-                this.#stopJob(job.id);
+                this.#stops.stopJob(job.id);
             }
         }
     }
@@ -317,8 +341,8 @@
     }
 
     #report(kind: ServerEventKind, server: ServerView, nowMs: number): void {
-        const { id: serverId, incarnation } = server;
-        this.#options.report({ kind, serverId, incarnation, runs: server.runs.size }, nowMs);
+        const { id: serverId, incarnation, vmId } = server;
+        this.#options.report({ kind, serverId, incarnation, vmId, runs: server.runs.size }, nowMs);
     }
 
     /** Updates the queue after a change of a task. Only its own occurrence is refreshed, unless the job has ended. */
@@ -357,45 +381,8 @@
         }));
     }
 
-    /** Stops the other members of a gang's run, which cannot work without the one that ended. */
-    #stopGangMembers({ task, run }: { task: string; run: number }): void {
-        const position = parseTaskKey(task);
-        const job = position === undefined ? undefined : this.#options.state.job(position.jobId);
-        if (position === undefined || job?.specification.steps[position.step]?.isGang !== true) {
-            return;
-        }
-        for (const member of job.assignedTasks()) {
-            const { occurrence, step } = member.position;
-            if (occurrence === position.occurrence && step === position.step && member.task.run === run) {
-                this.#stopRun(member);
-            }
-        }
-    }
-
-    #stopJob(jobId: string): void {
-        for (const assigned of this.#options.state.job(jobId)?.assignedTasks() ?? []) {
-            this.#stopRun(assigned);
-        }
-    }
-
-    #stopRun({ position, server }: AssignedTask): void {
-        const view = this.#directory.find(server.serverId, server.incarnation)?.runs.get(taskKeyOf(position));
-        if (view !== undefined) {
-            view.isStopping = true;
-        }
-    }
-
-    /** Proposes the loss of runs that have certainly ended or never started; their capacity is free at once. */
-    #proposeLostRuns(runs: readonly RunView[]): void {
-        const lost: LostRun[] = runs
-            .filter(run => run.isCommitted)
-            .map(run => ({ task: run.task, run: run.run, checkpoint: run.checkpoint }));
-        if (lost.length > 0) {
-            this.#options.propose({ kind: EventKind.RunsLost, runs: lost });
-        }
-    }
-
-    #answerHeartbeats(nowMs: number): void {
+    #answerHeartbeats(times: Times): void {
+        const { nowMs } = times;
         for (const { report, respond } of this.#heartbeats.takeReady(item => this.#isWaitingForLog(item), nowMs)) {
             const server = this.#serverOf(report);
             if (server === undefined || !this.#isLeaseRecorded) {
@@ -403,7 +390,7 @@
                 continue;
             }
             const written = this.#orders.buildOrders(server, report, this.#directory.size, nowMs);
-            this.#proposeLostRuns(written.neverStarted);
+            this.#losses.recordLost(written.neverStarted, LossReason.NeverStarted, times);
             written.neverStarted.forEach(run => server.removeRun(run.task));
             respond(written.orders);
         }
--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -8,7 +8,13 @@
 import { newRunView, ServerView } from "./server-view.js";
 import type { WaitingStep } from "./work-queue.js";
 
-const CONSTRAINTS = { service: "pool", zonesOutOfService: new Set<string>(), rackOfStep: "", isEligible: undefined };
+const CONSTRAINTS = {
+    service: "pool",
+    zonesOutOfService: new Set<string>(),
+    rackOfStep: "",
+    isEligible: undefined,
+    isIsolated: false,
+};
 
 const standingOf = (cpuMillicores: number): StepSpecification =>
     standingStepOf({ amounts: { cpuMillicores, memoryMebibytes: 100, accelerators: 0 } });
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -1,6 +1,6 @@
 import { TaskKind } from "../model/specification.js";
 import type { PressureModel } from "./pressure-model.js";
-import type { ServerView } from "./server-view.js";
+import type { RunView, ServerView } from "./server-view.js";
 import type { WaitingStep } from "./work-queue.js";
 
 /** Share of their reserved CPU that standing tasks are expected to use. */
@@ -15,6 +15,8 @@
 const MIXED_IMAGES_COST = 0.4;
 /** Cost of an avoided server; high enough that it gets a standing task only when no other server has capacity. */
 const AVOIDED_SERVER_COST = 100;
+/** Cost of each run beside a task that may crash its server; high enough that the emptiest server is chosen. */
+const NEIGHBOUR_COST = 20;
 /** Weight of a server's CPU utilization as a preference: standing tasks are packed so that other servers stay free. */
 const PACKING_WEIGHT = 0.1;
 
@@ -76,6 +78,8 @@
     rackOfStep: string;
     /** Whether the step is approved for a server; undefined if no approval is needed. */
     isEligible: ((server: ServerView) => boolean) | undefined;
+    /** Whether the task must not start beside fresh runs, because it may crash its server. */
+    isIsolated: boolean;
 }
 
 /** Returns the server with the lowest cost for a task of the step; undefined if none can run it. */
@@ -97,7 +101,8 @@
             continue;
         }
         const avoidedCost = server.avoidUntilMs > nowMs ? AVOIDED_SERVER_COST : 0;
-        const total = cost + avoidedCost + rackCost(waiting, server, constraints);
+        const neighbourCost = constraints.isIsolated ? NEIGHBOUR_COST * server.runs.size : 0;
+        const total = cost + avoidedCost + neighbourCost + rackCost(waiting, server, constraints);
         if (total < bestCost) {
             best = server;
             bestCost = total;
@@ -133,9 +138,20 @@
         && !constraints.zonesOutOfService.has(server.availabilityZone)
         && (step.requiredLabel === "" || server.labels.includes(step.requiredLabel))
         && server.fits(step)
+        && isApart(waiting, server, constraints)
         && (step.maxTasksPerServer === 0 || countOnServer(waiting, server) < step.maxTasksPerServer);
 };
 
+/** Whether the task and the fresh runs on a server may be there together; members of one gang may. */
+const isApart = (waiting: WaitingStep, server: ServerView, { isIsolated }: PlacementConstraints): boolean =>
+    server.freshRuns.every(run => (!isIsolated && !run.isSuspect) || isOfSameGang(waiting, run));
+
+const isOfSameGang = ({ job, occurrence, stepIndex, step }: WaitingStep, { position }: RunView): boolean =>
+    step.isGang
+    && position.jobId === job.id
+    && position.occurrence === occurrence
+    && position.step === stepIndex;
+
 const countOnServer = (waiting: WaitingStep, server: ServerView): number =>
     server.countOfStep({
         jobId: waiting.job.id,
--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -181,7 +181,7 @@
     });
     const position = { jobId: "j", occurrence: 0, step: 0, index: 0 };
     const run = newRunView({ task: "j.0.0.0", run: 1, position, step, kind: TaskKind.Filler, checkpoint: "" }, 0);
-    directory.recordHeartbeat(heartbeatOf("own", 1), 0)?.server.addRun(run);
+    directory.recordHeartbeat(heartbeatOf("own", 1), 0)?.addRun(run);
     expect(planner.canPlaceElsewhere(run, 0)).toBe(false);
     directory.recordHeartbeat(heartbeatOf("other", 1), 0);
     expect(planner.canPlaceElsewhere(run, 0)).toBe(true);
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -1,4 +1,5 @@
 import type { QueueContract } from "../model/configuration.js";
+import { isSuspect } from "../state/crash-history.js";
 import type { AssignedRun } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
@@ -14,6 +15,12 @@
 import { stepKeyOf, taskKeyIn } from "./work-queue.js";
 import type { WaitingStep, WorkQueue } from "./work-queue.js";
 
+/**
+ * Time for which a task that may crash its server waits for one without other fresh runs. Afterwards it may start
+ * beside fresh runs, but not beside another such task.
+ */
+const MAX_TRIAL_WAIT_MS = 1_000;
+
 interface PlannedRun {
     server: ServerView;
     assigned: AssignedRun;
@@ -51,6 +58,8 @@
     /** Servers that had changed when the round began; undefined between two rounds. */
     #changedServers: readonly ServerView[] | undefined;
     #remainingServers = 0;
+    /** Times since which tasks that may crash their servers have waited for one, by task. */
+    readonly #trialWaitSinceMs = new Map<string, number>();
 
     constructor(options: {
         state: WorkflowState;
@@ -173,11 +182,16 @@
             if (this.#remainingServers <= 0) {
                 return { runs, isComplete: false };
             }
-            const planned = this.#planTask(waiting, constraints, index, task.run + 1, nowMs);
-            if (planned === undefined) {
+            const isTrial = isSuspect(task.crashes);
+            const planned = isTrial
+                ? this.#planTrial(waiting, constraints, index, task.run + 1, nowMs)
+                : this.#planTask(waiting, constraints, index, task.run + 1, nowMs);
+            if (planned !== undefined) {
+                runs.push(planned.assigned);
+            }
+            else if (!isTrial) {
                 break;
             }
-            runs.push(planned.assigned);
         }
         return { runs, isComplete: true };
     }
@@ -193,6 +207,8 @@
         const { tasks } = waiting.record;
         const run = Math.max(...tasks.map(task => task.run)) + 1;
         const constraints = this.#constraintsFor(waiting, nowMs);
+        constraints.isIsolated = tasks.some(({ crashes }) => isSuspect(crashes))
+            && this.#isTrialWaitOpen(stepKeyOf(waiting), nowMs);
         const planned: PlannedRun[] = [];
         for (let index = 0; index < tasks.length; index += 1) {
             const member = this.#isUnassigned(waiting, index)
@@ -205,9 +221,36 @@
             }
             planned.push(member);
         }
+        this.#trialWaitSinceMs.delete(stepKeyOf(waiting));
         return { runs: planned.map(member => member.assigned), isComplete: true };
     }
 
+    /** Assigns a task that may crash its server. That none is found says nothing about other tasks of its size. */
+    #planTrial(
+        waiting: WaitingStep,
+        constraints: PlacementConstraints,
+        index: number,
+        run: number,
+        nowMs: number,
+    ): PlannedRun | undefined {
+        const task = taskKeyIn(waiting, index);
+        const isIsolated = this.#isTrialWaitOpen(task, nowMs);
+        const server = this.#search(waiting, this.#directory.servers, { ...constraints, isIsolated }, nowMs);
+        if (server === undefined) {
+            this.#queryEligibility(waiting, constraints, nowMs);
+            return undefined;
+        }
+        this.#trialWaitSinceMs.delete(task);
+        return this.#assign(waiting, constraints, server, index, run, nowMs);
+    }
+
+    /** Whether a task or gang that may crash its server has waited only briefly for one without fresh runs. */
+    #isTrialWaitOpen(key: string, nowMs: number): boolean {
+        const sinceMs = this.#trialWaitSinceMs.get(key) ?? nowMs;
+        this.#trialWaitSinceMs.set(key, sinceMs);
+        return nowMs - sinceMs < MAX_TRIAL_WAIT_MS;
+    }
+
     #isUnassigned(waiting: WaitingStep, index: number): boolean {
         return waiting.record.tasks[index]?.phase === TaskPhase.Waiting
             && !this.#pendingTasks.has(taskKeyIn(waiting, index));
@@ -220,16 +263,28 @@
         run: number,
         nowMs: number,
     ): PlannedRun | undefined {
-        const { job, occurrence, stepIndex, step, kind } = waiting;
         const server = this.#findServer(waiting, constraints, nowMs);
-        if (server === undefined) {
-            return undefined;
-        }
+        return server === undefined ? undefined : this.#assign(waiting, constraints, server, index, run, nowMs);
+    }
+
+    #assign(
+        waiting: WaitingStep,
+        constraints: PlacementConstraints,
+        server: ServerView,
+        index: number,
+        run: number,
+        nowMs: number,
+    ): PlannedRun {
+        const { job, occurrence, stepIndex, step, kind, record } = waiting;
         const task = taskKeyIn(waiting, index);
         const position = { jobId: job.id, occurrence, step: stepIndex, index };
-        const checkpoint = waiting.record.tasks[index]?.checkpoint ?? "";
+        const checkpoint = record.tasks[index]?.checkpoint ?? "";
+        const isTrial = isSuspect(record.tasks[index]?.crashes);
         const eligibilityToken = this.#eligibility.tokenFor(stepKeyOf(waiting), server, nowMs);
-        server.addRun(newRunView({ task, run, position, step, kind, checkpoint, eligibilityToken }, nowMs));
+        server.addRun(newRunView(
+            { task, run, position, step, kind, checkpoint, eligibilityToken, isSuspect: isTrial },
+            nowMs,
+        ));
         this.#pendingTasks.set(task, server);
         if (step.prefersOneRack && constraints.rackOfStep === "") {
             // The first task that is placed determines the rack of the others.
@@ -291,6 +346,7 @@
             isEligible: eligibility === undefined
                 ? undefined
                 : server => this.#eligibility.tokenFor(step, server, nowMs) !== undefined,
+            isIsolated: false,
         };
     }
 
--- a/packages/workflow/src/leader/run-adoption.ts
+++ b/packages/workflow/src/leader/run-adoption.ts
@@ -1,4 +1,5 @@
 import { taskKeyOf, taskKindOf } from "../model/specification.js";
+import { isSuspect } from "../state/crash-history.js";
 import type { AssignedTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { ServerDirectory } from "./server-directory.js";
@@ -42,7 +43,16 @@
     const { run, checkpoint } = task;
     const kind = taskKindOf(step);
     const view = newRunView(
-        { task: taskKeyOf(position), run, position, step, kind, checkpoint, isAdopted: true },
+        {
+            task: taskKeyOf(position),
+            run,
+            position,
+            step,
+            kind,
+            checkpoint,
+            isSuspect: isSuspect(task.crashes),
+            isAdopted: true,
+        },
         nowMs,
     );
     view.isCommitted = true;
--- a/packages/workflow/src/leader/server-directory.ts
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -1,6 +1,5 @@
 import type { HeartbeatReport } from "../model/heartbeat.js";
 import { ServerView } from "./server-view.js";
-import type { RunView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 
 /** Assumed lower bound on the clock rate of a backend server, relative to the leader's. */
@@ -12,13 +11,6 @@
 /** Time after a server's notice of its exit by which its tasks have certainly ended. */
 const EXIT_MARGIN_MS = 500;
 
-/** Result of an accepted heartbeat. */
-export interface RecordedHeartbeat {
-    server: ServerView;
-    /** Runs of the server's former incarnation, which have ended with it. */
-    lostRuns: RunView[];
-}
-
 /** Registry of the backend servers that the leader knows, with the latest possible expiry of their leases. */
 export class ServerDirectory {
     readonly #servers = new Map<string, ServerView>();
@@ -66,15 +58,16 @@
         return server;
     }
 
-    /** Handles a heartbeat; returns undefined if it is of an earlier incarnation or arrives after a later heartbeat. */
-    recordHeartbeat(report: HeartbeatReport, nowMs: number): RecordedHeartbeat | undefined {
+    /**
+     * Handles a heartbeat and returns its server, a new one for a new incarnation. Returns undefined if it is of an earlier
+     * incarnation or arrives after a later heartbeat.
+     */
+    recordHeartbeat(report: HeartbeatReport, nowMs: number): ServerView | undefined {
         let server = this.#servers.get(report.serverId);
-        let lostRuns: RunView[] = [];
         if (server !== undefined && report.incarnation < server.incarnation) {
             return undefined;
         }
         if (server === undefined || report.incarnation > server.incarnation) {
-            lostRuns = [...server?.runs.values() ?? []];
             server = new ServerView(report.serverId, report.incarnation, nowMs, nowMs);
             this.#add(server);
         }
@@ -84,7 +77,7 @@
         server.updateFrom(report, nowMs);
         const leaseEndMs = nowMs + this.#settings.leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS;
         server.leaseExpiresAtMs = Math.max(server.leaseExpiresAtMs, leaseEndMs);
-        return { server, lostRuns };
+        return server;
     }
 
     /**
--- a/packages/workflow/src/leader/server-event.ts
+++ b/packages/workflow/src/leader/server-event.ts
@@ -17,6 +17,8 @@
     kind: ServerEventKind;
     serverId: string;
     incarnation: number;
+    /** The VM that the server runs on; empty when unknown. */
+    vmId: string;
     /** Runs that the server holds or held. */
     runs: number;
 }
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -11,6 +11,8 @@
     readonly kind: TaskKind;
     /** Approval of the eligibility service for this run; undefined where none is needed. */
     readonly eligibilityToken: string | undefined;
+    /** Whether an earlier run of the task may have crashed its server, so that this one is tried apart from others. */
+    readonly isSuspect: boolean;
     /** Whether a former leader recorded the run; that leader may have sent the start order. */
     readonly isAdopted: boolean;
     /** Whether the assignment is committed, so that the start order may be sent. */
@@ -37,6 +39,9 @@
     missingSinceMs: number | undefined;
 }
 
+/** Time after the first report of a run for which it counts as fresh: it may be about to crash the server. */
+const FRESH_RUN_MS = 250;
+
 /** A server counts as saturated when its fillers get less than this share of the CPU time that their paces allow. */
 const SATURATION_RATIO = 0.8;
 
@@ -80,6 +85,8 @@
     #reserved: Amounts = ZERO;
     #standingCpuMillicores = 0;
     #fillerCpuMillicores = 0;
+    /** Cached; undefined until they are computed again. */
+    #freshRuns: readonly RunView[] | undefined;
     /** Cached; undefined until it is computed again. */
     #isSaturated: boolean | undefined;
     readonly #standingByImage = new Map<string, number>();
@@ -126,6 +133,22 @@
         return cpuMillicores / Math.max(1, this.capacity.cpuMillicores);
     }
 
+    /** The runs that have just started or are about to start. */
+    get freshRuns(): readonly RunView[] {
+        this.#freshRuns ??= [...this.#runs.values()].filter(run => this.isFresh(run));
+        return this.#freshRuns;
+    }
+
+    /** Whether a run has just started or is about to start, as far as the heartbeats show. */
+    isFresh(run: RunView): boolean {
+        return this.reportedMsOf(run) < FRESH_RUN_MS;
+    }
+
+    /** Returns the time for which heartbeats of this term have shown a run. */
+    reportedMsOf({ firstReportedAtMs }: RunView): number {
+        return firstReportedAtMs === undefined ? 0 : this.lastHeartbeatAtMs - firstReportedAtMs;
+    }
+
     /** Whether running fillers get clearly less CPU time than their paces allow. */
     get isSaturated(): boolean {
         this.#isSaturated ??= this.#computeSaturation();
@@ -137,6 +160,11 @@
         this.#isSaturated = undefined;
     }
 
+    /** Invalidates the cached fresh runs after a heartbeat has shown runs for longer. */
+    invalidateFreshRuns(): void {
+        this.#freshRuns = undefined;
+    }
+
     /** CPU capacity that is not reserved; includes what fillers use. */
     get unreservedCpuMillicores(): number {
         return this.capacity.cpuMillicores - this.#reserved.cpuMillicores;
@@ -237,6 +265,7 @@
 
     #updateTotals(run: RunView, sign: 1 | -1): void {
         this.invalidateSaturation();
+        this.invalidateFreshRuns();
         const { amounts } = run.step;
         const isFiller = run.kind === TaskKind.Filler;
         this.#reserved = {
@@ -274,6 +303,7 @@
     kind: TaskKind;
     checkpoint: string;
     eligibilityToken?: string | undefined;
+    isSuspect?: boolean;
     isAdopted?: boolean;
 }
 
@@ -289,6 +319,7 @@
     kind: assigned.kind,
     checkpoint: assigned.checkpoint,
     eligibilityToken: assigned.eligibilityToken,
+    isSuspect: assigned.isSuspect ?? false,
     isAdopted: assigned.isAdopted ?? false,
     isCommitted: false,
     orderedAtSequence: undefined,
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -13,6 +13,7 @@
 import type { JobSpecification } from "../model/specification.js";
 import { decodeEvents, encodeEvents, EventKind } from "../state/events.js";
 import type { WorkflowEvent } from "../state/events.js";
+import type { CrashingTask } from "../state/job-record.js";
 import { WorkflowState } from "../state/workflow-state.js";
 import type { WorkflowSnapshot } from "../state/workflow-state.js";
 import type { CommittedRecord, ReplicatedLog } from "./replicated-log.js";
@@ -35,6 +36,8 @@
     beginMaintenance?: BeginMaintenance;
     /** Called when the leader's view of a backend server changes. */
     onServerEvent?: (event: ServerEvent, nowMs: number) => void;
+    /** Called when a job has failed because one of its tasks crashes the servers that start it. */
+    onCrashingTask?: (task: CrashingTask, nowMs: number) => void;
 }
 
 interface PendingCall {
@@ -290,6 +293,7 @@
                 queryEligibility: this.#options.queryEligibility ?? (() => undefined),
                 beginMaintenance: this.#options.beginMaintenance ?? (() => undefined),
                 report: (event, nowMs) => this.#options.onServerEvent?.(event, nowMs),
+                reportCrashingTask: (task, nowMs) => this.#options.onCrashingTask?.(task, nowMs),
             }, times);
         }
     }
--- a/packages/workflow/src/state/events.ts
+++ b/packages/workflow/src/state/events.ts
@@ -2,6 +2,7 @@
 import type { RunEnd } from "../model/heartbeat.js";
 import type { MaintenanceOrder, VmMaintenancePhase } from "../model/maintenance.js";
 import type { JobSpecification } from "../model/specification.js";
+import type { CrashInvolvement, LossReason } from "./crash-history.js";
 
 /** Kinds of replicated events. */
 export enum EventKind {
@@ -43,12 +44,19 @@
     checkpoint: string;
 }
 
-/** A run that its backend server has certainly ended or never started. */
+/**
+ * A run that its backend server has certainly ended or never started, or further knowledge of the involvement of such a
+ * run in a crash.
+ */
 export interface LostRun {
     task: string;
     run: number;
     /** Latest checkpoint reported to the leader; empty for none. */
     checkpoint: string;
+    /** Undefined in records of former versions. */
+    reason?: LossReason;
+    /** Involvement in the crash of the server; undefined if it didn't crash or the run had not begun. */
+    crash?: CrashInvolvement | undefined;
 }
 
 /** A replicated change. Applying an event that no longer matches the state has no effect. */
@@ -67,7 +75,12 @@
         ends: RecordedEnd[];
         atMs: number;
     }
-    | { kind: EventKind.RunsLost; runs: LostRun[] }
+    | {
+        kind: EventKind.RunsLost;
+        runs: LostRun[];
+        /** Undefined in records of former versions. */
+        atMs?: number;
+    }
     | { kind: EventKind.JobsForgotten; jobIds: string[] }
     | { kind: EventKind.PressuresLearned; pressures: PressureTable }
     | { kind: EventKind.MaintenanceOrdered; order: MaintenanceOrder; atMs: number }
--- a/packages/workflow/src/state/job-record.ts
+++ b/packages/workflow/src/state/job-record.ts
@@ -2,6 +2,8 @@
 import type { QueueContract } from "../model/configuration.js";
 import { RunEnd } from "../model/heartbeat.js";
 import type { JobSpecification, StepSpecification, TaskPosition } from "../model/specification.js";
+import { isToBeGivenUp, withCrash } from "./crash-history.js";
+import type { CrashRecord } from "./crash-history.js";
 import type { AssignedRun, LostRun, RecordedEnd, ServerIncarnation } from "./events.js";
 
 /** Phases of a task. */
@@ -23,6 +25,16 @@
     checkpoint: string;
     /** Backend server that the latest run was assigned to; undefined before the first. */
     server: ServerIncarnation | undefined;
+    /** Crashes of servers that runs of the task were involved in, since one last ran on; undefined for none. */
+    crashes?: CrashRecord[];
+}
+
+/** A task that was given up because it crashes the servers that start it. */
+export interface CrashingTask {
+    task: string;
+    /** Run whose loss decided it. */
+    run: number;
+    crashes: CrashRecord[];
 }
 
 /** A task whose latest run is assigned to a backend server. */
@@ -52,6 +64,8 @@
     /** Wall-clock time at which the job ended; undefined before its end. */
     endedAtMs: number | undefined;
     occurrences: StepRecord[][];
+    /** The task for which the job has failed; undefined unless it crashes servers. */
+    crashingTask?: CrashingTask;
 }
 
 const createTaskRecord = (): TaskRecord => ({
@@ -68,6 +82,9 @@
     failedGangRun: 0,
 });
 
+/** Whether a run with this end has worked, so that it hasn't crashed its server. */
+export const hasRun = (end: RunEnd): boolean => end !== RunEnd.NotStarted && end !== RunEnd.GangIncomplete;
+
 /** Replicated record of one job. */
 export class JobRecord {
     readonly #content: JobContent;
@@ -119,6 +136,11 @@
         return this.#content.endedAtMs !== undefined;
     }
 
+    /** The task for which the job has failed because it crashes servers; undefined for any other job. */
+    get crashingTask(): CrashingTask | undefined {
+        return this.#content.crashingTask;
+    }
+
     get hasStarted(): boolean {
         return this.#content.hasStarted;
     }
@@ -202,10 +224,15 @@
             return false;
         }
         task.phase = TaskPhase.Waiting;
-        this.#saveCheckpoint(task, position, ended.checkpoint);
+        this.#saveCheckpoint(position, ended.checkpoint);
         if (ended.end !== RunEnd.NotStarted) {
             this.#content.hasStarted = true;
         }
+        if (hasRun(ended.end)) {
+            this.#members(position).forEach(member => {
+                delete member.crashes;
+            });
+        }
         const step = this.specification.steps[position.step];
         if (ended.end === RunEnd.Done && step?.isStanding !== true) {
             this.#markDone(position, step?.isGang === true, atMs);
@@ -216,14 +243,15 @@
         return true;
     }
 
-    /** Records that a run is gone without a reported end; returns false, without effect, unless it is assigned. */
-    lose(position: TaskPosition, lost: LostRun): boolean {
+    /** Records that a run is gone without a reported end, unless it isn't assigned, and its involvement in a crash. */
+    lose(position: TaskPosition, lost: LostRun, atMs: number): boolean {
+        this.#recordCrash(position, lost, atMs);
         const task = this.#findAssignedTask(position, lost.run);
         if (task === undefined) {
             return false;
         }
         task.phase = TaskPhase.Waiting;
-        this.#saveCheckpoint(task, position, lost.checkpoint);
+        this.#saveCheckpoint(position, lost.checkpoint);
         return true;
     }
 
@@ -237,16 +265,41 @@
     }
 
     /** A gang resumes as a whole, from one member's checkpoint. */
-    #saveCheckpoint(task: TaskRecord, position: TaskPosition, checkpoint: string): void {
+    #saveCheckpoint(position: TaskPosition, checkpoint: string): void {
         if (checkpoint === "") {
             return;
         }
-        task.checkpoint = checkpoint;
-        if (this.specification.steps[position.step]?.isGang === true) {
-            const tasks = this.#content.occurrences[position.occurrence]?.[position.step]?.tasks ?? [];
-            tasks.forEach(member => {
-                member.checkpoint = checkpoint;
-            });
+        this.#members(position).forEach(member => {
+            member.checkpoint = checkpoint;
+        });
+    }
+
+    /** Returns the tasks that share the fate of a task: all members of its gang, or the task alone. */
+    #members(position: TaskPosition): readonly TaskRecord[] {
+        const step = this.#content.occurrences[position.occurrence]?.[position.step];
+        const task = step?.tasks[position.index];
+        if (step === undefined || task === undefined) {
+            return [];
+        }
+        return this.specification.steps[position.step]?.isGang === true ? step.tasks : [task];
+    }
+
+    /** Once a run is recorded as lost, only the involvement recorded of it can change. */
+    #recordCrash(position: TaskPosition, { task: key, run, crash: involvement }: LostRun, atMs: number): void {
+        const crashes = this.task(position)?.crashes ?? [];
+        const serverId = crashes.find(known => known.run === run)?.serverId
+            ?? this.#findAssignedTask(position, run)?.server?.serverId;
+        if (involvement === undefined || serverId === undefined || this.isOver) {
+            return;
+        }
+        const updated = withCrash(crashes, { run, serverId, involvement });
+        this.#members(position).forEach(member => {
+            member.crashes = [...updated];
+        });
+        if (isToBeGivenUp(updated)) {
+            this.#content.crashingTask = { task: key, run, crashes: updated };
+            this.#content.hasFailed = true;
+            this.#content.endedAtMs = atMs;
         }
     }
 
--- a/packages/workflow/src/state/workflow-state.ts
+++ b/packages/workflow/src/state/workflow-state.ts
@@ -191,7 +191,7 @@
 
     #loseRuns(event: EventOf<EventKind.RunsLost>): void {
         for (const lost of event.runs) {
-            this.#withTask(lost.task, (job, position) => job.lose(position, lost));
+            this.#withTask(lost.task, (job, position) => job.lose(position, lost, event.atMs ?? job.acceptedAtMs));
         }
     }
 
