--- a/packages/daemon/src/workflow/event-log.ts
+++ b/packages/daemon/src/workflow/event-log.ts
@@ -31,7 +31,12 @@
             ),
         [EventKind.RunsLost]: ({ runs }) =>
             runs.forEach(lost =>
-                this.#logJobEvent("lost", () => ({ ...runFields(lost), reason: lost.reason, crash: lost.crash }))
+                this.#logJobEvent("lost", () => ({
+                    ...runFields(lost),
+                    reason: lost.reason,
+                    crash: lost.crash?.involvement,
+                    serverId: lost.crash?.serverId,
+                }))
             ),
     };
 
--- a/packages/workflow/src/leader/crash-attribution.ts
+++ b/packages/workflow/src/leader/crash-attribution.ts
@@ -40,22 +40,32 @@
     recordLoss(server: ServerView, reason: LossReason, others: readonly ServerView[], nowMs: number): LostRun[] {
         const committed = [...server.runs.values()].filter(run => run.isCommitted);
         if (server.isDraining || server.isInMaintenance) {
-            return committed.map(run => lostRunOf(run, LossReason.ServerLeft, undefined));
+            return committed.map(run => lostRunOf(run, LossReason.ServerLeft));
         }
         const isCommonCause = this.#countSilentTogether(server, others, nowMs) >= MIN_COMMON_SILENCES;
         const suspects = isCommonCause ? [] : committed.filter(run => hasBegun(run) && server.isFresh(run));
         const keys = new Set(suspects.map(suspectKeyOf));
-        const isConfirmed = reason === LossReason.ServerRestarted || others.some(other => isSuccessor(other, server));
+        const isConfirmed = others.some(other => isSuccessor(other, server));
         const isSole = isConfirmed && keys.size === 1;
         const involvement = isSole ? CrashInvolvement.SoleSuspect : CrashInvolvement.Suspected;
-        const lostRuns = committed.map(run =>
-            lostRunOf(run, reason, suspects.includes(run) ? involvement : involvementOfOther(server, run))
-        );
+        const lostRuns = committed.map(run => {
+            if (!hasBegun(run)) {
+                return lostRunOf(run, reason);
+            }
+            return crashedRunOf(
+                run,
+                server,
+                reason,
+                suspects.includes(run) ? involvement : involvementOfOther(server, run),
+            );
+        });
         this.#incidents.set(incidentKeyOf(server.id, server.incarnation), {
             server,
             isConfirmed,
-            suspects: new Map(suspects.map(run => [suspectKeyOf(run), lostRunOf(run, reason, undefined)])),
-            involvedRuns: lostRuns.filter(({ crash }) => crash !== undefined && crash !== CrashInvolvement.RanOn),
+            suspects: new Map(suspects.map(run => [suspectKeyOf(run), crashedRunOf(run, server, reason, involvement)])),
+            involvedRuns: lostRuns.filter(({ crash }) =>
+                crash !== undefined && crash.involvement !== CrashInvolvement.RanOn
+            ),
             recordedAtMs: nowMs,
         });
         return lostRuns;
@@ -70,7 +80,7 @@
         const key = incidentKeyOf(server.id, server.incarnation);
         const { involvedRuns = [] } = this.#incidents.get(key) ?? {};
         this.#incidents.delete(key);
-        const withdrawn = involvedRuns.map(lost => ({ ...lost, crash: CrashInvolvement.None }));
+        const withdrawn = involvedRuns.map(lost => withInvolvement(lost, CrashInvolvement.None));
         const confirmed = [...this.#incidents.values()]
             .filter(incident => !incident.isConfirmed && isSuccessor(server, incident.server))
             .flatMap(incident => {
@@ -114,32 +124,44 @@
 export const suspectKeyOf = ({ step, position, task }: Pick<RunView, "step" | "position" | "task">): string =>
     step.isGang ? stepKeyOf(position) : task;
 
-/** Returns the loss of a run for the log. */
-export const lostRunOf = (view: RunView, reason: LossReason, crash: CrashInvolvement | undefined): LostRun => {
-    const { task, run, checkpoint } = view;
-    return { task, run, checkpoint, reason, crash };
-};
+/** Returns the loss of a run without a crash for the log. */
+export const lostRunOf = ({ task, run, checkpoint }: RunView, reason: LossReason): LostRun => ({
+    task,
+    run,
+    checkpoint,
+    reason,
+});
+
+const crashedRunOf = (
+    run: RunView,
+    { id: serverId, vmId }: ServerView,
+    reason: LossReason,
+    involvement: CrashInvolvement,
+): LostRun => ({ ...lostRunOf(run, reason), crash: { serverId, vmId, involvement } });
+
+const withInvolvement = (lost: LostRun, involvement: CrashInvolvement): LostRun =>
+    lost.crash === undefined ? lost : { ...lost, crash: { ...lost.crash, involvement } };
 
 /** Whether the server has or may have received the start order; a former leader may have sent it. */
 const hasBegun = (run: RunView): boolean => run.isReported || run.isAdopted || run.orderedAtSequence !== undefined;
 
-/** Returns the involvement of a run that isn't a suspect. */
-const involvementOfOther = (server: ServerView, run: RunView): CrashInvolvement | undefined => {
-    if (!hasBegun(run)) {
-        return undefined;
-    }
-    return server.reportedMsOf(run) >= RAN_ON_MS ? CrashInvolvement.RanOn : CrashInvolvement.Present;
-};
+/** Returns the involvement of a run that has begun and isn't a suspect. */
+const involvementOfOther = (server: ServerView, run: RunView): CrashInvolvement =>
+    server.reportedMsOf(run) >= RAN_ON_MS ? CrashInvolvement.RanOn : CrashInvolvement.Present;
 
-/** Whether a server is a later life of another one: under the same id, or on the same VM, which runs one at a time. */
+/**
+ * Whether a server is a later life of another one: under the same id, or on the same VM, which runs one at a time. What a
+ * server ran that this leader has never heard may have run for long; its end shows nothing.
+ */
 const isSuccessor = (server: ServerView, former: ServerView): boolean =>
-    server.incarnation > former.incarnation
+    former.sequence !== undefined
+    && server.incarnation > former.incarnation
     && (server.id === former.id || (server.vmId !== "" && server.vmId === former.vmId));
 
 /** Returns the only suspect of a certain crash as such; nothing if there are several, or none. */
 const soleSuspectOf = ({ isConfirmed, suspects }: Incident): LostRun[] =>
     isConfirmed && suspects.size === 1
-        ? [...suspects.values()].map(lost => ({ ...lost, crash: CrashInvolvement.SoleSuspect }))
+        ? [...suspects.values()].map(lost => withInvolvement(lost, CrashInvolvement.SoleSuspect))
         : [];
 
 const incidentKeyOf = (serverId: string, incarnation: number): string => `${serverId}/${incarnation}`;
--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -14,6 +14,7 @@
     rackOfStep: "",
     isEligible: undefined,
     isIsolated: false,
+    crashes: [],
 };
 
 const standingOf = (cpuMillicores: number): StepSpecification =>
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -1,4 +1,6 @@
 import { TaskKind } from "../model/specification.js";
+import { hasCrashedOn } from "../state/crash-history.js";
+import type { CrashRecord } from "../state/crash-history.js";
 import type { PressureModel } from "./pressure-model.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { WaitingStep } from "./work-queue.js";
@@ -80,6 +82,8 @@
     isEligible: ((server: ServerView) => boolean) | undefined;
     /** Whether the task must not start beside fresh runs, because it may crash its server. */
     isIsolated: boolean;
+    /** Crashes that the task was involved in. Other servers are preferred, as two of them together tell more. */
+    crashes: readonly CrashRecord[];
 }
 
 /** Returns the server with the lowest cost for a task of the step; undefined if none can run it. */
@@ -101,8 +105,9 @@
             continue;
         }
         const avoidedCost = server.avoidUntilMs > nowMs ? AVOIDED_SERVER_COST : 0;
+        const repeatedCost = hasCrashedOn(constraints.crashes, server.id, server.vmId) ? AVOIDED_SERVER_COST : 0;
         const neighbourCost = constraints.isIsolated ? NEIGHBOUR_COST * server.runs.size : 0;
-        const total = cost + avoidedCost + neighbourCost + rackCost(waiting, server, constraints);
+        const total = cost + avoidedCost + repeatedCost + neighbourCost + rackCost(waiting, server, constraints);
         if (total < bestCost) {
             best = server;
             bestCost = total;
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -235,7 +235,9 @@
     ): PlannedRun | undefined {
         const task = taskKeyIn(waiting, index);
         const isIsolated = this.#isTrialWaitOpen(task, nowMs);
-        const server = this.#search(waiting, this.#directory.servers, { ...constraints, isIsolated }, nowMs);
+        const { crashes = [] } = waiting.record.tasks[index] ?? {};
+        const trialConstraints = { ...constraints, isIsolated, crashes };
+        const server = this.#search(waiting, this.#directory.servers, trialConstraints, nowMs);
         if (server === undefined) {
             this.#queryEligibility(waiting, constraints, nowMs);
             return undefined;
@@ -347,6 +349,7 @@
                 ? undefined
                 : server => this.#eligibility.tokenFor(step, server, nowMs) !== undefined,
             isIsolated: false,
+            crashes: [],
         };
     }
 
--- a/packages/workflow/src/leader/run-losses.ts
+++ b/packages/workflow/src/leader/run-losses.ts
@@ -27,13 +27,17 @@
 
     /** Records runs that have certainly ended or never started, without a crash. */
     recordLost(runs: readonly RunView[], reason: LossReason, times: Times): void {
-        const lost = runs.filter(run => run.isCommitted).map(run => lostRunOf(run, reason, undefined));
+        const lost = runs.filter(run => run.isCommitted).map(run => lostRunOf(run, reason));
         this.#propose(lost, times);
     }
 
     /** Records the runs of a former leader whose server has restarted. How long they had run is unknown. */
     recordFormerRuns(runs: readonly RunView[], times: Times): void {
-        const lost = runs.map(run => lostRunOf(run, LossReason.ServerRestarted, CrashInvolvement.Suspected));
+        const lost = runs.map(run => {
+            const serverId = this.#options.state.job(run.position.jobId)?.task(run.position)?.server?.serverId ?? "";
+            const crash = { serverId, vmId: "", involvement: CrashInvolvement.Suspected };
+            return { ...lostRunOf(run, LossReason.ServerRestarted), crash };
+        });
         this.#propose(lost, times);
     }
 
@@ -48,6 +52,8 @@
             this.#propose(this.#crashes.recordHeard(server), times);
         }
         else if (previous !== server) {
+            // A former leader's server that this one has never heard has no VM yet.
+            previous.vmId ||= server.vmId;
             this.#recordCrash(previous, LossReason.ServerRestarted, times);
         }
     }
--- a/packages/workflow/src/state/events.ts
+++ b/packages/workflow/src/state/events.ts
@@ -2,7 +2,7 @@
 import type { RunEnd } from "../model/heartbeat.js";
 import type { MaintenanceOrder, VmMaintenancePhase } from "../model/maintenance.js";
 import type { JobSpecification } from "../model/specification.js";
-import type { CrashInvolvement, LossReason } from "./crash-history.js";
+import type { CrashReport, LossReason } from "./crash-history.js";
 
 /** Kinds of replicated events. */
 export enum EventKind {
@@ -56,7 +56,7 @@
     /** Undefined in records of former versions. */
     reason?: LossReason;
     /** Involvement in the crash of the server; undefined if it didn't crash or the run had not begun. */
-    crash?: CrashInvolvement | undefined;
+    crash?: CrashReport;
 }
 
 /** A replicated change. Applying an event that no longer matches the state has no effect. */
--- a/packages/workflow/src/state/job-record.ts
+++ b/packages/workflow/src/state/job-record.ts
@@ -2,7 +2,7 @@
 import type { QueueContract } from "../model/configuration.js";
 import { RunEnd } from "../model/heartbeat.js";
 import type { JobSpecification, StepSpecification, TaskPosition } from "../model/specification.js";
-import { isToBeGivenUp, withCrash } from "./crash-history.js";
+import { findCrash, isToBeGivenUp, withCrash } from "./crash-history.js";
 import type { CrashRecord } from "./crash-history.js";
 import type { AssignedRun, LostRun, RecordedEnd, ServerIncarnation } from "./events.js";
 
@@ -285,14 +285,17 @@
     }
 
     /** Once a run is recorded as lost, only the involvement recorded of it can change. */
-    #recordCrash(position: TaskPosition, { task: key, run, crash: involvement }: LostRun, atMs: number): void {
+    #recordCrash(position: TaskPosition, { task: key, run, crash }: LostRun, atMs: number): void {
         const crashes = this.task(position)?.crashes ?? [];
-        const serverId = crashes.find(known => known.run === run)?.serverId
-            ?? this.#findAssignedTask(position, run)?.server?.serverId;
-        if (involvement === undefined || serverId === undefined || this.isOver) {
+        if (crash === undefined || this.isOver) {
             return;
         }
-        const updated = withCrash(crashes, { run, serverId, involvement });
+        const isKnown = findCrash(crashes, run, crash.serverId) !== undefined;
+        if (!isKnown && this.#findAssignedTask(position, run) === undefined) {
+            return;
+        }
+        const { serverId, vmId, involvement } = crash;
+        const updated = withCrash(crashes, { run, serverId, vmId, involvement });
         this.#members(position).forEach(member => {
             member.crashes = [...updated];
         });
--- a/packages/workflow/src/testing/fuzz/commands.ts
+++ b/packages/workflow/src/testing/fuzz/commands.ts
@@ -72,6 +72,7 @@
 const behaviourArbitrary: fc.Arbitrary<JobBehaviour> = fc.record({
     durationMs: fc.integer({ min: 50, max: 3_000 }),
     failsAlways: fc.constantFrom(false, false, false, false, true),
+    crashesWorkers: fc.constantFrom(false, false, false, false, false, true),
 });
 
 const submitCommand = (steps: readonly Partial<StepSpecification>[], behaviour: JobBehaviour): SimulationCommand =>
@@ -116,6 +117,9 @@
         new SimulationCommand(`zone ${zone} ${isOut ? "out" : "back"}`, simulation => simulation.setZone(zone, isOut))
     ),
     workerCommand("restart", (simulation, worker) => simulation.restartWorker(worker)),
+    fc.integer({ min: 200, max: 6_000 }).chain(downMs =>
+        workerCommand(`crash for ${downMs}`, (simulation, worker) => simulation.crashWorker(worker, downMs))
+    ),
     workerCommand("drain", (simulation, worker) => simulation.drainWorker(worker)),
     fc.integer({ min: 200, max: 9_000 }).chain(durationMs =>
         workerCommand(
--- a/packages/workflow/src/testing/fuzz/oracle.ts
+++ b/packages/workflow/src/testing/fuzz/oracle.ts
@@ -2,15 +2,47 @@
 import type { StartOrder } from "../../model/heartbeat.js";
 import { parseTaskKey, taskKeyOf } from "../../model/specification.js";
 import type { JobSpecification, TaskPosition } from "../../model/specification.js";
+import type { AssignedRun } from "../../state/events.js";
 import type { SimulatedWorker, WorkerRun } from "./simulated-worker.js";
 
 /** An order written before a change may arrive up to this long after it. */
 const ORDER_DELAY_MS = 1_100;
 
+/** Age up to which a run may look to the leader as if it had just started, with late messages. */
+const MAX_FRESH_RUN_MS = 4_000;
+/** Time after its assignment by which a run has started or its assignment is void. */
+const MAX_ASSIGNED_MS = 8_000;
+/** Runs of any age with crashes of workers after which a task may be given up. */
+const MAX_CRASHED_RUNS = 5;
+/** Workers that crashed under fresh runs of a task, and these runs, after which it may be given up. */
+const MAX_CRASHED_WORKERS = 2;
+/** Crashes under a task after which the platform counts its starts, and the number of them that breaks its rule. */
+const COUNTED_CRASHES = 3;
+const FORBIDDEN_STARTS = 3;
+
+/** The crash of a worker under a run of a task. */
+interface Crash {
+    /** The task whose run was there: the task itself, or another member of its gang. */
+    task: string;
+    run: number;
+    workerId: string;
+    /** Whether the run had begun. A leader can't know it of a run that was assigned but not reported. */
+    hasBegun: boolean;
+    runAgeMs: number;
+}
+
+/** The assignment of a run that hasn't started. */
+interface Assignment {
+    run: number;
+    atMs: number;
+}
+
 /** A submitted job and the results acknowledged to its caller. */
 export interface SubmittedJob {
     specification: JobSpecification;
     maxAttempts: number;
+    /** Whether each run crashes its worker. */
+    crashesWorkers: boolean;
     isAccepted: boolean;
     /** Time at which a cancellation was acknowledged; undefined without one. */
     cancelledAtMs: number | undefined;
@@ -31,6 +63,12 @@
     readonly #acknowledgedFailures = new Map<string, Set<number>>();
     readonly #latestRuns = new Map<string, number>();
     readonly #checkpoints = new Map<string, Set<string>>();
+    /** Crashes of workers by the task that ran there. */
+    readonly #crashes = new Map<string, Crash[]>();
+    /** Assignments of runs that haven't started, by worker and task. */
+    readonly #assigned = new Map<string, Map<string, Assignment>>();
+    /** Starts of each task after three crashes under it. */
+    readonly #startsAfterCrashes = new Map<string, number>();
     /** Times since which zones are out of service, by zone. */
     readonly zonesOutSinceMs = new Map<string, number>();
     /** Times at which a heartbeat of the draining worker was first answered, by worker and incarnation. */
@@ -66,8 +104,56 @@
         );
     }
 
+    /** Whether workers have crashed under a task of the job so often that it may be given up. */
+    mayBeGivenUp(job: SubmittedJob): boolean {
+        return [...this.#crashes].some(([task, crashes]) => {
+            const fresh = crashes.filter(({ runAgeMs }) => runAgeMs <= MAX_FRESH_RUN_MS);
+            const workers = new Set(fresh.map(({ workerId }) => workerId));
+            return task.startsWith(`${job.specification.id}.`)
+                && (Math.min(workers.size, countRuns(fresh)) >= MAX_CRASHED_WORKERS
+                    || countRuns(crashes) >= MAX_CRASHED_RUNS);
+        });
+    }
+
+    crashed(worker: SimulatedWorker, nowMs: number): void {
+        for (const run of worker.runs.values()) {
+            this.#recordCrash(run.position, {
+                task: run.task,
+                run: run.run,
+                workerId: worker.id,
+                hasBegun: true,
+                runAgeMs: nowMs - run.startedAtMs,
+            });
+        }
+        for (const [task, { run, atMs }] of this.#assigned.get(worker.id) ?? []) {
+            const position = parseTaskKey(task);
+            const runAgeMs = nowMs - atMs;
+            if (position !== undefined && runAgeMs <= MAX_ASSIGNED_MS) {
+                this.#recordCrash(position, { task, run, workerId: worker.id, hasBegun: false, runAgeMs });
+            }
+        }
+        this.#assigned.delete(worker.id);
+    }
+
+    /**
+     * Records an assignment that a leader proposes. Its order may or may not reach the worker, which may have crashed
+     * without the leader's knowledge.
+     */
+    assigned({ task, run, serverId, incarnation }: AssignedRun, nowMs: number): void {
+        const position = parseTaskKey(task);
+        const worker = this.#workers.find(({ id }) => id === serverId);
+        const hasCrashed = worker !== undefined && (!worker.isUp || worker.incarnation > incarnation);
+        if (position !== undefined && hasCrashed) {
+            this.#recordCrash(position, { task, run, workerId: serverId, hasBegun: false, runAgeMs: 0 });
+            return;
+        }
+        const assigned = this.#assigned.get(serverId) ?? new Map<string, Assignment>();
+        this.#assigned.set(serverId, assigned.set(task, { run, atMs: nowMs }));
+    }
+
     started(worker: SimulatedWorker, order: StartOrder, run: WorkerRun, nowMs: number): void {
         const { task } = order;
+        this.#assigned.get(worker.id)?.delete(task);
         const job = this.#jobs.get(run.position.jobId);
         const check = (isSatisfied: boolean, guarantee: string): void => {
             if (!isSatisfied) {
@@ -95,6 +181,10 @@
             (this.#acknowledgedFailures.get(task)?.size ?? 0) < job.maxAttempts || run.step.isStanding,
             "no start beyond the maximum number of attempts",
         );
+        check(
+            !job.crashesWorkers || this.#countStartAfterCrashes(task) < FORBIDDEN_STARTS,
+            "no third start after three crashes under a task",
+        );
         const cancelledAtMs = job.cancelledAtMs ?? Infinity;
         check(nowMs <= cancelledAtMs + ORDER_DELAY_MS, "no start after a cancellation");
         const outSinceMs = this.zonesOutSinceMs.get(worker.options.availabilityZone) ?? Infinity;
@@ -139,6 +229,20 @@
         }
     }
 
+    #recordCrash(position: TaskPosition, crash: Crash): void {
+        for (const task of this.#membersOf(position)) {
+            this.#crashes.set(task, [...this.#crashes.get(task) ?? [], crash]);
+        }
+    }
+
+    #countStartAfterCrashes(task: string): number {
+        const crashes = this.#crashes.get(task)?.filter(crash => crash.task === task && crash.hasBegun) ?? [];
+        const hasCrashed = crashes.length >= COUNTED_CRASHES;
+        const starts = (this.#startsAfterCrashes.get(task) ?? 0) + (hasCrashed ? 1 : 0);
+        this.#startsAfterCrashes.set(task, starts);
+        return starts;
+    }
+
     /** Returns the tasks that an end counts for: the end of one member counts for all members of a gang. */
     #membersOf(position: TaskPosition): string[] {
         const step = this.#jobs.get(position.jobId)?.specification.steps[position.step];
@@ -159,6 +263,8 @@
     }
 }
 
+const countRuns = (crashes: readonly Crash[]): number => new Set(crashes.map(({ run }) => run)).size;
+
 const addToSet = <Value>(sets: Map<string, Set<Value>>, key: string, value: Value): void => {
     sets.set(key, (sets.get(key) ?? new Set()).add(value));
 };
--- a/packages/workflow/src/testing/fuzz/simulated-worker.ts
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -8,6 +8,10 @@
 const STOP_DELAY_MS = 150;
 const GANG_TIMEOUT_MS = 3_000;
 const HEARTBEAT_RETRY_MS = 100;
+/** Delay from the start of a run that crashes its worker to the crash. */
+const CRASH_DELAY_MS = 10;
+/** Time for which a worker is down after one of its runs has crashed it. */
+const CRASH_DOWN_MS = 1_500;
 
 /** Decides how long the runs of a task take and whether they fail. */
 export interface TaskBehaviour {
@@ -15,6 +19,8 @@
     /** Duration of a run; undefined when it never ends by itself. */
     durationMs: (position: TaskPosition, workerId: string) => number | undefined;
     fails: (position: TaskPosition, run: number, workerId: string) => boolean;
+    /** Whether a run of the task crashes its worker as soon as it starts. */
+    crashes: (position: TaskPosition) => boolean;
 }
 
 /** A run on a simulated worker. */
@@ -38,6 +44,8 @@
     started: (worker: SimulatedWorker, order: StartOrder, run: WorkerRun, nowMs: number) => void;
     ended: (worker: SimulatedWorker, run: WorkerRun, end: RunEnd) => void;
     acknowledged: (task: string, run: number, end: RunEnd) => void;
+    /** Called before the runs of a worker that crashes are gone. */
+    crashed: (worker: SimulatedWorker, nowMs: number) => void;
 }
 
 /** Properties and dependencies of a simulated worker. */
@@ -74,6 +82,8 @@
     /** The heartbeat that waits for its answer; undefined for none. */
     #openHeartbeat: { sequence: number; sentAtMs: number } | undefined;
     nextHeartbeatAtMs = 0;
+    /** Time at which the worker is up again; undefined while it is up. */
+    #backAtMs: number | undefined;
 
     constructor(options: WorkerOptions) {
         this.options = options;
@@ -85,6 +95,15 @@
 
     /** Advances to the given time: expires the leases, ends runs, and times out the open heartbeat. */
     advance(nowMs: number): void {
+        if (this.#backAtMs !== undefined && nowMs >= this.#backAtMs) {
+            this.restart();
+        }
+        const isCrashing = [...this.runs.values()].some(run =>
+            nowMs >= run.startedAtMs + CRASH_DELAY_MS && this.options.behaviour.crashes(run.position)
+        );
+        if (isCrashing) {
+            this.crash(CRASH_DOWN_MS, nowMs);
+        }
         if (!this.isUp) {
             return;
         }
@@ -159,6 +178,16 @@
         orders.starts.forEach(order => this.#start(order, nowMs));
     }
 
+    /** Goes down for a time, with all its runs. */
+    crash(downMs: number, nowMs: number): void {
+        if (this.isUp) {
+            this.options.observer.crashed(this, nowMs);
+            this.runs.clear();
+            this.isUp = false;
+            this.#backAtMs = nowMs + downMs;
+        }
+    }
+
     /** Loses all state, as after a crash; the next heartbeat belongs to a new incarnation. */
     restart(): void {
         this.runs.clear();
@@ -172,6 +201,7 @@
         this.incarnation += 1;
         this.isDraining = false;
         this.isUp = true;
+        this.#backAtMs = undefined;
     }
 
     /** Ends a member of a gang because another one ended. */
