--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -44,6 +44,7 @@
 import type { InternalHandler } from "./internal-listener.js";
 import type { MembershipRequirements } from "./membership-reconciler.js";
 import { NodeDriver } from "./node-driver.js";
+import { createNodeReports } from "./node-reports.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
 import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
 import { PlatformCalls } from "./platform-calls.js";
@@ -293,12 +294,7 @@
         });
         return new WorkflowNode({
             settings: this.#settings.leader,
-            onCommitted: (events, nowMs) => {
-                this.#eventLog.recordCommitted(events, nowMs);
-                this.#metrics.recordCommitted(events, nowMs);
-            },
-            onError: (error, action) => this.#eventLog.recordFailure(error, action, monotonicNowMs()),
-            onServerEvent: (event, nowMs) => this.#eventLog.recordServerEvent(event, nowMs),
+            ...createNodeReports(this.#eventLog, this.#metrics),
             queryEligibility: (query, respond) => void platformCalls.checkEligibility(query, respond),
             beginMaintenance: (call, respond) => void platformCalls.beginMaintenance(call, respond),
             log: createRunnerLog(() => this.#runner),
--- a/packages/workflow/src/leader/heartbeat-plausibility.ts
+++ b/packages/workflow/src/leader/heartbeat-plausibility.ts
@@ -27,9 +27,10 @@
 };
 
 /** Returns the event that records a dropped heartbeat. */
-export const implausibleEventOf = ({ serverId, incarnation }: HeartbeatReport): ServerEvent => ({
+export const implausibleEventOf = ({ serverId, incarnation, vmId }: HeartbeatReport): ServerEvent => ({
     kind: ServerEventKind.Implausible,
     serverId,
     incarnation,
+    vmId,
     runs: 0,
 });
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -1,11 +1,11 @@
 import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import type { BeginMaintenance } from "../model/maintenance.js";
-import { parseTaskKey, taskKeyOf, TaskKind } from "../model/specification.js";
-import type { StepPosition } from "../model/specification.js";
+import { parseTaskKey } from "../model/specification.js";
+import { LossReason } from "../state/crash-history.js";
 import { EventKind } from "../state/events.js";
-import type { EventOf, LostRun, WorkflowEvent } from "../state/events.js";
-import type { JobRecord } from "../state/job-record.js";
+import type { EventOf, WorkflowEvent } from "../state/events.js";
+import type { CrashingTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { Eligibility } from "./eligibility.js";
 import type { QueryEligibility } from "./eligibility.js";
@@ -20,14 +20,16 @@
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
 import { adoptRuns } from "./run-adoption.js";
+import { RunLosses } from "./run-losses.js";
 import { RunStops } from "./run-stops.js";
 import { ServerDirectory } from "./server-directory.js";
 import { ServerEventKind } from "./server-event.js";
 import type { ServerEvent } from "./server-event.js";
 import { ServerFailures } from "./server-failures.js";
 import { ServerSpeed } from "./server-speed.js";
-import type { RunView, ServerView } from "./server-view.js";
+import type { ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
+import { hasStepSucceeded } from "./step-success.js";
 import type { Times } from "./times.js";
 import { UnstartedTasks } from "./unstarted-tasks.js";
 import { utilizationOf } from "./utilization.js";
@@ -37,8 +39,6 @@
 import { WorkQueue } from "./work-queue.js";
 
 const JOB_CLEANUP_INTERVAL_MS = 5_000;
-/** Reported progress of a standing task that is at work. */
-const FULL_PROGRESS_PERCENT = 100;
 const PRESSURE_RECORD_INTERVAL_MS = 3_000;
 /** Delay of the first planning. Backend servers need it to find a new leader; until then most capacity is unknown. */
 const INITIAL_PLANNING_DELAY_MS = 400;
@@ -52,6 +52,8 @@
     propose: (event: WorkflowEvent) => void;
     /** Called when the assumed state of a backend server changes. */
     report: (event: ServerEvent, nowMs: number) => void;
+    /** Called when a job has failed because one of its tasks crashes the servers that start it. */
+    reportCrashingTask: (task: CrashingTask, nowMs: number) => void;
     queryEligibility: QueryEligibility;
     beginMaintenance: BeginMaintenance;
 }
@@ -76,6 +78,7 @@
     readonly #maintenance: Maintenance;
     readonly #heartbeats = new OpenHeartbeats();
     readonly #failures: ServerFailures;
+    readonly #losses: RunLosses;
     readonly #stops: RunStops;
     readonly #startedJobs = new Set<string>();
     readonly #unstartedTasks = new UnstartedTasks();
@@ -109,8 +112,9 @@
         this.#reconciler = new HeartbeatReconciler(state);
         this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
-        this.#failures = new ServerFailures(step => this.#hasSucceeded(step));
         this.#stops = new RunStops(state, this.#directory);
+        this.#losses = new RunLosses({ state, directory: this.#directory, propose: options.propose });
+        this.#failures = new ServerFailures(step => hasStepSucceeded(state, this.#directory, step));
         this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
             state,
@@ -120,7 +124,7 @@
             propose: options.propose,
             begin: options.beginMaintenance,
         }, times.nowMs);
-        this.#proposeLostRuns(adoptRuns(state, this.#directory, settings, times));
+        this.#losses.recordFormerRuns(adoptRuns(state, this.#directory, settings, times), times);
         if (!this.#isLeaseRecorded) {
             options.propose({ kind: EventKind.LeaseExtended, leaseMs: settings.leaseMs });
         }
@@ -166,12 +170,11 @@
             respond(undefined);
             return;
         }
-        const recorded = this.#directory.recordHeartbeat(report, times);
-        if (recorded === undefined) {
+        const server = this.#directory.recordHeartbeat(report, times);
+        if (server === undefined) {
             respond(undefined);
             return;
         }
-        const { server } = recorded;
         if (previous !== undefined && server !== previous) {
             this.#forgetMeasurements(previous);
         }
@@ -181,7 +184,7 @@
         else if (server.isDraining && !wasDraining) {
             this.#report(ServerEventKind.Draining, server, nowMs);
         }
-        this.#proposeLostRuns(recorded.lostRuns);
+        this.#losses.recordHeartbeat(previous, server, times);
         const wasAvoided = server.avoidUntilMs > nowMs;
         const changes = this.#reconciler.reconcile(server, report, nowMs);
         if (changes.newEnds.length > 0) {
@@ -200,7 +203,8 @@
         if (changes.startedTasks.length > 0) {
             this.#failures.recordStart(server.id);
         }
-        this.#proposeLostRuns(changes.missingRuns);
+        this.#losses.recordLost(changes.missingRuns, LossReason.Missing, times);
+        this.#losses.clearProven(server, times);
         this.#pressure.observe(server, nowMs);
         this.#speed.observe(server, nowMs);
         this.#pacing.adjust(server, nowMs);
@@ -232,7 +236,7 @@
             this.#report(ServerEventKind.LeaseExpired, server, nowMs);
             this.#heartbeats.answerWithoutOrders(server.id);
             this.#forgetMeasurements(server);
-            this.#proposeLostRuns([...server.runs.values()]);
+            this.#losses.recordExpired(server, times);
         }
         this.#maintenance.run(times);
         this.#evacuation.run(nowMs);
@@ -244,7 +248,7 @@
                 this.#options.propose({ kind: EventKind.RunsAssigned, runs });
             }
         }
-        this.#answerHeartbeats(nowMs);
+        this.#answerHeartbeats(times);
         if (nowMs >= this.#nextPressureRecordAtMs) {
             this.#nextPressureRecordAtMs = nowMs + PRESSURE_RECORD_INTERVAL_MS;
             this.#proposePressures();
@@ -253,6 +257,7 @@
             this.#nextJobCleanupAtMs = nowMs + JOB_CLEANUP_INTERVAL_MS;
             this.#removeExpiredJobs(times.timeOfDayMs);
             this.#failures.evictExpired(nowMs);
+            this.#losses.evictExpired(nowMs);
         }
     }
 
@@ -286,8 +291,7 @@
                 this.#handleEnded(event, times);
                 return;
             case EventKind.RunsLost:
-                event.runs.forEach(run => this.#refreshTask(run.task, times));
-                event.runs.forEach(run => this.#stops.stopGangMembers(run));
+                this.#handleLost(event, times);
                 return;
             case EventKind.ConfigurationAccepted:
             case EventKind.ZoneTakenOut:
@@ -309,13 +313,29 @@
             }
             else {
                 // The server has been removed since the proposal; no order was sent.
-                this.#options.propose({ kind: EventKind.RunsLost, runs: [{ task, run, checkpoint: "" }] });
+                this.#options.propose({
+                    kind: EventKind.RunsLost,
+                    runs: [{ task, run, checkpoint: "", reason: LossReason.ServerRemoved }],
+                });
             }
             this.#planner.clearPending(task);
             this.#refreshTask(task, times);
         }
     }
 
+    #handleLost(event: EventOf<EventKind.RunsLost>, times: Times): void {
+        event.runs.forEach(lost => this.#refreshTask(lost.task, times));
+        event.runs.forEach(lost => this.#stops.stopGangMembers(lost));
+        for (const { task, run } of event.runs) {
+            const job = this.#jobOf(task);
+            const { crashingTask } = job ?? {};
+            if (job !== undefined && crashingTask?.task === task && crashingTask.run === run) {
+                this.#stops.stopJob(job.id);
+                this.#options.reportCrashingTask(crashingTask, times.nowMs);
+            }
+        }
+    }
+
     #handleEnded(event: EventOf<EventKind.RunsEnded>, times: Times): void {
         const server = this.#directory.find(event.server.serverId, event.server.incarnation);
         for (const ended of event.ends) {
@@ -327,24 +347,26 @@
                 this.#stops.stopGangMembers(ended);
             }
             const job = this.#jobOf(ended.task);
+            this.#losses.clearEnded(ended, times);
             if (job?.isOver === true) {
                 this.#stops.stopJob(job.id);
             }
         }
     }
 
-    /** Discards what was measured of one incarnation of a server. */
+    /** Discards what was measured of one incarnation of a server, whose runs are lost. */
     #forgetMeasurements(server: ServerView): void {
         this.#failures.forget(server.id);
         this.#pacing.forget(server);
         this.#pressure.forget(server.id);
         this.#speed.forget(server.id);
         this.#moves.forget(server.id);
+        server.runs.forEach(run => this.#unstartedTasks.recordLost(run));
     }
 
     #report(kind: ServerEventKind, server: ServerView, nowMs: number): void {
-        const { id: serverId, incarnation } = server;
-        this.#options.report({ kind, serverId, incarnation, runs: server.runs.size }, nowMs);
+        const { id: serverId, incarnation, vmId } = server;
+        this.#options.report({ kind, serverId, incarnation, vmId, runs: server.runs.size }, nowMs);
     }
 
     #refreshTask(key: string, { timeOfDayMs }: Times): void {
@@ -365,47 +387,23 @@
         return this.#options.state.job(parseTaskKey(task)?.jobId ?? "");
     }
 
-    /** Whether a task of a step has ended successfully or, in a standing step, is at work. */
-    #hasSucceeded({ jobId, occurrence, step }: StepPosition): boolean {
-        const record = this.#options.state.job(jobId)?.occurrences[occurrence]?.[step];
-        return record !== undefined && (record.doneCount > 0 || record.tasks.some((task, index) => {
-            const key = taskKeyOf({ jobId, occurrence, step, index });
-            const run = this.#directory.get(task.server?.serverId ?? "")?.findRun(key, task.run);
-            return run?.kind === TaskKind.Standing && run.progressPercent >= FULL_PROGRESS_PERCENT;
-        }));
-    }
-
-    /** Proposes the loss of runs that have certainly ended or never started; their capacity is free at once. */
-    #proposeLostRuns(runs: readonly RunView[]): void {
-        const lost: LostRun[] = runs
-            .filter(run => run.isCommitted)
-            .map(run => ({ task: run.task, run: run.run, checkpoint: run.checkpoint }));
-        if (lost.length > 0) {
-            runs.forEach(run => this.#unstartedTasks.recordLost(run));
-            this.#options.propose({ kind: EventKind.RunsLost, runs: lost });
-        }
-    }
-
-    #answerHeartbeats(nowMs: number): void {
+    #answerHeartbeats(times: Times): void {
+        const { nowMs } = times;
         for (const { report, respond } of this.#heartbeats.takeReady(item => this.#isWaitingForLog(item), nowMs)) {
             const server = this.#serverOf(report);
             if (server === undefined || !this.#isLeaseRecorded) {
                 respond(undefined);
                 continue;
             }
-            const { orders, neverStarted, unexecuted } = this.#orders.buildOrders(
-                server,
-                report,
-                this.#directory.size,
-                nowMs,
-            );
-            if (unexecuted.length > 0) {
+            const written = this.#orders.buildOrders(server, report, this.#directory.size, nowMs);
+            if (written.unexecuted.length > 0) {
                 this.#failures.recordUnexecutedOrders(server, nowMs);
             }
-            const lostRuns = [...neverStarted, ...unexecuted];
-            this.#proposeLostRuns(lostRuns);
+            const lostRuns = [...written.neverStarted, ...written.unexecuted];
+            this.#losses.recordLost(lostRuns, LossReason.NeverStarted, times);
+            lostRuns.forEach(run => this.#unstartedTasks.recordLost(run));
             lostRuns.forEach(run => server.removeRun(run.task));
-            respond(orders);
+            respond(written.orders);
         }
     }
 
--- a/packages/workflow/src/leader/server-directory.ts
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -1,7 +1,6 @@
 import type { HeartbeatReport } from "../model/heartbeat.js";
 import { isLaterIncarnation } from "./incarnation.js";
 import { ServerView } from "./server-view.js";
-import type { RunView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import type { Times } from "./times.js";
 
@@ -14,13 +13,6 @@
 /** Time after a server's notice of its exit by which its tasks have certainly ended. */
 const EXIT_MARGIN_MS = 500;
 
-/** Result of an accepted heartbeat. */
-export interface RecordedHeartbeat {
-    server: ServerView;
-    /** Runs of the server's former incarnation, which have ended with it. */
-    lostRuns: RunView[];
-}
-
 /** Registry of the backend servers that the leader knows, with the latest possible expiry of their leases. */
 export class ServerDirectory {
     readonly #servers = new Map<string, ServerView>();
@@ -68,16 +60,17 @@
         return server;
     }
 
-    /** Handles a heartbeat; returns undefined if it is of an earlier incarnation or arrives after a later heartbeat. */
-    recordHeartbeat(report: HeartbeatReport, { nowMs, timeOfDayMs }: Times): RecordedHeartbeat | undefined {
+    /**
+     * Handles a heartbeat and returns its server, a new one for a new incarnation. Returns undefined if it is of an earlier
+     * incarnation or arrives after a later heartbeat.
+     */
+    recordHeartbeat(report: HeartbeatReport, { nowMs, timeOfDayMs }: Times): ServerView | undefined {
         let server = this.#servers.get(report.serverId);
-        let lostRuns: RunView[] = [];
         const { incarnation } = report;
         if (server !== undefined && isLaterIncarnation(server.incarnation, incarnation, timeOfDayMs)) {
             return undefined;
         }
         if (server === undefined || isLaterIncarnation(incarnation, server.incarnation, timeOfDayMs)) {
-            lostRuns = [...server?.runs.values() ?? []];
             server = new ServerView(report.serverId, incarnation, nowMs, nowMs);
             this.#add(server);
         }
@@ -87,7 +80,7 @@
         server.updateFrom(report, nowMs);
         const leaseEndMs = nowMs + this.#settings.leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS;
         server.leaseExpiresAtMs = Math.max(server.leaseExpiresAtMs, leaseEndMs);
-        return { server, lostRuns };
+        return server;
     }
 
     /**
