--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -1,13 +1,7 @@
 import { fromJson, toJson } from "@bufbuild/protobuf";
 import type { JsonValue } from "@bufbuild/protobuf";
 import { SeededRandom } from "@waxwingspread/common";
-import {
-    initialMembership,
-    NodeFileSystem,
-    openOrReplaceStore,
-    ReplicaRole,
-    ReplicaRunner,
-} from "@waxwingspread/consensus";
+import { initialMembership, ReplicaRole, ReplicaRunner } from "@waxwingspread/consensus";
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
 import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
@@ -23,12 +17,10 @@
     Times,
 } from "@waxwingspread/workflow";
 import { createHash } from "node:crypto";
-import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
-import { createReplaceHandler } from "../roles/create-replace-handler.js";
 import { describeReplica } from "../roles/describe-replica.js";
 import { handOverLeadership } from "../roles/hand-over.js";
 import { hostOf } from "../transport/host-of.js";
@@ -44,6 +36,7 @@
 import type { InternalHandler } from "./internal-listener.js";
 import type { MembershipRequirements } from "./membership-reconciler.js";
 import { NodeDriver } from "./node-driver.js";
+import { openLog } from "./open-log.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
 import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
 import { PlatformCalls } from "./platform-calls.js";
@@ -173,21 +166,7 @@
 
     /** Opens the log and starts listening. Fails with DISK_FAILED, INVALID or UNAVAILABLE. */
     static async start(settings: ControlHostSettings, dependencies: ControlHostDependencies): Promise<ControlHost> {
-        const address = `${settings.host}:${settings.replicaPort}`;
-        const startMs = monotonicNowMs();
-        const opened = await openOrReplaceStore({
-            fileSystem: new NodeFileSystem(),
-            folder: join(settings.dataFolder, "log"),
-            name: address,
-            address,
-            availabilityZone: settings.availabilityZone,
-        }, createReplaceHandler(dependencies.logger));
-        dependencies.logger.info({
-            snapshotIndex: opened.persisted.snapshot?.lastIndex ?? 0,
-            snapshotBytes: opened.snapshotBytes?.length ?? 0,
-            entries: opened.persisted.entries.length,
-            durationMs: Math.round(monotonicNowMs() - startMs),
-        }, "log opened");
+        const opened = await openLog(settings, dependencies.logger);
         const host = new ControlHost(settings, opened, dependencies);
         await host.#replicaListener.listen();
         await host.#internalListener.listen();
