--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -16,7 +16,6 @@
     MaintenanceState,
     Times,
 } from "@waxwingspread/workflow";
-import { createHash } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
@@ -28,6 +27,7 @@
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { ClusterMembership } from "./cluster-membership.js";
 import { ControlMonitor } from "./control-monitor.js";
+import { electionSeedOf } from "./election-seed.js";
 import { EventLog } from "./event-log.js";
 import { HeartbeatCalls } from "./heartbeat-calls.js";
 import { InternalCaller } from "./internal-caller.js";
@@ -287,7 +287,7 @@
     #createRunner(opened: OpenedStore): ReplicaRunner {
         return new ReplicaRunner({
             opened,
-            random: new SeededRandom(seedOf(opened.identity.diskId)),
+            random: new SeededRandom(electionSeedOf(opened.identity.diskId)),
             snapshotIntervalEntries: SNAPSHOT_INTERVAL_RECORDS,
             hooks: {
                 send: (to, message) => this.#sender.send(to.address, message, monotonicNowMs()),
@@ -430,6 +430,3 @@
         }
     }
 }
-
-/** Derives the seed of a replica's random election timeouts from its disk id. */
-const seedOf = (diskId: string): number => createHash("sha256").update(diskId).digest().readInt32LE(0);
