--- a/packages/workflow/src/leader/incarnation.ts
+++ b/packages/workflow/src/leader/incarnation.ts
@@ -1,6 +1,6 @@
 /**
  * Difference between the clocks of a backend server and of the leader that is still taken for a wrong clock. Beyond it,
- * a time of birth in the future is taken for an error of the report.
+ * a start time in the future is taken for an error of the report.
  */
 const MAX_CLOCK_DIFFERENCE_MS = 24 * 60 * 60 * 1_000;
 
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -16,6 +16,7 @@
 import { UnknownEventError, WorkflowState } from "../state/workflow-state.js";
 import type { WorkflowSnapshot } from "../state/workflow-state.js";
 import type { CommittedRecord, ReplicatedLog } from "./replicated-log.js";
+import { SessionRestart } from "./session-restart.js";
 
 /** Host and path of a caller's request, which select a queue. */
 export interface QueueAddress {
@@ -56,14 +57,6 @@
     Decide = "decide",
 }
 
-/** When a session may begin after one has failed. */
-interface SessionRestart {
-    term: number;
-    afterMs: number;
-    /** Index of a record proposed after the failure; undefined until it is proposed. */
-    barrierIndex: number | undefined;
-}
-
 interface PendingCall {
     committed: () => void;
     /** Called with true when the change certainly has no effect, with false when it may still take effect. */
@@ -72,8 +65,6 @@
 
 /** Interval at which a leader checks schedules for due occurrences. */
 const SCHEDULE_CHECK_INTERVAL_MS = 50;
-/** Delay of the next leader session after one has failed, so that a lasting fault doesn't use up the processor. */
-const SESSION_RESTART_DELAY_MS = 500;
 
 /**
  * One replica of the workflow state and, while this replica leads, its leader session. The node does no I/O: the
@@ -93,12 +84,12 @@
     readonly #proposedCalls = new Map<number, PendingCall[]>();
     #scheduleCheckAtMs = 0;
     #appliedIndex = 0;
-    /** Set after a session has failed, until the next one begins. */
-    #restart: SessionRestart | undefined;
+    readonly #restart: SessionRestart;
 
     constructor(options: WorkflowNodeOptions) {
         this.#options = options;
         this.#log = options.log;
+        this.#restart = new SessionRestart(options.log);
         this.#settings = options.settings;
     }
 
@@ -337,25 +328,8 @@
     #attemptInSession(action: FailedAction, { nowMs }: Times, call: () => void): void {
         if (!this.#attempt(action, call)) {
             this.#endSession();
-            const afterMs = nowMs + SESSION_RESTART_DELAY_MS;
-            this.#restart = { term: this.#log.term, afterMs, barrierIndex: undefined };
-        }
-    }
-
-    /**
-     * Whether a session may begin after one has failed in the same term. Records that the failed one has proposed are to
-     * be applied before, since the next one takes over what they contain.
-     */
-    #mayRestart(nowMs: number): boolean {
-        const restart = this.#restart;
-        if (restart === undefined || restart.term !== this.#log.term) {
-            return true;
-        }
-        if (restart.barrierIndex === undefined) {
-            const proposed = this.#log.propose(encodeEvents([]), nowMs);
-            restart.barrierIndex = proposed.isOk() ? proposed.value : undefined;
+            this.#restart.recordFailure(nowMs);
         }
-        return nowMs >= restart.afterMs && this.#appliedIndex >= (restart.barrierIndex ?? Infinity);
     }
 
     #runSession(times: Times): void {
@@ -380,8 +354,8 @@
         if (this.#session !== undefined && (!this.#log.isLeader || this.#log.term !== this.#sessionTerm)) {
             this.#endSession();
         }
-        if (this.#session === undefined && isLeading && this.#mayRestart(times.nowMs)) {
-            this.#restart = undefined;
+        if (this.#session === undefined && isLeading && this.#restart.mayBegin(this.#appliedIndex, times.nowMs)) {
+            this.#restart.recordBegin();
             this.#sessionTerm = this.#log.term;
             this.#session = new LeaderSession({
                 state: this.#state,
