--- a/packages/workflow/src/leader/maintenance.test.ts
+++ b/packages/workflow/src/leader/maintenance.test.ts
@@ -1,8 +1,9 @@
 import { expect, it } from "vitest";
+import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatReport } from "../model/heartbeat.js";
 import { MaintenanceOutcome, MaintenanceState } from "../model/maintenance.js";
 import type { MaintenanceCall } from "../model/maintenance.js";
-import { fillerStepOf, heartbeatOf, jobOf, standingStepOf } from "../testing/fixtures.js";
+import { fillerStepOf, heartbeatOf, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
 import { LEADER_SETTINGS, SingleReplica } from "../testing/single-replica.js";
 
 interface OpenCall {
@@ -156,3 +157,25 @@
     replica.advance(10);
     expect(vmIdsOf(calls)).toEqual(["x"]);
 });
+
+// Guards against a VM that is taken down under its tasks, because another server with the same VM was taken for the one
+// that runs there: a former one whose lease has not expired, or one that another program has reported.
+it("empties all servers that are on a VM", () => {
+    const { replica, calls } = startLeader();
+    const sendOfOther = createHeartbeatSender(replica, "other");
+    const send = createHeartbeatSender(replica, "s");
+    sendOfOther({ vmId: "x", service: "another" });
+    send({ vmId: "x" });
+    replica.submit(jobOf("j", stepOf()));
+    const [start] = send({ vmId: "x" })?.starts ?? [];
+    const running = [{ task: start?.task ?? "", run: 1, checkpoint: "", progressPercent: 0, measurement: undefined }];
+    order(replica, ["x"], 1);
+    replica.advance(100);
+    send({ vmId: "x", running });
+    expect(calls).toHaveLength(0);
+    replica.submit(jobOf("next", stepOf()));
+    expect(send({ vmId: "x", running })?.starts).toEqual([]);
+    send({ vmId: "x", ended: [{ sequence: 1, task: "j.0.0.0", run: 1, end: RunEnd.Done, checkpoint: "" }] });
+    replica.advance(100);
+    expect(vmIdsOf(calls)).toEqual(["x"]);
+});
--- a/packages/workflow/src/leader/maintenance.ts
+++ b/packages/workflow/src/leader/maintenance.ts
@@ -100,7 +100,7 @@
         }
         const waiting = vmIds
             .filter(vmId => !this.#progress.has(vmId))
-            .map(vmId => ({ vmId, load: this.#serverOf(vmId)?.standingCpuMillicores ?? 0 }))
+            .map(vmId => ({ vmId, load: standingLoadOf(this.#serversOn(vmId)) }))
             .sort((a, b) => a.load - b.load);
         for (const { vmId } of waiting.slice(0, order.maxConcurrent - downCount)) {
             this.#progress.set(vmId, newProgress(order.id, Phase.Emptying, nowMs));
@@ -125,17 +125,18 @@
             this.#completeVm(record, vmId);
         }
         else if (progress?.phase === Phase.Emptying) {
-            const server = this.#serverOf(vmId);
-            if (server !== undefined) {
+            const servers = this.#serversOn(vmId);
+            servers.forEach(server => {
                 server.isInMaintenance = true;
-            }
+            });
             const timeoutMs = emptyingTimeoutMs(
                 record,
                 openVms,
                 times.timeOfDayMs,
                 this.#options.settings.maintenanceMs,
             );
-            const isReady = server === undefined || canGoDown(server, nowMs - progress.sinceMs >= timeoutMs);
+            const isTimedOut = nowMs - progress.sinceMs >= timeoutMs;
+            const isReady = servers.every(server => canGoDown(server, isTimedOut));
             if (isReady && nowMs >= Math.max(progress.retryAtMs, this.#firstCallAtMs)) {
                 this.#requestMaintenance(record, vmId, progress);
             }
@@ -151,10 +152,7 @@
                 progress.phase = Phase.Down;
                 progress.backAtMs = this.#backAtMs(nowMs);
                 propose({ kind: EventKind.VmMaintained, maintenanceId, vmId, phase: VmMaintenancePhase.Begun });
-                const server = this.#serverOf(vmId);
-                if (server !== undefined) {
-                    this.#options.directory.markLeaving(server.id, nowMs);
-                }
+                this.#serversOn(vmId).forEach(server => this.#options.directory.markLeaving(server.id, nowMs));
             }
             else if (outcome === MaintenanceOutcome.Gone) {
                 this.#completeVm(record, vmId);
@@ -173,10 +171,9 @@
     #completeVm(record: MaintenanceRecord, vmId: string): void {
         this.#progress.delete(vmId);
         this.#completed.add(vmKeyOf(record.order.id, vmId));
-        const server = this.#serverOf(vmId);
-        if (server !== undefined) {
+        this.#serversOn(vmId).forEach(server => {
             server.isInMaintenance = false;
-        }
+        });
         const { id: maintenanceId } = record.order;
         this.#options.propose({ kind: EventKind.VmMaintained, maintenanceId, vmId, phase: VmMaintenancePhase.Done });
     }
@@ -185,18 +182,17 @@
         return nowMs + this.#options.settings.maintenanceMs + RETURN_MARGIN_MS;
     }
 
-    #serverOf(vmId: string): ServerView | undefined {
-        for (const server of this.#options.directory.servers) {
-            if (server.vmId === vmId) {
-                return server;
-            }
-        }
-        return undefined;
+    /** Returns the servers on a VM: beside the present one, a former one whose lease has not expired. */
+    #serversOn(vmId: string): ServerView[] {
+        return this.#options.directory.servers.filter(server => server.vmId === vmId);
     }
 }
 
 const vmKeyOf = (maintenanceId: number, vmId: string): string => `${maintenanceId}/${vmId}`;
 
+const standingLoadOf = (servers: readonly ServerView[]): number =>
+    servers.reduce((sum, server) => sum + server.standingCpuMillicores, 0);
+
 const newProgress = (maintenanceId: number, phase: Phase, nowMs: number): VmProgress => ({
     maintenanceId,
     phase,
