--- a/packages/consensus/src/peer-progress.ts
+++ b/packages/consensus/src/peer-progress.ts
@@ -20,7 +20,7 @@
     sentBytes: number;
     /** Time since which the peer has received nothing new, or since the latest retransmission. */
     progressAtMs: number;
-    /** Responses to chunks that were sent until this time don't show that the peer has lost what it had received. */
+    /** Responses to chunks that were sent before this time don't show that the peer has lost what it had received. */
     confirmedSentAtMs: number;
 }
 
--- a/packages/consensus/src/snapshot-sender.ts
+++ b/packages/consensus/src/snapshot-sender.ts
@@ -98,7 +98,7 @@
             transfer.confirmedSentAtMs = Math.max(transfer.confirmedSentAtMs, sentAtMs);
             this.#sendChunks(peer, transfer);
         }
-        else if (offsetBytes < transfer.receivedBytes && sentAtMs > transfer.confirmedSentAtMs) {
+        else if (offsetBytes < transfer.receivedBytes && sentAtMs >= transfer.confirmedSentAtMs) {
             // The peer has restarted, or what it received was damaged.
             this.#sendFrom(peer, transfer, offsetBytes);
         }
