--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -198,7 +198,7 @@
         changes.startedJobs.forEach(id => this.#startedJobs.add(id));
         changes.startedTasks.forEach(task => this.#unstartedTasks.recordStarted(task));
         if (changes.startedTasks.length > 0) {
-            this.#failures.recordStart(server.id);
+            this.#failures.recordStart(server, nowMs);
         }
         this.#proposeLostRuns(changes.missingRuns);
         this.#pressure.observe(server, nowMs);
--- a/packages/workflow/src/leader/server-failures.ts
+++ b/packages/workflow/src/leader/server-failures.ts
@@ -11,6 +11,8 @@
 /** Bounds of the time for which a server is avoided that doesn't start a run; it doubles with each further one. */
 const FIRST_START_FAILURE_AVOID_MS = 500;
 const MAX_START_FAILURE_AVOID_MS = 4_000;
+/** Time without any start in a service after which a failed start shows nothing about the one server. */
+const START_WINDOW_MS = 3_000;
 /** Time for which a failure of a step shows that its later failures on other servers have the same cause. */
 const STEP_FAILURE_WINDOW_MS = 30_000;
 
@@ -37,6 +39,8 @@
     readonly #consecutiveFailures = new Map<string, number>();
     /** Runs that a server has not started since the last one that it started, by server. */
     readonly #startFailures = new Map<string, number>();
+    /** Time of the latest start on any server, by service. */
+    readonly #startedAtMs = new Map<string, number>();
     /** Failures by step, then by server. */
     readonly #failuresByStep = new Map<string, Map<string, StepFailure>>();
 
@@ -60,17 +64,22 @@
         }
     }
 
-    /** Avoids a server that has not started a run that it was ordered to start. */
+    /**
+     * Avoids a server that has not started a run that it was ordered to start. While no server of the service starts
+     * anything, as in an outage of the answers, the time does not grow: afterwards all servers would be avoided at once.
+     */
     recordStartFailure(server: ServerView, nowMs: number): void {
-        const count = this.#startFailures.get(server.id) ?? 0;
+        const hasServiceStarted = nowMs - (this.#startedAtMs.get(server.service) ?? -Infinity) <= START_WINDOW_MS;
+        const count = hasServiceStarted ? this.#startFailures.get(server.id) ?? 0 : 0;
         this.#startFailures.set(server.id, count + 1);
         const avoidMs = Math.min(MAX_START_FAILURE_AVOID_MS, FIRST_START_FAILURE_AVOID_MS * 2 ** count);
         server.avoidUntilMs = Math.max(server.avoidUntilMs, nowMs + avoidMs);
     }
 
-    /** Resets the count of starts that failed on a server. */
-    recordStart(serverId: string): void {
-        this.#startFailures.delete(serverId);
+    /** Records that a server has started a run, and resets the count of its failed starts. */
+    recordStart(server: ServerView, nowMs: number): void {
+        this.#startFailures.delete(server.id);
+        this.#startedAtMs.set(server.service, nowMs);
     }
 
     /** Discards the state of a removed server. */
--- a/packages/workflow/src/leader/standing-tasks.test.ts
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -7,6 +7,8 @@
 const HEARTBEAT_MS = 100;
 /** Time within which a standing task must run again, in spite of any other work. */
 const MAX_RESTART_MS = 6_000;
+/** Time within which work starts again after the cause of its failed starts is gone. */
+const MAX_RETRY_MS = 1_000;
 
 /** A server that ends each finite task half a second after its start, and standing tasks on request. */
 class TestServer {
@@ -116,3 +118,19 @@
         expect(servers[1].isRunning(id) || replica.stateOf(id) === "completed").toBe(true);
     },
 );
+
+// Guards against work that waits although all servers have room: after an outage of all answers every server was avoided
+// for up to 4 s, each because it had not executed orders that it had not received (issue 22).
+it.each([8_000, 11_500])("starts finite tasks soon after an outage of all answers for %d ms", outageMs => {
+    const { replica, servers } = startWithTwoServers();
+    servers.forEach(server => {
+        server.dropsAnswers = true;
+    });
+    replica.submit(jobOf("finite", stepOf({ taskCount: 8 })));
+    advance(replica, servers, outageMs);
+    servers.forEach(server => {
+        server.dropsAnswers = false;
+    });
+    advance(replica, servers, MAX_RETRY_MS);
+    expect(replica.stateOf("finite")).not.toBe("queued");
+});
