--- a/packages/consensus/src/replica-store.ts
+++ b/packages/consensus/src/replica-store.ts
@@ -225,10 +225,19 @@
             : [];
         this.#lastWriteNumber += 1;
         const data = encodeFrames([...first, ...records], this.#lastWriteNumber);
+        const startBytes = segment.sizeBytes;
         segment.sizeBytes += data.length;
         segment.highestIndex = Math.max(segment.highestIndex, highestIndex);
-        await file.append(data);
-        await file.sync();
+        try {
+            await file.append(data);
+            await file.sync();
+        }
+        catch (error) {
+            // The operating system may return the data to the next process and report its sync as successful, although the
+            // disk doesn't hold it.
+            await file.truncate(startBytes).catch(() => undefined);
+            throw error;
+        }
         segment.hasHardState = true;
     }
 
--- a/packages/test-support/src/fake-file-system.ts
+++ b/packages/test-support/src/fake-file-system.ts
@@ -48,6 +48,8 @@
     #syncedLength = 0;
     /** Synced content from before an unsynced truncation; a crash may restore it. */
     #truncated: Uint8Array | undefined;
+    /** Bytes whose sync has failed: they can still be read, but no later sync writes them. */
+    #unwritten: { start: number; end: number } | undefined;
 
     get length(): number {
         return this.#length;
@@ -73,6 +75,10 @@
     }
 
     truncate(sizeBytes: number): void {
+        if (this.#unwritten !== undefined && sizeBytes < this.#unwritten.end) {
+            const { start } = this.#unwritten;
+            this.#unwritten = sizeBytes <= start ? undefined : { start, end: sizeBytes };
+        }
         if (sizeBytes < this.#syncedLength) {
             this.#truncated ??= this.#buffer.slice(0, this.#syncedLength);
             this.#syncedLength = sizeBytes;
@@ -85,11 +91,21 @@
         this.#truncated = undefined;
     }
 
+    failSync(): void {
+        if (this.#length > this.#syncedLength) {
+            this.#unwritten = { start: this.#unwritten?.start ?? this.#syncedLength, end: this.#length };
+        }
+    }
+
     invertByte(offset: number): void {
         this.#buffer[offset] = (this.#buffer[offset] ?? 0) ^ BYTE_MASK;
     }
 
     crash(torn: TornWrite, random: SeededRandom): void {
+        if (this.#unwritten !== undefined) {
+            this.#buffer.fill(0, this.#unwritten.start, this.#unwritten.end);
+            this.#unwritten = undefined;
+        }
         if (this.#truncated !== undefined && random.nextRatio() < 1 / 2) {
             this.#length = 0;
             this.append(this.#truncated);
@@ -134,6 +150,8 @@
     delay: ((operation: FileOperation, path: string) => Promise<void> | undefined) | undefined;
     /** Limit on the total size of all files. An append that exceeds it writes what fits and fails with ENOSPC. */
     capacityBytes = Infinity;
+    /** Whether data whose sync has failed counts as written afterwards, as on Linux, although the disk doesn't hold it. */
+    losesDataOfFailedSyncs = false;
     /** Number of syncs of files so far. */
     syncCount = 0;
     readonly #random: SeededRandom;
@@ -346,7 +364,15 @@
                 }
             },
             sync: async () => {
-                await begin(FileOperation.Sync);
+                try {
+                    await begin(FileOperation.Sync);
+                }
+                catch (error) {
+                    if (this.losesDataOfFailedSyncs) {
+                        file.failSync();
+                    }
+                    throw error;
+                }
                 this.syncCount += 1;
                 file.sync();
             },
--- a/packages/test-support/src/replica-store-durability.test.ts
+++ b/packages/test-support/src/replica-store-durability.test.ts
@@ -56,3 +56,27 @@
         expect(summary(await open(fileSystem))).toMatchObject({ votedFor, term });
     });
 });
+
+describe("a write whose sync has failed", () => {
+    // Guards against a replica that counts entries and a vote which the disk doesn't hold: after a failed sync the
+    // operating system may return them to the next process and report the next sync as successful (issue 22).
+    it("is not read back by the next process", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        fileSystem.losesDataOfFailedSyncs = true;
+        const { store } = await open(fileSystem.process());
+        await store.write([{ hardState: vote(1), entries: [entry(1, 1)] }]);
+        fileSystem.fault = operation => operation === FileOperation.Sync ? "EIO" : undefined;
+        await expect(store.write([{ hardState: vote(2), entries: [entry(2, 2)] }])).rejects.toThrow("EIO");
+        fileSystem.fault = undefined;
+        fileSystem.endProcess();
+        const reopened = await open(fileSystem.process());
+        const counted = summary(reopened);
+        await reopened.store.write([{ entries: [entry(counted.entries.length + 1, 2)] }]);
+        fileSystem.crash(TornWrite.Lost);
+        expect(summary(await open(fileSystem))).toMatchObject({
+            term: counted.term,
+            votedFor: counted.votedFor,
+            entries: [...counted.entries, `2/${counted.entries.length + 1}`],
+        });
+    });
+});
