--- a/packages/workflow/src/leader/server-failures.ts
+++ b/packages/workflow/src/leader/server-failures.ts
@@ -11,6 +11,8 @@
 /** Bounds of the time for which a server that rejects a start gets no others; it doubles with each further rejection. */
 const FIRST_EXCLUSION_MS = 500;
 const MAX_EXCLUSION_MS = 4_000;
+/** Time without any start in a service after which orders without effect show nothing about the one server. */
+const START_WINDOW_MS = 3_000;
 /** Time for which a failure of a step shows that its later failures on other servers have the same cause. */
 const STEP_FAILURE_WINDOW_MS = 30_000;
 
@@ -38,6 +40,8 @@
     readonly #consecutiveFailures = new Map<string, number>();
     /** Heartbeats with rejected starts since the last run that a server has started, by server. */
     readonly #rejections = new Map<string, number>();
+    /** Time of the latest start on any server, by service. */
+    readonly #startedAtMs = new Map<string, number>();
     /** Failures by step, then by server. */
     readonly #failuresByStep = new Map<string, Map<string, StepFailure>>();
 
@@ -61,14 +65,18 @@
         }
     }
 
-    /** Excludes a server that executes no start orders. */
+    /**
+     * Excludes a server that executes no start orders. While no server of the service starts anything, as in an outage of
+     * the answers, the time is short: afterwards all servers would be excluded at once.
+     */
     recordUnexecutedOrders(server: ServerView, nowMs: number): void {
-        exclude(server, nowMs + MAX_EXCLUSION_MS);
+        exclude(server, nowMs + (this.#hasServiceStarted(server, nowMs) ? MAX_EXCLUSION_MS : FIRST_EXCLUSION_MS));
     }
 
-    /** Resets the count of the starts that a server has rejected. */
-    recordStart(serverId: string): void {
-        this.#rejections.delete(serverId);
+    /** Records that a server has started a run, and resets the count of the starts that it has rejected. */
+    recordStart(server: ServerView, nowMs: number): void {
+        this.#rejections.delete(server.id);
+        this.#startedAtMs.set(server.service, nowMs);
     }
 
     /** Discards the state of a removed server. */
@@ -122,6 +130,10 @@
         }
     }
 
+    #hasServiceStarted(server: ServerView, nowMs: number): boolean {
+        return nowMs - (this.#startedAtMs.get(server.service) ?? -Infinity) <= START_WINDOW_MS;
+    }
+
     #recordRejection(server: ServerView, nowMs: number): void {
         const count = this.#rejections.get(server.id) ?? 0;
         this.#rejections.set(server.id, count + 1);
