--- a/packages/workflow/src/leader/crash-attribution.ts
+++ b/packages/workflow/src/leader/crash-attribution.ts
@@ -42,11 +42,11 @@
         if (server.isDraining || server.isInMaintenance) {
             return committed.map(run => lostRunOf(run, LossReason.ServerLeft));
         }
-        const isCommonCause = this.#countSilentTogether(server, others, nowMs) >= MIN_COMMON_SILENCES;
-        const suspects = isCommonCause ? [] : committed.filter(run => hasBegun(run) && server.isFresh(run));
+        const isCommonCause = this.#hasCommonCause(server, others, nowMs);
+        const suspects = committed.filter(run => hasBegun(run) && server.isFresh(run));
         const keys = new Set(suspects.map(suspectKeyOf));
         const isConfirmed = others.some(other => isSuccessor(other, server));
-        const isSole = isConfirmed && keys.size === 1;
+        const isSole = isConfirmed && keys.size === 1 && !isCommonCause;
         const involvement = isSole ? CrashInvolvement.SoleSuspect : CrashInvolvement.Suspected;
         const lostRuns = committed.map(run => {
             if (!hasBegun(run)) {
@@ -62,7 +62,11 @@
         this.#incidents.set(incidentKeyOf(server.id, server.incarnation), {
             server,
             isConfirmed,
-            suspects: new Map(suspects.map(run => [suspectKeyOf(run), crashedRunOf(run, server, reason, involvement)])),
+            suspects: new Map(
+                isCommonCause
+                    ? []
+                    : suspects.map(run => [suspectKeyOf(run), crashedRunOf(run, server, reason, involvement)]),
+            ),
             involvedRuns: lostRuns.filter(({ crash }) =>
                 crash !== undefined && crash.involvement !== CrashInvolvement.RanOn
             ),
@@ -106,17 +110,21 @@
         }
     }
 
-    /** Returns how many servers, the given one included, fell silent at about the same time. */
-    #countSilentTogether(server: ServerView, others: readonly ServerView[], nowMs: number): number {
-        const isTogether = (silentSinceMs: number): boolean =>
-            Math.abs(silentSinceMs - server.lastHeartbeatAtMs) <= COMMON_SILENCE_WINDOW_MS;
-        const silentCount = others.filter(other =>
-            other !== server && nowMs - other.lastHeartbeatAtMs >= MIN_SILENCE_MS
-            && isTogether(other.lastHeartbeatAtMs)
-        ).length;
-        const lostCount = [...this.#incidents.values()]
-            .filter(incident => isTogether(incident.server.lastHeartbeatAtMs)).length;
-        return 1 + silentCount + lostCount;
+    /**
+     * Whether so many servers fell silent at about the same time that the cause is a common one. Servers with a suspect on
+     * trial count only if they are the majority: tasks that crash their servers are often tried again together, when the
+     * leases of the servers expire together.
+     */
+    #hasCommonCause(server: ServerView, others: readonly ServerView[], nowMs: number): boolean {
+        const lost = [...this.#incidents.values()].map(incident => incident.server);
+        const silent = others.filter(other => nowMs - other.lastHeartbeatAtMs >= MIN_SILENCE_MS);
+        const together = [...new Set([server, ...silent, ...lost])].filter(other =>
+            Math.abs(other.lastHeartbeatAtMs - server.lastHeartbeatAtMs) <= COMMON_SILENCE_WINDOW_MS
+        );
+        const untriedCount = together.filter(other => !hasTrial(other)).length;
+        const knownCount = new Set([...others, ...together]).size;
+        return untriedCount >= MIN_COMMON_SILENCES
+            || (together.length >= MIN_COMMON_SILENCES && together.length > knownCount / 2);
     }
 }
 
@@ -145,6 +153,9 @@
 /** Whether the server has or may have received the start order; a former leader may have sent it. */
 const hasBegun = (run: RunView): boolean => run.isReported || run.isAdopted || run.orderedAtSequence !== undefined;
 
+/** Whether a task that may have crashed another server had just started. */
+const hasTrial = (server: ServerView): boolean => server.freshRuns.some(run => run.isSuspect && hasBegun(run));
+
 /** Returns the involvement of a run that has begun and isn't a suspect. */
 const involvementOfOther = (server: ServerView, run: RunView): CrashInvolvement =>
     server.reportedMsOf(run) >= RAN_ON_MS ? CrashInvolvement.RanOn : CrashInvolvement.Present;
--- a/packages/workflow/src/leader/crashing-tasks.test.ts
+++ b/packages/workflow/src/leader/crashing-tasks.test.ts
@@ -44,6 +44,17 @@
         expect(fleet.maxStarts).toBeLessThanOrEqual(3);
     });
 
+    // Guards against culprits that are taken for victims of a loss of power, since their leases expire together and so they
+    // crash their next servers together.
+    it("is given up although others crash their servers at the same time", () => {
+        const { replica, fleet } = createFleet();
+        Array.from({ length: 5 }, (unused, number) => replica.submit(jobOf(`culprit${number}`, stepOf())));
+        fleet.advance(30_000);
+        expect([...replica.node.state.jobs.values()].map(({ state }) => state))
+            .toEqual(Array.from({ length: 5 }, () => JobState.Failed));
+        expect(fleet.maxStarts).toBeLessThanOrEqual(MAX_STARTS);
+    });
+
     // Guards against a bound that begins anew with each leader.
     it("is given up although the leader changes after each crash", () => {
         const { replica, fleet } = createFleet();
