--- a/packages/workflow/src/leader/crash-attribution.ts
+++ b/packages/workflow/src/leader/crash-attribution.ts
@@ -76,7 +76,7 @@
     }
 
     /**
-     * Handles the first heartbeat of a server since it was removed or is known, and returns what it shows about lost runs.
+     * Handles the first heartbeat of a server that the leader did not know, and returns what it shows about lost runs.
      * A server that is heard again in the same incarnation was only cut off: it is no longer held against its runs. A
      * later incarnation, or a later server on the same VM, confirms the crash.
      */
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -97,6 +97,7 @@
         }
         this.#changedServers = undefined;
         this.#failuresInRound.clear();
+        this.#forgetEndedTrials();
         return { runs, isComplete: true };
     }
 
@@ -253,6 +254,16 @@
         return nowMs - sinceMs < MAX_TRIAL_WAIT_MS;
     }
 
+    /** Forgets the waiting times of tasks and gangs whose job has ended before a server was found. */
+    #forgetEndedTrials(): void {
+        for (const key of this.#trialWaitSinceMs.keys()) {
+            const [jobId = ""] = key.split(".", 1);
+            if (this.#state.job(jobId)?.isOver !== false) {
+                this.#trialWaitSinceMs.delete(key);
+            }
+        }
+    }
+
     #isUnassigned(waiting: WaitingStep, index: number): boolean {
         return waiting.record.tasks[index]?.phase === TaskPhase.Waiting
             && !this.#pendingTasks.has(taskKeyIn(waiting, index));
--- a/packages/workflow/src/state/job-record.ts
+++ b/packages/workflow/src/state/job-record.ts
@@ -243,7 +243,10 @@
         return true;
     }
 
-    /** Records that a run is gone without a reported end, unless it isn't assigned, and its involvement in a crash. */
+    /**
+     * Records that a run is gone without a reported end, and its involvement in a crash. Returns false if the run isn't
+     * assigned; then only what is known of its crash may change.
+     */
     lose(position: TaskPosition, lost: LostRun, atMs: number): boolean {
         this.#recordCrash(position, lost, atMs);
         const task = this.#findAssignedTask(position, lost.run);
