Count a standing task's wait through starts that failed

What callers see: a standing task doesn't run for 6 s and more on servers that are full of other work, of which one rejects it or drops its orders.

Cause: the wait after which a standing task comes before all other work began anew whenever an assignment ended without a start, so that a task that was given to a failing server time and again never reached it.

Evidence: 'starts a standing task although one of two full servers rejects it time and again' failed before: 'expected false to be true', as the task was not at work on the sound server after 6 s.

Why it works: the leader keeps for each such task since when it waits until a server reports a run of it, and the queue uses that time.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -62,7 +62,8 @@
 export class LeaderSession {
     readonly #options: LeaderSessionOptions;
     readonly #directory: ServerDirectory;
-    readonly #queue = new WorkQueue();
+    readonly #unstartedTasks = new UnstartedTasks();
+    readonly #queue = new WorkQueue(task => this.#unstartedTasks.get(task)?.waitingSinceMs);
     readonly #pressure: PressureModel;
     readonly #pacing: FillerPacing;
     readonly #eligibility: Eligibility;
@@ -77,7 +78,6 @@
     readonly #failures: ServerFailures;
     readonly #stops: RunStops;
     readonly #startedJobs = new Set<string>();
-    readonly #unstartedTasks = new UnstartedTasks();
     #isPlanDue = true;
     #nextJobCleanupAtMs: number;
     #nextPressureRecordAtMs: number;
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -241,7 +241,10 @@
         const position = { jobId: job.id, occurrence, step: stepIndex, index };
         const checkpoint = waiting.record.tasks[index]?.checkpoint ?? "";
         const eligibilityToken = this.#eligibility.tokenFor(stepKeyOf(waiting), server, nowMs);
-        server.addRun(newRunView({ task, run, position, step, kind, checkpoint, eligibilityToken }, nowMs));
+        const { waitingSinceMs } = waiting;
+        server.addRun(
+            newRunView({ task, run, position, step, kind, checkpoint, eligibilityToken, waitingSinceMs }, nowMs),
+        );
         this.#pendingTasks.set(task, server);
         if (step.prefersOneRack && constraints.rackOfStep === "") {
             // The first task that is placed determines the rack of the others.
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -15,6 +15,8 @@
     readonly isAdopted: boolean;
     /** Time at which the run was assigned, or taken over from a former leader. */
     readonly assignedAtMs: number;
+    /** Wall-clock time since which the task had waited; undefined for a run that a former leader assigned. */
+    readonly waitingSinceMs: number | undefined;
     /** Whether the assignment is committed, so that the start order may be sent. */
     isCommitted: boolean;
     /** Sequence number of the heartbeat whose response carried the start order; undefined before. */
@@ -283,6 +285,7 @@
     checkpoint: string;
     eligibilityToken?: string | undefined;
     isAdopted?: boolean;
+    waitingSinceMs?: number | undefined;
 }
 
 /**
@@ -299,6 +302,7 @@
     eligibilityToken: assigned.eligibilityToken,
     isAdopted: assigned.isAdopted ?? false,
     assignedAtMs: nowMs,
+    waitingSinceMs: assigned.waitingSinceMs,
     isCommitted: false,
     orderedAtSequence: undefined,
     firstOrderedAtMs: undefined,
--- a/packages/workflow/src/leader/standing-tasks.test.ts
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -14,6 +14,8 @@
     readonly #running = new Map<string, StartOrder & { endsAtMs: number }>();
     readonly #ended: ReportedEnd[] = [];
     #sequence = 0;
+    /** Whether the server rejects the starts of standing tasks and starts all others. */
+    rejectsStanding = false;
     /** Whether the server rejects all starts. */
     rejectsStarts = false;
     /** Whether all answers arrive so late that the server drops them. */
@@ -54,7 +56,7 @@
     #start(order: StartOrder, nowMs: number): void {
         const isStanding = order.task.startsWith("standing.");
         this.#running.set(order.task, { ...order, endsAtMs: isStanding ? Infinity : nowMs + 500 });
-        if (this.rejectsStarts) {
+        if (this.rejectsStarts || (this.rejectsStanding && isStanding)) {
             this.end(order.task, RunEnd.NotStarted);
         }
     }
@@ -117,6 +119,18 @@
     expect(replica.node.state.job("standing")?.occurrences[0]?.[0]?.tasks[0]?.run).toBe(3);
 });
 
+// Load: finite jobs that have begun use all capacity. Guards against a standing task whose wait begins anew with each
+// start that a server rejects, so that it never comes before that work.
+it("starts a standing task although one of two full servers rejects it time and again", () => {
+    const { replica, servers } = startWithTwoServers();
+    servers[0].rejectsStanding = true;
+    replica.submit(jobOf("backlog", stepOf({ taskCount: 1_000 })));
+    advance(replica, servers, 2_000);
+    replica.submit(jobOf("standing", standingStepOf()));
+    advance(replica, servers, MAX_RESTART_MS);
+    expect(servers[1].isRunning("standing")).toBe(true);
+});
+
 // Guards against a task that stays assigned for ever to a server that sends heartbeats but drops the answers to them,
 // while other servers have room. A server drops what arrives later than a second.
 it.each([["standing", standingStepOf()], ["finite", stepOf()]])(
--- a/packages/workflow/src/leader/unstarted-tasks.ts
+++ b/packages/workflow/src/leader/unstarted-tasks.ts
@@ -5,8 +5,8 @@
 
 /** Assignments of a task that ended without a start. */
 export interface UnstartedTask {
-    /** Time of the first of these assignments. */
-    sinceMs: number;
+    /** Wall-clock time since which the task has waited for a start; undefined if a former leader assigned it first. */
+    waitingSinceMs: number | undefined;
     /** Number of assignments whose run was lost before the server reported it. */
     lostRuns: number;
     /** Number of assignments whose start the server rejected. */
@@ -54,7 +54,7 @@
 
     #countersOf(run: RunView): UnstartedTask {
         const counters = this.#tasks.get(run.task)
-            ?? { sinceMs: run.assignedAtMs, lostRuns: 0, rejectedRuns: 0 };
+            ?? { waitingSinceMs: run.waitingSinceMs, lostRuns: 0, rejectedRuns: 0 };
         this.#tasks.set(run.task, counters);
         return counters;
     }
--- a/packages/workflow/src/leader/wait-report.ts
+++ b/packages/workflow/src/leader/wait-report.ts
@@ -77,11 +77,11 @@
     queue.steps.filter(step => REPORTED_KINDS.includes(step.kind)).map(step => {
         const index = step.record.tasks.findIndex(({ phase }) => phase === TaskPhase.Waiting);
         const task = taskKeyIn(step, index);
-        const unstartedMs = times.nowMs - (unstartedTasks.get(task)?.sinceMs ?? times.nowMs);
+        const sinceMs = Math.min(step.waitingSinceMs, unstartedTasks.get(task)?.waitingSinceMs ?? Infinity);
         return {
             task,
             step,
-            waitedMs: Math.max(times.timeOfDayMs - step.waitingSinceMs, unstartedMs),
+            waitedMs: times.timeOfDayMs - sinceMs,
             serverId: undefined,
         };
     });
@@ -91,7 +91,8 @@
     const candidates: Candidate[] = [];
     for (const server of directory.servers) {
         for (const run of server.runs.values()) {
-            const waitedMs = times.nowMs - (unstartedTasks.get(run.task)?.sinceMs ?? run.assignedAtMs);
+            const sinceMs = unstartedTasks.get(run.task)?.waitingSinceMs ?? run.waitingSinceMs;
+            const waitedMs = sinceMs === undefined ? times.nowMs - run.assignedAtMs : times.timeOfDayMs - sinceMs;
             const step = isUnstarted(run) && waitedMs > MIN_REPORTED_WAIT_MS ? planner.stepOf(run) : undefined;
             if (step !== undefined) {
                 candidates.push({ task: run.task, step, waitedMs, serverId: server.id });
--- a/packages/workflow/src/leader/work-queue.test.ts
+++ b/packages/workflow/src/leader/work-queue.test.ts
@@ -95,6 +95,20 @@
     expect(orderAt(queue, 2_000)).toEqual(["standing", "finite"]);
 });
 
+// Guards against a standing task that never becomes overdue, because each assignment that ends without a start makes it
+// wait anew.
+it("counts the wait of a standing task through assignments that ended without a start", () => {
+    const queue = new WorkQueue(task => task === "standing.0.0.0" ? 500 : undefined);
+    const job = JobRecord.accepted(jobOf("standing", standingStepOf()), QUEUE as QueueContract, 0);
+    const position = { jobId: "standing", occurrence: 0, step: 0, index: 0 };
+    job.assign(position, { task: taskKeyOf(position), run: 1, serverId: "s", incarnation: 1 });
+    job.lose(position, { task: taskKeyOf(position), run: 1, checkpoint: "" });
+    queue.refresh(job, 2_400);
+    acceptBegun(queue, "begun", 2_400, stepOf({ taskCount: 2 }));
+    expect(orderAt(queue, 2_499)).toEqual(["begun", "standing"]);
+    expect(orderAt(queue, 2_500)).toEqual(["standing", "begun"]);
+});
+
 // Guards against an order of lateness that outweighs the priority of the queue.
 it("keeps jobs of a more important queue in front of those that are in time", () => {
     const queue = new WorkQueue();
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -37,14 +37,25 @@
     Late,
 }
 
+/**
+ * Returns the wall-clock time since which a task has waited whose assignments ended without a start; undefined for other
+ * tasks.
+ */
+type UnstartedSince = (task: string) => number | undefined;
+
 /**
  * Steps that are due and whose dependencies are done, in scheduling order: overdue standing steps, then the others by
  * priority, by urgency, and by the time at which callers expect the occurrence to end.
  */
 export class WorkQueue {
+    readonly #unstartedSinceMs: UnstartedSince;
     readonly #steps = new Map<string, WaitingStep>();
     #sorted: WaitingStep[] | undefined;
 
+    constructor(unstartedSinceMs: UnstartedSince = () => undefined) {
+        this.#unstartedSinceMs = unstartedSinceMs;
+    }
+
     /** Steps with waiting tasks, by priority and expected end. */
     get steps(): readonly WaitingStep[] {
         this.#sorted ??= [...this.#steps.values()].sort(compareSteps);
@@ -94,7 +105,7 @@
                 return;
             }
             if (isWaiting) {
-                this.#steps.set(key, waitingStepOf(job, occurrence, stepIndex, step, record, timeOfDayMs));
+                this.#steps.set(key, this.#waitingStepOf({ job, occurrence, stepIndex, step, record }, timeOfDayMs));
             }
             else {
                 this.#steps.delete(key);
@@ -104,47 +115,43 @@
         });
         return isChanged;
     }
+
+    #waitingStepOf(queued: QueuedStep, timeOfDayMs: number): WaitingStep {
+        const { job, occurrence, stepIndex, step } = queued;
+        return {
+            ...queued,
+            kind: taskKindOf(step),
+            waitingSinceMs: this.#waitingSinceMsOf(queued, timeOfDayMs),
+            expectedEndMs: expectedEndMsOf(job, occurrence),
+            remainingCriticalPathMs: criticalPathMs(job.specification.steps, stepIndex),
+        };
+    }
+
+    /**
+     * Returns the wall-clock time since which a task of a step that is now queued has waited. The log does not tell when
+     * an earlier run ended or when the dependencies were done.
+     */
+    #waitingSinceMsOf({ job, occurrence, stepIndex, step, record }: QueuedStep, timeOfDayMs: number): number {
+        const isFirstRun = step.dependsOn.length === 0 && record.tasks.some(task => task.run === 0);
+        let sinceMs = isFirstRun ? Math.min(timeOfDayMs, beginMsOf(job, occurrence)) : timeOfDayMs;
+        for (const [index, { phase }] of record.tasks.entries()) {
+            if (phase === TaskPhase.Waiting) {
+                const task = taskKeyOf({ jobId: job.id, occurrence, step: stepIndex, index });
+                sinceMs = Math.min(sinceMs, this.#unstartedSinceMs(task) ?? Infinity);
+            }
+        }
+        return sinceMs;
+    }
 }
 
+/** A step that enters the queue. */
+type QueuedStep = Pick<WaitingStep, "job" | "occurrence" | "stepIndex" | "step" | "record">;
+
 const hasWaitingTask = (job: JobRecord, occurrence: number, stepIndex: number, record: StepRecord): boolean =>
     record.doneCount < record.tasks.length
     && job.areDependenciesDone(occurrence, stepIndex)
     && record.tasks.some(task => task.phase === TaskPhase.Waiting);
 
-const waitingStepOf = (
-    job: JobRecord,
-    occurrence: number,
-    stepIndex: number,
-    step: StepSpecification,
-    record: StepRecord,
-    timeOfDayMs: number,
-): WaitingStep => ({
-    job,
-    occurrence,
-    stepIndex,
-    step,
-    kind: taskKindOf(step),
-    record,
-    waitingSinceMs: waitingSinceMsOf(job, occurrence, step, record, timeOfDayMs),
-    expectedEndMs: expectedEndMsOf(job, occurrence),
-    remainingCriticalPathMs: criticalPathMs(job.specification.steps, stepIndex),
-});
-
-/**
- * Returns the wall-clock time since which a task of a step that is now queued has waited. The log does not tell when an
- * earlier run ended or when the dependencies were done.
- */
-const waitingSinceMsOf = (
-    job: JobRecord,
-    occurrence: number,
-    step: StepSpecification,
-    record: StepRecord,
-    timeOfDayMs: number,
-): number => {
-    const isFirstRun = step.dependsOn.length === 0 && record.tasks.some(task => task.run === 0);
-    return isFirstRun ? Math.min(timeOfDayMs, beginMsOf(job, occurrence)) : timeOfDayMs;
-};
-
 /** Returns the wall-clock time at which an occurrence was accepted and due. */
 const beginMsOf = (job: JobRecord, occurrence: number): number => Math.max(job.acceptedAtMs, job.dueMs(occurrence));
 
