Give overdue standing tasks the capacity that becomes free during a round

What callers see: on a large fleet with a long queue a standing task doesn't run, although servers have room for it time and again.

Cause: a round of planning takes several calls if much work waits. A step that finds no server is skipped for the rest of the round, and the servers that change during it are searched for it only in the next one. Until then their capacity goes to the steps whose turn comes later in the round, however little urgent they are.

Evidence: 'gives capacity that becomes free during a round to an overdue standing task first' failed before: 'expected [ +0, 1 ] to deeply equal [ 1, +0 ]', the last step of the queue got the server.

Why it works: each further call of a round first tries the overdue standing steps, 16 at most, on the servers that have changed since the last call. Half of a call's budget stays for the round.

--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -6,7 +6,7 @@
 import type { StepSpecification } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import { WorkflowState } from "../state/workflow-state.js";
-import { configurationOf, fillerStepOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { configurationOf, fillerStepOf, heartbeatOf, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
 import { LEADER_SETTINGS, SingleReplica } from "../testing/single-replica.js";
 import { Eligibility } from "./eligibility.js";
 import { Planner } from "./planner.js";
@@ -93,6 +93,33 @@
     expect(examinedPerCall.at(-1)).toBe(0);
 });
 
+// Load: a round of planning that takes several calls. Guards against an overdue standing task that starves, because the
+// capacity that becomes free during a round goes to the steps whose turn comes later in that round.
+it("gives capacity that becomes free during a round to an overdue standing task first", () => {
+    const replica = startReplica(100);
+    const amounts = { cpuMillicores: 1_000, memoryMebibytes: 1_000, accelerators: 0 };
+    const submit = (id: string, step: StepSpecification): void => {
+        replica.node.submit({ host: "jobs.example", path: `/batch/${id}` }, jobOf(id, step), () => undefined, {
+            ...replica.times,
+            timeOfDayMs: replica.times.timeOfDayMs - (id === "standing" ? 2_000 : 0),
+        });
+    };
+    submit("standing", standingStepOf({ amounts }));
+    for (let job = 0; job < WAITING_JOBS; job += 1) {
+        submit(`large-${job}`, stepOf({ amounts: { ...amounts, memoryMebibytes: 9_000 }, maxTasksPerServer: 1 }));
+    }
+    submit("last", stepOf({ amounts, estimatedRunTimeMs: 9_000 }));
+    replica.node.run(replica.times);
+    replica.commit();
+    replica.node.run(replica.times);
+    replica.commit();
+    replica.node.heartbeat(heartbeatOfServer(0, 2, 1_000), () => undefined, replica.times);
+    replica.settle();
+    replica.settle();
+    const runOf = (id: string): number | undefined => replica.node.state.job(id)?.occurrences[0]?.[0]?.tasks[0]?.run;
+    expect([runOf("standing"), runOf("last")]).toEqual([1, 0]);
+});
+
 // Guards against capacity that stays unused because a search for it failed earlier.
 it("assigns a task that found no server as soon as a server has capacity again", () => {
     const replica = SingleReplica.started();
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -25,6 +25,11 @@
  */
 const MAX_EXAMINED_SERVERS_PER_CALL = 10_000;
 
+/** Servers that each call may examine for the steps of the round, beside those for overdue steps. */
+const MIN_EXAMINED_SERVERS_IN_ROUND = MAX_EXAMINED_SERVERS_PER_CALL / 2;
+/** Upper bound on the overdue steps that are considered again in each further call of a round. */
+const MAX_RECONSIDERED_STEPS = 16;
+
 /** Assignments of one call of the {@link Planner}. */
 export interface Plan {
     runs: AssignedRun[];
@@ -50,6 +55,8 @@
     readonly #failuresInRound = new FailedPlacements();
     /** Servers that had changed when the round began; undefined between two rounds. */
     #changedServers: readonly ServerView[] | undefined;
+    /** Servers that have changed since the round began; the next round searches them. */
+    #changedInRound: ServerView[] = [];
     #remainingServers = 0;
 
     constructor(options: {
@@ -78,7 +85,9 @@
         else {
             this.#changedServers = this.#changedServers.filter(server => this.#directory.get(server.id) === server);
         }
-        const runs: AssignedRun[] = [];
+        const runs = this.#reconsiderOverdue({ nowMs, timeOfDayMs });
+        // The round must go on, however many servers change during it.
+        this.#remainingServers = Math.max(this.#remainingServers, MIN_EXAMINED_SERVERS_IN_ROUND);
         for (const waiting of this.#queue.ordered(timeOfDayMs)) {
             const planned = this.#planStep(waiting, nowMs);
             runs.push(...planned.runs);
@@ -154,7 +163,9 @@
 
     /** Takes the changed servers, and searches them for the amounts that no server could run before. */
     #beginRound(nowMs: number): void {
-        const changedServers = this.#directory.takeChanged();
+        const candidates = new Set([...this.#changedInRound, ...this.#directory.takeChanged()]);
+        const changedServers = [...candidates].filter(server => this.#directory.get(server.id) === server);
+        this.#changedInRound = [];
         this.#changedServers = changedServers;
         this.#failures.recheck((waiting, key) => {
             const server = this.#search(waiting, changedServers, this.#constraintsFor(waiting, nowMs), nowMs);
@@ -165,6 +176,24 @@
         });
     }
 
+    /**
+     * Assigns the tasks of overdue standing steps to the servers that have changed since the last call, whose capacity
+     * would otherwise go to the steps that follow in the round. Does nothing in the first call of a round.
+     */
+    #reconsiderOverdue({ nowMs, timeOfDayMs }: Times): AssignedRun[] {
+        const changedServers = this.#directory.takeChanged();
+        this.#changedInRound.push(...changedServers);
+        if (changedServers.length === 0) {
+            return [];
+        }
+        const overdue = this.#queue.overdue(timeOfDayMs).slice(0, MAX_RECONSIDERED_STEPS);
+        return overdue.filter(({ job }) => !job.isOver).flatMap(waiting => {
+            const constraints = this.#constraintsFor(waiting, nowMs);
+            const find = (): ServerView | undefined => this.#search(waiting, changedServers, constraints, nowMs);
+            return this.#planTasks(waiting, constraints, find, nowMs).runs;
+        });
+    }
+
     #planStep(waiting: WaitingStep, nowMs: number): Plan {
         const queue = this.#state.currentQueueOf(waiting.job);
         const isSkipped = waiting.job.isOver
@@ -172,12 +201,20 @@
         if (isSkipped) {
             return NOTHING_TO_PLAN;
         }
-        return waiting.step.isGang ? this.#planGang(waiting, nowMs) : this.#planTasks(waiting, nowMs);
+        if (waiting.step.isGang) {
+            return this.#planGang(waiting, nowMs);
+        }
+        const constraints = this.#constraintsFor(waiting, nowMs);
+        return this.#planTasks(waiting, constraints, () => this.#findServer(waiting, constraints, nowMs), nowMs);
     }
 
-    #planTasks(waiting: WaitingStep, nowMs: number): Plan {
+    #planTasks(
+        waiting: WaitingStep,
+        constraints: PlacementConstraints,
+        findServer: () => ServerView | undefined,
+        nowMs: number,
+    ): Plan {
         const runs: AssignedRun[] = [];
-        const constraints = this.#constraintsFor(waiting, nowMs);
         for (const [index, task] of waiting.record.tasks.entries()) {
             if (!this.#isUnassigned(waiting, index)) {
                 continue;
@@ -185,11 +222,11 @@
             if (this.#remainingServers <= 0) {
                 return { runs, isComplete: false };
             }
-            const planned = this.#planTask(waiting, constraints, index, task.run + 1, nowMs);
-            if (planned === undefined) {
+            const server = findServer();
+            if (server === undefined) {
                 break;
             }
-            runs.push(planned.assigned);
+            runs.push(this.#assign(waiting, constraints, server, index, task.run + 1, nowMs).assigned);
         }
         return { runs, isComplete: true };
     }
@@ -207,15 +244,15 @@
         const constraints = this.#constraintsFor(waiting, nowMs);
         const planned: PlannedRun[] = [];
         for (let index = 0; index < tasks.length; index += 1) {
-            const member = this.#isUnassigned(waiting, index)
-                ? this.#planTask(waiting, constraints, index, run, nowMs)
+            const server = this.#isUnassigned(waiting, index)
+                ? this.#findServer(waiting, constraints, nowMs)
                 : undefined;
-            if (member === undefined) {
+            if (server === undefined) {
                 planned.forEach(earlier => this.#rollBack(earlier));
                 this.#failuresInRound.record(waiting, "");
                 return NOTHING_TO_PLAN;
             }
-            planned.push(member);
+            planned.push(this.#assign(waiting, constraints, server, index, run, nowMs));
         }
         return { runs: planned.map(member => member.assigned), isComplete: true };
     }
@@ -225,18 +262,16 @@
             && !this.#pendingTasks.has(taskKeyIn(waiting, index));
     }
 
-    #planTask(
+    /** Reserves a task's amounts on a server. */
+    #assign(
         waiting: WaitingStep,
         constraints: PlacementConstraints,
+        server: ServerView,
         index: number,
         run: number,
         nowMs: number,
-    ): PlannedRun | undefined {
+    ): PlannedRun {
         const { job, occurrence, stepIndex, step, kind } = waiting;
-        const server = this.#findServer(waiting, constraints, nowMs);
-        if (server === undefined) {
-            return undefined;
-        }
         const task = taskKeyIn(waiting, index);
         const position = { jobId: job.id, occurrence, step: stepIndex, index };
         const checkpoint = waiting.record.tasks[index]?.checkpoint ?? "";
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -62,6 +62,11 @@
         return this.#sorted;
     }
 
+    /** Returns the standing steps that precede all other work, in scheduling order. */
+    overdue(timeOfDayMs: number): readonly WaitingStep[] {
+        return this.steps.filter(waiting => isStandingOverdue(waiting, timeOfDayMs));
+    }
+
     /** Returns the steps in scheduling order. */
     ordered(timeOfDayMs: number): readonly WaitingStep[] {
         const overdue: WaitingStep[] = [];
