--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -65,7 +65,8 @@
 export class LeaderSession {
     readonly #options: LeaderSessionOptions;
     readonly #directory: ServerDirectory;
-    readonly #queue = new WorkQueue();
+    readonly #unstartedTasks = new UnstartedTasks();
+    readonly #queue = new WorkQueue(task => this.#unstartedTasks.get(task)?.waitingSinceMs);
     readonly #pressure: PressureModel;
     readonly #pacing: FillerPacing;
     readonly #eligibility: Eligibility;
@@ -81,7 +82,6 @@
     readonly #losses: RunLosses;
     readonly #stops: RunStops;
     readonly #startedJobs = new Set<string>();
-    readonly #unstartedTasks = new UnstartedTasks();
     #isPlanDue = true;
     #nextJobCleanupAtMs: number;
     #nextPressureRecordAtMs: number;
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -32,6 +32,11 @@
  */
 const MAX_EXAMINED_SERVERS_PER_CALL = 10_000;
 
+/** Servers that each call may examine for the steps of the round, beside those for overdue steps. */
+const MIN_EXAMINED_SERVERS_IN_ROUND = MAX_EXAMINED_SERVERS_PER_CALL / 2;
+/** Upper bound on the overdue steps that are considered again in each further call of a round. */
+const MAX_RECONSIDERED_STEPS = 16;
+
 /** Assignments of one call of the {@link Planner}. */
 export interface Plan {
     runs: AssignedRun[];
@@ -57,6 +62,8 @@
     readonly #failuresInRound = new FailedPlacements();
     /** Servers that had changed when the round began; undefined between two rounds. */
     #changedServers: readonly ServerView[] | undefined;
+    /** Servers that have changed since the round began; the next round searches them. */
+    #changedInRound: ServerView[] = [];
     #remainingServers = 0;
     /** Times since which tasks that may crash their servers have waited for one, by task. */
     readonly #trialWaitSinceMs = new Map<string, number>();
@@ -87,7 +94,9 @@
         else {
             this.#changedServers = this.#changedServers.filter(server => this.#directory.get(server.id) === server);
         }
-        const runs: AssignedRun[] = [];
+        const runs = this.#reconsiderOverdue({ nowMs, timeOfDayMs });
+        // The round must go on, however many servers change during it.
+        this.#remainingServers = Math.max(this.#remainingServers, MIN_EXAMINED_SERVERS_IN_ROUND);
         for (const waiting of this.#queue.ordered(timeOfDayMs)) {
             const planned = this.#planStep(waiting, nowMs);
             runs.push(...planned.runs);
@@ -164,7 +173,9 @@
 
     /** Takes the changed servers, and searches them for the amounts that no server could run before. */
     #beginRound(nowMs: number): void {
-        const changedServers = this.#directory.takeChanged();
+        const candidates = new Set([...this.#changedInRound, ...this.#directory.takeChanged()]);
+        const changedServers = [...candidates].filter(server => this.#directory.get(server.id) === server);
+        this.#changedInRound = [];
         this.#changedServers = changedServers;
         this.#failures.recheck((waiting, key) => {
             const server = this.#search(waiting, changedServers, this.#constraintsFor(waiting, nowMs), nowMs);
@@ -175,6 +186,24 @@
         });
     }
 
+    /**
+     * Assigns the tasks of overdue standing steps to the servers that have changed since the last call, whose capacity
+     * would otherwise go to the steps that follow in the round. Does nothing in the first call of a round.
+     */
+    #reconsiderOverdue({ nowMs, timeOfDayMs }: Times): AssignedRun[] {
+        const changedServers = this.#directory.takeChanged();
+        this.#changedInRound.push(...changedServers);
+        if (changedServers.length === 0) {
+            return [];
+        }
+        const overdue = this.#queue.overdue(timeOfDayMs).slice(0, MAX_RECONSIDERED_STEPS);
+        return overdue.filter(({ job }) => !job.isOver).flatMap(waiting => {
+            const constraints = this.#constraintsFor(waiting, nowMs);
+            const find = (): ServerView | undefined => this.#search(waiting, changedServers, constraints, nowMs);
+            return this.#planTasks(waiting, constraints, find, nowMs).runs;
+        });
+    }
+
     #planStep(waiting: WaitingStep, nowMs: number): Plan {
         const queue = this.#state.currentQueueOf(waiting.job);
         const isSkipped = waiting.job.isOver
@@ -182,12 +211,20 @@
         if (isSkipped) {
             return NOTHING_TO_PLAN;
         }
-        return waiting.step.isGang ? this.#planGang(waiting, nowMs) : this.#planTasks(waiting, nowMs);
+        if (waiting.step.isGang) {
+            return this.#planGang(waiting, nowMs);
+        }
+        const constraints = this.#constraintsFor(waiting, nowMs);
+        return this.#planTasks(waiting, constraints, () => this.#findServer(waiting, constraints, nowMs), nowMs);
     }
 
-    #planTasks(waiting: WaitingStep, nowMs: number): Plan {
+    #planTasks(
+        waiting: WaitingStep,
+        constraints: PlacementConstraints,
+        findServer: () => ServerView | undefined,
+        nowMs: number,
+    ): Plan {
         const runs: AssignedRun[] = [];
-        const constraints = this.#constraintsFor(waiting, nowMs);
         for (const [index, task] of waiting.record.tasks.entries()) {
             if (!this.#isUnassigned(waiting, index)) {
                 continue;
@@ -196,11 +233,9 @@
                 return { runs, isComplete: false };
             }
             const isTrial = isSuspect(task.crashes);
-            const planned = isTrial
-                ? this.#planTrial(waiting, constraints, index, task.run + 1, nowMs)
-                : this.#planTask(waiting, constraints, index, task.run + 1, nowMs);
-            if (planned !== undefined) {
-                runs.push(planned.assigned);
+            const server = isTrial ? this.#findTrialServer(waiting, constraints, index, nowMs) : findServer();
+            if (server !== undefined) {
+                runs.push(this.#assign(waiting, constraints, server, index, task.run + 1, nowMs).assigned);
             }
             else if (!isTrial) {
                 break;
@@ -224,28 +259,27 @@
             && this.#isTrialWaitOpen(stepKeyOf(waiting), nowMs);
         const planned: PlannedRun[] = [];
         for (let index = 0; index < tasks.length; index += 1) {
-            const member = this.#isUnassigned(waiting, index)
-                ? this.#planTask(waiting, constraints, index, run, nowMs)
+            const server = this.#isUnassigned(waiting, index)
+                ? this.#findServer(waiting, constraints, nowMs)
                 : undefined;
-            if (member === undefined) {
+            if (server === undefined) {
                 planned.forEach(earlier => this.#rollBack(earlier));
                 this.#failuresInRound.record(waiting, "");
                 return NOTHING_TO_PLAN;
             }
-            planned.push(member);
+            planned.push(this.#assign(waiting, constraints, server, index, run, nowMs));
         }
         this.#trialWaitSinceMs.delete(stepKeyOf(waiting));
         return { runs: planned.map(member => member.assigned), isComplete: true };
     }
 
-    /** Assigns a task that may crash its server. That none is found says nothing about other tasks of its size. */
-    #planTrial(
+    /** Chooses a server for a task that may crash it. That none is found says nothing about other tasks of its size. */
+    #findTrialServer(
         waiting: WaitingStep,
         constraints: PlacementConstraints,
         index: number,
-        run: number,
         nowMs: number,
-    ): PlannedRun | undefined {
+    ): ServerView | undefined {
         const task = taskKeyIn(waiting, index);
         const isIsolated = this.#isTrialWaitOpen(task, nowMs);
         const { crashes = [] } = waiting.record.tasks[index] ?? {};
@@ -253,10 +287,11 @@
         const server = this.#search(waiting, this.#directory.servers, trialConstraints, nowMs);
         if (server === undefined) {
             this.#queryEligibility(waiting, constraints, nowMs);
-            return undefined;
         }
-        this.#trialWaitSinceMs.delete(task);
-        return this.#assign(waiting, constraints, server, index, run, nowMs);
+        else {
+            this.#trialWaitSinceMs.delete(task);
+        }
+        return server;
     }
 
     /** Whether a task or gang that may crash its server has waited only briefly for one without fresh runs. */
@@ -281,17 +316,7 @@
             && !this.#pendingTasks.has(taskKeyIn(waiting, index));
     }
 
-    #planTask(
-        waiting: WaitingStep,
-        constraints: PlacementConstraints,
-        index: number,
-        run: number,
-        nowMs: number,
-    ): PlannedRun | undefined {
-        const server = this.#findServer(waiting, constraints, nowMs);
-        return server === undefined ? undefined : this.#assign(waiting, constraints, server, index, run, nowMs);
-    }
-
+    /** Reserves a task's amounts on a server. */
     #assign(
         waiting: WaitingStep,
         constraints: PlacementConstraints,
@@ -300,14 +325,14 @@
         run: number,
         nowMs: number,
     ): PlannedRun {
-        const { job, occurrence, stepIndex, step, kind, record } = waiting;
+        const { job, occurrence, stepIndex, step, kind, record, waitingSinceMs } = waiting;
         const task = taskKeyIn(waiting, index);
         const position = { jobId: job.id, occurrence, step: stepIndex, index };
         const checkpoint = record.tasks[index]?.checkpoint ?? "";
         const isTrial = isSuspect(record.tasks[index]?.crashes);
         const eligibilityToken = this.#eligibility.tokenFor(stepKeyOf(waiting), server, nowMs);
         server.addRun(newRunView(
-            { task, run, position, step, kind, checkpoint, eligibilityToken, isSuspect: isTrial },
+            { task, run, position, step, kind, checkpoint, eligibilityToken, isSuspect: isTrial, waitingSinceMs },
             nowMs,
         ));
         this.#pendingTasks.set(task, server);
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -17,6 +17,8 @@
     readonly isAdopted: boolean;
     /** Time at which the run was assigned, or taken over from a former leader. */
     readonly assignedAtMs: number;
+    /** Wall-clock time since which the task had waited; undefined for a run that a former leader assigned. */
+    readonly waitingSinceMs: number | undefined;
     /** Whether the assignment is committed, so that the start order may be sent. */
     isCommitted: boolean;
     /** Sequence number of the heartbeat whose response carried the start order; undefined before. */
@@ -312,6 +314,7 @@
     eligibilityToken?: string | undefined;
     isSuspect?: boolean;
     isAdopted?: boolean;
+    waitingSinceMs?: number | undefined;
 }
 
 /**
@@ -329,6 +332,7 @@
     isSuspect: assigned.isSuspect ?? false,
     isAdopted: assigned.isAdopted ?? false,
     assignedAtMs: nowMs,
+    waitingSinceMs: assigned.waitingSinceMs,
     isCommitted: false,
     orderedAtSequence: undefined,
     firstOrderedAtMs: undefined,
