--- a/packages/workflow/src/node/contained-errors.test.ts
+++ b/packages/workflow/src/node/contained-errors.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
 import { JobState } from "../model/calls.js";
+import type { QueueContract } from "../model/configuration.js";
 import { RunEnd } from "../model/heartbeat.js";
 import { encodeEvents, EventKind } from "../state/events.js";
 import type { WorkflowEvent } from "../state/events.js";
@@ -9,6 +10,7 @@
 
 /** Time after which a new session has begun, or the one that has begun plans. */
 const RESTART_MS = 500;
+const [QUEUE] = configurationOf(1).queues as [QueueContract];
 const ELIGIBILITY = { decisionMs: 10, perServerMs: 1, validityMs: 60_000 };
 
 /** Returns a started replica, and a list of the actions whose errors it has contained. */
@@ -56,6 +58,20 @@
         expect(replica.stateOf("next")).toBe(JobState.Completed);
     });
 
+    // Guards against replicas with different states: an exhausted stack depends on the process that applies the event.
+    it("that exhausts the stack of one process stops the replica", () => {
+        const { replica, failed } = startWithErrorList();
+        const job = jobOf("j", stepOf());
+        Object.defineProperty(replica.node.state, "apply", {
+            value: () => {
+                throw new RangeError("Maximum call stack size exceeded");
+            },
+        });
+        const accepted: WorkflowEvent = { kind: EventKind.JobAccepted, job, queue: QUEUE, acceptedAtMs: 0 };
+        expect(() => appendRecord(replica, encodeEvents([accepted]))).toThrow(RangeError);
+        expect(failed).toEqual([]);
+    });
+
     // Guards against replicas with different states: one that passed over an event of a later version could lead.
     it("of a later version stops the replica", () => {
         const { replica, failed } = startWithErrorList();
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -319,7 +319,9 @@
             return true;
         }
         catch (error) {
-            if (onError === undefined || error instanceof UnknownEventError) {
+            // An exhausted stack depends on the process, not on the record: replicas would diverge.
+            const isLocal = action === FailedAction.ApplyEvent && error instanceof RangeError;
+            if (onError === undefined || error instanceof UnknownEventError || isLocal) {
                 throw error;
             }
             onError(error, action);
