--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -5,7 +5,7 @@
 import type { OpenedStore, RoleChangedEffect } from "@waxwingspread/consensus";
 import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
-import { WorkflowNode } from "@waxwingspread/workflow";
+import { FailedAction, WorkflowNode } from "@waxwingspread/workflow";
 import type {
     CallResult,
     Configuration,
@@ -312,7 +312,7 @@
                 () => this.#metrics.setVoterStatus(this.#membership.voterStatus(monotonicNowMs())),
                 VOTER_STATUS_INTERVAL_MS,
             ),
-            setInterval(() => this.#reportUtilization(), UTILIZATION_INTERVAL_MS),
+            setInterval(() => this.#tryReportUtilization(), UTILIZATION_INTERVAL_MS),
             setInterval(() => this.#announceMembers(), ANNOUNCE_INTERVAL_MS),
         );
     }
@@ -352,6 +352,16 @@
         }
     }
 
+    /** Reports the utilization; an error in a report must not end the leader. */
+    #tryReportUtilization(): void {
+        try {
+            this.#reportUtilization();
+        }
+        catch (error) {
+            this.#eventLog.recordFailure(error, FailedAction.ReportEvents, monotonicNowMs());
+        }
+    }
+
     #reportUtilization(): void {
         const { session } = this.#node;
         if (session !== undefined) {
