Keep the place of a cancelled job's run after a change of the leader

What callers would see: a start beyond a server's capacity (LIMIT).

Cause: after a change of the leader, a run that a heartbeat doesn't report counts as never started only once heartbeats from before the election have arrived. Runs of jobs that were over were excepted: a late heartbeat from before the former leader's order gave up such a run while the server worked on it, and its place went to another task.

Evidence: order-writer.test.ts on the code before: "expected [ Array(1) ] to deeply equal []".

--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -94,8 +94,7 @@
      * heartbeats may arrive late and may have been sent before the former leader's start order was received.
      */
     #hasNotStarted(server: ServerView, view: RunView, nowMs: number): boolean {
-        const isOver = this.#state.job(view.position.jobId)?.isOver !== false;
-        return !view.isAdopted || isOver || nowMs - (server.firstHeartbeatAtMs ?? nowMs) >= LATE_HEARTBEAT_WINDOW_MS;
+        return !view.isAdopted || nowMs - (server.firstHeartbeatAtMs ?? nowMs) >= LATE_HEARTBEAT_WINDOW_MS;
     }
 
     #canStart(server: ServerView, view: RunView, nowMs: number): boolean {
