--- a/packages/workflow/src/leader/untracked-runs.test.ts
+++ b/packages/workflow/src/leader/untracked-runs.test.ts
@@ -15,17 +15,20 @@
     const replica = SingleReplica.started();
     replica.heartbeat(heartbeatOf("s", 1));
     replica.submit(jobOf("cancelled", LARGE_STEP));
-    expect(replica.heartbeat(heartbeatOf("s", 3))?.starts).toHaveLength(1);
+    expect(replica.heartbeat(heartbeatOf("s", 4))?.starts).toHaveLength(1);
     replica.failOver();
     replica.node.cancel("cancelled", () => undefined, replica.times);
     replica.advance(500);
-    // This heartbeat was sent before the former leader's order arrived, and is delivered late.
+    // These heartbeats were sent before the former leader's order arrived, and are delivered late; the second one later
+    // than the leader expects of any.
     replica.heartbeat(heartbeatOf("s", 2));
+    replica.advance(1_500);
+    replica.heartbeat(heartbeatOf("s", 3));
     replica.submit(jobOf("next", LARGE_STEP));
-    const orders = replica.heartbeat(heartbeatOf("s", 4, { running }));
+    const orders = replica.heartbeat(heartbeatOf("s", 5, { running }));
     expect(orders?.starts).toEqual([]);
     expect(orders?.stops).toEqual([{ task: "cancelled.0.0.0", run: 1 }]);
-    replica.heartbeat(heartbeatOf("s", 5, { running }));
-    const starts = replica.heartbeat(heartbeatOf("s", 6))?.starts;
+    replica.heartbeat(heartbeatOf("s", 6, { running }));
+    const starts = replica.heartbeat(heartbeatOf("s", 7))?.starts;
     expect(starts?.map(({ task }) => task)).toEqual(["next.0.0.0"]);
 });
