--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -278,7 +278,7 @@
         const { amounts } = run.step;
         const isFiller = run.kind === TaskKind.Filler;
         this.#reserved = {
-            cpuMillicores: this.#reserved.cpuMillicores + (isFiller ? 0 : sign * amounts.cpuMillicores),
+            cpuMillicores: this.#reserved.cpuMillicores + sign * countedMillicoresOf(run.step),
             memoryMebibytes: this.#reserved.memoryMebibytes + sign * amounts.memoryMebibytes,
             accelerators: this.#reserved.accelerators + sign * amounts.accelerators,
         };
--- a/packages/workflow/src/leader/standing-tasks.test.ts
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -161,3 +161,18 @@
     advance(replica, servers, MAX_RETRY_MS);
     expect(replica.stateOf("finite")).not.toBe("queued");
 });
+
+// Guards against room that only the leader doesn't see: the processors of standing tasks that fill were reserved, although
+// they don't count against a server's capacity.
+it("starts a finite task beside standing tasks that fill and need all processors", () => {
+    const replica = SingleReplica.started();
+    const server = new TestServer("s");
+    server.beat(replica);
+    const amounts = { cpuMillicores: 3_000, memoryMebibytes: 100, accelerators: 0 };
+    replica.submit(jobOf("standing", standingStepOf({ isFiller: true, taskCount: 2, amounts })));
+    advance(replica, [server], 500);
+    expect(server.isRunning("standing")).toBe(true);
+    replica.submit(jobOf("finite", stepOf()));
+    advance(replica, [server], 300);
+    expect(server.isRunning("finite")).toBe(true);
+});
--- a/packages/workflow/src/testing/fuzz/simulated-worker.ts
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -1,6 +1,6 @@
 import { RunEnd } from "../../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport, ReportedEnd, StartOrder } from "../../model/heartbeat.js";
-import { parseTaskKey } from "../../model/specification.js";
+import { countedMillicoresOf, parseTaskKey } from "../../model/specification.js";
 import type { Amounts, StepSpecification, TaskPosition } from "../../model/specification.js";
 import { ChangingCapacity } from "./changing-capacity.js";
 
@@ -272,7 +272,7 @@
 
     #hasRoomFor(step: StepSpecification): boolean {
         const { cpuMillicores, memoryMebibytes } = freeAmountsOf(this);
-        const neededMillicores = reservesCpu(step) ? step.amounts.cpuMillicores : 0;
+        const neededMillicores = countedMillicoresOf(step);
         return neededMillicores <= cpuMillicores && step.amounts.memoryMebibytes <= memoryMebibytes;
     }
 
@@ -310,15 +310,13 @@
     idleMillicores: number;
 }
 
-const reservesCpu = (step: StepSpecification): boolean => !step.isFiller || step.isStanding;
-
 /** Returns what a worker has left beside its runs. */
 export const freeAmountsOf = (worker: SimulatedWorker): FreeAmounts => {
     const { cpuMillicores, memoryMebibytes } = worker.capacity.current;
     const usableMillicores = cpuMillicores - worker.options.hiddenMillicores;
     const free = { cpuMillicores: usableMillicores, memoryMebibytes, idleMillicores: usableMillicores };
     for (const { step } of worker.runs.values()) {
-        free.cpuMillicores -= reservesCpu(step) ? step.amounts.cpuMillicores : 0;
+        free.cpuMillicores -= countedMillicoresOf(step);
         free.memoryMebibytes -= step.amounts.memoryMebibytes;
         free.idleMillicores -= step.amounts.cpuMillicores;
     }
