--- a/packages/daemon/src/workflow/event-log.test.ts
+++ b/packages/daemon/src/workflow/event-log.test.ts
@@ -17,7 +17,7 @@
     expect(lines).toMatchObject([{ msg: "job event", event: "assigned", jobId: "aa", task: "aa.0.1.2", run: 3 }]);
 });
 
-// Guards against a failed job whose caller can't be told which task and which servers decided it (issue 22, BUDGET).
+// Guards against a failed job whose caller can't be told which task and which servers decided it (issue 22).
 it("names the task, the reason and the servers of a job that is given up", () => {
     const crashes = [{ run: 1, serverId: "s", vmId: "v", involvement: CrashInvolvement.SoleSuspect }];
     const lines = linesOf(log => log.recordCrashingTask({ task: "aa.0.1.2", run: 1, crashes }, 0));
@@ -31,7 +31,7 @@
     }]);
 });
 
-// Guards against lost runs whose cause, a crash or a cut, has to be guessed (issue 22, BUDGET).
+// Guards against lost runs whose cause, a crash or a cut, has to be guessed (issue 22).
 it("tells why a run is lost and how it was involved in a crash", () => {
     const crash = { serverId: "s", vmId: "v", involvement: CrashInvolvement.Suspected };
     const runs = [{ task: "aa.0.1.2", run: 3, checkpoint: "", reason: LossReason.ServerRestarted, crash }];
--- a/packages/daemon/src/workflow/workflow-metrics.test.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.test.ts
@@ -36,7 +36,7 @@
     expect(lines).toContain("waxwingspread_accepted_to_assigned_seconds_sum 0.2");
 });
 
-// Guards against jobs that are given up without an operator's notice (issue 22, BUDGET).
+// Guards against jobs that are given up without an operator's notice (issue 22).
 it("counts the jobs that are given up", async () => {
     const metrics = new ControlMetrics();
     metrics.recordCrashingTask();
--- a/packages/workflow/src/leader/order-writer.test.ts
+++ b/packages/workflow/src/leader/order-writer.test.ts
@@ -2,7 +2,7 @@
 import { heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
 import { SingleReplica } from "../testing/single-replica.js";
 
-// Guards against starts beyond a server's capacity (LIMIT): a new leader took the run of a cancelled job for never started,
+// Guards against starts beyond a server's capacity: a new leader took the run of a cancelled job for never started,
 // because of a heartbeat from before its predecessor's order, and gave its place to another task.
 it("keeps the place of a cancelled job's run that a former leader may have started", () => {
     const replica = SingleReplica.started();
--- a/packages/workflow/src/state/job-record.test.ts
+++ b/packages/workflow/src/state/job-record.test.ts
@@ -60,7 +60,7 @@
 
 const singleTask = (): JobRecord => JobRecord.accepted(jobOf("j", stepOf()), QUEUE as QueueContract, 0);
 
-// Guards against a task that is started for as long as it crashes servers (issue 22, BUDGET).
+// Guards against a task that is started for as long as it crashes servers (issue 22).
 it("fails a job when one of its tasks was the sole suspect of two crashes", () => {
     const job = singleTask();
     loseRun(job, 1, CrashInvolvement.SoleSuspect);
