--- a/packages/workflow/src/leader/crashing-tasks.test.ts
+++ b/packages/workflow/src/leader/crashing-tasks.test.ts
@@ -26,7 +26,8 @@
 
 // Load: jobs of six tasks arrive steadily, some with a task that crashes each server that starts it.
 describe("a task that crashes the servers that start it", () => {
-    // Guards against tasks that crash their servers (issue 22): such a task took down a server every lease, for as long as the day lasted.
+    // Guards against tasks that crash their servers (issue 22): such a task took down one server after the other, for as
+    // long as it was started.
     it("is given up after two crashes of which it is certainly the cause, and its neighbours complete", () => {
         const { replica, fleet } = createFleet();
         for (let number = 0; number < 20; number += 1) {
