--- a/packages/workflow/src/leader/server-failures.test.ts
+++ b/packages/workflow/src/leader/server-failures.test.ts
@@ -106,3 +106,18 @@
     const started = serverIds.flatMap(id => replica.heartbeat(heartbeatOf(id, 4))?.starts ?? []);
     expect(started.length).toBeGreaterThanOrEqual(2);
 });
+
+// Load: after a change of the leader the answers to half of a fleet are late for a while, others start runs. Guards
+// against capacity that stays unused for seconds after the answers are in time again.
+it("excludes a server only briefly when its start orders had no effect for the first time", () => {
+    const [late, sound] = ["late", "sound"].map(id => new ServerView(id, 1, NOW_MS, NOW_MS)) as [
+        ServerView,
+        ServerView,
+    ];
+    failures.recordStart(sound, NOW_MS);
+    failures.recordUnexecutedOrders(late, NOW_MS);
+    expect(late.excludedUntilMs).toBeLessThanOrEqual(NOW_MS + 500);
+    failures.recordStart(sound, NOW_MS + 2_000);
+    failures.recordUnexecutedOrders(late, NOW_MS + 2_000);
+    expect(late.excludedUntilMs).toBe(NOW_MS + 3_000);
+});
--- a/packages/workflow/src/leader/server-failures.ts
+++ b/packages/workflow/src/leader/server-failures.ts
@@ -8,7 +8,7 @@
 /** Bounds of the time for which a server is avoided; it doubles with each further failure. */
 const FIRST_AVOID_MS = 1_000;
 const MAX_AVOID_MS = 8_000;
-/** Bounds of the time for which a server that rejects a start gets no others; it doubles with each further rejection. */
+/** Bounds of the time for which a server on which a start has failed gets no others; it doubles with each further one. */
 const FIRST_EXCLUSION_MS = 500;
 const MAX_EXCLUSION_MS = 4_000;
 /** Time without any start in a service after which orders without effect show nothing about the one server. */
@@ -38,8 +38,8 @@
 export class ServerFailures {
     readonly #hasSucceeded: (step: StepPosition) => boolean;
     readonly #consecutiveFailures = new Map<string, number>();
-    /** Heartbeats with rejected starts since the last run that a server has started, by server. */
-    readonly #rejections = new Map<string, number>();
+    /** Heartbeats with starts that failed since the last run that a server has started, by server. */
+    readonly #startFailures = new Map<string, number>();
     /** Time of the latest start on any server, by service. */
     readonly #startedAtMs = new Map<string, number>();
     /** Failures by step, then by server. */
@@ -53,7 +53,7 @@
     /** Counts the reported ends of runs on a server; a success resets the count. */
     recordEnds(server: ServerView, ends: readonly TaskEnd[], nowMs: number): void {
         if (ends.some(({ end }) => end === RunEnd.NotStarted)) {
-            this.#recordRejection(server, nowMs);
+            this.#recordStartFailure(server, nowMs);
         }
         for (const { task, end } of ends) {
             if (end === RunEnd.Done) {
@@ -66,22 +66,28 @@
     }
 
     /**
-     * Excludes a server that executes no start orders. While no server of the service starts anything, as in an outage of
-     * the answers, the time is short: afterwards all servers would be excluded at once.
+     * Excludes a server that executes no start orders, briefly at first: after a change of the leader the answers to many
+     * servers are late, and their capacity is needed as soon as they aren't. While no server of the service starts
+     * anything, the time doesn't grow.
      */
     recordUnexecutedOrders(server: ServerView, nowMs: number): void {
-        exclude(server, nowMs + (this.#hasServiceStarted(server, nowMs) ? MAX_EXCLUSION_MS : FIRST_EXCLUSION_MS));
+        if (this.#hasServiceStarted(server, nowMs)) {
+            this.#recordStartFailure(server, nowMs);
+        }
+        else {
+            exclude(server, nowMs + FIRST_EXCLUSION_MS);
+        }
     }
 
-    /** Records that a server has started a run, and resets the count of the starts that it has rejected. */
+    /** Records that a server has started a run, and resets the count of those that failed. */
     recordStart(server: ServerView, nowMs: number): void {
-        this.#rejections.delete(server.id);
+        this.#startFailures.delete(server.id);
         this.#startedAtMs.set(server.service, nowMs);
     }
 
     /** Discards the state of a removed server. */
     forget(serverId: string): void {
-        this.#rejections.delete(serverId);
+        this.#startFailures.delete(serverId);
         this.#consecutiveFailures.delete(serverId);
     }
 
@@ -134,9 +140,9 @@
         return nowMs - (this.#startedAtMs.get(server.service) ?? -Infinity) <= START_WINDOW_MS;
     }
 
-    #recordRejection(server: ServerView, nowMs: number): void {
-        const count = this.#rejections.get(server.id) ?? 0;
-        this.#rejections.set(server.id, count + 1);
+    #recordStartFailure(server: ServerView, nowMs: number): void {
+        const count = this.#startFailures.get(server.id) ?? 0;
+        this.#startFailures.set(server.id, count + 1);
         exclude(server, nowMs + Math.min(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS * 2 ** count));
     }
 
