--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -397,7 +397,7 @@
             }
             const written = this.#orders.buildOrders(server, report, this.#directory.size, nowMs);
             if (written.unexecuted.length > 0) {
-                this.#failures.recordUnexecutedOrders(server, nowMs);
+                this.#failures.recordUnexecutedOrders(server, this.#directory.size, nowMs);
             }
             const lostRuns = [...written.neverStarted, ...written.unexecuted];
             this.#losses.recordLost(lostRuns, LossReason.NeverStarted, times);
--- a/packages/workflow/src/leader/server-failures.ts
+++ b/packages/workflow/src/leader/server-failures.ts
@@ -11,6 +11,12 @@
 /** Bounds of the time for which a server on which a start has failed gets no others; it doubles with each further one. */
 const FIRST_EXCLUSION_MS = 500;
 const MAX_EXCLUSION_MS = 4_000;
+/**
+ * Servers without effect of their start orders up to which they are excluded, as a number and as a share of all. Beyond
+ * it the cause is a common one.
+ */
+const MIN_EXCLUDED_SERVERS = 2;
+const MAX_EXCLUDED_SERVERS_RATIO = 0.05;
 /** Time without any start in a service after which orders without effect show nothing about the one server. */
 const START_WINDOW_MS = 3_000;
 /** Time for which a failure of a step shows that its later failures on other servers have the same cause. */
@@ -40,6 +46,8 @@
     readonly #consecutiveFailures = new Map<string, number>();
     /** Heartbeats with starts that failed since the last run that a server has started, by server. */
     readonly #startFailures = new Map<string, number>();
+    /** Time at which start orders of a server last turned out to have no effect, by server. */
+    readonly #unexecutedAtMs = new Map<string, number>();
     /** Time of the latest start on any server, by service. */
     readonly #startedAtMs = new Map<string, number>();
     /** Failures by step, then by server. */
@@ -53,7 +61,7 @@
     /** Counts the reported ends of runs on a server; a success resets the count. */
     recordEnds(server: ServerView, ends: readonly TaskEnd[], nowMs: number): void {
         if (ends.some(({ end }) => end === RunEnd.NotStarted)) {
-            this.#recordStartFailure(server, nowMs);
+            this.#recordRejection(server, nowMs);
         }
         for (const { task, end } of ends) {
             if (end === RunEnd.Done) {
@@ -66,16 +74,19 @@
     }
 
     /**
-     * Excludes a server that executes no start orders, briefly at first: after a change of the leader the answers to many
-     * servers are late, and their capacity is needed as soon as they aren't. While no server of the service starts
-     * anything, the time doesn't grow.
+     * Excludes a server that executes no start orders. If many do so at once, they are only avoided: after a change of the
+     * leader the answers to a large part of the servers are late, and standing tasks need their capacity. While no server
+     * of the service starts anything, the time doesn't grow.
      */
-    recordUnexecutedOrders(server: ServerView, nowMs: number): void {
-        if (this.#hasServiceStarted(server, nowMs)) {
-            this.#recordStartFailure(server, nowMs);
-        }
-        else {
-            exclude(server, nowMs + FIRST_EXCLUSION_MS);
+    recordUnexecutedOrders(server: ServerView, serverCount: number, nowMs: number): void {
+        const untilMs = nowMs + (this.#hasServiceStarted(server, nowMs)
+            ? this.#nextStartFailureDelayMs(server)
+            : FIRST_EXCLUSION_MS);
+        server.avoidUntilMs = Math.max(server.avoidUntilMs, untilMs);
+        this.#unexecutedAtMs.set(server.id, nowMs);
+        const recent = [...this.#unexecutedAtMs.values()].filter(atMs => nowMs - atMs <= MAX_EXCLUSION_MS);
+        if (recent.length <= Math.max(MIN_EXCLUDED_SERVERS, serverCount * MAX_EXCLUDED_SERVERS_RATIO)) {
+            server.excludedUntilMs = Math.max(server.excludedUntilMs, untilMs);
         }
     }
 
@@ -87,6 +98,7 @@
 
     /** Discards the state of a removed server. */
     forget(serverId: string): void {
+        this.#unexecutedAtMs.delete(serverId);
         this.#startFailures.delete(serverId);
         this.#consecutiveFailures.delete(serverId);
     }
@@ -140,10 +152,16 @@
         return nowMs - (this.#startedAtMs.get(server.service) ?? -Infinity) <= START_WINDOW_MS;
     }
 
-    #recordStartFailure(server: ServerView, nowMs: number): void {
-        const count = this.#startFailures.get(server.id) ?? 0;
-        this.#startFailures.set(server.id, count + 1);
-        exclude(server, nowMs + Math.min(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS * 2 ** count));
+    #recordRejection(server: ServerView, nowMs: number): void {
+        const untilMs = nowMs + this.#nextStartFailureDelayMs(server);
+        server.excludedUntilMs = Math.max(server.excludedUntilMs, untilMs);
+    }
+
+    /** Counts a failed start of a server, and returns the time for which it gets no further ones. */
+    #nextStartFailureDelayMs({ id }: ServerView): number {
+        const count = this.#startFailures.get(id) ?? 0;
+        this.#startFailures.set(id, count + 1);
+        return Math.min(MAX_EXCLUSION_MS, FIRST_EXCLUSION_MS * 2 ** count);
     }
 
     #recordFailure(server: ServerView, nowMs: number): void {
@@ -155,7 +173,3 @@
         }
     }
 }
-
-const exclude = (server: ServerView, untilMs: number): void => {
-    server.excludedUntilMs = Math.max(server.excludedUntilMs, untilMs);
-};
