--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -16,7 +16,7 @@
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
-import { OrderWriter } from "./order-writer.js";
+import { OrderWriter, resetStartOrders } from "./order-writer.js";
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
 import { adoptRuns } from "./run-adoption.js";
@@ -396,10 +396,10 @@
                 continue;
             }
             const written = this.#orders.buildOrders(server, report, this.#directory.size, nowMs);
-            if (written.unexecuted.length > 0) {
-                this.#failures.recordUnexecutedOrders(server, this.#directory.size, nowMs);
-            }
-            const lostRuns = [...written.neverStarted, ...written.unexecuted];
+            const isFaulty = written.unexecuted.length > 0
+                && this.#failures.recordUnexecutedOrders(server, this.#directory.size, nowMs);
+            const lostRuns = [...written.neverStarted, ...isFaulty ? written.unexecuted : []];
+            written.unexecuted.forEach(resetStartOrders);
             this.#losses.recordLost(lostRuns, LossReason.NeverStarted, times);
             lostRuns.forEach(run => this.#unstartedTasks.recordLost(run));
             lostRuns.forEach(run => server.removeRun(run.task));
--- a/packages/workflow/src/leader/server-failures.ts
+++ b/packages/workflow/src/leader/server-failures.ts
@@ -74,20 +74,21 @@
     }
 
     /**
-     * Excludes a server that executes no start orders. If many do so at once, they are only avoided: after a change of the
-     * leader the answers to a large part of the servers are late, and standing tasks need their capacity. While no server
-     * of the service starts anything, the time doesn't grow.
+     * Excludes a server that executes no start orders, and returns true. Returns false, without effect, if the same is true
+     * of many servers: after a change of the leader the answers to a large part of a fleet are late, and the orders are to
+     * be repeated. While no server of the service starts anything, the time doesn't grow.
      */
-    recordUnexecutedOrders(server: ServerView, serverCount: number, nowMs: number): void {
-        const untilMs = nowMs + (this.#hasServiceStarted(server, nowMs)
-            ? this.#nextStartFailureDelayMs(server)
-            : FIRST_EXCLUSION_MS);
-        server.avoidUntilMs = Math.max(server.avoidUntilMs, untilMs);
+    recordUnexecutedOrders(server: ServerView, serverCount: number, nowMs: number): boolean {
         this.#unexecutedAtMs.set(server.id, nowMs);
         const recent = [...this.#unexecutedAtMs.values()].filter(atMs => nowMs - atMs <= MAX_EXCLUSION_MS);
-        if (recent.length <= Math.max(MIN_EXCLUDED_SERVERS, serverCount * MAX_EXCLUDED_SERVERS_RATIO)) {
-            server.excludedUntilMs = Math.max(server.excludedUntilMs, untilMs);
+        if (recent.length > Math.max(MIN_EXCLUDED_SERVERS, serverCount * MAX_EXCLUDED_SERVERS_RATIO)) {
+            return false;
         }
+        const delayMs = this.#hasServiceStarted(server, nowMs)
+            ? this.#nextStartFailureDelayMs(server)
+            : FIRST_EXCLUSION_MS;
+        server.excludedUntilMs = Math.max(server.excludedUntilMs, nowMs + delayMs);
+        return true;
     }
 
     /** Records that a server has started a run, and resets the count of those that failed. */
