--- a/packages/bench/src/workflow/simulated-server.ts
+++ b/packages/bench/src/workflow/simulated-server.ts
@@ -54,6 +54,7 @@
             serverId: this.id,
             incarnation: 1,
             sequence: this.#sequence,
+            clockMs: nowMs,
             vmId: `vm-${this.id}`,
             service: "pool",
             availabilityZone: "a",
--- a/packages/workflow/src/leader/server-speed.test.ts
+++ b/packages/workflow/src/leader/server-speed.test.ts
@@ -68,3 +68,27 @@
     }
     expect(slow?.avoidUntilMs).toBeLessThan(6_000);
 });
+
+// Guards against a sound server that is avoided, and whose tasks are stopped, because its heartbeats were delayed on their
+// way to the leader: the progress in a heartbeat is that at the time when it was sent.
+it("does not classify a server as slow whose heartbeats arrive late", () => {
+    const speed = new ServerSpeed();
+    const report = (index: number, sequence: number, clockMs: number, nowMs: number): void => {
+        const server = servers[index];
+        server?.updateFrom(heartbeatOf(server.id, sequence, { clockMs }), nowMs);
+        server?.runs.forEach(run => {
+            run.progressPercent = clockMs / 40;
+        });
+        if (server !== undefined) {
+            speed.observe(server, nowMs);
+        }
+    };
+    for (let sequence = 2; sequence < 12; sequence += 1) {
+        const clockMs = 100 * sequence;
+        report(0, sequence, clockMs, clockMs);
+        // Each heartbeat of the second server takes 800 ms longer than the one before.
+        report(1, sequence, clockMs, clockMs + 800 * sequence);
+    }
+    expect(servers.map(server => server.avoidUntilMs)).toEqual([-Infinity, -Infinity]);
+    expect(runs.some(run => run.isStopping)).toBe(false);
+});
--- a/packages/workflow/src/leader/server-speed.ts
+++ b/packages/workflow/src/leader/server-speed.ts
@@ -22,6 +22,7 @@
 /** Progress of a run at the start of a measurement. */
 interface ProgressSample {
     progressPercent: number;
+    /** On the clock of the server, or of the leader if the server reports none. */
     atMs: number;
 }
 
@@ -45,11 +46,13 @@
 
     /** Updates a server's speed from the reported progress of its runs. */
     observe(server: ServerView, nowMs: number): void {
+        // Heartbeats may be delayed on their way. Measured by their arrival, the progress of a sound server would be low.
+        const reportedAtMs = server.clockMs ?? nowMs;
         const speed = this.#speeds.get(server.id) ?? { ratio: 1, measurements: 0 };
         this.#speeds.set(server.id, speed);
         const previousMeasurements = speed.measurements;
         for (const run of server.runs.values()) {
-            const measured = isComparable(run, server) ? this.#measure(run, nowMs) : undefined;
+            const measured = isComparable(run, server) ? this.#measure(run, reportedAtMs) : undefined;
             if (measured !== undefined) {
                 speed.ratio += SMOOTHING * (Math.min(1.5, measured) - speed.ratio);
                 speed.measurements += 1;
@@ -71,7 +74,7 @@
     }
 
     /** Returns a run's progress since the last sample, relative to its step; undefined until the interval ends. */
-    #measure(run: RunView, nowMs: number): number | undefined {
+    #measure(run: RunView, reportedAtMs: number): number | undefined {
         const cpuShare = run.kind === TaskKind.Filler ? grantedCpuShare(run) : 1;
         if (run.kind === TaskKind.Standing || !run.isReported || run.isStopping || cpuShare < 0.3) {
             this.#samples.delete(run);
@@ -79,15 +82,15 @@
         }
         const sample = this.#samples.get(run);
         if (sample === undefined) {
-            this.#samples.set(run, { progressPercent: run.progressPercent, atMs: nowMs });
+            this.#samples.set(run, { progressPercent: run.progressPercent, atMs: reportedAtMs });
             return undefined;
         }
-        if (nowMs - sample.atMs < MEASURE_INTERVAL_MS) {
+        if (reportedAtMs - sample.atMs < MEASURE_INTERVAL_MS) {
             return undefined;
         }
-        this.#samples.set(run, { progressPercent: run.progressPercent, atMs: nowMs });
+        this.#samples.set(run, { progressPercent: run.progressPercent, atMs: reportedAtMs });
         const doneMs = ((run.progressPercent - sample.progressPercent) / 100) * run.step.estimatedRunTimeMs;
-        return this.#relateToStep(run.step, doneMs / ((nowMs - sample.atMs) * cpuShare));
+        return this.#relateToStep(run.step, doneMs / ((reportedAtMs - sample.atMs) * cpuShare));
     }
 
     /** Relates a run's progress to the mean of its step, since the estimate may be wrong for the whole step. */
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -74,6 +74,8 @@
     /** Sequence of the latest heartbeat; undefined before the first in this term. */
     sequence: number | undefined;
     lastHeartbeatAtMs: number;
+    /** The server's monotonic clock when it sent the latest heartbeat; undefined when unknown. */
+    clockMs: number | undefined;
     /** Time of the first heartbeat in this term; undefined before. */
     firstHeartbeatAtMs: number | undefined;
     /** Time at which all of the server's leases have certainly expired unless another heartbeat is answered. */
@@ -204,6 +206,7 @@
         this.isDraining = report.isDraining;
         this.leavesAtMs = report.isDraining && report.remainingMs !== undefined ? nowMs + report.remainingMs : Infinity;
         this.sequence = report.sequence;
+        this.clockMs = report.clockMs;
         this.lastHeartbeatAtMs = nowMs;
         this.firstHeartbeatAtMs ??= nowMs;
     }
--- a/packages/workflow/src/model/heartbeat.ts
+++ b/packages/workflow/src/model/heartbeat.ts
@@ -44,6 +44,8 @@
     incarnation: number;
     /** Increases with each report of an incarnation. */
     sequence: number;
+    /** Monotonic clock of the server when it sent the report; undefined when unknown. */
+    clockMs: number | undefined;
     /** The VM that the server runs on; empty when unknown. */
     vmId: string;
     service: string;
--- a/packages/workflow/src/testing/fixtures.ts
+++ b/packages/workflow/src/testing/fixtures.ts
@@ -72,6 +72,7 @@
     serverId,
     incarnation: 1,
     sequence,
+    clockMs: undefined,
     vmId: `vm-${serverId}`,
     service: "pool",
     availabilityZone: "a",
--- a/packages/workflow/src/testing/fuzz/simulated-worker.ts
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -149,6 +149,7 @@
             serverId: id,
             incarnation: this.incarnation,
             sequence: this.#sequence,
+            clockMs: nowMs,
             vmId: `vm-${id}`,
             service: "pool",
             availabilityZone,
