--- a/packages/workflow/src/leader/heartbeat-reconciler.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.ts
@@ -1,6 +1,7 @@
 import type { HeartbeatReport, ReportedRun } from "../model/heartbeat.js";
 import type { RecordedEnd } from "../state/events.js";
 import type { WorkflowState } from "../state/workflow-state.js";
+import { resetStartOrders } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 
 /**
@@ -84,6 +85,9 @@
             else {
                 // The response with the start order was lost or arrived too late; the order may be sent again.
                 view.orderedAtSequence = undefined;
+                if (server.hasMissedAnswer) {
+                    resetStartOrders(view);
+                }
             }
         }
         return missing;
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -16,9 +16,10 @@
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
-import { OrderWriter, resetStartOrders } from "./order-writer.js";
+import { OrderWriter } from "./order-writer.js";
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
+import { PressureRecords } from "./pressure-records.js";
 import { adoptRuns } from "./run-adoption.js";
 import { RunLosses } from "./run-losses.js";
 import { RunStops } from "./run-stops.js";
@@ -27,6 +28,7 @@
 import type { ServerEvent } from "./server-event.js";
 import { ServerFailures } from "./server-failures.js";
 import { ServerSpeed } from "./server-speed.js";
+import { resetStartOrders } from "./server-view.js";
 import type { ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import { hasStepSucceeded } from "./step-success.js";
@@ -39,7 +41,6 @@
 import { WorkQueue } from "./work-queue.js";
 
 const JOB_CLEANUP_INTERVAL_MS = 5_000;
-const PRESSURE_RECORD_INTERVAL_MS = 3_000;
 /** Delay of the first planning. Backend servers need it to find a new leader; until then most capacity is unknown. */
 const INITIAL_PLANNING_DELAY_MS = 400;
 
@@ -68,6 +69,7 @@
     readonly #unstartedTasks = new UnstartedTasks();
     readonly #queue = new WorkQueue(task => this.#unstartedTasks.get(task)?.waitingSinceMs);
     readonly #pressure: PressureModel;
+    readonly #pressureRecords: PressureRecords;
     readonly #pacing: FillerPacing;
     readonly #eligibility: Eligibility;
     readonly #planner: Planner;
@@ -84,7 +86,6 @@
     readonly #startedJobs = new Set<string>();
     #isPlanDue = true;
     #nextJobCleanupAtMs: number;
-    #nextPressureRecordAtMs: number;
     readonly #planningStartsAtMs: number;
 
     constructor(options: LeaderSessionOptions, times: Times) {
@@ -95,7 +96,7 @@
         this.#directory = new ServerDirectory(settings);
         this.#pressure = new PressureModel(state.pressures);
         this.#pacing = new FillerPacing(this.#pressure);
-        this.#nextPressureRecordAtMs = times.nowMs + PRESSURE_RECORD_INTERVAL_MS;
+        this.#pressureRecords = new PressureRecords(this.#pressure, options.propose, times.nowMs);
         this.#eligibility = new Eligibility((query, respond) =>
             options.queryEligibility(query, (eligible, nowMs) => {
                 respond(eligible, nowMs);
@@ -133,6 +134,11 @@
         }
     }
 
+    /** Number of backend servers that the leader knows. */
+    get serverCount(): number {
+        return this.#directory.size;
+    }
+
     /** Whether a task of the job has started, according to the replicated state or to a heartbeat. */
     hasStarted(job: JobRecord): boolean {
         return job.hasStarted || this.#startedJobs.has(job.id);
@@ -249,10 +255,7 @@
             }
         }
         this.#answerHeartbeats(times);
-        if (nowMs >= this.#nextPressureRecordAtMs) {
-            this.#nextPressureRecordAtMs = nowMs + PRESSURE_RECORD_INTERVAL_MS;
-            this.#proposePressures();
-        }
+        this.#pressureRecords.run(nowMs);
         if (nowMs >= this.#nextJobCleanupAtMs) {
             this.#nextJobCleanupAtMs = nowMs + JOB_CLEANUP_INTERVAL_MS;
             this.#removeExpiredJobs(times.timeOfDayMs);
@@ -429,14 +432,6 @@
         return (state.longestLeaseMs ?? 0) >= settings.leaseMs;
     }
 
-    /** Proposes the learned pressures, so that the next leader need not learn them at the standing tasks' expense. */
-    #proposePressures(): void {
-        const pressures = this.#pressure.toTable();
-        if (Object.keys(pressures).length > 0) {
-            this.#options.propose({ kind: EventKind.PressuresLearned, pressures });
-        }
-    }
-
     #removeExpiredJobs(timeOfDayMs: number): void {
         const { state, settings, propose } = this.#options;
         const jobIds = [...state.jobs.values()]
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -151,9 +151,3 @@
 /** Whether a server has had the time and the orders to start a run. */
 const isUnexecuted = ({ startOrders, firstOrderedAtMs }: RunView, nowMs: number): boolean =>
     startOrders >= MIN_START_ORDERS && nowMs - (firstOrderedAtMs ?? nowMs) >= MAX_START_DELAY_MS;
-
-/** Lets the start order of a run be repeated as if none had been sent before. */
-export const resetStartOrders = (run: RunView): void => {
-    run.startOrders = 0;
-    run.firstOrderedAtMs = undefined;
-};
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -50,6 +50,12 @@
 /** Time after the first report of a run for which it counts as fresh: it may be about to crash the server. */
 const FRESH_RUN_MS = 250;
 
+/**
+ * Time between two heartbeats, on the server's clock, from which the first one was not answered in time: a server waits
+ * 1 s for an answer, and its clock may be 2% slow.
+ */
+const MISSED_ANSWER_INTERVAL_MS = 980;
+
 /** A server counts as saturated when its fillers get less than this share of the CPU time that their paces allow. */
 const SATURATION_RATIO = 0.8;
 
@@ -76,6 +82,8 @@
     lastHeartbeatAtMs: number;
     /** The server's monotonic clock when it sent the latest heartbeat; undefined when unknown. */
     clockMs: number | undefined;
+    /** Whether the server has sent the latest heartbeat without having received the answer to the one before. */
+    hasMissedAnswer = false;
     /** Time of the first heartbeat in this term; undefined before. */
     firstHeartbeatAtMs: number | undefined;
     /** Time at which all of the server's leases have certainly expired unless another heartbeat is answered. */
@@ -205,6 +213,7 @@
         this.capacity = report.capacity;
         this.isDraining = report.isDraining;
         this.leavesAtMs = report.isDraining && report.remainingMs !== undefined ? nowMs + report.remainingMs : Infinity;
+        this.hasMissedAnswer = (report.clockMs ?? 0) - (this.clockMs ?? Infinity) >= MISSED_ANSWER_INTERVAL_MS;
         this.sequence = report.sequence;
         this.clockMs = report.clockMs;
         this.lastHeartbeatAtMs = nowMs;
@@ -306,6 +315,12 @@
     }
 };
 
+/** Lets the start order of a run be repeated as if none had been sent before. */
+export const resetStartOrders = (run: RunView): void => {
+    run.startOrders = 0;
+    run.firstOrderedAtMs = undefined;
+};
+
 /** Properties of a run at its assignment. */
 export interface NewRun {
     task: string;
