--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -68,6 +68,12 @@
         return peer === undefined ? undefined : this.#timerMsSince(Math.max(peer.contactMs, this.#electedAtMs));
     }
 
+    /** Whether a member has answered this leader. */
+    hasAnswered(diskId: string): boolean {
+        const contactMs = this.#peers.get(diskId)?.contactMs ?? -Infinity;
+        return contactMs > -Infinity;
+    }
+
     /** Whether a member answers and has all entries that were committed at the last heartbeat. */
     isCaughtUp(diskId: string): boolean {
         const peer = this.#peers.get(diskId);
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -220,6 +220,11 @@
         return this.#leadership?.sinceContactMs(diskId);
     }
 
+    /** Whether this replica leads and a member has answered it in its term. */
+    hasAnswered(diskId: string): boolean {
+        return this.#leadership?.hasAnswered(diskId) ?? false;
+    }
+
     /** Whether this replica leads and a member has all that was committed recently, so that a learner may be promoted. */
     isCaughtUp(diskId: string, nowMs: number): boolean {
         this.#advanceClock(nowMs);
--- a/packages/daemon/src/workflow/call-queue.ts
+++ b/packages/daemon/src/workflow/call-queue.ts
@@ -3,8 +3,17 @@
 /** Longest time between slices for which connections are accepted; calls get an equal share. */
 const MAX_ACCEPT_TIME_MS = SLICE_BUDGET_MS;
 
+/** Kinds of calls, each with a line of its own. */
+export enum CallKind {
+    /** Heartbeat of a backend server; the heartbeats of a whole fleet may arrive at once. */
+    Heartbeat = "heartbeat",
+    /** Call of an operator or an entry. */
+    Request = "request",
+}
+
 /** A call that waits until it is handled. */
 export interface QueuedCall {
+    kind: CallKind;
     receivedAtMs: number;
     /** Longest time that the call may wait; it is below the time for which its sender waits. */
     maxWaitMs: number;
@@ -25,15 +34,19 @@
 }
 
 /**
- * Handles calls in the order of their arrival, in short slices, so that many calls at once don't delay replication.
- * Calls whose sender has given up are refused, not executed.
+ * Handles calls in short slices, so that many calls at once don't delay replication. Calls of one kind are handled in the
+ * order of their arrival, in turn with those of the other kind. Calls whose sender has given up are refused, not executed.
  */
 export class CallQueue {
     readonly #isBlocked: (nowMs: number) => boolean;
     readonly #readNowMs: () => number;
     readonly #defer: (slice: () => void) => void;
-    #calls: QueuedCall[] = [];
-    #next = 0;
+    readonly #lines: Readonly<Record<CallKind, CallLine>> = {
+        [CallKind.Heartbeat]: new CallLine(),
+        [CallKind.Request]: new CallLine(),
+    };
+    /** Kind whose turn it is. */
+    #nextKind = CallKind.Request;
     #isSliceScheduled = false;
     #isConnectionAccepted = false;
     #lastSliceAtMs = 0;
@@ -46,7 +59,7 @@
     }
 
     get length(): number {
-        return this.#calls.length - this.#next;
+        return this.#lines[CallKind.Heartbeat].length + this.#lines[CallKind.Request].length;
     }
 
     /** Adds a call. */
@@ -55,7 +68,7 @@
             call.refuse();
             return;
         }
-        this.#calls.push(call);
+        this.#lines[call.kind].push(call);
         this.#scheduleSlice();
     }
 
@@ -76,10 +89,7 @@
     /** Refuses the calls that wait and all later ones. */
     close(): void {
         this.#isClosed = true;
-        const waiting = this.#calls.slice(this.#next);
-        this.#calls = [];
-        this.#next = 0;
-        waiting.forEach(call => call.refuse());
+        Object.values(this.#lines).forEach(line => line.takeAll().forEach(call => call.refuse()));
     }
 
     #scheduleSlice(): void {
@@ -119,6 +129,32 @@
     }
 
     #take(): QueuedCall | undefined {
+        const turn = this.#nextKind;
+        this.#nextKind = turn === CallKind.Request ? CallKind.Heartbeat : CallKind.Request;
+        return this.#lines[turn].take() ?? this.#lines[this.#nextKind].take();
+    }
+
+    #refuseOverdue(nowMs: number): void {
+        for (const line of Object.values(this.#lines)) {
+            line.takeOverdue(nowMs).forEach(call => call.refuse());
+        }
+    }
+}
+
+/** Calls of one kind in the order of their arrival. */
+class CallLine {
+    #calls: QueuedCall[] = [];
+    #next = 0;
+
+    get length(): number {
+        return this.#calls.length - this.#next;
+    }
+
+    push(call: QueuedCall): void {
+        this.#calls.push(call);
+    }
+
+    take(): QueuedCall | undefined {
         const call = this.#calls[this.#next];
         this.#next += call === undefined ? 0 : 1;
         if (this.#next >= this.#calls.length) {
@@ -128,13 +164,21 @@
         return call;
     }
 
-    #refuseOverdue(nowMs: number): void {
+    takeAll(): QueuedCall[] {
+        const waiting = this.#calls.slice(this.#next);
+        this.#calls = [];
+        this.#next = 0;
+        return waiting;
+    }
+
+    takeOverdue(nowMs: number): QueuedCall[] {
         const waiting = this.#calls.slice(this.#next);
-        if (waiting.some(call => isOverdue(call, nowMs))) {
+        const overdue = waiting.filter(call => isOverdue(call, nowMs));
+        if (overdue.length > 0) {
             this.#calls = waiting.filter(call => !isOverdue(call, nowMs));
             this.#next = 0;
-            waiting.filter(call => isOverdue(call, nowMs)).forEach(call => call.refuse());
         }
+        return overdue;
     }
 }
 
--- a/packages/daemon/src/workflow/cluster-membership.ts
+++ b/packages/daemon/src/workflow/cluster-membership.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "pino";
 import { hostOf } from "../transport/host-of.js";
 import { ClusterJoiner } from "./cluster-joiner.js";
+import type { HeartbeatReplica } from "./heartbeat-routing.js";
 import type { InternalCaller } from "./internal-caller.js";
 import { MembershipReconciler } from "./membership-reconciler.js";
 import type { MembershipRequirements } from "./membership-reconciler.js";
@@ -9,6 +10,8 @@
 
 const JOIN_INTERVAL_MS = 200;
 const RECONCILE_INTERVAL_MS = 50;
+/** Time without contact after which a follower counts as unresponsive; backend servers wait as long for an answer. */
+const MAX_SILENCE_MS = 1_000;
 
 /** Construction parameters of a {@link ClusterMembership}. */
 export interface ClusterMembershipOptions {
@@ -61,6 +64,19 @@
         return this.#options.runner.replica.membership.members.map(member => hostOf(member.identity?.address ?? ""));
     }
 
+    /** Returns the other members that respond; none unless this replica leads. */
+    responsiveFollowers(nowMs: number): HeartbeatReplica[] {
+        const { replica } = this.#options.runner;
+        return replica.membership.members.flatMap(({ identity }) => {
+            if (identity === undefined || !replica.hasAnswered(identity.diskId)) {
+                return [];
+            }
+            const silenceMs = replica.sinceContactMs(identity.diskId, nowMs) ?? Infinity;
+            const { address, availabilityZone } = identity;
+            return silenceMs <= MAX_SILENCE_MS ? [{ host: hostOf(address), availabilityZone }] : [];
+        });
+    }
+
     get seedHosts(): readonly string[] {
         return this.#seedHosts;
     }
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -9,7 +9,6 @@
 import type {
     CallResult,
     Configuration,
-    HeartbeatOrders,
     HeartbeatReport,
     LeaderSettings,
     MaintenanceOrder,
@@ -29,7 +28,8 @@
 import { ControlMonitor } from "./control-monitor.js";
 import { electionSeedOf } from "./election-seed.js";
 import { EventLog } from "./event-log.js";
-import { HeartbeatCalls } from "./heartbeat-calls.js";
+import type { HeartbeatResult } from "./heartbeat-calls.js";
+import { HeartbeatService } from "./heartbeat-service.js";
 import { InternalCaller } from "./internal-caller.js";
 import { createForwardedHandlers } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
@@ -38,14 +38,13 @@
 import { NodeDriver } from "./node-driver.js";
 import { createNodeReports } from "./node-reports.js";
 import { openLog } from "./open-log.js";
-import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
-import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
+import { CLUSTER_PATH, DESCRIBE_PATH, HEARTBEATS_PATH, JOIN_PATH } from "./operations.js";
+import type { ClusterDescription, ControlOperations, HeartbeatBatch, JoinRequest } from "./operations.js";
 import { PlatformCalls } from "./platform-calls.js";
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
 import { createRunnerLog } from "./runner-log.js";
 import { SlewedWallClock } from "./slewed-wall-clock.js";
-import { ControlPhase } from "./workflow-metrics.js";
 import type { ControlMetrics } from "./workflow-metrics.js";
 
 const TICK_INTERVAL_MS = 20;
@@ -54,7 +53,7 @@
 const ANNOUNCE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_500;
 /**
- * Time for which a stopping former leader redirects to the next one: each server of a fleet of up to 1,000 sends a
+ * Time for which a stopping former leader, or a replica that has passed heartbeats on, redirects to the present leader: each server of a fleet of up to 1,000 sends a
  * heartbeat within it. Servers that find the port closed would try again only after more than a second.
  */
 const REDIRECT_TIME_MS = 1_000;
@@ -108,7 +107,7 @@
     readonly #timers: NodeJS.Timeout[] = [];
     readonly #monitor: ControlMonitor;
     readonly #driver: NodeDriver;
-    readonly #heartbeatCalls: HeartbeatCalls;
+    readonly #heartbeats: HeartbeatService;
     readonly #wallClock = new SlewedWallClock(monotonicNowMs(), Date.now());
     #isStopped = false;
 
@@ -132,11 +131,6 @@
             monitor: this.#monitor,
             readTimes: () => this.#currentTimes(),
         });
-        this.#heartbeatCalls = new HeartbeatCalls({
-            host: settings.host,
-            readLeaderHost: () => this.leaderHost,
-            call: (report, maxWaitMs) => this.#callHeartbeat(report, maxWaitMs),
-        });
         this.#membership = new ClusterMembership({
             runner: this.#runner,
             caller: this.#caller,
@@ -148,6 +142,16 @@
             formAlone: () => this.#formAlone(),
             logger,
         }, monotonicNowMs());
+        this.#heartbeats = new HeartbeatService({
+            host: settings.host,
+            internalPort: settings.internalPort,
+            node: this.#node,
+            driver: this.#driver,
+            membership: this.#membership,
+            caller: this.#caller,
+            monitor: this.#monitor,
+            logger,
+        });
         this.#relayAnnouncer = new RelayAnnouncer({
             caller: this.#caller,
             internalPort: settings.internalPort,
@@ -191,14 +195,9 @@
         this.#driver.recordConnection();
     }
 
-    async heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>> {
-        const receivedAtMs = monotonicNowMs();
-        const result = await this.#heartbeatCalls.handle(report, receivedAtMs);
+    async heartbeat(report: HeartbeatReport): Promise<HeartbeatResult> {
+        const result = await this.#heartbeats.handle(report);
         this.#metrics.recordHeartbeat(result);
-        if (result.ok) {
-            const nowMs = monotonicNowMs();
-            this.#monitor.recordAnsweredHeartbeat(nowMs - receivedAtMs, nowMs);
-        }
         return result;
     }
 
@@ -238,23 +237,17 @@
         return this.#driver.call((respond, times) => this.#node.maintenanceState(id, respond, times));
     }
 
-    #callHeartbeat(report: HeartbeatReport, maxWaitMs: number): Promise<CallResult<HeartbeatOrders | undefined>> {
-        const receivedAtMs = monotonicNowMs();
-        return this.#driver.call((respond, times) => {
-            this.#monitor.record(ControlPhase.HeartbeatQueued, times.nowMs - receivedAtMs);
-            this.#node.heartbeat(report, respond, times);
-        }, maxWaitMs);
-    }
-
     /** Hands over leadership, redirects to the next leader for some time, waits for open calls and closes the log. */
     async stop(): Promise<void> {
+        this.#heartbeats.stopForwarding();
+        const hasServers = this.#heartbeats.hasForwarded(REDIRECT_TIME_MS);
         const wasLeader = await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
-        if (wasLeader) {
+        if (wasLeader || hasServers) {
             await sleep(REDIRECT_TIME_MS);
         }
         this.#isStopped = true;
         this.#driver.close();
-        this.#heartbeatCalls.close();
+        this.#heartbeats.close();
         this.#timers.forEach(timer => clearInterval(timer));
         await Promise.all([
             this.#internalListener.close(LISTENER_GRACE_MS),
@@ -343,7 +336,7 @@
         this.#sender.tick(nowMs);
         this.#membership.tick(nowMs);
         this.#driver.tick();
-        this.#heartbeatCalls.tick(nowMs);
+        this.#heartbeats.tick(nowMs);
     }
 
     #announceMembers(): void {
@@ -414,6 +407,7 @@
             }),
             [DESCRIBE_PATH, () => toJson(DescribeResponseSchema, describeReplica(this.#runner.replica))],
             [CLUSTER_PATH, () => this.#describeCluster()],
+            [HEARTBEATS_PATH, (batch: HeartbeatBatch) => this.#heartbeats.handleBatch(batch)],
             [JOIN_PATH, (request: JoinRequest) => this.#membership.handleJoin(request, monotonicNowMs())],
         ]);
     }
--- a/packages/daemon/src/workflow/leader-wait.ts
+++ b/packages/daemon/src/workflow/leader-wait.ts
@@ -1,4 +1,6 @@
 interface Waiting {
+    /** Host of a former leader, which is not waited for. */
+    formerHost: string | undefined;
     deadlineMs: number;
     resume: (nowMs: number) => void;
 }
@@ -14,18 +16,22 @@
         this.#readLeaderHost = readLeaderHost;
     }
 
-    /** Resolves with the time of the tick that found a leader, or with the deadline or a later time. */
-    untilKnown(deadlineMs: number, nowMs: number): Promise<number> {
-        if (this.#isClosed || this.#readLeaderHost() !== undefined) {
+    /**
+     * Resolves with the time of the tick that found a leader, other than the former one if that is given, or with the
+     * deadline or a later time.
+     */
+    untilKnown(deadlineMs: number, nowMs: number, formerHost?: string): Promise<number> {
+        if (this.#isClosed || isOther(this.#readLeaderHost(), formerHost)) {
             return Promise.resolve(nowMs);
         }
-        return new Promise(resume => this.#waiting.push({ deadlineMs, resume }));
+        return new Promise(resume => this.#waiting.push({ formerHost, deadlineMs, resume }));
     }
 
     /** Resumes all calls if a leader is known by now, otherwise those whose time is up. To be called periodically. */
     tick(nowMs: number): void {
-        const isLeaderKnown = this.#readLeaderHost() !== undefined;
-        const isReady = ({ deadlineMs }: Waiting): boolean => isLeaderKnown || nowMs >= deadlineMs;
+        const leaderHost = this.#readLeaderHost();
+        const isReady = ({ formerHost, deadlineMs }: Waiting): boolean =>
+            isOther(leaderHost, formerHost) || nowMs >= deadlineMs;
         const ready = this.#waiting.filter(isReady);
         this.#waiting = this.#waiting.filter(waiting => !isReady(waiting));
         ready.forEach(({ resume }) => resume(nowMs));
@@ -39,3 +45,6 @@
         waiting.forEach(({ deadlineMs, resume }) => resume(deadlineMs));
     }
 }
+
+const isOther = (leaderHost: string | undefined, formerHost: string | undefined): boolean =>
+    leaderHost !== undefined && leaderHost !== formerHost;
--- a/packages/daemon/src/workflow/node-driver.ts
+++ b/packages/daemon/src/workflow/node-driver.ts
@@ -3,7 +3,7 @@
 import { Refusal, refused } from "@waxwingspread/workflow";
 import type { CallResult, Respond, Times, WorkflowNode } from "@waxwingspread/workflow";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
-import { CallQueue } from "./call-queue.js";
+import { CallKind, CallQueue } from "./call-queue.js";
 import type { ControlMonitor } from "./control-monitor.js";
 import { ControlPhase } from "./workflow-metrics.js";
 
@@ -47,10 +47,12 @@
     /** Starts a call when its turn has come and resolves with its result. Rejects with an error that `start` throws. */
     call<Value>(
         start: (respond: Respond<Value>, times: Times) => void,
+        kind = CallKind.Request,
         maxWaitMs = MAX_CALL_WAIT_MS,
     ): Promise<CallResult<Value>> {
         return new Promise((resolve, reject) =>
             this.#calls.push({
+                kind,
                 receivedAtMs: monotonicNowMs(),
                 maxWaitMs,
                 execute: () => {
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -89,10 +89,29 @@
     mayFound?: boolean;
 }
 
+/** Answer to a heartbeat. */
+export interface HeartbeatAnswer {
+    orders: HeartbeatOrders;
+    /** Host to which the server sends its next heartbeat. */
+    nextHost: string;
+}
+
+/** Heartbeats that a replica passes on to the leader. */
+export interface HeartbeatBatch {
+    /** Host of the replica at which they have arrived. */
+    fromHost: string;
+    reports: HeartbeatReport[];
+}
+
+/** Results of the heartbeats of a batch, in its order. */
+export interface HeartbeatBatchResponse {
+    results: CallResult<HeartbeatAnswer | undefined>[];
+}
+
 /** Operations of a control replica for backend servers and operators. */
 export interface ControlOperations {
     readonly leaderHost: string | undefined;
-    heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatOrders | undefined>>;
+    heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatAnswer | undefined>>;
     leave(serverId: string): Promise<CallResult<void>>;
     configure(configuration: Configuration): Promise<CallResult<void>>;
     readConfiguration(): Promise<CallResult<string | undefined>>;
@@ -105,6 +124,9 @@
 /** Returns the path of a forwarded operation on the internal listener. */
 export const forwardedPath = (operation: ForwardedOperation): string => `/workflow/${operation}`;
 
+/** Path of batches of heartbeats on the internal listener. */
+export const HEARTBEATS_PATH = "/workflow/heartbeats";
+
 /** Path of the description of the cluster on the internal listener. */
 export const CLUSTER_PATH = "/cluster";
 
