--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -38,8 +38,8 @@
 import { NodeDriver } from "./node-driver.js";
 import { createNodeReports } from "./node-reports.js";
 import { openLog } from "./open-log.js";
-import { CLUSTER_PATH, DESCRIBE_PATH, HEARTBEATS_PATH, JOIN_PATH } from "./operations.js";
-import type { ClusterDescription, ControlOperations, HeartbeatBatch, JoinRequest } from "./operations.js";
+import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
+import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
 import { PlatformCalls } from "./platform-calls.js";
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
@@ -68,6 +68,8 @@
     replicaPort: number;
     /** Port for calls of entries and of replicas that join. */
     internalPort: number;
+    /** Port of the listeners for heartbeats that replicas pass on. */
+    heartbeatPort: number;
     dataFolder: string;
     /** Hosts of control replicas from the settings. */
     seedHosts: readonly string[];
@@ -144,11 +146,10 @@
         }, monotonicNowMs());
         this.#heartbeats = new HeartbeatService({
             host: settings.host,
-            internalPort: settings.internalPort,
+            heartbeatPort: settings.heartbeatPort,
             node: this.#node,
             driver: this.#driver,
             membership: this.#membership,
-            caller: this.#caller,
             monitor: this.#monitor,
             logger,
         });
@@ -175,6 +176,7 @@
         const host = new ControlHost(settings, opened, dependencies);
         await host.#replicaListener.listen();
         await host.#internalListener.listen();
+        await host.#heartbeats.listen();
         host.#startTimers();
         host.#startBootstrap(opened);
         return host;
@@ -247,11 +249,11 @@
         }
         this.#isStopped = true;
         this.#driver.close();
-        this.#heartbeats.close();
         this.#timers.forEach(timer => clearInterval(timer));
         await Promise.all([
             this.#internalListener.close(LISTENER_GRACE_MS),
             this.#replicaListener.close(),
+            this.#heartbeats.close(),
         ]);
         await this.#runner.stop();
         this.#sender.close();
@@ -407,7 +409,6 @@
             }),
             [DESCRIBE_PATH, () => toJson(DescribeResponseSchema, describeReplica(this.#runner.replica))],
             [CLUSTER_PATH, () => this.#describeCluster()],
-            [HEARTBEATS_PATH, (batch: HeartbeatBatch) => this.#heartbeats.handleBatch(batch)],
             [JOIN_PATH, (request: JoinRequest) => this.#membership.handleJoin(request, monotonicNowMs())],
         ]);
     }
--- a/packages/daemon/src/workflow/heartbeat-forwarder.ts
+++ b/packages/daemon/src/workflow/heartbeat-forwarder.ts
@@ -3,31 +3,28 @@
 import type { HeartbeatReport } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { LineBudget } from "../logging/line-budget.js";
+import type { MessageChannels } from "../transport/message-channel.js";
+import { monotonicNowMs } from "../transport/monotonic-time.js";
 import type { HeartbeatResult } from "./heartbeat-calls.js";
-import type { InternalCaller } from "./internal-caller.js";
-import { CallError } from "./json-call.js";
-import { HEARTBEATS_PATH } from "./operations.js";
 import type { HeartbeatBatch, HeartbeatBatchResponse } from "./operations.js";
 
-/** Heartbeats that arrive within this time are sent to the leader together. */
-const BATCH_WINDOW_MS = 5;
+/** Heartbeats that arrive within this time are sent to the leader together, since each message costs it time. */
+const BATCH_WINDOW_MS = 15;
 /** Bounds of a batch: its message has to stay below the limit of the leader's listener. */
 const MAX_BATCH_REPORTS = 64;
 const MAX_BATCH_ROWS = 2_000;
 /** Backend servers drop answers after a second. */
 const ANSWER_TIMEOUT_MS = 750;
-/** The status with which a leader of a build without batches answers. */
-const STATUS_NOT_FOUND = 404;
 const MAX_LINES_PER_SECOND = 2;
 const FAILURE_LINE = "heartbeats were not passed on";
 
 /** Construction parameters of a {@link HeartbeatForwarder}. */
 export interface HeartbeatForwarderOptions {
-    caller: Pick<InternalCaller, "call">;
+    channels: Pick<MessageChannels, "call">;
     /** Host of this replica. */
     host: string;
-    /** Port of the internal listeners of all replicas. */
-    internalPort: number;
+    /** Port of the listeners for heartbeats of all replicas. */
+    heartbeatPort: number;
     logger: Logger;
 }
 
@@ -115,28 +112,28 @@
             reports: heartbeats.map(({ report }) => report),
         };
         try {
-            const { results } = await this.#options.caller.call<HeartbeatBatchResponse>({
+            const { channels, heartbeatPort } = this.#options;
+            const response = await channels.call({
                 host,
-                port: this.#options.internalPort,
-                path: HEARTBEATS_PATH,
+                port: heartbeatPort,
                 body,
                 timeoutMs: ANSWER_TIMEOUT_MS,
                 signal,
             });
+            const { results } = response as HeartbeatBatchResponse;
             heartbeats.forEach(({ respond }, index) => {
                 const result = results[index];
                 respond(result?.ok === true ? result : NO_ANSWER);
             });
         }
         catch (error) {
-            const result = hasNoBatches(error) ? refused(Refusal.NotLeader) : NO_ANSWER;
-            heartbeats.forEach(({ respond }) => respond(result));
+            heartbeats.forEach(({ respond }) => respond(NO_ANSWER));
             this.#logFailure(host, heartbeats.length, error);
         }
     }
 
     #logFailure(leader: string, count: number, error: unknown): void {
-        this.#lineBudget.advance(performance.now());
+        this.#lineBudget.advance(monotonicNowMs());
         if (this.#lineBudget.tryTake(FAILURE_LINE)) {
             this.#options.logger.warn({ leader, count, reason: messageOf(error) }, FAILURE_LINE);
         }
@@ -144,6 +141,3 @@
 }
 
 const rowsOf = ({ running, ended }: HeartbeatReport): number => running.length + ended.length;
-
-/** Whether a call has failed because its receiver is of a build without batches. */
-const hasNoBatches = (error: unknown): boolean => error instanceof CallError && error.status === STATUS_NOT_FOUND;
--- a/packages/daemon/src/workflow/heartbeat-service.ts
+++ b/packages/daemon/src/workflow/heartbeat-service.ts
@@ -1,6 +1,8 @@
 import { succeeded } from "@waxwingspread/workflow";
 import type { HeartbeatOrders, HeartbeatReport, WorkflowNode } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
+import { MessageChannels } from "../transport/message-channel.js";
+import { MessageListener } from "../transport/message-listener.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { CallKind } from "./call-queue.js";
 import type { ClusterMembership } from "./cluster-membership.js";
@@ -9,7 +11,6 @@
 import type { HeartbeatResult } from "./heartbeat-calls.js";
 import { HeartbeatForwarder } from "./heartbeat-forwarder.js";
 import { HeartbeatRouting } from "./heartbeat-routing.js";
-import type { InternalCaller } from "./internal-caller.js";
 import type { NodeDriver } from "./node-driver.js";
 import type { HeartbeatBatch, HeartbeatBatchResponse } from "./operations.js";
 import { ControlPhase } from "./workflow-metrics.js";
@@ -22,12 +23,11 @@
 export interface HeartbeatServiceOptions {
     /** Host of this replica. */
     host: string;
-    /** Port of the internal listeners of all replicas. */
-    internalPort: number;
+    /** Port of the listeners for heartbeats of all replicas. */
+    heartbeatPort: number;
     node: WorkflowNode;
     driver: Pick<NodeDriver, "call">;
     membership: Pick<ClusterMembership, "leaderHost" | "responsiveFollowers">;
-    caller: Pick<InternalCaller, "call">;
     monitor: ControlMonitor;
     logger: Logger;
 }
@@ -38,12 +38,19 @@
     readonly #calls: HeartbeatCalls;
     readonly #forwarder: HeartbeatForwarder;
     readonly #routing: HeartbeatRouting;
+    readonly #channels = new MessageChannels();
+    readonly #listener: MessageListener;
     #nextRoutingAtMs = -Infinity;
 
     constructor(options: HeartbeatServiceOptions) {
-        const { host, internalPort, caller, membership, logger } = options;
+        const { host, heartbeatPort, membership, logger } = options;
         this.#options = options;
-        this.#forwarder = new HeartbeatForwarder({ caller, host, internalPort, logger });
+        this.#forwarder = new HeartbeatForwarder({ channels: this.#channels, host, heartbeatPort, logger });
+        this.#listener = new MessageListener({
+            address: { host, port: heartbeatPort },
+            handle: (batch: HeartbeatBatch) => this.#handleBatch(batch),
+            logger,
+        });
         this.#routing = new HeartbeatRouting(host);
         this.#calls = new HeartbeatCalls({
             host,
@@ -59,12 +66,9 @@
         return this.#calls.handle(report, monotonicNowMs());
     }
 
-    /** Handles the heartbeats that another replica has passed on. */
-    async handleBatch({ fromHost, reports }: HeartbeatBatch): Promise<HeartbeatBatchResponse> {
-        const results = await Promise.all(
-            reports.map(report => this.#callNode(report, fromHost, MAX_PASSED_ON_WAIT_MS)),
-        );
-        return { results };
+    /** Listens for the heartbeats that other replicas pass on. Fails with UNAVAILABLE. */
+    listen(): Promise<void> {
+        return this.#listener.listen();
     }
 
     /** Follows changes of the leader and of its followers. To be called every few tens of milliseconds. */
@@ -87,10 +91,20 @@
         return this.#calls.hasForwarded(withinMs, monotonicNowMs());
     }
 
-    /** Refuses the heartbeats that wait and all later ones. */
-    close(): void {
+    /** Refuses the heartbeats that wait and all later ones, and stops listening. */
+    async close(): Promise<void> {
         this.#calls.close();
         this.#forwarder.close();
+        this.#channels.close();
+        await this.#listener.close();
+    }
+
+    /** Handles the heartbeats that another replica has passed on. */
+    async #handleBatch({ fromHost, reports }: HeartbeatBatch): Promise<HeartbeatBatchResponse> {
+        const results = await Promise.all(
+            reports.map(report => this.#callNode(report, fromHost, MAX_PASSED_ON_WAIT_MS)),
+        );
+        return { results };
     }
 
     /** Passes a heartbeat that has arrived at a host to the node. */
--- a/packages/daemon/src/workflow/json-call.ts
+++ b/packages/daemon/src/workflow/json-call.ts
@@ -12,13 +12,10 @@
 export class CallError extends StepError {
     /** Whether the request may have reached the peer, which may then have executed it. */
     readonly mayHaveActed: boolean;
-    /** Status of the response; undefined if there was none. */
-    readonly status: number | undefined;
 
-    constructor(call: JsonCall, error: unknown, mayHaveActed: boolean, status?: number) {
+    constructor(call: JsonCall, error: unknown, mayHaveActed: boolean) {
         super(ErrorCode.UNAVAILABLE, `call ${call.path}`, `${call.host}:${call.port}`, messageOf(error));
         this.mayHaveActed = mayHaveActed;
-        this.status = status;
     }
 }
 
@@ -118,7 +115,7 @@
 /** Returns the decoded body of a response with status 200. Fails with a {@link CallError} for any other response. */
 export const okBody = (call: JsonCall, { status, body }: JsonResponse): unknown => {
     if (status !== HTTP_OK || body === undefined) {
-        throw new CallError(call, `status ${status}`, true, status);
+        throw new CallError(call, `status ${status}`, true);
     }
     return body;
 };
--- a/packages/daemon/src/workflow/leader-finder.ts
+++ b/packages/daemon/src/workflow/leader-finder.ts
@@ -4,11 +4,12 @@
 import { CLUSTER_PATH } from "./operations.js";
 import type { ClusterDescription } from "./operations.js";
 
-/** Interval at which the known leader is probed. */
-const PROBE_INTERVAL_MS = 500;
-/** Interval at which all known control processes are probed while no leader is known. */
+/** Time without contact after which the known leader is probed. Each entry of a deployment does so. */
+const PROBE_INTERVAL_MS = 1_000;
+/** Interval at which one of the known control processes is probed while no leader is known. */
 const SEARCH_INTERVAL_MS = 100;
 const PROBE_TIMEOUT_MS = 400;
+const RANDOM_POSITIONS = 1_000;
 
 /** Construction parameters of a {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
@@ -20,9 +21,15 @@
     /** Reads the monotonic clock. */
     readNowMs: () => number;
     logger: Logger;
+    /** Position of the first host that is probed; random by default, so that processes begin with different ones. */
+    firstPosition?: number;
 }
 
-/** Finds the leader by probing the known control processes. */
+/**
+ * Finds the leader by probing the known control processes one after the other. A process that doesn't lead names the leader,
+ * so that one answer suffices. All entries of a deployment search at once after an election, when replicas have the least
+ * time for it.
+ */
 export class LeaderFinder {
     readonly #caller: Pick<InternalCaller, "call">;
     readonly #port: number;
@@ -37,8 +44,11 @@
     #lastLeaderHost: string | undefined;
     /** Hosts with a probe in progress. */
     readonly #probedHosts = new Set<string>();
-    #nextLeaderProbeMs = -Infinity;
+    /** Position of the next host that is probed. */
+    #position: number;
     #lastLeaderContactMs = -Infinity;
+    /** Time at which another process has named the leader. */
+    #namedAtMs = -Infinity;
     #probeTimer: NodeJS.Timeout | undefined;
 
     constructor(options: LeaderFinderOptions) {
@@ -47,12 +57,13 @@
         this.#port = options.port;
         this.#readNowMs = options.readNowMs;
         this.#logger = options.logger;
+        this.#position = options.firstPosition ?? Math.floor(Math.random() * RANDOM_POSITIONS);
     }
 
     /** Starts probing. */
     start(): void {
-        this.#probeTimer = setInterval(() => this.#probeAll(this.#readNowMs()), SEARCH_INTERVAL_MS);
-        this.#probeAll(this.#readNowMs());
+        this.#probeTimer = setInterval(() => this.#probeNext(this.#readNowMs()), SEARCH_INTERVAL_MS);
+        this.#probeNext(this.#readNowMs());
     }
 
     /** Stops probing. */
@@ -100,6 +111,7 @@
     /** Sets the leader that another replica has named, before the leader itself has responded. */
     setNamedLeader(host: string | undefined): void {
         this.#leaderHost = host;
+        this.#namedAtMs = this.#readNowMs();
     }
 
     /** Discards the leader if it has this host. The reason is logged. */
@@ -114,17 +126,23 @@
         return [...new Set([...this.memberHosts, ...this.#seedHosts])];
     }
 
-    /** Probes the leader when it is due or, if none is known, all hosts without a probe in progress. */
-    #probeAll(nowMs: number): void {
-        if (this.#leaderHost !== undefined && nowMs < this.#nextLeaderProbeMs) {
-            return;
+    /** Probes the leader when it is due or, if none is known, the next host without a probe in progress. */
+    #probeNext(nowMs: number): void {
+        if (this.#leaderHost === undefined) {
+            const hosts = this.#hosts.filter(host => !this.#probedHosts.has(host));
+            this.#position += 1;
+            this.#startProbe(hosts[this.#position % hosts.length]);
+        }
+        else if (nowMs - Math.max(this.#lastLeaderContactMs, this.#namedAtMs) >= PROBE_INTERVAL_MS) {
+            this.#startProbe(this.#leaderHost);
         }
-        this.#nextLeaderProbeMs = nowMs + PROBE_INTERVAL_MS;
-        const hosts = this.#leaderHost === undefined ? this.#hosts : [this.#leaderHost];
-        hosts.filter(host => !this.#probedHosts.has(host)).forEach(host => {
+    }
+
+    #startProbe(host: string | undefined): void {
+        if (host !== undefined && !this.#probedHosts.has(host)) {
             this.#probedHosts.add(host);
             void this.#probe(host).finally(() => this.#probedHosts.delete(host));
-        });
+        }
     }
 
     async #probe(host: string): Promise<void> {
@@ -145,6 +163,7 @@
             else {
                 this.clearLeader(host, "it doesn't serve as the leader");
                 this.suggestHosts(description.memberHosts);
+                this.#probeNamed(description.leaderHost);
             }
         }
         catch (error) {
@@ -156,6 +175,13 @@
         }
     }
 
+    /** Probes the host that a process without the leadership has named. */
+    #probeNamed(host: string | undefined): void {
+        if (this.#leaderHost === undefined) {
+            this.#startProbe(host);
+        }
+    }
+
     #hasRespondedSince(host: string, timeMs: number): boolean {
         return this.#lastLeaderHost === host && this.#lastLeaderContactMs > timeMs;
     }
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -124,9 +124,6 @@
 /** Returns the path of a forwarded operation on the internal listener. */
 export const forwardedPath = (operation: ForwardedOperation): string => `/workflow/${operation}`;
 
-/** Path of batches of heartbeats on the internal listener. */
-export const HEARTBEATS_PATH = "/workflow/heartbeats";
-
 /** Path of the description of the cluster on the internal listener. */
 export const CLUSTER_PATH = "/cluster";
 
