--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -3,7 +3,7 @@
 import type { Times } from "../../leader/times.js";
 import { Refusal } from "../../model/calls.js";
 import type { JobState } from "../../model/calls.js";
-import type { HeartbeatOrders } from "../../model/heartbeat.js";
+import type { HeartbeatOrders, HeartbeatReport } from "../../model/heartbeat.js";
 import { RunEnd } from "../../model/heartbeat.js";
 import type { JobSpecification, StepSpecification, TaskPosition } from "../../model/specification.js";
 import type { CommittedRecord } from "../../node/replicated-log.js";
@@ -11,6 +11,7 @@
 import { decodeEvents, EventKind } from "../../state/events.js";
 import { configurationOf, HOST } from "../fixtures.js";
 import { LEADER_SETTINGS } from "../single-replica.js";
+import { DelayedMessages } from "./delayed-messages.js";
 import { LivenessCheck } from "./liveness.js";
 import { Oracle } from "./oracle.js";
 import type { SubmittedJob } from "./oracle.js";
@@ -27,6 +28,8 @@
 const MAX_NETWORK_DELAY_MS = 60;
 /** Additional delay of the messages of a worker whose network is slow; longer than a worker waits for an answer. */
 const MAX_SLOW_NETWORK_DELAY_MS = 2_500;
+/** Time for which a follower holds a heartbeat until a leader answers it. */
+const MAX_PASS_ON_MS = 800;
 const LIVENESS_INTERVAL_MS = 100;
 
 /** Duration and outcome of the runs of a job. */
@@ -61,11 +64,6 @@
 
 const DEFAULT_BEHAVIOUR: JobBehaviour = { durationMs: 100, failsAlways: false };
 
-interface Delivery {
-    atMs: number;
-    deliver: () => void;
-}
-
 interface Leader {
     node: WorkflowNode;
     term: number;
@@ -88,7 +86,7 @@
     readonly #partitionedUntilMs = new Map<string, number>();
     /** Times until which the messages of workers arrive late, by worker. */
     readonly #slowUntilMs = new Map<string, number>();
-    #deliveries: Delivery[] = [];
+    readonly #messages = new DelayedMessages();
     #log: CommittedRecord[] = [];
     #committedCount = 0;
     #leader: Leader | undefined;
@@ -139,7 +137,7 @@
             this.#nowMs += TICK_MS;
             this.#electLeader();
             this.workers.forEach(worker => worker.advance(this.#nowMs));
-            this.#deliverDueMessages();
+            this.#messages.deliverDue(this.#nowMs);
             this.workers.forEach(worker => this.#sendHeartbeat(worker));
             this.#runLeader();
         }
@@ -415,24 +413,31 @@
                 }
             });
         };
-        this.#scheduleDelivery(worker, () =>
-            this.#leader?.node.heartbeat(report, result => {
-                if (result.ok) {
-                    respond(result.value);
-                }
-            }, this.#times));
+        this.#scheduleDelivery(worker, () => this.#passOn(report, respond, this.#nowMs + MAX_PASS_ON_MS));
+    }
+
+    /**
+     * Delivers a heartbeat to the leader as a follower does: while there is none, and if the leader is lost before it has
+     * answered, the heartbeat waits for the next one.
+     */
+    #passOn(report: HeartbeatReport, respond: (orders: HeartbeatOrders | undefined) => void, untilMs: number): void {
+        const retry = (): void => {
+            if (this.#nowMs < untilMs) {
+                const deliver = (): void => this.#passOn(report, respond, untilMs);
+                this.#messages.send(this.#nowMs + TICK_MS, deliver);
+            }
+        };
+        if (this.#leader === undefined) {
+            retry();
+            return;
+        }
+        this.#leader.node.heartbeat(report, result => result.ok ? respond(result.value) : retry(), this.#times);
     }
 
     #scheduleDelivery(worker: SimulatedWorker, deliver: () => void): void {
         const isSlow = this.#nowMs < (this.#slowUntilMs.get(worker.id) ?? 0);
         const maxDelayMs = isSlow ? MAX_SLOW_NETWORK_DELAY_MS : MAX_NETWORK_DELAY_MS;
-        this.#deliveries.push({ atMs: this.#nowMs + this.#random.nextInteger(0, maxDelayMs), deliver });
-    }
-
-    #deliverDueMessages(): void {
-        const due = this.#deliveries.filter(({ atMs }) => atMs <= this.#nowMs);
-        this.#deliveries = this.#deliveries.filter(({ atMs }) => atMs > this.#nowMs);
-        due.forEach(({ deliver }) => deliver());
+        this.#messages.send(this.#nowMs + this.#random.nextInteger(0, maxDelayMs), deliver);
     }
 
     /** Starts the work of a gang once all members of one run are present. */
