--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -213,3 +213,36 @@
     directory.recordHeartbeat(heartbeatOf("other", 1), { nowMs: 0, timeOfDayMs: 0 });
     expect(planner.canPlaceElsewhere(run, 0)).toBe(true);
 });
+
+// Load: hundreds of starts a second on hundreds of servers that have room. Guards against a leader that examines the whole
+// fleet for each task, and against tasks that pile up on few servers because only these are examined.
+it("examines a part of a large fleet with room for each task, and spreads the tasks", () => {
+    const replica = startReplica(64_000);
+    const fits = vi.spyOn(ServerView.prototype, "fits");
+    const taskCount = 2 * SERVERS;
+    replica.submit(jobOf("wide", stepOf({ taskCount })));
+    const runs = replica.node.session?.utilization().finiteCores ?? 0;
+    expect(runs).toBe(taskCount);
+    expect(fits.mock.calls.length).toBeLessThan((taskCount * SERVERS) / 2);
+    const orders = Array.from(
+        { length: SERVERS },
+        (unused, index) => replica.heartbeat(heartbeatOfServer(index, 2, 64_000))?.starts.length ?? 0,
+    );
+    expect(Math.max(...orders)).toBeLessThanOrEqual(4);
+});
+
+// Guards against a task that waits because the part of the fleet that was examined first has no room for it.
+it("examines all servers when none of the first ones has room", () => {
+    const replica = startReplica(64_000);
+    replica.submit(jobOf(
+        "full",
+        stepOf({
+            taskCount: SERVERS - 1,
+            maxTasksPerServer: 1,
+            amounts: { cpuMillicores: 16_000, memoryMebibytes: 1, accelerators: 0 },
+        }),
+    ));
+    const before = replica.node.session?.utilization().finiteCores ?? 0;
+    replica.submit(jobOf("last", stepOf({ amounts: { cpuMillicores: 16_000, memoryMebibytes: 1, accelerators: 0 } })));
+    expect((replica.node.session?.utilization().finiteCores ?? 0) - before).toBe(16);
+});
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -1,4 +1,5 @@
 import type { QueueContract } from "../model/configuration.js";
+import { TaskKind } from "../model/specification.js";
 import { isSuspect } from "../state/crash-history.js";
 import type { AssignedRun } from "../state/events.js";
 import { TaskPhase } from "../state/job-record.js";
@@ -32,6 +33,12 @@
  */
 const MAX_EXAMINED_SERVERS_PER_CALL = 10_000;
 
+/**
+ * Servers of a large fleet that are examined first for a task that needs none in particular. The best of so many is nearly
+ * as good as the best of all.
+ */
+const SERVERS_IN_PART = 64;
+
 /** Servers that each call may examine for the steps of the round, beside those for overdue steps. */
 const MIN_EXAMINED_SERVERS_IN_ROUND = MAX_EXAMINED_SERVERS_PER_CALL / 2;
 /** Upper bound on the overdue steps that are considered again in each further call of a round. */
@@ -65,6 +72,8 @@
     /** Servers that have changed since the round began; the next round searches them. */
     #changedInRound: ServerView[] = [];
     #remainingServers = 0;
+    /** Part of the fleet that is examined next. */
+    #nextPart = 0;
     /** Times since which tasks that may crash their servers have waited for one, by task. */
     readonly #trialWaitSinceMs = new Map<string, number>();
 
@@ -357,13 +366,29 @@
             }
             this.#failures.forget(waiting);
         }
-        const server = this.#search(waiting, this.#directory.servers, constraints, nowMs);
+        const server = this.#searchAll(waiting, constraints, nowMs);
         if (server === undefined) {
             this.#recordFailure(waiting, constraints, key, nowMs);
         }
         return server;
     }
 
+    /** Searches all servers; in a large fleet a part of them first, the next one each time. */
+    #searchAll(waiting: WaitingStep, constraints: PlacementConstraints, nowMs: number): ServerView | undefined {
+        const { servers } = this.#directory;
+        const { kind, step } = waiting;
+        // Standing tasks are packed, and others look for a rack: the best server matters.
+        const needsBest = kind === TaskKind.Standing || step.dataRack !== "" || step.prefersOneRack;
+        if (needsBest || servers.length < 2 * SERVERS_IN_PART) {
+            return this.#search(waiting, servers, constraints, nowMs);
+        }
+        const first = this.#nextPart * SERVERS_IN_PART;
+        const end = first + SERVERS_IN_PART;
+        this.#nextPart = end < servers.length ? this.#nextPart + 1 : 0;
+        return this.#search(waiting, servers.slice(first, end), constraints, nowMs)
+            ?? this.#search(waiting, [...servers.slice(0, first), ...servers.slice(end)], constraints, nowMs);
+    }
+
     #search(
         waiting: WaitingStep,
         servers: readonly ServerView[],
