--- a/packages/daemon/src/workflow/heartbeat-routing.test.ts
+++ b/packages/daemon/src/workflow/heartbeat-routing.test.ts
@@ -75,3 +75,16 @@
         expect(next === host).toBe(host !== lost?.host);
     });
 });
+
+// Guards against memory that grows with each server that has ever called: a restarted server may have a new id.
+it("forgets the servers of the past once they outnumber those of the fleet", () => {
+    const routing = createRouting();
+    const report = reportOf(0);
+    const first = routing.nextHost(report, LEADER, 0);
+    for (let index = 0; index < 5 * SERVERS; index += 1) {
+        routing.nextHost(reportOf(1_000 + index), LEADER, 0);
+    }
+    routing.update(FOLLOWERS, SERVERS);
+    // A server whose route is known would count as one that has not reached its follower.
+    expect(routing.nextHost(report, LEADER, 0)).toBe(first);
+});
--- a/packages/daemon/src/workflow/heartbeat-routing.ts
+++ b/packages/daemon/src/workflow/heartbeat-routing.ts
@@ -14,6 +14,9 @@
     availabilityZone: string;
 }
 
+/** Number of routes, as a multiple of the servers, above which most are those of servers that have left. */
+const MAX_ROUTES_RATIO = 4;
+
 /** Where the heartbeats of one server arrive. */
 interface Route {
     /** Host that the server was sent to. */
@@ -49,6 +52,9 @@
             this.#isPassingOn = isPassingOn;
             this.#generation += 1;
         }
+        if (this.#routes.size > MAX_ROUTES_RATIO * serverCount) {
+            this.clear();
+        }
     }
 
     /** Forgets all servers, for example at the end of a leadership. */
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -56,6 +56,17 @@
     return (server.unreservedCpuMillicores + unusedByStanding - server.fillerCpuMillicores) / 1000;
 };
 
+/** Whether some task of a kind may fit on a server; false if none does, whatever it needs. */
+export const mayRunAny = (kind: TaskKind, server: ServerView): boolean => {
+    const { reserved, capacity } = server;
+    if (!server.isUsable || reserved.memoryMebibytes > capacity.memoryMebibytes) {
+        return false;
+    }
+    return kind === TaskKind.Filler
+        ? expectedIdleCores(server) >= 0 && !server.isSaturated
+        : reserved.cpuMillicores <= capacity.cpuMillicores;
+};
+
 /** Prefers servers with the most idle cores, since a finite task's reservation leaves less for fillers. */
 const costOfFinite: CostFunction = (waiting, server) => -expectedIdleCores(server);
 
--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -77,6 +77,21 @@
     expect(examined).toBeLessThanOrEqual(MAX_EXAMINED_PER_HEARTBEAT);
 });
 
+// Load: as above on a fleet whose processors fillers use already. Guards against a search for each waiting size on each
+// heartbeat of a server that takes no filler at all.
+it("doesn't search a server without idle processors for waiting fillers", () => {
+    const replica = startReplica(64_000);
+    submitFillers(replica);
+    for (let call = 0; call < 100; call += 1) {
+        replica.settle();
+    }
+    const waiting = replica.node.session?.utilization().waitingTasks[TaskKind.Filler] ?? 0;
+    expect(waiting).toBeGreaterThan(1_000);
+    const chosen = vi.spyOn(ServerView.prototype, "fits");
+    replica.heartbeat(heartbeatOfServer(0, 2, 64_000));
+    expect(chosen.mock.calls.length).toBeLessThanOrEqual(IMAGES);
+});
+
 // Load: 6,000 tasks arrive at once. Guards against one planning call that holds the event loop for longer than an
 // election timeout.
 it("bounds the servers examined in one call and assigns the rest in the next calls", () => {
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -6,7 +6,7 @@
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { Eligibility } from "./eligibility.js";
 import { FailedPlacements } from "./failed-placements.js";
-import { chooseServer, countServers, serversWithCapacity } from "./placement.js";
+import { chooseServer, countServers, mayRunAny, serversWithCapacity } from "./placement.js";
 import type { PlacementConstraints, ServerCounts } from "./placement.js";
 import type { PressureModel } from "./pressure-model.js";
 import type { ServerDirectory } from "./server-directory.js";
@@ -186,8 +186,15 @@
         const changedServers = [...candidates].filter(server => this.#directory.get(server.id) === server);
         this.#changedInRound = [];
         this.#changedServers = changedServers;
+        // Many steps wait for a place when most servers are full, so that each server is asked once for all of them.
+        const serversByKind = {
+            [TaskKind.Finite]: changedServers.filter(server => mayRunAny(TaskKind.Finite, server)),
+            [TaskKind.Standing]: changedServers.filter(server => mayRunAny(TaskKind.Standing, server)),
+            [TaskKind.Filler]: changedServers.filter(server => mayRunAny(TaskKind.Filler, server)),
+        };
         this.#failures.recheck((waiting, key) => {
-            const server = this.#search(waiting, changedServers, this.#constraintsFor(waiting, nowMs), nowMs);
+            const servers = serversByKind[waiting.kind];
+            const server = this.#search(waiting, servers, this.#constraintsFor(waiting, nowMs), nowMs);
             if (server === undefined) {
                 this.#failuresInRound.record(waiting, key);
             }
