--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -1,15 +1,15 @@
-import { messageOf, StepError } from "@waxwingspread/common";
-import { ErrorCode } from "@waxwingspread/protocol";
+import { messageOf } from "@waxwingspread/common";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer as createHttp2Server } from "node:http2";
 import type { Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session } from "node:http2";
 import { Server as NetServer } from "node:net";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { Logger } from "pino";
 import { LineBudget } from "../logging/line-budget.js";
 import type { ListenAddress } from "../transport/listen-address.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
+import { startListening } from "../transport/start-listening.js";
 import { createProtocolDetectingServer } from "./protocol-detection.js";
 
 const STATUS_ERROR = 500;
@@ -102,16 +102,8 @@
     }
 
     /** Starts listening and returns the port. Fails with UNAVAILABLE. */
-    async listen(): Promise<number> {
-        const { host, port } = this.#address;
-        await new Promise<void>((resolve, reject) => {
-            this.#acceptingServer.once(
-                "error",
-                error => reject(new StepError(ErrorCode.UNAVAILABLE, "listen", `${host}:${port}`, messageOf(error))),
-            );
-            this.#acceptingServer.listen(port, host, resolve);
-        });
-        return (this.#acceptingServer.address() as AddressInfo).port;
+    listen(): Promise<number> {
+        return startListening(this.#acceptingServer, this.#address);
     }
 
     /** Closes each connection after its next response, so that fewer are open when `close` may cut off a request. */
--- a/packages/daemon/src/transport/connect-listener.ts
+++ b/packages/daemon/src/transport/connect-listener.ts
@@ -1,11 +1,9 @@
 import type { ConnectRouter, Interceptor } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { messageOf, StepError } from "@waxwingspread/common";
-import { ErrorCode } from "@waxwingspread/protocol";
 import { createServer } from "node:http2";
 import type { Http2Server, ServerHttp2Session } from "node:http2";
-import type { AddressInfo } from "node:net";
 import type { ListenAddress } from "./listen-address.js";
+import { startListening } from "./start-listening.js";
 
 /** Maximum size of a message between processes: a blob with its envelope. */
 export const MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
@@ -48,16 +46,8 @@
     }
 
     /** Starts listening and returns the port. Fails with UNAVAILABLE. */
-    async listen(): Promise<number> {
-        const { host, port } = this.#options.address;
-        await new Promise<void>((resolve, reject) => {
-            this.#server.once(
-                "error",
-                error => reject(new StepError(ErrorCode.UNAVAILABLE, "listen", `${host}:${port}`, messageOf(error))),
-            );
-            this.#server.listen(port, host, resolve);
-        });
-        return (this.#server.address() as AddressInfo).port;
+    listen(): Promise<number> {
+        return startListening(this.#server, this.#options.address);
     }
 
     /** Stops listening and closes each connection once its calls have ended, but after `graceMs` at the latest. */
--- a/packages/daemon/src/transport/message-listener.ts
+++ b/packages/daemon/src/transport/message-listener.ts
@@ -1,11 +1,11 @@
-import { messageOf, StepError } from "@waxwingspread/common";
-import { ErrorCode } from "@waxwingspread/protocol";
+import { messageOf } from "@waxwingspread/common";
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import type { Logger } from "pino";
 import { LineDecoder } from "./line-decoder.js";
 import type { ListenAddress } from "./listen-address.js";
 import { decodeMessage, encodeMessage } from "./numbered-message.js";
+import { startListening } from "./start-listening.js";
 
 const MAX_CONNECTIONS = 100;
 /** Send buffer limit for a peer that doesn't read; its connection is closed beyond it. */
@@ -35,14 +35,7 @@
 
     /** Starts listening. Fails with UNAVAILABLE. */
     async listen(): Promise<void> {
-        const { host, port } = this.#options.address;
-        await new Promise<void>((resolve, reject) => {
-            this.#server.once(
-                "error",
-                error => reject(new StepError(ErrorCode.UNAVAILABLE, "listen", `${host}:${port}`, messageOf(error))),
-            );
-            this.#server.listen(port, host, resolve);
-        });
+        await startListening(this.#server, this.#options.address);
     }
 
     /** Stops listening and closes all connections. */
--- a/packages/daemon/src/transport/replica-stream.ts
+++ b/packages/daemon/src/transport/replica-stream.ts
@@ -1,5 +1,3 @@
-import { messageOf, StepError } from "@waxwingspread/common";
-import { ErrorCode } from "@waxwingspread/protocol";
 import type { ReplicaMessage } from "@waxwingspread/protocol";
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
@@ -7,6 +5,7 @@
 import { encodeEnvelope } from "./envelope-encoder.js";
 import { hostOf, portOf } from "./host-of.js";
 import type { ListenAddress } from "./listen-address.js";
+import { startListening } from "./start-listening.js";
 
 /** Time without an acknowledgement of sent messages after which a connection is replaced. */
 const ACKNOWLEDGEMENT_TIMEOUT_MS = 700;
@@ -156,13 +155,7 @@
 
     /** Starts listening. Fails with UNAVAILABLE. */
     async listen(): Promise<void> {
-        const { host, port } = this.#address;
-        await new Promise<void>((resolve, reject) => {
-            const fail = (error: Error): void =>
-                reject(new StepError(ErrorCode.UNAVAILABLE, "listen", `${host}:${port}`, messageOf(error)));
-            this.#server.once("error", fail);
-            this.#server.listen(port, host, resolve);
-        });
+        await startListening(this.#server, this.#address);
     }
 
     async close(): Promise<void> {
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -53,8 +53,9 @@
 const ANNOUNCE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_500;
 /**
- * Time for which a stopping former leader, or a replica that has passed heartbeats on, redirects to the present leader: each server of a fleet of up to 1,000 sends a
- * heartbeat within it. Servers that find the port closed would try again only after more than a second.
+ * Time for which a stopping former leader, or a replica that has passed heartbeats on, redirects to the present leader: each
+ * server of a fleet of up to 1,000 sends a heartbeat within it. Servers that find the port closed would try again only after
+ * more than a second.
  */
 const REDIRECT_TIME_MS = 1_000;
 const LISTENER_GRACE_MS = 1_000;
