--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -420,6 +420,7 @@
             leaderHost: this.leaderHost,
             memberHosts: this.#membership.memberHosts,
             isServing: this.#node.session !== undefined && this.#runner.hasQuorumLease(nowMs),
+            heartbeatHosts: this.#heartbeats.heartbeatHosts,
             voterStatus: this.#membership.voterStatus(nowMs),
         };
     }
--- a/packages/daemon/src/workflow/control-relay.ts
+++ b/packages/daemon/src/workflow/control-relay.ts
@@ -56,6 +56,7 @@
     readonly #founderSelection: FounderSelection;
     readonly #internalListener: HttpListener;
     readonly #leaderWait = new LeaderWait(() => this.leaderHost);
+    #redirectedHeartbeats = 0;
     #founderTimer: NodeJS.Timeout | undefined;
     #electionTimer: NodeJS.Timeout | undefined;
 
@@ -102,6 +103,20 @@
         return this.leaderHost;
     }
 
+    /**
+     * Resolves with a host that takes heartbeats, each in turn; undefined if no leader is known in time. Servers that have
+     * lost their replica would all connect to the leader, and operators' connections would wait behind theirs.
+     */
+    async waitForHeartbeatHost(nowMs: number): Promise<string | undefined> {
+        const leaderHost = await this.waitForLeader(nowMs);
+        const hosts = this.#finder.heartbeatHosts;
+        if (leaderHost === undefined || hosts.length === 0) {
+            return leaderHost;
+        }
+        this.#redirectedHeartbeats += 1;
+        return hosts[this.#redirectedHeartbeats % hosts.length];
+    }
+
     /** Replaces the seed hosts, for example after the settings have changed. */
     setSeedHosts(hosts: readonly string[]): void {
         this.#finder.setSeedHosts(hosts);
--- a/packages/daemon/src/workflow/heartbeat-routing.test.ts
+++ b/packages/daemon/src/workflow/heartbeat-routing.test.ts
@@ -31,6 +31,7 @@
         const follower = FOLLOWERS.find(candidate => candidate.host === host);
         expect(follower?.availabilityZone).toBe(report.availabilityZone);
     }
+    expect(routing.heartbeatHosts).toEqual(FOLLOWERS.map(({ host }) => host));
     const mean = SERVERS / FOLLOWERS.length;
     expect(Math.min(...counts.values())).toBeGreaterThan(mean / 2);
     expect(Math.max(...counts.values())).toBeLessThan(mean * 1.5);
@@ -40,6 +41,7 @@
 it("lets the servers of a small fleet, and those without followers, call the leader", () => {
     const small = createRouting(99);
     expect(small.nextHost(reportOf(0), LEADER, 0)).toBe(LEADER);
+    expect(small.heartbeatHosts).toEqual([]);
     const alone = new HeartbeatRouting(LEADER);
     alone.update([], SERVERS);
     expect(alone.nextHost(reportOf(0), LEADER, 0)).toBe(LEADER);
--- a/packages/daemon/src/workflow/heartbeat-routing.ts
+++ b/packages/daemon/src/workflow/heartbeat-routing.ts
@@ -57,6 +57,11 @@
         }
     }
 
+    /** Hosts of the followers that take heartbeats; none in a small fleet. */
+    get heartbeatHosts(): string[] {
+        return this.#isPassingOn ? this.#replicas.map(({ host }) => host) : [];
+    }
+
     /** Forgets all servers, for example at the end of a leadership. */
     clear(): void {
         this.#routes.clear();
--- a/packages/daemon/src/workflow/heartbeat-service.ts
+++ b/packages/daemon/src/workflow/heartbeat-service.ts
@@ -71,6 +71,11 @@
         return this.#listener.listen();
     }
 
+    /** Hosts of the followers that take heartbeats; none unless this replica leads a large fleet. */
+    get heartbeatHosts(): string[] {
+        return this.#options.node.session === undefined ? [] : this.#routing.heartbeatHosts;
+    }
+
     /** Follows changes of the leader and of its followers. To be called every few tens of milliseconds. */
     tick(nowMs: number): void {
         this.#forwarder.setLeader(this.#options.membership.leaderHost);
--- a/packages/daemon/src/workflow/leader-finder-search.test.ts
+++ b/packages/daemon/src/workflow/leader-finder-search.test.ts
@@ -15,6 +15,7 @@
     leaderHost,
     memberHosts: HOSTS,
     isServing: host === leaderHost,
+    ...host === leaderHost ? { heartbeatHosts: ["c"] } : {},
 });
 
 const caller = {
@@ -105,3 +106,12 @@
     expect(silent).toBeLessThanOrEqual(5);
     expect(first + second + silent).toBe(21);
 });
+
+// Guards against heartbeats that relays send to the followers of a former leader, one of which may lead by now.
+it("knows the hosts that take heartbeats while it knows the leader that has named them", async () => {
+    leaderHost = "b";
+    await vi.advanceTimersByTimeAsync(200);
+    expect(finder.heartbeatHosts).toEqual(["c"]);
+    finder.clearLeader("b", "cleared in a test");
+    expect(finder.heartbeatHosts).toEqual([]);
+});
--- a/packages/daemon/src/workflow/leader-finder.ts
+++ b/packages/daemon/src/workflow/leader-finder.ts
@@ -37,6 +37,7 @@
     readonly #logger: Logger;
     #seedHosts: readonly string[];
     #memberHosts: string[] = [];
+    #heartbeatHosts: readonly string[] = [];
     /** Possible members that processes other than the leader have named since the last leader was found. */
     readonly #suggestedHosts = new Set<string>();
     #leaderHost: string | undefined;
@@ -81,6 +82,11 @@
         return [...new Set([...this.#memberHosts, ...this.#suggestedHosts])];
     }
 
+    /** Hosts that take heartbeats in place of the leader, as it said last; none in a small fleet. */
+    get heartbeatHosts(): readonly string[] {
+        return this.#heartbeatHosts;
+    }
+
     /** Time of the last contact to a serving leader. */
     get lastLeaderContactMs(): number {
         return this.#lastLeaderContactMs;
@@ -119,6 +125,7 @@
         if (this.#leaderHost === host) {
             this.#logger.info({ leader: host, reason }, "leader lost");
             this.#leaderHost = undefined;
+            this.#heartbeatHosts = [];
         }
     }
 
@@ -157,6 +164,7 @@
             });
             if (description.isServing) {
                 this.#memberHosts = description.memberHosts;
+                this.#heartbeatHosts = description.heartbeatHosts ?? [];
                 this.#suggestedHosts.clear();
                 this.recordLeader(host);
             }
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -48,6 +48,8 @@
     memberHosts: string[];
     /** Whether the responding replica is the leader and serves requests. */
     isServing: boolean;
+    /** Hosts that take the heartbeats of a large fleet in place of the leader; only the leader reports them. */
+    heartbeatHosts?: string[];
     /** State of the voters; only the leader reports it. */
     voterStatus?: VoterStatus;
 }
