--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -6,15 +6,7 @@
 import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
 import { FailedAction, WorkflowNode } from "@waxwingspread/workflow";
-import type {
-    CallResult,
-    Configuration,
-    HeartbeatReport,
-    LeaderSettings,
-    MaintenanceOrder,
-    MaintenanceState,
-    Times,
-} from "@waxwingspread/workflow";
+import type { CallResult, HeartbeatReport, LeaderSettings, Times } from "@waxwingspread/workflow";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
@@ -22,13 +14,13 @@
 import { describeReplica } from "../roles/describe-replica.js";
 import { handOverLeadership } from "../roles/hand-over.js";
 import { hostOf } from "../transport/host-of.js";
+import { MessageListener } from "../transport/message-listener.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { ClusterMembership } from "./cluster-membership.js";
 import { ControlMonitor } from "./control-monitor.js";
 import { electionSeedOf } from "./election-seed.js";
 import { EventLog } from "./event-log.js";
-import type { HeartbeatResult } from "./heartbeat-calls.js";
 import { HeartbeatService } from "./heartbeat-service.js";
 import { InternalCaller } from "./internal-caller.js";
 import { createForwardedHandlers } from "./internal-handlers.js";
@@ -39,7 +31,18 @@
 import { createNodeReports } from "./node-reports.js";
 import { openLog } from "./open-log.js";
 import { CLUSTER_PATH, DESCRIBE_PATH, JOIN_PATH } from "./operations.js";
-import type { ClusterDescription, ControlOperations, JoinRequest } from "./operations.js";
+import type {
+    ClusterDescription,
+    ControlOperations,
+    HeartbeatBatchResponse,
+    HeartbeatResult,
+    JoinRequest,
+    OperatorOperation,
+    OperatorRequests,
+    OperatorValues,
+    ReplicaCall,
+} from "./operations.js";
+import { OperatorService } from "./operator-service.js";
 import { PlatformCalls } from "./platform-calls.js";
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
@@ -69,8 +72,8 @@
     replicaPort: number;
     /** Port for calls of entries and of replicas that join. */
     internalPort: number;
-    /** Port of the listeners for heartbeats that replicas pass on. */
-    heartbeatPort: number;
+    /** Port of the listeners for heartbeats and operators' calls that replicas pass on. */
+    passedOnPort: number;
     dataFolder: string;
     /** Hosts of control replicas from the settings. */
     seedHosts: readonly string[];
@@ -111,6 +114,8 @@
     readonly #monitor: ControlMonitor;
     readonly #driver: NodeDriver;
     readonly #heartbeats: HeartbeatService;
+    readonly #operators: OperatorService;
+    readonly #passedOnListener: MessageListener;
     readonly #wallClock = new SlewedWallClock(monotonicNowMs(), Date.now());
     #isStopped = false;
 
@@ -147,13 +152,26 @@
         }, monotonicNowMs());
         this.#heartbeats = new HeartbeatService({
             host: settings.host,
-            heartbeatPort: settings.heartbeatPort,
+            port: settings.passedOnPort,
             node: this.#node,
             driver: this.#driver,
             membership: this.#membership,
             monitor: this.#monitor,
             logger,
         });
+        this.#operators = new OperatorService({
+            host: settings.host,
+            port: settings.passedOnPort,
+            node: this.#node,
+            driver: this.#driver,
+            readLeaderHost: () => this.leaderHost,
+            logger,
+        });
+        this.#passedOnListener = new MessageListener({
+            address: { host: settings.host, port: settings.passedOnPort },
+            handle: (call: ReplicaCall) => this.#handlePassedOn(call),
+            logger,
+        });
         this.#relayAnnouncer = new RelayAnnouncer({
             caller: this.#caller,
             internalPort: settings.internalPort,
@@ -177,7 +195,7 @@
         const host = new ControlHost(settings, opened, dependencies);
         await host.#replicaListener.listen();
         await host.#internalListener.listen();
-        await host.#heartbeats.listen();
+        await host.#passedOnListener.listen();
         host.#startTimers();
         host.#startBootstrap(opened);
         return host;
@@ -204,45 +222,17 @@
         return result;
     }
 
-    leave(serverId: string): Promise<CallResult<void>> {
-        return this.#driver.call((respond, times) => this.#node.leave(serverId, respond, times));
-    }
-
-    async configure(configuration: Configuration): Promise<CallResult<void>> {
-        const result = await this.#driver.call<void>((respond, times) =>
-            this.#node.configure(configuration, respond, times)
-        );
-        this.#logger.info({ version: configuration.version, result }, "configuration received");
-        return result;
-    }
-
-    readConfiguration(): Promise<CallResult<string | undefined>> {
-        return this.#driver.call((respond, times) => this.#node.readConfiguration(respond, times));
-    }
-
-    async setZone(availabilityZone: string, isOut: boolean): Promise<CallResult<void>> {
-        const result = await this.#driver.call<void>((respond, times) =>
-            this.#node.setZone(availabilityZone, isOut, respond, times)
-        );
-        this.#logger.info({ availabilityZone, isOut, result }, "availability zone changed");
-        return result;
-    }
-
-    async orderMaintenance(order: MaintenanceOrder): Promise<CallResult<void>> {
-        const result = await this.#driver.call<void>((respond, times) =>
-            this.#node.orderMaintenance(order, respond, times)
-        );
-        this.#logger.info({ maintenanceId: order.id, vms: order.vmIds.length, result }, "maintenance ordered");
-        return result;
-    }
-
-    maintenanceState(id: number): Promise<CallResult<MaintenanceState | undefined>> {
-        return this.#driver.call((respond, times) => this.#node.maintenanceState(id, respond, times));
+    callOperator<Operation extends OperatorOperation>(
+        operation: Operation,
+        request: OperatorRequests[Operation],
+    ): Promise<CallResult<OperatorValues[Operation]>> {
+        return this.#operators.call(operation, request);
     }
 
     /** Hands over leadership, redirects to the next leader for some time, waits for open calls and closes the log. */
     async stop(): Promise<void> {
         this.#heartbeats.stopForwarding();
+        this.#operators.stopForwarding();
         const hasServers = this.#heartbeats.hasForwarded(REDIRECT_TIME_MS);
         const wasLeader = await handOverLeadership(this.#runner, HANDOVER_TIMEOUT_MS);
         if (wasLeader || hasServers) {
@@ -251,10 +241,12 @@
         this.#isStopped = true;
         this.#driver.close();
         this.#timers.forEach(timer => clearInterval(timer));
+        this.#heartbeats.close();
+        this.#operators.close();
         await Promise.all([
             this.#internalListener.close(LISTENER_GRACE_MS),
             this.#replicaListener.close(),
-            this.#heartbeats.close(),
+            this.#passedOnListener.close(),
         ]);
         await this.#runner.stop();
         this.#sender.close();
@@ -340,6 +332,7 @@
         this.#membership.tick(nowMs);
         this.#driver.tick();
         this.#heartbeats.tick(nowMs);
+        this.#operators.tick(nowMs);
     }
 
     #announceMembers(): void {
@@ -395,6 +388,11 @@
         messages.forEach(message => this.#runner.receive(message, nowMs));
     }
 
+    /** Handles what another replica has passed on to this one as the leader. */
+    #handlePassedOn(call: ReplicaCall): Promise<HeartbeatBatchResponse | CallResult<unknown>> {
+        return "operatorCall" in call ? this.#operators.handlePassedOn(call) : this.#heartbeats.handleBatch(call);
+    }
+
     async #describePeer(address: string, timeoutMs: number): Promise<DescribeResponse> {
         const port = this.#settings.internalPort;
         const call = { host: hostOf(address), port, path: DESCRIBE_PATH, body: {}, timeoutMs };
--- a/packages/daemon/src/workflow/control-relay.ts
+++ b/packages/daemon/src/workflow/control-relay.ts
@@ -32,6 +32,8 @@
 const LISTENER_GRACE_MS = 1_000;
 /** Longest wait of a request for the result of an election; callers wait 1 s for an answer, the redirect included. */
 const MAX_ELECTION_WAIT_MS = 700;
+/** The same for operators' calls, which the follower to which they are redirected may let wait for 800 ms more. */
+const MAX_OPERATOR_WAIT_MS = 150;
 const ELECTION_CHECK_INTERVAL_MS = 20;
 
 /** Settings of a control relay. */
@@ -56,7 +58,7 @@
     readonly #founderSelection: FounderSelection;
     readonly #internalListener: HttpListener;
     readonly #leaderWait = new LeaderWait(() => this.leaderHost);
-    #redirectedHeartbeats = 0;
+    #redirectedCalls = 0;
     #founderTimer: NodeJS.Timeout | undefined;
     #electionTimer: NodeJS.Timeout | undefined;
 
@@ -105,16 +107,16 @@
 
     /**
      * Resolves with a host that takes heartbeats, each in turn; undefined if no leader is known in time. Servers that have
-     * lost their replica would all connect to the leader, and operators' connections would wait behind theirs.
+     * lost their replica would all connect to the leader, and others' connections would wait behind theirs.
      */
     async waitForHeartbeatHost(nowMs: number): Promise<string | undefined> {
-        const leaderHost = await this.waitForLeader(nowMs);
-        const hosts = this.#finder.heartbeatHosts;
-        if (leaderHost === undefined || hosts.length === 0) {
-            return leaderHost;
-        }
-        this.#redirectedHeartbeats += 1;
-        return hosts[this.#redirectedHeartbeats % hosts.length];
+        return this.#nextFollower(await this.waitForLeader(nowMs));
+    }
+
+    /** Resolves with a host that takes an operator's call and passes it on; undefined if no leader is known in time. */
+    async waitForOperatorHost(nowMs: number): Promise<string | undefined> {
+        await this.#leaderWait.untilKnown(nowMs + MAX_OPERATOR_WAIT_MS, nowMs);
+        return this.#nextFollower(this.leaderHost);
     }
 
     /** Replaces the seed hosts, for example after the settings have changed. */
@@ -132,6 +134,16 @@
         this.#caller.close();
     }
 
+    /** Returns the followers of a large fleet in turn; the leader if it has named none. */
+    #nextFollower(leaderHost: string | undefined): string | undefined {
+        const hosts = this.#finder.heartbeatHosts;
+        if (leaderHost === undefined || hosts.length === 0) {
+            return leaderHost;
+        }
+        this.#redirectedCalls += 1;
+        return hosts[this.#redirectedCalls % hosts.length];
+    }
+
     #internalHandlers(): ReadonlyMap<string, InternalHandler> {
         return new Map<string, InternalHandler>([
             ...Object.values(ForwardedOperation).map(operation =>
--- a/packages/daemon/src/workflow/heartbeat-forwarder.test.ts
+++ b/packages/daemon/src/workflow/heartbeat-forwarder.test.ts
@@ -4,8 +4,8 @@
 import { pino } from "pino";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
 import type { ChannelCall } from "../transport/message-channel.js";
-import type { HeartbeatResult } from "./heartbeat-calls.js";
 import { HeartbeatForwarder } from "./heartbeat-forwarder.js";
+import type { HeartbeatResult } from "./operations.js";
 import type { HeartbeatBatch } from "./operations.js";
 
 const LEADER = "10.0.0.2";
@@ -42,7 +42,7 @@
     forwarder = new HeartbeatForwarder({
         channels,
         host: "10.0.0.1",
-        heartbeatPort: 1,
+        port: 1,
         logger: pino({ enabled: false }),
     });
 });
--- a/packages/daemon/src/workflow/heartbeat-forwarder.ts
+++ b/packages/daemon/src/workflow/heartbeat-forwarder.ts
@@ -5,8 +5,7 @@
 import { LineBudget } from "../logging/line-budget.js";
 import type { MessageChannels } from "../transport/message-channel.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
-import type { HeartbeatResult } from "./heartbeat-calls.js";
-import type { HeartbeatBatch, HeartbeatBatchResponse } from "./operations.js";
+import type { HeartbeatBatch, HeartbeatBatchResponse, HeartbeatResult } from "./operations.js";
 
 /** Heartbeats that arrive within this time are sent to the leader together, since each message costs it time. */
 const BATCH_WINDOW_MS = 15;
@@ -23,8 +22,8 @@
     channels: Pick<MessageChannels, "call">;
     /** Host of this replica. */
     host: string;
-    /** Port of the listeners for heartbeats of all replicas. */
-    heartbeatPort: number;
+    /** Port of the listeners for heartbeats that replicas pass on. */
+    port: number;
     logger: Logger;
 }
 
@@ -112,10 +111,10 @@
             reports: heartbeats.map(({ report }) => report),
         };
         try {
-            const { channels, heartbeatPort } = this.#options;
+            const { channels, port } = this.#options;
             const response = await channels.call({
                 host,
-                port: heartbeatPort,
+                port,
                 body,
                 timeoutMs: ANSWER_TIMEOUT_MS,
                 signal,
--- a/packages/daemon/src/workflow/heartbeat-service.ts
+++ b/packages/daemon/src/workflow/heartbeat-service.ts
@@ -2,19 +2,19 @@
 import type { HeartbeatOrders, HeartbeatReport, WorkflowNode } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { MessageChannels } from "../transport/message-channel.js";
-import { MessageListener } from "../transport/message-listener.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { CallKind } from "./call-queue.js";
 import type { ClusterMembership } from "./cluster-membership.js";
 import type { ControlMonitor } from "./control-monitor.js";
-import { HeartbeatCalls } from "./heartbeat-calls.js";
-import type { HeartbeatResult } from "./heartbeat-calls.js";
 import { HeartbeatForwarder } from "./heartbeat-forwarder.js";
 import { HeartbeatRouting } from "./heartbeat-routing.js";
+import { LeaderCalls } from "./leader-calls.js";
 import type { NodeDriver } from "./node-driver.js";
-import type { HeartbeatBatch, HeartbeatBatchResponse } from "./operations.js";
+import type { HeartbeatAnswer, HeartbeatBatch, HeartbeatBatchResponse, HeartbeatResult } from "./operations.js";
 import { ControlPhase } from "./workflow-metrics.js";
 
+/** Longest wait of a heartbeat for its turn or for a leader; backend servers wait 1 s for an answer. */
+const MAX_WAIT_MS = 800;
 /** Longest wait of a heartbeat that another replica has passed on, where it may have waited already. */
 const MAX_PASSED_ON_WAIT_MS = 600;
 const ROUTING_INTERVAL_MS = 100;
@@ -23,8 +23,8 @@
 export interface HeartbeatServiceOptions {
     /** Host of this replica. */
     host: string;
-    /** Port of the listeners for heartbeats of all replicas. */
-    heartbeatPort: number;
+    /** Port of the listeners for heartbeats that replicas pass on. */
+    port: number;
     node: WorkflowNode;
     driver: Pick<NodeDriver, "call">;
     membership: Pick<ClusterMembership, "leaderHost" | "responsiveFollowers">;
@@ -35,28 +35,23 @@
 /** A replica's part in the heartbeats: answers them as the leader, passes them on to it otherwise. */
 export class HeartbeatService {
     readonly #options: HeartbeatServiceOptions;
-    readonly #calls: HeartbeatCalls;
+    readonly #calls: LeaderCalls<HeartbeatReport, HeartbeatAnswer | undefined>;
     readonly #forwarder: HeartbeatForwarder;
     readonly #routing: HeartbeatRouting;
     readonly #channels = new MessageChannels();
-    readonly #listener: MessageListener;
     #nextRoutingAtMs = -Infinity;
 
     constructor(options: HeartbeatServiceOptions) {
-        const { host, heartbeatPort, membership, logger } = options;
+        const { host, port, membership, logger } = options;
         this.#options = options;
-        this.#forwarder = new HeartbeatForwarder({ channels: this.#channels, host, heartbeatPort, logger });
-        this.#listener = new MessageListener({
-            address: { host, port: heartbeatPort },
-            handle: (batch: HeartbeatBatch) => this.#handleBatch(batch),
-            logger,
-        });
+        this.#forwarder = new HeartbeatForwarder({ channels: this.#channels, host, port, logger });
         this.#routing = new HeartbeatRouting(host);
-        this.#calls = new HeartbeatCalls({
+        this.#calls = new LeaderCalls({
             host,
+            maxWaitMs: MAX_WAIT_MS,
             readLeaderHost: () => membership.leaderHost,
             readNowMs: monotonicNowMs,
-            call: (report, maxWaitMs) => this.#callNode(report, host, maxWaitMs),
+            execute: (report, maxWaitMs) => this.#callNode(report, host, maxWaitMs),
             forward: (report, leaderHost) => this.#forwarder.forward(report, leaderHost),
         });
     }
@@ -66,11 +61,6 @@
         return this.#calls.handle(report, monotonicNowMs());
     }
 
-    /** Listens for the heartbeats that other replicas pass on. Fails with UNAVAILABLE. */
-    listen(): Promise<void> {
-        return this.#listener.listen();
-    }
-
     /** Hosts of the followers that take heartbeats; none unless this replica leads a large fleet. */
     get heartbeatHosts(): string[] {
         return this.#options.node.session === undefined ? [] : this.#routing.heartbeatHosts;
@@ -96,16 +86,15 @@
         return this.#calls.hasForwarded(withinMs, monotonicNowMs());
     }
 
-    /** Refuses the heartbeats that wait and all later ones, and stops listening. */
-    async close(): Promise<void> {
+    /** Refuses the heartbeats that wait and all later ones. */
+    close(): void {
         this.#calls.close();
         this.#forwarder.close();
         this.#channels.close();
-        await this.#listener.close();
     }
 
     /** Handles the heartbeats that another replica has passed on. */
-    async #handleBatch({ fromHost, reports }: HeartbeatBatch): Promise<HeartbeatBatchResponse> {
+    async handleBatch({ fromHost, reports }: HeartbeatBatch): Promise<HeartbeatBatchResponse> {
         const results = await Promise.all(
             reports.map(report => this.#callNode(report, fromHost, MAX_PASSED_ON_WAIT_MS)),
         );
--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -13,6 +13,7 @@
 export type { MembershipRequirements } from "./membership-reconciler.js";
 export * from "./metrics-listener.js";
 export * from "./operations.js";
+export { MAX_PASSED_ON_BYTES } from "./operator-service.js";
 export * from "./platform-services.js";
 export * from "./relay-metrics.js";
 export * from "./voter-plan.js";
--- a/packages/daemon/src/workflow/heartbeat-calls.test.ts
+++ b/packages/daemon/src/workflow/leader-calls.test.ts
@@ -2,8 +2,8 @@
 import type { HeartbeatReport } from "@waxwingspread/workflow";
 import { heartbeatOf } from "@waxwingspread/workflow/testing";
 import { expect, it } from "vitest";
-import { HeartbeatCalls } from "./heartbeat-calls.js";
-import type { HeartbeatResult } from "./heartbeat-calls.js";
+import { LeaderCalls } from "./leader-calls.js";
+import type { HeartbeatAnswer, HeartbeatResult } from "./operations.js";
 
 const HOST = "10.0.0.1";
 const OTHER_HOST = "10.0.0.2";
@@ -19,12 +19,13 @@
     readonly waitsMs: number[] = [];
     /** Heartbeats that were passed on and wait for an answer, by the leader's host. */
     readonly forwarded: { leaderHost: string; answer: (result: HeartbeatResult) => void }[] = [];
-    readonly calls = new HeartbeatCalls({
+    readonly calls = new LeaderCalls<HeartbeatReport, HeartbeatAnswer | undefined>({
         host: HOST,
+        maxWaitMs: 800,
         readLeaderHost: () => this.leaderHost,
         readNowMs: () => this.nowMs,
         forward: (unusedReport, leaderHost) => new Promise(answer => this.forwarded.push({ leaderHost, answer })),
-        call: (unusedReport, maxWaitMs) => {
+        execute: (unusedReport, maxWaitMs) => {
             this.waitsMs.push(maxWaitMs);
             return Promise.resolve(
                 this.leaderHost === HOST ? succeeded(undefined) : refused(Refusal.NotLeader),
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -98,6 +98,9 @@
     nextHost: string;
 }
 
+/** Result of a heartbeat; undefined for an outdated one, which gets no orders. */
+export type HeartbeatResult = CallResult<HeartbeatAnswer | undefined>;
+
 /** Heartbeats that a replica passes on to the leader. */
 export interface HeartbeatBatch {
     /** Host of the replica at which they have arrived. */
@@ -107,20 +110,67 @@
 
 /** Results of the heartbeats of a batch, in its order. */
 export interface HeartbeatBatchResponse {
-    results: CallResult<HeartbeatAnswer | undefined>[];
+    results: HeartbeatResult[];
+}
+
+/** Operations for operators, and for backend servers beside their heartbeats. */
+export enum OperatorOperation {
+    Configure = "configure",
+    ReadConfiguration = "read-configuration",
+    OrderMaintenance = "order-maintenance",
+    MaintenanceState = "maintenance-state",
+    SetZone = "set-zone",
+    /** Announced exit of a backend server. */
+    Leave = "leave",
+}
+
+/** Request type of each operation for operators. */
+export interface OperatorRequests {
+    [OperatorOperation.Configure]: { configuration: Configuration };
+    [OperatorOperation.ReadConfiguration]: Record<string, never>;
+    [OperatorOperation.OrderMaintenance]: { order: MaintenanceOrder };
+    [OperatorOperation.MaintenanceState]: { id: number };
+    [OperatorOperation.SetZone]: { availabilityZone: string; isOutOfService: boolean };
+    [OperatorOperation.Leave]: { serverId: string };
+}
+
+/** Result type of each operation for operators. */
+export interface OperatorValues {
+    [OperatorOperation.Configure]: void;
+    /** The document of the configuration as it was sent; undefined before the first. */
+    [OperatorOperation.ReadConfiguration]: string | undefined;
+    [OperatorOperation.OrderMaintenance]: void;
+    /** Undefined if the id is unknown. */
+    [OperatorOperation.MaintenanceState]: MaintenanceState | undefined;
+    [OperatorOperation.SetZone]: void;
+    [OperatorOperation.Leave]: void;
+}
+
+/** An operator's call. */
+export interface OperatorCall<Operation extends OperatorOperation = OperatorOperation> {
+    operation: Operation;
+    request: OperatorRequests[Operation];
 }
 
+/** An operator's call that a follower passes on to the leader. */
+export interface PassedOnCall {
+    operatorCall: OperatorCall;
+    /** Time that is left until the follower refuses the call. */
+    maxWaitMs: number;
+}
+
+/** Messages between replicas beside those of the log. */
+export type ReplicaCall = HeartbeatBatch | PassedOnCall;
+
 /** Operations of a control replica for backend servers and operators. */
 export interface ControlOperations {
     readonly leaderHost: string | undefined;
-    heartbeat(report: HeartbeatReport): Promise<CallResult<HeartbeatAnswer | undefined>>;
-    leave(serverId: string): Promise<CallResult<void>>;
-    configure(configuration: Configuration): Promise<CallResult<void>>;
-    readConfiguration(): Promise<CallResult<string | undefined>>;
-    orderMaintenance(order: MaintenanceOrder): Promise<CallResult<void>>;
-    /** Returns the state of a maintenance, or undefined if its id is unknown. */
-    maintenanceState(id: number): Promise<CallResult<MaintenanceState | undefined>>;
-    setZone(availabilityZone: string, isOut: boolean): Promise<CallResult<void>>;
+    heartbeat(report: HeartbeatReport): Promise<HeartbeatResult>;
+    /** Executes an operator's call or passes it on to the leader. Refused with NotLeader, it has to go to the leader. */
+    callOperator<Operation extends OperatorOperation>(
+        operation: Operation,
+        request: OperatorRequests[Operation],
+    ): Promise<CallResult<OperatorValues[Operation]>>;
 }
 
 /** Returns the path of a forwarded operation on the internal listener. */
