--- a/packages/bench/src/workflow/session-benchmark.ts
+++ b/packages/bench/src/workflow/session-benchmark.ts
@@ -221,6 +221,8 @@
                 term: 1,
                 isLeader: true,
                 hasQuorumLease: () => true,
+                startLeadershipCheck: nowMs => nowMs,
+                isLeadershipConfirmed: () => true,
                 propose: data => {
                     this.#index += 1;
                     this.#proposedRecords.push({ index: this.#index, term: 1, data });
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -28,6 +28,8 @@
     /** Index of the first entry of this term. */
     readonly #firstIndexOfTerm: number;
     #nextHeartbeatMs: number;
+    /** Start of the latest leadership check for which no heartbeat has been sent yet. */
+    #unsentCheckMs: number | undefined;
     /** The commit index at the last heartbeat; a learner that has reached it counts as caught up. */
     #recentCommitIndex = Infinity;
     #handoverDeadlineMs: number | undefined;
@@ -58,6 +60,17 @@
             && this.#core.nowMs - contactMs < leaseMs;
     }
 
+    /** Starts a check of the leadership and returns its time; the next tick sends a heartbeat for it. */
+    startCheck(): number {
+        this.#unsentCheckMs = this.#core.nowMs;
+        return this.#core.nowMs;
+    }
+
+    /** Whether a quorum has answered a message that was sent after this time. */
+    isConfirmedAfter(timeMs: number): boolean {
+        return this.#quorumContactMs(-Infinity) > timeMs;
+    }
+
     /**
      * Returns the age in milliseconds of the latest message that a member has answered, counted from when it was sent,
      * or the time since the election if that is shorter, without the time for which this replica's process was stalled;
@@ -135,7 +148,8 @@
         if (this.isHandingOver && this.#isHandoverTargetSilent()) {
             this.#selectHandoverTarget(this.#handoverTarget);
         }
-        if (core.nowMs >= this.#nextHeartbeatMs) {
+        if (core.nowMs >= this.#nextHeartbeatMs || core.nowMs > (this.#unsentCheckMs ?? Infinity)) {
+            this.#unsentCheckMs = undefined;
             this.#nextHeartbeatMs = core.nowMs + core.timing.heartbeatMs;
             this.#sendHeartbeats();
         }
--- a/packages/consensus/src/replica-runner.ts
+++ b/packages/consensus/src/replica-runner.ts
@@ -133,6 +133,16 @@
         return this.#failure === undefined && !this.#isStopped && this.replica.hasQuorumLease(nowMs);
     }
 
+    /** Starts a check that no other replica leads; see {@link Replica.startLeadershipCheck}. */
+    startLeadershipCheck(nowMs: number): number {
+        return this.replica.startLeadershipCheck(nowMs);
+    }
+
+    /** Whether a check of the leadership has succeeded; see {@link Replica.isLeadershipConfirmed}. */
+    isLeadershipConfirmed(checkMs: number): boolean {
+        return this.#failure === undefined && !this.#isStopped && this.replica.isLeadershipConfirmed(checkMs);
+    }
+
     /** Executes pending effects now instead of in the deferred task. */
     flush(): void {
         if (this.#failure !== undefined || this.#isStopped) {
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -211,6 +211,23 @@
         return this.#leadership?.hasQuorumLease ?? false;
     }
 
+    /**
+     * Starts a check that no other replica leads, for a read that needs no record of its own. Returns the time for
+     * `isLeadershipConfirmed`; Infinity on a replica that doesn't lead.
+     */
+    startLeadershipCheck(nowMs: number): number {
+        this.#advanceClock(nowMs);
+        return this.#leadership?.startCheck() ?? Infinity;
+    }
+
+    /**
+     * Whether a quorum has answered this leader since the check began. No other replica had been elected by then, however
+     * long this process was suspended meanwhile, so that the state after all commits of this term is current.
+     */
+    isLeadershipConfirmed(checkMs: number): boolean {
+        return this.#leadership?.isConfirmedAfter(checkMs) ?? false;
+    }
+
     /**
      * Returns the age in milliseconds of this leader's latest message that a member has answered, or the time since the
      * election if that is shorter, without this replica's own stalls; undefined on a replica that doesn't lead, for itself and for non-members.
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -386,6 +386,9 @@
     #receive(messages: readonly ReplicaMessage[]): void {
         const nowMs = monotonicNowMs();
         messages.forEach(message => this.#runner.receive(message, nowMs));
+        if (this.#node.hasPendingReads) {
+            this.#driver.scheduleRun();
+        }
     }
 
     /** Handles what another replica has passed on to this one as the leader. */
--- a/packages/daemon/src/workflow/runner-log.ts
+++ b/packages/daemon/src/workflow/runner-log.ts
@@ -12,4 +12,6 @@
     },
     propose: (record, nowMs) => readRunner().propose([record], nowMs),
     hasQuorumLease: nowMs => readRunner().hasQuorumLease(nowMs),
+    startLeadershipCheck: nowMs => readRunner().startLeadershipCheck(nowMs),
+    isLeadershipConfirmed: checkMs => readRunner().isLeadershipConfirmed(checkMs),
 });
--- a/packages/test-support/src/replication-oracle.ts
+++ b/packages/test-support/src/replication-oracle.ts
@@ -7,6 +7,14 @@
     stateHash: string;
 }
 
+/** A check of the leadership that a read has started. */
+interface LeadershipCheck {
+    checkMs: number;
+    term: number;
+    /** Highest index that any replica had reported as committed when the check began. */
+    commitIndex: number;
+}
+
 /** Violation of an invariant of replication. */
 export class InvariantError extends Error {}
 
@@ -18,7 +26,9 @@
 export class ReplicationOracle {
     readonly #committed = new Map<number, CommittedEntry>();
     readonly #leaders = new Map<number, string>();
+    readonly #leadershipChecks = new Map<ReplicaRunner, LeadershipCheck>();
     #commitIndex = 0;
+    #confirmedChecks = 0;
     #violation: InvariantError | undefined;
 
     /** Highest index that any replica has reported as committed. */
@@ -26,6 +36,11 @@
         return this.#commitIndex;
     }
 
+    /** Number of leadership checks that have succeeded. */
+    get confirmedChecks(): number {
+        return this.#confirmedChecks;
+    }
+
     get termCount(): number {
         return this.#leaders.size;
     }
@@ -91,6 +106,7 @@
             if (runner.failure !== undefined) {
                 throw runner.failure;
             }
+            this.#checkConfirmedLeadership(runner, nowMs);
             if (runner.hasQuorumLease(nowMs) && runner.replica.commitIndex < this.#commitIndex) {
                 fail(`${runner.replica.identity.name} holds the lease without entry ${this.#commitIndex}`);
             }
@@ -104,6 +120,23 @@
         others.forEach(other => first !== undefined && this.#checkLogMatching(first.replica, other.replica));
     }
 
+    /** Checks that a leader whose check has succeeded has every entry that was committed before the check began. */
+    #checkConfirmedLeadership(runner: ReplicaRunner, nowMs: number): void {
+        const { replica } = runner;
+        const check = this.#leadershipChecks.get(runner);
+        if (check !== undefined && check.term === replica.term && runner.isLeadershipConfirmed(check.checkMs)) {
+            this.#confirmedChecks += 1;
+            this.#leadershipChecks.delete(runner);
+            if (replica.commitIndex < check.commitIndex) {
+                fail(`${replica.identity.name} confirmed its leadership without entry ${check.commitIndex}`);
+            }
+        }
+        else if (check?.term !== replica.term && runner.hasQuorumLease(nowMs)) {
+            const checkMs = runner.startLeadershipCheck(nowMs);
+            this.#leadershipChecks.set(runner, { checkMs, term: replica.term, commitIndex: this.#commitIndex });
+        }
+    }
+
     #checkLogMatching(a: Replica, b: Replica): void {
         let isMatched = false;
         for (let index = Math.min(a.lastIndex, b.lastIndex); index > 0; index -= 1) {
--- a/packages/test-support/src/replication.test.ts
+++ b/packages/test-support/src/replication.test.ts
@@ -161,6 +161,42 @@
         expect(leader?.replica.role).not.toBe(ReplicaRole.Leader);
     });
 
+    // Guards against reads that wait for late disks although the leader is in contact with its followers (issue 31).
+    it("confirms the leadership while no disk takes a write, and commits nothing", async () => {
+        const cluster = await formCluster(["a", "b", "c"], 4);
+        await cluster.run(1_000);
+        const { leader } = cluster;
+        cluster.rates.diskProgress = 0;
+        await cluster.run(100);
+        const { commitIndex, confirmedChecks } = cluster.oracle;
+        await cluster.run(5_000);
+        expect(cluster.leader).toBe(leader);
+        expect(cluster.oracle.commitIndex).toBe(commitIndex);
+        expect(cluster.oracle.confirmedChecks - confirmedChecks).toBeGreaterThan(50);
+    });
+
+    // Guards against a read that a replaced leader answers: it can't know of changes that its successor has acknowledged.
+    it.each([0, 1, 2, 3])("confirms no leadership that began before a pause or a cut, seed %i", async seed => {
+        const cluster = await formCluster(["a", "b", "c"], 40 + seed);
+        await cluster.run(1_000);
+        const former = cluster.leader;
+        const checkMs = former?.startLeadershipCheck(cluster.nowMs) ?? 0;
+        cluster.isolated = new Set([former?.replica.identity.name ?? ""]);
+        const paused = cluster.nodes.get(former?.replica.identity.name ?? "");
+        if (paused !== undefined) {
+            paused.pausedUntilMs = cluster.nowMs + 1_500;
+        }
+        while (cluster.leader === former || cluster.leader === undefined) {
+            expect(former?.isLeadershipConfirmed(checkMs)).toBe(false);
+            await cluster.step(true);
+        }
+        cluster.isolated = new Set();
+        for (let step = 0; step < 300; step += 1) {
+            expect(former?.isLeadershipConfirmed(checkMs)).toBe(false);
+            await cluster.step(true);
+        }
+    });
+
     // Guards against a leader that gives up its term because the other replicas are slow after a restart of all.
     it("keeps a young leader whose followers stall for 700 ms", async () => {
         const cluster = await formCluster(["a", "b", "c"], 9);
--- /dev/null
+++ b/packages/workflow/src/node/configuration.test.ts
@@ -0,0 +1,62 @@
+import { describe, expect, it } from "vitest";
+import { Refusal } from "../model/calls.js";
+import { configurationOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { resultOf, SingleReplica } from "../testing/single-replica.js";
+
+describe("a configuration", () => {
+    it("is replaced only by a higher version and is returned as it was sent", () => {
+        const replica = SingleReplica.started();
+        for (const configuration of [configurationOf(5), configurationOf(4), configurationOf(5, { document: "{}" })]) {
+            let isAccepted = false;
+            replica.node.configure(configuration, result => {
+                isAccepted = result.ok;
+            }, replica.times);
+            replica.settle();
+            expect(isAccepted).toBe(true);
+        }
+        const results: unknown[] = [];
+        replica.node.readConfiguration(result => results.push(result), replica.times);
+        replica.settle();
+        expect(results).toEqual([{ ok: true, value: "{\"version\":5}" }]);
+    });
+
+    it("is not replaced by a lower version that was proposed with it", () => {
+        const replica = SingleReplica.started();
+        for (const version of [9, 8]) {
+            replica.node.configure(configurationOf(version), () => undefined, replica.times);
+        }
+        replica.settle();
+        expect(replica.node.state.configuration?.version).toBe(9);
+    });
+
+    // Guards against reads that wait for a late disk although the leader is in contact with its followers (issue 31).
+    it("is read while no record can be committed", () => {
+        const replica = SingleReplica.started();
+        replica.submit(jobOf("j", stepOf()));
+        const logLength = replica.log.length;
+        const results: unknown[] = [];
+        replica.node.readConfiguration(result => results.push(result), replica.times);
+        replica.node.run(replica.times);
+        expect(results).toEqual([{ ok: true, value: "{\"version\":1}" }]);
+        expect(replica.log).toHaveLength(logLength);
+    });
+
+    // Guards against an answer of a leader that was suspended, and has been replaced without knowing it.
+    it("is read only once the followers have answered the leader", () => {
+        const replica = SingleReplica.started();
+        replica.isAnswered = false;
+        const results: unknown[] = [];
+        replica.node.readConfiguration(result => results.push(result), replica.times);
+        replica.settle();
+        expect(results).toEqual([]);
+        replica.node.handleLeadershipLost();
+        expect(results).toEqual([{ ok: false, refusal: Refusal.NotLeader }]);
+    });
+
+    it("is not read from a replica that does not lead", () => {
+        const replica = SingleReplica.started();
+        replica.isLeader = false;
+        const result = resultOf<string | undefined>(respond => replica.node.readConfiguration(respond, replica.times));
+        expect(result).toEqual({ ok: false, refusal: Refusal.NotLeader });
+    });
+});
--- a/packages/workflow/src/node/replicated-log.ts
+++ b/packages/workflow/src/node/replicated-log.ts
@@ -9,6 +9,10 @@
     propose(record: Uint8Array, nowMs: number): Result<number, StepError>;
     /** Whether no other replica can have been elected and all earlier entries are committed. */
     hasQuorumLease(nowMs: number): boolean;
+    /** Starts a check that no other replica leads. Returns the time for `isLeadershipConfirmed`. */
+    startLeadershipCheck(nowMs: number): number;
+    /** Whether a quorum has answered this leader since the check began, so that the committed state is current. */
+    isLeadershipConfirmed(checkMs: number): boolean;
 }
 
 /** A committed record of the log. */
--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -2,8 +2,8 @@
 import { JobState, Refusal } from "../model/calls.js";
 import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, ReportedRun } from "../model/heartbeat.js";
-import { configurationOf, heartbeatOf, HOST, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
-import { LEADER_SETTINGS, resultOf, SingleReplica } from "../testing/single-replica.js";
+import { heartbeatOf, HOST, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
+import { LEADER_SETTINGS, SingleReplica } from "../testing/single-replica.js";
 
 /** Longest time for which a run may go on after a leader change, on a slow clock and with all margins. */
 const LONGEST_ADOPTED_LEASE_MS = LEADER_SETTINGS.leaseMs / 0.98 + 50 + 1_000;
@@ -399,40 +399,6 @@
     });
 });
 
-describe("a configuration", () => {
-    it("is replaced only by a higher version and is returned as it was sent", () => {
-        const replica = SingleReplica.started();
-        for (const configuration of [configurationOf(5), configurationOf(4), configurationOf(5, { document: "{}" })]) {
-            let isAccepted = false;
-            replica.node.configure(configuration, result => {
-                isAccepted = result.ok;
-            }, replica.times);
-            replica.settle();
-            expect(isAccepted).toBe(true);
-        }
-        const results: unknown[] = [];
-        replica.node.readConfiguration(result => results.push(result), replica.times);
-        replica.settle();
-        expect(results).toEqual([{ ok: true, value: "{\"version\":5}" }]);
-    });
-
-    it("is not replaced by a lower version that was proposed with it", () => {
-        const replica = SingleReplica.started();
-        for (const version of [9, 8]) {
-            replica.node.configure(configurationOf(version), () => undefined, replica.times);
-        }
-        replica.settle();
-        expect(replica.node.state.configuration?.version).toBe(9);
-    });
-
-    it("is not read from a replica that does not lead", () => {
-        const replica = SingleReplica.started();
-        replica.isLeader = false;
-        const result = resultOf<string | undefined>(respond => replica.node.readConfiguration(respond, replica.times));
-        expect(result).toEqual({ ok: false, refusal: Refusal.NotLeader });
-    });
-});
-
 describe("a snapshot", () => {
     it("restores jobs, runs, acknowledged ends and zones", () => {
         const replica = SingleReplica.started();
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -66,6 +66,13 @@
     failed: (isCertain: boolean) => void;
 }
 
+/** A read that is answered once a check of the leadership has succeeded. */
+interface PendingRead {
+    checkMs: number;
+    answer: () => void;
+    fail: () => void;
+}
+
 /** Interval at which a leader checks schedules for due occurrences. */
 const SCHEDULE_CHECK_INTERVAL_MS = 50;
 
@@ -85,6 +92,7 @@
     #events: WorkflowEvent[] = [];
     #unproposedCalls: PendingCall[] = [];
     readonly #proposedCalls = new Map<number, PendingCall[]>();
+    #pendingReads: PendingRead[] = [];
     #scheduleCheckAtMs = 0;
     #appliedIndex = 0;
     readonly #restart: SessionRestart;
@@ -192,7 +200,7 @@
             respond(refused(Refusal.NotLeader));
             return;
         }
-        this.#enqueueReadBarrier(() => respond(succeeded(this.#state.configuration?.document)), respond);
+        this.#enqueueRead(() => respond(succeeded(this.#state.configuration?.document)), respond, nowMs);
     }
 
     /** Takes an availability zone out of service or returns it to service. */
@@ -222,11 +230,15 @@
             respond(refused(Refusal.NotLeader));
             return;
         }
-        this.#enqueueReadBarrier(() => {
-            const record = this.#state.maintenance(id);
-            const state = record?.isCompleted === true ? MaintenanceState.Completed : MaintenanceState.Running;
-            respond(succeeded(record === undefined ? undefined : state));
-        }, respond);
+        this.#enqueueRead(
+            () => {
+                const record = this.#state.maintenance(id);
+                const state = record?.isCompleted === true ? MaintenanceState.Completed : MaintenanceState.Running;
+                respond(succeeded(record === undefined ? undefined : state));
+            },
+            respond,
+            nowMs,
+        );
     }
 
     /** Processes a heartbeat; succeeds with undefined, in place of orders, for an outdated one. */
@@ -255,11 +267,17 @@
     run(times: Times): void {
         this.#attemptInSession(FailedAction.Decide, times, () => {
             this.#updateSession(times);
+            this.#answerReads();
             this.#runSession(times);
             this.#propose(times.nowMs);
         });
     }
 
+    /** Whether reads wait for the answers of followers, so that `run` should follow these soon. */
+    get hasPendingReads(): boolean {
+        return this.#pendingReads.length > 0;
+    }
+
     /** Applies committed records. Each record must be passed exactly once and in log order. */
     applyCommitted(records: readonly CommittedRecord[], times: Times): void {
         for (const record of records) {
@@ -381,8 +399,11 @@
         this.#events = [];
         const proposed = [...this.#proposedCalls.values()].flat();
         const unproposed = this.#unproposedCalls;
+        const reads = this.#pendingReads;
         this.#unproposedCalls = [];
+        this.#pendingReads = [];
         this.#proposedCalls.clear();
+        reads.forEach(read => read.fail());
         proposed.forEach(call => call.failed(false));
         unproposed.forEach(call => call.failed(true));
     }
@@ -400,6 +421,19 @@
         this.#unproposedCalls.push({ committed, failed: () => respond(refused(Refusal.NotLeader)) });
     }
 
+    /** Calls `answer` once followers have confirmed that this replica still leads. Nothing is written to the log. */
+    #enqueueRead(answer: () => void, respond: (result: ReturnType<typeof refused>) => void, nowMs: number): void {
+        const checkMs = this.#log.startLeadershipCheck(nowMs);
+        this.#pendingReads.push({ checkMs, answer, fail: () => respond(refused(Refusal.NotLeader)) });
+    }
+
+    #answerReads(): void {
+        const isConfirmed = ({ checkMs }: PendingRead): boolean => this.#log.isLeadershipConfirmed(checkMs);
+        const confirmed = this.#pendingReads.filter(isConfirmed);
+        this.#pendingReads = this.#pendingReads.filter(read => !confirmed.includes(read));
+        confirmed.forEach(({ answer }) => answer());
+    }
+
     #propose(nowMs: number): void {
         if (this.#events.length === 0 && this.#unproposedCalls.length === 0) {
             return;
--- a/packages/workflow/src/testing/fuzz/simulation.ts
+++ b/packages/workflow/src/testing/fuzz/simulation.ts
@@ -361,6 +361,8 @@
                     return isLeading();
                 },
                 hasQuorumLease: isLeading,
+                startLeadershipCheck: nowMs => nowMs,
+                isLeadershipConfirmed: isLeading,
                 propose: data => {
                     decodeEvents(data)
                         .flatMap(event => event.kind === EventKind.RunsAssigned ? event.runs : [])
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -42,6 +42,8 @@
     node: WorkflowNode;
     /** Whether this replica leads. */
     isLeader = true;
+    /** Whether followers answer this replica. */
+    isAnswered = true;
     term = 1;
     readonly log: CommittedRecord[] = [];
     #committedCount = 0;
@@ -142,6 +144,7 @@
 
     #createNode(): WorkflowNode {
         const isLeader = (): boolean => this.isLeader;
+        const isConfirmed = (): boolean => this.isLeader && this.isAnswered;
         const term = (): number => this.term;
         return new WorkflowNode({
             ...this.#services,
@@ -154,6 +157,8 @@
                     return isLeader();
                 },
                 hasQuorumLease: isLeader,
+                startLeadershipCheck: nowMs => nowMs,
+                isLeadershipConfirmed: isConfirmed,
                 propose: data => {
                     this.log.push({ index: this.log.length + 1, term: this.term, data });
                     return Ok(this.log.length);
