--- a/packages/workflow/src/node/configuration.test.ts
+++ b/packages/workflow/src/node/configuration.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from "vitest";
 import { Refusal } from "../model/calls.js";
+import { decodeEvents, EventKind } from "../state/events.js";
 import { configurationOf, jobOf, stepOf } from "../testing/fixtures.js";
 import { resultOf, SingleReplica } from "../testing/single-replica.js";
 
@@ -29,6 +30,36 @@
         expect(replica.node.state.configuration?.version).toBe(9);
     });
 
+    // Guards against a log that grows by the whole configuration with each attempt of an operator, just when the disk is late.
+    it("is recorded once, however often it is sent before it is committed", () => {
+        const replica = SingleReplica.started();
+        const logLength = replica.log.length;
+        const results: boolean[] = [];
+        for (const version of [9, 9, 8, 9]) {
+            replica.node.configure(configurationOf(version), ({ ok }) => results.push(ok), replica.times);
+            replica.node.run(replica.times);
+        }
+        expect(results).toEqual([]);
+        replica.settle();
+        expect(results).toEqual([true, true, true, true]);
+        const events = replica.log.slice(logLength).flatMap(({ data }) => data === undefined ? [] : decodeEvents(data));
+        expect(events.filter(({ kind }) => kind === EventKind.ConfigurationAccepted)).toHaveLength(1);
+    });
+
+    // Guards against a version that is held for accepted although its record was lost with the leadership.
+    it("is recorded again by the next leader if the former one has lost it", () => {
+        const replica = SingleReplica.started();
+        const results: unknown[] = [];
+        replica.node.configure(configurationOf(9), result => results.push(result), replica.times);
+        replica.node.run(replica.times);
+        replica.failOver();
+        expect(results).toEqual([{ ok: false, refusal: Refusal.Uncertain }]);
+        replica.node.configure(configurationOf(9), result => results.push(result), replica.times);
+        replica.settle();
+        expect(results.at(-1)).toEqual({ ok: true, value: undefined });
+        expect(replica.node.state.configuration?.version).toBe(9);
+    });
+
     // Guards against reads that wait for a late disk although the leader is in contact with its followers (issue 31).
     it("is read while no record can be committed", () => {
         const replica = SingleReplica.started();
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -93,6 +93,8 @@
     #unproposedCalls: PendingCall[] = [];
     readonly #proposedCalls = new Map<number, PendingCall[]>();
     #pendingReads: PendingRead[] = [];
+    /** Highest version that this session has recorded, committed or not. */
+    #recordedVersion = -Infinity;
     #scheduleCheckAtMs = 0;
     #appliedIndex = 0;
     readonly #restart: SessionRestart;
@@ -185,13 +187,18 @@
             respond(refused(Refusal.NotLeader));
             return;
         }
-        const isNewer = configuration.version > (this.#state.configuration?.version ?? -Infinity);
-        if (isNewer) {
-            this.#enqueueChange({ kind: EventKind.ConfigurationAccepted, configuration }, respond);
+        const { version } = configuration;
+        const committedVersion = this.#state.configuration?.version ?? -Infinity;
+        if (version <= committedVersion) {
+            this.#enqueueRead(() => respond(succeeded(undefined)), respond, nowMs);
         }
-        else {
+        else if (version <= this.#recordedVersion) {
             this.#enqueueReadBarrier(() => respond(succeeded(undefined)), respond);
         }
+        else {
+            this.#recordedVersion = version;
+            this.#enqueueChange({ kind: EventKind.ConfigurationAccepted, configuration }, respond);
+        }
     }
 
     /** Returns the document of the current configuration as it was sent; undefined before the first. */
@@ -399,6 +406,7 @@
         this.#events = [];
         const proposed = [...this.#proposedCalls.values()].flat();
         const unproposed = this.#unproposedCalls;
+        this.#recordedVersion = -Infinity;
         const reads = this.#pendingReads;
         this.#unproposedCalls = [];
         this.#pendingReads = [];
