--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -16,6 +16,7 @@
 import type { CrashingTask } from "../state/job-record.js";
 import { UnknownEventError, WorkflowState } from "../state/workflow-state.js";
 import type { WorkflowSnapshot } from "../state/workflow-state.js";
+import { PendingCalls } from "./pending-calls.js";
 import type { CommittedRecord, ReplicatedLog } from "./replicated-log.js";
 import { SessionRestart } from "./session-restart.js";
 
@@ -60,19 +61,6 @@
     Decide = "decide",
 }
 
-interface PendingCall {
-    committed: () => void;
-    /** Called with true when the change certainly has no effect, with false when it may still take effect. */
-    failed: (isCertain: boolean) => void;
-}
-
-/** A read that is answered once a check of the leadership has succeeded. */
-interface PendingRead {
-    checkMs: number;
-    answer: () => void;
-    fail: () => void;
-}
-
 /** Interval at which a leader checks schedules for due occurrences. */
 const SCHEDULE_CHECK_INTERVAL_MS = 50;
 
@@ -90,9 +78,7 @@
     /** Term of the last record applied. */
     #appliedTerm = 0;
     #events: WorkflowEvent[] = [];
-    #unproposedCalls: PendingCall[] = [];
-    readonly #proposedCalls = new Map<number, PendingCall[]>();
-    #pendingReads: PendingRead[] = [];
+    readonly #calls: PendingCalls;
     /** Highest version that this session has recorded, committed or not. */
     #recordedVersion = -Infinity;
     #scheduleCheckAtMs = 0;
@@ -102,6 +88,7 @@
     constructor(options: WorkflowNodeOptions) {
         this.#options = options;
         this.#log = options.log;
+        this.#calls = new PendingCalls(options.log);
         this.#restart = new SessionRestart(options.log);
         this.#settings = options.settings;
     }
@@ -274,7 +261,7 @@
     run(times: Times): void {
         this.#attemptInSession(FailedAction.Decide, times, () => {
             this.#updateSession(times);
-            this.#answerReads();
+            this.#calls.answerReads();
             this.#runSession(times);
             this.#propose(times.nowMs);
         });
@@ -282,7 +269,7 @@
 
     /** Whether reads wait for the answers of followers, so that `run` should follow these soon. */
     get hasPendingReads(): boolean {
-        return this.#pendingReads.length > 0;
+        return this.#calls.hasReads;
     }
 
     /** Applies committed records. Each record must be passed exactly once and in log order. */
@@ -301,7 +288,7 @@
             }
             this.#appliedTerm = record.term;
             this.#appliedIndex = record.index;
-            this.#completeCalls(record);
+            this.#calls.complete(record.index, record.term === this.#sessionTerm && this.#session !== undefined);
         }
     }
 
@@ -404,21 +391,13 @@
         this.#session?.close();
         this.#session = undefined;
         this.#events = [];
-        const proposed = [...this.#proposedCalls.values()].flat();
-        const unproposed = this.#unproposedCalls;
         this.#recordedVersion = -Infinity;
-        const reads = this.#pendingReads;
-        this.#unproposedCalls = [];
-        this.#pendingReads = [];
-        this.#proposedCalls.clear();
-        reads.forEach(read => read.fail());
-        proposed.forEach(call => call.failed(false));
-        unproposed.forEach(call => call.failed(true));
+        this.#calls.failAll();
     }
 
     #enqueueChange(event: WorkflowEvent, respond: Respond<void>): void {
         this.#events.push(event);
-        this.#unproposedCalls.push({
+        this.#calls.add({
             committed: () => respond(succeeded(undefined)),
             failed: isCertain => respond(refused(isCertain ? Refusal.NotLeader : Refusal.Uncertain)),
         });
@@ -426,47 +405,27 @@
 
     /** Calls `committed` once a record proposed after this call is committed, so that reads see the current state. */
     #enqueueReadBarrier(committed: () => void, respond: (result: ReturnType<typeof refused>) => void): void {
-        this.#unproposedCalls.push({ committed, failed: () => respond(refused(Refusal.NotLeader)) });
+        this.#calls.add({ committed, failed: () => respond(refused(Refusal.NotLeader)) });
     }
 
     /** Calls `answer` once followers have confirmed that this replica still leads. Nothing is written to the log. */
     #enqueueRead(answer: () => void, respond: (result: ReturnType<typeof refused>) => void, nowMs: number): void {
-        const checkMs = this.#log.startLeadershipCheck(nowMs);
-        this.#pendingReads.push({ checkMs, answer, fail: () => respond(refused(Refusal.NotLeader)) });
-    }
-
-    #answerReads(): void {
-        const isConfirmed = ({ checkMs }: PendingRead): boolean => this.#log.isLeadershipConfirmed(checkMs);
-        const confirmed = this.#pendingReads.filter(isConfirmed);
-        this.#pendingReads = this.#pendingReads.filter(read => !confirmed.includes(read));
-        confirmed.forEach(({ answer }) => answer());
+        this.#calls.addRead({ answer, fail: () => respond(refused(Refusal.NotLeader)) }, nowMs);
     }
 
     #propose(nowMs: number): void {
-        if (this.#events.length === 0 && this.#unproposedCalls.length === 0) {
+        if (this.#events.length === 0 && !this.#calls.hasUnproposed) {
             return;
         }
         const record = encodeEvents(this.#events);
-        const calls = this.#unproposedCalls;
         this.#events = [];
-        this.#unproposedCalls = [];
         const proposed = this.#log.propose(record, nowMs);
         if (proposed.isOk()) {
-            this.#proposedCalls.set(proposed.value, calls);
-            return;
+            this.#calls.recordProposed(proposed.value);
         }
-        calls.forEach(call => call.failed(true));
-        this.#endSession();
-    }
-
-    #completeCalls({ index, term }: CommittedRecord): void {
-        const calls = this.#proposedCalls.get(index);
-        if (calls === undefined) {
-            return;
+        else {
+            this.#endSession();
         }
-        this.#proposedCalls.delete(index);
-        const isCurrentTerm = term === this.#sessionTerm && this.#session !== undefined;
-        calls.forEach(call => isCurrentTerm ? call.committed() : call.failed(false));
     }
 
     #hasJob(jobId: string): boolean {
