--- a/packages/workflow/src/node/configuration.test.ts
+++ b/packages/workflow/src/node/configuration.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { Refusal } from "../model/calls.js";
 import { decodeEvents, EventKind } from "../state/events.js";
-import { configurationOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { configurationOf, HOST, jobOf, stepOf } from "../testing/fixtures.js";
 import { resultOf, SingleReplica } from "../testing/single-replica.js";
 
 describe("a configuration", () => {
@@ -72,6 +72,18 @@
         expect(replica.log).toHaveLength(logLength);
     });
 
+    // Guards against counts of waiting jobs that cost a record each.
+    it("selects the queue of a count while no record can be committed", () => {
+        const replica = SingleReplica.started();
+        replica.submit(jobOf("j", stepOf()));
+        const results: unknown[] = [];
+        for (const path of ["/batch/", "/none/"]) {
+            replica.node.pendingJobs({ host: HOST, path }, result => results.push(result), replica.times);
+        }
+        replica.node.run(replica.times);
+        expect(results).toEqual([{ ok: true, value: 1 }, { ok: false, refusal: Refusal.UnknownQueue }]);
+    });
+
     // Guards against an answer of a leader that was suspended, and has been replaced without knowing it.
     it("is read only once the followers have answered the leader", () => {
         const replica = SingleReplica.started();
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -160,12 +160,18 @@
             respond(refused(Refusal.NotLeader));
             return;
         }
-        this.#enqueueReadBarrier(() => {
-            const queue = findQueue(this.#state.configuration, address.host, address.path);
-            respond(
-                queue === undefined ? refused(this.#unknownQueueRefusal()) : succeeded(this.#countPending(queue.name)),
-            );
-        }, respond);
+        this.#enqueueRead(
+            () => {
+                const queue = findQueue(this.#state.configuration, address.host, address.path);
+                respond(
+                    queue === undefined
+                        ? refused(this.#unknownQueueRefusal())
+                        : succeeded(this.#countPending(queue.name)),
+                );
+            },
+            respond,
+            nowMs,
+        );
     }
 
     /** Accepts a configuration durably; succeeds without effect unless its version is higher than the current one. */
