--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -10,6 +10,7 @@
 export * from "./json-call.js";
 export * from "./leader-client.js";
 export * from "./leader-finder.js";
+export * from "./loop-delay.js";
 export type { MembershipRequirements } from "./membership-reconciler.js";
 export * from "./metrics-listener.js";
 export * from "./operations.js";
