--- a/packages/daemon/src/workflow/call-queue.test.ts
+++ b/packages/daemon/src/workflow/call-queue.test.ts
@@ -135,3 +135,19 @@
     expect(fixture.executed.slice(0, 6)).toEqual([1_000, 0, 1_001, 1, 1_002, 2]);
     expect(fixture.executed).toHaveLength(heartbeats.length + calls.length);
 });
+
+// Load: after a loss of power all entries repeat their callers' requests. Guards against a configuration that can't be read
+// because operators' calls wait behind more requests than can be handled in their time (issue 31).
+it("handles the calls of operators in turn with those of entries and with heartbeats", () => {
+    const { queue, fixture } = createQueue();
+    const ids = Array.from({ length: 50 }, (unused, id) => id);
+    ids.forEach(id => queue.push(fixture.call(id)));
+    ids.forEach(id => queue.push(fixture.call(1_000 + id, CallKind.Request)));
+    const operatorCalls = [2_000, 2_001];
+    operatorCalls.forEach(id => queue.push(fixture.call(id, CallKind.Operator)));
+    while (fixture.slices.length > 0) {
+        fixture.slices.shift()?.();
+    }
+    expect(fixture.executed.slice(0, 8)).toEqual([2_000, 1_000, 0, 2_001, 1_001, 1, 1_002, 2]);
+    expect(fixture.executed).toHaveLength(2 * ids.length + operatorCalls.length);
+});
--- a/packages/daemon/src/workflow/call-queue.ts
+++ b/packages/daemon/src/workflow/call-queue.ts
@@ -5,12 +5,16 @@
 
 /** Kinds of calls, each with a line of its own. */
 export enum CallKind {
+    /** Call of an operator; there are few of them, and they have to work while the others are late. */
+    Operator = "operator",
+    /** Call of an entry. */
+    Request = "request",
     /** Heartbeat of a backend server; the heartbeats of a whole fleet may arrive at once. */
     Heartbeat = "heartbeat",
-    /** Call of an operator or an entry. */
-    Request = "request",
 }
 
+const KINDS = Object.values(CallKind);
+
 /** A call that waits until it is handled. */
 export interface QueuedCall {
     kind: CallKind;
@@ -35,18 +39,19 @@
 
 /**
  * Handles calls in short slices, so that many calls at once don't delay replication. Calls of one kind are handled in the
- * order of their arrival, in turn with those of the other kind. Calls whose sender has given up are refused, not executed.
+ * order of their arrival, in turn with those of the other kinds. Calls whose sender has given up are refused, not executed.
  */
 export class CallQueue {
     readonly #isBlocked: (nowMs: number) => boolean;
     readonly #readNowMs: () => number;
     readonly #defer: (slice: () => void) => void;
     readonly #lines: Readonly<Record<CallKind, CallLine>> = {
-        [CallKind.Heartbeat]: new CallLine(),
+        [CallKind.Operator]: new CallLine(),
         [CallKind.Request]: new CallLine(),
+        [CallKind.Heartbeat]: new CallLine(),
     };
-    /** Kind whose turn it is. */
-    #nextKind = CallKind.Request;
+    /** Position of the kind whose turn it is. */
+    #turn = 0;
     #isSliceScheduled = false;
     #isConnectionAccepted = false;
     #lastSliceAtMs = 0;
@@ -59,7 +64,7 @@
     }
 
     get length(): number {
-        return this.#lines[CallKind.Heartbeat].length + this.#lines[CallKind.Request].length;
+        return KINDS.reduce((sum, kind) => sum + this.#lines[kind].length, 0);
     }
 
     /** Adds a call. */
@@ -128,10 +133,17 @@
         this.#scheduleSlice();
     }
 
+    /** Takes a call of the kind whose turn it is or, if there is none, of the next kind that has one. */
     #take(): QueuedCall | undefined {
-        const turn = this.#nextKind;
-        this.#nextKind = turn === CallKind.Request ? CallKind.Heartbeat : CallKind.Request;
-        return this.#lines[turn].take() ?? this.#lines[this.#nextKind].take();
+        for (const position of KINDS.keys()) {
+            const kind = KINDS[(this.#turn + position) % KINDS.length] ?? CallKind.Operator;
+            const call = this.#lines[kind].take();
+            if (call !== undefined) {
+                this.#turn = (this.#turn + position + 1) % KINDS.length;
+                return call;
+            }
+        }
+        return undefined;
     }
 
     #refuseOverdue(nowMs: number): void {
--- a/packages/daemon/src/workflow/operator-service.ts
+++ b/packages/daemon/src/workflow/operator-service.ts
@@ -161,7 +161,7 @@
         const result = await withinTime(
             driver.call<never>(
                 (respond, times) => start(node, request, respond as Respond<unknown>, times),
-                CallKind.Request,
+                CallKind.Operator,
                 maxWaitMs,
             ),
             maxWaitMs,
