--- a/review/stand-ins/case.mjs
+++ b/review/stand-ins/case.mjs
@@ -45,6 +45,10 @@
         await fleet.close();
         process.exit(result);
     };
+    process.on("uncaughtException", error => void finish({ result: NOT_RUN, reason: String(error.stack) }));
+    ["SIGINT", "SIGTERM"].forEach(signal =>
+        process.on(signal, () => void finish({ result: NOT_RUN, reason: `ended by ${signal}` }))
+    );
     setTimeout(() => void finish({ result: NOT_RUN, reason: "the case took too long" }), TIME_LIMIT_MS);
     try {
         fleet.startAll();
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -21,6 +21,9 @@
         this.running = new Map();
         this.stoppedRuns = new Map();
         this.ended = [];
+        /** Times of the ends, by number. */
+        this.endedAtMs = new Map();
+        this.lapsedAtMs = -Infinity;
         this.endCount = 0;
         this.sequence = 0;
         this.token = 0;
@@ -124,6 +127,9 @@
     /** Ends what is done and, after the lease, everything. */
     #advance() {
         const nowMs = performance.now();
+        if (nowMs >= this.leaseEndMs) {
+            this.lapsedAtMs = nowMs;
+        }
         for (const view of [...this.running.values()]) {
             view.workedMs += (nowMs - view.advancedMs) * view.pace / 100;
             view.advancedMs = nowMs;
@@ -144,6 +150,7 @@
         this.stoppedRuns.set(task, run);
         this.endCount += 1;
         this.ended.push([this.endCount, task, run, how, ""]);
+        this.endedAtMs.set(this.endCount, performance.now());
         this.record("end", { worker: this.id, task, run, how });
         this.onEnd?.(task, run, how);
     }
@@ -156,8 +163,12 @@
         this.token = token;
         const acknowledged = body.ack_seq ?? 0;
         for (const [number, task, run, how] of this.ended.filter(([number]) => number <= acknowledged)) {
-            this.record("end-noted", { worker: this.id, number, task, run, how });
-            this.onNoted?.(task, run, how);
+            const hasLapsed = this.lapsedAtMs >= this.endedAtMs.get(number);
+            this.record("end-noted", { worker: this.id, number, task, run, how, hasLapsed });
+            // An end counts as taken note of unless the lease has lapsed in between.
+            if (!hasLapsed) {
+                this.onNoted?.(task, run, how);
+            }
         }
         this.ended = this.ended.filter(([number]) => number > acknowledged);
         for (const [task, run] of body.stop ?? []) {
@@ -191,6 +202,7 @@
         if (run <= (this.stoppedRuns.get(task) ?? 0) || present !== undefined) {
             this.endCount += 1;
             this.ended.push([this.endCount, task, run, "refused", ""]);
+            this.endedAtMs.set(this.endCount, performance.now());
             return;
         }
         const { durationMs, isLasting = false } = this.durationOf(task, spec);
