--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,7 +1,17 @@
 // A worker is cut off for less than its lease, while more than 500 of its tasks end `done`. A worker lists its ends 500 at a
 // time. No task whose end is taken note of may be started again.
 import { fileURLToPath } from "node:url";
-import { BROKEN, configuration, configure, hasTrouble, HELD, HOST, NOT_RUN, route, runCase } from "../stand-ins/case.mjs";
+import {
+    BROKEN,
+    configuration,
+    configure,
+    hasTrouble,
+    HELD,
+    HOST,
+    NOT_RUN,
+    route,
+    runCase,
+} from "../stand-ins/case.mjs";
 import { callEntry } from "../stand-ins/client.mjs";
 import { sleep } from "../stand-ins/http.mjs";
 import { Worker } from "../stand-ins/worker.mjs";
@@ -25,9 +35,13 @@
     await configure(fleet, record, configuration(7, [route("r-wrr6x73", "/lohu930/", "huvo11a")], ["huvo11a"]));
     for (let number = 1; number <= WORKERS; number += 1) {
         const worker = new Worker({
-            id: `i-${number}`, service: "huvo11a", zone: fleet.zones[number % 3], controlAddresses: fleet.controlAddresses,
+            id: `i-${number}`,
+            service: "huvo11a",
+            zone: fleet.zones[number % 3],
+            controlAddresses: fleet.controlAddresses,
             // Tasks differ a little in length, as all tasks do.
-            durationOf: () => ({ durationMs: TASK_MS + Math.random() * 500 }), record,
+            durationOf: () => ({ durationMs: TASK_MS + Math.random() * 500 }),
+            record,
         });
         worker.onStart = task => {
             firstStartMs ??= performance.now();
@@ -51,7 +65,8 @@
     const call = (method, body, isFinal) =>
         callEntry({ frontends: fleet.frontends, method, host: HOST, path: PATH, body, record, isFinal });
     const submitted = await call("POST", {
-        spec: "text", steps: [{ count: TASKS, cpu: 20, mem_mb: 16, est_runtime_ms: TASK_MS }],
+        spec: "text",
+        steps: [{ count: TASKS, cpu: 20, mem_mb: 16, est_runtime_ms: TASK_MS }],
     }, ({ status }) => status >= 200 && status < 500);
     if (submitted.status !== 200) {
         return { result: NOT_RUN, reason: `the submission was answered with ${submitted.status}` };
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,7 +1,17 @@
 // The leader freezes while it empties a machine of a wave, and wakes after another leader has begun the upkeep of a second
 // machine. No more than `cap` machines of the wave may be down at the same time.
 import { fileURLToPath } from "node:url";
-import { BROKEN, configuration, configure, hasTrouble, HELD, HOST, NOT_RUN, route, runCase } from "../stand-ins/case.mjs";
+import {
+    BROKEN,
+    configuration,
+    configure,
+    hasTrouble,
+    HELD,
+    HOST,
+    NOT_RUN,
+    route,
+    runCase,
+} from "../stand-ins/case.mjs";
 import { callEntry, orderUntilAcknowledged } from "../stand-ins/client.mjs";
 import { findLeader } from "../stand-ins/fleet.mjs";
 import { sendFollowing, sleep } from "../stand-ins/http.mjs";
@@ -28,7 +38,10 @@
 /** Orders a wave, freezes the leader while it empties a machine, and waits for the end of the wave. */
 const playWave = async (fleet, record, wave, machines) => {
     await orderUntilAcknowledged({
-        addresses: fleet.controlAddresses, method: "POST", path: "/v1/wave-start", record,
+        addresses: fleet.controlAddresses,
+        method: "POST",
+        path: "/v1/wave-start",
+        record,
         body: { wave, machines, deadline_s: 12, cap: CAP },
     });
     await sleep(1000);
@@ -65,13 +78,20 @@
         const startWorker = machine => {
             lives += 1;
             const worker = new Worker({
-                id: `i-${lives}`, machine, service: "huvo11a", zone: "zone-a", controlAddresses: fleet.controlAddresses,
-                durationOf: task => ({ durationMs: TASK_MS, isLasting: task.startsWith(LASTING_ID) }), record,
+                id: `i-${lives}`,
+                machine,
+                service: "huvo11a",
+                zone: "zone-a",
+                controlAddresses: fleet.controlAddresses,
+                durationOf: task => ({ durationMs: TASK_MS, isLasting: task.startsWith(LASTING_ID) }),
+                record,
             });
             workers.set(machine, worker);
         };
         const platform = new Platform({
-            host: prefix, port: platformPort, record,
+            host: prefix,
+            port: platformPort,
+            record,
             onDown: machine => workers.get(machine).crash(),
             onBack: startWorker,
         });
@@ -85,14 +105,23 @@
         await sleep(1500);
         const submit = (id, step) =>
             callEntry({
-                frontends: fleet.frontends, method: "POST", host: HOST, path: `/lohu930/${id}`, record,
-                body: { spec: "text", steps: [{ count: 1, cpu: 3000, mem_mb: 1024, est_runtime_ms: TASK_MS, ...step }] },
+                frontends: fleet.frontends,
+                method: "POST",
+                host: HOST,
+                path: `/lohu930/${id}`,
+                record,
+                body: {
+                    spec: "text",
+                    steps: [{ count: 1, cpu: 3000, mem_mb: 1024, est_runtime_ms: TASK_MS, ...step }],
+                },
                 isFinal: ({ status }) => status === 200,
             });
         await submit(LASTING_ID, { long_running: true });
         await submit(FINITE_ID, { count: FINITE_TASKS, max_per_server: 1 });
         const machinesWith = id =>
-            [...workers].filter(([, { running }]) => [...running.keys()].some(task => task.startsWith(id))).map(([name]) => name);
+            [...workers].filter(([, { running }]) => [...running.keys()].some(task => task.startsWith(id))).map((
+                [name],
+            ) => name);
         await sleep(4000);
         for (let wave = 1; wave <= WAVES; wave += 1) {
             const [lastingMachine] = machinesWith(LASTING_ID);
--- a/review/stand-ins/case.mjs
+++ b/review/stand-ins/case.mjs
@@ -17,16 +17,32 @@
 export const HOST = "nony24.example";
 
 export const route = (name, prefix, service, other = {}) => ({
-    name, host: HOST, path_prefix: prefix, type: "non_idempotent", timeout_ms: 3000, target_duration_ms: 3000, priority: 0,
-    service, attempts: 3, stretch: 2, ...other,
+    name,
+    host: HOST,
+    path_prefix: prefix,
+    type: "non_idempotent",
+    timeout_ms: 3000,
+    target_duration_ms: 3000,
+    priority: 0,
+    service,
+    attempts: 3,
+    stretch: 2,
+    ...other,
 });
 
 export const configuration = (version, routes, services) => ({
     version,
     routes,
     services: services.map(name => ({
-        name, health_check: "/healthz", max_conns: 64, protocol: "h1", tls: false, cold_start_s: 0, cold_per_s: 0,
-        admission_control: true, standby: false,
+        name,
+        health_check: "/healthz",
+        max_conns: 64,
+        protocol: "h1",
+        tls: false,
+        cold_start_s: 0,
+        cold_per_s: 0,
+        admission_control: true,
+        standby: false,
     })),
     limits: { max_header_bytes: 16384, max_body_bytes: 262144, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
 });
@@ -62,7 +78,11 @@
 /** Sends the first configuration until it is acknowledged. */
 export const configure = async (fleet, record, content) => {
     const response = await orderUntilAcknowledged({
-        addresses: fleet.controlAddresses, method: "PUT", path: "/v1/config", body: content, record,
+        addresses: fleet.controlAddresses,
+        method: "PUT",
+        path: "/v1/config",
+        body: content,
+        record,
     });
     if (response.status !== 200) {
         throw new Error(`configuration ${content.version} was not acknowledged`);
--- a/review/stand-ins/fleet.mjs
+++ b/review/stand-ins/fleet.mjs
@@ -21,12 +21,40 @@
 
 /** Bounds of the smaller deployments, from the settings file on the page DEPLOY. */
 export const BOUNDS = {
-    seed_lag_s: 3, addr_reuse_s: 2, contact_ms: 3000, ack_timeout_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 6,
-    loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_stretch_ms: 5000, cold_overage: 1.5,
-    cold_slack: 5, evacuate_ms: 5000, recovery_s: 12, max_hold_ms: 6000, stop_ms: 400, gang_timeout_ms: 3000,
-    cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, remote_slowdown: 3, checkpoint_s: 2,
-    restore_ms: 250, notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, fencing_required: true, lease_ms: 3000,
-    thaw_slack_ms: 300, pace_ms: 100, impact_ms: 5500,
+    seed_lag_s: 3,
+    addr_reuse_s: 2,
+    contact_ms: 3000,
+    ack_timeout_ms: 4000,
+    catch_up_s: 4,
+    drain_ms: 2000,
+    grace_s: 6,
+    loss_slack_ms: 200,
+    config_apply_ms: 2000,
+    rollback_slack_ms: 250,
+    max_stretch_ms: 5000,
+    cold_overage: 1.5,
+    cold_slack: 5,
+    evacuate_ms: 5000,
+    recovery_s: 12,
+    max_hold_ms: 6000,
+    stop_ms: 400,
+    gang_timeout_ms: 3000,
+    cancel_ms: 3000,
+    visible_ms: 3000,
+    early_ms: 250,
+    finish_s: 14,
+    status_s: 120,
+    remote_slowdown: 3,
+    checkpoint_s: 2,
+    restore_ms: 250,
+    notice_ms: 4500,
+    migrate_s: 1.5,
+    maintenance_s: 2,
+    fencing_required: true,
+    lease_ms: 3000,
+    thaw_slack_ms: 300,
+    pace_ms: 100,
+    impact_ms: 5500,
 };
 
 const isFree = (host, port) =>
@@ -41,8 +69,9 @@
     for (;;) {
         const prefix = `127.${2 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`;
         const ports = [CONTROL_PORT, FRONTEND_PORT, READINESS_PORT, INTERNAL_PORTS[0], ...Object.values(METRICS_PORTS)];
-        const checks = Array.from({ length: count }, (unused, index) =>
-            ports.map(port => isFree(`${prefix}.${index + 1}`, port))
+        const checks = Array.from(
+            { length: count },
+            (unused, index) => ports.map(port => isFree(`${prefix}.${index + 1}`, port)),
         ).flat();
         if ((await Promise.all(checks)).every(Boolean)) {
             return prefix;
@@ -61,7 +90,12 @@
         for (let index = 0; index < machinesPerZone; index += 1) {
             for (const zone of zones) {
                 const number = this.machines.length + 1;
-                this.machines.push({ name: `edge-${zone}-${index + 1}`, zone, ip: `${prefix}.${number}`, hasDisk: index === 0 });
+                this.machines.push({
+                    name: `edge-${zone}-${index + 1}`,
+                    zone,
+                    ip: `${prefix}.${number}`,
+                    hasDisk: index === 0,
+                });
             }
         }
         this.seeds = this.machines.slice(0, 3).map(machine => `${machine.ip}:${CONTROL_PORT}`);
@@ -94,12 +128,25 @@
             mkdirSync(dataFolder, { recursive: true });
         }
         const settings = {
-            node_name: machine.name, role, machine_class: "edge", serves: [role === "entry" ? "edge" : "control"],
-            ip: machine.ip, zone: machine.zone, region: "region-1", internal_port_range: INTERNAL_PORTS,
-            seed_nodes: this.seeds, bootstrap: isFirstStart, loss_counts: machine.hasDisk,
-            data_dir: hasDisk ? dataFolder : null, discovery: "registry", entrypoint: "vip", heartbeat_ms: 1500,
+            node_name: machine.name,
+            role,
+            machine_class: "edge",
+            serves: [role === "entry" ? "edge" : "control"],
+            ip: machine.ip,
+            zone: machine.zone,
+            region: "region-1",
+            internal_port_range: INTERNAL_PORTS,
+            seed_nodes: this.seeds,
+            bootstrap: isFirstStart,
+            loss_counts: machine.hasDisk,
+            data_dir: hasDisk ? dataFolder : null,
+            discovery: "registry",
+            entrypoint: "vip",
+            heartbeat_ms: 1500,
             contracts: ["base", "drain", "config", "cost", "recover", "sched", "places", "advice", "upkeep", "sharing"],
-            config_mode: "highest", orders: "heartbeat", advice: "",
+            config_mode: "highest",
+            orders: "heartbeat",
+            advice: "",
             zones: Object.fromEntries(this.zones.map(zone => [zone, "region-1"])),
             bind_addrs: role === "entry"
                 ? { frontend: `${machine.ip}:${FRONTEND_PORT}`, readiness: `${machine.ip}:${READINESS_PORT}` }
@@ -116,7 +163,9 @@
         const child = spawn(process.execPath, RUN[role], {
             cwd: repository,
             env: {
-                PATH: process.env.PATH, HOME: process.env.HOME, WAXWINGSPREAD_BOOT: path,
+                PATH: process.env.PATH,
+                HOME: process.env.HOME,
+                WAXWINGSPREAD_BOOT: path,
                 WAXWINGSPREAD_METRICS_PORT: String(METRICS_PORTS[role]),
             },
             stdio: ["ignore", log, log],
--- a/review/stand-ins/worker.mjs
+++ b/review/stand-ins/worker.mjs
@@ -12,8 +12,20 @@
 
 /** One life of a worker. */
 export class Worker {
-    constructor({ id, machine = `m-${id}`, service, zone, rack = "r1-1", controlAddresses, durationOf, record, capacity,
-        lists = () => controlAddresses }) {
+    constructor(
+        {
+            id,
+            machine = `m-${id}`,
+            service,
+            zone,
+            rack = "r1-1",
+            controlAddresses,
+            durationOf,
+            record,
+            capacity,
+            lists = () => controlAddresses,
+        },
+    ) {
         Object.assign(this, { id, machine, service, zone, rack, durationOf, record, lists });
         this.capacity = capacity ?? { cpu: 16000, mem_mb: 64000, gpu: 0 };
         this.born = Date.now();
@@ -104,11 +116,23 @@
 
     report() {
         return {
-            service: this.service, address: "127.0.0.1:9", zone: this.zone, version: "v1", slots: 8, state: this.state,
-            cold_left_ms: 0, machine: this.machine, born: this.born, capacity: this.capacity, labels: ["a", this.rack],
-            clock_ms: Math.floor(performance.now() - this.startedMs), seq_no: this.sequence,
+            service: this.service,
+            address: "127.0.0.1:9",
+            zone: this.zone,
+            version: "v1",
+            slots: 8,
+            state: this.state,
+            cold_left_ms: 0,
+            machine: this.machine,
+            born: this.born,
+            capacity: this.capacity,
+            labels: ["a", this.rack],
+            clock_ms: Math.floor(performance.now() - this.startedMs),
+            seq_no: this.sequence,
             ...this.remainingMs === undefined ? {} : { remaining_ms: this.remainingMs },
-            running: [...this.running.values()].map(view => [view.task, view.run, "", this.#percentOf(view), this.#measurementOf(view)]),
+            running: [...this.running.values()].map(
+                view => [view.task, view.run, "", this.#percentOf(view), this.#measurementOf(view)],
+            ),
             ended: this.ended.slice(0, 500),
         };
     }
@@ -208,7 +232,14 @@
         const { durationMs, isLasting = false } = this.durationOf(task, spec);
         const nowMs = performance.now();
         this.running.set(task, {
-            task, run, startedMs: nowMs, advancedMs: nowMs, workedMs: 0, pace: 100, durationMs, isLasting,
+            task,
+            run,
+            startedMs: nowMs,
+            advancedMs: nowMs,
+            workedMs: 0,
+            pace: 100,
+            durationMs,
+            isLasting,
         });
         this.record("start", { worker: this.id, task, run, saved });
         this.onStart?.(task, run);
