--- /dev/null
+++ b/packages/workflow/src/leader/heartbeat-reconciler.test.ts
@@ -0,0 +1,75 @@
+import { expect, it } from "vitest";
+import { RunEnd } from "../model/heartbeat.js";
+import type { HeartbeatReport, ReportedEnd, ReportedRun } from "../model/heartbeat.js";
+import { taskKeyOf } from "../model/specification.js";
+import { heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { SingleReplica } from "../testing/single-replica.js";
+
+const TASKS = 8;
+const ENDS_PER_HEARTBEAT = 3;
+const SMALL_STEP = stepOf({
+    taskCount: TASKS,
+    amounts: { cpuMillicores: 100, memoryMebibytes: 1, accelerators: 0 },
+});
+
+const taskOf = (index: number): string => taskKeyOf({ jobId: "job", occurrence: 0, step: 0, index });
+
+const runningRow = (task: string): ReportedRun => ({
+    task,
+    run: 1,
+    checkpoint: "",
+    progressPercent: 50,
+    measurement: undefined,
+});
+
+/** Returns a heartbeat of a server on which all tasks have ended, and which lists only a part of these ends. */
+const cutReportOf = (sequence: number, acknowledgedEnd: number): HeartbeatReport => {
+    const ends = Array.from({ length: TASKS }, (unused, index): ReportedEnd => ({
+        sequence: index + 1,
+        task: taskOf(index),
+        run: 1,
+        end: RunEnd.Done,
+        checkpoint: "",
+    }));
+    const open = ends.slice(acknowledgedEnd);
+    return heartbeatOf("s", sequence, {
+        ended: open.slice(0, ENDS_PER_HEARTBEAT),
+        mayHaveMoreEnds: open.length >= ENDS_PER_HEARTBEAT,
+    });
+};
+
+// Guards against a second start of tasks that have ended on a server that was cut off: its first heartbeats list a part
+// of its ends, and a run that is listed nowhere doesn't count as missing because of that.
+it("starts no task again whose end the list of ends has no room for", () => {
+    const replica = SingleReplica.started();
+    replica.heartbeat(heartbeatOf("s", 1));
+    replica.submit(jobOf("job", SMALL_STEP));
+    const started = replica.heartbeat(heartbeatOf("s", 2))?.starts ?? [];
+    expect(started).toHaveLength(TASKS);
+    replica.heartbeat(heartbeatOf("s", 3, { running: started.map(({ task }) => runningRow(task)) }));
+    replica.advance(1_000);
+    const startedAgain: string[] = [];
+    let acknowledgedEnd = 0;
+    for (let sequence = 4; sequence < 10; sequence += 1) {
+        const orders = replica.heartbeat(cutReportOf(sequence, acknowledgedEnd));
+        acknowledgedEnd = orders?.acknowledgedEnd ?? acknowledgedEnd;
+        const other = replica.heartbeat(heartbeatOf("other", sequence));
+        startedAgain.push(...[orders, other].flatMap(answer => answer?.starts ?? []).map(({ task }) => task));
+        replica.advance(100);
+    }
+    expect(startedAgain).toEqual([]);
+    expect(acknowledgedEnd).toBe(TASKS);
+    expect(replica.stateOf("job")).toBe("completed");
+});
+
+// Guards against a run that waits for ever for an end which its server doesn't have.
+it("starts a task again whose run is listed nowhere although the list of ends is complete", () => {
+    const replica = SingleReplica.started();
+    replica.heartbeat(heartbeatOf("s", 1));
+    replica.submit(jobOf("job", stepOf()));
+    replica.heartbeat(heartbeatOf("s", 2));
+    replica.heartbeat(heartbeatOf("s", 3, { running: [runningRow(taskOf(0))] }));
+    replica.heartbeat(heartbeatOf("s", 4, { mayHaveMoreEnds: false }));
+    const starts = replica.heartbeat(heartbeatOf("s", 5))?.starts;
+    expect(starts?.map(({ task, run }) => `${task}/${run}`)).toEqual([`${taskOf(0)}/2`]);
+});
--- a/packages/workflow/src/leader/heartbeat-reconciler.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.ts
@@ -13,7 +13,7 @@
 /** Changes that a heartbeat reveals. */
 export interface HeartbeatChanges {
     newEnds: RecordedEnd[];
-    /** Runs that the server once reported and now lists neither as running nor as ended; removed from the view. */
+    /** Runs that the server once reported and that are certainly gone without an end; removed from the view. */
     missingRuns: RunView[];
     /** Ids of the jobs with a task that runs on the server. */
     startedJobs: string[];
@@ -64,8 +64,9 @@
     }
 
     /**
-     * Returns the runs that the server has reported before and now lists neither as running nor as ended. Of runs that
-     * were ordered but never reported, the start order may be sent again.
+     * Returns the runs that the server has reported before and now lists neither as running nor as ended, which shows that
+     * they are gone unless the list of ends may be cut. Of runs that were ordered but never reported, the start order may
+     * be sent again.
      */
     #findMissingRuns(server: ServerView, report: HeartbeatReport, nowMs: number): RunView[] {
         const listed = new Set<string>();
@@ -78,7 +79,8 @@
             }
             if (view.isReported) {
                 view.missingSinceMs ??= nowMs;
-                if (!view.step.isGang || nowMs - view.missingSinceMs >= GANG_END_DELAY_MS) {
+                const isEndAwaited = view.step.isGang && nowMs - view.missingSinceMs < GANG_END_DELAY_MS;
+                if (!isEndAwaited && report.mayHaveMoreEnds !== true) {
                     missing.push(view);
                 }
             }
--- a/packages/workflow/src/model/heartbeat.ts
+++ b/packages/workflow/src/model/heartbeat.ts
@@ -58,6 +58,11 @@
     remainingMs: number | undefined;
     running: ReportedRun[];
     ended: ReportedEnd[];
+    /**
+     * Whether the server may have ended further runs that `ended` has no room for. A run that is listed nowhere then may have
+     * ended. Undefined in reports that a follower of a former version passes on.
+     */
+    mayHaveMoreEnds?: boolean;
 }
 
 /** An order to start a run. */
