--- a/packages/workflow/src/leader/heartbeat-reconciler.test.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.test.ts
@@ -23,7 +23,11 @@
 });
 
 /** Returns a heartbeat of a server on which all tasks have ended, and which lists only a part of these ends. */
-const cutReportOf = (sequence: number, acknowledgedEnd: number): HeartbeatReport => {
+const cutReportOf = (
+    sequence: number,
+    acknowledgedEnd: number,
+    changes: Partial<HeartbeatReport> = {},
+): HeartbeatReport => {
     const ends = Array.from({ length: TASKS }, (unused, index): ReportedEnd => ({
         sequence: index + 1,
         task: taskOf(index),
@@ -35,9 +39,25 @@
     return heartbeatOf("s", sequence, {
         ended: open.slice(0, ENDS_PER_HEARTBEAT),
         mayHaveMoreEnds: open.length >= ENDS_PER_HEARTBEAT,
+        ...changes,
     });
 };
 
+/** Sends cut reports of `s` until all ends are acknowledged. Returns the tasks that are started meanwhile. */
+const startsWhileEndsAreListed = (replica: SingleReplica, changes: Partial<HeartbeatReport> = {}): string[] => {
+    const started: string[] = [];
+    let acknowledgedEnd = 0;
+    for (let sequence = 4; sequence < 10; sequence += 1) {
+        const orders = replica.heartbeat(cutReportOf(sequence, acknowledgedEnd, changes));
+        acknowledgedEnd = orders?.acknowledgedEnd ?? acknowledgedEnd;
+        const other = replica.heartbeat(heartbeatOf("other", sequence));
+        started.push(...[orders, other].flatMap(answer => answer?.starts ?? []).map(({ task }) => task));
+        replica.advance(100);
+    }
+    expect(acknowledgedEnd).toBe(TASKS);
+    return started;
+};
+
 // Guards against a second start of tasks that have ended on a server that was cut off: its first heartbeats list a part
 // of its ends, and a run that is listed nowhere doesn't count as missing because of that.
 it("starts no task again whose end the list of ends has no room for", () => {
@@ -48,20 +68,31 @@
     expect(started).toHaveLength(TASKS);
     replica.heartbeat(heartbeatOf("s", 3, { running: started.map(({ task }) => runningRow(task)) }));
     replica.advance(1_000);
-    const startedAgain: string[] = [];
-    let acknowledgedEnd = 0;
-    for (let sequence = 4; sequence < 10; sequence += 1) {
-        const orders = replica.heartbeat(cutReportOf(sequence, acknowledgedEnd));
-        acknowledgedEnd = orders?.acknowledgedEnd ?? acknowledgedEnd;
-        const other = replica.heartbeat(heartbeatOf("other", sequence));
-        startedAgain.push(...[orders, other].flatMap(answer => answer?.starts ?? []).map(({ task }) => task));
-        replica.advance(100);
-    }
-    expect(startedAgain).toEqual([]);
-    expect(acknowledgedEnd).toBe(TASKS);
+    expect(startsWhileEndsAreListed(replica)).toEqual([]);
     expect(replica.stateOf("job")).toBe("completed");
 });
 
+// Guards against a second start of tasks that began and ended between two heartbeats of a server which may start nothing
+// more: that their runs were never reported doesn't show that they never began.
+it.each<[string, Partial<HeartbeatReport>, zoneOut: boolean]>([
+    ["drains", { isDraining: true }, false],
+    ["is in a zone out of service", { availabilityZone: "b" }, true],
+])(
+    "gives up no run without a report while the list of ends may be cut and the server %s",
+    (name, changes, isZoneOut) => {
+        const replica = SingleReplica.started();
+        replica.heartbeat(heartbeatOf("s", 1, { ...changes, isDraining: false }));
+        replica.submit(jobOf("job", SMALL_STEP));
+        expect(replica.heartbeat(heartbeatOf("s", 2, { ...changes, isDraining: false }))?.starts).toHaveLength(TASKS);
+        if (isZoneOut) {
+            replica.node.setZone("b", true, () => undefined, replica.times);
+        }
+        replica.advance(1_000);
+        expect(startsWhileEndsAreListed(replica, changes)).toEqual([]);
+        expect(replica.stateOf("job")).toBe("completed");
+    },
+);
+
 // Guards against a run that waits for ever for an end which its server doesn't have.
 it("starts a task again whose run is listed nowhere although the list of ends is complete", () => {
     const replica = SingleReplica.started();
--- a/packages/workflow/src/leader/heartbeat-reconciler.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.ts
@@ -65,26 +65,19 @@
 
     /**
      * Returns the runs that the server has reported before and now lists neither as running nor as ended, which shows that
-     * they are gone unless the list of ends may be cut. Of runs that were ordered but never reported, the start order may
-     * be sent again.
+     * they are gone. Of runs that were ordered but never reported, the start order may be sent again. As long as the list of
+     * ends may be cut, a run that is listed nowhere may have ended, so that nothing is concluded.
      */
     #findMissingRuns(server: ServerView, report: HeartbeatReport, nowMs: number): RunView[] {
-        const listed = new Set<string>();
-        report.running.forEach(({ task, run }) => listed.add(`${task}/${run}`));
-        report.ended.forEach(({ task, run }) => listed.add(`${task}/${run}`));
-        const missing: RunView[] = [];
-        for (const view of server.runs.values()) {
-            if (!view.isCommitted || view.orderedAtSequence === undefined || listed.has(`${view.task}/${view.run}`)) {
-                continue;
-            }
-            if (view.isReported) {
-                view.missingSinceMs ??= nowMs;
-                const isEndAwaited = view.step.isGang && nowMs - view.missingSinceMs < GANG_END_DELAY_MS;
-                if (!isEndAwaited && report.mayHaveMoreEnds !== true) {
-                    missing.push(view);
-                }
-            }
-            else {
+        const unlisted = unlistedRunsOf(server, report);
+        unlisted.filter(view => view.isReported).forEach(view => {
+            view.missingSinceMs ??= nowMs;
+        });
+        if (report.mayHaveMoreEnds === true) {
+            return [];
+        }
+        for (const view of unlisted) {
+            if (!view.isReported) {
                 // The response with the start order was lost or arrived too late; the order may be sent again.
                 view.orderedAtSequence = undefined;
                 if (server.hasMissedAnswer) {
@@ -92,10 +85,24 @@
                 }
             }
         }
-        return missing;
+        return unlisted.filter(view => isMissing(view, nowMs));
     }
 }
 
+/** Returns the runs that may be on a server and that its heartbeat lists neither as running nor as ended. */
+const unlistedRunsOf = (server: ServerView, report: HeartbeatReport): RunView[] => {
+    const listed = new Set<string>();
+    report.running.forEach(({ task, run }) => listed.add(`${task}/${run}`));
+    report.ended.forEach(({ task, run }) => listed.add(`${task}/${run}`));
+    return [...server.runs.values()].filter(view =>
+        view.isCommitted && view.orderedAtSequence !== undefined && !listed.has(`${view.task}/${view.run}`)
+    );
+};
+
+/** Whether a run that was reported is gone; the end of a gang's member may still be listed by another server. */
+const isMissing = ({ isReported, missingSinceMs, step }: RunView, nowMs: number): boolean =>
+    isReported && (!step.isGang || nowMs - (missingSinceMs ?? nowMs) >= GANG_END_DELAY_MS);
+
 const updateRun = (view: RunView, reported: ReportedRun, nowMs: number): void => {
     view.isReported = true;
     view.missingSinceMs = undefined;
