--- a/packages/workflow/src/leader/evacuation.test.ts
+++ b/packages/workflow/src/leader/evacuation.test.ts
@@ -31,3 +31,22 @@
     new Evacuation(directory).run(0);
     expect(runs.map(run => run.isStopping)).toEqual([true, false, false, false]);
 });
+
+// Guards against a second unavailable task of a step whose bound is one: a task that its server no longer lists has ended.
+it("doesn't count a task as available that its server no longer lists", () => {
+    const directory = new ServerDirectory(LEADER_SETTINGS);
+    const [leaving] = ["leaving", "other"].map((serverId, index) => {
+        const position = { jobId: "j", occurrence: 0, step: 0, index };
+        const run = newRunView(
+            { task: taskKeyOf(position), run: 1, position, step: STEP, kind: TaskKind.Standing, checkpoint: "" },
+            0,
+        );
+        run.isReported = true;
+        run.progressPercent = 100;
+        run.missingSinceMs = serverId === "other" ? 0 : undefined;
+        directory.recordHeartbeat(heartbeatOf(serverId, 1, { isDraining: serverId === "leaving" }), TIMES)?.addRun(run);
+        return run;
+    });
+    new Evacuation(directory).run(0);
+    expect(leaving?.isStopping).toBe(false);
+});
--- a/packages/workflow/src/leader/evacuation.ts
+++ b/packages/workflow/src/leader/evacuation.ts
@@ -1,5 +1,6 @@
 import { stepKeyOf, TaskKind } from "../model/specification.js";
 import type { ServerDirectory } from "./server-directory.js";
+import { isListed } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 
 /** Time before a server's exit at which tasks that save checkpoints are stopped, to be resumed on other servers. */
@@ -42,11 +43,13 @@
         let availableCount = 0;
         const step = stepKeyOf(run.position);
         for (const server of this.#directory.servers) {
-            for (const { position, progressPercent, isStopping, isReported } of server.runs.values()) {
-                const isSameStep = stepKeyOf(position) === step;
-                availableCount += isSameStep && isReported && !isStopping && progressPercent >= 100 ? 1 : 0;
+            for (const other of server.runs.values()) {
+                availableCount += stepKeyOf(other.position) === step && isAvailable(other) ? 1 : 0;
             }
         }
         return taskCount - availableCount < maxUnavailable;
     }
 }
+
+/** Whether a standing task is at work and stays so. */
+const isAvailable = (run: RunView): boolean => isListed(run) && !run.isStopping && run.progressPercent >= 100;
--- a/packages/workflow/src/leader/filler-moves.ts
+++ b/packages/workflow/src/leader/filler-moves.ts
@@ -1,4 +1,5 @@
 import { TaskKind } from "../model/specification.js";
+import { isListed } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 
 /** A filler with at most this pace is a candidate for a move to another server. */
@@ -76,7 +77,7 @@
     const remainingMs = run.step.estimatedRunTimeMs * (1 - run.progressPercent / 100);
     return run.kind === TaskKind.Filler
         && run.step.savesCheckpoints
-        && run.isReported
+        && isListed(run)
         && !run.isStopping
         && run.targetPacePercent <= SLOW_PACE_PERCENT
         && run.progressPercent <= MAX_PROGRESS_PERCENT
--- a/packages/workflow/src/leader/heartbeat-reconciler.test.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.test.ts
@@ -14,11 +14,11 @@
 
 const taskOf = (index: number): string => taskKeyOf({ jobId: "job", occurrence: 0, step: 0, index });
 
-const runningRow = (task: string): ReportedRun => ({
+const runningRow = (task: string, progressPercent = 50): ReportedRun => ({
     task,
     run: 1,
     checkpoint: "",
-    progressPercent: 50,
+    progressPercent,
     measurement: undefined,
 });
 
@@ -93,6 +93,28 @@
     },
 );
 
+// Guards against a sound server that is avoided, and whose other tasks are stopped, because runs that have ended and aren't
+// listed yet show no progress.
+it("takes no server for slow whose list of ends may be cut", () => {
+    const replica = SingleReplica.started();
+    replica.heartbeat(heartbeatOf("s", 1, { clockMs: 0 }));
+    replica.submit(jobOf("long", { ...SMALL_STEP, taskCount: 2, estimatedRunTimeMs: 10_000 }));
+    replica.submit(jobOf("job", SMALL_STEP));
+    const started = replica.heartbeat(heartbeatOf("s", 2, { clockMs: 0 }))?.starts.map(({ task }) => task) ?? [];
+    const listAt = (clockMs: number): ReportedRun[] =>
+        started.filter(task => clockMs === 0 || task.startsWith("long")).map(task => runningRow(task, clockMs / 100));
+    replica.heartbeat(heartbeatOf("s", 3, { clockMs: 0, running: listAt(0) }));
+    replica.advance(2_500);
+    const stops = [2_500, 3_000, 3_500].flatMap((clockMs, index) => {
+        const changes = { clockMs, running: listAt(clockMs) };
+        const orders = replica.heartbeat(cutReportOf(4 + index, index * ENDS_PER_HEARTBEAT, changes));
+        replica.advance(500);
+        return orders?.stops ?? [];
+    });
+    expect(stops).toEqual([]);
+    expect(replica.node.session?.utilization().servers).toBe(1);
+});
+
 // Guards against a run that waits for ever for an end which its server doesn't have.
 it("starts a task again whose run is listed nowhere although the list of ends is complete", () => {
     const replica = SingleReplica.started();
--- a/packages/workflow/src/leader/heartbeat-reconciler.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.ts
@@ -69,13 +69,17 @@
      * ends may be cut, a run that is listed nowhere may have ended, so that nothing is concluded.
      */
     #findMissingRuns(server: ServerView, report: HeartbeatReport, nowMs: number): RunView[] {
-        const unlisted = unlistedRunsOf(server, report);
-        unlisted.filter(view => view.isReported).forEach(view => {
+        const running = new Set(report.running.map(keyOf));
+        const ended = new Set(report.ended.map(keyOf));
+        const notRunning = [...server.runs.values()].filter(view => isOrdered(view) && !running.has(keyOf(view)));
+        notRunning.filter(view => view.isReported).forEach(view => {
             view.missingSinceMs ??= nowMs;
+            view.measurement = undefined;
         });
         if (report.mayHaveMoreEnds === true) {
             return [];
         }
+        const unlisted = notRunning.filter(view => !ended.has(keyOf(view)));
         for (const view of unlisted) {
             if (!view.isReported) {
                 // The response with the start order was lost or arrived too late; the order may be sent again.
@@ -89,15 +93,9 @@
     }
 }
 
-/** Returns the runs that may be on a server and that its heartbeat lists neither as running nor as ended. */
-const unlistedRunsOf = (server: ServerView, report: HeartbeatReport): RunView[] => {
-    const listed = new Set<string>();
-    report.running.forEach(({ task, run }) => listed.add(`${task}/${run}`));
-    report.ended.forEach(({ task, run }) => listed.add(`${task}/${run}`));
-    return [...server.runs.values()].filter(view =>
-        view.isCommitted && view.orderedAtSequence !== undefined && !listed.has(`${view.task}/${view.run}`)
-    );
-};
+const keyOf = ({ task, run }: { task: string; run: number }): string => `${task}/${run}`;
+
+const isOrdered = (view: RunView): boolean => view.isCommitted && view.orderedAtSequence !== undefined;
 
 /** Whether a run that was reported is gone; the end of a gang's member may still be listed by another server. */
 const isMissing = ({ isReported, missingSinceMs, step }: RunView, nowMs: number): boolean =>
--- a/packages/workflow/src/leader/server-speed.ts
+++ b/packages/workflow/src/leader/server-speed.ts
@@ -1,5 +1,6 @@
 import { TaskKind } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
+import { isListed } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 
 /** Minimum interval over which progress is measured, since reports are in whole percents. */
@@ -76,7 +77,7 @@
     /** Returns a run's progress since the last sample, relative to its step; undefined until the interval ends. */
     #measure(run: RunView, reportedAtMs: number): number | undefined {
         const cpuShare = run.kind === TaskKind.Filler ? grantedCpuShare(run) : 1;
-        if (run.kind === TaskKind.Standing || !run.isReported || run.isStopping || cpuShare < 0.3) {
+        if (run.kind === TaskKind.Standing || !isListed(run) || run.isStopping || cpuShare < 0.3) {
             this.#samples.delete(run);
             return undefined;
         }
@@ -118,7 +119,7 @@
 
 /** Whether a run is expected to end clearly sooner on another server, in spite of the cost of the move. */
 const isWorthMoving = (run: RunView, speedRatio: number): boolean => {
-    if (run.kind === TaskKind.Standing || run.step.isGang || !run.isReported) {
+    if (run.kind === TaskKind.Standing || run.step.isGang || !isListed(run)) {
         return false;
     }
     const { estimatedRunTimeMs, savesCheckpoints } = run.step;
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -315,6 +315,10 @@
     }
 };
 
+/** Whether the latest heartbeat of the run's server lists it as running. */
+export const isListed = ({ isReported, missingSinceMs }: RunView): boolean =>
+    isReported && missingSinceMs === undefined;
+
 /** Lets the start order of a run be repeated as if none had been sent before. */
 export const resetStartOrders = (run: RunView): void => {
     run.startOrders = 0;
