--- a/packages/workflow/src/leader/maintenance.test.ts
+++ b/packages/workflow/src/leader/maintenance.test.ts
@@ -25,9 +25,16 @@
 };
 
 const order = (replica: SingleReplica, vmIds: string[], maxConcurrent: number, id = 1): void => {
+    acceptOrder(replica, vmIds, maxConcurrent, id);
+    replica.settle();
+};
+
+/** Has an order committed, and nothing that follows from it. */
+const acceptOrder = (replica: SingleReplica, vmIds: string[], maxConcurrent: number, id = 1): void => {
     const command = { id, vmIds, allowedMs: 20_000, maxConcurrent };
     replica.node.orderMaintenance(command, () => undefined, replica.times);
-    replica.settle();
+    replica.node.run(replica.times);
+    replica.commit();
 };
 
 const stateOf = (replica: SingleReplica, id = 1): unknown => {
@@ -96,6 +103,19 @@
     expect(calls.map(({ call }) => [call.vmId, call.term])).toEqual([["x", 1], ["y", 2]]);
 });
 
+// Guards against one VM too many that is down: a leader that was suspended acts on what it had decided before, while its
+// successor maintains another VM. The platform compares terms for each VM, so that it can't refuse the call.
+it("makes no call for a VM before the log has taken its request, which a replaced leader's never does", () => {
+    const { replica, calls } = startLeader();
+    acceptOrder(replica, ["x", "y"], 1);
+    for (let round = 0; round < 10; round += 1) {
+        replica.node.run(replica.times);
+    }
+    expect(calls).toEqual([]);
+    replica.settle();
+    expect(vmIdsOf(calls)).toEqual(["x"]);
+});
+
 // Guards against calls of a superseded leader.
 it("makes no further call once a later leader has used a higher term", () => {
     const { replica, calls } = startLeader();
--- a/packages/workflow/src/leader/maintenance.ts
+++ b/packages/workflow/src/leader/maintenance.ts
@@ -34,6 +34,8 @@
     phase: Phase;
     /** Start of the emptying. */
     sinceMs: number;
+    /** Whether the request is proposed for the log, which must take it before the first call. */
+    isRequestProposed: boolean;
     /** Earliest time of the next call. */
     retryAtMs: number;
     /** Latest time at which a VM that is down is back. */
@@ -125,33 +127,43 @@
             this.#completeVm(record, vmId);
         }
         else if (progress?.phase === Phase.Emptying) {
-            const servers = this.#serversOn(vmId);
-            servers.forEach(server => {
-                server.isInMaintenance = true;
-            });
-            const timeoutMs = emptyingTimeoutMs(
-                record,
-                openVms,
-                times.timeOfDayMs,
-                this.#options.settings.maintenanceMs,
-            );
-            const isTimedOut = nowMs - progress.sinceMs >= timeoutMs;
-            const isReady = servers.every(server => canGoDown(server, isTimedOut));
-            if (isReady && nowMs >= Math.max(progress.retryAtMs, this.#firstCallAtMs)) {
-                this.#requestMaintenance(record, vmId, progress);
-            }
+            this.#empty(record, vmId, progress, openVms, times);
+        }
+    }
+
+    /** Keeps new tasks off a VM, and requests its maintenance once it may go down. */
+    #empty(record: MaintenanceRecord, vmId: string, progress: VmProgress, openVms: number, times: Times): void {
+        const { nowMs, timeOfDayMs } = times;
+        const servers = this.#serversOn(vmId);
+        servers.forEach(server => {
+            server.isInMaintenance = true;
+        });
+        const timeoutMs = emptyingTimeoutMs(record, openVms, timeOfDayMs, this.#options.settings.maintenanceMs);
+        const isTimedOut = nowMs - progress.sinceMs >= timeoutMs;
+        const isReady = servers.every(server => canGoDown(server, isTimedOut));
+        if (!isReady || nowMs < Math.max(progress.retryAtMs, this.#firstCallAtMs)) {
+            return;
+        }
+        if (record.phaseOf(vmId) !== undefined) {
+            this.#requestMaintenance(record, vmId, progress);
+        }
+        else if (!progress.isRequestProposed) {
+            // A leader that was replaced while it was suspended can't have its request committed, so that it makes no call
+            // beside its successor's. The platform's fence doesn't prevent that, since it holds for each VM by itself.
+            progress.isRequestProposed = true;
+            this.#propose(record, vmId, VmMaintenancePhase.Requested);
         }
     }
 
     #requestMaintenance(record: MaintenanceRecord, vmId: string, progress: VmProgress): void {
-        const { begin, term, propose } = this.#options;
+        const { begin, term } = this.#options;
         const { id: maintenanceId } = record.order;
         progress.phase = Phase.Asked;
         begin({ maintenanceId, vmId, term }, (outcome, nowMs) => {
             if (outcome === MaintenanceOutcome.Begun) {
                 progress.phase = Phase.Down;
                 progress.backAtMs = this.#backAtMs(nowMs);
-                propose({ kind: EventKind.VmMaintained, maintenanceId, vmId, phase: VmMaintenancePhase.Begun });
+                this.#propose(record, vmId, VmMaintenancePhase.Begun);
                 this.#serversOn(vmId).forEach(server => this.#options.directory.markLeaving(server.id, nowMs));
             }
             else if (outcome === MaintenanceOutcome.Gone) {
@@ -174,8 +186,11 @@
         this.#serversOn(vmId).forEach(server => {
             server.isInMaintenance = false;
         });
-        const { id: maintenanceId } = record.order;
-        this.#options.propose({ kind: EventKind.VmMaintained, maintenanceId, vmId, phase: VmMaintenancePhase.Done });
+        this.#propose(record, vmId, VmMaintenancePhase.Done);
+    }
+
+    #propose({ order }: MaintenanceRecord, vmId: string, phase: VmMaintenancePhase): void {
+        this.#options.propose({ kind: EventKind.VmMaintained, maintenanceId: order.id, vmId, phase });
     }
 
     #backAtMs(nowMs: number): number {
@@ -197,6 +212,7 @@
     maintenanceId,
     phase,
     sinceMs: nowMs,
+    isRequestProposed: false,
     retryAtMs: nowMs,
     backAtMs: 0,
 });
--- a/packages/workflow/src/model/maintenance.ts
+++ b/packages/workflow/src/model/maintenance.ts
@@ -16,6 +16,8 @@
 
 /** Progress of the maintenance of one VM. */
 export enum VmMaintenancePhase {
+    /** A leader asks the platform for the maintenance, or is about to; the VM may be down. */
+    Requested = "requested",
     /** The platform has begun the maintenance; the VM is down. */
     Begun = "begun",
     /** The VM is running again or no longer exists. */
--- a/packages/workflow/src/state/maintenance-record.ts
+++ b/packages/workflow/src/state/maintenance-record.ts
@@ -1,12 +1,19 @@
 import { VmMaintenancePhase } from "../model/maintenance.js";
 import type { MaintenanceOrder } from "../model/maintenance.js";
 
+/** Order of the phases; a phase never moves backwards. */
+const PHASE_RANKS: Readonly<Record<VmMaintenancePhase, number>> = {
+    [VmMaintenancePhase.Requested]: 1,
+    [VmMaintenancePhase.Begun]: 2,
+    [VmMaintenancePhase.Done]: 3,
+};
+
 /** Serializable content of a maintenance's record. */
 export interface MaintenanceContent {
     order: MaintenanceOrder;
     /** Wall-clock time of the order. */
     orderedAtMs: number;
-    /** Phases of the VMs whose maintenance has begun. */
+    /** Phases of the VMs whose maintenance was requested. */
     phases: Record<string, VmMaintenancePhase>;
 }
 
@@ -34,14 +41,15 @@
         return this.order.vmIds.every(vmId => this.phaseOf(vmId) === VmMaintenancePhase.Done);
     }
 
-    /** Returns the phase of a VM's maintenance; undefined before it begins. */
+    /** Returns the phase of a VM's maintenance; undefined before it is requested. */
     phaseOf(vmId: string): VmMaintenancePhase | undefined {
         return this.#phases.get(vmId);
     }
 
-    /** Records a VM's phase, unless its maintenance is already done: a phase never moves backwards. */
+    /** Records a VM's phase, unless its maintenance has already reached a later one. */
     advance(vmId: string, phase: VmMaintenancePhase): void {
-        if (this.phaseOf(vmId) !== VmMaintenancePhase.Done) {
+        const current = this.phaseOf(vmId);
+        if (current === undefined || PHASE_RANKS[phase] > PHASE_RANKS[current]) {
             this.#phases.set(vmId, phase);
         }
     }
