--- a/packages/workflow/src/leader/maintenance.test.ts
+++ b/packages/workflow/src/leader/maintenance.test.ts
@@ -116,6 +116,27 @@
     expect(vmIdsOf(calls)).toEqual(["x"]);
 });
 
+// Guards against one VM too many that is down: a leader asks for the maintenance of a VM and is lost before it knows the
+// answer. Its successor knows nothing of the load of the VMs yet, and would begin with another one.
+it("begins no other maintenance before it knows the outcome of a former leader's request", () => {
+    const { replica, calls } = startLeader();
+    const send = createHeartbeatSender(replica, "s");
+    send({ vmId: "loaded" });
+    replica.submit(jobOf("j", standingStepOf()));
+    send({ vmId: "loaded" });
+    order(replica, ["loaded", "idle"], 1);
+    expect(vmIdsOf(calls)).toEqual(["idle"]);
+    replica.failOver();
+    replica.advance(LEADER_SETTINGS.orderLeaseMs + LEADER_SETTINGS.maxLeaseMs);
+    replica.advance(10);
+    expect(vmIdsOf(calls)).toEqual(["idle", "idle"]);
+    calls[1]?.respond(MaintenanceOutcome.Begun);
+    replica.advance(DOWN_MS - 10);
+    expect(vmIdsOf(calls)).toEqual(["idle", "idle"]);
+    replica.advance(20);
+    expect(vmIdsOf(calls)).toEqual(["idle", "idle", "loaded"]);
+});
+
 // Guards against calls of a superseded leader.
 it("makes no further call once a later leader has used a higher term", () => {
     const { replica, calls } = startLeader();
--- a/packages/workflow/src/leader/maintenance.ts
+++ b/packages/workflow/src/leader/maintenance.ts
@@ -116,13 +116,7 @@
 
     #advanceVm(record: MaintenanceRecord, vmId: string, openVms: number, times: Times): void {
         const { nowMs } = times;
-        const isBegun = record.phaseOf(vmId) === VmMaintenancePhase.Begun;
-        let progress = this.#progressFor(record.order.id, vmId);
-        if (progress === undefined && isBegun) {
-            // The maintenance was begun under a former leader.
-            progress = { ...newProgress(record.order.id, Phase.Down, nowMs), backAtMs: this.#backAtMs(nowMs) };
-            this.#progress.set(vmId, progress);
-        }
+        const progress = this.#progressFor(record.order.id, vmId) ?? this.#adoptProgress(record, vmId, nowMs);
         if (progress?.phase === Phase.Down && nowMs >= progress.backAtMs) {
             this.#completeVm(record, vmId);
         }
@@ -131,6 +125,21 @@
         }
     }
 
+    /**
+     * Returns the progress of a VM that a former leader has left; undefined if it has not requested the maintenance. What
+     * became of a request is known only once it is repeated, so that the VM counts as down until then.
+     */
+    #adoptProgress(record: MaintenanceRecord, vmId: string, nowMs: number): VmProgress | undefined {
+        const recordedPhase = record.phaseOf(vmId);
+        if (recordedPhase === undefined) {
+            return undefined;
+        }
+        const phase = recordedPhase === VmMaintenancePhase.Begun ? Phase.Down : Phase.Emptying;
+        const progress = { ...newProgress(record.order.id, phase, nowMs), backAtMs: this.#backAtMs(nowMs) };
+        this.#progress.set(vmId, progress);
+        return progress;
+    }
+
     /** Keeps new tasks off a VM, and requests its maintenance once it may go down. */
     #empty(record: MaintenanceRecord, vmId: string, progress: VmProgress, openVms: number, times: Times): void {
         const { nowMs, timeOfDayMs } = times;
