--- a/packages/workflow/src/leader/maintenance.test.ts
+++ b/packages/workflow/src/leader/maintenance.test.ts
@@ -137,6 +137,29 @@
     expect(vmIdsOf(calls)).toEqual(["idle", "idle", "loaded"]);
 });
 
+// Guards against a VM that is taken down under its tasks, because its server has not found the new leader yet: no heartbeat
+// has told on which VM the runs of the log are.
+it("takes a VM without a known server for empty only when no run may be on an unknown VM", () => {
+    const { replica, calls } = startLeader();
+    const send = createHeartbeatSender(replica, "s");
+    send({ vmId: "x" });
+    replica.submit(jobOf("j", standingStepOf({ maxUnavailable: 1 })));
+    const [start] = send({ vmId: "x" })?.starts ?? [];
+    const running = [{ task: start?.task ?? "", run: 1, checkpoint: "", progressPercent: 100, measurement: 1 }];
+    send({ vmId: "x", running });
+    replica.failOver();
+    order(replica, ["x"], 1);
+    replica.advance(LEADER_SETTINGS.orderLeaseMs + 10);
+    expect(calls).toEqual([]);
+    const orders = send({ vmId: "x", running });
+    replica.settle();
+    expect(calls).toEqual([]);
+    expect(orders?.stops.map(({ task }) => task)).toEqual(["j.0.0.0"]);
+    send({ vmId: "x" });
+    replica.settle();
+    expect(vmIdsOf(calls)).toEqual(["x"]);
+});
+
 // Guards against calls of a superseded leader.
 it("makes no further call once a later leader has used a higher term", () => {
     const { replica, calls } = startLeader();
--- a/packages/workflow/src/leader/maintenance.ts
+++ b/packages/workflow/src/leader/maintenance.ts
@@ -149,7 +149,7 @@
         });
         const timeoutMs = emptyingTimeoutMs(record, openVms, timeOfDayMs, this.#options.settings.maintenanceMs);
         const isTimedOut = nowMs - progress.sinceMs >= timeoutMs;
-        const isReady = servers.every(server => canGoDown(server, isTimedOut));
+        const isReady = this.#isContentKnown(servers) && servers.every(server => canGoDown(server, isTimedOut));
         if (!isReady || nowMs < Math.max(progress.retryAtMs, this.#firstCallAtMs)) {
             return;
         }
@@ -164,6 +164,14 @@
         }
     }
 
+    /**
+     * Whether it is known what runs on a VM with these servers. The VM of a server that only the log names is unknown until
+     * the server finds this leader, or until its leases have expired.
+     */
+    #isContentKnown(servers: readonly ServerView[]): boolean {
+        return servers.length > 0 || !this.#options.directory.servers.some(hasRunsOnUnknownVm);
+    }
+
     #requestMaintenance(record: MaintenanceRecord, vmId: string, progress: VmProgress): void {
         const { begin, term } = this.#options;
         const { id: maintenanceId } = record.order;
@@ -214,6 +222,8 @@
 
 const vmKeyOf = (maintenanceId: number, vmId: string): string => `${maintenanceId}/${vmId}`;
 
+const hasRunsOnUnknownVm = ({ sequence, runs }: ServerView): boolean => sequence === undefined && runs.size > 0;
+
 const standingLoadOf = (servers: readonly ServerView[]): number =>
     servers.reduce((sum, server) => sum + server.standingCpuMillicores, 0);
 
