--- a/packages/workflow/src/leader/evacuation.ts
+++ b/packages/workflow/src/leader/evacuation.ts
@@ -6,6 +6,12 @@
 /** Time before a server's exit at which tasks that save checkpoints are stopped, to be resumed on other servers. */
 const CHECKPOINT_LEAD_TIME_MS = 900;
 
+/**
+ * Time since a server's last heartbeat after which its tasks don't count as available. A server that runs sends one within a
+ * second of its last answer, or of an answer that didn't come.
+ */
+const MAX_SILENCE_MS = 2_000;
+
 /** Stops tasks on backend servers that are draining or about to be maintained, so that they move to other servers. */
 export class Evacuation {
     readonly #directory: ServerDirectory;
@@ -28,14 +34,14 @@
             || nowMs >= server.leavesAtMs - CHECKPOINT_LEAD_TIME_MS;
         for (const run of server.runs.values()) {
             const canResumeElsewhere = run.step.savesCheckpoints && isAboutToLeave;
-            if (canResumeElsewhere || (run.kind === TaskKind.Standing && this.#isStopAllowed(run))) {
+            if (canResumeElsewhere || (run.kind === TaskKind.Standing && this.#isStopAllowed(run, nowMs))) {
                 run.isStopping = true;
             }
         }
     }
 
     /** Whether a standing task may be stopped within the bound on unavailable tasks of its step and occurrence. */
-    #isStopAllowed(run: RunView): boolean {
+    #isStopAllowed(run: RunView, nowMs: number): boolean {
         const { maxUnavailable, taskCount } = run.step;
         if (maxUnavailable === undefined || run.isStopping) {
             return true;
@@ -43,6 +49,9 @@
         let availableCount = 0;
         const step = stepKeyOf(run.position);
         for (const server of this.#directory.servers) {
+            if (nowMs - server.lastHeartbeatAtMs > MAX_SILENCE_MS) {
+                continue;
+            }
             for (const other of server.runs.values()) {
                 availableCount += stepKeyOf(other.position) === step && isAvailable(other) ? 1 : 0;
             }
