--- a/packages/workflow/src/testing/fuzz/simulated-worker.ts
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -11,6 +11,8 @@
 const HEARTBEAT_RETRY_MS = 100;
 /** Delay from the start of a run that crashes its worker to the crash. */
 const CRASH_DELAY_MS = 10;
+/** Ends that a worker lists at a time; few, so that its lists are often cut. */
+const ENDS_PER_HEARTBEAT = 3;
 /** Time for which a worker is down after one of its runs has crashed it. */
 const CRASH_DOWN_MS = 1_500;
 
@@ -165,7 +167,8 @@
                 progressPercent: computeProgressPercent(run, nowMs),
                 measurement: undefined,
             })),
-            ended: [...this.#ended],
+            ended: this.#ended.slice(0, ENDS_PER_HEARTBEAT),
+            mayHaveMoreEnds: this.#ended.length >= ENDS_PER_HEARTBEAT,
         };
     }
 
