--- a/packages/workflow/src/testing/fuzz/simulated-worker.ts
+++ b/packages/workflow/src/testing/fuzz/simulated-worker.ts
@@ -223,10 +223,13 @@
         this.#backAtMs = undefined;
     }
 
-    /** Ends a member of a gang because another one ended. */
+    /** Ends a member of a gang because another one ended. The success of one member is reported for all of them. */
     endGangMember(task: string, end: RunEnd): void {
         const run = this.runs.get(task);
-        if (run !== undefined) {
+        if (run !== undefined && end === RunEnd.Done) {
+            this.runs.delete(task);
+        }
+        else if (run !== undefined) {
             this.#end(run, end);
         }
     }
