--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -93,7 +93,7 @@
         this.#options = options;
         this.#nextJobCleanupAtMs = times.nowMs + JOB_CLEANUP_INTERVAL_MS;
         this.#planningStartsAtMs = times.nowMs + INITIAL_PLANNING_DELAY_MS;
-        this.#directory = new ServerDirectory(settings);
+        this.#directory = new ServerDirectory(settings, times.nowMs);
         this.#pressure = new PressureModel(state.pressures);
         this.#pacing = new FillerPacing(this.#pressure);
         this.#pressureRecords = new PressureRecords(this.#pressure, options.propose, times.nowMs);
--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -43,6 +43,7 @@
 const serverWithStanding = (cpuMillicores: number): ServerView => {
     const server = new ServerView("s", 1, 0, 0);
     server.updateFrom(heartbeatOf("s", 1), 0);
+    server.isConfirmed = true;
     const step = standingOf(cpuMillicores);
     const position = { jobId: "holding", occurrence: 0, step: 0, index: 0 };
     server.addRun(newRunView({ task: "holding", run: 1, position, step, kind: taskKindOf(step), checkpoint: "" }, 0));
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -235,7 +235,7 @@
 };
 
 const unusableReasonOf = (server: ServerView): Exclusion => {
-    if (server.sequence === undefined) {
+    if (!server.isConfirmed) {
         return Exclusion.NotHeardOf;
     }
     if (server.isDraining) {
--- a/packages/workflow/src/leader/server-directory.test.ts
+++ b/packages/workflow/src/leader/server-directory.test.ts
@@ -86,3 +86,22 @@
     expect(restarted).toMatchObject({ leaseMs: 3_000 });
     expect(replica.heartbeat(heartbeatOf("s", 3, { incarnation: 10 * DAY_MS }))).toBeUndefined();
 });
+
+// Guards against tasks that wait for a lease on a server that has crashed: a heartbeat that was delayed on its way may arrive
+// seconds after its sender is gone, and look like that of a new, idle server.
+describe("the first heartbeat of an unknown server", () => {
+    it("draws no tasks before a second one has followed", () => {
+        const replica = SingleReplica.started();
+        replica.advance(2_000);
+        replica.heartbeat(heartbeatOf("late", 7));
+        replica.submit(jobOf("j", stepOf()));
+        expect(replica.heartbeat(heartbeatOf("known", 1))?.starts).toEqual([]);
+        expect(replica.heartbeat(heartbeatOf("known", 2))?.starts).toHaveLength(1);
+    });
+
+    it("draws tasks at once as long as the leader is new, as all servers are unknown to it", () => {
+        const replica = SingleReplica.started();
+        replica.submit(jobOf("j", stepOf()));
+        expect(replica.heartbeat(heartbeatOf("s", 7))?.starts).toHaveLength(1);
+    });
+});
--- a/packages/workflow/src/leader/server-directory.ts
+++ b/packages/workflow/src/leader/server-directory.ts
@@ -13,15 +13,23 @@
 /** Time after a server's notice of its exit by which its tasks have certainly ended. */
 const EXIT_MARGIN_MS = 500;
 
+/**
+ * Time after the start of a session in which the first heartbeat of a server suffices to use it. Servers need about a second
+ * to find a new leader.
+ */
+const FIRST_CONTACT_MS = 2_000;
+
 /** Registry of the backend servers that the leader knows, with the latest possible expiry of their leases. */
 export class ServerDirectory {
     readonly #servers = new Map<string, ServerView>();
     readonly #settings: LeaderSettings;
+    readonly #startedAtMs: number;
     /** Cached; undefined until it is computed again. */
     #all: readonly ServerView[] | undefined;
 
-    constructor(settings: LeaderSettings) {
+    constructor(settings: LeaderSettings, startedAtMs: number) {
         this.#settings = settings;
+        this.#startedAtMs = startedAtMs;
     }
 
     /** All servers. The list is replaced when a server is added or removed. */
@@ -77,6 +85,8 @@
         if (server.sequence !== undefined && report.sequence <= server.sequence) {
             return undefined;
         }
+        // A heartbeat may arrive seconds after its server has crashed; only the next one shows that the server is there.
+        server.isConfirmed ||= server.sequence !== undefined || nowMs - this.#startedAtMs <= FIRST_CONTACT_MS;
         server.updateFrom(report, nowMs);
         const leaseEndMs = nowMs + this.#settings.leaseMs / MIN_CLOCK_RATE + LEASE_MARGIN_MS;
         server.leaseExpiresAtMs = Math.max(server.leaseExpiresAtMs, leaseEndMs);
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -71,6 +71,8 @@
     labels: readonly string[] = [];
     capacity: Amounts = ZERO;
     isDraining = false;
+    /** Whether the server is certainly there, so that tasks may be assigned to it. */
+    isConfirmed = false;
     /** Whether the VM is being emptied for its maintenance. */
     isInMaintenance = false;
     /** The VM that the server runs on; empty when unknown. */
@@ -190,9 +192,9 @@
         return this.capacity.cpuMillicores - this.#reserved.cpuMillicores;
     }
 
-    /** Whether the server has sent a heartbeat in this term and accepts new work. */
+    /** Whether the server has shown in this term that it is there, and accepts new work. */
     get isUsable(): boolean {
-        return this.sequence !== undefined && !this.isDraining && !this.isInMaintenance && !this.hasUntrackedRuns;
+        return this.isConfirmed && !this.isDraining && !this.isInMaintenance && !this.hasUntrackedRuns;
     }
 
     /** Returns whether a task may fit that didn't fit at the last call. */
