--- a/packages/workflow/src/leader/heartbeat-reconciler.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.ts
@@ -10,6 +10,8 @@
  */
 const GANG_END_DELAY_MS = 1_500;
 
+const FULL_PACE_PERCENT = 100;
+
 /** Changes that a heartbeat reveals. */
 export interface HeartbeatChanges {
     newEnds: RecordedEnd[];
@@ -102,6 +104,9 @@
     isReported && (!step.isGang || nowMs - (missingSinceMs ?? nowMs) >= GANG_END_DELAY_MS);
 
 const updateRun = (view: RunView, reported: ReportedRun, nowMs: number): void => {
+    if (!view.isReported && !view.isPaceKnown) {
+        estimatePace(view, reported);
+    }
     view.isReported = true;
     view.missingSinceMs = undefined;
     view.firstReportedAtMs ??= nowMs;
@@ -114,3 +119,11 @@
     }
     view.measurement = reported.measurement;
 };
+
+/** Estimates the pace that a former leader has ordered by the CPU time that the run uses, so that it changes in steps. */
+const estimatePace = (view: RunView, { measurement }: ReportedRun): void => {
+    const { cpuMillicores } = view.step.amounts;
+    const usedRatio = (measurement ?? cpuMillicores) / Math.max(1, cpuMillicores);
+    view.pacePercent = Math.floor(FULL_PACE_PERCENT * Math.min(1, usedRatio));
+    view.targetPacePercent = view.pacePercent;
+};
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -60,8 +60,9 @@
                 if (view.isStopping) {
                     stops.push({ task: view.task, run: view.run });
                 }
-                else if (view.targetPacePercent !== view.pacePercent) {
+                else if (view.targetPacePercent !== view.pacePercent || !view.isPaceKnown) {
                     view.pacePercent = view.targetPacePercent;
+                    view.isPaceKnown = true;
                     server.invalidateSaturation();
                     paces.push({ task: view.task, run: view.run, pacePercent: view.pacePercent });
                 }
--- a/packages/workflow/src/leader/run-adoption.ts
+++ b/packages/workflow/src/leader/run-adoption.ts
@@ -1,4 +1,4 @@
-import { taskKeyOf, taskKindOf } from "../model/specification.js";
+import { taskKeyOf, TaskKind, taskKindOf } from "../model/specification.js";
 import { isSuspect } from "../state/crash-history.js";
 import type { AssignedTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
@@ -62,6 +62,7 @@
     );
     view.isCommitted = true;
     view.isStopping = job.isOver;
+    view.isPaceKnown = kind !== TaskKind.Filler;
     // The former leader may have sent the order; only the next heartbeat shows whether it did.
     view.orderedAtSequence = 0;
     return view;
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -37,8 +37,10 @@
     progressAtMs: number;
     /** Tail latency in ms of a standing task, CPU usage in millicores of any other; undefined if not measured. */
     measurement: number | undefined;
-    /** Percentage of full speed that was ordered last. */
+    /** Percentage of full speed that was ordered last; an estimate if {@link isPaceKnown} is false. */
     pacePercent: number;
+    /** Whether the pace is the one that was ordered last. A new leader doesn't know it of the fillers that it takes over. */
+    isPaceKnown: boolean;
     /** Percentage of full speed that the next pace order will set. */
     targetPacePercent: number;
     /** Whether the run is to be stopped. */
@@ -367,6 +369,7 @@
     progressAtMs: nowMs,
     measurement: undefined,
     pacePercent: 100,
+    isPaceKnown: true,
     targetPacePercent: 100,
     isStopping: false,
     missingSinceMs: undefined,
