--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -16,6 +16,9 @@
  */
 const LATE_HEARTBEAT_WINDOW_MS = 1_500;
 
+/** Interval at which the pace of a filler that was ever paced is repeated; heartbeats don't show the present pace. */
+const PACE_REPEAT_INTERVAL_MS = 2_000;
+
 /** Time within which a server must have executed a start order that is repeated in each response. */
 const MAX_START_DELAY_MS = 2_000;
 /** One answer may be lost on the way to a server that executes the next one. */
@@ -60,9 +63,10 @@
                 if (view.isStopping) {
                     stops.push({ task: view.task, run: view.run });
                 }
-                else if (view.targetPacePercent !== view.pacePercent || !view.isPaceKnown) {
+                else if (isPaceOrderDue(view, nowMs)) {
                     view.pacePercent = view.targetPacePercent;
                     view.isPaceKnown = true;
+                    view.paceOrderedAtMs = nowMs;
                     server.invalidateSaturation();
                     paces.push({ task: view.task, run: view.run, pacePercent: view.pacePercent });
                 }
@@ -149,6 +153,12 @@
     }
 }
 
+/** Whether a pace has changed, or was ordered in an answer that may have been lost. */
+const isPaceOrderDue = (view: RunView, nowMs: number): boolean =>
+    view.targetPacePercent !== view.pacePercent
+    || !view.isPaceKnown
+    || nowMs - (view.paceOrderedAtMs ?? nowMs) >= PACE_REPEAT_INTERVAL_MS;
+
 /** Whether a server has had the time and the orders to start a run. */
 const isUnexecuted = ({ startOrders, firstOrderedAtMs }: RunView, nowMs: number): boolean =>
     startOrders >= MIN_START_ORDERS && nowMs - (firstOrderedAtMs ?? nowMs) >= MAX_START_DELAY_MS;
--- a/packages/workflow/src/leader/adopted-paces.test.ts
+++ b/packages/workflow/src/leader/pace-orders.test.ts
@@ -78,3 +78,23 @@
     const paces = [server.heartbeat(), server.heartbeat()].flatMap(orders => orders?.paces ?? []);
     expect(paces).toMatchObject([{ task: FILLER, pacePercent: 0 }]);
 });
+
+// Guards against a filler that keeps a pace for good, or harms a standing task, because the answer with its pace was lost:
+// no heartbeat shows which pace a server has received.
+it("repeats a pace whose answer may be lost", () => {
+    const server = startPausedFiller();
+    server.tailMs = CALM_TAIL_MS;
+    for (let count = 0; count < 30; count += 1) {
+        server.heartbeat(true);
+    }
+    expect(server.pacePercent).toBe(0);
+    server.waitForPace(100);
+});
+
+it("doesn't repeat the pace of a filler that was never paced", () => {
+    const server = new PacedServer();
+    server.heartbeat();
+    server.replica.submit(jobOf("f", fillerStepOf({ estimatedRunTimeMs: 60_000 })));
+    const paces = Array.from({ length: 50 }, () => server.heartbeat()?.paces ?? []).flat();
+    expect(paces).toEqual([]);
+});
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -41,6 +41,8 @@
     pacePercent: number;
     /** Whether the pace is the one that was ordered last. A new leader doesn't know it of the fillers that it takes over. */
     isPaceKnown: boolean;
+    /** Time of the last pace order; undefined before the first. */
+    paceOrderedAtMs: number | undefined;
     /** Percentage of full speed that the next pace order will set. */
     targetPacePercent: number;
     /** Whether the run is to be stopped. */
@@ -370,6 +372,7 @@
     measurement: undefined,
     pacePercent: 100,
     isPaceKnown: true,
+    paceOrderedAtMs: undefined,
     targetPacePercent: 100,
     isStopping: false,
     missingSinceMs: undefined,
