--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -1,11 +1,13 @@
-import type { HeartbeatOrders, HeartbeatReport, PaceOrder, StartOrder, StopOrder } from "../model/heartbeat.js";
+import type { HeartbeatOrders, HeartbeatReport, StartOrder, StopOrder } from "../model/heartbeat.js";
 import { stepKeyOf } from "../model/specification.js";
+import type { JobSpecification } from "../model/specification.js";
 import type { JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { Eligibility } from "./eligibility.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import { StartAdmission } from "./start-admission.js";
+import { encodedBytesOf, StartBudget } from "./start-budget.js";
 
 /** Minimum mean interval between two heartbeats of the whole fleet; it bounds the leader's load in a large fleet. */
 const MIN_HEARTBEAT_SPACING_MS = 1;
@@ -19,6 +21,9 @@
 /** Interval at which the pace of a filler that was ever paced is repeated; heartbeats don't show the present pace. */
 const PACE_REPEAT_INTERVAL_MS = 2_000;
 
+/** Time until the next heartbeat of a server for which start orders had no room in the answer. */
+const DEFERRED_STARTS_INTERVAL_MS = 20;
+
 /** Time within which a server must have executed a start order that is repeated in each response. */
 const MAX_START_DELAY_MS = 2_000;
 /** One answer may be lost on the way to a server that executes the next one. */
@@ -33,12 +38,23 @@
     unexecuted: RunView[];
 }
 
+/** What the runs of one answer share. */
+interface AnswerInProgress {
+    built: BuiltOrders;
+    admission: StartAdmission;
+    budget: StartBudget;
+    /** Sequence number of the heartbeat that is answered. */
+    sequence: number;
+}
+
 /** Builds the orders with which the leader responds to heartbeats. */
 export class OrderWriter {
     readonly #state: WorkflowState;
     readonly #eligibility: Eligibility;
     readonly #term: number;
     readonly #settings: LeaderSettings;
+    /** Encoded sizes of payloads, each of which is sent with every start of the job's tasks. */
+    readonly #payloadBytes = new WeakMap<JobSpecification, number>();
 
     constructor(state: WorkflowState, eligibility: Eligibility, term: number, settings: LeaderSettings) {
         this.#state = state;
@@ -49,58 +65,93 @@
 
     /** Returns the orders for a server; marks the runs to start as ordered and the new paces as set. */
     buildOrders(server: ServerView, report: HeartbeatReport, serverCount: number, nowMs: number): BuiltOrders {
-        const starts: StartOrder[] = [];
-        const stops = this.#stopOrdersForUntrackedRuns(server, report);
-        const paces: PaceOrder[] = [];
-        const neverStarted: RunView[] = [];
-        const unexecuted: RunView[] = [];
+        const { id: serverId, incarnation } = server;
+        const budget = new StartBudget(this.#settings.maxStartBytes);
+        const orders: HeartbeatOrders = {
+            leaseMs: this.#settings.leaseMs,
+            acknowledgedEnd: this.#state.acknowledgedEnd({ serverId, incarnation }),
+            term: this.#term,
+            starts: [],
+            stops: this.#stopOrdersForUntrackedRuns(server, report),
+            paces: [],
+            nextHeartbeatMs: 0,
+        };
+        const built: BuiltOrders = { orders, neverStarted: [], unexecuted: [] };
         const admission = new StartAdmission(server, view => this.#mayBePresent(server, view, nowMs));
         for (const view of server.runs.values()) {
             if (!view.isCommitted) {
                 continue;
             }
             if (view.isReported) {
-                if (view.isStopping) {
-                    stops.push({ task: view.task, run: view.run });
-                }
-                else if (isPaceOrderDue(view, nowMs)) {
-                    view.pacePercent = view.targetPacePercent;
-                    view.isPaceKnown = true;
-                    view.paceOrderedAtMs = nowMs;
-                    server.invalidateSaturation();
-                    paces.push({ task: view.task, run: view.run, pacePercent: view.pacePercent });
-                }
+                this.#addOrdersForRunning(server, view, orders, nowMs);
             }
             else if (view.orderedAtSequence === undefined) {
-                if (isUnexecuted(view, nowMs)) {
-                    unexecuted.push(view);
-                }
-                else if (this.#canStart(server, view, nowMs) && admission.admit(view)) {
-                    view.orderedAtSequence = report.sequence;
-                    view.firstOrderedAtMs ??= nowMs;
-                    view.startOrders += 1;
-                    starts.push(this.#startOrderFor(view));
-                }
-                else if (this.#hasNotStarted(server, view, nowMs)) {
-                    neverStarted.push(view);
-                }
+                this.#addStart(server, view, { built, admission, budget, sequence: report.sequence }, nowMs);
             }
         }
-        const { id: serverId, incarnation } = server;
-        const { leaseMs, busyHeartbeatMs, idleHeartbeatMs } = this.#settings;
-        const orders: HeartbeatOrders = {
-            leaseMs,
-            acknowledgedEnd: this.#state.acknowledgedEnd({ serverId, incarnation }),
-            term: this.#term,
-            starts,
-            stops,
-            paces,
-            nextHeartbeatMs: Math.max(
-                server.runs.size > 0 ? busyHeartbeatMs : idleHeartbeatMs,
-                serverCount * MIN_HEARTBEAT_SPACING_MS,
-            ),
-        };
-        return { orders, neverStarted, unexecuted };
+        orders.nextHeartbeatMs = this.#nextHeartbeatMs(server, serverCount, budget.hasDeferred);
+        return built;
+    }
+
+    #addOrdersForRunning(server: ServerView, view: RunView, { stops, paces }: HeartbeatOrders, nowMs: number): void {
+        if (view.isStopping) {
+            stops.push({ task: view.task, run: view.run });
+        }
+        else if (isPaceOrderDue(view, nowMs)) {
+            view.pacePercent = view.targetPacePercent;
+            view.isPaceKnown = true;
+            view.paceOrderedAtMs = nowMs;
+            server.invalidateSaturation();
+            paces.push({ task: view.task, run: view.run, pacePercent: view.pacePercent });
+        }
+    }
+
+    /** Orders the start of a run that isn't there, leaves it for a later answer, or gives it up. */
+    #addStart(server: ServerView, view: RunView, answer: AnswerInProgress, nowMs: number): void {
+        const { built, admission, budget, sequence } = answer;
+        if (isUnexecuted(view, nowMs)) {
+            built.unexecuted.push(view);
+        }
+        else if (!this.#canStart(server, view, nowMs)) {
+            this.#giveUpIfNotStarted(server, view, built, nowMs);
+        }
+        else if (!budget.hasRoom) {
+            budget.defer();
+        }
+        else if (admission.admit(view)) {
+            view.orderedAtSequence = sequence;
+            view.firstOrderedAtMs ??= nowMs;
+            view.startOrders += 1;
+            const order = this.#startOrderFor(view);
+            budget.take(order, this.#payloadBytesOf(view));
+            built.orders.starts.push(order);
+        }
+        else {
+            this.#giveUpIfNotStarted(server, view, built, nowMs);
+        }
+    }
+
+    #giveUpIfNotStarted(server: ServerView, view: RunView, { neverStarted }: BuiltOrders, nowMs: number): void {
+        if (this.#hasNotStarted(server, view, nowMs)) {
+            neverStarted.push(view);
+        }
+    }
+
+    #nextHeartbeatMs(server: ServerView, serverCount: number, hasDeferredStarts: boolean): number {
+        const { busyHeartbeatMs, idleHeartbeatMs } = this.#settings;
+        const intervalMs = server.runs.size > 0 ? busyHeartbeatMs : idleHeartbeatMs;
+        const wantedMs = hasDeferredStarts ? Math.min(intervalMs, DEFERRED_STARTS_INTERVAL_MS) : intervalMs;
+        return Math.max(wantedMs, serverCount * MIN_HEARTBEAT_SPACING_MS);
+    }
+
+    #payloadBytesOf({ position }: RunView): number {
+        const specification = this.#state.job(position.jobId)?.specification;
+        if (specification === undefined) {
+            return 0;
+        }
+        const bytes = this.#payloadBytes.get(specification) ?? encodedBytesOf(specification.payload);
+        this.#payloadBytes.set(specification, bytes);
+        return bytes;
     }
 
     /** Returns stop orders for reported runs that the leader does not track, for example after their lease expired. */
