--- a/packages/bench/src/workflow/session-benchmark.ts
+++ b/packages/bench/src/workflow/session-benchmark.ts
@@ -214,7 +214,7 @@
                 busyHeartbeatMs: HEARTBEAT_MS,
                 idleHeartbeatMs: HEARTBEAT_MS,
                 maintenanceMs: 2_000,
-                maxStartBytes: 256 * 1024,
+                maxOrderBytes: 256 * 1024,
                 orderLeaseMs: 3_000,
                 retentionMs: 180_000,
             },
--- a/packages/daemon/src/transport/line-decoder.ts
+++ b/packages/daemon/src/transport/line-decoder.ts
@@ -1,5 +1,5 @@
-/** Longest message; a batch of heartbeats is far shorter. */
-const MAX_LINE_BYTES = 4 * 1024 * 1024;
+/** Longest message. */
+export const MAX_LINE_BYTES = 4 * 1024 * 1024;
 const LINE_END = 0x0a;
 
 /** Splits the chunks of a connection into lines, each of which holds one message. */
--- a/packages/daemon/src/workflow/heartbeat-forwarder.test.ts
+++ b/packages/daemon/src/workflow/heartbeat-forwarder.test.ts
@@ -3,8 +3,10 @@
 import { heartbeatOf } from "@waxwingspread/workflow/testing";
 import { pino } from "pino";
 import { afterEach, beforeEach, expect, it, vi } from "vitest";
+import { MAX_LINE_BYTES } from "../transport/line-decoder.js";
 import type { ChannelCall } from "../transport/message-channel.js";
-import { HeartbeatForwarder } from "./heartbeat-forwarder.js";
+import { encodeMessage } from "../transport/numbered-message.js";
+import { HeartbeatForwarder, MAX_ANSWER_BYTES } from "./heartbeat-forwarder.js";
 import type { HeartbeatResult } from "./operations.js";
 import type { HeartbeatBatch } from "./operations.js";
 
@@ -107,6 +109,18 @@
     }
 });
 
+// Guards against a large fleet that gets no orders after an outage: the answers to a batch, each with many starts, would exceed
+// the limit of the connection, and so would those to the next one.
+it("sends batches whose answers fit into one message", async () => {
+    Array.from({ length: 40 }, (unused, index) => forward(heartbeatOf(`a-${index}`, 1)));
+    await vi.advanceTimersByTimeAsync(WINDOW_MS);
+    const longestAnswer = "x".repeat(MAX_ANSWER_BYTES);
+    const messages = sent.map(({ batch }) =>
+        encodeMessage({ number: 1, body: batch.reports.map(() => longestAnswer) })
+    );
+    expect(Math.max(...messages.map(message => message.length))).toBeLessThanOrEqual(MAX_LINE_BYTES);
+});
+
 // Guards against batches above the message limit of the leader, with which all their heartbeats would be lost.
 it("bounds the heartbeats and the rows of a batch, and passes no heartbeat on that exceeds them alone", async () => {
     Array.from({ length: 70 }, (unused, index) => forward(heartbeatOf(`a-${index}`, 1)));
@@ -116,7 +130,7 @@
     );
     const tooLarge = forward(heartbeatOf("c", 1, { running: runningOf(2_001) }));
     await vi.advanceTimersByTimeAsync(WINDOW_MS);
-    expect(sent.map(({ batch }) => batch.reports.length)).toEqual([64, 8, 1]);
+    expect(sent.map(({ batch }) => batch.reports.length)).toEqual([15, 15, 15, 15, 12, 1]);
     expect(large).toEqual([[], [], []]);
     expect(tooLarge).toEqual([refused(Refusal.NotLeader)]);
 });
--- a/packages/daemon/src/workflow/heartbeat-forwarder.ts
+++ b/packages/daemon/src/workflow/heartbeat-forwarder.ts
@@ -3,14 +3,17 @@
 import type { HeartbeatReport } from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { LineBudget } from "../logging/line-budget.js";
+import { MAX_LINE_BYTES } from "../transport/line-decoder.js";
 import type { MessageChannels } from "../transport/message-channel.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import type { HeartbeatBatch, HeartbeatBatchResponse, HeartbeatResult } from "./operations.js";
 
 /** Heartbeats that arrive within this time are sent to the leader together, since each message costs it time. */
 const BATCH_WINDOW_MS = 15;
-/** Bounds of a batch: its message has to stay below the limit of the leader's listener. */
-const MAX_BATCH_REPORTS = 64;
+/** Upper bound on the size of an answer to a heartbeat, as the leader's settings have to provide. */
+export const MAX_ANSWER_BYTES = 256 * 1024;
+/** Bounds of a batch: its message and the one with its answers have to stay below the limit of the connection. */
+const MAX_BATCH_REPORTS = MAX_LINE_BYTES / MAX_ANSWER_BYTES - 1;
 const MAX_BATCH_ROWS = 2_000;
 /** Backend servers drop answers after a second. */
 const ANSWER_TIMEOUT_MS = 750;
--- a/packages/workflow/src/leader/order-writer.test.ts
+++ b/packages/workflow/src/leader/order-writer.test.ts
@@ -59,6 +59,6 @@
     expect(running.size).toBe(TASKS);
     expect(new Set([...running.values()].map(({ run }) => run))).toEqual(new Set([1]));
     expect(startedAgain).toEqual([]);
-    expect(largestBytes).toBeLessThan(LEADER_SETTINGS.maxStartBytes + 6 * PAYLOAD.length + 1_000);
+    expect(largestBytes).toBeLessThan(LEADER_SETTINGS.maxOrderBytes + 6 * PAYLOAD.length + 1_000);
     expect(elapsedMs).toBeLessThan(4_000);
 });
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -1,13 +1,12 @@
 import type { HeartbeatOrders, HeartbeatReport, StartOrder, StopOrder } from "../model/heartbeat.js";
 import { stepKeyOf } from "../model/specification.js";
-import type { JobSpecification } from "../model/specification.js";
 import type { JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
+import { AnswerBudget, encodedBytesOf } from "./answer-budget.js";
 import type { Eligibility } from "./eligibility.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import { StartAdmission } from "./start-admission.js";
-import { encodedBytesOf, StartBudget } from "./start-budget.js";
 
 /** Minimum mean interval between two heartbeats of the whole fleet; it bounds the leader's load in a large fleet. */
 const MIN_HEARTBEAT_SPACING_MS = 1;
@@ -21,8 +20,8 @@
 /** Interval at which the pace of a filler that was ever paced is repeated; heartbeats don't show the present pace. */
 const PACE_REPEAT_INTERVAL_MS = 2_000;
 
-/** Time until the next heartbeat of a server for which start orders had no room in the answer. */
-const DEFERRED_STARTS_INTERVAL_MS = 20;
+/** Time until the next heartbeat of a server for which orders had no room in the answer. */
+const DEFERRED_ORDERS_INTERVAL_MS = 20;
 
 /** Time within which a server must have executed a start order that is repeated in each response. */
 const MAX_START_DELAY_MS = 2_000;
@@ -42,7 +41,7 @@
 interface AnswerInProgress {
     built: BuiltOrders;
     admission: StartAdmission;
-    budget: StartBudget;
+    budget: AnswerBudget;
     /** Sequence number of the heartbeat that is answered. */
     sequence: number;
 }
@@ -54,7 +53,7 @@
     readonly #term: number;
     readonly #settings: LeaderSettings;
     /** Encoded sizes of payloads, each of which is sent with every start of the job's tasks. */
-    readonly #payloadBytes = new WeakMap<JobSpecification, number>();
+    readonly #payloadBytes = new WeakMap<JobRecord, number>();
 
     constructor(state: WorkflowState, eligibility: Eligibility, term: number, settings: LeaderSettings) {
         this.#state = state;
@@ -66,13 +65,13 @@
     /** Returns the orders for a server; marks the runs to start as ordered and the new paces as set. */
     buildOrders(server: ServerView, report: HeartbeatReport, serverCount: number, nowMs: number): BuiltOrders {
         const { id: serverId, incarnation } = server;
-        const budget = new StartBudget(this.#settings.maxStartBytes);
+        const budget = new AnswerBudget(this.#settings.maxOrderBytes);
         const orders: HeartbeatOrders = {
             leaseMs: this.#settings.leaseMs,
             acknowledgedEnd: this.#state.acknowledgedEnd({ serverId, incarnation }),
             term: this.#term,
             starts: [],
-            stops: this.#stopOrdersForUntrackedRuns(server, report),
+            stops: this.#stopOrdersForUntrackedRuns(server, report, budget),
             paces: [],
             nextHeartbeatMs: 0,
         };
@@ -83,7 +82,7 @@
                 continue;
             }
             if (view.isReported) {
-                this.#addOrdersForRunning(server, view, orders, nowMs);
+                this.#addOrderForRunning(server, view, orders, budget, nowMs);
             }
             else if (view.orderedAtSequence === undefined) {
                 this.#addStart(server, view, { built, admission, budget, sequence: report.sequence }, nowMs);
@@ -93,16 +92,23 @@
         return built;
     }
 
-    #addOrdersForRunning(server: ServerView, view: RunView, { stops, paces }: HeartbeatOrders, nowMs: number): void {
+    #addOrderForRunning(
+        server: ServerView,
+        view: RunView,
+        { stops, paces }: HeartbeatOrders,
+        budget: AnswerBudget,
+        nowMs: number,
+    ): void {
+        const { task, run } = view;
         if (view.isStopping) {
-            stops.push({ task: view.task, run: view.run });
+            stops.push(...budget.tryTake(task.length) ? [{ task, run }] : []);
         }
-        else if (isPaceOrderDue(view, nowMs)) {
+        else if (isPaceOrderDue(view, nowMs) && budget.tryTake(task.length)) {
             view.pacePercent = view.targetPacePercent;
             view.isPaceKnown = true;
             view.paceOrderedAtMs = nowMs;
             server.invalidateSaturation();
-            paces.push({ task: view.task, run: view.run, pacePercent: view.pacePercent });
+            paces.push({ task, run, pacePercent: view.pacePercent });
         }
     }
 
@@ -115,19 +121,15 @@
         else if (!this.#canStart(server, view, nowMs)) {
             this.#giveUpIfNotStarted(server, view, built, nowMs);
         }
-        else if (!budget.hasRoom) {
-            budget.defer();
+        else if (!admission.canAdmit(view)) {
+            this.#giveUpIfNotStarted(server, view, built, nowMs);
         }
-        else if (admission.admit(view)) {
+        else if (budget.tryTake(this.#startBytesOf(view))) {
+            admission.admit(view);
             view.orderedAtSequence = sequence;
             view.firstOrderedAtMs ??= nowMs;
             view.startOrders += 1;
-            const order = this.#startOrderFor(view);
-            budget.take(order, this.#payloadBytesOf(view));
-            built.orders.starts.push(order);
-        }
-        else {
-            this.#giveUpIfNotStarted(server, view, built, nowMs);
+            built.orders.starts.push(this.#startOrderFor(view));
         }
     }
 
@@ -137,27 +139,33 @@
         }
     }
 
-    #nextHeartbeatMs(server: ServerView, serverCount: number, hasDeferredStarts: boolean): number {
+    #nextHeartbeatMs(server: ServerView, serverCount: number, hasDeferredOrders: boolean): number {
         const { busyHeartbeatMs, idleHeartbeatMs } = this.#settings;
         const intervalMs = server.runs.size > 0 ? busyHeartbeatMs : idleHeartbeatMs;
-        const wantedMs = hasDeferredStarts ? Math.min(intervalMs, DEFERRED_STARTS_INTERVAL_MS) : intervalMs;
+        const wantedMs = hasDeferredOrders ? Math.min(intervalMs, DEFERRED_ORDERS_INTERVAL_MS) : intervalMs;
         return Math.max(wantedMs, serverCount * MIN_HEARTBEAT_SPACING_MS);
     }
 
-    #payloadBytesOf({ position }: RunView): number {
-        const specification = this.#state.job(position.jobId)?.specification;
-        if (specification === undefined) {
+    /** Returns the size of the texts in a start order. */
+    #startBytesOf({ task, position, eligibilityToken = "" }: RunView): number {
+        const job = this.#state.job(position.jobId);
+        const checkpoint = job?.task(position)?.checkpoint ?? "";
+        return task.length + this.#payloadBytesOf(job) + encodedBytesOf(checkpoint) + encodedBytesOf(eligibilityToken);
+    }
+
+    #payloadBytesOf(job: JobRecord | undefined): number {
+        if (job === undefined) {
             return 0;
         }
-        const bytes = this.#payloadBytes.get(specification) ?? encodedBytesOf(specification.payload);
-        this.#payloadBytes.set(specification, bytes);
+        const bytes = this.#payloadBytes.get(job) ?? encodedBytesOf(job.specification.payload);
+        this.#payloadBytes.set(job, bytes);
         return bytes;
     }
 
     /** Returns stop orders for reported runs that the leader does not track, for example after their lease expired. */
-    #stopOrdersForUntrackedRuns(server: ServerView, report: HeartbeatReport): StopOrder[] {
+    #stopOrdersForUntrackedRuns(server: ServerView, report: HeartbeatReport, budget: AnswerBudget): StopOrder[] {
         return report.running
-            .filter(({ task, run }) => server.findRun(task, run) === undefined)
+            .filter(({ task, run }) => server.findRun(task, run) === undefined && budget.tryTake(task.length))
             .map(({ task, run }) => ({ task, run }));
     }
 
--- a/packages/workflow/src/leader/settings.ts
+++ b/packages/workflow/src/leader/settings.ts
@@ -8,8 +8,8 @@
     busyHeartbeatMs: number;
     /** The same for a server without runs. */
     idleHeartbeatMs: number;
-    /** Size in bytes from which on no further start order is added to an answer to a heartbeat. */
-    maxStartBytes: number;
+    /** Upper bound on the size of the orders in one answer to a heartbeat, beside one that is larger by itself. */
+    maxOrderBytes: number;
     /** Time that the platform takes to maintain a VM. */
     maintenanceMs: number;
     /** Time after an order for a VM during which no other leader may order its maintenance. */
--- a/packages/workflow/src/leader/start-admission.ts
+++ b/packages/workflow/src/leader/start-admission.ts
@@ -19,17 +19,15 @@
             : new Set([...server.runs.values()].filter(mayBePresent));
     }
 
-    /** Returns whether a run fits beside those that are or may be present; if so, it counts as present. */
-    admit(run: RunView): boolean {
-        if (this.#present === undefined) {
-            return true;
-        }
-        const present = new Set(this.#present).add(run);
-        if (!isWithin(totalOf(present), this.#server.capacity)) {
-            return false;
-        }
-        this.#present.add(run);
-        return true;
+    /** Whether a run fits beside those that are or may be present. */
+    canAdmit(run: RunView): boolean {
+        return this.#present === undefined
+            || isWithin(totalOf(new Set(this.#present).add(run)), this.#server.capacity);
+    }
+
+    /** Counts a run as present. */
+    admit(run: RunView): void {
+        this.#present?.add(run);
     }
 }
 
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -19,7 +19,7 @@
     busyHeartbeatMs: 100,
     idleHeartbeatMs: 100,
     maintenanceMs: 2_000,
-    maxStartBytes: 256 * 1024,
+    maxOrderBytes: 256 * 1024,
     orderLeaseMs: 3_000,
     retentionMs: 120_000,
 };
