--- a/packages/workflow/src/leader/crash-attribution.test.ts
+++ b/packages/workflow/src/leader/crash-attribution.test.ts
@@ -72,6 +72,24 @@
         });
     });
 
+    // Guards against a task that crashes one server after the other while their VMs are emptied for maintenance, and is
+    // started again each time as if the platform had taken them down.
+    it.each([
+        ["is blamed on the run while its VM is only being emptied", undefined, CrashInvolvement.SoleSuspect],
+        [
+            "is blamed on the run if it was silent before its maintenance was requested",
+            1_500,
+            CrashInvolvement.SoleSuspect,
+        ],
+        ["is blamed on nothing if it was heard until its maintenance was requested", 100, undefined],
+    ])("%s", (unusedName, silentMs, involvement) => {
+        const server = serverOf("s");
+        server.isInMaintenance = true;
+        server.maintenanceRequestedAtMs = silentMs === undefined ? undefined : server.lastHeartbeatAtMs + silentMs;
+        addRun(server, "culprit");
+        expect(involvementsOf(crash(server))).toEqual({ "culprit.0.0.0": involvement });
+    });
+
     it("makes suspects of all that had just started, until all but one have run on elsewhere", () => {
         const server = serverOf("s");
         ["a", "b", "culprit"].forEach(job => addRun(server, job));
--- a/packages/workflow/src/leader/crash-attribution.ts
+++ b/packages/workflow/src/leader/crash-attribution.ts
@@ -39,7 +39,7 @@
      */
     recordLoss(server: ServerView, reason: LossReason, others: readonly ServerView[], nowMs: number): LostRun[] {
         const committed = [...server.runs.values()].filter(run => run.isCommitted);
-        if (server.isDraining || server.isInMaintenance) {
+        if (hasLeftAsPlanned(server)) {
             return committed.map(run => lostRunOf(run, LossReason.ServerLeft));
         }
         const isCommonCause = this.#hasCommonCause(server, others, nowMs);
@@ -128,6 +128,10 @@
     }
 }
 
+/** Whether a server is silent because it drains, or because its VM is maintained: it was heard until about the request. */
+const hasLeftAsPlanned = ({ isDraining, maintenanceRequestedAtMs, lastHeartbeatAtMs }: ServerView): boolean =>
+    isDraining || (maintenanceRequestedAtMs ?? Infinity) - lastHeartbeatAtMs < MIN_SILENCE_MS;
+
 /** Returns the key under which a run is suspected: its task, or its step if it belongs to a gang. */
 export const suspectKeyOf = ({ step, position, task }: Pick<RunView, "step" | "position" | "task">): string =>
     step.isGang ? stepKeyOf(position) : task;
--- a/packages/workflow/src/leader/maintenance.ts
+++ b/packages/workflow/src/leader/maintenance.ts
@@ -146,6 +146,7 @@
         const servers = this.#serversOn(vmId);
         servers.forEach(server => {
             server.isInMaintenance = true;
+            server.maintenanceRequestedAtMs ??= record.phaseOf(vmId) === undefined ? undefined : nowMs;
         });
         const timeoutMs = emptyingTimeoutMs(record, openVms, timeOfDayMs, this.#options.settings.maintenanceMs);
         const isTimedOut = nowMs - progress.sinceMs >= timeoutMs;
@@ -202,6 +203,7 @@
         this.#completed.add(vmKeyOf(record.order.id, vmId));
         this.#serversOn(vmId).forEach(server => {
             server.isInMaintenance = false;
+            server.maintenanceRequestedAtMs = undefined;
         });
         this.#propose(record, vmId, VmMaintenancePhase.Done);
     }
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -79,6 +79,8 @@
     isConfirmed = false;
     /** Whether the VM is being emptied for its maintenance. */
     isInMaintenance = false;
+    /** Time from which on the platform may have taken the VM down for its maintenance; undefined before. */
+    maintenanceRequestedAtMs: number | undefined;
     /** The VM that the server runs on; empty when unknown. */
     vmId = "";
     /** Time after which a draining server may exit. */
