--- a/packages/workflow/src/testing/fuzz/liveness.ts
+++ b/packages/simulation/src/checks/liveness.ts
@@ -1,10 +1,11 @@
-import { taskKeyOf } from "../../model/specification.js";
-import type { StepSpecification, TaskPosition } from "../../model/specification.js";
+import { taskKeyOf } from "@waxwingspread/workflow";
+import type { StepSpecification, TaskPosition } from "@waxwingspread/workflow";
+import { freeAmountsOf } from "../model/server-run.js";
+import type { ServerRun } from "../model/server-run.js";
+import type { SimulatedServer } from "../model/simulated-server.js";
 import type { Oracle, SubmittedJob } from "./oracle.js";
-import { freeAmountsOf } from "./simulated-worker.js";
-import type { SimulatedWorker, WorkerRun } from "./simulated-worker.js";
 
-/** Longest time for which a task may wait although a worker has room for two of its kind. */
+/** Longest time for which a task may wait although a server has room for two of its kind. */
 const MAX_WAIT_MS = 3_000;
 /** Room that counts as capacity for a task, as a multiple of its need; the leader may just have reserved the rest. */
 const CAPACITY_FACTOR = 2;
@@ -12,32 +13,32 @@
 /** Share of the fleet's CPU in use above which finite tasks are not checked. */
 const MAX_USED_RATIO = 0.5;
 
-/** Time after the crash of a worker by which its lease has expired. */
+/** Time after the crash of a server by which its lease has expired. */
 const LEASE_EXPIRY_MS = 3_200;
 
-/** Checks that every accepted task whose turn has come is at work whenever workers have capacity for it. */
+/** Checks that every accepted task whose turn has come is at work whenever servers have capacity for it. */
 export class LivenessCheck {
     readonly violations: string[] = [];
     readonly #jobs: ReadonlyMap<string, SubmittedJob>;
-    readonly #workers: readonly SimulatedWorker[];
+    readonly #servers: readonly SimulatedServer[];
     readonly #oracle: Oracle;
     /** Times since which tasks have waited in spite of capacity, by task. */
     readonly #waitingSinceMs = new Map<string, number>();
     #crashedAtMs = -Infinity;
 
-    constructor(jobs: ReadonlyMap<string, SubmittedJob>, workers: readonly SimulatedWorker[], oracle: Oracle) {
+    constructor(jobs: ReadonlyMap<string, SubmittedJob>, servers: readonly SimulatedServer[], oracle: Oracle) {
         this.#jobs = jobs;
-        this.#workers = workers;
+        this.#servers = servers;
         this.#oracle = oracle;
     }
 
-    /** Records the crash of a worker: the runs that were there can't go on before the leader knows that they are lost. */
+    /** Records the crash of a server: the runs that were there can't go on before the leader knows that they are lost. */
     recordCrash(nowMs: number): void {
         this.#waitingSinceMs.clear();
         this.#crashedAtMs = nowMs;
     }
 
-    /** Observes the workers; to be called at short intervals while nothing is disturbed. */
+    /** Observes the servers; to be called at short intervals while nothing is disrupted. */
     observe(nowMs: number): void {
         if (nowMs - this.#crashedAtMs < LEASE_EXPIRY_MS) {
             return;
@@ -53,7 +54,7 @@
 
     #observeTask(position: TaskPosition, step: StepSpecification | undefined, nowMs: number): void {
         const task = taskKeyOf(position);
-        const isRunning = this.#workers.some(worker => worker.isUp && worker.runs.has(task));
+        const isRunning = this.#servers.some(server => server.isUp && isAtWork(server.runs.get(task)));
         const isFleetBusy = step?.isStanding !== true && this.#isOverHalfInUse();
         if (step === undefined || isRunning || isFleetBusy || !this.#hasCapacityFor(position, step)) {
             this.#waitingSinceMs.delete(task);
@@ -67,17 +68,17 @@
         }
     }
 
-    /** Whether more than half of the fleet's CPU is in use, so that finite tasks may wait for suitable workers. */
+    /** Whether more than half of the fleet's CPU is in use, so that finite tasks may wait for suitable servers. */
     #isOverHalfInUse(): boolean {
-        const usedRatios = this.#workers.map(worker =>
-            1 - freeAmountsOf(worker).idleMillicores / worker.capacity.current.cpuMillicores
+        const usedRatios = this.#servers.map(server =>
+            1 - freeAmountsOf(server).idleMillicores / server.capacity.current.cpuMillicores
         );
-        return usedRatios.reduce((sum, ratio) => sum + ratio, 0) > this.#workers.length * MAX_USED_RATIO;
+        return usedRatios.reduce((sum, ratio) => sum + ratio, 0) > this.#servers.length * MAX_USED_RATIO;
     }
 
-    /** Work that is not standing needs room beside any one worker, which may be avoided after runs have failed there. */
+    /** Work that is not standing needs room beside any one server, which may be avoided after runs have failed there. */
     #hasCapacityFor(position: TaskPosition, step: StepSpecification): boolean {
-        const places = this.#workers.map(worker => countPlaces(worker, position, step)).sort((a, b) => b - a);
+        const places = this.#servers.map(server => countPlaces(server, position, step)).sort((a, b) => b - a);
         if (step.isGang) {
             return places.slice(1).reduce((sum, count) => sum + count, 0) >= step.taskCount * CAPACITY_FACTOR;
         }
@@ -85,20 +86,23 @@
     }
 }
 
-/** Returns how many tasks of a step fit on a worker beside its runs. */
-export const countPlaces = (worker: SimulatedWorker, position: TaskPosition, step: StepSpecification): number => {
-    const { labels } = worker.options;
-    const isAllowed = worker.isUp && (step.requiredLabel === "" || labels.includes(step.requiredLabel));
+/** Returns how many tasks of a step fit on a server beside its runs. */
+export const countPlaces = (server: SimulatedServer, position: TaskPosition, step: StepSpecification): number => {
+    const { labels } = server.options;
+    const isAllowed = server.isUp && (step.requiredLabel === "" || labels.includes(step.requiredLabel));
     const limit = step.maxTasksPerServer === 0 ? Infinity : step.maxTasksPerServer;
-    const isSameStep = (run: WorkerRun): boolean =>
+    const isSameStep = (run: ServerRun): boolean =>
         run.position.jobId === position.jobId && run.position.step === position.step;
-    if (!isAllowed || [...worker.runs.values()].filter(isSameStep).length >= limit) {
+    if (!isAllowed || [...server.runs.values()].filter(isSameStep).length >= limit) {
         return 0;
     }
-    const free = freeAmountsOf(worker);
+    const free = freeAmountsOf(server);
     const cpuMillicores = step.isFiller && !step.isStanding ? free.idleMillicores : free.cpuMillicores;
     return Math.floor(Math.min(
         cpuMillicores / step.amounts.cpuMillicores,
         free.memoryMebibytes / step.amounts.memoryMebibytes,
     ));
 };
+
+/** Whether a run proceeds; a filler at pace 0 stands still. */
+const isAtWork = (run: ServerRun | undefined): boolean => run !== undefined && run.pacePercent > 0;
--- a/packages/workflow/src/testing/fuzz/oracle.ts
+++ b/packages/simulation/src/checks/oracle.ts
@@ -1,10 +1,8 @@
-import { RunEnd } from "../../model/heartbeat.js";
-import type { StartOrder } from "../../model/heartbeat.js";
-import { parseTaskKey, taskKeyOf } from "../../model/specification.js";
-import type { JobSpecification, TaskPosition } from "../../model/specification.js";
-import type { AssignedRun } from "../../state/events.js";
-import { isWithinCapacity } from "./changing-capacity.js";
-import type { SimulatedWorker, WorkerRun } from "./simulated-worker.js";
+import { parseTaskKey, RunEnd, taskKeyOf } from "@waxwingspread/workflow";
+import type { AssignedRun, JobSpecification, StartOrder, TaskPosition } from "@waxwingspread/workflow";
+import { isWithinCapacity } from "../model/changing-capacity.js";
+import type { ServerRun } from "../model/server-run.js";
+import type { SimulatedServer } from "../model/simulated-server.js";
 
 /** An order written before a change may arrive up to this long after it. */
 const ORDER_DELAY_MS = 1_100;
@@ -13,20 +11,20 @@
 const MAX_FRESH_RUN_MS = 4_000;
 /** Time after its assignment by which a run has started or its assignment is void. */
 const MAX_ASSIGNED_MS = 8_000;
-/** Runs of any age with crashes of workers after which a task may be given up. */
+/** Runs of any age with crashes of servers after which a task may be given up. */
 const MAX_CRASHED_RUNS = 5;
-/** Workers that crashed under fresh runs of a task, and these runs, after which it may be given up. */
+/** Servers that crashed under fresh runs of a task, and these runs, after which it may be given up. */
 const MAX_CRASHED_WORKERS = 2;
 /** Crashes under a task after which the platform counts its starts, and the number of them that breaks its rule. */
 const COUNTED_CRASHES = 3;
 const FORBIDDEN_STARTS = 3;
 
-/** The crash of a worker under a run of a task. */
+/** The crash of a server under a run of a task. */
 interface Crash {
     /** The task whose run was there: the task itself, or another member of its gang. */
     task: string;
     run: number;
-    workerId: string;
+    serverId: string;
     /** Whether the run had begun. A leader can't know it of a run that was assigned but not reported. */
     hasBegun: boolean;
     runAgeMs: number;
@@ -42,8 +40,8 @@
 export interface SubmittedJob {
     specification: JobSpecification;
     maxAttempts: number;
-    /** Whether each run crashes its worker. */
-    crashesWorkers: boolean;
+    /** Whether each run crashes its server. */
+    crashesServers: boolean;
     isAccepted: boolean;
     /** Time at which a cancellation was acknowledged; undefined without one. */
     cancelledAtMs: number | undefined;
@@ -51,33 +49,33 @@
     possibleCancellations: number;
 }
 
-/** Checks the guarantees about runs and jobs, using only what workers and callers can observe. */
+/** Checks the guarantees about runs and jobs, using only what servers and callers can observe. */
 export class Oracle {
     readonly violations: string[] = [];
     readonly #jobs: ReadonlyMap<string, SubmittedJob>;
-    readonly #workers: readonly SimulatedWorker[];
+    readonly #servers: readonly SimulatedServer[];
     readonly #done = new Set<string>();
     readonly #acknowledgedDone = new Set<string>();
-    /** Failed runs by task. A worker that restarts may never learn that the end of one of them was recorded. */
+    /** Failed runs by task. A server that restarts may never learn that the end of one of them was recorded. */
     readonly #failedRuns = new Map<string, Set<number>>();
-    /** Failed runs whose recording was acknowledged to the worker, by task. */
+    /** Failed runs whose recording was acknowledged to the server, by task. */
     readonly #acknowledgedFailures = new Map<string, Set<number>>();
     readonly #latestRuns = new Map<string, number>();
     readonly #checkpoints = new Map<string, Set<string>>();
-    /** Crashes of workers by the task that ran there. */
+    /** Crashes of servers by the task that ran there. */
     readonly #crashes = new Map<string, Crash[]>();
-    /** Assignments of runs that haven't started, by worker and task. */
+    /** Assignments of runs that haven't started, by server and task. */
     readonly #assigned = new Map<string, Map<string, Assignment>>();
     /** Starts of each task after three crashes under it. */
     readonly #startsAfterCrashes = new Map<string, number>();
     /** Times since which zones are out of service, by zone. */
     readonly zonesOutSinceMs = new Map<string, number>();
-    /** Times at which a heartbeat of the draining worker was first answered, by worker and incarnation. */
+    /** Times at which a heartbeat of the draining server was first answered, by server and incarnation. */
     readonly drainingSinceMs = new Map<string, number>();
 
-    constructor(jobs: ReadonlyMap<string, SubmittedJob>, workers: readonly SimulatedWorker[]) {
+    constructor(jobs: ReadonlyMap<string, SubmittedJob>, servers: readonly SimulatedServer[]) {
         this.#jobs = jobs;
-        this.#workers = workers;
+        this.#servers = servers;
     }
 
     /** Whether every task of a job has ended successfully. */
@@ -105,60 +103,60 @@
         );
     }
 
-    /** Whether workers have crashed under a task of the job so often that it may be given up. */
+    /** Whether servers have crashed under a task of the job so often that it may be given up. */
     mayBeGivenUp(job: SubmittedJob): boolean {
         return [...this.#crashes].some(([task, crashes]) => {
             const fresh = crashes.filter(({ runAgeMs }) => runAgeMs <= MAX_FRESH_RUN_MS);
-            const workers = new Set(fresh.map(({ workerId }) => workerId));
+            const servers = new Set(fresh.map(({ serverId }) => serverId));
             return task.startsWith(`${job.specification.id}.`)
-                && (Math.min(workers.size, countRuns(fresh)) >= MAX_CRASHED_WORKERS
+                && (Math.min(servers.size, countRuns(fresh)) >= MAX_CRASHED_WORKERS
                     || countRuns(crashes) >= MAX_CRASHED_RUNS);
         });
     }
 
-    crashed(worker: SimulatedWorker, nowMs: number): void {
-        for (const run of worker.runs.values()) {
+    crashed(server: SimulatedServer, nowMs: number): void {
+        for (const run of server.runs.values()) {
             this.#recordCrash(run.position, {
                 task: run.task,
                 run: run.run,
-                workerId: worker.id,
+                serverId: server.id,
                 hasBegun: true,
                 runAgeMs: nowMs - run.startedAtMs,
             });
         }
-        for (const [task, { run, atMs }] of this.#assigned.get(worker.id) ?? []) {
+        for (const [task, { run, atMs }] of this.#assigned.get(server.id) ?? []) {
             const position = parseTaskKey(task);
             const runAgeMs = nowMs - atMs;
             if (position !== undefined && runAgeMs <= MAX_ASSIGNED_MS) {
-                this.#recordCrash(position, { task, run, workerId: worker.id, hasBegun: false, runAgeMs });
+                this.#recordCrash(position, { task, run, serverId: server.id, hasBegun: false, runAgeMs });
             }
         }
-        this.#assigned.delete(worker.id);
+        this.#assigned.delete(server.id);
     }
 
     /**
-     * Records an assignment that a leader proposes. Its order may or may not reach the worker, which may have crashed
+     * Records an assignment that a leader proposes. Its order may or may not reach the server, which may have crashed
      * without the leader's knowledge.
      */
     assigned({ task, run, serverId, incarnation }: AssignedRun, nowMs: number): void {
         const position = parseTaskKey(task);
-        const worker = this.#workers.find(({ id }) => id === serverId);
-        const hasCrashed = worker !== undefined && (!worker.isUp || worker.incarnation > incarnation);
+        const server = this.#servers.find(({ id }) => id === serverId);
+        const hasCrashed = server !== undefined && (!server.isUp || server.incarnation > incarnation);
         if (position !== undefined && hasCrashed) {
-            this.#recordCrash(position, { task, run, workerId: serverId, hasBegun: false, runAgeMs: 0 });
+            this.#recordCrash(position, { task, run, serverId: serverId, hasBegun: false, runAgeMs: 0 });
             return;
         }
         const assigned = this.#assigned.get(serverId) ?? new Map<string, Assignment>();
         this.#assigned.set(serverId, assigned.set(task, { run, atMs: nowMs }));
     }
 
-    started(worker: SimulatedWorker, order: StartOrder, run: WorkerRun, nowMs: number): void {
+    started(server: SimulatedServer, order: StartOrder, run: ServerRun, nowMs: number): void {
         const { task } = order;
-        this.#assigned.get(worker.id)?.delete(task);
+        this.#assigned.get(server.id)?.delete(task);
         const job = this.#jobs.get(run.position.jobId);
         const check = (isSatisfied: boolean, guarantee: string): void => {
             if (!isSatisfied) {
-                this.violations.push(`violated: ${guarantee}: ${task} run ${order.run} on ${worker.id} at ${nowMs} ms`);
+                this.violations.push(`violated: ${guarantee}: ${task} run ${order.run} on ${server.id} at ${nowMs} ms`);
             }
         };
         if (job === undefined) {
@@ -170,7 +168,7 @@
         check(order.run > (this.#latestRuns.get(task) ?? 0) || run.step.isGang, "run numbers increase");
         this.#latestRuns.set(task, order.run);
         check(
-            this.#workers.every(other => other === worker || !other.isUp || !other.runs.has(task)),
+            this.#servers.every(other => other === server || !other.isUp || !other.runs.has(task)),
             "at most one run of a task at a time",
         );
         check(!this.#acknowledgedDone.has(task), "no start after an acknowledged success");
@@ -183,43 +181,52 @@
             "no start beyond the maximum number of attempts",
         );
         check(
-            !job.crashesWorkers || this.#countStartAfterCrashes(task) < FORBIDDEN_STARTS,
+            !job.crashesServers || this.#countStartAfterCrashes(task) < FORBIDDEN_STARTS,
             "no third start after three crashes under a task",
         );
         const cancelledAtMs = job.cancelledAtMs ?? Infinity;
         check(nowMs <= cancelledAtMs + ORDER_DELAY_MS, "no start after a cancellation");
-        const outSinceMs = this.zonesOutSinceMs.get(worker.options.availabilityZone) ?? Infinity;
+        const outSinceMs = this.zonesOutSinceMs.get(server.options.availabilityZone) ?? Infinity;
         check(nowMs <= outSinceMs + ORDER_DELAY_MS, "no start in a zone out of service");
-        const drainingSinceMs = this.drainingSinceMs.get(`${worker.id}/${worker.incarnation}`) ?? Infinity;
+        const drainingSinceMs = this.drainingSinceMs.get(`${server.id}/${server.incarnation}`) ?? Infinity;
         check(nowMs <= drainingSinceMs + ORDER_DELAY_MS, "no start on a draining server");
         check(
-            isWithinCapacity(worker.runs.values(), worker.capacity.largestSince(nowMs - ORDER_DELAY_MS)),
+            isWithinCapacity(server.runs.values(), server.capacity.largestSince(nowMs - ORDER_DELAY_MS)),
             "no start beyond the server's capacity",
         );
         const { requiredLabel } = run.step;
         check(
-            requiredLabel === "" || worker.options.labels.includes(requiredLabel),
+            requiredLabel === "" || server.options.labels.includes(requiredLabel),
             "the server has the required label",
         );
-        check(isWithinTasksPerServer(worker, run), "no more tasks of a step than allowed");
+        check(isWithinTasksPerServer(server, run), "no more tasks of a step than allowed");
         const isOwnCheckpoint = order.checkpoint === "" || this.#checkpoints.get(task)?.has(order.checkpoint) === true;
         check(isOwnCheckpoint, "the checkpoint belongs to the task");
     }
 
     /** A start must not be rejected for want of capacity, unless the capacity has just shrunk. */
-    rejected(worker: SimulatedWorker, run: WorkerRun, nowMs: number): void {
-        const runs = [...worker.runs.values(), run];
-        if (!isWithinCapacity(runs, worker.capacity.largestSince(nowMs - ORDER_DELAY_MS))) {
+    rejected(server: SimulatedServer, run: ServerRun, nowMs: number): void {
+        const runs = [...server.runs.values(), run];
+        if (!isWithinCapacity(runs, server.capacity.largestSince(nowMs - ORDER_DELAY_MS))) {
             this.violations.push(
-                `violated: no start that is rejected: ${run.task} run ${run.run} on ${worker.id} at ${nowMs} ms`,
+                `violated: no start that is rejected: ${run.task} run ${run.run} on ${server.id} at ${nowMs} ms`,
             );
         }
     }
 
-    ended(run: WorkerRun, end: RunEnd): void {
-        if (end === RunEnd.Stopped && run.step.savesCheckpoints) {
-            this.#membersOf(run.position).forEach(task => addToSet(this.#checkpoints, task, `${run.task}/${run.run}`));
+    /** Records a checkpoint that a server has reported, for all members of a gang. */
+    saved(run: ServerRun, checkpoint: string): void {
+        this.#membersOf(run.position).forEach(task => addToSet(this.#checkpoints, task, checkpoint));
+    }
+
+    /** A server takes no answer that is too long, and the next one would hold the same orders. */
+    answered(server: SimulatedServer, bytes: number, isTooLong: boolean, nowMs: number): void {
+        if (isTooLong) {
+            this.violations.push(`violated: an answer can be taken: ${bytes} bytes for ${server.id} at ${nowMs} ms`);
         }
+    }
+
+    ended(run: ServerRun, end: RunEnd): void {
         if (end === RunEnd.Done) {
             this.#membersOf(run.position).forEach(task => this.#done.add(task));
         }
@@ -283,11 +290,11 @@
     sets.set(key, (sets.get(key) ?? new Set()).add(value));
 };
 
-const isWithinTasksPerServer = (worker: SimulatedWorker, run: WorkerRun): boolean => {
-    const isSameStep = ({ position }: WorkerRun): boolean =>
+const isWithinTasksPerServer = (server: SimulatedServer, run: ServerRun): boolean => {
+    const isSameStep = ({ position }: ServerRun): boolean =>
         position.jobId === run.position.jobId
         && position.step === run.position.step
         && position.occurrence === run.position.occurrence;
-    const count = [...worker.runs.values()].filter(isSameStep).length;
+    const count = [...server.runs.values()].filter(isSameStep).length;
     return run.step.maxTasksPerServer === 0 || count <= run.step.maxTasksPerServer;
 };
--- a/packages/workflow/src/testing/fuzz/standing-check.ts
+++ b/packages/simulation/src/checks/standing-check.ts
@@ -1,47 +1,47 @@
-import { taskKeyOf } from "../../model/specification.js";
-import type { StepSpecification, TaskPosition } from "../../model/specification.js";
+import { taskKeyOf } from "@waxwingspread/workflow";
+import type { StepSpecification, TaskPosition } from "@waxwingspread/workflow";
+import type { SimulatedServer } from "../model/simulated-server.js";
 import { countPlaces } from "./liveness.js";
 import type { Oracle, SubmittedJob } from "./oracle.js";
-import type { SimulatedWorker } from "./simulated-worker.js";
 
 /** Time after a task's last run, or its first observation, within which it must run again. */
 const MAX_RESTART_MS = 6_000;
-/** Time for which workers must have had room before a task that doesn't run counts as a violation. */
+/** Time for which servers must have had room before a task that doesn't run counts as a violation. */
 const MIN_ROOM_MS = 3_000;
-/** Time without a disturbance before that. */
+/** Time without a disruption before that. */
 const MIN_CALM_MS = 4_000;
-/** Number of tasks for which the workers must have room together. */
+/** Number of tasks for which the servers must have room together. */
 const MIN_PLACES = 2;
 
 /** What was observed of a standing task. */
 interface Observation {
     /** Time of the last observation of a run, or of the first observation. */
     lastRunAtMs: number;
-    /** Time since which workers have had room at each observation; undefined if they have none. */
+    /** Time since which servers have had room at each observation; undefined if they have none. */
     roomSinceMs: number | undefined;
     isReported: boolean;
 }
 
-/** Checks that standing tasks run again soon after their ends, whatever other work there is, if a worker has room. */
+/** Checks that standing tasks run again soon after their ends, whatever other work there is, if a server has room. */
 export class StandingCheck {
     readonly violations: string[] = [];
     readonly #jobs: ReadonlyMap<string, SubmittedJob>;
-    readonly #workers: readonly SimulatedWorker[];
+    readonly #servers: readonly SimulatedServer[];
     readonly #oracle: Oracle;
     readonly #observations = new Map<string, Observation>();
     #calmSinceMs = -Infinity;
 
-    constructor(jobs: ReadonlyMap<string, SubmittedJob>, workers: readonly SimulatedWorker[], oracle: Oracle) {
+    constructor(jobs: ReadonlyMap<string, SubmittedJob>, servers: readonly SimulatedServer[], oracle: Oracle) {
         this.#jobs = jobs;
-        this.#workers = workers;
+        this.#servers = servers;
         this.#oracle = oracle;
     }
 
-    recordDisturbance(untilMs: number): void {
+    recordDisruption(untilMs: number): void {
         this.#calmSinceMs = Math.max(this.#calmSinceMs, untilMs);
     }
 
-    /** Observes all workers; to be called at short intervals. */
+    /** Observes all servers; to be called at short intervals. */
     observe(nowMs: number): void {
         for (const job of this.#jobs.values()) {
             const isOpen = job.isAccepted && job.possibleCancellations === 0;
@@ -64,7 +64,7 @@
         const observation = this.#observations.get(task)
             ?? { lastRunAtMs: nowMs, roomSinceMs: undefined, isReported: false };
         this.#observations.set(task, observation);
-        if (this.#workers.some(worker => worker.isUp && worker.runs.has(task))) {
+        if (this.#servers.some(server => server.isUp && server.runs.has(task))) {
             observation.lastRunAtMs = nowMs;
             observation.roomSinceMs = undefined;
             return;
@@ -81,10 +81,10 @@
 
     #hasRoomFor(position: TaskPosition, step: StepSpecification): boolean {
         let places = 0;
-        for (const worker of this.#workers) {
-            const { availabilityZone, dropsAnswers } = worker.options;
-            const isUsable = !worker.isDraining && !dropsAnswers && !this.#oracle.zonesOutSinceMs.has(availabilityZone);
-            places += isUsable ? countPlaces(worker, position, step) : 0;
+        for (const server of this.#servers) {
+            const { availabilityZone, dropsAnswers } = server.options;
+            const isUsable = !server.isDraining && !dropsAnswers && !this.#oracle.zonesOutSinceMs.has(availabilityZone);
+            places += isUsable ? countPlaces(server, position, step) : 0;
         }
         return places >= MIN_PLACES;
     }
--- a/packages/workflow/src/testing/fuzz/load-scenario.ts
+++ b/packages/simulation/src/fuzz/load-scenario.ts
@@ -1,8 +1,9 @@
 import { SeededRandom } from "@waxwingspread/common";
-import type { StepSpecification } from "../../model/specification.js";
-import { fillerStepOf, jobOf, standingStepOf, stepOf } from "../fixtures.js";
-import { Simulation } from "./simulation.js";
-import type { JobBehaviour, SimulatedFleet } from "./simulation.js";
+import type { StepSpecification } from "@waxwingspread/workflow";
+import { fillerStepOf, jobOf, standingStepOf, stepOf } from "@waxwingspread/workflow/testing";
+import { Deployment } from "../model/deployment.js";
+import type { DeploymentOptions, JobBehaviour } from "../model/deployment.js";
+import { FUZZ_OPTIONS, FUZZ_SERVER } from "./fuzz-deployment.js";
 
 const FLEET_SIZES = [3, 5, 9];
 const IMAGES = 3;
@@ -18,24 +19,24 @@
     maxFiniteMs: number;
 }
 
-/** With small and short tasks, workers always have some room between the end of a task and the start of the next. */
+/** With small and short tasks, servers always have some room between the end of a task and the start of the next. */
 const PROFILES: readonly TaskProfile[] = [
     { maxStandingMillicores: 2_000, maxFiniteMillicores: 2_000, maxFiniteMs: 2_800 },
     { maxStandingMillicores: 600, maxFiniteMillicores: 600, maxFiniteMs: 700 },
 ];
 
-/** Probability of a disturbance in a round. */
-const DISTURBANCE_RATIO = 0.03;
-/** Last part of a scenario, without disturbances. */
+/** Probability of a disruption in a round. */
+const DISRUPTION_RATIO = 0.03;
+/** Last part of a scenario, without disruptions. */
 const CALM_ROUNDS = 50;
 
 /**
  * A fleet with standing tasks that fail by themselves, under a load of finite tasks and fillers near or beyond its
- * capacity, with disturbances. All choices follow from the seed.
+ * capacity, with disruptions. All choices follow from the seed.
  */
 export class LoadScenario {
     readonly #random: SeededRandom;
-    readonly #simulation: Simulation;
+    readonly #deployment: Deployment;
     readonly #guardsCapacity: boolean;
     readonly #profile: TaskProfile;
     /** Finite work that arrives, as a share of the fleet's capacity. */
@@ -51,34 +52,34 @@
         this.#fleetMillicores = fleet.reduce((sum, { capacity }) => sum + capacity.cpuMillicores, 0);
         this.#profile = this.#pick(PROFILES);
         this.#load = this.#random.nextInteger(5, 16) / 10;
-        this.#simulation = new Simulation(seed, fleet);
+        this.#deployment = new Deployment({ ...FUZZ_OPTIONS, seed, servers: fleet });
     }
 
     /** Plays the scenario and returns the violations. */
     run(rounds: number): string[] {
-        const simulation = this.#simulation;
-        simulation.advance(SETTLING_MS);
+        const deployment = this.#deployment;
+        deployment.advance(SETTLING_MS);
         this.#submitStanding();
         for (let round = 0; round < rounds; round += 1) {
             this.#submitFinite();
-            if (round < rounds - CALM_ROUNDS && this.#isChosen(DISTURBANCE_RATIO)) {
-                this.#disturb();
+            if (round < rounds - CALM_ROUNDS && this.#isChosen(DISRUPTION_RATIO)) {
+                this.#disrupt();
             }
-            simulation.advanceCheckingStanding(ROUND_MS);
+            deployment.advanceCheckingStanding(ROUND_MS);
         }
-        return [...simulation.oracle.violations, ...simulation.standing.violations];
+        return [...deployment.oracle.violations, ...deployment.standing.violations];
     }
 
-    #createFleet(): SimulatedFleet {
+    #createFleet(): DeploymentOptions["servers"] {
         const size = this.#pick(FLEET_SIZES);
         return Array.from({ length: size }, (unused, index) => {
             const cpuMillicores = 1_000 * this.#pick([4, 8, 16]);
             const hiddenShare = this.#guardsCapacity && this.#isChosen(0.25) ? this.#random.nextInteger(3, 10) / 10 : 0;
             return {
+                ...FUZZ_SERVER,
                 availabilityZone: index % 3 === 0 ? "a" : "b",
                 labels: [index % 2 === 0 ? "even" : "odd", "r1"],
                 capacity: { cpuMillicores, memoryMebibytes: 16_000, accelerators: 0 },
-                clockRate: 1,
                 guardsCapacity: this.#guardsCapacity,
                 hiddenMillicores: Math.floor(cpuMillicores * hiddenShare),
                 dropsAnswers: index > 1 && this.#isChosen(0.15),
@@ -137,29 +138,29 @@
     #submit(steps: StepSpecification[], behaviour: JobBehaviour): void {
         this.#jobs += 1;
         const queue = this.#isChosen(0.5) ? "urgent" : "batch";
-        this.#simulation.submit(jobOf(`job${this.#jobs}`, ...steps), { ...behaviour, queue });
+        this.#deployment.submit(jobOf(`job${this.#jobs}`, ...steps), { ...behaviour, queue });
     }
 
-    #disturb(): void {
-        const simulation = this.#simulation;
-        const worker = this.#random.nextInteger(0, simulation.workers.length - 1);
+    #disrupt(): void {
+        const deployment = this.#deployment;
+        const server = this.#random.nextInteger(0, deployment.servers.length - 1);
         const durationMs = this.#random.nextInteger(300, 6_000);
-        const disturb = this.#pick<() => void>([
-            () => simulation.restartWorker(worker),
-            () => simulation.loseLeader(),
-            () => simulation.partitionWorker(worker, durationMs),
-            () => simulation.slowDownNetwork(worker, durationMs),
-            () => this.#resize(worker),
-            () => simulation.stallLog(Math.min(durationMs, 1_500)),
+        const disrupt = this.#pick<() => void>([
+            () => deployment.restartServer(server),
+            () => deployment.loseLeader(),
+            () => deployment.partitionServer(server, durationMs),
+            () => deployment.slowDownNetwork(server, durationMs),
+            () => this.#resize(server),
+            () => deployment.stallLog(Math.min(durationMs, 1_500)),
         ]);
-        disturb();
-        simulation.recordDisturbance(durationMs);
+        disrupt();
+        deployment.recordDisruption(durationMs);
     }
 
-    /** An order that is planned before the change may exceed the capacity of a worker that doesn't guard it. */
-    #resize(worker: number): void {
+    /** An order that is planned before the change may exceed the capacity of a server that doesn't guard it. */
+    #resize(server: number): void {
         const ratio = this.#guardsCapacity ? this.#random.nextInteger(4, 10) / 10 : 1;
-        this.#simulation.resizeWorker(worker, ratio, ratio);
+        this.#deployment.resizeServer(server, ratio, ratio);
     }
 
     #amounts(maxMillicores: number) {
--- a/packages/workflow/src/testing/fuzz/workflow.fuzz.test.ts
+++ b/packages/simulation/src/fuzz/workflow.fuzz.test.ts
@@ -1,29 +1,32 @@
+import { JobState } from "@waxwingspread/workflow";
 import fc from "fast-check";
 import { expect, it } from "vitest";
-import { JobState } from "../../model/calls.js";
+import { Deployment } from "../model/deployment.js";
 import { commandArbitraries } from "./commands.js";
 import type { FuzzModel } from "./commands.js";
-import { Simulation } from "./simulation.js";
+import { SMALL_FLEET_OPTIONS } from "./fuzz-deployment.js";
 
 const RUNS = Number(process.env.WORKFLOW_FUZZ_RUNS ?? 300);
 const SEED = Number(process.env.WORKFLOW_FUZZ_SEED ?? 20_261_204);
 const MAX_COMMANDS = 60;
 /** Time within which a new leader serves, even if the log has just stalled. */
 const FAILOVER_MS = 2_500;
-/** Time after the last disturbance within which all leases and all avoidances of servers expire. */
+/** Time after the last disruption within which all leases and all avoidances of servers expire. */
 const SETTLING_MS = 10_000;
-/** Time for which the capacity of the workers must be used once everything has settled. */
+/** Time for which the capacity of the servers must be used once everything has settled. */
 const STEADY_MS = 12_000;
+/** Time within which all VMs of all orders are maintained. */
+const MAX_MAINTENANCE_MS = 120_000;
 /** Time within which all leases expire and all remaining work is completed. */
 const RECOVERY_MS = 60_000;
 
 /** Returns what is wrong after the recovery: jobs that are unknown, unfinished or reported in a wrong state. */
-const findJobViolations = (simulation: Simulation): string[] => {
+const findJobViolations = (deployment: Deployment): string[] => {
     const violations: string[] = [];
-    for (const [id, job] of simulation.jobs) {
-        const state = simulation.stateOf(id);
+    for (const [id, job] of deployment.jobs) {
+        const state = deployment.stateOf(id);
         const isStanding = job.specification.steps.some(step => step.isStanding);
-        const isDone = simulation.oracle.isDone(job.specification);
+        const isDone = deployment.oracle.isDone(job.specification);
         if (job.isAccepted && state === undefined) {
             violations.push(`${id} is accepted but unknown`);
         }
@@ -31,7 +34,7 @@
             violations.push(`${id} is reported as completed before every task is done`);
         }
         else if (
-            state === JobState.Failed && !simulation.oracle.hasFailed(job) && !simulation.oracle.mayBeGivenUp(job)
+            state === JobState.Failed && !deployment.oracle.hasFailed(job) && !deployment.oracle.mayBeGivenUp(job)
         ) {
             violations.push(`${id} is reported as failed, but no task has used up its attempts or may be given up`);
         }
@@ -45,33 +48,41 @@
     return violations;
 };
 
-const runScenario = (seed: number, commands: Iterable<fc.Command<FuzzModel, Simulation>>): string[] => {
-    const simulation = new Simulation(seed);
-    simulation.advance(1_000);
-    fc.modelRun(() => ({ model: { jobs: 0 }, real: simulation }), commands);
+const runScenario = (seed: number, commands: Iterable<fc.Command<FuzzModel, Deployment>>): string[] => {
+    const deployment = new Deployment({ ...SMALL_FLEET_OPTIONS, seed });
+    deployment.advance(1_000);
+    fc.modelRun(() => ({ model: { jobs: 0 }, real: deployment }), commands);
     // A cancellation whose caller received no answer may or may not take effect.
-    simulation.loseLeader();
-    simulation.advance(FAILOVER_MS);
-    simulation.heal();
-    simulation.resubmit();
-    simulation.advance(SETTLING_MS);
-    simulation.advanceCheckingLiveness(STEADY_MS);
-    simulation.jobs.forEach((job, id) => {
+    deployment.loseLeader();
+    deployment.advance(FAILOVER_MS);
+    deployment.heal();
+    deployment.resubmit();
+    deployment.advance(SETTLING_MS);
+    // VMs that are emptied for their maintenance take no tasks.
+    for (
+        let waitedMs = 0;
+        waitedMs < MAX_MAINTENANCE_MS && deployment.openMaintenances().length > 0;
+        waitedMs += 1_000
+    ) {
+        deployment.advance(1_000);
+    }
+    deployment.advanceCheckingLiveness(STEADY_MS);
+    deployment.jobs.forEach((job, id) => {
         if (job.specification.steps.some(step => step.isStanding)) {
-            simulation.cancel(id);
+            deployment.cancel(id);
         }
     });
-    simulation.advance(RECOVERY_MS);
+    deployment.advance(RECOVERY_MS);
     return [
-        ...simulation.oracle.violations,
-        ...simulation.liveness.violations,
-        ...findJobViolations(simulation),
+        ...deployment.violations,
+        ...findJobViolations(deployment),
+        ...deployment.openMaintenances().map(id => `the order for maintenance ${id} is not completed`),
     ];
 };
 
-// Checks the guarantees about runs and jobs under losses of the leader, workers that are partitioned, restart, crash, drain,
-// fail or shrink, tasks that crash their workers, zones out of service and cancellations, in any order. Also guards against
-// accepted tasks that stand still after the last disturbance although there is capacity for them.
+// Checks the guarantees about runs, jobs and maintenance under losses and suspensions of the leader, servers that are
+// partitioned, restart, crash, drain, stall, fail or shrink, tasks that crash their servers, zones out of service and cancellations, in any order. Also guards against
+// accepted tasks that stand still after the last disruption although there is capacity for them.
 it("keeps its guarantees through any sequence of disruptions", () => {
     fc.assert(
         fc.property(
--- a/packages/workflow/src/testing/fuzz/changing-capacity.ts
+++ b/packages/simulation/src/model/changing-capacity.ts
@@ -1,12 +1,12 @@
-import type { Amounts } from "../../model/specification.js";
-import type { WorkerRun } from "./simulated-worker.js";
+import type { Amounts } from "@waxwingspread/workflow";
+import type { ServerRun } from "./server-run.js";
 
 interface CapacityChange {
     amounts: Amounts;
     atMs: number;
 }
 
-/** Capacity of a simulated worker, which shrinks and grows. */
+/** Capacity of a simulated server, which shrinks and grows. */
 export class ChangingCapacity {
     /** All changes so far, the latest one last. */
     readonly #changes: CapacityChange[];
@@ -38,8 +38,8 @@
     }
 }
 
-/** Whether the runs, including those that are being stopped, fit together into a worker's capacity. */
-export const isWithinCapacity = (runs: Iterable<WorkerRun>, capacity: Amounts): boolean => {
+/** Whether the runs, including those that are being stopped, fit together into a server's capacity. */
+export const isWithinCapacity = (runs: Iterable<ServerRun>, capacity: Amounts): boolean => {
     let cpuMillicores = 0;
     let memoryMebibytes = 0;
     for (const { step } of runs) {
--- /dev/null
+++ b/packages/simulation/src/model/task-behaviour.ts
@@ -0,0 +1,17 @@
+import type { StepSpecification, TaskPosition } from "@waxwingspread/workflow";
+import type { ServerRun } from "./server-run.js";
+import type { SimulatedServer } from "./simulated-server.js";
+
+/** Decides what the runs of a task do. */
+export interface TaskBehaviour {
+    stepOf: (position: TaskPosition) => StepSpecification | undefined;
+    /** Work of a run at full speed in milliseconds; undefined when it never ends by itself. */
+    workMs: (position: TaskPosition) => number | undefined;
+    fails: (position: TaskPosition, run: number, serverId: string) => boolean;
+    /** Whether a run of the task crashes its server as soon as it starts. */
+    crashes: (position: TaskPosition) => boolean;
+    /** Quantum in percent in which the progress is reported; Infinity for no progress. */
+    quantumPercent: (position: TaskPosition) => number;
+    /** Tail latency in milliseconds of a standing task at work. */
+    tailMs: (run: ServerRun, server: SimulatedServer) => number;
+}
