--- a/review/stand-ins-2/lib.mjs
+++ b/review/stand-ins-2/lib.mjs
@@ -8,6 +8,8 @@
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 
+/** Time after which the platform starts a process again. */
+const RESTART_MS = 1000;
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 export const BOUNDS = {
     seed_lag_s: 3, addr_reuse_s: 2, contact_ms: 3000, ack_timeout_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 6,
@@ -94,6 +96,10 @@
     constructor(record, { disks = 3, others = 0, zones = ["a", "b", "c"], advice = "", cloud = "" } = {}) {
         this.record = record;
         this.children = new Map();
+        this.ownEnds = 0;
+        /** Ends of their own by process. */
+        this.endsOf = new Map();
+        this.isClosing = false;
         this.folder = mkdtempSync(join(tmpdir(), "waxwingspread-review-"));
         this.machines = [];
         this.count = disks + others;
@@ -182,6 +188,12 @@
         child.stderr.on("data", keep);
         child.on("exit", (code, signal) => {
             this.record.line(`process ${key} ended (${signal ?? code})`);
+            // The platform starts a process again that has ended by itself.
+            if (!this.isClosing) {
+                this.ownEnds += 1;
+                this.endsOf.set(key, (this.endsOf.get(key) ?? 0) + 1);
+                setTimeout(() => this.isClosing || this.start(machine, role), RESTART_MS);
+            }
         });
         this.children.set(key, child);
         this.record.line(`process ${key} started`);
@@ -226,6 +238,7 @@
     }
 
     async close() {
+        this.isClosing = true;
         const open = [...this.children.values()].filter(child => child.exitCode === null && child.signalCode === null);
         const ended = open.map(child => new Promise(resolve => child.once("exit", resolve)));
         open.forEach(child => child.kill("SIGKILL"));
@@ -488,11 +501,13 @@
     const deployment = new Deployment(record, options);
     const limit = setTimeout(() => {
         record.line("the case took too long");
+        deployment.isClosing = true;
         deployment.children.forEach(child => child.kill("SIGKILL"));
         process.exit(2);
     }, 112_000);
     for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
         process.on(signal, () => {
+            deployment.isClosing = true;
             deployment.children.forEach(child => child.kill("SIGKILL"));
             rmSync(deployment.folder, { recursive: true, force: true });
             process.exit(2);
