--- a/review/stand-ins-2/lib.mjs
+++ b/review/stand-ins-2/lib.mjs
@@ -499,20 +499,20 @@
 export const runCase = async (folder, play, options) => {
     const record = new Record(folder);
     const deployment = new Deployment(record, options);
-    const limit = setTimeout(() => {
-        record.line("the case took too long");
+    // Whatever ends this process, also an error outside of the case, ends those that it has started.
+    process.on("exit", () => {
         deployment.isClosing = true;
         deployment.children.forEach(child => child.kill("SIGKILL"));
+        rmSync(deployment.folder, { recursive: true, force: true });
+    });
+    const stop = reason => {
+        deployment.isClosing = true;
+        console.log(`the case couldn't run: ${reason}`);
         process.exit(2);
-    }, 112_000);
-    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
-        process.on(signal, () => {
-            deployment.isClosing = true;
-            deployment.children.forEach(child => child.kill("SIGKILL"));
-            rmSync(deployment.folder, { recursive: true, force: true });
-            process.exit(2);
-        });
-    }
+    };
+    const limit = setTimeout(() => stop("it took too long"), 112_000);
+    ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.on(signal, () => stop(signal)));
+    ["uncaughtException", "unhandledRejection"].forEach(event => process.on(event, error => stop(`${event}: ${error}`)));
     let code = 2;
     const isTroubled = process.env.TROUBLE !== "0";
     try {
