--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -16,8 +16,11 @@
     await deployment.startAll();
     const operator = new Operator(deployment);
     const client = new Client(deployment);
-    const workers = Array.from({ length: 8 }, (unused, index) =>
-        new Worker(deployment, { id: `i-${index + 1}`, zone: ["a", "b", "c"][index % 3], rack: `r${index % 3}-1` }));
+    const workers = Array.from(
+        { length: 8 },
+        (unused, index) =>
+            new Worker(deployment, { id: `i-${index + 1}`, zone: ["a", "b", "c"][index % 3], rack: `r${index % 3}-1` }),
+    );
     for (const worker of workers) {
         worker.behaviour = () => ({ lasts: true });
         worker.watchLease();
@@ -53,8 +56,14 @@
     const shown = await client.once("GET", PREFIX + ID, undefined, { entry: secondEntry });
     const late = workers.flatMap(({ log }) => log).filter(({ at }) => at > acknowledgedMs + BOUNDS.cancel_ms);
     const atWork = workers.flatMap(({ running }) => [...running.keys()]);
-    late.forEach(({ task, at }) => record.line(`${task} was started ${Math.round(at - acknowledgedMs)} ms after the ack`));
-    record.line(`15 s after the ack these run: ${atWork.join(" ") || "none"}; the state is ${shown.json?.state ?? shown.status}`);
+    late.forEach(({ task, at }) =>
+        record.line(`${task} was started ${Math.round(at - acknowledgedMs)} ms after the ack`)
+    );
+    record.line(
+        `15 s after the ack these run: ${atWork.join(" ") || "none"}; the state is ${
+            shown.json?.state ?? shown.status
+        }`,
+    );
     if (late.length > 0) {
         return `${late.length} tasks were started later than cancel_ms after the cancelling was acknowledged with ${cancelled.status}`;
     }
--- a/review/stand-ins-2/lib.mjs
+++ b/review/stand-ins-2/lib.mjs
@@ -12,12 +12,40 @@
 const RESTART_MS = 1000;
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 export const BOUNDS = {
-    seed_lag_s: 3, addr_reuse_s: 2, contact_ms: 3000, ack_timeout_ms: 4000, catch_up_s: 4, drain_ms: 2000, grace_s: 6,
-    loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_stretch_ms: 5000, cold_overage: 1.5,
-    cold_slack: 5, evacuate_ms: 5000, recovery_s: 12, max_hold_ms: 6000, stop_ms: 400, gang_timeout_ms: 3000,
-    cancel_ms: 3000, visible_ms: 3000, early_ms: 250, finish_s: 14, status_s: 120, remote_slowdown: 3,
-    checkpoint_s: 2, restore_ms: 250, notice_ms: 4500, migrate_s: 1.5, maintenance_s: 2, fencing_required: true,
-    lease_ms: 3000, thaw_slack_ms: 300, pace_ms: 100, impact_ms: 5500,
+    seed_lag_s: 3,
+    addr_reuse_s: 2,
+    contact_ms: 3000,
+    ack_timeout_ms: 4000,
+    catch_up_s: 4,
+    drain_ms: 2000,
+    grace_s: 6,
+    loss_slack_ms: 200,
+    config_apply_ms: 2000,
+    rollback_slack_ms: 250,
+    max_stretch_ms: 5000,
+    cold_overage: 1.5,
+    cold_slack: 5,
+    evacuate_ms: 5000,
+    recovery_s: 12,
+    max_hold_ms: 6000,
+    stop_ms: 400,
+    gang_timeout_ms: 3000,
+    cancel_ms: 3000,
+    visible_ms: 3000,
+    early_ms: 250,
+    finish_s: 14,
+    status_s: 120,
+    remote_slowdown: 3,
+    checkpoint_s: 2,
+    restore_ms: 250,
+    notice_ms: 4500,
+    migrate_s: 1.5,
+    maintenance_s: 2,
+    fencing_required: true,
+    lease_ms: 3000,
+    thaw_slack_ms: 300,
+    pace_ms: 100,
+    impact_ms: 5500,
 };
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
@@ -29,51 +57,56 @@
         this.t0 = performance.now();
         writeFileSync(this.path, "");
     }
-    now() { return (performance.now() - this.t0) / 1000; }
-    line(text) { appendFileSync(this.path, `${this.now().toFixed(3).padStart(8)}  ${text}\n`); }
+    now() {
+        return (performance.now() - this.t0) / 1000;
+    }
+    line(text) {
+        appendFileSync(this.path, `${this.now().toFixed(3).padStart(8)}  ${text}\n`);
+    }
 }
 
 /** Sends one HTTP request; status 0 if there is no complete response in time. */
-export const call = ({ host, port, method, path, headers = {}, body, timeoutMs = 1000 }) => new Promise(resolve => {
-    const text = body === undefined ? undefined : typeof body === "string" ? body : JSON.stringify(body);
-    const sent = performance.now();
-    let settled = false;
-    const done = value => {
-        if (!settled) {
-            settled = true;
-            clearTimeout(timer);
-            resolve({ ...value, ms: performance.now() - sent, sent });
-        }
-    };
-    const all = { ...headers };
-    if (text !== undefined) {
-        all["content-type"] = "application/json";
-        all["content-length"] = Buffer.byteLength(text);
-    }
-    const outgoing = request({ host, port, method, path, headers: all, agent: false }, response => {
-        const chunks = [];
-        response.on("data", chunk => chunks.push(chunk));
-        response.on("error", () => done({ status: 0 }));
-        response.on("aborted", () => done({ status: 0 }));
-        response.on("end", () => {
-            const content = Buffer.concat(chunks).toString();
-            let json;
-            try {
-                json = content === "" ? {} : JSON.parse(content);
-            }
-            catch {
-                json = undefined;
+export const call = ({ host, port, method, path, headers = {}, body, timeoutMs = 1000 }) =>
+    new Promise(resolve => {
+        const text = body === undefined ? undefined : typeof body === "string" ? body : JSON.stringify(body);
+        const sent = performance.now();
+        let settled = false;
+        const done = value => {
+            if (!settled) {
+                settled = true;
+                clearTimeout(timer);
+                resolve({ ...value, ms: performance.now() - sent, sent });
             }
-            done({ status: response.statusCode, json, text: content, location: response.headers.location });
+        };
+        const all = { ...headers };
+        if (text !== undefined) {
+            all["content-type"] = "application/json";
+            all["content-length"] = Buffer.byteLength(text);
+        }
+        const outgoing = request({ host, port, method, path, headers: all, agent: false }, response => {
+            const chunks = [];
+            response.on("data", chunk => chunks.push(chunk));
+            response.on("error", () => done({ status: 0 }));
+            response.on("aborted", () => done({ status: 0 }));
+            response.on("end", () => {
+                const content = Buffer.concat(chunks).toString();
+                let json;
+                try {
+                    json = content === "" ? {} : JSON.parse(content);
+                }
+                catch {
+                    json = undefined;
+                }
+                done({ status: response.statusCode, json, text: content, location: response.headers.location });
+            });
         });
+        const timer = setTimeout(() => {
+            outgoing.destroy();
+            done({ status: 0 });
+        }, timeoutMs);
+        outgoing.on("error", () => done({ status: 0 }));
+        outgoing.end(text);
     });
-    const timer = setTimeout(() => {
-        outgoing.destroy();
-        done({ status: 0 });
-    }, timeoutMs);
-    outgoing.on("error", () => done({ status: 0 }));
-    outgoing.end(text);
-});
 
 /** The same, and follows a 307 twice. */
 export const callFollowing = async options => {
@@ -85,11 +118,12 @@
     return response;
 };
 
-const isFree = (host, port) => new Promise(resolve => {
-    const server = createServer();
-    server.once("error", () => resolve(false));
-    server.listen(port, host, () => server.close(() => resolve(true)));
-});
+const isFree = (host, port) =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.once("error", () => resolve(false));
+        server.listen(port, host, () => server.close(() => resolve(true)));
+    });
 
 /** A deployment: machines with a disk, each with an entry and a control process, and machines without one. */
 export class Deployment {
@@ -114,7 +148,10 @@
             const net = `127.${20 + Math.floor(Math.random() * 200)}.${Math.floor(Math.random() * 250)}`;
             const base = 20000 + 100 * Math.floor(Math.random() * 100);
             this.ports = {
-                frontend: base, readiness: base + 1, control: base + 2, internal: base + 10,
+                frontend: base,
+                readiness: base + 1,
+                control: base + 2,
+                internal: base + 10,
                 metrics: { entry: base + 3, control: base + 4 },
             };
             const hosts = Array.from({ length: this.count }, (unused, index) => `${net}.${index + 1}`);
@@ -140,15 +177,25 @@
             mkdirSync(data, { recursive: true });
         }
         return {
-            node_name: machine.name, role, machine_class: "edge", serves: [role === "entry" ? "edge" : "control"],
-            ip: machine.host, zone: machine.zone, region: "r",
+            node_name: machine.name,
+            role,
+            machine_class: "edge",
+            serves: [role === "entry" ? "edge" : "control"],
+            ip: machine.host,
+            zone: machine.zone,
+            region: "r",
             internal_port_range: [ports.internal, ports.internal + 15],
             seed_nodes: this.machines.slice(0, 3).map(({ host }) => `${host}:${ports.control}`),
-            bootstrap, loss_counts: machine.hasDisk,
+            bootstrap,
+            loss_counts: machine.hasDisk,
             data_dir: role === "control" && machine.hasDisk ? data : "",
-            discovery: "registry", entrypoint: "vip", heartbeat_ms: 1500,
+            discovery: "registry",
+            entrypoint: "vip",
+            heartbeat_ms: 1500,
             contracts: ["base", "drain", "config", "cost", "recover", "sched", "places", "advice", "upkeep", "sharing"],
-            config_mode: "highest", orders: "heartbeat", advice: this.advice,
+            config_mode: "highest",
+            orders: "heartbeat",
+            advice: this.advice,
             zones: Object.fromEntries(this.zones.map(zone => [zone, "r"])),
             bind_addrs: {
                 frontend: `${machine.host}:${ports.frontend}`,
@@ -156,7 +203,11 @@
                 control_plane: `${machine.host}:${ports.control}`,
             },
             limits: {
-                cpu_share: 0.945, cpu_cores: 1, memory_mb: 350, max_fds: 4100, link_mbps: 1000,
+                cpu_share: 0.945,
+                cpu_cores: 1,
+                memory_mb: 350,
+                max_fds: 4100,
+                link_mbps: 1000,
                 disk_mb: machine.hasDisk ? 128 : 0,
             },
             fault_tolerance: { machines: 1, zones: 1, regions: 0 },
@@ -176,14 +227,19 @@
         const child = spawn(program === "node" ? process.execPath : program, args, {
             cwd: ROOT,
             env: {
-                PATH: process.env.PATH, HOME: this.folder, LANG: "C.UTF-8",
-                WAXWINGSPREAD_BOOT: path, WAXWINGSPREAD_METRICS_PORT: String(this.ports.metrics[role]),
+                PATH: process.env.PATH,
+                HOME: this.folder,
+                LANG: "C.UTF-8",
+                WAXWINGSPREAD_BOOT: path,
+                WAXWINGSPREAD_METRICS_PORT: String(this.ports.metrics[role]),
             },
             stdio: ["ignore", "pipe", "pipe"],
         });
         const key = `${machine.name}/${role}`;
         child.log = "";
-        const keep = chunk => { child.log = (child.log + chunk).slice(-2_000_000); };
+        const keep = chunk => {
+            child.log = (child.log + chunk).slice(-2_000_000);
+        };
         child.stdout.on("data", keep);
         child.stderr.on("data", keep);
         child.on("exit", (code, signal) => {
@@ -199,7 +255,9 @@
         this.record.line(`process ${key} started`);
     }
 
-    child(machine, role) { return this.children.get(`${machine.name}/${role}`); }
+    child(machine, role) {
+        return this.children.get(`${machine.name}/${role}`);
+    }
 
     signal(machine, role, signal) {
         this.record.line(`signal ${signal} to ${machine.name}/${role}`);
@@ -214,8 +272,12 @@
         }
     }
 
-    get controls() { return this.machines.map(({ host }) => ({ host, port: this.ports.control })); }
-    get entries() { return this.machines.map(({ host }) => ({ host, port: this.ports.frontend })); }
+    get controls() {
+        return this.machines.map(({ host }) => ({ host, port: this.ports.control }));
+    }
+    get entries() {
+        return this.machines.map(({ host }) => ({ host, port: this.ports.frontend }));
+    }
 
     /** The machine that leads, by what a process without the leadership answers; undefined if none is known. */
     leaderFromLogs() {
@@ -252,12 +314,29 @@
 export const configuration = (version, changes = {}) => ({
     version,
     routes: [{
-        name: "r-jobs", host: HOST, path_prefix: PREFIX, type: "non_idempotent", timeout_ms: 3000,
-        target_duration_ms: 3000, priority: 0, service: "pool", attempts: 2, stretch: 2.2, ...changes.route,
+        name: "r-jobs",
+        host: HOST,
+        path_prefix: PREFIX,
+        type: "non_idempotent",
+        timeout_ms: 3000,
+        target_duration_ms: 3000,
+        priority: 0,
+        service: "pool",
+        attempts: 2,
+        stretch: 2.2,
+        ...changes.route,
     }, ...(changes.routes ?? [])],
     services: [{
-        name: "pool", health_check: "/healthz", max_conns: 64, protocol: "h1", tls: false, cold_start_s: 0,
-        cold_per_s: 0, admission_control: true, standby: false, ...changes.service,
+        name: "pool",
+        health_check: "/healthz",
+        max_conns: 64,
+        protocol: "h1",
+        tls: false,
+        cold_start_s: 0,
+        cold_per_s: 0,
+        admission_control: true,
+        standby: false,
+        ...changes.service,
     }, ...(changes.services ?? [])],
     limits: { max_header_bytes: 16384, max_body_bytes: 262144, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
 });
@@ -300,7 +379,11 @@
         const entries = this.deployment.entries;
         const node = entry ?? entries[this.next++ % entries.length];
         const response = await call({
-            ...node, method, path, body, timeoutMs,
+            ...node,
+            method,
+            path,
+            body,
+            timeoutMs,
             headers: { host: HOST, "waxwingspread-deadline-ms": String(timeoutMs) },
         });
         const shown = response.json === undefined ? "" : ` ${JSON.stringify(response.json).slice(0, 100)}`;
@@ -325,7 +408,10 @@
 
 /** One machine's worker. Its lives follow each other under one id, or under ids of their own. */
 export class Worker {
-    constructor(deployment, { id, zone, capacity = { cpu: 16000, mem_mb: 64000, gpu: 0 }, rack = "r1-1", service = "pool" }) {
+    constructor(
+        deployment,
+        { id, zone, capacity = { cpu: 16000, mem_mb: 64000, gpu: 0 }, rack = "r1-1", service = "pool" },
+    ) {
         Object.assign(this, { deployment, record: deployment.record, id, zone, capacity, rack, service });
         this.log = [];
         this.isUp = false;
@@ -373,7 +459,12 @@
             if (response.status >= 200 && response.status < 300 && performance.now() - sent <= 1000) {
                 this.obey(response.json ?? {}, sent);
                 const wait = Math.max(10, Number(response.json?.retry_after_ms ?? 1500));
-                await Promise.race([sleep(wait), new Promise(resolve => { this.wake = () => setTimeout(resolve, 50); })]);
+                await Promise.race([
+                    sleep(wait),
+                    new Promise(resolve => {
+                        this.wake = () => setTimeout(resolve, 50);
+                    }),
+                ]);
             }
             else {
                 this.address = undefined;
@@ -386,9 +477,18 @@
 
     body() {
         return {
-            service: this.service, address: `127.0.0.9:${8000 + (Number(this.id.replace(/\D/g, "")) % 1000)}`, zone: this.zone,
-            version: "v1", slots: 8, state: this.state, cold_left_ms: 0, born: this.born, seq_no: this.seq,
-            capacity: this.capacity, labels: ["a", this.rack], machine: `m-${this.id}`,
+            service: this.service,
+            address: `127.0.0.9:${8000 + (Number(this.id.replace(/\D/g, "")) % 1000)}`,
+            zone: this.zone,
+            version: "v1",
+            slots: 8,
+            state: this.state,
+            cold_left_ms: 0,
+            born: this.born,
+            seq_no: this.seq,
+            capacity: this.capacity,
+            labels: ["a", this.rack],
+            machine: `m-${this.id}`,
             clock_ms: Math.round(performance.now() - this.bornAt),
             running: [...this.running].map(([task, run]) => [task, run.run, "", this.percentOf(run), 1000]),
             ended: this.ended.slice(0, 500),
@@ -512,7 +612,9 @@
     };
     const limit = setTimeout(() => stop("it took too long"), 112_000);
     ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.on(signal, () => stop(signal)));
-    ["uncaughtException", "unhandledRejection"].forEach(event => process.on(event, error => stop(`${event}: ${error}`)));
+    ["uncaughtException", "unhandledRejection"].forEach(event =>
+        process.on(event, error => stop(`${event}: ${error}`))
+    );
     let code = 2;
     const isTroubled = process.env.TROUBLE !== "0";
     try {
