--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -260,7 +260,7 @@
         }
         this.#answerHeartbeats(times);
         this.#pressureRecords.run(nowMs);
-        if (this.#retention.run(times)) {
+        if (this.#retention.run(nowMs)) {
             this.#discardExpired(nowMs);
         }
     }
