--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -1,3 +1,4 @@
+export * from "../http/client-connection.js";
 export * from "../http/http-listener.js";
 export * from "../http/request-body.js";
 export * from "../logging/line-budget.js";
