--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -17,6 +17,7 @@
 export * from "./metrics-listener.js";
 export * from "./operations.js";
 export { MAX_PASSED_ON_BYTES } from "./operator-service.js";
+export * from "./order-confirmations.js";
 export * from "./platform-services.js";
 export * from "./relay-metrics.js";
 export * from "./voter-plan.js";
