--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -17,4 +17,5 @@
 export * from "./state/crash-history.js";
 export * from "./state/events.js";
 export * from "./state/job-record.js";
+export * from "./state/occurrence-records.js";
 export * from "./state/workflow-state.js";
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -269,7 +269,7 @@
     checkSchedules({ timeOfDayMs }: Times): void {
         for (const job of this.#options.state.jobs.values()) {
             if (job.specification.schedule !== undefined && !job.isOver) {
-                this.#isPlanDue = this.#queue.refresh(job, timeOfDayMs) || this.#isPlanDue;
+                this.#isPlanDue = this.#queue.addDue(job, timeOfDayMs) || this.#isPlanDue;
             }
         }
     }
--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -26,7 +26,7 @@
         throw new Error("the configuration has no queue");
     }
     const job = JobRecord.accepted(jobOf("waiting", step), queue, 0);
-    const record = job.occurrences[0]?.[0] ?? { tasks: [], doneCount: 0, failedGangRun: 0 };
+    const record = job.stepsOf(0)?.[0] ?? { tasks: [], doneCount: 0, failedGangRun: 0 };
     return {
         job,
         occurrence: 0,
--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -131,7 +131,7 @@
     replica.node.heartbeat(heartbeatOfServer(0, 2, 1_000), () => undefined, replica.times);
     replica.settle();
     replica.settle();
-    const runOf = (id: string): number | undefined => replica.node.state.job(id)?.occurrences[0]?.[0]?.tasks[0]?.run;
+    const runOf = (id: string): number | undefined => replica.node.state.job(id)?.stepsOf(0)?.[0]?.tasks[0]?.run;
     expect([runOf("standing"), runOf("last")]).toEqual([1, 0]);
 });
 
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -2,7 +2,7 @@
 import { TaskKind } from "../model/specification.js";
 import { isSuspect } from "../state/crash-history.js";
 import type { AssignedRun } from "../state/events.js";
-import { TaskPhase } from "../state/job-record.js";
+import { TaskPhase } from "../state/occurrence-records.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { Eligibility } from "./eligibility.js";
 import { FailedPlacements } from "./failed-placements.js";
@@ -140,7 +140,7 @@
     stepOf({ position, step, kind }: RunView): WaitingStep | undefined {
         const { jobId, occurrence, step: stepIndex } = position;
         const job = this.#state.job(jobId);
-        const record = job?.occurrences[occurrence]?.[stepIndex];
+        const record = job?.stepsOf(occurrence)?.[stepIndex];
         return job === undefined || record === undefined
             ? undefined
             : {
--- a/packages/workflow/src/leader/standing-tasks.test.ts
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -118,7 +118,7 @@
     replica.submit(jobOf("standing", standingStepOf()));
     advance(replica, [server], 3_000);
     // Starts at about 0, 0.5 and 1.5 s.
-    expect(replica.node.state.job("standing")?.occurrences[0]?.[0]?.tasks[0]?.run).toBe(3);
+    expect(replica.node.state.job("standing")?.stepsOf(0)?.[0]?.tasks[0]?.run).toBe(3);
 });
 
 // Load: finite jobs that have begun use all capacity. Guards against a standing task whose wait begins anew with each
--- a/packages/workflow/src/leader/step-success.ts
+++ b/packages/workflow/src/leader/step-success.ts
@@ -12,7 +12,11 @@
     directory: ServerDirectory,
     { jobId, occurrence, step }: StepPosition,
 ): boolean => {
-    const record = state.job(jobId)?.occurrences[occurrence]?.[step];
+    const job = state.job(jobId);
+    if (job?.isOccurrenceComplete(occurrence) === true) {
+        return true;
+    }
+    const record = job?.stepsOf(occurrence)?.[step];
     return record !== undefined && (record.doneCount > 0 || record.tasks.some((task, index) => {
         const key = taskKeyOf({ jobId, occurrence, step, index });
         const run = directory.get(task.server?.serverId ?? "")?.findRun(key, task.run);
--- a/packages/workflow/src/leader/utilization.ts
+++ b/packages/workflow/src/leader/utilization.ts
@@ -1,6 +1,6 @@
 import { TaskKind } from "../model/specification.js";
 import type { PressureTable } from "../state/events.js";
-import { TaskPhase } from "../state/job-record.js";
+import { TaskPhase } from "../state/occurrence-records.js";
 import { maxTailRatio } from "./pressure-model.js";
 import type { PressureModel } from "./pressure-model.js";
 import type { ServerView } from "./server-view.js";
--- a/packages/workflow/src/leader/wait-report.ts
+++ b/packages/workflow/src/leader/wait-report.ts
@@ -1,5 +1,5 @@
 import { TaskKind } from "../model/specification.js";
-import { TaskPhase } from "../state/job-record.js";
+import { TaskPhase } from "../state/occurrence-records.js";
 import type { ServerCounts } from "./placement.js";
 import type { Planner } from "./planner.js";
 import type { ServerDirectory } from "./server-directory.js";
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -1,7 +1,8 @@
 import { stepKeyOf as stepKey, taskKeyOf, TaskKind, taskKindOf } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
-import type { JobRecord, StepRecord } from "../state/job-record.js";
-import { TaskPhase } from "../state/job-record.js";
+import type { JobRecord } from "../state/job-record.js";
+import { TaskPhase } from "../state/occurrence-records.js";
+import type { StepRecord } from "../state/occurrence-records.js";
 
 /** A step of one occurrence with tasks that wait for a run. */
 export interface WaitingStep {
@@ -25,6 +26,12 @@
  */
 const MAX_STANDING_WAIT_MS = 2_000;
 
+/**
+ * Waiting steps of one job from which on no further occurrence enters the queue. They would wait behind those anyway, and
+ * each planning round goes through the whole queue.
+ */
+const MAX_WAITING_STEPS_OF_JOB = 1_000;
+
 /** Groups of the steps of one priority, in scheduling order. */
 enum Urgency {
     /** Finite jobs that have begun and can end in time. */
@@ -50,6 +57,10 @@
 export class WorkQueue {
     readonly #unstartedSinceMs: UnstartedSince;
     readonly #steps = new Map<string, WaitingStep>();
+    /** Keys of the waiting steps by job. */
+    readonly #keysByJob = new Map<string, Set<string>>();
+    /** Next occurrence to enter the queue when it is due, by job. */
+    readonly #nextOccurrences = new Map<string, number>();
     #sorted: WaitingStep[] | undefined;
 
     constructor(unstartedSinceMs: UnstartedSince = () => undefined) {
@@ -89,48 +100,88 @@
         return [...overdue, ...ordered];
     }
 
-    /** Updates the queue after a change of a job; returns whether the set of waiting steps has changed. */
-    refresh(job: JobRecord, timeOfDayMs: number): boolean {
+    /** Updates the queue after a change of a job. */
+    refresh(job: JobRecord, timeOfDayMs: number): void {
+        if (job.isOver) {
+            this.#remove(job);
+            return;
+        }
+        job.openOccurrences().forEach(occurrence => this.#refreshOccurrence(job, occurrence, timeOfDayMs));
+        this.addDue(job, timeOfDayMs);
+    }
+
+    /** Adds the occurrences of a job that have become due; returns whether the set of waiting steps has changed. */
+    addDue(job: JobRecord, timeOfDayMs: number): boolean {
         let isChanged = false;
-        for (let occurrence = 0; occurrence < job.occurrences.length; occurrence += 1) {
-            isChanged = this.refreshOccurrence(job, occurrence, timeOfDayMs) || isChanged;
+        let next = this.#nextOccurrences.get(job.id) ?? job.firstIncompleteOccurrence;
+        while (
+            next < job.occurrenceCount
+            && job.dueMs(next) <= timeOfDayMs
+            && (this.#keysByJob.get(job.id)?.size ?? 0) < MAX_WAITING_STEPS_OF_JOB
+        ) {
+            isChanged = this.#refreshOccurrence(job, next, timeOfDayMs) || isChanged;
+            next += 1;
         }
+        this.#nextOccurrences.set(job.id, next);
         return isChanged;
     }
 
     /** Updates the queue after a change of a task. Only its own occurrence is refreshed, unless the job has ended. */
     refreshTask(job: JobRecord, occurrence: number, timeOfDayMs: number): void {
         if (job.isOver) {
-            this.refresh(job, timeOfDayMs);
+            this.#remove(job);
         }
         else {
-            this.refreshOccurrence(job, occurrence, timeOfDayMs);
+            this.#refreshOccurrence(job, occurrence, timeOfDayMs);
         }
     }
 
     /** Updates the queue after a change in one occurrence; returns whether the set of waiting steps has changed. */
-    refreshOccurrence(job: JobRecord, occurrence: number, timeOfDayMs: number): boolean {
+    #refreshOccurrence(job: JobRecord, occurrence: number, timeOfDayMs: number): boolean {
         let isChanged = false;
-        const isDue = !job.isOver && job.dueMs(occurrence) <= timeOfDayMs;
-        job.occurrences[occurrence]?.forEach((record, stepIndex) => {
-            const step = job.specification.steps[stepIndex];
+        const isDue = job.dueMs(occurrence) <= timeOfDayMs;
+        const records = isDue ? job.stepsOf(occurrence) : undefined;
+        job.specification.steps.forEach((step, stepIndex) => {
+            const record = records?.[stepIndex];
             const key = stepKey({ jobId: job.id, occurrence, step: stepIndex });
-            const isWaiting = isDue && step !== undefined && hasWaitingTask(job, occurrence, stepIndex, record);
+            const isWaiting = record !== undefined && hasWaitingTask(job, occurrence, stepIndex, record);
             if (isWaiting === this.#steps.has(key)) {
                 return;
             }
             if (isWaiting) {
-                this.#steps.set(key, this.#waitingStepOf({ job, occurrence, stepIndex, step, record }, timeOfDayMs));
+                this.#add(key, this.#waitingStepOf({ job, occurrence, stepIndex, step, record }, timeOfDayMs));
             }
             else {
-                this.#steps.delete(key);
+                this.#delete(key, job.id);
             }
-            this.#sorted = undefined;
             isChanged = true;
         });
         return isChanged;
     }
 
+    #add(key: string, waiting: WaitingStep): void {
+        this.#steps.set(key, waiting);
+        const keys = this.#keysByJob.get(waiting.job.id) ?? new Set<string>();
+        this.#keysByJob.set(waiting.job.id, keys.add(key));
+        this.#sorted = undefined;
+    }
+
+    #delete(key: string, jobId: string): void {
+        this.#steps.delete(key);
+        const keys = this.#keysByJob.get(jobId);
+        keys?.delete(key);
+        if (keys?.size === 0) {
+            this.#keysByJob.delete(jobId);
+        }
+        this.#sorted = undefined;
+    }
+
+    /** Removes a job that has ended. */
+    #remove(job: JobRecord): void {
+        this.#keysByJob.get(job.id)?.forEach(key => this.#delete(key, job.id));
+        this.#nextOccurrences.delete(job.id);
+    }
+
     #waitingStepOf(queued: QueuedStep, timeOfDayMs: number): WaitingStep {
         const { job, occurrence, stepIndex, step, record } = queued;
         return {
@@ -207,7 +258,7 @@
 
 /** Whether a task of the occurrence is done. */
 const hasBegun = ({ job, occurrence }: WaitingStep): boolean =>
-    job.occurrences[occurrence]?.some(({ doneCount }) => doneCount > 0) === true;
+    job.stepsOf(occurrence)?.some(({ doneCount }) => doneCount > 0) === true;
 
 /** Whether a job is expected to end late even if its tasks start now. */
 const isExpectedLate = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
--- a/packages/workflow/src/node/workflow-node.test.ts
+++ b/packages/workflow/src/node/workflow-node.test.ts
@@ -222,7 +222,7 @@
         replica.submit(jobOf("j", stepOf()));
         replica.heartbeat(heartbeatOf("s", 2));
         replica.failOver();
-        expect(replica.node.state.job("j")?.occurrences[0]?.[0]?.tasks[0]?.run).toBe(1);
+        expect(replica.node.state.job("j")?.stepsOf(0)?.[0]?.tasks[0]?.run).toBe(1);
     });
 
     it("is ordered again under the same number when the answer with the order was lost", () => {
--- a/packages/workflow/src/state/job-record.test.ts
+++ b/packages/workflow/src/state/job-record.test.ts
@@ -5,8 +5,9 @@
 import { configurationOf, jobOf, stepOf } from "../testing/fixtures.js";
 import { CrashInvolvement, LossReason } from "./crash-history.js";
 import type { CrashReport } from "./crash-history.js";
-import { JobRecord, TaskPhase } from "./job-record.js";
+import { JobRecord } from "./job-record.js";
 import type { JobContent } from "./job-record.js";
+import { TaskPhase } from "./occurrence-records.js";
 
 const [QUEUE] = configurationOf(1).queues;
 
--- a/packages/workflow/src/state/job-record.ts
+++ b/packages/workflow/src/state/job-record.ts
@@ -5,29 +5,8 @@
 import { findCrash, isToBeGivenUp, withCrash } from "./crash-history.js";
 import type { CrashRecord } from "./crash-history.js";
 import type { AssignedRun, LostRun, RecordedEnd, ServerIncarnation } from "./events.js";
-
-/** Phases of a task. */
-export enum TaskPhase {
-    /** Has no current run and waits for an assignment. */
-    Waiting = "waiting",
-    /** A run is assigned to a backend server. */
-    Assigned = "assigned",
-    Done = "done",
-}
-
-/** Replicated record of one task. */
-export interface TaskRecord {
-    phase: TaskPhase;
-    /** Number of the latest run; 0 before the first. */
-    run: number;
-    /** Number of failed runs; a failed run of a gang counts once for every member. */
-    failures: number;
-    checkpoint: string;
-    /** Backend server that the latest run was assigned to; undefined before the first. */
-    server: ServerIncarnation | undefined;
-    /** Crashes of servers that runs of the task were involved in, since one last ran on; undefined for none. */
-    crashes?: CrashRecord[];
-}
+import { OccurrenceRecords, TaskPhase } from "./occurrence-records.js";
+import type { OccurrencesContent, StepRecord, TaskRecord } from "./occurrence-records.js";
 
 /** A task that was given up because it crashes the servers that start it. */
 export interface CrashingTask {
@@ -45,16 +24,8 @@
     server: ServerIncarnation;
 }
 
-/** Replicated record of one step of one occurrence. */
-export interface StepRecord {
-    tasks: TaskRecord[];
-    doneCount: number;
-    /** Number of the gang's run whose failure was counted last; 0 before the first. */
-    failedGangRun: number;
-}
-
 /** Serializable content of a job's record. */
-export interface JobContent {
+export interface JobContent extends OccurrencesContent {
     specification: JobSpecification;
     queue: QueueContract;
     acceptedAtMs: number;
@@ -63,42 +34,29 @@
     hasStarted: boolean;
     /** Wall-clock time at which the job ended; undefined before its end. */
     endedAtMs: number | undefined;
-    occurrences: StepRecord[][];
     /** The task for which the job has failed; undefined unless it crashes servers. */
     crashingTask?: CrashingTask;
 }
 
-const createTaskRecord = (): TaskRecord => ({
-    phase: TaskPhase.Waiting,
-    run: 0,
-    failures: 0,
-    checkpoint: "",
-    server: undefined,
-});
-
-const createStepRecord = (step: StepSpecification): StepRecord => ({
-    tasks: Array.from({ length: step.taskCount }, createTaskRecord),
-    doneCount: 0,
-    failedGangRun: 0,
-});
-
 /** Whether a run with this end has worked, so that it hasn't crashed its server. */
 export const hasRun = (end: RunEnd): boolean => end !== RunEnd.NotStarted && end !== RunEnd.GangIncomplete;
 
 /** Replicated record of one job. */
 export class JobRecord {
-    readonly #content: JobContent;
+    readonly #content: Omit<JobContent, keyof OccurrencesContent>;
+    readonly #occurrences: OccurrenceRecords;
 
-    constructor(content: JobContent) {
+    constructor({ occurrences, sparseOccurrences, ...content }: JobContent) {
         this.#content = content;
+        this.#occurrences = OccurrenceRecords.fromContent(
+            content.specification.steps,
+            occurrenceCountOf(content.specification),
+            { occurrences, sparseOccurrences },
+        );
     }
 
     /** Creates the record of a newly accepted job. */
     static accepted(specification: JobSpecification, queue: QueueContract, acceptedAtMs: number): JobRecord {
-        const occurrences = Array.from(
-            { length: specification.schedule?.occurrences ?? 1 },
-            () => specification.steps.map(createStepRecord),
-        );
         return new JobRecord({
             specification,
             queue,
@@ -107,7 +65,7 @@
             hasFailed: false,
             hasStarted: false,
             endedAtMs: undefined,
-            occurrences,
+            occurrences: [],
         });
     }
 
@@ -145,8 +103,28 @@
         return this.#content.hasStarted;
     }
 
-    get occurrences(): readonly (readonly StepRecord[])[] {
-        return this.#content.occurrences;
+    get occurrenceCount(): number {
+        return occurrenceCountOf(this.specification);
+    }
+
+    /** First occurrence that is not complete. */
+    get firstIncompleteOccurrence(): number {
+        return this.#occurrences.firstIncomplete;
+    }
+
+    /** Returns the occurrences that may have begun and are not complete. */
+    openOccurrences(): number[] {
+        return Array.from(this.#occurrences.open(), ([occurrence]) => occurrence);
+    }
+
+    /** Whether all tasks of an occurrence are done. */
+    isOccurrenceComplete(occurrence: number): boolean {
+        return this.#occurrences.isComplete(occurrence);
+    }
+
+    /** Returns the records of an occurrence's steps; undefined if it is complete or doesn't exist. */
+    stepsOf(occurrence: number): readonly StepRecord[] | undefined {
+        return this.#occurrences.stepsOf(occurrence);
     }
 
     get state(): JobState {
@@ -162,13 +140,14 @@
         return this.#content.hasStarted ? JobState.Running : JobState.Queued;
     }
 
+    /** Returns the record of a task; undefined if its occurrence is complete or it doesn't exist. */
     task(position: TaskPosition): TaskRecord | undefined {
-        return this.#content.occurrences[position.occurrence]?.[position.step]?.tasks[position.index];
+        return this.stepsOf(position.occurrence)?.[position.step]?.tasks[position.index];
     }
 
     /** Yields the tasks whose latest run is assigned to a backend server. */
     *assignedTasks(): Generator<AssignedTask> {
-        for (const [occurrence, steps] of this.#content.occurrences.entries()) {
+        for (const [occurrence, steps] of this.#occurrences.open()) {
             for (const [step, record] of steps.entries()) {
                 const specification = this.specification.steps[step];
                 for (const [index, task] of record.tasks.entries()) {
@@ -184,7 +163,7 @@
 
     /** Whether all steps that this step depends on are complete. */
     areDependenciesDone(occurrence: number, step: number): boolean {
-        const steps = this.#content.occurrences[occurrence] ?? [];
+        const steps = this.stepsOf(occurrence) ?? [];
         const { dependsOn } = this.specification.steps[step] ?? { dependsOn: [] };
         return dependsOn.every(dependency => {
             const record = steps[dependency];
@@ -259,7 +238,7 @@
     }
 
     toContent(): JobContent {
-        return this.#content;
+        return { ...this.#content, ...this.#occurrences.toContent() };
     }
 
     #findAssignedTask(position: TaskPosition, run: number): TaskRecord | undefined {
@@ -279,7 +258,7 @@
 
     /** Returns the tasks that share the fate of a task: all members of its gang, or the task alone. */
     #members(position: TaskPosition): readonly TaskRecord[] {
-        const step = this.#content.occurrences[position.occurrence]?.[position.step];
+        const step = this.stepsOf(position.occurrence)?.[position.step];
         const task = step?.tasks[position.index];
         if (step === undefined || task === undefined) {
             return [];
@@ -310,7 +289,7 @@
     }
 
     #markDone(position: TaskPosition, isGang: boolean, atMs: number): void {
-        const step = this.#content.occurrences[position.occurrence]?.[position.step];
+        const step = this.stepsOf(position.occurrence)?.[position.step];
         const task = step?.tasks[position.index];
         if (step === undefined || task === undefined) {
             return;
@@ -321,17 +300,15 @@
             member.phase = TaskPhase.Done;
         });
         step.doneCount += completedTasks.length;
-        const isComplete = this.#content.occurrences.every(steps =>
-            steps.every(record => record.doneCount === record.tasks.length)
-        );
-        if (isComplete && !this.isOver) {
+        this.#occurrences.completeIfDone(position.occurrence);
+        if (this.#occurrences.areAllComplete && !this.isOver) {
             this.#content.endedAtMs = atMs;
         }
     }
 
     /** A gang fails as a whole: each of its runs counts as one failure, no matter which members report it. */
     #countFailure(position: TaskPosition, run: number, atMs: number): void {
-        const step = this.#content.occurrences[position.occurrence]?.[position.step];
+        const step = this.stepsOf(position.occurrence)?.[position.step];
         const task = step?.tasks[position.index];
         if (step === undefined || task === undefined) {
             return;
@@ -351,3 +328,5 @@
         }
     }
 }
+
+const occurrenceCountOf = ({ schedule }: JobSpecification): number => schedule?.occurrences ?? 1;
