--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -258,8 +258,8 @@
     /** Drops the log entries that the stored snapshot covers, except for the retained ones. */
     compactLog(snapshotIndex: number): void {
         this.snapshotIndex = Math.max(this.snapshotIndex, snapshotIndex);
-        const index = Math.min(snapshotIndex, this.commitIndex) - this.limits.retainedEntries;
-        this.log.compact(index);
+        const { retainedEntries, retainedBytes } = this.limits;
+        this.log.compact(Math.min(snapshotIndex, this.commitIndex), retainedEntries, retainedBytes);
         const current = this.#memberships.findLastIndex(item => item.index <= this.commitIndex);
         this.#memberships.splice(0, Math.max(0, current));
     }
--- a/packages/consensus/src/entry-log.ts
+++ b/packages/consensus/src/entry-log.ts
@@ -53,8 +53,21 @@
         this.#entries.length = Math.max(0, index - this.#baseIndex - 1);
     }
 
-    /** Removes the entries up to and including this index; does nothing if the log doesn't contain the index. */
-    compact(index: number): void {
+    /**
+     * Removes the entries up to and including this index, except for the last ones within the bounds; does nothing if the
+     * log doesn't contain the index.
+     */
+    compact(lastIndex: number, retainedEntries: number, retainedBytes: number): void {
+        let index = lastIndex;
+        let bytes = 0;
+        while (index > this.#baseIndex && lastIndex - index < retainedEntries) {
+            const entry = this.get(index);
+            bytes += entry === undefined ? 0 : approximateSizeBytes(entry);
+            if (bytes > retainedBytes) {
+                break;
+            }
+            index -= 1;
+        }
         const term = this.termAt(index);
         if (term === undefined || index <= this.#baseIndex) {
             return;
--- a/packages/consensus/src/replica-runner.ts
+++ b/packages/consensus/src/replica-runner.ts
@@ -4,6 +4,7 @@
 import type { LogEntry, Membership, ReplicaIdentity, ReplicaMessage, SnapshotHeader } from "@waxwingspread/protocol";
 import { Err } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import { approximateSizeBytes } from "./entry-log.js";
 import type { OpenedStore, ReplicaStore } from "./replica-store.js";
 import { Replica } from "./replica.js";
 import { toDiskError } from "./store-errors.js";
@@ -22,6 +23,8 @@
 /** Time without an event, ticks included, after which the process counts as stalled. */
 const STALL_THRESHOLD_MS = 100;
 const DEFAULT_SNAPSHOT_INTERVAL_ENTRIES = 10_000;
+/** Two segments, a snapshot of the same size and the one that it replaces take a few times as much of the disk. */
+const DEFAULT_SNAPSHOT_INTERVAL_BYTES = 16 * 1024 * 1024;
 
 /** Callbacks of a runner, which must not throw. */
 export interface RunnerHooks {
@@ -47,6 +50,8 @@
     limits?: Partial<ReplicaLimits>;
     /** Number of committed entries after which a snapshot is taken. */
     snapshotIntervalEntries?: number;
+    /** Approximate size of committed entries after which a snapshot is taken, however few they are. */
+    snapshotIntervalBytes?: number;
     /** Schedules the execution of the effects of one event-loop iteration; `setImmediate` by default. */
     defer?: (task: () => void) => void;
 }
@@ -62,6 +67,7 @@
     readonly #store: ReplicaStore;
     readonly #hooks: RunnerHooks;
     readonly #snapshotIntervalEntries: number;
+    readonly #snapshotIntervalBytes: number;
     readonly #defer: (task: () => void) => void;
     #nowMs: number;
     #diskOperations: DiskOperation[] = [];
@@ -69,6 +75,8 @@
     #diskLoop: Promise<void> | undefined;
     #snapshotWrite: Promise<void> | undefined;
     #lastSnapshotIndex: number;
+    /** Approximate size of the entries committed since the last snapshot. */
+    #bytesSinceSnapshot = 0;
     #failure: StepError | undefined;
     #isStopped = false;
 
@@ -77,6 +85,7 @@
         this.#store = opened.store;
         this.#hooks = hooks;
         this.#snapshotIntervalEntries = options.snapshotIntervalEntries ?? DEFAULT_SNAPSHOT_INTERVAL_ENTRIES;
+        this.#snapshotIntervalBytes = options.snapshotIntervalBytes ?? DEFAULT_SNAPSHOT_INTERVAL_BYTES;
         this.#defer = options.defer ?? setImmediate;
         this.#nowMs = nowMs;
         this.#lastSnapshotIndex = opened.persisted.snapshot?.lastIndex ?? 0;
@@ -216,6 +225,7 @@
                 this.#hooks.send(effect.to, effect.message);
                 return;
             case ReplicaEffectKind.Commit:
+                this.#bytesSinceSnapshot += sizeBytesOf(effect.entries);
                 this.#hooks.onCommit(effect.entries);
                 return;
             case ReplicaEffectKind.RoleChanged:
@@ -224,6 +234,7 @@
             case ReplicaEffectKind.RestoreSnapshot:
                 this.#hooks.onRestoreSnapshot(effect.header, effect.bytes);
                 this.#lastSnapshotIndex = effect.header.lastIndex;
+                this.#bytesSinceSnapshot = 0;
                 this.#diskOperations.push(effect);
                 return;
             default:
@@ -277,9 +288,10 @@
         }
     }
 
-    /** Takes a snapshot if enough entries were committed; it is written concurrently with the log. */
+    /** Takes a snapshot if enough entries, or bytes, were committed; it is written concurrently with the log. */
     #takeSnapshotIfDue(): void {
-        const isDue = this.replica.commitIndex - this.#lastSnapshotIndex >= this.#snapshotIntervalEntries;
+        const isDue = this.replica.commitIndex - this.#lastSnapshotIndex >= this.#snapshotIntervalEntries
+            || this.#bytesSinceSnapshot >= this.#snapshotIntervalBytes;
         if (!isDue || this.#snapshotWrite !== undefined) {
             return;
         }
@@ -289,6 +301,7 @@
         }
         const header = this.replica.snapshotHeader(bytes);
         this.#lastSnapshotIndex = header.lastIndex;
+        this.#bytesSinceSnapshot = 0;
         this.#snapshotWrite = this.#saveSnapshot(header, bytes).finally(() => {
             this.#snapshotWrite = undefined;
         });
@@ -312,3 +325,6 @@
         }
     }
 }
+
+const sizeBytesOf = (entries: readonly LogEntry[]): number =>
+    entries.reduce((sum, entry) => sum + approximateSizeBytes(entry), 0);
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -29,6 +29,8 @@
     snapshotChunkBytes: number;
     /** Entries kept before the last snapshot, so that a peer a few messages behind needs no snapshot. */
     retainedEntries: number;
+    /** Approximate size of these entries, beyond which fewer are kept. */
+    retainedBytes: number;
 }
 
 /** Timing that applies where the options give none. */
@@ -47,6 +49,7 @@
     inFlightBytes: 3 * 1024 * 1024,
     snapshotChunkBytes: 64 * 1024,
     retainedEntries: 1_000,
+    retainedBytes: 4 * 1024 * 1024,
 };
 
 /** State read from a replica's disk at startup. */
--- a/packages/test-support/src/replica-store.test.ts
+++ b/packages/test-support/src/replica-store.test.ts
@@ -9,6 +9,7 @@
 
 const FOLDER = "/data";
 const TICK_INTERVAL_MS = 20;
+const LARGE_RECORD_BYTES = 700_000;
 const SEGMENT = `${FOLDER}/segment-000000000001.log`;
 
 const open = (fileSystem: FileSystem, segmentBytes?: number) =>
@@ -250,6 +251,24 @@
         expect(fileSystem.syncCount - before).toBe(1);
     });
 
+    // Guards against replicas that all fill their disks at the same record: few records, but large ones, such as the
+    // changes of a long configuration.
+    it("takes snapshots often enough that large records don't fill a small disk", async () => {
+        const fileSystem = new FakeFileSystem(new SeededRandom(1));
+        fileSystem.capacityBytes = 64 * 1024 * 1024;
+        const failures: ErrorCode[] = [];
+        const runner = await startSingleReplica(fileSystem, {
+            takeSnapshot: () => Buffer.alloc(LARGE_RECORD_BYTES),
+            onFailed: error => failures.push(error.code),
+        });
+        for (let record = 0; record < 200; record += 1) {
+            runner.propose([Buffer.alloc(LARGE_RECORD_BYTES)], 1_001);
+            await waitUntilIdle(runner);
+        }
+        expect(failures).toEqual([]);
+        expect(runner.replica.commitIndex).toBe(202);
+    });
+
     it("restarts after 50,000 entries with the complete state and a bounded log", async () => {
         const fileSystem = new FakeFileSystem(new SeededRandom(1));
         let count = 0;
