--- a/packages/bench/src/workflow/session-benchmark.ts
+++ b/packages/bench/src/workflow/session-benchmark.ts
@@ -217,6 +217,7 @@
                 maxOrderBytes: 256 * 1024,
                 orderLeaseMs: 3_000,
                 retentionMs: 180_000,
+                maxJobBytes: 40_000_000,
             },
             log: {
                 term: 1,
--- a/packages/simulation/src/fuzz/fuzz-deployment.ts
+++ b/packages/simulation/src/fuzz/fuzz-deployment.ts
@@ -13,6 +13,7 @@
     maintenanceMs: 4_000,
     orderLeaseMs: 3_000,
     retentionMs: 600_000,
+    maxJobBytes: 40_000_000,
 };
 
 /** Properties of all deployments in random tests. */
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -15,6 +15,7 @@
 import { FillerPacing } from "./filler-pacing.js";
 import { hasPlausibleSequence, implausibleEventOf } from "./heartbeat-plausibility.js";
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
+import { JobAdmission } from "./job-admission.js";
 import { JobRetention } from "./job-retention.js";
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
@@ -66,6 +67,7 @@
  */
 export class LeaderSession {
     readonly cancellations: EarlyCancellations;
+    readonly admission: JobAdmission;
     readonly #options: LeaderSessionOptions;
     readonly #directory: ServerDirectory;
     readonly #unstartedTasks = new UnstartedTasks();
@@ -117,6 +119,7 @@
         this.#stops = new RunStops(state, this.#directory);
         const kept = { state, retentionMs: settings.retentionMs, propose: options.propose };
         this.cancellations = new EarlyCancellations(kept);
+        this.admission = new JobAdmission({ state, maxBytes: settings.maxJobBytes });
         this.#retention = new JobRetention({ ...kept, cancellations: this.cancellations }, times.nowMs);
         this.#losses = new RunLosses({ state, directory: this.#directory, propose: options.propose });
         this.#failures = new ServerFailures(step => hasStepSucceeded(state, this.#directory, step));
--- a/packages/workflow/src/leader/settings.ts
+++ b/packages/workflow/src/leader/settings.ts
@@ -16,4 +16,6 @@
     orderLeaseMs: number;
     /** Retention of jobs after their end. */
     retentionMs: number;
+    /** Upper bound on the memory that all jobs take on a replica. */
+    maxJobBytes: number;
 }
--- a/packages/workflow/src/model/calls.ts
+++ b/packages/workflow/src/model/calls.ts
@@ -15,6 +15,8 @@
     Uncertain = "uncertain",
     /** This replica is not the leader or cannot confirm that it is. The call had no effect. */
     NotLeader = "not-leader",
+    /** There is no memory for the job; the call had no effect. */
+    Overloaded = "overloaded",
     UnknownQueue = "unknown-queue",
     UnknownJob = "unknown-job",
 }
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -121,6 +121,10 @@
             this.#enqueueReadBarrier(() => respond(refused(this.#unknownQueueRefusal())), respond);
             return;
         }
+        if (!session.admission.tryAdmit(job, times.nowMs)) {
+            respond(refused(Refusal.Overloaded));
+            return;
+        }
         const acceptedAtMs = times.timeOfDayMs;
         this.#enqueueChange({ kind: EventKind.JobAccepted, job, queue, acceptedAtMs }, respond);
         if (session.cancellations.has(job.id)) {
--- a/packages/workflow/src/state/job-record.ts
+++ b/packages/workflow/src/state/job-record.ts
@@ -112,6 +112,11 @@
         return this.#occurrences.firstIncomplete;
     }
 
+    /** Number of occurrences whose records are in memory. */
+    get openOccurrenceCount(): number {
+        return this.#occurrences.openCount;
+    }
+
     /** Returns the occurrences that may have begun and are not complete. */
     openOccurrences(): number[] {
         return Array.from(this.#occurrences.open(), ([occurrence]) => occurrence);
--- a/packages/workflow/src/state/occurrence-records.ts
+++ b/packages/workflow/src/state/occurrence-records.ts
@@ -97,6 +97,11 @@
         return this.#completedBelow;
     }
 
+    /** Number of occurrences that may have begun and are not complete. */
+    get openCount(): number {
+        return this.#open.size;
+    }
+
     /** Returns the step records of an occurrence; undefined if it is complete or doesn't exist. */
     stepsOf(occurrence: number): readonly StepRecord[] | undefined {
         const exists = occurrence >= 0 && occurrence < this.#count;
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -22,6 +22,7 @@
     maxOrderBytes: 256 * 1024,
     orderLeaseMs: 3_000,
     retentionMs: 120_000,
+    maxJobBytes: 40_000_000,
 };
 
 /** Returns the result that a call delivered synchronously; throws when there is none. */
