--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -11,7 +11,7 @@
 import { MaintenanceState } from "../model/maintenance.js";
 import type { BeginMaintenance, MaintenanceOrder } from "../model/maintenance.js";
 import type { JobSpecification } from "../model/specification.js";
-import { decodeEvents, encodeEvents, EventKind } from "../state/events.js";
+import { decodeEvents, encodeRecords, EventKind } from "../state/events.js";
 import type { WorkflowEvent } from "../state/events.js";
 import type { CrashingTask } from "../state/job-record.js";
 import { UnknownEventError, WorkflowState } from "../state/workflow-state.js";
@@ -444,11 +444,11 @@
         if (this.#events.length === 0 && !this.#calls.hasUnproposed) {
             return;
         }
-        const record = encodeEvents(this.#events);
+        const proposed = encodeRecords(this.#events).map(record => this.#log.propose(record, nowMs));
         this.#events = [];
-        const proposed = this.#log.propose(record, nowMs);
-        if (proposed.isOk()) {
-            this.#calls.recordProposed(proposed.value);
+        const last = proposed.at(-1);
+        if (last?.isOk() === true) {
+            this.#calls.recordProposed(last.value);
         }
         else {
             this.#endSession();
--- a/packages/workflow/src/state/events.ts
+++ b/packages/workflow/src/state/events.ts
@@ -98,9 +98,34 @@
 /** The events of one kind. */
 export type EventOf<Kind extends EventKind> = Extract<WorkflowEvent, { kind: Kind }>;
 
+/** Size up to which events share a record. A record must fit into one message between replicas, which is far larger. */
+export const MAX_SHARED_RECORD_BYTES = 1024 * 1024;
+
 /** Encodes events as one log record. */
 export const encodeEvents = (events: readonly WorkflowEvent[]): Uint8Array => Buffer.from(JSON.stringify(events));
 
+/** Encodes events as log records of a bounded size, beside events that are larger by themselves. At least one record. */
+export const encodeRecords = (events: readonly WorkflowEvent[]): Uint8Array[] => {
+    const records: string[][] = [[]];
+    let bytes = 0;
+    events.forEach((event, index) => {
+        const text = JSON.stringify(event);
+        if (bytes + text.length > MAX_SHARED_RECORD_BYTES && bytes > 0 && !isCancellationOf(event, events[index - 1])) {
+            records.push([]);
+            bytes = 0;
+        }
+        records.at(-1)?.push(text);
+        bytes += text.length;
+    });
+    return records.map(texts => Buffer.from(`[${texts.join()}]`));
+};
+
+/** Whether an event cancels the job that the one before accepts; no replica may know the one without the other. */
+const isCancellationOf = (event: WorkflowEvent, previous: WorkflowEvent | undefined): boolean =>
+    event.kind === EventKind.JobCancelled
+    && previous?.kind === EventKind.JobAccepted
+    && previous.job.id === event.jobId;
+
 /** Decodes a log record written by `encodeEvents`. Throws an error for any other content. */
 export const decodeEvents = (record: Uint8Array): WorkflowEvent[] => {
     const events = JSON.parse(Buffer.from(record.buffer, record.byteOffset, record.byteLength).toString()) as unknown;
