--- a/packages/daemon/src/workflow/forwarded-call.test.ts
+++ b/packages/daemon/src/workflow/forwarded-call.test.ts
@@ -125,6 +125,23 @@
     expect(observed).toEqual({ result: refused(Refusal.Uncertain), atMs: DEADLINE_MS });
 });
 
+// Guards against "not accepted" for a submission that another leader may have accepted.
+it.each([[true, Refusal.Uncertain], [false, Refusal.Overloaded]])(
+    "reports a refusal for want of memory as it is only if no other attempt was sent (%s)",
+    async (isFirstSent, refusal) => {
+        const observed = observe(cancelCall());
+        if (isFirstSent) {
+            calls[0]?.call.onSent?.();
+        }
+        await vi.advanceTimersByTimeAsync(550);
+        finder.leaderHost = "b";
+        await vi.advanceTimersByTimeAsync(50);
+        calls[1]?.answer({ result: refused(Refusal.Overloaded), leaderHost: "b" });
+        await vi.advanceTimersByTimeAsync(0);
+        expect(observed).toEqual({ result: refused(refusal), atMs: 600 });
+    },
+);
+
 // Guards against a read that is reported as possibly executed, although it has no effect.
 it("reports a read without an answer as not run", async () => {
     const observed = observe(readCall());
--- a/packages/daemon/src/workflow/forwarded-call.ts
+++ b/packages/daemon/src/workflow/forwarded-call.ts
@@ -200,7 +200,7 @@
             if (isLatest && (finder.leaderHost ?? attempt.host) === attempt.host) {
                 finder.recordLeader(attempt.host);
             }
-            this.#finish(result);
+            this.#finish(this.#mayOtherAttemptAct(result) ? refused(Refusal.Uncertain) : result);
             return;
         }
         if (isLatest) {
@@ -209,6 +209,12 @@
         this.#handleAttemptWithoutAnswer(attempt, result.refusal === Refusal.Uncertain, nowMs);
     }
 
+    /** Whether a refusal that says that the call had no effect holds for its own attempt only. */
+    #mayOtherAttemptAct(result: CallResult<unknown>): boolean {
+        const isOverloaded = !result.ok && result.refusal === Refusal.Overloaded;
+        return isOverloaded && (this.#mayHaveActed || this.#isAwaitingAnswer);
+    }
+
     /** Passes the leader that a host without the leadership names to the finder, unless the finder knows better. */
     #followNamedLeader(attempt: Attempt, namedHost: string | undefined): void {
         const { finder } = this.#options;
--- a/packages/workflow/src/node/large-submissions.test.ts
+++ b/packages/workflow/src/node/large-submissions.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "vitest";
-import { Refusal } from "../model/calls.js";
+import { Refusal, succeeded } from "../model/calls.js";
 import { RunEnd } from "../model/heartbeat.js";
 import type { JobSpecification } from "../model/specification.js";
-import { heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { heartbeatOf, HOST, jobOf, stepOf } from "../testing/fixtures.js";
 import { LEADER_SETTINGS, SingleReplica } from "../testing/single-replica.js";
 
 const STEPS = 1_000;
@@ -31,6 +31,18 @@
         expect(replica.submit(chainOf("chain0")).ok).toBe(true);
     });
 
+    // Guards against a refusal, which says that the job never runs, while its first submission is being recorded.
+    it("are not refused while an earlier submission of the same job is not committed", () => {
+        const replica = SingleReplica.started({}, { ...LEADER_SETTINGS, maxJobBytes: FEW_JOB_BYTES });
+        const job = jobOf("j", stepOf({ taskCount: 80 }));
+        const results: unknown[] = [];
+        for (let attempt = 0; attempt < 2; attempt += 1) {
+            replica.node.submit({ host: HOST, path: "/batch/j" }, job, result => results.push(result), replica.times);
+        }
+        replica.settle();
+        expect(results).toEqual([succeeded(undefined), succeeded(undefined)]);
+    });
+
     it("are accepted again after earlier ones have been forgotten", () => {
         const replica = SingleReplica.started({}, { ...LEADER_SETTINGS, maxJobBytes: FEW_JOB_BYTES });
         expect(replica.submit(jobOf("j", stepOf({ taskCount: 80 }))).ok).toBe(true);
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -122,7 +122,10 @@
             return;
         }
         if (!session.admission.tryAdmit(job, times.nowMs)) {
-            respond(refused(Refusal.Overloaded));
+            // An earlier attempt of the same submission may be in a record that is not committed yet.
+            const answer = (): void =>
+                respond(this.#hasJob(job.id) ? succeeded(undefined) : refused(Refusal.Overloaded));
+            this.#enqueueReadBarrier(answer, respond);
             return;
         }
         const acceptedAtMs = times.timeOfDayMs;
