--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -40,6 +40,12 @@
     CrashSuspect = "crash-suspect",
     TasksPerServer = "tasks-per-server",
     NotEligible = "not-eligible",
+    /** All tasks together are expected to leave too little CPU time idle for a filler. */
+    LittleIdleCpu = "little-idle-cpu",
+    /** The fillers on the server get clearly less CPU time than their paces allow. */
+    Saturated = "saturated",
+    /** A filler would raise the tail latency of a standing task on the server above the placement limit. */
+    TailLatency = "tail-latency",
 }
 
 /** Returns the cost of a task on a server, lower is better; undefined if the task must not start there. */
@@ -81,20 +87,31 @@
     return newShare + (isMixed ? MIXED_IMAGES_COST : 0) - utilization * PACKING_WEIGHT;
 };
 
-/**
- * Prefers servers with many idle cores and with standing tasks that the filler affects little. Excludes servers that
- * have too little idle CPU or are saturated, and those where a tail latency would exceed the placement limit.
- */
-const costOfFiller: CostFunction = (waiting, server, pressure, nowMs) => {
-    const { amounts, image } = waiting.step;
-    const idle = expectedIdleCores(server);
-    if (idle * 1000 < amounts.cpuMillicores * MIN_FILLER_IDLE_RATIO || server.isSaturated) {
-        return undefined;
+/** Returns why a server with room for a filler cannot run it at present; undefined if it can. */
+const fillerExclusionOf = (
+    { step }: WaitingStep,
+    server: ServerView,
+    pressure: PressureModel,
+    nowMs: number,
+): Exclusion | undefined => {
+    const { cpuMillicores } = step.amounts;
+    if (expectedIdleCores(server) * 1000 < cpuMillicores * MIN_FILLER_IDLE_RATIO) {
+        return Exclusion.LittleIdleCpu;
     }
-    if (!pressure.canAddFiller(server, image, amounts.cpuMillicores, nowMs)) {
+    if (server.isSaturated) {
+        return Exclusion.Saturated;
+    }
+    return pressure.canAddFiller(server, step.image, cpuMillicores, nowMs) ? undefined : Exclusion.TailLatency;
+};
+
+/** Prefers servers with many idle cores and with standing tasks that the filler affects little. */
+const costOfFiller: CostFunction = (waiting, server, pressure, nowMs) => {
+    if (fillerExclusionOf(waiting, server, pressure, nowMs) !== undefined) {
         return undefined;
     }
-    return LATENCY_INCREASE_COST * pressure.logIncreaseBy(server, image, amounts.cpuMillicores) - idle;
+    const { amounts, image } = waiting.step;
+    const increase = pressure.logIncreaseBy(server, image, amounts.cpuMillicores);
+    return LATENCY_INCREASE_COST * increase - expectedIdleCores(server);
 };
 
 const COST_FUNCTIONS: Readonly<Record<TaskKind, CostFunction>> = {
@@ -172,13 +189,15 @@
     waiting: WaitingStep,
     servers: Iterable<ServerView>,
     constraints: PlacementConstraints,
+    pressure: PressureModel,
     nowMs: number,
 ): ServerCounts => {
     const counts: ServerCounts = { serversWithRoom: 0, excludedServers: {} };
     for (const server of servers) {
         const isRefused = constraints.isEligible?.(server) === false;
         const exclusion = exclusionOf(waiting, server, constraints, nowMs)
-            ?? (isRefused ? Exclusion.NotEligible : undefined);
+            ?? (isRefused ? Exclusion.NotEligible : undefined)
+            ?? (waiting.kind === TaskKind.Filler ? fillerExclusionOf(waiting, server, pressure, nowMs) : undefined);
         if (exclusion === undefined) {
             counts.serversWithRoom += 1;
         }
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -133,7 +133,8 @@
 
     /** Counts the servers that can run a task of the step now, and the others by the reason that excludes them. */
     countServersFor(waiting: WaitingStep, nowMs: number): ServerCounts {
-        return countServers(waiting, this.#directory.servers, this.#constraintsFor(waiting, nowMs), nowMs);
+        const constraints = this.#constraintsFor(waiting, nowMs);
+        return countServers(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
     }
 
     /** Returns the step of a run as if its task was waiting; undefined if its job is gone. */
--- a/packages/workflow/src/leader/wait-report.ts
+++ b/packages/workflow/src/leader/wait-report.ts
@@ -6,13 +6,13 @@
 import type { RunView } from "./server-view.js";
 import type { Times } from "./times.js";
 import type { UnstartedTasks } from "./unstarted-tasks.js";
-import { taskKeyIn } from "./work-queue.js";
+import { hasAssignedTask, taskKeyIn } from "./work-queue.js";
 import type { WaitingStep, WorkQueue } from "./work-queue.js";
 
 /** Shorter waits are not reported. */
 const MIN_REPORTED_WAIT_MS = 3_000;
-/** Kinds whose longest wait is reported. Fillers may wait for long, since they only use what others leave idle. */
-const REPORTED_KINDS = [TaskKind.Standing, TaskKind.Finite];
+/** Order of the reports. */
+const KINDS = [TaskKind.Standing, TaskKind.Finite, TaskKind.Filler];
 
 /** The task of one kind that has waited longest for a start, and what keeps servers from running it. */
 export interface WaitReport extends ServerCounts {
@@ -43,7 +43,10 @@
     serverId: string | undefined;
 }
 
-/** Returns a report on the standing and on the finite task that have waited longest, unless their waits are short. */
+/**
+ * Returns a report on the task of each kind that has waited longest, unless its wait is short. A filler whose job has
+ * another task at work is left out: its job proceeds.
+ */
 export const waitReportsOf = (sources: WaitReportSources, times: Times): WaitReport[] => {
     const longest = new Map<TaskKind, Candidate>();
     for (const candidate of [...queuedCandidates(sources, times), ...assignedCandidates(sources, times)]) {
@@ -52,7 +55,7 @@
             longest.set(kind, candidate);
         }
     }
-    return REPORTED_KINDS.flatMap(kind => {
+    return KINDS.flatMap(kind => {
         const candidate = longest.get(kind);
         return candidate === undefined ? [] : [reportOf(candidate, sources, times.nowMs)];
     });
@@ -74,7 +77,7 @@
 
 /** Returns the first waiting task of each step in the queue. */
 const queuedCandidates = ({ queue, unstartedTasks }: WaitReportSources, times: Times): Candidate[] =>
-    queue.steps.filter(step => REPORTED_KINDS.includes(step.kind)).map(step => {
+    queue.steps.filter(step => step.kind !== TaskKind.Filler || !hasAssignedTask(step)).map(step => {
         const index = step.record.tasks.findIndex(({ phase }) => phase === TaskPhase.Waiting);
         const task = taskKeyIn(step, index);
         const sinceMs = Math.min(step.waitingSinceMs, unstartedTasks.get(task)?.waitingSinceMs ?? Infinity);
@@ -102,4 +105,4 @@
     return candidates;
 };
 
-const isUnstarted = (run: RunView): boolean => run.firstReportedAtMs === undefined && REPORTED_KINDS.includes(run.kind);
+const isUnstarted = ({ firstReportedAtMs }: RunView): boolean => firstReportedAtMs === undefined;
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -256,6 +256,10 @@
     return endsLate ? Urgency.Late : Urgency.InTime;
 };
 
+/** Whether a task of the step's occurrence is assigned to a backend server. */
+export const hasAssignedTask = ({ job, occurrence }: WaitingStep): boolean =>
+    job.stepsOf(occurrence)?.some(({ tasks }) => tasks.some(({ phase }) => phase === TaskPhase.Assigned)) === true;
+
 /** Whether a task of the occurrence is done. */
 const hasBegun = ({ job, occurrence }: WaitingStep): boolean =>
     job.stepsOf(occurrence)?.some(({ doneCount }) => doneCount > 0) === true;
