--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -3,6 +3,7 @@
 import type { JobRecord } from "../state/job-record.js";
 import { TaskPhase } from "../state/occurrence-records.js";
 import type { StepRecord } from "../state/occurrence-records.js";
+import { acceptedDurationMs, criticalPathMs } from "./job-duration.js";
 
 /** A step of one occurrence with tasks that wait for a run. */
 export interface WaitingStep {
@@ -268,44 +269,6 @@
 const isExpectedLate = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
     timeOfDayMs + waiting.remainingCriticalPathMs > waiting.expectedEndMs;
 
-/**
- * Returns the wall-clock time by which callers expect an occurrence to end: a multiple of its critical path plus the
- * queue's target duration.
- */
-const expectedEndMsOf = (job: JobRecord, occurrence: number): number => {
-    return beginMsOf(job, occurrence) + job.queue.stretchRatio * criticalPathMs(job.specification.steps)
-        + job.queue.targetDurationMs;
-};
-
-/** Estimated durations of the critical paths of a job's steps. */
-interface CriticalPaths {
-    /** Durations of the paths from each step on. */
-    fromSteps: readonly number[];
-    longestMs: number;
-}
-
-const criticalPathsBySteps = new WeakMap<readonly StepSpecification[], CriticalPaths>();
-
-/** Returns the estimated duration of the critical path from a step on; by default, from the beginning. */
-const criticalPathMs = (steps: readonly StepSpecification[], fromStep?: number): number => {
-    let paths = criticalPathsBySteps.get(steps);
-    if (paths === undefined) {
-        const fromSteps = criticalPathsOf(steps);
-        paths = { fromSteps, longestMs: fromSteps.reduce((longest, path) => Math.max(longest, path), 0) };
-        criticalPathsBySteps.set(steps, paths);
-    }
-    return fromStep === undefined ? paths.longestMs : paths.fromSteps[fromStep] ?? 0;
-};
-
-/** Computes the critical paths from each step on. Steps depend on earlier ones only, so that the last comes first. */
-const criticalPathsOf = (steps: readonly StepSpecification[]): number[] => {
-    const paths = steps.map(() => 0);
-    for (let index = steps.length - 1; index >= 0; index -= 1) {
-        const path = (paths[index] ?? 0) + (steps[index]?.estimatedRunTimeMs ?? 0);
-        paths[index] = path;
-        steps[index]?.dependsOn.forEach(earlier => {
-            paths[earlier] = Math.max(paths[earlier] ?? 0, path);
-        });
-    }
-    return paths;
-};
+/** Returns the wall-clock time by which callers expect an occurrence to end. */
+const expectedEndMsOf = (job: JobRecord, occurrence: number): number =>
+    beginMsOf(job, occurrence) + acceptedDurationMs(job.specification.steps, job.queue);
