--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -37,6 +37,7 @@
         waitingSinceMs: 0,
         expectedEndMs: 0,
         remainingCriticalPathMs: 0,
+        idleSinceMs: 0,
     };
 };
 
--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -261,3 +261,23 @@
     replica.submit(jobOf("last", stepOf({ amounts: { cpuMillicores: 16_000, memoryMebibytes: 1, accelerators: 0 } })));
     expect((replica.node.session?.utilization().finiteCores ?? 0) - before).toBe(16);
 });
+
+// Load: one place becomes free at a time, and all jobs end late. Guards against an accepted job that never begins, because
+// an older one with many tasks takes each place (review/6).
+it("gives a place that becomes free to a late job with nothing at work before a further task of another", () => {
+    const replica = SingleReplica.started();
+    const amounts = { cpuMillicores: 4_000, memoryMebibytes: 1_000, accelerators: 0 };
+    const step = fillerStepOf({ amounts, estimatedRunTimeMs: 1 });
+    replica.submit(jobOf("wide", { ...step, taskCount: 8 }));
+    replica.submit(jobOf("narrow", step));
+    replica.advance(2_000);
+    replica.heartbeat(heartbeatOf("s", 1));
+    const [first] = replica.heartbeat(heartbeatOf("s", 2))?.starts ?? [];
+    expect(first?.task).toBe("wide.0.0.0");
+    const ended = [{ sequence: 1, task: "wide.0.0.0", run: 1, end: RunEnd.Done, checkpoint: "" }];
+    replica.heartbeat(heartbeatOf("s", 3, { ended }));
+    replica.advance(500);
+    replica.heartbeat(heartbeatOf("s", 4, { ended }));
+    expect([...replica.node.state.jobs.values()].flatMap(job => [...job.assignedTasks()])).toHaveLength(1);
+    expect([...replica.node.state.job("narrow")?.assignedTasks() ?? []]).toHaveLength(1);
+});
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -154,6 +154,7 @@
                 waitingSinceMs: 0,
                 expectedEndMs: 0,
                 remainingCriticalPathMs: 0,
+                idleSinceMs: undefined,
             };
     }
 
--- a/packages/workflow/src/leader/wait-report.ts
+++ b/packages/workflow/src/leader/wait-report.ts
@@ -6,7 +6,7 @@
 import type { RunView } from "./server-view.js";
 import type { Times } from "./times.js";
 import type { UnstartedTasks } from "./unstarted-tasks.js";
-import { hasAssignedTask, taskKeyIn } from "./work-queue.js";
+import { taskKeyIn } from "./work-queue.js";
 import type { WaitingStep, WorkQueue } from "./work-queue.js";
 
 /** Shorter waits are not reported. */
@@ -77,7 +77,7 @@
 
 /** Returns the first waiting task of each step in the queue. */
 const queuedCandidates = ({ queue, unstartedTasks }: WaitReportSources, times: Times): Candidate[] =>
-    queue.steps.filter(step => step.kind !== TaskKind.Filler || !hasAssignedTask(step)).map(step => {
+    queue.steps.filter(step => step.kind !== TaskKind.Filler || step.idleSinceMs !== undefined).map(step => {
         const index = step.record.tasks.findIndex(({ phase }) => phase === TaskPhase.Waiting);
         const task = taskKeyIn(step, index);
         const sinceMs = Math.min(step.waitingSinceMs, unstartedTasks.get(task)?.waitingSinceMs ?? Infinity);
--- a/packages/workflow/src/leader/work-queue.test.ts
+++ b/packages/workflow/src/leader/work-queue.test.ts
@@ -72,6 +72,25 @@
     expect(orderAt(queue, 2_500)).toEqual(["begun-in-time", "begun-late", "in-time", "late"]);
 });
 
+// Load: more batch work than the servers can do. Guards against a job that waits for as long as there are others, because
+// those that are late and older get one server after the other.
+it("puts late jobs with nothing at work before late jobs that have a task at work", () => {
+    const queue = new WorkQueue();
+    const step = fillerStepOf({ estimatedRunTimeMs: 4_000, taskCount: 2 });
+    const older = JobRecord.accepted(jobOf("older", step), QUEUE as QueueContract, 0);
+    const position = { jobId: "older", occurrence: 0, step: 0, index: 0 };
+    const task = taskKeyOf(position);
+    queue.refresh(older, 0);
+    accept(queue, "newer", 1_000, step);
+    expect(orderAt(queue, 9_000)).toEqual(["older", "newer"]);
+    older.assign(position, { task, run: 1, serverId: "s", incarnation: 1 });
+    queue.refreshTask(older, 0, 9_000);
+    expect(orderAt(queue, 9_000)).toEqual(["newer", "older"]);
+    older.end(position, { task, run: 1, end: RunEnd.Stopped, checkpoint: "" }, 9_000);
+    queue.refreshTask(older, 0, 9_000);
+    expect(orderAt(queue, 9_000)).toEqual(["newer", "older"]);
+});
+
 // Guards against standing tasks that count as late and wait behind all finite ones, and against standing tasks that take
 // the capacity, for long, which a finite job needs to be finished.
 it("orders a standing job by its expected end, after finite jobs that have begun, until it is overdue", () => {
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -2,7 +2,7 @@
 import type { StepSpecification } from "../model/specification.js";
 import type { JobRecord } from "../state/job-record.js";
 import { TaskPhase } from "../state/occurrence-records.js";
-import type { StepRecord } from "../state/occurrence-records.js";
+import type { StepRecord, TaskRecord } from "../state/occurrence-records.js";
 import { acceptedDurationMs, criticalPathMs } from "./job-duration.js";
 
 /** A step of one occurrence with tasks that wait for a run. */
@@ -19,6 +19,8 @@
     readonly expectedEndMs: number;
     /** Estimated time from the step's start to the end of the occurrence: its remaining critical path. */
     readonly remainingCriticalPathMs: number;
+    /** Wall-clock time since which no task of the occurrence is assigned to a backend server; undefined while one is. */
+    idleSinceMs: number | undefined;
 }
 
 /**
@@ -41,7 +43,12 @@
     BegunLate,
     /** Other jobs that can end in time, and standing jobs, which are never too late to start. */
     InTime,
-    /** Jobs that end late even if they begin now; before those above, they would make them late as well. */
+    /**
+     * Jobs that end late even if they begin now and have no task at work, the one that was at work least recently first.
+     * So each of them proceeds, however much work there is.
+     */
+    LateAndIdle,
+    /** Other jobs that end late even if they begin now; before those above, they would make them late as well. */
     Late,
 }
 
@@ -92,12 +99,12 @@
             }
             if (waiting.job.queue.priority !== priority) {
                 priority = waiting.job.queue.priority;
-                ordered.push(...groups.flat());
+                ordered.push(...joinGroups(groups));
                 groups = emptyGroups();
             }
             groups[urgencyOf(waiting, timeOfDayMs)]?.push(waiting);
         }
-        ordered.push(...groups.flat());
+        ordered.push(...joinGroups(groups));
         return [...overdue, ...ordered];
     }
 
@@ -142,15 +149,22 @@
         let isChanged = false;
         const isDue = job.dueMs(occurrence) <= timeOfDayMs;
         const records = isDue ? job.stepsOf(occurrence) : undefined;
+        const hasAssignedTask = records?.some(({ tasks }) => tasks.some(isAssigned)) === true;
         job.specification.steps.forEach((step, stepIndex) => {
             const record = records?.[stepIndex];
             const key = stepKey({ jobId: job.id, occurrence, step: stepIndex });
             const isWaiting = record !== undefined && hasWaitingTask(job, occurrence, stepIndex, record);
-            if (isWaiting === this.#steps.has(key)) {
+            const queued = this.#steps.get(key);
+            if (queued !== undefined) {
+                queued.idleSinceMs = hasAssignedTask ? undefined : queued.idleSinceMs ?? timeOfDayMs;
+            }
+            if (isWaiting === (queued !== undefined)) {
                 return;
             }
             if (isWaiting) {
-                this.#add(key, this.#waitingStepOf({ job, occurrence, stepIndex, step, record }, timeOfDayMs));
+                const waiting = this.#waitingStepOf({ job, occurrence, stepIndex, step, record }, timeOfDayMs);
+                waiting.idleSinceMs = hasAssignedTask ? undefined : waiting.waitingSinceMs;
+                this.#add(key, waiting);
             }
             else {
                 this.#delete(key, job.id);
@@ -184,15 +198,12 @@
     }
 
     #waitingStepOf(queued: QueuedStep, timeOfDayMs: number): WaitingStep {
-        const { job, occurrence, stepIndex, step, record } = queued;
+        const { job, occurrence, stepIndex, step } = queued;
         return {
-            job,
-            occurrence,
-            stepIndex,
-            step,
-            record,
+            ...queued,
             kind: taskKindOf(step),
             waitingSinceMs: this.#waitingSinceMsOf(queued, timeOfDayMs),
+            idleSinceMs: undefined,
             expectedEndMs: expectedEndMsOf(job, occurrence),
             remainingCriticalPathMs: criticalPathMs(job.specification.steps, stepIndex),
         };
@@ -240,7 +251,13 @@
     || a.occurrence - b.occurrence
     || a.stepIndex - b.stepIndex;
 
-const emptyGroups = (): WaitingStep[][] => [[], [], [], []];
+const emptyGroups = (): WaitingStep[][] => Object.values(Urgency).filter(Number.isInteger).map(() => []);
+
+/** Returns the steps of one priority in scheduling order. */
+const joinGroups = (groups: readonly WaitingStep[][]): WaitingStep[] => {
+    groups[Urgency.LateAndIdle]?.sort((a, b) => (a.idleSinceMs ?? 0) - (b.idleSinceMs ?? 0));
+    return groups.flat();
+};
 
 const isStandingOverdue = ({ kind, waitingSinceMs }: WaitingStep, timeOfDayMs: number): boolean =>
     kind === TaskKind.Standing && timeOfDayMs - waitingSinceMs >= MAX_STANDING_WAIT_MS;
@@ -254,12 +271,13 @@
     if (waiting.kind === TaskKind.Finite && hasBegun(waiting)) {
         return endsLate ? Urgency.BegunLate : Urgency.BegunInTime;
     }
-    return endsLate ? Urgency.Late : Urgency.InTime;
+    if (!endsLate) {
+        return Urgency.InTime;
+    }
+    return waiting.idleSinceMs === undefined ? Urgency.Late : Urgency.LateAndIdle;
 };
 
-/** Whether a task of the step's occurrence is assigned to a backend server. */
-export const hasAssignedTask = ({ job, occurrence }: WaitingStep): boolean =>
-    job.stepsOf(occurrence)?.some(({ tasks }) => tasks.some(({ phase }) => phase === TaskPhase.Assigned)) === true;
+const isAssigned = ({ phase }: TaskRecord): boolean => phase === TaskPhase.Assigned;
 
 /** Whether a task of the occurrence is done. */
 const hasBegun = ({ job, occurrence }: WaitingStep): boolean =>
