--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -2,7 +2,7 @@
 import { TaskKind, taskKindOf } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
 import { JobRecord } from "../state/job-record.js";
-import { configurationOf, heartbeatOf, jobOf, standingStepOf } from "../testing/fixtures.js";
+import { configurationOf, fillerStepOf, heartbeatOf, jobOf, standingStepOf } from "../testing/fixtures.js";
 import { chooseServer } from "./placement.js";
 import { PressureModel } from "./pressure-model.js";
 import { newRunView, ServerView } from "./server-view.js";
@@ -60,6 +60,23 @@
     expect(choose(1_100, serverWithStanding(3_000))).toBeUndefined();
 });
 
+// Guards against fillers that wait although servers have idle processors, because the fillers there use less than they
+// declare and so look as if they were held up.
+it("places a filler beside fillers that use less than they declare, but not beside fillers that are held up", () => {
+    const chooseBeside = (usedMillicores: number): ServerView | undefined => {
+        const server = serverWithStanding(100);
+        const step = fillerStepOf();
+        const position = { jobId: "running", occurrence: 0, step: 0, index: 0 };
+        const run = newRunView({ task: "running", run: 1, position, step, kind: TaskKind.Filler, checkpoint: "" }, 0);
+        run.measurement = usedMillicores;
+        server.addRun(run);
+        const waiting = { ...waitingOf(step), kind: TaskKind.Filler };
+        return chooseServer(waiting, [server], CONSTRAINTS, new PressureModel({}), 0);
+    };
+    expect(chooseBeside(600)).toBeDefined();
+    expect(chooseBeside(400)).toBeUndefined();
+});
+
 // Guards against a standing task that waits although an avoided server has capacity for it.
 it("places a standing task on an avoided server when no other has capacity", () => {
     const avoided = serverWithStanding(1_000);
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -60,8 +60,11 @@
  */
 const MISSED_ANSWER_INTERVAL_MS = 980;
 
-/** A server counts as saturated when its fillers get less than this share of the CPU time that their paces allow. */
-const SATURATION_RATIO = 0.8;
+/**
+ * A server counts as saturated when its fillers get less than this share of the CPU time that their paces allow. Tasks that
+ * nothing holds up may use a good deal less than they declare.
+ */
+const SATURATION_RATIO = 0.5;
 
 const ZERO: Amounts = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
 
