--- a/packages/workflow/src/leader/work-queue.test.ts
+++ b/packages/workflow/src/leader/work-queue.test.ts
@@ -14,13 +14,14 @@
 };
 
 /** Adds a job with two tasks, of which one has been done. */
-const acceptBegun = (queue: WorkQueue, id: string, acceptedAtMs: number, step: StepSpecification): void => {
+const acceptBegun = (queue: WorkQueue, id: string, acceptedAtMs: number, step: StepSpecification): JobRecord => {
     const job = JobRecord.accepted(jobOf(id, step), QUEUE as QueueContract, acceptedAtMs);
     const position = { jobId: id, occurrence: 0, step: 0, index: 0 };
     const task = taskKeyOf(position);
     job.assign(position, { task, run: 1, serverId: "s", incarnation: 1 });
     job.end(position, { task, run: 1, end: RunEnd.Done, checkpoint: "" }, acceptedAtMs);
     queue.refresh(job, acceptedAtMs);
+    return job;
 };
 
 const orderAt = (queue: WorkQueue, timeOfDayMs: number): string[] =>
@@ -91,6 +92,20 @@
     expect(orderAt(queue, 9_000)).toEqual(["newer", "older"]);
 });
 
+// Load: an outage leaves more finite work than the servers can do. Guards against a job that has begun and then waits until
+// an older, wider one is done.
+it("puts begun finite jobs with nothing at work before others that end late as well", () => {
+    const queue = new WorkQueue();
+    const step = stepOf({ taskCount: 3 });
+    const older = acceptBegun(queue, "older", 0, step);
+    acceptBegun(queue, "newer", 100, step);
+    expect(orderAt(queue, 9_000)).toEqual(["older", "newer"]);
+    const position = { jobId: "older", occurrence: 0, step: 0, index: 1 };
+    older.assign(position, { task: taskKeyOf(position), run: 1, serverId: "s", incarnation: 1 });
+    queue.refreshTask(older, 0, 9_000);
+    expect(orderAt(queue, 9_000)).toEqual(["newer", "older"]);
+});
+
 // Guards against standing tasks that count as late and wait behind all finite ones, and against standing tasks that take
 // the capacity, for long, which a finite job needs to be finished.
 it("orders a standing job by its expected end, after finite jobs that have begun, until it is overdue", () => {
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -39,16 +39,17 @@
 enum Urgency {
     /** Finite jobs that have begun and can end in time. */
     BegunInTime,
-    /** Finite jobs that have begun and end late in any case; the capacity they have used is not to be wasted. */
+    /**
+     * Finite jobs that have begun and end late in any case; the capacity they have used is not to be wasted. Idle ones come
+     * first, as among the other late jobs.
+     */
     BegunLate,
     /** Other jobs that can end in time, and standing jobs, which are never too late to start. */
     InTime,
     /**
-     * Jobs that end late even if they begin now and have no task at work, the one that was at work least recently first.
-     * So each of them proceeds, however much work there is.
+     * Jobs that end late even if they begin now; before those above, they would make them late as well. Those that are idle
+     * come first, the longest idle one before the others. So each of them proceeds, however much work there is.
      */
-    LateAndIdle,
-    /** Other jobs that end late even if they begin now; before those above, they would make them late as well. */
     Late,
 }
 
@@ -251,14 +252,19 @@
     || a.occurrence - b.occurrence
     || a.stepIndex - b.stepIndex;
 
-const emptyGroups = (): WaitingStep[][] => Object.values(Urgency).filter(Number.isInteger).map(() => []);
+const emptyGroups = (): WaitingStep[][] => [[], [], [], []];
 
 /** Returns the steps of one priority in scheduling order. */
 const joinGroups = (groups: readonly WaitingStep[][]): WaitingStep[] => {
-    groups[Urgency.LateAndIdle]?.sort((a, b) => (a.idleSinceMs ?? 0) - (b.idleSinceMs ?? 0));
+    groups[Urgency.BegunLate]?.sort(compareIdleTimes);
+    groups[Urgency.Late]?.sort(compareIdleTimes);
     return groups.flat();
 };
 
+/** Puts the longest idle job first, and jobs with a task at work last. */
+const compareIdleTimes = (a: WaitingStep, b: WaitingStep): number =>
+    (a.idleSinceMs ?? Number.MAX_VALUE) - (b.idleSinceMs ?? Number.MAX_VALUE);
+
 const isStandingOverdue = ({ kind, waitingSinceMs }: WaitingStep, timeOfDayMs: number): boolean =>
     kind === TaskKind.Standing && timeOfDayMs - waitingSinceMs >= MAX_STANDING_WAIT_MS;
 
@@ -271,10 +277,7 @@
     if (waiting.kind === TaskKind.Finite && hasBegun(waiting)) {
         return endsLate ? Urgency.BegunLate : Urgency.BegunInTime;
     }
-    if (!endsLate) {
-        return Urgency.InTime;
-    }
-    return waiting.idleSinceMs === undefined ? Urgency.Late : Urgency.LateAndIdle;
+    return endsLate ? Urgency.Late : Urgency.InTime;
 };
 
 const isAssigned = ({ phase }: TaskRecord): boolean => phase === TaskPhase.Assigned;
