--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -281,3 +281,17 @@
     expect([...replica.node.state.jobs.values()].flatMap(job => [...job.assignedTasks()])).toHaveLength(1);
     expect([...replica.node.state.job("narrow")?.assignedTasks() ?? []]).toHaveLength(1);
 });
+
+// Load: several places become free at once, and all jobs end late. Guards against a job that takes all of them while another
+// has nothing at work.
+it("gives each of several late jobs with nothing at work one place before any gets a second one", () => {
+    const replica = SingleReplica.started();
+    const step = fillerStepOf({ taskCount: 8, estimatedRunTimeMs: 1 });
+    const ids = ["first", "second", "third"];
+    ids.forEach(id => replica.submit(jobOf(id, step)));
+    replica.advance(2_000);
+    replica.heartbeat(heartbeatOf("s", 1));
+    replica.heartbeat(heartbeatOf("s", 2));
+    const countAssigned = (id: string): number => [...replica.node.state.job(id)?.assignedTasks() ?? []].length;
+    expect(ids.map(countAssigned)).toEqual([2, 1, 1]);
+});
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -14,7 +14,7 @@
 import type { RunView, ServerView } from "./server-view.js";
 import type { Times } from "./times.js";
 import { stepKeyOf, taskKeyIn } from "./work-queue.js";
-import type { WaitingStep, WorkQueue } from "./work-queue.js";
+import type { Turn, WaitingStep, WorkQueue } from "./work-queue.js";
 
 /**
  * Time for which a task that may crash its server waits for one without other fresh runs. Afterwards it may start
@@ -106,8 +106,8 @@
         const runs = this.#reconsiderOverdue({ nowMs, timeOfDayMs });
         // The round must go on, however many servers change during it.
         this.#remainingServers = Math.max(this.#remainingServers, MIN_EXAMINED_SERVERS_IN_ROUND);
-        for (const waiting of this.#queue.ordered(timeOfDayMs)) {
-            const planned = this.#planStep(waiting, nowMs);
+        for (const turn of this.#queue.turns(timeOfDayMs)) {
+            const planned = this.#planTurn(turn, nowMs);
             runs.push(...planned.runs);
             if (!planned.isComplete) {
                 return { runs, isComplete: false };
@@ -218,11 +218,11 @@
         return overdue.filter(({ job }) => !job.isOver).flatMap(waiting => {
             const constraints = this.#constraintsFor(waiting, nowMs);
             const find = (): ServerView | undefined => this.#search(waiting, changedServers, constraints, nowMs);
-            return this.#planTasks(waiting, constraints, find, nowMs).runs;
+            return this.#planTasks({ waiting, maxTasks: Infinity }, constraints, find, nowMs).runs;
         });
     }
 
-    #planStep(waiting: WaitingStep, nowMs: number): Plan {
+    #planTurn({ waiting, maxTasks }: Turn, nowMs: number): Plan {
         const queue = this.#state.currentQueueOf(waiting.job);
         const isSkipped = waiting.job.isOver
             || this.#failuresInRound.includes(waiting, constraintsKeyOf(waiting, queue));
@@ -233,11 +233,12 @@
             return this.#planGang(waiting, nowMs);
         }
         const constraints = this.#constraintsFor(waiting, nowMs);
-        return this.#planTasks(waiting, constraints, () => this.#findServer(waiting, constraints, nowMs), nowMs);
+        const find = (): ServerView | undefined => this.#findServer(waiting, constraints, nowMs);
+        return this.#planTasks({ waiting, maxTasks }, constraints, find, nowMs);
     }
 
     #planTasks(
-        waiting: WaitingStep,
+        { waiting, maxTasks }: Turn,
         constraints: PlacementConstraints,
         findServer: () => ServerView | undefined,
         nowMs: number,
@@ -247,6 +248,9 @@
             if (!this.#isUnassigned(waiting, index)) {
                 continue;
             }
+            if (runs.length >= maxTasks) {
+                break;
+            }
             if (this.#remainingServers <= 0) {
                 return { runs, isComplete: false };
             }
--- a/packages/workflow/src/leader/work-queue.test.ts
+++ b/packages/workflow/src/leader/work-queue.test.ts
@@ -24,8 +24,10 @@
     return job;
 };
 
-const orderAt = (queue: WorkQueue, timeOfDayMs: number): string[] =>
-    queue.ordered(timeOfDayMs).map(waiting => waiting.job.id);
+/** Returns the jobs in the order of their first turns. */
+const orderAt = (queue: WorkQueue, timeOfDayMs: number): string[] => [
+    ...new Set(queue.turns(timeOfDayMs).map(({ waiting }) => waiting.job.id)),
+];
 
 // Load: more batch work than the servers can do. Guards against giving capacity to jobs that end late in any case,
 // which makes the next jobs late, too.
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -23,6 +23,13 @@
     idleSinceMs: number | undefined;
 }
 
+/** A step of which tasks are to be placed next. */
+export interface Turn {
+    readonly waiting: WaitingStep;
+    /** Upper bound on the tasks to be placed; a gang is placed as a whole. */
+    readonly maxTasks: number;
+}
+
 /**
  * Time after which a waiting standing step precedes all other work. Standing tasks must be at work again within a few
  * seconds, however much work of a higher priority waits.
@@ -35,21 +42,15 @@
  */
 const MAX_WAITING_STEPS_OF_JOB = 1_000;
 
-/** Groups of the steps of one priority, in scheduling order. */
+/** Groups of the steps of one priority, in scheduling order. In the groups of late jobs, idle ones come first. */
 enum Urgency {
     /** Finite jobs that have begun and can end in time. */
     BegunInTime,
-    /**
-     * Finite jobs that have begun and end late in any case; the capacity they have used is not to be wasted. Idle ones come
-     * first, as among the other late jobs.
-     */
+    /** Finite jobs that have begun and end late in any case; the capacity they have used is not to be wasted. */
     BegunLate,
     /** Other jobs that can end in time, and standing jobs, which are never too late to start. */
     InTime,
-    /**
-     * Jobs that end late even if they begin now; before those above, they would make them late as well. Those that are idle
-     * come first, the longest idle one before the others. So each of them proceeds, however much work there is.
-     */
+    /** Jobs that end late even if they begin now; before those above, they would make them late as well. */
     Late,
 }
 
@@ -87,26 +88,26 @@
         return this.steps.filter(waiting => isStandingOverdue(waiting, timeOfDayMs));
     }
 
-    /** Returns the steps in scheduling order. */
-    ordered(timeOfDayMs: number): readonly WaitingStep[] {
-        const overdue: WaitingStep[] = [];
-        const ordered: WaitingStep[] = [];
+    /** Returns the steps in scheduling order. Idle late jobs have two turns: one for a single task, one for the others. */
+    turns(timeOfDayMs: number): readonly Turn[] {
+        const overdue: Turn[] = [];
+        const turns: Turn[] = [];
         let priority: number | undefined;
         let groups = emptyGroups();
         for (const waiting of this.steps) {
             if (isStandingOverdue(waiting, timeOfDayMs)) {
-                overdue.push(waiting);
+                overdue.push(wholeStepTurn(waiting));
                 continue;
             }
             if (waiting.job.queue.priority !== priority) {
                 priority = waiting.job.queue.priority;
-                ordered.push(...joinGroups(groups));
+                turns.push(...groups.flatMap(turnsOfGroup));
                 groups = emptyGroups();
             }
             groups[urgencyOf(waiting, timeOfDayMs)]?.push(waiting);
         }
-        ordered.push(...joinGroups(groups));
-        return [...overdue, ...ordered];
+        turns.push(...groups.flatMap(turnsOfGroup));
+        return [...overdue, ...turns];
     }
 
     /** Updates the queue after a change of a job. */
@@ -254,16 +255,24 @@
 
 const emptyGroups = (): WaitingStep[][] => [[], [], [], []];
 
-/** Returns the steps of one priority in scheduling order. */
-const joinGroups = (groups: readonly WaitingStep[][]): WaitingStep[] => {
-    groups[Urgency.BegunLate]?.sort(compareIdleTimes);
-    groups[Urgency.Late]?.sort(compareIdleTimes);
-    return groups.flat();
+const LATE_GROUPS: ReadonlySet<Urgency> = new Set([Urgency.BegunLate, Urgency.Late]);
+
+/**
+ * Returns the turns of one group. Among late jobs, each idle one gets a server for one task before any other gets a further
+ * one, the longest idle one first. So all of them proceed, however much work there is.
+ */
+const turnsOfGroup = (group: readonly WaitingStep[], urgency: Urgency): Turn[] => {
+    const turns = group.map(wholeStepTurn);
+    if (!LATE_GROUPS.has(urgency)) {
+        return turns;
+    }
+    const idle = group
+        .filter(({ idleSinceMs }) => idleSinceMs !== undefined)
+        .sort((a, b) => (a.idleSinceMs ?? 0) - (b.idleSinceMs ?? 0));
+    return [...idle.map(waiting => ({ waiting, maxTasks: 1 })), ...turns];
 };
 
-/** Puts the longest idle job first, and jobs with a task at work last. */
-const compareIdleTimes = (a: WaitingStep, b: WaitingStep): number =>
-    (a.idleSinceMs ?? Number.MAX_VALUE) - (b.idleSinceMs ?? Number.MAX_VALUE);
+const wholeStepTurn = (waiting: WaitingStep): Turn => ({ waiting, maxTasks: Infinity });
 
 const isStandingOverdue = ({ kind, waitingSinceMs }: WaitingStep, timeOfDayMs: number): boolean =>
     kind === TaskKind.Standing && timeOfDayMs - waitingSinceMs >= MAX_STANDING_WAIT_MS;
