--- a/packages/simulation/src/checks/job-progress-check.ts
+++ b/packages/simulation/src/checks/job-progress-check.ts
@@ -33,7 +33,7 @@
         );
         jobsAtWork.forEach(id => this.#begunJobs.add(id));
         for (const [id, job] of this.#jobs) {
-            const isDue = this.#oracle.dueTasks(job.specification).length > 0;
+            const isDue = this.#oracle.dueTasks(job.specification).next().done === false;
             const mayBegin = this.#begunJobs.has(id) || job.specification.steps.every(({ isFiller }) => isFiller);
             if (!job.isAccepted || jobsAtWork.has(id) || !isDue || !mayBegin) {
                 this.#idleSinceMs.delete(id);
--- a/packages/simulation/src/checks/liveness.ts
+++ b/packages/simulation/src/checks/liveness.ts
@@ -43,20 +43,39 @@
         if (nowMs - this.#crashedAtMs < LEASE_EXPIRY_MS) {
             return;
         }
+        const tasksAtWork = this.#findTasksAtWork();
+        const isOverHalfInUse = this.#isOverHalfInUse();
         for (const job of this.#jobs.values()) {
             const hasEnded = this.#oracle.hasFailed(job) || this.#oracle.mayBeGivenUp(job);
-            const isOpen = job.isAccepted && job.possibleCancellations === 0 && !hasEnded;
-            for (const position of isOpen ? this.#oracle.dueTasks(job.specification) : []) {
-                this.#observeTask(position, job.specification.steps[position.step], nowMs);
+            if (job.isAccepted && job.possibleCancellations === 0 && !hasEnded) {
+                this.#observeJob(job, tasksAtWork, isOverHalfInUse, nowMs);
             }
         }
     }
 
-    #observeTask(position: TaskPosition, step: StepSpecification | undefined, nowMs: number): void {
-        const task = taskKeyOf(position);
-        const isRunning = this.#servers.some(server => server.isUp && isAtWork(server.runs.get(task)));
-        const isFleetBusy = step?.isStanding !== true && this.#isOverHalfInUse();
-        if (step === undefined || isRunning || isFleetBusy || !this.#hasCapacityFor(position, step)) {
+    #observeJob(
+        { specification }: SubmittedJob,
+        tasksAtWork: ReadonlySet<string>,
+        isOverHalfInUse: boolean,
+        nowMs: number,
+    ): void {
+        /** Whether there is room for each step with a task that waits. */
+        const hasRoom = new Map<number, boolean>();
+        for (const position of this.#oracle.dueTasks(specification)) {
+            const step = specification.steps[position.step];
+            const task = taskKeyOf(position);
+            if (step === undefined || tasksAtWork.has(task) || (isOverHalfInUse && !step.isStanding)) {
+                this.#waitingSinceMs.delete(task);
+                continue;
+            }
+            const isPossible = hasRoom.get(position.step) ?? this.#hasCapacityFor(position, step);
+            hasRoom.set(position.step, isPossible);
+            this.#observeWaiting(task, isPossible, nowMs);
+        }
+    }
+
+    #observeWaiting(task: string, hasRoom: boolean, nowMs: number): void {
+        if (!hasRoom) {
             this.#waitingSinceMs.delete(task);
             return;
         }
@@ -68,6 +87,18 @@
         }
     }
 
+    #findTasksAtWork(): Set<string> {
+        const tasks = new Set<string>();
+        for (const server of this.#servers) {
+            for (const run of server.isUp ? server.runs.values() : []) {
+                if (isAtWork(run)) {
+                    tasks.add(run.task);
+                }
+            }
+        }
+        return tasks;
+    }
+
     /** Whether more than half of the fleet's CPU is in use, so that finite tasks may wait for suitable servers. */
     #isOverHalfInUse(): boolean {
         const usedRatios = this.#servers.map(server =>
@@ -105,4 +136,4 @@
 };
 
 /** Whether a run proceeds; a filler at pace 0 stands still. */
-const isAtWork = (run: ServerRun | undefined): boolean => run !== undefined && run.pacePercent > 0;
+const isAtWork = (run: ServerRun): boolean => run.pacePercent > 0;
--- a/packages/simulation/src/checks/oracle.ts
+++ b/packages/simulation/src/checks/oracle.ts
@@ -1,4 +1,4 @@
-import { parseTaskKey, RunEnd, taskKeyOf } from "@waxwingspread/workflow";
+import { parseTaskKey, RunEnd, stepKeyOf, taskKeyOf } from "@waxwingspread/workflow";
 import type { AssignedRun, JobSpecification, StartOrder, TaskPosition } from "@waxwingspread/workflow";
 import { isWithinCapacity } from "../model/changing-capacity.js";
 import type { ServerRun } from "../model/server-run.js";
@@ -55,6 +55,10 @@
     readonly #jobs: ReadonlyMap<string, SubmittedJob>;
     readonly #servers: readonly SimulatedServer[];
     readonly #done = new Set<string>();
+    /** Number of tasks that are done, by step. */
+    readonly #doneCounts = new Map<string, number>();
+    /** Servers that have started a task. */
+    readonly #startedOn = new Map<string, Set<SimulatedServer>>();
     readonly #acknowledgedDone = new Set<string>();
     /** Failed runs by task. A server that restarts may never learn that the end of one of them was recorded. */
     readonly #failedRuns = new Map<string, Set<number>>();
@@ -80,20 +84,22 @@
 
     /** Whether every task of a job has ended successfully. */
     isDone(job: JobSpecification): boolean {
-        return job.steps.every((step, index) =>
-            Array.from({ length: step.taskCount }, (unused, task) => task)
-                .every(task => this.#isTaskDone({ jobId: job.id, occurrence: 0, step: index, index: task }))
-        );
+        return job.steps.every((unused, step) => this.#isStepDone(job, step));
     }
 
-    /** Returns the tasks that are not done and whose step's dependencies are done. */
-    dueTasks(job: JobSpecification): TaskPosition[] {
-        return job.steps.flatMap((step, index) =>
-            Array.from(
-                { length: step.taskCount },
-                (unused, task) => ({ jobId: job.id, occurrence: 0, step: index, index: task }),
-            ).filter(position => !this.#isTaskDone(position) && this.#areDependenciesDone(job, position))
-        );
+    /** Yields the tasks that are not done and whose step's dependencies are done. */
+    *dueTasks(job: JobSpecification): Generator<TaskPosition> {
+        for (const [step, { taskCount }] of job.steps.entries()) {
+            if (this.#isStepDone(job, step) || !this.#areDependenciesDone(job, step)) {
+                continue;
+            }
+            for (let index = 0; index < taskCount; index += 1) {
+                const position = { jobId: job.id, occurrence: 0, step, index };
+                if (!this.#done.has(taskKeyOf(position))) {
+                    yield position;
+                }
+            }
+        }
     }
 
     /** Whether a task of the job has failed in as many runs as its queue allows. */
@@ -167,13 +173,12 @@
         check(order.payload === specification.payload, "the payload is the job's");
         check(order.run > (this.#latestRuns.get(task) ?? 0) || run.step.isGang, "run numbers increase");
         this.#latestRuns.set(task, order.run);
-        check(
-            this.#servers.every(other => other === server || !other.isUp || !other.runs.has(task)),
-            "at most one run of a task at a time",
-        );
+        const others = [...this.#startedOn.get(task) ?? []].filter(other => other !== server);
+        check(!others.some(other => other.isUp && other.runs.has(task)), "at most one run of a task at a time");
+        addToSet(this.#startedOn, task, server);
         check(!this.#acknowledgedDone.has(task), "no start after an acknowledged success");
         check(
-            this.#areDependenciesDone(specification, run.position),
+            this.#areDependenciesDone(specification, run.position.step),
             "no start before the end of the steps that it depends on",
         );
         check(
@@ -228,7 +233,7 @@
 
     ended(run: ServerRun, end: RunEnd): void {
         if (end === RunEnd.Done) {
-            this.#membersOf(run.position).forEach(task => this.#done.add(task));
+            this.#recordDone(run.position);
         }
         else if (end === RunEnd.Failed) {
             this.#membersOf(run.position).forEach(task => addToSet(this.#failedRuns, task, run.run));
@@ -272,15 +277,22 @@
             : [taskKeyOf(position)];
     }
 
-    #isTaskDone(position: TaskPosition): boolean {
-        return this.#done.has(taskKeyOf(position));
+    #recordDone(position: TaskPosition): void {
+        for (const task of this.#membersOf(position)) {
+            if (!this.#done.has(task)) {
+                this.#done.add(task);
+                const step = stepKeyOf(position);
+                this.#doneCounts.set(step, (this.#doneCounts.get(step) ?? 0) + 1);
+            }
+        }
     }
 
-    #areDependenciesDone(job: JobSpecification, position: TaskPosition): boolean {
-        return (job.steps[position.step]?.dependsOn ?? []).every(step =>
-            Array.from({ length: job.steps[step]?.taskCount ?? 0 }, (unused, index) => index)
-                .every(index => this.#isTaskDone({ ...position, step, index }))
-        );
+    #isStepDone(job: JobSpecification, step: number): boolean {
+        return this.#doneCounts.get(stepKeyOf({ jobId: job.id, occurrence: 0, step })) === job.steps[step]?.taskCount;
+    }
+
+    #areDependenciesDone(job: JobSpecification, step: number): boolean {
+        return (job.steps[step]?.dependsOn ?? []).every(dependency => this.#isStepDone(job, dependency));
     }
 }
 
--- a/packages/simulation/src/model/deployment.ts
+++ b/packages/simulation/src/model/deployment.ts
@@ -88,6 +88,7 @@
     readonly #control: ControlPlane;
     readonly #gangs: Gangs;
     #tailRatio = CALM_TAIL_RATIO;
+    #heartbeats = 0;
 
     constructor(options: DeploymentOptions) {
         this.#options = options;
@@ -126,6 +127,11 @@
         return this.#events.nowMs;
     }
 
+    /** Number of heartbeats that the servers have sent. */
+    get heartbeats(): number {
+        return this.#heartbeats;
+    }
+
     /** Violations that any check has found so far. */
     get violations(): string[] {
         return [
@@ -147,12 +153,12 @@
 
     /** Advances the simulated time and checks that standing tasks are at work; to be called between disruptions. */
     advanceCheckingStanding(durationMs: number): void {
-        this.#advanceInSteps(durationMs, () => this.standing.observe(this.nowMs));
+        this.#advanceInSteps(durationMs, LIVENESS_INTERVAL_MS, () => this.standing.observe(this.nowMs));
     }
 
     /** Advances the simulated time without disruptions while it checks that all tasks with capacity are at work. */
-    advanceCheckingLiveness(durationMs: number): void {
-        this.#advanceInSteps(durationMs, () => this.liveness.observe(this.nowMs));
+    advanceCheckingLiveness(durationMs: number, intervalMs = LIVENESS_INTERVAL_MS): void {
+        this.#advanceInSteps(durationMs, intervalMs, () => this.liveness.observe(this.nowMs));
     }
 
     /** Tells the check of standing tasks that a disruption lasts until the given time from now. */
@@ -356,10 +362,10 @@
         return state;
     }
 
-    #advanceInSteps(durationMs: number, observe: () => void): void {
+    #advanceInSteps(durationMs: number, intervalMs: number, observe: () => void): void {
         const endMs = this.nowMs + durationMs;
         while (this.nowMs < endMs) {
-            this.advance(Math.min(LIVENESS_INTERVAL_MS, endMs - this.nowMs));
+            this.advance(Math.min(intervalMs, endMs - this.nowMs));
             observe();
         }
     }
@@ -440,6 +446,7 @@
     }
 
     #sendHeartbeat(server: SimulatedServer, report: HeartbeatReport): void {
+        this.#heartbeats += 1;
         if (this.#network.isPartitioned(server.id)) {
             return;
         }
