--- a/packages/simulation/src/model/job-behaviours.ts
+++ b/packages/simulation/src/model/job-behaviours.ts
@@ -1,6 +1,5 @@
 import type { StepSpecification, TaskPosition } from "@waxwingspread/workflow";
 import type { SubmittedJob } from "../checks/oracle.js";
-import type { ServerRun } from "./server-run.js";
 import type { SimulatedServer } from "./simulated-server.js";
 import type { TaskBehaviour } from "./task-behaviour.js";
 
@@ -88,12 +87,12 @@
         return this.of(jobId).quantumPercent ?? 1;
     }
 
-    tailMs({ step }: ServerRun, server: SimulatedServer): number {
+    tailRatio(server: SimulatedServer): number {
         let ratio = this.#tailRatio;
         for (const { position, pacePercent } of server.runs.values()) {
             ratio *= (this.of(position.jobId).pressure ?? 1) ** (pacePercent / 100);
         }
-        return Math.round(step.targetTailMs * ratio);
+        return ratio;
     }
 
     #isStanding(position: TaskPosition): boolean {
--- a/packages/simulation/src/model/simulated-server.ts
+++ b/packages/simulation/src/model/simulated-server.ts
@@ -252,6 +252,7 @@
     #report(): HeartbeatReport {
         this.#sequence += 1;
         const { id, availabilityZone, rack, labels, endsPerHeartbeat } = this.options;
+        const tailRatio = this.#dependencies.behaviour.tailRatio(this);
         return {
             serverId: id,
             incarnation: this.incarnation,
@@ -265,13 +266,13 @@
             capacity: this.capacity.current,
             isDraining: this.isDraining,
             remainingMs: undefined,
-            running: [...this.runs.values()].map(run => this.#reportedRunOf(run)),
+            running: [...this.runs.values()].map(run => this.#reportedRunOf(run, tailRatio)),
             ended: this.#ended.slice(0, endsPerHeartbeat),
             mayHaveMoreEnds: this.#ended.length >= endsPerHeartbeat,
         };
     }
 
-    #reportedRunOf(run: ServerRun): ReportedRun {
+    #reportedRunOf(run: ServerRun, tailRatio: number): ReportedRun {
         this.#advanceRun(run);
         const { task, position, step, pacePercent } = run;
         const { behaviour } = this.#dependencies;
@@ -282,7 +283,7 @@
             checkpoint: this.#saveCheckpoint(run, Math.floor(savedIntervalsOf(run))),
             progressPercent: isStanding ? FULL_PERCENT : progressPercentOf(run, behaviour.quantumPercent(position)),
             measurement: isStanding
-                ? behaviour.tailMs(run, this)
+                ? Math.round(step.targetTailMs * tailRatio)
                 : Math.floor(step.amounts.cpuMillicores * (pacePercent / FULL_PERCENT) * this.#speed),
         };
     }
--- a/packages/simulation/src/model/task-behaviour.ts
+++ b/packages/simulation/src/model/task-behaviour.ts
@@ -1,5 +1,4 @@
 import type { StepSpecification, TaskPosition } from "@waxwingspread/workflow";
-import type { ServerRun } from "./server-run.js";
 import type { SimulatedServer } from "./simulated-server.js";
 
 /** Decides what the runs of a task do. */
@@ -12,6 +11,6 @@
     crashes: (position: TaskPosition) => boolean;
     /** Quantum in percent in which the progress is reported; Infinity for no progress. */
     quantumPercent: (position: TaskPosition) => number;
-    /** Tail latency in milliseconds of a standing task at work. */
-    tailMs: (run: ServerRun, server: SimulatedServer) => number;
+    /** Ratio of the tail latencies of the standing tasks on a server to their targets. */
+    tailRatio: (server: SimulatedServer) => number;
 }
