Add organisations to configurations, jobs and refusals

Change: types only, all optional in records of former versions; a refusal may carry the time for Retry-After. Nothing sets the new fields yet.

--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./model/configuration.js";
 export * from "./model/heartbeat.js";
 export * from "./model/maintenance.js";
+export * from "./model/organisation.js";
 export * from "./model/specification.js";
 export * from "./node/replicated-log.js";
 export * from "./node/workflow-node.js";
--- a/packages/workflow/src/model/calls.ts
+++ b/packages/workflow/src/model/calls.ts
@@ -15,14 +15,26 @@
     Uncertain = "uncertain",
     /** This replica is not the leader or cannot confirm that it is. The call had no effect. */
     NotLeader = "not-leader",
-    /** There is no memory for the job; the call had no effect. */
+    /** There is no memory or no capacity for the job; the call had no effect. */
     Overloaded = "overloaded",
+    /** The call has no API key, or none that is valid for it. The call had no effect. */
+    Unauthenticated = "unauthenticated",
+    /** A task of the job needs more than the quota of its organisation. The call had no effect. */
+    QuotaExceeded = "quota-exceeded",
     UnknownQueue = "unknown-queue",
     UnknownJob = "unknown-job",
 }
 
 /** Result of a call: a value, or the reason why there is none. */
-export type CallResult<Value> = { ok: true; value: Value } | { ok: false; refusal: Refusal };
+export type CallResult<Value> = { ok: true; value: Value } | RefusedCall;
+
+/** Result of a call that did not succeed. */
+export interface RefusedCall {
+    ok: false;
+    refusal: Refusal;
+    /** Time after which the same call may succeed; undefined if it is not known. */
+    retryAfterMs?: number;
+}
 
 /** Callback for a call's result; called once. */
 export type Respond<Value> = (result: CallResult<Value>) => void;
@@ -31,4 +43,5 @@
 export const succeeded = <Value>(value: Value): CallResult<Value> => ({ ok: true, value });
 
 /** Returns an unsuccessful result with its reason. */
-export const refused = (refusal: Refusal): { ok: false; refusal: Refusal } => ({ ok: false, refusal });
+export const refused = (refusal: Refusal, retryAfterMs?: number): RefusedCall =>
+    retryAfterMs === undefined ? { ok: false, refusal } : { ok: false, refusal, retryAfterMs };
--- a/packages/workflow/src/model/configuration.ts
+++ b/packages/workflow/src/model/configuration.ts
@@ -1,3 +1,5 @@
+import type { OrganisationContract } from "./organisation.js";
+
 /** Response times of the eligibility service for a queue, and the validity of its approvals. */
 export interface EligibilityTiming {
     /** Fixed part of the time that an answer takes. */
@@ -27,6 +29,8 @@
     timeoutMs: number;
     /** Set when steps run only on backend servers that the eligibility service approves; undefined for any server. */
     eligibility: EligibilityTiming | undefined;
+    /** Whether calls to the queue need no API key; its jobs then belong to no organisation. */
+    isPublic?: boolean;
 }
 
 /** A pool of backend servers. */
@@ -43,6 +47,8 @@
     version: number;
     queues: QueueContract[];
     services: ServiceContract[];
+    /** Undefined if callers need no API keys, and in records of former versions. */
+    organisations?: OrganisationContract[];
     maxBodyBytes: number;
     /** The configuration as it was sent, returned to operators who read it. */
     document: string;
--- a/packages/workflow/src/model/specification.ts
+++ b/packages/workflow/src/model/specification.ts
@@ -52,6 +52,8 @@
     steps: StepSpecification[];
     /** Undefined for a job that runs once, without delay. */
     schedule: Schedule | undefined;
+    /** Organisation whose API key submitted the job; undefined for a job of a public queue or without organisations. */
+    organisation?: string;
 }
 
 /** Kinds of tasks by how they use a backend server. */
