Move the checks of a submission into one place

Cause: quotas of organisations and the control of overload will refuse submissions as well; the node called the check of memory directly. Change: SubmissionControl calls the checks in order, the check of memory last, since it counts the job. Its only check is still that of memory.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -35,6 +35,7 @@
 import type { ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import { hasStepSucceeded } from "./step-success.js";
+import { SubmissionControl } from "./submission-control.js";
 import type { Times } from "./times.js";
 import { UnstartedTasks } from "./unstarted-tasks.js";
 import { utilizationOf } from "./utilization.js";
@@ -67,7 +68,7 @@
  */
 export class LeaderSession {
     readonly cancellations: EarlyCancellations;
-    readonly admission: JobAdmission;
+    readonly submissions: SubmissionControl;
     readonly #options: LeaderSessionOptions;
     readonly #directory: ServerDirectory;
     readonly #unstartedTasks = new UnstartedTasks();
@@ -119,7 +120,7 @@
         this.#stops = new RunStops(state, this.#directory);
         const kept = { state, retentionMs: settings.retentionMs, propose: options.propose };
         this.cancellations = new EarlyCancellations(kept);
-        this.admission = new JobAdmission({ state, maxBytes: settings.maxJobBytes });
+        this.submissions = new SubmissionControl([], new JobAdmission({ state, maxBytes: settings.maxJobBytes }));
         this.#retention = new JobRetention({ ...kept, cancellations: this.cancellations }, times.nowMs);
         this.#losses = new RunLosses({ state, directory: this.#directory, propose: options.propose });
         this.#failures = new ServerFailures(step => hasStepSucceeded(state, this.#directory, step));
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -121,10 +121,10 @@
             this.#enqueueReadBarrier(() => respond(refused(this.#unknownQueueRefusal())), respond);
             return;
         }
-        if (!session.admission.tryAdmit(job, times.nowMs)) {
+        const refusal = session.submissions.admit(job, queue, times);
+        if (refusal !== undefined) {
             // An earlier attempt of the same submission may be in a record that is not committed yet.
-            const answer = (): void =>
-                respond(this.#hasJob(job.id) ? succeeded(undefined) : refused(Refusal.Overloaded));
+            const answer = (): void => respond(this.#hasJob(job.id) ? succeeded(undefined) : refusal);
             this.#enqueueReadBarrier(answer, respond);
             return;
         }
