--- a/packages/workflow/src/leader/early-cancellations.ts
+++ b/packages/workflow/src/leader/early-cancellations.ts
@@ -28,12 +28,18 @@
         this.#retention = new Retention(retentionMs);
     }
 
-    /** Whether a job that isn't known was cancelled, so that a submission must not start it. */
-    has(jobId: string): boolean {
-        return this.#state.cancelledJobIds.has(jobId) || this.#recordedIds.has(jobId);
+    /** Whether a job that isn't known was cancelled by its organisation, so that a submission must not start it. */
+    has(jobId: string, organisation: string | undefined): boolean {
+        const id = earlyCancellationIdOf(jobId, organisation);
+        return this.#state.cancelledJobIds.has(id) || this.#recordedIds.has(id);
     }
 
-    /** Proposes the cancellation of a job, known or not. */
+    /** Proposes the cancellation of a job that isn't known, by the given organisation. */
+    recordEarly(jobId: string, organisation: string | undefined, timeOfDayMs: number): void {
+        this.record(earlyCancellationIdOf(jobId, organisation), timeOfDayMs);
+    }
+
+    /** Proposes the cancellation of a job that is known or proposed. */
     record(jobId: string, timeOfDayMs: number): void {
         this.#recordedIds.add(jobId);
         this.#propose({ kind: EventKind.JobCancelled, jobId, atMs: timeOfDayMs });
@@ -51,3 +57,10 @@
             .filter(id => !this.#recordedIds.has(id));
     }
 }
+
+/**
+ * Returns the id under which the cancellation of an unknown job is kept. With an organisation it isn't the id of a job, so
+ * that it never cancels that of another one, also on replicas of former versions.
+ */
+const earlyCancellationIdOf = (jobId: string, organisation: string | undefined): string =>
+    organisation === undefined ? jobId : JSON.stringify([organisation, jobId]);
--- a/packages/workflow/src/node/pending-calls.ts
+++ b/packages/workflow/src/node/pending-calls.ts
@@ -1,14 +1,19 @@
+import { Refusal, refused } from "../model/calls.js";
+import type { RefusedCall } from "../model/calls.js";
 import type { ReplicatedLog } from "./replicated-log.js";
 
+/** Callback for a call that is refused. */
+export type RespondRefused = (refusal: RefusedCall) => void;
+
 /** A call that is answered once a record is committed. */
-export interface PendingCall {
+interface PendingCall {
     committed: () => void;
     /** Called with true when the change certainly has no effect, with false when it may still take effect. */
     failed: (isCertain: boolean) => void;
 }
 
 /** A read that is answered once a check of the leadership has succeeded. */
-export interface PendingRead {
+interface PendingRead {
     answer: () => void;
     fail: () => void;
 }
@@ -36,14 +41,26 @@
         return this.#reads.length > 0;
     }
 
-    /** Adds a call that the next record answers. */
-    add(call: PendingCall): void {
-        this.#unproposed.push(call);
+    /** Calls `committed` once the next record, which may hold changes of this call, is committed. */
+    addChange(committed: () => void, respond: RespondRefused): void {
+        this.#unproposed.push({
+            committed,
+            failed: isCertain => respond(refused(isCertain ? Refusal.NotLeader : Refusal.Uncertain)),
+        });
+    }
+
+    /** Calls `committed` once a record proposed after this call is committed, so that reads see the current state. */
+    addBarrier(committed: () => void, respond: RespondRefused): void {
+        this.#unproposed.push({ committed, failed: () => respond(refused(Refusal.NotLeader)) });
     }
 
-    /** Adds a read that is answered without a record. */
-    addRead(read: PendingRead, nowMs: number): void {
-        this.#reads.push({ ...read, checkMs: this.#log.startLeadershipCheck(nowMs) });
+    /** Calls `answer` once followers have confirmed that this replica still leads. Nothing is written to the log. */
+    addRead(answer: () => void, respond: RespondRefused, nowMs: number): void {
+        this.#reads.push({
+            answer,
+            fail: () => respond(refused(Refusal.NotLeader)),
+            checkMs: this.#log.startLeadershipCheck(nowMs),
+        });
     }
 
     /** Records that a record for all calls so far was proposed. */
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -3,9 +3,8 @@
 import type { ServerEvent } from "../leader/server-event.js";
 import type { LeaderSettings } from "../leader/settings.js";
 import type { Times } from "../leader/times.js";
-import { JobState, Refusal, refused, succeeded } from "../model/calls.js";
-import type { Respond } from "../model/calls.js";
-import { findQueue } from "../model/configuration.js";
+import { Refusal, refused, succeeded } from "../model/calls.js";
+import type { JobState, Respond } from "../model/calls.js";
 import type { Configuration } from "../model/configuration.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import { MaintenanceState } from "../model/maintenance.js";
@@ -16,16 +15,13 @@
 import type { CrashingTask } from "../state/job-record.js";
 import { UnknownEventError, WorkflowState } from "../state/workflow-state.js";
 import type { WorkflowSnapshot } from "../state/workflow-state.js";
+import type { CallRefusal } from "./call-refusal.js";
+import type { CallOrigin } from "./caller-access.js";
+import { CallerCalls } from "./caller-calls.js";
 import { PendingCalls } from "./pending-calls.js";
 import type { CommittedRecord, ReplicatedLog } from "./replicated-log.js";
 import { SessionRestart } from "./session-restart.js";
 
-/** Host and path of a caller's request, which select a queue. */
-export interface QueueAddress {
-    host: string;
-    path: string;
-}
-
 /** Dependencies, settings and callbacks of a workflow node. */
 export interface WorkflowNodeOptions {
     log: ReplicatedLog;
@@ -43,6 +39,8 @@
     onError?: (error: unknown, action: FailedAction) => void;
     /** Called when the leader's view of a backend server changes. */
     onServerEvent?: (event: ServerEvent, nowMs: number) => void;
+    /** Called with each call that is refused while the configuration names organisations. */
+    onCallRefused?: (refusal: CallRefusal) => void;
     /** Called when a job has failed because one of its tasks crashes the servers that start it. */
     onCrashingTask?: (task: CrashingTask, nowMs: number) => void;
 }
@@ -79,6 +77,7 @@
     #appliedTerm = 0;
     #events: WorkflowEvent[] = [];
     readonly #calls: PendingCalls;
+    readonly #callerCalls: CallerCalls;
     /** Highest version that this session has recorded, committed or not. */
     #recordedVersion = -Infinity;
     #scheduleCheckAtMs = 0;
@@ -89,6 +88,14 @@
         this.#options = options;
         this.#log = options.log;
         this.#calls = new PendingCalls(options.log);
+        this.#callerCalls = new CallerCalls({
+            calls: this.#calls,
+            readState: () => this.#state,
+            readSession: () => this.#session,
+            servingSession: nowMs => this.#servingSession(nowMs),
+            propose: event => this.#events.push(event),
+            reportRefusal: refusal => options.onCallRefused?.(refusal),
+        });
         this.#restart = new SessionRestart(options.log);
         this.#settings = options.settings;
     }
@@ -106,85 +113,26 @@
      * Accepts a job durably. Submitting the same id again succeeds without another effect. A job that was cancelled before
      * is accepted as cancelled.
      */
-    submit(address: QueueAddress, job: JobSpecification, respond: Respond<void>, times: Times): void {
-        const session = this.#servingSession(times.nowMs);
-        if (session === undefined) {
-            respond(refused(Refusal.NotLeader));
-            return;
-        }
-        if (this.#state.job(job.id) !== undefined) {
-            respond(succeeded(undefined));
-            return;
-        }
-        const queue = findQueue(this.#state.configuration, address.host, address.path);
-        if (queue === undefined) {
-            this.#enqueueReadBarrier(() => respond(refused(this.#unknownQueueRefusal())), respond);
-            return;
-        }
-        const refusal = session.submissions.admit(job, queue, times);
-        if (refusal !== undefined) {
-            // An earlier attempt of the same submission may be in a record that is not committed yet.
-            const answer = (): void => respond(this.#hasJob(job.id) ? succeeded(undefined) : refusal);
-            this.#enqueueReadBarrier(answer, respond);
-            return;
-        }
-        const acceptedAtMs = times.timeOfDayMs;
-        this.#enqueueChange({ kind: EventKind.JobAccepted, job, queue, acceptedAtMs }, respond);
-        if (session.cancellations.has(job.id)) {
-            // In the same record, so that no leader knows the job without its cancellation.
-            session.cancellations.record(job.id, acceptedAtMs);
-        }
+    submit(origin: CallOrigin, job: JobSpecification, respond: Respond<void>, times: Times): void {
+        this.#callerCalls.submit(origin, job, respond, times);
     }
 
     /**
      * Cancels a job; succeeds without effect for a job that has already ended. For an unknown job the cancellation is kept
      * and the refusal is UnknownJob: a submission that the caller sent before may arrive later.
      */
-    cancel(jobId: string, respond: Respond<void>, { nowMs, timeOfDayMs }: Times): void {
-        const session = this.#servingSession(nowMs);
-        if (session === undefined) {
-            respond(refused(Refusal.NotLeader));
-            return;
-        }
-        session.cancellations.record(jobId, timeOfDayMs);
-        this.#enqueueCall(() => respond(this.#hasJob(jobId) ? succeeded(undefined) : unknownJobResult()), respond);
+    cancel(jobId: string, respond: Respond<void>, times: Times, origin?: CallOrigin): void {
+        this.#callerCalls.cancel(jobId, respond, times, origin);
     }
 
     /** Returns a job's state. */
-    jobState(jobId: string, respond: Respond<JobState>, { nowMs }: Times): void {
-        if (!this.#canServe(nowMs)) {
-            respond(refused(Refusal.NotLeader));
-            return;
-        }
-        const answer = (): void => {
-            const state = this.#visibleJobState(jobId);
-            respond(state === undefined ? unknownJobResult() : succeeded(state));
-        };
-        if (this.#hasJob(jobId)) {
-            answer();
-            return;
-        }
-        this.#enqueueReadBarrier(answer, respond);
+    jobState(jobId: string, respond: Respond<JobState>, times: Times, origin?: CallOrigin): void {
+        this.#callerCalls.jobState(jobId, respond, times, origin);
     }
 
     /** Returns the number of a queue's jobs that have not ended and of which no task has started. */
-    pendingJobs(address: QueueAddress, respond: Respond<number>, { nowMs }: Times): void {
-        if (!this.#canServe(nowMs)) {
-            respond(refused(Refusal.NotLeader));
-            return;
-        }
-        this.#enqueueRead(
-            () => {
-                const queue = findQueue(this.#state.configuration, address.host, address.path);
-                respond(
-                    queue === undefined
-                        ? refused(this.#unknownQueueRefusal())
-                        : succeeded(this.#countPending(queue.name)),
-                );
-            },
-            respond,
-            nowMs,
-        );
+    pendingJobs(origin: CallOrigin, respond: Respond<number>, times: Times): void {
+        this.#callerCalls.pendingJobs(origin, respond, times);
     }
 
     /** Accepts a configuration durably; succeeds without effect unless its version is higher than the current one. */
@@ -196,10 +144,10 @@
         const { version } = configuration;
         const committedVersion = this.#state.configuration?.version ?? -Infinity;
         if (version <= committedVersion) {
-            this.#enqueueRead(() => respond(succeeded(undefined)), respond, nowMs);
+            this.#calls.addRead(() => respond(succeeded(undefined)), respond, nowMs);
         }
         else if (version <= this.#recordedVersion) {
-            this.#enqueueReadBarrier(() => respond(succeeded(undefined)), respond);
+            this.#calls.addBarrier(() => respond(succeeded(undefined)), respond);
         }
         else {
             this.#recordedVersion = version;
@@ -213,7 +161,7 @@
             respond(refused(Refusal.NotLeader));
             return;
         }
-        this.#enqueueRead(() => respond(succeeded(this.#state.configuration?.document)), respond, nowMs);
+        this.#calls.addRead(() => respond(succeeded(this.#state.configuration?.document)), respond, nowMs);
     }
 
     /** Takes an availability zone out of service or returns it to service. */
@@ -243,7 +191,7 @@
             respond(refused(Refusal.NotLeader));
             return;
         }
-        this.#enqueueRead(
+        this.#calls.addRead(
             () => {
                 const record = this.#state.maintenance(id);
                 const state = record?.isCompleted === true ? MaintenanceState.Completed : MaintenanceState.Running;
@@ -301,7 +249,10 @@
                 this.#attemptInSession(
                     FailedAction.FollowEvents,
                     times,
-                    () => session.handleAppliedEvents(events, times),
+                    () => {
+                        this.#callerCalls.handleApplied(events);
+                        session.handleAppliedEvents(events, times);
+                    },
                 );
                 this.#attempt(FailedAction.ReportEvents, () => this.#options.onCommitted?.(events, times.nowMs));
             }
@@ -417,30 +368,13 @@
         this.#session = undefined;
         this.#events = [];
         this.#recordedVersion = -Infinity;
+        this.#callerCalls.endSession();
         this.#calls.failAll();
     }
 
     #enqueueChange(event: WorkflowEvent, respond: Respond<void>): void {
         this.#events.push(event);
-        this.#enqueueCall(() => respond(succeeded(undefined)), respond);
-    }
-
-    /** Calls `committed` once the next record, which may hold changes of this call, is committed. */
-    #enqueueCall(committed: () => void, respond: (result: ReturnType<typeof refused>) => void): void {
-        this.#calls.add({
-            committed,
-            failed: isCertain => respond(refused(isCertain ? Refusal.NotLeader : Refusal.Uncertain)),
-        });
-    }
-
-    /** Calls `committed` once a record proposed after this call is committed, so that reads see the current state. */
-    #enqueueReadBarrier(committed: () => void, respond: (result: ReturnType<typeof refused>) => void): void {
-        this.#calls.add({ committed, failed: () => respond(refused(Refusal.NotLeader)) });
-    }
-
-    /** Calls `answer` once followers have confirmed that this replica still leads. Nothing is written to the log. */
-    #enqueueRead(answer: () => void, respond: (result: ReturnType<typeof refused>) => void, nowMs: number): void {
-        this.#calls.addRead({ answer, fail: () => respond(refused(Refusal.NotLeader)) }, nowMs);
+        this.#calls.addChange(() => respond(succeeded(undefined)), respond);
     }
 
     #propose(nowMs: number): void {
@@ -457,30 +391,4 @@
             this.#endSession();
         }
     }
-
-    #hasJob(jobId: string): boolean {
-        return this.#state.job(jobId) !== undefined;
-    }
-
-    #visibleJobState(jobId: string): JobState | undefined {
-        const job = this.#state.job(jobId);
-        const hasStarted = job !== undefined && this.#session?.hasStarted(job) === true;
-        return job?.state === JobState.Queued && hasStarted ? JobState.Running : job?.state;
-    }
-
-    #countPending(queueName: string): number {
-        let count = 0;
-        for (const job of this.#state.jobs.values()) {
-            const isPending = job.queue.name === queueName && !job.isOver && this.#session?.hasStarted(job) !== true;
-            count += isPending ? 1 : 0;
-        }
-        return count;
-    }
-
-    /** Before the first configuration is committed, a queue that was not found may still exist. */
-    #unknownQueueRefusal(): Refusal {
-        return this.#state.configuration === undefined ? Refusal.NotRun : Refusal.UnknownQueue;
-    }
 }
-
-const unknownJobResult = (): ReturnType<typeof refused> => refused(Refusal.UnknownJob);
