--- a/packages/daemon/src/metrics/metric-factory.ts
+++ b/packages/daemon/src/metrics/metric-factory.ts
@@ -1,6 +1,8 @@
 import type { Registry } from "prom-client";
 import { BoundedCounter, BoundedDuration, BoundedGauge } from "./bounded.js";
 import type { LabelSets } from "./bounded.js";
+import { OpenLabelCounter } from "./open-label-counter.js";
+import type { OpenLabelCounterOptions } from "./open-label-counter.js";
 
 const PREFIX = "waxwingspread_";
 
@@ -12,6 +14,10 @@
         return new BoundedCounter({ registry: this.registry, name: `${PREFIX}${name}_total`, help, labels });
     }
 
+    openLabelCounter({ name, ...options }: Omit<OpenLabelCounterOptions, "registry">): OpenLabelCounter {
+        return new OpenLabelCounter({ ...options, registry: this.registry, name: `${PREFIX}${name}_total` });
+    }
+
     gauge<L extends LabelSets>(name: string, help: string, labels: L): BoundedGauge<L> {
         return new BoundedGauge({ registry: this.registry, name: PREFIX + name, help, labels });
     }
--- a/packages/daemon/src/workflow/event-log.ts
+++ b/packages/daemon/src/workflow/event-log.ts
@@ -1,10 +1,19 @@
 import { EventKind } from "@waxwingspread/workflow";
-import type { CrashingTask, EventOf, FailedAction, ServerEvent, WorkflowEvent } from "@waxwingspread/workflow";
+import type {
+    CallRefusal,
+    CrashingTask,
+    EventOf,
+    FailedAction,
+    ServerEvent,
+    WorkflowEvent,
+} from "@waxwingspread/workflow";
 import type { Logger } from "pino";
 import { LineBudget } from "../logging/line-budget.js";
 
 /** Limit for each kind of event, so that frequent starts and ends leave room for the rare lines that explain a fault. */
 const MAX_LINES_PER_SECOND_AND_KIND = 50;
+/** Longest text from a request in a line. */
+const MAX_LOGGED_CHARACTERS = 200;
 /** Limit for each kind of failure, whose lines have a stack trace. */
 const MAX_FAILURES_PER_SECOND_AND_KIND = 5;
 
@@ -75,6 +84,15 @@
         }
     }
 
+    /** Logs a refused call, with the organisation where its API key is known. Calls with the same reason share a budget. */
+    recordCallRefused(call: CallRefusal, nowMs: number): void {
+        this.#reportDropped(nowMs);
+        if (this.#budget.tryTake(`call-refused-${call.refusal}`)) {
+            const { path, jobId, ...fields } = call;
+            this.#logger.info({ ...fields, path: shorten(path), jobId: shorten(jobId) }, "call refused");
+        }
+    }
+
     /** Logs an unexpected error that the node has contained. */
     recordFailure(error: unknown, action: FailedAction, nowMs: number): void {
         this.#failureBudget.advance(nowMs);
@@ -97,6 +115,8 @@
     }
 }
 
+const shorten = (text: string | undefined): string | undefined => text?.slice(0, MAX_LOGGED_CHARACTERS);
+
 const runFields = ({ task, run }: { task: string; run: number }): { jobId: string; task: string; run: number } => ({
     jobId: task.split(".", 1)[0] ?? "",
     task,
--- a/packages/daemon/src/workflow/forwarded-call.ts
+++ b/packages/daemon/src/workflow/forwarded-call.ts
@@ -22,6 +22,13 @@
     ForwardedOperation.PendingJobs,
 ]);
 
+/** Refusals of a leader that say that the call had no effect. */
+const NO_EFFECT_REFUSALS: ReadonlySet<Refusal> = new Set([
+    Refusal.Overloaded,
+    Refusal.Unauthenticated,
+    Refusal.QuotaExceeded,
+]);
+
 /** Deadlines of a forwarded call, as times of the monotonic clock. */
 export interface ForwardDeadlines {
     /** Time at which a call that no leader can have received fails with NotRun. */
@@ -209,10 +216,13 @@
         this.#handleAttemptWithoutAnswer(attempt, result.refusal === Refusal.Uncertain, nowMs);
     }
 
-    /** Whether a refusal that says that the call had no effect holds for its own attempt only. */
+    /**
+     * Whether a refusal that says that the call had no effect holds for its own attempt only. Another one may have acted
+     * before the API key was taken away or the quota lowered.
+     */
     #mayOtherAttemptAct(result: CallResult<unknown>): boolean {
-        const isOverloaded = !result.ok && result.refusal === Refusal.Overloaded;
-        return isOverloaded && (this.#mayHaveActed || this.#isAwaitingAnswer);
+        const saysNoEffect = !result.ok && NO_EFFECT_REFUSALS.has(result.refusal);
+        return saysNoEffect && !this.#isRead && (this.#mayHaveActed || this.#isAwaitingAnswer);
     }
 
     /** Passes the leader that a host without the leadership names to the finder, unless the finder knows better. */
--- a/packages/daemon/src/workflow/internal-handlers.ts
+++ b/packages/daemon/src/workflow/internal-handlers.ts
@@ -1,8 +1,8 @@
-import type { Respond, Times, WorkflowNode } from "@waxwingspread/workflow";
+import type { CallOrigin, Respond, Times, WorkflowNode } from "@waxwingspread/workflow";
 import type { CallResult } from "@waxwingspread/workflow";
 import type { InternalHandler } from "./internal-listener.js";
 import { ForwardedOperation, forwardedPath } from "./operations.js";
-import type { ForwardedRequests, ForwardedResponse } from "./operations.js";
+import type { ForwardedRequests, ForwardedResponse, JobRequest } from "./operations.js";
 
 /** Starts a call to the workflow node and resolves with its result. */
 export type NodeCall = <Value>(start: (respond: Respond<Value>, times: Times) => void) => Promise<CallResult<Value>>;
@@ -21,15 +21,18 @@
     times: Times,
 ) => void;
 
+const originOf = ({ address, keyDigest }: JobRequest): CallOrigin | undefined =>
+    address === undefined ? undefined : { ...address, keyDigest };
+
 const OPERATION_STARTERS: { [Operation in ForwardedOperation]: OperationStarter<Operation> } = {
     [ForwardedOperation.Submit]: (node, request, respond, times) =>
-        node.submit(request.address, request.job, respond as Respond<void>, times),
+        node.submit({ ...request.address, keyDigest: request.keyDigest }, request.job, respond as Respond<void>, times),
     [ForwardedOperation.Cancel]: (node, request, respond, times) =>
-        node.cancel(request.jobId, respond as Respond<void>, times),
+        node.cancel(request.jobId, respond as Respond<void>, times, originOf(request)),
     [ForwardedOperation.JobState]: (node, request, respond, times) =>
-        node.jobState(request.jobId, respond as Respond<unknown>, times),
+        node.jobState(request.jobId, respond as Respond<unknown>, times, originOf(request)),
     [ForwardedOperation.PendingJobs]: (node, request, respond, times) =>
-        node.pendingJobs(request.address, respond as Respond<unknown>, times),
+        node.pendingJobs({ ...request.address, keyDigest: request.keyDigest }, respond as Respond<unknown>, times),
 };
 
 /** Returns pairs of path and handler for the calls that entries forward to the leader. */
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -18,12 +18,22 @@
     PendingJobs = "pending-jobs",
 }
 
+/** A caller's request at an address, with the digest of its API key if it has one. */
+export interface KeyedRequest {
+    address: QueueAddress;
+    /** SHA-256 digest in hexadecimal digits; never the key itself. */
+    keyDigest?: string | undefined;
+}
+
+/** A caller's request for one job. Entries of former versions send neither address nor key. */
+export type JobRequest = Partial<KeyedRequest> & { jobId: string };
+
 /** Request type of each forwarded operation. */
 export interface ForwardedRequests {
-    [ForwardedOperation.Submit]: { address: QueueAddress; job: JobSpecification };
-    [ForwardedOperation.Cancel]: { jobId: string };
-    [ForwardedOperation.JobState]: { jobId: string };
-    [ForwardedOperation.PendingJobs]: { address: QueueAddress };
+    [ForwardedOperation.Submit]: KeyedRequest & { job: JobSpecification };
+    [ForwardedOperation.Cancel]: JobRequest;
+    [ForwardedOperation.JobState]: JobRequest;
+    [ForwardedOperation.PendingJobs]: KeyedRequest;
 }
 
 /** Result type of each forwarded operation. */
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -1,5 +1,5 @@
 import { EventKind, Exclusion, JobState, Refusal, RunEnd, TaskKind } from "@waxwingspread/workflow";
-import type { CallResult, EventOf, Utilization, WaitReport, WorkflowEvent } from "@waxwingspread/workflow";
+import type { CallRefusal, CallResult, EventOf, Utilization, WaitReport, WorkflowEvent } from "@waxwingspread/workflow";
 import { Registry } from "prom-client";
 import { MetricFactory } from "../metrics/metric-factory.js";
 import { ForwardedOperation } from "./operations.js";
@@ -27,6 +27,9 @@
     Decision = "decision",
 }
 
+/** Organisations with series of their own; the further ones share one. */
+const MAX_LABELLED_ORGANISATIONS = 50;
+
 const OUTCOMES = [OK_LABEL, ...Object.values(Refusal)];
 
 /** Metrics of an entry. */
@@ -63,6 +66,14 @@
     readonly #jobs = this.#factory.counter("job_events", "Jobs accepted, cancelled and given up", {
         event: ["accepted", "cancelled", "given-up"],
     });
+    readonly #refusedCalls = this.#factory.openLabelCounter({
+        name: "refused_calls",
+        help: "Calls that this replica has refused as the leader, by reason and organisation of the API key",
+        closedLabel: "reason",
+        closedValues: Object.values(Refusal),
+        openLabel: "organisation",
+        maxOpenValues: MAX_LABELLED_ORGANISATIONS,
+    });
     readonly #runsAssigned = this.#factory.counter("runs_assigned", "Runs given to backend servers", {});
     readonly #runsEnded = this.#factory.counter("runs_ended", "Ends of runs, by how they ended", {
         end: [...Object.values(RunEnd), "lost"],
@@ -179,6 +190,11 @@
         this.#jobs.add({ event: "given-up" });
     }
 
+    /** Counts a refused call; one without a valid key has an empty organisation. */
+    recordCallRefused({ refusal, organisation }: CallRefusal): void {
+        this.#refusedCalls.add(refusal, organisation ?? "");
+    }
+
     /** Sets the current role and term. Discards the acceptance times of waiting jobs unless the replica leads. */
     setRole(isLeader: boolean, term: number): void {
         this.#isLeader.set({}, isLeader ? 1 : 0);
--- a/packages/workflow/src/testing/fixtures.ts
+++ b/packages/workflow/src/testing/fixtures.ts
@@ -1,5 +1,6 @@
 import type { Configuration } from "../model/configuration.js";
 import type { HeartbeatReport } from "../model/heartbeat.js";
+import type { OrganisationContract } from "../model/organisation.js";
 import type { JobSpecification, StepSpecification } from "../model/specification.js";
 
 /** Host of the queues in tests. */
@@ -63,6 +64,15 @@
     ...changes,
 });
 
+/** Returns an organisation with the given digests of API keys, and without limits. */
+export const organisationOf = (name: string, ...keyDigests: string[]): OrganisationContract => ({
+    name,
+    keyDigests,
+    weight: 1,
+    submissionsPerSecond: 1_000,
+    quota: { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 },
+});
+
 /** Returns a heartbeat of an idle server with 4 cores in the zone `a`. */
 export const heartbeatOf = (
     serverId: string,
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -36,8 +36,11 @@
     return result;
 };
 
-/** Test doubles of the platform's services, and the receiver of contained errors. */
-type PlatformServices = Pick<WorkflowNodeOptions, "queryEligibility" | "beginMaintenance" | "onError">;
+/** Test doubles of the platform's services, and receivers of contained errors and of refused calls. */
+type PlatformServices = Pick<
+    WorkflowNodeOptions,
+    "queryEligibility" | "beginMaintenance" | "onError" | "onCallRefused"
+>;
 
 /** One workflow node with an in-memory log that commits on request and a clock that is advanced manually. */
 export class SingleReplica {
