Move what weighted sharing needs to packages/common

Change: amount arithmetic, indexed heap, token bucket and progressive filling are in packages/common/src/sharing. FairShareQueue takes its order from fillProgressively; packages/scheduler re-exports the arithmetic. Result: the unit tests of packages/scheduler and packages/common pass unchanged.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -5,4 +5,8 @@
 export * from "./journal.js";
 export * from "./salted-hash.js";
 export * from "./seeded-random.js";
+export * from "./sharing/amounts.js";
+export * from "./sharing/indexed-heap.js";
+export * from "./sharing/progressive-filling.js";
+export * from "./sharing/token-bucket.js";
 export * from "./step-error.js";
--- a/packages/scheduler/src/policy/admission-control.ts
+++ b/packages/scheduler/src/policy/admission-control.ts
@@ -1,8 +1,8 @@
+import { TokenBucket } from "@waxwingspread/common";
 import type { JobSpecification } from "@waxwingspread/protocol";
 import { Reason, WorkKind } from "@waxwingspread/protocol";
 import { fitsWithin, scaleResources } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
-import { TokenBucket } from "./token-bucket.js";
 import type { Admission, AdmissionPolicy, CustomerLimits, QueuedJob } from "./types.js";
 
 /** Queries to other policies on which {@link AdmissionControl} depends. */
--- a/packages/scheduler/src/policy/fair-share-queue.ts
+++ b/packages/scheduler/src/policy/fair-share-queue.ts
@@ -1,17 +1,17 @@
+import { fillProgressively, IndexedHeap } from "@waxwingspread/common";
 import { Reason, WorkKind } from "@waxwingspread/protocol";
 import type { Resources } from "@waxwingspread/protocol";
 import {
     addAmounts,
-    dominantShare,
     fitsWithin,
     scaleResources,
     subtractAmounts,
+    weightedShare,
     zeroAmounts,
 } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
 import { CustomerAccount, WORK_KINDS_BY_PRIORITY } from "./customer-account.js";
 import type { ReadyQueue } from "./customer-account.js";
-import { IndexedHeap } from "./indexed-heap.js";
 import { QuotaReclaim, RECLAIM_DEFAULTS } from "./quota-reclaim.js";
 import type { ReclaimParameters } from "./quota-reclaim.js";
 import type { CustomerLimits, FairSharePolicy, QueuedJob, TaskKey } from "./types.js";
@@ -261,24 +261,22 @@
     /** Counts each selected job as running, so that a single selection is shared fairly as well. */
     #selectByShare(queues: WorkKindQueues, workKind: WorkKind, limit: number, selected: Map<string, QueuedJob>): void {
         const cursors = new Map<ReadyQueue, Generator<QueuedJob, undefined>>();
+        const cursorOf = (queue: ReadyQueue): Generator<QueuedJob, undefined> => {
+            const cursor = cursors.get(queue) ?? queue.jobs();
+            cursors.set(queue, cursor);
+            return cursor;
+        };
+        const jobs = fillProgressively({
+            heap: queues.heap,
+            next: queue => this.#nextStartable(cursorOf(queue)),
+            shareAfter: (queue, job, share) => share + this.#weightedShare(job.reserved, queue.account),
+        });
         while (selected.size < limit) {
-            const queue = queues.heap.peek();
-            if (queue === undefined) {
-                break;
-            }
-            const share = queues.heap.peekKey();
-            let cursor = cursors.get(queue);
-            if (cursor === undefined) {
-                cursor = queue.jobs();
-                cursors.set(queue, cursor);
-            }
-            const job = this.#nextStartable(cursor);
+            const job = jobs.next().value;
             if (job === undefined) {
-                queues.heap.delete(queue);
-                continue;
+                break;
             }
             selected.set(job.jobKey, job);
-            queues.heap.set(queue, share + this.#weightedShare(job.reserved, queue.account));
         }
         for (const queue of cursors.keys()) {
             this.#refreshQueue(queues, queue, workKind);
@@ -377,7 +375,7 @@
     }
 
     #weightedShare(used: ResourceAmounts, account: CustomerAccount): number {
-        return dominantShare(used, this.#fleetCapacity) / account.weight;
+        return weightedShare(used, this.#fleetCapacity, account.weight);
     }
 
     #getOrCreateQueues(workKind: WorkKind): WorkKindQueues {
--- a/packages/scheduler/src/policy/mitigator.ts
+++ b/packages/scheduler/src/policy/mitigator.ts
@@ -1,9 +1,9 @@
+import { TokenBucket } from "@waxwingspread/common";
 import { Reason, WorkKind } from "@waxwingspread/protocol";
 import type { ClassProfiles } from "./class-profiles.js";
 import type { SlowdownSource } from "./interference-model.js";
 import type { OccupancyHistory } from "./occupancy-history.js";
 import type { TaskLoads } from "./task-loads.js";
-import { TokenBucket } from "./token-bucket.js";
 import { MitigationKind } from "./types.js";
 import type { ClassKey, Mitigation, PlacedTask, TaskKey } from "./types.js";
 
--- a/packages/scheduler/src/policy/retry-backoff.ts
+++ b/packages/scheduler/src/policy/retry-backoff.ts
@@ -1,5 +1,5 @@
+import { TokenBucket } from "@waxwingspread/common";
 import type { SeededRandom } from "@waxwingspread/common";
-import { TokenBucket } from "./token-bucket.js";
 import type { CustomerLimits, RetryPolicy } from "./types.js";
 
 /** Parameters of the {@link RetryBackoff}. */
--- a/packages/workflow/src/leader/start-admission.ts
+++ b/packages/workflow/src/leader/start-admission.ts
@@ -1,3 +1,4 @@
+import { fitsWithin } from "@waxwingspread/common";
 import { countedMillicoresOf } from "../model/specification.js";
 import type { Amounts } from "../model/specification.js";
 import type { RunView, ServerView } from "./server-view.js";
@@ -14,7 +15,7 @@
     /** `mayBePresent` returns whether a run may use capacity on the server, be it at work or being stopped. */
     constructor(server: ServerView, mayBePresent: (run: RunView) => boolean) {
         this.#server = server;
-        this.#present = isWithin(server.reserved, server.capacity)
+        this.#present = fitsWithin(server.reserved, server.capacity)
             ? undefined
             : new Set([...server.runs.values()].filter(mayBePresent));
     }
@@ -22,7 +23,7 @@
     /** Whether a run fits beside those that are or may be present. */
     canAdmit(run: RunView): boolean {
         return this.#present === undefined
-            || isWithin(totalOf(new Set(this.#present).add(run)), this.#server.capacity);
+            || fitsWithin(totalOf(new Set(this.#present).add(run)), this.#server.capacity);
     }
 
     /** Counts a run as present. */
@@ -31,11 +32,6 @@
     }
 }
 
-const isWithin = (amounts: Amounts, limit: Amounts): boolean =>
-    amounts.cpuMillicores <= limit.cpuMillicores
-    && amounts.memoryMebibytes <= limit.memoryMebibytes
-    && amounts.accelerators <= limit.accelerators;
-
 const totalOf = (runs: Iterable<RunView>): Amounts => {
     const total = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
     for (const { step } of runs) {
