Limit what organisations hold by their quotas, and share the fleet by weight

The leader ordered work by priority and time only, whoever had submitted it, and nothing bounded what an organisation has running. Change: QuotaLedger counts what each organisation holds, from the proposal of an assignment until its end or loss is recorded, with untracked runs that servers report. The planner starts nothing beyond a quota; the order writer gives up unstarted runs of an organisation above a lowered one. Within a priority, organisations below their weighted share come first, the others by progressive filling. Jobs beyond the agreed rate are marked in their specification, come last, and are refused while work within the rates waits and no server has room for them. A task or gang above the quota is refused. AppliedRuns, HeartbeatReadiness and TrialWaits are moved out of the session and the planner, unchanged, to keep the files short. Nothing sets organisations on real processes yet.

--- a/packages/workflow/src/leader/heartbeat-reconciler.ts
+++ b/packages/workflow/src/leader/heartbeat-reconciler.ts
@@ -21,6 +21,8 @@
     startedJobs: string[];
     /** Tasks whose run is reported for the first time. */
     startedTasks: string[];
+    /** Runs that the server reports and the leader doesn't track. */
+    untrackedRuns: ReportedRun[];
 }
 
 /** Reconciles the leader's view of a server with the runs that its heartbeat reports. */
@@ -48,8 +50,9 @@
         missingRuns.forEach(run => server.removeRun(run.task));
         server.invalidateSaturation();
         server.invalidateFreshRuns();
-        server.hasUntrackedRuns = report.running.some(({ task, run }) => server.findRun(task, run) === undefined);
-        return { newEnds, missingRuns, startedJobs, startedTasks };
+        const untrackedRuns = report.running.filter(({ task, run }) => server.findRun(task, run) === undefined);
+        server.hasUntrackedRuns = untrackedRuns.length > 0;
+        return { newEnds, missingRuns, startedJobs, startedTasks, untrackedRuns };
     }
 
     #collectNewEnds(server: ServerView, report: HeartbeatReport): RecordedEnd[] {
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -1,12 +1,14 @@
-import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import type { BeginMaintenance } from "../model/maintenance.js";
 import { parseTaskKey } from "../model/specification.js";
+import { OrganisationLimits } from "../organisations/organisation-limits.js";
 import { LossReason } from "../state/crash-history.js";
 import { EventKind } from "../state/events.js";
-import type { EventOf, WorkflowEvent } from "../state/events.js";
+import type { WorkflowEvent } from "../state/events.js";
 import type { CrashingTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
+import { AppliedRuns } from "./applied-runs.js";
+import { createSubmissionControl } from "./create-submission-control.js";
 import { EarlyCancellations } from "./early-cancellations.js";
 import { Eligibility } from "./eligibility.js";
 import type { QueryEligibility } from "./eligibility.js";
@@ -14,8 +16,8 @@
 import { FillerMoves } from "./filler-moves.js";
 import { FillerPacing } from "./filler-pacing.js";
 import { hasPlausibleSequence, implausibleEventOf } from "./heartbeat-plausibility.js";
+import { HeartbeatReadiness } from "./heartbeat-readiness.js";
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
-import { JobAdmission } from "./job-admission.js";
 import { JobRetention } from "./job-retention.js";
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
@@ -35,7 +37,7 @@
 import type { ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import { hasStepSucceeded } from "./step-success.js";
-import { SubmissionControl } from "./submission-control.js";
+import type { SubmissionControl } from "./submission-control.js";
 import type { Times } from "./times.js";
 import { UnstartedTasks } from "./unstarted-tasks.js";
 import { utilizationOf } from "./utilization.js";
@@ -77,6 +79,7 @@
     readonly #pressureRecords: PressureRecords;
     readonly #pacing: FillerPacing;
     readonly #eligibility: Eligibility;
+    readonly #limits: OrganisationLimits;
     readonly #planner: Planner;
     readonly #reconciler: HeartbeatReconciler;
     readonly #orders: OrderWriter;
@@ -85,9 +88,11 @@
     readonly #moves: FillerMoves;
     readonly #maintenance: Maintenance;
     readonly #heartbeats = new OpenHeartbeats();
+    readonly #readiness: HeartbeatReadiness;
     readonly #failures: ServerFailures;
     readonly #losses: RunLosses;
     readonly #stops: RunStops;
+    readonly #runs: AppliedRuns;
     readonly #retention: JobRetention;
     readonly #startedJobs = new Set<string>();
     #isPlanDue = true;
@@ -107,22 +112,41 @@
                 this.#isPlanDue = true;
             })
         );
+        this.#limits = new OrganisationLimits(state, this.#directory);
         this.#planner = new Planner({
             state,
             queue: this.#queue,
             directory: this.#directory,
             pressure: this.#pressure,
             eligibility: this.#eligibility,
+            limits: this.#limits,
         });
         this.#reconciler = new HeartbeatReconciler(state);
-        this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings);
+        this.#readiness = new HeartbeatReadiness(state, this.#directory, settings);
+        this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings, this.#limits.ledger);
         this.#evacuation = new Evacuation(this.#directory);
         this.#stops = new RunStops(state, this.#directory);
         const kept = { state, retentionMs: settings.retentionMs, propose: options.propose };
         this.cancellations = new EarlyCancellations(kept);
-        this.submissions = new SubmissionControl([], new JobAdmission({ state, maxBytes: settings.maxJobBytes }));
+        this.submissions = createSubmissionControl({
+            state,
+            settings,
+            queue: this.#queue,
+            planner: this.#planner,
+            limits: this.#limits,
+        });
         this.#retention = new JobRetention({ ...kept, cancellations: this.cancellations }, times.nowMs);
         this.#losses = new RunLosses({ state, directory: this.#directory, propose: options.propose });
+        this.#runs = new AppliedRuns({
+            state,
+            queue: this.#queue,
+            directory: this.#directory,
+            planner: this.#planner,
+            losses: this.#losses,
+            stops: this.#stops,
+            propose: options.propose,
+            reportCrashingTask: options.reportCrashingTask,
+        });
         this.#failures = new ServerFailures(step => hasStepSucceeded(state, this.#directory, step));
         this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
@@ -134,7 +158,7 @@
             begin: options.beginMaintenance,
         }, times.nowMs);
         this.#losses.recordFormerRuns(adoptRuns(state, this.#directory, settings, times), times);
-        if (!this.#isLeaseRecorded) {
+        if (!this.#readiness.isLeaseRecorded) {
             options.propose({ kind: EventKind.LeaseExtended, leaseMs: settings.leaseMs });
         }
         for (const job of state.jobs.values()) {
@@ -212,6 +236,7 @@
             this.#failures.recordEnds(server, changes.newEnds, nowMs);
             this.#unstartedTasks.recordEnds(server, changes.newEnds);
         }
+        this.#limits.ledger.recordUntracked(server.id, changes.untrackedRuns);
         changes.startedJobs.forEach(id => this.#startedJobs.add(id));
         changes.startedTasks.forEach(task => this.#unstartedTasks.recordStarted(task));
         if (changes.startedTasks.length > 0) {
@@ -238,6 +263,7 @@
     /** Updates the session after events were applied to the replicated state. */
     handleAppliedEvents(events: readonly WorkflowEvent[], times: Times): void {
         for (const event of events) {
+            this.#limits.ledger.handleApplied(event);
             this.#handleApplied(event, times);
         }
         this.#isPlanDue = true;
@@ -251,6 +277,7 @@
             this.#heartbeats.answerWithoutOrders(server.id);
             this.#forgetMeasurements(server);
             this.#losses.recordExpired(server, times);
+            this.#limits.ledger.recordUntracked(server.id, []);
         }
         this.#maintenance.run(times);
         this.#evacuation.run(nowMs);
@@ -297,13 +324,13 @@
                 event.jobIds.forEach(id => this.#startedJobs.delete(id));
                 return;
             case EventKind.RunsAssigned:
-                this.#handleAssigned(event, times);
+                this.#runs.handleAssigned(event, times);
                 return;
             case EventKind.RunsEnded:
-                this.#handleEnded(event, times);
+                this.#runs.handleEnded(event, times);
                 return;
             case EventKind.RunsLost:
-                this.#handleLost(event, times);
+                this.#runs.handleLost(event, times);
                 return;
             case EventKind.ConfigurationAccepted:
             case EventKind.ZoneTakenOut:
@@ -315,57 +342,6 @@
         }
     }
 
-    #handleAssigned(event: EventOf<EventKind.RunsAssigned>, times: Times): void {
-        for (const assigned of event.runs) {
-            const { task, run, serverId, incarnation } = assigned;
-            const view = this.#directory.find(serverId, incarnation)?.findRun(task, run);
-            if (view !== undefined) {
-                view.isCommitted = true;
-                view.isStopping ||= this.#jobOf(task)?.isOver ?? true;
-            }
-            else {
-                // The server has been removed since the proposal; no order was sent.
-                this.#options.propose({
-                    kind: EventKind.RunsLost,
-                    runs: [{ task, run, checkpoint: "", reason: LossReason.ServerRemoved }],
-                });
-            }
-            this.#planner.clearPending(task);
-            this.#refreshTask(task, times);
-        }
-    }
-
-    #handleLost(event: EventOf<EventKind.RunsLost>, times: Times): void {
-        event.runs.forEach(lost => this.#refreshTask(lost.task, times));
-        event.runs.forEach(lost => this.#stops.stopGangMembers(lost));
-        for (const { task, run } of event.runs) {
-            const job = this.#jobOf(task);
-            const { crashingTask } = job ?? {};
-            if (job !== undefined && crashingTask?.task === task && crashingTask.run === run) {
-                this.#stops.stopJob(job.id);
-                this.#options.reportCrashingTask(crashingTask, times.nowMs);
-            }
-        }
-    }
-
-    #handleEnded(event: EventOf<EventKind.RunsEnded>, times: Times): void {
-        const server = this.#directory.find(event.server.serverId, event.server.incarnation);
-        for (const ended of event.ends) {
-            if (server?.findRun(ended.task, ended.run) !== undefined) {
-                server.removeRun(ended.task);
-            }
-            this.#refreshTask(ended.task, times);
-            if (ended.end !== RunEnd.Done) {
-                this.#stops.stopGangMembers(ended);
-            }
-            const job = this.#jobOf(ended.task);
-            this.#losses.clearEnded(ended, times);
-            if (job?.isOver === true) {
-                this.#stops.stopJob(job.id);
-            }
-        }
-    }
-
     /** Discards what was measured of one incarnation of a server, whose runs are lost. */
     #forgetMeasurements(server: ServerView): void {
         this.#failures.forget(server.id);
@@ -381,13 +357,6 @@
         this.#options.report({ kind, serverId, incarnation, vmId, runs: server.runs.size }, nowMs);
     }
 
-    #refreshTask(key: string, { timeOfDayMs }: Times): void {
-        const job = this.#jobOf(key);
-        if (job !== undefined) {
-            this.#queue.refreshTask(job, parseTaskKey(key)?.occurrence ?? 0, timeOfDayMs);
-        }
-    }
-
     #refreshJob(jobId: string, { timeOfDayMs }: Times): void {
         const job = this.#options.state.job(jobId);
         if (job !== undefined) {
@@ -395,15 +364,16 @@
         }
     }
 
-    #jobOf(task: string): JobRecord | undefined {
-        return this.#options.state.job(parseTaskKey(task)?.jobId ?? "");
-    }
-
     #answerHeartbeats(times: Times): void {
         const { nowMs } = times;
-        for (const { report, respond } of this.#heartbeats.takeReady(item => this.#isWaitingForLog(item), nowMs)) {
-            const server = this.#serverOf(report);
-            if (server === undefined || !this.#isLeaseRecorded) {
+        for (
+            const { report, respond } of this.#heartbeats.takeReady(
+                item => this.#readiness.isWaitingForLog(item),
+                nowMs,
+            )
+        ) {
+            const server = this.#readiness.serverOf(report);
+            if (server === undefined || !this.#readiness.isLeaseRecorded) {
                 respond(undefined);
                 continue;
             }
@@ -419,34 +389,12 @@
         }
     }
 
-    /** Returns the server of a heartbeat; undefined if a later heartbeat has arrived or the server has been removed. */
-    #serverOf(report: HeartbeatReport): ServerView | undefined {
-        const server = this.#directory.find(report.serverId, report.incarnation);
-        return server?.sequence === report.sequence ? server : undefined;
-    }
-
-    #isWaitingForLog(report: HeartbeatReport): boolean {
-        const server = this.#serverOf(report);
-        if (server === undefined) {
-            return false;
-        }
-        const { id: serverId, incarnation } = server;
-        const isEndWaiting = server.lastProposedEnd > this.#options.state.acknowledgedEnd({ serverId, incarnation });
-        return isEndWaiting || server.hasUncommittedRuns || !this.#isLeaseRecorded;
-    }
-
-    /** Whether the next leader will know how long the leases are that this one grants. */
-    get #isLeaseRecorded(): boolean {
-        const { state, settings } = this.#options;
-        return (state.longestLeaseMs ?? 0) >= settings.leaseMs;
-    }
-
     /** Discards what is known beside the state of jobs that have ended, and of servers and losses that are long past. */
     #discardExpired(nowMs: number): void {
         const { state } = this.#options;
         this.#failures.evictExpired(nowMs);
         this.#losses.evictExpired(nowMs);
         this.#unstartedTasks.retain(jobId => state.job(jobId)?.isOver === false);
-        this.#eligibility.retain(step => this.#jobOf(`${step}.0`)?.isOver === false);
+        this.#eligibility.retain(step => state.job(parseTaskKey(`${step}.0`)?.jobId ?? "")?.isOver === false);
     }
 }
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -1,5 +1,6 @@
 import type { HeartbeatOrders, HeartbeatReport, StartOrder, StopOrder } from "../model/heartbeat.js";
 import { stepKeyOf } from "../model/specification.js";
+import type { QuotaLedger } from "../organisations/quota-ledger.js";
 import type { JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { AnswerBudget, encodedBytesOf } from "./answer-budget.js";
@@ -52,14 +53,22 @@
     readonly #eligibility: Eligibility;
     readonly #term: number;
     readonly #settings: LeaderSettings;
+    readonly #ledger: QuotaLedger;
     /** Encoded sizes of payloads, each of which is sent with every start of the job's tasks. */
     readonly #payloadBytes = new WeakMap<JobRecord, number>();
 
-    constructor(state: WorkflowState, eligibility: Eligibility, term: number, settings: LeaderSettings) {
+    constructor(
+        state: WorkflowState,
+        eligibility: Eligibility,
+        term: number,
+        settings: LeaderSettings,
+        ledger: QuotaLedger,
+    ) {
         this.#state = state;
         this.#eligibility = eligibility;
         this.#term = term;
         this.#settings = settings;
+        this.#ledger = ledger;
     }
 
     /** Returns the orders for a server; marks the runs to start as ordered and the new paces as set. */
@@ -187,6 +196,7 @@
         return !view.isStopping
             && job?.isOver === false
             && server.isUsable
+            && !this.#ledger.isOverQuota(job)
             && this.#isApproved(server, view, job, nowMs)
             && !this.#state.zonesOutOfService.has(server.availabilityZone);
     }
--- a/packages/workflow/src/leader/planner.test.ts
+++ b/packages/workflow/src/leader/planner.test.ts
@@ -4,6 +4,7 @@
 import type { HeartbeatOrders, HeartbeatReport, ReportedEnd } from "../model/heartbeat.js";
 import { TaskKind } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
+import { OrganisationLimits } from "../organisations/organisation-limits.js";
 import { EventKind } from "../state/events.js";
 import { WorkflowState } from "../state/workflow-state.js";
 import { configurationOf, fillerStepOf, heartbeatOf, jobOf, standingStepOf, stepOf } from "../testing/fixtures.js";
@@ -220,6 +221,7 @@
         directory,
         pressure: new PressureModel({}),
         eligibility: new Eligibility(() => undefined),
+        limits: new OrganisationLimits(state, directory),
     });
     const position = { jobId: "j", occurrence: 0, step: 0, index: 0 };
     const run = newRunView({ task: "j.0.0.0", run: 1, position, step, kind: TaskKind.Filler, checkpoint: "" }, 0);
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -1,7 +1,11 @@
 import type { QueueContract } from "../model/configuration.js";
-import { TaskKind } from "../model/specification.js";
+import { TaskKind, taskKindOf } from "../model/specification.js";
+import type { JobSpecification } from "../model/specification.js";
+import type { OrganisationLimits } from "../organisations/organisation-limits.js";
+import { exceedsRate } from "../organisations/share-turns.js";
 import { isSuspect } from "../state/crash-history.js";
 import type { AssignedRun } from "../state/events.js";
+import { JobRecord } from "../state/job-record.js";
 import { TaskPhase } from "../state/occurrence-records.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { Eligibility } from "./eligibility.js";
@@ -13,15 +17,10 @@
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
 import type { Times } from "./times.js";
+import { TrialWaits } from "./trial-waits.js";
 import { stepKeyOf, taskKeyIn } from "./work-queue.js";
 import type { Turn, WaitingStep, WorkQueue } from "./work-queue.js";
 
-/**
- * Time for which a task that may crash its server waits for one without other fresh runs. Afterwards it may start
- * beside fresh runs, but not beside another such task.
- */
-const MAX_TRIAL_WAIT_MS = 1_000;
-
 interface PlannedRun {
     server: ServerView;
     assigned: AssignedRun;
@@ -61,6 +60,7 @@
     readonly #directory: ServerDirectory;
     readonly #pressure: PressureModel;
     readonly #eligibility: Eligibility;
+    readonly #limits: OrganisationLimits;
     /** Servers of the tasks whose assignment is proposed but not committed, by task. */
     readonly #pendingTasks = new Map<string, ServerView>();
     /** Steps that no server can run, except perhaps for those that have changed since the round began. */
@@ -74,8 +74,7 @@
     #remainingServers = 0;
     /** Part of the fleet that is examined next. */
     #nextPart = 0;
-    /** Times since which tasks that may crash their servers have waited for one, by task. */
-    readonly #trialWaitSinceMs = new Map<string, number>();
+    readonly #trialWaits = new TrialWaits();
 
     constructor(options: {
         state: WorkflowState;
@@ -83,12 +82,14 @@
         directory: ServerDirectory;
         pressure: PressureModel;
         eligibility: Eligibility;
+        limits: OrganisationLimits;
     }) {
         this.#state = options.state;
         this.#queue = options.queue;
         this.#directory = options.directory;
         this.#pressure = options.pressure;
         this.#eligibility = options.eligibility;
+        this.#limits = options.limits;
     }
 
     /**
@@ -106,7 +107,7 @@
         const runs = this.#reconsiderOverdue({ nowMs, timeOfDayMs });
         // The round must go on, however many servers change during it.
         this.#remainingServers = Math.max(this.#remainingServers, MIN_EXAMINED_SERVERS_IN_ROUND);
-        for (const turn of this.#queue.turns(timeOfDayMs)) {
+        for (const turn of this.#limits.order(this.#queue.turns(timeOfDayMs), timeOfDayMs)) {
             const planned = this.#planTurn(turn, nowMs);
             runs.push(...planned.runs);
             if (!planned.isComplete) {
@@ -115,7 +116,7 @@
         }
         this.#changedServers = undefined;
         this.#failuresInRound.clear();
-        this.#forgetEndedTrials();
+        this.#trialWaits.retain(jobId => this.#state.job(jobId)?.isOver === false);
         return { runs, isComplete: true };
     }
 
@@ -137,6 +138,18 @@
         return countServers(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
     }
 
+    /** Whether some server can run a task now with which a job begins that isn't accepted yet. */
+    hasRoomFor(specification: JobSpecification, queue: QueueContract, { nowMs, timeOfDayMs }: Times): boolean {
+        const job = JobRecord.accepted(specification, queue, timeOfDayMs);
+        return specification.steps.some((step, stepIndex) => {
+            const record = job.stepsOf(0)?.[stepIndex];
+            const waiting = record === undefined || step.dependsOn.length > 0
+                ? undefined
+                : untimedStepOf({ job, occurrence: 0, stepIndex, step, kind: taskKindOf(step), record });
+            return waiting !== undefined && this.countServersFor(waiting, nowMs).serversWithRoom > 0;
+        });
+    }
+
     /** Returns the step of a run as if its task was waiting; undefined if its job is gone. */
     stepOf({ position, step, kind }: RunView): WaitingStep | undefined {
         const { jobId, occurrence, step: stepIndex } = position;
@@ -144,18 +157,7 @@
         const record = job?.stepsOf(occurrence)?.[stepIndex];
         return job === undefined || record === undefined
             ? undefined
-            : {
-                job,
-                occurrence,
-                stepIndex,
-                step,
-                kind,
-                record,
-                waitingSinceMs: 0,
-                expectedEndMs: 0,
-                remainingCriticalPathMs: 0,
-                idleSinceMs: undefined,
-            };
+            : untimedStepOf({ job, occurrence, stepIndex, step, kind, record });
     }
 
     /** Whether some other server has capacity for the run now. */
@@ -215,7 +217,7 @@
             return [];
         }
         const overdue = this.#queue.overdue(timeOfDayMs).slice(0, MAX_RECONSIDERED_STEPS);
-        return overdue.filter(({ job }) => !job.isOver).flatMap(waiting => {
+        return overdue.filter(waiting => !waiting.job.isOver && !exceedsRate(waiting)).flatMap(waiting => {
             const constraints = this.#constraintsFor(waiting, nowMs);
             const find = (): ServerView | undefined => this.#search(waiting, changedServers, constraints, nowMs);
             return this.#planTasks({ waiting, maxTasks: Infinity }, constraints, find, nowMs).runs;
@@ -229,6 +231,9 @@
         if (isSkipped) {
             return NOTHING_TO_PLAN;
         }
+        if (!this.#limits.ledger.allowsStart(waiting.job, waiting.step)) {
+            return NOTHING_TO_PLAN;
+        }
         if (waiting.step.isGang) {
             return this.#planGang(waiting, nowMs);
         }
@@ -248,7 +253,7 @@
             if (!this.#isUnassigned(waiting, index)) {
                 continue;
             }
-            if (runs.length >= maxTasks) {
+            if (runs.length >= maxTasks || !this.#limits.ledger.allowsStart(waiting.job, waiting.step)) {
                 break;
             }
             if (this.#remainingServers <= 0) {
@@ -278,7 +283,7 @@
         const run = Math.max(...tasks.map(task => task.run)) + 1;
         const constraints = this.#constraintsFor(waiting, nowMs);
         constraints.isIsolated = tasks.some(({ crashes }) => isSuspect(crashes))
-            && this.#isTrialWaitOpen(stepKeyOf(waiting), nowMs);
+            && this.#trialWaits.isOpen(stepKeyOf(waiting), nowMs);
         const planned: PlannedRun[] = [];
         for (let index = 0; index < tasks.length; index += 1) {
             const server = this.#isUnassigned(waiting, index)
@@ -291,7 +296,7 @@
             }
             planned.push(this.#assign(waiting, constraints, server, index, run, nowMs));
         }
-        this.#trialWaitSinceMs.delete(stepKeyOf(waiting));
+        this.#trialWaits.end(stepKeyOf(waiting));
         return { runs: planned.map(member => member.assigned), isComplete: true };
     }
 
@@ -303,7 +308,7 @@
         nowMs: number,
     ): ServerView | undefined {
         const task = taskKeyIn(waiting, index);
-        const isIsolated = this.#isTrialWaitOpen(task, nowMs);
+        const isIsolated = this.#trialWaits.isOpen(task, nowMs);
         const { crashes = [] } = waiting.record.tasks[index] ?? {};
         const trialConstraints = { ...constraints, isIsolated, crashes };
         const server = this.#search(waiting, this.#directory.servers, trialConstraints, nowMs);
@@ -311,28 +316,11 @@
             this.#queryEligibility(waiting, constraints, nowMs);
         }
         else {
-            this.#trialWaitSinceMs.delete(task);
+            this.#trialWaits.end(task);
         }
         return server;
     }
 
-    /** Whether a task or gang that may crash its server has waited only briefly for one without fresh runs. */
-    #isTrialWaitOpen(key: string, nowMs: number): boolean {
-        const sinceMs = this.#trialWaitSinceMs.get(key) ?? nowMs;
-        this.#trialWaitSinceMs.set(key, sinceMs);
-        return nowMs - sinceMs < MAX_TRIAL_WAIT_MS;
-    }
-
-    /** Forgets the waiting times of tasks and gangs whose job has ended before a server was found. */
-    #forgetEndedTrials(): void {
-        for (const key of this.#trialWaitSinceMs.keys()) {
-            const [jobId = ""] = key.split(".", 1);
-            if (this.#state.job(jobId)?.isOver !== false) {
-                this.#trialWaitSinceMs.delete(key);
-            }
-        }
-    }
-
     #isUnassigned(waiting: WaitingStep, index: number): boolean {
         return waiting.record.tasks[index]?.phase === TaskPhase.Waiting
             && !this.#pendingTasks.has(taskKeyIn(waiting, index));
@@ -358,6 +346,7 @@
             nowMs,
         ));
         this.#pendingTasks.set(task, server);
+        this.#limits.ledger.propose(task, job, step);
         if (step.prefersOneRack && constraints.rackOfStep === "") {
             // The first task that is placed determines the rack of the others.
             constraints.rackOfStep = server.rack;
@@ -471,9 +460,21 @@
     #rollBack({ server, assigned }: PlannedRun): void {
         server.removeRun(assigned.task);
         this.#pendingTasks.delete(assigned.task);
+        this.#limits.ledger.withdraw(assigned.task);
     }
 }
 
+/** Returns a step without the times that only matter for its order in the queue. */
+const untimedStepOf = (
+    step: Pick<WaitingStep, "job" | "occurrence" | "stepIndex" | "step" | "kind" | "record">,
+): WaitingStep => ({
+    ...step,
+    waitingSinceMs: 0,
+    expectedEndMs: 0,
+    remainingCriticalPathMs: 0,
+    idleSinceMs: undefined,
+});
+
 const NOTHING_TO_PLAN: Plan = { runs: [], isComplete: true };
 
 /** Returns the constraints that steps share, other than their amounts. An approval is given to one step only. */
--- a/packages/workflow/src/leader/submission-control.ts
+++ b/packages/workflow/src/leader/submission-control.ts
@@ -8,25 +8,37 @@
 /** Checks a submission; returns why it is refused, or undefined. */
 export type SubmissionCheck = (job: JobSpecification, queue: QueueContract, times: Times) => RefusedCall | undefined;
 
+/** Dependencies of a {@link SubmissionControl}. */
+export interface SubmissionControlOptions {
+    /** Returns the job with the marks that decide what precedes it. */
+    classify: (job: JobSpecification, nowMs: number) => JobSpecification;
+    checks: readonly SubmissionCheck[];
+    admission: JobAdmission;
+}
+
 /** Decides whether a leader accepts a submission: the checks in their order, then the memory for the job. */
 export class SubmissionControl {
-    readonly #checks: readonly SubmissionCheck[];
-    readonly #admission: JobAdmission;
+    readonly #options: SubmissionControlOptions;
+
+    constructor(options: SubmissionControlOptions) {
+        this.#options = options;
+    }
 
-    constructor(checks: readonly SubmissionCheck[], admission: JobAdmission) {
-        this.#checks = checks;
-        this.#admission = admission;
+    /** Counts a submission and returns its job as it is to be checked and recorded. */
+    classify(job: JobSpecification, { nowMs }: Times): JobSpecification {
+        return this.#options.classify(job, nowMs);
     }
 
     /** Returns why the submission is refused; otherwise counts its job as accepted and returns undefined. */
     admit(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
-        for (const check of this.#checks) {
+        const { checks, admission } = this.#options;
+        for (const check of checks) {
             const refusal = check(job, queue, times);
             if (refusal !== undefined) {
                 return refusal;
             }
         }
         // The last check, since it counts the job.
-        return this.#admission.tryAdmit(job, times.nowMs) ? undefined : refused(Refusal.Overloaded);
+        return admission.tryAdmit(job, times.nowMs) ? undefined : refused(Refusal.Overloaded);
     }
 }
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -274,7 +274,8 @@
 
 const wholeStepTurn = (waiting: WaitingStep): Turn => ({ waiting, maxTasks: Infinity });
 
-const isStandingOverdue = ({ kind, waitingSinceMs }: WaitingStep, timeOfDayMs: number): boolean =>
+/** Whether a standing step has waited for so long that it precedes all other work. */
+export const isStandingOverdue = ({ kind, waitingSinceMs }: WaitingStep, timeOfDayMs: number): boolean =>
     kind === TaskKind.Standing && timeOfDayMs - waitingSinceMs >= MAX_STANDING_WAIT_MS;
 
 const urgencyOf = (waiting: WaitingStep, timeOfDayMs: number): Urgency => {
--- a/packages/workflow/src/model/specification.ts
+++ b/packages/workflow/src/model/specification.ts
@@ -54,6 +54,8 @@
     schedule: Schedule | undefined;
     /** Organisation whose API key submitted the job; undefined for a job of a public queue or without organisations. */
     organisation?: string;
+    /** Whether it was submitted beyond the agreed rate of its organisation; undefined in records of former versions. */
+    exceedsRate?: boolean;
 }
 
 /** Kinds of tasks by how they use a backend server. */
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -121,7 +121,8 @@
             this.#enqueueReadBarrier(() => respond(refused(this.#unknownQueueRefusal())), respond);
             return;
         }
-        const refusal = session.submissions.admit(job, queue, times);
+        const classified = session.submissions.classify(job, times);
+        const refusal = session.submissions.admit(classified, queue, times);
         if (refusal !== undefined) {
             // An earlier attempt of the same submission may be in a record that is not committed yet.
             const answer = (): void => respond(this.#hasJob(job.id) ? succeeded(undefined) : refusal);
@@ -129,7 +130,7 @@
             return;
         }
         const acceptedAtMs = times.timeOfDayMs;
-        this.#enqueueChange({ kind: EventKind.JobAccepted, job, queue, acceptedAtMs }, respond);
+        this.#enqueueChange({ kind: EventKind.JobAccepted, job: classified, queue, acceptedAtMs }, respond);
         if (session.cancellations.has(job.id)) {
             // In the same record, so that no leader knows the job without its cancellation.
             session.cancellations.record(job.id, acceptedAtMs);
