Test quotas, and report what organisations hold and why their tasks wait

Change: wait reports name the cause (quota, above the quota, rate, share) and the organisation; one line for each kind and cause. A leader session reports the usage of each organisation. LeaseFleet simulates servers that keep leases.

--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -15,6 +15,8 @@
 export * from "./model/specification.js";
 export * from "./node/replicated-log.js";
 export * from "./node/workflow-node.js";
+export type { OrganisationUsage } from "./organisations/organisation-usage.js";
+export { WaitCause } from "./organisations/wait-cause.js";
 export * from "./state/crash-history.js";
 export * from "./state/events.js";
 export * from "./state/job-record.js";
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -2,6 +2,8 @@
 import type { BeginMaintenance } from "../model/maintenance.js";
 import { parseTaskKey } from "../model/specification.js";
 import { OrganisationLimits } from "../organisations/organisation-limits.js";
+import { organisationUsageOf } from "../organisations/organisation-usage.js";
+import type { OrganisationUsage } from "../organisations/organisation-usage.js";
 import { LossReason } from "../state/crash-history.js";
 import { EventKind } from "../state/events.js";
 import type { WorkflowEvent } from "../state/events.js";
@@ -181,6 +183,11 @@
         return utilizationOf(this.#directory.servers, this.#queue, this.#pressure);
     }
 
+    /** Returns what organisations hold and wait for at present, the busiest ones first. */
+    organisations(): OrganisationUsage[] {
+        return organisationUsageOf(this.#limits, this.#queue);
+    }
+
     /** Returns reports on the tasks that have waited longest for a start. */
     waitReports(times: Times): WaitReport[] {
         return waitReportsOf({
@@ -188,6 +195,7 @@
             directory: this.#directory,
             planner: this.#planner,
             unstartedTasks: this.#unstartedTasks,
+            limits: this.#limits,
         }, times);
     }
 
--- a/packages/workflow/src/leader/submission-control.ts
+++ b/packages/workflow/src/leader/submission-control.ts
@@ -14,6 +14,8 @@
     classify: (job: JobSpecification, nowMs: number) => JobSpecification;
     checks: readonly SubmissionCheck[];
     admission: JobAdmission;
+    /** Called for each submission that is refused. */
+    recordRefusal: (job: JobSpecification, refused: RefusedCall) => void;
 }
 
 /** Decides whether a leader accepts a submission: the checks in their order, then the memory for the job. */
@@ -31,6 +33,14 @@
 
     /** Returns why the submission is refused; otherwise counts its job as accepted and returns undefined. */
     admit(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
+        const refusal = this.#refusalOf(job, queue, times);
+        if (refusal !== undefined) {
+            this.#options.recordRefusal(job, refusal);
+        }
+        return refusal;
+    }
+
+    #refusalOf(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
         const { checks, admission } = this.#options;
         for (const check of checks) {
             const refusal = check(job, queue, times);
--- a/packages/workflow/src/leader/wait-report.ts
+++ b/packages/workflow/src/leader/wait-report.ts
@@ -1,4 +1,6 @@
 import { TaskKind } from "../model/specification.js";
+import type { OrganisationLimits } from "../organisations/organisation-limits.js";
+import { WaitCause, waitCauseOf } from "../organisations/wait-cause.js";
 import { TaskPhase } from "../state/occurrence-records.js";
 import type { ServerCounts } from "./placement.js";
 import type { Planner } from "./planner.js";
@@ -14,13 +16,17 @@
 /** Order of the reports. */
 const KINDS = [TaskKind.Standing, TaskKind.Finite, TaskKind.Filler];
 
-/** The task of one kind that has waited longest for a start, and what keeps servers from running it. */
+/** The task of one kind that has waited longest for a start and for one cause, and what keeps servers from running it. */
 export interface WaitReport extends ServerCounts {
     kind: TaskKind;
     task: string;
     waitedMs: number;
     /** Server that the task is assigned to but does not run on; undefined while the task is not assigned. */
     serverId: string | undefined;
+    /** What holds it back beside the servers; undefined for nothing. */
+    cause: WaitCause | undefined;
+    /** Organisation whose limit is the cause; undefined without a cause. */
+    organisation: string | undefined;
     /** Assignments since the last start whose run was lost before the server reported it. */
     lostRuns: number;
     /** Assignments since the last start that the server rejected. */
@@ -33,6 +39,7 @@
     directory: ServerDirectory;
     planner: Planner;
     unstartedTasks: UnstartedTasks;
+    limits: OrganisationLimits;
 }
 
 /** A task that has not started. */
@@ -41,34 +48,42 @@
     step: WaitingStep;
     waitedMs: number;
     serverId: string | undefined;
+    cause: WaitCause | undefined;
 }
 
 /**
- * Returns a report on the task of each kind that has waited longest, unless its wait is short. A filler whose job has
- * another task at work is left out: its job proceeds.
+ * Returns a report on the task of each kind that has waited longest, unless its wait is short, and on those that have
+ * waited longest because of a limit of their organisation. A filler whose job has another task at work is left out: its
+ * job proceeds.
  */
 export const waitReportsOf = (sources: WaitReportSources, times: Times): WaitReport[] => {
-    const longest = new Map<TaskKind, Candidate>();
+    const longest = new Map<string, Candidate>();
     for (const candidate of [...queuedCandidates(sources, times), ...assignedCandidates(sources, times)]) {
-        const { kind } = candidate.step;
-        if (candidate.waitedMs > (longest.get(kind)?.waitedMs ?? MIN_REPORTED_WAIT_MS)) {
-            longest.set(kind, candidate);
+        const key = keyOf(candidate.step.kind, candidate.cause);
+        if (candidate.waitedMs > (longest.get(key)?.waitedMs ?? MIN_REPORTED_WAIT_MS)) {
+            longest.set(key, candidate);
         }
     }
-    return KINDS.flatMap(kind => {
-        const candidate = longest.get(kind);
-        return candidate === undefined ? [] : [reportOf(candidate, sources, times.nowMs)];
-    });
+    return [undefined, ...Object.values(WaitCause)].flatMap(cause =>
+        KINDS.flatMap(kind => {
+            const candidate = longest.get(keyOf(kind, cause));
+            return candidate === undefined ? [] : [reportOf(candidate, sources, times.nowMs)];
+        })
+    );
 };
 
+const keyOf = (kind: TaskKind, cause: WaitCause | undefined): string => `${kind} ${cause ?? ""}`;
+
 const reportOf = (candidate: Candidate, { planner, unstartedTasks }: WaitReportSources, nowMs: number): WaitReport => {
-    const { task, step, serverId } = candidate;
+    const { task, step, serverId, cause } = candidate;
     const { lostRuns, rejectedRuns } = unstartedTasks.get(task) ?? { lostRuns: 0, rejectedRuns: 0 };
     return {
         kind: step.kind,
         task,
         waitedMs: Math.round(candidate.waitedMs),
         serverId,
+        cause,
+        organisation: cause === undefined ? undefined : step.job.specification.organisation,
         lostRuns,
         rejectedRuns,
         ...planner.countServersFor(step, nowMs),
@@ -76,8 +91,9 @@
 };
 
 /** Returns the first waiting task of each step in the queue. */
-const queuedCandidates = ({ queue, unstartedTasks }: WaitReportSources, times: Times): Candidate[] =>
-    queue.steps.filter(step => step.kind !== TaskKind.Filler || step.idleSinceMs !== undefined).map(step => {
+const queuedCandidates = ({ queue, unstartedTasks, limits }: WaitReportSources, times: Times): Candidate[] => {
+    const shares = limits.sharesOf(queue.steps);
+    return queue.steps.filter(step => step.kind !== TaskKind.Filler || step.idleSinceMs !== undefined).map(step => {
         const index = step.record.tasks.findIndex(({ phase }) => phase === TaskPhase.Waiting);
         const task = taskKeyIn(step, index);
         const sinceMs = Math.min(step.waitingSinceMs, unstartedTasks.get(task)?.waitingSinceMs ?? Infinity);
@@ -86,8 +102,10 @@
             step,
             waitedMs: times.timeOfDayMs - sinceMs,
             serverId: undefined,
+            cause: waitCauseOf(step, limits, shares),
         };
     });
+};
 
 /** Returns the tasks that are assigned to a server that has not reported them yet. */
 const assignedCandidates = ({ directory, planner, unstartedTasks }: WaitReportSources, times: Times): Candidate[] => {
@@ -98,7 +116,7 @@
             const waitedMs = sinceMs === undefined ? times.nowMs - run.assignedAtMs : times.timeOfDayMs - sinceMs;
             const step = isUnstarted(run) && waitedMs > MIN_REPORTED_WAIT_MS ? planner.stepOf(run) : undefined;
             if (step !== undefined) {
-                candidates.push({ task: run.task, step, waitedMs, serverId: server.id });
+                candidates.push({ task: run.task, step, waitedMs, serverId: server.id, cause: undefined });
             }
         }
     }
--- a/packages/workflow/src/organisations/organisation-limits.ts
+++ b/packages/workflow/src/organisations/organisation-limits.ts
@@ -1,15 +1,17 @@
 import type { ServerDirectory } from "../leader/server-directory.js";
-import type { Turn } from "../leader/work-queue.js";
+import type { Turn, WaitingStep } from "../leader/work-queue.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { FairShares } from "./fair-shares.js";
 import { OrganisationContracts } from "./organisation-contracts.js";
 import { QuotaLedger } from "./quota-ledger.js";
+import { RefusalCounts } from "./refusal-counts.js";
 import { shareTurns } from "./share-turns.js";
 
-/** Quotas and shares of organisations at the planning of assignments. */
+/** Quotas and shares of organisations as a leader session applies them. */
 export class OrganisationLimits {
     readonly contracts: OrganisationContracts;
     readonly ledger: QuotaLedger;
+    readonly refusals = new RefusalCounts();
     readonly #directory: ServerDirectory;
 
     constructor(state: WorkflowState, directory: ServerDirectory) {
@@ -20,8 +22,16 @@
 
     /** Returns the turns in their order by shares; unchanged if no organisation waits. Assign tasks in between. */
     order(turns: readonly Turn[], timeOfDayMs: number): Iterable<Turn> {
-        const waiting = new Set(turns.map(organisationOf).filter(name => name !== undefined));
-        return waiting.size === 0 ? turns : shareTurns(turns, this.sharesWith(waiting), timeOfDayMs);
+        const hasOrganisation = turns.some(({ waiting }) => waiting.job.specification.organisation !== undefined);
+        return hasOrganisation
+            ? shareTurns(turns, this.sharesOf(turns.map(({ waiting }) => waiting)), timeOfDayMs)
+            : turns;
+    }
+
+    /** Returns the present shares of the organisations that hold something or to which a waiting step belongs. */
+    sharesOf(steps: readonly WaitingStep[]): FairShares {
+        const organisations = steps.map(({ job }) => job.specification.organisation);
+        return this.sharesWith(organisations.filter(name => name !== undefined));
     }
 
     /** Returns the present shares of the organisations that wait or hold something. */
@@ -30,5 +40,3 @@
         return new FairShares({ ledger, contracts, servers: this.#directory.servers, waiting });
     }
 }
-
-const organisationOf = ({ waiting }: Turn): string | undefined => waiting.job.specification.organisation;
--- a/packages/workflow/src/testing/fixtures.ts
+++ b/packages/workflow/src/testing/fixtures.ts
@@ -1,5 +1,6 @@
 import type { Configuration } from "../model/configuration.js";
 import type { HeartbeatReport } from "../model/heartbeat.js";
+import type { OrganisationContract } from "../model/organisation.js";
 import type { JobSpecification, StepSpecification } from "../model/specification.js";
 
 /** Host of the queues in tests. */
@@ -63,6 +64,16 @@
     ...changes,
 });
 
+/** Returns the contract of an organisation without limits and without API keys. */
+export const organisationOf = (name: string, changes: Partial<OrganisationContract> = {}): OrganisationContract => ({
+    name,
+    keyDigests: [],
+    weight: 1,
+    submissionsPerSecond: 0,
+    quota: { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 },
+    ...changes,
+});
+
 /** Returns a heartbeat of an idle server with 4 cores in the zone `a`. */
 export const heartbeatOf = (
     serverId: string,
--- /dev/null
+++ b/packages/workflow/src/testing/lease-fleet.ts
@@ -0,0 +1,130 @@
+import { RunEnd } from "../model/heartbeat.js";
+import type { HeartbeatOrders, HeartbeatReport, ReportedEnd, StartOrder } from "../model/heartbeat.js";
+import type { Amounts } from "../model/specification.js";
+import { heartbeatOf } from "./fixtures.js";
+import type { SingleReplica } from "./single-replica.js";
+
+const HEARTBEAT_INTERVAL_MS = 100;
+
+/** A run at work on a server. */
+export interface FleetRun {
+    task: string;
+    run: number;
+    endsAtMs: number;
+}
+
+/** A server of a {@link LeaseFleet}. */
+class LeaseServer {
+    runs: FleetRun[] = [];
+    isCutOff = false;
+    /** Time until which the server stays silent after a crash. */
+    downUntilMs = 0;
+    #ended: ReportedEnd[] = [];
+    #incarnation = 1;
+    #sequence = 0;
+    #endCount = 0;
+    #leaseEndsAtMs = 0;
+
+    constructor(readonly id: string, readonly capacity: Amounts) {}
+
+    /** Ends the runs that are due, and all runs once the lease has lapsed. */
+    advance(nowMs: number): void {
+        const hasLapsed = nowMs >= this.#leaseEndsAtMs;
+        for (const run of this.runs.filter(({ endsAtMs }) => hasLapsed || endsAtMs <= nowMs)) {
+            this.#end(run, hasLapsed ? RunEnd.LeaseExpired : RunEnd.Done);
+        }
+    }
+
+    report(): HeartbeatReport {
+        this.#sequence += 1;
+        return heartbeatOf(this.id, this.#sequence, {
+            incarnation: this.#incarnation,
+            capacity: this.capacity,
+            running: this.runs.map(({ task, run }) => ({
+                task,
+                run,
+                checkpoint: "",
+                progressPercent: 0,
+                measurement: undefined,
+            })),
+            ended: [...this.#ended],
+        });
+    }
+
+    /** Executes an answer to a heartbeat that was sent at the given time; `start` is called for each new run. */
+    execute(orders: HeartbeatOrders, sentAtMs: number, start: (order: StartOrder) => FleetRun): void {
+        this.#leaseEndsAtMs = sentAtMs + orders.leaseMs;
+        this.#ended = this.#ended.filter(({ sequence }) => sequence > orders.acknowledgedEnd);
+        for (const { task, run } of orders.stops) {
+            this.runs
+                .filter(own => own.task === task && own.run === run)
+                .forEach(own => this.#end(own, RunEnd.Stopped));
+        }
+        orders.starts.forEach(order => this.runs.push(start(order)));
+    }
+
+    crash(downUntilMs: number): void {
+        this.runs = [];
+        this.#ended = [];
+        this.#endCount = 0;
+        this.#sequence = 0;
+        this.#incarnation += 1;
+        this.downUntilMs = downUntilMs;
+    }
+
+    #end(run: FleetRun, end: RunEnd): void {
+        this.#endCount += 1;
+        this.runs = this.runs.filter(other => other !== run);
+        this.#ended.push({ sequence: this.#endCount, task: run.task, run: run.run, end, checkpoint: "" });
+    }
+}
+
+/** Backend servers that execute orders, keep leases, and can be cut off or crash. */
+export class LeaseFleet {
+    readonly servers: readonly LeaseServer[];
+    readonly #replica: SingleReplica;
+    readonly #runTimeMs: (task: string) => number;
+    readonly #onStart: (task: string) => void;
+
+    constructor(
+        replica: SingleReplica,
+        { count, capacity, runTimeMs, onStart = () => undefined }: {
+            count: number;
+            capacity: Amounts;
+            runTimeMs: (task: string) => number;
+            /** Called when a task has been started. */
+            onStart?: (task: string) => void;
+        },
+    ) {
+        this.#replica = replica;
+        this.#runTimeMs = runTimeMs;
+        this.#onStart = onStart;
+        this.servers = Array.from({ length: count }, (unused, index) => new LeaseServer(`server-${index}`, capacity));
+    }
+
+    /** Keys of the tasks at work on any server; a task that runs twice is listed twice. */
+    get runningTasks(): string[] {
+        return this.servers.flatMap(({ runs }) => runs.map(({ task }) => task));
+    }
+
+    /** Advances the clock in steps of one heartbeat interval. */
+    advance(durationMs: number): void {
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += HEARTBEAT_INTERVAL_MS) {
+            this.#replica.advance(HEARTBEAT_INTERVAL_MS);
+            this.servers.forEach(server => this.#advanceServer(server));
+        }
+    }
+
+    #advanceServer(server: LeaseServer): void {
+        const { nowMs } = this.#replica.times;
+        server.advance(nowMs);
+        if (server.isCutOff || server.downUntilMs > nowMs) {
+            return;
+        }
+        const orders = this.#replica.heartbeat(server.report());
+        if (orders !== undefined) {
+            server.execute(orders, nowMs, ({ task, run }) => ({ task, run, endsAtMs: nowMs + this.#runTimeMs(task) }));
+            orders.starts.forEach(({ task }) => this.#onStart(task));
+        }
+    }
+}
