--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -17,6 +17,8 @@
 export type { CallOrigin, QueueAddress } from "./node/caller-access.js";
 export * from "./node/replicated-log.js";
 export * from "./node/workflow-node.js";
+export type { OrganisationUsage } from "./organisations/organisation-usage.js";
+export { WaitCause } from "./organisations/wait-cause.js";
 export * from "./state/crash-history.js";
 export * from "./state/events.js";
 export * from "./state/job-record.js";
--- a/packages/workflow/src/node/caller-calls.ts
+++ b/packages/workflow/src/node/caller-calls.ts
@@ -192,12 +192,13 @@
     /** Proposes a submission that its queue and its key allow, unless it is refused for another reason. */
     #accept(
         session: LeaderSession,
-        job: JobSpecification,
+        submitted: JobSpecification,
         queue: QueueContract,
         origin: CallOrigin,
         respond: Respond<void>,
         times: Times,
     ): void {
+        const job = session.submissions.classify(submitted, times);
         const refusal = session.submissions.admit(job, queue, times);
         if (refusal !== undefined) {
             // An earlier attempt of the same submission may be in a record that is not committed yet.
--- a/packages/workflow/src/node/organisation-records.test.ts
+++ b/packages/workflow/src/node/organisation-records.test.ts
@@ -17,7 +17,7 @@
     stateOf,
     textOf,
 } from "../testing/caller.js";
-import { jobOf, organisationOf, stepOf } from "../testing/fixtures.js";
+import { jobOf, organisationWithKeys, stepOf } from "../testing/fixtures.js";
 import { LEADER_SETTINGS } from "../testing/single-replica.js";
 import type { SingleReplica } from "../testing/single-replica.js";
 
@@ -42,7 +42,7 @@
         const replica = startedWith(ORGANISATIONS);
         new Caller(replica, "a1").submit("j");
         new Caller(replica, "b1").submit("k");
-        configure(replica, 3, [organisationOf("acme", "a2"), organisationOf("beta", "b1")]);
+        configure(replica, 3, [organisationWithKeys("acme", "a2"), organisationWithKeys("beta", "b1")]);
         disrupt(replica);
         expect(new Caller(replica, "a1").read("j")).toBe(Refusal.Unauthenticated);
         expect(new Caller(replica, "a2").read("j")).toBe(JobState.Queued);
--- a/packages/workflow/src/node/organisations.test.ts
+++ b/packages/workflow/src/node/organisations.test.ts
@@ -11,7 +11,7 @@
     stateOf,
     textOf,
 } from "../testing/caller.js";
-import { heartbeatOf, jobOf, organisationOf, stepOf } from "../testing/fixtures.js";
+import { heartbeatOf, jobOf, organisationWithKeys, stepOf } from "../testing/fixtures.js";
 import { SingleReplica } from "../testing/single-replica.js";
 import type { CallRefusal } from "./call-refusal.js";
 
@@ -105,12 +105,12 @@
         const replica = startedWith(ORGANISATIONS);
         const caller = new Caller(replica, "b1");
         caller.submit("j");
-        configure(replica, 3, [organisationOf("acme", "a1"), organisationOf("beta")]);
+        configure(replica, 3, [organisationWithKeys("acme", "a1"), organisationWithKeys("beta")]);
         const refused = [caller.submit("j"), caller.submit("k"), caller.read("j"), caller.cancel("j"), caller.count()];
         expect(new Set(refused)).toEqual(new Set([Refusal.Unauthenticated]));
         replica.heartbeat(heartbeatOf("s", 1));
         expect(replica.heartbeat(heartbeatOf("s", 2))?.starts.map(({ task }) => task)).toEqual(["j.0.0.0"]);
-        configure(replica, 4, [organisationOf("acme", "a1")]);
+        configure(replica, 4, [organisationWithKeys("acme", "a1")]);
         expect(caller.read("j")).toBe(Refusal.Unauthenticated);
         expect(new Caller(replica, "a1").read("j")).toBe(Refusal.UnknownJob);
         configure(replica, 5, ORGANISATIONS);
@@ -161,7 +161,7 @@
             else {
                 replica.node.submit(caller.originOf("j"), jobOf("j", stepOf()), respond, replica.times);
             }
-            configure(replica, 3, [organisationOf("acme", "a1")]);
+            configure(replica, 3, [organisationWithKeys("acme", "a1")]);
             expect(results).toEqual([]);
             replica.isAnswered = true;
             replica.settle();
@@ -171,7 +171,7 @@
 
     // Guards against a refusal that holds no longer when it is sent.
     it("that is undone while a refusal waits gives an answer after which the caller tries again", () => {
-        const replica = startedWith([organisationOf("acme", "a1")]);
+        const replica = startedWith([organisationWithKeys("acme", "a1")]);
         replica.isAnswered = false;
         const results: CallResult<void>[] = [];
         const origin = new Caller(replica, "b1").originOf("j");
--- a/packages/workflow/src/testing/caller.ts
+++ b/packages/workflow/src/testing/caller.ts
@@ -2,7 +2,7 @@
 import type { Configuration, QueueContract } from "../model/configuration.js";
 import type { OrganisationContract } from "../model/organisation.js";
 import type { CallOrigin } from "../node/caller-access.js";
-import { configurationOf, HOST, jobOf, organisationOf, stepOf } from "./fixtures.js";
+import { configurationOf, HOST, jobOf, organisationWithKeys, stepOf } from "./fixtures.js";
 import { resultOf, SingleReplica } from "./single-replica.js";
 
 /** Text for a call that has succeeded without a value. */
@@ -10,7 +10,7 @@
 /** Text for a call that has no result yet. */
 const NO_ANSWER = "no answer";
 /** Two organisations, of which the first one has two keys. */
-export const ORGANISATIONS = [organisationOf("acme", "a1", "a2"), organisationOf("beta", "b1")];
+export const ORGANISATIONS = [organisationWithKeys("acme", "a1", "a2"), organisationWithKeys("beta", "b1")];
 
 const queueOf = (name: string, changes: Partial<QueueContract> = {}): QueueContract => ({
     ...configurationOf(1).queues[0] as QueueContract,
--- a/packages/workflow/src/testing/fixtures.ts
+++ b/packages/workflow/src/testing/fixtures.ts
@@ -64,15 +64,20 @@
     ...changes,
 });
 
-/** Returns an organisation with the given digests of API keys, and without limits. */
-export const organisationOf = (name: string, ...keyDigests: string[]): OrganisationContract => ({
+/** Returns the contract of an organisation without limits, whose only key has its name as its digest. */
+export const organisationOf = (name: string, changes: Partial<OrganisationContract> = {}): OrganisationContract => ({
     name,
-    keyDigests,
+    keyDigests: [name],
     weight: 1,
-    submissionsPerSecond: 1_000,
+    submissionsPerSecond: 0,
     quota: { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 },
+    ...changes,
 });
 
+/** Returns the contract of an organisation without limits, with the given digests of API keys. */
+export const organisationWithKeys = (name: string, ...keyDigests: string[]): OrganisationContract =>
+    organisationOf(name, { keyDigests });
+
 /** Returns a heartbeat of an idle server with 4 cores in the zone `a`. */
 export const heartbeatOf = (
     serverId: string,
--- a/packages/workflow/src/testing/single-replica.ts
+++ b/packages/workflow/src/testing/single-replica.ts
@@ -4,6 +4,7 @@
 import type { CallResult, Respond } from "../model/calls.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import type { JobSpecification } from "../model/specification.js";
+import type { CallOrigin } from "../node/caller-access.js";
 import type { CommittedRecord } from "../node/replicated-log.js";
 import { WorkflowNode } from "../node/workflow-node.js";
 import type { WorkflowNodeOptions } from "../node/workflow-node.js";
@@ -124,14 +125,20 @@
         this.settle();
     }
 
-    /** Submits a job to the queue `/batch/`. */
+    /** Submits a job to the queue `/batch/`, with the key of its organisation as `organisationOf` names it. */
     submit(job: JobSpecification): CallResult<void> {
         const results: CallResult<void>[] = [];
-        this.node.submit({ host: HOST, path: `/batch/${job.id}` }, job, result => results.push(result), this.times);
+        this.node.submit(originOf(job.id, job.organisation), job, result => results.push(result), this.times);
         this.settle();
         return resultOf(respond => results.forEach(respond));
     }
 
+    /** Cancels a job with the key of its organisation; to be settled by the caller. */
+    cancel(jobId: string): void {
+        const { organisation } = this.node.state.job(jobId)?.specification ?? {};
+        this.node.cancel(jobId, () => undefined, this.times, originOf(jobId, organisation));
+    }
+
     /** Sends a heartbeat and returns the orders in its answer. */
     heartbeat(report: HeartbeatReport): HeartbeatOrders | undefined {
         const results: CallResult<HeartbeatOrders | undefined>[] = [];
@@ -180,3 +187,9 @@
         });
     }
 }
+
+const originOf = (jobId: string, keyDigest: string | undefined): CallOrigin => ({
+    host: HOST,
+    path: `/batch/${jobId}`,
+    keyDigest,
+});
