--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -63,6 +63,8 @@
     readonly backoff = new ElectionBackoff();
     nowMs: number;
     commitIndex = 0;
+    /** Whether the disk takes no writes at present, so that neither terms, votes nor entries become durable. */
+    isDiskFull = false;
     snapshotIndex = 0;
     /**
      * Time of the latest contact with a leader; votes are refused for the minimum election timeout after it.
--- a/packages/consensus/src/data-folder.ts
+++ b/packages/consensus/src/data-folder.ts
@@ -150,7 +150,20 @@
     async #replaceFile(name: string, parts: readonly Uint8Array[]): Promise<void> {
         const target = join(this.path, name);
         const temporary = target + TEMPORARY_SUFFIX;
-        const file = await this.fileSystem.openAppend(temporary);
+        try {
+            await this.#writeFile(temporary, parts);
+            await this.fileSystem.rename(temporary, target);
+        }
+        catch (error) {
+            // On a full disk the log needs this room.
+            await this.fileSystem.remove(temporary).catch(() => undefined);
+            throw error;
+        }
+        await this.fileSystem.syncFolder(this.path);
+    }
+
+    async #writeFile(path: string, parts: readonly Uint8Array[]): Promise<void> {
+        const file = await this.fileSystem.openAppend(path);
         try {
             await file.truncate(0);
             for (const part of parts) {
@@ -163,8 +176,6 @@
         finally {
             await file.close();
         }
-        await this.fileSystem.rename(temporary, target);
-        await this.fileSystem.syncFolder(this.path);
     }
 }
 
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -18,14 +18,17 @@
         this.#onWon = onWon;
     }
 
-    /** Requests pre-votes if the election timeout has passed; a replica without a vote only forgets its leader. */
+    /**
+     * Requests pre-votes if the election timeout has passed. A replica without a vote, or that can't store its own, only
+     * forgets its leader.
+     */
     tick(): void {
         const core = this.#core;
         if (core.timerNowMs < core.electionDeadlineMs) {
             return;
         }
         core.resetElectionTimer();
-        if (!core.isVoter) {
+        if (!core.isVoter || core.isDiskFull) {
             core.becomeFollower(core.term, "");
             return;
         }
@@ -39,7 +42,7 @@
     /** Starts an election without a pre-vote, because the leader requested a handover to this replica. */
     takeOver(): void {
         const core = this.#core;
-        if (!core.isVoter || core.role !== ReplicaRole.Follower) {
+        if (!core.isVoter || core.isDiskFull || core.role !== ReplicaRole.Follower) {
             return;
         }
         this.#isHandover = true;
@@ -58,9 +61,8 @@
 
     onVoteRequest(message: ReplicaMessage, request: VoteRequest): void {
         const core = this.#core;
-        const isUpToDate = request.lastTerm > core.log.lastTerm
-            || (request.lastTerm === core.log.lastTerm && request.lastIndex >= core.log.lastIndex);
-        const isRefused = core.isLeaderActive && !request.handover;
+        const isUpToDate = this.#isUpToDate(request);
+        const isRefused = core.isDiskFull || (core.isLeaderActive && !request.handover);
         if (request.preVote) {
             const granted = isUpToDate && !isRefused && message.term > core.term;
             const body = create(VoteResponseSchema, { granted, preVote: true });
@@ -108,6 +110,12 @@
         }
     }
 
+    /** Whether the sender's log has at least what this replica's has. */
+    #isUpToDate(request: VoteRequest): boolean {
+        const { lastIndex, lastTerm } = this.#core.log;
+        return request.lastTerm > lastTerm || (request.lastTerm === lastTerm && request.lastIndex >= lastIndex);
+    }
+
     #rejectVote(diskId: string): void {
         const body = create(VoteResponseSchema, { granted: false, preVote: false });
         this.#core.send(diskId, { case: "voteResponse", value: body });
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -5,5 +5,6 @@
 export * from "./replica-runner.js";
 export * from "./replica-store.js";
 export * from "./replica.js";
+export { isDiskFullError } from "./store-errors.js";
 export * from "./types.js";
 export * from "./unreadable-log.js";
--- a/packages/consensus/src/leadership.ts
+++ b/packages/consensus/src/leadership.ts
@@ -17,8 +17,18 @@
 const HANDOVER_TIMEOUT_FACTOR = 2;
 /** Time in which the target of a handover must answer a message, as a multiple of the minimum election timeout. */
 const HANDOVER_ANSWER_FACTOR = 0.5;
+/** Time in which a majority must store what this replica's full disk refuses, as a multiple of the minimum election timeout. */
+const FULL_DISK_TIMEOUT_FACTOR = 2;
 const PROMOTION_STEP = "promote a learner";
 
+/** The leader's disk has become full. */
+interface FullDisk {
+    /** Last index of the log at that time; a voter that has stored it takes writes. */
+    lastIndex: number;
+    /** Time at which the leader steps down if no majority of other voters takes writes. */
+    deadlineMs: number;
+}
+
 /** A leader's state during one term: replication, commits, membership changes and the handover. */
 export class Leadership {
     readonly #core: ReplicaCore;
@@ -32,6 +42,7 @@
     #unsentCheckMs: number | undefined;
     /** The commit index at the last heartbeat; a learner that has reached it counts as caught up. */
     #recentCommitIndex = Infinity;
+    #fullDisk: FullDisk | undefined;
     #handoverDeadlineMs: number | undefined;
     #handoverTarget: string | undefined;
     #handoverTargetAtMs = -Infinity;
@@ -137,10 +148,12 @@
     tick(): void {
         const core = this.#core;
         core.backoff.recordLeader(core.term, core.nowMs);
+        this.#checkDisk();
         const sinceQuorumContactMs = this.#timerMsSince(this.#quorumContactMs(this.#electedAtMs));
         if (
             sinceQuorumContactMs >= core.timing.minimumElectionTimeoutMs * core.backoff.timeoutFactor
             || core.nowMs >= (this.#handoverDeadlineMs ?? Infinity)
+            || (!this.isHandingOver && core.nowMs >= (this.#fullDisk?.deadlineMs ?? Infinity))
         ) {
             core.becomeFollower(core.term, "");
             return;
@@ -274,6 +287,7 @@
         if (peer.diskId === this.#handoverTarget) {
             this.#requestHandover(peer);
         }
+        this.#checkDisk();
     }
 
     #endTransfer(peer: PeerProgress, matchIndex: number): void {
@@ -287,6 +301,25 @@
         this.#snapshots.releaseUnless(isNeeded);
     }
 
+    /** Hands over from a full disk as soon as other voters that take writes can elect one of themselves. */
+    #checkDisk(): void {
+        const core = this.#core;
+        if (!core.isDiskFull) {
+            this.#fullDisk = undefined;
+            return;
+        }
+        this.#fullDisk ??= {
+            lastIndex: core.log.lastIndex,
+            deadlineMs: core.nowMs + core.timing.minimumElectionTimeoutMs * FULL_DISK_TIMEOUT_FACTOR,
+        };
+        const voters = votersOf(core.membership);
+        const { lastIndex } = this.#fullDisk;
+        const stored = voters.filter(({ diskId }) => (this.#peers.get(diskId)?.matchIndex ?? 0) >= lastIndex);
+        if (stored.length > voters.length / 2) {
+            this.handOver();
+        }
+    }
+
     /** Requests the handover to the voter with the highest match index other than the excluded one. */
     #selectHandoverTarget(excludedDiskId?: string): void {
         const [target] = [...this.#peers.values()]
--- a/packages/consensus/src/replica-runner.ts
+++ b/packages/consensus/src/replica-runner.ts
@@ -4,10 +4,11 @@
 import type { LogEntry, Membership, ReplicaIdentity, ReplicaMessage, SnapshotHeader } from "@waxwingspread/protocol";
 import { Err } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import { DiskSpace } from "./disk-space.js";
 import { approximateSizeBytes } from "./entry-log.js";
 import type { OpenedStore, ReplicaStore } from "./replica-store.js";
 import { Replica } from "./replica.js";
-import { toDiskError } from "./store-errors.js";
+import { isDiskFullError, toDiskError } from "./store-errors.js";
 import { ReplicaEffectKind } from "./types.js";
 import type {
     MembershipChange,
@@ -39,6 +40,12 @@
     takeSnapshot(): Uint8Array | undefined;
     /** The disk failed or is corrupt; the replica has stopped and acknowledges nothing any more. */
     onFailed(error: StepError): void;
+    /** The disk has become full; the refused write of the log is repeated until it succeeds. */
+    onDiskFull?(error: StepError): void;
+    /** The disk takes writes again after it was full for a time. */
+    onDiskWritable?(fullForMs: number): void;
+    /** A snapshot was not stored because the disk is full; it is taken again later. */
+    onSnapshotPostponed?(error: StepError): void;
 }
 
 /** Construction parameters of a runner. */
@@ -56,11 +63,21 @@
     defer?: (task: () => void) => void;
 }
 
-type DiskOperation = PersistEffect | RestoreSnapshotEffect | SnapshotNeededEffect;
+type WriteOperation = PersistEffect | RestoreSnapshotEffect;
+type DiskOperation = WriteOperation | SnapshotNeededEffect;
+
+/** What made a snapshot due. */
+interface SnapshotProgress {
+    /** Last index of the snapshot before. */
+    index: number;
+    /** Approximate size of the entries committed since then. */
+    bytes: number;
+}
 
 /**
  * Runs a replica with a store and executes its effects. All writes that are waiting when one ends are combined into
- * the next one. It has no timers; the caller calls `tick`.
+ * the next one. A write that a full disk refuses stays the next one until it succeeds. It has no timers; the caller calls
+ * `tick`.
  */
 export class ReplicaRunner {
     readonly replica: Replica;
@@ -71,6 +88,7 @@
     readonly #defer: (task: () => void) => void;
     #nowMs: number;
     #diskOperations: DiskOperation[] = [];
+    readonly #diskSpace = new DiskSpace();
     #isFlushScheduled = false;
     #diskLoop: Promise<void> | undefined;
     #snapshotWrite: Promise<void> | undefined;
@@ -164,7 +182,7 @@
         this.#startDiskLoop();
     }
 
-    /** Resolves when no disk operation is waiting or running. */
+    /** Resolves when no disk operation is running or waiting, except for those that a full disk has refused. */
     async whenIdle(): Promise<void> {
         while (this.#diskLoop !== undefined || this.#snapshotWrite !== undefined) {
             await Promise.all([this.#diskLoop, this.#snapshotWrite]);
@@ -243,7 +261,7 @@
     }
 
     #startDiskLoop(): void {
-        if (this.#diskLoop !== undefined || this.#diskOperations.length === 0) {
+        if (this.#diskLoop !== undefined || !this.#mayRunDiskOperation) {
             return;
         }
         this.#diskLoop = this.#runDiskOperations().finally(() => {
@@ -254,7 +272,7 @@
 
     async #runDiskOperations(): Promise<void> {
         try {
-            while (this.#diskOperations.length > 0 && this.#failure === undefined) {
+            while (this.#mayRunDiskOperation && this.#failure === undefined) {
                 await this.#runNextDiskOperation();
                 this.flush();
             }
@@ -264,27 +282,72 @@
         }
     }
 
+    /** Whether a disk operation is waiting that need not wait for room on the disk. */
+    get #mayRunDiskOperation(): boolean {
+        return this.#diskOperations.length > 0 && (this.#diskSpace.mayWrite(this.#nowMs) || this.#nextRead >= 0);
+    }
+
+    /** Position of the next operation that only reads, which a full disk doesn't hold up; negative without one. */
+    get #nextRead(): number {
+        return this.#diskOperations.findIndex(operation => operation.kind === ReplicaEffectKind.SnapshotNeeded);
+    }
+
     async #runNextDiskOperation(): Promise<void> {
-        const count = this.#diskOperations.findIndex(operation => operation.kind !== ReplicaEffectKind.Persist);
-        const writes = this.#diskOperations.splice(0, count < 0 ? this.#diskOperations.length : count);
-        if (writes.length > 0) {
-            const persists = writes.filter((operation): operation is PersistEffect =>
-                operation.kind === ReplicaEffectKind.Persist
-            );
-            await this.#store.write(persists);
-            persists.forEach(persist => this.replica.onPersisted(persist.token, this.#nowMs));
+        if (
+            this.#diskOperations[0]?.kind === ReplicaEffectKind.SnapshotNeeded
+            || !this.#diskSpace.mayWrite(this.#nowMs)
+        ) {
+            this.#diskOperations.splice(this.#nextRead, 1);
+            await this.#readSnapshot();
             return;
         }
-        const operation = this.#diskOperations.shift();
-        if (operation?.kind === ReplicaEffectKind.RestoreSnapshot) {
-            await this.#store.restoreSnapshot(operation.header, operation.bytes);
-            this.replica.onPersisted(operation.token, this.#nowMs);
+        const count = this.#diskOperations.findIndex(operation => operation.kind !== ReplicaEffectKind.Persist);
+        const persistCount = count < 0 ? this.#diskOperations.length : count;
+        const operations = this.#diskOperations.splice(0, Math.max(1, persistCount)).filter(isWrite);
+        try {
+            await this.#write(operations);
         }
-        else if (operation?.kind === ReplicaEffectKind.SnapshotNeeded) {
-            const snapshot = await this.#store.readSnapshot();
-            if (snapshot !== undefined) {
-                this.replica.onSnapshotLoaded(snapshot.header, snapshot.bytes, this.#nowMs);
+        catch (error) {
+            if (!isDiskFullError(error)) {
+                throw error;
             }
+            this.#diskOperations.unshift(...operations);
+            this.#recordRefusedWrite(error);
+            return;
+        }
+        this.#recordWrite();
+        operations.forEach(operation => this.replica.onPersisted(operation.token, this.#nowMs));
+    }
+
+    /** Writes either consecutive parts of the log or one snapshot from the leader. */
+    async #write(operations: readonly WriteOperation[]): Promise<void> {
+        const [first] = operations;
+        if (first?.kind === ReplicaEffectKind.RestoreSnapshot) {
+            await this.#store.restoreSnapshot(first.header, first.bytes);
+            return;
+        }
+        await this.#store.write(operations.filter(operation => operation.kind === ReplicaEffectKind.Persist));
+    }
+
+    async #readSnapshot(): Promise<void> {
+        const snapshot = await this.#store.readSnapshot();
+        if (snapshot !== undefined) {
+            this.replica.onSnapshotLoaded(snapshot.header, snapshot.bytes, this.#nowMs);
+        }
+    }
+
+    #recordRefusedWrite(error: unknown): void {
+        if (this.#diskSpace.recordRefusedWrite(this.#nowMs)) {
+            this.replica.setDiskFull(true, this.#nowMs);
+            this.#hooks.onDiskFull?.(toDiskError("write", this.replica.identity.name, error));
+        }
+    }
+
+    #recordWrite(): void {
+        const fullForMs = this.#diskSpace.recordWrite(this.#nowMs);
+        if (fullForMs !== undefined) {
+            this.replica.setDiskFull(false, this.#nowMs);
+            this.#hooks.onDiskWritable?.(fullForMs);
         }
     }
 
@@ -292,7 +355,7 @@
     #takeSnapshotIfDue(): void {
         const isDue = this.replica.commitIndex - this.#lastSnapshotIndex >= this.#snapshotIntervalEntries
             || this.#bytesSinceSnapshot >= this.#snapshotIntervalBytes;
-        if (!isDue || this.#snapshotWrite !== undefined) {
+        if (!isDue || this.#snapshotWrite !== undefined || !this.#diskSpace.mayTakeSnapshot(this.#nowMs)) {
             return;
         }
         const bytes = this.#hooks.takeSnapshot();
@@ -300,20 +363,35 @@
             return;
         }
         const header = this.replica.snapshotHeader(bytes);
+        const previous = { index: this.#lastSnapshotIndex, bytes: this.#bytesSinceSnapshot };
         this.#lastSnapshotIndex = header.lastIndex;
         this.#bytesSinceSnapshot = 0;
-        this.#snapshotWrite = this.#saveSnapshot(header, bytes).finally(() => {
+        this.#snapshotWrite = this.#saveSnapshot(header, bytes, previous).finally(() => {
             this.#snapshotWrite = undefined;
         });
     }
 
-    async #saveSnapshot(header: SnapshotHeader, bytes: Uint8Array): Promise<void> {
+    async #saveSnapshot(header: SnapshotHeader, bytes: Uint8Array, previous: SnapshotProgress): Promise<void> {
         try {
             await this.#store.saveSnapshot(header, bytes);
             this.replica.onSnapshotStored(header);
         }
         catch (error) {
-            this.#fail(error);
+            if (!isDiskFullError(error)) {
+                this.#fail(error);
+                return;
+            }
+            this.#postponeSnapshot(header, previous);
+            this.#hooks.onSnapshotPostponed?.(toDiskError("write the snapshot", this.replica.identity.name, error));
+        }
+    }
+
+    /** Makes the snapshot due again, unless the leader's snapshot has replaced the state meanwhile. */
+    #postponeSnapshot(header: SnapshotHeader, previous: SnapshotProgress): void {
+        this.#diskSpace.recordRefusedSnapshot(this.#nowMs);
+        if (this.#lastSnapshotIndex === header.lastIndex) {
+            this.#lastSnapshotIndex = previous.index;
+            this.#bytesSinceSnapshot += previous.bytes;
         }
     }
 
@@ -326,5 +404,8 @@
     }
 }
 
+const isWrite = (operation: DiskOperation): operation is WriteOperation =>
+    operation.kind !== ReplicaEffectKind.SnapshotNeeded;
+
 const sizeBytesOf = (entries: readonly LogEntry[]): number =>
     entries.reduce((sum, entry) => sum + approximateSizeBytes(entry), 0);
--- a/packages/consensus/src/replica-store.ts
+++ b/packages/consensus/src/replica-store.ts
@@ -7,7 +7,7 @@
 import { encodeFrames, FrameKind, scanFrames } from "./frames.js";
 import type { Frame } from "./frames.js";
 import { encodeDoubles, LogReplay } from "./log-replay.js";
-import { corruptError, toDiskError } from "./store-errors.js";
+import { corruptError, isDiskFullError, toDiskError } from "./store-errors.js";
 import type { PersistedState } from "./types.js";
 
 const DEFAULT_SEGMENT_BYTES = 8 * 1024 * 1024;
@@ -43,13 +43,17 @@
     sizeBytes: number;
     /** Whether it contains a synced hard state, so that earlier segments are not needed for theirs. */
     hasHardState: boolean;
+    /** Whether its file is removed, which may not be durable yet. */
+    isRemoved: boolean;
 }
 
 type FrameRecord = Omit<Frame, "isLastOfWrite" | "write">;
 
 /**
- * Persistent state of a replica. Log writes must not overlap; snapshots may be saved concurrently. After a
- * failure every call fails with the first error (DISK_FAILED or CORRUPT), since the disk's content is unknown.
+ * Persistent state of a replica. Log writes must not overlap; snapshots may be saved concurrently. A call that fails
+ * because the disk is full ({@link isDiskFullError}) has stored nothing that counts and may be repeated; a log write must
+ * be, before the next one. After any other failure every call fails with the first error (DISK_FAILED or CORRUPT), since
+ * the disk's content is unknown.
  */
 export class ReplicaStore {
     readonly #folder: DataFolder;
@@ -58,6 +62,9 @@
     #currentFile: AppendFile | undefined;
     /** Number of the last write in the current segment. */
     #lastWriteNumber = 0;
+    /** Whether bytes of a failed write may follow the valid part of the current segment. */
+    #isTorn = false;
+    #isClosed = false;
     #hardState: Uint8Array;
     #snapshotIndex = 0;
     #snapshotOperations: Promise<void> = Promise.resolve();
@@ -128,6 +135,7 @@
     }
 
     async close(): Promise<void> {
+        this.#isClosed = true;
         await this.#snapshotOperations.catch(() => undefined);
         await this.#currentFile?.close();
         this.#currentFile = undefined;
@@ -142,14 +150,28 @@
         }
         this.#hardState = toBinary(HardStateSchema, replay.hardState);
         const entries = replay.entriesAfter(snapshot, this.#folder.path);
-        await this.#startSegment();
         if (entries === undefined && snapshot !== undefined) {
             await this.#resetLog(snapshot);
         }
-        await this.#deleteCoveredSegments();
+        await this.#prepareWrites();
         return { hardState: replay.hardState, snapshot, entries: entries ?? [] };
     }
 
+    /** Does at the start what reading doesn't need; on a full disk the next write or snapshot does it. */
+    async #prepareWrites(): Promise<void> {
+        try {
+            if (this.#currentFile === undefined) {
+                await this.#startSegment();
+            }
+            await this.#deleteCoveredSegments();
+        }
+        catch (error) {
+            if (!isDiskFullError(error)) {
+                throw error;
+            }
+        }
+    }
+
     async #loadSegment(sequence: number, isLast: boolean, replay: LogReplay): Promise<void> {
         const path = this.#folder.segmentPath(sequence);
         const data = await this.#folder.fileSystem.read(path);
@@ -159,7 +181,13 @@
             throw corruptError("load the log", path, `invalid record at byte ${scan.validBytes}`);
         }
         await this.#syncLoadedSegment(path, isTorn ? scan.validBytes : undefined);
-        const segment: Segment = { sequence, highestIndex: 0, sizeBytes: scan.validBytes, hasHardState: false };
+        const segment: Segment = {
+            sequence,
+            highestIndex: 0,
+            sizeBytes: scan.validBytes,
+            hasHardState: false,
+            isRemoved: false,
+        };
         for (const frame of scan.frames) {
             segment.hasHardState ||= frame.kind === FrameKind.HardState;
             segment.highestIndex = Math.max(segment.highestIndex, replay.apply(frame, path));
@@ -188,11 +216,19 @@
     async #startSegment(): Promise<void> {
         await this.#currentFile?.close();
         this.#currentFile = undefined;
+        const { fileSystem, path } = this.#folder;
         const sequence = (this.#segments.at(-1)?.sequence ?? 0) + 1;
-        this.#currentFile = await this.#folder.fileSystem.openAppend(this.#folder.segmentPath(sequence));
-        this.#segments.push({ sequence, highestIndex: 0, sizeBytes: 0, hasHardState: false });
+        const file = await fileSystem.openAppend(this.#folder.segmentPath(sequence));
+        try {
+            await fileSystem.syncFolder(path);
+        }
+        catch (error) {
+            await file.close();
+            throw error;
+        }
+        this.#currentFile = file;
+        this.#segments.push({ sequence, highestIndex: 0, sizeBytes: 0, hasHardState: false, isRemoved: false });
         this.#lastWriteNumber = 0;
-        await this.#folder.fileSystem.syncFolder(this.#folder.path);
     }
 
     #encodeRecords(part: WritePart): FrameRecord[] {
@@ -211,38 +247,65 @@
     }
 
     async #append(records: readonly FrameRecord[], highestIndex: number): Promise<void> {
-        if ((this.#segments.at(-1)?.sizeBytes ?? 0) >= this.#segmentBytes) {
-            await this.#startSegment();
-        }
-        const segment = this.#segments.at(-1);
-        const file = this.#currentFile;
-        if (segment === undefined || file === undefined) {
-            throw new Error("the store is closed");
-        }
+        const { segment, file } = await this.#writableSegment();
         // Each segment starts with the hard state, so that earlier segments can be deleted.
         const first: FrameRecord[] = segment.sizeBytes === 0
             ? [{ kind: FrameKind.HardState, payload: this.#hardState }]
             : [];
-        this.#lastWriteNumber += 1;
-        const data = encodeFrames([...first, ...records], this.#lastWriteNumber);
-        const syncedBytes = segment.sizeBytes;
-        segment.sizeBytes += data.length;
+        const data = encodeFrames([...first, ...records], this.#lastWriteNumber + 1);
         segment.highestIndex = Math.max(segment.highestIndex, highestIndex);
+        this.#isTorn = true;
         try {
             await file.append(data);
             await file.sync();
         }
         catch (error) {
-            // The operating system may return the bytes of a failed write to the next process and report their sync as
-            // successful, although the disk doesn't hold them.
-            await file.truncate(syncedBytes).catch(() => undefined);
+            await this.#truncateTorn(segment, file).catch(() => undefined);
             throw error;
         }
+        this.#isTorn = false;
+        this.#lastWriteNumber += 1;
+        segment.sizeBytes += data.length;
         segment.hasHardState = true;
     }
 
+    /** Returns the segment to append to, without bytes of an earlier write that has failed; starts a new one if needed. */
+    async #writableSegment(): Promise<{ segment: Segment; file: AppendFile }> {
+        if (this.#isClosed) {
+            throw new Error("the store is closed");
+        }
+        const last = this.#segments.at(-1);
+        if (last !== undefined && this.#currentFile !== undefined) {
+            await this.#truncateTorn(last, this.#currentFile);
+        }
+        if (this.#currentFile === undefined || (last?.sizeBytes ?? 0) >= this.#segmentBytes) {
+            await this.#startSegment();
+        }
+        const segment = this.#segments.at(-1);
+        const file = this.#currentFile;
+        if (segment === undefined || file === undefined) {
+            throw new Error("the store has no segment");
+        }
+        return { segment, file };
+    }
+
+    /**
+     * Removes what a failed write has left. The operating system may return such bytes to the next process and report their
+     * sync as successful, although the disk doesn't hold them.
+     */
+    async #truncateTorn(segment: Segment, file: AppendFile): Promise<void> {
+        if (this.#isTorn) {
+            await file.truncate(segment.sizeBytes);
+            this.#isTorn = false;
+        }
+    }
+
     async #resetLog(header: SnapshotHeader): Promise<void> {
-        await this.#startSegment();
+        const last = this.#segments.at(-1);
+        // A repeated reset, as after one on a full disk, uses the empty segment of the former.
+        if (this.#currentFile === undefined || (last?.sizeBytes ?? 0) > 0) {
+            await this.#startSegment();
+        }
         const payload = encodeDoubles([header.lastIndex, header.lastTerm]);
         await this.#append([{ kind: FrameKind.Reset, payload }], 0);
         for (const segment of this.#segments.slice(0, -1)) {
@@ -260,9 +323,12 @@
         let oldest = this.#segments[0];
         const { fileSystem, path } = this.#folder;
         while (oldest !== undefined && oldest.highestIndex <= this.#snapshotIndex && this.#hasLaterHardState) {
-            this.#segments.shift();
-            await fileSystem.remove(this.#folder.segmentPath(oldest.sequence));
+            if (!oldest.isRemoved) {
+                await fileSystem.remove(this.#folder.segmentPath(oldest.sequence));
+                oldest.isRemoved = true;
+            }
             await fileSystem.syncFolder(path);
+            this.#segments.shift();
             oldest = this.#segments[0];
         }
     }
@@ -287,8 +353,11 @@
             await operation();
         }
         catch (error) {
-            this.#failure ??= toDiskError(step, this.#folder.path, error);
-            throw this.#failure;
+            const failure = toDiskError(step, this.#folder.path, error);
+            if (!isDiskFullError(failure)) {
+                this.#failure ??= failure;
+            }
+            throw this.#failure ?? failure;
         }
     }
 }
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -176,6 +176,15 @@
         this.#dropLeadershipIfLost();
     }
 
+    /**
+     * Records whether the disk refuses writes for want of room. Meanwhile this replica gives no votes, starts no elections
+     * and leads only until others have taken over; what it receives becomes durable later.
+     */
+    setDiskFull(isDiskFull: boolean, nowMs: number): void {
+        this.#advanceClock(nowMs);
+        this.#core.isDiskFull = isDiskFull;
+    }
+
     /** Returns the header of a snapshot of the state after all entries of the Commit effects so far. */
     snapshotHeader(bytes: Uint8Array): SnapshotHeader {
         const core = this.#core;
--- a/packages/consensus/src/store-errors.ts
+++ b/packages/consensus/src/store-errors.ts
@@ -10,3 +10,12 @@
     cause instanceof StepError
         ? cause
         : new StepError(ErrorCode.DISK_FAILED, step, path, `${path}: ${messageOf(cause)}`, { cause });
+
+/** Codes of the operating system for a disk, or a user's share of it, that has no room left. */
+const DISK_FULL_CODES: ReadonlySet<unknown> = new Set(["ENOSPC", "EDQUOT"]);
+
+/** Whether a disk operation failed only for want of room, so that it may succeed later. */
+export const isDiskFullError = (error: unknown): boolean => {
+    const cause = error instanceof StepError ? error.cause : error;
+    return cause instanceof Error && "code" in cause && DISK_FULL_CODES.has(cause.code);
+};
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -19,6 +19,7 @@
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { ClusterMembership } from "./cluster-membership.js";
 import { ControlMonitor } from "./control-monitor.js";
+import { createDiskReports } from "./disk-reports.js";
 import { electionSeedOf } from "./election-seed.js";
 import { EventLog } from "./event-log.js";
 import { HeartbeatService } from "./heartbeat-service.js";
@@ -92,6 +93,8 @@
     logger: Logger;
     /** Called with an unrecoverable error, after which the process must end. */
     fail: (error: Error) => void;
+    /** Ends a start that waits for room on the disk. */
+    stopSignal?: AbortSignal;
 }
 
 /** Runs a control replica of the workflow state: connects the node to the disk, the network and timers. */
@@ -189,9 +192,9 @@
         });
     }
 
-    /** Opens the log and starts listening. Fails with DISK_FAILED, INVALID or UNAVAILABLE. */
+    /** Opens the log and starts listening. Fails with DISK_FAILED, INVALID or UNAVAILABLE, or if it was told to stop. */
     static async start(settings: ControlHostSettings, dependencies: ControlHostDependencies): Promise<ControlHost> {
-        const opened = await openLog(settings, dependencies.logger);
+        const opened = await openLog(settings, dependencies);
         const host = new ControlHost(settings, opened, dependencies);
         await host.#replicaListener.listen();
         await host.#internalListener.listen();
@@ -283,6 +286,7 @@
                 onRoleChange: change => this.#handleRoleChange(change),
                 takeSnapshot: () => this.#node.snapshot(),
                 onFailed: this.#fail,
+                ...createDiskReports(this.#metrics, this.#logger),
             },
         }, monotonicNowMs());
     }
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -93,6 +93,7 @@
     );
     readonly #isLeader = this.#factory.gauge("is_leader", "1 while this replica leads", {});
     readonly #term = this.#factory.gauge("term", "Present term", {});
+    readonly #diskFull = this.#factory.gauge("disk_full", "1 while the disk refuses writes for want of room", {});
     readonly #voters = this.#factory.gauge("voters", "Voters that respond, on the leader", {});
     readonly #targetVoters = this.#factory.gauge("target_voters", "Voters that the tolerated losses require", {});
     readonly #tolerableLosses = this.#factory.gauge(
@@ -188,6 +189,11 @@
         }
     }
 
+    /** Sets whether the disk refuses writes for want of room. */
+    setDiskFull(isFull: boolean): void {
+        this.#diskFull.set({}, isFull ? 1 : 0);
+    }
+
     /** Sets the gauges of the voters; a replica that does not lead reports zeros. */
     setVoterStatus(status: VoterStatus | undefined): void {
         this.#voters.set({}, status?.voters ?? 0);
--- a/packages/test-support/src/simulated-cluster.ts
+++ b/packages/test-support/src/simulated-cluster.ts
@@ -1,6 +1,13 @@
 import { create } from "@bufbuild/protobuf";
 import { SeededRandom } from "@waxwingspread/common";
-import { BootstrapHandshake, BootstrapState, ReplicaRole, ReplicaRunner, ReplicaStore } from "@waxwingspread/consensus";
+import {
+    BootstrapHandshake,
+    BootstrapState,
+    isDiskFullError,
+    ReplicaRole,
+    ReplicaRunner,
+    ReplicaStore,
+} from "@waxwingspread/consensus";
 import type { ReplicaLimits } from "@waxwingspread/consensus";
 import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { LogEntry, ReplicaIdentity, ReplicaMessage, SnapshotHeader } from "@waxwingspread/protocol";
@@ -13,6 +20,7 @@
 const MIN_STEP_MS = 4;
 const MAX_STEP_MS = 16;
 const MAX_OUTAGE_MS = 1_500;
+const START_RETRY_INTERVAL_MS = 100;
 
 /** Fault probabilities from 0 to 1, per message (loss, duplication) or per step (the others). */
 export interface FaultRates {
@@ -272,6 +280,19 @@
         this.oracle.check(this.runners, this.nowMs);
     }
 
+    /** Starts a node, or tries again later if its disk is too full to open the log. */
+    async #startUnlessFull(node: SimulatedNode): Promise<void> {
+        try {
+            await this.start(node);
+        }
+        catch (error) {
+            if (!isDiskFullError(error)) {
+                throw error;
+            }
+            node.restartAtMs = this.nowMs + START_RETRY_INTERVAL_MS;
+        }
+    }
+
     async #runMicrotasks(count: number): Promise<void> {
         for (let microtask = 0; microtask < count; microtask += 1) {
             await Promise.resolve();
@@ -281,7 +302,7 @@
     async #injectFaults(): Promise<void> {
         for (const node of this.nodes.values()) {
             if (node.runner === undefined && this.nowMs >= node.restartAtMs) {
-                await this.start(node);
+                await this.#startUnlessFull(node);
             }
             else if (this.random.nextRatio() < this.rates.crash) {
                 const outageMs = this.random.nextInteger(1, MAX_OUTAGE_MS);
