--- a/packages/daemon/src/metrics/metrics.ts
+++ b/packages/daemon/src/metrics/metrics.ts
@@ -47,6 +47,7 @@
     }),
     term: factory.gauge("term", "Current term", {}),
     commitIndex: factory.gauge("commit_index", "Index of the last committed log entry", {}),
+    diskFull: factory.gauge("disk_full", "1 while the disk refuses writes for want of room", {}),
     logEntries: factory.gauge("log_entries", "Log entries since the last snapshot", {}),
     logBytes: factory.gauge("log_bytes", "Size of the log segments on disk", {}),
     blobBytes: factory.gauge("blob_bytes", "Size of the blob store on disk", {}),
--- a/packages/daemon/src/roles/control-role.ts
+++ b/packages/daemon/src/roles/control-role.ts
@@ -26,6 +26,7 @@
 import { controlRoutes } from "./control-routes.js";
 import type { ControlRouteTarget } from "./control-routes.js";
 import { controlSettingsOf, schedulerSettingsOf, seedOf } from "./core-settings.js";
+import { createDiskReports } from "./create-disk-reports.js";
 import { createReplaceHandler } from "./create-replace-handler.js";
 import { describeReplica } from "./describe-replica.js";
 import { handOverLeadership } from "./hand-over.js";
@@ -192,7 +193,7 @@
     }
 
     #createRunner(opened: OpenedStore): ReplicaRunner {
-        const { settings, fail } = this.#context;
+        const { settings, fail, metrics, logger } = this.#context;
         return new ReplicaRunner({
             opened,
             random: new SeededRandom(seedOf(opened.identity.diskId)),
@@ -209,6 +210,7 @@
                 onRoleChange: change => this.#handleRoleChange(change),
                 takeSnapshot: () => this.#node.snapshot().bytes,
                 onFailed: fail,
+                ...createDiskReports(isFull => metrics.diskFull.set({}, isFull ? 1 : 0), logger),
             },
         }, monotonicNowMs());
     }
--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
+import { createDiskReports } from "../roles/create-disk-reports.js";
 import { describeReplica } from "../roles/describe-replica.js";
 import { handOverLeadership } from "../roles/hand-over.js";
 import { hostOf } from "../transport/host-of.js";
@@ -19,7 +20,6 @@
 import { ReplicaStreamListener, ReplicaStreamSender } from "../transport/replica-stream.js";
 import { ClusterMembership } from "./cluster-membership.js";
 import { ControlMonitor } from "./control-monitor.js";
-import { createDiskReports } from "./disk-reports.js";
 import { electionSeedOf } from "./election-seed.js";
 import { EventLog } from "./event-log.js";
 import { HeartbeatService } from "./heartbeat-service.js";
@@ -286,7 +286,7 @@
                 onRoleChange: change => this.#handleRoleChange(change),
                 takeSnapshot: () => this.#node.snapshot(),
                 onFailed: this.#fail,
-                ...createDiskReports(this.#metrics, this.#logger),
+                ...createDiskReports(isFull => this.#metrics.setDiskFull(isFull), this.#logger),
             },
         }, monotonicNowMs());
     }
