--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -11,6 +11,7 @@
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
 import { bootstrap } from "../roles/bootstrap.js";
+import { createDiskReports } from "../roles/create-disk-reports.js";
 import { describeReplica } from "../roles/describe-replica.js";
 import { handOverLeadership } from "../roles/hand-over.js";
 import { hostOf } from "../transport/host-of.js";
@@ -92,6 +93,8 @@
     logger: Logger;
     /** Called with an unrecoverable error, after which the process must end. */
     fail: (error: Error) => void;
+    /** Ends a start that waits for room on the disk. */
+    stopSignal?: AbortSignal;
 }
 
 /** Runs a control replica of the workflow state: connects the node to the disk, the network and timers. */
@@ -189,9 +192,9 @@
         });
     }
 
-    /** Opens the log and starts listening. Fails with DISK_FAILED, INVALID or UNAVAILABLE. */
+    /** Opens the log and starts listening. Fails with DISK_FAILED, INVALID or UNAVAILABLE, or if it was told to stop. */
     static async start(settings: ControlHostSettings, dependencies: ControlHostDependencies): Promise<ControlHost> {
-        const opened = await openLog(settings, dependencies.logger);
+        const opened = await openLog(settings, dependencies);
         const host = new ControlHost(settings, opened, dependencies);
         await host.#replicaListener.listen();
         await host.#internalListener.listen();
@@ -283,6 +286,7 @@
                 onRoleChange: change => this.#handleRoleChange(change),
                 takeSnapshot: () => this.#node.snapshot(),
                 onFailed: this.#fail,
+                ...createDiskReports(isFull => this.#metrics.setDiskFull(isFull), this.#logger),
             },
         }, monotonicNowMs());
     }
