--- a/packages/daemon/src/logging/logger.ts
+++ b/packages/daemon/src/logging/logger.ts
@@ -4,6 +4,8 @@
 /** Fields that are redacted in log lines, at the top level and up to two levels below. */
 const SECRET_FIELDS = [
     "authorization",
+    "apiKey",
+    "keyDigest",
     "operatorToken",
     "operatorTokenHash",
     "token",
--- a/packages/daemon/src/workflow/event-log.test.ts
+++ b/packages/daemon/src/workflow/event-log.test.ts
@@ -1,4 +1,13 @@
-import { CrashInvolvement, EventKind, FailedAction, LossReason, ServerEventKind } from "@waxwingspread/workflow";
+import {
+    CallerOperation,
+    CrashInvolvement,
+    EventKind,
+    FailedAction,
+    LossReason,
+    Refusal,
+    ServerEventKind,
+} from "@waxwingspread/workflow";
+import type { CallRefusal } from "@waxwingspread/workflow";
 import { pino } from "pino";
 import { expect, it } from "vitest";
 import { EventLog } from "./event-log.js";
@@ -105,3 +114,33 @@
     log.recordFailure(new Error("failed in a test"), FailedAction.Decide, 1_000);
     expect(lines).toHaveLength(6);
 });
+
+const REFUSAL: CallRefusal = {
+    operation: CallerOperation.JobState,
+    refusal: Refusal.UnknownJob,
+    hasKey: true,
+    organisation: "beta",
+    path: "/batch/aa",
+    jobId: "aa",
+    owner: "acme",
+};
+
+// Guards against refused calls whose organisation can't be found.
+it("names the organisations of a refused call", () => {
+    const lines = linesOf(log => log.recordCallRefused(REFUSAL, 0));
+    expect(lines).toMatchObject([{ msg: "call refused", refusal: "unknown-job", organisation: "beta", owner: "acme" }]);
+});
+
+// Guards against a wave of removed keys, or paths of any length, that displace the lines about other refusals.
+it("limits the lines about refused calls by reason, and the text of a request in them", () => {
+    const path = "/".repeat(10_000);
+    const lines = linesOf(log => {
+        for (let count = 0; count < 1_000; count += 1) {
+            log.recordCallRefused({ ...REFUSAL, refusal: Refusal.Unauthenticated, path }, 0);
+        }
+        log.recordCallRefused(REFUSAL, 0);
+    });
+    expect(lines).toHaveLength(51);
+    expect(lines.every(line => String(line.path).length <= 200)).toBe(true);
+    expect(lines.at(-1)).toMatchObject({ refusal: "unknown-job" });
+});
--- a/packages/daemon/src/workflow/forwarded-call.test.ts
+++ b/packages/daemon/src/workflow/forwarded-call.test.ts
@@ -142,6 +142,37 @@
     },
 );
 
+// Guards against "no effect" for a cancellation that a leader may have executed before the key was taken away.
+it.each([
+    [Refusal.Unauthenticated, true, Refusal.Uncertain],
+    [Refusal.Unauthenticated, false, Refusal.Unauthenticated],
+    [Refusal.QuotaExceeded, true, Refusal.Uncertain],
+    [Refusal.QuotaExceeded, false, Refusal.QuotaExceeded],
+])("reports %s beside another attempt that was sent (%s) as %s", async (refusal, isFirstSent, expected) => {
+    const observed = observe(cancelCall());
+    if (isFirstSent) {
+        calls[0]?.call.onSent?.();
+    }
+    await vi.advanceTimersByTimeAsync(550);
+    finder.leaderHost = "b";
+    await vi.advanceTimersByTimeAsync(50);
+    calls[1]?.answer({ result: refused(refusal), leaderHost: "b" });
+    await vi.advanceTimersByTimeAsync(0);
+    expect(observed).toEqual({ result: refused(expected), atMs: 600 });
+});
+
+// Guards against a read that its caller repeats without end, although its key is not valid.
+it("reports a read without a valid key as refused, whatever other attempts were sent", async () => {
+    const observed = observe(readCall());
+    calls[0]?.call.onSent?.();
+    await vi.advanceTimersByTimeAsync(550);
+    finder.leaderHost = "b";
+    await vi.advanceTimersByTimeAsync(50);
+    calls[1]?.answer({ result: refused(Refusal.Unauthenticated), leaderHost: "b" });
+    await vi.advanceTimersByTimeAsync(0);
+    expect(observed).toEqual({ result: refused(Refusal.Unauthenticated), atMs: 600 });
+});
+
 // Guards against a read that is reported as possibly executed, although it has no effect.
 it("reports a read without an answer as not run", async () => {
     const observed = observe(readCall());
--- a/packages/daemon/src/workflow/workflow-metrics.test.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.test.ts
@@ -1,4 +1,4 @@
-import { EventKind, Refusal, RunEnd } from "@waxwingspread/workflow";
+import { CallerOperation, EventKind, Refusal, RunEnd } from "@waxwingspread/workflow";
 import type { QueueContract, WorkflowEvent } from "@waxwingspread/workflow";
 import { expect, it } from "vitest";
 import { ForwardedOperation } from "./operations.js";
@@ -61,3 +61,27 @@
     expect(lines).toContain("waxwingspread_requests_total{operation=\"submit\",outcome=\"not-run\"} 1");
     expect(lines).toContain("waxwingspread_request_duration_seconds_count{operation=\"submit\"} 2");
 });
+
+// Guards against a number of series that grows with the organisations of a configuration.
+it("counts refused calls by reason and by a bounded number of organisations", async () => {
+    const metrics = new ControlMetrics();
+    const refuse = (organisation: string | undefined): void =>
+        metrics.recordCallRefused({
+            operation: CallerOperation.Submit,
+            refusal: Refusal.Unauthenticated,
+            hasKey: true,
+            organisation,
+            path: "/batch/aa",
+            jobId: "aa",
+            owner: undefined,
+        });
+    refuse(undefined);
+    for (let round = 0; round < 2; round += 1) {
+        Array.from({ length: 390 }, (unused, index) => refuse(`o${index}`));
+    }
+    const lines = (await linesOf(metrics)).filter(line => line.startsWith("waxwingspread_refused_calls_total{"));
+    expect(lines).toHaveLength(51);
+    expect(lines).toContain("waxwingspread_refused_calls_total{reason=\"unauthenticated\",organisation=\"\"} 1");
+    expect(lines).toContain("waxwingspread_refused_calls_total{reason=\"unauthenticated\",organisation=\"o0\"} 2");
+    expect(lines).toContain("waxwingspread_refused_calls_total{reason=\"unauthenticated\",organisation=\"other\"} 682");
+});
--- a/packages/workflow/src/node/caller-access.ts
+++ b/packages/workflow/src/node/caller-access.ts
@@ -49,15 +49,16 @@
         return keyDigest === undefined ? undefined : this.#organisations?.get(keyDigest);
     }
 
-    /** Returns the organisation that owns what is submitted with a request's address and key; undefined for none. */
-    ownerAt(origin: CallOrigin | undefined): string | undefined {
-        if (origin === undefined) {
-            return undefined;
-        }
-        const queue = findQueue(this.configuration, origin.host, origin.path);
+    /** Returns the organisation that owns what a request submits to a queue; undefined at a public one. */
+    ownerOf(origin: CallOrigin, queue: QueueContract | undefined): string | undefined {
         return queue?.isPublic === true ? undefined : this.organisationOf(origin);
     }
 
+    /** Returns the organisation that would own what is submitted at the address and with the key of a request. */
+    ownerAt(origin: CallOrigin): string | undefined {
+        return this.ownerOf(origin, findQueue(this.configuration, origin.host, origin.path));
+    }
+
     /** Returns the queue at a request's address, or why the request may not use it. */
     findQueue(origin: CallOrigin): CallResult<QueueContract> {
         const queue = findQueue(this.configuration, origin.host, origin.path);
--- a/packages/workflow/src/node/caller-calls.ts
+++ b/packages/workflow/src/node/caller-calls.ts
@@ -63,7 +63,7 @@
             this.#answerUnusableQueue(origin, queue.refusal, respond, times);
             return;
         }
-        const organisation = this.#callerAccess.ownerAt(origin);
+        const organisation = this.#callerAccess.ownerOf(origin, queue.value);
         const proposed = this.#findJob(job.id);
         if (proposed !== undefined && proposed.specification.organisation !== organisation) {
             this.#options.calls.addBarrier(() => respond(this.#repeatResult(origin, job.id)), respond);
@@ -99,7 +99,7 @@
             );
             return;
         }
-        const organisation = access.ownerAt(origin);
+        const organisation = origin === undefined ? undefined : access.ownerAt(origin);
         session.cancellations.recordEarly(jobId, organisation, times.timeOfDayMs);
         this.#options.calls.addChange(() => {
             // A submission of the same organisation may have been recorded after the cancellation.
--- a/packages/workflow/src/node/pending-calls.ts
+++ b/packages/workflow/src/node/pending-calls.ts
@@ -80,7 +80,7 @@
     answerReads(): void {
         const isConfirmed = ({ checkMs }: CheckedRead): boolean => this.#log.isLeadershipConfirmed(checkMs);
         const confirmed = this.#reads.filter(isConfirmed);
-        this.#reads = this.#reads.filter(read => !confirmed.includes(read));
+        this.#reads = this.#reads.filter(read => !isConfirmed(read));
         confirmed.forEach(read => read.answer());
     }
 
