--- a/packages/simulation/src/model/control-plane.ts
+++ b/packages/simulation/src/model/control-plane.ts
@@ -72,6 +72,19 @@
         return true;
     }
 
+    /**
+     * Calls the leader. While it is suspended, the call waits in its sockets until it wakes, replaced or not. Returns false,
+     * without effect, if there is none.
+     */
+    callOrQueue(execute: (leader: Leader, times: Times) => void): boolean {
+        const leader = this.#leader;
+        if (leader === undefined || this.#activeLeader !== undefined) {
+            return this.call(execute);
+        }
+        leader.waitingCalls.push(execute);
+        return true;
+    }
+
     /**
      * Delivers a heartbeat to the leader as a follower does: while there is none, and if the leader is lost before it has
      * answered, the heartbeat waits for the next one.
@@ -179,6 +192,7 @@
 
     /** Lets a replica act that was suspended; if it was replaced, it hears of that a moment later. */
     #wake(leader: Leader): void {
+        leader.waitingCalls.splice(0).forEach(execute => execute(leader, this.#times));
         leader.node.run(this.#times);
         if (leader.isReplaced) {
             this.#events.after(STALE_LEADERSHIP_MS, () => {
--- a/packages/simulation/src/model/leader.ts
+++ b/packages/simulation/src/model/leader.ts
@@ -22,6 +22,8 @@
     isReplaced = false;
     /** Time until which its process is suspended. */
     suspendedUntilMs = -Infinity;
+    /** Calls that have arrived while its process was suspended. */
+    readonly waitingCalls: ((leader: Leader, times: Times) => void)[] = [];
 
     constructor({ term, settings, log, beginMaintenance, assigned }: LeaderOptions) {
         this.term = term;
