--- a/packages/simulation/src/fuzz/organisations.fuzz.test.ts
+++ b/packages/simulation/src/fuzz/organisations.fuzz.test.ts
@@ -13,19 +13,29 @@
 
 type Action = (callers: KeyedCallers) => void;
 /** An action and how reports of counterexamples show it. */
-type NamedAction = [name: string, action: Action];
+interface NamedAction {
+    action: Action;
+    toString: () => string;
+}
 
-const named = (name: string, action: Action): NamedAction => [name, action];
+const named = (name: string, action: Action): NamedAction => ({ action, toString: () => name });
 
 const callArbitrary: fc.Arbitrary<NamedAction> = fc
     .tuple(
         fc.constantFrom("submit", "submit", "read", "cancel", "count"),
         fc.integer({ min: 1, max: 4 }),
         fc.constantFrom(...KEYS, "unknown"),
+        fc.boolean(),
     )
-    .map(([operation, number, key]) =>
-        named(`${operation} j${number} with ${key}`, callers => void callers.call(operation, `j${number}`, key))
-    );
+    .map(([operation, number, key, isForReplacedLeader]) => {
+        const id = `j${number}`;
+        return isForReplacedLeader
+            ? named(
+                `${operation} ${id} with ${key} at a replaced leader`,
+                callers => callers.callReplacedLeader(operation, id, key),
+            )
+            : named(`${operation} ${id} with ${key}`, callers => void callers.call(operation, id, key));
+    });
 
 const configureArbitrary: fc.Arbitrary<NamedAction> = fc.subarray(KEYS).map(keys =>
     named(`configure ${keys.join()}`, callers => void callers.configure(keys))
@@ -81,7 +91,7 @@
             (seed, actions) => {
                 const callers = new KeyedCallers(seed, FUZZ_OPTIONS.settings);
                 callers.advance(ANSWER_MS);
-                actions.forEach(([, action]) => action(callers));
+                actions.forEach(({ action }) => action(callers));
                 const finalViolations = findFinalViolations(callers);
                 expect([...callers.oracle.violations, ...finalViolations]).toEqual([]);
             },
--- a/packages/simulation/src/model/control-plane.ts
+++ b/packages/simulation/src/model/control-plane.ts
@@ -42,6 +42,8 @@
     readonly #events: EventQueue;
     readonly #log = new SimulatedLog();
     #leader: Leader | undefined;
+    /** The latest leader that was replaced while it was suspended, until it wakes. */
+    #replacedLeader: Leader | undefined;
     /** Time until which the log commits nothing, as without a quorum. */
     #stalledUntilMs = -Infinity;
     #isCommitScheduled = false;
@@ -77,12 +79,15 @@
      * without effect, if there is none.
      */
     callOrQueue(execute: (leader: Leader, times: Times) => void): boolean {
-        const leader = this.#leader;
-        if (leader === undefined || this.#activeLeader !== undefined) {
-            return this.call(execute);
-        }
-        leader.waitingCalls.push(execute);
-        return true;
+        return this.#activeLeader === undefined ? this.#queueCall(this.#leader, execute) : this.call(execute);
+    }
+
+    /**
+     * Calls a leader that was suspended and replaced, as an entry does that has not heard of its successor. Returns false,
+     * without effect, if there is none.
+     */
+    callReplaced(execute: (leader: Leader, times: Times) => void): boolean {
+        return this.#queueCall(this.#replacedLeader, execute);
     }
 
     /**
@@ -126,6 +131,7 @@
         this.#events.after(ELECTION_MS, () => {
             if (this.#leader === leader && this.#events.nowMs < leader.suspendedUntilMs) {
                 leader.isReplaced = true;
+                this.#replacedLeader = leader;
                 this.#replaceLeader();
             }
         });
@@ -190,8 +196,14 @@
         this.call(({ node }, times) => node.configure(configuration, () => undefined, times));
     }
 
+    #queueCall(leader: Leader | undefined, execute: (leader: Leader, times: Times) => void): boolean {
+        leader?.waitingCalls.push(execute);
+        return leader !== undefined;
+    }
+
     /** Lets a replica act that was suspended; if it was replaced, it hears of that a moment later. */
     #wake(leader: Leader): void {
+        this.#replacedLeader = this.#replacedLeader === leader ? undefined : this.#replacedLeader;
         leader.waitingCalls.splice(0).forEach(execute => execute(leader, this.#times));
         leader.node.run(this.#times);
         if (leader.isReplaced) {
--- a/packages/simulation/src/model/keyed-callers.ts
+++ b/packages/simulation/src/model/keyed-callers.ts
@@ -5,12 +5,14 @@
     Configuration,
     LeaderSettings,
     OrganisationContract,
+    Times,
 } from "@waxwingspread/workflow";
 import { configurationOf, HOST, jobOf, organisationOf, stepOf } from "@waxwingspread/workflow/testing";
 import { AccessOracle } from "../checks/access-oracle.js";
 import type { KeyedCall } from "../checks/access-oracle.js";
 import { ControlPlane } from "./control-plane.js";
 import { EventQueue } from "./event-queue.js";
+import type { Leader } from "./leader.js";
 
 const START_MS = 1_000_000;
 
@@ -75,6 +77,21 @@
         keyDigest: string,
         waitMs = 0,
     ): CallResult<unknown> | undefined {
+        const { execute, read } = this.#prepare(operation, jobId, keyDigest);
+        this.#control.callOrQueue(execute);
+        this.advance(waitMs);
+        return read();
+    }
+
+    /** Sends a call to a leader that was suspended and replaced; without one, nothing is sent. */
+    callReplacedLeader(operation: KeyedCall["operation"], jobId: string, keyDigest: string): void {
+        this.#control.callReplaced(this.#prepare(operation, jobId, keyDigest).execute);
+    }
+
+    #prepare(operation: KeyedCall["operation"], jobId: string, keyDigest: string): {
+        execute: (leader: Leader, times: Times) => void;
+        read: () => CallResult<unknown> | undefined;
+    } {
         const organisation = ORGANISATION_OF_KEY[keyDigest];
         const call = this.oracle.recordSent({ operation, jobId, keyDigest, organisation });
         let received: CallResult<unknown> | undefined;
@@ -83,7 +100,7 @@
             this.oracle.recordResult(call, result);
         };
         const origin: CallOrigin = { host: HOST, path: `/batch/${jobId}`, keyDigest };
-        this.#control.callOrQueue(({ node }, times) => {
+        const execute = ({ node }: Leader, times: Times): void => {
             switch (operation) {
                 case "submit":
                     node.submit(origin, jobOf(jobId, stepOf()), respond, times);
@@ -98,9 +115,8 @@
                     node.pendingJobs(origin, respond, times);
                     break;
             }
-        });
-        this.advance(waitMs);
-        return received;
+        };
+        return { execute, read: () => received };
     }
 
     loseLeader(): void {
--- a/packages/workflow/src/node/caller-calls.ts
+++ b/packages/workflow/src/node/caller-calls.ts
@@ -86,9 +86,7 @@
         const access = this.#callerAccess;
         const job = this.#findJob(jobId);
         if (access.checkJob(origin, job) !== undefined) {
-            const answer = (): void =>
-                respond(this.#callerAccess.checkJob(origin, this.#findJob(jobId)) ?? refused(Refusal.NotRun));
-            this.#options.calls.addRead(answer, respond, times.nowMs);
+            this.#refuseCancellation(jobId, origin, respond, times);
             return;
         }
         if (job !== undefined) {
@@ -229,6 +227,24 @@
         }
     }
 
+    /** Refuses a cancellation for its key or for the owner of the job, once that is certain. */
+    #refuseCancellation(
+        jobId: string,
+        origin: CallOrigin | undefined,
+        respond: Respond<void>,
+        { nowMs }: Times,
+    ): void {
+        const answer = (): void =>
+            respond(this.#callerAccess.checkJob(origin, this.#findJob(jobId)) ?? refused(Refusal.NotRun));
+        if (this.#proposedJobs.find(jobId) === undefined) {
+            this.#options.calls.addRead(answer, respond, nowMs);
+        }
+        else {
+            // The job of the other organisation may be lost with this leader, and the cancellation would be, too.
+            this.#options.calls.addBarrier(answer, respond);
+        }
+    }
+
     /** Returns the result of a submission whose id is known. */
     #repeatResult(origin: CallOrigin, jobId: string): CallResult<void> {
         const job = this.#options.readState().job(jobId);
--- a/packages/workflow/src/node/organisation-records.test.ts
+++ b/packages/workflow/src/node/organisation-records.test.ts
@@ -95,6 +95,22 @@
         expect(replica.node.state.job("j")?.specification.organisation).toBe("acme");
     });
 
+    // Guards against a cancellation that is acknowledged and then lost with a leader: the job of another organisation under
+    // which it was refused is lost as well.
+    it("is not acknowledged as that of a job of another organisation which is not committed", () => {
+        const replica = startedWith(ORGANISATIONS);
+        const { node, times } = replica;
+        const results: string[] = [];
+        const [own, other] = [new Caller(replica, "a1"), new Caller(replica, "b1")];
+        node.submit(other.originOf("j"), jobOf("j", stepOf()), () => undefined, times);
+        node.cancel("j", result => results.push(textOf([result])), times, own.originOf("j"));
+        node.run(times);
+        node.run(times);
+        expect(results).toEqual([]);
+        node.handleLeadershipLost();
+        expect(results).toEqual([Refusal.NotLeader]);
+    });
+
     it("by its own organisation cancels the job if both are proposed at the same time", () => {
         const replica = startedWith(ORGANISATIONS);
         const own = new Caller(replica, "a1");
