--- a/packages/simulation/src/fuzz/organisations.fuzz.test.ts
+++ b/packages/simulation/src/fuzz/organisations.fuzz.test.ts
@@ -10,6 +10,8 @@
 /** Time within which a new leader serves and has answered what was called, even if the log has just stalled. */
 const FAILOVER_MS = 10_000;
 const ANSWER_MS = 1_000;
+/** Time after which a suspended leader is replaced. */
+const REPLACEMENT_MS = 600;
 
 type Action = (callers: KeyedCallers) => void;
 /** An action and how reports of counterexamples show it. */
@@ -55,11 +57,20 @@
     ),
 );
 
+/** Keeps a leader suspended that has been replaced, so that calls and changes of the keys follow at either of them. */
+const replaceArbitrary: fc.Arbitrary<NamedAction> = fc.integer({ min: 1_000, max: 6_000 }).map(durationMs =>
+    named(`replace the leader and suspend it for ${durationMs}`, callers => {
+        callers.suspendLeader(durationMs);
+        callers.advance(REPLACEMENT_MS);
+    })
+);
+
 const actionArbitrary = fc.oneof(
     { weight: 8, arbitrary: callArbitrary },
     { weight: 2, arbitrary: configureArbitrary },
     { weight: 4, arbitrary: advanceArbitrary },
     { weight: 1, arbitrary: disruptionArbitrary },
+    { weight: 1, arbitrary: replaceArbitrary },
 );
 
 /** Returns what is wrong once all disruptions have ended: accepted jobs that their organisations can't read. */
