--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -14,7 +14,7 @@
 export * from "./model/organisation.js";
 export * from "./model/specification.js";
 export * from "./node/call-refusal.js";
-export type { CallOrigin, QueueAddress } from "./node/caller-access.js";
+export * from "./node/caller-access.js";
 export * from "./node/replicated-log.js";
 export * from "./node/workflow-node.js";
 export * from "./state/crash-history.js";
