--- a/packages/simulation/src/model/control-plane.ts
+++ b/packages/simulation/src/model/control-plane.ts
@@ -42,6 +42,8 @@
     readonly #events: EventQueue;
     readonly #log = new SimulatedLog();
     #leader: Leader | undefined;
+    /** The latest leader that was replaced while it was suspended, until it wakes. */
+    #replacedLeader: Leader | undefined;
     /** Time until which the log commits nothing, as without a quorum. */
     #stalledUntilMs = -Infinity;
     #isCommitScheduled = false;
@@ -72,6 +74,22 @@
         return true;
     }
 
+    /**
+     * Calls the leader. While it is suspended, the call waits in its sockets until it wakes, replaced or not. Returns false,
+     * without effect, if there is none.
+     */
+    callOrQueue(execute: (leader: Leader, times: Times) => void): boolean {
+        return this.#activeLeader === undefined ? this.#queueCall(this.#leader, execute) : this.call(execute);
+    }
+
+    /**
+     * Calls a leader that was suspended and replaced, as an entry does that has not heard of its successor. Returns false,
+     * without effect, if there is none.
+     */
+    callReplaced(execute: (leader: Leader, times: Times) => void): boolean {
+        return this.#queueCall(this.#replacedLeader, execute);
+    }
+
     /**
      * Delivers a heartbeat to the leader as a follower does: while there is none, and if the leader is lost before it has
      * answered, the heartbeat waits for the next one.
@@ -113,6 +131,7 @@
         this.#events.after(ELECTION_MS, () => {
             if (this.#leader === leader && this.#events.nowMs < leader.suspendedUntilMs) {
                 leader.isReplaced = true;
+                this.#replacedLeader = leader;
                 this.#replaceLeader();
             }
         });
@@ -177,8 +196,15 @@
         this.call(({ node }, times) => node.configure(configuration, () => undefined, times));
     }
 
+    #queueCall(leader: Leader | undefined, execute: (leader: Leader, times: Times) => void): boolean {
+        leader?.waitingCalls.push(execute);
+        return leader !== undefined;
+    }
+
     /** Lets a replica act that was suspended; if it was replaced, it hears of that a moment later. */
     #wake(leader: Leader): void {
+        this.#replacedLeader = this.#replacedLeader === leader ? undefined : this.#replacedLeader;
+        leader.waitingCalls.splice(0).forEach(execute => execute(leader, this.#times));
         leader.node.run(this.#times);
         if (leader.isReplaced) {
             this.#events.after(STALE_LEADERSHIP_MS, () => {
