--- a/packages/workflow/src/testing/lease-fleet.ts
+++ b/packages/workflow/src/testing/lease-fleet.ts
@@ -85,20 +85,26 @@
     readonly #replica: SingleReplica;
     readonly #runTimeMs: (task: string) => number;
     readonly #onStart: (task: string) => void;
+    readonly #gangOf: (task: string) => string | undefined;
+    /** Times at which gangs end, by gang and run. All members end together. */
+    readonly #gangEndsAtMs = new Map<string, number>();
 
     constructor(
         replica: SingleReplica,
-        { count, capacity, runTimeMs, onStart = () => undefined }: {
+        { count, capacity, runTimeMs, onStart = () => undefined, gangOf = () => undefined }: {
             count: number;
             capacity: Amounts;
             runTimeMs: (task: string) => number;
             /** Called when a task has been started. */
             onStart?: (task: string) => void;
+            /** Returns the gang that a task belongs to. */
+            gangOf?: (task: string) => string | undefined;
         },
     ) {
         this.#replica = replica;
         this.#runTimeMs = runTimeMs;
         this.#onStart = onStart;
+        this.#gangOf = gangOf;
         this.servers = Array.from({ length: count }, (unused, index) => new LeaseServer(`server-${index}`, capacity));
     }
 
@@ -123,8 +129,17 @@
         }
         const orders = this.#replica.heartbeat(server.report());
         if (orders !== undefined) {
-            server.execute(orders, nowMs, ({ task, run }) => ({ task, run, endsAtMs: nowMs + this.#runTimeMs(task) }));
+            server.execute(orders, nowMs, order => this.#startedRunOf(order, nowMs));
             orders.starts.forEach(({ task }) => this.#onStart(task));
         }
     }
+
+    #startedRunOf({ task, run }: StartOrder, nowMs: number): FleetRun {
+        const gang = this.#gangOf(task);
+        const endsAtMs = this.#gangEndsAtMs.get(`${gang}/${run}`) ?? nowMs + this.#runTimeMs(task);
+        if (gang !== undefined) {
+            this.#gangEndsAtMs.set(`${gang}/${run}`, endsAtMs);
+        }
+        return { task, run, endsAtMs };
+    }
 }
