--- a/packages/workflow/src/organisations/organisation-limits.ts
+++ b/packages/workflow/src/organisations/organisation-limits.ts
@@ -12,9 +12,9 @@
     readonly contracts: OrganisationContracts;
     readonly ledger: QuotaLedger;
     readonly refusals = new RefusalCounts();
-    readonly #directory: ServerDirectory;
+    readonly #directory: Pick<ServerDirectory, "servers">;
 
-    constructor(state: WorkflowState, directory: ServerDirectory) {
+    constructor(state: WorkflowState, directory: Pick<ServerDirectory, "servers">) {
         this.contracts = new OrganisationContracts(state);
         this.ledger = new QuotaLedger(state, this.contracts);
         this.#directory = directory;
