--- a/packages/bench/src/workflow/key-lookup-benchmark.ts
+++ b/packages/bench/src/workflow/key-lookup-benchmark.ts
@@ -1,5 +1,5 @@
 import { CallerAccess } from "@waxwingspread/workflow";
-import { configurationOf, HOST, organisationOf } from "@waxwingspread/workflow/testing";
+import { configurationOf, HOST, organisationWithKeys } from "@waxwingspread/workflow/testing";
 import { createHash } from "node:crypto";
 
 /** Size of a configuration with organisations. */
@@ -27,7 +27,7 @@
         (unusedOrganisation, organisation) =>
             Array.from({ length: keysPerOrganisation }, (unusedKey, key) => digestOf(`${organisation} ${key}`)),
     );
-    const contracts = digests.map((keys, index) => organisationOf(`organisation-${index}`, ...keys));
+    const contracts = digests.map((keys, index) => organisationWithKeys(`organisation-${index}`, ...keys));
     const configuration = configurationOf(1, { organisations: contracts });
     const startMs = performance.now();
     const access = new CallerAccess(configuration);
--- a/packages/simulation/src/model/keyed-callers.ts
+++ b/packages/simulation/src/model/keyed-callers.ts
@@ -7,7 +7,7 @@
     OrganisationContract,
     Times,
 } from "@waxwingspread/workflow";
-import { configurationOf, HOST, jobOf, organisationOf, stepOf } from "@waxwingspread/workflow/testing";
+import { configurationOf, HOST, jobOf, organisationWithKeys, stepOf } from "@waxwingspread/workflow/testing";
 import { AccessOracle } from "../checks/access-oracle.js";
 import type { KeyedCall } from "../checks/access-oracle.js";
 import { ControlPlane } from "./control-plane.js";
@@ -141,4 +141,4 @@
     configurationOf(version, { organisations: ["acme", "beta"].map(name => contractOf(name, keys)) });
 
 const contractOf = (name: string, keys: readonly string[]): OrganisationContract =>
-    organisationOf(name, ...keys.filter(key => ORGANISATION_OF_KEY[key] === name));
+    organisationWithKeys(name, ...keys.filter(key => ORGANISATION_OF_KEY[key] === name));
