--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -21,8 +21,11 @@
 /** A caller's request at an address, with the digest of its API key if it has one. */
 export interface KeyedRequest {
     address: QueueAddress;
-    /** SHA-256 digest in hexadecimal digits; never the key itself. */
-    keyDigest?: string | undefined;
+    /**
+     * SHA-256 digest in hexadecimal digits, never the key itself; null for a request without a key. Entries of former
+     * versions don't send the field.
+     */
+    keyDigest?: string | null;
 }
 
 /** A caller's request for one job. Entries of former versions send neither address nor key. */
