Measure planning by the number of organisations, and cache their shares

Change: PlanningBenchmark plays a full fleet with 2,000 waiting jobs; BenchmarkLeader is moved out of SessionBenchmark. FairShares keeps what an organisation holds until its count changes; turns are divided in one pass.

--- a/packages/bench/src/workflow/main.ts
+++ b/packages/bench/src/workflow/main.ts
@@ -1,3 +1,4 @@
+import { PlanningBenchmark } from "./planning-benchmark.js";
 import { SessionBenchmark } from "./session-benchmark.js";
 
 const DURATION_MS = 10_000;
@@ -9,10 +10,23 @@
     { servers: 670, startsPerSecond: 600 },
 ];
 
-for (const size of SIZES) {
-    const figures = new SessionBenchmark({ ...size, durationMs: DURATION_MS }).run();
+/** A full fleet with a long queue, for different numbers of organisations. */
+const PLANNING_SIZE = { servers: 670, runningTasks: 10_500, waitingJobs: 2_000, durationMs: 3_000 };
+const ORGANISATION_COUNTS = [0, 20, 100, 390];
+
+const print = (load: object, figures: object): void => {
     const rounded = Object.fromEntries(
-        Object.entries(figures).map(([name, value]) => [name, Number(value.toPrecision(3))]),
+        Object.entries(figures).map(([name, value]) => [name, Number(Number(value).toPrecision(3))]),
     );
-    process.stdout.write(`${JSON.stringify({ ...size, ...rounded })}\n`);
+    process.stdout.write(`${JSON.stringify({ ...load, ...rounded })}\n`);
+};
+
+const isPlanningOnly = process.argv.includes("--planning");
+
+for (const size of isPlanningOnly ? [] : SIZES) {
+    print(size, new SessionBenchmark({ ...size, durationMs: DURATION_MS }).run());
+}
+for (const organisations of ORGANISATION_COUNTS) {
+    const load = { ...PLANNING_SIZE, organisations };
+    print(load, new PlanningBenchmark(load).run());
 }
--- a/packages/bench/src/workflow/session-benchmark.ts
+++ b/packages/bench/src/workflow/session-benchmark.ts
@@ -1,7 +1,6 @@
-import { WorkflowNode } from "@waxwingspread/workflow";
-import type { CommittedRecord, Configuration, JobSpecification, StepSpecification } from "@waxwingspread/workflow";
+import type { Configuration, JobSpecification, StepSpecification } from "@waxwingspread/workflow";
 import { configurationOf, fillerStepOf, HOST, jobOf, standingStepOf, stepOf } from "@waxwingspread/workflow/testing";
-import { Ok } from "ts-results-es";
+import { BenchmarkLeader } from "./benchmark-leader.js";
 import { SimulatedServer } from "./simulated-server.js";
 
 const START_MS = 1_000_000;
@@ -99,9 +98,7 @@
     readonly #load: SessionLoad;
     readonly #servers: SimulatedServer[];
     readonly #queues = new Map<string, Queue>();
-    readonly #node: WorkflowNode;
-    #proposedRecords: CommittedRecord[] = [];
-    #index = 0;
+    readonly #leader: BenchmarkLeader;
     #jobCount = 0;
     #nowMs = START_MS;
 
@@ -113,15 +110,13 @@
                 START_MS + (index * HEARTBEAT_MS) / load.servers,
                 jobId => DURATIONS_MS[this.#queues.get(jobId) ?? Queue.Short],
             ));
-        this.#node = this.#createNode();
-        // The first record of the term, without which the node does not lead.
-        this.#node.applyCommitted([{ index: 0, term: 1, data: undefined }], this.#times);
+        this.#leader = new BenchmarkLeader(this.#times);
     }
 
     run(): SessionFigures {
-        this.#runCycle();
-        this.#node.configure(createConfiguration(), () => undefined, this.#times);
-        this.#runCycle();
+        this.#leader.runCycle(this.#times);
+        this.#leader.node.configure(createConfiguration(), () => undefined, this.#times);
+        this.#leader.runCycle(this.#times);
         const standingJobs = (this.#load.servers * STANDING_TASKS_PER_SERVER) / STANDING_TASKS_PER_JOB;
         for (let job = 0; job < standingJobs; job += 1) {
             this.#submit(Queue.Standing);
@@ -158,7 +153,7 @@
                 this.#submit(Queue.Filler);
             }
             this.#servers.forEach(server => this.#advanceServer(server));
-            this.#runCycle();
+            this.#leader.runCycle(this.#times);
         }
     }
 
@@ -166,7 +161,7 @@
         server.advance(this.#nowMs);
         if (server.nextHeartbeatAtMs !== undefined && server.nextHeartbeatAtMs <= this.#nowMs) {
             const report = server.report(this.#nowMs);
-            this.#node.heartbeat(report, result => {
+            this.#leader.node.heartbeat(report, result => {
                 if (result.ok && result.value !== undefined) {
                     server.executeOrders(result.value, this.#nowMs);
                 }
@@ -182,17 +177,7 @@
             ...jobOf(id, ...STEP_FACTORIES[queue](this.#jobCount)),
             payload: "p".repeat(200),
         };
-        this.#node.submit({ host: HOST, path: `/${queue}/${id}` }, job, () => undefined, this.#times);
-    }
-
-    /** Runs the node and commits its proposals, twice, so that committed proposals are answered in the same cycle. */
-    #runCycle(): void {
-        for (let round = 0; round < 2; round += 1) {
-            this.#node.run(this.#times);
-            const records = this.#proposedRecords;
-            this.#proposedRecords = [];
-            this.#node.applyCommitted(records, this.#times);
-        }
+        this.#leader.node.submit({ host: HOST, path: `/${queue}/${id}` }, job, () => undefined, this.#times);
     }
 
     get #times() {
@@ -205,32 +190,4 @@
             heartbeats: this.#servers.reduce((sum, server) => sum + server.heartbeats, 0),
         };
     }
-
-    #createNode(): WorkflowNode {
-        return new WorkflowNode({
-            settings: {
-                leaseMs: 3_500,
-                maxLeaseMs: 6_000,
-                busyHeartbeatMs: HEARTBEAT_MS,
-                idleHeartbeatMs: HEARTBEAT_MS,
-                maintenanceMs: 2_000,
-                maxOrderBytes: 256 * 1024,
-                orderLeaseMs: 3_000,
-                retentionMs: 180_000,
-                maxJobBytes: 40_000_000,
-            },
-            log: {
-                term: 1,
-                isLeader: true,
-                hasQuorumLease: () => true,
-                startLeadershipCheck: nowMs => nowMs,
-                isLeadershipConfirmed: () => true,
-                propose: data => {
-                    this.#index += 1;
-                    this.#proposedRecords.push({ index: this.#index, term: 1, data });
-                    return Ok(this.#index);
-                },
-            },
-        });
-    }
 }
--- a/packages/bench/src/workflow/simulated-server.ts
+++ b/packages/bench/src/workflow/simulated-server.ts
@@ -36,6 +36,10 @@
         this.#durationOf = durationOf;
     }
 
+    get runningTasks(): number {
+        return this.#runs.size;
+    }
+
     /** Completes the runs whose run time has elapsed. */
     advance(nowMs: number): void {
         for (const run of [...this.#runs.values()]) {
--- a/packages/workflow/src/organisations/fair-shares.ts
+++ b/packages/workflow/src/organisations/fair-shares.ts
@@ -1,11 +1,4 @@
-import {
-    addAmounts,
-    dominantShare,
-    RESOURCE_NAMES,
-    subtractAmounts,
-    weightedShare,
-    zeroAmounts,
-} from "@waxwingspread/common";
+import { addAmounts, dominantShare, RESOURCE_NAMES, subtractAmounts, zeroAmounts } from "@waxwingspread/common";
 import type { ResourceAmounts } from "@waxwingspread/common";
 import type { ServerView } from "../leader/server-view.js";
 import type { StepSpecification } from "../model/specification.js";
@@ -17,6 +10,15 @@
 /** Weight in place of 0, and least entitlement, so that shares can be divided by them. */
 const MIN_WEIGHT = 1e-9;
 
+/** What an organisation holds of work of a priority and of higher ones. */
+interface PriorityHolding {
+    /** Revision of the holding from which it is derived; 0 for none. */
+    revision: number;
+    used: ResourceAmounts;
+    dominantShare: number;
+    entitlement: number;
+}
+
 /** Dependencies of {@link FairShares}. */
 export interface FairSharesOptions {
     ledger: QuotaLedger;
@@ -41,6 +43,8 @@
     readonly #freeShare: number;
     /** Part of the fleet that organisations share, by priority. */
     readonly #sharedParts = new Map<number, number>();
+    /** Cached holdings by priority and organisation. */
+    readonly #holdings = new Map<number, Map<string, PriorityHolding>>();
 
     constructor({ ledger, contracts, servers, waiting }: FairSharesOptions) {
         this.#ledger = ledger;
@@ -61,14 +65,12 @@
 
     /** Returns the part of the fleet that an organisation is entitled to for work of a priority and of higher ones. */
     entitlementOf(organisation: string, priority: number): number {
-        const part = this.#sharedPart(priority) * this.#weightOf(organisation)
-            / Math.max(this.#totalWeight, MIN_WEIGHT);
-        return Math.max(part, MIN_WEIGHT);
+        return this.#holdingOf(organisation, priority).entitlement;
     }
 
     /** Returns the dominant share of the fleet that an organisation holds by work of a priority and of higher ones. */
     dominantShareOf(organisation: string, priority: number): number {
-        return dominantShare(this.#usedBy(organisation, priority), this.#fleet);
+        return this.#holdingOf(organisation, priority).dominantShare;
     }
 
     /**
@@ -76,18 +78,39 @@
      * counted, so that it doesn't hold back work that is more urgent.
      */
     relativeShareOf(organisation: string, priority: number): number {
-        const entitlement = this.entitlementOf(organisation, priority);
-        return weightedShare(this.#usedBy(organisation, priority), this.#fleet, entitlement);
+        const holding = this.#holdingOf(organisation, priority);
+        return holding.dominantShare / holding.entitlement;
     }
 
     /** Returns the number of a step's tasks that bring its organisation to its entitlement; at least 1. */
     tasksWithinShare(organisation: string, priority: number, { amounts }: StepSpecification): number {
-        const entitlement = this.entitlementOf(organisation, priority);
-        const used = this.#usedBy(organisation, priority);
-        const counts = RESOURCE_NAMES
-            .filter(name => amounts[name] > 0)
-            .map(name => (entitlement * this.#fleet[name] - used[name]) / amounts[name]);
-        return Math.max(1, Math.ceil(Math.min(...counts)));
+        const { used, entitlement } = this.#holdingOf(organisation, priority);
+        let count = Infinity;
+        for (const name of RESOURCE_NAMES) {
+            if (amounts[name] > 0) {
+                count = Math.min(count, (entitlement * this.#fleet[name] - used[name]) / amounts[name]);
+            }
+        }
+        return Math.max(1, Math.ceil(count));
+    }
+
+    #holdingOf(organisation: string, priority: number): PriorityHolding {
+        const ofPriority = this.#holdings.get(priority) ?? new Map<string, PriorityHolding>();
+        this.#holdings.set(priority, ofPriority);
+        const revision = this.#ledger.holdings.get(organisation)?.revision ?? 0;
+        let holding = ofPriority.get(organisation);
+        if (holding?.revision !== revision) {
+            const used = this.#usedBy(organisation, priority);
+            const entitlement = holding?.entitlement ?? this.#computeEntitlement(organisation, priority);
+            holding = { revision, used, dominantShare: dominantShare(used, this.#fleet), entitlement };
+            ofPriority.set(organisation, holding);
+        }
+        return holding;
+    }
+
+    #computeEntitlement(organisation: string, priority: number): number {
+        const weightRatio = this.#weightOf(organisation) / Math.max(this.#totalWeight, MIN_WEIGHT);
+        return Math.max(this.#sharedPart(priority) * weightRatio, MIN_WEIGHT);
     }
 
     #sharedPart(priority: number): number {
@@ -95,7 +118,7 @@
         if (part === undefined) {
             part = this.#freeShare;
             for (const organisation of this.#organisations) {
-                part += this.dominantShareOf(organisation, priority);
+                part += dominantShare(this.#usedBy(organisation, priority), this.#fleet);
             }
             this.#sharedParts.set(priority, part);
         }
--- a/packages/workflow/src/organisations/organisation-limits.ts
+++ b/packages/workflow/src/organisations/organisation-limits.ts
@@ -22,10 +22,14 @@
 
     /** Returns the turns in their order by shares; unchanged if no organisation waits. Assign tasks in between. */
     order(turns: readonly Turn[], timeOfDayMs: number): Iterable<Turn> {
-        const hasOrganisation = turns.some(({ waiting }) => waiting.job.specification.organisation !== undefined);
-        return hasOrganisation
-            ? shareTurns(turns, this.sharesOf(turns.map(({ waiting }) => waiting)), timeOfDayMs)
-            : turns;
+        const organisations = new Set<string>();
+        for (const { waiting } of turns) {
+            const { organisation } = waiting.job.specification;
+            if (organisation !== undefined) {
+                organisations.add(organisation);
+            }
+        }
+        return organisations.size === 0 ? turns : shareTurns(turns, this.sharesWith(organisations), timeOfDayMs);
     }
 
     /** Returns the present shares of the organisations that hold something or to which a waiting step belongs. */
--- a/packages/workflow/src/organisations/quota-ledger.ts
+++ b/packages/workflow/src/organisations/quota-ledger.ts
@@ -17,12 +17,15 @@
     readonly tasks: number;
     /** Amounts by the priority of the queue. */
     readonly byPriority: ReadonlyMap<number, Readonly<ResourceAmounts>>;
+    /** Increases with each change. */
+    readonly revision: number;
 }
 
 interface MutableHolding extends Holding {
     amounts: ResourceAmounts;
     tasks: number;
     byPriority: Map<number, ResourceAmounts>;
+    revision: number;
 }
 
 /** Amounts that a task or an untracked run holds. */
@@ -165,8 +168,9 @@
 
     #change({ organisation, priority, amounts }: Entry, sign: 1 | -1): void {
         const holding = this.#holdings.get(organisation)
-            ?? { amounts: zeroAmounts(), tasks: 0, byPriority: new Map<number, ResourceAmounts>() };
+            ?? { amounts: zeroAmounts(), tasks: 0, byPriority: new Map<number, ResourceAmounts>(), revision: 0 };
         holding.tasks += sign;
+        holding.revision += 1;
         if (holding.tasks === 0) {
             this.#holdings.delete(organisation);
             return;
--- a/packages/workflow/src/organisations/share-turns.ts
+++ b/packages/workflow/src/organisations/share-turns.ts
@@ -24,12 +24,22 @@
  * What an organisation holds is read when each turn is taken, so that the caller must assign tasks in between.
  */
 export function* shareTurns(turns: readonly Turn[], shares: FairShares, timeOfDayMs: number): Generator<Turn, void> {
-    const isOverdue = ({ waiting }: Turn): boolean => isStandingOverdue(waiting, timeOfDayMs) && !exceedsRate(waiting);
-    yield* turns.filter(isOverdue);
-    const others = turns.filter(turn => !isOverdue(turn));
-    for (const part of [others.filter(turn => !exceedsRate(turn.waiting)), others.filter(isBeyondRate)]) {
-        for (const turnsOfPriority of groupByPriority(part)) {
-            yield* shareAmong(turnsOfPriority, shares);
+    const overdue: Turn[] = [];
+    const withinRates = new Map<number, Turn[]>();
+    const beyondRates = new Map<number, Turn[]>();
+    for (const turn of turns) {
+        const exceeds = exceedsRate(turn.waiting);
+        if (!exceeds && isStandingOverdue(turn.waiting, timeOfDayMs)) {
+            overdue.push(turn);
+        }
+        else {
+            addTo(exceeds ? beyondRates : withinRates, turn);
+        }
+    }
+    yield* overdue;
+    for (const turnsByPriority of [withinRates, beyondRates]) {
+        for (const [priority, turnsOfPriority] of [...turnsByPriority].sort(([a], [b]) => a - b)) {
+            yield* shareAmong(turnsOfPriority, priority, shares);
         }
     }
 }
@@ -37,28 +47,25 @@
 /** Whether the job of a step was submitted beyond the agreed rate of its organisation. */
 export const exceedsRate = ({ job }: WaitingStep): boolean => job.specification.exceedsRate === true;
 
-const isBeyondRate = ({ waiting }: Turn): boolean => exceedsRate(waiting);
-
-const priorityOf = ({ waiting }: Turn): number => waiting.job.queue.priority;
-
-const groupByPriority = (turns: readonly Turn[]): Turn[][] => {
-    const groups = new Map<number, Turn[]>();
-    for (const turn of turns) {
-        const group = groups.get(priorityOf(turn)) ?? [];
-        groups.set(priorityOf(turn), group);
-        group.push(turn);
+const addTo = (turnsByPriority: Map<number, Turn[]>, turn: Turn): void => {
+    const { priority } = turn.waiting.job.queue;
+    const turns = turnsByPriority.get(priority);
+    if (turns === undefined) {
+        turnsByPriority.set(priority, [turn]);
+    }
+    else {
+        turns.push(turn);
     }
-    return [...groups.entries()].sort(([a], [b]) => a - b).map(([, group]) => group);
 };
 
 /** Yields the turns of one priority. */
-function* shareAmong(turns: readonly Turn[], shares: FairShares): Generator<Turn, void> {
+function* shareAmong(turns: readonly Turn[], priority: number, shares: FairShares): Generator<Turn, void> {
     const competitors = new Map<string, Competitor>();
     for (const turn of turns) {
         const { organisation } = turn.waiting.job.specification;
-        const maxTasks = organisation === undefined ? Infinity : tasksWithin(organisation, turn, shares);
+        const maxTasks = organisation === undefined ? Infinity : tasksWithin(organisation, turn, priority, shares);
         if (maxTasks > 0) {
-            yield { ...turn, maxTasks: Math.min(turn.maxTasks, maxTasks) };
+            yield maxTasks < turn.maxTasks ? { waiting: turn.waiting, maxTasks } : turn;
         }
         if (organisation !== undefined && maxTasks < Math.min(turn.maxTasks, turn.waiting.record.tasks.length)) {
             const competitor = competitors.get(organisation) ?? { id: organisation, turns: [], next: 0 };
@@ -66,14 +73,14 @@
             competitor.turns.push(turn);
         }
     }
-    yield* fillShares([...competitors.values()], turns[0] === undefined ? 0 : priorityOf(turns[0]), shares);
+    yield* fillShares([...competitors.values()], priority, shares);
 }
 
 /** Returns the number of tasks of a turn that the organisation is entitled to. */
-const tasksWithin = (organisation: string, turn: Turn, shares: FairShares): number =>
-    shares.relativeShareOf(organisation, priorityOf(turn)) >= 1
+const tasksWithin = (organisation: string, { waiting }: Turn, priority: number, shares: FairShares): number =>
+    shares.relativeShareOf(organisation, priority) >= 1
         ? 0
-        : tasksPerStart(turn.waiting.step) * shares.tasksWithinShare(organisation, priorityOf(turn), turn.waiting.step);
+        : tasksPerStart(waiting.step) * shares.tasksWithinShare(organisation, priority, waiting.step);
 
 /** Yields the remaining turns of the organisations, again and again one of that with the smallest weighted share. */
 function* fillShares(competitors: readonly Competitor[], priority: number, shares: FairShares): Generator<Turn, void> {
