--- a/packages/bench/src/workflow/main.ts
+++ b/packages/bench/src/workflow/main.ts
@@ -1,4 +1,5 @@
 import { measureKeyLookup } from "./key-lookup-benchmark.js";
+import { PlanningBenchmark } from "./planning-benchmark.js";
 import { SessionBenchmark } from "./session-benchmark.js";
 
 const DURATION_MS = 10_000;
@@ -17,16 +18,26 @@
     { organisations: 5_000, keysPerOrganisation: 2 },
 ];
 
-const printFigures = (size: object, figures: object): void => {
+/** A full fleet with a long queue, for different numbers of organisations. */
+const PLANNING_SIZE = { servers: 670, runningTasks: 10_500, waitingJobs: 2_000, durationMs: 3_000 };
+const ORGANISATION_COUNTS = [0, 20, 100, 390];
+
+const print = (load: object, figures: object): void => {
     const rounded = Object.fromEntries(
-        Object.entries(figures).map(([name, value]) => [name, Number((value as number).toPrecision(3))]),
+        Object.entries(figures).map(([name, value]) => [name, Number(Number(value).toPrecision(3))]),
     );
-    process.stdout.write(`${JSON.stringify({ ...size, ...rounded })}\n`);
+    process.stdout.write(`${JSON.stringify({ ...load, ...rounded })}\n`);
 };
 
-for (const size of KEY_SIZES) {
-    printFigures(size, measureKeyLookup(size));
+const isPlanningOnly = process.argv.includes("--planning");
+
+for (const size of isPlanningOnly ? [] : KEY_SIZES) {
+    print(size, measureKeyLookup(size));
+}
+for (const size of isPlanningOnly ? [] : SIZES) {
+    print(size, new SessionBenchmark({ ...size, durationMs: DURATION_MS }).run());
 }
-for (const size of SIZES) {
-    printFigures(size, new SessionBenchmark({ ...size, durationMs: DURATION_MS }).run());
+for (const organisations of ORGANISATION_COUNTS) {
+    const load = { ...PLANNING_SIZE, organisations };
+    print(load, new PlanningBenchmark(load).run());
 }
