--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -24,7 +24,8 @@
 import { EventLog } from "./event-log.js";
 import { HeartbeatService } from "./heartbeat-service.js";
 import { InternalCaller } from "./internal-caller.js";
-import { createForwardedHandlers } from "./internal-handlers.js";
+import { createForwardedHandlers, createPreviewHandler } from "./internal-handlers.js";
+import type { ForwardedHandlersOptions } from "./internal-handlers.js";
 import { createInternalListener } from "./internal-listener.js";
 import type { InternalHandler } from "./internal-listener.js";
 import type { MembershipRequirements } from "./membership-reconciler.js";
@@ -407,12 +408,14 @@
     }
 
     #internalHandlers(): ReadonlyMap<string, InternalHandler> {
+        const forwarding: ForwardedHandlersOptions = {
+            node: this.#node,
+            call: start => this.#driver.call(start),
+            leaderHost: () => this.leaderHost,
+        };
         return new Map<string, InternalHandler>([
-            ...createForwardedHandlers({
-                node: this.#node,
-                call: start => this.#driver.call(start),
-                leaderHost: () => this.leaderHost,
-            }),
+            ...createForwardedHandlers(forwarding),
+            createPreviewHandler(forwarding),
             [DESCRIBE_PATH, () => toJson(DescribeResponseSchema, describeReplica(this.#runner.replica))],
             [CLUSTER_PATH, () => this.#describeCluster()],
             [JOIN_PATH, (request: JoinRequest) => this.#membership.handleJoin(request, monotonicNowMs())],
--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -9,6 +9,7 @@
 export * from "./control-relay.js";
 export * from "./forwarded-call.js";
 export { MAX_ANSWER_BYTES } from "./heartbeat-forwarder.js";
+export * from "./internal-caller.js";
 export * from "./json-call.js";
 export * from "./leader-client.js";
 export * from "./leader-finder.js";
--- a/packages/daemon/src/workflow/internal-handlers.ts
+++ b/packages/daemon/src/workflow/internal-handlers.ts
@@ -1,8 +1,8 @@
 import type { Respond, Times, WorkflowNode } from "@waxwingspread/workflow";
 import type { CallResult } from "@waxwingspread/workflow";
 import type { InternalHandler } from "./internal-listener.js";
-import { ForwardedOperation, forwardedPath } from "./operations.js";
-import type { ForwardedRequests, ForwardedResponse } from "./operations.js";
+import { ForwardedOperation, forwardedPath, PREVIEW_PATH } from "./operations.js";
+import type { ForwardedRequests, ForwardedResponse, PreviewRequest, PreviewResponse } from "./operations.js";
 
 /** Starts a call to the workflow node and resolves with its result. */
 export type NodeCall = <Value>(start: (respond: Respond<Value>, times: Times) => void) => Promise<CallResult<Value>>;
@@ -44,3 +44,14 @@
         };
         return [forwardedPath(operation), handle];
     });
+
+/** Returns the path and the handler of the preview of a submission. */
+export const createPreviewHandler = (
+    { node, call, leaderHost }: ForwardedHandlersOptions,
+): [string, InternalHandler] => [
+    PREVIEW_PATH,
+    async ({ address, job }: PreviewRequest): Promise<PreviewResponse> => ({
+        result: await call((respond, times) => node.previewJob(address, job, respond, times)),
+        leaderHost: leaderHost(),
+    }),
+];
--- a/packages/daemon/src/workflow/open-log.ts
+++ b/packages/daemon/src/workflow/open-log.ts
@@ -1,6 +1,6 @@
 import { messageOf } from "@waxwingspread/common";
 import { isDiskFullError, NodeFileSystem, openOrReplaceStore } from "@waxwingspread/consensus";
-import type { FileSystem, OpenedStore } from "@waxwingspread/consensus";
+import type { OpenedStore } from "@waxwingspread/consensus";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
@@ -23,8 +23,6 @@
     logger: Logger;
     /** Ends the wait for room on the disk. */
     stopSignal?: AbortSignal;
-    /** The operating system's by default. */
-    fileSystem?: FileSystem;
 }
 
 /**
@@ -45,10 +43,10 @@
 };
 
 const openWhenDiskHasRoom = async (settings: LogSettings, dependencies: LogDependencies): Promise<OpenedStore> => {
-    const { logger, stopSignal, fileSystem = new NodeFileSystem() } = dependencies;
+    const { logger, stopSignal } = dependencies;
     const address = `${settings.host}:${settings.replicaPort}`;
     const options = {
-        fileSystem,
+        fileSystem: new NodeFileSystem(),
         folder: join(settings.dataFolder, "log"),
         name: address,
         address,
--- a/packages/daemon/src/workflow/operations.ts
+++ b/packages/daemon/src/workflow/operations.ts
@@ -3,6 +3,7 @@
     Configuration,
     HeartbeatOrders,
     HeartbeatReport,
+    JobPreview,
     JobSpecification,
     JobState,
     MaintenanceOrder,
@@ -41,6 +42,16 @@
     leaderHost: string | undefined;
 }
 
+/** Asks what would happen to a submission. */
+export type PreviewRequest = ForwardedRequests[ForwardedOperation.Submit];
+
+/** Response to a {@link PreviewRequest}. Only the leader knows the servers. */
+export interface PreviewResponse {
+    result: CallResult<JobPreview>;
+    /** Host of the leader that the responding replica knows; undefined if it knows none. */
+    leaderHost: string | undefined;
+}
+
 /** Cluster state from the view of one control replica. */
 export interface ClusterDescription {
     leaderHost: string | undefined;
@@ -176,6 +187,9 @@
 /** Returns the path of a forwarded operation on the internal listener. */
 export const forwardedPath = (operation: ForwardedOperation): string => `/workflow/${operation}`;
 
+/** Path of previews of submissions on the internal listener. */
+export const PREVIEW_PATH = "/workflow/preview";
+
 /** Path of the description of the cluster on the internal listener. */
 export const CLUSTER_PATH = "/cluster";
 
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./leader/eligibility.js";
+export type { JobPreview, StepPreview } from "./leader/job-preview.js";
 export * from "./leader/leader-session.js";
 export { Exclusion } from "./leader/placement.js";
 export * from "./leader/server-event.js";
--- a/packages/workflow/src/leader/job-admission.ts
+++ b/packages/workflow/src/leader/job-admission.ts
@@ -37,23 +37,36 @@
     /** Returns whether a job may be accepted, and counts it if so. */
     tryAdmit(job: JobSpecification, nowMs: number): boolean {
         this.#update(nowMs);
-        const sizeBytes = sizeOfJob(job) + sizeOfTasks(job);
-        if (this.#usedBytes + FREE_RATIO * sizeBytes > this.#options.maxBytes) {
+        if (!this.#fits(job, this.#usedBytes)) {
             return false;
         }
-        this.#usedBytes += sizeBytes;
+        this.#usedBytes += sizeOfJob(job) + sizeOfTasks(job);
         return true;
     }
 
+    /** Whether a job would be accepted beside all known ones; counts nothing. */
+    hasRoomFor(job: JobSpecification): boolean {
+        return this.#fits(job, this.#sizeOfKnownJobs());
+    }
+
+    #fits(job: JobSpecification, usedBytes: number): boolean {
+        return usedBytes + FREE_RATIO * (sizeOfJob(job) + sizeOfTasks(job)) <= this.#options.maxBytes;
+    }
+
     #update(nowMs: number): void {
         if (nowMs - this.#updatedAtMs < UPDATE_INTERVAL_MS) {
             return;
         }
         this.#updatedAtMs = nowMs;
-        this.#usedBytes = 0;
+        this.#usedBytes = this.#sizeOfKnownJobs();
+    }
+
+    #sizeOfKnownJobs(): number {
+        let sizeBytes = 0;
         for (const job of this.#options.state.jobs.values()) {
-            this.#usedBytes += sizeOf(job);
+            sizeBytes += sizeOf(job);
         }
+        return sizeBytes;
     }
 }
 
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -16,6 +16,8 @@
 import { hasPlausibleSequence, implausibleEventOf } from "./heartbeat-plausibility.js";
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
 import { JobAdmission } from "./job-admission.js";
+import { previewJob } from "./job-preview.js";
+import type { JobPreview, Submission } from "./job-preview.js";
 import { JobRetention } from "./job-retention.js";
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
@@ -157,14 +159,16 @@
         return utilizationOf(this.#directory.servers, this.#queue, this.#pressure);
     }
 
+    /** Returns what would happen to a submission now, without a change. */
+    preview(submission: Submission, times: Times): JobPreview {
+        const isKnown = this.#options.state.job(submission.job.id) !== undefined;
+        return previewJob(submission, { planner: this.#planner, submissions: this.submissions, isKnown }, times);
+    }
+
     /** Returns reports on the tasks that have waited longest for a start. */
     waitReports(times: Times): WaitReport[] {
-        return waitReportsOf({
-            queue: this.#queue,
-            directory: this.#directory,
-            planner: this.#planner,
-            unstartedTasks: this.#unstartedTasks,
-        }, times);
+        const sources = { queue: this.#queue, directory: this.#directory, planner: this.#planner };
+        return waitReportsOf({ ...sources, unstartedTasks: this.#unstartedTasks }, times);
     }
 
     /**
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -137,6 +137,12 @@
         return countServers(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
     }
 
+    /** Returns the server that suits a task of the step best now, without reserving anything; undefined without one. */
+    bestServerFor(waiting: WaitingStep, nowMs: number): ServerView | undefined {
+        const constraints = this.#constraintsFor(waiting, nowMs);
+        return chooseServer(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
+    }
+
     /** Returns the step of a run as if its task was waiting; undefined if its job is gone. */
     stepOf({ position, step, kind }: RunView): WaitingStep | undefined {
         const { jobId, occurrence, step: stepIndex } = position;
--- a/packages/workflow/src/leader/submission-control.ts
+++ b/packages/workflow/src/leader/submission-control.ts
@@ -20,13 +20,27 @@
 
     /** Returns why the submission is refused; otherwise counts its job as accepted and returns undefined. */
     admit(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
+        const refusal = this.#firstRefusal(job, queue, times);
+        if (refusal !== undefined) {
+            return refusal;
+        }
+        // The last check, since it counts the job.
+        return this.#admission.tryAdmit(job, times.nowMs) ? undefined : refused(Refusal.Overloaded);
+    }
+
+    /** Returns why the submission would be refused, or undefined; counts nothing. */
+    check(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
+        return this.#firstRefusal(job, queue, times)
+            ?? (this.#admission.hasRoomFor(job) ? undefined : refused(Refusal.Overloaded));
+    }
+
+    #firstRefusal(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
         for (const check of this.#checks) {
             const refusal = check(job, queue, times);
             if (refusal !== undefined) {
                 return refusal;
             }
         }
-        // The last check, since it counts the job.
-        return this.#admission.tryAdmit(job, times.nowMs) ? undefined : refused(Refusal.Overloaded);
+        return undefined;
     }
 }
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -1,4 +1,5 @@
 import type { QueryEligibility } from "../leader/eligibility.js";
+import type { JobPreview } from "../leader/job-preview.js";
 import { LeaderSession } from "../leader/leader-session.js";
 import type { ServerEvent } from "../leader/server-event.js";
 import type { LeaderSettings } from "../leader/settings.js";
@@ -187,6 +188,23 @@
         );
     }
 
+    /** Returns what would happen to a submission now: whether it is refused, and where its tasks would go. */
+    previewJob(address: QueueAddress, job: JobSpecification, respond: Respond<JobPreview>, times: Times): void {
+        if (!this.#canServe(times.nowMs)) {
+            respond(refused(Refusal.NotLeader));
+            return;
+        }
+        this.#enqueueRead(
+            () => {
+                const queue = findQueue(this.#state.configuration, address.host, address.path);
+                const preview = queue === undefined ? undefined : this.#session?.preview({ job, queue }, times);
+                respond(preview === undefined ? refused(this.#unknownQueueRefusal()) : succeeded(preview));
+            },
+            respond,
+            times.nowMs,
+        );
+    }
+
     /** Accepts a configuration durably; succeeds without effect unless its version is higher than the current one. */
     configure(configuration: Configuration, respond: Respond<void>, { nowMs }: Times): void {
         if (!this.#canServe(nowMs)) {
