--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -1,5 +1,5 @@
 import type { QueueContract } from "../model/configuration.js";
-import { TaskKind, taskKindOf } from "../model/specification.js";
+import { TaskKind } from "../model/specification.js";
 import type { JobSpecification } from "../model/specification.js";
 import type { OrganisationLimits } from "../organisations/organisation-limits.js";
 import { exceedsRate } from "../organisations/share-turns.js";
@@ -18,6 +18,7 @@
 import type { RunView, ServerView } from "./server-view.js";
 import type { Times } from "./times.js";
 import { TrialWaits } from "./trial-waits.js";
+import { untimedStepOf, untimedStepsOf } from "./untimed-steps.js";
 import { stepKeyOf, taskKeyIn } from "./work-queue.js";
 import type { Turn, WaitingStep, WorkQueue } from "./work-queue.js";
 
@@ -140,14 +141,16 @@
 
     /** Whether some server can run a task now with which a job begins that isn't accepted yet. */
     hasRoomFor(specification: JobSpecification, queue: QueueContract, { nowMs, timeOfDayMs }: Times): boolean {
-        const job = JobRecord.accepted(specification, queue, timeOfDayMs);
-        return specification.steps.some((step, stepIndex) => {
-            const record = job.stepsOf(0)?.[stepIndex];
-            const waiting = record === undefined || step.dependsOn.length > 0
-                ? undefined
-                : untimedStepOf({ job, occurrence: 0, stepIndex, step, kind: taskKindOf(step), record });
-            return waiting !== undefined && this.countServersFor(waiting, nowMs).serversWithRoom > 0;
-        });
+        const steps = untimedStepsOf(JobRecord.accepted(specification, queue, timeOfDayMs));
+        return steps.some(waiting =>
+            waiting.step.dependsOn.length === 0 && this.countServersFor(waiting, nowMs).serversWithRoom > 0
+        );
+    }
+
+    /** Returns the server that suits a task of the step best now, without reserving anything; undefined without one. */
+    bestServerFor(waiting: WaitingStep, nowMs: number): ServerView | undefined {
+        const constraints = this.#constraintsFor(waiting, nowMs);
+        return chooseServer(waiting, this.#directory.servers, constraints, this.#pressure, nowMs);
     }
 
     /** Returns the step of a run as if its task was waiting; undefined if its job is gone. */
@@ -464,17 +467,6 @@
     }
 }
 
-/** Returns a step without the times that only matter for its order in the queue. */
-const untimedStepOf = (
-    step: Pick<WaitingStep, "job" | "occurrence" | "stepIndex" | "step" | "kind" | "record">,
-): WaitingStep => ({
-    ...step,
-    waitingSinceMs: 0,
-    expectedEndMs: 0,
-    remainingCriticalPathMs: 0,
-    idleSinceMs: undefined,
-});
-
 const NOTHING_TO_PLAN: Plan = { runs: [], isComplete: true };
 
 /** Returns the constraints that steps share, other than their amounts. An approval is given to one step only. */
--- a/packages/workflow/src/leader/submission-control.ts
+++ b/packages/workflow/src/leader/submission-control.ts
@@ -33,22 +33,31 @@
 
     /** Returns why the submission is refused; otherwise counts its job as accepted and returns undefined. */
     admit(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
-        const refusal = this.#refusalOf(job, queue, times);
+        const refusal = this.#firstRefusal(job, queue, times) ?? this.#admit(job, times);
         if (refusal !== undefined) {
             this.#options.recordRefusal(job, refusal);
         }
         return refusal;
     }
 
-    #refusalOf(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
-        const { checks, admission } = this.#options;
-        for (const check of checks) {
+    /** Returns why the submission would be refused, or undefined; counts nothing. */
+    check(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
+        return this.#firstRefusal(job, queue, times)
+            ?? (this.#options.admission.hasRoomFor(job) ? undefined : refused(Refusal.Overloaded));
+    }
+
+    /** The last check, since it counts the job. */
+    #admit(job: JobSpecification, { nowMs }: Times): RefusedCall | undefined {
+        return this.#options.admission.tryAdmit(job, nowMs) ? undefined : refused(Refusal.Overloaded);
+    }
+
+    #firstRefusal(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
+        for (const check of this.#options.checks) {
             const refusal = check(job, queue, times);
             if (refusal !== undefined) {
                 return refusal;
             }
         }
-        // The last check, since it counts the job.
-        return admission.tryAdmit(job, times.nowMs) ? undefined : refused(Refusal.Overloaded);
+        return undefined;
     }
 }
--- a/packages/workflow/src/node/workflow-node.ts
+++ b/packages/workflow/src/node/workflow-node.ts
@@ -1,10 +1,12 @@
 import type { QueryEligibility } from "../leader/eligibility.js";
+import type { JobPreview } from "../leader/job-preview.js";
 import { LeaderSession } from "../leader/leader-session.js";
 import type { ServerEvent } from "../leader/server-event.js";
 import type { LeaderSettings } from "../leader/settings.js";
 import type { Times } from "../leader/times.js";
 import { Refusal, refused, succeeded } from "../model/calls.js";
 import type { JobState, Respond } from "../model/calls.js";
+import { findQueue } from "../model/configuration.js";
 import type { Configuration } from "../model/configuration.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import { MaintenanceState } from "../model/maintenance.js";
@@ -16,7 +18,7 @@
 import { UnknownEventError, WorkflowState } from "../state/workflow-state.js";
 import type { WorkflowSnapshot } from "../state/workflow-state.js";
 import type { CallRefusal } from "./call-refusal.js";
-import type { CallOrigin } from "./caller-access.js";
+import type { CallOrigin, QueueAddress } from "./caller-access.js";
 import { CallerCalls } from "./caller-calls.js";
 import { PendingCalls } from "./pending-calls.js";
 import type { CommittedRecord, ReplicatedLog } from "./replicated-log.js";
@@ -135,6 +137,23 @@
         this.#callerCalls.pendingJobs(origin, respond, times);
     }
 
+    /** Returns what would happen to a submission now: whether it is refused, and where its tasks would go. */
+    previewJob(address: QueueAddress, job: JobSpecification, respond: Respond<JobPreview>, times: Times): void {
+        if (!this.#canServe(times.nowMs)) {
+            respond(refused(Refusal.NotLeader));
+            return;
+        }
+        this.#calls.addRead(
+            () => {
+                const queue = findQueue(this.#state.configuration, address.host, address.path);
+                const preview = queue === undefined ? undefined : this.#session?.preview({ job, queue }, times);
+                respond(preview === undefined ? refused(Refusal.UnknownQueue) : succeeded(preview));
+            },
+            respond,
+            times.nowMs,
+        );
+    }
+
     /** Accepts a configuration durably; succeeds without effect unless its version is higher than the current one. */
     configure(configuration: Configuration, respond: Respond<void>, { nowMs }: Times): void {
         if (!this.#canServe(nowMs)) {
