--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./announcement-digest.js";
 export * from "./bounded-json.js";
+export * from "./decayed-quantile.js";
 export * from "./hybrid-clock.js";
 export * from "./job-key.js";
 export * from "./journal.js";
--- a/packages/scheduler/src/policy/reservation-estimator.ts
+++ b/packages/scheduler/src/policy/reservation-estimator.ts
@@ -1,7 +1,7 @@
+import { DecayedQuantile } from "@waxwingspread/common";
 import type { Resources } from "@waxwingspread/protocol";
 import { RESOURCE_NAMES, toRoundedResources } from "../state/resources.js";
 import type { ResourceAmounts } from "../state/resources.js";
-import { DecayedQuantile } from "./decayed-quantile.js";
 import type { ClassKey, ReservationPolicy } from "./types.js";
 
 /** Parameters of the {@link ReservationEstimator}. */
