--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -6,7 +6,7 @@
 import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
 import { FailedAction, WorkflowNode } from "@waxwingspread/workflow";
-import type { CallResult, HeartbeatReport, LeaderSettings, Times } from "@waxwingspread/workflow";
+import type { CallResult, HeartbeatReport, LeaderSession, LeaderSettings, Times } from "@waxwingspread/workflow";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
@@ -360,9 +360,20 @@
             const reports = session.waitReports(this.#currentTimes());
             this.#metrics.setWaitReports(reports);
             reports.forEach(report => this.#logger.warn(report, "task waits for a start"));
+            this.#reportOverload(session);
         }
     }
 
+    #reportOverload(session: LeaderSession): void {
+        const report = session.overload.takeReport(this.#currentTimes());
+        const { waits, outcomes, ...decisions } = report;
+        this.#metrics.overload.record(report);
+        waits.forEach(summary => this.#logger.info(summary, "waiting steps"));
+        this.#logger.info(outcomes.counts, "job outcomes");
+        this.#logger.info(decisions, "overload control");
+        outcomes.lateJobs.forEach(outcome => this.#logger.info(outcome, "job ended late"));
+    }
+
     #applyCommitted(entries: LogEntry[]): void {
         const records = entries.map(entry => ({
             index: entry.index,
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -4,6 +4,7 @@
 import { MetricFactory } from "../metrics/metric-factory.js";
 import { ForwardedOperation } from "./operations.js";
 import type { VoterStatus } from "./operations.js";
+import { OverloadMetrics } from "./overload-metrics.js";
 
 const OK_LABEL = "ok";
 /** From one commit within a zone up to the maximum wait of a caller. */
@@ -55,6 +56,7 @@
 export class ControlMetrics {
     readonly registry = new Registry();
     readonly #factory = new MetricFactory(this.registry);
+    readonly overload = new OverloadMetrics(this.#factory);
     /** Acceptance time of each job that waits for its first run, by job id. */
     readonly #acceptedAtMs = new Map<string, number>();
     readonly #heartbeats = this.#factory.counter("heartbeats", "Heartbeats of backend servers, by outcome", {
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -1,5 +1,7 @@
 export * from "./leader/eligibility.js";
 export * from "./leader/leader-session.js";
+export * from "./leader/overload/job-outcomes.js";
+export type { OverloadReport } from "./leader/overload/overload-control.js";
 export { Exclusion } from "./leader/placement.js";
 export * from "./leader/server-event.js";
 export * from "./leader/server-view.js";
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -13,6 +13,7 @@
 import { Evacuation } from "./evacuation.js";
 import { FillerMoves } from "./filler-moves.js";
 import { FillerPacing } from "./filler-pacing.js";
+import { HeartbeatAnswers } from "./heartbeat-answers.js";
 import { hasPlausibleSequence, implausibleEventOf } from "./heartbeat-plausibility.js";
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
 import { JobAdmission } from "./job-admission.js";
@@ -20,6 +21,7 @@
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
 import { OrderWriter } from "./order-writer.js";
+import { OverloadControl } from "./overload/overload-control.js";
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
 import { PressureRecords } from "./pressure-records.js";
@@ -31,7 +33,6 @@
 import type { ServerEvent } from "./server-event.js";
 import { ServerFailures } from "./server-failures.js";
 import { ServerSpeed } from "./server-speed.js";
-import { resetStartOrders } from "./server-view.js";
 import type { ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import { hasStepSucceeded } from "./step-success.js";
@@ -69,6 +70,7 @@
 export class LeaderSession {
     readonly cancellations: EarlyCancellations;
     readonly submissions: SubmissionControl;
+    readonly overload: OverloadControl;
     readonly #options: LeaderSessionOptions;
     readonly #directory: ServerDirectory;
     readonly #unstartedTasks = new UnstartedTasks();
@@ -79,7 +81,7 @@
     readonly #eligibility: Eligibility;
     readonly #planner: Planner;
     readonly #reconciler: HeartbeatReconciler;
-    readonly #orders: OrderWriter;
+    readonly #answers: HeartbeatAnswers;
     readonly #evacuation: Evacuation;
     readonly #speed = new ServerSpeed();
     readonly #moves: FillerMoves;
@@ -113,17 +115,35 @@
             directory: this.#directory,
             pressure: this.#pressure,
             eligibility: this.#eligibility,
+            scarceTaskMillicores: (queue, nowMs) => this.overload.scarceTaskMillicores(queue, nowMs),
+        });
+        this.overload = new OverloadControl({
+            queue: this.#queue,
+            servers: () => this.#directory.servers,
+            countServers: (waiting, nowMs) => this.#planner.countServersFor(waiting, nowMs),
         });
         this.#reconciler = new HeartbeatReconciler(state);
-        this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings);
         this.#evacuation = new Evacuation(this.#directory);
         this.#stops = new RunStops(state, this.#directory);
         const kept = { state, retentionMs: settings.retentionMs, propose: options.propose };
         this.cancellations = new EarlyCancellations(kept);
-        this.submissions = new SubmissionControl([], new JobAdmission({ state, maxBytes: settings.maxJobBytes }));
+        this.submissions = new SubmissionControl(
+            [this.overload.check],
+            new JobAdmission({ state, maxBytes: settings.maxJobBytes }),
+        );
         this.#retention = new JobRetention({ ...kept, cancellations: this.cancellations }, times.nowMs);
         this.#losses = new RunLosses({ state, directory: this.#directory, propose: options.propose });
         this.#failures = new ServerFailures(step => hasStepSucceeded(state, this.#directory, step));
+        this.#answers = new HeartbeatAnswers({
+            state,
+            settings,
+            heartbeats: this.#heartbeats,
+            directory: this.#directory,
+            orders: new OrderWriter(state, this.#eligibility, options.term, settings),
+            failures: this.#failures,
+            losses: this.#losses,
+            unstartedTasks: this.#unstartedTasks,
+        });
         this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
             state,
@@ -134,11 +154,11 @@
             begin: options.beginMaintenance,
         }, times.nowMs);
         this.#losses.recordFormerRuns(adoptRuns(state, this.#directory, settings, times), times);
-        if (!this.#isLeaseRecorded) {
+        if (!this.#answers.isLeaseRecorded) {
             options.propose({ kind: EventKind.LeaseExtended, leaseMs: settings.leaseMs });
         }
         for (const job of state.jobs.values()) {
-            this.#queue.refresh(job, times.timeOfDayMs);
+            this.#handleAccepted(job.id, times);
         }
     }
 
@@ -213,7 +233,10 @@
             this.#unstartedTasks.recordEnds(server, changes.newEnds);
         }
         changes.startedJobs.forEach(id => this.#startedJobs.add(id));
-        changes.startedTasks.forEach(task => this.#unstartedTasks.recordStarted(task));
+        changes.startedTasks.forEach(task => {
+            this.#unstartedTasks.recordStarted(task);
+            this.overload.recordStarted(server.runs.get(task));
+        });
         if (changes.startedTasks.length > 0) {
             this.#failures.recordStart(server, nowMs);
         }
@@ -262,7 +285,7 @@
                 this.#options.propose({ kind: EventKind.RunsAssigned, runs });
             }
         }
-        this.#answerHeartbeats(times);
+        this.#answers.send(times);
         this.#pressureRecords.run(nowMs);
         if (this.#retention.run(nowMs)) {
             this.#discardExpired(nowMs);
@@ -286,12 +309,13 @@
     #handleApplied(event: WorkflowEvent, times: Times): void {
         switch (event.kind) {
             case EventKind.JobAccepted:
-                this.#refreshJob(event.job.id, times);
+                this.#handleAccepted(event.job.id, times);
                 return;
             case EventKind.JobCancelled:
                 this.cancellations.handleApplied(event.jobId, times.nowMs);
                 this.#stops.stopJob(event.jobId);
                 this.#refreshJob(event.jobId, times);
+                this.overload.recordEnd(this.#options.state.job(event.jobId), times.nowMs);
                 return;
             case EventKind.JobsForgotten:
                 event.jobIds.forEach(id => this.#startedJobs.delete(id));
@@ -315,12 +339,21 @@
         }
     }
 
+    #handleAccepted(jobId: string, times: Times): void {
+        const job = this.#options.state.job(jobId);
+        if (job !== undefined) {
+            this.#queue.refresh(job, times.timeOfDayMs);
+            this.overload.recordAccepted(job, times);
+        }
+    }
+
     #handleAssigned(event: EventOf<EventKind.RunsAssigned>, times: Times): void {
         for (const assigned of event.runs) {
             const { task, run, serverId, incarnation } = assigned;
             const view = this.#directory.find(serverId, incarnation)?.findRun(task, run);
             if (view !== undefined) {
                 view.isCommitted = true;
+                this.overload.recordAssigned(view, times.timeOfDayMs);
                 view.isStopping ||= this.#jobOf(task)?.isOver ?? true;
             }
             else {
@@ -351,18 +384,21 @@
     #handleEnded(event: EventOf<EventKind.RunsEnded>, times: Times): void {
         const server = this.#directory.find(event.server.serverId, event.server.incarnation);
         for (const ended of event.ends) {
-            if (server?.findRun(ended.task, ended.run) !== undefined) {
-                server.removeRun(ended.task);
+            const run = server?.findRun(ended.task, ended.run);
+            if (run !== undefined) {
+                server?.removeRun(ended.task);
             }
             this.#refreshTask(ended.task, times);
             if (ended.end !== RunEnd.Done) {
                 this.#stops.stopGangMembers(ended);
             }
             const job = this.#jobOf(ended.task);
+            this.overload.recordRunEnd(job, run, ended.end, times.nowMs);
             this.#losses.clearEnded(ended, times);
             if (job?.isOver === true) {
                 this.#stops.stopJob(job.id);
             }
+            this.overload.recordEnd(job, times.nowMs);
         }
     }
 
@@ -399,54 +435,13 @@
         return this.#options.state.job(parseTaskKey(task)?.jobId ?? "");
     }
 
-    #answerHeartbeats(times: Times): void {
-        const { nowMs } = times;
-        for (const { report, respond } of this.#heartbeats.takeReady(item => this.#isWaitingForLog(item), nowMs)) {
-            const server = this.#serverOf(report);
-            if (server === undefined || !this.#isLeaseRecorded) {
-                respond(undefined);
-                continue;
-            }
-            const written = this.#orders.buildOrders(server, report, this.#directory.size, nowMs);
-            const isFaulty = written.unexecuted.length > 0
-                && this.#failures.recordUnexecutedOrders(server, this.#directory.size, nowMs);
-            const lostRuns = [...written.neverStarted, ...isFaulty ? written.unexecuted : []];
-            written.unexecuted.forEach(resetStartOrders);
-            this.#losses.recordLost(lostRuns, LossReason.NeverStarted, times);
-            lostRuns.forEach(run => this.#unstartedTasks.recordLost(run));
-            lostRuns.forEach(run => server.removeRun(run.task));
-            respond(written.orders);
-        }
-    }
-
-    /** Returns the server of a heartbeat; undefined if a later heartbeat has arrived or the server has been removed. */
-    #serverOf(report: HeartbeatReport): ServerView | undefined {
-        const server = this.#directory.find(report.serverId, report.incarnation);
-        return server?.sequence === report.sequence ? server : undefined;
-    }
-
-    #isWaitingForLog(report: HeartbeatReport): boolean {
-        const server = this.#serverOf(report);
-        if (server === undefined) {
-            return false;
-        }
-        const { id: serverId, incarnation } = server;
-        const isEndWaiting = server.lastProposedEnd > this.#options.state.acknowledgedEnd({ serverId, incarnation });
-        return isEndWaiting || server.hasUncommittedRuns || !this.#isLeaseRecorded;
-    }
-
-    /** Whether the next leader will know how long the leases are that this one grants. */
-    get #isLeaseRecorded(): boolean {
-        const { state, settings } = this.#options;
-        return (state.longestLeaseMs ?? 0) >= settings.leaseMs;
-    }
-
     /** Discards what is known beside the state of jobs that have ended, and of servers and losses that are long past. */
     #discardExpired(nowMs: number): void {
         const { state } = this.#options;
         this.#failures.evictExpired(nowMs);
         this.#losses.evictExpired(nowMs);
         this.#unstartedTasks.retain(jobId => state.job(jobId)?.isOver === false);
+        this.overload.retain(jobId => state.job(jobId)?.isOver === false);
         this.#eligibility.retain(step => this.#jobOf(`${step}.0`)?.isOver === false);
     }
 }
--- /dev/null
+++ b/packages/workflow/src/leader/overload/standing-admission.ts
@@ -0,0 +1,101 @@
+import { Refusal, refused } from "../../model/calls.js";
+import type { RefusedCall } from "../../model/calls.js";
+import type { QueueContract } from "../../model/configuration.js";
+import { TaskKind, taskKindOf } from "../../model/specification.js";
+import type { JobSpecification } from "../../model/specification.js";
+import type { Times } from "../times.js";
+import { DecayedRate } from "./decayed-rate.js";
+
+/** Room for finite work, as a multiple of its mean need, below which standing jobs are refused. */
+const REFUSAL_RATIO = 1.25;
+/** The same from which on they are accepted again; the gap keeps one job from switching the decision. */
+export const READMISSION_RATIO = 1.5;
+/** Time over which the departures of standing jobs are averaged. They stay long, so that few of them leave at a time. */
+const DEPARTURE_HALF_LIFE_MS = 20_000;
+const MIN_RETRY_AFTER_MS = 1_000;
+const MAX_RETRY_AFTER_MS = 30_000;
+
+/** Room for finite work beside the standing work that has been accepted, and its mean need; both in cores. */
+export interface RoomForecast {
+    roomCores: number;
+    neededCores: number;
+}
+
+/** Decisions on the standing jobs of one priority. */
+export interface StandingDecisions {
+    accepted: number;
+    refused: number;
+    refusedCores: number;
+}
+
+/** Decisions since the last report. */
+export interface StandingAdmissionReport {
+    byPriority: Record<number, StandingDecisions>;
+    /** Whether the last decision was a refusal. */
+    isShort: boolean;
+}
+
+/**
+ * Refuses new standing jobs while there is too little room for the finite work of the same or a higher priority. A standing
+ * job takes its room for long, and all of it in addition to what waits; many finite jobs would end late for it. The size of
+ * the job doesn't count, so that large ones aren't refused more often than small ones.
+ */
+export class StandingAdmission {
+    readonly #departures = new DecayedRate(DEPARTURE_HALF_LIFE_MS);
+    readonly #forecast: (job: JobSpecification, queue: QueueContract, nowMs: number) => RoomForecast;
+    #isShort = false;
+    /** Time at which the next refused client may return: one after the other, as departures make room for it. */
+    #nextReturnAtMs = -Infinity;
+    #decisions: StandingAdmissionReport["byPriority"] = {};
+
+    constructor(forecast: (job: JobSpecification, queue: QueueContract, nowMs: number) => RoomForecast) {
+        this.#forecast = forecast;
+    }
+
+    /** Records that a standing job has ended and leaves its room to others. */
+    recordDeparture(cores: number, nowMs: number): void {
+        this.#departures.add(cores, nowMs);
+    }
+
+    /** Returns the refusal of a standing job for which there is too little room; undefined for any other job. */
+    check(job: JobSpecification, queue: QueueContract, { nowMs }: Times): RefusedCall | undefined {
+        const cores = standingCoresOf(job);
+        if (cores === 0) {
+            return undefined;
+        }
+        const { roomCores, neededCores } = this.#forecast(job, queue, nowMs);
+        const ratio = this.#isShort ? READMISSION_RATIO : REFUSAL_RATIO;
+        this.#isShort = neededCores > 0 && roomCores < ratio * neededCores;
+        const decisions = this.#decisions[queue.priority] ??= { accepted: 0, refused: 0, refusedCores: 0 };
+        if (!this.#isShort) {
+            decisions.accepted += 1;
+            return undefined;
+        }
+        decisions.refused += 1;
+        decisions.refusedCores += cores;
+        const shortageCores = READMISSION_RATIO * neededCores - roomCores;
+        return refused(Refusal.Overloaded, this.#retryAfterMs(shortageCores, cores, nowMs));
+    }
+
+    /** Returns the decisions since the last call. */
+    takeReport(): StandingAdmissionReport {
+        const report = { byPriority: this.#decisions, isShort: this.#isShort };
+        this.#decisions = {};
+        return report;
+    }
+
+    #retryAfterMs(shortageCores: number, jobCores: number, nowMs: number): number {
+        const coresPerMs = this.#departures.perSecond(nowMs) / 1_000;
+        const waitMs = coresPerMs === 0 ? MAX_RETRY_AFTER_MS : shortageCores / coresPerMs;
+        const returnAtMs = Math.max(nowMs + waitMs, this.#nextReturnAtMs);
+        const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, returnAtMs - nowMs));
+        this.#nextReturnAtMs = nowMs + retryAfterMs + (coresPerMs === 0 ? 0 : jobCores / coresPerMs);
+        return retryAfterMs;
+    }
+}
+
+/** Returns the cores that the standing tasks of a job reserve. */
+export const standingCoresOf = ({ steps }: Pick<JobSpecification, "steps">): number =>
+    steps
+        .filter(step => taskKindOf(step) === TaskKind.Standing)
+        .reduce((sum, { taskCount, amounts }) => sum + (taskCount * amounts.cpuMillicores) / 1_000, 0);
--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -14,6 +14,7 @@
     rackOfStep: "",
     isEligible: undefined,
     isIsolated: false,
+    scarceTaskMillicores: 0,
     crashes: [],
 };
 
@@ -36,6 +37,7 @@
         record,
         waitingSinceMs: 0,
         expectedEndMs: 0,
+        usefulUntilMs: 0,
         remainingCriticalPathMs: 0,
         idleSinceMs: 0,
     };
@@ -83,3 +85,16 @@
     avoided.avoidUntilMs = 1_000;
     expect(choose(800, avoided)).toBe(avoided);
 });
+
+// Load: finite tasks of 1.5 cores lack room beside standing ones. Guards against standing tasks that leave remainders on each
+// server that are too small for any finite task.
+it("places a standing task where it leaves the most places for finite tasks, while these are scarce", () => {
+    const servers = [serverWithStanding(1_000), serverWithStanding(200)];
+    const chooseWith = (scarceTaskMillicores: number): ServerView | undefined => {
+        const constraints = { ...CONSTRAINTS, scarceTaskMillicores };
+        return chooseServer(waitingOf(standingOf(800)), servers, constraints, new PressureModel({}), 0);
+    };
+    // 3 cores have two places and 2.2 have one; 3.8 cores have two and 3 as well.
+    expect(chooseWith(1_500)).toBe(servers[1]);
+    expect(chooseWith(0)).toBe(servers[0]);
+});
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -22,6 +22,9 @@
 /** Weight of a server's CPU utilization as a preference: standing tasks are packed so that other servers stay free. */
 const PACKING_WEIGHT = 0.1;
 
+/** Cost of a place for a finite task that a standing task takes while such places are scarce; above that of other images. */
+const LOST_PLACE_COST = 2;
+
 /** Reasons why a server cannot run a task of a step at present. */
 export enum Exclusion {
     /** The server has sent no heartbeat in this term. */
@@ -35,7 +38,10 @@
     FailedStarts = "failed-starts",
     ZoneOutOfService = "zone-out-of-service",
     Label = "label",
+    /** Other tasks reserve the CPU capacity or the accelerators. */
     NoRoom = "no-room",
+    /** Other tasks, of any kind, take the memory. */
+    NoMemory = "no-memory",
     /** The task, or one that has just started on the server, may have crashed another server. */
     CrashSuspect = "crash-suspect",
     TasksPerServer = "tasks-per-server",
@@ -53,6 +59,7 @@
     waiting: WaitingStep,
     server: ServerView,
     pressure: PressureModel,
+    constraints: PlacementConstraints,
     nowMs: number,
 ) => number | undefined;
 
@@ -76,15 +83,26 @@
 /** Prefers servers with the most idle cores, since a finite task's reservation leaves less for fillers. */
 const costOfFinite: CostFunction = (waiting, server) => -expectedIdleCores(server);
 
-/** Packs standing tasks together that are sensitive to the same fillers. */
-const costOfStanding: CostFunction = (waiting, server, pressure) => {
+/** Returns how many finite tasks of a size lose their place if a standing task takes its own on a server. */
+const lostFinitePlaces = ({ step }: WaitingStep, server: ServerView, scarceTaskMillicores: number): number => {
+    const freeMillicores = Math.max(0, server.capacity.cpuMillicores - server.standingCpuMillicores);
+    const placesAt = (millicores: number): number => Math.floor(Math.max(0, millicores) / scarceTaskMillicores);
+    return placesAt(freeMillicores) - placesAt(freeMillicores - step.amounts.cpuMillicores);
+};
+
+/**
+ * Packs standing tasks together that are sensitive to the same fillers. Where room for finite tasks is scarce, the remainder
+ * that a standing task leaves must be of use to them.
+ */
+const costOfStanding: CostFunction = (waiting, server, pressure, { scarceTaskMillicores }) => {
     const { image } = waiting.step;
     const sameMillicores = server.standingByImage.get(image) ?? 0;
     const isMixed = server.standingCpuMillicores > sameMillicores;
     const otherShare = 1 - sameMillicores / Math.max(1, server.standingCpuMillicores);
     const utilization = server.reserved.cpuMillicores / Math.max(1, server.capacity.cpuMillicores);
     const newShare = pressure.newPressureShare(server, image) ?? otherShare;
-    return newShare + (isMixed ? MIXED_IMAGES_COST : 0) - utilization * PACKING_WEIGHT;
+    const lostPlaces = scarceTaskMillicores > 0 ? lostFinitePlaces(waiting, server, scarceTaskMillicores) : 0;
+    return newShare + (isMixed ? MIXED_IMAGES_COST : 0) - utilization * PACKING_WEIGHT + lostPlaces * LOST_PLACE_COST;
 };
 
 /** Returns why a server with room for a filler cannot run it at present; undefined if it can. */
@@ -105,7 +123,7 @@
 };
 
 /** Prefers servers with many idle cores and with standing tasks that the filler affects little. */
-const costOfFiller: CostFunction = (waiting, server, pressure, nowMs) => {
+const costOfFiller: CostFunction = (waiting, server, pressure, unused, nowMs) => {
     if (fillerExclusionOf(waiting, server, pressure, nowMs) !== undefined) {
         return undefined;
     }
@@ -130,6 +148,8 @@
     isEligible: ((server: ServerView) => boolean) | undefined;
     /** Whether the task must not start beside fresh runs, because it may crash its server. */
     isIsolated: boolean;
+    /** Size of the finite tasks for which room is scarce; 0 if there is enough. */
+    scarceTaskMillicores: number;
     /** Crashes that the task was involved in. Other servers are preferred, as two of them together tell more. */
     crashes: readonly CrashRecord[];
 }
@@ -148,7 +168,7 @@
         if (!canRunOn(waiting, server, constraints, nowMs) || constraints.isEligible?.(server) === false) {
             continue;
         }
-        const cost = COST_FUNCTIONS[waiting.kind](waiting, server, pressure, nowMs);
+        const cost = COST_FUNCTIONS[waiting.kind](waiting, server, pressure, constraints, nowMs);
         if (cost === undefined) {
             continue;
         }
@@ -242,7 +262,7 @@
         return Exclusion.Label;
     }
     if (!server.fits(step)) {
-        return Exclusion.NoRoom;
+        return server.fitsBesideMemory(step) ? Exclusion.NoMemory : Exclusion.NoRoom;
     }
     if (!isApart(waiting, server, constraints)) {
         return Exclusion.CrashSuspect;
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -61,6 +61,7 @@
     readonly #directory: ServerDirectory;
     readonly #pressure: PressureModel;
     readonly #eligibility: Eligibility;
+    readonly #scarceTaskMillicores: (queue: QueueContract, nowMs: number) => number;
     /** Servers of the tasks whose assignment is proposed but not committed, by task. */
     readonly #pendingTasks = new Map<string, ServerView>();
     /** Steps that no server can run, except perhaps for those that have changed since the round began. */
@@ -83,12 +84,15 @@
         directory: ServerDirectory;
         pressure: PressureModel;
         eligibility: Eligibility;
+        /** Returns the size of the finite tasks for which a queue's service has too little room; 0 if it has enough. */
+        scarceTaskMillicores?: (queue: QueueContract, nowMs: number) => number;
     }) {
         this.#state = options.state;
         this.#queue = options.queue;
         this.#directory = options.directory;
         this.#pressure = options.pressure;
         this.#eligibility = options.eligibility;
+        this.#scarceTaskMillicores = options.scarceTaskMillicores ?? (() => 0);
     }
 
     /**
@@ -153,6 +157,7 @@
                 record,
                 waitingSinceMs: 0,
                 expectedEndMs: 0,
+                usefulUntilMs: 0,
                 remainingCriticalPathMs: 0,
                 idleSinceMs: undefined,
             };
@@ -425,10 +430,12 @@
     }
 
     #constraintsFor(waiting: WaitingStep, nowMs: number): PlacementConstraints {
-        const { service, eligibility } = this.#state.currentQueueOf(waiting.job);
+        const queue = this.#state.currentQueueOf(waiting.job);
+        const { service, eligibility } = queue;
         const step = stepKeyOf(waiting);
         return {
             service,
+            scarceTaskMillicores: waiting.kind === TaskKind.Standing ? this.#scarceTaskMillicores(queue, nowMs) : 0,
             zonesOutOfService: this.#state.zonesOutOfService,
             rackOfStep: waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "",
             isEligible: eligibility === undefined
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -233,11 +233,15 @@
 
     /** Whether a task of the step fits into the unreserved capacity. */
     fits(step: StepSpecification): boolean {
+        return this.fitsBesideMemory(step)
+            && this.#reserved.memoryMebibytes + step.amounts.memoryMebibytes <= this.capacity.memoryMebibytes;
+    }
+
+    /** Whether a task of the step fits into the unreserved capacity, whatever memory it needs. */
+    fitsBesideMemory(step: StepSpecification): boolean {
         const { capacity } = this;
-        const { amounts } = step;
         return this.#reserved.cpuMillicores + countedMillicoresOf(step) <= capacity.cpuMillicores
-            && this.#reserved.memoryMebibytes + amounts.memoryMebibytes <= capacity.memoryMebibytes
-            && this.#reserved.accelerators + amounts.accelerators <= capacity.accelerators;
+            && this.#reserved.accelerators + step.amounts.accelerators <= capacity.accelerators;
     }
 
     /** Adds a run and reserves its amounts. */
--- a/packages/workflow/src/leader/standing-tasks.test.ts
+++ b/packages/workflow/src/leader/standing-tasks.test.ts
@@ -125,10 +125,12 @@
 // start that a server rejects, so that it never comes before that work.
 it("starts a standing task although one of two full servers rejects it time and again", () => {
     const { replica, servers } = startWithTwoServers();
-    servers[0].rejectsStanding = true;
+    replica.submit(jobOf("standing", standingStepOf()));
+    advance(replica, servers, HEARTBEAT_MS);
     replica.submit(jobOf("backlog", stepOf({ taskCount: 1_000 })));
     advance(replica, servers, 2_000);
-    replica.submit(jobOf("standing", standingStepOf()));
+    servers[0].rejectsStanding = true;
+    servers[0].end("standing.0.0.0", RunEnd.Failed);
     advance(replica, servers, MAX_RESTART_MS);
     expect(servers[1].isRunning("standing")).toBe(true);
 });
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -17,6 +17,8 @@
     readonly waitingSinceMs: number;
     /** Wall-clock time by which callers expect the occurrence to end. */
     readonly expectedEndMs: number;
+    /** Wall-clock time after which callers have little use for the occurrence. */
+    readonly usefulUntilMs: number;
     /** Estimated time from the step's start to the end of the occurrence: its remaining critical path. */
     readonly remainingCriticalPathMs: number;
     /** Wall-clock time since which no task of the occurrence is assigned to a backend server; undefined while one is. */
@@ -42,14 +44,22 @@
  */
 const MAX_WAITING_STEPS_OF_JOB = 1_000;
 
+/** Multiple of the duration that callers accept from which on they have little use for a job. */
+const USEFUL_DURATION_RATIO = 3;
+
 /** Groups of the steps of one priority, in scheduling order. In the groups of late jobs, idle ones come first. */
 enum Urgency {
     /** Finite jobs that have begun and can end in time. */
     BegunInTime,
-    /** Finite jobs that have begun and end late in any case; the capacity they have used is not to be wasted. */
+    /**
+     * Finite jobs that have begun and end late in any case, though not so late that their callers have little use for them;
+     * the capacity they have used is not to be wasted.
+     */
     BegunLate,
-    /** Other jobs that can end in time, and standing jobs, which are never too late to start. */
+    /** Other jobs that can end in time. */
     InTime,
+    /** Standing jobs. They are never too late to start, and they keep the capacity that they take for long. */
+    Standing,
     /** Jobs that end late even if they begin now; before those above, they would make them late as well. */
     Late,
 }
@@ -207,6 +217,7 @@
             waitingSinceMs: this.#waitingSinceMsOf(queued, timeOfDayMs),
             idleSinceMs: undefined,
             expectedEndMs: expectedEndMsOf(job, occurrence),
+            usefulUntilMs: expectedEndMsOf(job, occurrence, USEFUL_DURATION_RATIO),
             remainingCriticalPathMs: criticalPathMs(job.specification.steps, stepIndex),
         };
     }
@@ -253,7 +264,7 @@
     || a.occurrence - b.occurrence
     || a.stepIndex - b.stepIndex;
 
-const emptyGroups = (): WaitingStep[][] => [[], [], [], []];
+const emptyGroups = (): WaitingStep[][] => [[], [], [], [], []];
 
 const LATE_GROUPS: ReadonlySet<Urgency> = new Set([Urgency.BegunLate, Urgency.Late]);
 
@@ -279,11 +290,11 @@
 
 const urgencyOf = (waiting: WaitingStep, timeOfDayMs: number): Urgency => {
     if (waiting.kind === TaskKind.Standing) {
-        return Urgency.InTime;
+        return Urgency.Standing;
     }
     const endsLate = isExpectedLate(waiting, timeOfDayMs);
     // A filler continues from its checkpoint and holds no processors, so that its job may wait after it has begun.
-    if (waiting.kind === TaskKind.Finite && hasBegun(waiting)) {
+    if (waiting.kind === TaskKind.Finite && hasBegun(waiting) && isUseful(waiting, timeOfDayMs)) {
         return endsLate ? Urgency.BegunLate : Urgency.BegunInTime;
     }
     return endsLate ? Urgency.Late : Urgency.InTime;
@@ -296,9 +307,13 @@
     job.stepsOf(occurrence)?.some(({ doneCount }) => doneCount > 0) === true;
 
 /** Whether a job is expected to end late even if its tasks start now. */
-const isExpectedLate = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
+export const isExpectedLate = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
     timeOfDayMs + waiting.remainingCriticalPathMs > waiting.expectedEndMs;
 
+/** Whether callers still have use for a job if its tasks start now. */
+const isUseful = (waiting: WaitingStep, timeOfDayMs: number): boolean =>
+    timeOfDayMs + waiting.remainingCriticalPathMs <= waiting.usefulUntilMs;
+
 /** Returns the wall-clock time by which callers expect an occurrence to end. */
-const expectedEndMsOf = (job: JobRecord, occurrence: number): number =>
-    beginMsOf(job, occurrence) + acceptedDurationMs(job.specification.steps, job.queue);
+const expectedEndMsOf = (job: JobRecord, occurrence: number, ratio = 1): number =>
+    beginMsOf(job, occurrence) + ratio * acceptedDurationMs(job.specification.steps, job.queue);
