Decide on standing jobs by service, and not before the servers are known

A new leader knows no servers for a moment and would have refused standing jobs for want of room. Finite work of one service counted as a need of the others, and servers in zones out of service counted as room.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -120,6 +120,8 @@
         this.overload = new OverloadControl({
             queue: this.#queue,
             servers: () => this.#directory.servers,
+            zonesOutOfService: () => state.zonesOutOfService,
+            startedAtMs: times.nowMs,
             countServers: (waiting, nowMs) => this.#planner.countServersFor(waiting, nowMs),
         });
         this.#reconciler = new HeartbeatReconciler(state);
--- a/packages/workflow/src/leader/overload/finite-room.ts
+++ b/packages/workflow/src/leader/overload/finite-room.ts
@@ -7,11 +7,13 @@
 export const finiteRoomCores = (
     servers: Iterable<ServerView>,
     service: string,
+    zonesOutOfService: ReadonlySet<string>,
     millicoresPerTask: number,
 ): number => {
     let millicores = 0;
     for (const server of servers) {
-        if (server.isUsable && server.service === service && millicoresPerTask > 0) {
+        const isOpen = server.isUsable && !zonesOutOfService.has(server.availabilityZone);
+        if (isOpen && server.service === service && millicoresPerTask > 0) {
             const free = Math.max(0, server.capacity.cpuMillicores - server.standingCpuMillicores);
             millicores += Math.floor(free / millicoresPerTask) * millicoresPerTask;
         }
--- a/packages/workflow/src/leader/overload/overload-control.ts
+++ b/packages/workflow/src/leader/overload/overload-control.ts
@@ -16,11 +16,15 @@
 import type { RoomForecast, StandingAdmissionReport } from "./standing-admission.js";
 import { summarizeWaits } from "./wait-summary.js";
 import type { WaitSummary } from "./wait-summary.js";
-import { WorkDemand } from "./work-demand.js";
+import { competitionKeyOf, WorkDemand } from "./work-demand.js";
+import type { Competition } from "./work-demand.js";
 
 /** Interval at which it is decided anew whether room is scarce: each decision looks at all servers. */
 const SCARCITY_INTERVAL_MS = 500;
 
+/** Time in which the servers find a new leader. Until then it refuses nothing, since most of the room is unknown. */
+const DISCOVERY_MS = 2_000;
+
 /** What an operator sees of the overload control since the last report. */
 export interface OverloadReport {
     waits: WaitSummary[];
@@ -34,6 +38,9 @@
 export interface OverloadControlOptions {
     queue: WorkQueue;
     servers: () => Iterable<ServerView>;
+    zonesOutOfService: () => ReadonlySet<string>;
+    /** Time at which the leader's session began. */
+    startedAtMs: number;
     /** Counts the servers that can run a step now. */
     countServers: (waiting: WaitingStep, nowMs: number) => ServerCounts;
 }
@@ -53,20 +60,23 @@
 
     constructor(options: OverloadControlOptions) {
         this.#options = options;
-        this.#standingAdmission = new StandingAdmission((unused, queue, nowMs) => this.#forecast(queue, nowMs));
+        this.#standingAdmission = new StandingAdmission((queue, nowMs) => this.#forecast(queue, nowMs));
     }
 
     /** Refuses a job that would take room that costs other callers more. */
-    readonly check: SubmissionCheck = (job, queue, times) => this.#standingAdmission.check(job, queue, times);
+    readonly check: SubmissionCheck = (job, queue, times) =>
+        times.nowMs - this.#options.startedAtMs < DISCOVERY_MS
+            ? undefined
+            : this.#standingAdmission.check(job, queue, times);
 
     /** Returns the size of the finite tasks for which a queue's service has too little room; 0 if it has enough. */
     scarceTaskMillicores(queue: QueueContract, nowMs: number): number {
-        const key = `${queue.service} ${queue.priority}`;
+        const key = competitionKeyOf(queue);
         let cached = this.#scarcity.get(key);
         if (cached === undefined || nowMs >= cached.validUntilMs) {
             const { roomCores, neededCores } = this.#forecast(queue, nowMs);
             const isScarce = neededCores > 0 && roomCores < READMISSION_RATIO * neededCores;
-            const { millicoresPerTask } = this.#demand.finiteNeed(queue.priority, nowMs);
+            const { millicoresPerTask } = this.#demand.finiteNeed(queue, nowMs);
             cached = { millicores: isScarce ? millicoresPerTask : 0, validUntilMs: nowMs + SCARCITY_INTERVAL_MS };
             this.#scarcity.set(key, cached);
         }
@@ -75,7 +85,7 @@
 
     /** Records an accepted job. A new leader records those of former ones in the same way, with their ages. */
     recordAccepted({ id, isOver, specification, queue, acceptedAtMs }: JobRecord, { nowMs, timeOfDayMs }: Times): void {
-        this.#demand.record(specification, queue.priority, nowMs - Math.max(0, timeOfDayMs - acceptedAtMs));
+        this.#demand.record(specification, queue, nowMs - Math.max(0, timeOfDayMs - acceptedAtMs));
         if (!isOver) {
             this.#openJobs.add(id);
         }
@@ -134,10 +144,11 @@
     }
 
     /** Standing tasks that wait will take their room as well. */
-    #forecast({ service, priority }: QueueContract, nowMs: number): RoomForecast {
-        const { queue, servers } = this.#options;
-        const { cores, millicoresPerTask } = this.#demand.finiteNeed(priority, nowMs);
-        const roomCores = finiteRoomCores(servers(), service, millicoresPerTask)
+    #forecast(competition: Competition, nowMs: number): RoomForecast {
+        const { queue, servers, zonesOutOfService } = this.#options;
+        const { service } = competition;
+        const { cores, millicoresPerTask } = this.#demand.finiteNeed(competition, nowMs);
+        const roomCores = finiteRoomCores(servers(), service, zonesOutOfService(), millicoresPerTask)
             - waitingStandingCores(queue.steps, service);
         this.#lastForecast = { roomCores, neededCores: cores };
         return this.#lastForecast;
