--- a/packages/workflow/src/leader/overload/finite-room.ts
+++ b/packages/workflow/src/leader/overload/finite-room.ts
@@ -14,8 +14,8 @@
     for (const server of servers) {
         const isOpen = server.isUsable && !zonesOutOfService.has(server.availabilityZone);
         if (isOpen && server.service === service && millicoresPerTask > 0) {
-            const free = Math.max(0, server.capacity.cpuMillicores - server.standingCpuMillicores);
-            millicores += Math.floor(free / millicoresPerTask) * millicoresPerTask;
+            const freeMillicores = Math.max(0, server.capacity.cpuMillicores - server.reservedByStandingMillicores);
+            millicores += Math.floor(freeMillicores / millicoresPerTask) * millicoresPerTask;
         }
     }
     return millicores / 1_000;
--- a/packages/workflow/src/leader/overload/overload-control.ts
+++ b/packages/workflow/src/leader/overload/overload-control.ts
@@ -1,6 +1,6 @@
 import type { QueueContract } from "../../model/configuration.js";
 import type { RunEnd } from "../../model/heartbeat.js";
-import { TaskKind } from "../../model/specification.js";
+import { countedMillicoresOf, TaskKind } from "../../model/specification.js";
 import type { JobRecord } from "../../state/job-record.js";
 import { TaskPhase } from "../../state/occurrence-records.js";
 import type { ServerCounts } from "../placement.js";
@@ -160,7 +160,7 @@
     for (const { kind, job, step, record } of steps) {
         if (kind === TaskKind.Standing && job.queue.service === service) {
             const tasks = record.tasks.filter(({ phase }) => phase === TaskPhase.Waiting).length;
-            millicores += tasks * step.amounts.cpuMillicores;
+            millicores += tasks * countedMillicoresOf(step);
         }
     }
     return millicores / 1_000;
--- a/packages/workflow/src/leader/overload/standing-admission.test.ts
+++ b/packages/workflow/src/leader/overload/standing-admission.test.ts
@@ -24,6 +24,7 @@
     const { check } = startAdmission(120);
     expect(check(0)).toMatchObject({ refusal: Refusal.Overloaded });
     expect(check(0, jobOf("finite", stepOf({ taskCount: 1_000 })))).toBeUndefined();
+    expect(check(0, jobOf("standing filler", standingStepOf({ taskCount: 10, isFiller: true })))).toBeUndefined();
 });
 
 // Guards against large standing jobs that are refused while small ones are accepted one after the other.
--- a/packages/workflow/src/leader/overload/standing-admission.ts
+++ b/packages/workflow/src/leader/overload/standing-admission.ts
@@ -1,7 +1,7 @@
 import { Refusal, refused } from "../../model/calls.js";
 import type { RefusedCall } from "../../model/calls.js";
 import type { QueueContract } from "../../model/configuration.js";
-import { TaskKind, taskKindOf } from "../../model/specification.js";
+import { countedMillicoresOf, TaskKind, taskKindOf } from "../../model/specification.js";
 import type { JobSpecification } from "../../model/specification.js";
 import type { Times } from "../times.js";
 import { DecayedRate } from "./decayed-rate.js";
@@ -106,4 +106,4 @@
 export const standingCoresOf = ({ steps }: Pick<JobSpecification, "steps">): number =>
     steps
         .filter(step => taskKindOf(step) === TaskKind.Standing)
-        .reduce((sum, { taskCount, amounts }) => sum + (taskCount * amounts.cpuMillicores) / 1_000, 0);
+        .reduce((sum, step) => sum + (step.taskCount * countedMillicoresOf(step)) / 1_000, 0);
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -1,4 +1,4 @@
-import { TaskKind } from "../model/specification.js";
+import { countedMillicoresOf, TaskKind } from "../model/specification.js";
 import { hasCrashedOn } from "../state/crash-history.js";
 import type { CrashRecord } from "../state/crash-history.js";
 import type { PressureModel } from "./pressure-model.js";
@@ -85,9 +85,9 @@
 
 /** Returns how many finite tasks of a size lose their place if a standing task takes its own on a server. */
 const lostFinitePlaces = ({ step }: WaitingStep, server: ServerView, scarceTaskMillicores: number): number => {
-    const freeMillicores = Math.max(0, server.capacity.cpuMillicores - server.standingCpuMillicores);
+    const freeMillicores = server.capacity.cpuMillicores - server.reservedByStandingMillicores;
     const placesAt = (millicores: number): number => Math.floor(Math.max(0, millicores) / scarceTaskMillicores);
-    return placesAt(freeMillicores) - placesAt(freeMillicores - step.amounts.cpuMillicores);
+    return placesAt(freeMillicores) - placesAt(freeMillicores - countedMillicoresOf(step));
 };
 
 /**
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -115,6 +115,7 @@
     #hasChanged = true;
     #reserved: Amounts = ZERO;
     #standingCpuMillicores = 0;
+    #reservedByStandingMillicores = 0;
     #fillerCpuMillicores = 0;
     /** Cached; undefined until they are computed again. */
     #freshRuns: readonly RunView[] | undefined;
@@ -144,6 +145,11 @@
         return this.#standingCpuMillicores;
     }
 
+    /** CPU capacity that the standing tasks reserve: their need, except for those that fill. */
+    get reservedByStandingMillicores(): number {
+        return this.#reservedByStandingMillicores;
+    }
+
     /** CPU need of the fillers. */
     get fillerCpuMillicores(): number {
         return this.#fillerCpuMillicores;
@@ -311,6 +317,7 @@
         };
         if (run.kind === TaskKind.Standing) {
             this.#standingCpuMillicores += sign * amounts.cpuMillicores;
+            this.#reservedByStandingMillicores += sign * countedMillicoresOf(run.step);
             addTo(this.#standingByImage, run.step.image, sign * amounts.cpuMillicores);
         }
         if (isFiller) {
