Merge overload control with organisations and full disks

Both parts had moved the answers to heartbeats out of the leader session; HeartbeatAnswers stays. The refusal of standing jobs is one of the checks of SubmissionControl, after those of quotas and rates.

--- a/packages/workflow/src/leader/applied-runs.ts
+++ b/packages/workflow/src/leader/applied-runs.ts
@@ -5,6 +5,7 @@
 import type { EventOf, WorkflowEvent } from "../state/events.js";
 import type { CrashingTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
+import type { OverloadControl } from "./overload/overload-control.js";
 import type { Planner } from "./planner.js";
 import type { RunLosses } from "./run-losses.js";
 import type { RunStops } from "./run-stops.js";
@@ -20,6 +21,7 @@
     planner: Planner;
     losses: RunLosses;
     stops: RunStops;
+    overload: OverloadControl;
     propose: (event: WorkflowEvent) => void;
     reportCrashingTask: (task: CrashingTask, nowMs: number) => void;
 }
@@ -39,6 +41,7 @@
             const view = this.#options.directory.find(serverId, incarnation)?.findRun(task, run);
             if (view !== undefined) {
                 view.isCommitted = true;
+                this.#options.overload.recordAssigned(view, times.timeOfDayMs);
                 view.isStopping ||= this.#jobOf(task)?.isOver ?? true;
             }
             else {
@@ -71,18 +74,21 @@
     handleEnded(event: EventOf<EventKind.RunsEnded>, times: Times): void {
         const server = this.#options.directory.find(event.server.serverId, event.server.incarnation);
         for (const ended of event.ends) {
-            if (server?.findRun(ended.task, ended.run) !== undefined) {
-                server.removeRun(ended.task);
+            const run = server?.findRun(ended.task, ended.run);
+            if (run !== undefined) {
+                server?.removeRun(ended.task);
             }
             this.#refreshTask(ended.task, times);
             if (ended.end !== RunEnd.Done) {
                 this.#options.stops.stopGangMembers(ended);
             }
             const job = this.#jobOf(ended.task);
+            this.#options.overload.recordRunEnd(job, run, ended.end, times.nowMs);
             this.#options.losses.clearEnded(ended, times);
             if (job?.isOver === true) {
                 this.#options.stops.stopJob(job.id);
             }
+            this.#options.overload.recordEnd(job, times.nowMs);
         }
     }
 
--- a/packages/workflow/src/leader/create-submission-control.ts
+++ b/packages/workflow/src/leader/create-submission-control.ts
@@ -3,6 +3,7 @@
 import { SubmissionRates } from "../organisations/submission-rates.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { JobAdmission } from "./job-admission.js";
+import type { OverloadControl } from "./overload/overload-control.js";
 import type { Planner } from "./planner.js";
 import type { LeaderSettings } from "./settings.js";
 import { SubmissionControl } from "./submission-control.js";
@@ -15,11 +16,12 @@
     queue: WorkQueue;
     planner: Planner;
     limits: OrganisationLimits;
+    overload: OverloadControl;
 }
 
 /** Creates a leader's checks of submissions. */
 export const createSubmissionControl = (
-    { state, settings, queue, planner, limits }: SubmissionControlSources,
+    { state, settings, queue, planner, limits, overload }: SubmissionControlSources,
 ): SubmissionControl => {
     const { contracts, ledger } = limits;
     const rates = new SubmissionRates({
@@ -33,6 +35,7 @@
         checks: [
             job => checkQuota(job, contracts),
             (job, contract, times) => rates.check(job, contract, times),
+            overload.check,
         ],
         admission: new JobAdmission({ state, maxBytes: settings.maxJobBytes }),
         recordRefusal: (job, { refusal }) => limits.refusals.record(job, refusal),
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -17,8 +17,8 @@
 import { Evacuation } from "./evacuation.js";
 import { FillerMoves } from "./filler-moves.js";
 import { FillerPacing } from "./filler-pacing.js";
+import { HeartbeatAnswers } from "./heartbeat-answers.js";
 import { hasPlausibleSequence, implausibleEventOf } from "./heartbeat-plausibility.js";
-import { HeartbeatReadiness } from "./heartbeat-readiness.js";
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
 import { previewJob } from "./job-preview.js";
 import type { JobPreview, Submission } from "./job-preview.js";
@@ -26,6 +26,7 @@
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
 import { OrderWriter } from "./order-writer.js";
+import { OverloadControl } from "./overload/overload-control.js";
 import { Planner } from "./planner.js";
 import { PressureModel } from "./pressure-model.js";
 import { PressureRecords } from "./pressure-records.js";
@@ -37,7 +38,6 @@
 import type { ServerEvent } from "./server-event.js";
 import { ServerFailures } from "./server-failures.js";
 import { ServerSpeed } from "./server-speed.js";
-import { resetStartOrders } from "./server-view.js";
 import type { ServerView } from "./server-view.js";
 import type { LeaderSettings } from "./settings.js";
 import { hasStepSucceeded } from "./step-success.js";
@@ -75,6 +75,7 @@
 export class LeaderSession {
     readonly cancellations: EarlyCancellations;
     readonly submissions: SubmissionControl;
+    readonly overload: OverloadControl;
     readonly #options: LeaderSessionOptions;
     readonly #directory: ServerDirectory;
     readonly #unstartedTasks = new UnstartedTasks();
@@ -86,13 +87,12 @@
     readonly #limits: OrganisationLimits;
     readonly #planner: Planner;
     readonly #reconciler: HeartbeatReconciler;
-    readonly #orders: OrderWriter;
+    readonly #answers: HeartbeatAnswers;
     readonly #evacuation: Evacuation;
     readonly #speed = new ServerSpeed();
     readonly #moves: FillerMoves;
     readonly #maintenance: Maintenance;
     readonly #heartbeats = new OpenHeartbeats();
-    readonly #readiness: HeartbeatReadiness;
     readonly #failures: ServerFailures;
     readonly #losses: RunLosses;
     readonly #stops: RunStops;
@@ -124,10 +124,16 @@
             pressure: this.#pressure,
             eligibility: this.#eligibility,
             limits: this.#limits,
+            scarceTaskMillicores: (queue, nowMs) => this.overload.scarceTaskMillicores(queue, nowMs),
+        });
+        this.overload = new OverloadControl({
+            queue: this.#queue,
+            servers: () => this.#directory.servers,
+            zonesOutOfService: () => state.zonesOutOfService,
+            startedAtMs: times.nowMs,
+            countServers: (waiting, nowMs) => this.#planner.countServersFor(waiting, nowMs),
         });
         this.#reconciler = new HeartbeatReconciler(state);
-        this.#readiness = new HeartbeatReadiness(state, this.#directory, settings);
-        this.#orders = new OrderWriter(state, this.#eligibility, options.term, settings, this.#limits.ledger);
         this.#evacuation = new Evacuation(this.#directory);
         this.#stops = new RunStops(state, this.#directory);
         const kept = { state, retentionMs: settings.retentionMs, propose: options.propose };
@@ -138,6 +144,7 @@
             queue: this.#queue,
             planner: this.#planner,
             limits: this.#limits,
+            overload: this.overload,
         });
         this.#retention = new JobRetention({ ...kept, cancellations: this.cancellations }, times.nowMs);
         this.#losses = new RunLosses({ state, directory: this.#directory, propose: options.propose });
@@ -148,10 +155,12 @@
             planner: this.#planner,
             losses: this.#losses,
             stops: this.#stops,
+            overload: this.overload,
             propose: options.propose,
             reportCrashingTask: options.reportCrashingTask,
         });
         this.#failures = new ServerFailures(step => hasStepSucceeded(state, this.#directory, step));
+        this.#answers = this.#createAnswers();
         this.#moves = new FillerMoves((run, nowMs) => this.#planner.canPlaceElsewhere(run, nowMs));
         this.#maintenance = new Maintenance({
             state,
@@ -162,11 +171,11 @@
             begin: options.beginMaintenance,
         }, times.nowMs);
         this.#losses.recordFormerRuns(adoptRuns(state, this.#directory, settings, times), times);
-        if (!this.#readiness.isLeaseRecorded) {
+        if (!this.#answers.isLeaseRecorded) {
             options.propose({ kind: EventKind.LeaseExtended, leaseMs: settings.leaseMs });
         }
         for (const job of state.jobs.values()) {
-            this.#queue.refresh(job, times.timeOfDayMs);
+            this.#handleAccepted(job.id, times);
         }
     }
 
@@ -249,7 +258,10 @@
         }
         this.#limits.ledger.recordUntracked(server.id, changes.untrackedRuns);
         changes.startedJobs.forEach(id => this.#startedJobs.add(id));
-        changes.startedTasks.forEach(task => this.#unstartedTasks.recordStarted(task));
+        changes.startedTasks.forEach(task => {
+            this.#unstartedTasks.recordStarted(task);
+            this.overload.recordStarted(server.runs.get(task));
+        });
         if (changes.startedTasks.length > 0) {
             this.#failures.recordStart(server, nowMs);
         }
@@ -300,7 +312,7 @@
                 this.#options.propose({ kind: EventKind.RunsAssigned, runs });
             }
         }
-        this.#answerHeartbeats(times);
+        this.#answers.send(times);
         this.#pressureRecords.run(nowMs);
         if (this.#retention.run(nowMs)) {
             this.#discardExpired(nowMs);
@@ -324,12 +336,13 @@
     #handleApplied(event: WorkflowEvent, times: Times): void {
         switch (event.kind) {
             case EventKind.JobAccepted:
-                this.#refreshJob(event.job.id, times);
+                this.#handleAccepted(event.job.id, times);
                 return;
             case EventKind.JobCancelled:
                 this.cancellations.handleApplied(event.jobId, times.nowMs);
                 this.#stops.stopJob(event.jobId);
                 this.#refreshJob(event.jobId, times);
+                this.overload.recordEnd(this.#options.state.job(event.jobId), times.nowMs);
                 return;
             case EventKind.JobsForgotten:
                 event.jobIds.forEach(id => this.#startedJobs.delete(id));
@@ -353,6 +366,28 @@
         }
     }
 
+    #handleAccepted(jobId: string, times: Times): void {
+        const job = this.#options.state.job(jobId);
+        if (job !== undefined) {
+            this.#queue.refresh(job, times.timeOfDayMs);
+            this.overload.recordAccepted(job, times);
+        }
+    }
+
+    #createAnswers(): HeartbeatAnswers {
+        const { state, settings, term } = this.#options;
+        return new HeartbeatAnswers({
+            state,
+            settings,
+            heartbeats: this.#heartbeats,
+            directory: this.#directory,
+            orders: new OrderWriter(state, this.#eligibility, term, settings, this.#limits.ledger),
+            failures: this.#failures,
+            losses: this.#losses,
+            unstartedTasks: this.#unstartedTasks,
+        });
+    }
+
     /** Discards what was measured of one incarnation of a server, whose runs are lost. */
     #forgetMeasurements(server: ServerView): void {
         this.#failures.forget(server.id);
@@ -375,37 +410,13 @@
         }
     }
 
-    #answerHeartbeats(times: Times): void {
-        const { nowMs } = times;
-        for (
-            const { report, respond } of this.#heartbeats.takeReady(
-                item => this.#readiness.isWaitingForLog(item),
-                nowMs,
-            )
-        ) {
-            const server = this.#readiness.serverOf(report);
-            if (server === undefined || !this.#readiness.isLeaseRecorded) {
-                respond(undefined);
-                continue;
-            }
-            const written = this.#orders.buildOrders(server, report, this.#directory.size, nowMs);
-            const isFaulty = written.unexecuted.length > 0
-                && this.#failures.recordUnexecutedOrders(server, this.#directory.size, nowMs);
-            const lostRuns = [...written.neverStarted, ...isFaulty ? written.unexecuted : []];
-            written.unexecuted.forEach(resetStartOrders);
-            this.#losses.recordLost(lostRuns, LossReason.NeverStarted, times);
-            lostRuns.forEach(run => this.#unstartedTasks.recordLost(run));
-            lostRuns.forEach(run => server.removeRun(run.task));
-            respond(written.orders);
-        }
-    }
-
     /** Discards what is known beside the state of jobs that have ended, and of servers and losses that are long past. */
     #discardExpired(nowMs: number): void {
         const { state } = this.#options;
         this.#failures.evictExpired(nowMs);
         this.#losses.evictExpired(nowMs);
         this.#unstartedTasks.retain(jobId => state.job(jobId)?.isOver === false);
+        this.overload.retain(jobId => state.job(jobId)?.isOver === false);
         this.#eligibility.retain(step => state.job(parseTaskKey(`${step}.0`)?.jobId ?? "")?.isOver === false);
     }
 }
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -62,6 +62,7 @@
     readonly #pressure: PressureModel;
     readonly #eligibility: Eligibility;
     readonly #limits: OrganisationLimits;
+    readonly #scarceTaskMillicores: (queue: QueueContract, nowMs: number) => number;
     /** Servers of the tasks whose assignment is proposed but not committed, by task. */
     readonly #pendingTasks = new Map<string, ServerView>();
     /** Steps that no server can run, except perhaps for those that have changed since the round began. */
@@ -84,6 +85,8 @@
         pressure: PressureModel;
         eligibility: Eligibility;
         limits: OrganisationLimits;
+        /** Returns the size of the finite tasks for which a queue's service has too little room; 0 if it has enough. */
+        scarceTaskMillicores?: (queue: QueueContract, nowMs: number) => number;
     }) {
         this.#state = options.state;
         this.#queue = options.queue;
@@ -91,6 +94,7 @@
         this.#pressure = options.pressure;
         this.#eligibility = options.eligibility;
         this.#limits = options.limits;
+        this.#scarceTaskMillicores = options.scarceTaskMillicores ?? (() => 0);
     }
 
     /**
@@ -417,10 +421,12 @@
     }
 
     #constraintsFor(waiting: WaitingStep, nowMs: number): PlacementConstraints {
-        const { service, eligibility } = this.#state.currentQueueOf(waiting.job);
+        const queue = this.#state.currentQueueOf(waiting.job);
+        const { service, eligibility } = queue;
         const step = stepKeyOf(waiting);
         return {
             service,
+            scarceTaskMillicores: waiting.kind === TaskKind.Standing ? this.#scarceTaskMillicores(queue, nowMs) : 0,
             zonesOutOfService: this.#state.zonesOutOfService,
             rackOfStep: waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "",
             isEligible: eligibility === undefined
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -115,6 +115,7 @@
     #hasChanged = true;
     #reserved: Amounts = ZERO;
     #standingCpuMillicores = 0;
+    #reservedByStandingMillicores = 0;
     #fillerCpuMillicores = 0;
     /** Cached; undefined until they are computed again. */
     #freshRuns: readonly RunView[] | undefined;
@@ -144,6 +145,11 @@
         return this.#standingCpuMillicores;
     }
 
+    /** CPU capacity that the standing tasks reserve: their need, except for those that fill. */
+    get reservedByStandingMillicores(): number {
+        return this.#reservedByStandingMillicores;
+    }
+
     /** CPU need of the fillers. */
     get fillerCpuMillicores(): number {
         return this.#fillerCpuMillicores;
@@ -233,11 +239,15 @@
 
     /** Whether a task of the step fits into the unreserved capacity. */
     fits(step: StepSpecification): boolean {
+        return this.fitsBesideMemory(step)
+            && this.#reserved.memoryMebibytes + step.amounts.memoryMebibytes <= this.capacity.memoryMebibytes;
+    }
+
+    /** Whether a task of the step fits into the unreserved capacity, whatever memory it needs. */
+    fitsBesideMemory(step: StepSpecification): boolean {
         const { capacity } = this;
-        const { amounts } = step;
         return this.#reserved.cpuMillicores + countedMillicoresOf(step) <= capacity.cpuMillicores
-            && this.#reserved.memoryMebibytes + amounts.memoryMebibytes <= capacity.memoryMebibytes
-            && this.#reserved.accelerators + amounts.accelerators <= capacity.accelerators;
+            && this.#reserved.accelerators + step.amounts.accelerators <= capacity.accelerators;
     }
 
     /** Adds a run and reserves its amounts. */
@@ -307,6 +317,7 @@
         };
         if (run.kind === TaskKind.Standing) {
             this.#standingCpuMillicores += sign * amounts.cpuMillicores;
+            this.#reservedByStandingMillicores += sign * countedMillicoresOf(run.step);
             addTo(this.#standingByImage, run.step.image, sign * amounts.cpuMillicores);
         }
         if (isFiller) {
--- a/packages/workflow/src/leader/untimed-steps.ts
+++ b/packages/workflow/src/leader/untimed-steps.ts
@@ -9,6 +9,7 @@
     ...step,
     waitingSinceMs: 0,
     expectedEndMs: 0,
+    usefulUntilMs: 0,
     remainingCriticalPathMs: 0,
     idleSinceMs: undefined,
 });
