--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -1,6 +1,6 @@
 import { messageOf } from "@waxwingspread/common";
-import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer, ServerResponse } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import { createServer as createHttp2Server } from "node:http2";
 import type { Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session } from "node:http2";
 import { Server as NetServer } from "node:net";
@@ -10,11 +10,16 @@
 import type { ListenAddress } from "../transport/listen-address.js";
 import { monotonicNowMs } from "../transport/monotonic-time.js";
 import { startListening } from "../transport/start-listening.js";
+import { ClientLimits } from "./client-limits.js";
 import { createProtocolDetectingServer } from "./protocol-detection.js";
+import { connectionOf, ServedConnection } from "./served-connection.js";
 
+const STATUS_BAD_REQUEST = 400;
 const STATUS_ERROR = 500;
 const MAX_ERROR_LINES_PER_SECOND = 5;
 
+/** Longest header of a request, in bytes; the HTTP server refuses those that reach its limit. */
+const MAX_HEADER_BYTES = 16 * 1024;
 /** Time in which a client must send its headers. */
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Time in which a client must send a whole request. */
@@ -30,6 +35,17 @@
 /** Flow control window of an HTTP/2 connection and of each request on it: a whole message fits. */
 export const HTTP2_WINDOW_BYTES = 2 * 1024 * 1024;
 
+/** Interval at which stalled clients are looked for. */
+const STALL_CHECK_INTERVAL_MS = 1_000;
+/** Methods whose requests have no body that a handler reads. */
+const METHODS_WITHOUT_BODY: ReadonlySet<string> = new Set(["GET", "HEAD", "DELETE"]);
+/** Status lines of responses to requests that can't be parsed, by the code of the error. */
+const STATUS_LINES: Readonly<Record<string, string>> = {
+    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+};
+const BAD_REQUEST_LINE = "400 Bad Request";
+
 /** Longest time for which a closing listener accepts connections that the kernel has already established. */
 const MAX_ACCEPT_TIME_MS = 500;
 /** An iteration of the event loop that took longer may have left connections that were established meanwhile. */
@@ -46,6 +62,8 @@
     onConnection?: (() => void) | undefined;
     /** Called for each connection that was closed because `maxConnections` are open. */
     onConnectionRefused: () => void;
+    /** Limits on what the clients of all listeners of the process hold together; of this listener alone by default. */
+    clientLimits?: ClientLimits;
     /** Handles HTTP/2 requests on the same port. Without it only HTTP/1.1 is served. */
     handleHttp2?: (request: Http2ServerRequest, response: Http2ServerResponse) => void;
     /** Time after which a silent HTTP/2 connection is closed; 90 s by default. */
@@ -59,7 +77,8 @@
     readonly #acceptingServer: NetServer;
     readonly #address: ListenAddress;
     readonly #sockets = new Set<Socket>();
-    readonly #openResponses = new Set<ServerResponse>();
+    readonly #connections = new Set<ServedConnection>();
+    readonly #clientLimits: ClientLimits;
     readonly #http2Sessions = new Set<ServerHttp2Session>();
     readonly #lineBudget = new LineBudget(MAX_ERROR_LINES_PER_SECOND);
     #acceptedConnections = 0;
@@ -67,18 +86,17 @@
 
     constructor(options: HttpListenerOptions) {
         this.#address = options.address;
+        this.#clientLimits = options.clientLimits ?? new ClientLimits({ logger: options.logger });
         this.#server = createServer({
             headersTimeout: HEADERS_TIMEOUT_MS,
             requestTimeout: REQUEST_TIMEOUT_MS,
             keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-        }, (request, response) => {
-            this.#openResponses.add(response);
-            response.once("close", () => this.#openResponses.delete(response));
-            if (this.#isDraining) {
-                closeConnectionAfter(response);
-            }
-            void handleSafely(options, request, response);
-        });
+            maxHeaderSize: MAX_HEADER_BYTES + 1,
+            // Refused by the HTTP server, requests without this header would not be counted.
+            requireHostHeader: false,
+            ServerResponse: CountedResponse,
+        }, (request, response) => this.#serve(request, response, options));
+        this.#server.on("connection", (socket: Socket) => this.#limit(socket));
         this.#acceptingServer = options.handleHttp2 === undefined
             ? this.#server
             : createProtocolDetectingServer(this.#server, this.#createHttp2Server(options.handleHttp2, options));
@@ -92,8 +110,9 @@
         // A connection that can't be accepted concerns its client only. Without a listener the error would end the process.
         this.#acceptingServer.on("error", error => this.#logError(error, options.logger));
         this.#acceptingServer.on("drop", options.onConnectionRefused);
-        this.#server.on("clientError", (unusedError, socket) => {
-            socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+        this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+            const statusLine = STATUS_LINES[error.code ?? ""] ?? BAD_REQUEST_LINE;
+            connectionOf({ socket })?.close(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
         });
     }
 
@@ -102,14 +121,17 @@
     }
 
     /** Starts listening and returns the port. Fails with UNAVAILABLE. */
-    listen(): Promise<number> {
-        return startListening(this.#acceptingServer, this.#address);
+    async listen(): Promise<number> {
+        const port = await startListening(this.#acceptingServer, this.#address);
+        const timer = setInterval(() => this.#closeStalled(), STALL_CHECK_INTERVAL_MS);
+        this.#acceptingServer.once("close", () => clearInterval(timer));
+        return port;
     }
 
     /** Closes each connection after its next response, so that fewer are open when `close` may cut off a request. */
     drain(): void {
         this.#isDraining = true;
-        this.#openResponses.forEach(closeConnectionAfter);
+        this.#connections.forEach(({ responses }) => responses.forEach(closeConnectionAfter));
         this.#http2Sessions.forEach(session => session.close());
     }
 
@@ -135,6 +157,41 @@
         clearTimeout(timer);
     }
 
+    #serve(request: IncomingMessage, response: ServerResponse, options: HttpListenerOptions): void {
+        const connection = connectionOf(request);
+        if (connection?.begin(request, response) === false) {
+            return;
+        }
+        if (request.headers.host === undefined && request.httpVersion === "1.1") {
+            connection?.ignoreInput();
+            response.writeHead(STATUS_BAD_REQUEST, { connection: "close", "content-length": 0 }).end();
+            return;
+        }
+        if (this.#isDraining) {
+            closeConnectionAfter(response);
+        }
+        void handleSafely(options, request, response);
+        if (METHODS_WITHOUT_BODY.has(request.method ?? "") && request.readableFlowing === null) {
+            request.resume();
+        }
+    }
+
+    /** Puts the limits between a connection and the HTTP server, which listens to the data of its sockets. */
+    #limit(socket: Socket): void {
+        const [parse] = socket.listeners("data");
+        if (parse === undefined) {
+            throw new Error("the HTTP server does not read the data events of its connections");
+        }
+        const connection = new ServedConnection(socket, parse as (piece: Buffer) => void, this.#clientLimits);
+        this.#clientLimits.add(connection);
+        this.#connections.add(connection);
+        socket.once("close", () => this.#connections.delete(connection));
+    }
+
+    #closeStalled(): void {
+        this.#clientLimits.closeStalled(this.#connections, this.#acceptingServer.maxConnections, monotonicNowMs());
+    }
+
     #logError(error: Error, logger: Logger): void {
         this.#lineBudget.advance(monotonicNowMs());
         if (this.#lineBudget.tryTake(error.message)) {
@@ -178,6 +235,15 @@
     }
 }
 
+/** Response whose unsent part is counted among what its connection holds. */
+class CountedResponse extends ServerResponse {
+    override end(...parameters: unknown[]): this {
+        super.end(...parameters as []);
+        connectionOf(this.req)?.recordAnswer(this.req, this.writableLength);
+        return this;
+    }
+}
+
 /** Calls the handler. An error, which would otherwise end the process, is logged and answered. */
 const handleSafely = async (
     { handle, logger }: HttpListenerOptions,
--- a/packages/daemon/src/workflow/index.ts
+++ b/packages/daemon/src/workflow/index.ts
@@ -1,4 +1,5 @@
 export * from "../http/client-connection.js";
+export * from "../http/client-limits.js";
 export * from "../http/http-listener.js";
 export * from "../http/request-body.js";
 export * from "../logging/line-budget.js";
