--- a/packages/daemon/src/http/http-listener.ts
+++ b/packages/daemon/src/http/http-listener.ts
@@ -87,15 +87,19 @@
     constructor(options: HttpListenerOptions) {
         this.#address = options.address;
         this.#clientLimits = options.clientLimits ?? new ClientLimits({ logger: options.logger });
-        this.#server = createServer({
-            headersTimeout: HEADERS_TIMEOUT_MS,
-            requestTimeout: REQUEST_TIMEOUT_MS,
-            keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-            maxHeaderSize: MAX_HEADER_BYTES + 1,
-            // Refused by the HTTP server, requests without this header would not be counted.
-            requireHostHeader: false,
-            ServerResponse: CountedResponse,
-        }, (request, response) => this.#serve(request, response, options));
+        this.#server = createServer(
+            {
+                headersTimeout: HEADERS_TIMEOUT_MS,
+                requestTimeout: REQUEST_TIMEOUT_MS,
+                keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+                maxHeaderSize: MAX_HEADER_BYTES + 1,
+                // Refused by the HTTP server, requests without this header would not be counted.
+                requireHostHeader: false,
+                ServerResponse: CountedResponse,
+            },
+            (request, response) =>
+                connectionOf(request)?.begin(request, response, () => this.#serve(request, response, options)),
+        );
         this.#server.on("connection", (socket: Socket) => this.#limit(socket));
         this.#acceptingServer = options.handleHttp2 === undefined
             ? this.#server
@@ -158,12 +162,8 @@
     }
 
     #serve(request: IncomingMessage, response: ServerResponse, options: HttpListenerOptions): void {
-        const connection = connectionOf(request);
-        if (connection?.begin(request, response) === false) {
-            return;
-        }
         if (request.headers.host === undefined && request.httpVersion === "1.1") {
-            connection?.ignoreInput();
+            connectionOf(request)?.ignoreInput();
             response.writeHead(STATUS_BAD_REQUEST, { connection: "close", "content-length": 0 }).end();
             return;
         }
--- a/packages/daemon/src/http/served-connection.ts
+++ b/packages/daemon/src/http/served-connection.ts
@@ -5,10 +5,6 @@
 import type { ClientLimits } from "./client-limits.js";
 import type { WaitingInput } from "./input-scheduler.js";
 
-/** Requests of one connection that are in progress before its next ones are read. */
-const MAX_REQUESTS_IN_PROGRESS = 8;
-/** Answers of one connection that its client has yet to read, before its next requests are read. */
-const MAX_UNREAD_BYTES = 64 * 1024;
 /** Input that is parsed at a time, since the parser hands over all requests and chunks in what it is given. */
 const PIECE_BYTES = 1_024;
 /** Largest part of a body of known length that is parsed at a time. */
@@ -30,6 +26,8 @@
 
 interface RequestInProgress {
     response: ServerResponse;
+    /** Calls the handler. */
+    handle: () => void;
     /** Memory that is counted for the request. */
     heldBytes: number;
     /** Memory that is counted for the answer, until the client has read it. */
@@ -45,8 +43,9 @@
     connections.get(socket);
 
 /**
- * One HTTP/1.1 connection. Feeds the HTTP server in small pieces and pauses the socket while too many of its requests are in
- * progress or answers unread, and counts what the connection holds.
+ * One HTTP/1.1 connection. Feeds the HTTP server in small pieces and counts what the connection holds. Its requests are
+ * handled one after the other, and the next ones are read once the client has taken the answer to the former: a connection
+ * takes no more of the process than any other.
  */
 export class ServedConnection implements WaitingInput {
     readonly socket: Socket;
@@ -58,6 +57,8 @@
     readonly #openedAtMs = monotonicNowMs();
     /** Request whose body may still arrive. */
     #lastRequest: IncomingMessage | undefined;
+    /** Request that is being handled. */
+    #handledRequest: IncomingMessage | undefined;
     #body: BodyInProgress | undefined;
     #partialHeaderBytes = 0;
     #waitingInputBytes = 0;
@@ -103,21 +104,21 @@
         return this.#completedRequests === 0 && this.#requests.size === 0 ? this.#openedAtMs : undefined;
     }
 
-    /** Records a request that has begun. Returns false if it must be ignored, since the connection is being closed. */
-    begin(request: IncomingMessage, response: ServerResponse): boolean {
+    /** Records a request that has begun, and calls its handler when the former ones of the connection are answered. */
+    begin(request: IncomingMessage, response: ServerResponse, handle: () => void): void {
         if (this.#ignoresInput) {
-            return false;
+            return;
         }
         const nowMs = monotonicNowMs();
         const heldBytes = REQUEST_BYTES + this.#partialHeaderBytes * HEADER_FACTOR;
         this.requestMemory.add(heldBytes - this.#partialHeaderBytes * HEADER_FACTOR, nowMs);
         this.#partialHeaderBytes = 0;
-        this.#requests.set(request, { response, heldBytes, unreadBytes: 0 });
+        this.#requests.set(request, { response, handle, heldBytes, unreadBytes: 0 });
         this.#lastRequest = request;
         this.#body = undefined;
         this.#parseMs = 0;
         response.once("close", () => this.#end(request));
-        return true;
+        this.#handleNext();
     }
 
     /** Records that the handler reads the body of a request. */
@@ -189,8 +190,17 @@
     }
 
     get #mayRead(): boolean {
-        return this.#isReceiving
-            || (this.#requests.size < MAX_REQUESTS_IN_PROGRESS && this.answerMemory.bytes < MAX_UNREAD_BYTES);
+        const isHandlingLast = this.#handledRequest === this.#lastRequest;
+        return this.#requests.size === 0 || (isHandlingLast && this.#isReceiving);
+    }
+
+    #handleNext(): void {
+        const [next] = this.#requests;
+        if (this.#handledRequest === undefined && next !== undefined) {
+            const [request, { handle }] = next;
+            this.#handledRequest = request;
+            handle();
+        }
     }
 
     #receive(chunk: Buffer): void {
@@ -264,10 +274,12 @@
             return;
         }
         this.#requests.delete(request);
+        this.#handledRequest = undefined;
         this.#completedRequests += 1;
         const nowMs = monotonicNowMs();
         this.requestMemory.add(-entry.heldBytes, nowMs);
         this.answerMemory.add(-entry.unreadBytes, nowMs);
+        this.#handleNext();
         if (this.socket.isPaused()) {
             this.resume();
         }
