--- a/packages/daemon/src/http/input-scheduler.ts
+++ b/packages/daemon/src/http/input-scheduler.ts
@@ -1,5 +1,7 @@
 /** Time for which the input of connections that send much is parsed in one iteration of the event loop. */
 const MAX_PARSE_MS_PER_ITERATION = 5;
+/** Inputs that are resumed in one iteration. Those for which no time is left wait again. */
+const MAX_RESUMED = 32;
 
 /** Input of a connection that waits to be parsed. */
 export interface WaitingInput {
@@ -57,23 +59,16 @@
     #beginIteration(): void {
         this.#isScheduled = false;
         this.#parsedMs = 0;
-        const next = this.#leastServed();
-        if (next !== undefined) {
-            this.#waiting.delete(next);
-            next.resume();
+        for (const input of this.#leastServed()) {
+            this.#waiting.delete(input);
+            input.resume();
         }
         if (this.#waiting.size > 0) {
             this.#schedule();
         }
     }
 
-    #leastServed(): WaitingInput | undefined {
-        let least: WaitingInput | undefined;
-        for (const input of this.#waiting) {
-            if (least === undefined || input.parseMs < least.parseMs) {
-                least = input;
-            }
-        }
-        return least;
+    #leastServed(): readonly WaitingInput[] {
+        return [...this.#waiting].sort((left, right) => left.parseMs - right.parseMs).slice(0, MAX_RESUMED);
     }
 }
--- a/packages/daemon/src/http/served-connection.ts
+++ b/packages/daemon/src/http/served-connection.ts
@@ -259,6 +259,7 @@
         this.socket.pause();
         this.socket.unshift(rest);
         this.#setWaitingInput(rest.length);
+        this.#limits.enforce();
     }
 
     #setWaitingInput(bytes: number): void {
