--- a/packages/daemon/src/http/client-limits.real.test.ts
+++ b/packages/daemon/src/http/client-limits.real.test.ts
@@ -11,6 +11,7 @@
 
 const MAX_BODY_BYTES = 262_144;
 const MAX_HEADER_BYTES = 16_384;
+const MAX_CONNECTIONS = 64;
 const MEBIBYTE = 1024 * 1024;
 const logger = pino({ enabled: false });
 
@@ -34,7 +35,7 @@
 const startListener = async (handle: Handle, memoryBytes?: number): Promise<number> => {
     listener = new HttpListener({
         address: { host: "127.0.0.1", port: 0 },
-        maxConnections: 64,
+        maxConnections: MAX_CONNECTIONS,
         clientLimits: new ClientLimits({ memoryBytes, logger }),
         handle,
         onConnectionRefused: () => undefined,
@@ -187,3 +188,24 @@
     ordinary.socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
     await vi.waitUntil(() => ordinary.received.length > MEBIBYTE, 20_000);
 });
+
+// Guards against headers without end that are collected for as long as they arrive.
+it("refuses a header that exceeds the limit", async () => {
+    const client = openClient(await startListener(answerSize));
+    client.socket.write(`GET / HTTP/1.1\r\nhost: a\r\n${"filler: filler\r\n".repeat(5_000)}`);
+    await vi.waitUntil(() => client.socket.destroyed, 20_000);
+    expect(client.received).toContain("431 Request Header Fields Too Large");
+});
+
+// Guards against clients that begin a request and then say nothing, until the listener accepts no others.
+it("closes stalled connections when hardly any are left for others", async () => {
+    const port = await startListener(answerSize);
+    const stalled = Array.from({ length: MAX_CONNECTIONS }, () => openClient(port));
+    stalled.forEach(({ socket }) => socket.write(CHUNKED_HEAD + chunksOf(10, 10)));
+    await vi.waitUntil(() => listener?.connectionCount === MAX_CONNECTIONS, 20_000);
+    await vi.waitUntil(() => (listener?.connectionCount ?? 0) < MAX_CONNECTIONS, 40_000);
+    const ordinary = openClient(port);
+    ordinary.socket.write("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    await vi.waitUntil(() => ordinary.received.includes("200 OK"), 20_000);
+    expect(stalled.some(({ received }) => received.includes("503 Service Unavailable"))).toBe(true);
+});
