--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -54,6 +54,8 @@
 const VOTER_STATUS_INTERVAL_MS = 200;
 const UTILIZATION_INTERVAL_MS = 2_000;
 const ANNOUNCE_INTERVAL_MS = 1_000;
+/** Organisations of which each report has a line, the busiest ones. */
+const MAX_LOGGED_ORGANISATIONS = 20;
 const HANDOVER_TIMEOUT_MS = 1_500;
 /**
  * Time for which a stopping former leader, or a replica that has passed heartbeats on, redirects to the present leader: each
@@ -357,6 +359,9 @@
             const utilization = session.utilization();
             this.#metrics.setUtilization(utilization);
             this.#logger.info(utilization, "utilization");
+            const organisations = session.organisations();
+            this.#metrics.setOrganisations(organisations);
+            organisations.slice(0, MAX_LOGGED_ORGANISATIONS).forEach(usage => this.#logger.info(usage, "organisation"));
             const reports = session.waitReports(this.#currentTimes());
             this.#metrics.setWaitReports(reports);
             reports.forEach(report => this.#logger.warn(report, "task waits for a start"));
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -1,9 +1,17 @@
-import { EventKind, Exclusion, JobState, Refusal, RunEnd, TaskKind } from "@waxwingspread/workflow";
-import type { CallResult, EventOf, Utilization, WaitReport, WorkflowEvent } from "@waxwingspread/workflow";
+import { EventKind, Exclusion, JobState, Refusal, RunEnd, TaskKind, WaitCause } from "@waxwingspread/workflow";
+import type {
+    CallResult,
+    EventOf,
+    OrganisationUsage,
+    Utilization,
+    WaitReport,
+    WorkflowEvent,
+} from "@waxwingspread/workflow";
 import { Registry } from "prom-client";
 import { MetricFactory } from "../metrics/metric-factory.js";
 import { ForwardedOperation } from "./operations.js";
 import type { VoterStatus } from "./operations.js";
+import { OrganisationMetrics } from "./organisation-metrics.js";
 
 const OK_LABEL = "ok";
 /** From one commit within a zone up to the maximum wait of a caller. */
@@ -27,6 +35,8 @@
     Decision = "decision",
 }
 
+const isHeldByLimit = ({ cause }: WaitReport): boolean => cause !== undefined && cause !== WaitCause.Share;
+
 const OUTCOMES = [OK_LABEL, ...Object.values(Refusal)];
 
 /** Metrics of an entry. */
@@ -129,6 +139,8 @@
         { kind: Object.values(TaskKind), state: ["room", ...Object.values(Exclusion)] },
     );
 
+    readonly #organisations = new OrganisationMetrics(this.registry);
+
     readonly #handlers: Handlers = {
         [EventKind.JobAccepted]: ({ job }, nowMs) => {
             this.#jobs.add({ event: "accepted" });
@@ -185,6 +197,7 @@
         this.#term.set({}, term);
         if (!isLeader) {
             this.#acceptedAtMs.clear();
+            this.#organisations.set([]);
         }
     }
 
@@ -206,10 +219,18 @@
         this.#standingTasksOverTarget.set({}, utilization.standingTasksOverTarget);
     }
 
-    /** Sets the gauges of the tasks with the longest waits; those of kinds without a report become zero. */
+    /** Sets the gauges of the organisations, the busiest ones first. */
+    setOrganisations(usages: readonly OrganisationUsage[]): void {
+        this.#organisations.set(usages);
+    }
+
+    /**
+     * Sets the gauges of the tasks with the longest waits, but for those that only the limits of their organisation hold
+     * back; those of kinds without a report become zero.
+     */
     setWaitReports(reports: readonly WaitReport[]): void {
         for (const kind of Object.values(TaskKind)) {
-            const report = reports.find(candidate => candidate.kind === kind);
+            const report = reports.find(candidate => candidate.kind === kind && !isHeldByLimit(candidate));
             this.#longestWait.set({ kind }, (report?.waitedMs ?? 0) / 1_000);
             this.#unstartedRuns.set({ kind, cause: "lost" }, report?.lostRuns ?? 0);
             this.#unstartedRuns.set({ kind, cause: "rejected" }, report?.rejectedRuns ?? 0);
