Change quotas in the random tests and check them at each start

Change: a series of commands submits jobs of two organisations and changes their quotas amid the other disruptions. QuotaCheck compares what is at work on all servers at each start with the highest quota that may be in force.

--- a/packages/simulation/src/fuzz/commands.ts
+++ b/packages/simulation/src/fuzz/commands.ts
@@ -90,11 +90,14 @@
     steps: readonly Partial<StepSpecification>[],
     behaviour: JobBehaviour,
     delayMs = 0,
+    organisation?: string,
 ): DeploymentCommand => {
-    const name = `submit ${JSON.stringify(steps)} ${JSON.stringify(behaviour)} arriving after ${delayMs}`;
+    const name = `submit ${JSON.stringify(steps)} ${JSON.stringify(behaviour)} arriving after ${delayMs}`
+        + (organisation === undefined ? "" : ` of ${organisation}`);
     return new DeploymentCommand(name, (deployment, model) => {
         model.jobs += 1;
-        const specification: JobSpecification = jobOf(`job${model.jobs}`, ...chainSteps(steps));
+        const job = jobOf(`job${model.jobs}`, ...chainSteps(steps));
+        const specification: JobSpecification = organisation === undefined ? job : { ...job, organisation };
         deployment.submit(specification, behaviour, delayMs);
     });
 };
@@ -227,6 +230,48 @@
     )),
 ];
 
+const ORGANISATIONS = ["a", "b"];
+
+const submitForOrganisationArbitrary: CommandArbitrary = fc
+    .tuple(
+        fc.array(stepArbitrary, { minLength: 1, maxLength: 2 }),
+        behaviourArbitrary,
+        fc.constantFrom(...ORGANISATIONS),
+    )
+    .map(([steps, behaviour, organisation]) => submitCommand(steps, behaviour, 0, organisation));
+
+/** Quotas from one task up to more than the fleet; 0 for no limit. */
+const quotaArbitrary = fc.record({
+    cpuMillicores: fc.constantFrom(0, 1_000, 3_000, 6_000, 20_000),
+    memoryMebibytes: fc.constantFrom(0, 1_000, 4_000, 10_000),
+    accelerators: fc.constant(0),
+});
+
+const quotasArbitrary: CommandArbitrary = fc.tuple(...ORGANISATIONS.map(() => quotaArbitrary)).map(quotas =>
+    new DeploymentCommand(
+        `set the quotas to ${JSON.stringify(quotas)}`,
+        deployment => deployment.setQuotas(new Map(quotas.map((quota, index) => [ORGANISATIONS[index] ?? "", quota]))),
+    )
+);
+
+/** Jobs of organisations whose quotas change, under all disruptions. */
+export const QUOTA_COMMANDS: readonly CommandArbitrary[] = [
+    submitForOrganisationArbitrary,
+    submitForOrganisationArbitrary,
+    submitForOrganisationArbitrary,
+    quotasArbitrary,
+    quotasArbitrary,
+    advanceArbitrary,
+    advanceArbitrary,
+    advanceBrieflyArbitrary,
+    loseLeaderArbitrary,
+    stallLogArbitrary,
+    suspendLeaderArbitrary,
+    cancelArbitrary,
+    zoneArbitrary,
+    ...serverArbitraries,
+];
+
 /** All commands. Submissions and time steps are listed twice, so that they are the most frequent. */
 export const ALL_COMMANDS: readonly CommandArbitrary[] = [
     submitArbitrary,
--- a/packages/simulation/src/fuzz/workflow.fuzz.test.ts
+++ b/packages/simulation/src/fuzz/workflow.fuzz.test.ts
@@ -2,7 +2,13 @@
 import fc from "fast-check";
 import { expect, it } from "vitest";
 import { Deployment } from "../model/deployment.js";
-import { ALL_COMMANDS, CANCELLATION_COMMANDS, MAINTENANCE_COMMANDS, PACE_COMMANDS } from "./commands.js";
+import {
+    ALL_COMMANDS,
+    CANCELLATION_COMMANDS,
+    MAINTENANCE_COMMANDS,
+    PACE_COMMANDS,
+    QUOTA_COMMANDS,
+} from "./commands.js";
 import type { FuzzModel } from "./commands.js";
 import { SMALL_FLEET_OPTIONS } from "./fuzz-deployment.js";
 
@@ -56,6 +62,7 @@
     deployment.loseLeader();
     deployment.advance(FAILOVER_MS);
     deployment.heal();
+    deployment.liftQuotas();
     deployment.resubmit();
     deployment.advance(SETTLING_MS);
     // VMs that are emptied for their maintenance take no tasks.
@@ -81,14 +88,15 @@
 };
 
 // Checks the guarantees about runs, jobs and maintenance under losses and suspensions of the leader, servers that are
-// partitioned, restart, crash, drain, stall, fail or shrink, tasks that crash their servers, zones out of service and
-// cancellations. Also guards against accepted tasks that stand still after the last disruption although there is capacity for
+// partitioned, restart, crash, drain, stall, fail or shrink, tasks that crash their servers, zones out of service,
+// cancellations and quotas that change. Also guards against accepted tasks that stand still after the last disruption although there is capacity for
 // them. The series of few kinds of commands meet the orders of events that are rare in the series of all.
 it.each([
     ["disruptions", ALL_COMMANDS, RUNS],
     ["maintenance and changes of the leader", MAINTENANCE_COMMANDS, RUNS / 3],
     ["busy standing tasks and changes of the leader", PACE_COMMANDS, RUNS / 3],
     ["cancellations before late submissions", CANCELLATION_COMMANDS, RUNS / 3],
+    ["disruptions and changes of quotas", QUOTA_COMMANDS, RUNS / 3],
 ])("keeps its guarantees through any sequence of %s", (unusedName, commandArbitraries, numRuns) => {
     fc.assert(
         fc.property(
--- a/packages/simulation/src/model/deployment.ts
+++ b/packages/simulation/src/model/deployment.ts
@@ -9,10 +9,12 @@
     LeaderSettings,
     MaintenanceOrder,
 } from "@waxwingspread/workflow";
-import { configurationOf, HOST } from "@waxwingspread/workflow/testing";
+import { configurationOf, HOST, organisationOf } from "@waxwingspread/workflow/testing";
 import { LivenessCheck } from "../checks/liveness.js";
 import { Oracle } from "../checks/oracle.js";
 import type { SubmittedJob } from "../checks/oracle.js";
+import { QuotaCheck } from "../checks/quota-check.js";
+import type { Quotas } from "../checks/quota-check.js";
 import { StandingCheck } from "../checks/standing-check.js";
 import { ControlPlane } from "./control-plane.js";
 import { EventQueue } from "./event-queue.js";
@@ -51,6 +53,7 @@
     readonly oracle: Oracle;
     readonly liveness: LivenessCheck;
     readonly standing: StandingCheck;
+    readonly quotas: QuotaCheck;
     readonly platform: VmPlatform;
     readonly #options: DeploymentOptions;
     readonly #events = new EventQueue(START_MS);
@@ -63,6 +66,7 @@
     readonly #observers: Partial<ServerObserver>[] = [];
     readonly #control: ControlPlane;
     readonly #gangs: Gangs;
+    #configurationVersion = 1;
     #heartbeats = 0;
 
     constructor(options: DeploymentOptions) {
@@ -83,6 +87,7 @@
         this.oracle = new Oracle(this.jobs, this.servers);
         this.liveness = new LivenessCheck(this.jobs, this.servers, this.oracle);
         this.standing = new StandingCheck(this.jobs, this.servers, this.oracle);
+        this.quotas = new QuotaCheck(this.jobs, this.servers);
         const { maintenanceMs } = options.settings;
         this.platform = new VmPlatform({ events: this.#events, servers: this.servers, pick, maintenanceMs });
         this.#gangs = new Gangs(this.servers, position => behaviour.stepOf(position));
@@ -113,6 +118,7 @@
             ...this.oracle.violations,
             ...this.liveness.violations,
             ...this.standing.violations,
+            ...this.quotas.violations,
             ...this.platform.violations,
         ];
     }
@@ -197,6 +203,29 @@
         });
     }
 
+    /** Sends a configuration with organisations that have the given quotas and equal weights. */
+    setQuotas(quotas: Quotas): void {
+        this.#configurationVersion += 1;
+        const version = this.#configurationVersion;
+        const organisations = [...quotas].map(([name, quota]) => organisationOf(name, { quota }));
+        const configuration = { ...configurationWith(this.#options.maxAttempts), version, organisations };
+        this.quotas.recordSent(version, quotas);
+        this.#control.call(({ node }, times) =>
+            node.configure(configuration, result => {
+                if (result.ok) {
+                    this.quotas.recordAcknowledged(version, this.nowMs);
+                }
+            }, times)
+        );
+    }
+
+    /** Removes all quotas, if there were any. */
+    liftQuotas(): void {
+        if (this.#configurationVersion > 1) {
+            this.setQuotas(new Map());
+        }
+    }
+
     setZone(zone: string, isOut: boolean): void {
         if (!isOut) {
             this.oracle.zonesOutSinceMs.delete(zone);
@@ -366,6 +395,7 @@
             started: (server, order, run, nowMs) => {
                 trace(server, run, "started");
                 this.oracle.started(server, order, run, nowMs);
+                this.quotas.started(run.position.jobId, nowMs);
                 this.#gangs.recordStart(run.position);
                 notify("started", server, order, run, nowMs);
             },
