Give back the token of a submission that is refused for another reason

Cause: callers repeat refused submissions; each repeat took a token, so that their organisation exceeded its rate by what was never accepted.

--- a/packages/common/src/sharing/token-bucket.ts
+++ b/packages/common/src/sharing/token-bucket.ts
@@ -31,6 +31,11 @@
         return true;
     }
 
+    /** Gives one token back that was taken. */
+    giveBack(): void {
+        this.#tokens = Math.min(this.#burst, this.#tokens + 1);
+    }
+
     /** Returns the time in milliseconds until a token is available. */
     waitMs(nowMs: number): number {
         this.#refill(nowMs);
--- a/packages/workflow/src/leader/create-submission-control.ts
+++ b/packages/workflow/src/leader/create-submission-control.ts
@@ -35,6 +35,9 @@
             (job, contract, times) => rates.check(job, contract, times),
         ],
         admission: new JobAdmission({ state, maxBytes: settings.maxJobBytes }),
-        recordRefusal: (job, { refusal }) => limits.refusals.record(job, refusal),
+        recordRefusal: (job, { refusal }) => {
+            limits.refusals.record(job, refusal);
+            rates.recordRefusal(job);
+        },
     });
 };
--- a/packages/workflow/src/organisations/submission-rates.test.ts
+++ b/packages/workflow/src/organisations/submission-rates.test.ts
@@ -87,3 +87,15 @@
     replica.failOver();
     expect(exceedsRate(replica, "j4")).toBe(true);
 });
+
+// Guards against callers that repeat refused submissions and so exceed the rate of their organisation.
+it("doesn't count submissions that are refused for another reason", () => {
+    const replica = startReplica();
+    const large = stepOf({ taskCount: 1_000_000 });
+    for (let attempt = 0; attempt < 10; attempt += 1) {
+        const refused = { ok: false, refusal: Refusal.Overloaded };
+        expect(replica.submit(jobFor("a", "large", large))).toEqual(refused);
+    }
+    submitMany(replica, "j", 4);
+    expect(exceedsRate(replica, "j3")).toBeUndefined();
+});
--- a/packages/workflow/src/organisations/submission-rates.ts
+++ b/packages/workflow/src/organisations/submission-rates.ts
@@ -54,6 +54,13 @@
             : refused(Refusal.Overloaded, this.#bucketOf(job.organisation)?.waitMs(times.nowMs));
     }
 
+    /** Gives back what a job within the rate has taken that was refused, so that a repeat of it is within the rate as well. */
+    recordRefusal(job: JobSpecification): void {
+        if (job.exceedsRate !== true) {
+            this.#bucketOf(job.organisation)?.giveBack();
+        }
+    }
+
     #bucketOf(organisation: string | undefined): TokenBucket | undefined {
         const contract = this.#options.contracts.find(organisation);
         if (contract === undefined || contract.submissionsPerSecond <= 0) {
