--- a/packages/workflow/src/leader/create-submission-control.ts
+++ b/packages/workflow/src/leader/create-submission-control.ts
@@ -38,6 +38,9 @@
             overload.check,
         ],
         admission: new JobAdmission({ state, maxBytes: settings.maxJobBytes }),
-        recordRefusal: (job, { refusal }) => limits.refusals.record(job, refusal),
+        recordRefusal: (job, { refusal }) => {
+            limits.refusals.record(job, refusal);
+            rates.recordRefusal(job);
+        },
     });
 };
