Change the order of work only while room is scarce

Where standing work leaves enough room for finite work, jobs are served as before. The test of the order of a standing job is as it was; two tests of the order under scarcity stand beside it.

--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -110,7 +110,8 @@
         const runs = this.#reconsiderOverdue({ nowMs, timeOfDayMs });
         // The round must go on, however many servers change during it.
         this.#remainingServers = Math.max(this.#remainingServers, MIN_EXAMINED_SERVERS_IN_ROUND);
-        for (const turn of this.#queue.turns(timeOfDayMs)) {
+        const isRoomScarce = (queue: QueueContract): boolean => this.#scarceTaskMillicores(queue, nowMs) > 0;
+        for (const turn of this.#queue.turns(timeOfDayMs, isRoomScarce)) {
             const planned = this.#planTurn(turn, nowMs);
             runs.push(...planned.runs);
             if (!planned.isComplete) {
--- a/packages/workflow/src/leader/work-queue.ts
+++ b/packages/workflow/src/leader/work-queue.ts
@@ -1,3 +1,4 @@
+import type { QueueContract } from "../model/configuration.js";
 import { stepKeyOf as stepKey, taskKeyOf, TaskKind, taskKindOf } from "../model/specification.js";
 import type { StepSpecification } from "../model/specification.js";
 import type { JobRecord } from "../state/job-record.js";
@@ -52,14 +53,14 @@
     /** Finite jobs that have begun and can end in time. */
     BegunInTime,
     /**
-     * Finite jobs that have begun and end late in any case, though not so late that their callers have little use for them;
-     * the capacity they have used is not to be wasted.
+     * Finite jobs that have begun and end late in any case; the capacity they have used is not to be wasted. While room is
+     * scarce, those of which callers have little use any more are left out.
      */
     BegunLate,
-    /** Other jobs that can end in time. */
+    /** Other jobs that can end in time, and standing jobs, which are never too late to start. */
     InTime,
-    /** Standing jobs. They are never too late to start, and they keep the capacity that they take for long. */
-    Standing,
+    /** Standing jobs while room for finite ones is scarce: they keep for long what they take. */
+    PutOff,
     /** Jobs that end late even if they begin now; before those above, they would make them late as well. */
     Late,
 }
@@ -70,6 +71,9 @@
  */
 type UnstartedSince = (task: string) => number | undefined;
 
+/** Returns whether the finite work that competes with a queue has too little room. */
+type IsRoomScarce = (queue: QueueContract) => boolean;
+
 /**
  * Steps that are due and whose dependencies are done, in scheduling order: overdue standing steps, then the others by
  * priority, by urgency, and by the time at which callers expect the occurrence to end.
@@ -99,7 +103,7 @@
     }
 
     /** Returns the steps in scheduling order. Idle late jobs have two turns: one for a single task, one for the others. */
-    turns(timeOfDayMs: number): readonly Turn[] {
+    turns(timeOfDayMs: number, isRoomScarce: IsRoomScarce = () => false): readonly Turn[] {
         const overdue: Turn[] = [];
         const turns: Turn[] = [];
         let priority: number | undefined;
@@ -114,7 +118,7 @@
                 turns.push(...groups.flatMap(turnsOfGroup));
                 groups = emptyGroups();
             }
-            groups[urgencyOf(waiting, timeOfDayMs)]?.push(waiting);
+            groups[urgencyOf(waiting, isRoomScarce, timeOfDayMs)]?.push(waiting);
         }
         turns.push(...groups.flatMap(turnsOfGroup));
         return [...overdue, ...turns];
@@ -288,13 +292,15 @@
 const isStandingOverdue = ({ kind, waitingSinceMs }: WaitingStep, timeOfDayMs: number): boolean =>
     kind === TaskKind.Standing && timeOfDayMs - waitingSinceMs >= MAX_STANDING_WAIT_MS;
 
-const urgencyOf = (waiting: WaitingStep, timeOfDayMs: number): Urgency => {
-    if (waiting.kind === TaskKind.Standing) {
-        return Urgency.Standing;
+const urgencyOf = (waiting: WaitingStep, isRoomScarce: IsRoomScarce, timeOfDayMs: number): Urgency => {
+    const { kind, job } = waiting;
+    if (kind === TaskKind.Standing) {
+        return isRoomScarce(job.queue) ? Urgency.PutOff : Urgency.InTime;
     }
     const endsLate = isExpectedLate(waiting, timeOfDayMs);
     // A filler continues from its checkpoint and holds no processors, so that its job may wait after it has begun.
-    if (waiting.kind === TaskKind.Finite && hasBegun(waiting) && isUseful(waiting, timeOfDayMs)) {
+    const holdsCapacity = kind === TaskKind.Finite && hasBegun(waiting);
+    if (holdsCapacity && (isUseful(waiting, timeOfDayMs) || !isRoomScarce(job.queue))) {
         return endsLate ? Urgency.BegunLate : Urgency.BegunInTime;
     }
     return endsLate ? Urgency.Late : Urgency.InTime;
