--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -6,7 +6,7 @@
 import { DescribeResponseSchema } from "@waxwingspread/protocol";
 import type { DescribeResponse, LogEntry, ReplicaMessage } from "@waxwingspread/protocol";
 import { FailedAction, WorkflowNode } from "@waxwingspread/workflow";
-import type { CallResult, HeartbeatReport, LeaderSession, LeaderSettings, Times } from "@waxwingspread/workflow";
+import type { CallResult, HeartbeatReport, LeaderSettings, Times } from "@waxwingspread/workflow";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "pino";
 import type { HttpListener } from "../http/http-listener.js";
@@ -48,6 +48,7 @@
 import { PlatformCalls } from "./platform-calls.js";
 import type { PlatformServices } from "./platform-services.js";
 import { RelayAnnouncer } from "./relay-announcer.js";
+import { reportSession } from "./report-session.js";
 import { createRunnerLog } from "./runner-log.js";
 import { SlewedWallClock } from "./slewed-wall-clock.js";
 import type { ControlMetrics } from "./workflow-metrics.js";
@@ -56,8 +57,6 @@
 const VOTER_STATUS_INTERVAL_MS = 200;
 const UTILIZATION_INTERVAL_MS = 2_000;
 const ANNOUNCE_INTERVAL_MS = 1_000;
-/** Organisations of which each report has a line, the busiest ones. */
-const MAX_LOGGED_ORGANISATIONS = 20;
 const HANDOVER_TIMEOUT_MS = 1_500;
 /**
  * Time for which a stopping former leader, or a replica that has passed heartbeats on, redirects to the present leader: each
@@ -351,39 +350,16 @@
     /** Reports the utilization; an error in a report must not end the leader. */
     #tryReportUtilization(): void {
         try {
-            this.#reportUtilization();
+            const { session } = this.#node;
+            if (session !== undefined) {
+                reportSession(session, this.#metrics, this.#logger, this.#currentTimes());
+            }
         }
         catch (error) {
             this.#eventLog.recordFailure(error, FailedAction.ReportEvents, monotonicNowMs());
         }
     }
 
-    #reportUtilization(): void {
-        const { session } = this.#node;
-        if (session !== undefined) {
-            const utilization = session.utilization();
-            this.#metrics.setUtilization(utilization);
-            this.#logger.info(utilization, "utilization");
-            const organisations = session.organisations();
-            this.#metrics.setOrganisations(organisations);
-            organisations.slice(0, MAX_LOGGED_ORGANISATIONS).forEach(usage => this.#logger.info(usage, "organisation"));
-            const reports = session.waitReports(this.#currentTimes());
-            this.#metrics.setWaitReports(reports);
-            reports.forEach(report => this.#logger.warn(report, "task waits for a start"));
-            this.#reportOverload(session);
-        }
-    }
-
-    #reportOverload(session: LeaderSession): void {
-        const report = session.overload.takeReport(this.#currentTimes());
-        const { waits, outcomes, ...decisions } = report;
-        this.#metrics.overload.record(report);
-        waits.forEach(summary => this.#logger.info(summary, "waiting steps"));
-        this.#logger.info(outcomes.counts, "job outcomes");
-        this.#logger.info(decisions, "overload control");
-        outcomes.lateJobs.forEach(outcome => this.#logger.info(outcome, "job ended late"));
-    }
-
     #applyCommitted(entries: LogEntry[]): void {
         const records = entries.map(entry => ({
             index: entry.index,
