Judge by the server's clock, too, whether a run of a former leader has started

Heartbeats that the server sent before the former leader's order may arrive late, and two of them 1.5 s apart were enough: the run was recorded as lost while it was at work, its end was acknowledged without effect, and the task started again. Organisations above their quota made such runs frequent: before, only a drain, a zone out of service, a missing approval or a smaller server kept a run from its start, and otherwise the order was repeated, which a server that has the run rejects.

Change: the 1.5 s have to pass between the heartbeats on the server's clock as well. A server that is in touch passes them in the same time as before.

Test: "is not treated as lost because of several late heartbeats sent before the former leader's order" failed before with a second start of j.0.0.0 (run 2).

--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -13,8 +13,8 @@
 const MIN_HEARTBEAT_SPACING_MS = 1;
 
 /**
- * Time after a server's first heartbeat in a term by which its heartbeats from before the election have arrived or are
- * superseded by later ones.
+ * Time from a server's first heartbeat in a term on, also on the server's clock, by which its heartbeats from before the
+ * election have arrived or are superseded by later ones.
  */
 const LATE_HEARTBEAT_WINDOW_MS = 1_500;
 
@@ -183,7 +183,7 @@
      * heartbeats may arrive late and may have been sent before the former leader's start order was received.
      */
     #hasNotStarted(server: ServerView, view: RunView, nowMs: number): boolean {
-        return !view.isAdopted || nowMs - (server.firstHeartbeatAtMs ?? nowMs) >= LATE_HEARTBEAT_WINDOW_MS;
+        return !view.isAdopted || server.observedMs(nowMs) >= LATE_HEARTBEAT_WINDOW_MS;
     }
 
     /** Whether a run is on the server, or may be according to a start order that was sent. */
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -60,6 +60,9 @@
  */
 const MISSED_ANSWER_INTERVAL_MS = 980;
 
+/** Assumed lower bound on the rate of a server's clock, relative to the leader's. */
+const MIN_CLOCK_RATE = 0.98;
+
 /**
  * A server counts as saturated when its fillers get less than this share of the CPU time that their paces allow. Tasks that
  * nothing holds up may use a good deal less than they declare.
@@ -97,6 +100,8 @@
     hasMissedAnswer = false;
     /** Time of the first heartbeat in this term; undefined before. */
     firstHeartbeatAtMs: number | undefined;
+    /** The server's monotonic clock when it sent the first heartbeat in this term; undefined before, or when unknown. */
+    #firstClockMs: number | undefined;
     /** Time at which all of the server's leases have certainly expired unless another heartbeat is answered. */
     leaseExpiresAtMs: number;
     /** Sequence number of the last run end that was proposed for the log. */
@@ -219,6 +224,17 @@
         return hasChanged;
     }
 
+    /**
+     * Returns the time over which heartbeats of this term show what runs on the server. Heartbeats that arrive late together
+     * show a shorter time than that between their arrivals, and one that arrives late by itself seems to show a longer one.
+     */
+    observedMs(nowMs: number): number {
+        const elapsedMs = nowMs - (this.firstHeartbeatAtMs ?? nowMs);
+        return this.clockMs === undefined || this.#firstClockMs === undefined
+            ? elapsedMs
+            : Math.min(elapsedMs, (this.clockMs - this.#firstClockMs) / MIN_CLOCK_RATE);
+    }
+
     /** Updates the server's properties from a heartbeat. */
     updateFrom(report: HeartbeatReport, nowMs: number): void {
         this.#hasChanged = true;
@@ -234,7 +250,10 @@
         this.sequence = report.sequence;
         this.clockMs = report.clockMs;
         this.lastHeartbeatAtMs = nowMs;
-        this.firstHeartbeatAtMs ??= nowMs;
+        if (this.firstHeartbeatAtMs === undefined) {
+            this.firstHeartbeatAtMs = nowMs;
+            this.#firstClockMs = report.clockMs;
+        }
     }
 
     /** Whether a task of the step fits into the unreserved capacity. */
