Preview submissions without an influence on callers, and keep shares finite

(1) A preview of a submission asked the admission of standing jobs as a submission does: it counted as a refused or accepted job, switched the threshold between refusal and readmission, and put the Retry-After of the next refused caller behind its own (1.0 s became 6.0 s after ten previews of a job of 10 cores). Checks know now that they answer a preview and record nothing then. (2) While an organisation held a resource that no known server has, as accelerators after an election, its share was infinite, and with it the entitlement of every organisation: nobody was beyond its share. Such a resource is left out of the shares until a server with it is heard.

Tests: "decides after previews as without them", "computes shares while an organisation holds a resource that no known server has". Earlier forms of both failed before the change (Retry-After 6,001 in place of 1,000 ms; infinite values).

--- a/packages/workflow/src/leader/overload/overload-control.ts
+++ b/packages/workflow/src/leader/overload/overload-control.ts
@@ -64,10 +64,10 @@
     }
 
     /** Refuses a job that would take room that costs other callers more. */
-    readonly check: SubmissionCheck = (job, queue, times) =>
+    readonly check: SubmissionCheck = (job, queue, times, isPreview) =>
         times.nowMs - this.#options.startedAtMs < DISCOVERY_MS
             ? undefined
-            : this.#standingAdmission.check(job, queue, times);
+            : this.#standingAdmission.check(job, queue, times, isPreview);
 
     /** Returns the size of the finite tasks for which a queue's service has too little room; 0 if it has enough. */
     scarceTaskMillicores(queue: QueueContract, nowMs: number): number {
--- a/packages/workflow/src/leader/overload/standing-admission.test.ts
+++ b/packages/workflow/src/leader/overload/standing-admission.test.ts
@@ -71,3 +71,15 @@
     forecast.roomCores = 149.9;
     expect(check(70_000)?.retryAfterMs).toBe(1_000);
 });
+
+// Guards against previews that make callers wait longer, or that change whether the next job is refused.
+it("decides after previews as without them", () => {
+    const { admission, forecast, check } = startAdmission(120);
+    admission.recordDeparture(400, 0);
+    const preview = () => admission.check(standingJob(1_000), QUEUE, { nowMs: 0, timeOfDayMs: 0 }, true);
+    expect(preview()).toMatchObject({ refusal: Refusal.Overloaded });
+    expect(preview()).toEqual(preview());
+    expect(admission.takeReport()).toEqual({ byPriority: {}, isShort: false });
+    forecast.roomCores = 130;
+    expect(check(0)).toBeUndefined();
+});
--- a/packages/workflow/src/leader/overload/standing-admission.ts
+++ b/packages/workflow/src/leader/overload/standing-admission.ts
@@ -62,8 +62,16 @@
         this.#departures.add(cores, nowMs);
     }
 
-    /** Returns the refusal of a standing job for which there is too little room; undefined for any other job. */
-    check(job: JobSpecification, queue: QueueContract, { nowMs }: Times): RefusedCall | undefined {
+    /**
+     * Returns the refusal of a standing job for which there is too little room; undefined for any other job. A preview has
+     * no influence on later decisions.
+     */
+    check(
+        job: JobSpecification,
+        queue: QueueContract,
+        { nowMs }: Times,
+        isPreview = false,
+    ): RefusedCall | undefined {
         const cores = standingCoresOf(job);
         if (cores === 0) {
             return undefined;
@@ -72,17 +80,13 @@
         const key = competitionKeyOf(queue);
         const ratio = this.#shortQueues.has(key) ? READMISSION_RATIO : REFUSAL_RATIO;
         const isShort = neededCores > 0 && roomCores < ratio * neededCores;
-        const decisions = this.#decisions[queue.priority] ??= { accepted: 0, refused: 0, refusedCores: 0 };
-        if (!isShort) {
-            this.#shortQueues.delete(key);
-            decisions.accepted += 1;
-            return undefined;
+        const retryAfterMs = isShort
+            ? this.#retryAfterMs(READMISSION_RATIO * neededCores - roomCores, nowMs)
+            : undefined;
+        if (!isPreview) {
+            this.#record(queue, cores, retryAfterMs, nowMs);
         }
-        this.#shortQueues.add(key);
-        decisions.refused += 1;
-        decisions.refusedCores += cores;
-        const shortageCores = READMISSION_RATIO * neededCores - roomCores;
-        return refused(Refusal.Overloaded, this.#retryAfterMs(shortageCores, cores, nowMs));
+        return retryAfterMs === undefined ? undefined : refused(Refusal.Overloaded, retryAfterMs);
     }
 
     /** Returns the decisions since the last call. */
@@ -92,13 +96,27 @@
         return report;
     }
 
-    #retryAfterMs(shortageCores: number, jobCores: number, nowMs: number): number {
+    /** Records a decision; the clients that were refused return one after the other. */
+    #record(queue: QueueContract, cores: number, retryAfterMs: number | undefined, nowMs: number): void {
+        const key = competitionKeyOf(queue);
+        const decisions = this.#decisions[queue.priority] ??= { accepted: 0, refused: 0, refusedCores: 0 };
+        if (retryAfterMs === undefined) {
+            this.#shortQueues.delete(key);
+            decisions.accepted += 1;
+            return;
+        }
+        this.#shortQueues.add(key);
+        decisions.refused += 1;
+        decisions.refusedCores += cores;
+        const coresPerMs = this.#departures.perSecond(nowMs) / 1_000;
+        this.#nextReturnAtMs = nowMs + retryAfterMs + (coresPerMs === 0 ? 0 : cores / coresPerMs);
+    }
+
+    #retryAfterMs(shortageCores: number, nowMs: number): number {
         const coresPerMs = this.#departures.perSecond(nowMs) / 1_000;
         const waitMs = coresPerMs === 0 ? MAX_RETRY_AFTER_MS : shortageCores / coresPerMs;
         const returnAtMs = Math.max(nowMs + waitMs, this.#nextReturnAtMs);
-        const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, returnAtMs - nowMs));
-        this.#nextReturnAtMs = nowMs + retryAfterMs + (coresPerMs === 0 ? 0 : jobCores / coresPerMs);
-        return retryAfterMs;
+        return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, returnAtMs - nowMs));
     }
 }
 
--- a/packages/workflow/src/leader/submission-control.ts
+++ b/packages/workflow/src/leader/submission-control.ts
@@ -5,8 +5,13 @@
 import type { JobAdmission } from "./job-admission.js";
 import type { Times } from "./times.js";
 
-/** Checks a submission; returns why it is refused, or undefined. */
-export type SubmissionCheck = (job: JobSpecification, queue: QueueContract, times: Times) => RefusedCall | undefined;
+/** Checks a submission, or previews one without a change; returns why it is refused, or undefined. */
+export type SubmissionCheck = (
+    job: JobSpecification,
+    queue: QueueContract,
+    times: Times,
+    isPreview: boolean,
+) => RefusedCall | undefined;
 
 /** Dependencies of a {@link SubmissionControl}. */
 export interface SubmissionControlOptions {
@@ -33,7 +38,7 @@
 
     /** Returns why the submission is refused; otherwise counts its job as accepted and returns undefined. */
     admit(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
-        const refusal = this.#firstRefusal(job, queue, times) ?? this.#admit(job, times);
+        const refusal = this.#firstRefusal(job, queue, times, false) ?? this.#admit(job, times);
         if (refusal !== undefined) {
             this.#options.recordRefusal(job, refusal);
         }
@@ -42,7 +47,7 @@
 
     /** Returns why the submission would be refused, or undefined; counts nothing. */
     check(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
-        return this.#firstRefusal(job, queue, times)
+        return this.#firstRefusal(job, queue, times, true)
             ?? (this.#options.admission.hasRoomFor(job) ? undefined : refused(Refusal.Overloaded));
     }
 
@@ -51,9 +56,14 @@
         return this.#options.admission.tryAdmit(job, nowMs) ? undefined : refused(Refusal.Overloaded);
     }
 
-    #firstRefusal(job: JobSpecification, queue: QueueContract, times: Times): RefusedCall | undefined {
+    #firstRefusal(
+        job: JobSpecification,
+        queue: QueueContract,
+        times: Times,
+        isPreview: boolean,
+    ): RefusedCall | undefined {
         for (const check of this.#options.checks) {
-            const refusal = check(job, queue, times);
+            const refusal = check(job, queue, times, isPreview);
             if (refusal !== undefined) {
                 return refusal;
             }
--- a/packages/workflow/src/organisations/fair-shares.ts
+++ b/packages/workflow/src/organisations/fair-shares.ts
@@ -132,6 +132,10 @@
                 addAmounts(used, amounts);
             }
         });
+        // A resource that no known server has, as after an election, can't be shared: its share would be infinite.
+        RESOURCE_NAMES.filter(name => this.#fleet[name] === 0).forEach(name => {
+            used[name] = 0;
+        });
         return used;
     }
 
--- a/packages/workflow/src/organisations/shares.test.ts
+++ b/packages/workflow/src/organisations/shares.test.ts
@@ -5,6 +5,7 @@
 import { configurationOf, fillerStepOf, jobOf, organisationOf, standingStepOf, stepOf } from "../testing/fixtures.js";
 import { LeaseFleet } from "../testing/lease-fleet.js";
 import { SingleReplica } from "../testing/single-replica.js";
+import { FairShares } from "./fair-shares.js";
 import { OrganisationLimits } from "./organisation-limits.js";
 
 const CAPACITY = { cpuMillicores: 10_000, memoryMebibytes: 100_000, accelerators: 0 };
@@ -184,3 +185,25 @@
     shared.advance(2_500);
     expect(shared.started.filter(task => task.startsWith("light"))).toHaveLength(389);
 });
+
+// Guards against infinite shares, with which all organisations seem to be within their entitlements: after an election, an
+// organisation holds accelerators while no server with accelerators has been heard.
+it("computes shares while an organisation holds a resource that no known server has", () => {
+    const { replica } = new SharedFleet({ a: 1, b: 1 });
+    const limits = new OrganisationLimits(replica.node.state, { servers: [] });
+    const accelerated = jobFor("a", "a1", tasks(1, { amounts: { ...TASK, accelerators: 1 } }));
+    const [queue] = configurationOf(2).queues;
+    if (queue === undefined) {
+        throw new Error("the configuration has no queue");
+    }
+    const [step] = accelerated.steps;
+    const job = JobRecord.accepted(accelerated, queue, 0);
+    limits.ledger.propose("a1.0.0.0", job, step ?? stepOf());
+    const capacity = { cpuMillicores: 8_000, memoryMebibytes: 8_000, accelerators: 0 };
+    const reserved = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
+    const { ledger, contracts } = limits;
+    const servers = [{ capacity, reserved, fillerCpuMillicores: 0 }];
+    const shares = new FairShares({ ledger, contracts, servers, waiting: ["a", "b"] });
+    expect(shares.dominantShareOf("a", queue.priority)).toBe(0.125);
+    expect(shares.entitlementOf("b", queue.priority)).toBeCloseTo((1 + 0.125) / 2);
+});
