--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -60,6 +60,9 @@
  */
 const MISSED_ANSWER_INTERVAL_MS = 980;
 
+/** Assumed lower bound on the rate of a server's clock, relative to the leader's. */
+const MIN_CLOCK_RATE = 0.98;
+
 /**
  * A server counts as saturated when its fillers get less than this share of the CPU time that their paces allow. Tasks that
  * nothing holds up may use a good deal less than they declare.
@@ -95,8 +98,12 @@
     clockMs: number | undefined;
     /** Whether the server has sent the latest heartbeat without having received the answer to the one before. */
     hasMissedAnswer = false;
-    /** Time of the first heartbeat in this term; undefined before. */
-    firstHeartbeatAtMs: number | undefined;
+    /** Interval to the next heartbeat that the latest answer has ordered. */
+    orderedIntervalMs = 0;
+    /** Arrival of the first heartbeat of this term in the present contact; undefined before the first. */
+    #contactSinceMs: number | undefined;
+    /** The server's monotonic clock when it sent that heartbeat; undefined when unknown. */
+    #contactSinceClockMs: number | undefined;
     /** Time at which all of the server's leases have certainly expired unless another heartbeat is answered. */
     leaseExpiresAtMs: number;
     /** Sequence number of the last run end that was proposed for the log. */
@@ -219,6 +226,17 @@
         return hasChanged;
     }
 
+    /**
+     * Returns the time over which heartbeats of this term show without a gap what runs on the server. Heartbeats that arrive
+     * late are few and far apart, on the server's clock or in their arrival.
+     */
+    observedMs(nowMs: number): number {
+        const elapsedMs = nowMs - (this.#contactSinceMs ?? nowMs);
+        return this.clockMs === undefined || this.#contactSinceClockMs === undefined
+            ? elapsedMs
+            : Math.min(elapsedMs, (this.clockMs - this.#contactSinceClockMs) / MIN_CLOCK_RATE);
+    }
+
     /** Updates the server's properties from a heartbeat. */
     updateFrom(report: HeartbeatReport, nowMs: number): void {
         this.#hasChanged = true;
@@ -230,11 +248,15 @@
         this.capacity = report.capacity;
         this.isDraining = report.isDraining;
         this.leavesAtMs = report.isDraining && report.remainingMs !== undefined ? nowMs + report.remainingMs : Infinity;
-        this.hasMissedAnswer = (report.clockMs ?? 0) - (this.clockMs ?? Infinity) >= MISSED_ANSWER_INTERVAL_MS;
+        const sinceLastMs = (report.clockMs ?? 0) - (this.clockMs ?? Infinity);
+        this.hasMissedAnswer = sinceLastMs >= MISSED_ANSWER_INTERVAL_MS;
+        if (this.#contactSinceMs === undefined || sinceLastMs > MISSED_ANSWER_INTERVAL_MS + this.orderedIntervalMs) {
+            this.#contactSinceMs = nowMs;
+            this.#contactSinceClockMs = report.clockMs;
+        }
         this.sequence = report.sequence;
         this.clockMs = report.clockMs;
         this.lastHeartbeatAtMs = nowMs;
-        this.firstHeartbeatAtMs ??= nowMs;
     }
 
     /** Whether a task of the step fits into the unreserved capacity. */
