Let callers of the simulated deployment send the keys of their organisations

Change: the series' deployment names its organisations from the start, and each call has the key of the job's organisation. Reads may take a moment.

--- a/packages/simulation/src/fuzz/commands.ts
+++ b/packages/simulation/src/fuzz/commands.ts
@@ -230,7 +230,8 @@
     )),
 ];
 
-const ORGANISATIONS = ["a", "b"];
+/** Organisations of the jobs of {@link QUOTA_COMMANDS}. */
+export const ORGANISATIONS = ["a", "b"];
 
 const submitForOrganisationArbitrary: CommandArbitrary = fc
     .tuple(
--- a/packages/simulation/src/fuzz/workflow.fuzz.test.ts
+++ b/packages/simulation/src/fuzz/workflow.fuzz.test.ts
@@ -2,10 +2,12 @@
 import fc from "fast-check";
 import { expect, it } from "vitest";
 import { Deployment } from "../model/deployment.js";
+import type { DeploymentOptions } from "../model/deployment.js";
 import {
     ALL_COMMANDS,
     CANCELLATION_COMMANDS,
     MAINTENANCE_COMMANDS,
+    ORGANISATIONS,
     PACE_COMMANDS,
     QUOTA_COMMANDS,
 } from "./commands.js";
@@ -54,8 +56,12 @@
     return violations;
 };
 
-const runScenario = (seed: number, commands: Iterable<fc.Command<FuzzModel, Deployment>>): string[] => {
-    const deployment = new Deployment({ ...SMALL_FLEET_OPTIONS, seed });
+const runScenario = (
+    seed: number,
+    commands: Iterable<fc.Command<FuzzModel, Deployment>>,
+    options: Partial<DeploymentOptions>,
+): string[] => {
+    const deployment = new Deployment({ ...SMALL_FLEET_OPTIONS, seed, ...options });
     deployment.advance(1_000);
     fc.modelRun(() => ({ model: { jobs: 0 }, real: deployment }), commands);
     // A cancellation whose caller received no answer may or may not take effect.
@@ -92,18 +98,18 @@
 // cancellations and quotas that change. Also guards against accepted tasks that stand still after the last disruption although there is capacity for
 // them. The series of few kinds of commands meet the orders of events that are rare in the series of all.
 it.each([
-    ["disruptions", ALL_COMMANDS, RUNS],
-    ["maintenance and changes of the leader", MAINTENANCE_COMMANDS, RUNS / 3],
-    ["busy standing tasks and changes of the leader", PACE_COMMANDS, RUNS / 3],
-    ["cancellations before late submissions", CANCELLATION_COMMANDS, RUNS / 3],
-    ["disruptions and changes of quotas", QUOTA_COMMANDS, RUNS / 3],
-])("keeps its guarantees through any sequence of %s", (unusedName, commandArbitraries, numRuns) => {
+    ["disruptions", ALL_COMMANDS, RUNS, {}],
+    ["maintenance and changes of the leader", MAINTENANCE_COMMANDS, RUNS / 3, {}],
+    ["busy standing tasks and changes of the leader", PACE_COMMANDS, RUNS / 3, {}],
+    ["cancellations before late submissions", CANCELLATION_COMMANDS, RUNS / 3, {}],
+    ["disruptions and changes of quotas", QUOTA_COMMANDS, RUNS / 3, { organisations: ORGANISATIONS }],
+])("keeps its guarantees through any sequence of %s", (unusedName, commandArbitraries, numRuns, options) => {
     fc.assert(
         fc.property(
             fc.integer(),
             fc.commands([...commandArbitraries], { maxCommands: MAX_COMMANDS, size: "max" }),
             (seed, commands) => {
-                expect(runScenario(seed, commands)).toEqual([]);
+                expect(runScenario(seed, commands, options)).toEqual([]);
             },
         ),
         { numRuns, seed: SEED, endOnFailure: false },
--- a/packages/simulation/src/model/deployment.ts
+++ b/packages/simulation/src/model/deployment.ts
@@ -1,7 +1,6 @@
 import { SeededRandom } from "@waxwingspread/common";
 import { MaintenanceState, Refusal } from "@waxwingspread/workflow";
 import type {
-    Configuration,
     HeartbeatOrders,
     HeartbeatReport,
     JobSpecification,
@@ -9,13 +8,14 @@
     LeaderSettings,
     MaintenanceOrder,
 } from "@waxwingspread/workflow";
-import { configurationOf, HOST, organisationOf } from "@waxwingspread/workflow/testing";
+import { organisationOf } from "@waxwingspread/workflow/testing";
 import { LivenessCheck } from "../checks/liveness.js";
 import { Oracle } from "../checks/oracle.js";
 import type { SubmittedJob } from "../checks/oracle.js";
 import { QuotaCheck } from "../checks/quota-check.js";
 import type { Quotas } from "../checks/quota-check.js";
 import { StandingCheck } from "../checks/standing-check.js";
+import { configurationWith, originOf, ownedJobOf } from "./callers.js";
 import { ControlPlane } from "./control-plane.js";
 import { EventQueue } from "./event-queue.js";
 import { Gangs } from "./gangs.js";
@@ -40,6 +40,8 @@
     maxAttempts: number;
     maxNetworkDelayMs: number;
     maxCommitDelayMs: number;
+    /** Organisations of the configuration, whose keys callers send; without them calls need no keys. */
+    organisations?: readonly string[];
     /** Called with the processor time in milliseconds that a leader has used. */
     usedProcessor?: (durationMs: number) => void;
     /** Called with each step of the deployment that its callers and servers can observe. */
@@ -95,7 +97,7 @@
             events: this.#events,
             random: this.#random,
             settings: options.settings,
-            configuration: configurationWith(options.maxAttempts),
+            configuration: configurationWith(options.maxAttempts, options.organisations),
             maxCommitDelayMs: options.maxCommitDelayMs,
             beginMaintenance: this.platform.begin,
             assigned: run => this.oracle.assigned(run, this.nowMs),
@@ -148,7 +150,8 @@
     }
 
     /** Submits a job. The leader receives the submission after the given delay, as from the queue of a suspended entry. */
-    submit(specification: JobSpecification, behaviour: JobBehaviour, delayMs = 0): void {
+    submit(submitted: JobSpecification, behaviour: JobBehaviour, delayMs = 0): void {
+        const specification = ownedJobOf(submitted, this.#options.organisations);
         const job: SubmittedJob = this.jobs.get(specification.id) ?? {
             specification,
             maxAttempts: this.#options.maxAttempts,
@@ -159,10 +162,10 @@
         };
         this.jobs.set(specification.id, job);
         this.#behaviours.set(specification.id, behaviour);
-        const address = { host: HOST, path: `/${behaviour.queue ?? "batch"}/${specification.id}` };
+        const origin = originOf(specification, behaviour.queue);
         const deliver = (): void => {
             this.#control.call(({ node }, times) =>
-                node.submit(address, specification, result => {
+                node.submit(origin, specification, result => {
                     job.isAccepted ||= result.ok;
                 }, times)
             );
@@ -192,14 +195,19 @@
         }
         this.#control.call(({ node }, times) => {
             job.possibleCancellations += 1;
-            node.cancel(id, result => {
-                if (result.ok || result.refusal === Refusal.UnknownJob) {
-                    job.cancelledAtMs ??= this.nowMs;
-                }
-                else if (result.refusal !== Refusal.Uncertain) {
-                    job.possibleCancellations -= 1;
-                }
-            }, times);
+            node.cancel(
+                id,
+                result => {
+                    if (result.ok || result.refusal === Refusal.UnknownJob) {
+                        job.cancelledAtMs ??= this.nowMs;
+                    }
+                    else if (result.refusal !== Refusal.Uncertain) {
+                        job.possibleCancellations -= 1;
+                    }
+                },
+                times,
+                originOf(this.jobs.get(id)?.specification ?? { id }),
+            );
         });
     }
 
@@ -222,7 +230,8 @@
     /** Removes all quotas, if there were any. */
     liftQuotas(): void {
         if (this.#configurationVersion > 1) {
-            this.setQuotas(new Map());
+            const unlimited = { cpuMillicores: 0, memoryMebibytes: 0, accelerators: 0 };
+            this.setQuotas(new Map(this.#options.organisations?.map(name => [name, unlimited])));
         }
     }
 
@@ -358,10 +367,18 @@
     stateOf(id: string): JobState | undefined {
         let state: JobState | undefined;
         this.#control.call(({ node }, times) =>
-            node.jobState(id, result => {
-                state = result.ok ? result.value : undefined;
-            }, times)
+            node.jobState(
+                id,
+                result => {
+                    state = result.ok ? result.value : undefined;
+                },
+                times,
+                originOf(this.jobs.get(id)?.specification ?? { id }),
+            )
         );
+        if (state === undefined) {
+            this.advance(READ_MS);
+        }
         return state;
     }
 
@@ -444,11 +461,3 @@
         this.#network.send(server.id, () => this.#control.passOn(report, respond));
     }
 }
-
-/** Returns a configuration with an urgent queue and another one. */
-const configurationWith = (maxAttempts: number): Configuration => {
-    const configuration = configurationOf(1);
-    const queues = configuration.queues.map(queue => ({ ...queue, maxAttempts, priority: 1 }));
-    const urgent = queues.map(queue => ({ ...queue, name: "urgent", pathPrefix: "/urgent/", priority: 0 }));
-    return { ...configuration, queues: [...queues, ...urgent] };
-};
