--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,77 +1,56 @@
-// Another writer sends one ping: it is complete, but of a service that no configuration names. Its id is that of a worker
-// that runs tasks. No task may run twice at the same time.
-import { runCase, sleep } from "../stand-ins-3/deployment.mjs";
-import { sendFollowing } from "../stand-ins-3/http.mjs";
+// Two queues of one configuration bear the same name and differ in host, prefix and service. What is handed in at the second
+// one must run on the workers of its service only.
+import { runCase, SERVICE, sleep } from "../stand-ins-3/deployment.mjs";
+import { send } from "../stand-ins-3/http.mjs";
 
-const WORKERS = 6;
-const TASKS = 4;
-const TASK_MS = 15_000;
-const ID = "5c0e7a21d94b36f8";
-const OTHER_SERVICE = "ledger-agent";
-
-/** Returns the pairs of runs of one task that were at work at the same time. */
-const overlaps = events => {
-    const open = new Map();
-    const found = [];
-    for (const { event, worker, task, run, atMs } of [...events].sort((a, b) => a.atMs - b.atMs)) {
-        const runs = open.get(task) ?? new Map();
-        open.set(task, runs);
-        if (event === "start") {
-            runs.forEach((other, otherRun) =>
-                found.push(`${task} run ${otherRun} of ${other} and run ${run} of ${worker} from ${atMs}`)
-            );
-            runs.set(run, worker);
-        }
-        else if (event === "end") {
-            runs.delete(run);
-        }
-    }
-    return found;
-};
+const OTHER_SERVICE = "mefu57c";
+const OTHER_PREFIX = "/pufi791/";
+const HOST = "nony24.example";
+const IDS = ["5c0e7a21d94b36f8", "07b1c4e95a3d2f60", "e3f80a6d17c5924b"];
 
 await runCase(import.meta.url, {}, async (deployment, hasTrouble) => {
+    const services = new Map();
     deployment.start();
-    await deployment.configure();
-    for (let machine = 0; machine < WORKERS; machine += 1) {
-        deployment.startWorker(`m${machine}`);
+    const route = {
+        name: "r-wrr6x73", host: HOST, path_prefix: "/lohu930/", type: "non_idempotent", timeout_ms: 3000,
+        target_duration_ms: 1200, priority: 0, service: SERVICE, attempts: 3, stretch: 1.5,
+    };
+    const service = {
+        name: SERVICE, health_check: "/healthz", max_conns: 64, protocol: "h1", tls: false, cold_start_s: 0,
+        cold_per_s: 0, admission_control: true, standby: false,
+    };
+    const name = hasTrouble ? route.name : "r-d3zji9n";
+    await deployment.operate("PUT", "/v1/config", {
+        version: 7,
+        routes: [route, { ...route, name, path_prefix: OTHER_PREFIX, service: OTHER_SERVICE }],
+        services: [service, { ...service, name: OTHER_SERVICE }],
+        limits: { max_header_bytes: 16384, max_body_bytes: 262144, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
+    });
+    for (let machine = 0; machine < 6; machine += 1) {
+        const id = `i-m${machine}`;
+        services.set(id, machine % 2 === 0 ? SERVICE : OTHER_SERVICE);
+        deployment.startWorker(`m${machine}`, { id, service: services.get(id) });
     }
     await sleep(4_000);
-    const spec = JSON.stringify({ ms: TASK_MS, cpu: 4000, mem_mb: 4096 });
-    const step = { count: TASKS, cpu: 4000, mem_mb: 4096, est_runtime_ms: TASK_MS, max_per_server: 1 };
-    await deployment.submit(ID, { spec, steps: [step] });
-    await sleep(4_000);
-    const started = deployment.events.filter(({ event }) => event === "start");
-    if (started.length < TASKS) {
-        throw new Error(`only ${started.length} tasks have started`);
-    }
-    if (hasTrouble) {
-        const { worker } = started[0];
-        const response = await sendFollowing({
-            method: "PUT",
-            url: `http://${deployment.controls[0]}/v1/instances/${worker}`,
-            body: {
-                service: OTHER_SERVICE,
-                address: `${deployment.prefix}.99:9090`,
-                zone: deployment.zones[0],
-                version: "v3",
-                slots: 2,
-                state: "ready",
-                cold_left_ms: 0,
-                born: Date.now(),
-                capacity: { cpu: 2000, mem_mb: 4096, gpu: 0 },
-                labels: ["b", "r9-9"],
-                clock_ms: 1_000,
-                seq_no: 1,
-                running: [],
-                ended: [],
-            },
+    const spec = JSON.stringify({ ms: 1_000, cpu: 2000, mem_mb: 1024 });
+    for (const id of IDS) {
+        const { status } = await send({
+            method: "POST",
+            url: `http://${deployment.hosts[0]}:8161${OTHER_PREFIX}${id}`,
+            host: HOST,
+            body: { spec, steps: [{ count: 2, cpu: 2000, mem_mb: 1024, est_runtime_ms: 1_000 }] },
+            timeoutMs: 3_000,
         });
-        deployment.note(
-            `disruption: ping of another writer, service ${OTHER_SERVICE}, id ${worker} -> ${response.status} ${response.text ?? ""}`,
-        );
+        deployment.note(`client: POST ${OTHER_PREFIX}${id}, whose route names the service ${OTHER_SERVICE} -> ${status}`);
+    }
+    await sleep(6_000);
+    const starts = deployment.events.filter(({ event }) => event === "start");
+    const wrong = starts.filter(({ worker }) => services.get(worker) !== OTHER_SERVICE);
+    wrong.forEach(({ worker, task }) => deployment.note(`${task} has started on ${worker} of ${services.get(worker)}`));
+    if (starts.length === 0) {
+        throw new Error("nothing has started");
     }
-    await sleep(TASK_MS + 5_000);
-    const found = overlaps(deployment.events);
-    found.forEach(text => deployment.note(`two runs at the same time: ${text}`));
-    return found.length > 0 ? `${found.length} tasks have run twice at the same time; ${found[0]}` : undefined;
+    return wrong.length > 0
+        ? `${wrong.length} of ${starts.length} starts were on workers of a service to which the route doesn't send`
+        : undefined;
 });
--- a/review/stand-ins-3/worker.mjs
+++ b/review/stand-ins-3/worker.mjs
@@ -12,6 +12,8 @@
 const born = Date.now();
 const startedAtMs = performance.now();
 const agent = new Agent({ keepAlive: true });
+/** Time after which a ping without an answer counts as failed, as on the users' pages. */
+const PING_TIMEOUT_MS = 1_000;
 
 let sequence = 0;
 let endCount = 0;
@@ -115,19 +117,36 @@
     ended: ended.slice(0, 500),
 });
 
+/** Whether the worker is cut off from all processes of the system: nothing that it sends arrives. */
+let isCut = options.isCut === true;
+
 process.on("message", message => {
     if (message === "drain") {
         state = "draining";
+        report("draining", {});
         wake();
     }
+    else if (message === "cut" || message === "heal") {
+        isCut = message === "cut";
+        report(message, {});
+    }
 });
 
+/** Sends a ping; one that is cut off gets no answer. */
+const ping = async call => {
+    if (isCut) {
+        await new Promise(resolve => setTimeout(resolve, PING_TIMEOUT_MS));
+        return { status: 0 };
+    }
+    return sendFollowing(call);
+};
+
 report("up", { born });
 let position = options.firstControl ?? Math.floor(Math.random() * controls.length);
 let target = controls[position % controls.length];
 for (;;) {
     const sentAtMs = clockMs();
-    const response = await sendFollowing({
+    const response = await ping({
         method: "PUT",
         url: `http://${target}/v1/instances/${id}`,
         body: bodyOf(),
@@ -135,7 +154,7 @@
     });
     const tookMs = clockMs() - sentAtMs;
     let pauseMs = 50;
-    if (response.status >= 200 && response.status < 300 && tookMs <= 1_000) {
+    if (response.status >= 200 && response.status < 300 && tookMs <= PING_TIMEOUT_MS) {
         execute(response.body ?? {}, sentAtMs);
         target = response.body?.heartbeat_addr ?? target;
         pauseMs = response.body?.retry_after_ms ?? options.heartbeatMs ?? 1_500;
