Let the cases of the third review end their processes after each failure

A program that can't be started kept the end of a case waiting for ever, and an error while the processes were being ended could change the result. SIGHUP ends a case, too. Found by reading before the landing.

--- a/review/stand-ins-3/deployment.mjs
+++ b/review/stand-ins-3/deployment.mjs
@@ -98,6 +98,7 @@
     #folder = mkdtempSync(join(tmpdir(), "review-3-"));
     #children = new Set();
     #handlers = new Set();
+    #isClosed = false;
     /** What the workers have done, in the order in which it was read. */
     events = [];
     /** Present process of each machine of the workers. */
@@ -136,6 +137,7 @@
     }
 
     startProcess(role, index, isFirst) {
+        this.#requireOpen();
         const host = this.hosts[index];
         const { words, env } = readRole(role);
         const dataDir = join(this.#folder, `data-${role}-${index}`);
@@ -212,6 +214,8 @@
 
     #follow(child, name) {
         this.#children.add(child);
+        // A process that can't be started never exits.
+        child.once("error", () => this.#children.delete(child));
         child.once("exit", (code, signal) => {
             this.#children.delete(child);
             this.note(`process ends: ${name} (${signal ?? code})`);
@@ -220,6 +224,7 @@
 
     /** Starts a new life of a worker's machine, under a new id. */
     startWorker(machine, fields = {}) {
+        this.#requireOpen();
         this.lives += 1;
         const id = fields.id ?? `i-${machine}-${this.lives}`;
         const index = Number(machine.slice(1));
@@ -344,8 +349,16 @@
         throw new Error(`the submission ${id} is not accepted`);
     }
 
+    /** Nothing is started any more once the processes are being ended. */
+    #requireOpen() {
+        if (this.#isClosed) {
+            throw new Error("the case has ended");
+        }
+    }
+
     /** Ends all processes and removes the folder. */
     async close() {
+        this.#isClosed = true;
         const children = [...this.#children];
         await Promise.all(children.map(child =>
             new Promise(done => {
@@ -381,9 +394,12 @@
             process.exit(code);
         }
     };
-    process.on("SIGTERM", () => void finish());
-    process.on("SIGINT", () => void finish());
+    ["SIGTERM", "SIGINT", "SIGHUP"].forEach(signal => process.on(signal, () => void finish()));
+    // What fails while the processes are being ended doesn't change the result.
     const fail = error => {
+        if (isFinished) {
+            return;
+        }
         code = 2;
         deployment.note(`result: the case couldn't run: ${error?.stack ?? error}`);
         console.error(error);
@@ -394,6 +410,9 @@
     try {
         deployment.note(`begin, TROUBLE=${hasTrouble ? 1 : 0}`);
         const broken = await play(deployment, hasTrouble);
+        if (isFinished) {
+            return;
+        }
         code = broken === undefined ? 0 : 1;
         deployment.note(broken === undefined ? "result: the rule held" : `result: broken: ${broken}`);
         console.log(broken ?? "the rule held");
