Tell missing, refused and expired approvals apart in reports and metrics

The reports and the gauge of the longest wait now have three exclusions, and a histogram shows the duration of the queries by outcome. Shown by eligibility.test.ts and platform-calls.test.ts.

--- a/packages/daemon/src/workflow/control-host.ts
+++ b/packages/daemon/src/workflow/control-host.ts
@@ -262,6 +262,8 @@
         const platformCalls = new PlatformCalls({
             services: this.#services,
             onResult: () => this.#driver.scheduleRun(),
+            onEligibilityQuery: (isAnswered, durationMs) =>
+                this.#metrics.recordEligibilityQuery(isAnswered, durationMs),
             logger: this.#logger,
         });
         return new WorkflowNode({
--- a/packages/daemon/src/workflow/platform-calls.test.ts
+++ b/packages/daemon/src/workflow/platform-calls.test.ts
@@ -12,12 +12,18 @@
 };
 const CALL = { maintenanceId: 4, vmId: "m-1", term: 7 };
 
+/** What the calls have reported. */
+interface Counts {
+    results: number;
+    queries: boolean[];
+}
+
 const failingRespond = (): never => {
     throw new Error("failed in a test");
 };
 
-const createCalls = (services: Partial<PlatformServices>): { calls: PlatformCalls; counts: { results: number } } => {
-    const counts = { results: 0 };
+const createCalls = (services: Partial<PlatformServices>): { calls: PlatformCalls; counts: Counts } => {
+    const counts: Counts = { results: 0, queries: [] };
     const calls = new PlatformCalls({
         services: {
             checkEligibility: () => Promise.resolve([]),
@@ -27,11 +33,22 @@
         onResult: () => {
             counts.results += 1;
         },
+        onEligibilityQuery: isAnswered => counts.queries.push(isAnswered),
         logger: pino({ enabled: false }),
     });
     return { calls, counts };
 };
 
+// Guards against queries to the eligibility service that fail again and again and show in no metric.
+it("reports whether each query to the eligibility service was answered", async () => {
+    const respond = (): void => undefined;
+    const { calls, counts } = createCalls({});
+    await calls.checkEligibility(QUERY, respond);
+    const failing = createCalls({ checkEligibility: () => Promise.reject(new Error("failed in a test")) });
+    await failing.calls.checkEligibility(QUERY, respond);
+    expect([...counts.queries, ...failing.counts.queries]).toEqual([true, false]);
+});
+
 // Guards against a process that ends by an unhandled rejection when the session can't handle the platform's answer.
 it("goes on after an error while an answer is handled", async () => {
     const { calls, counts } = createCalls({});
--- a/packages/daemon/src/workflow/platform-calls.ts
+++ b/packages/daemon/src/workflow/platform-calls.ts
@@ -10,6 +10,8 @@
     services: PlatformServices;
     /** Called after a result was passed to the leader session, which then has something to decide. */
     onResult: () => void;
+    /** Receives the duration of each query to the eligibility service, and whether it was answered. */
+    onEligibilityQuery: (isAnswered: boolean, durationMs: number) => void;
     logger: Logger;
 }
 
@@ -23,12 +25,15 @@
 
     /** Queries the eligibility service; responds with undefined if it fails. */
     async checkEligibility(...[query, respond]: Parameters<QueryEligibility>): Promise<void> {
-        const { services, onResult, logger } = this.#options;
+        const { services, onResult, onEligibilityQuery, logger } = this.#options;
+        const sentAtMs = monotonicNowMs();
         const eligible = await services.checkEligibility(query).catch((error: unknown) => {
             logger.warn({ step: query.step, reason: messageOf(error) }, "eligibility check failed");
             return undefined;
         });
-        this.#pass(() => respond(eligible, monotonicNowMs()));
+        const answeredAtMs = monotonicNowMs();
+        onEligibilityQuery(eligible !== undefined, answeredAtMs - sentAtMs);
+        this.#pass(() => respond(eligible, answeredAtMs));
         onResult();
     }
 
--- a/packages/daemon/src/workflow/workflow-metrics.ts
+++ b/packages/daemon/src/workflow/workflow-metrics.ts
@@ -24,6 +24,10 @@
 /** From one tick up to the time in which followers replace a leader. */
 const PHASE_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2];
 
+/** From a service that answers at once up to one that takes much longer than the validity of its approvals. */
+const ELIGIBILITY_BUCKETS_SECONDS = [0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16];
+const FAILED_LABEL = "failed";
+
 /** What may delay the answers of a control replica. */
 export enum ControlPhase {
     /** Time for which the event loop was held. */
@@ -103,6 +107,12 @@
         { phase: Object.values(ControlPhase) },
         PHASE_BUCKETS_SECONDS,
     );
+    readonly #eligibilityQuery = this.#factory.duration(
+        "eligibility_query_duration",
+        "Time from a query to the eligibility service to its answer or failure",
+        { outcome: [OK_LABEL, FAILED_LABEL] },
+        ELIGIBILITY_BUCKETS_SECONDS,
+    );
     readonly #electionToSession = this.#factory.duration(
         "election_to_session",
         "Time from this replica's election to its leader session",
@@ -193,6 +203,11 @@
         this.#electionToFirstAnswer.observeMs({}, sinceElectionMs);
     }
 
+    /** Records the duration of a query to the eligibility service. */
+    recordEligibilityQuery(isAnswered: boolean, durationMs: number): void {
+        this.#eligibilityQuery.observeMs({ outcome: isAnswered ? OK_LABEL : FAILED_LABEL }, durationMs);
+    }
+
     /** Counts events that this replica has committed as the leader. */
     recordCommitted(events: readonly WorkflowEvent[], nowMs: number): void {
         for (const event of events) {
--- a/packages/workflow/src/leader/eligibility.test.ts
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -4,6 +4,7 @@
 import { configurationOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
 import { SingleReplica } from "../testing/single-replica.js";
 import type { EligibilityQuery, EligibleServer } from "./eligibility.js";
+import { Exclusion } from "./placement.js";
 
 const TIMING = { decisionMs: 50, perServerMs: 5, validityMs: 2_000 };
 
@@ -67,6 +68,26 @@
     expect(starts?.map(start => start.eligibilityToken)).toEqual(["second"]);
 });
 
+// Guards against a wait for approvals that looks the same whatever its cause: no answer yet, a refusal, or approvals that are
+// too old when they could be used.
+it("reports why a waiting task has no approval of a server", () => {
+    const { replica, queries } = startLeader();
+    const exclusionsOf = (): unknown => replica.node.session?.waitReports(replica.times)[0]?.excludedServers;
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.heartbeat(heartbeatOf("b", 1));
+    const large = { cpuMillicores: 4_000, memoryMebibytes: 1, accelerators: 0 };
+    replica.submit(jobOf("j", stepOf({ taskCount: 2, amounts: large })));
+    replica.heartbeat(heartbeatOf("a", 2));
+    replica.heartbeat(heartbeatOf("b", 2));
+    replica.advance(3_100);
+    replica.heartbeat(heartbeatOf("a", 3));
+    replica.heartbeat(heartbeatOf("b", 3));
+    expect(exclusionsOf()).toEqual({ [Exclusion.ApprovalPending]: 2 });
+    queries[0]?.respond([{ serverId: "b", token: "approved" }]);
+    replica.advance(TIMING.validityMs);
+    expect(exclusionsOf()).toEqual({ [Exclusion.NotEligible]: 1, [Exclusion.ApprovalExpired]: 1 });
+});
+
 // Guards against flooding the eligibility service with queries while it does not respond.
 it("waits after a query without a response, and sends one query at a time for a step", () => {
     const { replica, queries } = startLeader();
--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -1,4 +1,5 @@
 import type { EligibilityTiming } from "../model/configuration.js";
+import { Exclusion } from "./placement.js";
 import type { ServerView } from "./server-view.js";
 
 /** Upper bound on concurrent queries; the service answers them one after the other, so more would only wait. */
@@ -63,6 +64,18 @@
         return nowMs < validUntilMs ? token : undefined;
     }
 
+    /** Returns why a step has no valid approval of a server; undefined if it has one. */
+    exclusionOf(step: string, server: ServerView, nowMs: number): Exclusion | undefined {
+        const decision = this.#decisionFor(step, server);
+        if (decision === UNKNOWN) {
+            return Exclusion.ApprovalPending;
+        }
+        if (decision === REFUSED) {
+            return Exclusion.NotEligible;
+        }
+        return nowMs < decision.validUntilMs ? undefined : Exclusion.ApprovalExpired;
+    }
+
     /**
      * Queries the first candidates without a valid decision, as many as the waiting tasks need. The candidates are
      * computed only if a query may be sent now.
--- a/packages/workflow/src/leader/placement.test.ts
+++ b/packages/workflow/src/leader/placement.test.ts
@@ -12,7 +12,7 @@
     service: "pool",
     zonesOutOfService: new Set<string>(),
     rackOfStep: "",
-    isEligible: undefined,
+    eligibilityExclusionOf: undefined,
     isIsolated: false,
     scarceTaskMillicores: 0,
     crashes: [],
--- a/packages/workflow/src/leader/placement.ts
+++ b/packages/workflow/src/leader/placement.ts
@@ -45,7 +45,12 @@
     /** The task, or one that has just started on the server, may have crashed another server. */
     CrashSuspect = "crash-suspect",
     TasksPerServer = "tasks-per-server",
+    /** The eligibility service has refused the server for the step. */
     NotEligible = "not-eligible",
+    /** The eligibility service has not answered yet whether the step may run on the server. */
+    ApprovalPending = "approval-pending",
+    /** The approval of the server is too old to be used. */
+    ApprovalExpired = "approval-expired",
     /** All tasks together are expected to leave too little CPU time idle for a filler. */
     LittleIdleCpu = "little-idle-cpu",
     /** The fillers on the server get clearly less CPU time than their paces allow. */
@@ -144,8 +149,8 @@
     zonesOutOfService: ReadonlySet<string>;
     /** Rack of the tasks of the same step that are already placed; empty for none or if the step prefers no rack. */
     rackOfStep: string;
-    /** Whether the step is approved for a server; undefined if no approval is needed. */
-    isEligible: ((server: ServerView) => boolean) | undefined;
+    /** Returns why a server may not be used without a valid approval; undefined itself if no approval is needed. */
+    eligibilityExclusionOf: ((server: ServerView) => Exclusion | undefined) | undefined;
     /** Whether the task must not start beside fresh runs, because it may crash its server. */
     isIsolated: boolean;
     /** Size of the finite tasks for which room is scarce; 0 if there is enough. */
@@ -165,7 +170,9 @@
     let best: ServerView | undefined;
     let bestCost = Infinity;
     for (const server of servers) {
-        if (!canRunOn(waiting, server, constraints, nowMs) || constraints.isEligible?.(server) === false) {
+        const isUsable = canRunOn(waiting, server, constraints, nowMs)
+            && constraints.eligibilityExclusionOf?.(server) === undefined;
+        if (!isUsable) {
             continue;
         }
         const cost = COST_FUNCTIONS[waiting.kind](waiting, server, pressure, constraints, nowMs);
@@ -214,9 +221,8 @@
 ): ServerCounts => {
     const counts: ServerCounts = { serversWithRoom: 0, excludedServers: {} };
     for (const server of servers) {
-        const isRefused = constraints.isEligible?.(server) === false;
         const exclusion = exclusionOf(waiting, server, constraints, nowMs)
-            ?? (isRefused ? Exclusion.NotEligible : undefined)
+            ?? constraints.eligibilityExclusionOf?.(server)
             ?? (waiting.kind === TaskKind.Filler ? fillerExclusionOf(waiting, server, pressure, nowMs) : undefined);
         if (exclusion === undefined) {
             counts.serversWithRoom += 1;
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -181,7 +181,7 @@
         }
         const { servers } = this.#directory;
         const server = chooseServer(waiting, servers, constraints, this.#pressure, nowMs);
-        if (server === undefined && constraints.isEligible === undefined) {
+        if (server === undefined && constraints.eligibilityExclusionOf === undefined) {
             this.#failures.record(waiting, key);
         }
         const isOwnServer = server?.findRun(run.task, run.run) !== undefined;
@@ -416,7 +416,7 @@
             return;
         }
         this.#failuresInRound.record(waiting, key);
-        if (constraints.isEligible === undefined) {
+        if (constraints.eligibilityExclusionOf === undefined) {
             this.#failures.record(waiting, key);
         }
     }
@@ -430,9 +430,9 @@
             scarceTaskMillicores: waiting.kind === TaskKind.Standing ? this.#scarceTaskMillicores(queue, nowMs) : 0,
             zonesOutOfService: this.#state.zonesOutOfService,
             rackOfStep: waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "",
-            isEligible: eligibility === undefined
+            eligibilityExclusionOf: eligibility === undefined
                 ? undefined
-                : server => this.#eligibility.tokenFor(step, server, nowMs) !== undefined,
+                : server => this.#eligibility.exclusionOf(step, server, nowMs),
             isIsolated: false,
             crashes: [],
         };
