Use approvals until the latest time at which they may expire

Cause: the validity of an approval was counted from the sending of the query, less a margin of up to 1 s. An answer that took longer than the rest was out of date on arrival, and the same query was sent again without end.

The time of issue is unknown but lies between query and answer. Approvals are now used until the later expiry: a rejected start is repeated, while an unused approval leaves the job without a start. Queries name as many servers as the service decides on within 0.7 of the validity, counted from the query, and wait where the open ones would take that time. The margins for planning a run and for sending its order are apart.

--- a/packages/workflow/src/leader/eligibility.test.ts
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -14,14 +14,14 @@
 }
 
 /** Starts a leader whose only queue requires approvals, and records its queries to the eligibility service. */
-const startLeader = (): { replica: SingleReplica; queries: OpenQuery[] } => {
+const startLeader = (timing = TIMING): { replica: SingleReplica; queries: OpenQuery[] } => {
     const queries: OpenQuery[] = [];
     const replica = SingleReplica.started({
         queryEligibility: (query, respond) =>
             void queries.push({ query, respond: eligible => respond(eligible, replica.times.nowMs) }),
     });
     const [queue] = configurationOf(2).queues;
-    const queues = [{ ...queue as QueueContract, eligibility: TIMING }];
+    const queues = [{ ...queue as QueueContract, eligibility: timing }];
     replica.node.configure(configurationOf(2, { queues }), () => undefined, replica.times);
     replica.settle();
     return { replica, queries };
@@ -150,3 +150,50 @@
     const starts = replica.heartbeat(heartbeatOf("a", 4))?.starts;
     expect(starts?.map(start => start.task)).toEqual(["approved.0.0.0"]);
 });
+
+/** Approves all servers of a query. */
+const approve = ({ query, respond }: OpenQuery, token: string): void =>
+    respond(query.serverIds.map(serverId => ({ serverId, token })));
+
+/** Whole capacity of a server in these tests. */
+const LARGE = { cpuMillicores: 4_000, memoryMebibytes: 1, accelerators: 0 };
+
+// Guards against a job that never starts on an idle fleet (review/12): the service takes most of the validity for its answer,
+// and approvals whose validity was counted from the query were out of date when they came.
+it.each([
+    ["1.5 s of a validity of 2 s", { decisionMs: 300, perServerMs: 75, validityMs: 2_000 }, 1_500],
+    ["0.8 s of a validity of 1 s", { decisionMs: 500, perServerMs: 20, validityMs: 1_000 }, 800],
+    ["longer than the validity", { decisionMs: 1_500, perServerMs: 0, validityMs: 1_000 }, 1_500],
+])("starts a task if an answer takes %s", (unusedName, timing, answerMs) => {
+    const { replica, queries } = startLeader(timing);
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.submit(jobOf("j", stepOf()));
+    replica.advance(answerMs);
+    queries.forEach(query => approve(query, "approved"));
+    replica.settle();
+    const starts = replica.heartbeat(heartbeatOf("a", 2))?.starts;
+    expect(starts?.map(start => start.eligibilityToken)).toEqual(["approved"]);
+});
+
+// Guards against a query that asks about so many servers that the answer can be of no use.
+it("asks about as many servers as the service decides on well within the validity", () => {
+    const { replica, queries } = startLeader({ decisionMs: 100, perServerMs: 100, validityMs: 1_000 });
+    for (let index = 0; index < 16; index += 1) {
+        replica.heartbeat(heartbeatOf(`s${index}`, 1));
+    }
+    replica.submit(jobOf("j", stepOf({ taskCount: 12, amounts: LARGE })));
+    expect(queries.map(({ query }) => query.serverIds.length)).toEqual([6]);
+});
+
+// Guards against queries that wait behind another one for so long that their answers can be of no use.
+it("sends no second query behind one that takes most of the validity", () => {
+    const { replica, queries } = startLeader({ decisionMs: 600, perServerMs: 0, validityMs: 1_000 });
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.submit(jobOf("j", stepOf()));
+    replica.submit(jobOf("k", stepOf()));
+    expect(queries.map(({ query }) => query.step)).toEqual(["j.0.0"]);
+    replica.advance(600);
+    queries.forEach(query => approve(query, "approved"));
+    replica.settle();
+    expect(queries.map(({ query }) => query.step)).toEqual(["j.0.0", "k.0.0"]);
+});
--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -8,8 +8,18 @@
 const MAX_SERVERS_PER_QUERY = 30;
 /** Servers in a query beyond one for each waiting task, since some are refused. */
 const SPARE_SERVERS = 6;
-/** An approval is not used within this time before it expires, which covers the delivery of the order. */
-const EXPIRY_MARGIN_MS = 1_000;
+/**
+ * Time before an approval expires within which no run is planned with it, since the assignment has to be recorded before
+ * the order is sent; at most half of the validity.
+ */
+const PLANNING_MARGIN_MS = 1_000;
+/** Time before an approval expires within which no order is sent with it; at most a tenth of the validity. */
+const ORDER_MARGIN_MS = 200;
+/**
+ * Longest time to an answer, as a share of the validity, at which approvals are still of use if the service counts the
+ * validity from the arrival of the query.
+ */
+const MAX_ANSWER_RATIO = 0.7;
 /** Delay before the next query after one without a response. */
 const RETRY_DELAY_MS = 200;
 
@@ -37,31 +47,52 @@
 interface Decision {
     /** Undefined for a refusal, which does not expire. */
     token: string | undefined;
+    /** Expiry if the approval was issued when its query was sent, the earliest possible time. */
+    certainUntilMs: number;
+    /** Expiry if the approval was issued with the answer, the latest possible time. */
     validUntilMs: number;
+    validityMs: number;
 }
 
-const UNKNOWN: Decision = { token: undefined, validUntilMs: -Infinity };
-const REFUSED: Decision = { token: undefined, validUntilMs: Infinity };
+const UNKNOWN: Decision = {
+    token: undefined,
+    certainUntilMs: -Infinity,
+    validUntilMs: -Infinity,
+    validityMs: 0,
+};
+const REFUSED: Decision = { ...UNKNOWN, validUntilMs: Infinity };
 
 /**
  * Caches which backend servers the eligibility service allows for each step, and queries further ones. The decision
  * on one incarnation of a server does not change, but an approval expires and has to be renewed.
+ *
+ * The service issues an approval at an unknown time between the query and the answer. Approvals are used until the later
+ * of the two expiries that follow, because one that is rejected as too old costs a repetition, while approvals that
+ * are never used leave a job without a start. The size of a query is chosen for the earlier one.
  */
 export class Eligibility {
     readonly #query: QueryEligibility;
     readonly #decisions = new Map<string, Map<string, Decision>>();
     /** Keys of the steps with a query in progress. */
     readonly #queriedSteps = new Set<string>();
+    /** Time at which the service has answered all open queries if it takes as long as configured. */
+    #serviceFreeAtMs = -Infinity;
     #retryAtMs = -Infinity;
 
     constructor(query: QueryEligibility) {
         this.#query = query;
     }
 
-    /** Returns the token of a valid approval of a server for a step; undefined without one. */
+    /** Returns the approval of a server under which a run of a step may be planned; undefined without one. */
     tokenFor(step: string, server: ServerView, nowMs: number): string | undefined {
-        const { token, validUntilMs } = this.#decisionFor(step, server);
-        return nowMs < validUntilMs ? token : undefined;
+        const decision = this.#decisionFor(step, server);
+        return isPlannable(decision, nowMs) ? decision.token : undefined;
+    }
+
+    /** Returns the approval of a server under which a start of a step may be ordered now; undefined without one. */
+    orderTokenFor(step: string, server: ServerView, nowMs: number): string | undefined {
+        const { token, validUntilMs, validityMs } = this.#decisionFor(step, server);
+        return nowMs < validUntilMs - Math.min(ORDER_MARGIN_MS, validityMs / 10) ? token : undefined;
     }
 
     /** Returns why a step has no valid approval of a server; undefined if it has one. */
@@ -73,7 +104,7 @@
         if (decision === REFUSED) {
             return Exclusion.NotEligible;
         }
-        return nowMs < decision.validUntilMs ? undefined : Exclusion.ApprovalExpired;
+        return isPlannable(decision, nowMs) ? undefined : Exclusion.ApprovalExpired;
     }
 
     /**
@@ -87,27 +118,20 @@
         timing: EligibilityTiming,
         nowMs: number,
     ): void {
-        if (this.#queriedSteps.size >= MAX_OPEN_QUERIES || this.#queriedSteps.has(step) || nowMs < this.#retryAtMs) {
+        if (this.#queriedSteps.has(step)) {
+            return;
+        }
+        const wantedServers = Math.min(MAX_SERVERS_PER_QUERY, waitingTasks + SPARE_SERVERS);
+        const limit = this.#serversInTime(wantedServers, timing, nowMs);
+        if (this.#queriedSteps.size >= MAX_OPEN_QUERIES || nowMs < this.#retryAtMs || limit < 1) {
             return;
         }
-        const limit = Math.min(MAX_SERVERS_PER_QUERY, waitingTasks + SPARE_SERVERS);
         const queried = candidates()
-            .filter(server => nowMs >= this.#decisionFor(step, server).validUntilMs)
+            .filter(server => !isUsable(this.#decisionFor(step, server), nowMs))
             .slice(0, limit);
-        if (queried.length === 0) {
-            return;
+        if (queried.length > 0) {
+            this.#send(step, queried, timing, nowMs);
         }
-        this.#queriedSteps.add(step);
-        this.#query({ step, serverIds: queried.map(server => server.id), timing }, (eligible, answeredAtMs) => {
-            this.#queriedSteps.delete(step);
-            if (eligible === undefined) {
-                this.#retryAtMs = answeredAtMs + RETRY_DELAY_MS;
-                return;
-            }
-            // Validity is counted from the time of the query, since the service decided no earlier than that.
-            const validUntilMs = nowMs + timing.validityMs - Math.min(EXPIRY_MARGIN_MS, timing.validityMs / 2);
-            this.#record(step, queried, eligible, validUntilMs);
-        });
     }
 
     /** Evicts the decisions on steps that need no further starts. */
@@ -119,6 +143,46 @@
         }
     }
 
+    /**
+     * Returns how many of the wanted servers a query may name so that its answer comes in time; 0 if it had better wait
+     * for the open queries, which the service answers first. All of them if the service is too slow even for one: what it
+     * approves is of use only if it counts the validity from the answer.
+     */
+    #serversInTime(wantedServers: number, timing: EligibilityTiming, nowMs: number): number {
+        const { decisionMs, perServerMs, validityMs } = timing;
+        const isFree = this.#queriedSteps.size === 0;
+        const serversWithin = (timeMs: number): number =>
+            timeMs < decisionMs
+                ? 0
+                : Math.min(wantedServers, Math.floor((timeMs - decisionMs) / Math.max(1, perServerMs)));
+        const usableMs = validityMs * MAX_ANSWER_RATIO;
+        const serversAlone = serversWithin(usableMs);
+        if (serversAlone < 1) {
+            return isFree ? wantedServers : 0;
+        }
+        const waitMs = isFree ? 0 : Math.max(0, this.#serviceFreeAtMs - nowMs);
+        const serversNow = serversWithin(usableMs - waitMs);
+        return serversNow * 2 >= serversAlone ? serversNow : 0;
+    }
+
+    #send(step: string, queried: readonly ServerView[], timing: EligibilityTiming, nowMs: number): void {
+        const serverIds = queried.map(server => server.id);
+        const decisionMs = timing.decisionMs + timing.perServerMs * serverIds.length;
+        const freeAtMs = this.#queriedSteps.size === 0 ? nowMs : Math.max(nowMs, this.#serviceFreeAtMs);
+        this.#serviceFreeAtMs = freeAtMs + decisionMs;
+        this.#queriedSteps.add(step);
+        this.#query({ step, serverIds, timing }, (eligible, answeredAtMs) => {
+            this.#queriedSteps.delete(step);
+            if (eligible === undefined) {
+                this.#retryAtMs = answeredAtMs + RETRY_DELAY_MS;
+                return;
+            }
+            const { validityMs } = timing;
+            const certainUntilMs = nowMs + validityMs;
+            this.#record(step, queried, eligible, { certainUntilMs, validUntilMs: answeredAtMs + validityMs, validityMs });
+        });
+    }
+
     #decisionFor(step: string, server: ServerView): Decision {
         return this.#decisions.get(step)?.get(incarnationKeyOf(server)) ?? UNKNOWN;
     }
@@ -127,16 +191,23 @@
         step: string,
         queried: readonly ServerView[],
         eligible: readonly EligibleServer[],
-        validUntilMs: number,
+        validity: Omit<Decision, "token">,
     ): void {
         const decisions = this.#decisions.get(step) ?? new Map<string, Decision>();
         this.#decisions.set(step, decisions);
         const tokens = new Map(eligible.map(({ serverId, token }) => [serverId, token]));
         for (const server of queried) {
             const token = tokens.get(server.id);
-            decisions.set(incarnationKeyOf(server), token === undefined ? REFUSED : { token, validUntilMs });
+            decisions.set(incarnationKeyOf(server), token === undefined ? REFUSED : { ...validity, token });
         }
     }
 }
 
+/** Whether a run may be planned under an approval. */
+const isPlannable = ({ token, validUntilMs, validityMs }: Decision, nowMs: number): boolean =>
+    token !== undefined && nowMs < validUntilMs - Math.min(PLANNING_MARGIN_MS, validityMs / 2);
+
+/** Whether a decision need not be asked for again: a refusal, or an approval under which a run may be planned. */
+const isUsable = (decision: Decision, nowMs: number): boolean => decision === REFUSED || isPlannable(decision, nowMs);
+
 const incarnationKeyOf = (server: ServerView): string => `${server.id}/${server.incarnation}`;
--- a/packages/workflow/src/leader/order-writer.ts
+++ b/packages/workflow/src/leader/order-writer.ts
@@ -202,13 +202,16 @@
             && !this.#state.zonesOutOfService.has(server.availabilityZone);
     }
 
-    /** Approvals are not replicated: a run that a former leader assigned has lost its approval. */
+    /**
+     * Whether the run's step has a valid approval of the server, which is set for the order. Approvals are not replicated:
+     * the ones of a former leader are lost.
+     */
     #isApproved(server: ServerView, view: RunView, job: JobRecord, nowMs: number): boolean {
         if (this.#state.currentQueueOf(job).eligibility === undefined) {
             return true;
         }
-        const token = this.#eligibility.tokenFor(stepKeyOf(view.position), server, nowMs);
-        return token !== undefined && token === view.eligibilityToken;
+        view.eligibilityToken = this.#eligibility.orderTokenFor(stepKeyOf(view.position), server, nowMs);
+        return view.eligibilityToken !== undefined;
     }
 
     #startOrderFor(view: RunView): StartOrder {
--- a/packages/workflow/src/leader/server-view.ts
+++ b/packages/workflow/src/leader/server-view.ts
@@ -9,8 +9,8 @@
     readonly position: TaskPosition;
     readonly step: StepSpecification;
     readonly kind: TaskKind;
-    /** Approval of the eligibility service for this run; undefined where none is needed. */
-    readonly eligibilityToken: string | undefined;
+    /** Approval of the eligibility service for this run; undefined where none is needed or the last one has expired. */
+    eligibilityToken: string | undefined;
     /** Whether an earlier run of the task may have crashed its server, so that this one is tried apart from others. */
     readonly isSuspect: boolean;
     /** Whether a former leader recorded the run; that leader may have sent the start order. */
