Discard the approval of a rejected start and hold only certain ones against the server

A server rejects a start for want of room or because the approval is too old.

The approval is discarded now, and the rejection counts against the server only if the approval was certainly valid. The new test in eligibility.test.ts failed before: no further query was sent.

--- a/packages/workflow/src/leader/eligibility.test.ts
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -197,3 +197,23 @@
     replica.settle();
     expect(queries.map(({ query }) => query.step)).toEqual(["j.0.0", "k.0.0"]);
 });
+
+// Guards against a sound server that gets no starts for seconds, and against the repeated use of the same approval, when a
+// start is rejected because the service counts the validity from the query.
+it("asks again for an approval with which a start was rejected, and doesn't hold the rejection against the server", () => {
+    const { replica, queries } = startLeader({ decisionMs: 1_500, perServerMs: 0, validityMs: 2_000 });
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.submit(jobOf("j", stepOf()));
+    replica.advance(1_500);
+    queries.forEach(query => approve(query, "old"));
+    replica.advance(700);
+    const [start] = replica.heartbeat(heartbeatOf("a", 2))?.starts ?? [];
+    expect(start?.eligibilityToken).toBe("old");
+    const ended = [{ sequence: 1, task: "j.0.0.0", run: start?.run ?? 0, end: RunEnd.NotStarted, checkpoint: "" }];
+    replica.heartbeat(heartbeatOf("a", 3, { ended }));
+    expect(queries).toHaveLength(2);
+    queries.slice(1).forEach(query => approve(query, "new"));
+    replica.settle();
+    const [next] = replica.heartbeat(heartbeatOf("a", 4))?.starts ?? [];
+    expect(next?.eligibilityToken).toBe("new");
+});
--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -95,6 +95,19 @@
         return nowMs < validUntilMs - Math.min(ORDER_MARGIN_MS, validityMs / 10) ? token : undefined;
     }
 
+    /**
+     * Discards the approval with which a server has rejected a start. Returns whether the approval may have been too old,
+     * so that the rejection shows nothing about the server.
+     */
+    recordRejection(step: string, server: ServerView, token: string, nowMs: number): boolean {
+        const decision = this.#decisionFor(step, server);
+        if (decision.token !== token) {
+            return true;
+        }
+        this.#decisions.get(step)?.delete(incarnationKeyOf(server));
+        return nowMs >= decision.certainUntilMs;
+    }
+
     /** Returns why a step has no valid approval of a server; undefined if it has one. */
     exclusionOf(step: string, server: ServerView, nowMs: number): Exclusion | undefined {
         const decision = this.#decisionFor(step, server);
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -1,12 +1,13 @@
+import { RunEnd } from "../model/heartbeat.js";
 import type { HeartbeatOrders, HeartbeatReport } from "../model/heartbeat.js";
 import type { BeginMaintenance } from "../model/maintenance.js";
-import { parseTaskKey } from "../model/specification.js";
+import { parseTaskKey, stepKeyOf } from "../model/specification.js";
 import { OrganisationLimits } from "../organisations/organisation-limits.js";
 import { organisationUsageOf } from "../organisations/organisation-usage.js";
 import type { OrganisationUsage } from "../organisations/organisation-usage.js";
 import { LossReason } from "../state/crash-history.js";
 import { EventKind } from "../state/events.js";
-import type { WorkflowEvent } from "../state/events.js";
+import type { RecordedEnd, WorkflowEvent } from "../state/events.js";
 import type { CrashingTask, JobRecord } from "../state/job-record.js";
 import type { WorkflowState } from "../state/workflow-state.js";
 import { AppliedRuns } from "./applied-runs.js";
@@ -253,7 +254,7 @@
                 ends: changes.newEnds,
                 atMs: timeOfDayMs,
             });
-            this.#failures.recordEnds(server, changes.newEnds, nowMs);
+            this.#failures.recordEnds(server, this.#withoutOldApprovals(server, changes.newEnds, nowMs), nowMs);
             this.#unstartedTasks.recordEnds(server, changes.newEnds);
         }
         this.#limits.ledger.recordUntracked(server.id, changes.untrackedRuns);
@@ -388,6 +389,17 @@
         });
     }
 
+    /** Discards the approvals of rejected starts; returns the ends other than those for which they may have been too old. */
+    #withoutOldApprovals(server: ServerView, ends: readonly RecordedEnd[], nowMs: number): RecordedEnd[] {
+        return ends.filter(({ task, run, end }) => {
+            const { position, eligibilityToken } = server.findRun(task, run) ?? {};
+            return end !== RunEnd.NotStarted
+                || position === undefined
+                || eligibilityToken === undefined
+                || !this.#eligibility.recordRejection(stepKeyOf(position), server, eligibilityToken, nowMs);
+        });
+    }
+
     /** Discards what was measured of one incarnation of a server, whose runs are lost. */
     #forgetMeasurements(server: ServerView): void {
         this.#failures.forget(server.id);
