--- a/packages/workflow/src/leader/eligibility.test.ts
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -198,6 +198,23 @@
     expect(queries.map(({ query }) => query.step)).toEqual(["j.0.0", "k.0.0"]);
 });
 
+// Guards against a job that starts nothing because steps before it ask for approvals again and again.
+it("queries for a step that has asked for long before it queries again for the ones before it", () => {
+    const { replica, queries } = startLeader({ decisionMs: 600, perServerMs: 0, validityMs: 1_000 });
+    const busy = { running: [], capacity: { cpuMillicores: 1_000, memoryMebibytes: 1_000, accelerators: 0 } };
+    ["first", "second", "third"].forEach(id => replica.submit(jobOf(id, stepOf())));
+    for (let sequence = 1; sequence <= 50; sequence += 1) {
+        replica.heartbeat(heartbeatOf("a", sequence, busy));
+        replica.advance(100);
+        const open = queries.at(-1);
+        if (open !== undefined && sequence % 7 === 0) {
+            // A failure leaves the step without a decision, so that it asks again.
+            open.respond(undefined);
+        }
+    }
+    expect(new Set(queries.map(({ query }) => query.step))).toEqual(new Set(["first.0.0", "second.0.0", "third.0.0"]));
+});
+
 // Guards against a sound server that gets no starts for seconds, and against the repeated use of the same approval, when a
 // start is rejected because the service counts the validity from the query.
 it("asks again for an approval with which a start was rejected, and doesn't hold the rejection against the server", () => {
--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -1,5 +1,6 @@
 import type { EligibilityTiming } from "../model/configuration.js";
 import { Exclusion } from "./placement.js";
+import { QueryTurns } from "./query-turns.js";
 import type { ServerView } from "./server-view.js";
 
 /** Upper bound on concurrent queries; the service answers them one after the other, so more would only wait. */
@@ -75,6 +76,7 @@
     readonly #decisions = new Map<string, Map<string, Decision>>();
     /** Keys of the steps with a query in progress. */
     readonly #queriedSteps = new Set<string>();
+    readonly #turns = new QueryTurns();
     /** Time at which the service has answered all open queries if it takes as long as configured. */
     #serviceFreeAtMs = -Infinity;
     #retryAtMs = -Infinity;
@@ -131,7 +133,7 @@
         timing: EligibilityTiming,
         nowMs: number,
     ): void {
-        if (this.#queriedSteps.has(step)) {
+        if (this.#queriedSteps.has(step) || !this.#turns.request(step, nowMs)) {
             return;
         }
         const wantedServers = Math.min(MAX_SERVERS_PER_QUERY, waitingTasks + SPARE_SERVERS);
@@ -139,6 +141,7 @@
         if (this.#queriedSteps.size >= MAX_OPEN_QUERIES || nowMs < this.#retryAtMs || limit < 1) {
             return;
         }
+        this.#turns.close(step);
         const queried = candidates()
             .filter(server => !isUsable(this.#decisionFor(step, server), nowMs))
             .slice(0, limit);
