Count a lost server against a task only when the task was on trial

Cause: a later life of a server was taken for the proof of a crash. It has two causes, a crash and a planned exit behind a cut, and the leader can't tell them apart: it sees a silence and a later life in both. Two such losses under fresh runs gave the task up.

The first suspicion now only puts a task on trial. Only crashes under its trials make it the sole suspect, and two of these give it up as before.

--- a/packages/workflow/src/leader/crash-attribution.ts
+++ b/packages/workflow/src/leader/crash-attribution.ts
@@ -14,13 +14,20 @@
 /** Time for which the suspects of a crash are remembered. */
 const INCIDENT_RETENTION_MS = 60_000;
 
+/** A lost run that may have crashed its server. */
+interface Suspect {
+    lost: LostRun;
+    /** Whether the run was tried apart from others because a server may have crashed under an earlier one. */
+    isOnTrial: boolean;
+}
+
 /** The crash of a server, or a silence that may be one. */
 interface Incident {
     server: ServerView;
-    /** Whether the server has certainly crashed: a later incarnation of it, or a later server on its VM, was heard. */
+    /** Whether the server's life has ended: a later incarnation of it, or a later server on its VM, was heard. */
     isConfirmed: boolean;
     /** Lost runs that may be the cause, by the key of their task or, in a gang, of their step. */
-    suspects: Map<string, LostRun>;
+    suspects: Map<string, Suspect>;
     /** All runs whose involvement was recorded. */
     involvedRuns: LostRun[];
     recordedAtMs: number;
@@ -29,6 +36,11 @@
 /**
  * Finds the tasks that may have crashed a backend server: those that had just started when it fell silent. Suspects
  * that run on or end elsewhere are cleared, until only one is left.
+ *
+ * A later life of a server doesn't prove a crash: the server may have been cut off and have left as planned, without its
+ * heartbeats that said so. Nothing else need differ for the leader. The first suspicion therefore only puts a task on
+ * trial; crashes of servers under its trials count as the task's own. A task that does crash its servers costs one more
+ * of them.
  */
 export class CrashAttribution {
     readonly #incidents = new Map<string, Incident>();
@@ -47,7 +59,8 @@
         const keys = new Set(suspects.map(suspectKeyOf));
         const isConfirmed = others.some(other => isSuccessor(other, server));
         const isSole = isConfirmed && keys.size === 1 && !isCommonCause;
-        const involvement = isSole ? CrashInvolvement.SoleSuspect : CrashInvolvement.Suspected;
+        const involvementOf = (run: RunView): CrashInvolvement =>
+            isSole && run.isSuspect ? CrashInvolvement.SoleSuspect : CrashInvolvement.Suspected;
         const lostRuns = committed.map(run => {
             if (!hasBegun(run)) {
                 return lostRunOf(run, reason);
@@ -56,7 +69,7 @@
                 run,
                 server,
                 reason,
-                suspects.includes(run) ? involvement : involvementOfOther(server, run),
+                suspects.includes(run) ? involvementOf(run) : involvementOfOther(server, run),
             );
         });
         this.#incidents.set(incidentKeyOf(server.id, server.incarnation), {
@@ -65,7 +78,10 @@
             suspects: new Map(
                 isCommonCause
                     ? []
-                    : suspects.map(run => [suspectKeyOf(run), crashedRunOf(run, server, reason, involvement)]),
+                    : suspects.map(run => [suspectKeyOf(run), {
+                        lost: crashedRunOf(run, server, reason, involvementOf(run)),
+                        isOnTrial: run.isSuspect,
+                    }]),
             ),
             involvedRuns: lostRuns.filter(({ crash }) =>
                 crash !== undefined && crash.involvement !== CrashInvolvement.RanOn
@@ -173,10 +189,12 @@
     && server.incarnation > former.incarnation
     && (server.id === former.id || (server.vmId !== "" && server.vmId === former.vmId));
 
-/** Returns the only suspect of a certain crash as such; nothing if there are several, or none. */
-const soleSuspectOf = ({ isConfirmed, suspects }: Incident): LostRun[] =>
-    isConfirmed && suspects.size === 1
-        ? [...suspects.values()].map(lost => withInvolvement(lost, CrashInvolvement.SoleSuspect))
+/** Returns the only suspect of a confirmed crash as such if it was on trial; nothing if there are several, or none. */
+const soleSuspectOf = ({ isConfirmed, suspects }: Incident): LostRun[] => {
+    const [suspect] = suspects.values();
+    return isConfirmed && suspects.size === 1 && suspect?.isOnTrial === true
+        ? [withInvolvement(suspect.lost, CrashInvolvement.SoleSuspect)]
         : [];
+};
 
 const incidentKeyOf = (serverId: string, incarnation: number): string => `${serverId}/${incarnation}`;
--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -195,7 +195,11 @@
             }
             const { validityMs } = timing;
             const certainUntilMs = nowMs + validityMs;
-            this.#record(step, queried, eligible, { certainUntilMs, validUntilMs: answeredAtMs + validityMs, validityMs });
+            this.#record(step, queried, eligible, {
+                certainUntilMs,
+                validUntilMs: answeredAtMs + validityMs,
+                validityMs,
+            });
         });
     }
 
