Identify a queue by its address in place of its name

Cause: the state kept the queues of the configuration by name, the first of a name winning, and looked up the current contract of a job by the recorded name. The name alone doesn't tell whether it is still the same queue.

A queue is now the same over changes of the configuration if its host and path prefix are, which a valid configuration gives to one queue only. Jobs without a queue at their address keep the recorded contract. Records are unchanged.

--- a/packages/workflow/src/state/workflow-state.ts
+++ b/packages/workflow/src/state/workflow-state.ts
@@ -1,4 +1,5 @@
 import type { Configuration, QueueContract } from "../model/configuration.js";
+import { QueueIndex } from "../model/queue-identity.js";
 import { parseTaskKey } from "../model/specification.js";
 import type { TaskPosition } from "../model/specification.js";
 import { CancelledJobIds } from "./cancelled-job-ids.js";
@@ -42,8 +43,7 @@
 /** Replicated state. It changes only through committed events, so that all replicas reach the same state. */
 export class WorkflowState {
     #configuration: Configuration | undefined;
-    /** Queues of the configuration by name. */
-    #queues: ReadonlyMap<string, QueueContract> = new Map();
+    #queues = new QueueIndex([]);
     readonly #zonesOutOfService = new Set<string>();
     readonly #jobs = new Map<string, JobRecord>();
     #cancelledJobIds = new CancelledJobIds();
@@ -134,7 +134,7 @@
 
     /** Returns the current contract of a job's queue, or the one at the job's acceptance when the queue is gone. */
     currentQueueOf(job: JobRecord): QueueContract {
-        return this.#queues.get(job.queue.name) ?? job.queue;
+        return this.#queues.get(job.queue) ?? job.queue;
     }
 
     /** Returns the sequence number of the last recorded end of a server's incarnation; 0 for none. */
@@ -172,8 +172,7 @@
 
     #setConfiguration(configuration: Configuration): void {
         this.#configuration = configuration;
-        // When several queues have the same name, the first one takes effect.
-        this.#queues = new Map(configuration.queues.toReversed().map(queue => [queue.name, queue]));
+        this.#queues = new QueueIndex(configuration.queues);
     }
 
     #orderMaintenance({ order, atMs }: EventOf<EventKind.MaintenanceOrdered>): void {
