Count the length of a queue by its address

It counts those of its own address now. The test in queue-length.test.ts failed before: 1 in place of 0 for the other queue.

--- a/packages/workflow/src/node/caller-calls.ts
+++ b/packages/workflow/src/node/caller-calls.ts
@@ -3,6 +3,8 @@
 import { JobState, Refusal, refused, succeeded } from "../model/calls.js";
 import type { CallResult, RefusedCall, Respond } from "../model/calls.js";
 import type { QueueContract } from "../model/configuration.js";
+import { isSameQueue } from "../model/queue-identity.js";
+import type { QueueAddress } from "../model/queue-identity.js";
 import type { JobSpecification } from "../model/specification.js";
 import { EventKind } from "../state/events.js";
 import type { WorkflowEvent } from "../state/events.js";
@@ -137,7 +139,7 @@
         this.#options.calls.addRead(
             () => {
                 const queue = this.#callerAccess.findQueue(origin);
-                respond(queue.ok ? succeeded(this.#countPending(queue.value.name)) : queue);
+                respond(queue.ok ? succeeded(this.#countPending(queue.value)) : queue);
             },
             respond,
             nowMs,
@@ -291,10 +293,10 @@
         return job?.state === JobState.Queued && hasStarted ? JobState.Running : job?.state;
     }
 
-    #countPending(queueName: string): number {
+    #countPending(queue: QueueAddress): number {
         let count = 0;
         for (const job of this.#options.readState().jobs.values()) {
-            const isPending = job.queue.name === queueName && !job.isOver
+            const isPending = isSameQueue(job.queue, queue) && !job.isOver
                 && this.#options.readSession()?.hasStarted(job) !== true;
             count += isPending ? 1 : 0;
         }
