--- a/packages/workflow/src/leader/overload/overload-control.test.ts
+++ b/packages/workflow/src/leader/overload/overload-control.test.ts
@@ -1,9 +1,12 @@
 import { expect, it } from "vitest";
+import type { QueueContract } from "../../model/configuration.js";
 import { RunEnd } from "../../model/heartbeat.js";
 import { TaskKind } from "../../model/specification.js";
-import { heartbeatOf, jobOf, standingStepOf, stepOf } from "../../testing/fixtures.js";
+import { JobRecord } from "../../state/job-record.js";
+import { configurationOf, heartbeatOf, HOST, jobOf, standingStepOf, stepOf } from "../../testing/fixtures.js";
 import { SingleReplica } from "../../testing/single-replica.js";
 import { Exclusion } from "../placement.js";
+import { newRunView } from "../server-view.js";
 import { Punctuality } from "./job-outcomes.js";
 import type { OverloadReport } from "./overload-control.js";
 
@@ -94,3 +97,20 @@
     expect(outcomes?.counts).toEqual({ batch: { [Punctuality.Late]: 1, [Punctuality.Cancelled]: 1 } });
     expect(outcomes?.lateJobs).toMatchObject([{ jobId: "late", waitMs: 5_000, startMs: 200, repeatedRuns: 0 }]);
 });
+
+// Guards against run times of one queue that are taken for those of another queue with the same name.
+it("learns the run times of queues that share a name apart", () => {
+    const replica = startWithServer();
+    const overload = replica.node.session?.overload;
+    const [queue] = configurationOf(1).queues as [QueueContract];
+    for (const pathPrefix of ["/batch/", "/other/"]) {
+        const job = JobRecord.accepted(jobOf("j", stepOf()), { ...queue, pathPrefix }, 0);
+        const position = { jobId: "j", occurrence: 0, step: 0, index: 0 };
+        const run = newRunView(
+            { task: "j.0.0.0", run: 1, position, step: stepOf(), kind: TaskKind.Finite, checkpoint: "" },
+            0,
+        );
+        overload?.recordRunEnd(job, run, RunEnd.Done, 1_000);
+    }
+    expect(Object.keys(reportOf(replica)?.runTimeRatios ?? {})).toEqual([`${HOST} /batch/`, `${HOST} /other/`]);
+});
--- a/packages/workflow/src/leader/overload/overload-control.ts
+++ b/packages/workflow/src/leader/overload/overload-control.ts
@@ -1,5 +1,6 @@
 import type { QueueContract } from "../../model/configuration.js";
 import type { RunEnd } from "../../model/heartbeat.js";
+import { queueAddressOf } from "../../model/queue-identity.js";
 import { countedMillicoresOf, TaskKind } from "../../model/specification.js";
 import type { JobRecord } from "../../state/job-record.js";
 import { TaskPhase } from "../../state/occurrence-records.js";
@@ -106,7 +107,7 @@
     /** Records the end of a run of a job. */
     recordRunEnd(job: JobRecord | undefined, run: RunView | undefined, end: RunEnd, nowMs: number): void {
         if (job !== undefined && run !== undefined) {
-            this.#runTimeRatios.recordEnd(job.queue.name, run, end, nowMs);
+            this.#runTimeRatios.recordEnd(queueAddressOf(job.queue), run, end, nowMs);
         }
     }
 
--- a/packages/workflow/src/leader/overload/run-time-ratios.ts
+++ b/packages/workflow/src/leader/overload/run-time-ratios.ts
@@ -19,7 +19,7 @@
     observationsUntilUpdate: number;
 }
 
-/** Learns by queue how long runs take, from the choice of a server on, as a multiple of the callers' estimates. */
+/** Learns, by the address of the queue, how long runs take, from the choice of a server on, as a multiple of the callers' estimates. */
 export class RunTimeRatios {
     readonly #ratiosByQueue = new Map<string, LearnedRatio>();
 
