--- a/packages/daemon/src/workflow/event-log.test.ts
+++ b/packages/daemon/src/workflow/event-log.test.ts
@@ -7,7 +7,7 @@
     Refusal,
     ServerEventKind,
 } from "@waxwingspread/workflow";
-import type { CallRefusal } from "@waxwingspread/workflow";
+import type { CallRefusal, QueueContract } from "@waxwingspread/workflow";
 import { pino } from "pino";
 import { expect, it } from "vitest";
 import { EventLog } from "./event-log.js";
@@ -26,6 +26,16 @@
     expect(lines).toMatchObject([{ msg: "job event", event: "assigned", jobId: "aa", task: "aa.0.1.2", run: 3 }]);
 });
 
+// Guards against lines that name two queues alike, because they share a name.
+it("tells the address of the queue of an accepted job", () => {
+    const job = { id: "aa", payload: "", steps: [], schedule: undefined };
+    const queue = { name: "q", host: "h.example", pathPrefix: "/q/" } as QueueContract;
+    const lines = linesOf(log =>
+        log.recordCommitted([{ kind: EventKind.JobAccepted, job, queue, acceptedAtMs: 0 }], 0)
+    );
+    expect(lines).toMatchObject([{ event: "accepted", queue: "q", queueAddress: "h.example /q/" }]);
+});
+
 // Guards against a failed job whose caller can't be told which task and which servers decided it (issue 22).
 it("names the task, the reason and the servers of a job that is given up", () => {
     const crashes = [{ run: 1, serverId: "s", vmId: "v", involvement: CrashInvolvement.SoleSuspect }];
--- a/packages/daemon/src/workflow/event-log.ts
+++ b/packages/daemon/src/workflow/event-log.ts
@@ -1,4 +1,4 @@
-import { EventKind } from "@waxwingspread/workflow";
+import { EventKind, queueAddressOf } from "@waxwingspread/workflow";
 import type {
     CallRefusal,
     CrashingTask,
@@ -27,7 +27,12 @@
 
     readonly #handlers: Handlers = {
         [EventKind.JobAccepted]: ({ job, queue }) =>
-            this.#logJobEvent("accepted", () => ({ jobId: job.id, queue: queue.name, steps: job.steps.length })),
+            this.#logJobEvent("accepted", () => ({
+                jobId: job.id,
+                queue: queue.name,
+                queueAddress: queueAddressOf(queue),
+                steps: job.steps.length,
+            })),
         [EventKind.JobCancelled]: ({ jobId }) => this.#logJobEvent("cancelled", () => ({ jobId })),
         [EventKind.RunsAssigned]: ({ runs }) =>
             runs.forEach(assigned =>
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./model/heartbeat.js";
 export * from "./model/maintenance.js";
 export * from "./model/organisation.js";
+export { queueAddressOf } from "./model/queue-identity.js";
 export * from "./model/specification.js";
 export * from "./node/call-refusal.js";
 export * from "./node/caller-access.js";
--- a/packages/workflow/src/leader/job-preview.ts
+++ b/packages/workflow/src/leader/job-preview.ts
@@ -1,5 +1,6 @@
 import type { Refusal } from "../model/calls.js";
 import type { QueueContract } from "../model/configuration.js";
+import { queueAddressOf } from "../model/queue-identity.js";
 import type { JobSpecification, TaskKind } from "../model/specification.js";
 import { JobRecord } from "../state/job-record.js";
 import type { ServerCounts } from "./placement.js";
@@ -23,6 +24,8 @@
 /** What would happen to a submission now. */
 export interface JobPreview {
     queue: string;
+    /** Host and path prefix of the queue; several may share a name. */
+    queueAddress: string;
     /** Whether a job with this id is known, so that a submission would change nothing. */
     isKnown: boolean;
     /** Why the submission would be refused; undefined if it would be accepted. */
@@ -54,6 +57,7 @@
     times: Times,
 ): JobPreview => ({
     queue: queue.name,
+    queueAddress: queueAddressOf(queue),
     isKnown,
     refusal: isKnown ? undefined : submissions.check(job, queue, times)?.refusal,
     steps: untimedStepsOf(JobRecord.accepted(job, queue, times.timeOfDayMs)).map(waiting => ({
--- a/packages/workflow/src/leader/overload/job-outcomes.ts
+++ b/packages/workflow/src/leader/overload/job-outcomes.ts
@@ -1,4 +1,5 @@
 import { JobState } from "../../model/calls.js";
+import { queueAddressOf } from "../../model/queue-identity.js";
 import { taskKindOf } from "../../model/specification.js";
 import type { TaskKind, TaskPosition } from "../../model/specification.js";
 import type { JobRecord } from "../../state/job-record.js";
@@ -24,6 +25,8 @@
 export interface JobOutcome {
     jobId: string;
     queue: string;
+    /** Host and path prefix of the queue; several may share a name. */
+    queueAddress: string;
     priority: number;
     kind: TaskKind;
     punctuality: Punctuality;
@@ -133,6 +136,7 @@
     return {
         jobId: job.id,
         queue: queue.name,
+        queueAddress: queueAddressOf(queue),
         priority: queue.priority,
         kind: taskKindOf(first),
         punctuality: punctualityOf(job.state, durationMs / Math.max(1, acceptedMs)),
