Keep the bound on unavailable tasks for standing tasks that save checkpoints

Cause: runs that save checkpoints were stopped without a look at the bound. A checkpoint makes the stop of a finite task harmless; the users of a standing task are without it until it is at work elsewhere.

Standing tasks on a VM in maintenance are now stopped within the bound of their step, with checkpoints or without. Tasks with checkpoints on a server that drains are still stopped just before its exit, which ends them in any case.

--- a/packages/workflow/src/leader/evacuation.test.ts
+++ b/packages/workflow/src/leader/evacuation.test.ts
@@ -65,3 +65,89 @@
     new Evacuation(directory).run(nowMs);
     expect(leaving?.isStopping).toBe(false);
 });
+
+/** Where a task is at work. */
+interface Placement {
+    serverId: string;
+    /** Whether the VM of the server is to be maintained. */
+    isLeaving?: boolean;
+}
+
+/** A standing step, or a finite one, just before a decision. */
+interface Scenario {
+    maxUnavailable: number | undefined;
+    savesCheckpoints?: boolean;
+    kind?: TaskKind;
+    /** Places of the tasks, by their index. */
+    placements: readonly Placement[];
+    /** Changes the servers and the runs before the decision. */
+    prepare?: (directory: ServerDirectory, runs: readonly RunView[]) => void;
+}
+
+/** Returns the indexes of the tasks of one step that are stopped by one decision. */
+const stoppedIn = ({ maxUnavailable, savesCheckpoints = true, kind, placements, prepare }: Scenario): number[] => {
+    const directory = new ServerDirectory(LEADER_SETTINGS, 0);
+    const step = { ...STEP, taskCount: placements.length, maxUnavailable, savesCheckpoints };
+    const runs = placements.map(({ serverId, isLeaving }, index) => {
+        const server = directory.get(serverId) ?? directory.recordHeartbeat(heartbeatOf(serverId, 1), TIMES);
+        const run = { ...standingRunOf(index), step, kind: kind ?? TaskKind.Standing };
+        if (server !== undefined) {
+            server.isInMaintenance = isLeaving === true;
+            server.addRun(run);
+        }
+        return run;
+    });
+    prepare?.(directory, runs);
+    new Evacuation(directory).run(0);
+    return runs.filter(run => run.isStopping).map(run => run.position.index);
+};
+
+const LEAVING = { serverId: "leaving", isLeaving: true };
+const OTHER = { serverId: "other" };
+
+// Guards against a wave that stops all tasks of a standing step at once (review/15): tasks that save checkpoints were stopped
+// whatever the bound on unavailable tasks, as if they were finite.
+it.each<[string, Scenario, number[]]>([
+    ["one of four with a bound of one", { maxUnavailable: 1, placements: [LEAVING, LEAVING, LEAVING, LEAVING] }, [0]],
+    ["two of four with a bound of two", { maxUnavailable: 2, placements: [LEAVING, LEAVING, LEAVING, LEAVING] }, [
+        0,
+        1,
+    ]],
+    ["none with a bound of zero", { maxUnavailable: 0, placements: [LEAVING, OTHER] }, []],
+    ["all without a bound", { maxUnavailable: undefined, placements: [LEAVING, LEAVING] }, [0, 1]],
+    ["all of a finite step", { maxUnavailable: 1, kind: TaskKind.Finite, placements: [LEAVING, LEAVING] }, [0, 1]],
+    ["one on two VMs of a wave", {
+        maxUnavailable: 1,
+        placements: [LEAVING, { serverId: "second", isLeaving: true }, OTHER],
+    }, [0]],
+    ["none while another one is stopped on a draining server", {
+        maxUnavailable: 1,
+        placements: [LEAVING, { serverId: "draining" }],
+        prepare: (directory, runs) => {
+            const [, onDraining] = runs;
+            Object.assign(directory.get("draining") ?? {}, { isDraining: true });
+            Object.assign(onDraining ?? {}, { isStopping: true });
+        },
+    }, [1]],
+    ["none while another one isn't at work after a crash", {
+        maxUnavailable: 1,
+        placements: [LEAVING, OTHER],
+        prepare: (unusedDirectory, [, other]) => Object.assign(other ?? {}, { progressPercent: 40 }),
+    }, []],
+    ["none while a new leader hasn't heard of another one", {
+        maxUnavailable: 1,
+        placements: [LEAVING, OTHER],
+        prepare: (unusedDirectory, [, other]) => Object.assign(other ?? {}, { isReported: false }),
+    }, []],
+])("stops %s that save checkpoints in maintenance", (unusedName, scenario, stopped) => {
+    expect(stoppedIn(scenario)).toEqual(stopped);
+});
+
+// Guards against the loss of the work since the last checkpoint: a server that is about to exit ends its tasks in any case.
+it("stops all standing tasks that save checkpoints just before their server exits", () => {
+    const placements = [OTHER, OTHER];
+    const prepare = (directory: ServerDirectory): void => {
+        Object.assign(directory.get("other") ?? {}, { isDraining: true, leavesAtMs: 500 });
+    };
+    expect(stoppedIn({ maxUnavailable: 1, placements, prepare })).toEqual([0, 1]);
+});
--- a/packages/workflow/src/leader/evacuation.ts
+++ b/packages/workflow/src/leader/evacuation.ts
@@ -30,16 +30,26 @@
     }
 
     #stopRuns(server: ServerView, nowMs: number): void {
-        const isAboutToLeave = server.isInMaintenance
-            || nowMs >= server.leavesAtMs - CHECKPOINT_LEAD_TIME_MS;
         for (const run of server.runs.values()) {
-            const canResumeElsewhere = run.step.savesCheckpoints && isAboutToLeave;
-            if (canResumeElsewhere || (run.kind === TaskKind.Standing && this.#isStopAllowed(run, nowMs))) {
+            if (this.#isStopDue(run, server, nowMs)) {
                 run.isStopping = true;
             }
         }
     }
 
+    /**
+     * Whether a run is to be stopped now. That it saves checkpoints only tells that its work isn't lost: a standing task is
+     * unavailable until it is at work elsewhere, so that the bound of its step holds, unless its server is about to exit and
+     * to end it in any case. The maintenance of a VM waits.
+     */
+    #isStopDue(run: RunView, server: ServerView, nowMs: number): boolean {
+        const isExiting = nowMs >= server.leavesAtMs - CHECKPOINT_LEAD_TIME_MS;
+        const { savesCheckpoints } = run.step;
+        return run.kind === TaskKind.Standing
+            ? (savesCheckpoints && isExiting) || this.#isStopAllowed(run, nowMs)
+            : savesCheckpoints && (isExiting || server.isInMaintenance);
+    }
+
     /** Whether a standing task may be stopped within the bound on unavailable tasks of its step and occurrence. */
     #isStopAllowed(run: RunView, nowMs: number): boolean {
         const { maxUnavailable, taskCount } = run.step;
