Stop no task of a bounded step while stops of a former leader may be under way

A new leader doesn't know which stops its predecessor has ordered. A leader now waits for 1.5 s, in which such heartbeats and answers arrive or are dropped. The new test in evacuation.test.ts failed before.

--- a/packages/workflow/src/leader/evacuation.test.ts
+++ b/packages/workflow/src/leader/evacuation.test.ts
@@ -8,6 +8,8 @@
 import type { RunView } from "./server-view.js";
 
 const TIMES = { nowMs: 0, timeOfDayMs: 0 };
+/** Election of a leader that has led for long. */
+const LONG_AGO_MS = -60_000;
 const STEP = standingStepOf({ taskCount: 2, maxUnavailable: 1 });
 
 /** Returns a standing task at work. */
@@ -34,7 +36,7 @@
         server?.addRun(run);
         return run;
     });
-    new Evacuation(directory).run(0);
+    new Evacuation(directory, LONG_AGO_MS).run(0);
     expect(runs.map(run => run.isStopping)).toEqual([true, false, false, false]);
 });
 
@@ -47,7 +49,7 @@
         directory.recordHeartbeat(heartbeatOf(serverId, 1, { isDraining: serverId === "leaving" }), TIMES)?.addRun(run);
         return run;
     });
-    new Evacuation(directory).run(0);
+    new Evacuation(directory, LONG_AGO_MS).run(0);
     expect(leaving?.isStopping).toBe(false);
 });
 
@@ -62,7 +64,7 @@
     });
     const nowMs = 4_500;
     directory.recordHeartbeat(heartbeatOf("leaving", 2, { isDraining: true }), { nowMs, timeOfDayMs: nowMs });
-    new Evacuation(directory).run(nowMs);
+    new Evacuation(directory, LONG_AGO_MS).run(nowMs);
     expect(leaving?.isStopping).toBe(false);
 });
 
@@ -98,7 +100,7 @@
         return run;
     });
     prepare?.(directory, runs);
-    new Evacuation(directory).run(0);
+    new Evacuation(directory, LONG_AGO_MS).run(0);
     return runs.filter(run => run.isStopping).map(run => run.position.index);
 };
 
@@ -151,3 +153,18 @@
     };
     expect(stoppedIn({ maxUnavailable: 1, placements, prepare })).toEqual([0, 1]);
 });
+
+// Guards against a second unavailable task of a step whose bound is one: the former leader has ordered a stop, of which the
+// first heartbeats of the new leader's term show nothing.
+it("stops no task of a bounded step while the stops of a former leader may be under way", () => {
+    const directory = new ServerDirectory(LEADER_SETTINGS, 0);
+    const server = directory.recordHeartbeat(heartbeatOf("leaving", 1), TIMES);
+    const runs = [standingRunOf(0), standingRunOf(1)];
+    Object.assign(server ?? {}, { isInMaintenance: true });
+    runs.forEach(run => server?.addRun(run));
+    const evacuation = new Evacuation(directory, 0);
+    evacuation.run(1_000);
+    expect(runs.map(run => run.isStopping)).toEqual([false, false]);
+    evacuation.run(1_500);
+    expect(runs.map(run => run.isStopping)).toEqual([true, false]);
+});
--- a/packages/workflow/src/leader/evacuation.ts
+++ b/packages/workflow/src/leader/evacuation.ts
@@ -12,12 +12,20 @@
  */
 const MAX_SILENCE_MS = 2_000;
 
+/**
+ * Time after the election in which heartbeats from before a stop of the former leader, or its last answers, may still arrive.
+ * What they show as available may be about to end.
+ */
+const FORMER_STOPS_WINDOW_MS = 1_500;
+
 /** Stops tasks on backend servers that are draining or about to be maintained, so that they move to other servers. */
 export class Evacuation {
     readonly #directory: ServerDirectory;
+    readonly #boundedStopsFromMs: number;
 
-    constructor(directory: ServerDirectory) {
+    constructor(directory: ServerDirectory, electedAtMs: number) {
         this.#directory = directory;
+        this.#boundedStopsFromMs = electedAtMs + FORMER_STOPS_WINDOW_MS;
     }
 
     /** Marks the runs that have to leave their server now as stopping. */
@@ -56,6 +64,9 @@
         if (maxUnavailable === undefined || run.isStopping) {
             return true;
         }
+        if (nowMs < this.#boundedStopsFromMs) {
+            return false;
+        }
         let availableCount = 0;
         const step = stepKeyOf(run.position);
         for (const server of this.#directory.servers) {
--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -135,7 +135,7 @@
             countServers: (waiting, nowMs) => this.#planner.countServersFor(waiting, nowMs),
         });
         this.#reconciler = new HeartbeatReconciler(state);
-        this.#evacuation = new Evacuation(this.#directory);
+        this.#evacuation = new Evacuation(this.#directory, times.nowMs);
         this.#stops = new RunStops(state, this.#directory);
         const kept = { state, retentionMs: settings.retentionMs, propose: options.propose };
         this.cancellations = new EarlyCancellations(kept);
