Await the answers of a late eligibility service for longer

A query to the eligibility service was given up 2 s after its configured time and sent again.

The time doubles with each query that times out, up to a minute, and follows the lateness of the answers. The new test in eligibility.test.ts failed before: no such time in the query.

--- a/packages/workflow/src/leader/eligibility.test.ts
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -234,3 +234,36 @@
     const [next] = replica.heartbeat(heartbeatOf("a", 4))?.starts ?? [];
     expect(next?.eligibilityToken).toBe("new");
 });
+
+// Guards against a job that never starts because the service takes longer than configured, so that each query times out and
+// is sent again.
+it("waits longer for the answers of a service that is later than configured", () => {
+    const { replica, queries } = startLeader();
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.submit(jobOf("j", stepOf()));
+    let sequence = 1;
+    const advance = (durationMs: number): void => {
+        for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+            sequence += 1;
+            replica.heartbeat(heartbeatOf("a", sequence));
+            replica.advance(100);
+        }
+    };
+    for (const timeoutMs of [2_100, 4_100]) {
+        advance(timeoutMs);
+        queries.at(-1)?.respond(undefined);
+        advance(400);
+    }
+    expect(queries.map(({ query }) => query.patienceMs)).toEqual([2_000, 4_000, 8_000]);
+});
+
+// Guards against a long wait for the next answer after a failure that shows at once, such as a refused connection.
+it("doesn't wait longer after a query that failed at once", () => {
+    const { replica, queries } = startLeader();
+    replica.heartbeat(heartbeatOf("a", 1));
+    replica.submit(jobOf("j", stepOf()));
+    queries[0]?.respond(undefined);
+    replica.advance(300);
+    replica.heartbeat(heartbeatOf("a", 2));
+    expect(queries.map(({ query }) => query.patienceMs)).toEqual([2_000, 2_000]);
+});
--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -21,6 +21,9 @@
  * validity from the arrival of the query.
  */
 const MAX_ANSWER_RATIO = 0.7;
+/** Bounds of the time beyond the configured one for which an answer is awaited; it doubles with each query without one. */
+const MIN_PATIENCE_MS = 2_000;
+const MAX_PATIENCE_MS = 60_000;
 /** Delay before the next query after one without a response. */
 const RETRY_DELAY_MS = 200;
 
@@ -30,6 +33,8 @@
     step: string;
     serverIds: string[];
     timing: EligibilityTiming;
+    /** Time beyond the configured one for which the answer is awaited. */
+    patienceMs: number;
 }
 
 /** Approval of one backend server for a step. */
@@ -80,6 +85,7 @@
     /** Time at which the service has answered all open queries if it takes as long as configured. */
     #serviceFreeAtMs = -Infinity;
     #retryAtMs = -Infinity;
+    #patienceMs = MIN_PATIENCE_MS;
 
     constructor(query: QueryEligibility) {
         this.#query = query;
@@ -187,12 +193,19 @@
         const freeAtMs = this.#queriedSteps.size === 0 ? nowMs : Math.max(nowMs, this.#serviceFreeAtMs);
         this.#serviceFreeAtMs = freeAtMs + decisionMs;
         this.#queriedSteps.add(step);
-        this.#query({ step, serverIds, timing }, (eligible, answeredAtMs) => {
+        const dueAtMs = this.#serviceFreeAtMs;
+        const patienceMs = this.#patienceMs;
+        this.#query({ step, serverIds, timing, patienceMs }, (eligible, answeredAtMs) => {
             this.#queriedSteps.delete(step);
+            const latenessMs = answeredAtMs - dueAtMs;
             if (eligible === undefined) {
                 this.#retryAtMs = answeredAtMs + RETRY_DELAY_MS;
+                // A failure that shows earlier, such as a refused connection, has nothing to do with the time.
+                this.#extendPatience(latenessMs >= patienceMs / 2 ? 2 * patienceMs : 0);
                 return;
             }
+            this.#patienceMs = MIN_PATIENCE_MS;
+            this.#extendPatience(2 * latenessMs);
             const { validityMs } = timing;
             const certainUntilMs = nowMs + validityMs;
             this.#record(step, queried, eligible, {
@@ -203,6 +216,11 @@
         });
     }
 
+    /** Awaits the next answers for longer after one that was late: a service that is slower than configured may still answer. */
+    #extendPatience(wantedMs: number): void {
+        this.#patienceMs = Math.min(MAX_PATIENCE_MS, Math.max(this.#patienceMs, wantedMs));
+    }
+
     #decisionFor(step: string, server: ServerView): Decision {
         return this.#decisions.get(step)?.get(incarnationKeyOf(server)) ?? UNKNOWN;
     }
