Drop heartbeats of new lives that name no service of the deployment

Such a heartbeat is dropped now, unless an open job was sent to that service before it was taken out of the configuration, and logged as unknown-service. A known life goes on whatever the configuration says.

--- a/packages/workflow/src/leader/heartbeat-plausibility.ts
+++ b/packages/workflow/src/leader/heartbeat-plausibility.ts
@@ -1,5 +1,5 @@
 import type { HeartbeatReport } from "../model/heartbeat.js";
-import { ServerEventKind } from "./server-event.js";
+import type { ServerEventKind } from "./server-event.js";
 import type { ServerEvent } from "./server-event.js";
 import type { ServerView } from "./server-view.js";
 
@@ -27,10 +27,7 @@
 };
 
 /** Returns the event that records a dropped heartbeat. */
-export const implausibleEventOf = ({ serverId, incarnation, vmId }: HeartbeatReport): ServerEvent => ({
-    kind: ServerEventKind.Implausible,
-    serverId,
-    incarnation,
-    vmId,
-    runs: 0,
-});
+export const droppedEventOf = (
+    { serverId, incarnation, vmId }: HeartbeatReport,
+    kind: ServerEventKind.Implausible | ServerEventKind.UnknownService,
+): ServerEvent => ({ kind, serverId, incarnation, vmId, runs: 0 });
--- a/packages/workflow/src/leader/server-directory.test.ts
+++ b/packages/workflow/src/leader/server-directory.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { JobState } from "../model/calls.js";
 import { RunEnd } from "../model/heartbeat.js";
-import { heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
+import { configurationOf, heartbeatOf, jobOf, stepOf } from "../testing/fixtures.js";
 import { LEADER_SETTINGS, SingleReplica } from "../testing/single-replica.js";
 
 const DAY_MS = 24 * 60 * 60 * 1_000;
@@ -38,6 +38,20 @@
         expect(replica.stateOf("j")).toBe(JobState.Completed);
     });
 
+    // Guards against a second run beside the first (review/11): the heartbeat looked like that of the server's next life.
+    it("of a service that no configuration names is given no lease and doesn't end the server's life", () => {
+        const replica = withRunningTask();
+        replica.heartbeat(heartbeatOf("s", 3, { running: RUNNING }));
+        replica.heartbeat(heartbeatOf("other", 1));
+        const incarnation = replica.times.timeOfDayMs;
+        expect(replica.heartbeat(heartbeatOf("s", 1, { incarnation, service: "foreign" }))).toBeUndefined();
+        expect(replica.heartbeat(heartbeatOf("other", 2))?.starts).toEqual([]);
+        expect(replica.heartbeat(heartbeatOf("s", 4, { running: RUNNING }))).toMatchObject({
+            leaseMs: 3_000,
+            stops: [],
+        });
+    });
+
     it("with the number of an end that no server reaches doesn't hide the ends that follow", () => {
         const replica = withRunningTask();
         replica.submit(jobOf("other", stepOf()));
@@ -105,3 +119,16 @@
         expect(replica.heartbeat(heartbeatOf("s", 7))?.starts).toHaveLength(1);
     });
 });
+
+// Guards against tasks that lose their leases, and jobs without servers, when a service is taken out of the configuration.
+it("servers of a service that was taken out of the configuration keep working for the jobs that were sent there", () => {
+    const replica = withRunningTask();
+    const configuration = configurationOf(9, { queues: [], services: [] });
+    replica.node.configure(configuration, () => undefined, replica.times);
+    replica.settle();
+    expect(replica.heartbeat(heartbeatOf("s", 3, { running: RUNNING }))).toMatchObject({ leaseMs: 3_000, stops: [] });
+    expect(replica.heartbeat(heartbeatOf("new", 1))).toMatchObject({ leaseMs: 3_000 });
+    replica.heartbeat(heartbeatOf("s", 4, { ended: ENDED }));
+    replica.advance(1_000);
+    expect(replica.heartbeat(heartbeatOf("late", 1))).toBeUndefined();
+});
--- a/packages/workflow/src/leader/server-event.ts
+++ b/packages/workflow/src/leader/server-event.ts
@@ -10,6 +10,8 @@
     Draining = "draining",
     /** Heartbeat whose numbers can't be those of the server; it was dropped. */
     Implausible = "implausible",
+    /** Heartbeat of a service that isn't one of this deployment, so that another program has sent it; it was dropped. */
+    UnknownService = "unknown-service",
     /** The planner avoids the server for some time, after failures, starts that failed, or little progress of its tasks. */
     Avoided = "avoided",
 }
