Move queue constraints and the heartbeat filter out of large files

What a queue's contract means for placement, and which heartbeats are dropped, have modules of their own. No change of behaviour; the tests of packages/workflow and packages/simulation pass unchanged.

--- a/packages/workflow/src/leader/leader-session.ts
+++ b/packages/workflow/src/leader/leader-session.ts
@@ -19,12 +19,11 @@
 import { FillerMoves } from "./filler-moves.js";
 import { FillerPacing } from "./filler-pacing.js";
 import { HeartbeatAnswers } from "./heartbeat-answers.js";
-import { droppedEventOf, hasPlausibleSequence } from "./heartbeat-plausibility.js";
+import { HeartbeatFilter } from "./heartbeat-filter.js";
 import { HeartbeatReconciler } from "./heartbeat-reconciler.js";
 import { previewJob } from "./job-preview.js";
 import type { JobPreview, Submission } from "./job-preview.js";
 import { JobRetention } from "./job-retention.js";
-import { KnownServices } from "./known-services.js";
 import { Maintenance } from "./maintenance.js";
 import { OpenHeartbeats } from "./open-heartbeats.js";
 import { OrderWriter } from "./order-writer.js";
@@ -95,7 +94,7 @@
     readonly #moves: FillerMoves;
     readonly #maintenance: Maintenance;
     readonly #heartbeats = new OpenHeartbeats();
-    readonly #services: KnownServices;
+    readonly #heartbeatFilter: HeartbeatFilter;
     readonly #failures: ServerFailures;
     readonly #losses: RunLosses;
     readonly #stops: RunStops;
@@ -137,7 +136,7 @@
             countServers: (waiting, nowMs) => this.#planner.countServersFor(waiting, nowMs),
         });
         this.#reconciler = new HeartbeatReconciler(state);
-        this.#services = new KnownServices(state);
+        this.#heartbeatFilter = new HeartbeatFilter(state);
         this.#evacuation = new Evacuation(this.#directory, times.nowMs);
         this.#stops = new RunStops(state, this.#directory);
         const kept = { state, retentionMs: settings.retentionMs, propose: options.propose };
@@ -227,9 +226,9 @@
         const { nowMs, timeOfDayMs } = times;
         const previous = this.#directory.get(report.serverId);
         const wasDraining = previous?.isDraining === true;
-        const dropReason = this.#dropReasonOf(report, previous, nowMs);
-        if (dropReason !== undefined) {
-            this.#options.report(droppedEventOf(report, dropReason), nowMs);
+        const dropped = this.#heartbeatFilter.check(report, previous, nowMs);
+        if (dropped !== undefined) {
+            this.#options.report(dropped, nowMs);
             respond(undefined);
             return;
         }
@@ -338,20 +337,6 @@
         this.#heartbeats.close();
     }
 
-    /** Returns why a heartbeat isn't one of the server whose id it has; undefined if it may be. */
-    #dropReasonOf(
-        report: HeartbeatReport,
-        previous: ServerView | undefined,
-        nowMs: number,
-    ): ServerEventKind.Implausible | ServerEventKind.UnknownService | undefined {
-        const isKnownLife = previous?.incarnation === report.incarnation;
-        if (!isKnownLife && !this.#services.has(report.service, nowMs)) {
-            return ServerEventKind.UnknownService;
-        }
-        const isPlausible = hasPlausibleSequence(report, previous, this.#options.state.acknowledgedEnd(report));
-        return isPlausible ? undefined : ServerEventKind.Implausible;
-    }
-
     #handleApplied(event: WorkflowEvent, times: Times): void {
         switch (event.kind) {
             case EventKind.JobAccepted:
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -10,9 +10,10 @@
 import type { WorkflowState } from "../state/workflow-state.js";
 import type { Eligibility } from "./eligibility.js";
 import { FailedPlacements } from "./failed-placements.js";
-import { chooseServer, countServers, mayRunAny, serversWithCapacity } from "./placement.js";
+import { chooseServer, countServers, mayRunAny } from "./placement.js";
 import type { PlacementConstraints, ServerCounts } from "./placement.js";
 import type { PressureModel } from "./pressure-model.js";
+import { QueueConstraints } from "./queue-constraints.js";
 import type { ServerDirectory } from "./server-directory.js";
 import { newRunView } from "./server-view.js";
 import type { RunView, ServerView } from "./server-view.js";
@@ -60,9 +61,8 @@
     readonly #queue: WorkQueue;
     readonly #directory: ServerDirectory;
     readonly #pressure: PressureModel;
-    readonly #eligibility: Eligibility;
+    readonly #constraints: QueueConstraints;
     readonly #limits: OrganisationLimits;
-    readonly #scarceTaskMillicores: (queue: QueueContract, nowMs: number) => number;
     /** Servers of the tasks whose assignment is proposed but not committed, by task. */
     readonly #pendingTasks = new Map<string, ServerView>();
     /** Steps that no server can run, except perhaps for those that have changed since the round began. */
@@ -92,9 +92,13 @@
         this.#queue = options.queue;
         this.#directory = options.directory;
         this.#pressure = options.pressure;
-        this.#eligibility = options.eligibility;
+        this.#constraints = new QueueConstraints({
+            state: options.state,
+            directory: options.directory,
+            eligibility: options.eligibility,
+            scarceTaskMillicores: options.scarceTaskMillicores ?? (() => 0),
+        });
         this.#limits = options.limits;
-        this.#scarceTaskMillicores = options.scarceTaskMillicores ?? (() => 0);
     }
 
     /**
@@ -112,7 +116,7 @@
         const runs = this.#reconsiderOverdue({ nowMs, timeOfDayMs });
         // The round must go on, however many servers change during it.
         this.#remainingServers = Math.max(this.#remainingServers, MIN_EXAMINED_SERVERS_IN_ROUND);
-        const isRoomScarce = (queue: QueueContract): boolean => this.#scarceTaskMillicores(queue, nowMs) > 0;
+        const isRoomScarce = (queue: QueueContract): boolean => this.#constraints.isRoomScarce(queue, nowMs);
         for (const turn of this.#limits.order(this.#queue.turns(timeOfDayMs, isRoomScarce), timeOfDayMs)) {
             const planned = this.#planTurn(turn, nowMs);
             runs.push(...planned.runs);
@@ -175,7 +179,7 @@
             return false;
         }
         const constraints = this.#constraintsFor(waiting, nowMs);
-        const key = constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job));
+        const key = this.#constraints.keyFor(waiting);
         if (this.#failures.includes(waiting, key)) {
             return false;
         }
@@ -233,9 +237,8 @@
     }
 
     #planTurn({ waiting, maxTasks }: Turn, nowMs: number): Plan {
-        const queue = this.#state.currentQueueOf(waiting.job);
         const isSkipped = waiting.job.isOver
-            || this.#failuresInRound.includes(waiting, constraintsKeyOf(waiting, queue));
+            || this.#failuresInRound.includes(waiting, this.#constraints.keyFor(waiting));
         if (isSkipped) {
             return NOTHING_TO_PLAN;
         }
@@ -284,7 +287,7 @@
         if (this.#remainingServers <= 0) {
             return { runs: [], isComplete: false };
         }
-        if (this.#failures.includes(waiting, constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job)))) {
+        if (this.#failures.includes(waiting, this.#constraints.keyFor(waiting))) {
             return NOTHING_TO_PLAN;
         }
         const { tasks } = waiting.record;
@@ -321,7 +324,7 @@
         const trialConstraints = { ...constraints, isIsolated, crashes };
         const server = this.#search(waiting, this.#directory.servers, trialConstraints, nowMs);
         if (server === undefined) {
-            this.#queryEligibility(waiting, constraints, nowMs);
+            this.#constraints.queryEligibility(waiting, constraints, nowMs);
         }
         else {
             this.#trialWaits.end(task);
@@ -348,7 +351,7 @@
         const position = { jobId: job.id, occurrence, step: stepIndex, index };
         const checkpoint = record.tasks[index]?.checkpoint ?? "";
         const isTrial = isSuspect(record.tasks[index]?.crashes);
-        const eligibilityToken = this.#eligibility.tokenFor(stepKeyOf(waiting), server, nowMs);
+        const eligibilityToken = this.#constraints.tokenFor(waiting, server, nowMs);
         server.addRun(newRunView(
             { task, run, position, step, kind, checkpoint, eligibilityToken, isSuspect: isTrial, waitingSinceMs },
             nowMs,
@@ -367,7 +370,7 @@
      * the changed ones. The members of a gang need several servers, which may have changed in different rounds.
      */
     #findServer(waiting: WaitingStep, constraints: PlacementConstraints, nowMs: number): ServerView | undefined {
-        const key = constraintsKeyOf(waiting, this.#state.currentQueueOf(waiting.job));
+        const key = this.#constraints.keyFor(waiting);
         if (!waiting.step.isGang && this.#failures.includes(waiting, key)) {
             const found = this.#search(waiting, this.#changedServers ?? [], constraints, nowMs);
             if (found === undefined) {
@@ -410,7 +413,7 @@
     }
 
     #recordFailure(waiting: WaitingStep, constraints: PlacementConstraints, key: string, nowMs: number): void {
-        this.#queryEligibility(waiting, constraints, nowMs);
+        this.#constraints.queryEligibility(waiting, constraints, nowMs);
         // The members of a gang that are already placed are removed again, so that its failure shows nothing.
         if (waiting.step.isGang) {
             return;
@@ -422,37 +425,8 @@
     }
 
     #constraintsFor(waiting: WaitingStep, nowMs: number): PlacementConstraints {
-        const queue = this.#state.currentQueueOf(waiting.job);
-        const { service, eligibility } = queue;
-        const step = stepKeyOf(waiting);
-        return {
-            service,
-            scarceTaskMillicores: waiting.kind === TaskKind.Standing ? this.#scarceTaskMillicores(queue, nowMs) : 0,
-            zonesOutOfService: this.#state.zonesOutOfService,
-            rackOfStep: waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "",
-            eligibilityExclusionOf: eligibility === undefined
-                ? undefined
-                : server => this.#eligibility.exclusionOf(step, server, nowMs),
-            isIsolated: false,
-            crashes: [],
-        };
-    }
-
-    /** Queries on which further servers with capacity the step may run, if its queue requires approvals. */
-    #queryEligibility(waiting: WaitingStep, constraints: PlacementConstraints, nowMs: number): void {
-        const { eligibility } = this.#state.currentQueueOf(waiting.job);
-        if (eligibility !== undefined) {
-            const candidates = (): ServerView[] =>
-                serversWithCapacity(waiting, this.#directory.servers, constraints, nowMs);
-            const { tasks, doneCount } = waiting.record;
-            this.#eligibility.queryCandidates(
-                stepKeyOf(waiting),
-                candidates,
-                tasks.length - doneCount,
-                eligibility,
-                nowMs,
-            );
-        }
+        const rackOfStep = waiting.step.prefersOneRack ? this.#rackOfStep(waiting) : "";
+        return this.#constraints.constraintsFor(waiting, rackOfStep, nowMs);
     }
 
     #rackOfStep(waiting: WaitingStep): string {
@@ -475,10 +449,3 @@
 }
 
 const NOTHING_TO_PLAN: Plan = { runs: [], isComplete: true };
-
-/** Returns the constraints that steps share, other than their amounts. An approval is given to one step only. */
-const constraintsKeyOf = (waiting: WaitingStep, { service, eligibility }: QueueContract): string => {
-    const { kind, step } = waiting;
-    const approvedStep = eligibility === undefined ? "" : stepKeyOf(waiting);
-    return `${kind} ${service} ${step.image} ${step.requiredLabel} ${approvedStep}`;
-};
