--- a/packages/workflow/src/leader/overload/job-outcomes.ts
+++ b/packages/workflow/src/leader/overload/job-outcomes.ts
@@ -44,7 +44,7 @@
     startMs: number;
 }
 
-/** Ends of jobs by queue since the last report. */
+/** Ends of jobs by the address of the queue since the last report. */
 export interface JobOutcomeReport {
     counts: Record<string, Partial<Record<Punctuality, number>>>;
     /** Jobs that did not end in time, up to a bound. */
@@ -86,7 +86,7 @@
         if (outcome === undefined) {
             return undefined;
         }
-        const counts = this.#counts[outcome.queue] ??= {};
+        const counts = this.#counts[outcome.queueAddress] ??= {};
         counts[outcome.punctuality] = (counts[outcome.punctuality] ?? 0) + 1;
         const isLate = outcome.punctuality === Punctuality.Late || outcome.punctuality === Punctuality.VeryLate;
         if (isLate && this.#lateJobs.length < MAX_LISTED_JOBS) {
