Query the approvals that a gang needs together at once

A query for a gang names all servers that it may need, up to the service's limit of 100, if fewer would be in time. The new test in eligibility.test.ts failed before: 6 servers in place of 10.

--- a/packages/workflow/src/leader/eligibility.test.ts
+++ b/packages/workflow/src/leader/eligibility.test.ts
@@ -267,3 +267,17 @@
     replica.heartbeat(heartbeatOf("a", 2));
     expect(queries.map(({ query }) => query.patienceMs)).toEqual([2_000, 2_000]);
 });
+
+// Guards against a gang that never starts: the approvals of a first query have expired before those of the last one come.
+it("asks about all servers that a gang may need at once, although the answer takes longer", () => {
+    const { replica, queries } = startLeader({ decisionMs: 100, perServerMs: 100, validityMs: 1_000 });
+    const ids = Array.from({ length: 10 }, (unused, index) => `s${index}`);
+    ids.forEach(id => replica.heartbeat(heartbeatOf(id, 1)));
+    replica.submit(jobOf("j", stepOf({ taskCount: 8, amounts: LARGE, isGang: true })));
+    expect(queries.map(({ query }) => query.serverIds.length)).toEqual([10]);
+    replica.advance(1_100);
+    queries.forEach(query => approve(query, "approved"));
+    replica.settle();
+    const starts = ids.map(id => replica.heartbeat(heartbeatOf(id, 2))?.starts.length ?? 0);
+    expect(starts.filter(count => count === 1)).toHaveLength(8);
+});
--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -5,8 +5,10 @@
 
 /** Upper bound on concurrent queries; the service answers them one after the other, so more would only wait. */
 const MAX_OPEN_QUERIES = 2;
-/** Upper bound on the servers in one query. */
+/** Upper bound on the servers in one query for tasks that start one by one. */
 const MAX_SERVERS_PER_QUERY = 30;
+/** Upper bound on the servers in any query that the service accepts. */
+const MAX_SERVERS_FOR_GANG = 100;
 /** Servers in a query beyond one for each waiting task, since some are refused. */
 const SPARE_SERVERS = 6;
 /**
@@ -43,6 +45,14 @@
     token: string;
 }
 
+/** What a step needs approvals for. */
+export interface EligibilityDemand {
+    /** Tasks that aren't done. */
+    tasks: number;
+    /** Tasks that can only start together, so that their approvals must be valid at the same time; 1 if each may start alone. */
+    tasksTogether: number;
+}
+
 /** Queries the eligibility service; calls back once, with undefined if there was no response. */
 export type QueryEligibility = (
     query: EligibilityQuery,
@@ -135,15 +145,16 @@
     queryCandidates(
         step: string,
         candidates: () => readonly ServerView[],
-        waitingTasks: number,
+        { tasks, tasksTogether }: EligibilityDemand,
         timing: EligibilityTiming,
         nowMs: number,
     ): void {
         if (this.#queriedSteps.has(step) || !this.#turns.request(step, nowMs)) {
             return;
         }
-        const wantedServers = Math.min(MAX_SERVERS_PER_QUERY, waitingTasks + SPARE_SERVERS);
-        const limit = this.#serversInTime(wantedServers, timing, nowMs);
+        const maxServers = tasksTogether > 1 ? MAX_SERVERS_FOR_GANG : MAX_SERVERS_PER_QUERY;
+        const wantedServers = Math.min(maxServers, tasks + SPARE_SERVERS);
+        const limit = this.#serversInTime(wantedServers, tasksTogether, timing, nowMs);
         if (this.#queriedSteps.size >= MAX_OPEN_QUERIES || nowMs < this.#retryAtMs || limit < 1) {
             return;
         }
@@ -167,10 +178,10 @@
 
     /**
      * Returns how many of the wanted servers a query may name so that its answer comes in time; 0 if it had better wait
-     * for the open queries, which the service answers first. All of them if the service is too slow even for one: what it
-     * approves is of use only if it counts the validity from the answer.
+     * for the open queries, which the service answers first. All of them if the service is too slow even for as many as are
+     * needed together: what it approves is of use only if it counts the validity from the answer.
      */
-    #serversInTime(wantedServers: number, timing: EligibilityTiming, nowMs: number): number {
+    #serversInTime(wantedServers: number, neededServers: number, timing: EligibilityTiming, nowMs: number): number {
         const { decisionMs, perServerMs, validityMs } = timing;
         const isFree = this.#queriedSteps.size === 0;
         const serversWithin = (timeMs: number): number =>
@@ -179,12 +190,13 @@
                 : Math.min(wantedServers, Math.floor((timeMs - decisionMs) / Math.max(1, perServerMs)));
         const usableMs = validityMs * MAX_ANSWER_RATIO;
         const serversAlone = serversWithin(usableMs);
-        if (serversAlone < 1) {
+        if (serversAlone < Math.min(neededServers, wantedServers)) {
             return isFree ? wantedServers : 0;
         }
         const waitMs = isFree ? 0 : Math.max(0, this.#serviceFreeAtMs - nowMs);
         const serversNow = serversWithin(usableMs - waitMs);
-        return serversNow * 2 >= serversAlone ? serversNow : 0;
+        const isWorthwhile = serversNow >= neededServers && serversNow * 2 >= serversAlone;
+        return isWorthwhile ? serversNow : 0;
     }
 
     #send(step: string, queried: readonly ServerView[], timing: EligibilityTiming, nowMs: number): void {
--- a/packages/workflow/src/leader/queue-constraints.ts
+++ b/packages/workflow/src/leader/queue-constraints.ts
@@ -70,8 +70,9 @@
             return;
         }
         const candidates = (): ServerView[] => serversWithCapacity(waiting, directory.servers, constraints, nowMs);
-        const { tasks, doneCount } = waiting.record;
-        eligibility.queryCandidates(stepKeyOf(waiting), candidates, tasks.length - doneCount, timing, nowMs);
+        const tasks = waiting.record.tasks.length - waiting.record.doneCount;
+        const demand = { tasks, tasksTogether: waiting.step.isGang ? tasks : 1 };
+        eligibility.queryCandidates(stepKeyOf(waiting), candidates, demand, timing, nowMs);
     }
 
     #queueOf({ job }: WaitingStep): QueueContract {
