Query all approvals of a gang that would expire before the answer

The query is made after the members are taken back, and names each server whose approval doesn't last until the answer.

--- a/packages/workflow/src/leader/eligibility.ts
+++ b/packages/workflow/src/leader/eligibility.ts
@@ -159,8 +159,10 @@
             return;
         }
         this.#turns.close(step);
+        // Tasks that start together need approvals that are all valid when the answer comes.
+        const neededAtMs = tasksTogether > 1 ? this.#dueAtMs(limit, timing, nowMs) : nowMs;
         const queried = candidates()
-            .filter(server => !isUsable(this.#decisionFor(step, server), nowMs))
+            .filter(server => !isUsable(this.#decisionFor(step, server), neededAtMs))
             .slice(0, limit);
         if (queried.length > 0) {
             this.#send(step, queried, timing, nowMs);
@@ -193,19 +195,26 @@
         if (serversAlone < Math.min(neededServers, wantedServers)) {
             return isFree ? wantedServers : 0;
         }
-        const waitMs = isFree ? 0 : Math.max(0, this.#serviceFreeAtMs - nowMs);
-        const serversNow = serversWithin(usableMs - waitMs);
+        const serversNow = serversWithin(usableMs - this.#waitMs(nowMs));
         const isWorthwhile = serversNow >= neededServers && serversNow * 2 >= serversAlone;
         return isWorthwhile ? serversNow : 0;
     }
 
+    /** Returns the time until the service has answered the open queries. */
+    #waitMs(nowMs: number): number {
+        return this.#queriedSteps.size === 0 ? 0 : Math.max(0, this.#serviceFreeAtMs - nowMs);
+    }
+
+    /** Returns the time at which a query that is sent now is to be answered. */
+    #dueAtMs(servers: number, { decisionMs, perServerMs }: EligibilityTiming, nowMs: number): number {
+        return nowMs + this.#waitMs(nowMs) + decisionMs + perServerMs * servers;
+    }
+
     #send(step: string, queried: readonly ServerView[], timing: EligibilityTiming, nowMs: number): void {
         const serverIds = queried.map(server => server.id);
-        const decisionMs = timing.decisionMs + timing.perServerMs * serverIds.length;
-        const freeAtMs = this.#queriedSteps.size === 0 ? nowMs : Math.max(nowMs, this.#serviceFreeAtMs);
-        this.#serviceFreeAtMs = freeAtMs + decisionMs;
+        const dueAtMs = this.#dueAtMs(serverIds.length, timing, nowMs);
+        this.#serviceFreeAtMs = dueAtMs;
         this.#queriedSteps.add(step);
-        const dueAtMs = this.#serviceFreeAtMs;
         const patienceMs = this.#patienceMs;
         this.#query({ step, serverIds, timing, patienceMs }, (eligible, answeredAtMs) => {
             this.#queriedSteps.delete(step);
--- a/packages/workflow/src/leader/planner.ts
+++ b/packages/workflow/src/leader/planner.ts
@@ -302,6 +302,8 @@
                 : undefined;
             if (server === undefined) {
                 planned.forEach(earlier => this.#rollBack(earlier));
+                // Only now do the servers of the earlier members count, whose approvals may have to be renewed as well.
+                this.#constraints.queryEligibility(waiting, this.#constraintsFor(waiting, nowMs), nowMs);
                 this.#failuresInRound.record(waiting, "");
                 return NOTHING_TO_PLAN;
             }
@@ -413,11 +415,11 @@
     }
 
     #recordFailure(waiting: WaitingStep, constraints: PlacementConstraints, key: string, nowMs: number): void {
-        this.#constraints.queryEligibility(waiting, constraints, nowMs);
         // The members of a gang that are already placed are removed again, so that its failure shows nothing.
         if (waiting.step.isGang) {
             return;
         }
+        this.#constraints.queryEligibility(waiting, constraints, nowMs);
         this.#failuresInRound.record(waiting, key);
         if (constraints.eligibilityExclusionOf === undefined) {
             this.#failures.record(waiting, key);
--- a/packages/workflow/src/testing/lease-fleet.ts
+++ b/packages/workflow/src/testing/lease-fleet.ts
@@ -51,8 +51,11 @@
         });
     }
 
-    /** Executes an answer to a heartbeat that was sent at the given time; `start` is called for each new run. */
-    execute(orders: HeartbeatOrders, sentAtMs: number, start: (order: StartOrder) => FleetRun): void {
+    /**
+     * Executes an answer to a heartbeat that was sent at the given time. `start` is called for each new run, and returns
+     * undefined to reject it.
+     */
+    execute(orders: HeartbeatOrders, sentAtMs: number, start: (order: StartOrder) => FleetRun | undefined): void {
         this.#leaseEndsAtMs = sentAtMs + orders.leaseMs;
         this.#ended = this.#ended.filter(({ sequence }) => sequence > orders.acknowledgedEnd);
         for (const { task, run } of orders.stops) {
@@ -60,7 +63,15 @@
                 .filter(own => own.task === task && own.run === run)
                 .forEach(own => this.#end(own, RunEnd.Stopped));
         }
-        orders.starts.forEach(order => this.runs.push(start(order)));
+        for (const order of orders.starts) {
+            const run = start(order);
+            if (run === undefined) {
+                this.#listEnd(order, RunEnd.NotStarted);
+            }
+            else {
+                this.runs.push(run);
+            }
+        }
     }
 
     crash(downUntilMs: number): void {
@@ -73,9 +84,13 @@
     }
 
     #end(run: FleetRun, end: RunEnd): void {
-        this.#endCount += 1;
         this.runs = this.runs.filter(other => other !== run);
-        this.#ended.push({ sequence: this.#endCount, task: run.task, run: run.run, end, checkpoint: "" });
+        this.#listEnd(run, end);
+    }
+
+    #listEnd({ task, run }: Pick<FleetRun, "task" | "run">, end: RunEnd): void {
+        this.#endCount += 1;
+        this.#ended.push({ sequence: this.#endCount, task, run, end, checkpoint: "" });
     }
 }
 
@@ -85,18 +100,21 @@
     readonly #replica: SingleReplica;
     readonly #runTimeMs: (task: string) => number;
     readonly #onStart: (task: string) => void;
+    readonly #rejects: (serverId: string, order: StartOrder) => boolean;
     readonly #gangOf: (task: string) => string | undefined;
     /** Times at which gangs end, by gang and run. All members end together. */
     readonly #gangEndsAtMs = new Map<string, number>();
 
     constructor(
         replica: SingleReplica,
-        { count, capacity, runTimeMs, onStart = () => undefined, gangOf = () => undefined }: {
+        { count, capacity, runTimeMs, onStart = () => undefined, gangOf = () => undefined, rejects = () => false }: {
             count: number;
             capacity: Amounts;
             runTimeMs: (task: string) => number;
             /** Called when a task has been started. */
             onStart?: (task: string) => void;
+            /** Whether a server rejects a start. */
+            rejects?: (serverId: string, order: StartOrder) => boolean;
             /** Returns the gang that a task belongs to. */
             gangOf?: (task: string) => string | undefined;
         },
@@ -104,6 +122,7 @@
         this.#replica = replica;
         this.#runTimeMs = runTimeMs;
         this.#onStart = onStart;
+        this.#rejects = rejects;
         this.#gangOf = gangOf;
         this.servers = Array.from({ length: count }, (unused, index) => new LeaseServer(`server-${index}`, capacity));
     }
@@ -129,9 +148,17 @@
         }
         const orders = this.#replica.heartbeat(server.report());
         if (orders !== undefined) {
-            server.execute(orders, nowMs, order => this.#startedRunOf(order, nowMs));
-            orders.starts.forEach(({ task }) => this.#onStart(task));
+            server.execute(orders, nowMs, order => this.#start(server, order, nowMs));
+        }
+    }
+
+    #start({ id }: LeaseServer, order: StartOrder, nowMs: number): FleetRun | undefined {
+        if (this.#rejects(id, order)) {
+            return undefined;
         }
+        const run = this.#startedRunOf(order, nowMs);
+        this.#onStart(order.task);
+        return run;
     }
 
     #startedRunOf({ task, run }: StartOrder, nowMs: number): FleetRun {
