Test maintenance within the bounds of standing steps by random disruptions

Overlapping orders for maintenance, crashes, cuts and changes of the leader on standing steps with and without checkpoints. No stop goes beyond a bound, and all orders end.

--- a/packages/workflow/src/testing/lease-fleet.ts
+++ b/packages/workflow/src/testing/lease-fleet.ts
@@ -10,6 +10,7 @@
 export interface FleetRun {
     task: string;
     run: number;
+    startedAtMs: number;
     endsAtMs: number;
 }
 
@@ -35,16 +36,16 @@
         }
     }
 
-    report(): HeartbeatReport {
+    report(progressOf: (run: FleetRun) => number): HeartbeatReport {
         this.#sequence += 1;
         return heartbeatOf(this.id, this.#sequence, {
             incarnation: this.#incarnation,
             capacity: this.capacity,
-            running: this.runs.map(({ task, run }) => ({
-                task,
-                run,
+            running: this.runs.map(own => ({
+                task: own.task,
+                run: own.run,
                 checkpoint: "",
-                progressPercent: 0,
+                progressPercent: progressOf(own),
                 measurement: undefined,
             })),
             ended: [...this.#ended],
@@ -55,13 +56,21 @@
      * Executes an answer to a heartbeat that was sent at the given time. `start` is called for each new run, and returns
      * undefined to reject it.
      */
-    execute(orders: HeartbeatOrders, sentAtMs: number, start: (order: StartOrder) => FleetRun | undefined): void {
+    execute(
+        orders: HeartbeatOrders,
+        sentAtMs: number,
+        start: (order: StartOrder) => FleetRun | undefined,
+        onStop: (run: FleetRun) => void,
+    ): void {
         this.#leaseEndsAtMs = sentAtMs + orders.leaseMs;
         this.#ended = this.#ended.filter(({ sequence }) => sequence > orders.acknowledgedEnd);
         for (const { task, run } of orders.stops) {
             this.runs
                 .filter(own => own.task === task && own.run === run)
-                .forEach(own => this.#end(own, RunEnd.Stopped));
+                .forEach(own => {
+                    onStop(own);
+                    this.#end(own, RunEnd.Stopped);
+                });
         }
         for (const order of orders.starts) {
             const run = start(order);
@@ -100,6 +109,8 @@
     readonly #replica: SingleReplica;
     readonly #runTimeMs: (task: string) => number;
     readonly #onStart: (task: string) => void;
+    readonly #onStop: (run: FleetRun) => void;
+    readonly #progressOf: (run: FleetRun, nowMs: number) => number;
     readonly #rejects: (serverId: string, order: StartOrder) => boolean;
     readonly #gangOf: (task: string) => string | undefined;
     /** Times at which gangs end, by gang and run. All members end together. */
@@ -107,12 +118,25 @@
 
     constructor(
         replica: SingleReplica,
-        { count, capacity, runTimeMs, onStart = () => undefined, gangOf = () => undefined, rejects = () => false }: {
+        {
+            count,
+            capacity,
+            runTimeMs,
+            onStart = () => undefined,
+            onStop = () => undefined,
+            progressOf = () => 0,
+            gangOf = () => undefined,
+            rejects = () => false,
+        }: {
             count: number;
             capacity: Amounts;
             runTimeMs: (task: string) => number;
             /** Called when a task has been started. */
             onStart?: (task: string) => void;
+            /** Called when a run is about to end by an order to stop. */
+            onStop?: (run: FleetRun) => void;
+            /** Returns the progress that a heartbeat shows of a run, in percent. */
+            progressOf?: (run: FleetRun, nowMs: number) => number;
             /** Whether a server rejects a start. */
             rejects?: (serverId: string, order: StartOrder) => boolean;
             /** Returns the gang that a task belongs to. */
@@ -122,6 +146,8 @@
         this.#replica = replica;
         this.#runTimeMs = runTimeMs;
         this.#onStart = onStart;
+        this.#onStop = onStop;
+        this.#progressOf = progressOf;
         this.#rejects = rejects;
         this.#gangOf = gangOf;
         this.servers = Array.from({ length: count }, (unused, index) => new LeaseServer(`server-${index}`, capacity));
@@ -146,9 +172,9 @@
         if (server.isCutOff || server.downUntilMs > nowMs) {
             return;
         }
-        const orders = this.#replica.heartbeat(server.report());
+        const orders = this.#replica.heartbeat(server.report(run => this.#progressOf(run, nowMs)));
         if (orders !== undefined) {
-            server.execute(orders, nowMs, order => this.#start(server, order, nowMs));
+            server.execute(orders, nowMs, order => this.#start(server, order, nowMs), this.#onStop);
         }
     }
 
@@ -167,6 +193,6 @@
         if (gang !== undefined) {
             this.#gangEndsAtMs.set(`${gang}/${run}`, endsAtMs);
         }
-        return { task, run, endsAtMs };
+        return { task, run, startedAtMs: nowMs, endsAtMs };
     }
 }
